--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Every target makes its own environment from the pinned versions.
+PYTHON ?= python3
+BIN := .venv/bin
+
+.PHONY: test demo bench model generate long clean
+
+.venv/ready: requirements.txt
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch .venv/ready
+
+test: .venv/ready
+	$(BIN)/python -m tools.verdict
+
+demo: .venv/ready
+	$(BIN)/python -m tools.demo
+
+bench: .venv/ready
+	$(BIN)/python -m tools.bench $(if $(NAME),--name $(NAME)) $(if $(SEED),--seed $(SEED))
+
+model: .venv/ready
+	$(BIN)/python -m tools.model
+
+long: .venv/ready
+	$(BIN)/python -m tools.long_runs $(if $(SEED),--seed $(SEED))
+
+generate: .venv/ready
+	$(BIN)/python -m tools.generate
+
+clean:
+	rm -rf .venv build *.egg-info
--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,23 @@
+"""Hooks of behave: end what a scenario or feature started."""
+
+from standins.deployment import Deployment
+
+
+def before_all(context):
+    context.deployments = {}
+
+
+def after_scenario(context, scenario):
+    for closing in reversed(getattr(context, "closings", [])):
+        closing()
+    context.closings = []
+
+
+def after_feature(context, feature):
+    for deployment in context.deployments.values():
+        stop(deployment)
+    context.deployments.clear()
+
+
+def stop(deployment: Deployment) -> None:
+    deployment.stop()
--- /dev/null
+++ b/skylarklift/callers.py
@@ -0,0 +1,172 @@
+"""The callers' API: chats by the OpenAI protocol, calls of plain services, health."""
+
+import trio
+from quart import Response, request
+from quart_trio import QuartTrio
+from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
+
+from skylarklift.calls import CallRunner, ServiceCall
+from skylarklift.chats import ChatParts, ChatSession
+from skylarklift.clock import MS_PER_SECOND, Clock
+from skylarklift.errors import BadRequest, InvariantBreach, RequestError, RunState
+from skylarklift.generated import CallerSettings
+from skylarklift.ids import ServiceId
+from skylarklift.requests import CallerRequest, read_caller, read_chat
+from skylarklift.telemetry import Telemetry, error_body, log
+from skylarklift.upstreams import REQUEST_ID_HEADER, WholeAnswer
+
+EVENT_STREAM = "text/event-stream"
+METHODS = ["GET", "POST", "PUT", "PATCH", "DELETE"]
+
+
+class CallerApi:
+    """The app that callers and the balancer talk to."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        cfg: CallerSettings,
+        chat_parts: ChatParts,
+        calls: CallRunner,
+        telemetry: Telemetry,
+    ):
+        self._clock = clock
+        self._cfg = cfg
+        self._chat_parts = chat_parts
+        self._calls = calls
+        self._telemetry = telemetry
+        self.healthy = True
+        self.in_flight = 0
+        self.app = self._make_app()
+
+    def _make_app(self) -> QuartTrio:
+        """Return the app with its routes."""
+        app = QuartTrio("skylarklift-callers")
+        app.config["MAX_CONTENT_LENGTH"] = self._cfg.body_limit_bytes
+        app.config["BODY_TIMEOUT"] = None
+        app.config["RESPONSE_TIMEOUT"] = None
+        app.add_url_rule("/health", view_func=self._health)
+        app.add_url_rule("/v1/chat/completions", view_func=self._chat, methods=["POST"])
+        rule = "/services/<service>/<path:path>"
+        app.add_url_rule(rule, view_func=self._call, methods=METHODS)
+        app.register_error_handler(RequestError, self._refuse)
+        app.register_error_handler(InvariantBreach, self._refuse_breach)
+        app.register_error_handler(HTTPException, self._refuse_http)
+        app.register_error_handler(Exception, self._refuse_unexpected)
+        return app
+
+    async def _health(self):
+        """Tell the balancer whether to send requests here."""
+        if self.healthy:
+            return {"health": "in"}
+        return {"health": "leaving"}, 503
+
+    # Chats.
+
+    async def _chat(self):
+        """Complete a chat."""
+        caller = await self._read_caller()
+        chat = read_chat(caller, request.headers)
+        self._chat_parts.telemetry.count("chats.received")
+        session = ChatSession(self._chat_parts, chat)
+        if not chat.streamed:
+            with self._flight():
+                return _response(caller, await session.whole())
+        await session.open()
+        headers = {REQUEST_ID_HEADER: caller.request_id, "Cache-Control": "no-store"}
+        body = self._counted_events(session)
+        response = Response(body, session.status(), headers, content_type=EVENT_STREAM)
+        response.timeout = None
+        return response
+
+    async def _counted_events(self, session: ChatSession):
+        """Yield the events of a session while counting it as in flight."""
+        events = session.events()
+        with self._flight():
+            try:
+                async for item in events:
+                    yield item
+            finally:
+                with trio.CancelScope(shield=True):
+                    await events.aclose()
+
+    # Calls.
+
+    async def _call(self, service: str, path: str):
+        """Pass a call on to a plain service."""
+        caller = await self._read_caller()
+        self._telemetry.count("calls.received")
+        query = request.query_string.decode()
+        call = ServiceCall(
+            caller=caller,
+            service=ServiceId(service),
+            method=request.method,
+            path=f"{path}?{query}" if query else path,
+            content_type=request.headers.get("Content-Type", ""),
+        )
+        with self._flight():
+            return _response(caller, await self._calls.run(call))
+
+    # Common parts.
+
+    async def _read_caller(self) -> CallerRequest:
+        """Read the body within its limits and the headers."""
+        with trio.move_on_after(self._cfg.body_timeout_ms / MS_PER_SECOND):
+            body = await request.get_data()
+            return read_caller(request.headers, body, self._clock, self._cfg)
+        raise BadRequest("body_timeout", "the body did not arrive in time", status=408)
+
+    def _flight(self) -> "_Flight":
+        """Return a block that counts a request as in flight."""
+        return _Flight(self)
+
+    async def _refuse(self, exc: RequestError):
+        """Answer a refusal or failure in the one JSON shape."""
+        self._telemetry.count(f"refused.{exc.code}")
+        log.info("request_refused", code=exc.code, run=exc.run.value, text=str(exc))
+        headers = {}
+        if exc.retry_after_ms is not None:
+            headers["Retry-After"] = str(max(1, -(-exc.retry_after_ms // MS_PER_SECOND)))
+        return error_body(exc), exc.status, headers
+
+    async def _refuse_breach(self, exc: InvariantBreach):
+        """Answer a request whose handling broke an invariant."""
+        error = RequestError("an internal check failed")
+        error.code = "invariant_breach"
+        return await self._refuse(error)
+
+    async def _refuse_http(self, exc: HTTPException):
+        """Answer what the web framework refused before the request was read."""
+        codes = {
+            RequestEntityTooLarge: "body_too_large",
+            RequestTimeout: "body_timeout",
+        }
+        code = codes.get(type(exc), f"http_{exc.code}")
+        return await self._refuse(BadRequest(code, exc.description or "", status=exc.code))
+
+    async def _refuse_unexpected(self, exc: Exception):
+        """Answer a fault of this program; whether the request ran is not known."""
+        log.error("unexpected_error", exc_info=(type(exc), exc, exc.__traceback__))
+        error = RequestError("an unexpected error")
+        error.code = "internal"
+        error.run = RunState.UNKNOWN
+        return await self._refuse(error)
+
+
+class _Flight:
+    """Counts one request as in flight."""
+
+    def __init__(self, api: CallerApi):
+        self._api = api
+
+    def __enter__(self):
+        self._api.in_flight += 1
+
+    def __exit__(self, *_):
+        self._api.in_flight -= 1
+
+
+def _response(caller: CallerRequest, answer: WholeAnswer) -> Response:
+    """Return a whole answer to the caller it belongs to."""
+    headers = {REQUEST_ID_HEADER: caller.request_id}
+    return Response(answer.body, answer.status, headers, content_type=answer.content_type)
--- /dev/null
+++ b/skylarklift/calls.py
@@ -0,0 +1,175 @@
+"""Pass calls on to plain services, a marked one at most once."""
+
+import random
+from dataclasses import dataclass
+
+import httpx
+import trio
+
+from skylarklift.chats import claim_request, require_own
+from skylarklift.claims import Claim, ClaimState, ClaimWriter, Outcome
+from skylarklift.clock import MS_PER_SECOND, Clock
+from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal, RequestError, UpstreamFailed
+from skylarklift.gate import Gate
+from skylarklift.generated import Replica, RetrySettings, Service
+from skylarklift.ids import ReplicaId, ServiceId
+from skylarklift.requests import KEY_HEADER, CallerRequest
+from skylarklift.retries import RetryBudget
+from skylarklift.telemetry import Telemetry
+from skylarklift.upstreams import (
+    REQUEST_ID_HEADER,
+    UpstreamClient,
+    UpstreamError,
+    WholeAnswer,
+    check_echo,
+)
+
+# Methods that may be repeated by their published meaning (RFC 9110, 9.2.2).
+IDEMPOTENT_METHODS = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
+
+
+@dataclass
+class CallParts:
+    """What every call of a router uses."""
+
+    clock: Clock
+    gate: Gate
+    upstreams: UpstreamClient
+    claims: ClaimWriter
+    budget: RetryBudget
+    retries: RetrySettings
+    telemetry: Telemetry
+
+
+@dataclass(frozen=True)
+class ServiceCall:
+    """A call of a plain service."""
+
+    caller: CallerRequest
+    service: ServiceId
+    method: str
+    path: str
+    content_type: str
+
+
+class CallRunner:
+    """Runs the calls of plain services."""
+
+    def __init__(self, parts: CallParts):
+        self._parts = parts
+
+    async def run(self, call: ServiceCall) -> WholeAnswer:
+        """Return the service's answer; raise `RequestError` with whether the call ran."""
+        await self._parts.gate.wait(call.caller.left_ms(self._parts.clock))
+        service = self._service(call)
+        if not call.caller.marked:
+            self._parts.budget.note_request()
+            return await self._run_repeatable(call, service)
+        claim = await claim_request(self._parts.claims, self._parts.clock, call.caller)
+        outcome = claim.outcome()
+        if claim.state is ClaimState.TAKEN and outcome is not None:
+            return WholeAnswer(outcome.status, outcome.content_type, outcome.body.encode())
+        require_own(claim)
+        try:
+            return await self._run_claimed(call, claim)
+        finally:
+            if not claim.dispatched:
+                self._parts.claims.abandon(claim)
+
+    def _service(self, call: ServiceCall) -> Service:
+        """Return the service if the workspace may use it."""
+        table = self._parts.gate.check()
+        workspace = table.workspace(call.caller.workspace)
+        if workspace is None:
+            text = f"no workspace {call.caller.workspace!r}"
+            raise BadRequest("workspace_unknown", text, status=404)
+        if call.service not in workspace.services:
+            text = f"no service {call.service!r} for this workspace"
+            raise BadRequest("service_unknown", text, status=404)
+        return table.routing.services[call.service]
+
+    async def _run_repeatable(self, call: ServiceCall, service: Service) -> WholeAnswer:
+        """Run a call that may be sent again after a failure."""
+        failed: set[ReplicaId] = set()
+        sent = False
+        while True:
+            name, upstream = self._choose(call, failed)
+            try:
+                return await self._send(call, service, upstream)
+            except UpstreamError as exc:
+                sent = sent or exc.sent
+                failed.add(name)
+                self._parts.telemetry.count(f"upstream.{exc.kind.value}")
+                repeatable = not exc.sent or call.method in IDEMPOTENT_METHODS
+                if not repeatable or not self._may_try_again(failed):
+                    raise _failure(exc, sent) from exc
+
+    def _may_try_again(self, failed: set[ReplicaId]) -> bool:
+        """Tell whether attempts and budget allow another dispatch."""
+        return len(failed) < self._parts.retries.attempts and self._parts.budget.take()
+
+    async def _run_claimed(self, call: ServiceCall, claim: Claim) -> WholeAnswer:
+        """Run a marked call once; what is surely not sent may go to another upstream."""
+        failed: set[ReplicaId] = set()
+        while True:
+            service = self._service(call)
+            name, upstream = self._choose(call, failed)
+            claim.use()
+            try:
+                answer = await self._send(call, service, upstream)
+            except UpstreamError as exc:
+                if exc.sent:
+                    raise OutcomeUnknown(f"the call went out and failed: {exc}") from exc
+                claim.dispatched = False
+                failed.add(name)
+                continue
+            body = answer.body.decode(errors="replace")
+            self._parts.claims.record(claim, Outcome(answer.status, answer.content_type, body))
+            return answer
+
+    def _choose(self, call: ServiceCall, failed: set[ReplicaId]) -> tuple[ReplicaId, Replica]:
+        """Return an upstream in service that has not failed this call."""
+        table = self._parts.gate.check()
+        upstreams = table.routing.services[call.service].upstreams
+        names = [name for name in table.serving(upstreams) if name not in failed]
+        if not names:
+            raise Refusal("no_upstream", "no upstream of the service takes the call")
+        name = random.choice(names)
+        return name, upstreams[name]
+
+    async def _send(self, call: ServiceCall, service: Service, upstream: Replica) -> WholeAnswer:
+        """Send the call to one upstream and read the whole answer."""
+        left_ms = min(service.timeout_ms, call.caller.left_ms(self._parts.clock))
+        if not left_ms:
+            raise Refusal("deadline", "the deadline passed before the call", status=504)
+        if not self._parts.gate.check_upstream(upstream):
+            raise Refusal("stale_router", "the upstream is no longer in service")
+        with trio.move_on_after(left_ms / MS_PER_SECOND):
+            response = await self._open(call, upstream, left_ms)
+            check_echo(response, call.caller.request_id)
+            return await self._parts.upstreams.whole(response)
+        error = OutcomeUnknown("the service did not answer in time")
+        error.status = 504
+        raise error
+
+    async def _open(self, call: ServiceCall, upstream: Replica, left_ms: int) -> httpx.Response:
+        """Send the head and the body of the call."""
+        headers = {
+            REQUEST_ID_HEADER: call.caller.request_id,
+            "Skylarklift-Deadline-Ms": str(left_ms),
+        }
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        if call.caller.idempotency_key:
+            headers[KEY_HEADER] = call.caller.idempotency_key
+        if call.caller.traceparent:
+            headers["traceparent"] = call.caller.traceparent
+        url = f"{upstream.url}/{call.path}"
+        return await self._parts.upstreams.open(call.method, url, headers, call.caller.body)
+
+
+def _failure(exc: UpstreamError, sent: bool) -> RequestError:
+    """Return the error for a call that may be repeated."""
+    if not sent:
+        return Refusal("upstream_unreachable", f"no upstream took the call: {exc}")
+    return UpstreamFailed(f"the upstream failed: {exc}", retry_after_ms=MS_PER_SECOND)
--- /dev/null
+++ b/skylarklift/claims.py
@@ -0,0 +1,281 @@
+"""Run a marked request at most once: claim its key before anything is sent.
+
+A claim is a row of the table service that must not exist yet.  Whoever wrote it
+may dispatch the request once; nobody else ever may, and the claim is never taken
+over.  A resend finds the row and gets the first outcome, or "unknown".
+
+Claims of many requests are written in one call (`ClaimWriter`).  When the answer
+is lost the same conditional write is sent again, which shows whose claim it is.
+"""
+
+import secrets
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+from msgspec import ValidationError, convert, to_builtins
+
+from skylarklift.clock import Clock, Millis, sleep_ms
+from skylarklift.errors import StoreAnswerLost, StoreError
+from skylarklift.generated import ClaimRow, StoreSettings
+from skylarklift.ids import RouterId, WorkspaceId
+from skylarklift.invariants import INVARIANTS
+from skylarklift.store import ABSENT, Row, TableStore, Write, WriteResult
+
+CLAIM_PREFIX = "claim/"
+CLAIM_ID_BYTES = 9
+RETRY_PAUSE_MS = 100
+OUTCOME_ATTEMPTS = 20
+OUTCOME_QUEUE_LIMIT = 10_000
+
+
+class ClaimState(Enum):
+    """What became of the wish for a claim."""
+
+    OURS = "ours"
+    TAKEN = "taken"
+    NOT_HAD = "not_had"
+
+
+@dataclass(frozen=True)
+class ClaimName:
+    """A workspace and the idempotency key that its caller gave."""
+
+    workspace: WorkspaceId
+    key: str
+
+    def row_key(self) -> str:
+        """Return the key of the claim's row."""
+        return f"{CLAIM_PREFIX}{self.workspace}/{self.key}"
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What a marked request answered."""
+
+    status: int
+    content_type: str
+    body: str
+
+
+@dataclass
+class Claim:
+    """The answer to a wish: ours to dispatch once, or what the row says."""
+
+    name: ClaimName
+    state: ClaimState
+    row: ClaimRow | None = None
+    version: int = ABSENT
+    dispatched: bool = False
+
+    def use(self) -> None:
+        """Mark the one dispatch; a second one is a breach."""
+        INVARIANTS.require(
+            "claimed_once",
+            self.state is ClaimState.OURS and not self.dispatched,
+            claim=self.name.row_key(),
+            state=self.state.value,
+        )
+        self.dispatched = True
+
+    def outcome(self) -> Outcome | None:
+        """Return the recorded outcome of the first run, or `None` if there is none."""
+        if self.row is None or not self.row.status:
+            return None
+        return Outcome(self.row.status, self.row.content_type, self.row.body)
+
+
+def judge_claim(name: ClaimName, wanted: ClaimRow, result: WriteResult) -> Claim:
+    """Return the claim for the result of its conditional write.
+
+    A conflict with a row that carries our own claim id means that an earlier write
+    took effect although its answer was lost.
+    """
+    if result.done:
+        return Claim(name, ClaimState.OURS, wanted, result.version)
+    if result.row is None:
+        return Claim(name, ClaimState.NOT_HAD)
+    try:
+        found = convert(result.row.value, type=ClaimRow)
+    except ValidationError:
+        return Claim(name, ClaimState.TAKEN)
+    state = ClaimState.OURS if found.claim == wanted.claim else ClaimState.TAKEN
+    return Claim(name, state, found, result.row.version)
+
+
+@dataclass
+class ClaimCounts:
+    """Totals for metrics."""
+
+    claimed: int = 0
+    taken: int = 0
+    not_had: int = 0
+    batches: int = 0
+    lost_answers: int = 0
+    outcomes: int = 0
+    outcomes_dropped: int = 0
+
+
+@dataclass
+class _Wish:
+    """A claim that waits for its batch."""
+
+    name: ClaimName
+    row: ClaimRow
+    until: Millis
+    done: trio.Event = field(default_factory=trio.Event)
+    claim: Claim | None = None
+
+    def write(self, keep_ms: int) -> Write:
+        """Return the conditional write."""
+        return Write(self.name.row_key(), to_builtins(self.row), ABSENT, keep_ms)
+
+    def finish(self, claim: Claim) -> None:
+        """Give the answer."""
+        if self.claim is None:
+            self.claim = claim
+            self.done.set()
+
+
+class ClaimWriter:
+    """Write claims and outcomes in batches."""
+
+    def __init__(self, clock: Clock, me: RouterId, cfg: StoreSettings, store: TableStore):
+        self._clock = clock
+        self._me = me
+        self._cfg = cfg
+        self._store = store
+        self._wishes: list[_Wish] = []
+        self._outcomes: list[Write] = []
+        self._wake = trio.Event()
+        self.counts = ClaimCounts()
+
+    async def run(self) -> None:
+        """Write batches until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_claims)
+            nursery.start_soon(self._run_outcomes)
+
+    async def claim(self, name: ClaimName, fingerprint: str, wait_ms: int) -> Claim:
+        """Return a claim, or one that is taken or could not be had within the wait."""
+        claim_id = secrets.token_urlsafe(CLAIM_ID_BYTES)
+        row = ClaimRow(claim=claim_id, router=self._me, fingerprint=fingerprint)
+        wish = _Wish(name, row, Millis(self._clock.now() + wait_ms))
+        self._wishes.append(wish)
+        self._wake.set()
+        with trio.move_on_after(wait_ms / 1000):
+            await wish.done.wait()
+        if wish.claim is None:
+            # Nothing was dispatched for it, so «not run» is true even if the row
+            # was written; the row is removed when the store can be reached.
+            wish.finish(Claim(name, ClaimState.NOT_HAD))
+        self._count(wish.claim)
+        return wish.claim
+
+    def _count(self, claim: Claim) -> None:
+        """Count one answer."""
+        if claim.state is ClaimState.OURS:
+            self.counts.claimed += 1
+        elif claim.state is ClaimState.TAKEN:
+            self.counts.taken += 1
+        else:
+            self.counts.not_had += 1
+
+    async def _run_claims(self) -> None:
+        """Collect wishes for a moment, then write them together."""
+        while True:
+            await self._wake.wait()
+            self._wake = trio.Event()
+            await sleep_ms(self._cfg.claim_batch_wait_ms)
+            while self._wishes:
+                limit = self._cfg.claim_batch_limit_rows
+                batch, self._wishes = self._wishes[:limit], self._wishes[limit:]
+                await self._write_batch(batch)
+
+    async def _write_batch(self, batch: list[_Wish]) -> None:
+        """Write a batch once; wishes that are not settled wait for the next one."""
+        self.counts.batches += 1
+        writes = [wish.write(self._cfg.claim_keep_ms) for wish in batch]
+        try:
+            results = await self._store.write_each(writes)
+        except StoreError as exc:
+            self.counts.lost_answers += isinstance(exc, StoreAnswerLost)
+            await self._try_again(batch)
+            return
+        for wish, result in zip(batch, results, strict=True):
+            claim = judge_claim(wish.name, wish.row, result)
+            if wish.claim is not None and claim.state is ClaimState.OURS:
+                self._give_up(claim)
+            wish.finish(claim)
+
+    async def _try_again(self, batch: list[_Wish]) -> None:
+        """Put the unsettled wishes back; given-up ones too, so that their rows are removed."""
+        now = self._clock.now()
+        keep_until = now - self._cfg.timeout_ms * OUTCOME_ATTEMPTS
+        self._wishes = [wish for wish in batch if wish.until > keep_until] + self._wishes
+        await sleep_ms(RETRY_PAUSE_MS)
+
+    def _give_up(self, claim: Claim) -> None:
+        """Remove the row of a claim that nobody waits for any more."""
+        self._queue_write(Write(claim.name.row_key(), None, claim.version))
+
+    def abandon(self, claim: Claim) -> None:
+        """Remove a claim that was surely not dispatched, so that a resend may run."""
+        INVARIANTS.require("abandon_unused", not claim.dispatched, claim=claim.name.row_key())
+        self._give_up(claim)
+
+    def withdraw_dispatch(self, claim: Claim) -> None:
+        """Remove the claim of a dispatch of which surely no byte went out."""
+        claim.dispatched = False
+        self._give_up(claim)
+
+    def record(self, claim: Claim, outcome: Outcome) -> None:
+        """Keep the outcome for resends; without it a resend gets "unknown"."""
+        if len(outcome.body) > self._cfg.outcome_limit_bytes:
+            self.counts.outcomes_dropped += 1
+            return
+        row = ClaimRow(
+            claim=claim.row.claim,
+            router=self._me,
+            fingerprint=claim.row.fingerprint,
+            status=outcome.status,
+            body=outcome.body,
+            content_type=outcome.content_type,
+        )
+        key = claim.name.row_key()
+        write = Write(key, to_builtins(row), claim.version, self._cfg.claim_keep_ms)
+        self._queue_write(write)
+
+    def _queue_write(self, write: Write) -> None:
+        """Queue a write that need not be waited for."""
+        if len(self._outcomes) >= OUTCOME_QUEUE_LIMIT:
+            self.counts.outcomes_dropped += 1
+            return
+        self._outcomes.append(write)
+
+    async def _run_outcomes(self) -> None:
+        """Write outcomes in batches; they may be lost, which only costs a resend its answer."""
+        failures = 0
+        while True:
+            await sleep_ms(max(1, self._cfg.claim_batch_wait_ms) * (1 + failures))
+            limit = self._cfg.claim_batch_limit_rows
+            batch = self._outcomes[:limit]
+            if not batch:
+                continue
+            try:
+                await self._store.write_each(batch)
+            except StoreError:
+                failures = min(failures + 1, RETRY_PAUSE_MS)
+                continue
+            failures = 0
+            self._outcomes = self._outcomes[len(batch) :]
+            self.counts.outcomes += len(batch)
+
+    async def flush(self) -> None:
+        """Wait until all outcomes are written."""
+        while self._outcomes:
+            await sleep_ms(max(1, self._cfg.claim_batch_wait_ms))
+
+    async def read(self, name: ClaimName) -> Row | None:
+        """Return the row of a claim, for operators."""
+        return await self._store.read(name.row_key())
--- /dev/null
+++ b/skylarklift/daemon.py
@@ -0,0 +1,68 @@
+"""The daemon `skylarkliftd`: one router from a settings file until SIGTERM."""
+
+import argparse
+import gc
+import signal
+import sys
+
+import trio
+
+from skylarklift import __version__
+from skylarklift.errors import SettingsError
+from skylarklift.generated import Settings
+from skylarklift.router import Router
+from skylarklift.settings import load_settings
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the command line of the daemon."""
+    parser = argparse.ArgumentParser(
+        prog="skylarkliftd",
+        description="Run one router of the fleet.",
+        epilog="example: skylarkliftd --settings /etc/skylarklift/router.json",
+    )
+    parser.add_argument("--settings", required=True, help="JSON file with comments")
+    parser.add_argument("--check", action="store_true", help="check the settings and end")
+    parser.add_argument("--version", action="version", version=__version__)
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the daemon; return its exit code."""
+    options = make_parser().parse_args(argv)
+    try:
+        cfg = load_settings(options.settings)
+    except SettingsError as exc:
+        for finding in exc.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    if options.check:
+        print(f"{options.settings}: in order")
+        return EXIT_OK
+    trio.run(run_daemon, cfg)
+    return EXIT_OK
+
+
+async def run_daemon(cfg: Settings) -> None:
+    """Run a router until SIGTERM or SIGINT and its graceful shutdown."""
+    # What stands at the start stays for ever; freezing it keeps collections short.
+    gc.freeze()
+    async with trio.open_nursery() as nursery:
+        router = Router(cfg, nursery)
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            nursery.start_soon(_stop_on_signal, signals, router)
+            await router.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(signals, router: Router) -> None:
+    """Begin the shutdown at the first signal."""
+    async for _ in signals:
+        router.stop()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/skylarklift/frames.py
@@ -0,0 +1,143 @@
+"""Frames of messages on one connection, and the proof that both sides hold a fleet key.
+
+A frame is a length of four bytes, most significant first, and a msgpack message.
+The side that connects sends `Hello`; the other answers `Challenge` with its own
+proofs; the first answers `Proof`.  A proof is an HMAC-SHA256 over the role and both
+nonces.  During a key rotation both keys are valid: each side accepts either.
+"""
+
+import hmac
+import secrets
+from collections import Counter
+from functools import reduce
+from operator import or_
+
+import msgspec
+import trio
+
+from skylarklift import generated
+from skylarklift.errors import AuthenticationError, PeerError
+from skylarklift.generated import Challenge, Hello, Proof
+from skylarklift.ids import BootId, RouterId
+from skylarklift.wire import MESSAGE_TAGS, Message
+
+LENGTH_BYTES = 4
+NONCE_BYTES = 16
+READ_BYTES = 65536
+HANDSHAKE_LIMIT_BYTES = 1024
+
+AnyMessage = reduce(or_, (getattr(generated, name) for name in MESSAGE_TAGS))
+
+
+class FrameError(PeerError):
+    """A frame that cannot be read; the connection is of no further use."""
+
+
+class TrafficCounter:
+    """Count bytes by direction and message type."""
+
+    def __init__(self):
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+
+    def total(self) -> int:
+        """Return all bytes of both directions."""
+        return self.sent.total() + self.received.total()
+
+
+class FrameStream:
+    """Send and receive messages on one connection."""
+
+    def __init__(self, stream: trio.abc.Stream, limit_bytes: int, traffic: TrafficCounter):
+        self._stream = stream
+        self.limit_bytes = limit_bytes
+        self._traffic = traffic
+        self._buffer = bytearray()
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+    async def send(self, message: Message) -> None:
+        """Send one message."""
+        body = self._encoder.encode(message)
+        frame = len(body).to_bytes(LENGTH_BYTES, "big") + body
+        self._traffic.sent[type(message).__name__] += len(frame)
+        await self._stream.send_all(frame)
+
+    async def receive(self) -> Message | None:
+        """Return the next message, or `None` at the end of the connection."""
+        head = await self._take(LENGTH_BYTES)
+        if head is None:
+            return None
+        length = int.from_bytes(head, "big")
+        if length > self.limit_bytes:
+            raise FrameError(f"a frame of {length} bytes is over the limit")
+        body = await self._take(length)
+        if body is None:
+            return None
+        try:
+            message = self._decoder.decode(body)
+        except msgspec.MsgspecError as exc:
+            raise FrameError(f"not a message: {exc}") from exc
+        self._traffic.received[type(message).__name__] += LENGTH_BYTES + length
+        return message
+
+    async def _take(self, count: int) -> bytes | None:
+        """Return the next `count` bytes, or `None` if the connection ends before."""
+        while len(self._buffer) < count:
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                return None
+            self._buffer += data
+        taken = bytes(self._buffer[:count])
+        del self._buffer[:count]
+        return taken
+
+    async def close(self) -> None:
+        """Close the connection."""
+        await trio.aclose_forcefully(self._stream)
+
+
+def make_proof(key: str, role: str, own: bytes, other: bytes) -> bytes:
+    """Return the proof that a side with this role holds the key."""
+    return hmac.digest(key.encode(), role.encode() + own + other, "sha256")
+
+
+def proof_holds(keys: list[str], role: str, own: bytes, other: bytes, proof: bytes) -> bool:
+    """Tell whether a proof was made with one of the keys, in constant time."""
+    matches = [hmac.compare_digest(make_proof(key, role, own, other), proof) for key in keys]
+    return any(matches)
+
+
+async def greet(frames: FrameStream, me: RouterId, boot: BootId, keys: list[str]) -> None:
+    """Prove both sides to each other as the side that connected."""
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    await frames.send(Hello(me, boot, nonce))
+    challenge = await _receive_as(frames, Challenge)
+    for key in keys:
+        expected = make_proof(key, "server", challenge.nonce, nonce)
+        if any([hmac.compare_digest(expected, proof) for proof in challenge.proofs]):
+            await frames.send(Proof(make_proof(key, "client", nonce, challenge.nonce)))
+            return
+    raise AuthenticationError("the other router holds none of our keys")
+
+
+async def welcome(frames: FrameStream, keys: list[str]) -> Hello:
+    """Prove both sides to each other as the side that was connected to."""
+    limit, frames.limit_bytes = frames.limit_bytes, HANDSHAKE_LIMIT_BYTES
+    hello = await _receive_as(frames, Hello)
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    proofs = [make_proof(key, "server", nonce, hello.nonce) for key in keys]
+    await frames.send(Challenge(nonce, proofs))
+    proof = await _receive_as(frames, Proof)
+    if not proof_holds(keys, "client", hello.nonce, nonce, proof.proof):
+        raise AuthenticationError(f"router {hello.router!r} holds none of our keys")
+    frames.limit_bytes = limit
+    return hello
+
+
+async def _receive_as(frames: FrameStream, wanted: type) -> Message:
+    """Return the next message if it is of the wanted type."""
+    message = await frames.receive()
+    if not isinstance(message, wanted):
+        raise AuthenticationError(f"expected {wanted.__name__}, got {type(message).__name__}")
+    return message
--- /dev/null
+++ b/skylarklift/hashing.py
@@ -0,0 +1,29 @@
+"""Rendezvous hashing: every router computes the same order without a table."""
+
+from collections.abc import Iterable
+
+from xxhash import xxh3_64_intdigest
+
+from skylarklift.ids import ChatKey, Fingerprint
+
+FINGERPRINT_MASK = 0xFFFFFFFF
+
+
+def chat_key(workspace: str, chat: str) -> ChatKey:
+    """Return the placement key of a chat of a workspace."""
+    return ChatKey(xxh3_64_intdigest(f"{workspace}\0{chat}".encode()))
+
+
+def body_fingerprint(workspace: str, body: bytes) -> Fingerprint:
+    """Return a 32-bit number that is equal for equal requests of a workspace."""
+    return Fingerprint(xxh3_64_intdigest(body, seed=len(workspace)) & FINGERPRINT_MASK or 1)
+
+
+def rendezvous_order(key: int | str, names: Iterable[str]) -> list[str]:
+    """Return the names from the best to the worst for `key`."""
+    return sorted(names, key=lambda name: (-rendezvous_weight(key, name), name))
+
+
+def rendezvous_weight(key: int | str, name: str) -> int:
+    """Return the weight of `name` for `key`; the largest wins."""
+    return xxh3_64_intdigest(f"{key}\0{name}".encode())
--- /dev/null
+++ b/skylarklift/ids.py
@@ -0,0 +1,17 @@
+"""Identifiers, each of its own type so that one is not passed for another."""
+
+from typing import NewType
+
+RouterId = NewType("RouterId", str)
+BootId = NewType("BootId", str)
+ZoneId = NewType("ZoneId", str)
+PoolId = NewType("PoolId", str)
+ReplicaId = NewType("ReplicaId", str)
+ServiceId = NewType("ServiceId", str)
+WorkspaceId = NewType("WorkspaceId", str)
+RequestId = NewType("RequestId", str)
+PatchId = NewType("PatchId", str)
+Version = NewType("Version", int)
+GrantId = NewType("GrantId", int)
+ChatKey = NewType("ChatKey", int)
+Fingerprint = NewType("Fingerprint", int)
--- /dev/null
+++ b/skylarklift/operators.py
@@ -0,0 +1,198 @@
+"""The operators' API: read, patch and check the configuration, and see the routers."""
+
+import hmac
+import uuid
+from typing import Any
+
+import msgspec
+from quart import request
+from quart_trio import QuartTrio
+
+from skylarklift.claims import ClaimName, ClaimWriter
+from skylarklift.errors import (
+    PatchError,
+    PatchUnsettled,
+    SettingsError,
+    SkylarkError,
+    StalePatch,
+    StoreError,
+)
+from skylarklift.generated import OperatorApiSettings, PatchBody, PatchFormat, PatchRow
+from skylarklift.heads import HeadKeeper
+from skylarklift.ids import PatchId, Version, WorkspaceId
+from skylarklift.patching import PatchRequest, apply_patch
+from skylarklift.routing import check_value
+from skylarklift.status import StatusCollector
+from skylarklift.telemetry import Telemetry, log
+
+PATCH_ID_LIMIT = 128
+BODY_LIMIT_BYTES = 8 * 1024 * 1024
+BEARER = "Bearer "
+
+
+class NotAuthenticated(SkylarkError):
+    """A call without a known operator's token."""
+
+
+class BadCall(SkylarkError):
+    """A call whose body or arguments cannot be read."""
+
+
+class OperatorApi:
+    """The app that operators and the command-line tool talk to."""
+
+    def __init__(
+        self,
+        cfg: OperatorApiSettings,
+        heads: HeadKeeper,
+        status: StatusCollector,
+        claims: ClaimWriter,
+        telemetry: Telemetry,
+    ):
+        self._cfg = cfg
+        self._heads = heads
+        self._status = status
+        self._claims = claims
+        self._telemetry = telemetry
+        self.app = self._make_app()
+
+    def _make_app(self) -> QuartTrio:
+        """Return the app with its routes."""
+        app = QuartTrio("skylarklift-operators")
+        app.config["MAX_CONTENT_LENGTH"] = BODY_LIMIT_BYTES
+        app.add_url_rule("/v1/configuration", view_func=self._show)
+        app.add_url_rule("/v1/configuration/history", view_func=self._history)
+        app.add_url_rule("/v1/configuration/patches", view_func=self._patch, methods=["POST"])
+        app.add_url_rule("/v1/configuration/check", view_func=self._check, methods=["POST"])
+        app.add_url_rule("/v1/status", view_func=self._show_status)
+        app.add_url_rule("/v1/claims/<workspace>/<path:key>", view_func=self._claim)
+        app.register_error_handler(NotAuthenticated, self._answer_unknown_operator)
+        app.register_error_handler(BadCall, self._answer_bad_call)
+        app.register_error_handler(StalePatch, self._answer_stale)
+        app.register_error_handler(PatchUnsettled, self._answer_unsettled)
+        app.register_error_handler(SettingsError, self._answer_findings)
+        app.register_error_handler(PatchError, self._answer_patch_error)
+        app.register_error_handler(StoreError, self._answer_store_away)
+        return app
+
+    # Calls.
+
+    async def _show(self):
+        """Show the configuration in force at this router."""
+        self._operator()
+        table = self._heads.table
+        return {"version": table.version, "digest": table.digest, "routing": table.value}
+
+    async def _history(self):
+        """Show the accepted patches after a version."""
+        self._operator()
+        since = request.args.get("since", "0")
+        if not since.isdecimal():
+            raise BadCall("since must be a version number")
+        rows = await self._heads.changes_since(int(since))
+        return {"version": self._heads.table.version, "changes": _rows(rows)}
+
+    async def _patch(self):
+        """Accept a patch against a numbered version."""
+        operator = self._operator()
+        body = await self._read_patch()
+        patch_id = body.patch_id or uuid.uuid4().hex
+        submitted = PatchRequest(
+            base=Version(body.base),
+            patch_id=PatchId(patch_id),
+            operator=operator,
+            format=body.format,
+            patch=body.patch,
+            note=body.note,
+        )
+        version = await self._heads.accept(submitted)
+        self._telemetry.count("patches.accepted")
+        log.info("patch_accepted", operator=operator, patch_id=patch_id, version=version)
+        return {"version": version, "patch_id": patch_id}
+
+    async def _check(self):
+        """Check a patch against the configuration in force and accept nothing."""
+        self._operator()
+        body = await self._read_patch()
+        table = self._heads.table
+        if body.base != table.version:
+            raise StalePatch(table.version, await self._heads.changes_since(body.base))
+        check_value("patch", apply_patch(table.value, body.format, body.patch))
+        return {"version": table.version, "valid": True}
+
+    async def _show_status(self):
+        """Show every router of the view."""
+        self._operator()
+        return await self._status.collect()
+
+    async def _claim(self, workspace: str, key: str):
+        """Show the claim of a marked request."""
+        self._operator()
+        row = await self._claims.read(ClaimName(WorkspaceId(workspace), key))
+        if row is None:
+            return {"claim": None}
+        return {"claim": row.value}
+
+    # Reading calls.
+
+    def _operator(self) -> str:
+        """Return the name of the operator whose token came with the call."""
+        header = request.headers.get("Authorization", "")
+        offered = header.removeprefix(BEARER).encode()
+        found = None
+        for operator in self._cfg.operators:
+            # Every token is compared, so that the time tells nothing.
+            if hmac.compare_digest(operator.token.encode(), offered) and operator.token:
+                found = operator.name
+        if found is None or not header.startswith(BEARER):
+            raise NotAuthenticated("a known operator's token is needed")
+        return found
+
+    async def _read_patch(self) -> PatchBody:
+        """Return the body of a patch call."""
+        try:
+            body = msgspec.json.decode(await request.get_data(), type=PatchBody)
+        except msgspec.MsgspecError as exc:
+            raise BadCall(f"not a patch call: {exc}") from exc
+        wanted = dict if body.format is PatchFormat.MERGE else list
+        if not isinstance(body.patch, wanted):
+            raise BadCall(f"a patch of format {body.format.value} is a JSON {wanted.__name__}")
+        if len(body.patch_id) > PATCH_ID_LIMIT or not body.patch_id.isprintable():
+            raise BadCall("patch_id must be printable and of at most 128 characters")
+        return body
+
+    # Answering errors.
+
+    def _answer(self, status: int, code: str, exc: Exception, **more: Any):
+        """Return an error in the one JSON shape of this API."""
+        self._telemetry.count(f"operators.{code}")
+        log.info("operator_call_refused", code=code, text=str(exc))
+        return {"error": {"code": code, "message": str(exc), **more}}, status
+
+    async def _answer_unknown_operator(self, exc):
+        return self._answer(401, "not_authenticated", exc)
+
+    async def _answer_bad_call(self, exc):
+        return self._answer(400, "bad_call", exc)
+
+    async def _answer_stale(self, exc):
+        changes = _rows(exc.changes)
+        return self._answer(409, "stale_patch", exc, current=exc.current, changes=changes)
+
+    async def _answer_unsettled(self, exc):
+        return self._answer(504, "unsettled", exc)
+
+    async def _answer_findings(self, exc):
+        findings = [{"key": item.key, "text": item.text} for item in exc.findings]
+        return self._answer(422, "invalid_configuration", exc, findings=findings)
+
+    async def _answer_patch_error(self, exc):
+        return self._answer(422, "patch_refused", exc)
+
+    async def _answer_store_away(self, exc):
+        return self._answer(503, "store_away", exc)
+
+
+def _rows(rows: list[PatchRow]) -> list[dict]:
+    """Return patch rows as JSON values."""
+    return [msgspec.to_builtins(row) for row in rows]
--- /dev/null
+++ b/skylarklift/peers.py
@@ -0,0 +1,275 @@
+"""Calls between routers: a link for each router called, a server for those that call.
+
+A call carries a sequence number, and its answer must carry the same; an answer
+that comes late or with an unknown number is dropped and counted.
+"""
+
+import ssl
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.errors import PeerError, PeerTimeout, PeerUnreachable, SkylarkError
+from skylarklift.frames import FrameStream, TrafficCounter, greet, welcome
+from skylarklift.generated import Address, Failure, PeerSettings
+from skylarklift.ids import BootId, RouterId, ZoneId
+from skylarklift.wire import Message
+
+Handler = Callable[[RouterId, Message], Awaitable[Message]]
+
+HANDSHAKE_TIMEOUT_MS = 2000
+CONNECT_TIMEOUT_MS = 1000
+FIRST_BACKOFF_MS = 50
+LONGEST_BACKOFF_MS = 1000
+CALLS_AT_ONCE_PER_LINK = 2048
+
+
+@dataclass
+class PeerIdentity:
+    """Who this router is towards others."""
+
+    router: RouterId
+    boot: BootId
+    zone: ZoneId
+    cfg: PeerSettings
+    client_tls: ssl.SSLContext | None = None
+    server_tls: ssl.SSLContext | None = None
+
+
+@dataclass
+class PeerCounts:
+    """Totals for metrics."""
+
+    traffic: TrafficCounter = field(default_factory=TrafficCounter)
+    late_answers: int = 0
+    broken_connections: int = 0
+    refused_connections: int = 0
+
+
+class _Pending:
+    """A call that waits for its answer."""
+
+    def __init__(self):
+        self.done = trio.Event()
+        self.answer: Message | None = None
+
+
+class PeerLink:
+    """The connection to one router; opened on the first call and again after a loss."""
+
+    def __init__(self, identity: PeerIdentity, address: Address, clock: Clock, counts: PeerCounts):
+        self._identity = identity
+        self.address = address
+        self._clock = clock
+        self._counts = counts
+        limit = identity.cfg.queue_limit_frames
+        self._outbox, self._outgoing = trio.open_memory_channel[Message](limit)
+        self._pending: dict[int, _Pending] = {}
+        self._seq = 0
+        self._blocked_until = Millis(0)
+        self._backoff_ms = FIRST_BACKOFF_MS
+        self._connected = False
+
+    async def run(self) -> None:
+        """Own the connection until cancelled."""
+        async for message in self._outgoing:
+            if message.seq not in self._pending:
+                continue
+            try:
+                await self._serve_connection(message)
+            except* (OSError, PeerError, trio.BrokenResourceError, trio.TooSlowError):
+                self._counts.broken_connections += 1
+            self._lose_connection()
+
+    async def _serve_connection(self, first: Message) -> None:
+        """Connect, then send and receive until the connection ends."""
+        with trio.fail_after(CONNECT_TIMEOUT_MS / MS_PER_SECOND):
+            stream = await self._connect()
+        frames = FrameStream(stream, self._identity.cfg.frame_limit_bytes, self._counts.traffic)
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_MS / MS_PER_SECOND):
+                identity = self._identity
+                await greet(frames, identity.router, identity.boot, identity.cfg.keys)
+            self._connected = True
+            self._backoff_ms = FIRST_BACKOFF_MS
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, frames, nursery.cancel_scope)
+                await frames.send(first)
+                async for message in self._outgoing:
+                    if message.seq in self._pending:
+                        await frames.send(message)
+        finally:
+            with trio.CancelScope(shield=True):
+                await frames.close()
+
+    async def _connect(self) -> trio.abc.Stream:
+        """Open the connection, with TLS where settings name certificates."""
+        host, port = self.address.host, self.address.port
+        if self._identity.client_tls is None:
+            return await trio.open_tcp_stream(host, port)
+        return await trio.open_ssl_over_tcp_stream(
+            host, port, ssl_context=self._identity.client_tls
+        )
+
+    async def _receive(self, frames: FrameStream, scope: trio.CancelScope) -> None:
+        """Hand each answer to its call; end the connection with its last frame."""
+        try:
+            while (answer := await frames.receive()) is not None:
+                pending = self._pending.pop(answer.seq, None)
+                if pending is None:
+                    self._counts.late_answers += 1
+                    continue
+                pending.answer = answer
+                pending.done.set()
+        finally:
+            scope.cancel()
+
+    def _lose_connection(self) -> None:
+        """Fail the calls under way and wait before the next attempt."""
+        if not self._connected:
+            self._blocked_until = Millis(self._clock.now() + self._backoff_ms)
+            self._backoff_ms = min(2 * self._backoff_ms, LONGEST_BACKOFF_MS)
+        self._connected = False
+        for pending in self._pending.values():
+            pending.done.set()
+        self._pending.clear()
+
+    async def call(self, message: Message, timeout_ms: int) -> Message:
+        """Send a message and return the answer.
+
+        Raises `PeerUnreachable` when nothing was sent and `PeerTimeout` when the
+        message may have arrived.
+        """
+        if self._clock.now() < self._blocked_until:
+            raise PeerUnreachable(f"{self.address.host}:{self.address.port}")
+        self._seq += 1
+        message.seq = self._seq
+        pending = self._pending[message.seq] = _Pending()
+        try:
+            self._outbox.send_nowait(message)
+        except trio.WouldBlock as exc:
+            del self._pending[message.seq]
+            raise PeerUnreachable("the queue of the link is full") from exc
+        with trio.move_on_after(timeout_ms / MS_PER_SECOND):
+            await pending.done.wait()
+        self._pending.pop(message.seq, None)
+        if pending.answer is None:
+            if self._clock.now() < self._blocked_until:
+                raise PeerUnreachable(f"{self.address.host}:{self.address.port}")
+            raise PeerTimeout(f"{self.address.host}:{self.address.port}")
+        if isinstance(pending.answer, Failure):
+            raise PeerError(pending.answer.code)
+        return pending.answer
+
+
+class PeerServer:
+    """Take connections of other routers and answer their calls."""
+
+    def __init__(self, identity: PeerIdentity, handler: Handler, counts: PeerCounts):
+        self._identity = identity
+        self._handler = handler
+        self._counts = counts
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listen until cancelled."""
+        cfg = self._identity.cfg
+        if self._identity.server_tls is None:
+            serve = trio.serve_tcp
+            options = {}
+        else:
+            serve = trio.serve_ssl_over_tcp
+            options = {"ssl_context": self._identity.server_tls}
+        await serve(
+            self._serve_connection,
+            cfg.listen.port,
+            host=cfg.listen.host,
+            task_status=task_status,
+            **options,
+        )
+
+    async def _serve_connection(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection; whatever it does ends no other one."""
+        frames = FrameStream(stream, self._identity.cfg.frame_limit_bytes, self._counts.traffic)
+        try:
+            with trio.fail_after(HANDSHAKE_TIMEOUT_MS / MS_PER_SECOND):
+                hello = await welcome(frames, self._identity.cfg.keys)
+        except (OSError, SkylarkError, trio.BrokenResourceError, trio.TooSlowError):
+            self._counts.refused_connections += 1
+            await frames.close()
+            return
+        try:
+            await self._answer_calls(RouterId(hello.router), frames)
+        except* (OSError, SkylarkError, trio.BrokenResourceError, trio.ClosedResourceError):
+            self._counts.broken_connections += 1
+        finally:
+            with trio.CancelScope(shield=True):
+                await frames.close()
+
+    async def _answer_calls(self, router: RouterId, frames: FrameStream) -> None:
+        """Answer each call in a task of its own, so that one that waits holds up no other."""
+        sending = trio.Lock()
+        room = trio.Semaphore(CALLS_AT_ONCE_PER_LINK)
+
+        async def answer(message: Message) -> None:
+            seq = message.seq
+            try:
+                reply = await self._handler(router, message)
+            except SkylarkError as exc:
+                reply = Failure(seq, type(exc).__name__)
+            finally:
+                room.release()
+            reply.seq = seq
+            async with sending:
+                await frames.send(reply)
+
+        async with trio.open_nursery() as nursery:
+            while (message := await frames.receive()) is not None:
+                await room.acquire()
+                nursery.start_soon(answer, message)
+            nursery.cancel_scope.cancel()
+
+
+class PeerDirectory:
+    """The links to all other routers by id."""
+
+    def __init__(self, identity: PeerIdentity, clock: Clock, nursery: trio.Nursery):
+        self.identity = identity
+        self._clock = clock
+        self._nursery = nursery
+        self._links: dict[RouterId, PeerLink] = {}
+        self._scopes: dict[RouterId, trio.CancelScope] = {}
+        self.counts = PeerCounts()
+
+    def set_addresses(self, addresses: dict[RouterId, Address]) -> None:
+        """Take over the addresses of the view; links to removed routers end."""
+        for router in list(self._links):
+            if addresses.get(router) != self._links[router].address:
+                self._scopes.pop(router).cancel()
+                del self._links[router]
+        for router, address in addresses.items():
+            if router not in self._links and router != self.identity.router:
+                self._open(router, address)
+
+    def _open(self, router: RouterId, address: Address) -> None:
+        """Start the task of a link."""
+        link = PeerLink(self.identity, address, self._clock, self.counts)
+        scope = trio.CancelScope()
+        self._links[router] = link
+        self._scopes[router] = scope
+
+        async def run() -> None:
+            with scope:
+                await link.run()
+
+        self._nursery.start_soon(run)
+
+    async def call(
+        self, router: RouterId, message: Message, timeout_ms: int | None = None
+    ) -> Message:
+        """Call a router of the view."""
+        link = self._links.get(router)
+        if link is None:
+            raise PeerUnreachable(f"router {router} is not in the view")
+        return await link.call(message, timeout_ms or self.identity.cfg.call_timeout_ms)
--- /dev/null
+++ b/skylarklift/poolhost.py
@@ -0,0 +1,500 @@
+"""Host the admissions of the pools that this router holds the lease for.
+
+The router that comes first in rendezvous order among the live members is to admit
+for a pool.  It asks for the lease, lists the grants that the other routers hold,
+and then admits.  One that is no longer first hands over and gives up the lease.
+"""
+
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import trio
+
+from skylarklift.admission import (
+    AdmissionRequest,
+    Decision,
+    Grant,
+    GrantKey,
+    PoolAdmitter,
+    RefusalCode,
+)
+from skylarklift.clock import Clock, Millis, sleep_ms
+from skylarklift.errors import PeerError
+from skylarklift.freshness import Freshness
+from skylarklift.generated import (
+    Ask,
+    Done,
+    FreshnessSettings,
+    Granted,
+    Inventory,
+    InventoryReply,
+    Refused,
+    Release,
+    ReleaseCause,
+    Unvote,
+    Vote,
+    VoteReply,
+)
+from skylarklift.hashing import rendezvous_order
+from skylarklift.heads import HeadKeeper
+from skylarklift.ids import (
+    BootId,
+    ChatKey,
+    Fingerprint,
+    GrantId,
+    PoolId,
+    ReplicaId,
+    RouterId,
+    WorkspaceId,
+)
+from skylarklift.lease import LeaseHolder, LeaseVoter, VoterSets
+from skylarklift.membership import Membership
+from skylarklift.peers import PeerDirectory
+from skylarklift.poison import PoisonList
+from skylarklift.telemetry import Telemetry, log
+from skylarklift.upstreams import LoadReport, LoadReporter
+
+# A grant must be used within this span, counted by the router that asked from
+# before it asked.  A new admitter waits as long when it cannot list all grants.
+GRANT_VALID_MS = 1500
+TICK_INTERVAL_MS = 20
+RECONCILE_INTERVAL_MS = 10_000
+DROP_ROUTER_AFTER_MS = 5000
+CAUSES = list(ReleaseCause)
+
+NOT_ADMITTING = "not_admitting"
+STALE = "stale_router"
+POISONED = "poisoned"
+
+
+def pool_lease_name(pool: PoolId) -> str:
+    """Return the lease name of a pool."""
+    return f"pool/{pool}"
+
+
+def admitter_order(pool: PoolId, live: list[RouterId]) -> list[RouterId]:
+    """Return the live routers in the order in which they are to admit for the pool."""
+    return [RouterId(name) for name in rendezvous_order(pool_lease_name(pool), live)]
+
+
+@dataclass
+class _Hosted:
+    """One pool at this router."""
+
+    lease: LeaseHolder
+    admitter: PoolAdmitter | None = None
+    version: int = -1
+    waiting: dict[GrantKey, "_Answer"] = field(default_factory=dict)
+    all_listed: bool = False
+    open_at: Millis = Millis(0)
+    gone_since: dict[RouterId, Millis] = field(default_factory=dict)
+
+
+class _Answer:
+    """A place for the decision on one request."""
+
+    def __init__(self):
+        self.done = trio.Event()
+        self.decision: Decision | None = None
+
+    def give(self, decision: Decision) -> None:
+        """Hand over the decision and wake the task that waits."""
+        self.decision = decision
+        self.done.set()
+
+
+class PoolHost:
+    """The pools that this router admits for, or would like to."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        me: RouterId,
+        cfg: FreshnessSettings,
+        heads: HeadKeeper,
+        freshness: Freshness,
+        membership: Membership,
+        voters: VoterSets,
+        peers: PeerDirectory,
+        poison: PoisonList,
+        reporter: LoadReporter,
+        own_grants: Callable[[PoolId], list[Grant]],
+        telemetry: Telemetry,
+    ):
+        self._clock = clock
+        self._me = me
+        self._cfg = cfg
+        self._heads = heads
+        self._freshness = freshness
+        self._membership = membership
+        self._voters = voters
+        self._peers = peers
+        self._poison = poison
+        self._reporter = reporter
+        self._own_grants = own_grants
+        self._telemetry = telemetry
+        self.voter = LeaseVoter(clock, cfg.lease_ms)
+        self._pools: dict[PoolId, _Hosted] = {}
+        self.leaving = False
+        heads.on_change.append(self._take_configuration)
+
+    # Configuration.
+
+    def _take_configuration(self) -> None:
+        """Open and close pools, and give the admitters the new configuration."""
+        routing = self._heads.table.routing
+        for pool_id in routing.pools:
+            if pool_id not in self._pools:
+                name = pool_lease_name(PoolId(pool_id))
+                lease = LeaseHolder(self._clock, self._voters, name, self._cfg.lease_ms)
+                self._pools[PoolId(pool_id)] = _Hosted(lease)
+        for pool_id in [name for name in self._pools if name not in routing.pools]:
+            self._stop_admitting(pool_id)
+            del self._pools[pool_id]
+        for pool_id, hosted in self._pools.items():
+            self._configure(pool_id, hosted)
+
+    def _configure(self, pool_id: PoolId, hosted: _Hosted) -> None:
+        """Give one admitter the configuration in force."""
+        table = self._heads.table
+        if hosted.admitter is None or hosted.version == table.version:
+            return
+        pool = table.routing.pools[pool_id]
+        hosted.admitter.configure(pool, table.serving(pool.replicas))
+        hosted.version = table.version
+
+    # Tasks.
+
+    async def run(self) -> None:
+        """Renew leases, let time act, and collect load reports until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_leases, nursery)
+            nursery.start_soon(self._run_ticks)
+            nursery.start_soon(self._run_reports)
+            nursery.start_soon(self._run_reconciliation)
+
+    async def _run_leases(self, nursery: trio.Nursery) -> None:
+        """Ask for the leases that this router should have, at each renewal."""
+        while True:
+            for pool_id in list(self._pools):
+                nursery.start_soon(self._tend, pool_id)
+            await sleep_ms(self._cfg.renew_interval_ms * random.uniform(0.8, 1.0))
+
+    async def _tend(self, pool_id: PoolId) -> None:
+        """Take, renew or hand over one lease."""
+        hosted = self._pools.get(pool_id)
+        if hosted is None:
+            return
+        first = self.should_admit(pool_id)
+        if first and not self.leaving and self._freshness.is_fresh():
+            await self._renew(pool_id, hosted)
+        elif hosted.admitter is not None or hosted.lease.holds():
+            await self.hand_over(pool_id)
+
+    def should_admit(self, pool_id: PoolId) -> bool:
+        """Tell whether this router comes first for the pool."""
+        order = admitter_order(pool_id, self._membership.live())
+        return bool(order) and order[0] == self._me
+
+    async def _renew(self, pool_id: PoolId, hosted: _Hosted) -> None:
+        """Collect votes; start to admit when the lease is new."""
+        lease = hosted.lease
+        asked = lease.start_round()
+        number = lease.round_number()
+
+        async def ask(router: RouterId) -> None:
+            granted = await self._ask_vote(router, lease)
+            lease.take_answer(number, router, granted)
+
+        async with trio.open_nursery() as nursery:
+            for router in asked:
+                nursery.start_soon(ask, router)
+        if lease.holds() and hosted.admitter is None and self._pools.get(pool_id) is hosted:
+            await self._start_admitting(pool_id, hosted)
+
+    async def _ask_vote(self, router: RouterId, lease: LeaseHolder) -> bool:
+        """Ask one voter; tell whether it granted."""
+        if router == self._me:
+            return self.voter.ask(lease.name, self._me, lease.span_ms).granted
+        message = Vote(0, lease.name, lease.span_ms, self._heads.view.number)
+        try:
+            reply = await self._peers.call(router, message)
+        except PeerError:
+            return False
+        return isinstance(reply, VoteReply) and reply.granted
+
+    async def _start_admitting(self, pool_id: PoolId, hosted: _Hosted) -> None:
+        """List the grants that others hold, then open the account."""
+        table = self._heads.table
+        pool = table.routing.pools[pool_id]
+        admitter = PoolAdmitter(self._clock, pool, table.serving(pool.replicas))
+        complete = await self._list_grants(pool_id, admitter)
+        if not hosted.lease.holds() or hosted.admitter is not None:
+            return
+        admitter.start_from_loads()
+        hosted.version = table.version
+        hosted.all_listed = complete
+        wait_ms = 0 if complete else GRANT_VALID_MS
+        hosted.open_at = Millis(self._clock.now() + wait_ms)
+        hosted.admitter = admitter
+        self._configure(pool_id, hosted)
+        log.info("admitting_started", pool=pool_id, complete=complete)
+
+    async def _list_grants(self, pool_id: PoolId, admitter: PoolAdmitter) -> bool:
+        """Ask every member for its grants; tell whether all answered."""
+        silent: list[RouterId] = []
+
+        async def ask(router: RouterId) -> None:
+            try:
+                reply = await self._peers.call(router, Inventory(0, pool_id))
+            except PeerError:
+                silent.append(router)
+                return
+            if isinstance(reply, InventoryReply):
+                admitter.adopt(_listed_grants(router, reply))
+
+        admitter.adopt(self._own_grants(pool_id))
+        async with trio.open_nursery() as nursery:
+            for router in self._membership.members:
+                if router != self._me:
+                    nursery.start_soon(ask, router)
+        return not silent
+
+    async def hand_over(self, pool_id: PoolId) -> None:
+        """Stop admitting and let the voters vote for another router at once."""
+        hosted = self._pools[pool_id]
+        self._stop_admitting(pool_id)
+        asked = hosted.lease.start_round()
+        hosted.lease.give_up()
+
+        async def tell(router: RouterId) -> None:
+            if router == self._me:
+                self.voter.take_back(hosted.lease.name, self._me)
+                return
+            try:
+                await self._peers.call(router, Unvote(0, hosted.lease.name))
+            except PeerError:
+                return
+
+        async with trio.open_nursery() as nursery:
+            for router in asked:
+                nursery.start_soon(tell, router)
+
+    async def hand_over_all(self) -> None:
+        """Hand over every pool before the router ends."""
+        self.leaving = True
+        async with trio.open_nursery() as nursery:
+            for pool_id in list(self._pools):
+                nursery.start_soon(self.hand_over, pool_id)
+
+    def _stop_admitting(self, pool_id: PoolId) -> None:
+        """Close the account; what waits in the queue is asked elsewhere."""
+        hosted = self._pools[pool_id]
+        if hosted.admitter is not None:
+            self._deliver(hosted, hosted.admitter.hand_over())
+            hosted.admitter = None
+            log.info("admitting_stopped", pool=pool_id)
+
+    async def _run_ticks(self) -> None:
+        """Let time act on the admitters; close those whose lease ended."""
+        while True:
+            for pool_id, hosted in list(self._pools.items()):
+                if hosted.admitter is None:
+                    continue
+                if not hosted.lease.holds():
+                    self._stop_admitting(pool_id)
+                    continue
+                self._drop_gone_routers(hosted)
+                self._deliver(hosted, hosted.admitter.tick())
+            await sleep_ms(TICK_INTERVAL_MS)
+
+    def _drop_gone_routers(self, hosted: _Hosted) -> None:
+        """End the grants of routers that have been out of the view for some time."""
+        now = self._clock.now()
+        holders = {grant.name.router for grant in hosted.admitter.grants()}
+        absent = holders - set(self._membership.members)
+        hosted.gone_since = {name: hosted.gone_since.get(name, now) for name in absent}
+        for router, since in hosted.gone_since.items():
+            if now - since >= DROP_ROUTER_AFTER_MS:
+                self._deliver(hosted, hosted.admitter.drop_router(router))
+
+    async def _run_reports(self) -> None:
+        """Collect the load reports of the replicas of the pools admitted for."""
+        async with trio.open_nursery() as nursery:
+            due: dict[PoolId, Millis] = {}
+            while True:
+                now = self._clock.now()
+                for pool_id, hosted in self._pools.items():
+                    if hosted.admitter is not None and due.get(pool_id, now) <= now:
+                        due[pool_id] = Millis(now + hosted.admitter.pool.report_interval_ms)
+                        nursery.start_soon(self._collect_reports, pool_id)
+                await sleep_ms(TICK_INTERVAL_MS)
+
+    async def _collect_reports(self, pool_id: PoolId) -> None:
+        """Ask each replica of a pool for its load."""
+        hosted = self._pools[pool_id]
+
+        async def collect(name: ReplicaId, url: str) -> None:
+            report = await self._reporter.read(url)
+            if report is not None and hosted.admitter is not None:
+                self._take_report(hosted, name, report)
+
+        async with trio.open_nursery() as nursery:
+            for name, replica in hosted.admitter.pool.replicas.items():
+                nursery.start_soon(collect, ReplicaId(name), replica.url)
+
+    def _take_report(self, hosted: _Hosted, name: ReplicaId, report: LoadReport) -> None:
+        """Give a load report to the admitter."""
+        hosted.admitter.see_report(name, report.running, BootId(report.boot), hosted.all_listed)
+
+    async def _run_reconciliation(self) -> None:
+        """Compare the account with what the routers hold, in case a release was lost."""
+        while True:
+            await sleep_ms(RECONCILE_INTERVAL_MS)
+            for pool_id, hosted in list(self._pools.items()):
+                if hosted.admitter is not None:
+                    await self._reconcile(pool_id, hosted, hosted.admitter)
+
+    async def _reconcile(self, pool_id: PoolId, hosted: _Hosted, admitter: PoolAdmitter) -> None:
+        """Take off the account what its router no longer holds."""
+        for router in {grant.name.router for grant in admitter.grants()} - {self._me}:
+            asked_at = self._clock.now()
+            try:
+                reply = await self._peers.call(router, Inventory(0, pool_id))
+            except PeerError:
+                continue
+            if isinstance(reply, InventoryReply) and hosted.admitter is admitter:
+                held = {GrantId(entry.grant) for entry in reply.entries}
+                before = Millis(asked_at - GRANT_VALID_MS)
+                self._deliver(hosted, admitter.reconcile(router, held, before))
+
+    # Answering.
+
+    async def answer_ask(self, router: RouterId, message: Ask) -> Granted | Refused:
+        """Decide on a request, waiting for a place if need be."""
+        pool_id = PoolId(message.pool)
+        hosted = self._pools.get(pool_id)
+        code = self._refusal_before_asking(hosted, message)
+        if code is not None:
+            return Refused(0, code, 0, self._first_admitter(pool_id))
+        with self._telemetry.span("admit", message.trace, pool=message.pool):
+            return await self._decide(router, message, pool_id, hosted)
+
+    async def _decide(
+        self, router: RouterId, message: Ask, pool_id: PoolId, hosted: _Hosted
+    ) -> Granted | Refused:
+        """Put a request to the admitter and wait for its decision."""
+        asked_at = self._clock.now()
+        name = GrantKey(router, GrantId(message.grant))
+        answer = hosted.waiting.setdefault(name, _Answer())
+        self._deliver(hosted, hosted.admitter.ask(self._request(name, message)))
+        try:
+            await answer.done.wait()
+        finally:
+            hosted.waiting.pop(name, None)
+        decision = answer.decision
+        if isinstance(decision, Grant):
+            waited_ms = self._clock.now() - asked_at
+            return Granted(0, message.grant, decision.replica, hosted.version, waited_ms)
+        code = NOT_ADMITTING if decision.code is RefusalCode.HANDED_OVER else decision.code.value
+        return Refused(0, code, decision.retry_ms, self._first_admitter(pool_id))
+
+    def _refusal_before_asking(self, hosted: _Hosted | None, message: Ask) -> str | None:
+        """Return why this router cannot decide on a request now, or `None`."""
+        if hosted is None or hosted.admitter is None or not hosted.lease.holds():
+            return NOT_ADMITTING
+        if self._clock.now() < hosted.open_at:
+            return NOT_ADMITTING
+        if not self._freshness.is_fresh() or message.version > hosted.version:
+            return STALE
+        if self._poison.is_poisoned(Fingerprint(message.fingerprint)):
+            return POISONED
+        return None
+
+    def _first_admitter(self, pool_id: PoolId) -> str:
+        """Return the router that should admit for the pool as far as this one knows."""
+        order = admitter_order(pool_id, self._membership.live())
+        return order[0] if order else ""
+
+    def _request(self, name: GrantKey, message: Ask) -> AdmissionRequest:
+        """Return the request of a message, with what the configuration says of its workspace."""
+        workspace = self._heads.table.workspace(WorkspaceId(message.workspace))
+        return AdmissionRequest(
+            name=name,
+            chat=ChatKey(message.key),
+            workspace=WorkspaceId(message.workspace),
+            priority=message.priority,
+            wait_ms=message.wait_ms,
+            avoid=frozenset(ReplicaId(item) for item in message.avoid),
+            share=workspace.share if workspace else 1.0,
+            in_flight_limit=workspace.in_flight_limit if workspace else 1,
+        )
+
+    def _deliver(self, hosted: _Hosted, decisions: list[Decision]) -> None:
+        """Hand each decision to the task that waits for it."""
+        for decision in decisions:
+            answer = hosted.waiting.get(decision.name)
+            if answer is not None:
+                answer.give(decision)
+            elif isinstance(decision, Grant):
+                # Nobody waits for this grant any more.
+                self._deliver(hosted, hosted.admitter.release(decision.name))
+
+    async def answer_release(self, router: RouterId, message: Release) -> Done:
+        """Take back grants."""
+        hosted = self._pools.get(PoolId(message.pool))
+        if hosted is None or hosted.admitter is None:
+            return Done(0)
+        admitter = hosted.admitter
+        for entry in message.grants:
+            name = GrantKey(router, GrantId(entry.grant))
+            replica = admitter.replica_of(name)
+            if replica is not None:
+                self._learn_from_release(admitter, replica, entry.cause, entry.first_token_ms)
+            self._deliver(hosted, admitter.release(name))
+        return Done(0)
+
+    def _learn_from_release(
+        self, admitter: PoolAdmitter, replica: ReplicaId, cause: int, first_token_ms: int
+    ) -> None:
+        """Note how the replica did."""
+        if CAUSES[cause] is ReleaseCause.CRASHED:
+            admitter.see_crash(replica)
+        elif first_token_ms >= 0:
+            admitter.see_first_token(replica, first_token_ms)
+
+    async def answer_vote(self, router: RouterId, message: Vote) -> VoteReply:
+        """Vote on a lease, unless our views differ."""
+        if message.view != self._heads.view.number:
+            return VoteReply(0, False, "", 0)
+        answer = self.voter.ask(message.key, router, message.span_ms)
+        return VoteReply(0, answer.granted, answer.holder, answer.left_ms)
+
+    async def answer_unvote(self, router: RouterId, message: Unvote) -> Done:
+        """End a vote at its holder's wish."""
+        self.voter.take_back(message.key, router)
+        return Done(0)
+
+    # Reading.
+
+    def admitters(self) -> dict[PoolId, PoolAdmitter]:
+        """Return the admitters of the pools that this router admits for."""
+        return {
+            name: hosted.admitter
+            for name, hosted in self._pools.items()
+            if hosted.admitter is not None and hosted.lease.holds()
+        }
+
+
+def _listed_grants(router: RouterId, reply: InventoryReply) -> list[Grant]:
+    """Return the grants that a router listed."""
+    return [
+        Grant(
+            GrantKey(router, GrantId(entry.grant)),
+            ReplicaId(entry.replica),
+            WorkspaceId(entry.workspace),
+            ChatKey(entry.key),
+        )
+        for entry in reply.entries
+    ]
--- /dev/null
+++ b/skylarklift/routing.py
@@ -0,0 +1,127 @@
+"""The routing configuration of a deployment: parsed, checked, and asked.
+
+`RoutingTable` is what one version of the configuration says; it never changes.
+"""
+
+import hashlib
+from collections.abc import Iterable
+from typing import Any
+
+from msgspec import ValidationError, convert, json
+
+from skylarklift.errors import SettingsError
+from skylarklift.generated import (
+    Pool,
+    Replica,
+    Routing,
+    Service,
+    UpstreamState,
+    Workspace,
+    ZoneState,
+)
+from skylarklift.ids import PoolId, ReplicaId, ServiceId, Version, WorkspaceId, ZoneId
+from skylarklift.util.commented import CommentedFile, parse_text, schema_findings, unknown_text
+from skylarklift.util.findings import Finding
+
+DIGEST_CHARACTERS = 16
+
+
+class RoutingTable:
+    """One accepted version of the routing configuration."""
+
+    def __init__(self, version: Version, value: dict[str, Any]):
+        self.version = version
+        self.value = value
+        self.routing = convert(value, type=Routing)
+        self.digest = routing_digest(value)
+
+    def pool(self, pool_id: PoolId) -> Pool | None:
+        """Return the pool, or `None` if there is none."""
+        return self.routing.pools.get(pool_id)
+
+    def service(self, service_id: ServiceId) -> Service | None:
+        """Return the plain service, or `None` if there is none."""
+        return self.routing.services.get(service_id)
+
+    def workspace(self, workspace_id: WorkspaceId) -> Workspace | None:
+        """Return the workspace, or `None` if there is none."""
+        return self.routing.workspaces.get(workspace_id)
+
+    def serving(self, upstreams: dict[str, Replica]) -> list[ReplicaId]:
+        """Return the upstreams that may be given new work, in the order of their names."""
+        return [ReplicaId(name) for name in sorted(upstreams) if self.in_service(upstreams[name])]
+
+    def in_service(self, replica: Replica) -> bool:
+        """Tell whether a replica and its availability zone both take new work."""
+        zone = self.routing.zones.get(replica.zone)
+        return replica.state is UpstreamState.IN and zone is not None and zone.state is ZoneState.IN
+
+    def pool_for(self, workspace: Workspace, model: str) -> PoolId | None:
+        """Return the first pool of the workspace that serves the model."""
+        for pool_id in workspace.pools:
+            if model in self.routing.pools[pool_id].models:
+                return PoolId(pool_id)
+        return None
+
+    def zones(self) -> dict[ZoneId, ZoneState]:
+        """Return the state of each availability zone."""
+        return {ZoneId(name): zone.state for name, zone in self.routing.zones.items()}
+
+
+def routing_digest(value: dict[str, Any]) -> str:
+    """Return a short digest of a configuration that does not depend on key order."""
+    body = json.encode(value, order="sorted")
+    return hashlib.sha256(body).hexdigest()[:DIGEST_CHARACTERS]
+
+
+def check_routing(document: CommentedFile) -> list[Finding]:
+    """Return all faults of a routing configuration, with their places."""
+    findings = schema_findings(document, "Routing")
+    if findings:
+        return findings
+    try:
+        routing = convert(document.value, type=Routing)
+    except ValidationError as exc:
+        return [document.finding((), str(exc))]
+    return list(_reference_findings(document, routing))
+
+
+def _reference_findings(document: CommentedFile, routing: Routing) -> Iterable[Finding]:
+    """Yield each name that stands for nothing."""
+    for group, upstreams in _upstream_groups(routing):
+        for name, replica in upstreams.items():
+            if replica.zone not in routing.zones:
+                text = unknown_text(replica.zone, routing.zones)
+                yield document.finding((*group, name, "zone"), f"availability zone: {text}")
+            if not replica.url.startswith(("http://", "https://")):
+                yield document.finding((*group, name, "url"), "must start with http:// or https://")
+    for name, workspace in routing.workspaces.items():
+        for field, known in (("pools", routing.pools), ("services", routing.services)):
+            for index, used in enumerate(getattr(workspace, field)):
+                if used not in known:
+                    path = ("workspaces", name, field, index)
+                    yield document.finding(path, unknown_text(used, known))
+
+
+def _upstream_groups(routing: Routing) -> Iterable[tuple[tuple[str, ...], dict[str, Replica]]]:
+    """Yield the key path and the upstreams of each pool and service."""
+    for name, pool in routing.pools.items():
+        yield ("pools", name, "replicas"), pool.replicas
+    for name, service in routing.services.items():
+        yield ("services", name, "upstreams"), service.upstreams
+
+
+def parse_routing(name: str, text: str) -> dict[str, Any]:
+    """Return a checked routing configuration; raise `SettingsError` with all findings."""
+    document = parse_text(name, text)
+    findings = check_routing(document)
+    if findings:
+        raise SettingsError(findings)
+    return document.value
+
+
+def check_value(name: str, value: Any) -> None:
+    """Check a configuration that has no file; raise `SettingsError` with all findings."""
+    findings = check_routing(CommentedFile(name, value, {}))
+    if findings:
+        raise SettingsError([Finding(name, 0, item.key, item.text) for item in findings])
--- /dev/null
+++ b/skylarklift/serving.py
@@ -0,0 +1,33 @@
+"""Serve a web app in this process until told to stop."""
+
+from collections.abc import Awaitable, Callable
+
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+from skylarklift.generated import Address, TlsSettings
+
+BACKLOG = 1024
+
+
+def make_config(address: Address, tls: TlsSettings, header_limit: int, grace_s: float) -> Config:
+    """Return hypercorn's settings for one address."""
+    config = Config()
+    config.bind = [f"{address.host}:{address.port}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.backlog = BACKLOG
+    config.graceful_timeout = grace_s
+    config.h11_max_incomplete_size = header_limit
+    config.include_server_header = False
+    if tls.certificate:
+        config.certfile = tls.certificate
+        config.keyfile = tls.key
+        config.ca_certs = tls.authority or None
+    return config
+
+
+async def serve_app(app: QuartTrio, config: Config, stop: Callable[[], Awaitable[None]]) -> None:
+    """Serve until `stop` returns, then let running requests end within the grace span."""
+    await serve(app, config, shutdown_trigger=stop, mode="asgi")
--- /dev/null
+++ b/skylarklift/settings.py
@@ -0,0 +1,123 @@
+"""Load the settings of a router: shipped defaults, one file, secrets from elsewhere.
+
+A value that is the text ``env:NAME`` is read from the environment, and one that is
+``file:PATH`` from a file, so that no secret stands in the settings file.  Such
+values and all keys and tokens are never logged.
+"""
+
+import os
+from collections.abc import Mapping
+from importlib.resources import files
+from pathlib import Path
+from typing import Any
+
+import json_merge_patch
+from msgspec import ValidationError, convert
+
+from skylarklift.errors import SettingsError
+from skylarklift.generated import Settings
+from skylarklift.util.commented import CommentedFile, KeyPath, parse_text, schema_findings
+from skylarklift.util.findings import Finding
+
+ENVIRONMENT_MARK = "env:"
+FILE_MARK = "file:"
+
+
+def load_settings(path: str, environment: Mapping[str, str] | None = None) -> Settings:
+    """Return the checked settings of the file; raise `SettingsError` with all findings."""
+    try:
+        text = Path(path).read_text()
+    except OSError as exc:
+        raise SettingsError([Finding(path, 0, "", exc.strerror or str(exc))]) from exc
+    return parse_settings(path, text, environment)
+
+
+def parse_settings(name: str, text: str, environment: Mapping[str, str] | None = None) -> Settings:
+    """Return the checked settings of a text; `name` stands for it in findings."""
+    environment = os.environ if environment is None else environment
+    document = parse_text(name, text)
+    if not isinstance(document.value, dict):
+        raise SettingsError([document.finding((), "settings must be an object")])
+    defaults = parse_text("defaults.json", default_text()).value
+    document.value = json_merge_patch.merge(defaults, document.value)
+    findings: list[Finding] = []
+    document.value = _resolve_secrets(document, document.value, (), environment, findings)
+    findings += schema_findings(document, "Settings")
+    if findings:
+        raise SettingsError(findings)
+    try:
+        settings = convert(document.value, type=Settings)
+    except ValidationError as exc:
+        raise SettingsError([document.finding((), str(exc))]) from exc
+    findings = _rule_findings(document, settings)
+    if findings:
+        raise SettingsError(findings)
+    return settings
+
+
+def default_text() -> str:
+    """Return the text of the shipped defaults."""
+    return files("skylarklift").joinpath("defaults.json").read_text()
+
+
+def _resolve_secrets(
+    document: CommentedFile,
+    value: Any,
+    path: KeyPath,
+    environment: Mapping[str, str],
+    findings: list[Finding],
+) -> Any:
+    """Return a value with each ``env:`` and ``file:`` text replaced."""
+    if isinstance(value, dict):
+        return {
+            key: _resolve_secrets(document, item, (*path, key), environment, findings)
+            for key, item in value.items()
+        }
+    if isinstance(value, list):
+        return [
+            _resolve_secrets(document, item, (*path, index), environment, findings)
+            for index, item in enumerate(value)
+        ]
+    if not isinstance(value, str):
+        return value
+    if value.startswith(ENVIRONMENT_MARK):
+        name = value.removeprefix(ENVIRONMENT_MARK)
+        if name not in environment:
+            findings.append(document.finding(path, f"environment variable {name} is not set"))
+        return environment.get(name, "")
+    if value.startswith(FILE_MARK):
+        return _read_secret(document, path, value.removeprefix(FILE_MARK), findings)
+    return value
+
+
+def _read_secret(document: CommentedFile, path: KeyPath, name: str, findings: list[Finding]) -> str:
+    """Return the stripped text of a secret's file."""
+    try:
+        return Path(name).read_text().strip()
+    except OSError as exc:
+        findings.append(document.finding(path, f"cannot read {name}: {exc.strerror}"))
+        return ""
+
+
+def _rule_findings(document: CommentedFile, settings: Settings) -> list[Finding]:
+    """Return the faults that a schema cannot express."""
+    found = []
+    if not settings.peers.keys:
+        found.append(document.finding(("peers", "keys"), "at least one key is needed"))
+    for index, key in enumerate(settings.peers.keys):
+        if len(key) < 16:
+            found.append(document.finding(("peers", "keys", index), "shorter than 16 characters"))
+    if len(settings.peers.keys) > 2:
+        found.append(document.finding(("peers", "keys"), "at most two keys are valid at once"))
+    if settings.freshness.renew_interval_ms * 2 > settings.freshness.lease_ms:
+        text = "renew_interval_ms must be at most half of lease_ms"
+        found.append(document.finding(("freshness", "renew_interval_ms"), text))
+    names = [operator.name for operator in settings.operators.operators]
+    if len(set(names)) < len(names):
+        found.append(document.finding(("operators", "operators"), "two operators of one name"))
+    for part in ("callers", "operators", "peers"):
+        tls = getattr(settings, part).tls
+        if bool(tls.certificate) != bool(tls.key):
+            text = "certificate and key are needed together"
+            found.append(document.finding((part, "tls"), text))
+    return found
--- /dev/null
+++ b/skylarklift/ui/client.py
@@ -0,0 +1,104 @@
+"""Calls of the operators' API, with each refusal as an error of its own class."""
+
+import uuid
+from dataclasses import dataclass
+from typing import Any
+
+import httpx
+
+from skylarklift.errors import SkylarkError
+from skylarklift.generated import PatchFormat
+
+TIMEOUT_S = 20.0
+PATCH_ATTEMPTS = 3
+
+
+class CallError(SkylarkError):
+    """The API refused a call; `code` and `details` are as it answered."""
+
+    def __init__(self, code: str, message: str, details: dict[str, Any]):
+        super().__init__(message)
+        self.code = code
+        self.details = details
+
+
+class Unreachable(SkylarkError):
+    """No router answered."""
+
+
+@dataclass(frozen=True)
+class AcceptedPatch:
+    """An accepted patch: its version and its id."""
+
+    version: int
+    patch_id: str
+
+
+class OperatorClient:
+    """A client of one router's operators' API."""
+
+    def __init__(self, url: str, token: str):
+        self._client = httpx.Client(
+            base_url=url,
+            headers={"Authorization": f"Bearer {token}"},
+            timeout=TIMEOUT_S,
+            trust_env=False,
+        )
+
+    def configuration(self) -> dict[str, Any]:
+        """Return the version, digest and routing in force."""
+        return self._call("GET", "/v1/configuration")
+
+    def history(self, since: int) -> dict[str, Any]:
+        """Return the patches after a version."""
+        return self._call("GET", "/v1/configuration/history", params={"since": since})
+
+    def status(self) -> dict[str, Any]:
+        """Return the status of all routers."""
+        return self._call("GET", "/v1/status")
+
+    def claim(self, workspace: str, key: str) -> dict[str, Any]:
+        """Return the claim of a marked request."""
+        return self._call("GET", f"/v1/claims/{workspace}/{key}")
+
+    def check(self, base: int, patch_format: PatchFormat, patch: Any) -> dict[str, Any]:
+        """Check a patch without accepting it."""
+        body = {"base": base, "format": patch_format.value, "patch": patch}
+        return self._call("POST", "/v1/configuration/check", json=body)
+
+    def submit(
+        self, base: int, patch_format: PatchFormat, patch: Any, patch_id: str = "", note: str = ""
+    ) -> AcceptedPatch:
+        """Submit a patch; a lost answer is asked again by the same patch id."""
+        body = {
+            "base": base,
+            "format": patch_format.value,
+            "patch": patch,
+            "patch_id": patch_id or uuid.uuid4().hex,
+            "note": note,
+        }
+        for attempt in range(PATCH_ATTEMPTS):
+            try:
+                answer = self._call("POST", "/v1/configuration/patches", json=body)
+                return AcceptedPatch(answer["version"], answer["patch_id"])
+            except (Unreachable, CallError) as exc:
+                settled = isinstance(exc, CallError) and exc.code != "unsettled"
+                if settled or attempt + 1 == PATCH_ATTEMPTS:
+                    raise
+        raise AssertionError("unreachable")
+
+    def _call(self, method: str, path: str, **options: Any) -> dict[str, Any]:
+        """Send one call and return its JSON answer."""
+        try:
+            response = self._client.request(method, path, **options)
+        except httpx.HTTPError as exc:
+            raise Unreachable(f"no answer from {self._client.base_url}: {exc}") from exc
+        try:
+            answer = response.json()
+        except ValueError as exc:
+            raise Unreachable(f"{self._client.base_url} is not an operators' API") from exc
+        if response.status_code >= 400:
+            error = answer.get("error", {})
+            code = error.pop("code", f"http_{response.status_code}")
+            raise CallError(code, error.pop("message", response.text), error)
+        return answer
--- /dev/null
+++ b/skylarklift/ui/commands.py
@@ -0,0 +1,200 @@
+"""The commands: each takes the parsed options and the output, and returns an exit code."""
+
+import argparse
+import difflib
+import json
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+from skylarklift.errors import SettingsError
+from skylarklift.generated import PatchFormat
+from skylarklift.routing import parse_routing
+from skylarklift.settings import load_settings
+from skylarklift.ui.client import OperatorClient
+from skylarklift.ui.output import ExitCode, Output
+from skylarklift.util.commented import parse_text
+from skylarklift.util.findings import Finding
+
+WAIT_LIMIT_S = 30.0
+WAIT_PAUSE_S = 0.1
+
+
+def validate(options: argparse.Namespace, out: Output) -> int:
+    """Check settings or routing files and report all findings of all of them."""
+    findings: list[Finding] = []
+    for path in options.files:
+        try:
+            check_file(path, options.kind)
+        except SettingsError as exc:
+            findings.extend(exc.findings)
+    out.findings(findings)
+    return ExitCode.INVALID if findings else ExitCode.OK
+
+
+def check_file(path: str, kind: str) -> None:
+    """Check one file as settings or as a routing configuration."""
+    if kind == "settings":
+        load_settings(path)
+    else:
+        parse_routing(path, read_text(path))
+
+
+def read_text(path: str) -> str:
+    """Return a file's text, or standard input for «-»."""
+    try:
+        return sys.stdin.read() if path == "-" else Path(path).read_text()
+    except OSError as exc:
+        raise SettingsError([Finding(path, 0, "", exc.strerror or str(exc))]) from exc
+
+
+def read_value(path: str) -> Any:
+    """Return the value of a JSON file with comments."""
+    return parse_text(path, read_text(path)).value
+
+
+def show(options: argparse.Namespace, out: Output) -> int:
+    """Show the configuration in force."""
+    answer = client(options).configuration()
+    out.value(answer, json.dumps(answer["routing"], indent=2))
+    out.note(f"version {answer['version']}, digest {answer['digest']}")
+    return ExitCode.OK
+
+
+def diff(options: argparse.Namespace, out: Output) -> int:
+    """Show what a routing file would change; exit 1 if it differs."""
+    answer = client(options).configuration()
+    wanted = parse_routing(options.file, read_text(options.file))
+    lines = list(
+        difflib.unified_diff(
+            _sorted_lines(answer["routing"]),
+            _sorted_lines(wanted),
+            f"version {answer['version']}",
+            options.file,
+            lineterm="",
+        )
+    )
+    out.value({"version": answer["version"], "diff": lines}, "\n".join(lines))
+    return ExitCode.INVALID if lines else ExitCode.OK
+
+
+def _sorted_lines(value: Any) -> list[str]:
+    """Return a value as JSON lines in a fixed order."""
+    return json.dumps(value, indent=2, sort_keys=True).splitlines()
+
+
+def patch(options: argparse.Namespace, out: Output) -> int:
+    """Submit a patch file against a numbered version."""
+    api = client(options)
+    patch_format = PatchFormat(options.format)
+    value = read_value(options.file)
+    base = options.base if options.base is not None else api.configuration()["version"]
+    if options.dry_run:
+        api.check(base, patch_format, value)
+        out.value({"valid": True}, f"the patch is valid against version {base}")
+        return ExitCode.OK
+    accepted = api.submit(base, patch_format, value, options.patch_id, options.note)
+    return finish_patch(api, options, out, accepted.version, accepted.patch_id)
+
+
+def zone(options: argparse.Namespace, out: Output) -> int:
+    """Take an availability zone out of service or back in."""
+    change = {"zones": {options.zone: {"state": options.state}}}
+    return submit_change(options, out, change, ("zones", options.zone))
+
+
+def drain(options: argparse.Namespace, out: Output) -> int:
+    """Give an upstream no new work, or put it back in service."""
+    group, kind = ("pools", "replicas") if options.pool else ("services", "upstreams")
+    owner = options.pool or options.service
+    state = "in" if options.undo else "draining"
+    change = {group: {owner: {kind: {options.upstream: {"state": state}}}}}
+    return submit_change(options, out, change, (group, owner, kind, options.upstream))
+
+
+def submit_change(
+    options: argparse.Namespace, out: Output, change: dict, path: tuple[str, ...]
+) -> int:
+    """Submit a merge patch for something that must exist already."""
+    api = client(options)
+    answer = api.configuration()
+    place = answer["routing"]
+    for part in path:
+        if part not in place:
+            finding = Finding("configuration", 0, ".".join(path), f"no {part!r} is configured")
+            out.findings([finding])
+            return ExitCode.INVALID
+        place = place[part]
+    base = options.base if options.base is not None else answer["version"]
+    accepted = api.submit(base, PatchFormat.MERGE, change, options.patch_id, options.note)
+    return finish_patch(api, options, out, accepted.version, accepted.patch_id)
+
+
+def finish_patch(
+    api: OperatorClient, options: argparse.Namespace, out: Output, version: int, patch_id: str
+) -> int:
+    """Report an accepted patch; with --wait, once it is in force at every router."""
+    answer = {"version": version, "patch_id": patch_id}
+    text = f"accepted as version {version} (patch id {patch_id})"
+    if options.wait:
+        behind = wait_in_force(api, version)
+        answer["behind"] = behind
+        text += "; in force everywhere" if not behind else f"; not yet at {', '.join(behind)}"
+    out.value(answer, text)
+    return ExitCode.UNSETTLED if answer.get("behind") else ExitCode.OK
+
+
+def wait_in_force(api: OperatorClient, version: int) -> list[str]:
+    """Wait until every router has the version; return those that still lack it."""
+    end = time.monotonic() + WAIT_LIMIT_S
+    while True:
+        routers = api.status()["routers"]
+        behind = [
+            name
+            for name, status in routers.items()
+            if status is None or status["version"] < version or not status["fresh"]
+        ]
+        if not behind or time.monotonic() >= end:
+            return behind
+        time.sleep(WAIT_PAUSE_S)
+
+
+def status(options: argparse.Namespace, out: Output) -> int:
+    """Show every router and pool."""
+    answer = client(options).status()
+    out.value(answer, None)
+    out.router_table(answer)
+    out.pool_table(answer)
+    silent = [name for name, item in answer["routers"].items() if item is None]
+    return ExitCode.UNREACHABLE if silent else ExitCode.OK
+
+
+def history(options: argparse.Namespace, out: Output) -> int:
+    """Show the accepted patches."""
+    answer = client(options).history(options.since)
+    lines = [
+        f"{row['version']:>6}  {row['operator']:<12} {row['patch_id']}  {json.dumps(row['patch'])}"
+        for row in answer["changes"]
+    ]
+    out.value(answer, "\n".join(lines))
+    return ExitCode.OK
+
+
+def claim(options: argparse.Namespace, out: Output) -> int:
+    """Show what is known of a marked request."""
+    answer = client(options).claim(options.workspace, options.key)
+    row = answer["claim"]
+    if row is None:
+        text = "no claim: no router dispatched the request within the time that claims are kept"
+    elif row["status"]:
+        text = f"ran: answered {row['status']} through {row['router']}"
+    else:
+        text = f"claimed by {row['router']}, outcome unknown: ask the service itself"
+    out.value(answer, text)
+    return ExitCode.OK
+
+
+def client(options: argparse.Namespace) -> OperatorClient:
+    """Return a client for the router of the options."""
+    return OperatorClient(options.url, options.token)
--- /dev/null
+++ b/skylarklift/ui/main.py
@@ -0,0 +1,147 @@
+"""The command-line tool `skylarklift`: its arguments, and errors as one clean line."""
+
+import argparse
+import os
+import sys
+from pathlib import Path
+
+import argcomplete
+
+from skylarklift import __version__
+from skylarklift.errors import SettingsError, SkylarkError
+from skylarklift.ui import commands
+from skylarklift.ui.client import CallError, Unreachable
+from skylarklift.ui.output import ExitCode, Output
+
+URL_VARIABLE = "SKYLARKLIFT_URL"
+TOKEN_VARIABLE = "SKYLARKLIFT_TOKEN"
+DEFAULT_URL = "http://127.0.0.1:8081"
+
+EXAMPLES = """examples:
+  skylarklift validate routing.json
+  skylarklift validate --kind settings router.json
+  skylarklift show --json
+  skylarklift patch --base 41 change.json
+  skylarklift zone out zone-2 --wait
+  skylarklift drain --pool till till-3
+
+exit codes:
+  0 done        1 findings, or a difference   2 wrong usage
+  3 stale patch 4 a router does not answer    5 not authenticated
+  6 not settled 7 refused
+"""
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="skylarklift",
+        description="Operate a fleet of routers.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument("--version", action="version", version=__version__)
+    common = _common_options()
+    change = _change_options()
+    sub = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    _add_reading_commands(sub, common)
+    _add_changing_commands(sub, [common, change])
+    return parser
+
+
+def _common_options() -> argparse.ArgumentParser:
+    """Return the options of every command."""
+    common = argparse.ArgumentParser(add_help=False)
+    common.add_argument(
+        "--url",
+        default=os.environ.get(URL_VARIABLE, DEFAULT_URL),
+        help=f"operators' API of any router (or {URL_VARIABLE})",
+    )
+    common.add_argument("--token-file", help=f"file with the token (or {TOKEN_VARIABLE})")
+    common.add_argument("--json", action="store_true", help="print JSON")
+    return common
+
+
+def _change_options() -> argparse.ArgumentParser:
+    """Return the options of every command that changes the configuration."""
+    change = argparse.ArgumentParser(add_help=False)
+    change.add_argument("--base", type=int, help="version that the change was made against")
+    change.add_argument("--patch-id", default="", help="id by which a lost answer is asked again")
+    change.add_argument("--note", default="", help="why, for the history")
+    change.add_argument("--wait", action="store_true", help="wait until in force everywhere")
+    return change
+
+
+def _add_reading_commands(sub, common: argparse.ArgumentParser) -> None:
+    """Add the commands that change nothing."""
+    parser = sub.add_parser("validate", parents=[common], help="check files and report findings")
+    parser.add_argument("files", nargs="+", metavar="FILE")
+    parser.add_argument("--kind", choices=("routing", "settings"), default="routing")
+    parser.set_defaults(run=commands.validate)
+    parser = sub.add_parser("show", parents=[common], help="show the configuration in force")
+    parser.set_defaults(run=commands.show)
+    parser = sub.add_parser("diff", parents=[common], help="show what a file would change")
+    parser.add_argument("file", metavar="FILE")
+    parser.set_defaults(run=commands.diff)
+    parser = sub.add_parser("status", parents=[common], help="show routers and pools")
+    parser.set_defaults(run=commands.status)
+    parser = sub.add_parser("history", parents=[common], help="show accepted patches")
+    parser.add_argument("--since", type=int, default=0, metavar="VERSION")
+    parser.set_defaults(run=commands.history)
+    parser = sub.add_parser("claim", parents=[common], help="show a marked request")
+    parser.add_argument("workspace")
+    parser.add_argument("key", help="the idempotency key")
+    parser.set_defaults(run=commands.claim)
+
+
+def _add_changing_commands(sub, parents: list[argparse.ArgumentParser]) -> None:
+    """Add the commands that submit patches."""
+    parser = sub.add_parser("patch", parents=parents, help="submit a patch")
+    parser.add_argument("file", metavar="FILE", help="JSON with comments, «-» for input")
+    parser.add_argument("--format", choices=("merge", "json-patch"), default="merge")
+    parser.add_argument("--dry-run", action="store_true", help="check and accept nothing")
+    parser.set_defaults(run=commands.patch)
+    parser = sub.add_parser("zone", parents=parents, help="take a zone out or back in")
+    parser.add_argument("state", choices=("out", "in"))
+    parser.add_argument("zone", metavar="ZONE")
+    parser.set_defaults(run=commands.zone)
+    parser = sub.add_parser("drain", parents=parents, help="give an upstream no new work")
+    owner = parser.add_mutually_exclusive_group(required=True)
+    owner.add_argument("--pool")
+    owner.add_argument("--service")
+    parser.add_argument("upstream", metavar="UPSTREAM")
+    parser.add_argument("--undo", action="store_true", help="put it back in service")
+    parser.set_defaults(run=commands.drain)
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the tool; return its exit code."""
+    parser = make_parser()
+    argcomplete.autocomplete(parser)
+    options = parser.parse_args(argv)
+    out = Output(options.json)
+    try:
+        options.token = _token(options)
+        return int(options.run(options, out))
+    except SettingsError as exc:
+        out.findings(exc.findings)
+        return ExitCode.INVALID
+    except CallError as exc:
+        return out.call_error(exc)
+    except Unreachable as exc:
+        print(f"skylarklift: {exc}", file=sys.stderr)
+        return ExitCode.UNREACHABLE
+    except (SkylarkError, OSError) as exc:
+        print(f"skylarklift: {exc}", file=sys.stderr)
+        return ExitCode.REFUSED
+
+
+def _token(options: argparse.Namespace) -> str:
+    """Return the operator's token from its file or the environment."""
+    if options.token_file:
+        return Path(options.token_file).read_text().strip()
+    return os.environ.get(TOKEN_VARIABLE, "")
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/skylarklift/util/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that know nothing of routing."""
--- /dev/null
+++ b/skylarklift/util/commented.py
@@ -0,0 +1,108 @@
+"""Read JSON with comments, keep the line of each key, and check it by a schema."""
+
+import difflib
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from importlib.resources import files
+from typing import Any
+
+import json5
+import tree_sitter_json
+from jsonschema import Draft202012Validator
+from jsonschema.exceptions import ValidationError
+from tree_sitter import Language, Node, Parser
+
+from skylarklift.errors import SettingsError
+from skylarklift.util.findings import Finding
+
+KeyPath = tuple[str | int, ...]
+
+_PARSER = Parser(Language(tree_sitter_json.language()))
+
+
+@dataclass
+class CommentedFile:
+    """A parsed file: its name, its value, and the line of each key path."""
+
+    name: str
+    value: Any
+    lines: dict[KeyPath, int]
+
+    def finding(self, path: KeyPath, text: str) -> Finding:
+        """Return a finding at a key path, or at its nearest parent that has a line."""
+        known = path
+        while known and known not in self.lines:
+            known = known[:-1]
+        return Finding(self.name, self.lines.get(known, 1), dotted(path), text)
+
+
+def dotted(path: Iterable[str | int]) -> str:
+    """Return a key path as text."""
+    return ".".join(str(part) for part in path)
+
+
+def parse_text(name: str, text: str) -> CommentedFile:
+    """Parse JSON with comments; raise `SettingsError` with the line of a fault."""
+    try:
+        value = json5.loads(text, allow_duplicate_keys=False)
+    except ValueError as exc:
+        raise SettingsError([Finding(name, _fault_line(str(exc)), "", str(exc))]) from exc
+    root = _PARSER.parse(text.encode()).root_node
+    return CommentedFile(name, value, dict(_key_lines(root, ())))
+
+
+def _fault_line(message: str) -> int:
+    """Return the line that json5 names as ``<string>:LINE ...``, or 1."""
+    part = message.partition("<string>:")[2].split(" ")[0].split(":")[0]
+    return int(part) if part.isdigit() else 1
+
+
+def _key_lines(node: Node, path: KeyPath) -> Iterator[tuple[KeyPath, int]]:
+    """Walk a syntax tree; yield each key path with its line."""
+    index = 0
+    for child in node.named_children:
+        if child.type == "pair":
+            key = child.child_by_field_name("key")
+            inner = (*path, key.text.decode().strip("\"'"))
+            yield inner, key.start_point[0] + 1
+            yield from _key_lines(child.child_by_field_name("value") or child, inner)
+        elif node.type == "array" and child.type != "comment":
+            yield (*path, index), child.start_point[0] + 1
+            yield from _key_lines(child, (*path, index))
+            index += 1
+        else:
+            yield from _key_lines(child, path)
+
+
+def load_schema(definition: str) -> dict:
+    """Return the schema of one definition of schema.json."""
+    whole = json.loads(files("skylarklift").joinpath("schema.json").read_text())
+    return {**whole, "$ref": f"#/$defs/{definition}"}
+
+
+def schema_findings(document: CommentedFile, definition: str) -> list[Finding]:
+    """Return all faults of a document against one definition."""
+    schema = load_schema(definition)
+    found = []
+    for error in Draft202012Validator(schema).iter_errors(document.value):
+        for leaf in error.context or [error]:
+            found.extend(_error_findings(document, leaf))
+    return sorted(found, key=lambda item: (item.line, item.key, item.text))
+
+
+def _error_findings(document: CommentedFile, error: ValidationError) -> Iterator[Finding]:
+    """Turn one schema error into findings; an unknown key gets the nearest known name."""
+    path = tuple(error.absolute_path)
+    if error.validator == "additionalProperties" and "properties" in error.schema:
+        known = list(error.schema["properties"])
+        for key in sorted(set(error.instance) - set(known)):
+            yield document.finding((*path, key), unknown_text(key, known))
+    elif error.validator != "type" or error.validator_value != "null":
+        yield document.finding(path, error.message)
+
+
+def unknown_text(name: str, known: Iterable[str]) -> str:
+    """Return the text for an unknown name, with the nearest known one if any is near."""
+    near = difflib.get_close_matches(name, list(known), n=1)
+    return f"unknown name {name!r}" + (f"; did you mean {near[0]!r}?" if near else "")
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and the back ends, for tests and measures only."""
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,297 @@
+"""Start a whole deployment on the loopback address: stand-ins and routers as processes.
+
+Used by the demo, the measures and the process tests; no part of the product.
+"""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import httpx
+
+ROOT = Path(__file__).resolve().parent.parent
+FLEET_KEY = "a-key-for-the-loopback-fleet"
+OPERATOR_TOKEN = "a-token-for-the-loopback-operator"
+READY_LIMIT_S = 30
+MS_PER_SECOND = 1000
+
+
+@dataclass(frozen=True)
+class Shape:
+    """The sizes of a deployment: zones, pools by name, plain services, routers."""
+
+    zones: int
+    pools: dict[str, int]
+    services: tuple[str, ...] = ()
+    routers: int = 2
+    workspaces: tuple[str, ...] = ("wash-a", "wash-b")
+
+
+WASGOED = Shape(3, {"till": 6}, ("redeem", "wallet"), 6, tuple(f"laundry-{n}" for n in range(10)))
+GLOBOS = Shape(
+    4, {"assistant": 9, "orders": 4}, ("dispatch",), 6, tuple(f"shop-{n}" for n in range(10))
+)
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind(("127.0.0.1", 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+@dataclass
+class Managed:
+    """A process that this deployment started."""
+
+    name: str
+    process: subprocess.Popen
+    port: int
+    log: Path
+
+    @property
+    def url(self) -> str:
+        """Return the base address of its HTTP server."""
+        return f"http://127.0.0.1:{self.port}"
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process if it still runs."""
+        if self.process.poll() is None:
+            os.kill(self.process.pid, number)
+
+
+@dataclass
+class Deployment:
+    """The processes of a deployment and what is needed to talk to them."""
+
+    shape: Shape
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="skylarklift-")))
+    settings: dict = field(default_factory=dict)
+    engine_options: list[str] = field(default_factory=list)
+    pool_options: dict = field(default_factory=dict)
+    slots: int = 32
+    processes: dict[str, Managed] = field(default_factory=dict)
+    routing: dict = field(default_factory=dict)
+    router_ports: dict[str, tuple[int, int, int]] = field(default_factory=dict)
+
+    # Starting.
+
+    def start(self) -> None:
+        """Start everything and wait until it serves."""
+        self.start_backends()
+        for index in range(self.shape.routers):
+            self.start_router(f"router-{index + 1}")
+        self.wait_until(self._routers_up, "routers to be up")
+        self.install_routing()
+        self.wait_until(self._routers_serve, "routers to serve")
+
+    def start_backends(self) -> None:
+        """Start the platform, the engines and the plain services."""
+        self._spawn("platform", "standins.platform", [])
+        for pool, count in self.shape.pools.items():
+            for index in range(count):
+                name = f"{pool}-{index + 1}"
+                options = ["--name", name, "--slots", str(self.slots), *self.engine_options]
+                self._spawn(name, "standins.engine", options)
+        for service in self.shape.services:
+            self._spawn(service, "standins.service", [])
+        self.wait_until(self._backends_up, "back ends to be up")
+        self.routing = self._make_routing()
+
+    def _make_routing(self) -> dict:
+        """Return the routing configuration of this deployment."""
+        zones = [f"zone-{index + 1}" for index in range(self.shape.zones)]
+        pools = {}
+        for pool, count in self.shape.pools.items():
+            replicas = {
+                f"{pool}-{index + 1}": {
+                    "url": self.processes[f"{pool}-{index + 1}"].url,
+                    "zone": zones[index % len(zones)],
+                    "slots": self.slots,
+                }
+                for index in range(count)
+            }
+            options = {"ramp": {"start_slots": 4, "duration_ms": 1000}} | self.pool_options
+            pools[pool] = {"models": [f"{pool}-model"], "replicas": replicas, **options}
+        services = {
+            name: {"upstreams": {name: {"url": self.processes[name].url, "zone": zones[0]}}}
+            for name in self.shape.services
+        }
+        workspaces = {
+            name: {"pools": list(pools), "services": list(services)}
+            for name in self.shape.workspaces
+        }
+        return {
+            "zones": {name: {} for name in zones},
+            "pools": pools,
+            "services": services,
+            "workspaces": workspaces,
+        }
+
+    def start_router(self, name: str) -> Managed:
+        """Start one router."""
+        if name not in self.router_ports:
+            self.router_ports[name] = tuple(free_ports(3))
+        callers, operators, peers = self.router_ports[name]
+        index = int(name.rsplit("-", 1)[1]) - 1
+        settings = {
+            "router": name,
+            "zone": f"zone-{index % self.shape.zones + 1}",
+            "callers": {"listen": {"port": callers}},
+            "operators": {
+                "listen": {"port": operators},
+                "operators": [{"name": "anna", "token": OPERATOR_TOKEN}],
+            },
+            "peers": {"listen": {"port": peers}, "keys": [FLEET_KEY]},
+            "store": {"url": self.processes["platform"].url},
+            "telemetry": {"trace_file": ""},
+        }
+        for part, values in self.settings.items():
+            settings[part] = {**settings.get(part, {}), **values}
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=1))
+        command = ["-m", "skylarklift.daemon", "--settings", str(path)]
+        return self._launch(name, command, callers)
+
+    def _spawn(self, name: str, module: str, options: list[str]) -> Managed:
+        """Start a stand-in."""
+        port = free_ports(1)[0]
+        return self._launch(name, ["-m", module, "--port", str(port), *options], port)
+
+    def _launch(self, name: str, command: list[str], port: int) -> Managed:
+        """Start a process whose output goes to a log file."""
+        log = self.folder / f"{name}.log"
+        with log.open("a") as target:
+            process = subprocess.Popen(
+                [sys.executable, *command],
+                cwd=ROOT,
+                env={**os.environ, "PYTHONUNBUFFERED": "1"},
+                stdout=target,
+                stderr=target,
+            )
+        self.processes[name] = Managed(name, process, port, log)
+        return self.processes[name]
+
+    def respawn(self, name: str) -> Managed:
+        """Start an engine again at the address that it had."""
+        old = self.processes[name]
+        options = ["--port", str(old.port), "--name", name, "--slots", str(self.slots)]
+        return self._launch(
+            name, ["-m", "standins.engine", *options, *self.engine_options], old.port
+        )
+
+    # Waiting.
+
+    def wait_until(self, ready, what: str, limit_s: float = READY_LIMIT_S) -> None:
+        """Wait for a condition."""
+        end = time.monotonic() + limit_s
+        while time.monotonic() < end:
+            try:
+                if ready():
+                    return
+            except (httpx.HTTPError, KeyError, TypeError):
+                pass
+            time.sleep(0.05)
+        raise TimeoutError(f"waited in vain for {what}; logs are in {self.folder}")
+
+    def _backends_up(self) -> bool:
+        """Tell whether all stand-ins answer."""
+        return all(
+            httpx.get(f"{item.url}/control", trust_env=False).status_code == 200
+            for item in self.processes.values()
+        )
+
+    def routers(self) -> list[Managed]:
+        """Return the routers that run."""
+        found = [self.processes[name] for name in self.router_ports if name in self.processes]
+        return [item for item in found if item.process.poll() is None]
+
+    def _routers_up(self) -> bool:
+        """Tell whether every router is in the view and fresh."""
+        status = self.status()
+        routers = status["routers"].values()
+        return len(routers) == self.shape.routers and all(
+            item and item["fresh"] and len(item["live"]) == self.shape.routers for item in routers
+        )
+
+    def _routers_serve(self) -> bool:
+        """Tell whether every router has the configuration and every pool an admitter."""
+        routers = [item for item in self.status()["routers"].values() if item]
+        pools = {pool["pool"] for item in routers for pool in item["pools"]}
+        return pools == set(self.shape.pools) and all(
+            item["version"] >= 1 and item["fresh"] for item in routers
+        )
+
+    # Talking.
+
+    def operator(self, router: str | None = None) -> httpx.Client:
+        """Return a client of a router's operators' API."""
+        name = router or next(item.name for item in self.routers())
+        return httpx.Client(
+            base_url=f"http://127.0.0.1:{self.router_ports[name][1]}",
+            headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"},
+            timeout=15,
+            trust_env=False,
+        )
+
+    def status(self, router: str | None = None) -> dict:
+        """Return the status of all routers."""
+        with self.operator(router) as client:
+            return client.get("/v1/status").json()
+
+    def patch(self, patch, base: int | None = None, router: str | None = None) -> httpx.Response:
+        """Submit a merge patch against the newest or a given version."""
+        with self.operator(router) as client:
+            if base is None:
+                base = client.get("/v1/configuration").json()["version"]
+            return client.post("/v1/configuration/patches", json={"base": base, "patch": patch})
+
+    def install_routing(self) -> None:
+        """Submit the first configuration."""
+        answer = self.patch(self.routing)
+        if answer.status_code != 200:
+            raise RuntimeError(f"the configuration was refused: {answer.text}")
+
+    def control(self, name: str, **changes) -> dict:
+        """Switch faults of a stand-in, or read its state."""
+        url = f"{self.processes[name].url}/control"
+        if changes:
+            return httpx.post(url, json=changes, trust_env=False).json()
+        return httpx.get(url, trust_env=False).json()
+
+    # Ending.
+
+    def stop(self) -> None:
+        """End every process of this deployment."""
+        for item in self.processes.values():
+            item.signal(signal.SIGCONT)
+            item.signal(signal.SIGTERM)
+        end = time.monotonic() + 5
+        for item in self.processes.values():
+            try:
+                item.process.wait(max(0.1, end - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                item.signal(signal.SIGKILL)
+                item.process.wait()
+
+    def __enter__(self) -> "Deployment":
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_) -> None:
+        self.stop()
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,46 @@
+"""Serve one stand-in's app in this process until it is told to stop."""
+
+import argparse
+import signal
+from collections.abc import Callable
+
+import trio
+from hypercorn.config import Config
+from hypercorn.trio import serve
+from quart_trio import QuartTrio
+
+
+def hypercorn_config(port: int) -> Config:
+    """Return the settings of a server on the loopback address."""
+    config = Config()
+    config.bind = [f"127.0.0.1:{port}"]
+    config.accesslog = None
+    config.errorlog = None
+    config.graceful_timeout = 0.2
+    return config
+
+
+async def run_app(app: QuartTrio, port: int) -> None:
+    """Serve the app until SIGTERM or SIGINT."""
+    stop = trio.Event()
+
+    async def watch_signals() -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                stop.set()
+                return
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(watch_signals)
+        await serve(app, hypercorn_config(port), shutdown_trigger=stop.wait, mode="asgi")
+        nursery.cancel_scope.cancel()
+
+
+def main(description: str, make_app: Callable[[argparse.Namespace], QuartTrio], add_options=None):
+    """Run a stand-in from the command line."""
+    parser = argparse.ArgumentParser(description=description)
+    parser.add_argument("--port", type=int, required=True)
+    if add_options:
+        add_options(parser)
+    options = parser.parse_args()
+    trio.run(run_app, make_app(options), options.port)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the developers: schema, generator, model, demo and measures."""
