Placement: prefer a holder, move aside to the least loaded, wait a little

Change: a moved chat stays where its prefix is; second choices go to the least loaded replica; a chat with a holder waits up to 150 ms for it. The coordination parts are wired without servers, so that tests run them on fakes.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(BIN)/python -m tools.demo
 
 bench: .venv/ready
-	$(BIN)/python -m tools.bench $(if $(NAME),--name $(NAME)) $(if $(SEED),--seed $(SEED))
+	$(BIN)/python -m bench $(if $(NAME),--name $(NAME)) $(if $(SEED),--seed $(SEED))
 
 model: .venv/ready
 	$(BIN)/python -m tools.model
--- /dev/null
+++ b/bench/churn.py
@@ -0,0 +1,173 @@
+"""Chats that return after pauses, against one pool in virtual time.
+
+The admitter is the program's own; the replicas are fakes that hold a bounded cache
+of chats and run each request for its span.  Skew, breaches of the bound, and reuse
+are counted.
+"""
+
+import heapq
+import random
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from skylarklift.admission import AdmissionRequest, Grant, GrantKey, PoolAdmitter
+from skylarklift.clock import ManualClock
+from skylarklift.generated import Pool, Ramp, Replica
+from skylarklift.ids import ChatKey, GrantId, ReplicaId, RouterId, WorkspaceId
+from skylarklift.loadbound import load_bound
+from skylarklift.placement import PlacementPolicy
+
+TICK_MS = 20
+UNBOUNDED = 1e9
+
+
+@dataclass(frozen=True)
+class ChurnPlan:
+    """A run: replicas, mean load, chats, caches."""
+
+    replicas: int = 6
+    mean_load: float = 10
+    service_ms: float = 3000
+    chats: int = 6000
+    cache_chats: int = 1500
+    requests: int = 12000
+    load_factor: float = 1.25
+    affinity_wait_ms: int = 150
+    seed: int = 1
+
+
+@dataclass
+class ChurnResult:
+    """What a run showed."""
+
+    reused: int = 0
+    served: int = 0
+    refused: int = 0
+    breaches: int = 0
+    returns: int = 0
+    waits_ms: list[int] = field(default_factory=list)
+    skews: list[float] = field(default_factory=list)
+
+    def reuse(self) -> float:
+        """Return the share of returning requests that met their prefix."""
+        return self.reused / max(1, self.returns)
+
+    def worst_skew(self) -> float:
+        """Return the largest load at admission over the mean."""
+        return max(self.skews, default=0.0)
+
+    def mean_wait_ms(self) -> float:
+        """Return the mean wait for a place."""
+        return sum(self.waits_ms) / max(1, len(self.waits_ms))
+
+
+class ChurnRun:
+    """One run of a plan with one policy."""
+
+    def __init__(self, plan: ChurnPlan, policy: PlacementPolicy):
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        self._clock = ManualClock()
+        names = [ReplicaId(f"r{index}") for index in range(plan.replicas)]
+        pool = Pool(
+            models=["m"],
+            replicas={name: Replica(url="http://fake", zone="z", slots=100_000) for name in names},
+            load_factor=plan.load_factor,
+            affinity_wait_ms=plan.affinity_wait_ms,
+            queue_limit=100_000,
+            ramp=Ramp(duration_ms=0),
+        )
+        self._admitter = PoolAdmitter(self._clock, pool, names, policy, warm=True)
+        self._caches: dict[ReplicaId, OrderedDict[ChatKey, None]] = {
+            name: OrderedDict() for name in names
+        }
+        self._seen: set[ChatKey] = set()
+        self._asked: dict[GrantKey, tuple[int, ChatKey]] = {}
+        self._ends: list[tuple[int, int, GrantKey]] = []
+        self._spans = self._service_spans()
+        self.result = ChurnResult()
+
+    def _service_spans(self):
+        """Yield spans of requests, some of them long."""
+        mean = self._plan.service_ms
+        sigma = 0.6
+        while True:
+            yield int(mean * self._rng.lognormvariate(-sigma * sigma / 2, sigma))
+
+    def _chat(self) -> ChatKey:
+        """Return the chat that returns now; few chats return often."""
+        rank = int(self._plan.chats * self._rng.random() ** 2)
+        return ChatKey(rank)
+
+    def run(self) -> ChurnResult:
+        """Run all requests."""
+        plan = self._plan
+        gap_ms = plan.service_ms / (plan.mean_load * plan.replicas)
+        arrival = 0.0
+        for number in range(plan.requests):
+            arrival += self._rng.expovariate(1 / gap_ms)
+            self._advance_to(int(arrival))
+            self._ask(number)
+        return self.result
+
+    def _advance_to(self, moment: int) -> None:
+        """Let requests end and time act until a moment."""
+        while self._clock.now() < moment:
+            until = moment
+            if self._admitter.queued():
+                until = min(until, self._clock.now() + TICK_MS)
+            if self._ends:
+                until = min(until, max(self._ends[0][0], self._clock.now()))
+            self._clock.advance(until - self._clock.now())
+            self._end_due()
+            if self._admitter.queued():
+                self._take(self._admitter.tick())
+
+    def _end_due(self) -> None:
+        """Release the requests that end by now."""
+        while self._ends and self._ends[0][0] <= self._clock.now():
+            self._take(self._admitter.release(heapq.heappop(self._ends)[-1]))
+
+    def _ask(self, number: int) -> None:
+        """Ask for a place for the next request."""
+        chat = self._chat()
+        name = GrantKey(RouterId("router"), GrantId(number))
+        self._asked[name] = (self._clock.now(), chat)
+        request = AdmissionRequest(name, chat, WorkspaceId("w"), wait_ms=60_000)
+        self._take(self._admitter.ask(request))
+
+    def _take(self, decisions) -> None:
+        """Start the granted requests."""
+        for decision in decisions:
+            asked_at, chat = self._asked.pop(decision.name)
+            if not isinstance(decision, Grant):
+                self.result.refused += 1
+                continue
+            self._check_bound(decision.replica)
+            self._serve(decision.replica, chat)
+            self.result.waits_ms.append(self._clock.now() - asked_at)
+            end = self._clock.now() + next(self._spans)
+            heapq.heappush(self._ends, (end, decision.name.grant, decision.name))
+
+    def _check_bound(self, replica: ReplicaId) -> None:
+        """Check the bound from outside the admitter; several grants of one call add up."""
+        loads = self._admitter.loads()
+        total = sum(loads.values())
+        if loads[replica] > load_bound(self._plan.load_factor, total, len(loads)):
+            self.result.breaches += 1
+        if total >= self._plan.replicas * self._plan.mean_load / 2:
+            self.result.skews.append(loads[replica] * len(loads) / total)
+
+    def _serve(self, replica: ReplicaId, chat: ChatKey) -> None:
+        """Count whether the replica holds the chat's prefix, and let it hold it."""
+        cache = self._caches[replica]
+        hit = chat in cache
+        cache[chat] = None
+        cache.move_to_end(chat)
+        if len(cache) > self._plan.cache_chats:
+            cache.popitem(last=False)
+        self.result.served += 1
+        if chat in self._seen:
+            self.result.returns += 1
+            self.result.reused += hit
+        self._seen.add(chat)
--- /dev/null
+++ b/bench/policies.py
@@ -0,0 +1,44 @@
+"""Baselines that the placement policy is compared with."""
+
+import random
+
+from skylarklift.hashing import rendezvous_order
+from skylarklift.ids import ChatKey, ReplicaId
+from skylarklift.placement import Choice, PlacementPolicy, PoolView
+
+
+class RandomPolicy(PlacementPolicy):
+    """Any replica with room."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(self, key: ChatKey, view: PoolView) -> Choice:
+        """Return a random replica with room."""
+        roomy = [name for name in view.limits if view.has_room(name)]
+        return Choice(self._rng.choice(roomy) if roomy else None)
+
+
+class LeastLoadPolicy(PlacementPolicy):
+    """The replica with the least load."""
+
+    def __init__(self, rng: random.Random):
+        self._rng = rng
+
+    def choose(self, key: ChatKey, view: PoolView) -> Choice:
+        """Return the least loaded replica with room; ties fall at random."""
+        roomy = [name for name in view.limits if view.has_room(name)]
+        if not roomy:
+            return Choice(None)
+        return Choice(min(roomy, key=lambda name: (view.loads[name], self._rng.random())))
+
+
+class HashPolicy(PlacementPolicy):
+    """Bounded-load rendezvous hashing: the first in order that has room."""
+
+    def choose(self, key: ChatKey, view: PoolView) -> Choice:
+        """Return the first replica in rendezvous order with room."""
+        for name in rendezvous_order(key, view.limits):
+            if view.has_room(ReplicaId(name)):
+                return Choice(ReplicaId(name))
+        return Choice(None)
--- /dev/null
+++ b/bench/reuse.py
@@ -0,0 +1,55 @@
+"""Cache reuse and skew at admission as chats churn, in virtual time with one admitter."""
+
+import random
+from dataclasses import replace
+
+from bench.churn import UNBOUNDED, ChurnPlan, ChurnResult, ChurnRun
+from bench.policies import HashPolicy, LeastLoadPolicy, RandomPolicy
+from bench.report import Report
+from skylarklift.placement import AffinityPolicy, PlacementPolicy
+
+TARGETS = {3: 0.85, 10: 0.95, 30: 0.98}
+LOAD_FACTOR = 1.25
+
+
+def run(seed: int) -> Report:
+    """Run every policy at three loads."""
+    report = Report("reuse", "reuse as a share of unbounded affinity, six replicas, c = 1.25")
+    report.axes = ("mean requests in flight a replica", "share of unbounded affinity")
+    for mean, target in TARGETS.items():
+        plan = ChurnPlan(mean_load=mean, cache_chats=800, seed=seed)
+        no_wait = replace(plan, affinity_wait_ms=0)
+        pure = run_policy(replace(no_wait, load_factor=UNBOUNDED), HashPolicy())
+        others = {
+            "random": run_policy(no_wait, RandomPolicy(random.Random(seed))),
+            "least load": run_policy(no_wait, LeastLoadPolicy(random.Random(seed))),
+            "bounded hashing": run_policy(no_wait, HashPolicy()),
+            "holders, no wait": run_policy(no_wait, AffinityPolicy()),
+        }
+        own = run_policy(plan, AffinityPolicy())
+        shares = {name: share(result, pure) for name, result in others.items()}
+        baseline = ", ".join(f"{name} {value:.2f}" for name, value in shares.items())
+        report.at_least(f"reuse at mean {mean}", share(own, pure), target, baseline=baseline)
+        add_skew(report, mean, own, pure)
+        for name, value in (*shares.items(), ("skylarklift", share(own, pure))):
+            report.series.setdefault(name, []).append((mean, round(value, 3)))
+    return report
+
+
+def run_policy(plan: ChurnPlan, policy: PlacementPolicy) -> ChurnResult:
+    """Run a plan with a policy."""
+    return ChurnRun(plan, policy).run()
+
+
+def share(result: ChurnResult, pure: ChurnResult) -> float:
+    """Return the reuse as a share of unbounded affinity."""
+    return result.reuse() / pure.reuse()
+
+
+def add_skew(report: Report, mean: int, own: ChurnResult, pure: ChurnResult) -> None:
+    """Add the figures on skew and waiting."""
+    report.at_most(f"breaches of the bound at mean {mean}", own.breaches, 0)
+    allowed = max(1, -(-LOAD_FACTOR * mean // 1)) / mean
+    baseline = f"unbounded affinity {pure.worst_skew():.2f}; the bound at the mean {allowed:.2f}"
+    report.add(f"largest load over the mean at mean {mean}", own.worst_skew(), "x", baseline)
+    report.add(f"mean wait for a place at mean {mean}", own.mean_wait_ms(), "ms")
--- /dev/null
+++ b/skylarklift/coordination.py
@@ -0,0 +1,144 @@
+"""The coordination parts of one router, wired together without any server.
+
+`Coordination` takes its connections to the other routers and to the store from
+outside, so that the daemon runs it on sockets and a test on fakes.
+"""
+
+import trio
+
+from skylarklift.claims import ClaimWriter
+from skylarklift.clock import Clock
+from skylarklift.errors import PatchError, PeerError, StoreError
+from skylarklift.fleet import Fleet
+from skylarklift.freshness import Freshness
+from skylarklift.gate import Gate
+from skylarklift.generated import Crash, Done, Settings
+from skylarklift.heads import HeadKeeper
+from skylarklift.ids import Fingerprint, ReplicaId, RouterId
+from skylarklift.lease import VoterSets
+from skylarklift.membership import Membership
+from skylarklift.peers import Peers
+from skylarklift.placing import Placer
+from skylarklift.poison import PoisonList
+from skylarklift.poolhost import PoolHost
+from skylarklift.retries import RetryBudget
+from skylarklift.store import MachineList, ObjectStore, TableStore
+from skylarklift.telemetry import Telemetry, log
+from skylarklift.upstreams import LoadReporter
+from skylarklift.wire import Message
+
+
+class Coordination:
+    """What one router shares with the others."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        clock: Clock,
+        peers: Peers,
+        tables: TableStore,
+        objects: ObjectStore,
+        machines: MachineList,
+        reporter: LoadReporter,
+        telemetry: Telemetry,
+        nursery: trio.Nursery,
+    ):
+        self.me = RouterId(cfg.router)
+        self.clock = clock
+        self.peers = peers
+        self._nursery = nursery
+        fresh, lease = cfg.freshness.fresh_for_ms, cfg.freshness.lease_ms
+        self.voters = VoterSets(clock, cfg.freshness.voters, fresh + lease)
+        self.freshness = Freshness(clock, fresh, self.voters)
+        self.heads = HeadKeeper(clock, cfg.store, tables, objects, self.freshness, self.voters)
+        self.membership = Membership(clock, self.me, cfg.peers)
+        self.fleet = Fleet(
+            clock,
+            self.me,
+            self.membership,
+            peers,
+            self.heads,
+            self.freshness,
+            self.voters,
+            machines,
+        )
+        self.poison = PoisonList(clock, cfg.retries)
+        self.budget = RetryBudget(cfg.retries)
+        self.placer = Placer(clock, self.me, self.membership, peers, nursery)
+        self.pools = PoolHost(
+            clock,
+            self.me,
+            cfg.freshness,
+            self.heads,
+            self.freshness,
+            self.membership,
+            self.voters,
+            peers,
+            self.poison,
+            reporter,
+            self.placer.own_grants,
+            telemetry,
+        )
+        self.placer.host = self.pools
+        self.gate = Gate(clock, self.freshness, self.heads)
+        self.claims = ClaimWriter(clock, self.me, cfg.store, tables)
+        self.handlers = {
+            "Pull": self.fleet.answer_pull,
+            "Suspicions": self.fleet.answer_suspicions,
+            "Fetch": self.fleet.answer_fetch,
+            "Prepare": self.fleet.answer_prepare,
+            "Withdraw": self.fleet.answer_withdraw,
+            "Vote": self.pools.answer_vote,
+            "Unvote": self.pools.answer_unvote,
+            "Ask": self.pools.answer_ask,
+            "Release": self.pools.answer_release,
+            "Inventory": self.placer.answer_inventory,
+            "Crash": self._answer_crash,
+        }
+
+    async def run(self) -> None:
+        """Run all tasks until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.heads.run_polls)
+            nursery.start_soon(self.fleet.run)
+            nursery.start_soon(self.pools.run)
+            nursery.start_soon(self.claims.run)
+
+    async def answer(self, router: RouterId, message: Message) -> Message:
+        """Answer one message of another router."""
+        handler = self.handlers.get(type(message).__name__)
+        if handler is None:
+            raise PeerError(f"{type(message).__name__} is not a question")
+        return await handler(router, message)
+
+    async def leave(self) -> None:
+        """Leave the view and hand over what this router admits for."""
+        self.fleet.leaving = True
+        try:
+            await self.heads.remove([self.me])
+        except (StoreError, PatchError, PeerError) as exc:
+            log.warning("view_not_left", reason=str(exc))
+        await self.pools.hand_over_all()
+
+    # Crashes.
+
+    async def _answer_crash(self, router: RouterId, message: Crash) -> Done:
+        """Note a crash that another router saw."""
+        replica = ReplicaId(message.replica)
+        self.poison.note_crash(Fingerprint(message.fingerprint), replica, message.age_ms)
+        return Done(0)
+
+    def tell_crash(self, fingerprint: Fingerprint, replica: ReplicaId) -> None:
+        """Tell the other routers of a crash, in the background."""
+        log.warning("replica_crashed", replica=replica, fingerprint=fingerprint)
+        noted_at = self.clock.now()
+
+        async def tell(router: RouterId) -> None:
+            age_ms = self.clock.now() - noted_at
+            try:
+                await self.peers.call(router, Crash(0, fingerprint, replica, age_ms))
+            except PeerError:
+                return
+
+        for router in self.membership.others():
+            self._nursery.start_soon(tell, router)
--- a/skylarklift/fleet.py
+++ b/skylarklift/fleet.py
@@ -31,7 +31,7 @@
 from skylarklift.ids import RouterId
 from skylarklift.lease import VoterSets
 from skylarklift.membership import Membership
-from skylarklift.peers import PeerDirectory
+from skylarklift.peers import Peers
 from skylarklift.store import MachineList
 
 FULL_FAN_OUT = 16
@@ -49,7 +49,7 @@
         clock: Clock,
         me: RouterId,
         membership: Membership,
-        peers: PeerDirectory,
+        peers: Peers,
         heads: HeadKeeper,
         freshness: Freshness,
         voters: VoterSets,
--- a/skylarklift/peers.py
+++ b/skylarklift/peers.py
@@ -5,6 +5,7 @@
 """
 
 import ssl
+from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -231,11 +232,32 @@
             nursery.cancel_scope.cancel()
 
 
-class PeerDirectory:
-    """The links to all other routers by id."""
+class Peers(ABC):
+    """A way to call the other routers by id."""
 
-    def __init__(self, identity: PeerIdentity, clock: Clock, nursery: trio.Nursery):
+    def __init__(self, identity: PeerIdentity):
         self.identity = identity
+
+    @abstractmethod
+    def set_addresses(self, addresses: dict[RouterId, Address]) -> None:
+        """Take over the addresses of the view."""
+
+    @abstractmethod
+    async def call(
+        self, router: RouterId, message: Message, timeout_ms: int | None = None
+    ) -> Message:
+        """Send a message and return the answer.
+
+        Raises `PeerUnreachable` when nothing was sent and `PeerTimeout` when the
+        message may have arrived.
+        """
+
+
+class PeerDirectory(Peers):
+    """The links to all other routers."""
+
+    def __init__(self, identity: PeerIdentity, clock: Clock, nursery: trio.Nursery):
+        super().__init__(identity)
         self._clock = clock
         self._nursery = nursery
         self._links: dict[RouterId, PeerLink] = {}
--- a/skylarklift/placement.py
+++ b/skylarklift/placement.py
@@ -13,6 +13,7 @@
 from skylarklift.ids import ChatKey, ReplicaId
 
 HOLDERS_PER_CHAT = 3
+CHATS_REMEMBERED = 100_000
 
 
 @dataclass(frozen=True)
@@ -82,28 +83,32 @@
 
 
 class AffinityPolicy(PlacementPolicy):
-    """Prefer the replica that holds the chat's prefix, then the rendezvous order.
+    """Prefer a replica that holds the chat's prefix, else the rendezvous order.
 
-    A chat that was moved aside goes on where its prefix is.  While no holder has
-    room the choice names the best one, so that the admitter can wait for it.
+    A chat that was moved aside goes on where its prefix is, so that overload at one
+    replica spreads the chats rather than moving them to and fro.  Moved chats go to
+    the least loaded replica.  While no holder has room the choice names the best
+    one, so that the admitter can wait for it; a chat without a holder never waits.
     """
 
-    def __init__(self, chat_limit: int = 100_000):
+    def __init__(self, chat_limit: int = CHATS_REMEMBERED):
         self._memory = PrefixMemory(chat_limit)
 
     def choose(self, key: ChatKey, view: PoolView) -> Choice:
-        """Return a holder with room, or the first replica with room."""
-        order = [ReplicaId(name) for name in rendezvous_order(key, view.limits)]
+        """Return a holder with room, the home replica, or the least loaded one."""
         holders = [name for name in self._memory.holders(key) if name in view.limits]
-        preferred = holders or order[:1]
-        for name in preferred:
+        for name in holders or self._home(key, view):
             if view.has_room(name):
                 return Choice(name)
-        first = preferred[0] if preferred else None
-        for name in order:
-            if view.has_room(name):
-                return Choice(name, first)
-        return Choice(None, first)
+        worth_waiting_for = holders[0] if holders else None
+        roomy = [name for name in view.limits if view.has_room(name)]
+        if not roomy:
+            return Choice(None, worth_waiting_for)
+        return Choice(min(roomy, key=lambda name: (view.loads[name], name)), worth_waiting_for)
+
+    def _home(self, key: ChatKey, view: PoolView) -> list[ReplicaId]:
+        """Return the replica that comes first for a chat without a holder."""
+        return [ReplicaId(name) for name in rendezvous_order(key, view.limits)[:1]]
 
     def note_placed(self, key: ChatKey, replica: ReplicaId) -> None:
         """Remember the holder."""
--- a/skylarklift/placing.py
+++ b/skylarklift/placing.py
@@ -37,7 +37,7 @@
     WorkspaceId,
 )
 from skylarklift.membership import Membership
-from skylarklift.peers import PeerDirectory
+from skylarklift.peers import Peers
 from skylarklift.poolhost import (
     CAUSES,
     GRANT_VALID_MS,
@@ -115,7 +115,7 @@
         clock: Clock,
         me: RouterId,
         membership: Membership,
-        peers: PeerDirectory,
+        peers: Peers,
         nursery: trio.Nursery,
     ):
         self._clock = clock
--- a/skylarklift/poolhost.py
+++ b/skylarklift/poolhost.py
@@ -50,7 +50,7 @@
 )
 from skylarklift.lease import LeaseHolder, LeaseVoter, VoterSets
 from skylarklift.membership import Membership
-from skylarklift.peers import PeerDirectory
+from skylarklift.peers import Peers
 from skylarklift.poison import PoisonList
 from skylarklift.telemetry import Telemetry, log
 from skylarklift.upstreams import LoadReport, LoadReporter
@@ -116,7 +116,7 @@
         freshness: Freshness,
         membership: Membership,
         voters: VoterSets,
-        peers: PeerDirectory,
+        peers: Peers,
         poison: PoisonList,
         reporter: LoadReporter,
         own_grants: Callable[[PoolId], list[Grant]],
