Wait for the takeover in the case that counts running chats

Cause: the case looked after 1.5 s, but an admitter that cannot list the killed router's grants opens only 1.5 s after it started. Change: wait for the dispatches.

--- a/features/fleet_cases.py
+++ b/features/fleet_cases.py
@@ -160,8 +160,7 @@
     for number in range(30):
         world.nursery.start_soon(world.chat, others[number % 5], number, 500)
         await sleep_ms(20)
-    await sleep_ms(1500)
-    assert world.counts["dispatched"] >= 55
+    assert await world.wait_for(lambda: world.counts["dispatched"] >= 55, 6)
 
 
 @case
