--- /dev/null
+++ b/features/steps/admission.py
@@ -0,0 +1,174 @@
+"""Steps on the decisions of admission, without I/O."""
+
+import random
+
+from behave import given, then, when
+
+from skylarklift.admission import (
+    AdmissionRequest,
+    Grant,
+    GrantKey,
+    PoolAdmitter,
+    Refused,
+)
+from skylarklift.clock import ManualClock
+from skylarklift.generated import Pool, Ramp, Replica
+from skylarklift.ids import BootId, ChatKey, GrantId, ReplicaId, RouterId, WorkspaceId
+from skylarklift.invariants import INVARIANTS
+from skylarklift.loadbound import load_bound, service_set
+from skylarklift.ramp import ReplicaRamp
+
+
+def make_admitter(clock, replicas, slots, queue=256):
+    names = [ReplicaId(f"r{number}") for number in range(replicas)]
+    pool = Pool(
+        models=["m"],
+        replicas={name: Replica(url="http://r", zone="z", slots=slots) for name in names},
+        queue_limit=queue,
+        ramp=Ramp(duration_ms=0),
+    )
+    return PoolAdmitter(clock, pool, names, warm=True)
+
+
+def ask(number, workspace="w", **more):
+    name = GrantKey(RouterId("router"), GrantId(number))
+    return AdmissionRequest(name, ChatKey(number * 7919), WorkspaceId(workspace), **more)
+
+
+@then("the bound of {total:d} requests over {replicas:d} replicas at {factor:f} is {bound:d}")
+def step_bound(context, total, replicas, factor, bound):
+    assert load_bound(factor, total, replicas) == bound
+
+
+@then('with limits "{limits}" and a demand of {demand:d} the replicas in service are "{service}"')
+def step_service(context, limits, demand, service):
+    parsed = {ReplicaId(k): int(v) for k, v in (item.split("=") for item in limits.split(","))}
+    assert sorted(service_set(1.25, parsed, demand)) == service.split(",")
+
+
+@when("{count:d} random asks and releases reach a pool of {replicas:d} replicas")
+def step_random_asks(context, count, replicas):
+    rng = random.Random(7)
+    clock = ManualClock()
+    INVARIANTS.counts.clear()
+    admitter = make_admitter(clock, replicas, 32)
+    held, context.used = [], set()
+    for number in range(count):
+        decisions = admitter.ask(ask(number, wait_ms=rng.randrange(1, 900)))
+        if held and rng.random() < 0.48:
+            decisions += admitter.release(held.pop(rng.randrange(len(held))))
+        clock.advance(rng.randrange(30))
+        decisions += admitter.tick()
+        granted = [item for item in decisions if isinstance(item, Grant)]
+        held += [item.name for item in granted]
+        context.used |= {item.replica for item in granted}
+    context.replicas = replicas
+
+
+@then("no invariant was broken and every replica was used")
+def step_unbroken(context):
+    assert not INVARIANTS.counts
+    assert len(context.used) == context.replicas
+
+
+@given("a ramp from {start:d} to {slots:d} slots in {span:d} ms")
+def step_ramp(context, start, slots, span):
+    context.clock = ManualClock()
+    ramp = Ramp(start_slots=start, duration_ms=span)
+    context.ramp = ReplicaRamp(context.clock, slots, ramp)
+    context.ramp.see_boot(BootId("first"))
+
+
+@when("{age:d} ms have passed")
+def step_passed(context, age):
+    context.clock.advance(age)
+
+
+SIGNS = {
+    "another boot id": lambda ramp: ramp.see_boot(BootId("second")),
+    "the same boot id": lambda ramp: ramp.see_boot(BootId("first")),
+    "one slow answer": lambda ramp: ramp.see_first_token(9000, 5000),
+    "three slow answers": lambda ramp: [ramp.see_first_token(9000, 5000) for _ in range(3)],
+}
+
+
+@when("the replica shows {sign}")
+def step_sign(context, sign):
+    SIGNS[sign](context.ramp)
+
+
+@then("the limit is {limit:d}")
+def step_limit(context, limit):
+    assert context.ramp.limit() == limit, context.ramp.limit()
+
+
+@given("a full pool of {replicas:d} replicas of {slots:d} slots with a queue of {queue:d}")
+def step_full(context, replicas, slots, queue):
+    context.clock = ManualClock()
+    context.admitter = make_admitter(context.clock, replicas, slots, queue)
+    context.held = []
+    for number in range(replicas * slots):
+        decisions = context.admitter.ask(ask(number, "loud"))
+        context.clock.advance(200)
+        decisions += context.admitter.tick()
+        context.held += [item.name for item in decisions if isinstance(item, Grant)]
+    assert len(context.held) == replicas * slots
+
+
+@when('workspace "{loud}" asks {many:d} times and then workspace "{quiet}" asks twice')
+def step_surge(context, loud, many, quiet):
+    context.decisions = []
+    context.workspaces = {}
+    for number in range(100, 100 + many + 2):
+        workspace = loud if number < 100 + many else quiet
+        request = ask(number, workspace, wait_ms=60_000)
+        context.workspaces[request.name] = workspace
+        context.decisions += context.admitter.ask(request)
+
+
+@then('"{quiet}" is refused {none:d} times and "{loud}" at least {some:d} times')
+def step_refused_counts(context, quiet, none, loud, some):
+    refused = [context.workspaces[d.name] for d in context.decisions if isinstance(d, Refused)]
+    assert refused.count(quiet) == none and refused.count(loud) >= some, refused
+
+
+@then('"{quiet}" is served first when slots become free')
+def step_served_first(context, quiet):
+    served = []
+    for name in context.held[:2]:
+        context.clock.advance(200)
+        decisions = context.admitter.release(name) + context.admitter.tick()
+        served += [context.workspaces[d.name] for d in decisions if isinstance(d, Grant)]
+    assert served == [quiet, quiet], served
+
+
+PROPERTIES = {
+    "nothing special": {},
+    "every replica avoided": {"avoid": frozenset([ReplicaId("r0")])},
+    "no allowance left": {"in_flight_limit": 1},
+}
+
+
+@when("a request with {property_name} asks and its wait passes")
+def step_property(context, property_name):
+    request = ask(500, "loud", wait_ms=300, **PROPERTIES[property_name])
+    context.decisions = context.admitter.ask(request)
+    context.clock.advance(300)
+    context.decisions += context.admitter.tick()
+
+
+@then('it is refused with "{code}"')
+def step_code(context, code):
+    assert [item.code.value for item in context.decisions] == [code], context.decisions
+
+
+@when("the routers list nothing and the account is reconciled")
+def step_reconcile(context):
+    context.clock.advance(10_000)
+    context.admitter.reconcile(RouterId("router"), set(), context.clock.now())
+
+
+@then("the account is empty")
+def step_empty(context):
+    assert context.admitter.grants() == []
+    assert set(context.admitter.loads().values()) == {0}
--- /dev/null
+++ b/features/steps/security.py
@@ -0,0 +1,157 @@
+"""Steps on real sockets between two peers in one process."""
+
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import httpx
+import trio
+import trustme
+from behave import then, when
+
+from skylarklift.clock import LoopClock
+from skylarklift.errors import PeerError
+from skylarklift.frames import FrameStream, TrafficCounter, greet
+from skylarklift.generated import Address, Done, PeerSettings, Pull, TlsSettings
+from skylarklift.ids import BootId, RouterId, ZoneId
+from skylarklift.peers import PeerCounts, PeerDirectory, PeerIdentity, PeerServer
+from skylarklift.router import client_tls, server_tls
+from standins.deployment import free_ports
+
+KEYS = {"old": "the-old-key-of-the-fleet", "new": "the-new-key-of-the-fleet"}
+FRAME_LIMIT = 4096
+
+
+def identity(name, keys, port=0, tls=None):
+    listen = Address(port=port)
+    cfg = PeerSettings(
+        keys=[KEYS[key] for key in keys.split(",")], listen=listen, frame_limit_bytes=FRAME_LIMIT
+    )
+    tls = tls or TlsSettings()
+    return PeerIdentity(
+        RouterId(name), BootId("b"), ZoneId("z"), cfg, client_tls(tls), server_tls(tls)
+    )
+
+
+async def answer(router, message):
+    return Done(0)
+
+
+@asynccontextmanager
+async def open_server(keys="old", tls=None):
+    port = free_ports(1)[0]
+    async with trio.open_nursery() as nursery:
+        server = PeerServer(identity("server", keys, port, tls), answer, PeerCounts())
+        await nursery.start(server.run)
+        yield port
+        nursery.cancel_scope.cancel()
+
+
+async def call(port, keys="old", tls=None):
+    """Call the server as a router does; return what came of it."""
+    async with trio.open_nursery() as nursery:
+        directory = PeerDirectory(identity("client", keys, tls=tls), LoopClock(), nursery)
+        directory.set_addresses({RouterId("server"): Address(port=port)})
+        try:
+            reply = await directory.call(RouterId("server"), Pull(0, 1, 1, 1), 3000)
+            return "answered" if isinstance(reply, Done) else "odd"
+        except PeerError:
+            return "refused"
+        finally:
+            nursery.cancel_scope.cancel()
+
+
+@when('a router with keys "{client}" calls one with keys "{server}"')
+def step_keys(context, client, server):
+    async def run():
+        async with open_server(server) as port:
+            return await call(port, client)
+
+    context.outcome = trio.run(run)
+
+
+@then("the call is {outcome}")
+def step_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+def write_certificates(folder, authority, name):
+    """Write a certificate of an authority; return the settings that name it."""
+    certificate = authority.issue_cert("127.0.0.1")
+    key, chain, root = (str(Path(folder) / f"{name}-{part}.pem") for part in ("key", "chain", "ca"))
+    certificate.private_key_pem.write_to_path(key)
+    certificate.cert_chain_pems[0].write_to_path(chain)
+    authority.cert_pem.write_to_path(root)
+    return TlsSettings(certificate=chain, key=key, authority=root)
+
+
+@when("a router calls over TLS one whose certificate is of {authority}")
+def step_tls(context, authority):
+    own, other = trustme.CA(), trustme.CA()
+    with tempfile.TemporaryDirectory() as folder:
+        client = write_certificates(folder, own, "client")
+        used = own if authority == "the same authority" else other
+        server = write_certificates(folder, used, "server")
+
+        async def run():
+            async with open_server(tls=server) as port:
+                return await call(port, tls=client)
+
+        context.outcome = trio.run(run)
+
+
+async def send_hostile(port, kind):
+    """Send hostile bytes; return once the server has closed the connection."""
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    frames = FrameStream(stream, FRAME_LIMIT, TrafficCounter())
+    if kind == "a length over the limit":
+        await stream.send_all((2**31).to_bytes(4, "big"))
+    elif kind == "bytes that are no message":
+        await stream.send_all((5).to_bytes(4, "big") + b"\xc1\xc1\xc1\xc1\xc1")
+    elif kind == "a message out of order":
+        await frames.send(Done(1))
+    elif kind == "half a frame":
+        await stream.send_all((50).to_bytes(4, "big") + b"\x91")
+        await stream.send_eof()
+    else:
+        await greet(frames, RouterId("client"), BootId("b"), [KEYS["old"]])
+        await stream.send_all((FRAME_LIMIT + 1).to_bytes(4, "big"))
+    try:
+        while await stream.receive_some(4096):
+            pass
+    except trio.BrokenResourceError:
+        pass
+
+
+@when("a connection sends {hostile}")
+def step_hostile(context, hostile):
+    async def run():
+        async with open_server() as port:
+            with trio.fail_after(10):
+                await send_hostile(port, hostile)
+            return await call(port)
+
+    context.outcome = trio.run(run)
+
+
+@then("it is closed and a good router is still answered")
+def step_still_answered(context):
+    assert context.outcome == "answered"
+
+
+TOKENS = {
+    "no token": {},
+    "a wrong token": {"Authorization": "Bearer wrong"},
+    "an empty token": {"Authorization": "Bearer"},
+}
+
+
+@when("the operators' API is called with {token}")
+def step_operator_token(context, token):
+    url = f"{context.deployment.operator().base_url}/v1/configuration"
+    context.status = httpx.get(url, headers=TOKENS[token], trust_env=False).status_code
+
+
+@then("the status is {status:d}")
+def step_status(context, status):
+    assert context.status == status, context.status
--- a/skylarklift/callers.py
+++ b/skylarklift/callers.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 
 import trio
-from quart import Response, request
+from quart import Response, g, request
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
 
@@ -119,7 +119,8 @@
         """Read the body within its limits and the headers."""
         with trio.move_on_after(self._cfg.body_timeout_ms / MS_PER_SECOND):
             body = await request.get_data()
-            return read_caller(request.headers, body, self._clock, self._cfg)
+            g.caller = read_caller(request.headers, body, self._clock, self._cfg)
+            return g.caller
         raise BadRequest("body_timeout", "the body did not arrive in time", status=408)
 
     def _flight(self) -> "_Flight":
@@ -129,7 +130,15 @@
     async def _refuse(self, exc: RequestError):
         """Answer a refusal or failure in the one JSON shape."""
         self._telemetry.count(f"refused.{exc.code}")
-        log.info("request_refused", code=exc.code, run=exc.run.value, text=str(exc))
+        caller = g.get("caller")
+        log.info(
+            "request_refused",
+            code=exc.code,
+            run=exc.run.value,
+            text=str(exc),
+            request=caller.request_id if caller else "",
+            workspace=caller.workspace if caller else "",
+        )
         headers = {}
         if exc.retry_after_ms is not None:
             headers["Retry-After"] = str(max(1, -(-exc.retry_after_ms // MS_PER_SECOND)))
--- a/skylarklift/chats.py
+++ b/skylarklift/chats.py
@@ -25,7 +25,7 @@
 from skylarklift.requests import CallerRequest, ChatRequest
 from skylarklift.retries import RetryBudget
 from skylarklift.routing import RoutingTable
-from skylarklift.telemetry import Telemetry
+from skylarklift.telemetry import Telemetry, log
 from skylarklift.upstreams import (
     REQUEST_ID_HEADER,
     RESUME_HEADER,
@@ -382,6 +382,16 @@
         INVARIANTS.require("whole_answer", self._reader is None or self._reader.finished)
         self.phase = ChatPhase.DONE
         self._end(ReleaseCause.DONE)
+        log.info(
+            "chat_ended",
+            request=self.caller.request_id,
+            chat=self.request.chat,
+            workspace=self.caller.workspace,
+            replica=self._attempt.placement.replica,
+            version=self.parts.gate.table().version,
+            dispatched=self.dispatched,
+            first_token_ms=self._attempt.first_token_ms,
+        )
 
     def _end(self, cause: ReleaseCause) -> None:
         """Give the grant back, once."""
--- a/skylarklift/ui/client.py
+++ b/skylarklift/ui/client.py
@@ -40,7 +40,7 @@
     def __init__(self, url: str, token: str):
         self._client = httpx.Client(
             base_url=url,
-            headers={"Authorization": f"Bearer {token}"},
+            headers={"Authorization": f"Bearer {token}"} if token else {},
             timeout=TIMEOUT_S,
             trust_env=False,
         )
