--- a/features/failures.feature
+++ b/features/failures.feature
@@ -56,6 +56,12 @@
     When a caller leaves in the middle of a stream
     Then the engine cancels it and the grant is given back
 
+  Scenario: An engine turns cold without notice; it gets its ramp anew
+    Given a deployment of 3 routers and 3 engines
+    When an engine turns cold while chats are sent
+    Then its limit fell back and no invariant was broken
+    And every answer is whole
+
   Scenario: Routers are replaced one by one under load without a failed request
     Given a deployment of 3 routers and 3 engines
     When each router is restarted by SIGTERM while chats are sent
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -338,6 +338,35 @@
     deployment.wait_until(cancelled, "the engine to cancel")
 
 
+def limit_of(context, engine):
+    """Return the limit of an engine as its pool's admitter has it."""
+    for item in context.deployment.status()["routers"].values():
+        for pool in item["pools"] if item else ():
+            return pool["limits"].get(engine)
+    return None
+
+
+@when("an engine turns cold while chats are sent")
+def step_cold(context):
+    deployment = context.deployment
+    deployment.wait_until(lambda: limit_of(context, "till-1") == 32, "till-1 to be warm")
+    ramp = {"pools": {"till": {"ramp": {"duration_ms": 20000}}}}
+    assert deployment.patch(ramp).status_code == 200
+    pool = send_chats(context, ROUTERS, 9, 40)
+    deployment.control("till-1", cold=True)
+    deployment.wait_until(lambda: limit_of(context, "till-1") < 16, "till-1 to fall back")
+    pool.shutdown()
+    send_chats(context, ROUTERS, 9, 8).shutdown()
+
+
+@then("its limit fell back and no invariant was broken")
+def step_fell_back(context):
+    routers = context.deployment.status()["routers"].values()
+    assert all(item["breaches"] == {} for item in routers), routers
+    ramp = {"pools": {"till": {"ramp": {"duration_ms": 1000}}}}
+    assert context.deployment.patch(ramp).status_code == 200
+
+
 @when("each router is restarted by SIGTERM while chats are sent")
 def step_rolling(context):
     deployment = context.deployment
--- /dev/null
+++ b/features/steps/model.py
@@ -0,0 +1,25 @@
+"""Steps that search the specification for broken states."""
+
+from behave import then, when
+
+from tools.model import Specification, search
+
+
+@when("the specification is searched to {depth:d} steps")
+def step_search(context, depth):
+    context.found = search(Specification(), depth)
+
+
+@when('the specification with the fault "{mutation}" is searched to {depth:d} steps')
+def step_search_mutated(context, mutation, depth):
+    context.found = search(Specification(mutation), depth)
+
+
+@then("no path breaks it")
+def step_holds(context):
+    assert context.found is None, context.found
+
+
+@then("a path breaks it")
+def step_broken(context):
+    assert context.found is not None
--- a/skylarklift/claims.py
+++ b/skylarklift/claims.py
@@ -8,6 +8,7 @@
 is lost the same conditional write is sent again, which shows whose claim it is.
 """
 
+import random
 import secrets
 from dataclasses import dataclass, field
 from enum import Enum
@@ -26,7 +27,7 @@
 CLAIM_ID_BYTES = 9
 RETRY_PAUSE_MS = 100
 OUTCOME_ATTEMPTS = 20
-OUTCOME_RETRY_MS = 500
+LONGEST_PAUSE_MS = 1500
 OUTCOME_QUEUE_LIMIT = 10_000
 
 
@@ -148,6 +149,7 @@
         self._store = store
         self._wishes: list[_Wish] = []
         self._outcomes: list[Write] = []
+        self._failures = 0
         self._wake = trio.Event()
         self._outcome_wake = trio.Event()
         self.counts = ClaimCounts()
@@ -204,6 +206,7 @@
             self.counts.lost_answers += isinstance(exc, StoreAnswerLost)
             await self._try_again(batch)
             return
+        self._failures = 0
         for wish, result in zip(batch, results, strict=True):
             claim = judge_claim(wish.name, wish.row, result)
             if wish.claim is not None and claim.state is ClaimState.OURS:
@@ -215,7 +218,11 @@
         now = self._clock.now()
         keep_until = now - self._cfg.timeout_ms * OUTCOME_ATTEMPTS
         self._wishes = [wish for wish in batch if wish.until > keep_until] + self._wishes
-        await sleep_ms(RETRY_PAUSE_MS)
+        # Longer and longer, and never in step, so that the fleet does not fall upon a
+        # store that has just come back.
+        self._failures += 1
+        longest = min(RETRY_PAUSE_MS * 2**self._failures, LONGEST_PAUSE_MS)
+        await sleep_ms(random.uniform(RETRY_PAUSE_MS, longest))
 
     def _give_up(self, claim: Claim) -> None:
         """Remove the row of a claim that nobody waits for any more."""
@@ -270,7 +277,7 @@
         try:
             await self._store.write_each(batch)
         except StoreError:
-            await sleep_ms(OUTCOME_RETRY_MS)
+            await sleep_ms(random.uniform(RETRY_PAUSE_MS, LONGEST_PAUSE_MS))
             return
         self._outcomes = self._outcomes[len(batch) :]
         self.counts.outcomes += len(batch)
--- a/skylarklift/daemon.py
+++ b/skylarklift/daemon.py
@@ -15,6 +15,7 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+EXIT_SYSTEM = 3
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -42,8 +43,22 @@
     if options.check:
         print(f"{options.settings}: in order")
         return EXIT_OK
-    trio.run(run_daemon, cfg)
-    return EXIT_OK
+    code = EXIT_OK
+    try:
+        trio.run(run_daemon, cfg)
+    except* OSError as group:
+        for exc in leaf_errors(group):
+            print(f"skylarkliftd: {exc}", file=sys.stderr)
+        code = EXIT_SYSTEM
+    return code
+
+
+def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
+    """Return the single errors of a group, without the groups around them."""
+    found: list[BaseException] = []
+    for exc in group.exceptions:
+        found += leaf_errors(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
+    return found
 
 
 async def run_daemon(cfg: Settings) -> None:
--- a/skylarklift/generated.py
+++ b/skylarklift/generated.py
@@ -31,6 +31,13 @@
     JSON_PATCH = "json-patch"
 
 
+class OrderKind(StrEnum):
+    LOAD_MODEL = "load-model"
+    LOAD_ADAPTER = "load-adapter"
+    LOAD_VERSION = "load-version"
+    CHANGE_ROLE = "change-role"
+
+
 class ReleaseCause(StrEnum):
     DONE = "done"
     CANCELLED = "cancelled"
@@ -126,6 +133,12 @@
     drain_limit_ms: Annotated[int, Meta(ge=0)] = 30000
 
 
+class OrderSettings(Record):
+    lease_ms: Annotated[int, Meta(ge=1000)] = 10000
+    order_limit_ms: Annotated[int, Meta(ge=100)] = 3000
+    weight_gap_ms: Annotated[int, Meta(ge=0)] = 2000
+
+
 class Settings(Record):
     router: str
     zone: str
@@ -144,6 +157,7 @@
         default_factory=lambda: convert({}, type=TelemetrySettings)
     )
     shutdown: ShutdownSettings = field(default_factory=lambda: convert({}, type=ShutdownSettings))
+    orders: OrderSettings = field(default_factory=lambda: convert({}, type=OrderSettings))
 
 
 class ZoneRouting(Record):
@@ -267,6 +281,19 @@
     note: str = ""
 
 
+class OrderLeaseRow(Record):
+    holder: str
+    fence: int
+    lease_ms: int
+
+
+class OrderBody(Record):
+    pool: str
+    replica: str
+    kind: OrderKind
+    name: str
+
+
 class ClaimRow(Record):
     claim: str
     router: str
--- a/skylarklift/operators.py
+++ b/skylarklift/operators.py
@@ -17,9 +17,10 @@
     StalePatch,
     StoreError,
 )
-from skylarklift.generated import OperatorApiSettings, PatchBody, PatchFormat, PatchRow
+from skylarklift.generated import OperatorApiSettings, OrderBody, PatchBody, PatchFormat, PatchRow
 from skylarklift.heads import HeadKeeper
-from skylarklift.ids import PatchId, Version, WorkspaceId
+from skylarklift.ids import PatchId, PoolId, Version, WorkspaceId
+from skylarklift.orders import Order, OrderError, OrderGiver, OrderGiverElsewhere
 from skylarklift.patching import PatchRequest, apply_patch
 from skylarklift.routing import check_value
 from skylarklift.status import StatusCollector
@@ -47,12 +48,14 @@
         heads: HeadKeeper,
         status: StatusCollector,
         claims: ClaimWriter,
+        orders: OrderGiver,
         telemetry: Telemetry,
     ):
         self._cfg = cfg
         self._heads = heads
         self._status = status
         self._claims = claims
+        self._orders = orders
         self._telemetry = telemetry
         self.app = self._make_app()
 
@@ -64,6 +67,7 @@
         app.add_url_rule("/v1/configuration/history", view_func=self._history)
         app.add_url_rule("/v1/configuration/patches", view_func=self._patch, methods=["POST"])
         app.add_url_rule("/v1/configuration/check", view_func=self._check, methods=["POST"])
+        app.add_url_rule("/v1/orders", view_func=self._order, methods=["POST"])
         app.add_url_rule("/v1/status", view_func=self._show_status)
         app.add_url_rule("/v1/claims/<workspace>/<path:key>", view_func=self._claim)
         app.register_error_handler(NotAuthenticated, self._answer_unknown_operator)
@@ -72,6 +76,8 @@
         app.register_error_handler(PatchUnsettled, self._answer_unsettled)
         app.register_error_handler(SettingsError, self._answer_findings)
         app.register_error_handler(PatchError, self._answer_patch_error)
+        app.register_error_handler(OrderGiverElsewhere, self._answer_giver_elsewhere)
+        app.register_error_handler(OrderError, self._answer_order_error)
         app.register_error_handler(StoreError, self._answer_store_away)
         return app
 
@@ -133,6 +139,30 @@
             return {"claim": None}
         return {"claim": row.value}
 
+    async def _order(self):
+        """Give an order to an engine."""
+        operator = self._operator()
+        try:
+            body = msgspec.json.decode(await request.get_data(), type=OrderBody)
+        except msgspec.MsgspecError as exc:
+            raise BadCall(f"not an order: {exc}") from exc
+        pool = self._heads.table.pool(PoolId(body.pool))
+        replica = pool.replicas.get(body.replica) if pool else None
+        if replica is None:
+            raise BadCall(f"no replica {body.replica!r} in a pool {body.pool!r}")
+        outcome = await self._orders.give(Order(replica.url, body.kind, body.name))
+        self._telemetry.count(f"orders.{outcome.value}")
+        log.info(
+            "order_given",
+            operator=operator,
+            replica=body.replica,
+            kind=body.kind.value,
+            name=body.name,
+            outcome=outcome.value,
+            fence=self._orders.lease.fence,
+        )
+        return {"outcome": outcome.value, "fence": self._orders.lease.fence}
+
     # Reading calls.
 
     def _operator(self) -> str:
@@ -189,6 +219,13 @@
     async def _answer_patch_error(self, exc):
         return self._answer(422, "patch_refused", exc)
 
+    async def _answer_giver_elsewhere(self, exc):
+        more = {"holder": exc.holder, "retry_ms": exc.retry_ms}
+        return self._answer(409, "order_giver_elsewhere", exc, **more)
+
+    async def _answer_order_error(self, exc):
+        return self._answer(503, "order_not_given", exc)
+
     async def _answer_store_away(self, exc):
         return self._answer(503, "store_away", exc)
 
--- a/skylarklift/router.py
+++ b/skylarklift/router.py
@@ -15,6 +15,7 @@
 from skylarklift.ids import BootId, RouterId, ZoneId
 from skylarklift.invariants import INVARIANTS
 from skylarklift.operators import OperatorApi
+from skylarklift.orders import OrderGiver
 from skylarklift.peers import PeerDirectory, PeerIdentity, PeerServer
 from skylarklift.serving import make_config, serve_app
 from skylarklift.status import StatusCollector, pool_status, traffic_counts
@@ -83,8 +84,9 @@
             self.clock, cfg.callers, chats, CallRunner(calls), self.telemetry, parts.is_ready
         )
         self.status = StatusCollector(parts.heads, self.peers, self.own_status)
+        self.orders = OrderGiver(self.clock, self.peers.identity.boot, cfg.orders, self.store)
         self.operators = OperatorApi(
-            cfg.operators, parts.heads, self.status, parts.claims, self.telemetry
+            cfg.operators, parts.heads, self.status, parts.claims, self.orders, self.telemetry
         )
         parts.handlers["StatusAsk"] = self.status.answer
         self.server = PeerServer(self.peers.identity, parts.answer, self.peers.counts)
@@ -156,7 +158,7 @@
     async def _close(self) -> None:
         """Close connections and send the last telemetry."""
         log.info("router_stopped")
-        for part in (self.store, self.upstreams, self.reporter):
+        for part in (self.store, self.upstreams, self.reporter, self.orders):
             await part.close()
         self.telemetry.close()
 
--- a/skylarklift/ui/client.py
+++ b/skylarklift/ui/client.py
@@ -61,6 +61,11 @@
         """Return the claim of a marked request."""
         return self._call("GET", f"/v1/claims/{workspace}/{key}")
 
+    def order(self, pool: str, replica: str, kind: str, name: str) -> dict[str, Any]:
+        """Give an order to an engine."""
+        body = {"pool": pool, "replica": replica, "kind": kind, "name": name}
+        return self._call("POST", "/v1/orders", json=body)
+
     def check(self, base: int, patch_format: PatchFormat, patch: Any) -> dict[str, Any]:
         """Check a patch without accepting it."""
         body = {"base": base, "format": patch_format.value, "patch": patch}
--- a/skylarklift/ui/commands.py
+++ b/skylarklift/ui/commands.py
@@ -195,6 +195,14 @@
     return ExitCode.OK
 
 
+def order(options: argparse.Namespace, out: Output) -> int:
+    """Give an order to an engine."""
+    api = client(options)
+    answer = api.order(options.pool, options.replica, options.kind, options.name)
+    out.value(answer, f"{answer['outcome']} under fencing number {answer['fence']}")
+    return ExitCode.OK if answer["outcome"] == "done" else ExitCode.UNSETTLED
+
+
 def client(options: argparse.Namespace) -> OperatorClient:
     """Return a client for the router of the options."""
     return OperatorClient(options.url, options.token)
--- a/skylarklift/ui/main.py
+++ b/skylarklift/ui/main.py
@@ -9,6 +9,7 @@
 
 from skylarklift import __version__
 from skylarklift.errors import SettingsError, SkylarkError
+from skylarklift.generated import OrderKind
 from skylarklift.ui import commands
 from skylarklift.ui.client import CallError, Unreachable
 from skylarklift.ui.output import ExitCode, Output
@@ -24,6 +25,7 @@
   skylarklift patch --base 41 change.json
   skylarklift zone out zone-2 --wait
   skylarklift drain --pool till till-3
+  skylarklift order load-adapter --pool till till-3 wash-2
 
 exit codes:
   0 done        1 findings, or a difference   2 wrong usage
@@ -46,6 +48,7 @@
     sub = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_reading_commands(sub, common)
     _add_changing_commands(sub, [common, change])
+    _add_order_command(sub, common)
     return parser
 
 
@@ -114,6 +117,17 @@
     parser.set_defaults(run=commands.drain)
 
 
+def _add_order_command(sub, common: argparse.ArgumentParser) -> None:
+    """Add the command that gives orders to engines."""
+    parser = sub.add_parser("order", parents=[common], help="give an order to an engine")
+    kinds = [kind.value for kind in OrderKind]
+    parser.add_argument("kind", choices=kinds)
+    parser.add_argument("--pool", required=True)
+    parser.add_argument("replica", metavar="REPLICA")
+    parser.add_argument("name", metavar="NAME", help="model, adapter, version or role")
+    parser.set_defaults(run=commands.order)
+
+
 def main(argv: list[str] | None = None) -> int:
     """Run the tool; return its exit code."""
     parser = make_parser()
--- a/skylarklift/ui/output.py
+++ b/skylarklift/ui/output.py
@@ -24,6 +24,7 @@
 
 CALL_EXIT_CODES = {
     "stale_patch": ExitCode.CONFLICT,
+    "order_giver_elsewhere": ExitCode.CONFLICT,
     "not_authenticated": ExitCode.NOT_AUTHENTICATED,
     "unsettled": ExitCode.UNSETTLED,
     "invalid_configuration": ExitCode.INVALID,
--- a/tools/schema.py
+++ b/tools/schema.py
@@ -17,6 +17,7 @@
     "ZoneState": ["in", "out"],
     "Priority": ["high", "normal", "low"],
     "PatchFormat": ["merge", "json-patch"],
+    "OrderKind": ["load-model", "load-adapter", "load-version", "change-role"],
     "ReleaseCause": ["done", "cancelled", "failed", "crashed"],
 }
 
@@ -59,11 +60,14 @@
         "statsd_prefix: str = skylarklift; otlp_url: str = ; trace_file: str = "
     ),
     "ShutdownSettings": "health_wait_ms: int>=0 = 500; drain_limit_ms: int>=0 = 30000",
+    "OrderSettings": "lease_ms: int>=1000 = 10000; order_limit_ms: int>=100 = 3000;"
+    "weight_gap_ms: int>=0 = 2000",
     "Settings": (
         "router: str; zone: str; region: str = local; callers: CallerSettings = {};"
         "operators: OperatorApiSettings = {}; peers: PeerSettings; store: StoreSettings;"
         "freshness: FreshnessSettings = {}; retries: RetrySettings = {};"
-        "telemetry: TelemetrySettings = {}; shutdown: ShutdownSettings = {}"
+        "telemetry: TelemetrySettings = {}; shutdown: ShutdownSettings = {};"
+        "orders: OrderSettings = {}"
     ),
     # The routing configuration of a deployment.
     "ZoneRouting": "state: ZoneState = in",
@@ -98,6 +102,8 @@
         "version: int; patch_id: str; operator: str; format: PatchFormat; patch: any;"
         "digest: str; note: str = "
     ),
+    "OrderLeaseRow": "holder: str; fence: int; lease_ms: int",
+    "OrderBody": "pool: str; replica: str; kind: OrderKind; name: str",
     "ClaimRow": "claim: str; router: str; fingerprint: str; status: int = 0; body: str = ;"
     "content_type: str = ",
 }
