--- a/skylarklift/telemetry.py
+++ b/skylarklift/telemetry.py
@@ -32,6 +32,7 @@
 
 SECRET_MARKS = ("token", "key", "secret", "authorization")
 HIDDEN = "(hidden)"
+EXPORT_TIMEOUT_S = 2
 
 
 class JsonLinesHandler(logbook.Handler, logbook.StringFormatterHandlerMixin):
@@ -194,7 +195,8 @@
     resource = Resource.create({"service.name": "skylarkliftd", "service.instance.id": str(router)})
     provider = TracerProvider(resource=resource)
     if cfg.otlp_url:
-        provider.add_span_processor(BatchSpanProcessor(OTLPSpanExporter(endpoint=cfg.otlp_url)))
+        exporter = OTLPSpanExporter(endpoint=cfg.otlp_url, timeout=EXPORT_TIMEOUT_S)
+        provider.add_span_processor(BatchSpanProcessor(exporter))
     if cfg.trace_file:
         provider.add_span_processor(SimpleSpanProcessor(FileSpanExporter(cfg.trace_file)))
     return provider.get_tracer("skylarklift"), provider
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -37,6 +37,7 @@
     services: tuple[str, ...] = ()
     routers: int = 2
     workspaces: tuple[str, ...] = ("wash-a", "wash-b")
+    weight_store: bool = False
 
 
 WASGOED = Shape(3, {"till": 6}, ("redeem", "wallet"), 6, tuple(f"laundry-{n}" for n in range(10)))
@@ -130,6 +131,8 @@
                 self._spawn(name, "standins.engine", options)
         for service in self.shape.services:
             self._spawn(service, "standins.service", [])
+        if self.shape.weight_store:
+            self._spawn("weights", "standins.weights", [])
         self.wait_until(self._backends_up, "back ends to be up")
         self.routing = self._make_routing()
 
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -16,6 +16,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+import httpx
 import trio
 from quart import Response, request
 from quart_trio import QuartTrio
@@ -26,6 +27,8 @@
 CRASH_MARK = "poison-crash"
 DEFAULT_TOKENS = 16
 PREFILL_MS_PER_TOKEN = 0.2
+EVENT_GAP = 7
+EVENTS_KEPT = 1000
 
 
 @dataclass
@@ -41,6 +44,8 @@
     token_ms: float = 4.0
     batch_cost: float = 0.05
     report_lag_ms: int = 300
+    event_lag_ms: int = 500
+    weights_url: str = ""
 
 
 @dataclass
@@ -63,6 +68,8 @@
     fence: int = 0
     cache: OrderedDict = field(default_factory=OrderedDict)
     reports: list = field(default_factory=list)
+    events: list = field(default_factory=list)
+    events_lost: int = 0
 
     def touch_cache(self, chat):
         """Note a chat's prefix; tell whether it was held."""
@@ -71,10 +78,18 @@
         self.misses += not hit
         self.cache[chat] = time.monotonic()
         self.cache.move_to_end(chat)
+        self.note_event("held", chat)
         while len(self.cache) > self.cache_chats:
-            self.cache.popitem(last=False)
+            self.note_event("dropped", self.cache.popitem(last=False)[0])
         return hit
 
+    def note_event(self, kind, chat):
+        """Keep a cache event for those who ask; every seventh one is lost."""
+        self.events_lost += 1
+        if self.events_lost % EVENT_GAP:
+            self.events.append((time.monotonic(), kind, chat))
+            self.events = self.events[-EVENTS_KEPT:]
+
     def slowness(self):
         """Return how many times slower than warm the engine is."""
         age_ms = (time.monotonic() - self.started) * 1000
@@ -210,10 +225,21 @@
         body = await request.get_json()
         if faults.obeys_fencing and body.get("fence", 0) < engine.fence:
             return {"error": "old fencing number", "fence": engine.fence}, 409
+        if faults.weights_url and body["kind"].startswith("load-"):
+            async with httpx.AsyncClient(trust_env=False) as client:
+                answer = await client.get(f"{faults.weights_url}/weights/{body['name']}")
+            if answer.status_code != 200:
+                return {"error": "the weight store refused"}, 503
         engine.fence = max(engine.fence, body.get("fence", 0))
         engine.orders.append(body)
         return {"done": True}
 
+    @app.get("/cache/events")
+    async def cache_events():
+        """Tell the cache events that are old enough, with gaps."""
+        limit = time.monotonic() - faults.event_lag_ms / 1000
+        return {"events": [item[1:] for item in engine.events if item[0] <= limit]}
+
     @app.post("/cache/export")
     async def export_cache():
         chat_id = (await request.get_json())["chat"]
