--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -4,14 +4,14 @@
 import signal
 import threading
 import time
-from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 from behave import given, then, when
 
-from features.steps.path import chat_headers, send_marked, streamed_text
+from features.chat_calls import send_chat, send_chats
+from features.steps.path import chat_headers, send_marked
 from standins.deployment import Deployment, Shape
-from standins.engine import CRASH_MARK, answer_text
+from standins.engine import CRASH_MARK
 
 # The wait lets a caller that has chosen a router still reach it.
 SHUTDOWN = {"shutdown": {"health_wait_ms": 1500, "drain_limit_ms": 10000}}
@@ -31,52 +31,6 @@
     context.answers = []
 
 
-class Answer:
-    """What a caller got: the status, the text, and what would have been whole."""
-
-    def __init__(self, prompt, tokens, status, text):
-        self.wanted = answer_text(prompt, tokens)
-        self.status = status
-        self.text = text
-
-    def is_whole(self):
-        ended = self.text.rstrip().endswith("data: [DONE]")
-        return self.status == 200 and ended and streamed_text(self.text) == self.wanted
-
-
-def send_chat(context, router, number, tokens, prompt=None):
-    """Stream one chat and keep its answer."""
-    prompt = prompt or f"question {number}"
-    body = {
-        "model": "till-model",
-        "stream": True,
-        "max_tokens": tokens,
-        "messages": [{"role": "user", "content": prompt}],
-    }
-    url = context.deployment.processes[router].url + "/v1/chat/completions"
-    try:
-        answer = httpx.post(
-            url,
-            json=body,
-            headers=chat_headers(chat=f"chat-{number}"),
-            timeout=TIMEOUT_S,
-            trust_env=False,
-        )
-        kept = Answer(prompt, tokens, answer.status_code, answer.text)
-    except httpx.HTTPError as exc:
-        kept = Answer(prompt, tokens, 0, repr(exc))
-    context.answers.append(kept)
-    return kept
-
-
-def send_chats(context, routers, count, tokens):
-    """Stream many chats at once; return the pool to wait for."""
-    pool = ThreadPoolExecutor(count)
-    for number in range(count):
-        pool.submit(send_chat, context, routers[number % len(routers)], number, tokens)
-    return pool
-
-
 def running(context, engine):
     return context.deployment.control(engine)["running"]
 
--- a/features/steps/telemetry.py
+++ b/features/steps/telemetry.py
@@ -8,7 +8,7 @@
 import httpx
 from behave import given, then, when
 
-from features.steps.failures import send_chat
+from features.chat_calls import send_chat
 from standins.deployment import FLEET_KEY, OPERATOR_TOKEN, Deployment, Shape
 
 SHAPE = Shape(1, {"till": 1}, (), 1, weight_store=True)
--- a/skylarklift/chats.py
+++ b/skylarklift/chats.py
@@ -8,7 +8,6 @@
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
-from enum import Enum
 
 import httpx
 import trio
@@ -47,14 +46,6 @@
 CHAT_PATH = "/v1/chat/completions"
 
 
-class ChatPhase(Enum):
-    """How far a chat has come."""
-
-    PLACING = "placing"
-    RUNNING = "running"
-    DONE = "done"
-
-
 @dataclass
 class ChatParts:
     """What every chat of a router uses."""
@@ -88,7 +79,6 @@
 
     parts: ChatParts
     request: ChatRequest
-    phase: ChatPhase = ChatPhase.PLACING
     dispatched: int = 0
     resumed: int = 0
     failed_replicas: set[ReplicaId] = field(default_factory=set)
@@ -217,7 +207,6 @@
         if self._claim is not None:
             self._claim.use()
         self.dispatched += 1
-        self.phase = ChatPhase.RUNNING
         with self._span("dispatch"):
             headers = self._headers(stream)
             response = await self.parts.upstreams.open("POST", url, headers, self.caller.body)
@@ -372,7 +361,6 @@
     def _finish(self) -> None:
         """Note that the whole answer was passed on."""
         INVARIANTS.require("whole_answer", self._reader is None or self._reader.finished)
-        self.phase = ChatPhase.DONE
         self._end(ReleaseCause.DONE)
         log.info(
             "chat_ended",
