--- a/features/admission.feature
+++ b/features/admission.feature
@@ -73,3 +73,8 @@
     Given a full pool of 2 replicas of 2 slots with a queue of 6
     When the routers list nothing and the account is reconciled
     Then the account is empty
+
+  Scenario: Requests of a replica that is out at a takeover count when it returns
+    Given an admitter that took over while a replica with 3 requests was out
+    When the replica returns
+    Then its load on account is 3
--- a/features/random_runs.feature
+++ b/features/random_runs.feature
@@ -12,6 +12,7 @@
       | 4    |
       | 1000 |
       | 1005 |
+      | 5019 |
 
   Scenario Outline: Random runs find a program with this fault: <mutation>
     When random runs of 30 virtual seconds are made with the fault "<mutation>" until one breaks
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -167,3 +167,26 @@
 def step_empty(context):
     assert context.admitter.grants() == []
     assert set(context.admitter.loads().values()) == {0}
+
+
+@given("an admitter that took over while a replica with {count:d} requests was out")
+def step_took_over(context, count):
+    context.admitter = make_admitter(ManualClock(), 3, 8)
+    pool = context.admitter.pool
+    context.admitter.configure(pool, [ReplicaId("r0"), ReplicaId("r1")])
+    listed = [
+        Grant(GrantKey(RouterId("x"), GrantId(n)), ReplicaId("r2"), WorkspaceId("w"), ChatKey(n))
+        for n in range(count)
+    ]
+    context.admitter.adopt(listed)
+
+
+@when("the replica returns")
+def step_returns(context):
+    names = [ReplicaId(f"r{number}") for number in range(3)]
+    context.admitter.configure(context.admitter.pool, names)
+
+
+@then("its load on account is {count:d}")
+def step_load(context, count):
+    assert context.admitter.loads()["r2"] == count
--- a/skylarklift/admission.py
+++ b/skylarklift/admission.py
@@ -206,10 +206,15 @@
     # Handover.
 
     def adopt(self, grants: list[Grant]) -> None:
-        """Count requests that another admitter let in."""
+        """Count requests that another admitter let in.
+
+        A replica that is out of service now may return while they still run.
+        """
         for grant in grants:
             if grant.name in self._grants:
                 continue
+            if grant.replica not in self._accounts and grant.replica in self.pool.replicas:
+                self._adopt_replica(grant.replica, self.pool.replicas[grant.replica], False)
             if grant.replica in self._accounts:
                 self._grants[grant.name] = grant
                 self._accounts[grant.replica].load += 1
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -78,7 +78,7 @@
     for feature in json.loads(text):
         for element in feature.get("elements", ()):
             if element["type"] != "background":
-                name = f"{feature['name']}: {element['name']}"
+                name = f"{feature['name']}: {element['name']}".strip()
                 results.append(Result(name, element.get("status") == "passed"))
     return results
 
