Keep chats at the holder of their prefix and copy prefixes between replicas

Change: routers tell each other where prompts went; a chat stays with a holder that is not overloaded, and elsewhere the replica is told from which one to copy.

--- a/skylarklift/entry/beliefs.py
+++ b/skylarklift/entry/beliefs.py
@@ -34,6 +34,7 @@
 
     record: UpstreamRecord
     cold_until: Millis
+    known_since: Millis
     draining: bool = False
 
 
@@ -168,7 +169,8 @@
 
     def _add(self, record: UpstreamRecord, version: int) -> list[Belief]:
         """Add a replica, or its new start under the same name."""
-        upstream = Upstream(record, self._clock.now(), draining=record.draining)
+        now = self._clock.now()
+        upstream = Upstream(record, now, known_since=now, draining=record.draining)
         self._cool(upstream, record.cold_ms)
         self.upstreams[record.replica] = upstream
         self._by_service.clear()
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -15,6 +15,7 @@
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.health import Health
 from skylarklift.entry.model import Bounds, Call, Route, ServicePlan
+from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.shares import ColdShare
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
@@ -24,7 +25,11 @@
 AFFINITY_SLACK = 2
 # An upstream in another zone is as good as one here that carries this much more.
 ZONE_PREFERENCE = 0.5
-# So many tokens a prompt part needs before its place matters.
+# A replica that holds this part of a prompt's shared tokens counts as its holder.
+HOLDER_PART = 0.5
+NOBODY_HOLDS = 1 << 60
+# Copying a prefix from another replica pays from this many tokens on.
+FETCH_LEAST_TOKENS = 64
 WEIGHT_SCALE = 1 << 32
 
 
@@ -40,13 +45,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Choice:
-    """The upstream chosen, and what decided it."""
+    """The upstream chosen, and what decided it.
+
+    `source` is a replica from which the chosen one can copy what it lacks of the prefix.
+    """
 
     upstream: Upstream
     load: int
     mean: float
     place: int
     cold: bool
+    source: Upstream | None = None
 
 
 class Chooser:
@@ -68,6 +77,7 @@
         self._bounds = bounds
         self._zone = zone
         self.cold = ColdShare(clock, bounds)
+        self.prefixes = PrefixIndex(clock)
         self.running: Counter[ReplicaId] = Counter()
 
     def service_of(self, route: Route, call: Call) -> ServiceId:
@@ -93,7 +103,8 @@
         plan = self._beliefs.plan.services.get(service)
         loads = {item.record.replica: self.load(item.record.replica) for item in candidates}
         mean = sum(loads.values()) / len(loads)
-        if plan is not None and plan.engine_slots and route.affinity:
+        by_affinity = plan is not None and plan.engine_slots > 0 and route.affinity
+        if by_affinity:
             ordered = self._by_affinity(call, candidates, loads, mean)
         else:
             ordered = self._by_load(candidates, loads)
@@ -101,7 +112,8 @@
             cold = self.is_cold(item, plan)
             if cold and not self._cold_allows(item, plan):
                 continue
-            return Choice(item, loads[item.record.replica], mean, place, cold)
+            source = self._source(call, service, item) if by_affinity else None
+            return Choice(item, loads[item.record.replica], mean, place, cold, source)
         return NoUpstream.COLD
 
     def _candidates(
@@ -131,15 +143,42 @@
         loads: dict[ReplicaId, int],
         mean: float,
     ) -> list[Upstream]:
-        """Return the replicas in the order of the chat, overloaded ones last."""
+        """Return the replicas from the best to the worst for a chat, overloaded ones last.
+
+        Those that hold most of its prefix come first, then the rest in the chat's own order.
+        """
         key = affinity_key(call)
-        ordered = sorted(
-            candidates, key=lambda item: rendezvous_weight(key, item.record.replica), reverse=True
-        )
+        held = {item.record.replica: self.held(call, item) for item in candidates}
+        most = max(held.values())
+        whole = sum(part.tokens for part in shared_parts(call.parts))
+        enough = most if most >= HOLDER_PART * whole else NOBODY_HOLDS
         bound = AFFINITY_PART * self._bounds.load_factor * mean + AFFINITY_SLACK
-        within = [item for item in ordered if loads[item.record.replica] < bound]
-        beyond = [item for item in ordered if loads[item.record.replica] >= bound]
-        return within + sorted(beyond, key=lambda item: loads[item.record.replica])
+
+        def weight(item: Upstream) -> tuple[bool, bool, int]:
+            replica = item.record.replica
+            return (
+                loads[replica] < bound,
+                held[replica] >= enough,
+                rendezvous_weight(key, replica) if loads[replica] < bound else -loads[replica],
+            )
+
+        return sorted(candidates, key=weight, reverse=True)
+
+    def held(self, call: Call, upstream: Upstream) -> int:
+        """Return how many tokens of a prompt's shared parts a replica holds."""
+        parts = shared_parts(call.parts)
+        return self.prefixes.held(parts, upstream.record.replica, upstream.known_since)
+
+    def _source(self, call: Call, service: ServiceId, chosen: Upstream) -> Upstream | None:
+        """Return a replica that holds clearly more of a prompt than the chosen one."""
+        best, most = None, self.held(call, chosen) + FETCH_LEAST_TOKENS
+        for item in self._beliefs.upstreams.values():
+            if item.record.service != service or not self._health.allows(item.record.replica):
+                continue
+            held = self.held(call, item)
+            if held > most:
+                best, most = item, held
+        return best
 
     def _by_load(self, candidates: list[Upstream], loads: dict[ReplicaId, int]) -> list[Upstream]:
         """Return the upstreams from the least to the most loaded, near ones first."""
@@ -160,9 +199,10 @@
         routers = self._fleet.routers()
         return self.cold.allows(upstream.record.replica, plan.cold_per_s, routers)
 
-    def start(self, choice: Choice) -> None:
+    def start(self, choice: Choice, call: Call) -> None:
         """Count a request in, right before it is sent."""
         replica = choice.upstream.record.replica
+        self.prefixes.note(shared_parts(call.parts), replica)
         self.running[replica] += 1
         if choice.cold:
             self.cold.note(replica)
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -4,6 +4,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.prefixes import Placement
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
 
@@ -24,7 +25,8 @@
     the last change that mattered, and `ages` the milliseconds since the store confirmed it.
     `reader` tells that this router reads the store itself.  `loads` holds the requests it has
     at each upstream, `ejected` the upstreams that it leaves alone and for how long, `crashes`
-    the fingerprints of requests whose upstream crashed, with the upstream.
+    the fingerprints of requests whose upstream crashed, with the upstream, `placements` where
+    prompts were sent of late.
     """
 
     node: str
@@ -38,6 +40,7 @@
     loads: dict[str, int] = field(default_factory=dict)
     ejected: dict[str, int] = field(default_factory=dict)
     crashes: tuple[tuple[int, str], ...] = ()
+    placements: tuple[Placement, ...] = ()
 
 
 @dataclass(slots=True)
@@ -48,6 +51,7 @@
     address: Endpoint
     added: Millis
     heard: Millis | None = None
+    told: Millis = Millis(0)
     tell: Tell | None = None
 
 
--- a/skylarklift/entry/life.py
+++ b/skylarklift/entry/life.py
@@ -6,12 +6,21 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.attempts import Attempts, Outcome, draws_on_budget
+from skylarklift.entry.beliefs import Upstream
 from skylarklift.entry.caller import CallerLink
 from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.core import Core
 from skylarklift.entry.events import EventSplitter
 from skylarklift.entry.health import Sign
-from skylarklift.entry.model import AnswerHead, Call, Route, RouteKind, SendTerms, Workspace
+from skylarklift.entry.model import (
+    AnswerHead,
+    Call,
+    Endpoint,
+    Route,
+    RouteKind,
+    SendTerms,
+    Workspace,
+)
 from skylarklift.entry.sending import Send, reaches
 from skylarklift.entry.silence import Silence, guard
 from skylarklift.entry.suspects import call_fingerprint
@@ -158,6 +167,7 @@
             left_ms=max(1, self.end - self.core.clock.now()),
             rank=rank if engine is not None and engine.engine_slots else None,
             resume_after=self.resume_after,
+            copy_from=_address(choice.source),
         )
 
     async def _choose(self) -> Choice:
@@ -376,3 +386,10 @@
             sends=self.trail,
             last_event=self.resume_after,
         )
+
+
+def _address(upstream: Upstream | None) -> Endpoint | None:
+    """Return where an upstream is reached."""
+    if upstream is None:
+        return None
+    return Endpoint(upstream.record.host, upstream.record.port)
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -128,13 +128,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SendTerms:
-    """What the router sets itself on a request to an upstream."""
+    """What the router sets itself on a request to an upstream.
+
+    `copy_from` is the address of a replica that holds more of the prompt's prefix.
+    """
 
     replica: ReplicaId
     workspace: WorkspaceId | None
     left_ms: int
     rank: int | None
     resume_after: int | None
+    copy_from: "Endpoint | None" = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.fleet import Peer, Tell
 from skylarklift.entry.following import answer_rows, fetch_rows
@@ -67,10 +67,17 @@
 
     async def tell_once(self) -> None:
         """Tell the routers whose turn it is."""
-        data = encode_tell(self._tell())
+        now = self._core.clock.now()
+        encoded: dict[Millis, bytes] = {}
         for peer in self._turn_of():
+            # What went out with the last tell goes once more, since datagrams get lost.
+            since = Millis(peer.told - TELL_MS)
+            if since not in encoded:
+                encoded[since] = encode_tell(self._tell(since))
+            peer.told = now
             try:
-                await self._socket.sendto(data, (peer.address.host, peer.address.port))
+                address = (peer.address.host, peer.address.port)
+                await self._socket.sendto(encoded[since], address)
             except OSError as exc:
                 self._core.journal.write("tell_failed", peer=peer.node, cause=str(exc))
 
@@ -87,8 +94,8 @@
         """Tell whether this router reads the store itself."""
         return all(self._core.reading.values())
 
-    def _tell(self) -> Tell:
-        """Return what the others are told now."""
+    def _tell(self, since: Millis) -> Tell:
+        """Return what is told now; of placements, those from a moment on."""
         core = self._core
         beliefs = core.beliefs
         return Tell(
@@ -103,6 +110,7 @@
             loads=dict(core.chooser.running),
             ejected=core.health.ejected(),
             crashes=core.suspects.news(),
+            placements=tuple(core.chooser.prefixes.news(since)),
         )
 
     # Hearing.
@@ -138,6 +146,8 @@
             core.health.told_ejected(replica, left_ms)
         for fingerprint, replica in tell.crashes:
             core.suspects.told(fingerprint, replica)
+        for placement in tell.placements:
+            core.chooser.prefixes.told(placement)
         for table in RowTable:
             self._compare(table, peer, nursery)
 
--- a/skylarklift/entry/sending.py
+++ b/skylarklift/entry/sending.py
@@ -37,7 +37,7 @@
     async def open(self):
         """Count the request in for the time of the block; close its connection after."""
         core = self.core
-        core.chooser.start(self.choice)
+        core.chooser.start(self.choice, self.call)
         try:
             yield self
         finally:
--- a/skylarklift/entry/tells.py
+++ b/skylarklift/entry/tells.py
@@ -4,8 +4,10 @@
 import trio
 
 from skylarklift.entry.fleet import Tell
+from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rowset import RowChange, RowPage
 from skylarklift.errors import PeerError
+from skylarklift.ids import ReplicaId
 
 FORMAT = 1
 LENGTH_BYTES = 4
@@ -30,6 +32,7 @@
             tell.loads,
             tell.ejected,
             tell.crashes,
+            [(placement.names, placement.replica) for placement in tell.placements],
         )
     )
 
@@ -41,7 +44,7 @@
         if form != FORMAT:
             raise PeerError(f"a tell of format {form}")
         node, boot, address, cursors, material, ages, reader, leaving, *rest = items
-        loads, ejected, crashes = rest
+        loads, ejected, crashes, placements = rest
         return Tell(
             node=str(node),
             boot=str(boot),
@@ -54,6 +57,10 @@
             loads={str(name): int(count) for name, count in loads.items()},
             ejected={str(name): int(left) for name, left in ejected.items()},
             crashes=tuple((int(mark), str(name)) for mark, name in crashes),
+            placements=tuple(
+                Placement(tuple(str(name) for name in names), ReplicaId(replica))
+                for names, replica in placements
+            ),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"not a tell: {exc}") from exc
--- a/skylarklift/platform/calls.py
+++ b/skylarklift/platform/calls.py
@@ -80,6 +80,8 @@
             headers.append((names.PRIORITY, b"%d" % urgency))
         if terms.resume_after is not None:
             headers.append((names.LAST_EVENT, b"%d" % terms.resume_after))
+        if terms.copy_from is not None:
+            headers.append((names.KV_FETCH, str(terms.copy_from).encode("ascii")))
         return headers
 
     def decode_answer(self, status: int, headers: Headers) -> AnswerHead:
--- a/skylarklift/platform/names.py
+++ b/skylarklift/platform/names.py
@@ -14,6 +14,7 @@
 NOT_RUN = b"x-not-executed"
 COLD = b"x-cold-start-ms"
 PRIORITY = b"x-request-priority"
+KV_FETCH = b"kv-fetch"
 
 # Set by the system alone; a client's own value never passes on.
 OWN_FIELDS = frozenset(
@@ -28,7 +29,7 @@
         b"x-pin-ms",
         b"x-kv-backup",
         b"kv-from",
-        b"kv-fetch",
+        KV_FETCH,
         b"x-expect-version",
     )
 )
