Test the entry router: decision tables, and processes before stand-ins

Found by the tests: with more routers than a cold replica's requests a second all sent their first at once; each now waits for its turn.

--- /dev/null
+++ b/features/entry_parts.py
@@ -0,0 +1,119 @@
+"""Parts of an entry router for tests: settings, plans, upstreams, calls."""
+
+import json
+
+from skylarklift.clock import ManualClock, Millis
+from skylarklift.entry.core import Core, make_core
+from skylarklift.entry.model import Call, Endpoint, NodeSettings, PromptPart
+from skylarklift.entry.rowset import RowChange, RowPage, RowTable
+from skylarklift.platform.calls import PlatformCalls
+from skylarklift.platform.rows import PlatformRows
+
+ZONES = ("cape-a", "cape-b", "cape-c")
+ROUTE = {
+    "name": "chat",
+    "hostname": "app.example",
+    "prefix": "/chat/",
+    "route_type": "streaming",
+    "timeout_ms": 5000,
+    "goal_ms": 500,
+    "priority": 1,
+    "service": "lm",
+    "max_attempts": 2,
+    "session_affinity": True,
+    "stream_resume": True,
+}
+LM_SERVICE = {
+    "name": "lm",
+    "health_check": "/healthz",
+    "max_connections": 100,
+    "cold_start_s": 3.0,
+    "cold_per_s": 13.0,
+    "runtime": {"slots": 64},
+}
+TILL_SERVICE = {"name": "till", "health_check": "/healthz", "max_connections": 100}
+
+
+class QuietJournal:
+    """Keep log lines in place of writing them."""
+
+    def __init__(self):
+        self.lines = []
+
+    def write(self, event, **fields):
+        self.lines.append({"event": event, **fields})
+
+    def flush(self):
+        pass
+
+
+def node_settings(node="r1", zone="cape-a", port=1) -> NodeSettings:
+    """Return settings of a router that listens nowhere yet."""
+    here = Endpoint("127.0.0.1", port)
+    return NodeSettings(node, zone, "za", {}, here, here, here, (), here, 1200)
+
+
+def new_core(clock=None, **settings) -> Core:
+    """Return a router's core that knows nothing."""
+    rows = PlatformRows()
+    clock = clock or ManualClock(10_000)
+    return make_core(node_settings(**settings), clock, PlatformCalls(), rows, QuietJournal())
+
+
+def plan_data(version=1, routes=(), services=(LM_SERVICE, TILL_SERVICE), keys=("k1",)) -> bytes:
+    """Return the row of a configuration."""
+    value = {
+        "version": version,
+        "routes": [{**ROUTE, **route} for route in routes] or [ROUTE],
+        "services": list(services),
+        "limits": {},
+        "tenants": [{"name": "w1", "api_keys": list(keys), "priority": 1}],
+    }
+    return json.dumps(value).encode()
+
+
+def upstream_data(service="lm", zone="cape-a", port=9000, **fields) -> bytes:
+    """Return the row of an upstream."""
+    value = {
+        "service": service,
+        "address": f"127.0.0.1:{port}",
+        "zone": zone,
+        "version": "v1",
+        "slots": 64,
+        "state": "ready",
+        "cold_remaining_ms": 0,
+        "born": 1,
+        "sequence": 1,
+        **fields,
+    }
+    return json.dumps(value).encode()
+
+
+def give_rows(core, table, version, rows, whole=False):
+    """Let a core take rows, by key; the version is that of the page and of each row."""
+    changes = [RowChange(key, version, data) for key, data in rows.items()]
+    core.beliefs.confirm(table, version)
+    return core.beliefs.take(table, RowPage(changes, version, whole))
+
+
+def core_with(replicas: int, clock=None, **fields) -> Core:
+    """Return a core that knows a plan and replicas `r0`, `r1`, ... of the service `lm`."""
+    core = new_core(clock)
+    give_rows(core, RowTable.OPERATOR, 1, {"config": plan_data()}, whole=True)
+    rows = {
+        f"r{n}": upstream_data(zone=ZONES[n % 3], port=9000 + n, **fields) for n in range(replicas)
+    }
+    give_rows(core, RowTable.UPSTREAMS, 1, rows, whole=True)
+    return core
+
+
+def new_call(parts="", request="q1", deadline_ms=3000) -> Call:
+    """Return a call with prompt parts written as NAME:TOKENS and separated by commas."""
+    found = tuple(
+        PromptPart(name, int(tokens))
+        for name, tokens in (item.split(":") for item in parts.split(",") if item)
+    )
+    call = Call(request, b"POST", b"/chat/x", "app.example", "/chat/x", [], Millis(10_000))
+    call.deadline_ms = deadline_ms
+    call.parts = found
+    return call
--- a/skylarklift/entry/beliefs.py
+++ b/skylarklift/entry/beliefs.py
@@ -26,6 +26,7 @@
 # A list of upstreams that was not confirmed for longer than this may have missed writes.
 OUTAGE_MS = 2500
 NEVER_MS = 1_000_000
+UPSTREAM_GONE = "upstream_gone"
 
 
 @dataclass(slots=True)
@@ -193,7 +194,7 @@
         del self.upstreams[replica]
         self._held.pop(replica, None)
         self._by_service.clear()
-        return [Belief("upstream_gone", replica, version)]
+        return [Belief(UPSTREAM_GONE, replica, version)]
 
     def settle(self) -> list[Belief]:
         """Carry out removals whose hold is over."""
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -196,8 +196,9 @@
 
     def _cold_allows(self, upstream: Upstream, plan: ServicePlan) -> bool:
         """Tell whether this router may send one more request to a cold replica."""
-        routers = self._fleet.routers()
-        return self.cold.allows(upstream.record.replica, plan.cold_per_s, routers)
+        fleet = self._fleet
+        replica = upstream.record.replica
+        return self.cold.allows(replica, plan.cold_per_s, fleet.routers(), fleet.turn())
 
     def start(self, choice: Choice, call: Call) -> None:
         """Count a request in, right before it is sent."""
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -52,6 +52,13 @@
     reading: dict[RowTable, bool] = field(default_factory=lambda: dict.fromkeys(RowTable, False))
     changed: trio.Event = field(default_factory=trio.Event)
 
+    def forget(self, replica: ReplicaId) -> None:
+        """Forget an upstream that is gone."""
+        self.health.forget(replica)
+        self.chooser.cold.forget(replica)
+        self.pool.drop(replica)
+        self.probes.pop(replica, None)
+
     def stopping_ms(self) -> int | None:
         """Return for how long this router has been stopping, or `None`."""
         if self.stopping_since is None:
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -90,6 +90,11 @@
         limit = self._clock.now() - SHARE_AGE_MS
         return 1 + sum((peer.heard or peer.added) > limit for peer in self.peers.values())
 
+    def turn(self) -> float:
+        """Return this router's place among all that are known, from 0 to 1."""
+        before = sum(node < self.own for node in self.peers)
+        return before / (len(self.peers) + 1)
+
     def heard(self) -> list[Peer]:
         """Return the routers heard of late."""
         limit = self._clock.now() - HEARD_AGE_MS
--- a/skylarklift/entry/following.py
+++ b/skylarklift/entry/following.py
@@ -4,12 +4,14 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.beliefs import UPSTREAM_GONE
 from skylarklift.entry.core import Core
 from skylarklift.entry.link import connect
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.rowset import HistoryLost, RowPage, RowSource, RowTable
 from skylarklift.entry.tells import FRAME_LIMIT_BYTES, decode_page, receive_frame, send_frame
 from skylarklift.errors import LinkError, PeerError, StoreError
+from skylarklift.ids import ReplicaId
 
 # A call for changes waits this long for one; a store that says nothing is noticed soon after.
 WAIT_MS = 500
@@ -86,6 +88,8 @@
     core.beliefs.confirm(table, page.version, age_ms)
     changes = core.beliefs.take(table, page)
     for belief in changes:
+        if belief.event == UPSTREAM_GONE:
+            core.forget(ReplicaId(belief.subject))
         core.journal.write(
             belief.event,
             subject=belief.subject,
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -21,7 +21,6 @@
 STOPPING_LEAST_MS = 3600
 # It ends so long before it would be killed.
 STOPPING_MARGIN_MS = 400
-METRICS_PORT = 9464
 
 
 class EntryRouter:
@@ -33,10 +32,12 @@
         rows: RowSource,
         members: MemberStore,
         load: Callable[[], NodeSettings],
+        metrics_port: int = 0,
     ):
         self._core = core
         self._rows = rows
         self._load = load
+        self._metrics_port = metrics_port
         self._callers = CallerServer(core)
         self._probes = ProbeServer(core)
         self._peering = Peering(core, members)
@@ -52,7 +53,7 @@
                 await self._peering.open()
                 start(self._listen, settings.peers, self._peering.serve_rows)
                 start(self._listen, settings.readiness, self._probes.serve)
-                metrics = Endpoint(settings.callers.host, METRICS_PORT)
+                metrics = Endpoint(settings.callers.host, self._metrics_port)
                 start(self._listen, metrics, self._probes.serve)
                 start(self._listen, settings.callers, self._callers.serve)
                 start(self._peering.hear_all, nursery)
--- a/skylarklift/entry/shares.py
+++ b/skylarklift/entry/shares.py
@@ -13,6 +13,8 @@
 COLD_WINDOW_MS = 1000
 # Requests are sent at one moment and arrive at another; the window is wider by this much.
 ARRIVAL_SLACK_MS = 150
+# Routers see a cold replica at slightly different moments, so their turns are not exact.
+TURNS_USED = 0.8
 # The window that is judged may start anywhere, so half of a span's requests may fall outside.
 BUDGET_PARTS = 10
 HALF = 0.5
@@ -30,6 +32,7 @@
         self._clock = clock
         self._bounds = bounds
         self._sent: dict[ReplicaId, deque[Millis]] = {}
+        self._seen: dict[ReplicaId, Millis] = {}
 
     def _share(self, cold_per_s: float, routers: int) -> tuple[int, int]:
         """Return how many requests are allowed within how many milliseconds."""
@@ -39,16 +42,24 @@
         window = COLD_WINDOW_MS + ARRIVAL_SLACK_MS
         if share >= 1:
             return int(share), window
-        return 1, int(window / share)
+        return 1, int(window / (share * TURNS_USED))
 
-    def allows(self, replica: ReplicaId, cold_per_s: float, routers: int) -> bool:
-        """Tell whether one more request may be sent now."""
+    def allows(
+        self, replica: ReplicaId, cold_per_s: float, routers: int, turn: float = 0.0
+    ) -> bool:
+        """Tell whether one more request may be sent now.
+
+        `turn` is this router's place among all, from 0 to 1: with a share below one request a
+        second, its first request waits for that part of the span.
+        """
+        now = self._clock.now()
         allowed, window = self._share(cold_per_s, routers)
-        sent = self._sent.get(replica)
-        if not sent:
-            return True
-        limit = self._clock.now() - window
-        while sent and sent[0] <= limit:
+        sent = self._sent.setdefault(replica, deque())
+        if allowed == 1:
+            first = self._seen.setdefault(replica, now)
+            if now - first < turn * window:
+                return False
+        while sent and sent[0] <= now - window:
             sent.popleft()
         return len(sent) < allowed
 
@@ -59,6 +70,7 @@
     def forget(self, replica: ReplicaId) -> None:
         """Forget a replica that is gone."""
         self._sent.pop(replica, None)
+        self._seen.pop(replica, None)
 
 
 class RetryShare:
--- a/skylarklift/platform/daemon.py
+++ b/skylarklift/platform/daemon.py
@@ -31,6 +31,9 @@
     path = os.environ.get(PATH_VARIABLE, DEFAULT_PATH)
     parser.add_argument("--settings", default=path, help="settings file (default: %(default)s)")
     parser.add_argument("--check", action="store_true", help="check the settings and end")
+    parser.add_argument(
+        "--metrics-port", type=int, default=0, help="port of the metrics; 0 for any that is free"
+    )
     return parser
 
 
@@ -50,18 +53,18 @@
     if options.check:
         print(f"{options.settings}: in order")
         return EXIT_OK
-    trio.run(run_router, settings, load)
+    trio.run(run_router, settings, load, options.metrics_port)
     return EXIT_OK
 
 
-async def run_router(settings: NodeSettings, load) -> None:
+async def run_router(settings: NodeSettings, load, metrics_port: int) -> None:
     """Run one router until it is told to stop."""
     clock = LoopClock()
     rows = PlatformRows()
     journal = Journal(clock, settings.node)
     core = make_core(settings, clock, PlatformCalls(), rows, journal)
     store = PlatformStore(settings.store, rows)
-    await EntryRouter(core, store, store, load).run()
+    await EntryRouter(core, store, store, load, metrics_port).run()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/standins/entryworld.py
@@ -0,0 +1,321 @@
+"""Routers as processes before a store and replicas of this process, for tests and the soak."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from functools import partial
+from pathlib import Path
+
+import h11
+import trio
+
+from standins.replica import Replica
+from standins.rows import RowStore, StoreDoor
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+START_LIMIT_S = 10
+LOOKS_A_SECOND = 20
+SERVICES = [
+    {
+        "name": "lm",
+        "health_check": "/healthz",
+        "max_connections": 100,
+        "cold_start_s": 0.0,
+        "cold_per_s": 0.0,
+        "runtime": {"slots": 64},
+    },
+    {"name": "till", "health_check": "/healthz", "max_connections": 100},
+]
+ROUTES = {
+    "/chat/": {"route_type": "streaming", "service": "lm", "stream_resume": True},
+    "/once/": {"route_type": "streaming", "service": "lm", "stream_resume": False},
+    "/redeem/": {"route_type": "non_idempotent", "service": "till"},
+    "/check/": {"route_type": "idempotent", "service": "till"},
+}
+ROUTE_DEFAULTS = {
+    "hostname": "app.example",
+    "timeout_ms": 4000,
+    "goal_ms": 500,
+    "priority": 1,
+    "max_attempts": 2,
+    "session_affinity": True,
+}
+
+
+def free_port() -> int:
+    """Return a port that nobody uses now."""
+    with socket.socket() as sock:
+        sock.bind((HOST, 0))
+        return sock.getsockname()[1]
+
+
+@dataclass
+class Answer:
+    """What a client got; `whole` tells that the answer did not break off."""
+
+    status: int = 0
+    fields: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+
+
+@dataclass
+class RouterProcess:
+    """One router: its process, its addresses, its log."""
+
+    name: str
+    process: subprocess.Popen
+    callers: int
+    readiness: int
+    settings: Path
+    log: Path
+
+    def lines(self) -> list[dict]:
+        """Return the log lines that are whole."""
+        text = self.log.read_text() if self.log.exists() else ""
+        return [json.loads(line) for line in text.splitlines() if line.endswith("}")]
+
+
+class EntryWorld:
+    """A store, replicas and routers on the loopback address."""
+
+    def __init__(self, nursery: trio.Nursery, folder: str):
+        self.nursery = nursery
+        self.folder = Path(folder)
+        self.store = RowStore()
+        self.doors: list[tuple[StoreDoor, int]] = []
+        self.replicas: dict[str, Replica] = {}
+        self.ports: dict[str, int] = {}
+        self._scopes: dict[str, trio.CancelScope] = {}
+        self.listeners: dict[str, trio.SocketListener] = {}
+        self.routers: list[RouterProcess] = []
+        self.keys = ["key-1"]
+        self.plan_version = 0
+        self._beats = 0
+
+    # The platform.
+
+    async def listen(self, name: str, handler, port: int = 0) -> int:
+        """Serve an address under a name; return its port."""
+        (listener,) = await trio.open_tcp_listeners(port, host=HOST)
+        self._scopes[name] = trio.CancelScope()
+        self.listeners[name] = listener
+        self.nursery.start_soon(self._serve, handler, listener, self._scopes[name])
+        return listener.socket.getsockname()[1]
+
+    async def _serve(self, handler, listener, scope) -> None:
+        """Serve until the scope is cancelled."""
+        with scope:
+            await trio.serve_listeners(
+                partial(self._isolate, handler), [listener], handler_nursery=self.nursery
+            )
+
+    @staticmethod
+    async def _isolate(handler, stream) -> None:
+        """Serve one connection; one that breaks ends only itself."""
+        try:
+            await handler(stream)
+        except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # Routers are killed in these tests; their connections break.
+            stream.socket.close()
+
+    async def open_door(self) -> StoreDoor:
+        """Open one more address of the store."""
+        door = StoreDoor(self.store)
+        port = await self.listen(f"door-{len(self.doors)}", door.serve)
+        self.doors.append((door, port))
+        return door
+
+    def write_plan(self, **changes) -> None:
+        """Write the next configuration as the operator would."""
+        self.plan_version += 1
+        routes = [
+            {**ROUTE_DEFAULTS, "name": prefix, "prefix": prefix, **fields, **changes}
+            for prefix, fields in ROUTES.items()
+        ]
+        value = {
+            "version": self.plan_version,
+            "routes": routes,
+            "services": SERVICES,
+            "limits": {"idle_timeout_ms": 15000},
+            "tenants": [{"name": "w1", "api_keys": self.keys}],
+        }
+        self.store.write("op", "config", json.dumps(value).encode())
+
+    async def add_replica(self, name: str, service: str, zone: str = "za") -> Replica:
+        """Start a replica and list it."""
+        replica = Replica(name)
+        self.replicas[name] = replica
+        self.ports[name] = await self.listen(name, replica.serve, self.ports.get(name, 0))
+        self.list_replica(name, service, zone)
+        return replica
+
+    def list_replica(self, name: str, service: str, zone: str = "za", **fields) -> None:
+        """Write what a replica says of itself."""
+        self._beats += 1
+        value = {
+            "service": service,
+            "address": f"{HOST}:{self.ports[name]}",
+            "zone": zone,
+            "slots": 64,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "born": 1,
+            "sequence": self._beats,
+            **fields,
+        }
+        self.store.write("servers", name, json.dumps(value).encode())
+
+    def shut(self, name: str) -> None:
+        """Take no new connections for a replica; those that are open stay."""
+        self._scopes[name].cancel()
+        self.listeners[name].socket.close()
+
+    def stop_replica(self, name: str) -> None:
+        """End a replica as a crash does; its entry stays."""
+        self.shut(name)
+        self.replicas[name].drop_links()
+
+    # Routers.
+
+    async def start_router(self, name: str, door: int = 0, first_port: int = 0) -> RouterProcess:
+        """Start a router and wait until it is ready."""
+        router = self._spawn(name, door, first_port or free_port())
+        self.routers.append(router)
+        with trio.fail_after(START_LIMIT_S):
+            for _ in range(START_LIMIT_S * LOOKS_A_SECOND):
+                if await self.ready(router):
+                    break
+                await trio.sleep(1 / LOOKS_A_SECOND)
+        return router
+
+    def _spawn(self, name: str, door: int, inner: int) -> RouterProcess:
+        """Start a router's process."""
+        callers, readiness = free_port(), free_port()
+        settings, log = self.folder / f"{name}.conf", self.folder / f"{name}.log"
+        fields = {
+            "node_name": name,
+            "zone": "za",
+            "listen.frontend": f"{HOST}:{callers}",
+            "listen.ready_addr": f"{HOST}:{readiness}",
+            "port_range": f"{inner},{inner}",
+            "platform.address": f"{HOST}:{self.doors[door][1]}",
+            "bounds.grace_s": 8,
+        }
+        settings.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
+        command = [sys.executable, "-m", "skylarklift.platform.daemon"]
+        environment = {**os.environ, "SKYLARKLIFT_NODE_FILE": str(settings)}
+        with log.open("w") as output:
+            process = subprocess.Popen(
+                command, cwd=ROOT, env=environment, stdout=output, stderr=output
+            )
+        return RouterProcess(name, process, callers, readiness, settings, log)
+
+    async def ready(self, router: RouterProcess) -> bool:
+        """Ask a router whether it is ready."""
+        try:
+            answer = await self.ask(router.readiness, "GET", "/-/readyz", {})
+        except OSError:
+            return False
+        return answer.status == 200
+
+    # Clients.
+
+    async def ask(
+        self,
+        port: int,
+        method: str,
+        target: str,
+        fields: dict[str, str],
+        body: bytes = b"",
+        leave_after_ms: int | None = None,
+    ) -> Answer:
+        """Send one request on a new connection and read its answer."""
+        with trio.move_on_after((leave_after_ms or 20000) / 1000):
+            stream = await trio.open_tcp_stream(HOST, port)
+            async with stream:
+                return await exchange(stream, method, target, fields, body)
+        return Answer()
+
+    async def call(self, router: RouterProcess, target: str, **options) -> Answer:
+        """Send a client's request as the platform's clients do."""
+        fields = {
+            "host": "app.example",
+            "x-attempt-id": options.pop("request", os.urandom(6).hex()),
+            "x-api-key": options.pop("key", "key-1"),
+            "x-deadline-ms": str(options.pop("deadline_ms", 4000)),
+            **options.pop("fields", {}),
+        }
+        if target.startswith(("/chat/", "/once/")):
+            fields.setdefault("x-token-count", "100,50")
+            fields.setdefault("x-prefix-hash", "aa:50,bb:40,cc:10")
+        method = "GET" if target.startswith("/check/") else "POST"
+        body = b"" if method == "GET" else options.pop("body", b"work")
+        return await self.ask(router.callers, method, target, fields, body, **options)
+
+    def stop(self) -> None:
+        """End the routers that this world started."""
+        for router in self.routers:
+            if router.process.poll() is None:
+                router.process.send_signal(signal.SIGCONT)
+                router.process.kill()
+            router.process.wait()
+
+
+async def exchange(stream, method, target, fields, body) -> Answer:
+    """Send a request and read its answer on an open connection."""
+    http = h11.Connection(h11.CLIENT)
+    headers = [(name, value) for name, value in {"host": "x", **fields}.items()]
+    if body:
+        headers.append(("content-length", str(len(body))))
+    data = http.send(h11.Request(method=method, target=target, headers=headers))
+    if body:
+        data += http.send(h11.Data(data=body))
+    data += http.send(h11.EndOfMessage())
+    await stream.send_all(data)
+    answer = Answer()
+    parts = []
+    while True:
+        try:
+            event = http.next_event()
+            if event is h11.NEED_DATA:
+                http.receive_data(await stream.receive_some(65536))
+                continue
+        except (h11.RemoteProtocolError, trio.BrokenResourceError):
+            break
+        if isinstance(event, h11.Response):
+            answer.status = event.status_code
+            answer.fields = {name.decode(): value.decode() for name, value in event.headers}
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            answer.whole = True
+            break
+        elif isinstance(event, h11.ConnectionClosed):
+            break
+    answer.body = b"".join(parts)
+    return answer
+
+
+async def run_world(scene) -> None:
+    """Run `scene(world)` in a world with a plan and two replicas of each service."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with trio.open_nursery() as nursery:
+            world = EntryWorld(nursery, folder)
+            await world.open_door()
+            world.write_plan()
+            for name in ("lm-1", "lm-2"):
+                await world.add_replica(name, "lm")
+            for name in ("till-1", "till-2"):
+                await world.add_replica(name, "till")
+            try:
+                await scene(world)
+            finally:
+                world.stop()
+                nursery.cancel_scope.cancel()
