--- a/skylarklift/poolhost.py
+++ b/skylarklift/poolhost.py
@@ -44,7 +44,7 @@
 from skylarklift.membership import Membership
 from skylarklift.peers import Peers
 from skylarklift.poison import PoisonList
-from skylarklift.takeover import GrantLister, OwnGrants
+from skylarklift.takeover import GrantLister, OwnGrants, RecentRouters, count_unlisted
 from skylarklift.telemetry import Telemetry
 from skylarklift.upstreams import LoadReporter
 
@@ -103,6 +103,7 @@
         self._telemetry = telemetry
         self.voter = LeaseVoter(clock, cfg.lease_ms)
         self._pools: dict[PoolId, HostedPool] = {}
+        self._recent = RecentRouters(clock, membership)
         self.leaving = False
         heads.on_change.append(self._take_configuration)
 
@@ -175,7 +176,7 @@
         elif hosted.silent:
             asked = hosted.silent & set(self._membership.members)
             silent = await self._lister.list_grants(hosted, pool_id, hosted.admitter, asked)
-            hosted.silent = silent
+            hosted.silent = silent | (hosted.silent & self._recent.left())
 
     async def _ask_vote(self, router: RouterId, lease: LeaseHolder) -> bool:
         """Ask one voter; tell whether it granted."""
@@ -196,6 +197,10 @@
         admitter = PoolAdmitter(self._clock, pool, table.serving(pool.replicas))
         members = set(self._membership.members)
         silent = await self._lister.list_grants(hosted, pool_id, admitter, members)
+        # A router that has just left the view cannot be asked, but its requests may still run.
+        silent |= self._recent.left()
+        if silent:
+            await count_unlisted(self._reporter, pool, admitter)
         if not hosted.lease.holds() or hosted.admitter is not None:
             return
         admitter.start_from_loads()
@@ -244,6 +249,7 @@
     async def _run_ticks(self) -> None:
         """Let time act on the admitters; close those whose lease ended."""
         while True:
+            self._recent.left()
             for pool_id, hosted in list(self._pools.items()):
                 if hosted.admitter is None:
                     continue
--- a/skylarklift/takeover.py
+++ b/skylarklift/takeover.py
@@ -5,16 +5,50 @@
 import trio
 
 from skylarklift.admission import PoolAdmitter
+from skylarklift.clock import Clock, Millis
 from skylarklift.errors import PeerError
-from skylarklift.generated import Inventory, InventoryReply
+from skylarklift.generated import Inventory, InventoryReply, Pool
 from skylarklift.grants import Grant, GrantKey
-from skylarklift.hostedpool import HostedPool
-from skylarklift.ids import ChatKey, GrantId, PoolId, ReplicaId, RouterId, WorkspaceId
+from skylarklift.hostedpool import DROP_ROUTER_AFTER_MS, HostedPool
+from skylarklift.ids import BootId, ChatKey, GrantId, PoolId, ReplicaId, RouterId, WorkspaceId
+from skylarklift.membership import Membership
 from skylarklift.peers import Peers
+from skylarklift.upstreams import LoadReporter
 
 OwnGrants = Callable[[PoolId, int], list[Grant]]
 
 
+class RecentRouters:
+    """The routers that left the view so short a time ago that their requests may still run."""
+
+    def __init__(self, clock: Clock, membership: Membership):
+        self._clock = clock
+        self._membership = membership
+        self._seen: dict[RouterId, Millis] = {}
+
+    def left(self) -> set[RouterId]:
+        """Return those routers; to be called often enough to see each view."""
+        now = self._clock.now()
+        members = self._membership.members
+        self._seen.update(dict.fromkeys(members, now))
+        limit = now - DROP_ROUTER_AFTER_MS
+        self._seen = {name: moment for name, moment in self._seen.items() if moment > limit}
+        return self._seen.keys() - members.keys()
+
+
+async def count_unlisted(reporter: LoadReporter, pool: Pool, admitter: PoolAdmitter) -> None:
+    """Take from the replicas' reports the requests that no router listed."""
+
+    async def collect(name: ReplicaId, url: str) -> None:
+        report = await reporter.read(url)
+        if report is not None:
+            admitter.see_report(name, report.running, BootId(report.boot), listed=False)
+
+    async with trio.open_nursery() as nursery:
+        for name, replica in pool.replicas.items():
+            nursery.start_soon(collect, ReplicaId(name), replica.url)
+
+
 class GrantLister:
     """Asks routers for their grants and takes them on account."""
 
