--- a/features/entry.feature
+++ b/features/entry.feature
@@ -141,6 +141,19 @@
       | failed,good,failed,good                   | no    |
       | failed,good,failed,failed,good,failed,failed,good,failed,failed,good,failed,failed | yes |
 
+  Scenario: What fails everywhere speaks against no replica
+    Given a router that knows 3 replicas
+    When requests to all replicas fail 2 times of 5, 60 times
+    Then requests may go to the replica "r0"
+
+  Scenario: Where all replicas are left alone, one that can be reached is better than none
+    Given a router that knows 3 replicas
+    When requests to "r0" show "failed,failed,failed"
+    And requests to "r1" show "unreachable"
+    And requests to "r2" show "unreachable"
+    Then requests may go to the replica "r0"
+    And no request goes to the replica "r1"
+
   Scenario: A replica that was left alone is tried with one request at a time
     Given a router that knows 3 replicas
     When requests to "r0" show "unreachable"
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -299,6 +299,15 @@
         context.core.health.note(name, Sign(sign))
 
 
+@when("requests to all replicas fail {bad:d} times of {all:d}, {count:d} times")
+def all_fail(context, bad, all, count):
+    names = [f"r{number}" for number in range(context.count)]
+    for number in range(count):
+        sign = Sign.FAILED if number % all < bad else Sign.GOOD
+        for name in names:
+            context.core.health.note(name, sign, names)
+
+
 @then('the replica "{name}" is left alone: {alone}')
 def left_alone(context, name, alone):
     assert context.core.health.allows(name) != yes(alone)
--- a/skylarklift/entry/caller.py
+++ b/skylarklift/entry/caller.py
@@ -30,6 +30,7 @@
     """A client's connection: requests in, answers out, one after the other."""
 
     def __init__(self, stream: trio.SocketStream, header_limit: int):
+        # `answered` is set right before the last bytes of an answer are written.
         self._stream = stream
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=header_limit)
         self._ended = False
@@ -149,8 +150,8 @@
         if body and not self._bodiless(status):
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
-        await self._write(data)
         self.answered = True
+        await self._write(data)
 
     async def refuse(self, status: int, headers: Headers, code: str) -> None:
         """Answer what could not be read as a request, where an answer is still possible."""
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -130,7 +130,11 @@
         if not untried:
             return NoUpstream.TRIED
         healthy = [item for item in untried if self._health.allows(item.record.replica)]
-        return healthy or NoUpstream.EJECTED
+        if healthy:
+            return healthy
+        # Where all fail, a failing upstream is better than none.
+        failing = [item for item in untried if self._health.reachable(item.record.replica)]
+        return failing or NoUpstream.EJECTED
 
     def load(self, replica: ReplicaId) -> int:
         """Return how many requests an upstream has from all routers, as far as known."""
--- a/skylarklift/entry/health.py
+++ b/skylarklift/entry/health.py
@@ -1,9 +1,11 @@
 """Whether an upstream does its work, judged by what requests to it showed.
 
-Each failure halves the trust in an upstream, each success gives some of it back.  One that
-lost its trust is left alone for a span that doubles each time, then tried with one request.
+An upstream that cannot be reached, breaks connections, or fails clearly more often than the
+others of its service is left alone for a span that doubles each time, then tried with one
+request at a time until some went well.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -11,11 +13,12 @@
 from skylarklift.ids import ReplicaId
 
 FAILURES_TO_EJECT = 3
+BROKEN_TO_EJECT = 2
 FIRST_EJECTION_MS = 600
 LONGEST_EJECTION_MS = 5000
-# The share of failures, as a moving average over some ten answers, above which an upstream
-# counts as failing though some answers are good.
-FAILING_SHARE = 0.3
+# An upstream counts as failing when its share of failures, as a moving average over some ten
+# answers, is this far above that of the others; what all fail is the requests' own fault.
+FAILING_MORE = 0.3
 AVERAGE_WEIGHT = 0.1
 FEWEST_ANSWERS = 8
 # Trust in a replica that was ejected comes back after this many answers without a failure.
@@ -42,6 +45,7 @@
     ejections: int = 0
     until: Millis = Millis(0)
     trial: bool = False
+    unreachable: bool = False
 
 
 class Health:
@@ -51,11 +55,15 @@
         self._clock = clock
         self._records: dict[ReplicaId, Record] = {}
 
-    def note(self, replica: ReplicaId, sign: Sign) -> bool:
-        """Take in what a request showed; tell whether the upstream is ejected by it."""
+    def note(self, replica: ReplicaId, sign: Sign, others: Iterable[ReplicaId] = ()) -> bool:
+        """Take in what a request showed; tell whether the upstream is ejected by it.
+
+        `others` are the upstreams of the same service, to which it is compared.
+        """
         record = self._records.setdefault(replica, Record())
         record.trial = False
         record.answers += 1
+        record.unreachable = sign is Sign.UNREACHABLE
         bad = sign is not Sign.GOOD
         record.average += AVERAGE_WEIGHT * (bad - record.average)
         if not bad:
@@ -66,19 +74,26 @@
             return False
         record.in_row += 1
         record.good_in_row = 0
-        if not self._failing(record, sign):
+        if not self._failing(record, sign, others):
             return False
         return self._eject(record)
 
-    def _failing(self, record: Record, sign: Sign) -> bool:
+    def _failing(self, record: Record, sign: Sign, others: Iterable[ReplicaId]) -> bool:
         """Tell whether a failure is one too many."""
         if sign is Sign.UNREACHABLE:
             return True
         if sign is Sign.BROKEN:
-            return record.in_row >= 2
+            return record.in_row >= BROKEN_TO_EJECT
+        usual = self._usual(record, others)
         if record.in_row >= FAILURES_TO_EJECT:
-            return True
-        return record.answers >= FEWEST_ANSWERS and record.average > FAILING_SHARE
+            return usual <= FAILING_MORE
+        return record.answers >= FEWEST_ANSWERS and record.average > usual + FAILING_MORE
+
+    def _usual(self, record: Record, others: Iterable[ReplicaId]) -> float:
+        """Return the share of failures at the other upstreams of the service."""
+        known = [self._records[name] for name in others if name in self._records]
+        averages = sorted(item.average for item in known if item is not record and item.answers)
+        return averages[len(averages) // 2] if averages else 0.0
 
     def _eject(self, record: Record) -> bool:
         """Leave an upstream alone for a while."""
@@ -89,8 +104,6 @@
         record.ejections += 1
         record.until = Millis(now + span)
         record.in_row = 0
-        record.average = 0.0
-        record.answers = 0
         return True
 
     def told_ejected(self, replica: ReplicaId, left_ms: int) -> None:
@@ -108,6 +121,11 @@
             return False
         return not (record.ejections and record.trial)
 
+    def reachable(self, replica: ReplicaId) -> bool:
+        """Tell whether an upstream that is left alone could at least be reached."""
+        record = self._records.get(replica)
+        return record is None or not record.unreachable
+
     def start_trial(self, replica: ReplicaId) -> None:
         """Note that a request is being sent, which shows whether an upstream is well again."""
         record = self._records.get(replica)
--- a/skylarklift/entry/life.py
+++ b/skylarklift/entry/life.py
@@ -51,6 +51,9 @@
 # A stream cannot be finished by a router that stops sooner than this.
 STOPPING_STREAM_MS = 2500
 STOPPING_CALL_MS = 6000
+# A route may give less time than its work takes; only a longer silence speaks against the
+# upstream.
+SLOW_FAILURE_MS = 1000
 # Statuses that promise that the request has not run.
 PROMISES = (408, 421, 429, 503)
 JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -129,7 +132,9 @@
         """Send the request until it is answered or given up; return the status."""
         while True:
             choice = await self._choose()
-            send = Send(self.core, self.call, choice, self._terms(choice))
+            terms = self._terms(choice)
+            repeatable = self.attempts.repeatable
+            send = Send(self.core, self.call, choice, terms, repeatable=repeatable)
             async with send.open():
                 status = await self._attempt(send)
             self.tried.append(send.record.replica)
@@ -211,7 +216,8 @@
             send.detail = "no complete answer in time"
             if send.outcome is not Outcome.NOT_SENT:
                 send.outcome = Outcome.SILENT
-                send.note(Sign.FAILED)
+                if core.clock.now() - self.call.received >= SLOW_FAILURE_MS:
+                    send.note(Sign.FAILED)
             return 0
         except LinkError as exc:
             send.fail(exc)
--- a/skylarklift/entry/pool.py
+++ b/skylarklift/entry/pool.py
@@ -16,13 +16,17 @@
 # Stop using an idle connection this long before the other side closes it.
 KEEP_MARGIN_MS = 700
 IDLE_PER_UPSTREAM = 16
+# A connection may be dropped without notice while it is idle, and what is sent on it then is
+# lost; a request that must not run twice only goes on one that was in use just now.
+RECENT_MS = 1000
 
 
 @dataclass(slots=True)
 class IdleLink:
-    """A connection that waits for its next request, and when it is no longer safe to use."""
+    """A connection that waits for its next request since a moment, and until when it may."""
 
     link: Link
+    since: Millis
     until: Millis
 
 
@@ -33,16 +37,29 @@
         self._clock = clock
         self._idle: dict[ReplicaId, deque[IdleLink]] = {}
 
-    async def take(self, record: UpstreamRecord) -> Link:
-        """Return an idle connection, or a new one; raise `ConnectFailed`."""
-        idle = self._idle.get(record.replica)
+    async def take(self, record: UpstreamRecord, *, recent: bool) -> Link:
+        """Return an idle connection, or a new one; raise `ConnectFailed`.
+
+        With `recent`, only a connection that was in use just now will do.
+        """
+        link = self._idle_link(record.replica, recent)
+        if link is not None:
+            return link
+        stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
+        return Link(stream, f"{record.host}:{record.port}")
+
+    def _idle_link(self, replica: ReplicaId, recent: bool) -> Link | None:
+        """Return the idle connection that was in use last, if it will do."""
+        idle = self._idle.get(replica)
+        now = self._clock.now()
         while idle:
+            if recent and now - idle[-1].since > RECENT_MS:
+                return None
             item = idle.pop()
-            if item.until > self._clock.now() and item.link.quiet():
+            if item.until > now and item.link.quiet():
                 return item.link
             item.link.abort()
-        stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
-        return Link(stream, f"{record.host}:{record.port}")
+        return None
 
     def give(self, replica: ReplicaId, link: Link, keep_ms: int | None) -> None:
         """Take a connection back after a complete answer."""
@@ -54,7 +71,8 @@
         if span <= 0 or len(idle) >= IDLE_PER_UPSTREAM:
             link.abort()
             return
-        idle.append(IdleLink(link, Millis(self._clock.now() + span)))
+        now = self._clock.now()
+        idle.append(IdleLink(link, now, Millis(now + span)))
 
     def sweep(self) -> None:
         """Close the connections that are no longer safe to use."""
--- a/skylarklift/entry/sending.py
+++ b/skylarklift/entry/sending.py
@@ -21,12 +21,15 @@
 class Send:
     """A request on its way to one upstream; `outcome` tells how it ended."""
 
-    def __init__(self, core: Core, call: Call, choice: Choice, terms: SendTerms):
+    def __init__(
+        self, core: Core, call: Call, choice: Choice, terms: SendTerms, *, repeatable: bool
+    ):
         self.core = core
         self.call = call
         self.choice = choice
         self.record = choice.upstream.record
         self.terms = terms
+        self.repeatable = repeatable
         self.link: Link | None = None
         self.head: AnswerHead | None = None
         self.outcome = Outcome.NOT_SENT
@@ -48,7 +51,7 @@
 
     async def start(self) -> AnswerHead:
         """Send the request and return the head of its answer; raise `LinkError`."""
-        self.link = await self.core.pool.take(self.record)
+        self.link = await self.core.pool.take(self.record, recent=not self.repeatable)
         self.outcome = Outcome.BROKEN
         call = self.call
         headers = self.core.codec.encode_send(call, self.terms)
@@ -108,7 +111,8 @@
     def note(self, sign: Sign) -> None:
         """Take in what the send showed of its upstream."""
         core = self.core
-        if core.health.note(self.record.replica, sign):
+        others = [item.record.replica for item in core.beliefs.of_service(self.record.service)]
+        if core.health.note(self.record.replica, sign, others):
             core.pool.drop(self.record.replica)
             core.meters.count("ejections")
             core.journal.write(
--- a/skylarklift/entry/serving.py
+++ b/skylarklift/entry/serving.py
@@ -99,9 +99,10 @@
 
     @staticmethod
     async def _watch(caller: CallerLink, scope: trio.CancelScope) -> None:
-        """End a request whose client has left."""
+        """End a request whose client has left before its answer was complete."""
         await caller.wait_gone()
-        scope.cancel()
+        if not caller.answered:
+            scope.cancel()
 
     async def _refuse(self, caller: CallerLink, exc: BadRequest) -> None:
         """Answer a request that cannot be read, and close."""
--- a/skylarklift/ui/main.py
+++ b/skylarklift/ui/main.py
@@ -10,7 +10,7 @@
 from skylarklift import __version__
 from skylarklift.errors import SettingsError, SkylarkError
 from skylarklift.generated import OrderKind
-from skylarklift.ui import commands
+from skylarklift.ui import commands, logs
 from skylarklift.ui.client import CallError, Unreachable
 from skylarklift.ui.output import ExitCode, Output
 
@@ -25,6 +25,7 @@
   skylarklift patch --base 41 change.json
   skylarklift zone out zone-2 --wait
   skylarklift drain --pool till till-3
+  skylarklift explain 9c41d07be2a35f68 router-*.log
   skylarklift order load-adapter --pool till till-3 wash-2
 
 exit codes:
@@ -47,6 +48,7 @@
     change = _change_options()
     sub = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_reading_commands(sub, common)
+    _add_log_commands(sub, common)
     _add_changing_commands(sub, [common, change])
     _add_order_command(sub, common)
     return parser
@@ -97,6 +99,20 @@
     parser.set_defaults(run=commands.claim)
 
 
+def _add_log_commands(sub, common: argparse.ArgumentParser) -> None:
+    """Add the commands that read routers' logs."""
+    parser = sub.add_parser("explain", parents=[common], help="show what became of a request")
+    parser.add_argument("request", metavar="ID", help="the request's id")
+    parser.add_argument("files", nargs="+", metavar="LOG")
+    parser.add_argument(
+        "--around-ms", type=int, default=2000, help="beliefs so long before and after (%(default)s)"
+    )
+    parser.set_defaults(run=logs.explain)
+    parser = sub.add_parser("summary", parents=[common], help="count what logs tell")
+    parser.add_argument("files", nargs="+", metavar="LOG")
+    parser.set_defaults(run=logs.summarise)
+
+
 def _add_changing_commands(sub, parents: list[argparse.ArgumentParser]) -> None:
     """Add the commands that submit patches."""
     parser = sub.add_parser("patch", parents=parents, help="submit a patch")
