A randomized soak of real routers under faults from outside

Routers as processes, clients that keep their connections, a loopback proxy before each replica and each router's door to the store, signals, and an operator; judged by what clients got and what replicas ran.

--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real routers under faults from outside, judged by what others see."""
--- /dev/null
+++ b/soak/judge.py
@@ -0,0 +1,87 @@
+"""Judge the promises by what clients got and what replicas ran."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from skylarklift.entry.events import EventSplitter
+from standins.entryworld import Answer
+from standins.replica import Replica
+
+# Statuses that say that a request has not run.
+PROMISES = (408, 421, 429, 503)
+EVENTS = 6
+# Bounds of the pages: how long calm must last before the bounds hold, and the bounds.
+CALM_S = 4.0
+IN_FORCE_S = 2.0
+GRACE_S = 8.0
+
+
+@dataclass
+class Sent:
+    """One request of a client and what came of it."""
+
+    request: str
+    path: str
+    key: str
+    router: str
+    at: float
+    answer: Answer = field(default_factory=Answer)
+    done_at: float = 0.0
+
+    @property
+    def repeatable(self) -> bool:
+        """Tell whether the request may run more than once."""
+        return self.path.startswith(("/check/", "/chat/"))
+
+
+@dataclass
+class Judge:
+    """Collect what happened and name each broken promise."""
+
+    broken: list[str] = field(default_factory=list)
+    counts: Counter[str] = field(default_factory=Counter)
+    sent: list[Sent] = field(default_factory=list)
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    key_gone_at: dict[str, float] = field(default_factory=dict)
+
+    def calm(self, start: float, end: float) -> bool:
+        """Tell whether nothing disturbed a span or the time before it."""
+        return not any(first < end and last > start - CALM_S for first, last in self.disturbed)
+
+    def take(self, sent: Sent) -> None:
+        """Judge one request by its answer."""
+        self.sent.append(sent)
+        answer = sent.answer
+        self.counts[f"status {answer.status}"] += 1
+        if answer.status == 200 and answer.whole and not self._own_answer(sent):
+            self.broken.append(f"{sent.request} at {sent.router}: not its own whole answer")
+        gone_at = self.key_gone_at.get(sent.key)
+        if gone_at is not None:
+            late = sent.at > gone_at + IN_FORCE_S and self.calm(gone_at, sent.done_at)
+            if late and answer.status == 200:
+                self.broken.append(f"{sent.request} at {sent.router}: a key gone for long")
+        elif self.calm(sent.at, sent.done_at) and not (answer.status == 200 and answer.whole):
+            text = f"status {answer.status}, whole {answer.whole}"
+            self.broken.append(f"{sent.request} at {sent.router}: {text} while all was calm")
+
+    @staticmethod
+    def _own_answer(sent: Sent) -> bool:
+        """Tell whether an answer is the whole one to this request."""
+        body = sent.answer.body
+        if sent.path.startswith(("/chat/", "/once/")):
+            numbers = [event.number for event in EventSplitter().feed(body)]
+            return numbers == list(range(1, EVENTS + 1))
+        return body.endswith(f":{sent.request}".encode())
+
+    def judge_runs(self, replicas: list[Replica]) -> None:
+        """Judge at the end what replicas ran against what clients were told."""
+        runs = Counter(run.request for replica in replicas for run in replica.runs)
+        known = {item.request for item in self.sent}
+        for sent in self.sent:
+            count = runs[sent.request]
+            if count > 1 and not sent.repeatable:
+                self.broken.append(f"{sent.request} at {sent.router}: ran {count} times")
+            if count and sent.answer.status in PROMISES:
+                text = f"status {sent.answer.status}, but ran"
+                self.broken.append(f"{sent.request} at {sent.router}: {text}")
+        self.broken += [f"{name} ran and nobody sent it" for name in runs.keys() - known]
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -6,7 +6,6 @@
 import socket
 import subprocess
 import sys
-import tempfile
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
@@ -98,6 +97,11 @@
         self.keys = ["key-1"]
         self.plan_version = 0
         self._beats = 0
+        # Addresses that stand before replicas, such as those of proxies.
+        self.fronts: dict[str, int] = {}
+        self.services: dict[str, str] = {}
+        # What starts a router; empty for the daemon itself.
+        self.program: tuple[str, ...] = ()
 
     # The platform.
 
@@ -152,6 +156,7 @@
         """Start a replica and list it."""
         replica = Replica(name)
         self.replicas[name] = replica
+        self.services[name] = service
         self.ports[name] = await self.listen(name, replica.serve, self.ports.get(name, 0))
         self.list_replica(name, service, zone)
         return replica
@@ -161,7 +166,7 @@
         self._beats += 1
         value = {
             "service": service,
-            "address": f"{HOST}:{self.ports[name]}",
+            "address": f"{HOST}:{self.fronts.get(name, self.ports[name])}",
             "zone": zone,
             "slots": 64,
             "state": "ready",
@@ -182,18 +187,33 @@
         self.shut(name)
         self.replicas[name].drop_links()
 
+    async def restart_replica(self, name: str, born: int) -> None:
+        """Start a replica again at its address; it knows nothing of before."""
+        replica = self.replicas[name]
+        self.ports[name] = await self.listen(name, replica.serve, self.ports[name])
+        self.list_replica(name, self.services[name], born=born)
+
     # Routers.
 
     async def start_router(self, name: str, door: int = 0, first_port: int = 0) -> RouterProcess:
         """Start a router and wait until it is ready."""
         router = self._spawn(name, door, first_port or free_port())
         self.routers.append(router)
+        await self._until_ready(router)
+        return router
+
+    async def restart_router(self, router: RouterProcess) -> None:
+        """Start a router that has ended again, at the same addresses."""
+        router.process.wait()
+        router.process = self._start_process(router.settings, router.log)
+
+    async def _until_ready(self, router: RouterProcess) -> None:
+        """Wait until a router is ready."""
         with trio.fail_after(START_LIMIT_S):
             for _ in range(START_LIMIT_S * LOOKS_A_SECOND):
                 if await self.ready(router):
                     break
                 await trio.sleep(1 / LOOKS_A_SECOND)
-        return router
 
     def _spawn(self, name: str, door: int, inner: int) -> RouterProcess:
         """Start a router's process."""
@@ -209,13 +229,21 @@
             "bounds.grace_s": 8,
         }
         settings.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
-        command = [sys.executable, "-m", "skylarklift.platform.daemon"]
+        process = self._start_process(settings, log)
+        return RouterProcess(name, process, callers, readiness, settings, log)
+
+    def _start_process(self, settings: Path, log: Path) -> subprocess.Popen:
+        """Start the program of a router."""
+        program = self.program or ("-m", "skylarklift.platform.daemon")
         environment = {**os.environ, "SKYLARKLIFT_NODE_FILE": str(settings)}
-        with log.open("w") as output:
-            process = subprocess.Popen(
-                command, cwd=ROOT, env=environment, stdout=output, stderr=output
+        with log.open("a") as output:
+            return subprocess.Popen(
+                [sys.executable, *program],
+                cwd=ROOT,
+                env=environment,
+                stdout=output,
+                stderr=output,
             )
-        return RouterProcess(name, process, callers, readiness, settings, log)
 
     async def ready(self, router: RouterProcess) -> bool:
         """Ask a router whether it is ready."""
@@ -301,21 +329,3 @@
             break
     answer.body = b"".join(parts)
     return answer
-
-
-async def run_world(scene) -> None:
-    """Run `scene(world)` in a world with a plan and two replicas of each service."""
-    with tempfile.TemporaryDirectory() as folder:
-        async with trio.open_nursery() as nursery:
-            world = EntryWorld(nursery, folder)
-            await world.open_door()
-            world.write_plan()
-            for name in ("lm-1", "lm-2"):
-                await world.add_replica(name, "lm")
-            for name in ("till-1", "till-2"):
-                await world.add_replica(name, "till")
-            try:
-                await scene(world)
-            finally:
-                world.stop()
-                nursery.cancel_scope.cancel()
