--- a/features/entry.feature
+++ b/features/entry.feature
@@ -96,6 +96,19 @@
       | the zone of "r0" is emptied   |
       | the replica "r0" is unreachable |
 
+  Scenario Outline: A request reaches only upstreams in its home regions
+    Given a router that knows 6 replicas in the regions "east,west,west"
+    When the route's homes are "<route>" and the workspace's are "<workspace>"
+    Then requests reach the regions "<reached>"
+
+    Examples:
+      | route     | workspace | reached   |
+      |           |           | east,west |
+      | east      |           | east      |
+      |           | west      | west      |
+      | east,west | west      | west      |
+      | east      | west      |           |
+
   Scenario: A zone that is back is taken as cold
     Given a router that knows 3 replicas
     When the zone of "r0" is emptied
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -1,9 +1,12 @@
 """Steps of the decisions of an entry router."""
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from features.entry_parts import (
     ROUTE,
+    ZONES,
     core_with,
     give_rows,
     new_call,
@@ -17,7 +20,7 @@
 from skylarklift.entry.events import EventSplitter
 from skylarklift.entry.fleet import Fleet, Tell
 from skylarklift.entry.health import Sign
-from skylarklift.entry.model import Bounds, Endpoint
+from skylarklift.entry.model import Bounds, Endpoint, Workspace
 from skylarklift.entry.rowset import RowTable
 from skylarklift.entry.shares import ColdShare, RetryShare
 from skylarklift.platform.rows import decode_plan
@@ -158,6 +161,51 @@
     return core.chooser.choose(call, route, "lm", tried)
 
 
+@given('a router that knows {count:d} replicas in the regions "{regions}"')
+def knows_regions(context, count, regions):
+    knows_replicas(context, count)
+    context.core.chooser._regions = dict(zip(ZONES, regions.split(","), strict=True))
+
+
+@when('the route\'s homes are "{route}" and the workspace\'s are "{workspace}"')
+def homes(context, route, workspace):
+    context.homes = [tuple(item for item in text.split(",") if item) for text in (route, workspace)]
+
+
+@when('the route\'s homes are "" and the workspace\'s are ""')
+def no_homes(context):
+    homes(context, "", "")
+
+
+@when('the route\'s homes are "" and the workspace\'s are "{workspace}"')
+def workspace_homes(context, workspace):
+    homes(context, "", workspace)
+
+
+@when('the route\'s homes are "{route}" and the workspace\'s are ""')
+def route_homes(context, route):
+    homes(context, route, "")
+
+
+@then('requests reach the regions "{regions}"')
+def reach_regions(context, regions):
+    core = context.core
+    route = replace(core.beliefs.plan.route("app.example", "/chat/x"), homes=context.homes[0])
+    workspace = Workspace("w1", homes=context.homes[1])
+    found = set()
+    for number in range(60):
+        call = new_call(f"p:100,c{number}:5000,q:10")
+        choice = core.chooser.choose(call, route, "lm", (), workspace)
+        if isinstance(choice, Choice):
+            found.add(core.chooser._regions[choice.upstream.record.zone])
+    assert found == set(regions.split(",")) - {""}, found
+
+
+@then('requests reach the regions ""')
+def reach_nothing(context):
+    reach_regions(context, "")
+
+
 @when('a chat with the parts "{parts}" is sent')
 def chat_sent(context, parts):
     call = new_call(parts)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -6,7 +6,7 @@
 """
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -14,7 +14,7 @@
 from skylarklift.entry.beliefs import Beliefs, Upstream
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.health import Health
-from skylarklift.entry.model import Bounds, Call, Route, ServicePlan
+from skylarklift.entry.model import Bounds, Call, Route, ServicePlan, Workspace
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.shares import ColdShare
 from skylarklift.hashing import rendezvous_weight
@@ -38,6 +38,7 @@
 
     UNKNOWN_SERVICE = "no_upstream_known"
     ZONES_OUT = "zones_out"
+    NOT_AT_HOME = "no_upstream_at_home"
     EJECTED = "upstreams_failing"
     COLD = "upstreams_cold"
     TRIED = "upstreams_tried"
@@ -69,6 +70,7 @@
         health: Health,
         bounds: Bounds,
         zone: ZoneId,
+        regions: Mapping[str, str] | None = None,
     ):
         self._clock = clock
         self._beliefs = beliefs
@@ -76,6 +78,7 @@
         self._health = health
         self._bounds = bounds
         self._zone = zone
+        self._regions = regions or {}
         self.cold = ColdShare(clock, bounds)
         self.prefixes = PrefixIndex(clock)
         self.running: Counter[ReplicaId] = Counter()
@@ -94,10 +97,16 @@
         return route.targets[-1].service
 
     def choose(
-        self, call: Call, route: Route, service: ServiceId, tried: Collection[ReplicaId]
+        self,
+        call: Call,
+        route: Route,
+        service: ServiceId,
+        tried: Collection[ReplicaId] = (),
+        workspace: Workspace | None = None,
     ) -> Choice | NoUpstream:
         """Return the upstream for a request, or why there is none."""
-        candidates = self._candidates(service, tried)
+        homes = home_regions(route, workspace)
+        candidates = self._candidates(service, tried, homes)
         if isinstance(candidates, NoUpstream):
             return candidates
         plan = self._beliefs.plan.services.get(service)
@@ -117,7 +126,10 @@
         return NoUpstream.COLD
 
     def _candidates(
-        self, service: ServiceId, tried: Collection[ReplicaId]
+        self,
+        service: ServiceId,
+        tried: Collection[ReplicaId],
+        homes: frozenset[str] | None,
     ) -> list[Upstream] | NoUpstream:
         """Return the upstreams that may be sent to."""
         known = self._beliefs.of_service(service)
@@ -126,6 +138,10 @@
         usable = self._beliefs.usable(service)
         if not usable:
             return NoUpstream.ZONES_OUT
+        if homes is not None:
+            usable = [item for item in usable if self._regions.get(item.record.zone) in homes]
+            if not usable:
+                return NoUpstream.NOT_AT_HOME
         untried = [item for item in usable if item.record.replica not in tried]
         if not untried:
             return NoUpstream.TRIED
@@ -220,6 +236,13 @@
             del self.running[replica]
 
 
+def home_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+    """Return the regions whose upstreams a request may reach, `None` for all."""
+    limits = [route.homes, workspace.homes if workspace else ()]
+    bound = [frozenset(homes) for homes in limits if homes]
+    return frozenset.intersection(*bound) if bound else None
+
+
 def affinity_key(call: Call) -> str:
     """Return what requests of one chat have in common: the longest prefix others share."""
     if len(call.parts) > 1:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -74,7 +74,7 @@
     beliefs = Beliefs(clock, rows, bounds)
     fleet = Fleet(clock, settings.node)
     health = Health(clock)
-    chooser = Chooser(clock, beliefs, fleet, health, bounds, settings.zone)
+    chooser = Chooser(clock, beliefs, fleet, health, bounds, settings.zone, settings.regions)
     return Core(
         settings=settings,
         clock=clock,
--- a/skylarklift/entry/life.py
+++ b/skylarklift/entry/life.py
@@ -180,14 +180,15 @@
         core = self.core
         until = core.clock.now() + self.route.objective_ms // WAIT_PART
         while True:
-            found = core.chooser.choose(self.call, self.route, self.service, self.tried)
+            found = core.chooser.choose(
+                self.call, self.route, self.service, self.tried, self.workspace
+            )
             if isinstance(found, Choice):
                 return found
             if found is NoUpstream.TRIED:
+                # All others were tried too; one of them may take it now.
                 self.tried.clear()
-                found = core.chooser.choose(self.call, self.route, self.service, ())
-                if isinstance(found, Choice):
-                    return found
+                continue
             if core.clock.now() >= min(until, self.end):
                 return self._none(found)
             await trio.sleep(LOOK_AGAIN_MS / MS_PER_SECOND)
