--- a/skylarklift/daemon.py
+++ b/skylarklift/daemon.py
@@ -8,7 +8,7 @@
 import trio
 
 from skylarklift import __version__
-from skylarklift.errors import SettingsError
+from skylarklift.errors import SettingsError, leaf_errors
 from skylarklift.generated import Settings
 from skylarklift.router import Router
 from skylarklift.settings import load_settings
@@ -53,14 +53,6 @@
     return code
 
 
-def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
-    """Return the single errors of a group, without the groups around them."""
-    found: list[BaseException] = []
-    for exc in group.exceptions:
-        found += leaf_errors(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
-    return found
-
-
 async def run_daemon(cfg: Settings) -> None:
     """Run a router until SIGTERM or SIGINT and its graceful shutdown."""
     # What stands at the start stays for ever; freezing it keeps collections short.
--- a/skylarklift/entry/link.py
+++ b/skylarklift/entry/link.py
@@ -1,5 +1,8 @@
 """Client side of HTTP/1.1: one connection, one request at a time."""
 
+import socket
+import struct
+
 import h11
 import trio
 
@@ -12,6 +15,8 @@
 # answer may come before the whole body is in.
 SMALL_BODY_BYTES = 16384
 FOREIGN_ANSWERS = 3
+# Linger for no time: closing drops what is not delivered and tells the other side so.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -168,6 +173,16 @@
             return False
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Reset the connection, so that what the other side has not read yet is dropped."""
+        self._closing = True
+        try:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        except (OSError, trio.ClosedResourceError):
+            # It is closed already; there is nothing left to reset.
+            return
+        self._stream.socket.close()
+
+    def close(self) -> None:
+        """Close a connection on which nothing is under way."""
         self._closing = True
         self._stream.socket.close()
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -9,7 +9,7 @@
 from skylarklift.entry.fleet import Peer, Tell
 from skylarklift.entry.following import answer_rows, fetch_rows
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rowset import MemberStore, RowTable
+from skylarklift.entry.rowset import MemberStore, RowPage, RowTable
 from skylarklift.entry.tells import (
     REQUEST_LIMIT_BYTES,
     decode_tell,
@@ -27,6 +27,7 @@
 # Up to this many routers tell each other all; in a larger fleet each tick reaches so many.
 TELLS_A_TICK = 16
 ROWS_TIMEOUT_MS = 2000
+ROWS_AT_ONCE = 4
 MEMBERS_RETRY_MS = 1500
 # Routers that start together write their notes together; what the first read missed is read
 # once more after this long.
@@ -43,6 +44,8 @@
         self._socket: trio.socket.SocketType | None = None
         self._fetching: set[RowTable] = set()
         self._turn = 0
+        self._serving = 0
+        self._last_page: tuple[tuple[int, bool, int, str], bytes] = ((0, False, 0, ""), b"")
         for number, seed in enumerate(core.settings.seeds):
             if seed != core.settings.peers:
                 core.fleet.add(f"seed-{number}", seed)
@@ -173,18 +176,35 @@
             self._fetching.discard(table)
 
     async def serve_rows(self, stream: trio.SocketStream) -> None:
-        """Answer another router that asks for rows."""
+        """Answer another router that asks for rows, unless enough are being answered.
+
+        One that is not answered asks a router that has the rows by then, so that a large
+        configuration spreads over many links.
+        """
         core = self._core
         try:
             with trio.fail_after(ROWS_TIMEOUT_MS / MS_PER_SECOND):
                 body = await receive_frame(stream, REQUEST_LIMIT_BYTES)
-                if body is not None:
-                    await send_frame(stream, encode_page(answer_rows(core, body)))
+                if body is not None and self._serving < ROWS_AT_ONCE:
+                    self._serving += 1
+                    try:
+                        await send_frame(stream, self._encoded(answer_rows(core, body)))
+                        # The rows are under way until the other side closes.
+                        await stream.receive_some(1)
+                    finally:
+                        self._serving -= 1
         except (PeerError, OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
             core.journal.write("rows_not_served", cause=repr(exc))
         finally:
             stream.socket.close()
 
+    def _encoded(self, page: RowPage) -> bytes:
+        """Return rows as a message; the last one is kept, since many ask for the same."""
+        key = (page.version, page.whole, len(page.rows), page.rows[0].key if page.rows else "")
+        if self._last_page[0] != key:
+            self._last_page = (key, encode_page(page))
+        return self._last_page[1]
+
     # Members.
 
     async def join(self) -> None:
--- a/skylarklift/entry/pool.py
+++ b/skylarklift/entry/pool.py
@@ -58,18 +58,18 @@
             item = idle.pop()
             if item.until > now and item.link.quiet():
                 return item.link
-            item.link.abort()
+            item.link.close()
         return None
 
     def give(self, replica: ReplicaId, link: Link, keep_ms: int | None) -> None:
         """Take a connection back after a complete answer."""
         if not link.reuse():
-            link.abort()
+            link.close()
             return
         span = (DEFAULT_KEEP_MS if keep_ms is None else keep_ms) - KEEP_MARGIN_MS
         idle = self._idle.setdefault(replica, deque())
         if span <= 0 or len(idle) >= IDLE_PER_UPSTREAM:
-            link.abort()
+            link.close()
             return
         now = self._clock.now()
         idle.append(IdleLink(link, now, Millis(now + span)))
@@ -79,11 +79,11 @@
         now = self._clock.now()
         for replica, idle in list(self._idle.items()):
             while idle and idle[0].until <= now:
-                idle.popleft().link.abort()
+                idle.popleft().link.close()
             if not idle:
                 del self._idle[replica]
 
     def drop(self, replica: ReplicaId) -> None:
         """Close all idle connections to an upstream."""
         for item in self._idle.pop(replica, ()):
-            item.link.abort()
+            item.link.close()
--- a/skylarklift/entry/tells.py
+++ b/skylarklift/entry/tells.py
@@ -1,5 +1,7 @@
 """What routers tell each other: small datagrams, and rows over a stream."""
 
+import zlib
+
 import msgpack
 import trio
 
@@ -14,6 +16,7 @@
 FRAME_LIMIT_BYTES = 16_777_216
 REQUEST_LIMIT_BYTES = 4096
 READ_BYTES = 65536
+COMPRESSION_LEVEL = 1
 
 
 def encode_tell(tell: Tell) -> bytes:
@@ -67,18 +70,22 @@
 
 
 def encode_page(page: RowPage) -> bytes:
-    """Return rows as a message."""
+    """Return rows as a compressed message."""
     rows = [(row.key, row.version, row.data) for row in page.rows]
-    return msgpack.packb((page.version, page.whole, rows))
+    return zlib.compress(msgpack.packb((page.version, page.whole, rows)), COMPRESSION_LEVEL)
 
 
 def decode_page(data: bytes) -> RowPage:
     """Return the rows of a message; raise `PeerError`."""
     try:
-        version, whole, rows = msgpack.unpackb(data)
+        unpacker = zlib.decompressobj()
+        text = unpacker.decompress(data, FRAME_LIMIT_BYTES)
+        if unpacker.unconsumed_tail:
+            raise PeerError(f"rows of over {FRAME_LIMIT_BYTES} bytes")
+        version, whole, rows = msgpack.unpackb(text)
         found = [RowChange(str(key), int(number), value) for key, number, value in rows]
         return RowPage(found, int(version), bool(whole))
-    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+    except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as exc:
         raise PeerError(f"not a page of rows: {exc}") from exc
 
 
--- a/skylarklift/errors.py
+++ b/skylarklift/errors.py
@@ -172,3 +172,11 @@
 
 class AnswerInvalid(LinkError):
     """What came is no answer to the request that was sent; it may have run."""
+
+
+def leaf_errors(group: BaseExceptionGroup) -> list[BaseException]:
+    """Return the single errors of a group, without the groups around them."""
+    found: list[BaseException] = []
+    for exc in group.exceptions:
+        found += leaf_errors(exc) if isinstance(exc, BaseExceptionGroup) else [exc]
+    return found
--- a/skylarklift/platform/daemon.py
+++ b/skylarklift/platform/daemon.py
@@ -11,7 +11,7 @@
 from skylarklift.entry.journal import Journal
 from skylarklift.entry.model import NodeSettings
 from skylarklift.entry.process import EntryRouter
-from skylarklift.errors import SettingsError
+from skylarklift.errors import SettingsError, leaf_errors
 from skylarklift.platform.calls import PlatformCalls
 from skylarklift.platform.nodefile import DEFAULT_PATH, PATH_VARIABLE, read_node_settings
 from skylarklift.platform.rows import PlatformRows
@@ -19,6 +19,7 @@
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
+EXIT_SYSTEM = 3
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -53,8 +54,14 @@
     if options.check:
         print(f"{options.settings}: in order")
         return EXIT_OK
-    trio.run(run_router, settings, load, options.metrics_port)
-    return EXIT_OK
+    code = EXIT_OK
+    try:
+        trio.run(run_router, settings, load, options.metrics_port)
+    except* OSError as group:
+        for exc in leaf_errors(group):
+            print(f"skylarklift: {exc}", file=sys.stderr)
+        code = EXIT_SYSTEM
+    return code
 
 
 async def run_router(settings: NodeSettings, load, metrics_port: int) -> None:
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -115,7 +115,7 @@
         try:
             with trio.fail_after(timeout_ms / MS_PER_SECOND):
                 if link is not None and not link.quiet():
-                    link.abort()
+                    link.close()
                     link = None
                 if link is None:
                     link = await self._connect()
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -41,8 +41,9 @@
     broken: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     sent: list[Sent] = field(default_factory=list)
-    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    disturbed: list[list[float]] = field(default_factory=list)
     key_gone_at: dict[str, float] = field(default_factory=dict)
+    key_new_at: dict[str, float] = field(default_factory=dict)
 
     def calm(self, start: float, end: float) -> bool:
         """Tell whether nothing disturbed a span or the time before it."""
@@ -60,7 +61,11 @@
             late = sent.at > gone_at + IN_FORCE_S and self.calm(gone_at, sent.done_at)
             if late and answer.status == 200:
                 self.broken.append(f"{sent.request} at {sent.router}: a key gone for long")
-        elif self.calm(sent.at, sent.done_at) and not (answer.status == 200 and answer.whole):
+            return
+        new_at = self.key_new_at.get(sent.key, 0.0)
+        if sent.at < new_at + IN_FORCE_S or not self.calm(new_at, sent.done_at):
+            return
+        if self.calm(sent.at, sent.done_at) and not (answer.status == 200 and answer.whole):
             text = f"status {answer.status}, whole {answer.whole}"
             self.broken.append(f"{sent.request} at {sent.router}: {text} while all was calm")
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,8 @@
 PATHS = ("/chat/", "/once/", "/redeem/", "/check/")
 CLIENT_LIMIT_S = 12.0
 HEALED_S = CALM_S + 3.0
+# So often a client uses any key that there ever was.
+GONE_KEYS = 0.1
 
 
 @dataclass
@@ -123,7 +125,8 @@
         """Send one request and judge its answer."""
         self._number += 1
         path = f"{self._rng.choice(PATHS)}{self._rng.randrange(20)}"
-        key = self._rng.choice(self._keys)
+        keys = self._keys if self._rng.random() < GONE_KEYS else self._world.keys
+        key = self._rng.choice(keys)
         sent = Sent(f"q{self._number}", path, key, router.name, trio.current_time())
         fields = {
             "host": "app.example",
@@ -152,8 +155,8 @@
             else:
                 self._world.keys.append(f"key-{self._number}")
                 self._world.write_plan()
-                await trio.sleep(self._rng.uniform(0.0, 1.0))
                 self._keys.append(self._world.keys[-1])
+                self.judge.key_new_at[self._world.keys[-1]] = trio.current_time()
 
     async def _bring_faults(self, nursery: trio.Nursery) -> None:
         """Bring faults about, in series and overlapping, with calm spans between."""
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -47,11 +47,18 @@
 }
 
 
+_given_ports: set[int] = set()
+
+
 def free_port() -> int:
-    """Return a port that nobody uses now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a port that nobody uses now and that was not given out before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((HOST, 0))
+            port = sock.getsockname()[1]
+        if port not in _given_ports:
+            _given_ports.add(port)
+            return port
 
 
 @dataclass
