--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from soak.judge import GRACE_S
+from soak.judge import GRACE_S, Judge
 from soak.proxy import LoopbackProxy, Mode
 from standins.entryworld import EntryWorld, RouterProcess
 
@@ -17,10 +17,10 @@
 class Faults:
     """Faults at random, one seed giving one order of them."""
 
-    def __init__(self, world: EntryWorld, rng: Random, report: Callable[[str], None]):
+    def __init__(self, world: EntryWorld, rng: Random, judge: Judge):
         self._world = world
         self._rng = rng
-        self._report = report
+        self._judge = judge
         self.replica_proxies: dict[str, LoopbackProxy] = {}
         self.store_proxies: list[LoopbackProxy] = []
         self._busy: set[str] = set()
@@ -178,11 +178,12 @@
     async def _stop(self, router: RouterProcess) -> None:
         """Stop one router in order; it must end by itself, in time, with code 0."""
         self._busy.add(router.name)
+        self._judge.stops.append((router.name, trio.current_time()))
         router.process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S + 1):
             await trio.to_thread.run_sync(router.process.wait, abandon_on_cancel=True)
         code = router.process.poll()
         if code != 0:
-            self._report(f"{router.name} was told to stop and ended with {code}")
+            self._judge.broken.append(f"{router.name} was told to stop and ended with {code}")
         await self._world.restart_router(router)
         self._busy.discard(router.name)
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -14,6 +14,10 @@
 CALM_S = 4.0
 IN_FORCE_S = 2.0
 GRACE_S = 8.0
+# A request sent this long ago has surely been read.
+SENT_S = 0.05
+# Faults that are planned work and cut off nothing.
+PLANNED = ("router_stop", "router_stops_in_series")
 
 
 @dataclass
@@ -34,6 +38,15 @@
         return self.path.startswith(("/check/", "/chat/"))
 
 
+@dataclass
+class Disturbance:
+    """A fault from its start to its end."""
+
+    kind: str
+    start: float
+    end: float = float("inf")
+
+
 @dataclass
 class Judge:
     """Collect what happened and name each broken promise."""
@@ -41,13 +54,15 @@
     broken: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     sent: list[Sent] = field(default_factory=list)
-    disturbed: list[list[float]] = field(default_factory=list)
+    disturbed: list[Disturbance] = field(default_factory=list)
+    # When each router was told to stop.
+    stops: list[tuple[str, float]] = field(default_factory=list)
     key_gone_at: dict[str, float] = field(default_factory=dict)
     key_new_at: dict[str, float] = field(default_factory=dict)
 
     def calm(self, start: float, end: float) -> bool:
         """Tell whether nothing disturbed a span or the time before it."""
-        return not any(first < end and last > start - CALM_S for first, last in self.disturbed)
+        return not any(item.start < end and item.end > start - CALM_S for item in self.disturbed)
 
     def take(self, sent: Sent) -> None:
         """Judge one request by its answer."""
@@ -56,6 +71,8 @@
         self.counts[f"status {answer.status}"] += 1
         if answer.status == 200 and answer.whole and not self._own_answer(sent):
             self.broken.append(f"{sent.request} at {sent.router}: not its own whole answer")
+        if any(self._cut_by_stop(sent, name, at) for name, at in self.stops):
+            self.broken.append(f"{sent.request} at {sent.router}: cut at its stop")
         gone_at = self.key_gone_at.get(sent.key)
         if gone_at is not None:
             late = sent.at > gone_at + IN_FORCE_S and self.calm(gone_at, sent.done_at)
@@ -69,6 +86,19 @@
             text = f"status {answer.status}, whole {answer.whole}"
             self.broken.append(f"{sent.request} at {sent.router}: {text} while all was calm")
 
+    def _cut_by_stop(self, sent: Sent, name: str, at: float) -> bool:
+        """Tell whether a router that was told to stop dropped a request that ran there.
+
+        Other faults in that span, or just before, excuse it.
+        """
+        if sent.router != name or not sent.at < at - SENT_S or not at < sent.done_at < at + GRACE_S:
+            return False
+        excused = any(
+            item.kind not in PLANNED and item.start < sent.done_at and item.end > at - CALM_S
+            for item in self.disturbed
+        )
+        return not sent.answer.whole and not excused
+
     @staticmethod
     def _own_answer(sent: Sent) -> bool:
         """Tell whether an answer is the whole one to this request."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,7 +10,7 @@
 import trio
 
 from soak.faults import Faults
-from soak.judge import CALM_S, Judge, Sent
+from soak.judge import CALM_S, Disturbance, Judge, Sent
 from soak.proxy import LoopbackProxy
 from standins.entryworld import Answer, EntryWorld, RouterProcess, exchange, free_port
 
@@ -33,6 +33,9 @@
     clients: int = 6
     keep: str = ""
     program: tuple[str, ...] = ()
+    # Names of the only faults to bring about, one soon after the other; empty for all.
+    only: tuple[str, ...] = ()
+    quick: bool = False
 
 
 @dataclass
@@ -69,7 +72,7 @@
         self._world = world
         self._rng = Random(options.seed)
         self.judge = Judge()
-        self._faults = Faults(world, self._rng, self.judge.broken.append)
+        self._faults = Faults(world, self._rng, self.judge)
         self._number = 0
         self._keys = ["key-1"]
         self._loading = True
@@ -160,20 +163,24 @@
 
     async def _bring_faults(self, nursery: trio.Nursery) -> None:
         """Bring faults about, in series and overlapping, with calm spans between."""
+        only = self._options.only
+        kinds = [kind for kind in self._faults.kinds() if not only or kind.__name__ in only]
+        if not kinds:
+            return
         while True:
             for _ in range(self._rng.randint(1, 4)):
-                nursery.start_soon(self._fault, self._rng.choice(self._faults.kinds()))
+                nursery.start_soon(self._fault, self._rng.choice(kinds))
                 await trio.sleep(self._rng.uniform(0.0, 2.0))
-            await trio.sleep(self._rng.choice((0.5, 2.0, 2 * CALM_S)))
+            pauses = (0.2,) if self._options.quick else (0.5, 2.0, 2 * CALM_S)
+            await trio.sleep(self._rng.choice(pauses))
 
     async def _fault(self, kind) -> None:
         """Bring one fault about and note its span."""
-        start = trio.current_time()
         self.judge.counts[kind.__name__] += 1
-        span = [start, float("inf")]
+        span = Disturbance(kind.__name__, trio.current_time())
         self.judge.disturbed.append(span)
         await kind()
-        span[1] = trio.current_time()
+        span.end = trio.current_time()
 
     async def _check_healed(self) -> None:
         """After the faults each router must run, be ready, and serve."""
