Forward answers in a module of their own; no second head after a part of an answer

Found in reading: a large answer of an idempotent call that broke after its head had gone out was sent again, and its head too; only a stream goes on after a part (table of two cases). Fields that nobody read are gone.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -33,6 +33,17 @@
       | streaming      | 2        | yes    | broken,silent            | no      | no      |
       | idempotent     | 9        | no     | not_sent,not_sent,not_sent,not_sent | no | yes |
 
+  Scenario Outline: Only a stream goes on after a part of its answer
+    Given a "<kind>" route with 3 attempts that may resume: yes
+    When sends end as "broken"
+    And a part of the answer has reached the client
+    Then another send is allowed: <allowed>
+
+    Examples:
+      | kind       | allowed |
+      | idempotent | no      |
+      | streaming  | yes     |
+
   Scenario Outline: All routers together keep a cold replica's limit
     Given <routers> routers that know of each other
     When each sends to a cold replica as often as it may for 5000 ms
--- a/features/entry_parts.py
+++ b/features/entry_parts.py
@@ -50,7 +50,7 @@
 def node_settings(node="r1", zone="cape-a", port=1) -> NodeSettings:
     """Return settings of a router that listens nowhere yet."""
     here = Endpoint("127.0.0.1", port)
-    return NodeSettings(node, zone, "za", {}, here, here, here, (), here, 1200)
+    return NodeSettings(node, zone, {}, here, here, here, (), here)
 
 
 def new_core(clock=None, **settings) -> Core:
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -61,6 +61,11 @@
         context.attempts.note(context.last)
 
 
+@when("a part of the answer has reached the client")
+def part_forwarded(context):
+    context.attempts.forwarded = True
+
+
 @then("another send is allowed: {allowed}")
 def another_send(context, allowed):
     assert context.attempts.may_follow(context.last) == yes(allowed)
--- a/skylarklift/entry/attempts.py
+++ b/skylarklift/entry/attempts.py
@@ -51,6 +51,9 @@
         """Tell whether another send may follow one that ended so."""
         if self.sends >= MOST_SENDS:
             return False
+        if self.forwarded and self.route.kind is not RouteKind.STREAM:
+            # Only events can be gone on with; the client has a part of another answer.
+            return False
         if outcome in (Outcome.NOT_SENT, Outcome.NOT_RUN):
             return True
         return self.repeatable and self.runs < self.route.attempts
--- a/skylarklift/entry/beliefs.py
+++ b/skylarklift/entry/beliefs.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.model import Bounds, RoutePlan, UpstreamRecord
+from skylarklift.entry.model import RoutePlan, UpstreamRecord
 from skylarklift.entry.rowcache import RowCache
 from skylarklift.entry.rowset import (
     BadRow,
@@ -52,10 +52,9 @@
 class Beliefs:
     """The router's copy of both tables, decoded."""
 
-    def __init__(self, clock: Clock, rows: RowFormat, bounds: Bounds):
+    def __init__(self, clock: Clock, rows: RowFormat):
         self._clock = clock
         self._format = rows
-        self._bounds = bounds
         self.caches = {table: RowCache() for table in RowTable}
         self.plan: RoutePlan | None = None
         self.upstreams: dict[ReplicaId, Upstream] = {}
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -71,7 +71,7 @@
 ) -> Core:
     """Return the core of a router that knows nothing yet."""
     bounds = settings.bounds
-    beliefs = Beliefs(clock, rows, bounds)
+    beliefs = Beliefs(clock, rows)
     fleet = Fleet(clock, settings.node)
     health = Health(clock)
     chooser = Chooser(clock, beliefs, fleet, health, bounds, settings.zone, settings.regions)
--- a/skylarklift/entry/life.py
+++ b/skylarklift/entry/life.py
@@ -10,10 +10,9 @@
 from skylarklift.entry.caller import CallerLink
 from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.core import Core
-from skylarklift.entry.events import EventSplitter
+from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import Sign
 from skylarklift.entry.model import (
-    AnswerHead,
     Call,
     Endpoint,
     Route,
@@ -25,7 +24,6 @@
 from skylarklift.entry.silence import Silence, guard
 from skylarklift.entry.suspects import call_fingerprint
 from skylarklift.errors import (
-    AnswerBroken,
     AnswerLate,
     BadRequest,
     LinkError,
@@ -35,10 +33,6 @@
 )
 from skylarklift.ids import ReplicaId, ServiceId
 
-ANSWER_LIMIT_BYTES = 16_777_216
-# A whole answer up to this size is held until it is complete, so that a broken one can be
-# replaced; a larger one is passed on as it comes.
-HELD_BYTES = 65536
 # While no upstream can take a request, look again this often, for this part of its objective.
 LOOK_AGAIN_MS = 20
 WAIT_PART = 8
@@ -47,7 +41,6 @@
 # An upstream that is silent for this part of the objective is asked whether it is there at all.
 SILENT_FIRST_PART = 0.4
 SILENT_FIRST_MS = 300
-SILENT_BETWEEN_MS = 600
 # A stream cannot be finished by a router that stops sooner than this.
 STOPPING_STREAM_MS = 2500
 STOPPING_CALL_MS = 6000
@@ -72,10 +65,9 @@
         self.attempts: Attempts | None = None
         self.tried: list[ReplicaId] = []
         self.trail: list[str] = []
-        self.resume_after = call.resume_after
+        self.forwarder: Forwarder | None = None
         self.end: Millis = call.received
         self.fingerprint = 0
-        self.failed: tuple[AnswerHead, bytes] | None = None
         self.version = 0
 
     async def run(self) -> None:
@@ -107,6 +99,7 @@
             if self.workspace is None:
                 raise BadRequest("unknown_key", "the API key is not known", status=401)
         self.attempts = Attempts(route)
+        self.forwarder = Forwarder(self.caller, call, self.attempts)
         limit_ms = min(call.deadline_ms or route.timeout_ms, route.timeout_ms)
         self.end = Millis(call.received + limit_ms)
         self._check_stopping()
@@ -171,7 +164,7 @@
             workspace=self.workspace.name if self.workspace else None,
             left_ms=max(1, self.end - self.core.clock.now()),
             rank=rank if engine is not None and engine.engine_slots else None,
-            resume_after=self.resume_after,
+            resume_after=self.forwarder.resume_after,
             copy_from=_address(choice.source),
         )
 
@@ -208,7 +201,7 @@
         core = self.core
         try:
             with trio.fail_at(trio.current_time() + (self.end - core.clock.now()) / MS_PER_SECOND):
-                forward = self._stream if self.route.kind is RouteKind.STREAM else self._whole
+                forward = self.forwarder.forward
                 silence = Silence(core.clock, self._first_silence_ms())
                 if not self.attempts.repeatable:
                     return await forward(send, silence)
@@ -225,6 +218,10 @@
             await self._suspect(send)
             return 0
 
+    def _first_silence_ms(self) -> int:
+        """Return how long an upstream may be silent at first before it is looked at."""
+        return max(SILENT_FIRST_MS, int(self.route.objective_ms * SILENT_FIRST_PART))
+
     async def _suspect(self, send: Send) -> None:
         """After a connection broke before any answer, see whether the upstream crashed."""
         if send.outcome is not Outcome.BROKEN or send.head is not None:
@@ -237,98 +234,6 @@
                 "crash_suspected", id=self.call.request, upstream=send.record.replica
             )
 
-    async def _whole(self, send: Send, silence: Silence) -> int:
-        """Forward a request whose answer is one piece."""
-        with silence.waiting():
-            head = await send.start()
-        outcome = send.classify()
-        if head.length is not None and head.length > HELD_BYTES and outcome is Outcome.ANSWERED:
-            return await self._pass_on(send)
-        with silence.waiting():
-            body = await send.link.read_all(ANSWER_LIMIT_BYTES)
-        send.finish()
-        if outcome is Outcome.ANSWERED:
-            send.note(Sign.GOOD)
-            await self.caller.send_answer(head.status, head.headers, body)
-            return head.status
-        self._note_refused(send, outcome, body)
-        return 0
-
-    def _note_refused(self, send: Send, outcome: Outcome, body: bytes) -> None:
-        """Keep an upstream's own failure, to be passed on if nothing better comes."""
-        send.detail = f"status {send.head.status}"
-        if outcome is Outcome.FAILED:
-            self.failed = (send.head, body)
-            send.note(Sign.FAILED)
-
-    async def _pass_on(self, send: Send) -> int:
-        """Forward a large answer as it comes."""
-        await self.caller.send_head(send.head.status, send.head.headers)
-        self.attempts.forwarded = True
-        while (data := await send.link.read_body()) is not None:
-            await self.caller.send_data(data)
-        send.finish()
-        send.note(Sign.GOOD)
-        await self.caller.send_end()
-        return send.head.status
-
-    def _first_silence_ms(self) -> int:
-        """Return how long an upstream may be silent at first before it is looked at."""
-        return max(SILENT_FIRST_MS, int(self.route.objective_ms * SILENT_FIRST_PART))
-
-    async def _stream(self, send: Send, silence: Silence) -> int:
-        """Forward a stream of events."""
-        with silence.waiting():
-            head = await send.start()
-        outcome = send.classify()
-        if outcome is not Outcome.ANSWERED or head.status != 200:
-            body = await send.link.read_all(ANSWER_LIMIT_BYTES)
-            send.finish()
-            if outcome is Outcome.ANSWERED:
-                return await self._pass_failure(head, body)
-            self._note_refused(send, outcome, body)
-            return 0
-        await self._forward_events(send, silence)
-        send.finish()
-        send.note(Sign.GOOD)
-        await self._begin_answer(head)
-        await self.caller.send_end()
-        return head.status
-
-    async def _pass_failure(self, head: AnswerHead, body: bytes) -> int:
-        """Pass on an answer that is no stream, unless a stream has begun."""
-        if self.attempts.forwarded:
-            raise OutcomeUnknown("the stream could not be resumed")
-        await self.caller.send_answer(head.status, head.headers, body)
-        return head.status
-
-    async def _begin_answer(self, head: AnswerHead) -> None:
-        """Send the head of the answer before its first event; later runs keep it."""
-        if not self.attempts.forwarded:
-            self.attempts.forwarded = True
-            await self.caller.send_head(head.status, head.headers)
-
-    async def _forward_events(self, send: Send, silence: Silence) -> None:
-        """Forward whole events in order, each once."""
-        splitter = EventSplitter()
-        silence.limit_ms = SILENT_BETWEEN_MS
-        while True:
-            with silence.waiting():
-                data = await send.link.read_body()
-            if data is None:
-                break
-            for event in splitter.feed(data):
-                if event.number is not None:
-                    if self.resume_after is not None and event.number <= self.resume_after:
-                        continue
-                    if self.resume_after is not None and event.number != self.resume_after + 1:
-                        raise AnswerBroken(f"event {event.number} after {self.resume_after}")
-                    self.resume_after = event.number
-                await self._begin_answer(send.head)
-                await self.caller.send_data(event.raw)
-        if splitter.partial:
-            raise AnswerBroken("the stream ended within an event")
-
     # The end of a request that was not served.
 
     async def _give_up(self, outcome: Outcome) -> int:
@@ -338,8 +243,9 @@
             return 0
         if self.attempts.surely_not_run:
             raise Refusal("not_taken", "no upstream took it", retry_after_ms=self._retry_ms())
-        if outcome is Outcome.FAILED and self.failed is not None:
-            head, body = self.failed
+        failed = self.forwarder.failed
+        if outcome is Outcome.FAILED and failed is not None:
+            head, body = failed
             if head.status in PROMISES:
                 raise OutcomeUnknown(f"the upstream answered {head.status} and may have run it")
             await self.caller.send_answer(head.status, head.headers, body)
@@ -391,7 +297,7 @@
             status=status,
             ms_taken=span,
             sends=self.trail,
-            last_event=self.resume_after,
+            last_event=self.forwarder.resume_after if self.forwarder else None,
         )
 
 
--- a/skylarklift/entry/link.py
+++ b/skylarklift/entry/link.py
@@ -46,7 +46,6 @@
         self._pending = b""
         self._closing = False
         self._stream_ended = False
-        self.used = 0
 
     async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request; a long body is left to `send_rest`."""
@@ -60,7 +59,6 @@
         if body:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
-        self.used += 1
         if len(data) > SMALL_BODY_BYTES:
             data, self._pending = data[:SMALL_BODY_BYTES], data[SMALL_BODY_BYTES:]
         await self._write(data)
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -53,7 +53,6 @@
     """What the configuration says of one service; no engine slots for a plain service."""
 
     service: ServiceId
-    connection_limit: int
     cold_ms: int
     cold_per_s: float
     engine_slots: int = 0
@@ -91,7 +90,6 @@
     draining: bool
     cold_ms: int
     born_ms: int
-    sequence: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -121,8 +119,6 @@
     deadline_ms: int = 0
     resume_after: int | None = None
     parts: tuple[PromptPart, ...] = ()
-    prompt_tokens: int = 0
-    output_tokens: int = 0
     body: bytes = b""
 
 
@@ -165,7 +161,6 @@
     not_run: bool = False
     moved: bool = False
     encoded: bool = False
-    closes: bool = False
     length: int | None = None
     keep_ms: int | None = None
     load: LoadTold | None = None
@@ -179,9 +174,6 @@
     All decisions of a router share one object, so that new settings reach them all.
     """
 
-    stable_ms: int = 3000
-    drain_ms: int = 2000
-    apply_ms: int = 2000
     grace_ms: int = 8000
     retry_ratio: float = 0.2
     retry_window_ms: int = 10000
@@ -213,14 +205,12 @@
 
     node: str
     zone: ZoneId
-    region: str
     regions: dict[str, str]
     callers: Endpoint
     readiness: Endpoint
     peers: Endpoint
     seeds: tuple[Endpoint, ...]
     store: Endpoint
-    heartbeat_ms: int
     bounds: Bounds = field(default_factory=Bounds)
 
     def with_bounds(self, bounds: Bounds) -> "NodeSettings":
--- a/skylarklift/platform/calls.py
+++ b/skylarklift/platform/calls.py
@@ -51,7 +51,6 @@
             for name, value in headers
             if name not in HOP_FIELDS and name not in names.OWN_FIELDS and name not in named
         ]
-        prompt_tokens, output_tokens = _tokens(fields.get(names.TOKENS, b""))
         return Call(
             request=RequestId(request.decode("latin-1")),
             method=method,
@@ -64,8 +63,6 @@
             deadline_ms=_whole(fields.get(names.DEADLINE)) or 0,
             resume_after=_whole(fields.get(names.LAST_EVENT)),
             parts=_parts(fields.get(names.PREFIX, b"")),
-            prompt_tokens=prompt_tokens,
-            output_tokens=output_tokens,
         )
 
     def encode_send(self, call: Call, terms: SendTerms) -> Headers:
@@ -100,7 +97,6 @@
             not_run=names.NOT_RUN in fields,
             moved=status == names.STATUS_MOVED,
             encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
-            closes=b"close" in fields.get(b"connection", b"").lower(),
             length=_whole(fields.get(b"content-length")),
             keep_ms=_keep_ms(fields.get(b"keep-alive", b"")),
             load=_load(fields.get(names.REPLICA_LOAD, b"")),
@@ -138,12 +134,6 @@
     return tuple(parts)
 
 
-def _tokens(value: bytes) -> tuple[int, int]:
-    """Return the prompt's tokens and the most that the output may have."""
-    prompt, _, output = value.partition(b",")
-    return _whole(prompt.strip()) or 0, _whole(output.strip()) or 0
-
-
 def _keep_ms(value: bytes) -> int | None:
     """Return how long an idle connection is kept, in milliseconds."""
     for item in value.split(b","):
--- a/skylarklift/platform/nodefile.py
+++ b/skylarklift/platform/nodefile.py
@@ -101,14 +101,12 @@
     settings = NodeSettings(
         node=source.text("node_name"),
         zone=ZoneId(source.text("zone")),
-        region=source.text("region", ""),
         regions=source.below("zones."),
         callers=callers,
         readiness=source.endpoint("listen.ready_addr"),
         peers=Endpoint(callers.host, inner_port),
         seeds=tuple(Endpoint(seed.host, inner_port) for seed in seeds if seed is not None),
         store=source.endpoint("platform.address"),
-        heartbeat_ms=int(source.number("heartbeat_ms", 1000)),
         bounds=_bounds(source),
     )
     if source.findings:
@@ -121,9 +119,6 @@
     usual = Bounds()
     number = source.number
     return Bounds(
-        stable_ms=int(number("bounds.stable_ms", usual.stable_ms)),
-        drain_ms=int(number("bounds.drain_ms", usual.drain_ms)),
-        apply_ms=int(number("bounds.config_apply_ms", usual.apply_ms)),
         grace_ms=int(number("bounds.grace_s", usual.grace_ms / MS_PER_SECOND) * MS_PER_SECOND),
         retry_ratio=number("bounds.retry_budget_ratio", usual.retry_ratio),
         retry_window_ms=int(
--- a/skylarklift/platform/rows.py
+++ b/skylarklift/platform/rows.py
@@ -79,7 +79,6 @@
         draining=state == "draining",
         cold_ms=int(_number(value, "cold_remaining_ms", 0)),
         born_ms=int(_number(value, "born", 0)),
-        sequence=int(_number(value, "sequence", 0)),
     )
 
 
@@ -164,7 +163,6 @@
     engine = item.get("runtime") or {}
     return ServicePlan(
         service=ServiceId(item["name"]),
-        connection_limit=int(item.get("max_connections") or 0),
         cold_ms=int(float(item.get("cold_start_s") or 0) * MS_PER_SECOND),
         cold_per_s=float(item.get("cold_per_s") or 0),
         engine_slots=int(engine.get("slots") or 0),
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -38,7 +38,6 @@
         self._address = address
         self._rows = rows
         self._links: dict[str, Link] = {}
-        self.calls = 0
 
     async def read_table(self, table: RowTable) -> RowPage:
         """Return all rows of a table."""
@@ -108,7 +107,6 @@
         body: dict[str, Any] | None = None,
     ) -> tuple[int, dict[str, Any]]:
         """Make one call; calls of one lane share a connection."""
-        self.calls += 1
         target = f"{path}?{query}" if query else path
         data = b"" if body is None else json.dumps(body).encode()
         link = self._links.pop(lane, None)
--- a/standins/planted.py
+++ b/standins/planted.py
@@ -5,7 +5,7 @@
 
 import sys
 
-from skylarklift.entry import life
+from skylarklift.entry import forwarding
 from skylarklift.entry.attempts import Attempts
 from skylarklift.entry.events import StreamEvent
 from skylarklift.entry.link import Link
@@ -54,10 +54,10 @@
 
 def resume_blindly() -> None:
     """Go on with a stream elsewhere without regard to the events sent so far."""
-    life.EventSplitter = BlindSplitter
+    forwarding.EventSplitter = BlindSplitter
 
 
-class BlindSplitter(life.EventSplitter):
+class BlindSplitter(forwarding.EventSplitter):
     """Split events and lose their ids."""
 
     def feed(self, data):
