Tell a router that has just started where prompts went in the last seconds

Cause: a router that starts knows no holder of any prefix, and hears only of new placements; its chats go to their first place by hashing and are read again there.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -90,6 +90,20 @@
     And its replica starts anew under the same name
     Then the replica holds 0 tokens of "p:500,c:9000,z:50"
 
+  Scenario Outline: A router that starts is told of the placements of the last seconds
+    Given a router that knows 6 replicas
+    When a chat with the parts "p:500,c:9000,q:100" is sent
+    And <age> ms pass
+    And the router "r2" is heard with the boot "b1"
+    And the router "r2" was told all and is heard with the boot "<boot>"
+    Then "r2" is told <count> placements
+
+    Examples:
+      | age   | boot | count |
+      | 5000  | b1   | 0     |
+      | 5000  | b2   | 1     |
+      | 16000 | b2   | 0     |
+
   Scenario: All routers place a new chat alike
     Given 8 routers that know 6 replicas each
     Then each of 50 new chats goes to one replica, whichever router takes it
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -237,6 +237,24 @@
     assert found.upstream is context.first.upstream
 
 
+@when('the router "{name}" is heard with the boot "{boot}"')
+def router_heard(context, name, boot):
+    tell = Tell(name, boot, "", (0, 0), (0, 0), (0, 0))
+    context.peer = context.core.fleet.hear(tell, Endpoint("127.0.0.2", 1))
+
+
+@when('the router "{name}" was told all and is heard with the boot "{boot}"')
+def router_told(context, name, boot):
+    context.peer.told = context.clock.now()
+    router_heard(context, name, boot)
+
+
+@then('"{name}" is told {count:d} placements')
+def told_placements(context, name, count):
+    news = context.core.chooser.prefixes.news(context.core.fleet.peers[name].told)
+    assert len(news) == count, news
+
+
 @when("its replica has {count:d} requests of other routers")
 def loaded_elsewhere(context, count):
     replica = context.first.upstream.record.replica
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -45,7 +45,7 @@
 
 @dataclass(slots=True)
 class Peer:
-    """Another router."""
+    """Another router; `told` is when it was last told something."""
 
     node: str
     address: Endpoint
@@ -77,6 +77,9 @@
         """Take in what a router told."""
         self.add(tell.node, address)
         peer = self.peers[tell.node]
+        if peer.tell is None or peer.tell.boot != tell.boot:
+            # It has just started and knows nothing of what it was told before.
+            peer.told = Millis(0)
         peer.heard = self._clock.now()
         peer.tell = tell
         return peer
--- a/skylarklift/entry/prefixes.py
+++ b/skylarklift/entry/prefixes.py
@@ -16,7 +16,8 @@
 MOST_PARTS = 4000
 # A placement that all routers know is told again only after this long.
 TELL_AGAIN_MS = 3000
-NEWS_KEPT_MS = 3000
+# A router that has just started is told the placements of this span.
+NEWS_KEPT_MS = 15000
 
 
 @dataclass(frozen=True, slots=True)
