--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON ?= python3
 BIN := .venv/bin
 
-.PHONY: test demo bench model generate long clean
+.PHONY: test demo bench model generate long soak clean
 
 .venv/ready: requirements.txt
 	$(PYTHON) -m venv .venv
@@ -24,6 +24,9 @@
 long: .venv/ready
 	$(BIN)/python -m tools.long_runs $(if $(SEED),--seed $(SEED))
 
+soak: .venv/ready
+	$(BIN)/python -m soak.run $(if $(SEED),--seed $(SEED)) $(if $(SEEDS),--seeds $(SEEDS))
+
 generate: .venv/ready
 	$(BIN)/python -m tools.generate
 
--- /dev/null
+++ b/features/steps/entry_tool.py
@@ -0,0 +1,208 @@
+"""Steps of logs, settings and hostile input of the entry router."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from behave import given, then, when
+from hypothesis import given as example
+from hypothesis import settings, strategies
+
+from skylarklift.clock import ManualClock
+from skylarklift.entry.events import EventSplitter
+from skylarklift.entry.journal import Journal
+from skylarklift.entry.rowset import BadRow, RowTable
+from skylarklift.entry.tells import decode_page, decode_tell
+from skylarklift.errors import PeerError, SettingsError
+from skylarklift.platform.calls import PlatformCalls
+from skylarklift.platform.nodefile import parse_node_settings
+from skylarklift.platform.rows import PlatformRows, decode_plan
+
+SETTINGS = {
+    "node_name": "n1",
+    "zone": "za",
+    "listen.frontend": "127.0.0.1:1",
+    "listen.ready_addr": "127.0.0.1:2",
+    "port_range": "3,4",
+    "platform.address": "127.0.0.1:5",
+}
+FAULTS = {
+    "no store": ("platform.address", None),
+    "a bad address": ("listen.frontend", "here"),
+    "a bad number": ("bounds.grace_s", "soon"),
+    "an unknown field": ("weather.today", "fine"),
+}
+READ_BYTES = 1_000_000
+
+
+@given('logs of two routers with a request that failed at "{upstream}"')
+def two_logs(context, upstream):
+    folder = tempfile.TemporaryDirectory()
+    context.closings = [*getattr(context, "closings", []), folder.cleanup]
+    sends = [f"{upstream}:broken", "outcome_unknown"]
+    lines = {
+        "LOG1": [
+            {"ms": 100, "node": "n1", "event": "start"},
+            {"ms": 900, "node": "n1", "event": "upstream_gone", "subject": upstream},
+            {
+                "ms": 950,
+                "node": "n1",
+                "event": "send_failed",
+                "id": "q1",
+                "upstream": upstream,
+                "outcome": "broken",
+            },
+            {
+                "ms": 951,
+                "node": "n1",
+                "event": "request_failed",
+                "id": "q1",
+                "status": 502,
+                "sends": sends,
+                "ms_taken": 30,
+            },
+        ],
+        "LOG2": [{"ms": 5, "node": "n2", "event": "start"}],
+    }
+    context.files = {"NOWHERE": str(Path(folder.name) / "nowhere"), "README": "README.md"}
+    for name, items in lines.items():
+        path = Path(folder.name) / name
+        path.write_text("".join(json.dumps(item) + "\n" for item in items))
+        context.files[name] = str(path)
+
+
+@when('the log tool runs "explain {request} {names}"')
+def run_explain(context, request, names):
+    run_on_logs(context, ["explain", request], names)
+
+
+@when('the log tool runs "summary {names}"')
+def run_summary(context, names):
+    run_on_logs(context, ["summary"], names)
+
+
+def run_on_logs(context, words, names):
+    files = [context.files[name] for name in names.split()]
+    command = [sys.executable, "-m", "skylarklift.ui.main", *words, *files]
+    context.run = subprocess.run(command, capture_output=True, text=True)
+
+
+@when("{count:d} lines are written to a pipe that nobody reads")
+def write_to_pipe(context, count):
+    reader, writer = os.pipe()
+    clock = ManualClock(1000)
+    journal = Journal(clock, "n1", writer)
+    started = time.monotonic()
+    for number in range(count):
+        clock.advance(10)
+        journal.write("request", id=f"q{number}", text="x" * 100)
+    context.took = time.monotonic() - started
+    context.left_out = sum(journal._left_out.values())
+    os.close(reader)
+    os.close(writer)
+
+
+@then("it took less than {limit:d} seconds and some lines were left out")
+def took_less(context, limit):
+    assert context.took < limit, context.took
+    assert context.left_out
+
+
+@when("{count:d} lines of one kind and one of another are written")
+def write_kinds(context, count):
+    reader, writer = os.pipe()
+    clock = ManualClock(1000)
+    journal = Journal(clock, "n1", writer)
+    for number in range(count):
+        journal.write("request", id=f"q{number}")
+    journal.write("store_lost", table="x")
+    clock.advance(1000)
+    journal.write("stop")
+    os.close(writer)
+    text = os.read(reader, READ_BYTES).decode()
+    os.close(reader)
+    context.lines = [json.loads(line) for line in text.splitlines()]
+
+
+@then("both kinds are there and the rest is counted")
+def kinds_there(context):
+    events = [line["event"] for line in context.lines]
+    assert events.count("request") == 100, events
+    assert events.count("store_lost") == 1
+    (left,) = [line for line in context.lines if line["event"] == "lines_left_out"]
+    assert left["counts"] == {"request": 4900}, left
+
+
+@when("the entry router's settings have a line without sign")
+def settings_without_sign(context):
+    parse(context, SETTINGS, "what is this\n")
+
+
+@when("the entry router's settings have {fault}")
+def settings_fault(context, fault):
+    key, value = FAULTS[fault]
+    changed = {**SETTINGS, key: value}
+    parse(context, {name: text for name, text in changed.items() if text is not None}, "")
+
+
+def parse(context, fields, more):
+    text = "".join(f"{key}={value}\n" for key, value in fields.items()) + more
+    context.findings = []
+    try:
+        parse_node_settings("settings.conf", text)
+    except SettingsError as exc:
+        context.findings = [str(item) for item in exc.findings]
+
+
+@then('the findings say "{text}"')
+def findings_say(context, text):
+    assert any(text in item for item in context.findings), context.findings
+
+
+@then("there are no findings")
+def no_findings(context):
+    assert not context.findings, context.findings
+
+
+JSON_BYTES = strategies.recursive(
+    strategies.none() | strategies.booleans() | strategies.integers() | strategies.text(),
+    lambda inner: strategies.lists(inner)
+    | strategies.dictionaries(
+        strategies.sampled_from(
+            ["service", "address", "zone", "state", "slots", "born", "routes", "services"]
+        ),
+        inner,
+    ),
+).map(lambda value: json.dumps(value).encode())
+ANY_BYTES = strategies.binary(max_size=300) | JSON_BYTES
+READERS = {
+    "a row of an upstream": lambda data: PlatformRows().decode(RowTable.UPSTREAMS, "k", data),
+    "a row of a plan": decode_plan,
+    "a tell": decode_tell,
+    "a page of rows": decode_page,
+    "a settings file": lambda data: parse_node_settings("f", data.decode("latin-1")),
+    "a stream of events": lambda data: EventSplitter().feed(data),
+    "an answer's head": lambda data: PlatformCalls().decode_answer(
+        200, [(b"x-replica-load", data), (b"keep-alive", data), (b"content-length", data)]
+    ),
+}
+
+
+@when("{what} of any bytes is read")
+def any_bytes(context, what):
+    read = READERS[what]
+
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    @example(ANY_BYTES)
+    def check(data):
+        try:
+            read(data)
+        except (BadRow, PeerError, SettingsError):
+            # A clear refusal is as good as a value.
+            return
+
+    check()
