--- a/features/entry.feature
+++ b/features/entry.feature
@@ -153,16 +153,39 @@
     And the replica "r0" is removed
     Then requests may go to the replica "r0"
     When 2300 ms pass
+    And the list of upstreams is confirmed
     Then no request goes to the replica "r0"
 
+  Scenario: A removal that is held is not carried out on a list that is not read
+    Given a router that knows 3 replicas
+    When the store is away for 6000 ms
+    And the replica "r0" is removed
+    And 6000 ms pass
+    Then requests may go to the replica "r0"
+
   Scenario: A replica that is back during the hold stays
     Given a router that knows 3 replicas
     When the store is away for 6000 ms
     And the replica "r0" is removed
     And the replica "r0" is listed again
     And 2300 ms pass
+    And the list of upstreams is confirmed
     Then requests may go to the replica "r0"
 
+  Scenario Outline: A change of an entry that other routers act on is told as one
+    Given a router that knows 3 replicas
+    When <before>
+    And <change>
+    Then the last change that mattered is the newest row: <matters>
+
+    Examples:
+      | before                         | change                                  | matters |
+      | the store is away for 10 ms    | the replica "r0" writes a beat          | no      |
+      | the store is away for 10 ms    | the replica "r0" is draining            | yes     |
+      | the store is away for 10 ms    | the replica "r0" says it is cold        | yes     |
+      | the store is away for 10 ms    | the replica "r0" says it has more slots | yes     |
+      | the removal of "r0" is held    | the replica "r0" is listed again        | yes     |
+
   Scenario Outline: Failures decide whether an upstream is left alone
     Given a router that knows 3 replicas
     When requests to "r0" show "<signs>"
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -302,6 +302,42 @@
     take(context, RowTable.UPSTREAMS, {name: upstream_data()})
 
 
+@when('the replica "{name}" writes a beat')
+def writes_beat(context, name):
+    record = context.core.beliefs.upstreams[name].record
+    context.clock.advance(1200)
+    row = upstream_data(zone=record.zone, port=record.port, sequence=2)
+    take(context, RowTable.UPSTREAMS, {name: row})
+
+
+@when('the replica "{name}" says it is cold')
+def says_cold(context, name):
+    record = context.core.beliefs.upstreams[name].record
+    row = upstream_data(zone=record.zone, port=record.port, cold_remaining_ms=2000)
+    take(context, RowTable.UPSTREAMS, {name: row})
+
+
+@when('the replica "{name}" says it has more slots')
+def says_slots(context, name):
+    record = context.core.beliefs.upstreams[name].record
+    row = upstream_data(zone=record.zone, port=record.port, slots=80)
+    take(context, RowTable.UPSTREAMS, {name: row})
+
+
+@when('the removal of "{name}" is held')
+def removal_held(context, name):
+    context.clock.advance(6000)
+    take(context, RowTable.UPSTREAMS, {name: None})
+    assert name in context.core.beliefs.upstreams
+
+
+@then("the last change that mattered is the newest row: {matters}")
+def mattered(context, matters):
+    beliefs = context.core.beliefs
+    newest = beliefs.caches[RowTable.UPSTREAMS].version
+    assert (beliefs.material[RowTable.UPSTREAMS] == newest) == yes(matters)
+
+
 @when('the zone of "{name}" is emptied')
 def zone_out(context, name):
     context.zone = context.core.beliefs.upstreams[name].record.zone
@@ -364,6 +400,11 @@
     context.clock.advance(span)
 
 
+@when("the list of upstreams is confirmed")
+def list_confirmed(context):
+    context.core.beliefs.confirm(RowTable.UPSTREAMS, context.version)
+
+
 @when('requests to "{name}" show "{signs}"')
 def requests_show(context, name, signs):
     for sign in signs.split(","):
--- a/skylarklift/entry/beliefs.py
+++ b/skylarklift/entry/beliefs.py
@@ -4,7 +4,7 @@
 another; a row is taken only if its version is newer, so no belief ever runs backwards.
 """
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
@@ -153,19 +153,30 @@
         """Take in an entry of the list of upstreams."""
         if row.record is None:
             return self._remove(row.replica, version)
-        self._held.pop(row.replica, None)
+        was_held = self._held.pop(row.replica, None) is not None
         known = self.upstreams.get(row.replica)
         if known is None or _restarted(known.record, row.record):
             return self._add(row.record, version)
-        was_draining = known.draining
-        known.record = row.record
-        known.draining = row.record.draining
-        if row.record.cold_ms > 0:
-            self._cool(known, row.record.cold_ms)
+        event = self._update(known, row.record)
+        if not event and was_held:
+            event = "upstream_back"
+        return [Belief(event, row.replica, version, row.record.service)] if event else []
+
+    def _update(self, known: Upstream, record: UpstreamRecord) -> str:
+        """Take over an entry of a known start; return what matters of it, empty for a beat."""
+        event = ""
+        if replace(record, cold_ms=known.record.cold_ms) != known.record:
+            event = "upstream_changed"
+        if record.cold_ms > 0 and known.cold_until <= self._clock.now():
+            event = "upstream_cold"
+        if record.draining != known.draining:
+            event = "upstream_draining"
+        known.record = record
+        known.draining = record.draining
+        if record.cold_ms > 0:
+            self._cool(known, record.cold_ms)
         self._by_service.clear()
-        if known.draining != was_draining:
-            return [Belief("upstream_draining", row.replica, version, row.record.service)]
-        return []
+        return event
 
     def _add(self, record: UpstreamRecord, version: int) -> list[Belief]:
         """Add a replica, or its new start under the same name."""
@@ -196,7 +207,9 @@
         return [Belief(UPSTREAM_GONE, replica, version)]
 
     def settle(self) -> list[Belief]:
-        """Carry out removals whose hold is over."""
+        """Carry out removals whose hold is over, if the list was read of late."""
+        if self.age(RowTable.UPSTREAMS) > OUTAGE_MS:
+            return []
         now = self._clock.now()
         due = [replica for replica, moment in self._held.items() if moment <= now]
         return [belief for replica in due for belief in self._drop(replica, 0)]
