--- a/features/entry_parts.py
+++ b/features/entry_parts.py
@@ -117,3 +117,20 @@
     call.deadline_ms = deadline_ms
     call.parts = found
     return call
+
+
+def yes(word):
+    assert word in ("yes", "no"), word
+    return word == "yes"
+
+
+def choose(core, call, tried=()):
+    """Return the choice for a call on the one route."""
+    route = core.beliefs.plan.route("app.example", "/chat/x")
+    return core.chooser.choose(call, route, "lm", tried)
+
+
+def take(context, table, rows):
+    """Let the core take rows of the next version."""
+    context.version += 1
+    return give_rows(context.core, table, context.version, rows)
--- /dev/null
+++ b/features/steps/entry_beliefs.py
@@ -0,0 +1,173 @@
+"""Steps of beliefs, health and crash suspects of an entry router."""
+
+from behave import then, when
+
+from features.entry_parts import (
+    choose,
+    give_rows,
+    new_call,
+    plan_data,
+    take,
+    upstream_data,
+    yes,
+)
+from skylarklift.entry.choose import Choice
+from skylarklift.entry.health import Sign
+from skylarklift.entry.rowset import RowTable
+
+
+@when('the replica "{name}" is draining')
+def draining(context, name):
+    take(context, RowTable.UPSTREAMS, {name: upstream_data(state="draining")})
+
+
+@when('the replica "{name}" is removed')
+def removed(context, name):
+    take(context, RowTable.UPSTREAMS, {name: None})
+
+
+@when('the replica "{name}" is listed again')
+def listed_again(context, name):
+    take(context, RowTable.UPSTREAMS, {name: upstream_data()})
+
+
+@when('the replica "{name}" writes a beat')
+def writes_beat(context, name):
+    record = context.core.beliefs.upstreams[name].record
+    context.clock.advance(1200)
+    row = upstream_data(zone=record.zone, port=record.port, sequence=2)
+    take(context, RowTable.UPSTREAMS, {name: row})
+
+
+@when('the replica "{name}" says it is cold')
+def says_cold(context, name):
+    record = context.core.beliefs.upstreams[name].record
+    row = upstream_data(zone=record.zone, port=record.port, cold_remaining_ms=2000)
+    take(context, RowTable.UPSTREAMS, {name: row})
+
+
+@when('the replica "{name}" says it has more slots')
+def says_slots(context, name):
+    record = context.core.beliefs.upstreams[name].record
+    row = upstream_data(zone=record.zone, port=record.port, slots=80)
+    take(context, RowTable.UPSTREAMS, {name: row})
+
+
+@when('the removal of "{name}" is held')
+def removal_held(context, name):
+    context.clock.advance(6000)
+    take(context, RowTable.UPSTREAMS, {name: None})
+    assert name in context.core.beliefs.upstreams
+
+
+@then("the last change that mattered is the newest row: {matters}")
+def mattered(context, matters):
+    beliefs = context.core.beliefs
+    newest = beliefs.caches[RowTable.UPSTREAMS].version
+    assert (beliefs.material[RowTable.UPSTREAMS] == newest) == yes(matters)
+
+
+@when('the zone of "{name}" is emptied')
+def zone_out(context, name):
+    context.zone = context.core.beliefs.upstreams[name].record.zone
+    take(context, RowTable.OPERATOR, {f"evacuate/{context.zone}": b"{}"})
+
+
+@when('the zone of "{name}" is taken back')
+def zone_back(context, name):
+    take(context, RowTable.OPERATOR, {f"evacuate/{context.zone}": None})
+
+
+@when('the replica "{name}" is unreachable')
+def unreachable(context, name):
+    context.core.health.note(name, Sign.UNREACHABLE)
+
+
+def reached(context):
+    """Return the replicas that many different chats go to."""
+    for belief in context.core.beliefs.settle():
+        assert belief.event == "upstream_gone"
+    calls = (new_call(f"p:100,c{number}:5000,q:10") for number in range(60))
+    found = [choose(context.core, call) for call in calls]
+    return {item.upstream.record.replica for item in found if isinstance(item, Choice)}
+
+
+@then('no request goes to the replica "{name}"')
+def not_reached(context, name):
+    found = reached(context)
+    assert found and name not in found, found
+
+
+@then('requests may go to the replica "{name}"')
+def may_reach(context, name):
+    assert name in reached(context)
+
+
+@then('the replica "{name}" is cold for {span:d} ms')
+def cold_for(context, name, span):
+    upstream = context.core.beliefs.upstreams[name]
+    assert upstream.cold_until - context.clock.now() == span
+
+
+@when("the configuration {number:d} is taken in a row of version {version:d}")
+def configuration_taken(context, number, version):
+    give_rows(context.core, RowTable.OPERATOR, version, {"config": plan_data(number)})
+
+
+@then("the configuration {number:d} is in force")
+def in_force(context, number):
+    assert context.core.beliefs.plan.version == number
+
+
+@when("the store is away for {span:d} ms")
+def store_away(context, span):
+    context.clock.advance(span)
+
+
+@when("{span:d} ms pass")
+def time_passes(context, span):
+    context.clock.advance(span)
+
+
+@when("the list of upstreams is confirmed")
+def list_confirmed(context):
+    context.core.beliefs.confirm(RowTable.UPSTREAMS, context.version)
+
+
+@when('requests to "{name}" show "{signs}"')
+def requests_show(context, name, signs):
+    for sign in signs.split(","):
+        context.core.health.note(name, Sign(sign))
+
+
+@when("requests to all replicas fail {bad:d} times of {all:d}, {count:d} times")
+def all_fail(context, bad, all, count):
+    names = [f"r{number}" for number in range(context.count)]
+    for number in range(count):
+        sign = Sign.FAILED if number % all < bad else Sign.GOOD
+        for name in names:
+            context.core.health.note(name, sign, names)
+
+
+@then('the replica "{name}" is left alone: {alone}')
+def left_alone(context, name, alone):
+    assert context.core.health.allows(name) != yes(alone)
+
+
+@when('a trial request to "{name}" runs')
+def trial_runs(context, name):
+    assert context.core.health.allows(name)
+    context.core.health.start_trial(name)
+
+
+@when("the request crashes {own:d} replicas here and {told:d} elsewhere")
+def crashes(context, own, told):
+    for number in range(own):
+        context.core.suspects.note(7, f"o{number}")
+    for number in range(told):
+        context.core.suspects.told(7, f"t{number}")
+
+
+@then("the request is refused: {refused}")
+def refused(context, refused):
+    assert context.core.suspects.refuses(7) == yes(refused)
--- /dev/null
+++ b/features/steps/entry_fleet.py
@@ -0,0 +1,115 @@
+"""Steps of events, readers of the store, and rows between entry routers."""
+
+from behave import given, then, when
+
+from features.entry_parts import (
+    new_core,
+    yes,
+)
+from skylarklift.clock import ManualClock
+from skylarklift.entry.events import EventSplitter
+from skylarklift.entry.fleet import Fleet, Tell
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.rowset import RowTable
+
+READER_AGE_MS = 1100
+
+
+@when('the bytes "{text}" arrive in pieces of {size:d}')
+def bytes_arrive(context, text, size):
+    data = text.replace("\\n", "\n").replace("\\r", "\r").encode()
+    context.splitter = EventSplitter()
+    context.events = []
+    for start in range(0, len(data), size):
+        context.events += context.splitter.feed(data[start : start + size])
+    context.data = data
+
+
+@then('the events are "{numbers}" and a part is left: {partial}')
+def events_are(context, numbers, partial):
+    assert [str(event.number) for event in context.events] == numbers.split(",")
+    assert context.splitter.partial == yes(partial)
+    assert context.data.startswith(b"".join(event.raw for event in context.events))
+
+
+@given("{count:d} routers that hear each other")
+def hear_each_other(context, count):
+    context.clock = ManualClock(10_000)
+    names = [f"n{number}" for number in range(count)]
+    context.fleets = {name: Fleet(context.clock, name) for name in names}
+    context.ages = dict.fromkeys(names, 50)
+    context.silent = set()
+    tell_each_other(context)
+
+
+def tell_each_other(context):
+    """Let each router tell the others, all of them as readers where they would read."""
+    for name, fleet in context.fleets.items():
+        for other in context.fleets:
+            if other != name and other not in context.silent:
+                age = context.ages[other]
+                tell = Tell(other, "b", "", (1, 1), (1, 1), (age, age), reader=True)
+                fleet.hear(tell, Endpoint("127.0.0.1", 1))
+
+
+def readers(context):
+    """Return the routers that read the store."""
+    limits = (READER_AGE_MS, READER_AGE_MS)
+    return [name for name, fleet in context.fleets.items() if not fleet.covers(limits)]
+
+
+@when("all is well")
+def all_well(context):
+    tell_each_other(context)
+
+
+@when("the reader is not heard for {span:d} ms")
+def reader_silent(context, span):
+    (name,) = readers(context)
+    context.silent.add(name)
+    context.clock.advance(span)
+    tell_each_other(context)
+
+
+@when("the reader's rows are {age:d} ms old")
+def reader_old(context, age):
+    (name,) = readers(context)
+    context.ages[name] = age
+    context.silent_reader = name
+    tell_each_other(context)
+
+
+@then("{count:d} routers read the store")
+def readers_count(context, count):
+    found = set(readers(context)) - context.silent - {getattr(context, "silent_reader", "")}
+    assert len(found) == count, found
+
+
+@given("a router that knows nothing")
+def knows_nothing(context):
+    context.second = new_core(context.clock)
+
+
+@when("the second one takes all rows of the first")
+def takes_all(context):
+    for table in RowTable:
+        page = context.core.beliefs.caches[table].page()
+        context.second.beliefs.confirm(table, page.version)
+        context.second.beliefs.take(table, page)
+
+
+@when("the second one takes the changes of the first")
+def takes_changes(context):
+    for table in RowTable:
+        after = context.second.beliefs.caches[table].version
+        page = context.core.beliefs.caches[table].changes(after)
+        context.second.beliefs.take(table, page)
+
+
+@then("both know the same")
+def know_the_same(context):
+    first, second = context.core.beliefs, context.second.beliefs
+    assert first.plan.version == second.plan.version
+    assert {name: item.record for name, item in first.upstreams.items()} == {
+        name: item.record for name, item in second.upstreams.items()
+    }
--- /dev/null
+++ b/features/world_thread.py
@@ -0,0 +1,65 @@
+"""A world of real routers in a thread of its own, and what steps ask of it."""
+
+import tempfile
+import threading
+
+import trio
+
+from skylarklift.entry.events import EventSplitter
+from standins.entryworld import EntryWorld
+
+CLOSE_LIMIT_S = 10
+
+
+class WorldThread:
+    """A world in a trio loop of its own thread, called from the steps."""
+
+    def __init__(self):
+        self._started = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._main,), daemon=True)
+        self._thread.start()
+        assert self._started.wait(CLOSE_LIMIT_S)
+
+    async def _main(self):
+        self._token = trio.lowlevel.current_trio_token()
+        self._over = trio.Event()
+        with tempfile.TemporaryDirectory() as folder:
+            async with trio.open_nursery() as nursery:
+                self.world = EntryWorld(nursery, folder)
+                self._started.set()
+                await self._over.wait()
+                self.world.stop()
+                nursery.cancel_scope.cancel()
+
+    def run(self, work, *args):
+        """Run an async function in the world's loop and return its result."""
+        return trio.from_thread.run(work, *args, trio_token=self._token)
+
+    def do(self, work, *args):
+        """Run a plain function in the world's loop."""
+        return trio.from_thread.run_sync(work, *args, trio_token=self._token)
+
+    def close(self):
+        self.do(self._over.set)
+        self._thread.join(CLOSE_LIMIT_S)
+
+
+def call(context, target, router=None, **options):
+    """Send one request as a client."""
+
+    async def one():
+        return await context.world.call(router or context.router, target, **options)
+
+    return context.thread.run(one)
+
+
+def all_runs(context):
+    return [run for replica in context.world.replicas.values() for run in replica.runs]
+
+
+def replicas(context, names):
+    return [context.world.replicas[name] for name in names.split(",")]
+
+
+def event_numbers(body):
+    return [event.number for event in EventSplitter().feed(body)]
--- a/skylarklift/hostedpool.py
+++ b/skylarklift/hostedpool.py
@@ -8,6 +8,7 @@
 from skylarklift.clock import Millis
 from skylarklift.generated import ReleaseCause, ReleaseEntry
 from skylarklift.grants import AdmissionRequest, Decision, Grant, GrantKey
+from skylarklift.hashing import rendezvous_order
 from skylarklift.ids import BootId, GrantId, PoolId, ReplicaId, RouterId
 from skylarklift.lease import LeaseHolder
 from skylarklift.routing import RoutingTable
@@ -114,3 +115,13 @@
         for router, since in self._gone_since.items():
             if now - since >= DROP_ROUTER_AFTER_MS:
                 self.deliver(self.admitter.drop_router(router))
+
+
+def pool_lease_name(pool: PoolId) -> str:
+    """Return the lease name of a pool."""
+    return f"pool/{pool}"
+
+
+def admitter_order(pool: PoolId, eligible: list[RouterId]) -> list[RouterId]:
+    """Return the eligible routers in the order in which they are to admit for the pool."""
+    return [RouterId(name) for name in rendezvous_order(pool_lease_name(pool), eligible)]
--- a/skylarklift/placing.py
+++ b/skylarklift/placing.py
@@ -27,7 +27,7 @@
     ReleaseEntry,
 )
 from skylarklift.grants import Grant, GrantKey
-from skylarklift.hostedpool import CAUSES
+from skylarklift.hostedpool import CAUSES, admitter_order
 from skylarklift.ids import (
     ChatKey,
     Fingerprint,
@@ -45,7 +45,6 @@
     NOT_ADMITTING,
     STALE,
     PoolHost,
-    admitter_order,
 )
 
 PRIORITIES = list(Priority)
--- a/skylarklift/poolhost.py
+++ b/skylarklift/poolhost.py
@@ -28,9 +28,8 @@
     VoteReply,
 )
 from skylarklift.grants import AdmissionRequest, Grant, GrantKey, RefusalCode
-from skylarklift.hashing import rendezvous_order
 from skylarklift.heads import HeadKeeper
-from skylarklift.hostedpool import HostedPool
+from skylarklift.hostedpool import HostedPool, admitter_order, pool_lease_name
 from skylarklift.ids import (
     ChatKey,
     Fingerprint,
@@ -61,16 +60,6 @@
 POISONED = "poisoned"
 
 
-def pool_lease_name(pool: PoolId) -> str:
-    """Return the lease name of a pool."""
-    return f"pool/{pool}"
-
-
-def admitter_order(pool: PoolId, eligible: list[RouterId]) -> list[RouterId]:
-    """Return the eligible routers in the order in which they are to admit for the pool."""
-    return [RouterId(name) for name in rendezvous_order(pool_lease_name(pool), eligible)]
-
-
 class PoolHost:
     """The pools that this router admits for, or would like to."""
 
