--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 
 .PHONY: test demo bench model generate long soak clean
 
-.venv/ready: requirements.txt
+.venv/ready: requirements.txt pyproject.toml
 	$(PYTHON) -m venv .venv
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --editable .
 	touch .venv/ready
 
 test: .venv/ready
