--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,13 +4,15 @@
     When the soak runs for 8 s with seed <seed>
     Then no promise was broken
 
+    # 6: the harness gave out one port twice; 113: a router was told to stop while it loaded.
     Examples:
       | seed |
       | 1    |
       | 6    |
+      | 113  |
 
   Scenario Outline: The soak finds a router that may <planted>
-    When the soak runs for 8 s with the planted fault "<planted>" and only the faults "<faults>"
+    When soaks of 8 s run with the planted fault "<planted>" and only the faults "<faults>" until one breaks
     Then a promise was broken as "<text>"
 
     Examples:
--- a/features/steps/soaking.py
+++ b/features/steps/soaking.py
@@ -4,6 +4,8 @@
 
 from soak.run import Options, run_seed
 
+MOST_SEEDS = 5
+
 
 @when("the soak runs for {span:d} s with seed {seed:d}")
 def soak_runs(context, span, seed):
@@ -11,12 +13,17 @@
 
 
 @when(
-    'the soak runs for {span:d} s with the planted fault "{planted}" and only the faults "{faults}"'
+    'soaks of {span:d} s run with the planted fault "{planted}" and only the faults "{faults}" '
+    "until one breaks"
 )
 def soak_planted(context, span, planted, faults):
+    # Which requests meet the fault is chance; a busy machine sends fewer of them.
     program = ("-m", "standins.planted", planted)
-    options = Options(1, span, program=program, only=tuple(faults.split(",")), quick=True)
-    context.judge = run_seed(options)
+    for seed in range(1, MOST_SEEDS + 1):
+        options = Options(seed, span, program=program, only=tuple(faults.split(",")), quick=True)
+        context.judge = run_seed(options)
+        if context.judge.broken:
+            return
 
 
 @then("no promise was broken")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -179,11 +179,13 @@
         """Stop one router in order; it must end by itself, in time, with code 0."""
         self._busy.add(router.name)
         self._judge.stops.append((router.name, trio.current_time()))
+        was_up = router.is_up()
         router.process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S + 1):
             await trio.to_thread.run_sync(router.process.wait, abandon_on_cancel=True)
         code = router.process.poll()
-        if code != 0:
+        # A process that is still loading its code takes no signal yet, and no request.
+        if code != 0 and (was_up or code != -signal.SIGTERM):
             self._judge.broken.append(f"{router.name} was told to stop and ended with {code}")
         await self._world.restart_router(router)
         self._busy.discard(router.name)
--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -81,6 +81,11 @@
     readiness: int
     settings: Path
     log: Path
+    starts: int = 1
+
+    def is_up(self) -> bool:
+        """Tell whether the process that was started last has come as far as to log it."""
+        return sum(line["event"] == "start" for line in self.lines()) >= self.starts
 
     def lines(self) -> list[dict]:
         """Return the log lines that are whole."""
@@ -212,6 +217,7 @@
     async def restart_router(self, router: RouterProcess) -> None:
         """Start a router that has ended again, at the same addresses."""
         router.process.wait()
+        router.starts += 1
         router.process = self._start_process(router.settings, router.log)
 
     async def _until_ready(self, router: RouterProcess) -> None:
