Ports of test processes lie below those of outgoing connections; a start that fails shows its log

Ports now come from below that range, and a router that does not become ready is shown with its exit code and log.

--- a/standins/entryworld.py
+++ b/standins/entryworld.py
@@ -6,9 +6,11 @@
 import socket
 import subprocess
 import sys
+from contextlib import suppress
 from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
+from random import SystemRandom
 
 import h11
 import trio
@@ -20,6 +22,10 @@
 HOST = "127.0.0.1"
 START_LIMIT_S = 10
 LOOKS_A_SECOND = 20
+LOG_SHOWN = 2000
+PORT_RANGE = (11000, 32000)
+# Ports differ between test processes that run side by side.
+_port_choice = SystemRandom()
 SERVICES = [
     {
         "name": "lm",
@@ -51,13 +57,18 @@
 
 
 def free_port() -> int:
-    """Return a port that nobody uses now and that was not given out before."""
+    """Return a port that nobody uses now and that was not given out before.
+
+    It lies below those that the system gives to outgoing connections, one of which could
+    take it before its router does.
+    """
     while True:
-        with socket.socket() as sock:
-            sock.bind((HOST, 0))
-            port = sock.getsockname()[1]
-        if port not in _given_ports:
-            _given_ports.add(port)
+        port = _port_choice.randrange(*PORT_RANGE)
+        if port in _given_ports:
+            continue
+        _given_ports.add(port)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((HOST, port))
             return port
 
 
@@ -221,12 +232,13 @@
         router.process = self._start_process(router.settings, router.log)
 
     async def _until_ready(self, router: RouterProcess) -> None:
-        """Wait until a router is ready."""
-        with trio.fail_after(START_LIMIT_S):
-            for _ in range(START_LIMIT_S * LOOKS_A_SECOND):
-                if await self.ready(router):
-                    break
-                await trio.sleep(1 / LOOKS_A_SECOND)
+        """Wait until a router is ready; tell what it logged where it does not get so far."""
+        for _ in range(START_LIMIT_S * LOOKS_A_SECOND):
+            if await self.ready(router):
+                return
+            await trio.sleep(1 / LOOKS_A_SECOND)
+        text = router.log.read_text()[-LOG_SHOWN:]
+        raise AssertionError(f"{router.name} is not ready, exit {router.process.poll()}: {text}")
 
     def _spawn(self, name: str, door: int, inner: int) -> RouterProcess:
         """Start a router's process."""
