Lay the modules of the own deployment out in folders; one crash list, one splitter of events

Cause: fifty flat modules beside the folders of the entry router, with pairs that a newcomer could not tell apart (claims/claiming, placing/placement, hostedpool/poolhost, failures/errors), and two copies of the crash list and of the splitter of events. Change: config, votes, store, routers, upstreams, pools, requests, operators are folders; the modules moved without a change of what they do. CrashCounts serves both routers, EventReader reads events by the EventSplitter.

--- a/bench/churn.py
+++ b/bench/churn.py
@@ -10,13 +10,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from skylarklift.admission import PoolAdmitter
 from skylarklift.clock import ManualClock
 from skylarklift.generated import Pool, Ramp, Replica
-from skylarklift.grants import AdmissionRequest, Grant, GrantKey
 from skylarklift.ids import ChatKey, GrantId, ReplicaId, RouterId, WorkspaceId
-from skylarklift.loadbound import load_bound
-from skylarklift.placement import PlacementPolicy
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.bound import load_bound
+from skylarklift.pools.grants import AdmissionRequest, Grant, GrantKey
+from skylarklift.pools.policies import PlacementPolicy
 
 TICK_MS = 20
 UNBOUNDED = 1e9
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -4,7 +4,7 @@
 
 from skylarklift.hashing import rendezvous_order
 from skylarklift.ids import ChatKey, ReplicaId
-from skylarklift.placement import Choice, PlacementPolicy, PoolView
+from skylarklift.pools.policies import Choice, PlacementPolicy, PoolView
 
 
 class RandomPolicy(PlacementPolicy):
--- a/bench/reuse.py
+++ b/bench/reuse.py
@@ -6,7 +6,7 @@
 from bench.churn import UNBOUNDED, ChurnPlan, ChurnResult, ChurnRun
 from bench.policies import HashPolicy, LeastLoadPolicy, RandomPolicy
 from bench.report import Report
-from skylarklift.placement import AffinityPolicy, PlacementPolicy
+from skylarklift.pools.policies import AffinityPolicy, PlacementPolicy
 
 TARGETS = {3: 0.85, 10: 0.95, 30: 0.98}
 LOAD_FACTOR = 1.25
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -6,9 +6,9 @@
 from msgspec import json, msgpack
 
 from bench.report import Report
-from skylarklift.admission import PoolAdmitter
 from skylarklift.clock import ManualClock
-from skylarklift.frames import LENGTH_BYTES
+from skylarklift.config.patching import PatchFormat, PatchRequest, plan_patch, replay
+from skylarklift.config.routing import RoutingTable
 from skylarklift.generated import (
     Ask,
     Done,
@@ -23,12 +23,12 @@
     Vote,
     VoteReply,
 )
-from skylarklift.grants import AdmissionRequest, Grant, GrantKey
 from skylarklift.hashing import chat_key
 from skylarklift.ids import ChatKey, GrantId, ReplicaId, RouterId, Version, WorkspaceId
-from skylarklift.patching import PatchFormat, PatchRequest, plan_patch, replay
-from skylarklift.placement import PrefixMemory
-from skylarklift.routing import RoutingTable
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.grants import AdmissionRequest, Grant, GrantKey
+from skylarklift.pools.policies import PrefixMemory
+from skylarklift.routers.frames import LENGTH_BYTES
 
 REPLICA_COUNTS = (4, 8, 16)
 WORKSPACE_COUNTS = (650, 1625, 3250, 6500)
--- a/features/fakes.py
+++ b/features/fakes.py
@@ -20,9 +20,10 @@
 )
 from skylarklift.generated import Address, Settings
 from skylarklift.ids import BootId, RouterId, ZoneId
-from skylarklift.peers import PeerIdentity, Peers
+from skylarklift.routers.peers import PeerIdentity, Peers
+from skylarklift.routers.wire import Message
 from skylarklift.settings import parse_settings
-from skylarklift.store import (
+from skylarklift.store.base import (
     ABSENT,
     Machine,
     MachineList,
@@ -33,8 +34,7 @@
     WriteResult,
 )
 from skylarklift.telemetry import Telemetry
-from skylarklift.upstreams import LoadReport, LoadReporter
-from skylarklift.wire import Message
+from skylarklift.upstreams.reports import LoadReport, LoadReporter
 
 FLEET_KEY = "a-key-for-the-fakes"
 
--- a/features/fleet_cases.py
+++ b/features/fleet_cases.py
@@ -4,10 +4,10 @@
 
 from features.world import ZONES, World, make_routing, open_world
 from skylarklift.clock import sleep_ms
+from skylarklift.config.patching import PATCH_PREFIX
 from skylarklift.errors import PatchError, SkylarkError, StalePatch, StoreError
-from skylarklift.freshness import HeadNumbers
 from skylarklift.ids import RouterId
-from skylarklift.patching import PATCH_PREFIX
+from skylarklift.votes.freshness import HeadNumbers
 
 CASES = {}
 
--- a/features/mutations.py
+++ b/features/mutations.py
@@ -3,11 +3,11 @@
 from contextlib import contextmanager
 from unittest.mock import patch
 
-from skylarklift.claims import Claim, ClaimState
 from skylarklift.clock import Millis
-from skylarklift.freshness import AcceptanceWatch, Freshness
-from skylarklift.lease import LeaseVoter, VoteAnswer
-from skylarklift.takeover import GrantLister
+from skylarklift.pools.takeover import GrantLister
+from skylarklift.requests.claims import Claim, ClaimState
+from skylarklift.votes.freshness import AcceptanceWatch, Freshness
+from skylarklift.votes.lease import LeaseVoter, VoteAnswer
 
 
 def vote_for_anyone(self, name, router, span_ms):
@@ -41,10 +41,14 @@
 
 MUTATIONS = {
     "voters vote for anyone": (LeaseVoter, "ask", vote_for_anyone),
-    "one vote is enough": ("skylarklift.lease.LeaseHolder", "take_answer", vote_of_one_is_enough),
+    "one vote is enough": (
+        "skylarklift.votes.lease.LeaseHolder",
+        "take_answer",
+        vote_of_one_is_enough,
+    ),
     "no freshness check": (Freshness, "is_fresh", always_fresh),
     "no listing at takeover": (GrantLister, "list_grants", list_nothing),
-    "every claim is ours": ("skylarklift.claims", "judge_claim", every_claim_is_ours),
+    "every claim is ours": ("skylarklift.requests.claims", "judge_claim", every_claim_is_ours),
     "restarted voter vouches": (AcceptanceWatch, "is_pending", only_what_was_announced),
     "one voter may vouch": (Freshness, "_set_moment", any_one_vouches),
 }
--- a/features/random_run.py
+++ b/features/random_run.py
@@ -6,7 +6,6 @@
 import trio
 
 from features.world import ZONES, World, open_world, run_virtual
-from skylarklift.claims import ClaimName, ClaimState
 from skylarklift.clock import sleep_ms
 from skylarklift.coordination import Coordination
 from skylarklift.errors import (
@@ -19,6 +18,7 @@
 )
 from skylarklift.ids import RouterId, WorkspaceId
 from skylarklift.invariants import INVARIANTS
+from skylarklift.requests.claims import ClaimName, ClaimState
 
 ROUTERS = 6
 CHAT_GAP_MS = 40
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -4,14 +4,14 @@
 
 from behave import given, then, when
 
-from skylarklift.admission import PoolAdmitter
 from skylarklift.clock import ManualClock
 from skylarklift.generated import Pool, Ramp, Replica
-from skylarklift.grants import AdmissionRequest, Grant, GrantKey, Refused
 from skylarklift.ids import BootId, ChatKey, GrantId, ReplicaId, RouterId, WorkspaceId
 from skylarklift.invariants import INVARIANTS
-from skylarklift.loadbound import load_bound, service_set
-from skylarklift.ramp import ReplicaRamp
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.bound import load_bound, service_set
+from skylarklift.pools.grants import AdmissionRequest, Grant, GrantKey, Refused
+from skylarklift.pools.ramp import ReplicaRamp
 
 
 def make_admitter(clock, replicas, slots, queue=256):
--- a/features/steps/entry_beliefs.py
+++ b/features/steps/entry_beliefs.py
@@ -163,9 +163,9 @@
 @when("the request crashes {own:d} replicas here and {told:d} elsewhere")
 def crashes(context, own, told):
     for number in range(own):
-        context.core.suspects.note(7, f"o{number}")
+        context.core.suspects.see(7, f"o{number}")
     for number in range(told):
-        context.core.suspects.told(7, f"t{number}")
+        context.core.suspects.note(7, f"t{number}")
 
 
 @then("the request is refused: {refused}")
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -7,10 +7,10 @@
     yes,
 )
 from skylarklift.clock import ManualClock
-from skylarklift.entry.events import EventSplitter
 from skylarklift.entry.fleet import Fleet, Tell
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.rowset import RowTable
+from skylarklift.upstreams.events import EventSplitter
 
 READER_AGE_MS = 1100
 
--- a/features/steps/entry_tool.py
+++ b/features/steps/entry_tool.py
@@ -13,7 +13,6 @@
 from hypothesis import settings, strategies
 
 from skylarklift.clock import ManualClock
-from skylarklift.entry.events import EventSplitter
 from skylarklift.entry.journal import Journal
 from skylarklift.entry.rowset import BadRow, RowTable
 from skylarklift.entry.tells import decode_page, decode_tell
@@ -21,6 +20,7 @@
 from skylarklift.platform.calls import PlatformCalls
 from skylarklift.platform.nodefile import parse_node_settings
 from skylarklift.platform.rows import PlatformRows, decode_plan
+from skylarklift.upstreams.events import EventSplitter
 
 SETTINGS = {
     "node_name": "n1",
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -12,7 +12,7 @@
 from skylarklift.errors import SkylarkError
 from skylarklift.generated import OrderKind, OrderSettings
 from skylarklift.ids import BootId, RouterId
-from skylarklift.orders import Order, OrderGiver, OrderGiverElsewhere, OrderOutcome
+from skylarklift.operators.orders import Order, OrderGiver, OrderGiverElsewhere, OrderOutcome
 
 ROLE = Order("http://engine", OrderKind.CHANGE_ROLE, "prefill")
 LOAD = Order("http://engine", OrderKind.LOAD_MODEL, "wash-2")
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -9,15 +9,16 @@
 
 from features.fakes import FakePlatform, FakeStore
 from features.world import run_virtual
-from skylarklift.claims import Claim, ClaimName, ClaimState, ClaimWriter, judge_claim
 from skylarklift.clock import LoopClock, ManualClock
 from skylarklift.errors import InvariantBreach
 from skylarklift.generated import ClaimRow, RetrySettings, StoreSettings
 from skylarklift.ids import Fingerprint, ReplicaId, RequestId, RouterId, WorkspaceId
-from skylarklift.poison import PoisonList
-from skylarklift.retries import RetryBudget
-from skylarklift.store import Row, WriteResult
-from skylarklift.upstreams import EventReader, FailureKind, UpstreamError
+from skylarklift.requests.claims import Claim, ClaimName, ClaimState, ClaimWriter, judge_claim
+from skylarklift.store.base import Row, WriteResult
+from skylarklift.upstreams.crashes import CrashCounts
+from skylarklift.upstreams.failures import FailureKind, UpstreamError
+from skylarklift.upstreams.reader import EventReader
+from skylarklift.upstreams.retries import RetryBudget
 
 NAME = ClaimName(WorkspaceId("w"), "k")
 OWN = ClaimRow(claim="own", router="r1", fingerprint="f")
@@ -128,15 +129,16 @@
 @when("a request crashed {crashes:d} replicas {age:d} ms ago")
 def step_crashes(context, crashes, age):
     clock = ManualClock(1_000_000)
-    context.poison = PoisonList(clock, RetrySettings())
+    cfg = RetrySettings()
+    context.poison = CrashCounts(clock, cfg.poison_crashes, cfg.poison_keep_ms)
     for number in range(crashes):
-        context.poison.note_crash(Fingerprint(7), ReplicaId(f"r{number}"))
+        context.poison.note(Fingerprint(7), ReplicaId(f"r{number}"))
     clock.advance(age)
 
 
 @then("sending it again is {judged}")
 def step_judged(context, judged):
-    assert context.poison.is_poisoned(Fingerprint(7)) == (judged == "refused")
+    assert context.poison.refuses(Fingerprint(7)) == (judged == "refused")
 
 
 def event(offset, request="abc"):
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -11,11 +11,11 @@
 
 from skylarklift.clock import LoopClock
 from skylarklift.errors import PeerError
-from skylarklift.frames import FrameStream, TrafficCounter, greet
 from skylarklift.generated import Address, Done, PeerSettings, Pull, TlsSettings
 from skylarklift.ids import BootId, RouterId, ZoneId
-from skylarklift.peers import PeerCounts, PeerDirectory, PeerIdentity, PeerServer
 from skylarklift.router import client_tls, server_tls
+from skylarklift.routers.frames import FrameStream, TrafficCounter, greet
+from skylarklift.routers.peers import PeerCounts, PeerDirectory, PeerIdentity, PeerServer
 from standins.deployment import free_ports
 
 KEYS = {"old": "the-old-key-of-the-fleet", "new": "the-new-key-of-the-fleet"}
--- a/features/world.py
+++ b/features/world.py
@@ -10,13 +10,13 @@
 
 from features.fakes import FakeNetwork, FakePlatform, make_node
 from skylarklift.clock import sleep_ms
+from skylarklift.config.patching import HEAD_KEY, PatchRequest
 from skylarklift.coordination import Coordination
 from skylarklift.errors import SkylarkError
 from skylarklift.generated import PatchFormat, Priority, ReleaseCause
 from skylarklift.ids import ChatKey, PatchId, PoolId, RouterId, ServiceId, Version, WorkspaceId
-from skylarklift.loadbound import load_bound
-from skylarklift.patching import HEAD_KEY, PatchRequest
-from skylarklift.placing import Placement, PlaceRequest
+from skylarklift.pools.bound import load_bound
+from skylarklift.pools.placer import Placement, PlaceRequest
 
 WATCH_INTERVAL_MS = 20
 ZONES = ("zone-1", "zone-2", "zone-3")
--- a/features/world_thread.py
+++ b/features/world_thread.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from skylarklift.entry.events import EventSplitter
+from skylarklift.upstreams.events import EventSplitter
 from standins.entryworld import EntryWorld
 
 CLOSE_LIMIT_S = 10
--- /dev/null
+++ b/skylarklift/config/__init__.py
@@ -0,0 +1,1 @@
+"""The numbered configuration: its form, patches to it, and the newest one."""
--- a/skylarklift/heads.py
+++ b/skylarklift/config/heads.py
@@ -14,6 +14,21 @@
 from msgspec import convert, json, to_builtins
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis, sleep_ms
+from skylarklift.config.patching import (
+    HEAD_KEY,
+    HEAD_PREFIX,
+    PATCH_ID_PREFIX,
+    PATCH_PREFIX,
+    VIEW_KEY,
+    PatchPlan,
+    PatchRequest,
+    empty_table,
+    patch_key,
+    plan_patch,
+    replay,
+    snapshot_key,
+)
+from skylarklift.config.routing import RoutingTable
 from skylarklift.errors import (
     PatchError,
     PatchUnsettled,
@@ -23,7 +38,6 @@
     StoreError,
     StoreUnavailable,
 )
-from skylarklift.freshness import AcceptanceWatch, Freshness, HeadNumbers
 from skylarklift.generated import (
     FetchReply,
     HeadRow,
@@ -34,23 +48,9 @@
     ViewRow,
 )
 from skylarklift.ids import PatchId, RouterId, Version
-from skylarklift.lease import VoterSets
-from skylarklift.patching import (
-    HEAD_KEY,
-    HEAD_PREFIX,
-    PATCH_ID_PREFIX,
-    PATCH_PREFIX,
-    VIEW_KEY,
-    PatchPlan,
-    PatchRequest,
-    empty_table,
-    patch_key,
-    plan_patch,
-    replay,
-    snapshot_key,
-)
-from skylarklift.routing import RoutingTable
-from skylarklift.store import ObjectStore, Row, TableStore, Write
+from skylarklift.store.base import ObjectStore, Row, TableStore, Write
+from skylarklift.votes.freshness import AcceptanceWatch, Freshness, HeadNumbers
+from skylarklift.votes.lease import VoterSets
 
 ROWS_KEPT = 256
 WRITE_LIMIT_MS = 10_000
--- a/skylarklift/patching.py
+++ b/skylarklift/config/patching.py
@@ -12,11 +12,11 @@
 import jsonpatch
 from msgspec import convert, to_builtins
 
+from skylarklift.config.routing import RoutingTable, check_value
 from skylarklift.errors import PatchError, StalePatch
 from skylarklift.generated import HeadRow, PatchFormat, PatchRow
 from skylarklift.ids import PatchId, Version
-from skylarklift.routing import RoutingTable, check_value
-from skylarklift.store import ABSENT, Row, Write
+from skylarklift.store.base import ABSENT, Row, Write
 
 HEAD_PREFIX = "head/"
 HEAD_KEY = "head/config"
--- a/skylarklift/coordination.py
+++ b/skylarklift/coordination.py
@@ -6,28 +6,28 @@
 
 import trio
 
-from skylarklift.claims import ClaimWriter
 from skylarklift.clock import Clock
+from skylarklift.config.heads import HeadKeeper
 from skylarklift.errors import PatchError, PeerError, StoreError
-from skylarklift.events import log
-from skylarklift.fleet import Fleet
-from skylarklift.freshness import Freshness
-from skylarklift.gate import Gate
 from skylarklift.generated import Crash, Done, Settings
-from skylarklift.heads import HeadKeeper
 from skylarklift.ids import Fingerprint, ReplicaId, RouterId
-from skylarklift.lease import VoterSets
-from skylarklift.membership import Membership
-from skylarklift.peers import Peers
-from skylarklift.placing import Placer
-from skylarklift.poison import PoisonList
-from skylarklift.poolhost import PoolHost
-from skylarklift.retries import RetryBudget
-from skylarklift.store import MachineList, ObjectStore, TableStore
+from skylarklift.logger import log
+from skylarklift.pools.host import PoolHost
+from skylarklift.pools.placer import Placer
+from skylarklift.requests.claims import ClaimWriter
+from skylarklift.requests.gate import Gate
+from skylarklift.routers.exchange import Fleet
+from skylarklift.routers.membership import Membership
+from skylarklift.routers.peers import Peers
+from skylarklift.routers.views import ViewChanger
+from skylarklift.routers.wire import Message
+from skylarklift.store.base import MachineList, ObjectStore, TableStore
 from skylarklift.telemetry import Telemetry
-from skylarklift.upstreams import LoadReporter
-from skylarklift.views import ViewChanger
-from skylarklift.wire import Message
+from skylarklift.upstreams.crashes import CrashCounts
+from skylarklift.upstreams.reports import LoadReporter
+from skylarklift.upstreams.retries import RetryBudget
+from skylarklift.votes.freshness import Freshness
+from skylarklift.votes.lease import VoterSets
 
 
 class Coordination:
@@ -66,7 +66,7 @@
             self.voters,
             machines,
         )
-        self.poison = PoisonList(clock, cfg.retries)
+        self.poison = CrashCounts(clock, cfg.retries.poison_crashes, cfg.retries.poison_keep_ms)
         self.budget = RetryBudget(cfg.retries)
         self.placer = Placer(clock, self.me, self.membership, peers, nursery)
         self.pools = PoolHost(
@@ -148,7 +148,7 @@
     async def _answer_crash(self, router: RouterId, message: Crash) -> Done:
         """Note a crash that another router saw."""
         replica = ReplicaId(message.replica)
-        self.poison.note_crash(Fingerprint(message.fingerprint), replica, message.age_ms)
+        self.poison.note(Fingerprint(message.fingerprint), replica, message.age_ms)
         return Done(0)
 
     def tell_crash(self, fingerprint: Fingerprint, replica: ReplicaId) -> None:
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -2,12 +2,12 @@
 
 from skylarklift.entry.attempts import Attempts, Outcome
 from skylarklift.entry.caller import CallerLink
-from skylarklift.entry.events import EventSplitter, StreamEvent
 from skylarklift.entry.health import Sign
 from skylarklift.entry.model import AnswerHead, Call, RouteKind
 from skylarklift.entry.sending import Send
 from skylarklift.entry.silence import Silence
 from skylarklift.errors import AnswerBroken, OutcomeUnknown
+from skylarklift.upstreams.events import EventSplitter, StreamEvent
 
 ANSWER_LIMIT_BYTES = 16_777_216
 # A whole answer up to this size is held until it is complete, so that a broken one can be
--- a/skylarklift/entry/life.py
+++ b/skylarklift/entry/life.py
@@ -229,7 +229,7 @@
         with trio.CancelScope(shield=True):
             alive = await reaches(self.core, send)
         if not alive:
-            self.core.suspects.note(self.fingerprint, send.record.replica)
+            self.core.suspects.see(self.fingerprint, send.record.replica)
             self.core.journal.write(
                 "crash_suspected", id=self.call.request, upstream=send.record.replica
             )
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -148,7 +148,7 @@
         for replica, left_ms in tell.ejected.items():
             core.health.told_ejected(replica, left_ms)
         for fingerprint, replica in tell.crashes:
-            core.suspects.told(fingerprint, replica)
+            core.suspects.note(fingerprint, replica)
         for placement in tell.placements:
             core.chooser.prefixes.told(placement)
         for table in RowTable:
@@ -235,8 +235,10 @@
         """Learn which routers are noted."""
         for node, address in (await self._members.read_members()).items():
             host, _, port = address.rpartition(":")
-            if port.isdigit():
+            if host and port.isdigit():
                 self._core.fleet.add(node, Endpoint(host, int(port)))
+            else:
+                self._core.journal.write("member_unreadable", peer=node, address=address)
 
     async def leave(self) -> None:
         """Tell the others, and remove the note in the store."""
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -1,7 +1,7 @@
 """One entry router as a process: its tasks, its settings, and its orderly end."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from functools import partial
 
 import trio
@@ -21,6 +21,7 @@
 STOPPING_LEAST_MS = 3600
 # It ends so long before it would be killed.
 STOPPING_MARGIN_MS = 400
+LEAVING_MS = 200
 
 
 class EntryRouter:
@@ -42,31 +43,30 @@
         self._probes = ProbeServer(core)
         self._peering = Peering(core, members)
 
-    async def run(self) -> None:
-        """Run until told to stop and all requests are ended."""
+    async def run(self, signals: AsyncIterator[int]) -> None:
+        """Run until a signal tells it to stop and all requests are ended."""
         core = self._core
         settings = core.settings
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            core.journal.write("start", zone=settings.zone, callers=str(settings.callers))
-            async with trio.open_nursery() as nursery:
-                start = nursery.start_soon
-                await self._peering.open()
-                start(self._listen, settings.peers, self._peering.serve_rows)
-                start(self._listen, settings.readiness, self._probes.serve)
-                metrics = Endpoint(settings.callers.host, self._metrics_port)
-                start(self._listen, metrics, self._probes.serve)
-                start(self._listen, settings.callers, self._callers.serve)
-                start(self._peering.hear_all, nursery)
-                start(self._peering.tell_all)
-                start(self._peering.join)
-                for table in RowTable:
-                    start(Follower(core, self._rows, table).run)
-                start(self._keep_house)
-                start(self._watch_settings)
-                start(close_when_stopping, core, self._callers)
-                await self._until_stopped(signals)
-                await self._stop()
-                nursery.cancel_scope.cancel()
+        core.journal.write("start", zone=settings.zone, callers=str(settings.callers))
+        async with trio.open_nursery() as nursery:
+            start = nursery.start_soon
+            await self._peering.open()
+            start(self._listen, settings.peers, self._peering.serve_rows)
+            start(self._listen, settings.readiness, self._probes.serve)
+            metrics = Endpoint(settings.callers.host, self._metrics_port)
+            start(self._listen, metrics, self._probes.serve)
+            start(self._listen, settings.callers, self._callers.serve)
+            start(self._peering.hear_all, nursery)
+            start(self._peering.tell_all)
+            start(self._peering.join)
+            for table in RowTable:
+                start(Follower(core, self._rows, table).run)
+            start(self._keep_house)
+            start(self._watch_settings)
+            start(close_when_stopping, core, self._callers)
+            await self._until_stopped(signals)
+            await self._stop()
+            nursery.cancel_scope.cancel()
         core.journal.write("stop", requests_open=core.requests_open)
         core.journal.flush()
 
@@ -85,7 +85,7 @@
             self._core.meters.count("faults")
             self._core.journal.write("fault", cause=repr(group.exceptions), trace=_place(group))
 
-    async def _until_stopped(self, signals) -> None:
+    async def _until_stopped(self, signals: AsyncIterator[int]) -> None:
         """Wait for the signal to stop; take new settings at a hang-up."""
         async for number in signals:
             if number == signal.SIGHUP:
@@ -99,14 +99,14 @@
     async def _stop(self) -> None:
         """Let all requests end, within the span that the deployment grants."""
         core = self._core
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._peering.leave)
-            longest = core.settings.bounds.grace_ms - STOPPING_MARGIN_MS
-            while core.stopping_ms() < longest:
-                if core.stopping_ms() >= STOPPING_LEAST_MS and not core.requests_open:
-                    break
-                await trio.sleep(20 / MS_PER_SECOND)
-            nursery.cancel_scope.cancel()
+        longest = core.settings.bounds.grace_ms - STOPPING_MARGIN_MS
+        while core.stopping_ms() < longest:
+            if core.stopping_ms() >= STOPPING_LEAST_MS and not core.requests_open:
+                break
+            await trio.sleep(20 / MS_PER_SECOND)
+        # Until here this router takes its share of the fleet's limits, so it stays noted.
+        with trio.move_on_after(LEAVING_MS / MS_PER_SECOND):
+            await self._peering.leave()
 
     async def _keep_house(self) -> None:
         """Settle what is due, and close what is too old."""
--- a/skylarklift/generated.py
+++ b/skylarklift/generated.py
@@ -6,7 +6,7 @@
 from typing import Annotated, Any
 
 from msgspec import Meta, convert, field
-from skylarklift.wire import Message, Record
+from skylarklift.routers.wire import Message, Record
 
 
 class UpstreamState(StrEnum):
--- /dev/null
+++ b/skylarklift/operators/__init__.py
@@ -0,0 +1,1 @@
+"""What operators read and order."""
--- a/skylarklift/operators.py
+++ b/skylarklift/operators/api.py
@@ -8,7 +8,9 @@
 from quart import request
 from quart_trio import QuartTrio
 
-from skylarklift.claims import ClaimName, ClaimWriter
+from skylarklift.config.heads import HeadKeeper
+from skylarklift.config.patching import PatchRequest, apply_patch
+from skylarklift.config.routing import check_value
 from skylarklift.errors import (
     PatchError,
     PatchUnsettled,
@@ -17,14 +19,12 @@
     StalePatch,
     StoreError,
 )
-from skylarklift.events import log
 from skylarklift.generated import OperatorApiSettings, OrderBody, PatchBody, PatchFormat, PatchRow
-from skylarklift.heads import HeadKeeper
 from skylarklift.ids import PatchId, PoolId, Version, WorkspaceId
-from skylarklift.orders import Order, OrderError, OrderGiver, OrderGiverElsewhere
-from skylarklift.patching import PatchRequest, apply_patch
-from skylarklift.routing import check_value
-from skylarklift.status import StatusCollector
+from skylarklift.logger import log
+from skylarklift.operators.orders import Order, OrderError, OrderGiver, OrderGiverElsewhere
+from skylarklift.operators.status import StatusCollector
+from skylarklift.requests.claims import ClaimName, ClaimWriter
 from skylarklift.telemetry import Telemetry
 
 PATCH_ID_LIMIT = 128
--- a/skylarklift/orders.py
+++ b/skylarklift/operators/orders.py
@@ -18,8 +18,8 @@
 from skylarklift.generated import OrderKind, OrderLeaseRow, OrderSettings
 from skylarklift.ids import BootId
 from skylarklift.invariants import INVARIANTS
-from skylarklift.lease import DRIFT_PERCENT
-from skylarklift.store import ABSENT, Row, TableStore, Write
+from skylarklift.store.base import ABSENT, Row, TableStore, Write
+from skylarklift.votes.lease import DRIFT_PERCENT
 
 ORDER_LEASE_KEY = "orders/lease"
 LOADING_KINDS = (OrderKind.LOAD_MODEL, OrderKind.LOAD_ADAPTER, OrderKind.LOAD_VERSION)
--- a/skylarklift/status.py
+++ b/skylarklift/operators/status.py
@@ -5,13 +5,13 @@
 import trio
 from msgspec import json, to_builtins
 
-from skylarklift.admission import PoolAdmitter
+from skylarklift.config.heads import HeadKeeper
 from skylarklift.errors import PeerError
-from skylarklift.frames import TrafficCounter
 from skylarklift.generated import PoolStatus, RouterStatus, StatusAsk, StatusReply
-from skylarklift.heads import HeadKeeper
 from skylarklift.ids import PoolId, RouterId
-from skylarklift.peers import PeerDirectory
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.routers.frames import TrafficCounter
+from skylarklift.routers.peers import PeerDirectory
 
 
 def pool_status(me: RouterId, pool_id: PoolId, admitter: PoolAdmitter) -> PoolStatus:
--- a/skylarklift/platform/daemon.py
+++ b/skylarklift/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import argparse
 import os
+import signal
 import sys
 
 import trio
@@ -71,7 +72,9 @@
     journal = Journal(clock, settings.node)
     core = make_core(settings, clock, PlatformCalls(), rows, journal)
     store = PlatformStore(settings.store, rows)
-    await EntryRouter(core, store, store, load, metrics_port).run()
+    router = EntryRouter(core, store, store, load, metrics_port)
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        await router.run(signals)
 
 
 if __name__ == "__main__":
--- a/skylarklift/admission.py
+++ b/skylarklift/pools/admitter.py
@@ -9,7 +9,10 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.generated import Pool, Replica
-from skylarklift.grants import (
+from skylarklift.ids import BootId, GrantId, ReplicaId, RouterId, WorkspaceId
+from skylarklift.invariants import INVARIANTS
+from skylarklift.pools.bound import load_bound, service_set
+from skylarklift.pools.grants import (
     AdmissionRequest,
     Decision,
     Grant,
@@ -17,11 +20,8 @@
     RefusalCode,
     Refused,
 )
-from skylarklift.ids import BootId, GrantId, ReplicaId, RouterId, WorkspaceId
-from skylarklift.invariants import INVARIANTS
-from skylarklift.loadbound import load_bound, service_set
-from skylarklift.placement import AffinityPolicy, Choice, PlacementPolicy, PoolView
-from skylarklift.ramp import ReplicaRamp
+from skylarklift.pools.policies import AffinityPolicy, Choice, PlacementPolicy, PoolView
+from skylarklift.pools.ramp import ReplicaRamp
 
 RETRY_AFTER_MS = 1000
 
--- a/skylarklift/poolhost.py
+++ b/skylarklift/pools/host.py
@@ -9,11 +9,9 @@
 
 import trio
 
-from skylarklift.admission import PoolAdmitter
 from skylarklift.clock import Clock, Millis, sleep_ms
+from skylarklift.config.heads import HeadKeeper
 from skylarklift.errors import PeerError
-from skylarklift.events import log
-from skylarklift.freshness import Freshness
 from skylarklift.generated import (
     Ask,
     Done,
@@ -27,9 +25,6 @@
     Vote,
     VoteReply,
 )
-from skylarklift.grants import AdmissionRequest, Grant, GrantKey, RefusalCode
-from skylarklift.heads import HeadKeeper
-from skylarklift.hostedpool import HostedPool, admitter_order, pool_lease_name
 from skylarklift.ids import (
     ChatKey,
     Fingerprint,
@@ -39,13 +34,18 @@
     RouterId,
     WorkspaceId,
 )
-from skylarklift.lease import LeaseHolder, LeaseVoter, VoterSets
-from skylarklift.membership import Membership
-from skylarklift.peers import Peers
-from skylarklift.poison import PoisonList
-from skylarklift.takeover import GrantLister, OwnGrants, RecentRouters, count_unlisted
+from skylarklift.logger import log
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.grants import AdmissionRequest, Grant, GrantKey, RefusalCode
+from skylarklift.pools.hosted import HostedPool, admitter_order, pool_lease_name
+from skylarklift.pools.takeover import GrantLister, OwnGrants, RecentRouters, count_unlisted
+from skylarklift.routers.membership import Membership
+from skylarklift.routers.peers import Peers
 from skylarklift.telemetry import Telemetry
-from skylarklift.upstreams import LoadReporter
+from skylarklift.upstreams.crashes import CrashCounts
+from skylarklift.upstreams.reports import LoadReporter
+from skylarklift.votes.freshness import Freshness
+from skylarklift.votes.lease import LeaseHolder, LeaseVoter, VoterSets
 
 # A grant must be used within this span, counted by the router that asked from
 # before it asked.  A new admitter waits as long when it cannot list all grants.
@@ -73,7 +73,7 @@
         membership: Membership,
         voters: VoterSets,
         peers: Peers,
-        poison: PoisonList,
+        poison: CrashCounts,
         reporter: LoadReporter,
         own_grants: OwnGrants,
         telemetry: Telemetry,
@@ -339,7 +339,7 @@
             return NOT_ADMITTING
         if not self._freshness.is_fresh() or message.version > hosted.version:
             return STALE
-        if self._poison.is_poisoned(Fingerprint(message.fingerprint)):
+        if self._poison.refuses(Fingerprint(message.fingerprint)):
             return POISONED
         return None
 
--- a/skylarklift/hostedpool.py
+++ b/skylarklift/pools/hosted.py
@@ -4,15 +4,15 @@
 
 import trio
 
-from skylarklift.admission import PoolAdmitter
 from skylarklift.clock import Millis
+from skylarklift.config.routing import RoutingTable
 from skylarklift.generated import ReleaseCause, ReleaseEntry
-from skylarklift.grants import AdmissionRequest, Decision, Grant, GrantKey
 from skylarklift.hashing import rendezvous_order
 from skylarklift.ids import BootId, GrantId, PoolId, ReplicaId, RouterId
-from skylarklift.lease import LeaseHolder
-from skylarklift.routing import RoutingTable
-from skylarklift.upstreams import LoadReport
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.grants import AdmissionRequest, Decision, Grant, GrantKey
+from skylarklift.upstreams.reports import LoadReport
+from skylarklift.votes.lease import LeaseHolder
 
 DROP_ROUTER_AFTER_MS = 5000
 CAUSES = list(ReleaseCause)
--- a/skylarklift/placing.py
+++ b/skylarklift/pools/placer.py
@@ -26,8 +26,6 @@
     ReleaseCause,
     ReleaseEntry,
 )
-from skylarklift.grants import Grant, GrantKey
-from skylarklift.hostedpool import CAUSES, admitter_order
 from skylarklift.ids import (
     ChatKey,
     Fingerprint,
@@ -38,14 +36,16 @@
     Version,
     WorkspaceId,
 )
-from skylarklift.membership import Membership
-from skylarklift.peers import Peers
-from skylarklift.poolhost import (
+from skylarklift.pools.grants import Grant, GrantKey
+from skylarklift.pools.host import (
     GRANT_VALID_MS,
     NOT_ADMITTING,
     STALE,
     PoolHost,
 )
+from skylarklift.pools.hosted import CAUSES, admitter_order
+from skylarklift.routers.membership import Membership
+from skylarklift.routers.peers import Peers
 
 PRIORITIES = list(Priority)
 RETRY_PAUSE_MS = 25
--- a/skylarklift/takeover.py
+++ b/skylarklift/pools/takeover.py
@@ -4,16 +4,16 @@
 
 import trio
 
-from skylarklift.admission import PoolAdmitter
 from skylarklift.clock import Clock, Millis
 from skylarklift.errors import PeerError
 from skylarklift.generated import Inventory, InventoryReply, Pool
-from skylarklift.grants import Grant, GrantKey
-from skylarklift.hostedpool import DROP_ROUTER_AFTER_MS, HostedPool
 from skylarklift.ids import BootId, ChatKey, GrantId, PoolId, ReplicaId, RouterId, WorkspaceId
-from skylarklift.membership import Membership
-from skylarklift.peers import Peers
-from skylarklift.upstreams import LoadReporter
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.grants import Grant, GrantKey
+from skylarklift.pools.hosted import DROP_ROUTER_AFTER_MS, HostedPool
+from skylarklift.routers.membership import Membership
+from skylarklift.routers.peers import Peers
+from skylarklift.upstreams.reports import LoadReporter
 
 OwnGrants = Callable[[PoolId, int], list[Grant]]
 
--- /dev/null
+++ b/skylarklift/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests, from the socket to the answer."""
--- a/skylarklift/callers.py
+++ b/skylarklift/requests/api.py
@@ -7,16 +7,16 @@
 from quart_trio import QuartTrio
 from werkzeug.exceptions import HTTPException, RequestEntityTooLarge, RequestTimeout
 
-from skylarklift.calls import CallRunner, ServiceCall
-from skylarklift.chats import ChatParts, ChatSession
 from skylarklift.clock import MS_PER_SECOND, Clock
 from skylarklift.errors import BadRequest, InvariantBreach, RequestError, RunState
-from skylarklift.events import log
 from skylarklift.generated import CallerSettings
 from skylarklift.ids import ServiceId
-from skylarklift.requests import CallerRequest, read_caller, read_chat
+from skylarklift.logger import log
+from skylarklift.requests.calls import CallRunner, ServiceCall
+from skylarklift.requests.chats import ChatParts, ChatSession
+from skylarklift.requests.reading import CallerRequest, read_caller, read_chat
 from skylarklift.telemetry import Telemetry, error_body
-from skylarklift.upstreams import REQUEST_ID_HEADER, WholeAnswer
+from skylarklift.upstreams.client import REQUEST_ID_HEADER, WholeAnswer
 
 EVENT_STREAM = "text/event-stream"
 OK_STATUS = 200
--- a/skylarklift/calls.py
+++ b/skylarklift/requests/calls.py
@@ -6,24 +6,19 @@
 import httpx
 import trio
 
-from skylarklift.claiming import claim_request, require_own
-from skylarklift.claims import Claim, ClaimState, ClaimWriter, Outcome
 from skylarklift.clock import MS_PER_SECOND, Clock
 from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal
-from skylarklift.failures import call_failure, late_error
-from skylarklift.gate import Gate
 from skylarklift.generated import Replica, RetrySettings, Service
 from skylarklift.ids import ReplicaId, ServiceId
-from skylarklift.requests import KEY_HEADER, CallerRequest
-from skylarklift.retries import RetryBudget
+from skylarklift.requests.claiming import claim_request, require_own
+from skylarklift.requests.claims import Claim, ClaimState, ClaimWriter, Outcome
+from skylarklift.requests.gate import Gate
+from skylarklift.requests.reading import KEY_HEADER, CallerRequest
+from skylarklift.requests.refusals import call_failure, late_error
 from skylarklift.telemetry import Telemetry
-from skylarklift.upstreams import (
-    REQUEST_ID_HEADER,
-    UpstreamClient,
-    UpstreamError,
-    WholeAnswer,
-    check_echo,
-)
+from skylarklift.upstreams.client import REQUEST_ID_HEADER, UpstreamClient, WholeAnswer, check_echo
+from skylarklift.upstreams.failures import UpstreamError
+from skylarklift.upstreams.retries import RetryBudget
 
 # Methods that may be repeated by their published meaning (RFC 9110, 9.2.2).
 IDEMPOTENT_METHODS = ("GET", "HEAD", "PUT", "DELETE", "OPTIONS")
--- a/skylarklift/chats.py
+++ b/skylarklift/requests/chats.py
@@ -12,34 +12,33 @@
 import httpx
 import trio
 
-from skylarklift.claiming import claim_request, require_own
-from skylarklift.claims import Claim, ClaimState, ClaimWriter, Outcome
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.config.routing import RoutingTable
 from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal, RequestError, UpstreamFailed
-from skylarklift.events import log
-from skylarklift.failures import chat_failure, late_error
-from skylarklift.gate import Gate
 from skylarklift.generated import ReleaseCause, RetrySettings
 from skylarklift.ids import Fingerprint, PoolId, ReplicaId
 from skylarklift.invariants import INVARIANTS
-from skylarklift.placing import Placement, Placer, PlaceRequest
-from skylarklift.poison import PoisonList
-from skylarklift.requests import CallerRequest, ChatRequest
-from skylarklift.retries import RetryBudget
-from skylarklift.routing import RoutingTable
+from skylarklift.logger import log
+from skylarklift.pools.placer import Placement, Placer, PlaceRequest
+from skylarklift.requests.claiming import claim_request, require_own
+from skylarklift.requests.claims import Claim, ClaimState, ClaimWriter, Outcome
+from skylarklift.requests.gate import Gate
+from skylarklift.requests.reading import CallerRequest, ChatRequest
+from skylarklift.requests.refusals import chat_failure, late_error
 from skylarklift.telemetry import Telemetry
-from skylarklift.upstreams import (
+from skylarklift.upstreams.client import (
     REQUEST_ID_HEADER,
     RESUME_HEADER,
-    EventReader,
-    FailureKind,
-    LoadReporter,
     UpstreamClient,
-    UpstreamError,
     WholeAnswer,
     check_echo,
     is_busy,
 )
+from skylarklift.upstreams.crashes import CrashCounts
+from skylarklift.upstreams.failures import FailureKind, UpstreamError
+from skylarklift.upstreams.reader import EventReader
+from skylarklift.upstreams.reports import LoadReporter
+from skylarklift.upstreams.retries import RetryBudget
 
 CrashTeller = Callable[[Fingerprint, ReplicaId], None]
 
@@ -57,7 +56,7 @@
     reporter: LoadReporter
     claims: ClaimWriter
     budget: RetryBudget
-    poison: PoisonList
+    poison: CrashCounts
     retries: RetrySettings
     telemetry: Telemetry
     tell_crash: CrashTeller
@@ -247,7 +246,7 @@
     def _place_request(self, table: RoutingTable) -> PlaceRequest:
         """Return what to ask the admitter for, with the configuration in force now."""
         pool = self._check_names()
-        if self.parts.poison.is_poisoned(self.caller.fingerprint):
+        if self.parts.poison.refuses(self.caller.fingerprint):
             raise Refusal(
                 "poisoned", "the request crashed replicas", status=422, retry_after_ms=None
             )
@@ -303,7 +302,7 @@
             raise chat_failure(exc, self._claim is not None, self.dispatched)
         if self.dispatched >= self.parts.retries.attempts or not self.parts.budget.take():
             raise chat_failure(exc, self._claim is not None, self.dispatched)
-        if self.parts.poison.is_poisoned(self.caller.fingerprint):
+        if self.parts.poison.refuses(self.caller.fingerprint):
             raise UpstreamFailed("the request crashed several replicas and is not tried again")
 
     async def _is_gone(self, placement: Placement) -> bool:
@@ -314,7 +313,7 @@
 
     def _note_crash(self, placement: Placement) -> None:
         """Note the crash here and tell the other routers."""
-        self.parts.poison.note_crash(self.caller.fingerprint, placement.replica)
+        self.parts.poison.note(self.caller.fingerprint, placement.replica)
         self.parts.tell_crash(self.caller.fingerprint, placement.replica)
 
     def _may_repeat(self, exc: UpstreamError) -> bool:
--- a/skylarklift/claiming.py
+++ b/skylarklift/requests/claiming.py
@@ -1,9 +1,9 @@
 """Claim a marked request on behalf of its caller, with the caller's errors."""
 
-from skylarklift.claims import Claim, ClaimName, ClaimState, ClaimWriter
 from skylarklift.clock import MS_PER_SECOND, Clock
 from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal
-from skylarklift.requests import CallerRequest
+from skylarklift.requests.claims import Claim, ClaimName, ClaimState, ClaimWriter
+from skylarklift.requests.reading import CallerRequest
 
 
 async def claim_request(claims: ClaimWriter, clock: Clock, caller: CallerRequest) -> Claim:
--- a/skylarklift/claims.py
+++ b/skylarklift/requests/claims.py
@@ -21,7 +21,7 @@
 from skylarklift.generated import ClaimRow, StoreSettings
 from skylarklift.ids import RouterId, WorkspaceId
 from skylarklift.invariants import INVARIANTS
-from skylarklift.store import ABSENT, Row, TableStore, Write, WriteResult
+from skylarklift.store.base import ABSENT, Row, TableStore, Write, WriteResult
 
 CLAIM_PREFIX = "claim/"
 CLAIM_ID_BYTES = 9
--- a/skylarklift/gate.py
+++ b/skylarklift/requests/gate.py
@@ -5,12 +5,12 @@
 """
 
 from skylarklift.clock import Clock, sleep_ms
+from skylarklift.config.heads import HeadKeeper
+from skylarklift.config.routing import RoutingTable
 from skylarklift.errors import Refusal
-from skylarklift.freshness import Freshness
 from skylarklift.generated import Replica
-from skylarklift.heads import HeadKeeper
-from skylarklift.placing import Placement
-from skylarklift.routing import RoutingTable
+from skylarklift.pools.placer import Placement
+from skylarklift.votes.freshness import Freshness
 
 STALE_RETRY_MS = 2000
 FRESH_WAIT_MS = 1000
--- a/skylarklift/failures.py
+++ b/skylarklift/requests/refusals.py
@@ -2,7 +2,7 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.errors import OutcomeUnknown, Refusal, RequestError, UpstreamFailed
-from skylarklift.upstreams import UpstreamError
+from skylarklift.upstreams.failures import UpstreamError
 
 LATE_STATUS = 504
 
--- a/skylarklift/router.py
+++ b/skylarklift/router.py
@@ -5,23 +5,24 @@
 
 import trio
 
-from skylarklift.callers import CallerApi
-from skylarklift.calls import CallParts, CallRunner
-from skylarklift.chats import ChatParts
 from skylarklift.clock import MS_PER_SECOND, LoopClock, sleep_ms
 from skylarklift.coordination import Coordination
-from skylarklift.events import log
 from skylarklift.generated import RouterStatus, Settings, TlsSettings
-from skylarklift.httpstore import HttpStore
 from skylarklift.ids import BootId, RouterId, ZoneId
 from skylarklift.invariants import INVARIANTS
-from skylarklift.operators import OperatorApi
-from skylarklift.orders import OrderGiver
-from skylarklift.peers import PeerDirectory, PeerIdentity, PeerServer
+from skylarklift.logger import log
+from skylarklift.operators.api import OperatorApi
+from skylarklift.operators.orders import OrderGiver
+from skylarklift.operators.status import StatusCollector, pool_status, traffic_counts
+from skylarklift.requests.api import CallerApi
+from skylarklift.requests.calls import CallParts, CallRunner
+from skylarklift.requests.chats import ChatParts
+from skylarklift.routers.peers import PeerDirectory, PeerIdentity, PeerServer
 from skylarklift.serving import make_config, serve_app
-from skylarklift.status import StatusCollector, pool_status, traffic_counts
+from skylarklift.store.http import HttpStore
 from skylarklift.telemetry import Telemetry
-from skylarklift.upstreams import LoadReporter, UpstreamClient
+from skylarklift.upstreams.client import UpstreamClient
+from skylarklift.upstreams.reports import LoadReporter
 
 BOOT_BYTES = 6
 GAUGE_INTERVAL_MS = 1000
--- /dev/null
+++ b/skylarklift/routers/__init__.py
@@ -0,0 +1,1 @@
+"""The other routers: messages, connections, the view of members, exchange."""
--- a/skylarklift/fleet.py
+++ b/skylarklift/routers/exchange.py
@@ -12,8 +12,8 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, sleep_ms
+from skylarklift.config.heads import HeadKeeper
 from skylarklift.errors import PatchError, PeerError, PeerUnreachable, StoreError
-from skylarklift.freshness import FRESHNESS_NAME, Freshness, HeadNumbers, Vouch
 from skylarklift.generated import (
     Address,
     Done,
@@ -27,13 +27,13 @@
     Suspicions,
     Withdraw,
 )
-from skylarklift.heads import HeadKeeper
 from skylarklift.ids import RouterId
-from skylarklift.lease import VoterSets
-from skylarklift.membership import Membership
-from skylarklift.peers import Peers
-from skylarklift.store import MachineList
-from skylarklift.views import ViewChanger
+from skylarklift.routers.membership import Membership
+from skylarklift.routers.peers import Peers
+from skylarklift.routers.views import ViewChanger
+from skylarklift.store.base import MachineList
+from skylarklift.votes.freshness import FRESHNESS_NAME, Freshness, HeadNumbers, Vouch
+from skylarklift.votes.lease import VoterSets
 
 FULL_FAN_OUT = 16
 RUMOUR_FAN_OUT = 4
--- a/skylarklift/frames.py
+++ b/skylarklift/routers/frames.py
@@ -19,7 +19,7 @@
 from skylarklift.errors import AuthenticationError, PeerError
 from skylarklift.generated import Challenge, Hello, Proof
 from skylarklift.ids import BootId, RouterId
-from skylarklift.wire import MESSAGE_TAGS, Message
+from skylarklift.routers.wire import MESSAGE_TAGS, Message
 
 LENGTH_BYTES = 4
 NONCE_BYTES = 16
--- a/skylarklift/peers.py
+++ b/skylarklift/routers/peers.py
@@ -13,11 +13,11 @@
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
 from skylarklift.errors import PeerError, PeerTimeout, PeerUnreachable, SkylarkError
-from skylarklift.events import log
-from skylarklift.frames import FrameStream, TrafficCounter, greet, welcome
 from skylarklift.generated import Address, Failure, PeerSettings
 from skylarklift.ids import BootId, RouterId, ZoneId
-from skylarklift.wire import Message
+from skylarklift.logger import log
+from skylarklift.routers.frames import FrameStream, TrafficCounter, greet, welcome
+from skylarklift.routers.wire import Message
 
 Handler = Callable[[RouterId, Message], Awaitable[Message]]
 
--- a/skylarklift/views.py
+++ b/skylarklift/routers/views.py
@@ -7,13 +7,13 @@
 from msgspec.structs import replace
 
 from skylarklift.clock import Clock, sleep_ms
+from skylarklift.config.heads import HeadKeeper
+from skylarklift.config.patching import VIEW_KEY
 from skylarklift.errors import PatchError, StoreAnswerLost, StoreConflict, StoreUnavailable
-from skylarklift.freshness import HeadNumbers
 from skylarklift.generated import Member, ViewRow
-from skylarklift.heads import HeadKeeper
 from skylarklift.ids import RouterId
-from skylarklift.patching import VIEW_KEY
-from skylarklift.store import ABSENT, Row, TableStore, Write
+from skylarklift.store.base import ABSENT, Row, TableStore, Write
+from skylarklift.votes.freshness import HeadNumbers
 
 ATTEMPTS = 20
 LONGEST_PAUSE_MS = 200
--- /dev/null
+++ b/skylarklift/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's table service, object store and VM list."""
--- a/skylarklift/httpstore.py
+++ b/skylarklift/store/http.py
@@ -11,7 +11,7 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.errors import StoreAnswerLost, StoreConflict, StoreUnavailable
-from skylarklift.store import (
+from skylarklift.store.base import (
     Machine,
     MachineList,
     ObjectStore,
--- a/skylarklift/telemetry.py
+++ b/skylarklift/telemetry.py
@@ -26,9 +26,9 @@
 from statsd import StatsClient
 
 from skylarklift.errors import RequestError
-from skylarklift.events import log
 from skylarklift.generated import TelemetrySettings
 from skylarklift.ids import RouterId
+from skylarklift.logger import log
 
 SECRET_MARKS = ("token", "key", "secret", "authorization")
 HIDDEN = "(hidden)"
--- a/skylarklift/ui/commands.py
+++ b/skylarklift/ui/commands.py
@@ -8,9 +8,9 @@
 from pathlib import Path
 from typing import Any
 
+from skylarklift.config.routing import parse_routing
 from skylarklift.errors import SettingsError
 from skylarklift.generated import PatchFormat
-from skylarklift.routing import parse_routing
 from skylarklift.settings import load_settings
 from skylarklift.ui.client import OperatorClient
 from skylarklift.ui.output import ExitCode, Output
--- /dev/null
+++ b/skylarklift/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Back ends: connections to them, their answers, what failures allow."""
--- /dev/null
+++ b/skylarklift/upstreams/reports.py
@@ -0,0 +1,43 @@
+"""Read the load reports of engines."""
+
+from dataclasses import dataclass
+
+import httpx
+
+from skylarklift.clock import MS_PER_SECOND
+
+REPORT_TIMEOUT_MS = 1000
+
+
+@dataclass(frozen=True)
+class LoadReport:
+    """An engine's load as it was `age_ms` ago."""
+
+    running: int
+    boot: str
+    age_ms: int
+
+
+class LoadReporter:
+    """Read the load reports of engines."""
+
+    def __init__(self):
+        timeout = httpx.Timeout(REPORT_TIMEOUT_MS / MS_PER_SECOND)
+        self._extensions = {"timeout": timeout.as_dict()}
+        self._transport = httpx.AsyncHTTPTransport()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._transport.aclose()
+
+    async def read(self, url: str) -> LoadReport | None:
+        """Return an engine's load report, or `None` if there is none to be had."""
+        try:
+            request = httpx.Request("GET", f"{url}/load", extensions=self._extensions)
+            response = await self._transport.handle_async_request(request)
+            await response.aread()
+            await response.aclose()
+            body = response.json()
+            return LoadReport(int(body["running"]), str(body["boot"]), int(body["age_ms"]))
+        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+            return None
--- /dev/null
+++ b/skylarklift/votes/__init__.py
@@ -0,0 +1,1 @@
+"""Leases and evidence by the votes of a few routers."""
--- a/skylarklift/freshness.py
+++ b/skylarklift/votes/freshness.py
@@ -18,7 +18,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.ids import RouterId
-from skylarklift.lease import VoterSets
+from skylarklift.votes.lease import VoterSets
 
 FRESHNESS_NAME = "freshness"
 NO_EVIDENCE = -1
--- a/soak/judge.py
+++ b/soak/judge.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from dataclasses import dataclass, field
 
-from skylarklift.entry.events import EventSplitter
+from skylarklift.upstreams.events import EventSplitter
 from standins.entryworld import Answer
 from standins.replica import Replica
 
--- a/tools/schema.py
+++ b/tools/schema.py
@@ -7,10 +7,10 @@
 
 import json
 
-from skylarklift.wire import MESSAGE_TAGS
+from skylarklift.routers.wire import MESSAGE_TAGS
 
-SETTINGS_BASE = "skylarklift.wire.Record"
-MESSAGE_BASE = "skylarklift.wire.Message"
+SETTINGS_BASE = "skylarklift.routers.wire.Record"
+MESSAGE_BASE = "skylarklift.routers.wire.Message"
 
 ENUMS = {
     "UpstreamState": ["in", "draining", "out"],
@@ -108,7 +108,7 @@
     "content_type: str = ",
 }
 
-# Messages between routers; the tag numbers stand in skylarklift/wire.py.
+# Messages between routers; the tag numbers stand in skylarklift/routers/wire.py.
 MESSAGES = {
     "Hello": "router: str; boot: str; nonce: bytes",
     "Challenge": "nonce: bytes; proofs: [bytes]",
