Run whole entry routers at random in virtual time; three faults that this found are mended

Cause of each, from the trace of its seed: - Cold replicas (seed 2, 15 s): with a share below one request a second each router sent in turns that drift, so four of four routers met within a second where three may. Now as many routers as the limit allows for send, one a second each, the first in the replica's order. - A router that starts knew only the noted routers, and one that stops removed its note while it still served (seed 3): the starting one counted one router too few. An answer must begin within 0.7 s of the wait asked for. The stand-in of a replica now ends work whose connection closes. Ruled out: load, noise (the runs are in virtual time, a seed gives one order). Tests: features/entry_runs.feature, three seeds and eleven planted faults, each found; a table for shares of routers that start apart.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -46,17 +46,20 @@
 
   Scenario Outline: All routers together keep a cold replica's limit
     Given <routers> routers that know of each other
-    When each sends to a cold replica as often as it may for 5000 ms
+    When each sends to a cold replica as often as it may for 5000 ms, from a moment up to <apart> ms on
     Then in no second more than 24 requests reach the replica
     And at least <least> requests reach it
 
     Examples:
-      | routers | least |
-      | 1       | 60    |
-      | 6       | 60    |
-      | 8       | 60    |
-      | 30      | 60    |
-      | 90      | 60    |
+      | routers | apart | least |
+      | 1       | 0     | 60    |
+      | 6       | 0     | 60    |
+      | 8       | 0     | 60    |
+      | 30      | 0     | 60    |
+      | 90      | 0     | 60    |
+      | 6       | 3000  | 60    |
+      | 30      | 3000  | 60    |
+      | 90      | 3000  | 60    |
 
   Scenario Outline: All routers together keep the budget of repeats
     Given <routers> routers that know of each other
--- /dev/null
+++ b/features/entry_runs.feature
@@ -0,0 +1,29 @@
+Feature: Random runs of whole entry routers on a virtual network
+
+  Scenario Outline: A random run of entry routers with seed <seed>
+    When entry routers run for <span> virtual seconds with seed <seed>
+    Then nothing that must always hold was broken
+
+    Examples:
+      | seed | span |
+      | 1    | 15   |
+      | 2    | 15   |
+      | 10   | 15   |
+
+  Scenario Outline: Random runs find routers that may <planted>
+    When entry routers run for 10 s with "<planted>" and only the faults "<faults>" until one breaks
+    Then a promise was broken with "<text>"
+
+    Examples:
+      | planted                | faults     | text                         |
+      | repeat_everything      | spoil      | ran 2 times                  |
+      | promise_not_run        | spoil      | but ran                      |
+      | take_any_answer        | spoil      | not its own whole answer     |
+      | stop_at_once           | stop       | cut at its stop              |
+      | resume_blindly         | spoil      | not its own whole answer     |
+      | use_leaving_upstreams  | drain      | too late                     |
+      | use_emptied_zones      | none       | too late                     |
+      | spare_no_cold_upstream | none       | requests a second while cold |
+      | repeat_without_budget  | spoil      | repeats at                   |
+      | send_to_any_name       | none       | without its name             |
+      | work_for_nobody        | none       | clients that had left        |
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -1,6 +1,7 @@
 """Steps of choosing, sending again, and the shares of limits of an entry router."""
 
 from dataclasses import replace
+from random import Random
 
 from behave import given, then, when
 
@@ -75,14 +76,20 @@
     context.clock = ManualClock(10_000)
 
 
-@when("each sends to a cold replica as often as it may for {span:d} ms")
-def send_cold(context, span):
+@when(
+    "each sends to a cold replica as often as it may for {span:d} ms, "
+    "from a moment up to {apart:d} ms on"
+)
+def send_cold(context, span, apart):
     shares = [ColdShare(context.clock, Bounds()) for _ in range(context.routers)]
+    rng = Random(1)
+    starts = [context.clock.now() + rng.uniform(0, apart) for _ in shares]
     context.arrivals = []
-    for _ in range(span // STEP_MS):
-        for place, share in enumerate(shares):
-            turn = place / context.routers
-            while share.allows("r0", COLD_PER_S, context.routers, turn):
+    for _ in range((span + apart) // STEP_MS):
+        for rank, share in enumerate(shares):
+            if context.clock.now() < starts[rank]:
+                continue
+            while share.allows("r0", COLD_PER_S, context.routers, rank):
                 share.note("r0")
                 context.arrivals.append(context.clock.now())
         context.clock.advance(STEP_MS)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -217,8 +217,10 @@
     def _cold_allows(self, upstream: Upstream, plan: ServicePlan) -> bool:
         """Tell whether this router may send one more request to a cold replica."""
         fleet = self._fleet
+        if not fleet.has_listened():
+            return False
         replica = upstream.record.replica
-        return self.cold.allows(replica, plan.cold_per_s, fleet.routers(), fleet.turn())
+        return self.cold.allows(replica, plan.cold_per_s, fleet.routers(), fleet.rank(replica))
 
     def start(self, choice: Choice, call: Call) -> None:
         """Count a request in, right before it is sent."""
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -14,6 +14,8 @@
 HEARD_AGE_MS = 700
 # A router that is not heard still takes its share of the fleet's limits for this long.
 SHARE_AGE_MS = 30000
+# A router that has just started has heard of all others after two of their tells.
+LISTEN_MS = 500
 READER_KEY = "reader"
 
 
@@ -60,6 +62,7 @@
 
     def __init__(self, clock: Clock, own: str):
         self._clock = clock
+        self._started = clock.now()
         self.own = own
         self.peers: dict[str, Peer] = {}
 
@@ -88,15 +91,23 @@
         """Forget a router that said it leaves."""
         self.peers.pop(node, None)
 
+    def _sharing(self) -> list[str]:
+        """Return the other routers that take part in the fleet's limits."""
+        limit = self._clock.now() - SHARE_AGE_MS
+        return [node for node, peer in self.peers.items() if (peer.heard or peer.added) > limit]
+
     def routers(self) -> int:
         """Return how many routers share the fleet's limits, this one included."""
-        limit = self._clock.now() - SHARE_AGE_MS
-        return 1 + sum((peer.heard or peer.added) > limit for peer in self.peers.values())
+        return 1 + len(self._sharing())
+
+    def has_listened(self) -> bool:
+        """Tell whether this router has run long enough to know the others."""
+        return self._clock.now() - self._started >= LISTEN_MS
 
-    def turn(self) -> float:
-        """Return this router's place among all that are known, from 0 to 1."""
-        before = sum(node < self.own for node in self.peers)
-        return before / (len(self.peers) + 1)
+    def rank(self, replica: ReplicaId) -> int:
+        """Return this router's place, from 0, in a replica's order of all that share limits."""
+        own = rendezvous_weight(replica, self.own)
+        return sum(rendezvous_weight(replica, node) > own for node in self._sharing())
 
     def heard(self) -> list[Peer]:
         """Return the routers heard of late."""
--- a/skylarklift/entry/following.py
+++ b/skylarklift/entry/following.py
@@ -62,7 +62,8 @@
             page = await self._store.read_table(table)
         else:
             try:
-                page = await self._store.read_changes(table, after, WAIT_MS)
+                wait_ms = 0 if self._failing else WAIT_MS
+                page = await self._store.read_changes(table, after, wait_ms)
             except HistoryLost as exc:
                 core.journal.write("history_lost", table=table.name, detail=str(exc))
                 page = await self._store.read_table(table)
--- a/skylarklift/entry/shares.py
+++ b/skylarklift/entry/shares.py
@@ -13,8 +13,6 @@
 COLD_WINDOW_MS = 1000
 # Requests are sent at one moment and arrive at another; the window is wider by this much.
 ARRIVAL_SLACK_MS = 150
-# Routers see a cold replica at slightly different moments, so their turns are not exact.
-TURNS_USED = 0.8
 # The window that is judged may start anywhere, so half of a span's requests may fall outside.
 BUDGET_PARTS = 10
 HALF = 0.5
@@ -24,42 +22,31 @@
     """How many requests this router may send to a replica that is cold.
 
     At most `cold_per_s * overshoot + tolerance` requests a second may reach it from all
-    routers together.  With a share below one request a second, one is sent every so many
-    seconds.
+    routers together.  Where that is less than one for each router, as many routers as it
+    allows for send one each; they are the first in an order that all know.
     """
 
     def __init__(self, clock: Clock, bounds: Bounds):
         self._clock = clock
         self._bounds = bounds
         self._sent: dict[ReplicaId, deque[Millis]] = {}
-        self._seen: dict[ReplicaId, Millis] = {}
 
-    def _share(self, cold_per_s: float, routers: int) -> tuple[int, int]:
-        """Return how many requests are allowed within how many milliseconds."""
-        bounds = self._bounds
-        limit = cold_per_s * bounds.cold_overshoot + bounds.cold_tolerance
-        share = limit / max(1, routers)
-        window = COLD_WINDOW_MS + ARRIVAL_SLACK_MS
-        if share >= 1:
-            return int(share), window
-        return 1, int(window / (share * TURNS_USED))
-
-    def allows(
-        self, replica: ReplicaId, cold_per_s: float, routers: int, turn: float = 0.0
-    ) -> bool:
+    def _limit(self, cold_per_s: float) -> int:
+        """Return how many requests a second a cold replica may get from all routers."""
+        return int(cold_per_s * self._bounds.cold_overshoot + self._bounds.cold_tolerance)
+
+    def allows(self, replica: ReplicaId, cold_per_s: float, routers: int, rank: int) -> bool:
         """Tell whether one more request may be sent now.
 
-        `turn` is this router's place among all, from 0 to 1: with a share below one request a
-        second, its first request waits for that part of the span.
+        `rank` is this router's place, from 0, in the replica's order of all `routers`.
         """
-        now = self._clock.now()
-        allowed, window = self._share(cold_per_s, routers)
+        limit = self._limit(cold_per_s)
+        allowed = limit // max(1, routers)
+        if not allowed:
+            allowed = int(rank < limit)
         sent = self._sent.setdefault(replica, deque())
-        if allowed == 1:
-            first = self._seen.setdefault(replica, now)
-            if now - first < turn * window:
-                return False
-        while sent and sent[0] <= now - window:
+        oldest = self._clock.now() - COLD_WINDOW_MS - ARRIVAL_SLACK_MS
+        while sent and sent[0] <= oldest:
             sent.popleft()
         return len(sent) < allowed
 
@@ -70,7 +57,6 @@
     def forget(self, replica: ReplicaId) -> None:
         """Forget a replica that is gone."""
         self._sent.pop(replica, None)
-        self._seen.pop(replica, None)
 
 
 class RetryShare:
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -24,7 +24,10 @@
 from skylarklift.platform.rows import PlatformRows
 
 CONNECT_TIMEOUT_MS = 500
-ANSWER_TIMEOUT_MS = 1500
+# An answer begins within the first span after the wait that was asked for, or is given up, so
+# that a store that is silent and then back is asked again soon; the second is for the rest.
+ANSWER_TIMEOUT_MS = 700
+REST_TIMEOUT_MS = 1500
 ANSWER_LIMIT_BYTES = 8_388_608
 MEMBER_TABLE = "skylarklift-routers"
 PAGE_ROWS = 500
@@ -121,6 +124,7 @@
                     method.encode(), quote(target, safe="/?&=%-.").encode(), JSON_HEADERS, data
                 )
                 status, _ = await link.read_head()
+            with trio.fail_after(REST_TIMEOUT_MS / MS_PER_SECOND):
                 text = await link.read_all(ANSWER_LIMIT_BYTES)
         except (LinkError, trio.TooSlowError) as exc:
             raise StoreAnswerLost(f"{method} {path}: {exc or 'no answer in time'}") from exc
--- a/standins/planted.py
+++ b/standins/planted.py
@@ -1,60 +1,68 @@
-"""Run a router with a fault planted in one of its promises, to show that tests find it.
+"""Faults planted in a router's promises, to show that tests find them.
 
 Usage: python -m standins.planted NAME
 """
 
 import sys
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+from unittest.mock import patch
+
+import trio
 
 from skylarklift.entry import forwarding
 from skylarklift.entry.attempts import Attempts
-from skylarklift.entry.events import StreamEvent
+from skylarklift.entry.beliefs import Beliefs
 from skylarklift.entry.link import Link
 from skylarklift.entry.model import RoutePlan
 from skylarklift.entry.process import EntryRouter
-from skylarklift.platform import daemon
+from skylarklift.entry.serving import CallerServer
+from skylarklift.entry.shares import ColdShare, RetryShare
+from skylarklift.platform import daemon, names
 from skylarklift.platform.calls import PlatformCalls
+from skylarklift.upstreams.events import StreamEvent
 
 
-def repeat_everything() -> None:
-    """Send again what must not run twice."""
-    Attempts.repeatable = property(lambda self: True)
-
+@dataclass(frozen=True)
+class Planted:
+    """A part of the program and the wrong one in its place."""
 
-def promise_not_run() -> None:
-    """Say of a request that may have run that it has not."""
-    Attempts.surely_not_run = property(lambda self: True)
+    owner: object
+    attribute: str
+    wrong: object
 
 
-def take_any_answer() -> None:
-    """Take what comes on a connection for the answer, whosever it is."""
-    decode = PlatformCalls.decode_answer
+decode_answer = PlatformCalls.decode_answer
+encode_send = PlatformCalls.encode_send
 
-    def without_id(self, status, headers):
-        head = decode(self, status, headers)
-        head.request = None
-        return head
 
-    PlatformCalls.decode_answer = without_id
-    Link.quiet = lambda self: True
+def _answer_without_id(self, status, headers):
+    """Decode an answer and lose whose it is."""
+    head = decode_answer(self, status, headers)
+    head.request = None
+    return head
 
 
-def keep_old_keys() -> None:
-    """Let every key in that there ever was."""
-    RoutePlan.workspace = lambda self, key: next(iter(self.workspaces.values()))
+def _send_without_name(self, call, terms):
+    """Encode a request and leave out which upstream it is for."""
+    headers = encode_send(self, call, terms)
+    return [field for field in headers if field[0] != names.EXPECT_REPLICA]
 
 
-def stop_at_once() -> None:
-    """End at the signal, whatever still runs."""
+async def _stop_at_once(self):
+    """End whatever still runs."""
+    return None
 
-    async def stop(self):
-        return None
 
-    EntryRouter._stop = stop
+async def _never_gone(caller, scope):
+    """Notice no client that leaves."""
+    await trio.sleep_forever()
 
 
-def resume_blindly() -> None:
-    """Go on with a stream elsewhere without regard to the events sent so far."""
-    forwarding.EventSplitter = BlindSplitter
+def _any_upstream(self, service):
+    """Return the upstreams of a service, those that leave too."""
+    return [item for item in self.upstreams.values() if item.record.service == service]
 
 
 class BlindSplitter(forwarding.EventSplitter):
@@ -66,18 +74,35 @@
 
 
 PLANTED = {
-    function.__name__: function
-    for function in (
-        repeat_everything,
-        promise_not_run,
-        take_any_answer,
-        keep_old_keys,
-        stop_at_once,
-        resume_blindly,
-    )
+    "repeat_everything": [Planted(Attempts, "repeatable", property(lambda self: True))],
+    "promise_not_run": [Planted(Attempts, "surely_not_run", property(lambda self: True))],
+    "take_any_answer": [
+        Planted(PlatformCalls, "decode_answer", _answer_without_id),
+        Planted(Link, "quiet", lambda self: True),
+    ],
+    "keep_old_keys": [
+        Planted(RoutePlan, "workspace", lambda self, key: next(iter(self.workspaces.values())))
+    ],
+    "stop_at_once": [Planted(EntryRouter, "_stop", _stop_at_once)],
+    "resume_blindly": [Planted(forwarding, "EventSplitter", BlindSplitter)],
+    "use_leaving_upstreams": [Planted(Beliefs, "of_service", _any_upstream)],
+    "use_emptied_zones": [Planted(Beliefs, "usable", Beliefs.of_service)],
+    "spare_no_cold_upstream": [Planted(ColdShare, "allows", lambda self, *args: True)],
+    "repeat_without_budget": [Planted(RetryShare, "take", lambda self, *args: True)],
+    "send_to_any_name": [Planted(PlatformCalls, "encode_send", _send_without_name)],
+    "work_for_nobody": [Planted(CallerServer, "_watch", staticmethod(_never_gone))],
 }
 
 
+@contextmanager
+def planted(name: str) -> Iterator[None]:
+    """Run a block with a fault planted."""
+    with ExitStack() as stack:
+        for item in PLANTED[name]:
+            stack.enter_context(patch.object(item.owner, item.attribute, item.wrong))
+        yield
+
+
 if __name__ == "__main__":
-    PLANTED[sys.argv[1]]()
-    sys.exit(daemon.main([]))
+    with planted(sys.argv[1]):
+        sys.exit(daemon.main([]))
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -129,8 +129,13 @@
     async def _whole(self, caller, stream, run) -> bool:
         """Answer in one piece."""
         faults = self.faults
-        await trio.sleep(self.pace_ms / MS)
-        run.ended = True
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._note_gone, caller, run, nursery.cancel_scope)
+            await trio.sleep(self.pace_ms / MS)
+            run.ended = True
+            nursery.cancel_scope.cancel()
+        if run.cancelled:
+            raise CallerGone("the router left a request")
         if faults.lose_answer:
             faults.lose_answer -= 1
             return False
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -1,7 +1,7 @@
 """The platform's store of rows, spoken as its published protocol says, with faults to switch."""
 
 import json
-from base64 import b64encode
+from base64 import b64decode, b64encode
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, unquote, urlsplit
 
@@ -144,7 +144,7 @@
     def _transact(self, value) -> tuple[int, dict]:
         """Write rows."""
         for row in value.get("write", ()):
-            self.store.write(row["table"], row["key"], row["data"].encode())
+            self.store.write(row["table"], row["key"], b64decode(row["data"]))
         for row in value.get("remove", ()):
             self.store.write(row["table"], row["key"], None)
         return READY, {"row_version": self.store.version}
