Rows that were removed do not come back with a late page; a replica back from a crash is cold

Cause: (1) every order of six events of two routers and a store (tools/orders.py, on the real RowCache) has one in which a router asks another one for rows, reads the store after a removal, and then takes the late page: the removed row is back. (3) A reader that never saw a removal and the return of an entry tells its cursor and no change that mattered, so a router that saw only the removal took itself for as new. Change: a page older than the cache adds no unknown row; tells carry a digest of the rows that exist, and a router with other rows asks for all; an upstream whose connections broke or were refused gets a cold one's share until it did well, and for its cold span after. Tells say so. Ruled out: judging by versions alone (planted fault believe_the_version_alone is found). Open: a replica that is back before any router noticed, while its entry is under way.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -137,6 +137,21 @@
       | east,west | west      | west      |
       | east      | west      |           |
 
+  Scenario Outline: A replica that <showed> gets a cold one's share: <cold>
+    Given a router that knows 3 replicas
+    When the replica "r0" shows that it <showed>
+    Then the replica "r0" gets a cold one's share: <cold>
+
+    Examples:
+      | showed                                    | cold |
+      | was unreachable                           | yes  |
+      | broke two connections                     | yes  |
+      | failed three requests                     | no   |
+      | was told as lost                          | yes  |
+      | was told as failing                       | no   |
+      | was unreachable and then did well         | yes  |
+      | was unreachable, and well 3100 ms ago     | no   |
+
   Scenario: A zone that is back is taken as cold
     Given a router that knows 3 replicas
     When the zone of "r0" is emptied
--- a/features/model.feature
+++ b/features/model.feature
@@ -18,3 +18,32 @@
       | claim without condition            |
       | dispatch again after a lost answer |
       | not run after a dispatch           |
+
+  Scenario Outline: Every order of <depth> events of <system> keeps what is promised
+    When every order of <depth> events of "<system>" is searched
+    Then no path breaks it
+
+    Examples:
+      | system                | depth |
+      | rows                  | 6     |
+      | an idempotent request | 8     |
+      | a request to run once | 8     |
+      | a stream to resume    | 8     |
+      | a stream to run once  | 8     |
+      | a cold replica        | 9     |
+
+  Scenario Outline: The search of orders finds routers that <planted>
+    When every order of <depth> events of "<system>" is searched with "<planted>" planted
+    Then a path breaks it
+
+    Examples:
+      | planted                   | system                | depth |
+      | take_older_rows           | rows                  | 6     |
+      | take_rows_that_are_gone   | rows                  | 6     |
+      | believe_the_version_alone | rows                  | 7     |
+      | repeat_everything         | a request to run once | 6     |
+      | follow_any_failure        | a stream to run once  | 6     |
+      | follow_any_failure        | an idempotent request | 6     |
+      | promise_not_run           | a request to run once | 6     |
+      | send_by_rank_to_no_limit  | a cold replica        | 6     |
+      | spare_no_cold_upstream    | a cold replica        | 6     |
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -21,10 +21,11 @@
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.fleet import Tell
 from skylarklift.entry.model import Bounds, Endpoint, Workspace
-from skylarklift.entry.rowset import RowTable
+from skylarklift.entry.rowset import RowTable, TableNews
 from skylarklift.entry.shares import ColdShare, RetryShare
 from skylarklift.platform.rows import decode_plan
 
+NO_NEWS = (TableNews(0, 0, 0, 0),) * 2
 STEP_MS = 10
 COLD_PER_S = 13.0
 
@@ -227,7 +228,7 @@
 
 @when('the router "{name}" is heard with the boot "{boot}"')
 def router_heard(context, name, boot):
-    tell = Tell(name, boot, "", (0, 0), (0, 0), (0, 0))
+    tell = Tell(name, boot, "", NO_NEWS)
     context.peer = context.core.fleet.hear(tell, Endpoint("127.0.0.2", 1))
 
 
@@ -246,7 +247,7 @@
 @when("its replica has {count:d} requests of other routers")
 def loaded_elsewhere(context, count):
     replica = context.first.upstream.record.replica
-    tell = Tell("r2", "b", "", (0, 0), (0, 0), (0, 0), loads={replica: count})
+    tell = Tell("r2", "b", "", NO_NEWS, loads={replica: count})
     context.core.fleet.hear(tell, Endpoint("127.0.0.2", 1))
 
 
--- a/features/steps/entry_beliefs.py
+++ b/features/steps/entry_beliefs.py
@@ -14,6 +14,7 @@
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.health import Sign
 from skylarklift.entry.rowset import RowTable
+from skylarklift.entry.sending import Send
 
 
 @when('the replica "{name}" is draining')
@@ -171,3 +172,36 @@
 @then("the request is refused: {refused}")
 def refused(context, refused):
     assert context.core.suspects.refuses(7) == yes(refused)
+
+
+SHOWN = {
+    "was unreachable": [Sign.UNREACHABLE],
+    "broke two connections": [Sign.BROKEN] * 2,
+    "failed three requests": [Sign.FAILED] * 3,
+    "was unreachable and then did well": [Sign.UNREACHABLE, Sign.GOOD],
+    "was unreachable, and well 3100 ms ago": [Sign.UNREACHABLE, Sign.GOOD],
+}
+
+
+@when('the replica "{name}" shows that it {showed}')
+def replica_showed(context, name, showed):
+    core = context.core
+    if showed.startswith("was told"):
+        core.health.told_ejected(name, 500, lost=showed.endswith("lost"))
+        return
+    send = Send(core, new_call(), a_choice(core, name), None, repeatable=True)
+    for sign in SHOWN[showed]:
+        send.note(sign)
+    if showed.endswith("ms ago"):
+        core.clock.advance(3100)
+
+
+@then('the replica "{name}" gets a cold one\'s share: {cold}')
+def gets_cold_share(context, name, cold):
+    upstream = context.core.beliefs.upstreams[name]
+    plan = context.core.beliefs.plan.services["lm"]
+    assert context.core.chooser.is_cold(upstream, plan) == yes(cold)
+
+
+def a_choice(core, name):
+    return Choice(core.beliefs.upstreams[name], 0, 0.0, 0, cold=False)
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -9,7 +9,7 @@
 from skylarklift.clock import ManualClock
 from skylarklift.entry.fleet import Fleet, Tell
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rowset import RowTable
+from skylarklift.entry.rowset import RowTable, TableNews
 from skylarklift.upstreams.events import EventSplitter
 
 READER_AGE_MS = 1100
@@ -48,7 +48,7 @@
         for other in context.fleets:
             if other != name and other not in context.silent:
                 age = context.ages[other]
-                tell = Tell(other, "b", "", (1, 1), (1, 1), (age, age), reader=True)
+                tell = Tell(other, "b", "", (TableNews(1, 1, 0, age),) * 2, reader=True)
                 fleet.hear(tell, Endpoint("127.0.0.1", 1))
 
 
--- a/features/steps/model.py
+++ b/features/steps/model.py
@@ -2,6 +2,8 @@
 
 from behave import then, when
 
+from standins.planted import planted
+from tools import orders
 from tools.model import Specification, search
 
 
@@ -15,6 +17,17 @@
     context.found = search(Specification(mutation), depth)
 
 
+@when('every order of {depth:d} events of "{system}" is searched')
+def step_orders(context, depth, system):
+    context.found = orders.search(orders.SYSTEMS[system](), depth)
+
+
+@when('every order of {depth:d} events of "{system}" is searched with "{fault}" planted')
+def step_orders_planted(context, depth, system, fault):
+    with planted(fault):
+        context.found = orders.search(orders.SYSTEMS[system](), depth)
+
+
 @then("no path breaks it")
 def step_holds(context):
     assert context.found is None, context.found
--- a/skylarklift/entry/beliefs.py
+++ b/skylarklift/entry/beliefs.py
@@ -15,6 +15,7 @@
     RowFormat,
     RowPage,
     RowTable,
+    TableNews,
     UpstreamRow,
 )
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
@@ -81,6 +82,11 @@
         if before is None or moment > before:
             self._confirmed[table] = moment
 
+    def news(self, table: RowTable) -> TableNews:
+        """Return what the other routers are told of a table."""
+        cache = self.caches[table]
+        return TableNews(cache.version, self.material[table], cache.digest, self.age(table))
+
     def age(self, table: RowTable) -> int:
         """Return the milliseconds since the store confirmed what is known of a table."""
         moment = self._confirmed[table]
@@ -143,6 +149,12 @@
         until = Millis(self._clock.now() + span_ms)
         upstream.cold_until = max(upstream.cold_until, until)
 
+    def note_return(self, replica: ReplicaId) -> None:
+        """Treat a replica that was lost and does well again as one that has just started."""
+        upstream = self.upstreams.get(replica)
+        if upstream is not None:
+            self._cool(upstream, self._cold_span(upstream.record))
+
     def note_cold(self, replica: ReplicaId, span_ms: int) -> None:
         """Note that a replica told in an answer how long it stays cold."""
         upstream = self.upstreams.get(replica)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -212,7 +212,10 @@
 
     def is_cold(self, upstream: Upstream, plan: ServicePlan | None) -> bool:
         """Tell whether an upstream bears only a few requests a second yet."""
-        return plan is not None and plan.cold_per_s > 0 and upstream.cold_until > self._clock.now()
+        if plan is None or plan.cold_per_s <= 0:
+            return False
+        lost = self._health.lost(upstream.record.replica)
+        return lost or upstream.cold_until > self._clock.now()
 
     def _cold_allows(self, upstream: Upstream, plan: ServicePlan) -> bool:
         """Tell whether this router may send one more request to a cold replica."""
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -5,6 +5,7 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.prefixes import Placement
+from skylarklift.entry.rowset import TableNews
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
 
@@ -23,24 +24,22 @@
 class Tell:
     """What a router tells the others, several times a second.
 
-    For each table, `cursors` holds the version up to which it is known, `material` that of
-    the last change that mattered, and `ages` the milliseconds since the store confirmed it.
-    `reader` tells that this router reads the store itself.  `loads` holds the requests it has
-    at each upstream, `ejected` the upstreams that it leaves alone and for how long, `crashes`
-    the fingerprints of requests whose upstream crashed, with the upstream, `placements` where
-    prompts were sent of late.
+    `tables` holds its news of each table, in the order of `RowTable`.  `reader` tells that
+    this router reads the store itself.  `loads` holds the requests it has at each upstream,
+    `ejected` the upstreams that it leaves alone and for how long, `lost` those of them that
+    may start anew, `crashes` the fingerprints of requests whose upstream crashed, with the
+    upstream, `placements` where prompts were sent of late.
     """
 
     node: str
     boot: str
     address: str
-    cursors: tuple[int, ...]
-    material: tuple[int, ...]
-    ages: tuple[int, ...]
+    tables: tuple[TableNews, ...]
     reader: bool = False
     leaving: bool = False
     loads: dict[str, int] = field(default_factory=dict)
     ejected: dict[str, int] = field(default_factory=dict)
+    lost: tuple[str, ...] = ()
     crashes: tuple[tuple[int, str], ...] = ()
     placements: tuple[Placement, ...] = ()
 
@@ -124,7 +123,9 @@
         own = rendezvous_weight(READER_KEY, self.own)
         for peer in self.heard():
             tell = peer.tell
-            fresh = all(age <= limit for age, limit in zip(tell.ages, age_limits, strict=False))
+            fresh = all(
+                news.age_ms <= limit for news, limit in zip(tell.tables, age_limits, strict=False)
+            )
             if tell.reader and fresh and rendezvous_weight(READER_KEY, peer.node) > own:
                 return True
         return False
--- a/skylarklift/entry/following.py
+++ b/skylarklift/entry/following.py
@@ -19,10 +19,12 @@
 PAUSE_MS = {RowTable.OPERATOR: 100, RowTable.UPSTREAMS: 350}
 RETRY_MS = 600
 RETRY_SPREAD_MS = 300
-IDLE_MS = 50
+IDLE_MS = 150
 # A table that was not confirmed for this long is read here, whoever else should read it.
 FRESH_MS = 1100
 PEER_TIMEOUT_MS = 800
+# Asked for in place of a version by one who wants all rows.
+WHOLE = -1
 
 
 class Follower:
@@ -104,11 +106,17 @@
     return bool(changes)
 
 
-async def fetch_rows(core: Core, table: RowTable, address: Endpoint, age_ms: int) -> None:
-    """Take from another router what it knows of a table and this one does not."""
+async def fetch_rows(
+    core: Core, table: RowTable, address: Endpoint, age_ms: int, *, whole: bool = False
+) -> None:
+    """Take from another router what it knows of a table and this one does not.
+
+    With `whole`, take all rows, since this router lacks some or has some that are gone.
+    """
     try:
         with trio.fail_after(PEER_TIMEOUT_MS / MS_PER_SECOND):
-            page = await _ask_rows(core, table, address)
+            after = WHOLE if whole else core.beliefs.caches[table].version
+            page = await _ask_rows(table, address, after)
     except (LinkError, PeerError, OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
         core.meters.count("peer_errors")
         core.journal.write("rows_not_fetched", peer=str(address), cause=repr(exc))
@@ -116,11 +124,10 @@
     take_page(core, table, page, str(address), age_ms)
 
 
-async def _ask_rows(core: Core, table: RowTable, address: Endpoint) -> RowPage:
-    """Ask another router for rows."""
+async def _ask_rows(table: RowTable, address: Endpoint, after: int) -> RowPage:
+    """Ask another router for the rows that changed after a version."""
     stream = await connect(address.host, address.port, PEER_TIMEOUT_MS)
     try:
-        after = core.beliefs.caches[table].version
         await send_frame(stream, msgpack.packb((table.value, after)))
         body = await receive_frame(stream, FRAME_LIMIT_BYTES)
     finally:
--- a/skylarklift/entry/health.py
+++ b/skylarklift/entry/health.py
@@ -46,6 +46,8 @@
     until: Millis = Millis(0)
     trial: bool = False
     unreachable: bool = False
+    # Its connections broke or were refused, so it may have started anew since.
+    lost: bool = False
 
 
 class Health:
@@ -64,6 +66,7 @@
         record.trial = False
         record.answers += 1
         record.unreachable = sign is Sign.UNREACHABLE
+        record.lost = record.lost and sign is not Sign.GOOD
         bad = sign is not Sign.GOOD
         record.average += AVERAGE_WEIGHT * (bad - record.average)
         if not bad:
@@ -76,6 +79,7 @@
         record.good_in_row = 0
         if not self._failing(record, sign, others):
             return False
+        record.lost = record.lost or sign in (Sign.UNREACHABLE, Sign.BROKEN)
         return self._eject(record)
 
     def _failing(self, record: Record, sign: Sign, others: Iterable[ReplicaId]) -> bool:
@@ -106,9 +110,10 @@
         record.in_row = 0
         return True
 
-    def told_ejected(self, replica: ReplicaId, left_ms: int) -> None:
+    def told_ejected(self, replica: ReplicaId, left_ms: int, *, lost: bool) -> None:
         """Take another router's word that an upstream is to be left alone for a while."""
         record = self._records.setdefault(replica, Record())
+        record.lost = record.lost or lost
         until = self._clock.now() + min(left_ms, LONGEST_EJECTION_MS)
         record.until = max(record.until, Millis(until))
 
@@ -126,6 +131,11 @@
         record = self._records.get(replica)
         return record is None or not record.unreachable
 
+    def lost(self, replica: ReplicaId) -> bool:
+        """Tell whether an upstream may have started anew since it last did well."""
+        record = self._records.get(replica)
+        return record is not None and record.lost
+
     def start_trial(self, replica: ReplicaId) -> None:
         """Note that a request is being sent, which shows whether an upstream is well again."""
         record = self._records.get(replica)
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -9,7 +9,7 @@
 from skylarklift.entry.fleet import Peer, Tell
 from skylarklift.entry.following import answer_rows, fetch_rows
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rowset import MemberStore, RowPage, RowTable
+from skylarklift.entry.rowset import Heard, MemberStore, RowPage, RowTable
 from skylarklift.entry.tells import (
     REQUEST_LIMIT_BYTES,
     decode_tell,
@@ -101,17 +101,17 @@
         """Return what is told now; of placements, those from a moment on."""
         core = self._core
         beliefs = core.beliefs
+        ejected = core.health.ejected()
         return Tell(
             node=core.settings.node,
             boot=self._boot,
             address=str(core.settings.peers),
-            cursors=tuple(beliefs.caches[table].version for table in RowTable),
-            material=tuple(beliefs.material[table] for table in RowTable),
-            ages=tuple(beliefs.age(table) for table in RowTable),
+            tables=tuple(beliefs.news(table) for table in RowTable),
             reader=self._is_reader(),
             leaving=core.stopping_since is not None,
             loads=dict(core.chooser.running),
-            ejected=core.health.ejected(),
+            ejected=ejected,
+            lost=tuple(replica for replica in ejected if core.health.lost(replica)),
             crashes=core.suspects.news(),
             placements=tuple(core.chooser.prefixes.news(since)),
         )
@@ -146,7 +146,7 @@
                     core.fleet.leave(node)
         peer = core.fleet.hear(tell, address)
         for replica, left_ms in tell.ejected.items():
-            core.health.told_ejected(replica, left_ms)
+            core.health.told_ejected(replica, left_ms, lost=replica in tell.lost)
         for fingerprint, replica in tell.crashes:
             core.suspects.note(fingerprint, replica)
         for placement in tell.placements:
@@ -155,23 +155,21 @@
             self._compare(table, peer, nursery)
 
     def _compare(self, table: RowTable, peer: Peer, nursery: trio.Nursery) -> None:
-        """Take the other router's word for a table, or fetch the rows that it knows more."""
-        core, tell = self._core, peer.tell
-        own = core.beliefs.caches[table].version
-        cursor, material = tell.cursors[table.value], tell.material[table.value]
-        age = tell.ages[table.value]
-        if own and own >= material:
-            if cursor >= own:
-                core.beliefs.confirm(table, cursor, age)
-            return
-        if cursor and table not in self._fetching:
+        """Take the other router's word for a table, or fetch the rows that it knows better."""
+        beliefs = self._core.beliefs
+        news = peer.tell.tables[table.value]
+        heard = beliefs.caches[table].judge(news)
+        if heard is Heard.AS_NEW:
+            beliefs.confirm(table, news.cursor, news.age_ms)
+        elif heard is not Heard.NOTHING and table not in self._fetching:
             self._fetching.add(table)
-            nursery.start_soon(self._fetch, table, peer.address, age)
+            whole = heard is Heard.DIFFERENT
+            nursery.start_soon(self._fetch, table, peer.address, news.age_ms, whole)
 
-    async def _fetch(self, table: RowTable, address: Endpoint, age: int) -> None:
+    async def _fetch(self, table: RowTable, address: Endpoint, age: int, whole: bool) -> None:
         """Fetch rows of one table; one fetch at a time."""
         try:
-            await fetch_rows(self._core, table, address, age)
+            await fetch_rows(self._core, table, address, age, whole=whole)
         finally:
             self._fetching.discard(table)
 
--- a/skylarklift/entry/rowcache.py
+++ b/skylarklift/entry/rowcache.py
@@ -1,23 +1,26 @@
 """The rows of one table as a router knows them, merged by version from any source."""
 
-from skylarklift.entry.rowset import HistoryLost, RowChange, RowPage
+from skylarklift.entry.rowset import Heard, HistoryLost, RowChange, RowPage, TableNews
+from skylarklift.hashing import name_hash
 
 
 class RowCache:
     """Keep the newest known version of each row, removals included.
 
     `version` is the newest version up to which every change is known; `floor` the version
-    from which on removals are kept, so that a reader behind it must read the table whole.
+    from which on removals are kept, so that a reader behind it must read the table whole;
+    `digest` is equal at routers that know of the same rows.
     """
 
     def __init__(self):
         self.version = 0
         self.floor = 0
+        self.digest = 0
         self._rows: dict[str, RowChange] = {}
 
     def merge(self, page: RowPage) -> list[RowChange]:
         """Take in a page; return the rows that changed by it, in order of version."""
-        changed = [row for row in page.rows if self._newer(row)]
+        changed = [row for row in page.rows if self._newer(row, page)]
         if page.whole:
             named = {row.key for row in page.rows}
             changed += [
@@ -27,15 +30,38 @@
             ]
             self.floor = max(self.floor, page.version)
         for row in changed:
+            if self._exists(row.key) != (row.data is not None):
+                self.digest ^= name_hash(row.key)
             self._rows[row.key] = row
         self.version = max(self.version, page.version)
         changed.sort(key=lambda row: row.version)
         return changed
 
-    def _newer(self, row: RowChange) -> bool:
-        """Tell whether a row is newer than what is known."""
+    def _newer(self, row: RowChange, page: RowPage) -> bool:
+        """Tell whether a row is newer than what is known.
+
+        A row that is not known here, of a page that is older than this cache, was removed
+        since the page was made.
+        """
         known = self._rows.get(row.key)
-        return known is None or row.version > known.version
+        if known is None:
+            return page.version >= self.version
+        return row.version > known.version
+
+    def _exists(self, key: str) -> bool:
+        """Tell whether a row exists."""
+        known = self._rows.get(key)
+        return known is not None and known.data is not None
+
+    def judge(self, news: TableNews) -> Heard:
+        """Return what another router's news mean here."""
+        if not news.cursor:
+            return Heard.NOTHING
+        if not self.version or self.version < news.material:
+            return Heard.CHANGES_MISSING
+        if news.cursor < self.version:
+            return Heard.NOTHING
+        return Heard.AS_NEW if news.digest == self.digest else Heard.DIFFERENT
 
     def page(self) -> RowPage:
         """Return all rows that exist."""
--- a/skylarklift/entry/rowset.py
+++ b/skylarklift/entry/rowset.py
@@ -42,6 +42,30 @@
     whole: bool
 
 
+@dataclass(frozen=True, slots=True)
+class TableNews:
+    """What a router tells of one table.
+
+    `cursor` is the version up to which it knows the table, `material` that of the last change
+    that mattered, `digest` a number that depends on which rows exist, `age_ms` the time since
+    the store confirmed all that.
+    """
+
+    cursor: int
+    material: int
+    digest: int
+    age_ms: int
+
+
+class Heard(Enum):
+    """What news of another router mean for this one."""
+
+    NOTHING = "nothing"
+    AS_NEW = "as_new"
+    CHANGES_MISSING = "changes_missing"
+    DIFFERENT = "different"
+
+
 @dataclass(frozen=True, slots=True)
 class EvacuationRow:
     """An operator's order to send nothing to a zone, or its end."""
--- a/skylarklift/entry/sending.py
+++ b/skylarklift/entry/sending.py
@@ -111,6 +111,8 @@
     def note(self, sign: Sign) -> None:
         """Take in what the send showed of its upstream."""
         core = self.core
+        if sign is Sign.GOOD and core.health.lost(self.record.replica):
+            core.beliefs.note_return(self.record.replica)
         others = [item.record.replica for item in core.beliefs.of_service(self.record.service)]
         if core.health.note(self.record.replica, sign, others):
             core.pool.drop(self.record.replica)
--- a/skylarklift/entry/tells.py
+++ b/skylarklift/entry/tells.py
@@ -7,11 +7,11 @@
 
 from skylarklift.entry.fleet import Tell
 from skylarklift.entry.prefixes import Placement
-from skylarklift.entry.rowset import RowChange, RowPage
+from skylarklift.entry.rowset import RowChange, RowPage, TableNews
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId
 
-FORMAT = 1
+FORMAT = 2
 LENGTH_BYTES = 4
 FRAME_LIMIT_BYTES = 16_777_216
 REQUEST_LIMIT_BYTES = 4096
@@ -27,13 +27,12 @@
             tell.node,
             tell.boot,
             tell.address,
-            tell.cursors,
-            tell.material,
-            tell.ages,
+            [(news.cursor, news.material, news.digest, news.age_ms) for news in tell.tables],
             tell.reader,
             tell.leaving,
             tell.loads,
             tell.ejected,
+            tell.lost,
             tell.crashes,
             [(placement.names, placement.replica) for placement in tell.placements],
         )
@@ -46,19 +45,18 @@
         form, *items = msgpack.unpackb(data, use_list=False)
         if form != FORMAT:
             raise PeerError(f"a tell of format {form}")
-        node, boot, address, cursors, material, ages, reader, leaving, *rest = items
-        loads, ejected, crashes, placements = rest
+        node, boot, address, tables, reader, leaving, *rest = items
+        loads, ejected, lost, crashes, placements = rest
         return Tell(
             node=str(node),
             boot=str(boot),
             address=str(address),
-            cursors=tuple(int(cursor) for cursor in cursors),
-            material=tuple(int(version) for version in material),
-            ages=tuple(int(age) for age in ages),
+            tables=tuple(TableNews(*(int(number) for number in news)) for news in tables),
             reader=bool(reader),
             leaving=bool(leaving),
             loads={str(name): int(count) for name, count in loads.items()},
             ejected={str(name): int(left) for name, left in ejected.items()},
+            lost=tuple(str(name) for name in lost),
             crashes=tuple((int(mark), str(name)) for mark, name in crashes),
             placements=tuple(
                 Placement(tuple(str(name) for name in names), ReplicaId(replica))
--- a/skylarklift/hashing.py
+++ b/skylarklift/hashing.py
@@ -19,6 +19,11 @@
     return Fingerprint(xxh3_64_intdigest(body, seed=len(workspace)) & FINGERPRINT_MASK or 1)
 
 
+def name_hash(name: str) -> int:
+    """Return a 32-bit number for a name."""
+    return xxh3_64_intdigest(name.encode()) & FINGERPRINT_MASK
+
+
 def rendezvous_order(key: int | str, names: Iterable[str]) -> list[str]:
     """Return the names from the best to the worst for `key`."""
     return sorted(names, key=lambda name: (-rendezvous_weight(key, name), name))
--- a/standins/planted.py
+++ b/standins/planted.py
@@ -17,6 +17,8 @@
 from skylarklift.entry.link import Link
 from skylarklift.entry.model import RoutePlan
 from skylarklift.entry.process import EntryRouter
+from skylarklift.entry.rowcache import RowCache
+from skylarklift.entry.rowset import Heard
 from skylarklift.entry.serving import CallerServer
 from skylarklift.entry.shares import ColdShare, RetryShare
 from skylarklift.platform import daemon, names
@@ -65,6 +67,20 @@
     return [item for item in self.upstreams.values() if item.record.service == service]
 
 
+def _newer_or_unknown(self, row, page):
+    """Take a row that is not known, whatever page it comes in."""
+    known = self._rows.get(row.key)
+    return known is None or row.version > known.version
+
+
+def _judge_by_version(self, news):
+    """Take the other router's word without a look at the rows that exist."""
+    if not news.cursor or (self.version >= news.material and news.cursor < self.version):
+        return Heard.NOTHING
+    missing = not self.version or self.version < news.material
+    return Heard.CHANGES_MISSING if missing else Heard.AS_NEW
+
+
 class BlindSplitter(forwarding.EventSplitter):
     """Split events and lose their ids."""
 
@@ -90,6 +106,11 @@
     "spare_no_cold_upstream": [Planted(ColdShare, "allows", lambda self, *args: True)],
     "repeat_without_budget": [Planted(RetryShare, "take", lambda self, *args: True)],
     "send_to_any_name": [Planted(PlatformCalls, "encode_send", _send_without_name)],
+    "take_older_rows": [Planted(RowCache, "_newer", lambda self, row, page: True)],
+    "take_rows_that_are_gone": [Planted(RowCache, "_newer", _newer_or_unknown)],
+    "believe_the_version_alone": [Planted(RowCache, "judge", _judge_by_version)],
+    "send_by_rank_to_no_limit": [Planted(ColdShare, "_limit", lambda self, cold_per_s: 3)],
+    "follow_any_failure": [Planted(Attempts, "may_follow", lambda self, outcome: self.sends < 4)],
     "work_for_nobody": [Planted(CallerServer, "_watch", staticmethod(_never_gone))],
 }
 
--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -20,6 +20,7 @@
 CHECKS = {
     "formatter": ["black", "--check", "--quiet", "."],
     "linter": ["ruff", "check", "--quiet", "."],
+    "imports go down only": ["tools.floors"],
     "generated code is fresh": ["tools.generate", "--check"],
 }
 
