--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -179,3 +179,11 @@
   Scenario: The metrics show what was served
     When 3 requests to "/check/a" are sent
     Then the metrics count 3 requests with the status 200
+
+  Scenario: The tool shows the routers on the platform and what they believe
+    When a configuration is written and the tool looks at the platform
+    Then it shows that configuration in the store and at the router, and 4 upstreams
+
+  Scenario: The tool tells of a platform that does not answer
+    When the tool looks at a platform that is away
+    Then it ends with exit code 7 and one line
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -1,6 +1,9 @@
 """Steps of the tests of entry routers as processes: faults around them."""
 
+import json
 import signal
+import subprocess
+import sys
 import time
 from functools import partial
 
@@ -254,3 +257,42 @@
     until = time.monotonic() + COUNT_LIMIT_S
     while wanted not in (text := context.thread.run(ask).body.decode()):
         assert time.monotonic() < until, text
+
+
+def look_at(port, metrics):
+    """Run the tool against a store's port."""
+    command = [sys.executable, "-m", "skylarklift.ui.main", "fleet", "--json"]
+    command += ["--store", f"127.0.0.1:{port}", "--metrics-port", str(metrics)]
+    return subprocess.run(command, capture_output=True, text=True)
+
+
+@when("a configuration is written and the tool looks at the platform")
+def look(context):
+    context.thread.do(context.world.write_plan)
+    until = time.monotonic() + COUNT_LIMIT_S
+    while True:
+        context.run = look_at(context.world.doors[0][1], context.router.readiness)
+        shown = json.loads(context.run.stdout)
+        context.shown = shown["store"], shown["routers"][context.router.name]
+        if context.shown[1] and context.shown[1]["plan_version"] == context.world.plan_version:
+            return
+        assert time.monotonic() < until, context.run
+
+
+@then("it shows that configuration in the store and at the router, and {count:d} upstreams")
+def shows(context, count):
+    store, router = context.shown
+    assert context.run.returncode == 0, context.run
+    assert store["version"] == context.world.plan_version, store
+    assert store["upstreams"] == router["upstreams_known"] == count, context.shown
+
+
+@when("the tool looks at a platform that is away")
+def look_nowhere(context):
+    context.run = look_at(9, 9)
+
+
+@then("it ends with exit code {code:d} and one line")
+def ends_cleanly(context, code):
+    assert context.run.returncode == code, context.run
+    assert len(context.run.stderr.splitlines()) == 1, context.run.stderr
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -59,6 +59,17 @@
         self.pool.drop(replica)
         self.probes.pop(replica, None)
 
+    def measure(self) -> None:
+        """Set the values that the metrics address shows of what this router believes now."""
+        meters, plan = self.meters, self.beliefs.plan
+        meters.set("plan_version", plan.version if plan else 0)
+        meters.set("requests_open", self.requests_open)
+        meters.set("routers_heard", len(self.fleet.heard()))
+        meters.set("upstreams_known", len(self.beliefs.upstreams))
+        for table in RowTable:
+            meters.set("rows_age_ms", self.beliefs.age(table), table.name.lower())
+            meters.set("reads_store", int(self.reading[table]), table.name.lower())
+
     def stopping_ms(self) -> int | None:
         """Return for how long this router has been stopping, or `None`."""
         if self.stopping_since is None:
--- a/skylarklift/entry/meters.py
+++ b/skylarklift/entry/meters.py
@@ -15,6 +15,11 @@
         self._counts: Counter[tuple[str, str]] = Counter()
         self._spans: dict[tuple[str, str], list[int]] = {}
         self._sums: Counter[tuple[str, str]] = Counter()
+        self._values: dict[tuple[str, str], int] = {}
+
+    def set(self, name: str, value: int, label: str = "") -> None:
+        """Set a value that goes up and down."""
+        self._values[name, label] = value
 
     def count(self, name: str, label: str = "", amount: int = 1) -> None:
         """Add to a counter; the label says which of a kind."""
@@ -33,6 +38,8 @@
         lines = []
         for (name, label), value in sorted(self._counts.items()):
             lines.append(f"{PREFIX}{name}_total{_label(label)} {value}")
+        for (name, label), value in sorted(self._values.items()):
+            lines.append(f"{PREFIX}{name}{_label(label)} {value}")
         for (name, label), counts in sorted(self._spans.items()):
             total = 0
             for bound, count in zip((*BUCKETS_MS, "+Inf"), counts, strict=True):
--- a/skylarklift/entry/serving.py
+++ b/skylarklift/entry/serving.py
@@ -145,6 +145,7 @@
         """Return the answer to a check."""
         core = self._core
         if head.target == METRICS_PATH:
+            core.measure()
             return 200, TEXT_HEADERS, core.meters.text().encode()
         if head.target != core.codec.ready_path:
             return 404, [], b""
--- a/skylarklift/ui/main.py
+++ b/skylarklift/ui/main.py
@@ -10,7 +10,7 @@
 from skylarklift import __version__
 from skylarklift.errors import SettingsError, SkylarkError
 from skylarklift.generated import OrderKind
-from skylarklift.ui import commands, logs
+from skylarklift.ui import commands, fleet, logs
 from skylarklift.ui.client import CallError, Unreachable
 from skylarklift.ui.output import ExitCode, Output
 
@@ -26,6 +26,7 @@
   skylarklift zone out zone-2 --wait
   skylarklift drain --pool till till-3
   skylarklift explain 9c41d07be2a35f68 router-*.log
+  skylarklift fleet --store 10.200.1.7:8223
   skylarklift order load-adapter --pool till till-3 wash-2
 
 exit codes:
@@ -49,6 +50,7 @@
     sub = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
     _add_reading_commands(sub, common)
     _add_log_commands(sub, common)
+    _add_fleet_command(sub, common)
     _add_changing_commands(sub, [common, change])
     _add_order_command(sub, common)
     return parser
@@ -113,6 +115,16 @@
     parser.set_defaults(run=logs.summarise)
 
 
+def _add_fleet_command(sub, common: argparse.ArgumentParser) -> None:
+    """Add the command that looks at the platform."""
+    parser = sub.add_parser("fleet", parents=[common], help="show the routers on the platform")
+    parser.add_argument("--store", required=True, metavar="IP:PORT", help="the platform's store")
+    parser.add_argument(
+        "--metrics-port", type=int, default=9464, help="port of the metrics (%(default)s)"
+    )
+    parser.set_defaults(run=fleet.show_fleet)
+
+
 def _add_changing_commands(sub, parents: list[argparse.ArgumentParser]) -> None:
     """Add the commands that submit patches."""
     parser = sub.add_parser("patch", parents=parents, help="submit a patch")
