Log every failure that the own deployment copes with; one way to run both daemons

The two daemons held the same forty lines around their settings and exit codes. Change: FailureNotes logs each with its cause and what it concerned, ten a second of a kind, and counts what it left out; util.program runs a daemon from its settings. Ruled out: lines without a bound, since an outage repeats them many times a second.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -61,3 +61,13 @@
       | a gap                    | a broken stream    |
       | another request's events | crossed answers    |
       | no end                   | an unfinished one  |
+
+  Scenario Outline: Of <count> failures of a kind within a second <lines> are logged, each with its cause
+    When <count> polls of the store fail within a second
+    Then <lines> lines tell of them, the first with its cause
+
+    Examples:
+      | count | lines |
+      | 1     | 1     |
+      | 10    | 10    |
+      | 50    | 10    |
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -2,17 +2,20 @@
 
 import random
 from collections import defaultdict
+from unittest.mock import patch
 
 import trio
 from behave import then, when
+from logbook import TestHandler
 from msgspec import to_builtins
 
 from features.fakes import FakePlatform, FakeStore
 from features.world import run_virtual
 from skylarklift.clock import LoopClock, ManualClock
-from skylarklift.errors import InvariantBreach
+from skylarklift.errors import InvariantBreach, StoreUnavailable
 from skylarklift.generated import ClaimRow, RetrySettings, StoreSettings
 from skylarklift.ids import Fingerprint, ReplicaId, RequestId, RouterId, WorkspaceId
+from skylarklift.logger import FailureNotes
 from skylarklift.requests.claims import Claim, ClaimName, ClaimState, ClaimWriter, judge_claim
 from skylarklift.store.base import Row, WriteResult
 from skylarklift.upstreams.crashes import CrashCounts
@@ -179,3 +182,19 @@
 @then("they are passed on as {result}")
 def step_passed_on(context, result):
     assert OUTCOMES[result](context), (context.passed, context.error)
+
+
+@when("{count:d} polls of the store fail within a second")
+def step_polls_fail(context, count):
+    notes = FailureNotes()
+    with TestHandler() as handler, patch("skylarklift.logger.time.monotonic", lambda: 7.0):
+        for _ in range(count):
+            notes.note("poll_failed", StoreUnavailable("status 503"))
+        context.records = list(handler.records)
+
+
+@then("{count:d} lines tell of them, the first with its cause")
+def step_lines_tell(context, count):
+    assert len(context.records) == count, len(context.records)
+    assert context.records[0].message == "poll_failed"
+    assert context.records[0].kwargs["cause"] == "StoreUnavailable: status 503"
--- a/skylarklift/config/heads.py
+++ b/skylarklift/config/heads.py
@@ -48,6 +48,7 @@
     ViewRow,
 )
 from skylarklift.ids import PatchId, RouterId, Version
+from skylarklift.logger import FAILURES
 from skylarklift.store.base import ObjectStore, Row, TableStore, Write
 from skylarklift.votes.freshness import AcceptanceWatch, Freshness, HeadNumbers
 from skylarklift.votes.lease import VoterSets
@@ -203,8 +204,8 @@
         while True:
             try:
                 await self.poll()
-            except (StoreError, PatchError):
-                pass
+            except (StoreError, PatchError) as exc:
+                FAILURES.note("poll_failed", exc)
             await sleep_ms(self._poll_span_ms())
 
     def _poll_span_ms(self) -> float:
@@ -322,7 +323,8 @@
         current = head.value["version"] if head else self.table.version
         try:
             await self.poll()
-        except (StoreError, PatchError):
+        except (StoreError, PatchError) as later:
+            FAILURES.note("changes_not_read", later, version=str(current))
             raise StalePatch(current, []) from exc
         raise StalePatch(current, await self.changes_since(request.base)) from exc
 
@@ -347,8 +349,9 @@
             if head.version == version:
                 head.snapshot = version
                 await self._store.transact([Write(HEAD_KEY, to_builtins(head), row.version)])
-        except StoreError:
-            return
+        except StoreError as exc:
+            # The next snapshot that is due covers what this one would have.
+            FAILURES.note("snapshot_not_written", exc, version=str(version))
 
     def age_ms(self) -> int:
         """Return how long ago the present numbers came into force here."""
--- a/skylarklift/daemon.py
+++ b/skylarklift/daemon.py
@@ -4,18 +4,15 @@
 import gc
 import signal
 import sys
+from functools import partial
 
 import trio
 
 from skylarklift import __version__
-from skylarklift.errors import SettingsError, leaf_errors
 from skylarklift.generated import Settings
 from skylarklift.router import Router
 from skylarklift.settings import load_settings
-
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-EXIT_SYSTEM = 3
+from skylarklift.util.program import run_daemon
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -34,26 +31,13 @@
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon; return its exit code."""
     options = make_parser().parse_args(argv)
-    try:
-        cfg = load_settings(options.settings)
-    except SettingsError as exc:
-        for finding in exc.findings:
-            print(finding, file=sys.stderr)
-        return EXIT_SETTINGS
-    if options.check:
-        print(f"{options.settings}: in order")
-        return EXIT_OK
-    code = EXIT_OK
-    try:
-        trio.run(run_daemon, cfg)
-    except* OSError as group:
-        for exc in leaf_errors(group):
-            print(f"skylarkliftd: {exc}", file=sys.stderr)
-        code = EXIT_SYSTEM
-    return code
+    path = options.settings
+    return run_daemon(
+        "skylarkliftd", path, partial(load_settings, path), run_router, check=options.check
+    )
 
 
-async def run_daemon(cfg: Settings) -> None:
+async def run_router(cfg: Settings) -> None:
     """Run a router until SIGTERM or SIGINT and its graceful shutdown."""
     # What stands at the start stays for ever; freezing it keeps collections short.
     gc.freeze()
--- a/skylarklift/operators/orders.py
+++ b/skylarklift/operators/orders.py
@@ -18,6 +18,7 @@
 from skylarklift.generated import OrderKind, OrderLeaseRow, OrderSettings
 from skylarklift.ids import BootId
 from skylarklift.invariants import INVARIANTS
+from skylarklift.logger import FAILURES
 from skylarklift.store.base import ABSENT, Row, TableStore, Write
 from skylarklift.votes.lease import DRIFT_PERCENT
 
@@ -194,7 +195,8 @@
             response = await self._client.post(f"{order.url}/orders", json=body)
         except httpx.ConnectError as exc:
             raise OrderError(f"the engine cannot be reached: {exc}") from exc
-        except httpx.HTTPError:
+        except httpx.HTTPError as exc:
+            FAILURES.note("order_answer_lost", exc)
             return OrderOutcome.UNKNOWN
         if response.status_code == 409:
             self.lease.lose()
--- a/skylarklift/operators/status.py
+++ b/skylarklift/operators/status.py
@@ -9,6 +9,7 @@
 from skylarklift.errors import PeerError
 from skylarklift.generated import PoolStatus, RouterStatus, StatusAsk, StatusReply
 from skylarklift.ids import PoolId, RouterId
+from skylarklift.logger import FAILURES
 from skylarklift.pools.admitter import PoolAdmitter
 from skylarklift.routers.frames import TrafficCounter
 from skylarklift.routers.peers import PeerDirectory
@@ -56,7 +57,8 @@
         async def ask(name: str) -> None:
             try:
                 reply = await self._peers.call(RouterId(name), StatusAsk(0))
-            except PeerError:
+            except PeerError as exc:
+                FAILURES.note("status_not_told", exc, router=name)
                 found[name] = None
                 return
             if isinstance(reply, StatusReply):
--- a/skylarklift/platform/daemon.py
+++ b/skylarklift/platform/daemon.py
@@ -5,6 +5,8 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
+from functools import partial
 
 import trio
 
@@ -13,17 +15,14 @@
 from skylarklift.entry.journal import Journal
 from skylarklift.entry.model import NodeSettings
 from skylarklift.entry.process import EntryRouter
-from skylarklift.errors import SettingsError, leaf_errors
 from skylarklift.platform.calls import PlatformCalls
 from skylarklift.platform.nodefile import DEFAULT_PATH, PATH_VARIABLE, read_node_settings
 from skylarklift.platform.rows import PlatformRows
 from skylarklift.platform.store import PlatformStore
+from skylarklift.util.program import run_daemon
 
 # New objects between two searches for cycles.
 GARBAGE_OBJECTS = 5000
-EXIT_OK = 0
-EXIT_SETTINGS = 2
-EXIT_SYSTEM = 3
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -45,30 +44,15 @@
 def main(argv: list[str] | None = None) -> int:
     """Run the router; return its exit code."""
     options = make_parser().parse_args(argv)
+    path = options.settings
+    load = partial(read_node_settings, path)
+    run = partial(run_router, load=load, metrics_port=options.metrics_port)
+    return run_daemon("skylarklift", path, load, run, check=options.check)
 
-    def load() -> NodeSettings:
-        return read_node_settings(options.settings)
 
-    try:
-        settings = load()
-    except SettingsError as exc:
-        for finding in exc.findings:
-            print(finding, file=sys.stderr)
-        return EXIT_SETTINGS
-    if options.check:
-        print(f"{options.settings}: in order")
-        return EXIT_OK
-    code = EXIT_OK
-    try:
-        trio.run(run_router, settings, load, options.metrics_port)
-    except* OSError as group:
-        for exc in leaf_errors(group):
-            print(f"skylarklift: {exc}", file=sys.stderr)
-        code = EXIT_SYSTEM
-    return code
-
-
-async def run_router(settings: NodeSettings, load, metrics_port: int) -> None:
+async def run_router(
+    settings: NodeSettings, load: Callable[[], NodeSettings], metrics_port: int
+) -> None:
     """Run one router until it is told to stop."""
     # What stands at the start stays for ever, and requests leave few cycles behind.
     gc.freeze()
--- a/skylarklift/pools/host.py
+++ b/skylarklift/pools/host.py
@@ -34,7 +34,7 @@
     RouterId,
     WorkspaceId,
 )
-from skylarklift.logger import log
+from skylarklift.logger import FAILURES, log
 from skylarklift.pools.admitter import PoolAdmitter
 from skylarklift.pools.grants import AdmissionRequest, Grant, GrantKey, RefusalCode
 from skylarklift.pools.hosted import HostedPool, admitter_order, pool_lease_name
@@ -174,7 +174,8 @@
         message = Vote(0, lease.name, lease.span_ms, self._heads.view.number)
         try:
             reply = await self._peers.call(router, message)
-        except PeerError:
+        except PeerError as exc:
+            FAILURES.note("vote_not_had", exc, router=router)
             return False
         return isinstance(reply, VoteReply) and reply.granted
 
@@ -216,8 +217,8 @@
                 return
             try:
                 await self._peers.call(router, Unvote(0, hosted.lease.name))
-            except PeerError:
-                return
+            except PeerError as exc:
+                FAILURES.note("vote_not_given_back", exc, router=router)
 
         async with trio.open_nursery() as nursery:
             for router in asked:
@@ -295,7 +296,8 @@
             asked_at = self._clock.now()
             try:
                 reply = await self._peers.call(router, Inventory(0, pool_id, hosted.tenure))
-            except PeerError:
+            except PeerError as exc:
+                FAILURES.note("grants_not_listed", exc, router=router)
                 continue
             if isinstance(reply, InventoryReply) and hosted.admitter is admitter:
                 held = {GrantId(entry.grant) for entry in reply.entries}
--- a/skylarklift/pools/placer.py
+++ b/skylarklift/pools/placer.py
@@ -36,6 +36,7 @@
     Version,
     WorkspaceId,
 )
+from skylarklift.logger import FAILURES
 from skylarklift.pools.grants import Grant, GrantKey
 from skylarklift.pools.host import (
     GRANT_VALID_MS,
@@ -187,10 +188,11 @@
                 reply = await self._send_ask(admitter, message, wait_ms)
                 answered = True
                 nursery.cancel_scope.cancel()
-        except* PeerTimeout:
-            pass
-        except* PeerError:
+        except* PeerTimeout as group:
+            FAILURES.note("ask_unanswered", group, router=admitter)
+        except* PeerError as group:
             # Nothing was sent, so there is nothing to give back.
+            FAILURES.note("ask_not_sent", group, router=admitter)
             answered = True
         finally:
             if not answered:
@@ -265,7 +267,8 @@
             message = Release(0, pool, [item.entry for item in batch])
             try:
                 await self._send_release(admitter, message)
-            except PeerError:
+            except PeerError as exc:
+                FAILURES.note("release_not_sent", exc, router=admitter)
                 self._count_attempt(admitter, outbox, batch)
                 await sleep_ms(RELEASE_RETRY_MS)
                 continue
--- a/skylarklift/pools/takeover.py
+++ b/skylarklift/pools/takeover.py
@@ -8,6 +8,7 @@
 from skylarklift.errors import PeerError
 from skylarklift.generated import Inventory, InventoryReply, Pool
 from skylarklift.ids import BootId, ChatKey, GrantId, PoolId, ReplicaId, RouterId, WorkspaceId
+from skylarklift.logger import FAILURES
 from skylarklift.pools.admitter import PoolAdmitter
 from skylarklift.pools.grants import Grant, GrantKey
 from skylarklift.pools.hosted import DROP_ROUTER_AFTER_MS, HostedPool
@@ -66,7 +67,8 @@
         async def ask(router: RouterId) -> None:
             try:
                 reply = await self._peers.call(router, Inventory(0, pool_id, hosted.tenure))
-            except PeerError:
+            except PeerError as exc:
+                FAILURES.note("grants_not_listed", exc, router=router)
                 silent.add(router)
                 return
             if isinstance(reply, InventoryReply):
--- a/skylarklift/requests/claims.py
+++ b/skylarklift/requests/claims.py
@@ -21,6 +21,7 @@
 from skylarklift.generated import ClaimRow, StoreSettings
 from skylarklift.ids import RouterId, WorkspaceId
 from skylarklift.invariants import INVARIANTS
+from skylarklift.logger import FAILURES
 from skylarklift.store.base import ABSENT, Row, TableStore, Write, WriteResult
 
 CLAIM_PREFIX = "claim/"
@@ -99,7 +100,8 @@
         return Claim(name, ClaimState.NOT_HAD)
     try:
         found = convert(result.row.value, type=ClaimRow)
-    except ValidationError:
+    except ValidationError as exc:
+        FAILURES.note("claim_unreadable", exc, claim=name.row_key())
         return Claim(name, ClaimState.TAKEN)
     state = ClaimState.OURS if found.claim == wanted.claim else ClaimState.TAKEN
     return Claim(name, state, found, result.row.version)
@@ -203,6 +205,7 @@
         try:
             results = await self._store.write_each(writes)
         except StoreError as exc:
+            FAILURES.note("claims_not_written", exc, claims=str(len(batch)))
             self.counts.lost_answers += isinstance(exc, StoreAnswerLost)
             await self._try_again(batch)
             return
@@ -276,7 +279,8 @@
         """Write one batch of outcomes; after a failure it stays queued."""
         try:
             await self._store.write_each(batch)
-        except StoreError:
+        except StoreError as exc:
+            FAILURES.note("outcomes_not_written", exc, outcomes=str(len(batch)))
             await sleep_ms(random.uniform(RETRY_PAUSE_MS, LONGEST_PAUSE_MS))
             return
         self._outcomes = self._outcomes[len(batch) :]
--- a/skylarklift/routers/exchange.py
+++ b/skylarklift/routers/exchange.py
@@ -28,6 +28,7 @@
     Withdraw,
 )
 from skylarklift.ids import RouterId
+from skylarklift.logger import FAILURES
 from skylarklift.routers.membership import Membership
 from skylarklift.routers.peers import Peers
 from skylarklift.routers.views import ViewChanger
@@ -173,8 +174,8 @@
             await sleep_ms(MAINTAIN_INTERVAL_MS * random.uniform(0.5, 1.5))
             try:
                 await self.maintain()
-            except (StoreError, PatchError, PeerError):
-                continue
+            except (StoreError, PatchError, PeerError) as exc:
+                FAILURES.note("view_not_corrected", exc)
 
     async def maintain(self) -> None:
         """Correct the view once."""
@@ -203,12 +204,11 @@
         """Ask one router and note whether it answers."""
         try:
             await self.pull(router)
-        except PeerUnreachable:
-            self._membership.miss(router, refused=True)
-        except PeerError:
-            self._membership.miss(router, refused=False)
-        except (StoreError, PatchError):
-            return
+        except PeerError as exc:
+            FAILURES.note("probe_failed", exc, router=router)
+            self._membership.miss(router, refused=isinstance(exc, PeerUnreachable))
+        except (StoreError, PatchError) as exc:
+            FAILURES.note("fetch_failed", exc, router=router)
 
     async def pull(self, router: RouterId) -> None:
         """Ask one router for its numbers, take its evidence, fetch what is newer."""
@@ -271,7 +271,8 @@
             reply = await self._peers.call(router, message)
         except PeerUnreachable:
             return await self._is_dead(router, absent)
-        except PeerError:
+        except PeerError as exc:
+            FAILURES.note("prepare_failed", exc, router=router)
             member = self._membership.members.get(router)
             return member is not None and member.host in absent
         return isinstance(reply, Prepared) and reply.agreed
@@ -299,7 +300,9 @@
         """Return the hosts of members that the platform's VM list no longer has."""
         try:
             listed = {machine.host for machine in await self._machines.machines()}
-        except StoreError:
+        except StoreError as exc:
+            # Without the list no router counts as surely gone.
+            FAILURES.note("machines_not_read", exc)
             return set()
         hosts = {member.host for member in self._membership.members.values()}
         return hosts - listed if listed else set()
@@ -312,8 +315,8 @@
         async def tell(router: RouterId) -> None:
             try:
                 await self._peers.call(router, message())
-            except PeerError:
-                return
+            except PeerError as exc:
+                FAILURES.note("withdrawal_not_told", exc, router=router)
 
         async with trio.open_nursery() as nursery:
             for router in self._freshness_voters():
@@ -330,8 +333,8 @@
         if asked.is_newer_than(self._heads.heads()):
             try:
                 await self.fetch(router)
-            except (PeerError, PatchError):
-                pass
+            except (PeerError, PatchError) as exc:
+                FAILURES.note("fetch_failed", exc, router=router)
         heads = self._heads.heads()
         return PullReply(
             0,
--- a/skylarklift/routers/views.py
+++ b/skylarklift/routers/views.py
@@ -12,6 +12,7 @@
 from skylarklift.errors import PatchError, StoreAnswerLost, StoreConflict, StoreUnavailable
 from skylarklift.generated import Member, ViewRow
 from skylarklift.ids import RouterId
+from skylarklift.logger import FAILURES
 from skylarklift.store.base import ABSENT, Row, TableStore, Write
 from skylarklift.votes.freshness import HeadNumbers
 
@@ -76,7 +77,8 @@
         except StoreUnavailable:
             await self._heads.withdraw(announced)
             raise
-        except (StoreConflict, StoreAnswerLost):
+        except (StoreConflict, StoreAnswerLost) as exc:
+            FAILURES.note("view_not_written", exc, view=str(view.number))
             # The next attempt reads what is there now.
             return False
         self._heads.install_written_view(view, started_at)
--- a/skylarklift/upstreams/reports.py
+++ b/skylarklift/upstreams/reports.py
@@ -5,6 +5,7 @@
 import httpx
 
 from skylarklift.clock import MS_PER_SECOND
+from skylarklift.logger import FAILURES
 
 REPORT_TIMEOUT_MS = 1000
 
@@ -39,5 +40,6 @@
             await response.aclose()
             body = response.json()
             return LoadReport(int(body["running"]), str(body["boot"]), int(body["age_ms"]))
-        except (httpx.HTTPError, ValueError, KeyError, TypeError):
+        except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
+            FAILURES.note("report_not_read", exc, url=url)
             return None
--- /dev/null
+++ b/skylarklift/util/program.py
@@ -0,0 +1,43 @@
+"""Run a daemon from its settings: findings, the check, the exit code."""
+
+import sys
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+
+from skylarklift.errors import SettingsError, leaf_errors
+
+EXIT_OK = 0
+EXIT_SETTINGS = 2
+EXIT_SYSTEM = 3
+
+Loaded = TypeVar("Loaded")
+
+
+def run_daemon(
+    name: str,
+    path: str,
+    load: Callable[[], Loaded],
+    run: Callable[[Loaded], Awaitable[None]],
+    *,
+    check: bool,
+) -> int:
+    """Load settings and run a daemon on them, or only check them; return the exit code."""
+    try:
+        settings = load()
+    except SettingsError as exc:
+        for finding in exc.findings:
+            print(finding, file=sys.stderr)
+        return EXIT_SETTINGS
+    if check:
+        print(f"{path}: in order")
+        return EXIT_OK
+    code = EXIT_OK
+    try:
+        trio.run(run, settings)
+    except* OSError as group:
+        for exc in leaf_errors(group):
+            print(f"{name}: {exc}", file=sys.stderr)
+        code = EXIT_SYSTEM
+    return code
