Bound answers without end, count only useful bytes as progress, reset broken HTTP/1.0 answers

Cause: an unfinished event, interim responses, a body of another request and a body without a length were read for as long as the upstream sent; the silence timer began anew at each byte, so a stream that sent a byte now and then was held until its deadline, while a body that took longer than 1.8 s was cut however steadily it came. To a caller of HTTP/1.0 a broken answer ended in order and so looked complete. Change: events, interim responses, skipped and undeclared bodies have limits, small parts count as 512 bytes; progress is an event that is no comment, or 1 KB of a body; long answers are passed on from 64 KB on; an unfinished answer to HTTP/1.0 ends by a reset. The own deployment's client has the same limit on bodies without a length. Ruled out: endless heads, status lines, chunk heads and trailers, which h11 bounds already.

--- a/skylarklift/entry/caller_connection.py
+++ b/skylarklift/entry/caller_connection.py
@@ -1,11 +1,13 @@
 """The server side of HTTP/1.1: one caller's connection."""
 
+import socket
 from dataclasses import dataclass
 
 import h11
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.http_connection import RESET_ON_CLOSE
 from skylarklift.entry.model import CallerLimits, Headers
 from skylarklift.errors import BadRequest, SkylarkError
 
@@ -194,5 +196,23 @@
         self.abort()
 
     def abort(self) -> None:
-        """Close the connection immediately."""
+        """Close the connection immediately.
+
+        Reset it if a response without framing is unfinished: its end is the end of the
+        connection, so closing in order would make it look complete.
+        """
+        if self.head_sent and not self.response_complete and self._ends_with_connection():
+            self._reset_on_close()
         self._stream.socket.close()
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether the caller takes the end of the connection for the end of the body."""
+        return self._http.their_http_version in (None, b"1.0")
+
+    def _reset_on_close(self) -> None:
+        """Make closing discard what is unsent and reset the connection."""
+        try:
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        except (OSError, trio.ClosedResourceError):
+            # The connection is closed already.
+            return
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -4,15 +4,15 @@
 from skylarklift.entry.caller_connection import CallerConnection
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Call, ResponseHead, RouteKind
+from skylarklift.entry.response_body import ResponseBody
 from skylarklift.entry.retry_state import Outcome, RetryState
 from skylarklift.entry.silence import SilenceTimer
-from skylarklift.errors import OutcomeUnknown, ResponseBroken
+from skylarklift.errors import OutcomeUnknown, ResponseBroken, ResponseInvalid
 from skylarklift.upstreams.events import EventSplitter, StreamEvent
 
-MAX_RESPONSE_BYTES = 16_777_216
-# A response with a longer content-length than this is forwarded as it arrives.  Other responses,
-# except streams of events, are buffered until they are complete, so that the request can be
-# retried if a response breaks off.
+# A longer response than this is forwarded as it arrives.  Other responses, except streams of
+# events, are buffered until they are complete, so that the request can be retried if a response
+# breaks off.
 MAX_BUFFERED_BYTES = 65536
 # An upstream that sends nothing for this long within a stream is probed.
 MID_STREAM_SILENCE_MS = 600
@@ -43,21 +43,28 @@
         if answered and self._retry_state.route.kind is RouteKind.STREAM:
             if head.status == STATUS_OK:
                 return await self._forward_events(attempt, timer)
-        elif answered and head.length is not None and head.length > MAX_BUFFERED_BYTES:
-            return await self._forward_chunks(attempt)
-        return await self._forward_buffered(attempt, timer)
+        timer.record_progress()
+        body = ResponseBody(attempt.conn, timer, has_length=head.length is not None)
+        return await self._forward_buffered(attempt, body)
 
-    async def _forward_buffered(self, attempt: Attempt, timer: SilenceTimer) -> int:
-        """Read the complete response, then forward it unless the attempt failed."""
-        with timer.waiting():
-            body = await attempt.conn.read_all(MAX_RESPONSE_BYTES)
-        attempt.release_connection()
+    async def _forward_buffered(self, attempt: Attempt, response_body: ResponseBody) -> int:
+        """Read the response, then forward it unless the attempt failed.
+
+        A response that turns out to be long is forwarded from then on as it arrives.
+        """
         head = attempt.head
-        if attempt.outcome is not Outcome.ANSWERED:
+        answered = attempt.outcome is Outcome.ANSWERED
+        body = await response_body.read_start(MAX_BUFFERED_BYTES)
+        if answered and self._retry_state.forwarded:
+            raise OutcomeUnknown("the stream could not be resumed")
+        if not response_body.complete:
+            if not answered:
+                raise ResponseInvalid(f"an error response exceeds {MAX_BUFFERED_BYTES} bytes")
+            return await self._forward_chunks(attempt, body, response_body)
+        attempt.release_connection()
+        if not answered:
             self._record_failure(attempt, body)
             return 0
-        if self._retry_state.forwarded:
-            raise OutcomeUnknown("the stream could not be resumed")
         attempt.report_signal(HealthSignal.GOOD)
         await self._caller.send_response(head.status, head.headers, body)
         return head.status
@@ -69,16 +76,20 @@
             self.upstream_error = (attempt.head, body)
             attempt.report_signal(HealthSignal.FAILED)
 
-    async def _forward_chunks(self, attempt: Attempt) -> int:
-        """Forward a long response as it arrives."""
+    async def _forward_chunks(
+        self, attempt: Attempt, start: bytes, response_body: ResponseBody
+    ) -> int:
+        """Forward a long response as it arrives, after the start that has been read."""
         await self._send_head_once(attempt.head)
-        while (data := await attempt.conn.read_body()) is not None:
+        await self._caller.send_data(start)
+        while (data := await response_body.read()) is not None:
             await self._caller.send_data(data)
         return await self._finish(attempt)
 
     async def _forward_events(self, attempt: Attempt, timer: SilenceTimer) -> int:
         """Forward complete events in order, each once."""
         splitter = EventSplitter()
+        timer.record_progress()
         timer.probe_after_ms = MID_STREAM_SILENCE_MS
         while True:
             with timer.waiting():
@@ -86,6 +97,8 @@
             if data is None:
                 break
             for event in splitter.feed(data):
+                if not event.is_comment:
+                    timer.record_progress()
                 if self._is_next_event(event):
                     await self._send_head_once(attempt.head)
                     await self._caller.send_data(event.raw)
--- a/skylarklift/entry/http_connection.py
+++ b/skylarklift/entry/http_connection.py
@@ -16,8 +16,14 @@
 MAX_FIRST_WRITE_BYTES = 16384
 # Responses read for one request, including those that belong to other requests.
 MAX_RESPONSES_READ = 3
+# Limit on the body of a response that belongs to another request.
+MAX_SKIPPED_BYTES = 65536
+# Limit on the interim (1xx) responses before one response.
+MAX_INTERIM_RESPONSES = 8
 # SO_LINGER with a time-out of 0: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# A part of a body, such as a chunk, counts at least this much towards a limit on the body.
+MIN_PART_BYTES = 512
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -90,14 +96,16 @@
             self._must_close = True
 
     async def read_head(self) -> tuple[int, Headers]:
-        """Return status and header fields of the response."""
-        while True:
+        """Return status and header fields of the response; skip a few interim responses."""
+        for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
                 return event.status_code, list(event.headers)
             raise ResponseBroken("connection closed before the response")
+        self._must_close = True
+        raise ResponseInvalid(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
     async def read_body(self) -> bytes | None:
         """Return the next bytes of the body, or `None` at its end."""
@@ -109,10 +117,13 @@
         raise ResponseBroken("connection closed within the response's body")
 
     async def read_all(self, limit: int) -> bytes:
-        """Return the whole body; raise `ResponseInvalid` if it is longer than `limit` bytes."""
+        """Return the whole body; raise `ResponseInvalid` if it is longer than `limit` bytes.
+
+        A small part counts as `MIN_PART_BYTES`, since each costs time however small it is.
+        """
         parts, size = [], 0
         while (data := await self.read_body()) is not None:
-            size += len(data)
+            size += max(len(data), MIN_PART_BYTES)
             if size > limit:
                 raise ResponseInvalid(f"response body exceeds {limit} bytes")
             parts.append(data)
@@ -120,8 +131,7 @@
 
     async def skip_response(self) -> None:
         """Read the rest of a response to another request, and prepare to read the next response."""
-        while await self.read_body() is not None:
-            pass
+        await self.read_all(MAX_SKIPPED_BYTES)
         if self._http.their_state is not h11.DONE:
             raise ResponseBroken("connection closed after a response to another request")
         rest = self._http.trailing_data[0]
--- a/skylarklift/entry/silence.py
+++ b/skylarklift/entry/silence.py
@@ -17,8 +17,9 @@
 
 
 class SilenceTimer:
-    """Measure how long an upstream has sent nothing while the router waits for it.
+    """Measure how long the router has waited for an upstream that made no progress.
 
+    Bytes alone are no progress: an upstream that sends one now and then would never be noticed.
     The upstream is probed after `probe_after_ms`.  `attempt_aborted` is set when the attempt is
     aborted because of the silence.
     """
@@ -26,27 +27,38 @@
     def __init__(self, clock: Clock, probe_after_ms: int):
         self._clock = clock
         self.probe_after_ms = probe_after_ms
-        self.waiting_since: Millis | None = None
+        self._waiting_since: Millis | None = None
+        # The waits that have ended since the last progress.
+        self._waited_ms = 0
         self.attempt_aborted = False
 
     @contextmanager
     def waiting(self):
-        """Count the time of the block as silence of the upstream."""
-        self.waiting_since = self._clock.now()
+        """Count the time of the block as silence, unless progress is recorded after it."""
+        self._waiting_since = self._clock.now()
         try:
             yield
         finally:
-            self.waiting_since = None
+            self._waited_ms += self._clock.now() - self._waiting_since
+            self._waiting_since = None
+
+    def record_progress(self) -> None:
+        """Start to measure anew, since the upstream has sent something useful."""
+        self._waited_ms = 0
 
     def remaining_ms(self) -> int:
         """Return the milliseconds until the upstream is to be probed, if it stays silent."""
-        if self.waiting_since is None:
-            return self.probe_after_ms
-        return self.waiting_since + self.probe_after_ms - self._clock.now()
+        return self.probe_after_ms - self._silent_ms()
 
     def has_lasted(self, span_ms: int) -> bool:
-        """Return whether the upstream has been silent for at least `span_ms`."""
-        return self.waiting_since is not None and self._clock.now() - self.waiting_since >= span_ms
+        """Return whether the router waits, and has waited without progress for `span_ms`."""
+        return self._waiting_since is not None and self._silent_ms() >= span_ms
+
+    def _silent_ms(self) -> int:
+        """Return how long the router has waited since the last progress."""
+        if self._waiting_since is None:
+            return self._waited_ms
+        return self._waited_ms + self._clock.now() - self._waiting_since
 
 
 async def forward_until_silent(
--- a/skylarklift/upstreams/client.py
+++ b/skylarklift/upstreams/client.py
@@ -18,6 +18,10 @@
 KEEPALIVE_EXPIRY_S = 2
 REQUEST_ID_HEADER = "X-Request-Id"
 RESUME_HEADER = "Last-Event-ID"
+# A response without a length that exceeds this is not expected to end.
+MAX_UNDECLARED_BYTES = 4_194_304
+# A part of a body counts at least this much, since each costs time however small it is.
+MIN_PART_BYTES = 512
 BUSY_STATUSES = (429, 503)
 
 
@@ -78,15 +82,24 @@
             raise UpstreamError(FailureKind.BROKEN, "the stream ended early", sent=True)
 
     async def read_response(self, response: httpx.Response) -> BufferedResponse:
-        """Read a response to its end and close it."""
+        """Read a response to its end and close it; raise if it does not seem to end."""
+        parts, size = [], 0
+        has_length = "content-length" in response.headers
         try:
-            body = await response.aread()
+            async for data in response.aiter_bytes():
+                size += max(len(data), MIN_PART_BYTES)
+                if not has_length and size > MAX_UNDECLARED_BYTES:
+                    text = f"a body without a length exceeds {MAX_UNDECLARED_BYTES} bytes"
+                    raise UpstreamError(FailureKind.BROKEN, text, sent=True)
+                parts.append(data)
         except httpx.HTTPError as exc:
             raise UpstreamError(FailureKind.BROKEN, _error_text(exc), sent=True) from exc
         finally:
             await self.close_response(response)
         return BufferedResponse(
-            response.status_code, response.headers.get("content-type", "application/json"), body
+            response.status_code,
+            response.headers.get("content-type", "application/json"),
+            b"".join(parts),
         )
 
     async def close_response(self, response: httpx.Response) -> None:
--- a/skylarklift/upstreams/events.py
+++ b/skylarklift/upstreams/events.py
@@ -2,8 +2,14 @@
 
 from dataclasses import dataclass
 
+from skylarklift.errors import ResponseInvalid
+
+# An upstream that sends more than this without the end of an event does not send events.
+MAX_EVENT_BYTES = 1_048_576
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+LONGEST_END_BYTES = max(len(end) for end in EVENT_ENDS)
 ID_FIELD = b"id:"
+COMMENT_START = b":"
 
 
 @dataclass(frozen=True, slots=True)
@@ -13,12 +19,20 @@
     event_id: int | None
     raw: bytes
 
+    @property
+    def is_comment(self) -> bool:
+        """Return whether the event has only comment lines, which keep a connection open."""
+        lines = self.raw.splitlines()
+        return all(not line or line.startswith(COMMENT_START) for line in lines)
+
 
 class EventSplitter:
     """Split bytes into events; buffer an incomplete event until the rest arrives."""
 
     def __init__(self):
-        self._buffer = b""
+        self._buffer = bytearray()
+        # No event ends before this index of the buffer.
+        self._searched = 0
 
     @property
     def has_partial_event(self) -> bool:
@@ -26,23 +40,31 @@
         return bool(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes; return the events that are now complete."""
-        buffer = self._buffer + data if self._buffer else data
-        events = []
-        while True:
-            end = _find_event_end(buffer)
-            if end < 0:
-                break
-            raw, buffer = buffer[:end], buffer[end:]
+        """Add received bytes; return the events that are now complete.
+
+        Raise `ResponseInvalid` if an incomplete event exceeds `MAX_EVENT_BYTES`.
+        """
+        buffer = self._buffer
+        buffer += data
+        events, start = [], 0
+        while (end := _find_event_end(buffer, max(start, self._searched))) >= 0:
+            raw = bytes(buffer[start:end])
             events.append(StreamEvent(_parse_event_id(raw), raw))
-        self._buffer = buffer
+            start = end
+        del buffer[:start]
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise ResponseInvalid(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+        # The bytes so far may be the first part of an event's end.
+        self._searched = max(0, len(buffer) - LONGEST_END_BYTES + 1)
         return events
 
 
-def _find_event_end(buffer: bytes) -> int:
-    """Return the index after the first event's end, or -1 if it is incomplete."""
+def _find_event_end(buffer: bytearray, start: int) -> int:
+    """Return the index after the first event's end from `start` on, or -1 if it is incomplete."""
     ends = [
-        start + len(separator) for separator in EVENT_ENDS if (start := buffer.find(separator)) >= 0
+        found + len(separator)
+        for separator in EVENT_ENDS
+        if (found := buffer.find(separator, start)) >= 0
     ]
     return min(ends, default=-1)
 
--- a/skylarklift/upstreams/reader.py
+++ b/skylarklift/upstreams/reader.py
@@ -5,6 +5,7 @@
 parses the JSON.
 """
 
+from skylarklift.errors import ResponseInvalid
 from skylarklift.ids import RequestId
 from skylarklift.upstreams.events import EventSplitter, StreamEvent
 from skylarklift.upstreams.failures import FailureKind, UpstreamError
@@ -29,7 +30,11 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the complete new events of the data, to be forwarded unchanged."""
-        return b"".join(event.raw for event in self._splitter.feed(data) if self._accept(event))
+        try:
+            events = self._splitter.feed(data)
+        except ResponseInvalid as exc:
+            raise UpstreamError(FailureKind.BROKEN, str(exc), sent=True) from exc
+        return b"".join(event.raw for event in events if self._accept(event))
 
     def _accept(self, event: StreamEvent) -> bool:
         """Check one event; return whether to forward it."""
