Keep sums of reported loads and remembered orders, so that a choice does not walk the fleet

Cause: each choice summed the reports of all routers for each replica, weighed and sorted all replicas, and looked for a copy source among all of them; heartbeats dropped the list of a service's members each time. Change: PeerLoads keeps sums as reports arrive and expire; Candidates looks loads up where needed; holders are found from a prompt's last part on; the first of a chat's rendezvous order are remembered; the copy source in the chosen replica's zone is preferred.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,7 @@
 import time
 from pathlib import Path
 
-MEASURES = ("reuse", "path", "patches", "slopes", "zone", "surge", "control")
+MEASURES = ("reuse", "choice", "path", "patches", "slopes", "zone", "surge", "control")
 RESULTS = Path("bench/results")
 
 
--- /dev/null
+++ b/features/entry_choice.feature
@@ -0,0 +1,24 @@
+Feature: The choice of an upstream in a large fleet
+
+  The choice keeps sums and remembered orders, so that its cost does not grow with routers and
+  replicas.  It must be the choice that a plain walk over all of them makes.
+
+  Scenario Outline: The choice is that of the plain method in random states
+    Given a router among <routers> others before <replicas> replicas, by the seed <seed>
+    When 300 random events happen and a choice follows each
+    Then each choice was that of the plain method
+
+    Examples:
+      | routers | replicas | seed |
+      | 0       | 1        | 1    |
+      | 1       | 3        | 2    |
+      | 8       | 6        | 3    |
+      | 8       | 12       | 4    |
+      | 40      | 30       | 5    |
+      | 40      | 30       | 6    |
+
+  Scenario: Reported loads count until they expire, and once
+    Given a router among 3 others before 2 replicas, by the seed 1
+    When "n1" reports 5 requests at "r0", then 7, and "n2" reports 2
+    Then the load of "r0" is 9
+    And the load of "r0" is 0 after the lifetime of a report
--- /dev/null
+++ b/features/steps/entry_choice.py
@@ -0,0 +1,185 @@
+"""Steps for the choice of an upstream, compared with a plain walk over all upstreams."""
+
+import random
+
+from behave import given, then, when
+
+from features.entry_fixtures import choose, core_with_replicas, new_call
+from skylarklift.clock import ManualClock
+from skylarklift.entry.choose import (
+    AFFINITY_EXTRA_REQUESTS,
+    AFFINITY_LOAD_RATIO,
+    HOLDER_RATIO,
+    MIN_COPY_TOKENS,
+    Choice,
+    affinity_key,
+)
+from skylarklift.entry.fleet import LOAD_TTL_MS, GossipMessage
+from skylarklift.entry.health import HealthSignal
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.prefixes import PLACEMENT_TTL_MS, shared_parts
+from skylarklift.entry.rows import TableSummary
+from skylarklift.hashing import rendezvous_weight
+
+EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
+SUBJECTS = 12
+
+
+@given("a router among {routers:d} others before {replicas:d} replicas, by the seed {seed:d}")
+def router_among_others(context, routers, replicas, seed):
+    context.clock = ManualClock(100_000)
+    context.core = core_with_replicas(replicas, context.clock)
+    context.names = [f"r{number}" for number in range(replicas)]
+    context.nodes = [f"n{number}" for number in range(1, routers + 1)]
+    context.rng = random.Random(seed)
+    # What the plain method walks over: the last report of each router, with its time.
+    context.reports = {}
+
+
+def report(context, node, loads):
+    """Let another router report its requests in flight."""
+    message = GossipMessage(node, "b", "", EMPTY_SUMMARIES, loads=loads)
+    context.core.fleet.record_message(message, Endpoint("127.0.0.2", 1))
+    context.reports[node] = (context.clock.now(), loads)
+
+
+def random_call(context):
+    """Return a call for one of a few shared prompts."""
+    subject = context.rng.randrange(SUBJECTS)
+    return new_call(f"base:100,s{subject}:{200 + 50 * subject},own{context.rng.random()}:30")
+
+
+def happen(context):
+    """Let one random event happen."""
+    rng, core = context.rng, context.core
+    replica = rng.choice(context.names)
+    match rng.randrange(6):
+        case 0 | 1 if context.nodes:
+            picked = rng.sample(context.names, min(len(context.names), 1 + rng.randrange(4)))
+            report(context, rng.choice(context.nodes), {name: rng.randrange(9) for name in picked})
+        case 2:
+            call = random_call(context)
+            choice = choose(core, call)
+            if isinstance(choice, Choice):
+                core.chooser.start_request(choice, call)
+        case 3 if core.chooser.in_flight:
+            core.chooser.end_request(rng.choice(sorted(core.chooser.in_flight)))
+        case 4:
+            signal = rng.choice((HealthSignal.GOOD, HealthSignal.BROKEN, HealthSignal.UNREACHABLE))
+            core.health.record_result(replica, signal, context.names)
+        case _:
+            context.clock.advance(rng.randrange(700))
+
+
+def plain_load(context, replica):
+    """Return the load of a replica by a walk over all reports."""
+    now = context.clock.now()
+    ttl_ms = context.core.fleet._load_ttl_ms()
+    reported = sum(
+        loads.get(replica, 0) for at, loads in context.reports.values() if at > now - ttl_ms
+    )
+    return reported + context.core.chooser.in_flight[replica]
+
+
+def plain_held(context, call, upstream):
+    """Return how many shared tokens a replica holds, part by part."""
+    chooser = context.core.chooser
+    oldest = max(upstream.known_since, context.clock.now() - PLACEMENT_TTL_MS)
+    tokens = 0
+    for part in shared_parts(call.parts):
+        used_at = chooser.prefixes._holders.get(part.name, {}).get(upstream.record.replica)
+        if used_at is None or used_at < oldest:
+            break
+        tokens += part.tokens
+    return tokens
+
+
+def plain_choice(context, call):
+    """Return the replica that a sort of all candidates puts first, or `None`."""
+    core = context.core
+    upstreams = list(core.cluster_state.members_of("lm").values())
+    candidates = [item for item in upstreams if core.health.allows(item.record.replica)]
+    candidates = candidates or [
+        item for item in upstreams if core.health.reachable(item.record.replica)
+    ]
+    if not candidates:
+        return None
+    loads = {item.record.replica: plain_load(context, item.record.replica) for item in candidates}
+    mean = sum(loads.values()) / len(loads)
+    held = {item.record.replica: plain_held(context, call, item) for item in candidates}
+    shared_tokens = sum(part.tokens for part in shared_parts(call.parts))
+    most = max(held.values())
+    least_held = most if most >= HOLDER_RATIO * shared_tokens else 1 << 60
+    bounds = core.settings.bounds
+    limit = AFFINITY_LOAD_RATIO * bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
+    key = affinity_key(call)
+
+    def sort_key(item):
+        name = item.record.replica
+        under = loads[name] < limit
+        weight = rendezvous_weight(key, name) if under else -loads[name]
+        return under, held[name] >= least_held, weight
+
+    for item in sorted(candidates, key=sort_key, reverse=True):
+        plan = core.cluster_state.plan.services["lm"]
+        if not core.chooser.is_cold(item, plan) or core.chooser._cold_limit_allows(item, plan):
+            return item
+    return None
+
+
+@when("{count:d} random events happen and a choice follows each")
+def events_happen(context, count):
+    context.compared = []
+    context.served = 0
+    for _ in range(count):
+        happen(context)
+        call = random_call(context)
+        expected, found = plain_choice(context, call), choose(context.core, call)
+        upstream = found.upstream if isinstance(found, Choice) else None
+        context.compared.append((expected, upstream))
+        if upstream is not None:
+            context.served += 1
+            check_copy_source(context, call, found)
+
+
+def check_copy_source(context, call, choice):
+    """Check that the copy source holds most of the prompt, and clearly more than the chosen."""
+    core = context.core
+    held = {
+        name: plain_held(context, call, item)
+        for name, item in core.cluster_state.upstreams.items()
+        if core.health.allows(name)
+    }
+    most = max(held.values(), default=0)
+    own = plain_held(context, call, choice.upstream)
+    if choice.copy_source is None:
+        assert most <= own + MIN_COPY_TOKENS, (most, own)
+    else:
+        assert held[choice.copy_source.record.replica] == most > own + MIN_COPY_TOKENS
+
+
+@then("each choice was that of the plain method")
+def choices_equal(context):
+    for number, (expected, found) in enumerate(context.compared):
+        assert expected is found, (number, expected, found)
+    assert context.served > len(context.compared) / 2, context.served
+
+
+@when(
+    '"{one}" reports {first:d} requests at "{name}", then {second:d}, and "{two}" reports {other:d}'
+)
+def reports_follow(context, one, first, name, second, two, other):
+    report(context, one, {name: first})
+    report(context, one, {name: second})
+    report(context, two, {name: other})
+
+
+@then('the load of "{name}" is {count:d}')
+def load_is(context, name, count):
+    assert context.core.chooser.load(name) == count, context.core.chooser.load(name)
+
+
+@then('the load of "{name}" is {count:d} after the lifetime of a report')
+def load_is_later(context, name, count):
+    context.clock.advance(LOAD_TTL_MS + 1)
+    load_is(context, name, count)
--- /dev/null
+++ b/skylarklift/entry/affinity.py
@@ -0,0 +1,77 @@
+"""The order in which a chat prefers the replicas of its service.
+
+Holders of its prefix come first, then the others in the chat's rendezvous order; overloaded
+replicas come last, the least loaded of them first.  The order is made step by step, since most
+requests take the first replica, and a service may have hundreds.
+"""
+
+from collections import OrderedDict
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+from skylarklift.entry.candidates import Candidates
+from skylarklift.entry.cluster_state import Upstream
+from skylarklift.hashing import rendezvous_weight
+from skylarklift.ids import ReplicaId
+
+# For each chat, this many replicas are remembered; few requests need more.
+REMEMBERED_REPLICAS = 8
+MAX_REMEMBERED_CHATS = 2000
+
+
+class RendezvousCache:
+    """The first replicas in the rendezvous order of recent chats."""
+
+    def __init__(self):
+        self._first: OrderedDict[str, RememberedOrder] = OrderedDict()
+
+    def order(self, key: str, members: Mapping[ReplicaId, Upstream]) -> Iterator[ReplicaId]:
+        """Yield a service's replicas in the order of a chat.
+
+        `members` must be the same object as long as the replicas of the service are the same.
+        """
+        known = self._first.get(key)
+        if known is None or known.members is not members:
+            first = tuple(_sort_by_weight(key, members)[:REMEMBERED_REPLICAS])
+            self._first[key] = known = RememberedOrder(members, first)
+            while len(self._first) > MAX_REMEMBERED_CHATS:
+                self._first.popitem(last=False)
+        else:
+            self._first.move_to_end(key)
+        yield from known.first
+        if len(members) > REMEMBERED_REPLICAS:
+            yield from _sort_by_weight(key, members)[REMEMBERED_REPLICAS:]
+
+
+@dataclass(frozen=True, slots=True)
+class RememberedOrder:
+    """The first replicas in a chat's order of the members of a service."""
+
+    members: Mapping[ReplicaId, Upstream]
+    first: tuple[ReplicaId, ...]
+
+
+def order_by_affinity(
+    key: str,
+    ranked: Iterable[ReplicaId],
+    candidates: Candidates,
+    holders: Collection[ReplicaId],
+    load_limit: float,
+) -> Iterator[ReplicaId]:
+    """Yield the candidates from the best to the worst for a chat.
+
+    `ranked` yields at least all candidates, in the chat's rendezvous order.
+    """
+    load = candidates.load
+    sound_holders = [name for name in holders if name in candidates and load(name) < load_limit]
+    yield from _sort_by_weight(key, sound_holders)
+    for name in ranked:
+        if name in candidates and name not in holders and load(name) < load_limit:
+            yield name
+    overloaded = [name for name in candidates if load(name) >= load_limit]
+    yield from sorted(overloaded, key=lambda name: (name not in holders, load(name)))
+
+
+def _sort_by_weight(key: str, names: Iterable[ReplicaId]) -> list[ReplicaId]:
+    """Return upstreams in the rendezvous order of a key."""
+    return sorted(names, key=lambda name: rendezvous_weight(key, name), reverse=True)
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -126,9 +126,7 @@
         core = self.core
         if signal is HealthSignal.GOOD and core.health.maybe_restarted(self.record.replica):
             core.cluster_state.restart_cold_period(self.record.replica)
-        others = [
-            item.record.replica for item in core.cluster_state.upstreams_of(self.record.service)
-        ]
+        others = core.cluster_state.members_of(self.record.service)
         if core.health.record_result(self.record.replica, signal, others):
             core.connection_pool.close_idle(self.record.replica)
             core.metrics.increment("ejections")
--- /dev/null
+++ b/skylarklift/entry/candidates.py
@@ -0,0 +1,55 @@
+"""The upstreams among which a request has a choice, with their loads."""
+
+from collections.abc import Collection, Iterator, Mapping
+from itertools import repeat
+
+from skylarklift.entry.cluster_state import Upstream
+from skylarklift.ids import ReplicaId
+
+
+class Candidates:
+    """The members of a service without those that may not take the request now.
+
+    Loads count requests in flight: `own_loads` of this router, `peer_loads` of the others.
+    Members are not copied, and loads are looked up where they are needed: a service may have
+    hundreds of members, and a choice weighs only a few of them.
+    """
+
+    def __init__(
+        self,
+        members: Mapping[ReplicaId, Upstream],
+        excluded: Collection[ReplicaId],
+        own_loads: Mapping[ReplicaId, int],
+        peer_loads: Mapping[ReplicaId, int],
+    ):
+        self._members = members
+        self._excluded = {name for name in excluded if name in members}
+        self._own_loads = own_loads
+        self._peer_loads = peer_loads
+
+    def __len__(self) -> int:
+        """Return how many candidates there are."""
+        return len(self._members) - len(self._excluded)
+
+    def __contains__(self, name: ReplicaId) -> bool:
+        """Return whether an upstream is a candidate."""
+        return name in self._members and name not in self._excluded
+
+    def __iter__(self) -> Iterator[ReplicaId]:
+        """Return an iterator over the names of the candidates."""
+        if not self._excluded:
+            return iter(self._members)
+        return (name for name in self._members if name not in self._excluded)
+
+    def __getitem__(self, name: ReplicaId) -> Upstream:
+        """Return the candidate of a name."""
+        return self._members[name]
+
+    def load(self, name: ReplicaId) -> int:
+        """Return the known number of requests in flight at an upstream from all routers."""
+        return self._own_loads.get(name, 0) + self._peer_loads.get(name, 0)
+
+    def mean_load(self) -> float:
+        """Return the mean load of the candidates."""
+        own = sum(count for name, count in self._own_loads.items() if name in self)
+        return (own + sum(map(self._peer_loads.get, self, repeat(0)))) / len(self)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -7,11 +7,13 @@
 """
 
 from collections import Counter
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
 from skylarklift.clock import Clock
+from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
+from skylarklift.entry.candidates import Candidates
 from skylarklift.entry.cluster_state import ClusterState, Upstream
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import ColdRequestLimit
@@ -30,8 +32,6 @@
 # The replicas with the most tokens of a prompt's shared parts count as its holders if these are at
 # least this ratio of all shared tokens.
 HOLDER_RATIO = 0.5
-# More tokens than a replica can hold: no replica counts as a holder.
-NO_HOLDER_TOKENS = 1 << 60
 # Copying a prefix from another replica pays off from this many tokens on.
 MIN_COPY_TOKENS = 64
 HASH_RANGE = 1 << 32
@@ -87,6 +87,7 @@
         self._regions = regions or {}
         self.cold_limit = ColdRequestLimit(clock, bounds)
         self.prefixes = PrefixIndex(clock)
+        self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
 
     def select_service(self, route: Route, call: Call) -> ServiceId:
@@ -111,24 +112,23 @@
         workspace: Workspace | None = None,
     ) -> Choice | NoUpstream:
         """Return the upstream for a request, or the reason why there is none."""
-        regions = allowed_regions(route, workspace)
-        candidates = self._candidates(service, tried, regions)
+        candidates = self._candidates(service, tried, allowed_regions(route, workspace))
         if isinstance(candidates, NoUpstream):
             return candidates
         plan = self._cluster_state.plan.services.get(service)
-        loads = {item.record.replica: self.load(item.record.replica) for item in candidates}
-        mean = sum(loads.values()) / len(loads)
+        mean = candidates.mean_load()
         by_affinity = plan is not None and plan.engine_slots > 0 and route.affinity
         if by_affinity:
-            ordered = self._order_by_affinity(call, candidates, loads, mean)
+            ordered = self._order_by_affinity(call, service, candidates, mean)
         else:
-            ordered = self._order_by_load(candidates, loads)
-        for position, item in enumerate(ordered):
+            ordered = iter(self._order_by_load(candidates))
+        for position, name in enumerate(ordered):
+            item = candidates[name]
             cold = self.is_cold(item, plan)
             if cold and not self._cold_limit_allows(item, plan):
                 continue
-            copy_source = self._find_copy_source(call, service, item) if by_affinity else None
-            return Choice(item, loads[item.record.replica], mean, position, cold, copy_source)
+            copy_source = self._find_copy_source(call, item) if by_affinity else None
+            return Choice(item, candidates.load(name), mean, position, cold, copy_source)
         return NoUpstream.COLD
 
     def _candidates(
@@ -136,87 +136,106 @@
         service: ServiceId,
         tried: Collection[ReplicaId],
         regions: frozenset[str] | None,
-    ) -> list[Upstream] | NoUpstream:
+    ) -> Candidates | NoUpstream:
         """Return the upstreams that may take the request, or the reason why there is none."""
-        known = self._cluster_state.upstreams_of(service)
-        if not known:
+        if not self._cluster_state.members_of(service):
             return NoUpstream.NONE_KNOWN
-        usable = self._cluster_state.usable_upstreams(service)
+        usable = self._cluster_state.usable_members(service)
         if not usable:
             return NoUpstream.ZONES_EVACUATED
         if regions is not None:
-            usable = [item for item in usable if self._regions.get(item.record.zone) in regions]
+            usable = {
+                name: item
+                for name, item in usable.items()
+                if self._regions.get(item.record.zone) in regions
+            }
             if not usable:
                 return NoUpstream.OUTSIDE_ALLOWED_REGIONS
-        untried = [item for item in usable if item.record.replica not in tried]
-        if not untried:
+        if not self._without(usable, tried):
             return NoUpstream.TRIED
-        healthy = [item for item in untried if self._health.allows(item.record.replica)]
+        blocked = self._health.blocked()
+        healthy = self._without(usable, blocked.union(tried))
         if healthy:
             return healthy
         # If all upstreams are ejected, one that was reachable last time is better than none.
-        failing = [item for item in untried if self._health.reachable(item.record.replica)]
-        return failing or NoUpstream.EJECTED
+        unreachable = {name for name in usable if not self._health.reachable(name)}
+        return self._without(usable, unreachable.union(tried)) or NoUpstream.EJECTED
+
+    def _without(
+        self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
+    ) -> Candidates:
+        """Return the members that are not excluded as candidates."""
+        return Candidates(members, excluded, self.in_flight, self._fleet.peer_loads())
 
     def load(self, replica: ReplicaId) -> int:
         """Return the known number of requests in flight at an upstream from all routers."""
-        return self.in_flight[replica] + self._fleet.peer_load(replica)
+        return self.in_flight[replica] + self._fleet.peer_loads().get(replica, 0)
 
     def _order_by_affinity(
         self,
         call: Call,
-        candidates: list[Upstream],
-        loads: dict[ReplicaId, int],
+        service: ServiceId,
+        candidates: Candidates,
         mean: float,
-    ) -> list[Upstream]:
-        """Return the replicas from the best to the worst for a chat, overloaded ones last.
+    ) -> Iterator[ReplicaId]:
+        """Yield the replicas from the best to the worst for a chat, overloaded ones last.
 
         The holders of its prefix come first, then the rest in the chat's rendezvous order.
         """
         key = affinity_key(call)
-        held = {item.record.replica: self.held_tokens(call, item) for item in candidates}
-        most_held = max(held.values())
-        shared_tokens = sum(part.tokens for part in shared_parts(call.parts))
-        holder_tokens = most_held if most_held >= HOLDER_RATIO * shared_tokens else NO_HOLDER_TOKENS
+        holders = self._find_holders(call, candidates)
         load_limit = AFFINITY_LOAD_RATIO * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
+        ranked = self._rendezvous.order(key, self._cluster_state.members_of(service))
+        return order_by_affinity(key, ranked, candidates, holders, load_limit)
 
-        def sort_key(item: Upstream) -> tuple[bool, bool, int]:
-            replica = item.record.replica
-            return (
-                loads[replica] < load_limit,
-                held[replica] >= holder_tokens,
-                rendezvous_weight(key, replica) if loads[replica] < load_limit else -loads[replica],
-            )
-
-        return sorted(candidates, key=sort_key, reverse=True)
+    def _find_holders(self, call: Call, candidates: Candidates) -> frozenset[ReplicaId]:
+        """Return the candidates that hold most of a prompt's shared parts, if that is enough."""
+        parts = shared_parts(call.parts)
+        least_tokens = HOLDER_RATIO * sum(part.tokens for part in parts)
+        for level in self.prefixes.holders(parts, self._cluster_state.upstreams):
+            if level.tokens < least_tokens:
+                break
+            holders = frozenset(name for name in level.names if name in candidates)
+            if holders:
+                return holders
+        return frozenset()
 
     def held_tokens(self, call: Call, upstream: Upstream) -> int:
         """Return how many tokens of a prompt's shared parts an upstream holds."""
-        parts = shared_parts(call.parts)
-        return self.prefixes.held_tokens(parts, upstream.record.replica, upstream.known_since)
-
-    def _find_copy_source(
-        self, call: Call, service: ServiceId, chosen: Upstream
-    ) -> Upstream | None:
-        """Return the replica that holds most of a prompt, if copying from it pays off."""
-        best, most = None, self.held_tokens(call, chosen) + MIN_COPY_TOKENS
-        for item in self._cluster_state.upstreams.values():
-            if item.record.service != service or not self._health.allows(item.record.replica):
-                continue
-            held = self.held_tokens(call, item)
-            if held > most:
-                best, most = item, held
-        return best
-
-    def _order_by_load(
-        self, candidates: list[Upstream], loads: dict[ReplicaId, int]
-    ) -> list[Upstream]:
+        return self.prefixes.held_tokens(shared_parts(call.parts), upstream)
+
+    def _find_copy_source(self, call: Call, chosen: Upstream) -> Upstream | None:
+        """Return the replica that holds most of a prompt, if copying from it pays off.
+
+        Of several, one in the zone of the chosen replica is preferred: copies between zones take
+        longer.
+        """
+        parts, record = shared_parts(call.parts), chosen.record
+        most_useful = sum(part.tokens for part in parts)
+        least_tokens = self.held_tokens(call, chosen) + MIN_COPY_TOKENS
+        if most_useful <= least_tokens:
+            return None
+        upstreams = self._cluster_state.upstreams
+        for level in self.prefixes.holders(parts, upstreams):
+            if level.tokens <= least_tokens:
+                break
+            sources = [
+                upstreams[name]
+                for name in level.names
+                if upstreams[name].record.service == record.service and self._health.allows(name)
+            ]
+            if sources:
+                return max(sources, key=lambda item: item.record.zone == record.zone)
+        return None
+
+    def _order_by_load(self, candidates: Candidates) -> list[ReplicaId]:
         """Return the upstreams from the least to the most loaded, preferring the own zone."""
+        now = self._clock.now()
 
-        def sort_key(item: Upstream) -> tuple[float, int]:
-            other_zone = item.record.zone != self._zone
-            jitter = rendezvous_weight(self._clock.now(), item.record.replica)
-            return loads[item.record.replica] + OTHER_ZONE_PENALTY * other_zone, jitter
+        def sort_key(name: ReplicaId) -> tuple[float, int]:
+            other_zone = candidates[name].record.zone != self._zone
+            load = candidates.load(name) + OTHER_ZONE_PENALTY * other_zone
+            return load, rendezvous_weight(now, name)
 
         return sorted(candidates, key=sort_key)
 
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -5,6 +5,7 @@
 never goes back to an older version.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
 from skylarklift.clock import Clock, Millis
@@ -63,7 +64,7 @@
         self.plan: RoutePlan | None = None
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
-        self._by_service: dict[ServiceId, list[Upstream]] = {}
+        self._members: dict[ServiceId, dict[ReplicaId, Upstream]] = {}
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
         # Per table, the version of the last row that changed the state; a heartbeat, which
@@ -202,11 +203,11 @@
             event = "upstream_cold"
         if record.draining != upstream.draining:
             event = "upstream_draining"
+            self._members.clear()
         upstream.record = record
         upstream.draining = record.draining
         if record.cold_ms > 0:
             self._extend_cold_period(upstream, record.cold_ms)
-        self._by_service.clear()
         return event
 
     def _add_upstream(self, record: UpstreamRecord, version: int) -> list[StateChange]:
@@ -215,7 +216,7 @@
         upstream = Upstream(record, now, known_since=now, draining=record.draining)
         self._extend_cold_period(upstream, record.cold_ms)
         self.upstreams[record.replica] = upstream
-        self._by_service.clear()
+        self._members.clear()
         detail = f"{record.service} {record.host}:{record.port} cold {record.cold_ms} ms"
         return [StateChange("upstream_added", record.replica, version, detail)]
 
@@ -234,7 +235,7 @@
         """Remove a replica at once."""
         del self.upstreams[replica]
         self._delayed_removals.pop(replica, None)
-        self._by_service.clear()
+        self._members.clear()
         return [StateChange(UPSTREAM_REMOVED, replica, version)]
 
     def apply_delayed_removals(self) -> list[StateChange]:
@@ -245,24 +246,31 @@
         due = [replica for replica, moment in self._delayed_removals.items() if moment <= now]
         return [change for replica in due for change in self._remove_upstream(replica, 0)]
 
-    def upstreams_of(self, service: ServiceId) -> list[Upstream]:
-        """Return the replicas of a service that are not draining."""
-        upstreams = self._by_service.get(service)
-        if upstreams is None:
-            upstreams = [
-                upstream
-                for upstream in self.upstreams.values()
+    def members_of(self, service: ServiceId) -> Mapping[ReplicaId, Upstream]:
+        """Return the replicas of a service that are not draining.
+
+        The mapping is the same object as long as they are the same.
+        """
+        members = self._members.get(service)
+        if members is None:
+            members = {
+                replica: upstream
+                for replica, upstream in self.upstreams.items()
                 if upstream.record.service == service and not upstream.draining
-            ]
-            self._by_service[service] = upstreams
-        return upstreams
+            }
+            self._members[service] = members
+        return members
 
-    def usable_upstreams(self, service: ServiceId) -> list[Upstream]:
+    def usable_members(self, service: ServiceId) -> Mapping[ReplicaId, Upstream]:
         """Return the replicas of a service outside evacuated zones."""
-        upstreams = self.upstreams_of(service)
+        members = self.members_of(service)
         if not self.evacuated_zones:
-            return upstreams
-        return [item for item in upstreams if item.record.zone not in self.evacuated_zones]
+            return members
+        return {
+            replica: upstream
+            for replica, upstream in members.items()
+            if upstream.record.zone not in self.evacuated_zones
+        }
 
 
 def _is_restart(known: UpstreamRecord, reported: UpstreamRecord) -> bool:
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -1,9 +1,11 @@
 """The other routers known to this one, with the last gossip message of each."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.peer_loads import PeerLoads
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rows import TableSummary
 from skylarklift.hashing import rendezvous_weight
@@ -74,6 +76,7 @@
         self._started = clock.now()
         self.own_node = own
         self.peers: dict[str, Peer] = {}
+        self._loads = PeerLoads()
 
     def add(self, node: str, address: Endpoint) -> None:
         """Add a router, or update its address."""
@@ -94,11 +97,13 @@
             peer.sent_at = Millis(0)
         peer.received_at = self._clock.now()
         peer.last_message = message
+        self._loads.record(message.node, message.loads, peer.received_at)
         return peer
 
     def remove(self, node: str) -> None:
         """Remove a router."""
         self.peers.pop(node, None)
+        self._loads.remove(node)
 
     def _limit_members(self) -> list[str]:
         """Return the other routers among which the fleet's limits are divided."""
@@ -156,15 +161,7 @@
         )
         return max(LOAD_TTL_MS, int(LOAD_TTL_ROTATIONS * rotation_ms))
 
-    def peer_load(self, replica: ReplicaId) -> int:
-        """Return how many requests the other routers have in flight at an upstream."""
-        limit = self._clock.now() - self._load_ttl_ms()
-        total = 0
-        for peer in self.peers.values():
-            if (
-                peer.last_message is not None
-                and peer.received_at is not None
-                and peer.received_at > limit
-            ):
-                total += peer.last_message.loads.get(replica, 0)
-        return total
+    def peer_loads(self) -> Mapping[ReplicaId, int]:
+        """Return how many requests the other routers have in flight at each upstream."""
+        self._loads.expire(Millis(self._clock.now() - self._load_ttl_ms()))
+        return self._loads.totals
--- a/skylarklift/entry/health.py
+++ b/skylarklift/entry/health.py
@@ -59,6 +59,8 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._records: dict[ReplicaId, UpstreamHealth] = {}
+        # Those that may be blocked: few, so that a choice need not look at all upstreams.
+        self._ejected_before: set[ReplicaId] = set()
 
     def record_result(
         self, replica: ReplicaId, signal: HealthSignal, others: Iterable[ReplicaId] = ()
@@ -85,7 +87,7 @@
         if not self._should_eject(record, signal, others):
             return False
         record.maybe_restarted = record.maybe_restarted or signal is HealthSignal.UNREACHABLE
-        return self._eject(record)
+        return self._eject(replica, record)
 
     def _should_eject(
         self, record: UpstreamHealth, signal: HealthSignal, others: Iterable[ReplicaId]
@@ -111,7 +113,7 @@
         )
         return averages[len(averages) // 2] if averages else 0.0
 
-    def _eject(self, record: UpstreamHealth) -> bool:
+    def _eject(self, replica: ReplicaId, record: UpstreamHealth) -> bool:
         """Eject an upstream, unless it is ejected already; return whether this ejected it."""
         now = self._clock.now()
         if record.ejected_until > now:
@@ -119,6 +121,7 @@
         span = min(FIRST_EJECTION_MS << min(record.ejections, 8), MAX_EJECTION_MS)
         record.ejections += 1
         record.ejected_until = Millis(now + span)
+        self._ejected_before.add(replica)
         record.consecutive_failures = 0
         return True
 
@@ -130,6 +133,7 @@
         record.maybe_restarted = record.maybe_restarted or maybe_restarted
         until = self._clock.now() + min(left_ms, MAX_EJECTION_MS)
         record.ejected_until = max(record.ejected_until, Millis(until))
+        self._ejected_before.add(replica)
 
     def allows(self, replica: ReplicaId) -> bool:
         """Return whether a request may be sent; after an ejection, one at a time."""
@@ -140,6 +144,16 @@
             return False
         return not (record.ejections and record.trial_running)
 
+    def blocked(self) -> set[ReplicaId]:
+        """Return the upstreams to which no request may be sent now."""
+        blocked = set()
+        for replica in list(self._ejected_before):
+            if not self.allows(replica):
+                blocked.add(replica)
+            elif not self._records[replica].ejections:
+                self._ejected_before.discard(replica)
+        return blocked
+
     def reachable(self, replica: ReplicaId) -> bool:
         """Return whether the last request could at least reach the upstream."""
         record = self._records.get(replica)
@@ -174,3 +188,4 @@
     def forget(self, replica: ReplicaId) -> None:
         """Drop the record of a removed upstream."""
         self._records.pop(replica, None)
+        self._ejected_before.discard(replica)
--- /dev/null
+++ b/skylarklift/entry/peer_loads.py
@@ -0,0 +1,50 @@
+"""Sums of the loads that other routers report, kept up to date as reports arrive and expire."""
+
+from collections import Counter, OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from skylarklift.clock import Millis
+from skylarklift.ids import ReplicaId
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A router's requests in flight by upstream, and when they were received."""
+
+    received_at: Millis
+    loads: Mapping[ReplicaId, int]
+
+
+class PeerLoads:
+    """The newest load report of each router; `totals` is their sum for each upstream."""
+
+    def __init__(self):
+        # In the order in which the reports were received.
+        self._reports: OrderedDict[str, LoadReport] = OrderedDict()
+        self.totals: Counter[ReplicaId] = Counter()
+
+    def record(self, node: str, loads: Mapping[ReplicaId, int], now: Millis) -> None:
+        """Replace a router's report."""
+        self.remove(node)
+        self._reports[node] = LoadReport(now, loads)
+        self.totals.update(loads)
+
+    def remove(self, node: str) -> None:
+        """Drop a router's report."""
+        report = self._reports.pop(node, None)
+        if report is None:
+            return
+        totals = self.totals
+        for replica, count in report.loads.items():
+            totals[replica] -= count
+            if not totals[replica]:
+                del totals[replica]
+
+    def expire(self, limit: Millis) -> None:
+        """Drop the reports that were received at `limit` or before."""
+        while self._reports:
+            node, report = next(iter(self._reports.items()))
+            if report.received_at > limit:
+                return
+            self.remove(node)
--- a/skylarklift/entry/prefixes.py
+++ b/skylarklift/entry/prefixes.py
@@ -5,10 +5,11 @@
 """
 
 from collections import OrderedDict, deque
-from collections.abc import Sequence
+from collections.abc import Iterator, Mapping, Sequence
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.cluster_state import Upstream
 from skylarklift.entry.model import PromptPart
 from skylarklift.ids import ReplicaId
 
@@ -28,6 +29,14 @@
     replica: ReplicaId
 
 
+@dataclass(frozen=True, slots=True)
+class Holders:
+    """The upstreams that hold the same number of tokens from the start of a prompt."""
+
+    tokens: int
+    names: list[ReplicaId]
+
+
 class PrefixIndex:
     """The replicas of each shared part, with the time of its last use there."""
 
@@ -66,20 +75,45 @@
             self._own_placements.popleft()
         return [placement for placed_at, placement in self._own_placements if placed_at >= since]
 
-    def held_tokens(self, parts: Sequence[PromptPart], replica: ReplicaId, since: Millis) -> int:
-        """Return how many tokens from the start of a prompt a replica holds.
+    def held_tokens(self, parts: Sequence[PromptPart], upstream: Upstream) -> int:
+        """Return how many tokens from the start of a prompt an upstream holds.
 
-        Uses before `since`, the replica's known start, do not count.
+        Uses before the upstream's known start do not count.
         """
-        oldest = max(since, self._clock.now() - PLACEMENT_TTL_MS)
         tokens = 0
         for part in parts:
-            last_used = self._holders.get(part.name, {}).get(replica)
-            if last_used is None or last_used < oldest:
+            if not self._is_held(part, upstream):
                 break
             tokens += part.tokens
         return tokens
 
+    def _is_held(self, part: PromptPart, upstream: Upstream) -> bool:
+        """Return whether an upstream was sent a part recently, since its known start."""
+        last_used = self._holders.get(part.name, {}).get(upstream.record.replica)
+        oldest = max(upstream.known_since, self._clock.now() - PLACEMENT_TTL_MS)
+        return last_used is not None and last_used >= oldest
+
+    def holders(
+        self, parts: Sequence[PromptPart], upstreams: Mapping[ReplicaId, Upstream]
+    ) -> Iterator[Holders]:
+        """Yield the upstreams that hold the start of a prompt, those that hold most first.
+
+        The last parts are known to few upstreams, the first ones often to all of them, so a
+        caller that stops early spares most of the work.
+        """
+        seen: set[ReplicaId] = set()
+        for count in range(len(parts), 0, -1):
+            names = [
+                name
+                for name in self._holders.get(parts[count - 1].name, ())
+                if name not in seen
+                and name in upstreams
+                and all(self._is_held(part, upstreams[name]) for part in parts[:count])
+            ]
+            if names:
+                seen.update(names)
+                yield Holders(sum(part.tokens for part in parts[:count]), names)
+
 
 def shared_parts(parts: Sequence[PromptPart]) -> Sequence[PromptPart]:
     """Return the parts of a prompt that other requests may share: all but the last of several."""
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -63,8 +63,8 @@
 
 
 def _include_draining_upstreams(self, service):
-    """Return the upstreams of a service, including those that are draining."""
-    return [item for item in self.upstreams.values() if item.record.service == service]
+    """Return the members of a service, including those that are draining."""
+    return {name: item for name, item in self.upstreams.items() if item.record.service == service}
 
 
 def _is_newer_or_unknown(self, row, page):
@@ -104,11 +104,9 @@
     "skip_drain": [Replacement(EntryRouter, "_drain_requests", _skip_drain)],
     "ignore_event_ids": [Replacement(forwarding, "EventSplitter", IdDroppingSplitter)],
     "use_draining_upstreams": [
-        Replacement(ClusterState, "upstreams_of", _include_draining_upstreams)
-    ],
-    "use_evacuated_zones": [
-        Replacement(ClusterState, "usable_upstreams", ClusterState.upstreams_of)
+        Replacement(ClusterState, "members_of", _include_draining_upstreams)
     ],
+    "use_evacuated_zones": [Replacement(ClusterState, "usable_members", ClusterState.members_of)],
     "ignore_cold_limit": [Replacement(ColdRequestLimit, "allows", lambda self, *args: True)],
     "retry_without_budget": [Replacement(FleetRetryBudget, "try_spend", lambda self, *args: True)],
     "omit_expected_replica": [
