Let requests wait for the first configuration of a router that has just started

Ruled out: a later readiness, since callers are sent to routers that are not ready when few are. Before: the four scenarios of entry_start.feature failed; after: they pass.

--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -30,6 +30,12 @@
 # interval, for up to the route's latency objective divided by `UPSTREAM_WAIT_DIVISOR`.
 UPSTREAM_POLL_INTERVAL_MS = 20
 UPSTREAM_WAIT_DIVISOR = 8
+# A router that has just started has no configuration.  A request waits for it up to its caller's
+# deadline divided by the first, and is then told to come back within what is left divided by the
+# second: callers honour at most a third of that.
+CONFIGURATION_WAIT_DIVISOR = 4
+STARTING_RETRY_DIVISOR = 4
+DEFAULT_DEADLINE_MS = 2000
 RETRY_AFTER_MS = 500
 RETRY_AFTER_JITTER_MS = 1000
 # An upstream that sends nothing for this ratio of the route's latency objective, but at least for
@@ -73,6 +79,7 @@
         """Serve the request; respond to a `RequestError`, or abort a response that has begun."""
         status = 0
         try:
+            await self._wait_for_configuration()
             self._admit()
             status = await self._serve()
         except RequestError as exc:
@@ -82,12 +89,25 @@
 
     # Admission.
 
+    async def _wait_for_configuration(self) -> None:
+        """Wait until both tables are known; raise `Refusal` if that takes too long."""
+        core, call = self.core, self.call
+        deadline_ms = call.deadline_ms or DEFAULT_DEADLINE_MS
+        until = call.received_at + deadline_ms // CONFIGURATION_WAIT_DIVISOR
+        while not core.cluster_state.complete:
+            left_ms = call.received_at + deadline_ms - core.clock.now()
+            if core.clock.now() >= until or core.stopping_ms() is not None:
+                raise Refusal(
+                    "starting",
+                    "no configuration is known yet",
+                    retry_after_ms=max(0, left_ms) // STARTING_RETRY_DIVISOR,
+                )
+            await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
+
     def _admit(self) -> None:
         """Determine route, workspace and service; raise `RequestError`."""
         core, call = self.core, self.call
         plan = core.cluster_state.plan
-        if plan is None or not core.cluster_state.complete:
-            raise Refusal("starting", "no configuration is known yet", retry_after_ms=300)
         self.plan_version = plan.version
         route = plan.route(call.host, call.path)
         if route is None:
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -93,9 +93,16 @@
         self, name: str, store_endpoint_index: int = 0, peer_port: int = 0
     ) -> RouterProcess:
         """Start a router and wait until it is ready."""
+        router = self.launch_router(name, store_endpoint_index, peer_port)
+        await self._wait_ready(router)
+        return router
+
+    def launch_router(
+        self, name: str, store_endpoint_index: int = 0, peer_port: int = 0
+    ) -> RouterProcess:
+        """Start a router without waiting until it is ready."""
         router = self._launch(name, store_endpoint_index, peer_port or free_port())
         self.routers.append(router)
-        await self._wait_ready(router)
         return router
 
     async def restart_router(self, router: RouterProcess) -> None:
