Leave a request at a slow upstream; abort it when its answer is lost or the upstream is hung

Cause: any attempt that may be repeated was aborted after 1.8 s of silence and run again elsewhere, also at an upstream that was only slow; under overload that doubled the work. With replicas that took 2.5 s for a first event, requests ended with 502 and ran more than once. Change: UpstreamProgress remembers the last sign of work of each upstream and the answers that it gave lately. Silence means a lost answer if three later requests have theirs, hung if nothing came for 1.8 s, else slow. Attempts that must not be repeated are watched too: an upstream that cannot be reached is ejected while they go on. Ruled out: a longer limit alone, since a lost answer is then noticed later. A router whose only request at an upstream is slow cannot tell it from a hung one, as before.

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -114,6 +114,12 @@
     When a request to "/chat/a" is sent
     Then the caller got 6 events in order, each once
 
+  Scenario: A replica that falls silent under a request that must not repeat gets no others
+    Given the replica "till-1" has open connections, falls silent and refuses new ones
+    When a request to "/redeem/a" is at "till-1" for 950 ms
+    Then 8 requests to "/redeem/a" are answered with 200 and reach "till-1" no more
+    And the request at "till-1" was not ended
+
   Scenario: A request without a response ends at the timeout of its route
     Given the replicas "till-1,till-2" do not respond
     And all routes have a timeout of 700 ms
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -53,6 +53,51 @@
     context.thread.run_sync(context.world.nursery.start_soon, refuse_later)
 
 
+@given('the replica "{name}" has open connections, falls silent and refuses new ones')
+def falls_silent(context, name):
+    context.silent = context.world.replicas[name]
+
+    async def warm_up():
+        async with trio.open_nursery() as nursery:
+            for _ in range(24):
+                nursery.start_soon(context.world.call, context.router, "/redeem/a")
+
+    for replica in context.world.replicas.values():
+        replica.pace_ms = 100
+    context.thread.run(warm_up)
+    for replica in context.world.replicas.values():
+        replica.pace_ms = 10
+        replica.runs.clear()
+    context.silent.faults.silent = True
+    context.thread.run_sync(context.world.stop_accepting, name)
+
+
+@when('a request to "{path}" is at "{name}" for {span:d} ms')
+def request_is_at(context, path, name, span):
+    """Send requests until one has reached the silent replica, then wait."""
+
+    async def send():
+        while not context.silent.runs:
+            context.world.nursery.start_soon(context.world.call, context.router, path)
+            await trio.sleep(0.02)
+        await trio.sleep(span / 1000)
+
+    context.thread.run(send)
+    context.reached = len(context.silent.runs)
+
+
+@then('{count:d} requests to "{path}" are answered with 200 and reach "{name}" no more')
+def reach_no_more(context, count, path, name):
+    for _ in range(count):
+        assert send_request(context, path).status == 200
+    assert len(context.silent.runs) == context.reached, context.silent.runs
+
+
+@then('the request at "{name}" was not ended')
+def not_ended(context, name):
+    assert not any(run.cancelled for run in context.silent.runs)
+
+
 @given("all routes have a timeout of {span:d} ms")
 def routes_have_timeout(context, span):
     context.thread.run_sync(lambda: context.world.write_plan(timeout_ms=span))
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -39,6 +39,8 @@
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
+        self._sent_at = core.clock.now()
+        self._answered = False
         self._response_read = False
 
     @asynccontextmanager
@@ -113,6 +115,14 @@
             self.outcome = Outcome.ANSWERED
         return self.outcome
 
+    def record_progress(self) -> None:
+        """Record that the upstream sent an event or a part of a body."""
+        progress, replica = self.core.progress, self.record.replica
+        progress.record_progress(replica)
+        if not self._answered:
+            self._answered = True
+            progress.record_answer(replica, self._sent_at)
+
     def release_connection(self) -> None:
         """Return the connection to the pool after a complete response."""
         self._response_read = True
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -18,6 +18,7 @@
 from skylarklift.entry.model import NodeSettings
 from skylarklift.entry.rows import RowFormat, RowTable
 from skylarklift.entry.suspects import CrashSuspects
+from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.ids import ReplicaId
 
 
@@ -48,6 +49,7 @@
     chooser: Chooser
     retry_budget: FleetRetryBudget
     suspects: CrashSuspects
+    progress: UpstreamProgress
     connection_pool: ConnectionPool
     rng: random.Random = field(default_factory=random.Random)
     probes: dict[ReplicaId, Probe] = field(default_factory=dict)
@@ -63,6 +65,7 @@
         self.health.forget(replica)
         self.chooser.cold_limit.forget(replica)
         self.connection_pool.close_idle(replica)
+        self.progress.forget(replica)
         self.probes.pop(replica, None)
 
     def update_gauges(self) -> None:
@@ -108,5 +111,6 @@
         chooser=chooser,
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
+        progress=UpstreamProgress(clock),
         connection_pool=ConnectionPool(clock),
     )
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -61,6 +61,7 @@
             if not answered:
                 raise ResponseInvalid(f"an error response exceeds {MAX_BUFFERED_BYTES} bytes")
             return await self._forward_chunks(attempt, body, response_body)
+        attempt.record_progress()
         attempt.release_connection()
         if not answered:
             self._record_failure(attempt, body)
@@ -99,6 +100,7 @@
             for event in splitter.feed(data):
                 if not event.is_comment:
                     timer.record_progress()
+                    attempt.record_progress()
                 if self._is_next_event(event):
                     await self._send_head_once(attempt.head)
                     await self._caller.send_data(event.raw)
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -229,8 +229,6 @@
             ):
                 forward = self.forwarder.forward
                 timer = SilenceTimer(core.clock, self._initial_silence_ms())
-                if not self.retry_state.repeatable:
-                    return await forward(attempt, timer)
                 return await forward_until_silent(core, attempt, timer, forward)
         except trio.TooSlowError:
             attempt.detail = "no complete response in time"
--- a/skylarklift/entry/silence.py
+++ b/skylarklift/entry/silence.py
@@ -1,4 +1,4 @@
-"""Abort an attempt at a silent upstream, for requests that may be retried at another one."""
+"""Watch attempts for upstreams that fall silent, and abort those that may be repeated."""
 
 from collections.abc import Awaitable, Callable
 from contextlib import contextmanager
@@ -9,11 +9,12 @@
 from skylarklift.entry.attempt import Attempt, is_reachable
 from skylarklift.entry.caller_connection import CallerDisconnected
 from skylarklift.entry.core import Core
+from skylarklift.entry.upstream_progress import Silence
 from skylarklift.errors import RequestError, ResponseBroken, TransportError
 
 MIN_CHECK_INTERVAL_MS = 100
-# An attempt is aborted after this much silence even if the upstream accepts connections.
-MAX_SILENCE_MS = 1800
+# An attempt that is only watched is checked less often: each check may open a connection.
+WATCH_INTERVAL_MS = 600
 
 
 class SilenceTimer:
@@ -54,6 +55,10 @@
         """Return whether the router waits, and has waited without progress for `span_ms`."""
         return self._waiting_since is not None and self._silent_ms() >= span_ms
 
+    def silent_since(self) -> Millis:
+        """Return when the silence began, without the time in which the router did not wait."""
+        return Millis(self._clock.now() - self._silent_ms())
+
     def _silent_ms(self) -> int:
         """Return how long the router has waited since the last progress."""
         if self._waiting_since is None:
@@ -71,7 +76,7 @@
     failure: Exception | None = None
     status: int | None = None
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_abort_when_silent, core, attempt, timer)
+        nursery.start_soon(_watch_silence, core, attempt, timer)
         try:
             status = await forward(attempt, timer)
         except (TransportError, RequestError, CallerDisconnected) as exc:
@@ -84,30 +89,42 @@
     return status
 
 
-async def _abort_when_silent(core: Core, attempt: Attempt, timer: SilenceTimer) -> None:
-    """Abort the connection to an upstream that is silent and unreachable, or silent for too long.
+async def _watch_silence(core: Core, attempt: Attempt, timer: SilenceTimer) -> None:
+    """Probe a silent upstream, which ejects it if it is unreachable; abort a repeatable attempt.
 
-    The limit is `MAX_SILENCE_MS`.  Closing the connection ends only the wait for more data: what
-    has arrived is still forwarded.  Cancelling the task instead could lose an event between its
-    arrival and its way to the caller.
+    It is aborted if the upstream is unreachable, hung, or has answered later requests meanwhile.
+    An attempt at an upstream that is only slow goes on, and so does one that must not be repeated:
+    its answer may still come.
     """
     while True:
-        await trio.sleep(max(MIN_CHECK_INTERVAL_MS, timer.remaining_ms()) / MS_PER_SECOND)
+        await trio.sleep(_next_check_ms(attempt, timer) / MS_PER_SECOND)
         if not timer.has_lasted(timer.probe_after_ms):
             continue
         alive = await is_reachable(core, attempt)
-        if timer.has_lasted(timer.probe_after_ms) and (
-            not alive or timer.has_lasted(MAX_SILENCE_MS)
-        ):
-            if attempt.conn is None:
-                # The attempt is still connecting, which has its own time-out.
-                continue
-            core.event_log.write(
-                "upstream_silent",
-                id=attempt.call.request,
-                upstream=attempt.record.replica,
-                reached=alive,
-            )
+        if not timer.has_lasted(timer.probe_after_ms) or attempt.conn is None:
+            # It sent something meanwhile, or is still connecting, which has its own time-out.
+            continue
+        cause = core.progress.classify(attempt.record.replica, timer.silent_since())
+        if alive and (cause is Silence.SLOW or not attempt.repeatable):
+            continue
+        core.event_log.write(
+            "upstream_silent",
+            id=attempt.call.request,
+            upstream=attempt.record.replica,
+            reached=alive,
+            cause=cause.value,
+            aborted=attempt.repeatable,
+        )
+        if attempt.repeatable:
+            # Closing the connection ends only the wait for more data: what has arrived is still
+            # forwarded.  Cancelling the task instead could lose an event between its arrival and
+            # its way to the caller.
             timer.attempt_aborted = True
             attempt.conn.abort()
-            return
+        return
+
+
+def _next_check_ms(attempt: Attempt, timer: SilenceTimer) -> int:
+    """Return the milliseconds until the timer is to be checked again."""
+    shortest = MIN_CHECK_INTERVAL_MS if attempt.repeatable else WATCH_INTERVAL_MS
+    return max(shortest, timer.remaining_ms())
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -22,7 +22,8 @@
     `extra_response` sends a second, foreign response, `unframed` ends a response by closing
     the connection, and `encoded` declares a content encoding.  `break_after` closes streams
     in the middle of the event after that number of events; `silent_after` stops sending there
-    but keeps the connection open.  `silent` runs requests without ever responding.
+    but keeps the connection open.  `silent` runs requests without ever responding, and
+    `keep_answer` runs some without responding.  `first_event_ms` delays the first event of streams.
     """
 
     shed: int = 0
@@ -35,6 +36,8 @@
     break_after: int | None = None
     silent_after: int | None = None
     silent: bool = False
+    keep_answer: int = 0
+    first_event_ms: int = 0
 
 
 @dataclass
@@ -112,6 +115,9 @@
                 self.on_crash()
             self.close_connections()
             return False
+        if faults.keep_answer:
+            faults.keep_answer -= 1
+            await self._stay_silent(caller, run)
         if faults.silent:
             await self._stay_silent(caller, run)
         if "x-token-count" in fields:
@@ -182,7 +188,7 @@
         """Send a stream of events; return whether the connection can be reused."""
         faults = self.faults
         fields = [*self._response_headers(run), (b"content-type", b"text/event-stream")]
-        await trio.sleep(self.pace_ms / MS_PER_SECOND)
+        await trio.sleep(max(self.pace_ms, faults.first_event_ms) / MS_PER_SECOND)
         await caller.send_head(200, fields)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, caller, run, nursery.cancel_scope)
