--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -97,18 +97,29 @@
                 data = await attempt.conn.read_body()
             if data is None:
                 break
-            for event in splitter.feed(data):
-                if not event.is_comment:
-                    timer.record_progress()
-                    attempt.record_progress()
-                if self._is_next_event(event):
-                    await self._send_head_once(attempt.head)
-                    await self._caller.send_data(event.raw)
+            events = splitter.feed(data)
+            if any(not event.is_comment for event in events):
+                timer.record_progress()
+                attempt.record_progress()
+            await self._forward_new(events, attempt.head)
         if splitter.has_partial_event:
             raise ResponseBroken("the stream ended within an event")
         await self._send_head_once(attempt.head)
         return await self._finish(attempt)
 
+    async def _forward_new(self, events: list[StreamEvent], head: ResponseHead) -> None:
+        """Send the events that the caller lacks, in one write; raise `ResponseBroken` at a gap."""
+        new: list[bytes] = []
+        try:
+            for event in events:
+                if self._is_next_event(event):
+                    new.append(event.raw)
+        finally:
+            # The events before a gap are sent.
+            if new:
+                await self._send_head_once(head)
+                await self._caller.send_data(b"".join(new))
+
     def _is_next_event(self, event: StreamEvent) -> bool:
         """Return whether the caller still lacks an event; raise `ResponseBroken` at a gap."""
         number, last = event.event_id, self.resume_after
--- a/skylarklift/entry/silence.py
+++ b/skylarklift/entry/silence.py
@@ -1,7 +1,6 @@
 """Watch attempts for upstreams that fall silent, and abort those that may be repeated."""
 
 from collections.abc import Awaitable, Callable
-from contextlib import contextmanager
 
 import trio
 
@@ -33,15 +32,18 @@
         self._waited_ms = 0
         self.attempt_aborted = False
 
-    @contextmanager
-    def waiting(self):
-        """Count the time of the block as silence, unless progress is recorded after it."""
+    def waiting(self) -> "SilenceTimer":
+        """Return a block whose time counts as silence, unless progress is recorded after it."""
+        return self
+
+    def __enter__(self) -> None:
+        """Start to wait."""
         self._waiting_since = self._clock.now()
-        try:
-            yield
-        finally:
-            self._waited_ms += self._clock.now() - self._waiting_since
-            self._waiting_since = None
+
+    def __exit__(self, *exc_info: object) -> None:
+        """Stop to wait."""
+        self._waited_ms += self._clock.now() - self._waiting_since
+        self._waiting_since = None
 
     def record_progress(self) -> None:
         """Start to measure anew, since the upstream has sent something useful."""
--- a/skylarklift/upstreams/events.py
+++ b/skylarklift/upstreams/events.py
@@ -22,6 +22,8 @@
     @property
     def is_comment(self) -> bool:
         """Return whether the event has only comment lines, which keep a connection open."""
+        if self.event_id is not None:
+            return False
         lines = self.raw.splitlines()
         return all(not line or line.startswith(COMMENT_START) for line in lines)
 
@@ -51,6 +53,8 @@
             raw = bytes(buffer[start:end])
             events.append(StreamEvent(_parse_event_id(raw), raw))
             start = end
+            if start == len(buffer):
+                break
         del buffer[:start]
         if len(buffer) > MAX_EVENT_BYTES:
             raise ResponseInvalid(f"an event exceeds {MAX_EVENT_BYTES} bytes")
