Give other tasks a turn while small parts of a body arrive, and count them for events too

Cause: under a load of 14 to 19 the scenario "body of small chunks" failed once: a readiness check took 1,082 ms. One read of 64 KB holds 7,000 chunks of 4 bytes, which were parsed without a turn for others, and an event in such chunks could take 262,000 parts before its limit. Change: parts that arrived together are joined, up to 256 a turn; the connection counts each as at least 512 bytes, for bodies and for unfinished events.

--- a/features/entry_bytes.feature
+++ b/features/entry_bytes.feature
@@ -29,6 +29,7 @@
       | event                   | /chat/a   |
       | lines of one event      | /chat/a   |
       | event                   | /once/a   |
+      | event of small chunks   | /chat/a   |
       | trailer                 | /once/a   |
 
   Scenario Outline: A stream that stalls while bytes still arrive is resumed elsewhere
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -8,7 +8,7 @@
 from skylarklift.entry.retry_state import Outcome, RetryState
 from skylarklift.entry.silence import SilenceTimer
 from skylarklift.errors import OutcomeUnknown, ResponseBroken, ResponseInvalid
-from skylarklift.upstreams.events import EventSplitter, StreamEvent
+from skylarklift.upstreams.events import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 
 # A longer response than this is forwarded as it arrives.  Other responses, except streams of
 # events, are buffered until they are complete, so that the request can be retried if a response
@@ -90,6 +90,7 @@
     async def _forward_events(self, attempt: Attempt, timer: SilenceTimer) -> int:
         """Forward complete events in order, each once."""
         splitter = EventSplitter()
+        counted_before = 0
         timer.record_progress()
         timer.probe_after_ms = MID_STREAM_SILENCE_MS
         while True:
@@ -98,6 +99,10 @@
             if data is None:
                 break
             events = splitter.feed(data)
+            if events:
+                counted_before = attempt.conn.counted_bytes
+            elif attempt.conn.counted_bytes - counted_before > MAX_EVENT_BYTES:
+                raise ResponseInvalid(f"an event in small parts exceeds {MAX_EVENT_BYTES} bytes")
             if any(not event.is_comment for event in events):
                 timer.record_progress()
                 attempt.record_progress()
--- a/skylarklift/entry/http_connection.py
+++ b/skylarklift/entry/http_connection.py
@@ -8,7 +8,7 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.model import Headers
-from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid
+from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid, TransportError
 
 READ_BYTES = 65536
 # A request of up to this size is sent before its response is read.  The rest of a longer one is
@@ -22,8 +22,11 @@
 MAX_INTERIM_RESPONSES = 8
 # SO_LINGER with a time-out of 0: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-# A part of a body, such as a chunk, counts at least this much towards a limit on the body.
+# A part of a body, such as a chunk, counts at least this much towards a limit on the body, since
+# each costs time however small it is.
 MIN_PART_BYTES = 512
+# After this many parts that arrived together, other tasks get a turn.
+MAX_PARTS_PER_TURN = 256
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -53,6 +56,9 @@
         self._unsent = b""
         self._must_close = False
         self._eof_received = False
+        self._peeked: h11.Event | None = None
+        # The bytes of the current response's body that count towards a limit.
+        self.counted_bytes = 0
 
     async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request, up to `MAX_FIRST_WRITE_BYTES`; `send_remaining_body` sends the rest."""
@@ -97,6 +103,7 @@
 
     async def read_head(self) -> tuple[int, Headers]:
         """Return status and header fields of the response; skip a few interim responses."""
+        self.counted_bytes = 0
         for _ in range(MAX_INTERIM_RESPONSES + 1):
             event = await self._next_event()
             if isinstance(event, h11.InformationalResponse):
@@ -108,23 +115,31 @@
         raise ResponseInvalid(f"more than {MAX_INTERIM_RESPONSES} interim responses")
 
     async def read_body(self) -> bytes | None:
-        """Return the next bytes of the body, or `None` at its end."""
+        """Return the next bytes of the body, or `None` at its end.
+
+        These are the parts that have arrived, up to `MAX_PARTS_PER_TURN` of them.
+        """
         event = await self._next_event()
-        if isinstance(event, h11.Data):
-            return bytes(event.data)
+        parts = []
+        while isinstance(event, h11.Data):
+            self._peeked = None
+            parts.append(bytes(event.data))
+            self.counted_bytes += max(len(event.data), MIN_PART_BYTES)
+            if len(parts) >= MAX_PARTS_PER_TURN:
+                await trio.lowlevel.checkpoint()
+                return b"".join(parts)
+            event = self._peek_event()
+        if parts:
+            return b"".join(parts)
         if isinstance(event, h11.EndOfMessage):
             return None
         raise ResponseBroken("connection closed within the response's body")
 
     async def read_all(self, limit: int) -> bytes:
-        """Return the whole body; raise `ResponseInvalid` if it is longer than `limit` bytes.
-
-        A small part counts as `MIN_PART_BYTES`, since each costs time however small it is.
-        """
-        parts, size = [], 0
+        """Return the whole body; raise `ResponseInvalid` if it counts more than `limit` bytes."""
+        parts = []
         while (data := await self.read_body()) is not None:
-            size += max(len(data), MIN_PART_BYTES)
-            if size > limit:
+            if self.counted_bytes > limit:
                 raise ResponseInvalid(f"response body exceeds {limit} bytes")
             parts.append(data)
         return b"".join(parts)
@@ -144,16 +159,33 @@
     async def _next_event(self) -> h11.Event:
         """Return the next protocol event, reading from the connection as needed."""
         while True:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as exc:
-                self._must_close = True
-                kind = ResponseBroken if self._eof_received else ResponseInvalid
-                raise kind(str(exc)) from exc
+            event, self._peeked = self._peeked or self._parse_event(), None
             if event is not h11.NEED_DATA:
                 return event
             await self._receive()
 
+    def _peek_event(self) -> h11.Event | None:
+        """Return the event that `_next_event` will return, if it has arrived.
+
+        An event that cannot be parsed is left for `_next_event`, which then fails.
+        """
+        try:
+            event = self._parse_event()
+        except TransportError:
+            # The parser keeps its error state and raises it again.
+            return None
+        self._peeked = None if event is h11.NEED_DATA else event
+        return self._peeked
+
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA]:
+        """Return the next event of what has arrived; raise `TransportError`."""
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as exc:
+            self._must_close = True
+            kind = ResponseBroken if self._eof_received else ResponseInvalid
+            raise kind(str(exc)) from exc
+
     async def _receive(self) -> None:
         """Read some bytes into the parser."""
         try:
--- a/skylarklift/entry/response_body.py
+++ b/skylarklift/entry/response_body.py
@@ -1,6 +1,6 @@
 """Read the body of a response that is not a stream of events, within a limit."""
 
-from skylarklift.entry.http_connection import MIN_PART_BYTES, HttpConnection
+from skylarklift.entry.http_connection import HttpConnection
 from skylarklift.entry.silence import SilenceTimer
 from skylarklift.errors import ResponseInvalid
 
@@ -17,22 +17,17 @@
         self._conn = conn
         self._timer = timer
         self._has_length = has_length
-        self._counted_bytes = 0
         self._bytes_since_progress = 0
         self.complete = False
 
     async def read(self) -> bytes | None:
-        """Return the next part, or `None` at the end; raise `TransportError`.
-
-        A small part counts as `MIN_PART_BYTES`, since each costs time however small it is.
-        """
+        """Return the next bytes, or `None` at the end; raise `TransportError`."""
         with self._timer.waiting():
             data = await self._conn.read_body()
         if data is None:
             self.complete = True
             return None
-        self._counted_bytes += max(len(data), MIN_PART_BYTES)
-        if not self._has_length and self._counted_bytes > MAX_UNDECLARED_BYTES:
+        if not self._has_length and self._conn.counted_bytes > MAX_UNDECLARED_BYTES:
             raise ResponseInvalid(f"a body without a length exceeds {MAX_UNDECLARED_BYTES} bytes")
         self._record_progress(len(data))
         return data
--- a/standins/raw_replica.py
+++ b/standins/raw_replica.py
@@ -47,6 +47,7 @@
     "lines of one event": Script(
         ANSWER_HEAD + EVENT_STREAM + CHUNKED, chunk(b"data: a\n" * (FILLER_BYTES // 8))
     ),
+    "event of small chunks": Script(ANSWER_HEAD + EVENT_STREAM + CHUNKED, chunk(b"aaaa") * 8000),
     "body without a length": Script(ANSWER_HEAD + b"\r\n", FILLER),
     "body of small chunks": Script(ANSWER_HEAD + CHUNKED, chunk(b"aaaa") * 8000),
 }
