--- a/features/entry.feature
+++ b/features/entry.feature
@@ -93,19 +93,6 @@
     And its replica restarts under the same name
     Then the replica holds 0 tokens of "p:500,c:9000,z:50"
 
-  Scenario Outline: A restarted router learns the placements that it made itself before
-    Given a router that knows 6 replicas and <others> other routers
-    When a chat with the prompt parts "p:500,c:9000,q:100" is sent
-    And the router "n1" has reported a placement of "p,d" and restarts
-    Then <share> of the routers send it both placements, and not again
-    And a router that has run for long is sent only the new one
-
-    Examples:
-      | others | share |
-      | 1      | 1     |
-      | 3      | 3     |
-      | 12     | 3     |
-
   Scenario Outline: Only a restarted router is sent the placements of the last seconds again
     Given a router that knows 6 replicas
     When a chat with the prompt parts "p:500,c:9000,q:100" is sent
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -18,11 +18,9 @@
 )
 from skylarklift.clock import ManualClock
 from skylarklift.entry.choose import Choice
-from skylarklift.entry.fleet import Fleet, GossipMessage
+from skylarklift.entry.fleet import GossipMessage
 from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget
 from skylarklift.entry.model import Bounds, Endpoint, Workspace
-from skylarklift.entry.peering import Peering
-from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.retry_state import Outcome, RetryState
 from skylarklift.entry.rows import RowTable, TableSummary
 from skylarklift.platform.rows import decode_plan
@@ -283,51 +281,3 @@
     replica = context.first_choice.upstream.record.replica
     upstream = context.core.cluster_state.upstreams[replica]
     assert context.core.chooser.held_tokens(new_call(parts), upstream) == tokens
-
-
-@given("a router that knows {replicas:d} replicas and {others:d} other routers")
-def router_in_fleet(context, replicas, others):
-    context.clock = ManualClock(10_000)
-    context.core = core_with_replicas(replicas, context.clock)
-    context.nodes = [f"n{number}" for number in range(1, others + 1)]
-    for node in context.nodes:
-        message_arrives(context, node, "b1")
-
-
-@when('the router "{node}" has reported a placement of "{names}" and restarts')
-def reports_and_restarts(context, node, names):
-    placement = Placement(tuple(names.split(",")), "r1")
-    message = GossipMessage(node, "b1", "", EMPTY_SUMMARIES, placements=(placement,))
-    core = context.core
-    for peer in core.fleet.peers.values():
-        peer.sent_at = context.clock.now()
-    core.fleet.record_message(message, Endpoint("127.0.0.2", 1))
-    core.chooser.prefixes.record_reported(placement)
-    message_arrives(context, node, "b2")
-
-
-@then("{share:d} of the routers send it both placements, and not again")
-def introduced_by(context, share):
-    peer = context.core.fleet.peers["n1"]
-    # The fleet of each router, the restarted one aside, as all of them see it.
-    nodes = [context.core.fleet.own_node, *context.nodes[1:]]
-    introducing = 0
-    for node in nodes:
-        fleet = Fleet(context.clock, node)
-        for other in [*nodes, "n1"]:
-            if other != node:
-                message = GossipMessage(other, "b2", "", EMPTY_SUMMARIES)
-                fleet.record_message(message, Endpoint("127.0.0.2", 1))
-        introducing += fleet.introduces(fleet.peers["n1"])
-        fleet.peers["n1"].sent_at = context.clock.now()
-        assert not fleet.introduces(fleet.peers["n1"])
-    assert introducing == min(share, len(nodes)), introducing
-    assert peer.sent_at == 0
-    message = Peering(context.core, None)._make_message(peer.sent_at, introduce=True)
-    assert {item.part_names for item in message.placements} == {("p", "c"), ("p", "d")}, message
-
-
-@then("a router that has run for long is sent only the new one")
-def sent_only_own(context):
-    message = Peering(context.core, None)._make_message(context.clock.now(), introduce=False)
-    assert [item.part_names for item in message.placements] == [("p", "c")], message
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -29,8 +29,6 @@
 # After this time a router that has just started has received two messages from every other one.
 DISCOVERY_MS = 500
 READER_KEY = "reader"
-# This many routers tell one that has just started which replicas hold which prefixes.
-INTRODUCING_ROUTERS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,15 +128,6 @@
         own = rendezvous_weight(replica, self.own_node)
         return sum(rendezvous_weight(replica, node) > own for node in self._limit_members())
 
-    def introduces(self, peer: Peer) -> bool:
-        """Return whether this router tells a peer that has just started what all routers know."""
-        if peer.sent_at or peer.last_message is None:
-            return False
-        own = rendezvous_weight(peer.node, self.own_node)
-        others = (item.node for item in self.live_peers() if item is not peer)
-        before = sum(rendezvous_weight(peer.node, node) > own for node in others)
-        return before < INTRODUCING_ROUTERS
-
     def live_peers(self) -> list[Peer]:
         """Return the routers that sent a message recently."""
         limit = self._clock.now() - MAX_PEER_SILENCE_MS
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -71,22 +71,19 @@
 
     async def send_round(self) -> None:
         """Send gossip to the routers of this round."""
-        core = self._core
-        now = core.clock.now()
-        encoded: dict[tuple[Millis, bool], bytes] = {}
+        now = self._core.clock.now()
+        encoded: dict[Millis, bytes] = {}
         for peer in self._next_targets():
             # Crashes and placements of the last message are sent once more: datagrams may be lost.
             since = Millis(peer.sent_at - GOSSIP_INTERVAL_MS)
-            introduce = core.fleet.introduces(peer)
-            if (since, introduce) not in encoded:
-                message = self._make_message(since, introduce=introduce)
-                encoded[since, introduce] = encode_gossip(message)
+            if since not in encoded:
+                encoded[since] = encode_gossip(self._make_message(since))
             peer.sent_at = now
             try:
                 address = (peer.address.host, peer.address.port)
-                await self._socket.sendto(encoded[since, introduce], address)
+                await self._socket.sendto(encoded[since], address)
             except OSError as exc:
-                core.event_log.write("gossip_send_failed", peer=peer.node, cause=str(exc))
+                self._core.event_log.write("gossip_send_failed", peer=peer.node, cause=str(exc))
 
     def _next_targets(self) -> list[Peer]:
         """Return the routers to send to in this round.
@@ -105,15 +102,11 @@
         """Return whether this router reads the store itself."""
         return all(self._core.reading_store.values())
 
-    def _make_message(self, since: Millis, *, introduce: bool) -> GossipMessage:
-        """Return the current gossip message, with the crashes and own placements after `since`.
-
-        With `introduce`, it has the recent placements by all routers instead.
-        """
+    def _make_message(self, since: Millis) -> GossipMessage:
+        """Return the current gossip message, with the crashes and placements after `since`."""
         core = self._core
         state = core.cluster_state
         ejected = core.health.ejected()
-        prefixes = core.chooser.prefixes
         return GossipMessage(
             node=core.settings.node,
             boot=self._boot,
@@ -127,9 +120,7 @@
                 replica for replica in ejected if core.health.maybe_restarted(replica)
             ),
             crashes=core.suspects.own_crashes_since(since),
-            placements=tuple(
-                prefixes.recent_placements() if introduce else prefixes.own_placements_since(since)
-            ),
+            placements=tuple(core.chooser.prefixes.own_placements_since(since)),
         )
 
     # Receiving.
--- a/skylarklift/entry/prefixes.py
+++ b/skylarklift/entry/prefixes.py
@@ -17,10 +17,8 @@
 MAX_PARTS = 4000
 # A placement is announced again only if its last use before was longer ago than this.
 REANNOUNCE_IDLE_MS = 3000
-# Placements are kept for this long, to be announced to routers that have just started.
-RECENT_PLACEMENT_TTL_MS = 15000
-# Limit on the placements in one message: they must fit into a datagram.
-MAX_INTRODUCED_PLACEMENTS = 500
+# Own placements are kept for this long, to be announced to routers that have just started.
+OWN_PLACEMENT_TTL_MS = 15000
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,8 +44,6 @@
         self._clock = clock
         self._holders: OrderedDict[str, dict[ReplicaId, Millis]] = OrderedDict()
         self._own_placements: deque[tuple[Millis, Placement]] = deque()
-        # Own and reported placements with their last use, the oldest first.
-        self._recent: OrderedDict[Placement, Millis] = OrderedDict()
 
     def record_own(self, parts: Sequence[PromptPart], replica: ReplicaId) -> None:
         """Record that this router sends a prompt to a replica."""
@@ -55,42 +51,30 @@
             return
         now = self._clock.now()
         last = self._holders.get(parts[-1].name, {}).get(replica)
-        placement = Placement(tuple(part.name for part in parts), replica)
-        self._record_use(placement, now)
+        names = tuple(part.name for part in parts)
+        self._record_use(names, replica, now)
         if last is None or now - last > REANNOUNCE_IDLE_MS:
-            self._own_placements.append((now, placement))
+            self._own_placements.append((now, Placement(names, replica)))
 
     def record_reported(self, placement: Placement) -> None:
         """Record a placement reported by another router."""
-        self._record_use(placement, self._clock.now())
+        self._record_use(placement.part_names, placement.replica, self._clock.now())
 
-    def _record_use(self, placement: Placement, now: Millis) -> None:
+    def _record_use(self, names: Sequence[str], replica: ReplicaId, now: Millis) -> None:
         """Record the use of parts at a replica; evict the least recently used parts."""
-        for name in placement.part_names:
-            self._holders.setdefault(name, {})[placement.replica] = now
+        for name in names:
+            self._holders.setdefault(name, {})[replica] = now
             self._holders.move_to_end(name)
         while len(self._holders) > MAX_PARTS:
             self._holders.popitem(last=False)
-        self._recent[placement] = now
-        self._recent.move_to_end(placement)
-        while len(self._recent) > MAX_INTRODUCED_PLACEMENTS:
-            self._recent.popitem(last=False)
 
     def own_placements_since(self, since: Millis) -> list[Placement]:
         """Return the placements by this router since a time."""
-        limit = self._clock.now() - RECENT_PLACEMENT_TTL_MS
+        limit = self._clock.now() - OWN_PLACEMENT_TTL_MS
         while self._own_placements and self._own_placements[0][0] < limit:
             self._own_placements.popleft()
         return [placement for placed_at, placement in self._own_placements if placed_at >= since]
 
-    def recent_placements(self) -> list[Placement]:
-        """Return the last placements by any router, for one that has just started.
-
-        Those of a router that has restarted are known only to the others.
-        """
-        limit = self._clock.now() - RECENT_PLACEMENT_TTL_MS
-        return [placement for placement, used_at in self._recent.items() if used_at >= limit]
-
     def held_tokens(self, parts: Sequence[PromptPart], upstream: Upstream) -> int:
         """Return how many tokens from the start of a prompt an upstream holds.
 
