Keep chats' orders for the newest members only, and hold no request for long at the start

Cause, by reading: each remembered chat kept the list of members that it was ordered by, so with hundreds of replicas that come and go, lists of thousands would stay; a caller with a minute was held for 15 s by a router without a configuration, and then told to return in 11 s. Change: orders are kept by service and dropped when its members change; a request waits for at most 3 s and is told to return within 2 s. Before: "Replicas that left are not kept" failed; after: passes.

--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -38,3 +38,8 @@
     Given a router among 1 others before 6 replicas, by the seed 1
     When the prefix of a chat is held by a replica of each zone
     Then the chat goes to the holder in the router's zone
+
+  Scenario: Replicas that left are not kept for chats that do not return
+    Given a router among 1 others before 6 replicas, by the seed 1
+    When 50 chats come, each after a replica has joined
+    Then no list of members but the newest is kept
--- a/features/entry_start.feature
+++ b/features/entry_start.feature
@@ -20,3 +20,8 @@
     When 4 requests to "/redeem/a" arrive and the store stays away
     Then all of them are refused with 503 after 900 to 1600 ms
     And each is told to return within a third of its time that is left
+
+  Scenario: A caller with much time is not held for long by a router that cannot serve it
+    Given a router that starts while the store has the fault "reset"
+    When a request to "/redeem/a" with a deadline of 60000 ms arrives and the store stays away
+    Then all of them are refused with 503 after 2800 to 3600 ms
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -1,5 +1,6 @@
 """Steps for the choice of an upstream, compared with a plain walk over all upstreams."""
 
+import gc
 import random
 
 from behave import given, then, when
@@ -243,3 +244,23 @@
     record = choose(context.core, context.call).upstream.record
     assert record.zone == context.core.settings.zone, record
     assert record.replica in ("r0", "r1", "r2"), record
+
+
+@when("{count:d} chats come, each after a replica has joined")
+def chats_after_joins(context, count):
+    state = context.core.cluster_state
+    context.member_lists = []
+    for number in range(count):
+        rows = {f"j{number}": upstream_data(port=9500 + number)}
+        apply_rows(context.core, RowTable.UPSTREAMS, 2 + number, rows)
+        assert isinstance(choose(context.core, new_call(f"s{number}:500,own:30")), Choice)
+        context.member_lists.append(state.members_of("lm"))
+
+
+@then("no list of members but the newest is kept")
+def only_newest_kept(context):
+    old = context.member_lists[:-1]
+    # The list of this step and its frame's slice are the only references that may be left.
+    counts = [len(gc.get_referrers(members)) for members in old]
+    newest = len(gc.get_referrers(context.member_lists[-1]))
+    assert max(counts) < newest, (counts, newest)
--- a/features/steps/entry_start.py
+++ b/features/steps/entry_start.py
@@ -50,13 +50,18 @@
     send_all(context, count, path, None)
 
 
-def send_all(context, count, path, store_back_ms):
+@when('a request to "{path}" with a deadline of {span:d} ms arrives and the store stays away')
+def long_request_without_store(context, path, span):
+    send_all(context, 1, path, None, span)
+
+
+def send_all(context, count, path, store_back_ms, deadline_ms=DEADLINE_MS):
     """Send requests at once; keep each response with the milliseconds that it took."""
     context.results = []
 
     async def send():
         started = time.monotonic()
-        response = await context.world.call(context.router, path, deadline_ms=DEADLINE_MS)
+        response = await context.world.call(context.router, path, deadline_ms=deadline_ms)
         context.results.append((response, (time.monotonic() - started) * 1000))
 
     async def run():
--- a/skylarklift/entry/affinity.py
+++ b/skylarklift/entry/affinity.py
@@ -8,12 +8,11 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator, Mapping
-from dataclasses import dataclass
 
 from skylarklift.entry.candidates import Candidates
 from skylarklift.entry.cluster_state import Upstream
 from skylarklift.hashing import rendezvous_weight
-from skylarklift.ids import ReplicaId, ZoneId
+from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
 # For each chat, this many replicas are remembered; few requests need more.
 REMEMBERED_REPLICAS = 8
@@ -21,35 +20,44 @@
 
 
 class RendezvousCache:
-    """The first replicas in the rendezvous order of recent chats."""
+    """The rendezvous orders of recent chats, for each service."""
 
     def __init__(self):
-        self._first: OrderedDict[str, RememberedOrder] = OrderedDict()
+        self._services: dict[ServiceId, ServiceOrders] = {}
 
-    def order(self, key: str, members: Mapping[ReplicaId, Upstream]) -> Iterator[ReplicaId]:
+    def order(
+        self, key: str, service: ServiceId, members: Mapping[ReplicaId, Upstream]
+    ) -> Iterator[ReplicaId]:
         """Yield a service's replicas in the order of a chat.
 
         `members` must be the same object as long as the replicas of the service are the same.
         """
-        known = self._first.get(key)
-        if known is None or known.members is not members:
-            first = tuple(_sort_by_weight(key, members)[:REMEMBERED_REPLICAS])
-            self._first[key] = known = RememberedOrder(members, first)
+        orders = self._services.get(service)
+        if orders is None or orders.members is not members:
+            orders = self._services[service] = ServiceOrders(members)
+        return orders.order(key)
+
+
+class ServiceOrders:
+    """The first replicas in the rendezvous order of recent chats, for the members of a service."""
+
+    def __init__(self, members: Mapping[ReplicaId, Upstream]):
+        self.members = members
+        self._first: OrderedDict[str, tuple[ReplicaId, ...]] = OrderedDict()
+
+    def order(self, key: str) -> Iterator[ReplicaId]:
+        """Yield all members in the order of a chat."""
+        first = self._first.get(key)
+        if first is None:
+            first = tuple(_sort_by_weight(key, self.members)[:REMEMBERED_REPLICAS])
+            self._first[key] = first
             while len(self._first) > MAX_REMEMBERED_CHATS:
                 self._first.popitem(last=False)
         else:
             self._first.move_to_end(key)
-        yield from known.first
-        if len(members) > REMEMBERED_REPLICAS:
-            yield from _sort_by_weight(key, members)[REMEMBERED_REPLICAS:]
-
-
-@dataclass(frozen=True, slots=True)
-class RememberedOrder:
-    """The first replicas in a chat's order of the members of a service."""
-
-    members: Mapping[ReplicaId, Upstream]
-    first: tuple[ReplicaId, ...]
+        yield from first
+        if len(self.members) > REMEMBERED_REPLICAS:
+            yield from _sort_by_weight(key, self.members)[REMEMBERED_REPLICAS:]
 
 
 def order_by_affinity(
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -186,7 +186,7 @@
         key = affinity_key(call)
         holders = self._find_holders(call, candidates)
         load_limit = AFFINITY_LOAD_RATIO * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
-        ranked = self._rendezvous.order(key, self._cluster_state.members_of(service))
+        ranked = self._rendezvous.order(key, service, self._cluster_state.members_of(service))
         return order_by_affinity(key, ranked, candidates, holders, load_limit, self._zone)
 
     def _find_holders(self, call: Call, candidates: Candidates) -> frozenset[ReplicaId]:
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -30,11 +30,13 @@
 # interval, for up to the route's latency objective divided by `UPSTREAM_WAIT_DIVISOR`.
 UPSTREAM_POLL_INTERVAL_MS = 20
 UPSTREAM_WAIT_DIVISOR = 8
-# A router that has just started has no configuration.  A request waits for it up to its caller's
-# deadline divided by the first, and is then told to come back within what is left divided by the
-# second: callers honour at most a third of that.
+# A router that has just started has no configuration.  A request waits for it for a part of its
+# caller's deadline, and is then told to come back after a part of what is left: callers honour at
+# most a third of that.
 CONFIGURATION_WAIT_DIVISOR = 4
+MAX_CONFIGURATION_WAIT_MS = 3000
 STARTING_RETRY_DIVISOR = 4
+MAX_STARTING_RETRY_MS = 2000
 DEFAULT_DEADLINE_MS = 2000
 RETRY_AFTER_MS = 500
 RETRY_AFTER_JITTER_MS = 1000
@@ -93,15 +95,13 @@
         """Wait until both tables are known; raise `Refusal` if that takes too long."""
         core, call = self.core, self.call
         deadline_ms = call.deadline_ms or DEFAULT_DEADLINE_MS
-        until = call.received_at + deadline_ms // CONFIGURATION_WAIT_DIVISOR
+        wait_ms = min(deadline_ms // CONFIGURATION_WAIT_DIVISOR, MAX_CONFIGURATION_WAIT_MS)
+        until = call.received_at + wait_ms
         while not core.cluster_state.complete:
             left_ms = call.received_at + deadline_ms - core.clock.now()
             if core.clock.now() >= until or core.stopping_ms() is not None:
-                raise Refusal(
-                    "starting",
-                    "no configuration is known yet",
-                    retry_after_ms=max(0, left_ms) // STARTING_RETRY_DIVISOR,
-                )
+                retry_ms = min(max(0, left_ms) // STARTING_RETRY_DIVISOR, MAX_STARTING_RETRY_MS)
+                raise Refusal("starting", "no configuration is known yet", retry_after_ms=retry_ms)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
 
     def _admit(self) -> None:
