--- a/features/steps/entry_start.py
+++ b/features/steps/entry_start.py
@@ -7,6 +7,7 @@
 
 from features.world_thread import WorldThread, all_runs
 from skylarklift.entry.cluster_state import STORE_OUTAGE_MS
+from standins.entry_world import HOST
 
 DEADLINE_MS = 4000
 SETTLE_POLLS = 200
@@ -30,15 +31,25 @@
         else:
             setattr(faults, fault, True)
         router = world.launch_router("n1")
-        for _ in range(SETTLE_POLLS):
-            if router.is_up():
-                break
-            await trio.sleep(POLL_S)
+        await wait_listening(router)
         return router
 
     context.router = context.thread.run(build)
 
 
+async def wait_listening(router):
+    """Wait until a router accepts callers' connections, which it does after it logs its start."""
+    for _ in range(SETTLE_POLLS):
+        try:
+            stream = await trio.open_tcp_stream(HOST, router.caller_port)
+        except OSError:
+            await trio.sleep(POLL_S)
+            continue
+        await stream.aclose()
+        return
+    raise AssertionError(f"{router.name} does not listen: {router.log.read_text()}")
+
+
 @when('{count:d} requests to "{path}" arrive and the store is back after {span:d} ms')
 def requests_then_store(context, count, path, span):
     assert span < STORE_OUTAGE_MS
