--- a/features/entry_start.feature
+++ b/features/entry_start.feature
@@ -15,11 +15,11 @@
       | 503    | /redeem/a |
       | reset  | /chat/a   |
 
-  Scenario: A request that cannot be served before a quarter of its time is told to return
+  Scenario: A request that cannot be served within a quarter of its deadline gets a Retry-After
     Given a router that starts while the store has the fault "reset"
     When 4 requests to "/redeem/a" arrive and the store stays away
     Then all of them are refused with 503 after 900 to 1600 ms
-    And each is told to return within a third of its time that is left
+    And each Retry-After is at most a third of the time left
 
   Scenario: A caller with much time is not held for long by a router that cannot serve it
     Given a router that starts while the store has the fault "reset"
--- a/features/steps/entry_start.py
+++ b/features/steps/entry_start.py
@@ -108,8 +108,8 @@
     assert not all_runs(context)
 
 
-@then("each is told to return within a third of its time that is left")
-def told_to_return(context):
+@then("each Retry-After is at most a third of the time left")
+def retry_after_is_short(context):
     for response, took_ms in context.results:
         span_ms = float(response.headers["retry-after"]) * 1000
         assert 0 < span_ms <= (DEADLINE_MS - took_ms) / 3 + 100, (span_ms, took_ms)
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -31,8 +31,8 @@
 UPSTREAM_POLL_INTERVAL_MS = 20
 UPSTREAM_WAIT_DIVISOR = 8
 # A router that has just started has no configuration.  A request waits for it for a part of its
-# caller's deadline, and is then told to come back after a part of what is left: callers honour at
-# most a third of that.
+# caller's deadline, and is then refused with a Retry-After of a part of the time left: callers
+# honour at most a third of that.
 CONFIGURATION_WAIT_DIVISOR = 4
 MAX_CONFIGURATION_WAIT_MS = 3000
 STARTING_RETRY_DIVISOR = 4
--- a/skylarklift/entry/upstream_progress.py
+++ b/skylarklift/entry/upstream_progress.py
@@ -1,4 +1,4 @@
-"""What upstreams sent to this router, from which a lost answer is told from a slow upstream.
+"""Progress of upstreams, which distinguishes a lost response from a slow or hung upstream.
 
 An upstream that is only slow must not be left: its work would start again elsewhere, and an
 overloaded service would get more of it.
