--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from skylarklift.clock import Millis
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.core import Core, Probe
 from skylarklift.entry.health import HealthSignal
@@ -47,6 +48,8 @@
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
+        # When the head of the response arrived.
+        self.answered_at: Millis | None = None
         self._sent_at = core.clock.now()
         self._answered = False
         self._response_read = False
@@ -106,6 +109,7 @@
 
         A success must be signed by the upstream and must not have a content encoding.
         """
+        self.answered_at = self.core.clock.now()
         if head.cold_ms:
             self.core.cluster_state.apply_reported_cold_time(self.record.replica, head.cold_ms)
         if head.status in SUCCESS_STATUSES and (not head.signed or head.encoded):
@@ -123,6 +127,12 @@
             self.outcome = Outcome.ANSWERED
         return self.outcome
 
+    def answer_age_ms(self) -> int | None:
+        """Return the milliseconds since the head of the response arrived, `None` before."""
+        if self.answered_at is None:
+            return None
+        return self.core.clock.now() - self.answered_at
+
     def record_progress(self) -> None:
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -13,6 +13,7 @@
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Call, Endpoint, Route, RouteKind, SendOptions, Workspace
+from skylarklift.entry.prefixes import shared_parts
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
 from skylarklift.entry.suspects import call_fingerprint
@@ -53,6 +54,8 @@
 MIN_TIMEOUT_FAILURE_MS = 1000
 # Statuses by which a caller concludes that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Shared parts of a prompt that the line of a failed attempt names.
+MAX_LOGGED_PARTS = 8
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -313,6 +316,8 @@
             detail=attempt.detail,
             sends=self.retry_state.attempts,
             load=attempt.choice.load,
+            answer_age_ms=attempt.answer_age_ms(),
+            parts=[part.name for part in shared_parts(self.call.parts)[:MAX_LOGGED_PARTS]],
         )
 
     def _log_result(self, status: int) -> None:
