--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -48,10 +48,9 @@
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
-        # When the head of the response arrived.
+        # When the first event or the complete answer arrived.
         self.answered_at: Millis | None = None
         self._sent_at = core.clock.now()
-        self._answered = False
         self._response_read = False
 
     @asynccontextmanager
@@ -109,7 +108,6 @@
 
         A success must be signed by the upstream and must not have a content encoding.
         """
-        self.answered_at = self.core.clock.now()
         if head.cold_ms:
             self.core.cluster_state.apply_reported_cold_time(self.record.replica, head.cold_ms)
         if head.status in SUCCESS_STATUSES and (not head.signed or head.encoded):
@@ -128,7 +126,7 @@
         return self.outcome
 
     def answer_age_ms(self) -> int | None:
-        """Return the milliseconds since the head of the response arrived, `None` before."""
+        """Return the milliseconds since the first event or the answer arrived, `None` before."""
         if self.answered_at is None:
             return None
         return self.core.clock.now() - self.answered_at
@@ -137,8 +135,8 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
-        if not self._answered:
-            self._answered = True
+        if self.answered_at is None:
+            self.answered_at = self.core.clock.now()
             progress.record_answer(replica, self.route_name, self._sent_at)
 
     def release_connection(self) -> None:
