--- a/standins/replica.py
+++ b/standins/replica.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 import trio
 
@@ -13,6 +14,14 @@
 MS_PER_SECOND = 1000
 
 
+class CrashPoint(Enum):
+    """The point in an answer at which a replica crashes."""
+
+    BEFORE_HEAD = "before the head"
+    AFTER_HEAD = "after the head"
+    AFTER_EVENT = "after an event"
+
+
 @dataclass
 class ReplicaFaults:
     """The faults of a replica; integers count the requests still to be affected.
@@ -59,7 +68,11 @@
 
 @dataclass
 class Replica:
-    """One replica, its faults and the requests that it ran."""
+    """One replica, its faults and the requests that it ran.
+
+    It crashes at `crash_point` of the answer to a request to the path `crash_on` or to a prompt
+    with the shared part `crash_on_part`.
+    """
 
     name: str
     events: int = 6
@@ -68,6 +81,8 @@
     runs: list[Run] = field(default_factory=list)
     rejected: int = 0
     crash_on: str = ""
+    crash_on_part: str = ""
+    crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     crashed: int = 0
     on_crash: Callable[[], None] | None = None
     connections: set[trio.SocketStream] = field(default_factory=set)
@@ -77,19 +92,24 @@
         caller = CallerConnection(stream, LIMITS.header_bytes)
         self.connections.add(stream)
         try:
-            while (head := await caller.read_head(LIMITS.idle_ms, LIMITS.header_ms)) is not None:
-                body = await caller.read_body(LIMITS)
-                if not await self._serve_request(caller, stream, head, body):
-                    return
-                if not caller.prepare_next_request():
-                    return
-        except (CallerDisconnected, BadRequest):
+            await self._serve_requests(caller, stream)
+        except* (CallerDisconnected, BadRequest):
             # The router closed the connection; a run in progress is marked as cancelled by now.
-            return
+            # The nursery of a run wraps this in a group.
+            caller.close_after_response = True
         finally:
             self.connections.discard(stream)
             caller.abort()
 
+    async def _serve_requests(self, caller, stream) -> None:
+        """Serve the requests of one connection, one after the other."""
+        while (head := await caller.read_head(LIMITS.idle_ms, LIMITS.header_ms)) is not None:
+            body = await caller.read_body(LIMITS)
+            if not await self._serve_request(caller, stream, head, body):
+                return
+            if not caller.prepare_next_request():
+                return
+
     async def _serve_request(self, caller, stream, head, body) -> bool:
         """Serve one request; return whether the connection can be reused."""
         fields = {name.decode(): value.decode() for name, value in head.headers}
@@ -112,12 +132,8 @@
             int(fields.get("last-event-id", "0")) + 1,
         )
         self.runs.append(run)
-        if self.crash_on and run.target == self.crash_on:
-            self.crashed += 1
-            if self.on_crash is not None:
-                self.on_crash()
-            self.close_connections()
-            return False
+        if run.target == self.crash_on and self.crash_point is CrashPoint.BEFORE_HEAD:
+            return self._crash()
         if faults.keep_answer:
             faults.keep_answer -= 1
             await self._stay_silent(caller, run)
@@ -127,6 +143,23 @@
             return await self._send_stream(caller, run)
         return await self._send_complete(caller, stream, run)
 
+    def _crash(self) -> bool:
+        """End as a crashed process does; return that no connection can be reused."""
+        self.crashed += 1
+        if self.on_crash is not None:
+            self.on_crash()
+        self.close_connections()
+        return False
+
+    def _crashes_on(self, run) -> bool:
+        """Return whether a run has the path or the shared part that crashes this replica."""
+        if self.crash_on and run.target == self.crash_on:
+            return True
+        parts = run.headers.get("x-prefix-hash", "").split(",")[:-1]
+        return bool(self.crash_on_part) and self.crash_on_part in (
+            part.partition(":")[0] for part in parts
+        )
+
     async def _stay_silent(self, caller, run) -> None:
         """Send nothing until the router closes the connection."""
         await caller.wait_disconnected()
@@ -199,7 +232,15 @@
         faults = self.faults
         fields = [*self._response_headers(run), (b"content-type", b"text/event-stream")]
         await trio.sleep(max(self.pace_ms, faults.first_event_ms) / MS_PER_SECOND)
+        crashes = self._crashes_on(run)
+        if crashes and self.crash_point is CrashPoint.BEFORE_HEAD:
+            return self._crash()
         await caller.send_head(200, fields)
+        if crashes and self.crash_point is CrashPoint.AFTER_EVENT:
+            await caller.send_data(b"id: %d\ndata: e\n\n" % run.first_event)
+        if crashes:
+            await trio.sleep(self.pace_ms / MS_PER_SECOND)
+            return self._crash()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, caller, run, nursery.cancel_scope)
             for number in range(run.first_event, self.events + 1):
