--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -16,6 +16,9 @@
 PROBE_TIMEOUT_MS = 250
 # The result of a probe is reused for this long.
 PROBE_TTL_MS = 300
+# A request that crashes its upstream does so when it begins to run, which its first events may
+# precede by a little.
+SETTLED_ANSWER_MS = 500
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -131,6 +134,11 @@
             return None
         return self.core.clock.now() - self.answered_at
 
+    def has_settled(self) -> bool:
+        """Return whether the answer has lasted too long for its start to crash the upstream."""
+        age_ms = self.answer_age_ms()
+        return age_ms is not None and age_ms >= SETTLED_ANSWER_MS
+
     def record_progress(self) -> None:
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -256,8 +256,8 @@
         return max(MIN_INITIAL_SILENCE_MS, int(self.route.objective_ms * INITIAL_SILENCE_RATIO))
 
     async def _check_for_crash(self, attempt: Attempt) -> None:
-        """Record a suspected crash if a connection broke before the response and a probe fails."""
-        if attempt.outcome is not Outcome.BROKEN or attempt.head is not None:
+        """Record a suspected crash if an answer broke off at its start and a probe fails."""
+        if attempt.outcome is not Outcome.BROKEN or attempt.has_settled():
             return
         with trio.CancelScope(shield=True):
             alive = await is_reachable(self.core, attempt)
