--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -32,3 +32,89 @@
       | before the head |
       | after the head  |
       | after an event  |
+
+  # Guards against routers that do not know what crashes upstreams since they were not there.
+  Scenario: A router that has just started, or is cut off from the store, holds back the same part
+    Given a store, two replicas of each service, and a router
+    And a second router with a store endpoint of its own
+    And 8 replicas crash before the head of an answer to a prompt with the part "bad"
+    When the second store endpoint has the fault "silent"
+    And 4 requests with the parts "aa,bad" are sent, one each 60 ms, and as many with "aa"
+    Then within 1000 ms the second router refuses the parts "aa,bad", and serves "aa"
+    When the first router is killed and started again
+    Then within 1000 ms the first router refuses the parts "aa,bad", and serves "aa"
+
+  # Guards against sound parts that are held back since they were there at a crash.
+  Scenario Outline: What the crashes of replicas convict: <case>
+    Given a router that has seen no crash
+    When it hears of "<history>"
+    Then it has convicted "<convicted>"
+
+    # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, or MS:served:PART.
+    Examples:
+      | case                                     | history                                                                                        | convicted |
+      | a part in three crashes                  | 0:r1:1:aa+bad 300:r2:1:aa+bad 310:served:aa 600:r3:2:aa+bad                                    | bad       |
+      | a part in two crashes                    | 0:r1:1:aa+bad 300:r2:2:aa+bad                                                                  |           |
+      | a repeated request                       | 0:r1:1:aa+bb 300:r2:1:aa+bb 600:r3:1:aa+bb                                                     | request   |
+      | a part that is served in between         | 0:r1:1:bb 300:r2:2:bb 500:served:bb 600:r3:3:bb 900:r4:4:bb                                    |           |
+      | a part that was served just before       | 0:served:aa 100:r1:1:aa 200:r2:2:aa 300:r3:3:aa                                                |           |
+      | a part that was served a while ago       | 0:served:bb 2000:r1:1:bb 2300:r2:2:bb 2600:r3:3:bb                                             |           |
+      | a part served once, in five crashes      | 0:served:bb 2000:r1:1:bb 2300:r2:2:bb 2600:r3:3:bb 2900:r4:4:bb 3200:r5:5:bb                   | bb        |
+      | replicas that lose power together        | 0:r1:1:bb 5:r2:2:bb 10:r3:3:bb 15:r4:4:bb 20:r5:5:bb                                           |           |
+      | one replica that crashes again           | 0:r1:1:bb 4000:r1:2:bb 8000:r1:3:bb 12000:r1:4:bb                                              |           |
+      | a part that crashes its only replica     | 0:r1:1:bb 4000:r1:2:bb 8000:r1:3:bb 12000:r1:4:bb 16000:r1:5:bb                                | bb        |
+      | two parts of the same prompts            | 0:r1:1:bb+bad 300:r2:2:bb+bad 600:r3:3:bb+bad                                                  | bad       |
+      | a part beside requests with the real one | 0:r1:1:bad 1:r1:9:bb 300:r2:2:bad 301:r2:8:bb 600:r3:3:bad 601:r3:7:bb 900:r4:4:bad 901:r4:6:bb | bad       |
+      | a deeper part, until others crash too    | 0:r1:1:bad+bb 300:r2:2:bad+bb 600:r3:3:bad+bb 900:r4:4:bad+cc 1200:r5:5:bad+dd 1500:r6:6:bad+ee 1800:r7:7:bad+ff 2100:r8:8:bad+gg | bad |
+      | the last victim reported first           | 0:r1:1:bad+x1 300:r2:2:bad+x2 600:r3:9:aa+x9 601:r3:3:bad+x3 900:r1:4:aa+x4 1200:r2:5:aa+x5    | bad       |
+      | crashes that lie long apart              | 0:r1:1:bb 31000:r2:2:bb 62000:r3:3:bb                                                          |           |
+      | the same report once more                | 0:r1:1:bb 10:r1:1:bb 300:r2:2:bb 310:r2:2:bb                                                   |           |
+
+  # Guards against a hold that never ends, ends for all requests at once, or comes back by itself.
+  Scenario Outline: A hold is followed by a trial, and by a longer hold or a release: <case>
+    Given a router of rank <rank> that holds back a part since 0 ms
+    When "<events>" happen
+    Then requests with the part are let through at "<let>" of "<asked>" ms
+
+    # Events: MS:crash, MS:served or MS:released-elsewhere; the part's requests arrive at the times asked.
+    Examples:
+      | case                            | rank | events                   | asked                   | let         |
+      | one trial after 30 s            | 0    |                          | 29999,30000,30001,45000 | 30000       |
+      | other routers follow later      | 1    |                          | 30000,31999,32000       | 32000       |
+      | the last of 390 routers         | 389  |                          | 30000,47000,48000       | 48000       |
+      | a trial that is served          | 0    | 30600:served             | 30000,30500,30700       | 30000,30700 |
+      | a trial that crashes a replica  | 0    | 30100:crash              | 30000,31000,89000,90200 | 30000,90200 |
+      | a release that others report    | 0    | 9000:released-elsewhere  | 8000,9001               | 9001        |
+      | a part that nobody asks for     | 5    |                          | 90001                   | 90001       |
+
+  # Guards against messages that grow with the fleet, and against a release that is undone.
+  Scenario: Messages between routers are bounded, and an earlier decision does not undo a later one
+    Given a router that has seen no crash
+    When it hears of 5000 crashes with 32 parts each, and holds back 200 parts
+    Then its message to a new router has at most 32768 bytes
+    And it remembers at most 2000 suspects and 64 holds
+    When a part is held back, released, and reported as held back once more
+    Then the part is not held back
+
+  # Guards against a datagram that ends the task that receives messages.
+  Scenario Outline: A message about crashes that cannot be read is an error of its sender: <message>
+    When another router sends the message "<message>" about crashes
+    Then it is invalid, and a message of a later version is read
+
+    Examples:
+      | message                              |
+      | [101]                                |
+      | [101,"n",[[1,"r",0]],[],[]]          |
+      | [101,"n",[["x","r",0,["p"]]],[],[]]  |
+      | [101,"n",[],[["odd","p",0]],[]]      |
+      | [101,"n",[],[],[["part","p","odd",1,0,0,3]]] |
+      | [101,"n",7,[],[]]                    |
+
+  # Guards against an operator who cannot tell what is held back, why and since when.
+  Scenario: Log, metrics and the explain command name the part that is held back
+    Given a store, two replicas of each service, and a router
+    And 8 replicas crash after the head of an answer to a prompt with the part "bad"
+    When 6 requests with the parts "aa,bad" are sent, one each 60 ms, and as many with "aa"
+    Then the line of the last request with the parts "aa,bad" names the part "bad" and 3 crashes
+    And the metrics name the part "bad" and the time since when it is held back
+    And explaining the last request with the parts "aa,bad" shows when the part was held back
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -13,6 +13,8 @@
 )
 from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.choose import Choice
+from skylarklift.entry.crash_evidence import CrashReport, suspects_of
+from skylarklift.entry.crash_messages import CrashMessage
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.rows import RowTable
 
@@ -163,15 +165,18 @@
 
 @when("the request crashes {own:d} replicas at this router and {reported:d} at others")
 def request_crashes(context, own, reported):
+    suspects, now = context.core.suspects, context.core.clock.now()
     for number in range(own):
-        context.core.suspects.record_own_crash(7, f"o{number}")
+        suspects.record_own_crash(CrashReport(f"o{number}", now, 7))
     for number in range(reported):
-        context.core.suspects.record_crash(7, f"t{number}")
+        reports = (CrashReport(f"t{number}", now, 7),)
+        suspects.apply_message(CrashMessage("n2", crashes=reports))
 
 
 @then("the request is refused: {refused}")
 def request_refused(context, refused):
-    assert context.core.suspects.is_poisoned(7) == parse_yes_no(refused)
+    hold = context.core.suspects.find_hold(suspects_of(7, ()))
+    assert (hold is not None) == parse_yes_no(refused)
 
 
 SIGNALS = {
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -1,15 +1,42 @@
 """Steps for parts of prompts that crash upstreams."""
 
+import contextlib
+import io
+import json
+import time
 from functools import partial
 
+import msgpack
 import trio
 from behave import given, then, when
 
+from features.entry_fixtures import new_call
 from features.world_thread import all_runs
+from skylarklift.clock import ManualClock, Millis
+from skylarklift.entry.crash_evidence import (
+    MAX_SUSPECTS,
+    CrashReport,
+    Suspect,
+    SuspectKind,
+    suspects_of,
+)
+from skylarklift.entry.crash_messages import (
+    CrashMessage,
+    decode_crash_message,
+    encode_crash_message,
+    is_crash_message,
+)
+from skylarklift.entry.process import CRASH_REPORTS_DELAY_MS
+from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
+from skylarklift.entry.suspects import CrashSuspects, suspect_parts
+from skylarklift.errors import PeerError
+from skylarklift.ui.main import main
 from standins.replica import CrashPoint
 
 PACE_MS = 60
 SETTLE_S = 1.2
+START_MS = 100_000
+PART = Suspect(SuspectKind.PART, "bad")
 
 
 @given('{count:d} replicas crash {point} of an answer to a prompt with the part "{part}"')
@@ -84,3 +111,261 @@
 def last_requests_answered(context, count, parts, status):
     for response in context.responses[parts][-count:]:
         assert response.status == status and response.complete, response
+
+
+# Several routers.
+
+
+def send_with_parts(context, router, parts, number):
+    """Send one request with shared parts to a router and return its response."""
+
+    async def send():
+        return await context.world.call(
+            router,
+            f"/chat/{number}",
+            headers=prompt_headers(parts, number),
+            body=f"{parts} {number}".encode(),
+        )
+
+    return context.thread.run(send)
+
+
+@then('within {span:d} ms the {which} router refuses the parts "{bad}", and serves "{sound}"')
+def router_refuses_parts(context, span, which, bad, sound):
+    router = context.router if which == "first" else context.second
+    crashed = sum(replica.crashed for replica in context.world.replicas.values())
+    time.sleep(span / 1000)
+    assert send_with_parts(context, router, bad, 900).status == 503
+    assert send_with_parts(context, router, sound, 901).status == 200
+    assert sum(replica.crashed for replica in context.world.replicas.values()) == crashed
+
+
+@when("the first router is killed and started again")
+def first_router_restarted(context):
+    context.router.process.kill()
+
+    context.thread.run(context.world.restart_router, context.router)
+    context.thread.run(context.world.wait_ready, context.router)
+
+
+# Decisions.
+
+
+@given("a router that has seen no crash")
+def no_crash_seen(context):
+    context.clock = ManualClock(START_MS)
+    context.suspects = CrashSuspects(context.clock)
+
+
+@when('it hears of "{history}"')
+def hears_of(context, history):
+    context.convicted = []
+    for item in history.split():
+        at, what, *rest = item.split(":")
+        if START_MS + int(at) - context.clock.now() >= CRASH_REPORTS_DELAY_MS:
+            judge(context)
+        context.clock.advance(START_MS + int(at) - context.clock.now())
+        if what == "served":
+            context.suspects.record_served([Suspect(SuspectKind.PART, rest[0])])
+            continue
+        report = CrashReport(what, context.clock.now(), int(rest[0]), tuple(rest[1].split("+")))
+        apply_changes(context, context.suspects.record_own_crash(report))
+    judge(context)
+
+
+def judge(context):
+    """Judge parts, as a router does once all reports of a crash have arrived."""
+    context.clock.advance(CRASH_REPORTS_DELAY_MS)
+    apply_changes(context, context.suspects.judge_parts())
+
+
+def apply_changes(context, changes):
+    """Keep the list of those convicted and not released."""
+    for change in changes:
+        if change.event == "quarantine_released":
+            context.convicted.remove(change.hold.suspect)
+        else:
+            context.convicted.append(change.hold.suspect)
+
+
+@then('it has convicted "{names}"')
+def has_convicted(context, names):
+    found = [
+        "request" if suspect.kind is SuspectKind.REQUEST else suspect.name
+        for suspect in context.convicted
+    ]
+    assert found == [names], found
+
+
+@then('it has convicted ""')
+def has_convicted_nothing(context):
+    assert not context.convicted, context.convicted
+
+
+@given("a router of rank {rank:d} that holds back a part since 0 ms")
+def router_holds_back(context, rank):
+    context.rank = rank
+    context.clock = ManualClock(START_MS)
+    context.suspects = CrashSuspects(context.clock)
+    hold_back(context, PART)
+
+
+def hold_back(context, suspect):
+    """Let another router report that a suspect is held back from now on."""
+    quarantine = Quarantine(context.clock)
+    quarantine.hold(suspect, 3)
+    message = CrashMessage("n2", decisions=tuple(quarantine.decisions()))
+    return context.suspects.apply_message(message)
+
+
+def release_elsewhere(context, suspect):
+    """Let another router report that a suspect is released after its first hold."""
+    quarantine = Quarantine(context.clock)
+    quarantine.hold(suspect, 3)
+    quarantine.release(suspect)
+    message = CrashMessage("n2", decisions=tuple(quarantine.decisions()))
+    return context.suspects.apply_message(message)
+
+
+@when('"{events}" happen')
+def events_happen(context, events):
+    context.events = [
+        (int(at), what) for at, _, what in (item.partition(":") for item in events.split(","))
+    ]
+
+
+@when('"" happen')
+def no_events_happen(context):
+    context.events = []
+
+
+@then('requests with the part are let through at "{let}" of "{asked}" ms')
+def let_through_at(context, let, asked):
+    steps = [(int(at), "ask") for at in asked.split(",")] + context.events
+    found = []
+    for at, what in sorted(steps):
+        context.clock.advance(START_MS + at - context.clock.now())
+        context.suspects.expire()
+        if what == "served":
+            context.suspects.record_served([PART])
+        elif what == "released-elsewhere":
+            release_elsewhere(context, PART)
+        elif what == "crash":
+            report = CrashReport("r1", context.clock.now(), 5, (PART.name,))
+            context.suspects.record_own_crash(report)
+        elif may_pass(context):
+            found.append(str(at))
+    assert found == let.split(","), found
+
+
+def may_pass(context):
+    """Return whether a request with the part is let through now."""
+    hold = context.suspects.find_hold([PART])
+    return hold is None or context.suspects.start_trial(hold, context.rank)
+
+
+@when("it hears of {crashes:d} crashes with {parts:d} parts each, and holds back {holds:d} parts")
+def hears_of_many(context, crashes, parts, holds):
+    for number in range(crashes):
+        names = tuple(f"{number}-{'x' * 50}-{part}" for part in range(parts))
+        report = CrashReport(f"r{number}", context.clock.now(), number + 1, names)
+        context.suspects.record_own_crash(report)
+    for number in range(holds):
+        hold_back(context, Suspect(SuspectKind.PART, f"{number}-{'x' * 50}"))
+
+
+@then("its message to a new router has at most {limit:d} bytes")
+def message_has_at_most(context, limit):
+    message = context.suspects.make_message("n1", Millis(0), relay=True, with_holds=True)
+    data = encode_crash_message(message, context.clock.now())
+    assert len(message.decisions) == MAX_HOLDS and 0 < len(data) <= limit, len(data)
+    assert decode_crash_message(data, context.clock.now()).crashes
+
+
+@then("it remembers at most {suspects:d} suspects and {holds:d} holds")
+def remembers_at_most(context, suspects, holds):
+    assert suspects == MAX_SUSPECTS and holds == MAX_HOLDS
+    assert context.suspects.suspect_count() <= suspects
+    assert len(context.suspects.held()) <= holds
+    # Longer names, and more parts of one prompt, are not suspected at all.
+    call = new_call(f"{'x' * 65}:1," + "".join(f"p{number}:1," for number in range(40)) + "own:1")
+    assert len(suspect_parts(call)) <= 32 and "x" * 65 not in suspect_parts(call)
+
+
+@when("a part is held back, released, and reported as held back once more")
+def held_and_released(context):
+    assert [change.event for change in hold_back(context, PART)] == ["quarantined"]
+    assert context.suspects.find_hold([PART]).state is HoldState.HELD
+    context.clock.advance(500)
+    context.suspects.record_served([PART])
+    assert hold_back(context, PART) == []
+
+
+@then("the part is not held back")
+def part_is_not_held(context):
+    assert context.suspects.find_hold([PART]) is None
+
+
+@when('another router sends the message "{text}" about crashes')
+def sends_crash_message(context, text):
+    context.data = msgpack.packb(json.loads(text))
+
+
+@then("it is invalid, and a message of a later version is read")
+def message_is_invalid(context):
+    assert is_crash_message(context.data)
+    try:
+        decode_crash_message(context.data, Millis(START_MS))
+    except PeerError:
+        valid = False
+    else:
+        valid = True
+    assert not valid
+    later = msgpack.packb([101, "n", [[5, "r", 20, ["p"]]], [], [], "more"])
+    report = CrashReport("r", Millis(START_MS - 20), 5, ("p",))
+    assert decode_crash_message(later, Millis(START_MS)).crashes == (report,)
+    assert suspects_of(5, ("p",))[1] == Suspect(SuspectKind.PART, "p")
+
+
+# What operators see.
+
+
+def last_line(context, parts):
+    """Return the log line of the last request with these parts."""
+    last_id = f"{parts}-{len(context.responses[parts]) - 1}"
+    (line,) = [
+        line
+        for line in context.router.lines()
+        if line["event"] == "request_failed" and line["id"] == last_id
+    ]
+    return line
+
+
+@then('the line of the last request with the parts "{parts}" names the part "{part}" and 3 crashes')
+def line_names_part(context, parts, part):
+    line = last_line(context, parts)
+    assert (line["subject"], line["kind"], line["crashes"]) == (part, "part", 3), line
+    assert line["held_ms"] >= 0 and line["sends"] == ["crashes_upstreams"], line
+
+
+@then('the metrics name the part "{part}" and the time since when it is held back')
+def metrics_name_part(context, part):
+    async def fetch():
+        port = context.router.readiness_port
+        return await context.world.send_request(port, "GET", "/metrics", {})
+
+    text = context.thread.run(fetch).body.decode()
+    (line,) = [line for line in text.splitlines() if "quarantine_held_ms" in line and part in line]
+    assert line.startswith(f'skylarklift_quarantine_held_ms{{kind="part:{part}"}} '), line
+    assert int(line.rsplit(" ", 1)[1]) > 0
+    assert 'skylarklift_quarantine_refusals_total{kind="part"}' in text
+
+
+@then('explaining the last request with the parts "{parts}" shows when the part was held back')
+def explained(context, parts):
+    line = last_line(context, parts)
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output):
+        assert main(["explain", line["id"], str(context.router.log), "--around-ms", "100"]) == 0
+    shown = [text for text in output.getvalue().splitlines() if "  quarantined  " in text]
+    assert any(f'subject="{line["subject"]}"' in text for text in shown), output.getvalue()
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -1,5 +1,6 @@
 """One attempt of a request at one upstream, up to the head of the response."""
 
+from collections.abc import Sequence
 from contextlib import asynccontextmanager
 
 import trio
@@ -7,6 +8,7 @@
 from skylarklift.clock import Millis
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.core import Core, Probe
+from skylarklift.entry.crash_evidence import Suspect
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.http_connection import MAX_RESPONSES_READ, HttpConnection, connect
 from skylarklift.entry.model import Call, ResponseHead, SendOptions
@@ -27,7 +29,8 @@
     """One attempt of a request at one upstream.
 
     `outcome` is what the attempt amounts to if it ends now: `NOT_SENT` until a connection is
-    made, then `BROKEN` until the response is classified.
+    made, then `BROKEN` until the response is classified.  `aborted` is set when this router ends
+    the attempt because the upstream is silent.
     """
 
     def __init__(
@@ -39,6 +42,7 @@
         *,
         repeatable: bool,
         route_name: str = "",
+        suspects: Sequence[Suspect] = (),
     ):
         self.core = core
         self.call = call
@@ -47,10 +51,13 @@
         self.options = options
         self.route_name = route_name
         self.repeatable = repeatable
+        self.suspects = suspects
+        self._served_recorded = False
         self.conn: HttpConnection | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
+        self.aborted = False
         # When the first event or the complete answer arrived.
         self.answered_at: Millis | None = None
         self._sent_at = core.clock.now()
@@ -143,12 +150,23 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
+        if self.has_settled():
+            self.record_served()
         if self.answered_at is None:
             self.answered_at = self.core.clock.now()
             progress.record_answer(replica, self.route_name, self._sent_at)
 
+    def record_served(self) -> None:
+        """Record, once, that the request does not crash its upstream."""
+        core = self.core
+        if self._served_recorded or self.head.status not in SUCCESS_STATUSES:
+            return
+        self._served_recorded = True
+        core.apply_hold_changes(core.suspects.record_served(self.suspects), core.settings.node)
+
     def release_connection(self) -> None:
         """Return the connection to the pool after a complete response."""
+        self.record_served()
         self._response_read = True
         self.core.connection_pool.release(self.record.replica, self.conn, self.head.keep_alive_ms)
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -9,6 +9,7 @@
 from skylarklift.entry.choose import Chooser
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.connection_pool import ConnectionPool
+from skylarklift.entry.crash_evidence import CrashReport
 from skylarklift.entry.event_log import EventLog
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import FleetRetryBudget
@@ -17,7 +18,7 @@
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings
 from skylarklift.entry.rows import RowFormat, RowTable
-from skylarklift.entry.suspects import CrashSuspects
+from skylarklift.entry.suspects import CrashSuspects, HoldChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.ids import ReplicaId
 
@@ -35,7 +36,8 @@
     """The state, decisions and connections of one router.
 
     `reading_store` holds, per table, whether this router reads it from the store.
-    `state_changed` is set when a change is to be sent to the other routers at once.
+    `state_changed` is set when a change is to be sent to the other routers at once, and
+    `crash_reported` when this router or another one has reported the crash of an upstream.
     """
 
     settings: NodeSettings
@@ -59,6 +61,7 @@
         default_factory=lambda: dict.fromkeys(RowTable, False)
     )
     state_changed: trio.Event = field(default_factory=trio.Event)
+    crash_reported: trio.Event = field(default_factory=trio.Event)
 
     def forget_upstream(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
@@ -68,6 +71,31 @@
         self.progress.forget(replica)
         self.probes.pop(replica, None)
 
+    def report_crash(self, report: CrashReport) -> None:
+        """Record a crash that this router saw, and tell the other routers at once."""
+        self.apply_hold_changes(self.suspects.record_own_crash(report), self.settings.node)
+        self.crash_reported.set()
+        self.state_changed.set()
+
+    def apply_hold_changes(self, changes: list[HoldChange], source: str) -> None:
+        """Log changes of what is held back, and tell the other routers at once."""
+        now = self.clock.now()
+        for change in changes:
+            hold = change.hold
+            self.metrics.increment("quarantine_changes", change.event)
+            self.event_log.write(
+                change.event,
+                subject=hold.suspect.name,
+                kind=hold.suspect.kind.value,
+                crashes=hold.crashes,
+                held_ms=now - hold.held_at,
+                left_ms=max(0, hold.until - now),
+                term=hold.term,
+                source=source,
+            )
+        if changes:
+            self.state_changed.set()
+
     def update_gauges(self) -> None:
         """Set the gauges on the metrics page from the current state."""
         metrics, plan = self.metrics, self.cluster_state.plan
@@ -75,6 +103,14 @@
         metrics.set_gauge("requests_open", self.requests_open)
         metrics.set_gauge("routers_heard", len(self.fleet.live_peers()))
         metrics.set_gauge("upstreams_known", len(self.cluster_state.upstreams))
+        now = self.clock.now()
+        metrics.replace_gauges(
+            "quarantine_held_ms",
+            {
+                f"{hold.suspect.kind.value}:{hold.suspect.name}": now - hold.held_at
+                for hold in self.suspects.held()
+            },
+        )
         for table in RowTable:
             metrics.set_gauge("rows_age_ms", self.cluster_state.age_ms(table), table.name.lower())
             metrics.set_gauge("reads_store", int(self.reading_store[table]), table.name.lower())
--- /dev/null
+++ b/skylarklift/entry/crash_evidence.py
@@ -0,0 +1,287 @@
+"""Find out which requests, or which parts of prompts, crash the upstreams that run them.
+
+A crash breaks off all requests that run on the upstream, most of which have nothing to do with
+it.  A request or a shared part of a prompt is convicted when it was about to be answered at
+several crashes and has not been served since the first of them.
+"""
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from skylarklift.clock import Clock, Millis
+from skylarklift.ids import Fingerprint, ReplicaId
+
+CRASHES_TO_CONVICT = 3
+# A part that was served within `SERVED_TTL_MS` is convicted only after this many crashes, which
+# also convict a part that one replica alone ran.
+CRASHES_TO_CONVICT_SERVED = 5
+CRASH_TTL_MS = 60000
+SERVED_TTL_MS = 60000
+# A part that was served within this time did not cause a crash.
+RECENTLY_SERVED_MS = 1500
+# Reports of one replica's crash by several routers differ by less than this.  A replica needs
+# longer to start again.
+SAME_CRASH_MS = 1500
+# Crashes of several replicas within this time count once: they have another cause, such as a
+# loss of power.
+SIMULTANEOUS_MS = 50
+MAX_SUSPECTS = 2000
+MAX_SERVED_PARTS = 4000
+MAX_RECENT_REPORTS = 2000
+MAX_CONVICTED = 64
+
+
+class SuspectKind(Enum):
+    """What is suspected: one request, sent repeatedly, or a part that several prompts share."""
+
+    REQUEST = "request"
+    PART = "part"
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A request, named by its fingerprint, or a shared part of prompts, by its name."""
+
+    kind: SuspectKind
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport:
+    """A request that was about to be answered, or had just begun to be, at a replica's crash.
+
+    `parts` are the names of its prompt's shared parts, in order.
+    """
+
+    replica: ReplicaId
+    crashed_at: Millis
+    fingerprint: Fingerprint
+    parts: tuple[str, ...] = ()
+
+    def suspects(self) -> list[Suspect]:
+        """Return what the report makes suspect: the request and each of the parts."""
+        return suspects_of(self.fingerprint, self.parts)
+
+
+@dataclass(eq=False, slots=True)
+class Crash:
+    """One crash of a replica; `explained` once a suspect in it has been convicted."""
+
+    replica: ReplicaId
+    crashed_at: Millis
+    explained: bool = False
+
+
+@dataclass(slots=True)
+class SuspectRecord:
+    """The crashes in which a suspect took part.
+
+    `fingerprints` are the requests that had a part, and `depth` is its place in their prompts.
+    """
+
+    crashes: list[Crash] = field(default_factory=list)
+    fingerprints: set[Fingerprint] = field(default_factory=set)
+    depth: int = 0
+
+
+@dataclass(slots=True)
+class Judgement:
+    """Parts that have been convicted, and earlier convicted ones that are cleared by that."""
+
+    convicted: list[Suspect] = field(default_factory=list)
+    acquitted: list[Suspect] = field(default_factory=list)
+
+
+class CrashEvidence:
+    """Crashes by suspect, from reports of this router and of others, and the parts served."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._records: OrderedDict[Suspect, SuspectRecord] = OrderedDict()
+        self._crashes: deque[Crash] = deque()
+        self._served: OrderedDict[Suspect, Millis] = OrderedDict()
+        # The suspects with evidence since parts were judged last.
+        self._unjudged: set[Suspect] = set()
+        self._convicted: OrderedDict[Suspect, list[Crash]] = OrderedDict()
+        self._recent_reports: OrderedDict[tuple[Fingerprint, ReplicaId], Millis] = OrderedDict()
+
+    def is_known(self, report: CrashReport) -> bool:
+        """Return whether this report was recorded before; remember it if not."""
+        key = (report.fingerprint, report.replica)
+        reported_at = self._recent_reports.get(key)
+        if reported_at is not None and abs(report.crashed_at - reported_at) < SAME_CRASH_MS:
+            return True
+        self._recent_reports[key] = report.crashed_at
+        self._recent_reports.move_to_end(key)
+        _limit_size(self._recent_reports, MAX_RECENT_REPORTS)
+        return False
+
+    def record_crash(self, report: CrashReport, held: Iterable[Suspect] = ()) -> list[Suspect]:
+        """Record a report; return the request if that convicts it.
+
+        `held` are those of the report's suspects that were convicted before: they explain the
+        crash.  Parts are judged later, when all reports of the crash may have arrived.
+        """
+        crash = self._find_crash(report)
+        if list(held):
+            crash.explained = True
+            return []
+        for depth, suspect in enumerate(report.suspects()):
+            if not self._recently_served(suspect):
+                self._add(suspect, crash, report.fingerprint, depth)
+                self._unjudged.add(suspect)
+        request = [item for item in report.suspects() if item.kind is SuspectKind.REQUEST]
+        return [item for item in request if self._is_guilty(item)]
+
+    def _find_crash(self, report: CrashReport) -> Crash:
+        """Return the crash that a report is about; add it if it is new."""
+        limit = self._clock.now() - CRASH_TTL_MS
+        while self._crashes and self._crashes[0].crashed_at < limit:
+            self._crashes.popleft()
+        for crash in reversed(self._crashes):
+            apart_ms = abs(crash.crashed_at - report.crashed_at)
+            if crash.replica == report.replica and apart_ms < SAME_CRASH_MS:
+                return crash
+        crash = Crash(report.replica, report.crashed_at)
+        self._crashes.append(crash)
+        return crash
+
+    def _add(self, suspect: Suspect, crash: Crash, fingerprint: Fingerprint, depth: int) -> None:
+        """Add a crash to the record of a suspect."""
+        record = self._records.setdefault(suspect, SuspectRecord())
+        self._records.move_to_end(suspect)
+        _limit_size(self._records, MAX_SUSPECTS)
+        if crash not in record.crashes:
+            record.crashes.append(crash)
+        record.depth = max(record.depth, depth)
+        if len(record.fingerprints) < CRASHES_TO_CONVICT:
+            record.fingerprints.add(fingerprint)
+
+    def judge_parts(self) -> Judgement:
+        """Convict the parts with enough new evidence, the most suspect one first.
+
+        The crashes of a convicted part are explained by it, so they no longer count for others.
+        """
+        judgement = Judgement()
+        parts = [item for item in self._unjudged if item.kind is SuspectKind.PART]
+        self._unjudged.clear()
+        while guilty := [item for item in parts if self._is_guilty(item)]:
+            worst = max(guilty, key=self._rank)
+            parts.remove(worst)
+            crashes = self._records[worst].crashes
+            judgement.acquitted += self._acquit(crashes)
+            judgement.convicted.append(worst)
+            self._convicted[worst] = crashes
+            _limit_size(self._convicted, MAX_CONVICTED)
+            for crash in crashes:
+                crash.explained = True
+        return judgement
+
+    def _acquit(self, crashes: list[Crash]) -> list[Suspect]:
+        """Return the convicted parts whose crashes a newly convicted part took part in as well."""
+        acquitted = [
+            suspect
+            for suspect, earlier in self._convicted.items()
+            if all(crash in crashes for crash in earlier)
+        ]
+        for suspect in acquitted:
+            del self._convicted[suspect]
+        return acquitted
+
+    def _is_guilty(self, suspect: Suspect) -> bool:
+        """Return whether the evidence suffices to convict a suspect."""
+        record = self._records.get(suspect)
+        if record is None:
+            return False
+        replicas = {crash.replica for crash in self._counted_crashes(record)}
+        if suspect.kind is SuspectKind.REQUEST:
+            return len(replicas) >= CRASHES_TO_CONVICT
+        if len(record.fingerprints) < 2:
+            # One request that is sent repeatedly says nothing of the parts of its prompt.
+            return False
+        count = self.crash_count(suspect)
+        if count >= CRASHES_TO_CONVICT_SERVED:
+            return True
+        served = self.last_served(suspect) is not None
+        return not served and count >= CRASHES_TO_CONVICT and len(replicas) >= 2
+
+    def _rank(self, part: Suspect) -> tuple[int, bool, int]:
+        """Return how suspect a part is: by its crashes, if it was never served, by its depth.
+
+        Of the parts of one prompt, fewer other requests share the deeper ones.
+        """
+        record = self._records[part]
+        return self.crash_count(part), self.last_served(part) is None, record.depth
+
+    def _counted_crashes(self, record: SuspectRecord) -> list[Crash]:
+        """Return the recent crashes of a record that no convicted suspect explains."""
+        limit = self._clock.now() - CRASH_TTL_MS
+        return [
+            crash for crash in record.crashes if crash.crashed_at > limit and not crash.explained
+        ]
+
+    def crash_count(self, suspect: Suspect) -> int:
+        """Return the crashes that count for a suspect; simultaneous ones count once."""
+        record = self._records.get(suspect)
+        if record is None:
+            return 0
+        count, last = 0, None
+        for moment in sorted(crash.crashed_at for crash in self._counted_crashes(record)):
+            if last is None or moment - last >= SIMULTANEOUS_MS:
+                count, last = count + 1, moment
+        return count
+
+    def crash_total(self, suspect: Suspect) -> int:
+        """Return all recent crashes in which a suspect took part."""
+        record = self._records.get(suspect)
+        return len(record.crashes) if record else 0
+
+    def suspect_count(self) -> int:
+        """Return how many suspects there are."""
+        return len(self._records)
+
+    # Service.
+
+    def record_served(self, suspect: Suspect, served_at: Millis) -> bool:
+        """Record that a request was served; return whether it, or its part, was suspect.
+
+        What was served does not crash its upstream, so earlier crashes no longer count.
+        """
+        if suspect.kind is SuspectKind.PART:
+            self._served[suspect] = max(served_at, self._served.get(suspect, served_at))
+            self._served.move_to_end(suspect)
+            _limit_size(self._served, MAX_SERVED_PARTS)
+        record = self._records.get(suspect)
+        if record is None or not any(crash.crashed_at <= served_at for crash in record.crashes):
+            return False
+        del self._records[suspect]
+        self._convicted.pop(suspect, None)
+        return True
+
+    def last_served(self, suspect: Suspect) -> Millis | None:
+        """Return when a part was last served, `None` if that is too long ago."""
+        served_at = self._served.get(suspect)
+        if served_at is None or self._clock.now() - served_at > SERVED_TTL_MS:
+            return None
+        return served_at
+
+    def _recently_served(self, suspect: Suspect) -> bool:
+        """Return whether a part was served so recently that it did not cause a crash."""
+        served_at = self.last_served(suspect)
+        return served_at is not None and self._clock.now() - served_at < RECENTLY_SERVED_MS
+
+
+def suspects_of(fingerprint: Fingerprint, parts: Iterable[str]) -> list[Suspect]:
+    """Return a request and the shared parts of its prompt as suspects."""
+    found = [Suspect(SuspectKind.PART, part) for part in parts]
+    if fingerprint:
+        found.insert(0, Suspect(SuspectKind.REQUEST, f"{fingerprint:08x}"))
+    return found
+
+
+def _limit_size(items: OrderedDict, limit: int) -> None:
+    """Drop the oldest items above a limit."""
+    while len(items) > limit:
+        items.popitem(last=False)
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -38,9 +38,8 @@
     `boot` is a random id for each start.  `tables` holds a summary of each table, in the order
     of `RowTable`.  `reads_store` is true if the sender reads the store itself.  `loads` holds
     its requests in flight by upstream, `ejected` the milliseconds left of each ejection,
-    `maybe_restarted` the ejected upstreams that may have restarted, `crashes` the fingerprints
-    of requests whose upstream crashed, with the upstream, and `placements` the replicas that
-    recent prompts were sent to.
+    `maybe_restarted` the ejected upstreams that may have restarted, and `placements` the replicas
+    that recent prompts were sent to.
     """
 
     node: str
@@ -52,19 +51,19 @@
     loads: dict[str, int] = field(default_factory=dict)
     ejected: dict[str, int] = field(default_factory=dict)
     maybe_restarted: tuple[str, ...] = ()
-    crashes: tuple[tuple[int, str], ...] = ()
     placements: tuple[Placement, ...] = ()
 
 
 @dataclass(slots=True)
 class Peer:
-    """Another router; `sent_at` is when it was last sent a message."""
+    """Another router; `sent_at` is when it was last sent a message, `holds_sent_at` all holds."""
 
     node: str
     address: Endpoint
     added_at: Millis
     received_at: Millis | None = None
     sent_at: Millis = Millis(0)
+    holds_sent_at: Millis = Millis(0)
     last_message: GossipMessage | None = None
 
 
@@ -94,7 +93,7 @@
         peer = self.peers[message.node]
         if peer.last_message is None or peer.last_message.boot != message.boot:
             # After a restart the router knows nothing of earlier messages.
-            peer.sent_at = Millis(0)
+            peer.sent_at = peer.holds_sent_at = Millis(0)
         peer.received_at = self._clock.now()
         peer.last_message = message
         self._loads.record(message.node, message.loads, peer.received_at)
@@ -120,13 +119,14 @@
         """Return whether this router has run long enough to know all others."""
         return self._clock.now() - self._started >= DISCOVERY_MS
 
-    def rank(self, replica: ReplicaId) -> int:
-        """Return this router's rank, from 0, in a replica's order of the routers.
+    def rank(self, key: str) -> int:
+        """Return this router's rank, from 0, in the order of the routers for a key.
 
-        The order holds all routers that divide the fleet's limits.
+        The key names a replica, for instance.  The order holds all routers that divide the
+        fleet's limits.
         """
-        own = rendezvous_weight(replica, self.own_node)
-        return sum(rendezvous_weight(replica, node) > own for node in self._limit_members())
+        own = rendezvous_weight(key, self.own_node)
+        return sum(rendezvous_weight(key, node) > own for node in self._limit_members())
 
     def live_peers(self) -> list[Peer]:
         """Return the routers that sent a message recently."""
--- a/skylarklift/entry/metrics.py
+++ b/skylarklift/entry/metrics.py
@@ -24,6 +24,12 @@
         """Set a gauge."""
         self._gauges[name, label] = value
 
+    def replace_gauges(self, name: str, values: dict[str, int]) -> None:
+        """Set a gauge for each label, and drop it for all other labels."""
+        self._gauges = {key: value for key, value in self._gauges.items() if key[0] != name}
+        for label, value in values.items():
+            self.set_gauge(name, value, label)
+
     def increment(self, name: str, label: str = "", amount: int = 1) -> None:
         """Add `amount` to a counter."""
         self._counters[name, label] += amount
@@ -57,7 +63,12 @@
     """Return the labels of a metric line in braces, empty without labels."""
     parts = []
     if kind:
-        parts.append(f'kind="{kind}"')
+        parts.append(f'kind="{_escape(kind)}"')
     if bound:
         parts.append(f'le="{bound}"')
     return "{" + ",".join(parts) + "}" if parts else ""
+
+
+def _escape(label: str) -> str:
+    """Return a label's value with the characters escaped that the format reserves."""
+    return label.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -6,6 +6,11 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
+from skylarklift.entry.crash_messages import (
+    decode_crash_message,
+    encode_crash_message,
+    is_crash_message,
+)
 from skylarklift.entry.fleet import (
     GOSSIP_FANOUT,
     GOSSIP_INTERVAL_MS,
@@ -27,6 +32,8 @@
 from skylarklift.errors import PeerError, StoreError
 
 MAX_DATAGRAM_BYTES = 65507
+# All holds are told once in this time, so that each router knows them soon after its start.
+HOLDS_INTERVAL_MS = 1000
 ROWS_TIMEOUT_MS = 2000
 MAX_CONCURRENT_ROW_REQUESTS = 4
 MEMBERS_RETRY_DELAY_MS = 1500
@@ -45,6 +52,7 @@
         self._socket: trio.socket.SocketType | None = None
         self._fetching: set[RowTable] = set()
         self._next_target = 0
+        self._last_round_at = Millis(0)
         self._serving_count = 0
         self._encoded_page: tuple[tuple[int, bool, int, str], bytes] = ((0, False, 0, ""), b"")
         for number, seed in enumerate(core.settings.seeds):
@@ -73,37 +81,67 @@
         """Send gossip to the routers of this round."""
         now = self._core.clock.now()
         encoded: dict[Millis, bytes] = {}
-        for peer in self._next_targets():
-            # Crashes and placements of the last message are sent once more: datagrams may be lost.
+        targets = self._next_targets()
+        self._last_round_at = now
+        for peer in targets:
+            # What the last message told is sent once more: datagrams may be lost.
             since = Millis(peer.sent_at - GOSSIP_INTERVAL_MS)
             if since not in encoded:
                 encoded[since] = encode_gossip(self._make_message(since))
+            datagrams = [encoded[since], *self._encode_crashes(peer, since)]
             peer.sent_at = now
-            try:
-                address = (peer.address.host, peer.address.port)
-                await self._socket.sendto(encoded[since], address)
-            except OSError as exc:
-                self._core.event_log.write("gossip_send_failed", peer=peer.node, cause=str(exc))
+            await self._send(peer, datagrams)
+
+    async def _send(self, peer: Peer, datagrams: list[bytes]) -> None:
+        """Send datagrams to another router."""
+        try:
+            for data in datagrams:
+                await self._socket.sendto(data, (peer.address.host, peer.address.port))
+        except OSError as exc:
+            self._core.event_log.write("gossip_send_failed", peer=peer.node, cause=str(exc))
+
+    def _encode_crashes(self, peer: Peer, since: Millis) -> list[bytes]:
+        """Return the message about crashes for another router, none if there is nothing to tell."""
+        core = self._core
+        now = core.clock.now()
+        message = core.suspects.make_message(
+            core.settings.node,
+            since if peer.sent_at else Millis(0),
+            relay=len(core.fleet.peers) > GOSSIP_FANOUT,
+            with_holds=now - peer.holds_sent_at >= HOLDS_INTERVAL_MS,
+        )
+        if message is None:
+            return []
+        if message.decisions:
+            peer.holds_sent_at = now
+        return [encode_crash_message(message, now)]
 
     def _next_targets(self) -> list[Peer]:
         """Return the routers to send to in this round.
 
         These are all others if the fleet is small or if this router reads the store, else the
-        next `GOSSIP_FANOUT` in turn.
+        next `GOSSIP_FANOUT` in turn, and, with news about crashes, those that read the store.
         """
         peers = list(self._core.fleet.peers.values())
         if len(peers) <= GOSSIP_FANOUT or self._reads_store():
             return peers
         start = self._next_target % len(peers)
         self._next_target += GOSSIP_FANOUT
-        return (peers + peers)[start : start + GOSSIP_FANOUT]
+        targets = (peers + peers)[start : start + GOSSIP_FANOUT]
+        if self._core.suspects.has_news_since(self._last_round_at):
+            targets += [peer for peer in self._store_readers() if peer not in targets]
+        return targets
+
+    def _store_readers(self) -> list[Peer]:
+        """Return the live routers that read the store and so send to all others."""
+        return [peer for peer in self._core.fleet.live_peers() if peer.last_message.reads_store]
 
     def _reads_store(self) -> bool:
         """Return whether this router reads the store itself."""
         return all(self._core.reading_store.values())
 
     def _make_message(self, since: Millis) -> GossipMessage:
-        """Return the current gossip message, with the crashes and placements after `since`."""
+        """Return the current gossip message, with the placements after `since`."""
         core = self._core
         state = core.cluster_state
         ejected = core.health.ejected()
@@ -119,7 +157,6 @@
             maybe_restarted=tuple(
                 replica for replica in ejected if core.health.maybe_restarted(replica)
             ),
-            crashes=core.suspects.own_crashes_since(since),
             placements=tuple(core.chooser.prefixes.own_placements_since(since)),
         )
 
@@ -136,12 +173,23 @@
                 core.event_log.write("gossip_receive_failed", cause=str(exc))
                 continue
             try:
-                message = decode_gossip(data)
+                self._apply_datagram(data, Endpoint(sender[0], sender[1]), nursery)
             except PeerError as exc:
                 core.event_log.write("gossip_invalid", peer=str(sender), cause=str(exc))
-                continue
-            if message.node != core.settings.node:
-                self._apply_message(message, Endpoint(sender[0], sender[1]), nursery)
+
+    def _apply_datagram(self, data: bytes, address: Endpoint, nursery: trio.Nursery) -> None:
+        """Apply a message of either kind, unless it is this router's own; raise `PeerError`."""
+        core = self._core
+        if is_crash_message(data):
+            news = decode_crash_message(data, core.clock.now())
+            if news.node != core.settings.node:
+                core.apply_hold_changes(core.suspects.apply_message(news), news.node)
+                if news.crashes:
+                    core.crash_reported.set()
+            return
+        message = decode_gossip(data)
+        if message.node != core.settings.node:
+            self._apply_message(message, address, nursery)
 
     def _apply_message(
         self, message: GossipMessage, address: Endpoint, nursery: trio.Nursery
@@ -158,8 +206,6 @@
             core.health.apply_reported_ejection(
                 replica, left_ms, maybe_restarted=replica in message.maybe_restarted
             )
-        for fingerprint, replica in message.crashes:
-            core.suspects.record_crash(fingerprint, replica)
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -22,6 +22,8 @@
 
 MAINTENANCE_INTERVAL_MS = 250
 SETTINGS_POLL_INTERVAL_MS = 2000
+# The requests that a crash breaks off end one by one, at several routers.
+CRASH_REPORTS_DELAY_MS = 100
 # A stopping router serves for at least this long, since new requests arrive until the readiness
 # checks have taken it out of rotation.
 MIN_STOPPING_MS = 3600
@@ -69,6 +71,7 @@
             for table in RowTable:
                 start(Follower(core, self._rows, table).run)
             start(self._run_maintenance)
+            start(self._judge_crashes)
             start(self._poll_settings)
             await self._wait_for_stop_signal(signals)
             start(close_idle_when_stopping, core, self._caller_server)
@@ -129,9 +132,19 @@
                 core.event_log.write(
                     change.event, subject=change.subject, detail="removal delay is over"
                 )
+            core.apply_hold_changes(core.suspects.expire(), core.settings.node)
             core.connection_pool.close_expired()
             core.event_log.flush()
 
+    async def _judge_crashes(self) -> None:
+        """Judge the suspects of each crash once all reports of it may have arrived."""
+        core = self._core
+        while True:
+            await core.crash_reported.wait()
+            core.crash_reported = trio.Event()
+            await trio.sleep(CRASH_REPORTS_DELAY_MS / MS_PER_SECOND)
+            core.apply_hold_changes(core.suspects.judge_parts(), core.settings.node)
+
     # Settings.
 
     async def _poll_settings(self) -> None:
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -10,13 +10,15 @@
 from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.cluster_state import Upstream
 from skylarklift.entry.core import Core
+from skylarklift.entry.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Call, Endpoint, Route, RouteKind, SendOptions, Workspace
 from skylarklift.entry.prefixes import shared_parts
+from skylarklift.entry.quarantine import Hold
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.suspects import call_fingerprint
+from skylarklift.entry.suspects import call_fingerprint, suspect_parts, suspects_of_call
 from skylarklift.errors import (
     AnswerLate,
     BadRequest,
@@ -25,7 +27,7 @@
     RequestError,
     TransportError,
 )
-from skylarklift.ids import ReplicaId, ServiceId
+from skylarklift.ids import Fingerprint, ReplicaId, ServiceId
 
 # While no upstream can take a request, the request waits and the upstreams are checked at this
 # interval, for up to the route's latency objective divided by `UPSTREAM_WAIT_DIVISOR`.
@@ -77,8 +79,11 @@
         self.steps: list[str] = []
         self.forwarder: Forwarder | None = None
         self.deadline: Millis = call.received_at
-        self.fingerprint = 0
+        self.fingerprint = Fingerprint(0)
+        self.suspects: list[Suspect] = []
+        self.on_trial = False
         self.plan_version = 0
+        self.held_by: Hold | None = None
 
     async def run(self) -> None:
         """Serve the request; respond to a `RequestError`, or abort a response that has begun."""
@@ -128,8 +133,8 @@
         self.service = core.chooser.select_service(route, call)
         name = self.workspace.name if self.workspace else ""
         self.fingerprint = call_fingerprint(call.method, call.target, name, call.body)
-        if core.suspects.is_poisoned(self.fingerprint):
-            raise Refusal("crashes_upstreams", "this request crashed upstreams", status=503)
+        self.suspects = suspects_of_call(call, self.fingerprint)
+        self._refuse_if_held()
         core.retry_budget.record_request(self.service)
 
     def _refuse_if_stopping(self) -> None:
@@ -141,6 +146,31 @@
         if stopping_ms > (STOPPING_ACCEPT_STREAM_MS if stream else STOPPING_ACCEPT_OTHER_MS):
             raise Refusal("stopping", "this router is stopping", retry_after_ms=50)
 
+    def _refuse_if_held(self) -> None:
+        """Refuse a request that is held back since it, or a part of it, crashes upstreams."""
+        core = self.core
+        hold = core.suspects.find_hold(self.suspects)
+        if hold is None or self.on_trial:
+            return
+        suspect = hold.suspect
+        if core.suspects.start_trial(hold, core.fleet.rank(suspect.name)):
+            self.on_trial = True
+            core.event_log.write(
+                "quarantine_trial", id=self.call.request, subject=suspect.name, term=hold.term
+            )
+            return
+        core.metrics.increment("quarantine_refusals", suspect.kind.value)
+        self.held_by = hold
+        reason = f"the {suspect.kind.value} {suspect.name} crashed {hold.crashes} upstreams"
+        if not self.retry_state.cannot_have_run:
+            raise OutcomeUnknown(reason)
+        raise Refusal(
+            "crashes_upstreams",
+            reason,
+            status=503,
+            retry_after_ms=max(0, hold.until - core.clock.now()) + self._retry_after_ms(),
+        )
+
     # Attempts.
 
     async def _serve(self) -> int:
@@ -148,6 +178,8 @@
         while True:
             choice = await self._choose_upstream()
             options = self._send_options(choice)
+            # Meanwhile it may have become known that the request crashes upstreams.
+            self._refuse_if_held()
             attempt = Attempt(
                 self.core,
                 self.call,
@@ -155,6 +187,7 @@
                 options,
                 repeatable=self.retry_state.repeatable,
                 route_name=self.route.name,
+                suspects=self.suspects,
             )
             async with attempt.open():
                 status = await self._run_attempt(attempt)
@@ -172,7 +205,7 @@
         core = self.core
         if not self.retry_state.may_retry(outcome) or core.clock.now() >= self.deadline:
             return False
-        if core.suspects.is_poisoned(self.fingerprint):
+        if core.suspects.find_hold(self.suspects) is not None:
             return False
         if not uses_retry_budget(outcome):
             return True
@@ -259,13 +292,19 @@
         """Record a suspected crash if an answer broke off at its start and a probe fails."""
         if attempt.outcome is not Outcome.BROKEN or attempt.has_settled():
             return
+        broken_at = self.core.clock.now()
         with trio.CancelScope(shield=True):
             alive = await is_reachable(self.core, attempt)
-        if not alive:
-            self.core.suspects.record_own_crash(self.fingerprint, attempt.record.replica)
-            self.core.event_log.write(
-                "crash_suspected", id=self.call.request, upstream=attempt.record.replica
-            )
+        if alive:
+            return
+        core = self.core
+        # An upstream that fell silent may have lost power: that says nothing of prompts.
+        parts = () if attempt.aborted else suspect_parts(self.call)
+        report = CrashReport(attempt.record.replica, broken_at, self.fingerprint, parts)
+        core.event_log.write(
+            "crash_suspected", id=self.call.request, upstream=attempt.record.replica
+        )
+        core.report_crash(report)
 
     # Requests that were not served.
 
@@ -336,8 +375,21 @@
             ms_taken=span,
             sends=self.steps,
             last_event=self.forwarder.resume_after if self.forwarder else None,
+            **self._hold_fields(),
         )
 
+    def _hold_fields(self) -> dict[str, object]:
+        """Return the log fields that say why the request was held back, none if it was not."""
+        hold = self.held_by
+        if hold is None:
+            return {}
+        return {
+            "subject": hold.suspect.name,
+            "kind": hold.suspect.kind.value,
+            "crashes": hold.crashes,
+            "held_ms": self.core.clock.now() - hold.held_at,
+        }
+
 
 def _endpoint_of(upstream: Upstream | None) -> Endpoint | None:
     """Return the address of an upstream, or `None` without one."""
--- a/skylarklift/entry/silence.py
+++ b/skylarklift/entry/silence.py
@@ -20,8 +20,7 @@
     """Measure how long the router has waited for an upstream that made no progress.
 
     Bytes alone are no progress: an upstream that sends one now and then would never be noticed.
-    The upstream is probed after `probe_after_ms`.  `attempt_aborted` is set when the attempt is
-    aborted because of the silence.
+    The upstream is probed after `probe_after_ms`.
     """
 
     def __init__(self, clock: Clock, probe_after_ms: int):
@@ -30,7 +29,6 @@
         self._waiting_since: Millis | None = None
         # The waits that have ended since the last progress.
         self._waited_ms = 0
-        self.attempt_aborted = False
 
     def waiting(self) -> "SilenceTimer":
         """Return a block whose time counts as silence, unless progress is recorded after it."""
@@ -84,7 +82,7 @@
         except (TransportError, RequestError, CallerDisconnected) as exc:
             failure = exc
         nursery.cancel_scope.cancel()
-    if isinstance(failure, TransportError) and timer.attempt_aborted:
+    if isinstance(failure, TransportError) and attempt.aborted:
         raise ResponseBroken(attempt.detail or "the upstream sent no data") from failure
     if failure is not None:
         raise failure
@@ -123,7 +121,7 @@
             # Closing the connection ends only the wait for more data: what has arrived is still
             # forwarded.  Cancelling the task instead could lose an event between its arrival and
             # its way to the caller.
-            timer.attempt_aborted = True
+            attempt.aborted = True
             attempt.conn.abort()
         return
 
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/suspects.py
@@ -1,39 +1,234 @@
-"""Requests suspected of crashing upstreams, as the platform's routers report to each other.
+"""Requests, and parts of prompts, that may crash upstreams: the evidence and what follows from it.
 
 A request is identified by its fingerprint, a hash of method, path, workspace and body.
 """
 
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.crash_evidence import (
+    CRASH_TTL_MS,
+    CrashEvidence,
+    CrashReport,
+    Suspect,
+    suspects_of,
+)
+from skylarklift.entry.crash_messages import CrashMessage, ServedReport
+from skylarklift.entry.model import Call
+from skylarklift.entry.prefixes import shared_parts
+from skylarklift.entry.quarantine import Hold, HoldState, Quarantine
 from skylarklift.hashing import body_fingerprint
-from skylarklift.ids import Fingerprint, ReplicaId
-from skylarklift.upstreams.crashes import CrashTracker
+from skylarklift.ids import Fingerprint
+
+# In a large fleet, each router passes on what it has heard within this time, so that all hear of
+# a crash although each sends to a few others at a time.
+RELAY_MS = 600
+# A part is reported as served again after this time at the earliest.
+SERVED_REPORT_INTERVAL_MS = 500
+MAX_SHARED_REPORTS = 1000
+MAX_PARTS_PER_REPORT = 32
+# Longer names are not suspected, so that messages stay small.
+MAX_PART_NAME_CHARS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class HoldChange:
+    """A change of what is held back, as written to the log."""
 
-CRASHES_TO_REFUSE = 3
-CRASH_TTL_MS = 60000
+    event: str
+    hold: Hold
 
 
-class CrashSuspects(CrashTracker):
-    """Crashes by fingerprint, with those seen by this router for the gossip messages."""
+@dataclass(frozen=True, slots=True)
+class SharedItem:
+    """Something to tell other routers: a report, when it was learned, and if it is of this one."""
+
+    learned_at: Millis
+    report: CrashReport | ServedReport
+    own: bool
+
+
+class CrashSuspects:
+    """Evidence of crashes, the holds that follow from it, and the messages about both."""
 
     def __init__(self, clock: Clock):
-        super().__init__(clock, CRASHES_TO_REFUSE, CRASH_TTL_MS)
-        self._own_crashes: list[tuple[Millis, Fingerprint, ReplicaId]] = []
+        self._clock = clock
+        self._evidence = CrashEvidence(clock)
+        self._quarantine = Quarantine(clock)
+        self._shared: deque[SharedItem] = deque(maxlen=MAX_SHARED_REPORTS)
+        self._served_reported: dict[Suspect, Millis] = {}
+
+    # What this router sees.
+
+    def record_own_crash(self, report: CrashReport) -> list[HoldChange]:
+        """Record a crash that this router saw, and share it; return what is held back by it."""
+        if self._evidence.is_known(report):
+            return []
+        self._shared.append(SharedItem(self._clock.now(), report, own=True))
+        self._tell_served(report)
+        return self._record_crash(report)
+
+    def _record_crash(self, report: CrashReport) -> list[HoldChange]:
+        """Record a crash; return the holds that it brings about at once or extends."""
+        held = [hold for item in report.suspects() if (hold := self._quarantine.find([item]))]
+        convicted = self._evidence.record_crash(report, [hold.suspect for hold in held])
+        changes = []
+        for suspect in convicted:
+            changes.append(self._hold(suspect))
+        for hold in held:
+            if report.crashed_at >= hold.until and self._quarantine.is_on_trial(hold):
+                longer = self._quarantine.hold(hold.suspect, hold.crashes + 1)
+                changes.append(HoldChange("quarantine_extended", longer))
+        return changes
+
+    def judge_parts(self) -> list[HoldChange]:
+        """Hold back the parts with enough evidence; release those that are cleared by that."""
+        judgement = self._evidence.judge_parts()
+        changes = [self._hold(suspect) for suspect in judgement.convicted]
+        for suspect in judgement.acquitted:
+            released = self._quarantine.release(suspect)
+            if released is not None:
+                changes.append(HoldChange("quarantine_released", released))
+        return changes
+
+    def _hold(self, suspect: Suspect) -> HoldChange:
+        """Hold a suspect back."""
+        hold = self._quarantine.hold(suspect, self._evidence.crash_total(suspect))
+        return HoldChange("quarantined", hold)
+
+    def record_served(self, suspects: Iterable[Suspect]) -> list[HoldChange]:
+        """Record that a request was served, whose upstream it has not crashed.
+
+        Return the holds that end by it.
+        """
+        now = self._clock.now()
+        changes = []
+        for suspect in suspects:
+            was_suspect = self._evidence.record_served(suspect, now)
+            hold = self._quarantine.release(suspect)
+            if hold is not None:
+                changes.append(HoldChange("quarantine_released", hold))
+            if was_suspect or hold is not None:
+                self._share_served(suspect, now)
+        return changes
+
+    def _share_served(self, suspect: Suspect, served_at: Millis, *, own: bool = True) -> None:
+        """Tell others that a suspect was served, unless that was told lately."""
+        reported_at = self._served_reported.get(suspect)
+        if reported_at is not None and served_at - reported_at < SERVED_REPORT_INTERVAL_MS:
+            return
+        self._served_reported.pop(suspect, None)
+        self._served_reported[suspect] = served_at
+        while len(self._served_reported) > MAX_SHARED_REPORTS:
+            del self._served_reported[next(iter(self._served_reported))]
+        report = ServedReport(suspect, served_at)
+        self._shared.append(SharedItem(self._clock.now(), report, own))
 
-    def record_own_crash(self, fingerprint: Fingerprint, replica: ReplicaId) -> None:
-        """Record a crash that this router saw, and announce it to the others."""
-        self._own_crashes.append((self._clock.now(), fingerprint, replica))
-        self.record_crash(fingerprint, replica)
+    # What is held back.
 
-    def own_crashes_since(self, since: Millis) -> tuple[tuple[int, str], ...]:
-        """Return the crashes that this router saw since a time."""
+    def find_hold(self, suspects: Iterable[Suspect]) -> Hold | None:
+        """Return a hold on one of the suspects, `None` if none is held back."""
+        return self._quarantine.find(suspects)
+
+    def start_trial(self, hold: Hold, rank: int) -> bool:
+        """Return whether a request that is held back may be let through as a trial."""
+        return self._quarantine.start_trial(hold, rank)
+
+    def held(self) -> list[Hold]:
+        """Return the holds that are in force."""
+        return self._quarantine.held()
+
+    def suspect_count(self) -> int:
+        """Return how many requests and parts are suspected."""
+        return self._evidence.suspect_count()
+
+    def expire(self) -> list[HoldChange]:
+        """Drop what is too old; return the holds that ended without a trial."""
         limit = self._clock.now() - CRASH_TTL_MS
-        self._own_crashes = [item for item in self._own_crashes if item[0] > limit]
-        return tuple(
-            (fingerprint, replica)
-            for seen_at, fingerprint, replica in self._own_crashes
-            if seen_at >= since
+        while self._shared and self._shared[0].learned_at < limit:
+            self._shared.popleft()
+        return [HoldChange("quarantine_expired", hold) for hold in self._quarantine.expire()]
+
+    # Messages.
+
+    def make_message(
+        self, node: str, since: Millis, *, relay: bool, with_holds: bool
+    ) -> CrashMessage | None:
+        """Return what another router is to be told that was learned since a time.
+
+        With `relay`, that includes what others told this router, and leaves out what is older
+        than `RELAY_MS`.  With `with_holds`, all decisions are included, else those since then.
+        Return `None` if there is nothing to tell.
+        """
+        first = max(since, self._clock.now() - RELAY_MS) if relay and since > 0 else since
+        items = [item for item in self._shared if item.learned_at >= first and (item.own or relay)]
+        decisions = [
+            hold for hold in self._quarantine.decisions() if with_holds or hold.learned_at >= since
+        ]
+        if not items and not decisions:
+            return None
+        return CrashMessage(
+            node=node,
+            crashes=tuple(item.report for item in items if isinstance(item.report, CrashReport)),
+            served=tuple(item.report for item in items if isinstance(item.report, ServedReport)),
+            decisions=tuple(decisions),
         )
 
+    def has_news_since(self, since: Millis) -> bool:
+        """Return whether anything was learned since a time."""
+        if self._shared and self._shared[-1].learned_at >= since:
+            return True
+        return any(hold.learned_at >= since for hold in self._quarantine.decisions())
+
+    def apply_message(self, message: CrashMessage) -> list[HoldChange]:
+        """Apply another router's message; return the changes of what is held back."""
+        changes = []
+        for report in message.served:
+            changes += self._apply_served(report)
+        for hold in message.decisions:
+            if self._quarantine.apply_reported(hold):
+                released = hold.state is HoldState.RELEASED
+                event = "quarantine_released" if released else "quarantined"
+                changes.append(HoldChange(event, hold))
+        for report in message.crashes:
+            if not self._evidence.is_known(report):
+                self._shared.append(SharedItem(self._clock.now(), report, own=False))
+                changes += self._record_crash(report)
+                self._tell_served(report)
+        return changes
+
+    def _apply_served(self, report: ServedReport) -> list[HoldChange]:
+        """Apply another router's report that a suspect was served."""
+        self._evidence.record_served(report.suspect, report.served_at)
+        self._share_served(report.suspect, report.served_at, own=False)
+        hold = self._quarantine.find([report.suspect])
+        if hold is None or report.served_at < hold.held_at:
+            return []
+        released = self._quarantine.release(report.suspect)
+        return [HoldChange("quarantine_released", released)] if released else []
+
+    def _tell_served(self, report: CrashReport) -> None:
+        """Tell others of the parts in a report that this router has served lately."""
+        for suspect in report.suspects():
+            served_at = self._evidence.last_served(suspect)
+            if served_at is not None:
+                self._share_served(suspect, served_at)
+
+
+def suspects_of_call(call: Call, fingerprint: Fingerprint) -> list[Suspect]:
+    """Return a request and the shared parts of its prompt as suspects."""
+    return suspects_of(fingerprint, suspect_parts(call))
+
+
+def suspect_parts(call: Call) -> tuple[str, ...]:
+    """Return the names of the parts that others share, of a prompt that has several parts."""
+    if len(call.parts) < 2:
+        return ()
+    names = (part.name for part in shared_parts(call.parts)[:MAX_PARTS_PER_REPORT])
+    return tuple(name for name in names if len(name) <= MAX_PART_NAME_CHARS)
+
 
 def call_fingerprint(method: bytes, target: bytes, workspace: str, body: bytes) -> Fingerprint:
     """Return the fingerprint of a request."""
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -36,7 +36,8 @@
             message.loads,
             message.ejected,
             message.maybe_restarted,
-            message.crashes,
+            # The place of crash reports, which routers of this format no longer send here.
+            (),
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
     )
@@ -49,7 +50,7 @@
         if format_number != GOSSIP_FORMAT:
             raise PeerError(f"gossip message has format {format_number}, expected {GOSSIP_FORMAT}")
         node, boot, address, tables, reads_store, leaving, *rest = items
-        loads, ejected, maybe_restarted, crashes, placements = rest
+        loads, ejected, maybe_restarted, _, placements = rest
         return GossipMessage(
             node=str(node),
             boot=str(boot),
@@ -60,7 +61,6 @@
             loads={str(name): int(count) for name, count in loads.items()},
             ejected={str(name): int(left_ms) for name, left_ms in ejected.items()},
             maybe_restarted=tuple(str(name) for name in maybe_restarted),
-            crashes=tuple((int(fingerprint), str(name)) for fingerprint, name in crashes),
             placements=tuple(
                 Placement(tuple(str(name) for name in names), ReplicaId(replica))
                 for names, replica in placements
--- a/skylarklift/ui/logs.py
+++ b/skylarklift/ui/logs.py
@@ -15,6 +15,12 @@
 # Events that end a request; the others are about a single attempt, a change of the cluster
 # state or the router itself.
 REQUEST_EVENTS = ("request", "request_failed")
+QUARANTINE_EVENTS = (
+    "quarantined",
+    "quarantine_extended",
+    "quarantine_released",
+    "quarantine_expired",
+)
 ROUTER_EVENTS = ("start", "stopping", "stop", "store_lost", "store_regained", "plan", "zone_out")
 
 
@@ -78,11 +84,12 @@
 def _related_lines(
     lines: list[dict[str, Any]], request_lines: list[dict[str, Any]], around_ms: int
 ) -> list[dict[str, Any]]:
-    """Return the lines that the same routers logged up to `around_ms` before and after.
+    """Return related lines of the same routers.
 
-    These are lines about the request's upstreams and lines of `ROUTER_EVENTS`.  The
-    clocks of routers are not comparable, so each router's lines are selected by its
-    own time stamps.
+    These are lines about the request's upstreams and lines of `ROUTER_EVENTS` that were logged up
+    to `around_ms` before and after it, and, whenever it was, how the part that it was held back
+    for came to be held back.  The clocks of routers are not comparable, so each router's lines
+    are selected by its own time stamps.
     """
     time_ranges: dict[str, tuple[int, int]] = {}
     for line in request_lines:
@@ -90,16 +97,19 @@
         started_at = line["ms"] - line.get("ms_taken", 0)
         time_ranges[line["node"]] = (min(first, started_at), max(last, line["ms"]))
     upstreams = {line["upstream"] for line in request_lines if "upstream" in line}
-    return [
-        line
-        for line in lines
-        if "id" not in line
-        and line["node"] in time_ranges
-        and time_ranges[line["node"]][0] - around_ms
-        <= line["ms"]
-        <= time_ranges[line["node"]][1] + around_ms
-        and (line.get("subject", "") in upstreams or line["event"] in ROUTER_EVENTS)
-    ]
+    held = {line["subject"] for line in request_lines if "subject" in line}
+    related = []
+    for line in lines:
+        if "id" in line or line["node"] not in time_ranges:
+            continue
+        first, last = time_ranges[line["node"]]
+        if line["event"] in QUARANTINE_EVENTS:
+            if line["subject"] in held and line["ms"] <= last + around_ms:
+                related.append(line)
+        elif first - around_ms <= line["ms"] <= last + around_ms:
+            if line.get("subject", "") in upstreams or line["event"] in ROUTER_EVENTS:
+                related.append(line)
+    return related
 
 
 def _format_line(line: dict[str, Any]) -> str:
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -94,7 +94,7 @@
     ) -> RouterProcess:
         """Start a router and wait until it is ready."""
         router = self.launch_router(name, store_endpoint_index, peer_port)
-        await self._wait_ready(router)
+        await self.wait_ready(router)
         return router
 
     def launch_router(
@@ -111,7 +111,7 @@
         router.start_count += 1
         router.process = self._start_process(router.settings, router.log)
 
-    async def _wait_ready(self, router: RouterProcess) -> None:
+    async def wait_ready(self, router: RouterProcess) -> None:
         """Wait until a router is ready; on a timeout, fail with the end of its log."""
         for _ in range(START_TIMEOUT_S * POLLS_PER_SECOND):
             if await self.is_ready(router):
