--- a/features/entry_fixtures.py
+++ b/features/entry_fixtures.py
@@ -98,12 +98,16 @@
     return core.cluster_state.apply_page(table, RowPage(changes, version, complete))
 
 
-def core_with_replicas(replicas: int, clock=None, **fields) -> Core:
-    """Return a core with a plan and the replicas `r0`, `r1`, ... of the service `lm`."""
+def core_with_replicas(replicas: int, clock=None, upstream_port=9000, **fields) -> Core:
+    """Return a core with a plan and the replicas `r0`, `r1`, ... of the service `lm`.
+
+    Their ports follow each other from `upstream_port` on.
+    """
     core = new_core(clock)
     apply_rows(core, RowTable.OPERATOR, 1, {"config": plan_data()}, complete=True)
     rows = {
-        f"r{n}": upstream_data(zone=ZONES[n % 3], port=9000 + n, **fields) for n in range(replicas)
+        f"r{n}": upstream_data(zone=ZONES[n % 3], port=upstream_port + n, **fields)
+        for n in range(replicas)
     }
     apply_rows(core, RowTable.UPSTREAMS, 1, rows, complete=True)
     return core
--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -70,6 +70,18 @@
       | crashes that lie long apart              | 0:r1:1:bb 31000:r2:2:bb 62000:r3:3:bb                                                          |           |
       | the same report once more                | 0:r1:1:bb 10:r1:1:bb 300:r2:2:bb 310:r2:2:bb                                                   |           |
 
+  # Guards against a crash that is missed since its upstream was reachable just before.
+  Scenario Outline: A probe tells of a crash only if it was made after the answer broke off
+    Given a router whose last probe of a replica was <ms> ms ago and found it <found>
+    When an answer of the replica breaks off and its port is closed
+    Then the crash is reported: yes
+
+    Examples:
+      | ms  | found       |
+      | 50  | reachable   |
+      | 50  | unreachable |
+      | 400 | reachable   |
+
   # Guards against a hold that never ends, ends for all requests at once, or comes back by itself.
   Scenario Outline: A hold is followed by a trial, and by a longer hold or a release: <case>
     Given a router of rank <rank> that holds back a part since 0 ms
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -10,9 +10,12 @@
 import trio
 from behave import given, then, when
 
-from features.entry_fixtures import new_call
+from features.entry_fixtures import core_with_replicas, new_call, parse_yes_no
 from features.world_thread import all_runs
 from skylarklift.clock import ManualClock, Millis
+from skylarklift.entry.attempt import Attempt
+from skylarklift.entry.choose import Choice
+from skylarklift.entry.core import Probe
 from skylarklift.entry.crash_evidence import (
     MAX_SUSPECTS,
     CrashReport,
@@ -28,9 +31,12 @@
 )
 from skylarklift.entry.process import CRASH_REPORTS_DELAY_MS
 from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
+from skylarklift.entry.request_handler import RequestHandler
+from skylarklift.entry.retry_state import Outcome
 from skylarklift.entry.suspects import CrashSuspects, suspect_parts
 from skylarklift.errors import PeerError
 from skylarklift.ui.main import main
+from standins.entry_world import free_port
 from standins.replica import CrashPoint
 
 PACE_MS = 60
@@ -202,6 +208,30 @@
     assert not context.convicted, context.convicted
 
 
+@given("a router whose last probe of a replica was {ms:d} ms ago and found it {found}")
+def replica_was_probed(context, ms, found):
+    context.core = core_with_replicas(1, upstream_port=free_port())
+    now = context.core.clock.now()
+    context.core.probes["r0"] = Probe(Millis(now - ms), found == "reachable")
+
+
+@when("an answer of the replica breaks off and its port is closed")
+def answer_breaks_off(context):
+    core, call = context.core, new_call("aa:1,bad:1,own:1")
+    choice = Choice(core.cluster_state.upstreams["r0"], 0, 0.0, 0, cold=False)
+    attempt = Attempt(core, call, choice, None, repeatable=True)
+    attempt.outcome = Outcome.BROKEN
+    handler = RequestHandler(core, None, call)
+    trio.run(handler.check_for_crash, attempt)
+
+
+@then("the crash is reported: {reported}")
+def crash_is_reported(context, reported):
+    message = context.core.suspects.make_message("n1", Millis(0), relay=False, with_holds=True)
+    found = message is not None and [report.parts for report in message.crashes]
+    assert bool(found) == parse_yes_no(reported), found
+
+
 @given("a router of rank {rank:d} that holds back a part since 0 ms")
 def router_holds_back(context, rank):
     context.rank = rank
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -202,12 +202,16 @@
             )
 
 
-async def is_reachable(core: Core, attempt: Attempt) -> bool:
-    """Return whether an upstream that is silent or broke off still accepts connections."""
+async def is_reachable(core: Core, attempt: Attempt, since: Millis | None = None) -> bool:
+    """Return whether an upstream that is silent or broke off still accepts connections.
+
+    That it did before `since` does not count.
+    """
     record = attempt.record
     known = core.probes.get(record.replica)
     if known is not None and core.clock.now() - known.probed_at < PROBE_TTL_MS:
-        return known.alive
+        if not known.alive or since is None or known.probed_at >= since:
+            return known.alive
     try:
         stream = await connect(record.host, record.port, PROBE_TIMEOUT_MS)
         stream.socket.close()
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -281,20 +281,20 @@
             return 0
         except TransportError as exc:
             attempt.record_failure(exc)
-            await self._check_for_crash(attempt)
+            await self.check_for_crash(attempt)
             return 0
 
     def _initial_silence_ms(self) -> int:
         """Return how long an upstream may be silent before its response until it is probed."""
         return max(MIN_INITIAL_SILENCE_MS, int(self.route.objective_ms * INITIAL_SILENCE_RATIO))
 
-    async def _check_for_crash(self, attempt: Attempt) -> None:
+    async def check_for_crash(self, attempt: Attempt) -> None:
         """Record a suspected crash if an answer broke off at its start and a probe fails."""
         if attempt.outcome is not Outcome.BROKEN or attempt.has_settled():
             return
         broken_at = self.core.clock.now()
         with trio.CancelScope(shield=True):
-            alive = await is_reachable(self.core, attempt)
+            alive = await is_reachable(self.core, attempt, since=broken_at)
         if alive:
             return
         core = self.core
