--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -50,7 +50,8 @@
     When it hears of "<history>"
     Then it has convicted "<convicted>"
 
-    # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, or MS:served:PART.
+    # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, MS:served:PART, or MS:held:REQUEST
+    # for another router's message that a request is held back.
     Examples:
       | case                                     | history                                                                                        | convicted |
       | a part in three crashes                  | 0:r1:1:aa+bad 300:r2:1:aa+bad 310:served:aa 600:r3:2:aa+bad                                    | bad       |
@@ -67,6 +68,7 @@
       | a part beside requests with the real one | 0:r1:1:bad 1:r1:9:bb 300:r2:2:bad 301:r2:8:bb 600:r3:3:bad 601:r3:7:bb 900:r4:4:bad 901:r4:6:bb | bad       |
       | a deeper part, until others crash too    | 0:r1:1:bad+bb 300:r2:2:bad+bb 600:r3:3:bad+bb 900:r4:4:bad+cc 1200:r5:5:bad+dd 1500:r6:6:bad+ee 1800:r7:7:bad+ff 2100:r8:8:bad+gg | bad |
       | the last victim reported first           | 0:r1:1:bad+x1 300:r2:2:bad+x2 600:r3:9:aa+x9 601:r3:3:bad+x3 900:r1:4:aa+x4 1200:r2:5:aa+x5    | bad       |
+      | a request that is held back before       | 0:r1:1:bad 200:held:1 300:r2:1:bad 600:r3:1:bad 900:r4:2:bad                                  | bad       |
       | crashes that lie long apart              | 0:r1:1:bb 31000:r2:2:bb 62000:r3:3:bb                                                          |           |
       | the same report once more                | 0:r1:1:bb 10:r1:1:bb 300:r2:2:bb 310:r2:2:bb                                                   |           |
 
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -174,6 +174,9 @@
         if what == "served":
             context.suspects.record_served([Suspect(SuspectKind.PART, rest[0])])
             continue
+        if what == "held":
+            hold_back(context, suspects_of(int(rest[0]), ())[0])
+            continue
         report = CrashReport(what, context.clock.now(), int(rest[0]), tuple(rest[1].split("+")))
         apply_changes(context, context.suspects.record_own_crash(report))
     judge(context)
--- a/skylarklift/entry/crash_evidence.py
+++ b/skylarklift/entry/crash_evidence.py
@@ -121,7 +121,7 @@
     def record_crash(self, report: CrashReport, held: Iterable[Suspect] = ()) -> list[Suspect]:
         """Record a report; return the request if that convicts it.
 
-        `held` are those of the report's suspects that were convicted before: they explain the
+        `held` are those of the report's parts that were convicted before: they explain the
         crash.  Parts are judged later, when all reports of the crash may have arrived.
         """
         crash = self._find_crash(report)
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/suspects.py
@@ -13,6 +13,7 @@
     CrashEvidence,
     CrashReport,
     Suspect,
+    SuspectKind,
     suspects_of,
 )
 from skylarklift.entry.crash_messages import CrashMessage, ServedReport
@@ -73,10 +74,11 @@
     def _record_crash(self, report: CrashReport) -> list[HoldChange]:
         """Record a crash; return the holds that it brings about at once or extends."""
         held = [hold for item in report.suspects() if (hold := self._quarantine.find([item]))]
-        convicted = self._evidence.record_crash(report, [hold.suspect for hold in held])
-        changes = []
-        for suspect in convicted:
-            changes.append(self._hold(suspect))
+        # A request that is held back does not explain its crashes: a part of its prompt may.
+        parts = [hold.suspect for hold in held if hold.suspect.kind is SuspectKind.PART]
+        convicted = self._evidence.record_crash(report, parts)
+        known = [hold.suspect for hold in held]
+        changes = [self._hold(suspect) for suspect in convicted if suspect not in known]
         for hold in held:
             if report.crashed_at >= hold.until and self._quarantine.is_on_trial(hold):
                 longer = self._quarantine.hold(hold.suspect, hold.crashes + 1)
