--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -110,6 +110,19 @@
     When a part is held back, released, and reported as held back once more
     Then the part is not held back
 
+  # Guards against evidence that is lost with the router that saw it.
+  Scenario Outline: What a router has heard of crashes is passed on: <case>
+    Given a router that heard of two crashes from a router that has ended since
+    When <span> ms pass and it sends to a router that <receiver>
+    Then that one convicts the part at its own first crash of it: <convicts>
+
+    Examples:
+      | case                                | span  | receiver                            | convicts |
+      | to a router that has just started   | 20000 | has just started                    | yes      |
+      | in a large fleet, for a short time  | 500   | it last sent to, in a large fleet   | yes      |
+      | in a large fleet, no longer         | 700   | it last sent to, in a large fleet   | no       |
+      | in a small one each hears it itself | 500   | it last sent to, in a small fleet   | no       |
+
   # Guards against a datagram that ends the task that receives messages.
   Scenario Outline: A message about crashes that cannot be read is an error of its sender: <message>
     When another router sends the message "<message>" about crashes
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -339,6 +339,39 @@
     assert context.suspects.find_hold([PART]) is None
 
 
+@given("a router that heard of two crashes from a router that has ended since")
+def heard_of_two_crashes(context):
+    no_crash_seen(context)
+    now = context.clock.now()
+    reports = (
+        CrashReport("r1", Millis(now - 300), 1, ("bad",)),
+        CrashReport("r2", now, 2, ("bad",)),
+    )
+    context.suspects.apply_message(CrashMessage("n2", crashes=reports))
+
+
+@when("{span:d} ms pass and it sends to a router that {receiver}")
+def sends_to_receiver(context, span, receiver):
+    since = Millis(0 if receiver == "has just started" else START_MS - 100)
+    context.clock.advance(span)
+    now = context.clock.now()
+    message = context.suspects.make_message(
+        "n1", since, relay=receiver.endswith("large fleet"), with_holds=True
+    )
+    context.receiver = CrashSuspects(context.clock)
+    if message is not None:
+        context.receiver.apply_message(
+            decode_crash_message(encode_crash_message(message, now), now)
+        )
+
+
+@then("that one convicts the part at its own first crash of it: {convicts}")
+def receiver_convicts(context, convicts):
+    report = CrashReport("r3", context.clock.now(), 3, ("bad",))
+    context.receiver.record_own_crash(report)
+    assert bool(context.receiver.judge_parts()) == parse_yes_no(convicts)
+
+
 @when('another router sends the message "{text}" about crashes')
 def sends_crash_message(context, text):
     context.data = msgpack.packb(json.loads(text))
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/suspects.py
@@ -160,10 +160,12 @@
     ) -> CrashMessage | None:
         """Return what another router is to be told that was learned since a time.
 
-        With `relay`, that includes what others told this router, and leaves out what is older
-        than `RELAY_MS`.  With `with_holds`, all decisions are included, else those since then.
+        A router that has just started, for which `since` is 0, is told all that is known.  With
+        `relay`, others are also told what this router has heard, but nothing older than
+        `RELAY_MS`.  With `with_holds`, all decisions are included, else those since then.
         Return `None` if there is nothing to tell.
         """
+        relay = relay or since == 0
         first = max(since, self._clock.now() - RELAY_MS) if relay and since > 0 else since
         items = [item for item in self._shared if item.learned_at >= first and (item.own or relay)]
         decisions = [
