--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -72,6 +72,27 @@
       | crashes that lie long apart              | 0:r1:1:bb 31000:r2:2:bb 62000:r3:3:bb                                                          |           |
       | the same report once more                | 0:r1:1:bb 10:r1:1:bb 300:r2:2:bb 310:r2:2:bb                                                   |           |
 
+  # Guards against a last crash by the router's own retry, before the third one has been judged.
+  Scenario: A request that crashes a third upstream is not sent to a fourth
+    Given a store, two replicas of each service, and a router
+    And 8 replicas crash before the head of an answer to a prompt with the part "bad"
+    When 4 requests with the parts "aa,bad" are sent, one after the other
+    Then at most 3 replicas crashed
+
+  # Guards against crashes by requests that were sent before their part was held back.
+  Scenario Outline: A request that has been sent is withdrawn when a part of it is held back
+    Given a request with the parts "aa,bad,own" that was sent, and answered since <age> ms
+    When the part "<part>" is held back
+    Then its connection is closed: <closed>
+
+    Examples:
+      | age | part | closed |
+      | no  | bad  | yes    |
+      | 100 | bad  | yes    |
+      | 600 | bad  | no     |
+      | no  | cc   | no     |
+      | no  | own  | no     |
+
   # Guards against a crash that is missed since its upstream was reachable just before.
   Scenario Outline: A probe tells of a crash only if it was made after the answer broke off
     Given a router whose last probe of a replica was <ms> ms ago and found it <found>
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -29,11 +29,15 @@
     encode_crash_message,
     is_crash_message,
 )
-from skylarklift.entry.process import CRASH_REPORTS_DELAY_MS
 from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
 from skylarklift.entry.request_handler import RequestHandler
 from skylarklift.entry.retry_state import Outcome
-from skylarklift.entry.suspects import CrashSuspects, suspect_parts
+from skylarklift.entry.suspects import (
+    JUDGEMENT_DELAY_MS,
+    CrashSuspects,
+    suspect_parts,
+    suspects_of_call,
+)
 from skylarklift.errors import PeerError
 from skylarklift.ui.main import main
 from standins.entry_world import free_port
@@ -105,6 +109,12 @@
     context.thread.run(run)
 
 
+@when('{count:d} requests with the parts "{parts}" are sent, one after the other')
+def requests_in_series(context, count, parts):
+    for number in range(count):
+        send_with_parts(context, context.router, parts, number)
+
+
 @then('the last request with the parts "{parts}" got {status:d} and reached no replica')
 def last_request_got(context, parts, status):
     responses = context.responses[parts]
@@ -168,7 +178,7 @@
     context.convicted = []
     for item in history.split():
         at, what, *rest = item.split(":")
-        if START_MS + int(at) - context.clock.now() >= CRASH_REPORTS_DELAY_MS:
+        if START_MS + int(at) - context.clock.now() >= JUDGEMENT_DELAY_MS:
             judge(context)
         context.clock.advance(START_MS + int(at) - context.clock.now())
         if what == "served":
@@ -184,7 +194,7 @@
 
 def judge(context):
     """Judge parts, as a router does once all reports of a crash have arrived."""
-    context.clock.advance(CRASH_REPORTS_DELAY_MS)
+    context.clock.advance(JUDGEMENT_DELAY_MS)
     apply_changes(context, context.suspects.judge_parts())
 
 
@@ -235,6 +245,40 @@
     assert bool(found) == parse_yes_no(reported), found
 
 
+class RecordingConnection:
+    """A connection that only records whether it was closed."""
+
+    closed = False
+
+    def abort(self):
+        self.closed = True
+
+
+@given('a request with the parts "{parts}" that was sent, and answered since {age} ms')
+def request_was_sent(context, parts, age):
+    context.core = core = core_with_replicas(1)
+    call = new_call(",".join(f"{part}:1" for part in parts.split(",")))
+    choice = Choice(core.cluster_state.upstreams["r0"], 0, 0.0, 0, cold=False)
+    suspects = suspects_of_call(call, 5)
+    attempt = Attempt(core, call, choice, None, repeatable=True, suspects=suspects)
+    attempt.conn = context.conn = RecordingConnection()
+    if age != "no":
+        attempt.answered_at = Millis(core.clock.now() - int(age))
+    core.attempts.add(attempt)
+
+
+@when('the part "{part}" is held back')
+def part_is_held_back(context, part):
+    context.clock, context.suspects = context.core.clock, context.core.suspects
+    changes = hold_back(context, Suspect(SuspectKind.PART, part))
+    context.core.apply_hold_changes(changes, "n2")
+
+
+@then("its connection is closed: {closed}")
+def connection_is_closed(context, closed):
+    assert context.conn.closed == parse_yes_no(closed)
+
+
 @given("a router of rank {rank:d} that holds back a part since 0 ms")
 def router_holds_back(context, rank):
     context.rank = rank
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -30,7 +30,8 @@
 
     `outcome` is what the attempt amounts to if it ends now: `NOT_SENT` until a connection is
     made, then `BROKEN` until the response is classified.  `aborted` is set when this router ends
-    the attempt because the upstream is silent.
+    the attempt because the upstream is silent, `withdrawn` when it does so because the request is
+    held back, and `crash_reported` when the upstream crashed.
     """
 
     def __init__(
@@ -57,7 +58,7 @@
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
-        self.aborted = False
+        self.aborted = self.withdrawn = self.crash_reported = False
         # When the first event or the complete answer arrived.
         self.answered_at: Millis | None = None
         self._sent_at = core.clock.now()
@@ -68,9 +69,11 @@
         """Count the request as in flight during the block; abort its connection if unfinished."""
         core = self.core
         core.chooser.start_request(self.choice, self.call)
+        core.attempts.add(self)
         try:
             yield self
         finally:
+            core.attempts.discard(self)
             core.chooser.end_request(self.record.replica)
             core.health.end_trial(self.record.replica)
             if self.conn is not None and not self._response_read:
@@ -135,6 +138,13 @@
             self.outcome = Outcome.ANSWERED
         return self.outcome
 
+    def withdraw(self) -> None:
+        """End the attempt, so that its upstream drops the request before it crashes by it."""
+        if self.conn is not None and not self.has_settled():
+            self.withdrawn = True
+            self.detail = "withdrawn, as the request is held back"
+            self.conn.abort()
+
     def answer_age_ms(self) -> int | None:
         """Return the milliseconds since the first event or the answer arrived, `None` before."""
         if self.answered_at is None:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -2,6 +2,7 @@
 
 import random
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -9,7 +10,7 @@
 from skylarklift.entry.choose import Chooser
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.connection_pool import ConnectionPool
-from skylarklift.entry.crash_evidence import CrashReport
+from skylarklift.entry.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.event_log import EventLog
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import FleetRetryBudget
@@ -18,10 +19,13 @@
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings
 from skylarklift.entry.rows import RowFormat, RowTable
-from skylarklift.entry.suspects import CrashSuspects, HoldChange
+from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.ids import ReplicaId
 
+if TYPE_CHECKING:
+    from skylarklift.entry.attempt import Attempt
+
 
 @dataclass(frozen=True, slots=True)
 class Probe:
@@ -36,6 +40,7 @@
     """The state, decisions and connections of one router.
 
     `reading_store` holds, per table, whether this router reads it from the store.
+    `attempts` are the requests that have been sent to upstreams and not ended.
     `state_changed` is set when a change is to be sent to the other routers at once, and
     `crash_reported` when this router or another one has reported the crash of an upstream.
     """
@@ -55,6 +60,7 @@
     connection_pool: ConnectionPool
     rng: random.Random = field(default_factory=random.Random)
     probes: dict[ReplicaId, Probe] = field(default_factory=dict)
+    attempts: set["Attempt"] = field(default_factory=set)
     stopping_since: Millis | None = None
     requests_open: int = 0
     reading_store: dict[RowTable, bool] = field(
@@ -93,9 +99,17 @@
                 term=hold.term,
                 source=source,
             )
+            if change.event == QUARANTINED:
+                self._withdraw(hold.suspect)
         if changes:
             self.state_changed.set()
 
+    def _withdraw(self, suspect: Suspect) -> None:
+        """End the attempts of requests that are held back from now on."""
+        for attempt in list(self.attempts):
+            if suspect in attempt.suspects:
+                attempt.withdraw()
+
     def update_gauges(self) -> None:
         """Set the gauges on the metrics page from the current state."""
         metrics, plan = self.metrics, self.cluster_state.plan
--- a/skylarklift/entry/crash_evidence.py
+++ b/skylarklift/entry/crash_evidence.py
@@ -233,6 +233,12 @@
                 count, last = count + 1, moment
         return count
 
+    def may_be_convicted(self, suspect: Suspect) -> bool:
+        """Return whether one more crash may convict a part, if it is not served meanwhile."""
+        if suspect.kind is not SuspectKind.PART or suspect not in self._records:
+            return False
+        return self.crash_count(suspect) >= CRASHES_TO_CONVICT - 1
+
     def crash_total(self, suspect: Suspect) -> int:
         """Return all recent crashes in which a suspect took part."""
         record = self._records.get(suspect)
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -18,12 +18,11 @@
     MonitoringServer,
     close_idle_when_stopping,
 )
+from skylarklift.entry.suspects import JUDGEMENT_DELAY_MS
 from skylarklift.errors import SettingsError
 
 MAINTENANCE_INTERVAL_MS = 250
 SETTINGS_POLL_INTERVAL_MS = 2000
-# The requests that a crash breaks off end one by one, at several routers.
-CRASH_REPORTS_DELAY_MS = 100
 # A stopping router serves for at least this long, since new requests arrive until the readiness
 # checks have taken it out of rotation.
 MIN_STOPPING_MS = 3600
@@ -142,7 +141,7 @@
         while True:
             await core.crash_reported.wait()
             core.crash_reported = trio.Event()
-            await trio.sleep(CRASH_REPORTS_DELAY_MS / MS_PER_SECOND)
+            await trio.sleep(JUDGEMENT_DELAY_MS / MS_PER_SECOND)
             core.apply_hold_changes(core.suspects.judge_parts(), core.settings.node)
 
     # Settings.
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -18,7 +18,12 @@
 from skylarklift.entry.quarantine import Hold
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.suspects import call_fingerprint, suspect_parts, suspects_of_call
+from skylarklift.entry.suspects import (
+    JUDGEMENT_DELAY_MS,
+    call_fingerprint,
+    suspect_parts,
+    suspects_of_call,
+)
 from skylarklift.errors import (
     AnswerLate,
     BadRequest,
@@ -56,6 +61,8 @@
 MIN_TIMEOUT_FAILURE_MS = 1000
 # Statuses by which a caller concludes that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# A request that may soon be held back is not sent again before its parts have been judged.
+RETRY_AFTER_CRASH_MS = JUDGEMENT_DELAY_MS + 50
 # Shared parts of a prompt that the line of a failed attempt names.
 MAX_LOGGED_PARTS = 8
 JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -175,13 +182,14 @@
 
     async def _serve(self) -> int:
         """Make attempts until one succeeds or no other is allowed; return the status."""
+        core = self.core
         while True:
             choice = await self._choose_upstream()
             options = self._send_options(choice)
             # Meanwhile it may have become known that the request crashes upstreams.
             self._refuse_if_held()
             attempt = Attempt(
-                self.core,
+                core,
                 self.call,
                 choice,
                 options,
@@ -197,6 +205,8 @@
                 return status
             self.retry_state.record(attempt.outcome)
             self._log_failed_attempt(attempt)
+            if attempt.crash_reported and core.suspects.may_be_convicted(self.suspects):
+                await trio.sleep(RETRY_AFTER_CRASH_MS / MS_PER_SECOND)
             if not self._may_retry(attempt.outcome):
                 return await self._finish_failed(attempt.outcome)
 
@@ -205,7 +215,8 @@
         core = self.core
         if not self.retry_state.may_retry(outcome) or core.clock.now() >= self.deadline:
             return False
-        if core.suspects.find_hold(self.suspects) is not None:
+        self.held_by = core.suspects.find_hold(self.suspects)
+        if self.held_by is not None:
             return False
         if not uses_retry_budget(outcome):
             return True
@@ -280,8 +291,9 @@
                     attempt.report_signal(HealthSignal.FAILED)
             return 0
         except TransportError as exc:
-            attempt.record_failure(exc)
-            await self.check_for_crash(attempt)
+            if not attempt.withdrawn:
+                attempt.record_failure(exc)
+                await self.check_for_crash(attempt)
             return 0
 
     def _initial_silence_ms(self) -> int:
@@ -304,6 +316,7 @@
         core.event_log.write(
             "crash_suspected", id=self.call.request, upstream=attempt.record.replica
         )
+        attempt.crash_reported = True
         core.report_crash(report)
 
     # Requests that were not served.
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/suspects.py
@@ -23,12 +23,19 @@
 from skylarklift.hashing import body_fingerprint
 from skylarklift.ids import Fingerprint
 
+# The requests that a crash breaks off end one by one, at several routers, so parts are judged this
+# long after a report.
+JUDGEMENT_DELAY_MS = 100
 # In a large fleet, each router passes on what it has heard within this time, so that all hear of
 # a crash although each sends to a few others at a time.
 RELAY_MS = 600
 # A part is reported as served again after this time at the earliest.
 SERVED_REPORT_INTERVAL_MS = 500
 MAX_SHARED_REPORTS = 1000
+QUARANTINED = "quarantined"
+QUARANTINE_EXTENDED = "quarantine_extended"
+QUARANTINE_RELEASED = "quarantine_released"
+QUARANTINE_EXPIRED = "quarantine_expired"
 MAX_PARTS_PER_REPORT = 32
 # Longer names are not suspected, so that messages stay small.
 MAX_PART_NAME_CHARS = 64
@@ -82,7 +89,7 @@
         for hold in held:
             if report.crashed_at >= hold.until and self._quarantine.is_on_trial(hold):
                 longer = self._quarantine.hold(hold.suspect, hold.crashes + 1)
-                changes.append(HoldChange("quarantine_extended", longer))
+                changes.append(HoldChange(QUARANTINE_EXTENDED, longer))
         return changes
 
     def judge_parts(self) -> list[HoldChange]:
@@ -92,13 +99,13 @@
         for suspect in judgement.acquitted:
             released = self._quarantine.release(suspect)
             if released is not None:
-                changes.append(HoldChange("quarantine_released", released))
+                changes.append(HoldChange(QUARANTINE_RELEASED, released))
         return changes
 
     def _hold(self, suspect: Suspect) -> HoldChange:
         """Hold a suspect back."""
         hold = self._quarantine.hold(suspect, self._evidence.crash_total(suspect))
-        return HoldChange("quarantined", hold)
+        return HoldChange(QUARANTINED, hold)
 
     def record_served(self, suspects: Iterable[Suspect]) -> list[HoldChange]:
         """Record that a request was served, whose upstream it has not crashed.
@@ -111,7 +118,7 @@
             was_suspect = self._evidence.record_served(suspect, now)
             hold = self._quarantine.release(suspect)
             if hold is not None:
-                changes.append(HoldChange("quarantine_released", hold))
+                changes.append(HoldChange(QUARANTINE_RELEASED, hold))
             if was_suspect or hold is not None:
                 self._share_served(suspect, now)
         return changes
@@ -130,6 +137,10 @@
 
     # What is held back.
 
+    def may_be_convicted(self, suspects: Iterable[Suspect]) -> bool:
+        """Return whether one of the suspects may be convicted by the crash reported last."""
+        return any(self._evidence.may_be_convicted(suspect) for suspect in suspects)
+
     def find_hold(self, suspects: Iterable[Suspect]) -> Hold | None:
         """Return a hold on one of the suspects, `None` if none is held back."""
         return self._quarantine.find(suspects)
@@ -151,7 +162,7 @@
         limit = self._clock.now() - CRASH_TTL_MS
         while self._shared and self._shared[0].learned_at < limit:
             self._shared.popleft()
-        return [HoldChange("quarantine_expired", hold) for hold in self._quarantine.expire()]
+        return [HoldChange(QUARANTINE_EXPIRED, hold) for hold in self._quarantine.expire()]
 
     # Messages.
 
@@ -194,7 +205,7 @@
         for hold in message.decisions:
             if self._quarantine.apply_reported(hold):
                 released = hold.state is HoldState.RELEASED
-                event = "quarantine_released" if released else "quarantined"
+                event = QUARANTINE_RELEASED if released else QUARANTINED
                 changes.append(HoldChange(event, hold))
         for report in message.crashes:
             if not self._evidence.is_known(report):
@@ -211,7 +222,7 @@
         if hold is None or report.served_at < hold.held_at:
             return []
         released = self._quarantine.release(report.suspect)
-        return [HoldChange("quarantine_released", released)] if released else []
+        return [HoldChange(QUARANTINE_RELEASED, released)] if released else []
 
     def _tell_served(self, report: CrashReport) -> None:
         """Tell others of the parts in a report that this router has served lately."""
