--- /dev/null
+++ b/features/entry_answers.feature
@@ -0,0 +1,38 @@
+Feature: Answers of faulty upstreams that could be taken for something else
+
+  A refusal that was written twice, an error in place of the rest of a stream, or a head that
+  breaks off must not reach a caller as the answer to its request.
+
+  # Guards against a refusal written once more, which says of the next request that it did not run.
+  Scenario Outline: A refusal that is written once more is not the answer to a later request
+    Given a router before 1 replica that writes its last refusal <copy> before its next answer
+    When 6 requests to "<path>" are sent to it, one after the other
+    Then each request ran at most once, and none that ran was answered as not run
+
+    Examples:
+      | copy                  | path      |
+      | with the earlier id   | /redeem/a |
+      | without an id         | /redeem/a |
+      | with the earlier id   | /check/a  |
+      | without an id         | /check/a  |
+
+  # Guards against a head that breaks off, which would be taken as an empty or a short answer.
+  Scenario Outline: A head that breaks off is no answer
+    Given a router before 1 replica that closes after "<head>"
+    When a request to "<path>" is sent to them
+    Then the caller's answer is an error or not complete
+
+    Examples:
+      | head                                         | path      |
+      | HTTP/1.1 2                                   | /redeem/a |
+      | HTTP/1.1 200 OK                              | /redeem/a |
+      | HTTP/1.1 200 OK\r\n                          | /redeem/a |
+      | HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\n      | /redeem/a |
+      | SIGNED                                       | /redeem/a |
+      | SIGNED                                       | /check/a  |
+      | SIGNED                                       | /chat/a   |
+      | SIGNED                                       | /once/a   |
+      | SIGNEDcontent-length: 5                      | /redeem/a |
+      | SIGNEDcontent-length: 0\r\n                  | /check/a  |
+      | SIGNEDtransfer-encoding: chunked\r\n         | /once/a   |
+      | SIGNED\r                                     | /once/a   |
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -44,6 +44,7 @@
         repeatable: bool,
         route_name: str = "",
         suspects: Sequence[Suspect] = (),
+        sent_before: bool = False,
     ):
         self.core = core
         self.call = call
@@ -52,6 +53,9 @@
         self.options = options
         self.route_name = route_name
         self.repeatable = repeatable
+        # Whether the upstream got this request in an earlier attempt.  A second copy of its answer
+        # to that one, which has the same id, may come on the same connection.
+        self.sent_before = sent_before
         self.suspects = suspects
         self._served_recorded = False
         self.conn: HttpConnection | None = None
@@ -82,7 +86,7 @@
     async def send(self) -> ResponseHead:
         """Send the request and return the head of its response; raise `TransportError`."""
         self.conn = await self.core.connection_pool.acquire(
-            self.record, recently_used=not self.repeatable
+            self.record, recently_used=not self.repeatable, new=self.sent_before
         )
         self.outcome = Outcome.BROKEN
         call = self.call
@@ -108,6 +112,9 @@
         for _ in range(MAX_RESPONSES_READ):
             status, headers = await self.conn.read_head()
             head = self.core.header_codec.decode_response_head(status, headers)
+            if head.request is None and self.conn.reused:
+                # It may be a second copy of the answer to an earlier request.
+                raise ResponseInvalid(f"status {head.status} without an id of a request")
             if head.request is None or head.request == self.call.request:
                 return self._check_head(head)
             self.core.event_log.write(
--- a/skylarklift/entry/connection_pool.py
+++ b/skylarklift/entry/connection_pool.py
@@ -36,13 +36,15 @@
         self._clock = clock
         self._idle: dict[ReplicaId, deque[IdleConnection]] = {}
 
-    async def acquire(self, record: UpstreamRecord, *, recently_used: bool) -> HttpConnection:
+    async def acquire(
+        self, record: UpstreamRecord, *, recently_used: bool, new: bool = False
+    ) -> HttpConnection:
         """Return an idle connection, or a new one; raise `ConnectFailed`.
 
         With `recently_used`, take an idle connection only if it was in use within
-        `RECENT_USE_MS`.
+        `RECENT_USE_MS`; with `new`, take none.
         """
-        conn = self._take_idle(record.replica, recently_used)
+        conn = None if new else self._take_idle(record.replica, recently_used)
         if conn is not None:
             return conn
         stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
--- a/skylarklift/entry/http_connection.py
+++ b/skylarklift/entry/http_connection.py
@@ -57,6 +57,8 @@
         self._must_close = False
         self._eof_received = False
         self._peeked: h11.Event | None = None
+        # Whether an earlier request was sent on the connection.
+        self.reused = False
         # The bytes of the current response's body that count towards a limit.
         self.counted_bytes = 0
 
@@ -208,6 +210,7 @@
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
         self._http.start_next_cycle()
+        self.reused = True
         return True
 
     def has_no_input(self) -> bool:
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -83,6 +83,8 @@
         self.workspace: Workspace | None = None
         self.retry_state: RetryState | None = None
         self.tried_replicas: list[ReplicaId] = []
+        # Unlike `tried_replicas`, this is never cleared.
+        self.sent_to: set[ReplicaId] = set()
         self.steps: list[str] = []
         self.forwarder: Forwarder | None = None
         self.deadline: Millis = call.received_at
@@ -196,10 +198,12 @@
                 repeatable=self.retry_state.repeatable,
                 route_name=self.route.name,
                 suspects=self.suspects,
+                sent_before=choice.upstream.record.replica in self.sent_to,
             )
             async with attempt.open():
                 status = await self._run_attempt(attempt)
             self.tried_replicas.append(attempt.record.replica)
+            self.sent_to.add(attempt.record.replica)
             self.steps.append(f"{attempt.record.replica}:{attempt.outcome.value}")
             if status:
                 return status
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -114,14 +114,15 @@
         """Serve one request; return whether the connection can be reused."""
         fields = {name.decode(): value.decode() for name, value in head.headers}
         faults = self.faults
+        echo = (b"x-attempt-id", fields.get("x-attempt-id", "").encode())
         if fields.get("x-expect-replica", self.name) != self.name:
             self.rejected += 1
-            await caller.send_response(421, [(b"x-replica-id", self.name.encode())], b"")
+            await caller.send_response(421, [echo, (b"x-replica-id", self.name.encode())], b"")
             return True
         if faults.shed:
             faults.shed -= 1
             self.rejected += 1
-            await caller.send_response(503, [(b"x-not-executed", b"1")], b"")
+            await caller.send_response(503, [echo, (b"x-not-executed", b"1")], b"")
             return True
         run = Run(
             fields.get("x-attempt-id", ""),
--- /dev/null
+++ b/standins/scripted_replica.py
@@ -0,0 +1,112 @@
+"""A replica that answers each request of a connection with bytes that a test chooses."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from skylarklift.entry.http_connection import RESET_ON_CLOSE
+
+READ_BYTES = 65536
+SIGNED_HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-replica-signature: s\r\n"
+EVENT_STREAM = b"content-type: text/event-stream\r\n"
+EVENTS = b"".join(b"id: %d\ndata: e-%d\n\n" % (number, number) for number in range(1, 7))
+TWO_EVENTS = b"id: 1\ndata: e-1\n\nid: 2\ndata: e-2\n\n"
+
+
+class Ending(Enum):
+    """What a replica does after the bytes of an answer."""
+
+    KEEP = "keep the connection"
+    CLOSE = "close the connection"
+    RESET = "reset the connection"
+    CRASH = "crash"
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """The bytes of an answer, in which `%s` stands for the request's id, and what follows."""
+
+    data: bytes
+    ending: Ending = Ending.KEEP
+
+
+@dataclass(frozen=True, slots=True)
+class ReceivedRequest:
+    """A request as the replica received it; `number` counts those of its connection, from 0."""
+
+    request_id: str
+    last_event: str
+    number: int
+
+
+@dataclass
+class ScriptedReplica:
+    """Answer by a function of the request; `ran` holds the ids of the requests that it ran."""
+
+    answer: Callable[[ReceivedRequest], Reply]
+    on_crash: Callable[[], None] | None = None
+    received: list[ReceivedRequest] = field(default_factory=list)
+    ran: list[str] = field(default_factory=list)
+
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve one connection."""
+        number = 0
+        buffer = b""
+        try:
+            while True:
+                request, buffer = await self._read_request(stream, buffer, number)
+                if request is None:
+                    return
+                self.received.append(request)
+                reply = self.answer(request)
+                await stream.send_all(reply.data.replace(b"%s", request.request_id.encode()))
+                if reply.ending is not Ending.KEEP:
+                    await self._end(stream, reply.ending)
+                    return
+                number += 1
+        except trio.BrokenResourceError:
+            # The router closed the connection.
+            return
+        finally:
+            stream.socket.close()
+
+    async def _end(self, stream: trio.SocketStream, ending: Ending) -> None:
+        """End the connection, once what was sent may have arrived."""
+        await trio.sleep(0.05)
+        if ending is Ending.CRASH and self.on_crash is not None:
+            self.on_crash()
+        if ending is Ending.RESET:
+            stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE)
+
+    async def _read_request(
+        self, stream: trio.SocketStream, buffer: bytes, number: int
+    ) -> tuple[ReceivedRequest | None, bytes]:
+        """Return the next request, `None` at the end of the connection, and the bytes after it."""
+        while b"\r\n\r\n" not in buffer:
+            data = await stream.receive_some(READ_BYTES)
+            if not data:
+                return None, b""
+            buffer += data
+        head, _, rest = buffer.partition(b"\r\n\r\n")
+        fields = dict(line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:])
+        length = int(fields.get(b"content-length", b"0"))
+        while len(rest) < length:
+            rest += await stream.receive_some(READ_BYTES)
+        request = ReceivedRequest(
+            fields.get(b"x-attempt-id", b"").decode(),
+            fields.get(b"last-event-id", b"").decode(),
+            number,
+        )
+        return request, rest[length:]
+
+
+def chunked(data: bytes, *, whole: bool = True) -> bytes:
+    """Return data as a chunked body, with its last chunk if it is `whole`."""
+    return b"%x\r\n%s\r\n" % (len(data), data) + (b"0\r\n\r\n" if whole else b"")
+
+
+def framed(head: bytes, body: bytes) -> bytes:
+    """Return an answer whose head declares the length of its body."""
+    return head + b"content-length: %d\r\n\r\n" % len(body) + body
