--- a/features/entry_answers.feature
+++ b/features/entry_answers.feature
@@ -16,6 +16,24 @@
       | with the earlier id   | /check/a  |
       | without an id         | /check/a  |
 
+  # Guards against an error's text in the middle of a stream, or a cut stream that looks complete.
+  Scenario Outline: The answer to an attempt to resume a stream is no part of it unless it goes on
+    Given a router before 2 replicas that break off a stream after 2 events and resume with "<answer>"
+    When a request to "/chat/a" is sent to them
+    Then the caller got exactly the first 2 events, and the answer is not complete
+
+    Examples:
+      | answer                       |
+      | 500                          |
+      | 404                          |
+      | 503 without a promise        |
+      | 200 with an error in JSON    |
+      | 200 with a text              |
+      | 200 with events without ids  |
+      | 204                          |
+      | a head within the body       |
+      | a long error                 |
+
   # Guards against a head that breaks off, which would be taken as an empty or a short answer.
   Scenario Outline: A head that breaks off is no answer
     Given a router before 1 replica that closes after "<head>"
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -91,6 +91,8 @@
         """Forward complete events in order, each once."""
         splitter = EventSplitter()
         counted_before = 0
+        # Once an event has an id, the upstream goes on with the stream.
+        resuming = self._retry_state.forwarded
         timer.record_progress()
         timer.probe_after_ms = MID_STREAM_SILENCE_MS
         while True:
@@ -103,6 +105,8 @@
                 counted_before = attempt.conn.counted_bytes
             elif attempt.conn.counted_bytes - counted_before > MAX_EVENT_BYTES:
                 raise ResponseInvalid(f"an event in small parts exceeds {MAX_EVENT_BYTES} bytes")
+            if resuming:
+                resuming = _check_resumption(events)
             if any(not event.is_comment for event in events):
                 timer.record_progress()
                 attempt.record_progress()
@@ -151,3 +155,17 @@
         attempt.report_signal(HealthSignal.GOOD)
         await self._caller.send_end()
         return attempt.head.status
+
+
+def _check_resumption(events: list[StreamEvent]) -> bool:
+    """Return whether no event with an id has come; raise `ResponseInvalid` for one without.
+
+    What is neither an event with an id nor a comment, such as the text of an error, is no part of
+    the stream that the caller has the start of.
+    """
+    for event in events:
+        if event.event_id is not None:
+            return False
+        if not event.is_comment:
+            raise ResponseInvalid("a stream was resumed with an event without an id")
+    return True
