--- a/features/entry_answers.feature
+++ b/features/entry_answers.feature
@@ -54,3 +54,21 @@
       | SIGNEDcontent-length: 0\r\n                  | /check/a  |
       | SIGNEDtransfer-encoding: chunked\r\n         | /once/a   |
       | SIGNED\r                                     | /once/a   |
+
+  # Guards against an upstream's crash that ends an answer without a length as if it were whole.
+  Scenario Outline: An answer that ends with its connection is whole only if its upstream lives
+    Given a router before 2 replicas whose answer without a length has <content>, and then <ending>
+    When a request to "<path>" is sent to them
+    Then the caller's answer is <result>
+
+    Examples:
+      | content                   | ending                | path      | result                |
+      | 6 events                  | close the connection  | /once/a   | complete              |
+      | 6 events                  | close the connection  | /chat/a   | complete              |
+      | 2 events and a part       | close the connection  | /once/a   | not complete          |
+      | 2 events                  | reset the connection  | /once/a   | not complete          |
+      | 2 events                  | crash                 | /once/a   | not complete          |
+      | 2 events                  | crash                 | /chat/a   | resumed to 6 events   |
+      | a body                    | close the connection  | /redeem/a | complete              |
+      | a body                    | reset the connection  | /redeem/a | an error              |
+      | a body                    | crash                 | /redeem/a | an error              |
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -10,7 +10,12 @@
 from skylarklift.entry.core import Core, Probe
 from skylarklift.entry.crash_evidence import Suspect
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.http_connection import MAX_RESPONSES_READ, HttpConnection, connect
+from skylarklift.entry.http_connection import (
+    MAX_RESPONSES_READ,
+    NO_BODY_STATUSES,
+    HttpConnection,
+    connect,
+)
 from skylarklift.entry.model import Call, ResponseHead, SendOptions
 from skylarklift.entry.retry_state import Outcome
 from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid, TransportError
@@ -152,6 +157,16 @@
             self.detail = "withdrawn, as the request is held back"
             self.conn.abort()
 
+    async def check_end(self) -> None:
+        """Check an answer that ended with its connection; raise `ResponseBroken` after a crash.
+
+        The connections of a process that crashes end like those of one that is done.
+        """
+        if not self.conn.ends_with_connection or self.head.status in NO_BODY_STATUSES:
+            return
+        if not await is_reachable(self.core, self, since=self.core.clock.now()):
+            raise ResponseBroken("the upstream ended within an answer without a length")
+
     def answer_age_ms(self) -> int | None:
         """Return the milliseconds since the first event or the answer arrived, `None` before."""
         if self.answered_at is None:
--- a/skylarklift/entry/caller_connection.py
+++ b/skylarklift/entry/caller_connection.py
@@ -7,12 +7,11 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.http_connection import RESET_ON_CLOSE
+from skylarklift.entry.http_connection import FRAMING_FIELDS, NO_BODY_STATUSES, RESET_ON_CLOSE
 from skylarklift.entry.model import CallerLimits, Headers
 from skylarklift.errors import BadRequest, SkylarkError
 
 READ_BYTES = 65536
-FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
 
 
 class CallerDisconnected(SkylarkError):
@@ -154,7 +153,7 @@
             fields.append((b"connection", b"close"))
         self.head_sent = True
         data = self._http.send(h11.Response(status_code=status, headers=fields))
-        if body and not self._has_no_body(status):
+        if body and status not in NO_BODY_STATUSES:
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
         self.response_complete = True
@@ -166,10 +165,6 @@
             return
         await self.send_response(status, headers, b'{"error":{"code":"%s"}}' % code.encode())
 
-    def _has_no_body(self, status: int) -> bool:
-        """Return whether HTTP forbids a body in a response of this status."""
-        return status in (204, 304)
-
     async def _write(self, data: bytes) -> None:
         """Write bytes to the caller; raise `CallerDisconnected`."""
         try:
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -61,6 +61,7 @@
             if not answered:
                 raise ResponseInvalid(f"an error response exceeds {MAX_BUFFERED_BYTES} bytes")
             return await self._forward_chunks(attempt, body, response_body)
+        await attempt.check_end()
         attempt.record_progress()
         attempt.release_connection()
         if not answered:
@@ -85,6 +86,7 @@
         await self._caller.send_data(start)
         while (data := await response_body.read()) is not None:
             await self._caller.send_data(data)
+        await attempt.check_end()
         return await self._finish(attempt)
 
     async def _forward_events(self, attempt: Attempt, timer: SilenceTimer) -> int:
@@ -113,6 +115,7 @@
             await self._forward_new(events, attempt.head)
         if splitter.has_partial_event:
             raise ResponseBroken("the stream ended within an event")
+        await attempt.check_end()
         await self._send_head_once(attempt.head)
         return await self._finish(attempt)
 
--- a/skylarklift/entry/http_connection.py
+++ b/skylarklift/entry/http_connection.py
@@ -27,6 +27,9 @@
 MIN_PART_BYTES = 512
 # After this many parts that arrived together, other tasks get a turn.
 MAX_PARTS_PER_TURN = 256
+FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
+# Statuses whose responses have no body.
+NO_BODY_STATUSES = (204, 304)
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
@@ -57,6 +60,8 @@
         self._must_close = False
         self._eof_received = False
         self._peeked: h11.Event | None = None
+        # Whether only the end of the connection ends the current response.
+        self.ends_with_connection = False
         # Whether an earlier request was sent on the connection.
         self.reused = False
         # The bytes of the current response's body that count towards a limit.
@@ -111,6 +116,9 @@
             if isinstance(event, h11.InformationalResponse):
                 continue
             if isinstance(event, h11.Response):
+                self.ends_with_connection = not any(
+                    name in FRAMING_FIELDS for name, _ in event.headers
+                )
                 return event.status_code, list(event.headers)
             raise ResponseBroken("connection closed before the response")
         self._must_close = True
