--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -23,6 +23,7 @@
     SuspectKind,
     suspects_of,
 )
+from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.crash_messages import (
     CrashMessage,
     decode_crash_message,
@@ -30,7 +31,6 @@
     is_crash_message,
 )
 from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
-from skylarklift.entry.request_handler import RequestHandler
 from skylarklift.entry.retry_state import Outcome
 from skylarklift.entry.suspects import (
     JUDGEMENT_DELAY_MS,
@@ -234,8 +234,7 @@
     choice = Choice(core.cluster_state.upstreams["r0"], 0, 0.0, 0, cold=False)
     attempt = Attempt(core, call, choice, None, repeatable=True)
     attempt.outcome = Outcome.BROKEN
-    handler = RequestHandler(core, None, call)
-    trio.run(handler.check_for_crash, attempt)
+    trio.run(CrashGuard(core, call, 5).check_for_crash, attempt)
 
 
 @then("the crash is reported: {reported}")
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -5,24 +5,20 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Millis
-from skylarklift.entry.attempt import Attempt, is_reachable
+from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.caller_connection import CallerConnection
 from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.cluster_state import Upstream
 from skylarklift.entry.core import Core
-from skylarklift.entry.crash_evidence import CrashReport, Suspect
+from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Call, Endpoint, Route, RouteKind, SendOptions, Workspace
 from skylarklift.entry.prefixes import shared_parts
-from skylarklift.entry.quarantine import Hold
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
 from skylarklift.entry.suspects import (
-    JUDGEMENT_DELAY_MS,
     call_fingerprint,
-    suspect_parts,
-    suspects_of_call,
 )
 from skylarklift.errors import (
     AnswerLate,
@@ -32,7 +28,7 @@
     RequestError,
     TransportError,
 )
-from skylarklift.ids import Fingerprint, ReplicaId, ServiceId
+from skylarklift.ids import ReplicaId, ServiceId
 
 # While no upstream can take a request, the request waits and the upstreams are checked at this
 # interval, for up to the route's latency objective divided by `UPSTREAM_WAIT_DIVISOR`.
@@ -61,8 +57,6 @@
 MIN_TIMEOUT_FAILURE_MS = 1000
 # Statuses by which a caller concludes that the request did not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
-# A request that may soon be held back is not sent again before its parts have been judged.
-RETRY_AFTER_CRASH_MS = JUDGEMENT_DELAY_MS + 50
 # Shared parts of a prompt that the line of a failed attempt names.
 MAX_LOGGED_PARTS = 8
 JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -88,11 +82,8 @@
         self.steps: list[str] = []
         self.forwarder: Forwarder | None = None
         self.deadline: Millis = call.received_at
-        self.fingerprint = Fingerprint(0)
-        self.suspects: list[Suspect] = []
-        self.on_trial = False
+        self.crash_guard: CrashGuard | None = None
         self.plan_version = 0
-        self.held_by: Hold | None = None
 
     async def run(self) -> None:
         """Serve the request; respond to a `RequestError`, or abort a response that has begun."""
@@ -141,9 +132,9 @@
         self._refuse_if_stopping()
         self.service = core.chooser.select_service(route, call)
         name = self.workspace.name if self.workspace else ""
-        self.fingerprint = call_fingerprint(call.method, call.target, name, call.body)
-        self.suspects = suspects_of_call(call, self.fingerprint)
-        self._refuse_if_held()
+        fingerprint = call_fingerprint(call.method, call.target, name, call.body)
+        self.crash_guard = CrashGuard(core, call, fingerprint)
+        self.crash_guard.check_before_send(self.retry_state)
         core.retry_budget.record_request(self.service)
 
     def _refuse_if_stopping(self) -> None:
@@ -155,31 +146,6 @@
         if stopping_ms > (STOPPING_ACCEPT_STREAM_MS if stream else STOPPING_ACCEPT_OTHER_MS):
             raise Refusal("stopping", "this router is stopping", retry_after_ms=50)
 
-    def _refuse_if_held(self) -> None:
-        """Refuse a request that is held back since it, or a part of it, crashes upstreams."""
-        core = self.core
-        hold = core.suspects.find_hold(self.suspects)
-        if hold is None or self.on_trial:
-            return
-        suspect = hold.suspect
-        if core.suspects.start_trial(hold, core.fleet.rank(suspect.name)):
-            self.on_trial = True
-            core.event_log.write(
-                "quarantine_trial", id=self.call.request, subject=suspect.name, term=hold.term
-            )
-            return
-        core.metrics.increment("quarantine_refusals", suspect.kind.value)
-        self.held_by = hold
-        reason = f"the {suspect.kind.value} {suspect.name} crashed {hold.crashes} upstreams"
-        if not self.retry_state.cannot_have_run:
-            raise OutcomeUnknown(reason)
-        raise Refusal(
-            "crashes_upstreams",
-            reason,
-            status=503,
-            retry_after_ms=max(0, hold.until - core.clock.now()) + self._retry_after_ms(),
-        )
-
     # Attempts.
 
     async def _serve(self) -> int:
@@ -189,7 +155,7 @@
             choice = await self._choose_upstream()
             options = self._send_options(choice)
             # Meanwhile it may have become known that the request crashes upstreams.
-            self._refuse_if_held()
+            self.crash_guard.check_before_send(self.retry_state)
             attempt = Attempt(
                 core,
                 self.call,
@@ -197,7 +163,7 @@
                 options,
                 repeatable=self.retry_state.repeatable,
                 route_name=self.route.name,
-                suspects=self.suspects,
+                suspects=self.crash_guard.suspects,
                 sent_before=choice.upstream.record.replica in self.sent_to,
             )
             async with attempt.open():
@@ -209,8 +175,7 @@
                 return status
             self.retry_state.record(attempt.outcome)
             self._log_failed_attempt(attempt)
-            if attempt.crash_reported and core.suspects.may_be_convicted(self.suspects):
-                await trio.sleep(RETRY_AFTER_CRASH_MS / MS_PER_SECOND)
+            await self.crash_guard.wait_for_judgement(attempt)
             if not self._may_retry(attempt.outcome):
                 return await self._finish_failed(attempt.outcome)
 
@@ -219,8 +184,7 @@
         core = self.core
         if not self.retry_state.may_retry(outcome) or core.clock.now() >= self.deadline:
             return False
-        self.held_by = core.suspects.find_hold(self.suspects)
-        if self.held_by is not None:
+        if self.crash_guard.find_hold() is not None:
             return False
         if not uses_retry_budget(outcome):
             return True
@@ -297,32 +261,13 @@
         except TransportError as exc:
             if not attempt.withdrawn:
                 attempt.record_failure(exc)
-                await self.check_for_crash(attempt)
+                await self.crash_guard.check_for_crash(attempt)
             return 0
 
     def _initial_silence_ms(self) -> int:
         """Return how long an upstream may be silent before its response until it is probed."""
         return max(MIN_INITIAL_SILENCE_MS, int(self.route.objective_ms * INITIAL_SILENCE_RATIO))
 
-    async def check_for_crash(self, attempt: Attempt) -> None:
-        """Record a suspected crash if an answer broke off at its start and a probe fails."""
-        if attempt.outcome is not Outcome.BROKEN or attempt.has_settled():
-            return
-        broken_at = self.core.clock.now()
-        with trio.CancelScope(shield=True):
-            alive = await is_reachable(self.core, attempt, since=broken_at)
-        if alive:
-            return
-        core = self.core
-        # An upstream that fell silent may have lost power: that says nothing of prompts.
-        parts = () if attempt.aborted else suspect_parts(self.call)
-        report = CrashReport(attempt.record.replica, broken_at, self.fingerprint, parts)
-        core.event_log.write(
-            "crash_suspected", id=self.call.request, upstream=attempt.record.replica
-        )
-        attempt.crash_reported = True
-        core.report_crash(report)
-
     # Requests that were not served.
 
     async def _finish_failed(self, outcome: Outcome) -> int:
@@ -392,21 +337,9 @@
             ms_taken=span,
             sends=self.steps,
             last_event=self.forwarder.resume_after if self.forwarder else None,
-            **self._hold_fields(),
+            **(self.crash_guard.log_fields() if self.crash_guard else {}),
         )
 
-    def _hold_fields(self) -> dict[str, object]:
-        """Return the log fields that say why the request was held back, none if it was not."""
-        hold = self.held_by
-        if hold is None:
-            return {}
-        return {
-            "subject": hold.suspect.name,
-            "kind": hold.suspect.kind.value,
-            "crashes": hold.crashes,
-            "held_ms": self.core.clock.now() - hold.held_at,
-        }
-
 
 def _endpoint_of(upstream: Upstream | None) -> Endpoint | None:
     """Return the address of an upstream, or `None` without one."""
--- a/skylarklift/ui/fleet.py
+++ b/skylarklift/ui/fleet.py
@@ -59,7 +59,14 @@
     """Return the output line of one router."""
     if values is None:
         return f"{name}: no answer"
-    shown = ("plan_version", "rows_age_ms", "routers_heard", "upstreams_known", "requests_open")
+    shown = (
+        "plan_version",
+        "rows_age_ms",
+        "routers_heard",
+        "upstreams_known",
+        "requests_open",
+        "quarantine_held_ms",
+    )
     found = {key: value for key, value in values.items() if key.startswith(shown)}
     return f"{name}: {json.dumps(found)}"
 
