--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -94,6 +94,19 @@
       | no  | cc   | no     |
       | no  | own  | no     |
 
+  # Guards against 'not run' for a request whose replica had sent the head of an answer.
+  Scenario Outline: A request that is withdrawn is not answered as one that has not run
+    Given a request with the parts "aa,bad,own" that was sent, and answered since no ms
+    And the head of its answer has come: <head>
+    When the part "bad" is held back
+    Then its connection is closed: yes
+    And it counts as one that may have run
+
+    Examples:
+      | head |
+      | no   |
+      | yes  |
+
   # Guards against a crash that is missed since its upstream was reachable just before.
   Scenario Outline: A probe tells of a crash only if it was made after the answer broke off
     Given a router whose last probe of a replica was <ms> ms ago and found it <found>
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -30,8 +30,9 @@
     encode_crash_message,
     is_crash_message,
 )
+from skylarklift.entry.model import ResponseHead
 from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
-from skylarklift.entry.retry_state import Outcome
+from skylarklift.entry.retry_state import Outcome, RetryState
 from skylarklift.entry.suspects import (
     JUDGEMENT_DELAY_MS,
     CrashSuspects,
@@ -261,11 +262,30 @@
     suspects = suspects_of_call(call, 5)
     attempt = Attempt(core, call, choice, None, repeatable=True, suspects=suspects)
     attempt.conn = context.conn = RecordingConnection()
+    attempt.outcome = Outcome.BROKEN
+    context.attempt = attempt
     if age != "no":
         attempt.answered_at = Millis(core.clock.now() - int(age))
     core.attempts.add(attempt)
 
 
+@given("the head of its answer has come: {come}")
+def head_has_come(context, come):
+    if parse_yes_no(come):
+        context.attempt.head = ResponseHead(200, [], signed=True)
+        assert context.attempt.classify() is Outcome.ANSWERED
+
+
+@then("it counts as one that may have run")
+def may_have_run(context):
+    route = context.core.cluster_state.plan.route("app.example", "/chat/x")
+    assert context.attempt.outcome is Outcome.BROKEN
+    for outcome in (context.attempt.outcome, Outcome.ANSWERED):
+        state = RetryState(route)
+        state.record(outcome)
+        assert not state.cannot_have_run, outcome
+
+
 @when('the part "{part}" is held back')
 def part_is_held_back(context, part):
     context.clock, context.suspects = context.core.clock, context.core.suspects
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -154,6 +154,8 @@
         """End the attempt, so that its upstream drops the request before it crashes by it."""
         if self.conn is not None and not self.has_settled():
             self.withdrawn = True
+            # The head of its answer may have come, so it may have run.
+            self.outcome = Outcome.BROKEN
             self.detail = "withdrawn, as the request is held back"
             self.conn.abort()
 
--- a/skylarklift/entry/retry_state.py
+++ b/skylarklift/entry/retry_state.py
@@ -41,7 +41,7 @@
     def record(self, outcome: Outcome) -> None:
         """Count a finished attempt."""
         self.attempts += 1
-        if outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT):
+        if outcome not in (Outcome.NOT_SENT, Outcome.NOT_RUN):
             self.possible_runs += 1
 
     @property
