--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -50,13 +50,16 @@
     When it hears of "<history>"
     Then it has convicted "<convicted>"
 
-    # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, MS:served:PART, or MS:held:REQUEST
-    # for another router's message that a request is held back.
+    # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, with `!` at the end if it had been
+    # answered for a while, MS:served:PART, or MS:held:REQUEST for another router's message that a
+    # request is held back.
     Examples:
       | case                                     | history                                                                                        | convicted |
       | a part in three crashes                  | 0:r1:1:aa+bad 300:r2:1:aa+bad 310:served:aa 600:r3:2:aa+bad                                    | bad       |
       | a part in two crashes                    | 0:r1:1:aa+bad 300:r2:2:aa+bad                                                                  |           |
       | a part beside a repeated request        | 0:r1:1:bad 1:r1:9:bb 300:r2:1:bad 301:r2:9:bb 600:r3:1:bad 601:r3:8:bb 900:r4:2:bad           | request+bad |
+      | a part whose requests had been answered | 0:r1:1:bad 1:r1:9:bb! 300:r2:1:bad 301:r2:9:bb! 600:r3:1:bad 601:r3:8:bb 602:r3:9:bb! 900:r4:2:bad | request+bad |
+      | a part that crashes after some events   | 0:r1:1:bb! 300:r2:2:bb! 600:r3:3:bb! 900:r4:4:bb! 1200:r5:5:bb! 1500:r6:6:bb!                 | bb        |
       | a repeated request                       | 0:r1:1:aa+bb 300:r2:1:aa+bb 600:r3:1:aa+bb                                                     | request   |
       | a part that is served in between         | 0:r1:1:bb 300:r2:2:bb 500:served:bb 600:r3:3:bb 900:r4:4:bb                                    |           |
       | a part that was served just before       | 0:served:aa 100:r1:1:aa 200:r2:2:aa 300:r3:3:aa                                                |           |
@@ -167,7 +170,7 @@
       | message                              |
       | [101]                                |
       | [101,"n",[[1,"r",0]],[],[]]          |
-      | [101,"n",[["x","r",0,["p"]]],[],[]]  |
+      | [101,"n",[["x","r",0,["p"],false]],[],[]]  |
       | [101,"n",[],[["odd","p",0]],[]]      |
       | [101,"n",[],[],[["part","p","odd",1,0,0,3]]] |
       | [101,"n",7,[],[]]                    |
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -188,7 +188,9 @@
         if what == "held":
             hold_back(context, suspects_of(int(rest[0]), ())[0])
             continue
-        report = CrashReport(what, context.clock.now(), int(rest[0]), tuple(rest[1].split("+")))
+        parts = tuple(rest[1].rstrip("!").split("+"))
+        answered = rest[1].endswith("!")
+        report = CrashReport(what, context.clock.now(), int(rest[0]), parts, answered)
         apply_changes(context, context.suspects.record_own_crash(report))
     judge(context)
 
@@ -450,8 +452,8 @@
     else:
         valid = True
     assert not valid
-    later = msgpack.packb([101, "n", [[5, "r", 20, ["p"]]], [], [], "more"])
-    report = CrashReport("r", Millis(START_MS - 20), 5, ("p",))
+    later = msgpack.packb([101, "n", [[5, "r", 20, ["p"], True]], [], [], "more"])
+    report = CrashReport("r", Millis(START_MS - 20), 5, ("p",), answered=True)
     assert decode_crash_message(later, Millis(START_MS)).crashes == (report,)
     assert suspects_of(5, ("p",))[1] == Suspect(SuspectKind.PART, "p")
 
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -26,6 +26,8 @@
 # A request that crashes its upstream does so when it begins to run, which its first events may
 # precede by a little.
 SETTLED_ANSWER_MS = 500
+# An answer that has lasted this long makes its request less suspect.
+STARTED_ANSWER_MS = 80
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -175,6 +177,11 @@
             return None
         return self.core.clock.now() - self.answered_at
 
+    def has_started(self) -> bool:
+        """Return whether the answer began a while ago, so that another request is more suspect."""
+        age_ms = self.answer_age_ms()
+        return age_ms is not None and age_ms >= STARTED_ANSWER_MS
+
     def has_settled(self) -> bool:
         """Return whether the answer has lasted too long for its start to crash the upstream."""
         age_ms = self.answer_age_ms()
--- a/skylarklift/entry/crash_evidence.py
+++ b/skylarklift/entry/crash_evidence.py
@@ -17,6 +17,8 @@
 # A part that was served within `SERVED_TTL_MS` is convicted only after this many crashes, which
 # also convict a part that one replica alone ran.
 CRASHES_TO_CONVICT_SERVED = 5
+# The weight of a crash at which a suspect was only in requests that had been answered for a while.
+ANSWERED_WEIGHT = 0.5
 CRASH_TTL_MS = 60_000
 SERVED_TTL_MS = 300_000
 # A part that was served within this time did not cause a crash.
@@ -52,13 +54,15 @@
 class CrashReport:
     """A request that was about to be answered, or had just begun to be, at a replica's crash.
 
-    `parts` are the names of its prompt's shared parts, in order.
+    `parts` are the names of its prompt's shared parts, in order.  `answered` is true if its first
+    event had come a while before the crash, which makes it less suspect.
     """
 
     replica: ReplicaId
     crashed_at: Millis
     fingerprint: Fingerprint
     parts: tuple[str, ...] = ()
+    answered: bool = False
 
     def suspects(self) -> list[Suspect]:
         """Return what the report makes suspect: the request and each of the parts."""
@@ -91,10 +95,12 @@
 class SuspectRecord:
     """The crashes in which a suspect took part.
 
-    `fingerprints` are the requests that had a part, and `depth` is its place in their prompts.
+    `unanswered` are the crashes at which it was in a request without an answer.  `fingerprints`
+    are the requests that had a part, and `depth` is its place in their prompts.
     """
 
     crashes: list[Crash] = field(default_factory=list)
+    unanswered: set[Crash] = field(default_factory=set)
     fingerprints: set[Fingerprint] = field(default_factory=set)
     depth: int = 0
 
@@ -143,7 +149,7 @@
             return []
         for depth, suspect in enumerate(report.suspects()):
             if not self._recently_served(suspect):
-                self._add(suspect, crash, report.fingerprint, depth)
+                self._add(suspect, crash, report, depth)
                 self._unjudged.add(suspect)
         requests = [item for item in report.suspects() if item.kind is SuspectKind.REQUEST]
         convicted = [item for item in requests if self._is_guilty(item)]
@@ -170,16 +176,18 @@
         self._crashes.append(crash)
         return crash
 
-    def _add(self, suspect: Suspect, crash: Crash, fingerprint: Fingerprint, depth: int) -> None:
+    def _add(self, suspect: Suspect, crash: Crash, report: CrashReport, depth: int) -> None:
         """Add a crash to the record of a suspect."""
         record = self._records.setdefault(suspect, SuspectRecord())
         self._records.move_to_end(suspect)
         _limit_size(self._records, MAX_SUSPECTS)
         if crash not in record.crashes:
             record.crashes.append(crash)
+        if not report.answered:
+            record.unanswered.add(crash)
         record.depth = max(record.depth, depth)
         if len(record.fingerprints) < CRASHES_TO_CONVICT:
-            record.fingerprints.add(fingerprint)
+            record.fingerprints.add(report.fingerprint)
 
     def judge_parts(self) -> Judgement:
         """Convict the parts with enough new evidence, the most suspect one first.
@@ -217,25 +225,28 @@
         record = self._records.get(suspect)
         if record is None:
             return False
-        replicas = {crash.replica for crash in self._counted_crashes(suspect, record)}
+        counted = self._counted_crashes(suspect, record)
+        replicas = {crash.replica for crash in counted}
         if suspect.kind is SuspectKind.REQUEST:
-            return len(replicas) >= CRASHES_TO_CONVICT
+            unanswered = {crash.replica for crash in counted if crash in record.unanswered}
+            weight = len(unanswered) + ANSWERED_WEIGHT * len(replicas - unanswered)
+            return weight >= CRASHES_TO_CONVICT
         if len(record.fingerprints) < 2:
             # One request that is sent repeatedly says nothing of the parts of its prompt.
             return False
-        count = self.crash_count(suspect)
+        count = self.crash_weight(suspect)
         if count >= CRASHES_TO_CONVICT_SERVED:
             return True
         served = self.last_served(suspect) is not None
         return not served and count >= CRASHES_TO_CONVICT and len(replicas) >= 2
 
-    def _rank(self, part: Suspect) -> tuple[int, bool, int]:
+    def _rank(self, part: Suspect) -> tuple[float, bool, int]:
         """Return how suspect a part is: by its crashes, if it was never served, by its depth.
 
         Of the parts of one prompt, fewer other requests share the deeper ones.
         """
         record = self._records[part]
-        return self.crash_count(part), self.last_served(part) is None, record.depth
+        return self.crash_weight(part), self.last_served(part) is None, record.depth
 
     def _counted_crashes(self, suspect: Suspect, record: SuspectRecord) -> list[Crash]:
         """Return the recent crashes in a suspect's record that are evidence against it."""
@@ -246,22 +257,27 @@
             if crash.crashed_at > limit and crash.counts_for(suspect)
         ]
 
-    def crash_count(self, suspect: Suspect) -> int:
-        """Return the crashes that count for a suspect; simultaneous ones count once."""
+    def crash_weight(self, suspect: Suspect) -> float:
+        """Return how much the crashes weigh that count for a suspect.
+
+        Simultaneous ones count once, and those at which it was only in answered requests less.
+        """
         record = self._records.get(suspect)
         if record is None:
-            return 0
-        count, last = 0, None
-        for moment in sorted(crash.crashed_at for crash in self._counted_crashes(suspect, record)):
-            if last is None or moment - last >= SIMULTANEOUS_MS:
-                count, last = count + 1, moment
-        return count
+            return 0.0
+        weight, last = 0.0, None
+        counted = self._counted_crashes(suspect, record)
+        for crash in sorted(counted, key=lambda item: item.crashed_at):
+            if last is None or crash.crashed_at - last >= SIMULTANEOUS_MS:
+                weight += 1.0 if crash in record.unanswered else ANSWERED_WEIGHT
+                last = crash.crashed_at
+        return weight
 
     def may_be_convicted(self, suspect: Suspect) -> bool:
         """Return whether one more crash may convict a part, if it is not served meanwhile."""
         if suspect.kind is not SuspectKind.PART or suspect not in self._records:
             return False
-        return self.crash_count(suspect) >= CRASHES_TO_CONVICT - 1
+        return self.crash_weight(suspect) >= CRASHES_TO_CONVICT - 1
 
     def crash_total(self, suspect: Suspect) -> int:
         """Return all recent crashes in which a suspect took part."""
--- a/skylarklift/entry/crash_guard.py
+++ b/skylarklift/entry/crash_guard.py
@@ -71,7 +71,7 @@
         if attempt.outcome is not Outcome.BROKEN or attempt.has_settled():
             return
         core = self._core
-        broken_at = core.clock.now()
+        broken_at, answered = core.clock.now(), attempt.has_started()
         with trio.CancelScope(shield=True):
             alive = await is_reachable(core, attempt, since=broken_at)
         if alive:
@@ -81,7 +81,7 @@
         replica = attempt.record.replica
         core.event_log.write("crash_suspected", id=self._call.request, upstream=replica)
         attempt.crash_reported = True
-        core.report_crash(CrashReport(replica, broken_at, self._fingerprint, parts))
+        core.report_crash(CrashReport(replica, broken_at, self._fingerprint, parts, answered))
 
     async def wait_for_judgement(self, attempt: Attempt) -> None:
         """Wait until parts have been judged, if one may be convicted by this attempt's crash."""
--- a/skylarklift/entry/crash_messages.py
+++ b/skylarklift/entry/crash_messages.py
@@ -56,7 +56,7 @@
             CRASH_FORMAT,
             message.node,
             [
-                (item.fingerprint, item.replica, now - item.crashed_at, item.parts)
+                (item.fingerprint, item.replica, now - item.crashed_at, item.parts, item.answered)
                 for item in _newest_crashes(message.crashes)
             ],
             [
@@ -114,8 +114,9 @@
                     _moment(now, age_ms, CRASH_TTL_MS),
                     Fingerprint(int(fingerprint)),
                     tuple(str(part) for part in parts),
+                    bool(answered),
                 )
-                for fingerprint, replica, age_ms, parts in crashes
+                for fingerprint, replica, age_ms, parts, answered in crashes
             ),
             served=tuple(
                 ServedReport(
