--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -108,7 +108,7 @@
             elif attempt.conn.counted_bytes - counted_before > MAX_EVENT_BYTES:
                 raise ResponseInvalid(f"an event in small parts exceeds {MAX_EVENT_BYTES} bytes")
             if resuming:
-                resuming = _check_resumption(events)
+                resuming = check_resumption(events)
             if any(not event.is_comment for event in events):
                 timer.record_progress()
                 attempt.record_progress()
@@ -160,7 +160,7 @@
         return attempt.head.status
 
 
-def _check_resumption(events: list[StreamEvent]) -> bool:
+def check_resumption(events: list[StreamEvent]) -> bool:
     """Return whether no event with an id has come; raise `ResponseInvalid` for one without.
 
     What is neither an event with an id nor a comment, such as the text of an error, is no part of
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -35,10 +35,18 @@
     replacement: object
 
 
+prepare_next_request = HttpConnection.prepare_next_request
 decode_response_head = PlatformHeaderCodec.decode_response_head
 encode_upstream_headers = PlatformHeaderCodec.encode_upstream_headers
 
 
+def _prepare_as_new(self) -> bool:
+    """Forget that a connection served a request."""
+    usable = prepare_next_request(self)
+    self.reused = False
+    return usable
+
+
 def _decode_without_request_id(self, status, headers):
     """Decode a response head, dropping the id of the request that it belongs to."""
     head = decode_response_head(self, status, headers)
@@ -97,12 +105,16 @@
     "accept_any_response": [
         Replacement(PlatformHeaderCodec, "decode_response_head", _decode_without_request_id),
         Replacement(HttpConnection, "has_no_input", lambda self: True),
+        Replacement(HttpConnection, "prepare_next_request", _prepare_as_new),
     ],
     "accept_removed_keys": [
         Replacement(RoutePlan, "workspace", lambda self, key: next(iter(self.workspaces.values())))
     ],
     "skip_drain": [Replacement(EntryRouter, "_drain_requests", _skip_drain)],
-    "ignore_event_ids": [Replacement(forwarding, "EventSplitter", IdDroppingSplitter)],
+    "ignore_event_ids": [
+        Replacement(forwarding, "EventSplitter", IdDroppingSplitter),
+        Replacement(forwarding, "check_resumption", lambda events: False),
+    ],
     "use_draining_upstreams": [
         Replacement(ClusterState, "members_of", _include_draining_upstreams)
     ],
