--- a/skylarklift/entry/crash_messages.py
+++ b/skylarklift/entry/crash_messages.py
@@ -1,6 +1,6 @@
 """Messages between routers about crashes, what was served, and what is held back.
 
-They are sent only while there is something to tell.  Times are sent as ages, since the clocks of
+They are sent only while there is something to report.  Times are sent as ages, since the clocks of
 routers are not comparable.
 """
 
@@ -38,7 +38,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashMessage:
-    """What a router tells another one about crashes.
+    """What a router reports to another one about crashes.
 
     `crashes` and `served` are new reports, `decisions` the holds and releases in force.
     """
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -32,7 +32,7 @@
 from skylarklift.errors import PeerError, StoreError
 
 MAX_DATAGRAM_BYTES = 65507
-# All holds are told once in this time, so that each router knows them soon after its start.
+# All holds are sent once in this time, so that each router knows them soon after its start.
 HOLDS_INTERVAL_MS = 1000
 ROWS_TIMEOUT_MS = 2000
 MAX_CONCURRENT_ROW_REQUESTS = 4
@@ -84,7 +84,7 @@
         targets = self._next_targets()
         self._last_round_at = now
         for peer in targets:
-            # What the last message told is sent once more: datagrams may be lost.
+            # What the last message held is sent once more: datagrams may be lost.
             since = Millis(peer.sent_at - GOSSIP_INTERVAL_MS)
             if since not in encoded:
                 encoded[since] = encode_gossip(self._make_message(since))
@@ -101,7 +101,7 @@
             self._core.event_log.write("gossip_send_failed", peer=peer.node, cause=str(exc))
 
     def _encode_crashes(self, peer: Peer, since: Millis) -> list[bytes]:
-        """Return the message about crashes for another router, none if there is nothing to tell."""
+        """Return the message about crashes for another router, none if there is nothing to send."""
         core = self._core
         now = core.clock.now()
         message = core.suspects.make_message(
@@ -120,7 +120,7 @@
         """Return the routers to send to in this round.
 
         These are all others if the fleet is small or if this router reads the store, else the
-        next `GOSSIP_FANOUT` in turn, and, with news about crashes, those that read the store.
+        next `GOSSIP_FANOUT` in turn, and, after a crash report, those that read the store.
         """
         peers = list(self._core.fleet.peers.values())
         if len(peers) <= GOSSIP_FANOUT or self._reads_store():
@@ -128,7 +128,7 @@
         start = self._next_target % len(peers)
         self._next_target += GOSSIP_FANOUT
         targets = (peers + peers)[start : start + GOSSIP_FANOUT]
-        if self._core.suspects.has_news_since(self._last_round_at):
+        if self._core.suspects.has_changes_since(self._last_round_at):
             targets += [peer for peer in self._store_readers() if peer not in targets]
         return targets
 
@@ -181,10 +181,10 @@
         """Apply a message of either kind, unless it is this router's own; raise `PeerError`."""
         core = self._core
         if is_crash_message(data):
-            news = decode_crash_message(data, core.clock.now())
-            if news.node != core.settings.node:
-                core.apply_hold_changes(core.suspects.apply_message(news), news.node)
-                if news.crashes:
+            report = decode_crash_message(data, core.clock.now())
+            if report.node != core.settings.node:
+                core.apply_hold_changes(core.suspects.apply_message(report), report.node)
+                if report.crashes:
                     core.crash_reported.set()
             return
         message = decode_gossip(data)
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/suspects.py
@@ -51,7 +51,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SharedItem:
-    """Something to tell other routers: a report, when it was learned, and if it is of this one."""
+    """A report for other routers, when it was learned, and whether it is this router's own."""
 
     learned_at: Millis
     report: CrashReport | ServedReport
@@ -75,7 +75,7 @@
         if self._evidence.is_known(report):
             return []
         self._shared.append(SharedItem(self._clock.now(), report, own=True))
-        self._tell_served(report)
+        self._share_parts_served(report)
         return self._record_crash(report)
 
     def _record_crash(self, report: CrashReport) -> list[HoldChange]:
@@ -124,7 +124,7 @@
         return changes
 
     def _share_served(self, suspect: Suspect, served_at: Millis, *, own: bool = True) -> None:
-        """Tell others that a suspect was served, unless that was told lately."""
+        """Share that a suspect was served, unless that was shared lately."""
         reported_at = self._served_reported.get(suspect)
         if reported_at is not None and served_at - reported_at < SERVED_REPORT_INTERVAL_MS:
             return
@@ -169,12 +169,12 @@
     def make_message(
         self, node: str, since: Millis, *, relay: bool, with_holds: bool
     ) -> CrashMessage | None:
-        """Return what another router is to be told that was learned since a time.
+        """Return the message to another router with what was learned since a time.
 
-        A router that has just started, for which `since` is 0, is told all that is known.  With
-        `relay`, others are also told what this router has heard, but nothing older than
+        A router that has just started, for which `since` is 0, is sent all that is known.  With
+        `relay`, others are also sent what this router has heard, but nothing older than
         `RELAY_MS`.  With `with_holds`, all decisions are included, else those since then.
-        Return `None` if there is nothing to tell.
+        Return `None` if there is nothing to send.
         """
         relay = relay or since == 0
         first = max(since, self._clock.now() - RELAY_MS) if relay and since > 0 else since
@@ -191,7 +191,7 @@
             decisions=tuple(decisions),
         )
 
-    def has_news_since(self, since: Millis) -> bool:
+    def has_changes_since(self, since: Millis) -> bool:
         """Return whether anything was learned since a time."""
         if self._shared and self._shared[-1].learned_at >= since:
             return True
@@ -211,7 +211,7 @@
             if not self._evidence.is_known(report):
                 self._shared.append(SharedItem(self._clock.now(), report, own=False))
                 changes += self._record_crash(report)
-                self._tell_served(report)
+                self._share_parts_served(report)
         return changes
 
     def _apply_served(self, report: ServedReport) -> list[HoldChange]:
@@ -224,8 +224,8 @@
         released = self._quarantine.release(report.suspect)
         return [HoldChange(QUARANTINE_RELEASED, released)] if released else []
 
-    def _tell_served(self, report: CrashReport) -> None:
-        """Tell others of the parts in a report that this router has served lately."""
+    def _share_parts_served(self, report: CrashReport) -> None:
+        """Share which parts in a report this router has served lately."""
         for suspect in report.suspects():
             served_at = self._evidence.last_served(suspect)
             if served_at is not None:
