--- a/skylarklift/pools/admitter.py
+++ b/skylarklift/pools/admitter.py
@@ -5,12 +5,11 @@
 does no I/O; each method returns the decisions that became possible with the call.
 """
 
-from dataclasses import dataclass, field
-
 from skylarklift.clock import Clock, Millis
 from skylarklift.generated import Pool, Replica
 from skylarklift.ids import BootId, GrantId, ReplicaId, RouterId, WorkspaceId
 from skylarklift.invariants import INVARIANTS
+from skylarklift.pools.admission_state import AdmissionCounts, QueuedRequest, ReplicaState
 from skylarklift.pools.bound import load_bound, select_in_service
 from skylarklift.pools.grants import (
     AdmissionRequest,
@@ -26,40 +25,6 @@
 RETRY_AFTER_MS = 1000
 
 
-@dataclass
-class _QueuedRequest:
-    """A request in the queue; `sequence` numbers the requests in order of arrival."""
-
-    request: AdmissionRequest
-    sequence: int
-    deadline: Millis
-    affinity_deadline: Millis
-
-
-@dataclass
-class _ReplicaState:
-    """The ramp and the load of one replica.
-
-    `granted` is the number of grants; `unlisted` is the number of running requests
-    that the replica reports beyond these.
-    """
-
-    ramp: ReplicaRamp
-    granted: int = 0
-    unlisted: int = 0
-
-
-@dataclass
-class AdmissionCounts:
-    """Totals for metrics and the status."""
-
-    granted: int = 0
-    refused: int = 0
-    waited_for_affinity: int = 0
-    moved_aside: int = 0
-    by_code: dict[RefusalCode, int] = field(default_factory=dict)
-
-
 class PoolAdmitter:
     """Grants the requests of one pool and queues those that have to wait.
 
@@ -78,9 +43,9 @@
     ):
         self._clock = clock
         self._policy = policy or AffinityPolicy()
-        self._replicas: dict[ReplicaId, _ReplicaState] = {}
+        self._replicas: dict[ReplicaId, ReplicaState] = {}
         self._grants: dict[GrantKey, Grant] = {}
-        self._queue: list[_QueuedRequest] = []
+        self._queue: list[QueuedRequest] = []
         self._in_flight: dict[WorkspaceId, int] = {}
         self._shares: dict[WorkspaceId, float] = {}
         self._last_sequence = 0
@@ -106,7 +71,7 @@
         state = self._replicas.get(name)
         if state is None:
             ramp = ReplicaRamp(self._clock, replica.slots, self.pool.ramp, warm=warm)
-            self._replicas[name] = _ReplicaState(ramp)
+            self._replicas[name] = ReplicaState(ramp)
             return
         state.ramp.slots = replica.slots
         state.ramp.cfg = self.pool.ramp
@@ -129,7 +94,7 @@
         now = self._clock.now()
         self._last_sequence += 1
         self._shares[request.workspace] = request.share
-        queued = _QueuedRequest(
+        queued = QueuedRequest(
             request,
             self._last_sequence,
             Millis(now + request.wait_ms),
@@ -299,7 +264,7 @@
                     break
         return decisions
 
-    def _queue_order(self, item: _QueuedRequest) -> tuple[int, float, int]:
+    def _queue_order(self, item: QueuedRequest) -> tuple[int, float, int]:
         """Return the sort key: priority, requests in flight relative to the share, arrival."""
         workspace = item.request.workspace
         relative_use = self._in_flight.get(workspace, 0) / self._shares.get(workspace, 1.0)
@@ -312,7 +277,7 @@
         limits = {name: min(bound, self._replicas[name].ramp.limit()) for name in self._in_service}
         return PoolLoad(loads, limits)
 
-    def _choose_replica(self, item: _QueuedRequest, pool_load: PoolLoad) -> ReplicaId | None:
+    def _choose_replica(self, item: QueuedRequest, pool_load: PoolLoad) -> ReplicaId | None:
         """Return the replica for a queued request, or `None` to leave it in the queue."""
         if item.request.avoid:
             allowed = {n: v for n, v in pool_load.limits.items() if n not in item.request.avoid}
@@ -324,7 +289,7 @@
             return choice.replica
         return self._second_choice(item, choice)
 
-    def _second_choice(self, item: _QueuedRequest, choice: Choice) -> ReplicaId | None:
+    def _second_choice(self, item: QueuedRequest, choice: Choice) -> ReplicaId | None:
         """Return the replica with room once the wait for the preferred one is over, else `None`."""
         if self._clock.now() < item.affinity_deadline:
             self.counts.waited_for_affinity += 1
@@ -396,7 +361,7 @@
         else:
             self._in_flight.pop(workspace, None)
 
-    def _refuse(self, item: _QueuedRequest, code: RefusalCode) -> Refused:
+    def _refuse(self, item: QueuedRequest, code: RefusalCode) -> Refused:
         """Count a refusal and return it."""
         self.counts.refused += 1
         self.counts.by_code[code] = self.counts.by_code.get(code, 0) + 1
