--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -139,6 +139,12 @@
       | a release that others report    | 0    | 9000:released-elsewhere  | 8000,9001               | 9001        |
       | a part that nobody asks for     | 5    |                          | 90001                   | 90001       |
 
+  # Guards against a hold that gets longer with each router that comes to the same judgement.
+  Scenario: A router that comes to the same judgement as another one does not lengthen the hold
+    Given a router that has seen no crash
+    When the crashes "0:r1:1:bad 300:r2:2:bad 600:r3:3:bad" are known, and another router holds "bad" first
+    Then there is one hold on the part, of 30000 ms and in its first term
+
   # Guards against messages that grow with the fleet, and against a release that is undone.
   Scenario: Messages between routers are bounded, and an earlier decision does not undo a later one
     Given a router that has seen no crash
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -210,6 +210,23 @@
             context.convicted.append(change.hold.suspect)
 
 
+@when('the crashes "{history}" are known, and another router holds "bad" first')
+def hears_of_hold_before_judgement(context, history):
+    for item in history.split():
+        at, replica, number, part = item.split(":")
+        context.clock.advance(START_MS + int(at) - context.clock.now())
+        report = CrashReport(replica, context.clock.now(), int(number), (part,))
+        context.suspects.record_own_crash(report)
+    hold_back(context, PART)
+    assert context.suspects.judge_parts() == []
+
+
+@then("there is one hold on the part, of {span:d} ms and in its first term")
+def one_hold(context, span):
+    (hold,) = context.suspects.held()
+    assert (hold.term, hold.until - hold.held_at) == (1, span), hold
+
+
 @then('it has convicted "{names}"')
 def has_convicted(context, names):
     found = [
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/suspects.py
@@ -95,7 +95,9 @@
     def judge_parts(self) -> list[HoldChange]:
         """Hold back the parts with enough evidence; release those that are cleared by that."""
         judgement = self._evidence.judge_parts()
-        changes = [self._hold(suspect) for suspect in judgement.convicted]
+        # Another router may have come to the same judgement, and its decision arrived first.
+        new = [item for item in judgement.convicted if self._quarantine.find([item]) is None]
+        changes = [self._hold(suspect) for suspect in new]
         for suspect in judgement.acquitted:
             released = self._quarantine.release(suspect)
             if released is not None:
