Log the request limits that upstreams name, and count requests sent to those

Nothing distinguished a router that does not read the limit from one that keeps it by itself: no line, no metric. Decoded now, logged when it is named or lifted, a gauge for each upstream and a counter of requests; no decision uses it yet.

--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -80,6 +80,8 @@
         """Count the request as in flight during the block; abort its connection if unfinished."""
         core = self.core
         core.chooser.start_request(self.choice, self.call)
+        if core.rate_limits.is_limited(self.record.replica):
+            core.metrics.increment("limited_sends", self.record.replica)
         core.attempts.add(self)
         try:
             yield self
@@ -137,6 +139,8 @@
         """
         if head.cold_ms:
             self.core.cluster_state.apply_reported_cold_time(self.record.replica, head.cold_ms)
+        if not head.moved:
+            self.core.record_rate_limit(self.record.replica, head.request_limit)
         if head.status in SUCCESS_STATUSES and (not head.signed or head.encoded):
             raise ResponseInvalid(f"status {head.status} unsigned or with a content encoding")
         return head
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -18,6 +18,7 @@
 from skylarklift.entry.health import Health
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings
+from skylarklift.entry.rate_limits import RateLimits
 from skylarklift.entry.rows import RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
@@ -56,6 +57,7 @@
     chooser: Chooser
     retry_budget: FleetRetryBudget
     suspects: CrashSuspects
+    rate_limits: RateLimits
     progress: UpstreamProgress
     connection_pool: ConnectionPool
     rng: random.Random = field(default_factory=random.Random)
@@ -75,8 +77,17 @@
         self.chooser.cold_limit.forget(replica)
         self.connection_pool.close_idle(replica)
         self.progress.forget(replica)
+        self.rate_limits.forget(replica)
         self.probes.pop(replica, None)
 
+    def record_rate_limit(self, replica: ReplicaId, per_second: float | None) -> None:
+        """Record the limit that an upstream names in an answer, `None` if it names none."""
+        if per_second is None:
+            if self.rate_limits.record_lifted(replica):
+                self.event_log.write("upstream_limit_lifted", subject=replica)
+        elif self.rate_limits.record_named(replica, per_second):
+            self.event_log.write("upstream_limit_named", subject=replica, per_second=per_second)
+
     def report_crash(self, report: CrashReport) -> None:
         """Record a crash that this router saw, and tell the other routers at once."""
         self.apply_hold_changes(self.suspects.record_own_crash(report), self.settings.node)
@@ -125,6 +136,7 @@
                 for hold in self.suspects.held()
             },
         )
+        metrics.replace_gauges("upstream_limit", self.rate_limits.named())
         for table in RowTable:
             metrics.set_gauge("rows_age_ms", self.cluster_state.age_ms(table), table.name.lower())
             metrics.set_gauge("reads_store", int(self.reading_store[table]), table.name.lower())
@@ -161,6 +173,7 @@
         chooser=chooser,
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
+        rate_limits=RateLimits(clock),
         progress=UpstreamProgress(clock),
         connection_pool=ConnectionPool(clock),
     )
--- a/skylarklift/entry/metrics.py
+++ b/skylarklift/entry/metrics.py
@@ -18,13 +18,13 @@
         self._counters: Counter[tuple[str, str]] = Counter()
         self._histograms: dict[tuple[str, str], list[int]] = {}
         self._sums: Counter[tuple[str, str]] = Counter()
-        self._gauges: dict[tuple[str, str], int] = {}
+        self._gauges: dict[tuple[str, str], float] = {}
 
-    def set_gauge(self, name: str, value: int, label: str = "") -> None:
+    def set_gauge(self, name: str, value: float, label: str = "") -> None:
         """Set a gauge."""
         self._gauges[name, label] = value
 
-    def replace_gauges(self, name: str, values: dict[str, int]) -> None:
+    def replace_gauges(self, name: str, values: dict[str, float]) -> None:
         """Set a gauge for each label, and drop it for all other labels."""
         self._gauges = {key: value for key, value in self._gauges.items() if key[0] != name}
         for label, value in values.items():
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -164,6 +164,7 @@
     run there, `moved` if another upstream now has the address, `encoded` if the body has a
     content encoding.  `length` is the content-length, `keep_alive_ms` the time for which the
     upstream keeps an idle connection, `cold_ms` the time for which it stays cold.
+    `request_limit` is the number of requests a second that it takes from all routers together.
     """
 
     status: int
@@ -177,6 +178,7 @@
     keep_alive_ms: int | None = None
     load: ReplicaLoad | None = None
     cold_ms: int | None = None
+    request_limit: float | None = None
 
 
 @dataclass(slots=True)
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -1,5 +1,7 @@
 """Translate between the platform's header fields and the router's requests and responses."""
 
+from math import isfinite
+
 from skylarklift.clock import Millis
 from skylarklift.entry.header_codec import BadCall, HeaderCodec
 from skylarklift.entry.model import (
@@ -105,6 +107,7 @@
             keep_alive_ms=_parse_keep_alive_ms(fields.get(b"keep-alive", b"")),
             load=_parse_load(fields.get(names.REPLICA_LOAD, b"")),
             cold_ms=_parse_uint(fields.get(names.COLD_START)),
+            request_limit=_parse_decimal(fields.get(names.REQUEST_LIMIT)),
         )
 
 
@@ -128,6 +131,17 @@
     return int(value)
 
 
+def _parse_decimal(value: bytes | None) -> float | None:
+    """Return a finite non-negative decimal number, or `None`."""
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if isfinite(number) and number >= 0 else None
+
+
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     """Return the prompt parts of a comma-separated list of ID:TOKENS, skipping malformed ones."""
     parts = []
--- a/skylarklift/platform/names.py
+++ b/skylarklift/platform/names.py
@@ -13,6 +13,7 @@
 COLD_START = b"x-cold-start-ms"
 PRIORITY = b"x-request-priority"
 KV_FETCH = b"kv-fetch"
+REQUEST_LIMIT = b"server-limit"
 
 # Removed from callers' requests, so that a caller's own value never reaches an upstream.  The
 # router sets some of them itself.
