--- a/features/entry_checks.py
+++ b/features/entry_checks.py
@@ -11,6 +11,11 @@
     DRAIN_LIMIT_S,
     ENGINE_PATHS,
     EVACUATION_LIMIT_S,
+    LIMIT_NOTICE_S,
+    LIMIT_OVERSHOOT,
+    LIMIT_STABLE_S,
+    LIMIT_TOLERANCE,
+    LIMIT_WINDOW_S,
     MAX_ATTEMPTS,
     MAX_OVERLOADED_RATIO,
     MIN_OVERLOADED,
@@ -18,6 +23,7 @@
     RECOVERY_S,
     REPLICAS_BY_SERVICE,
     REQUEST_READ_S,
+    LimitSpan,
     RunState,
 )
 from features.virtual_world import RecordingReplica
@@ -32,6 +38,7 @@
         """Check the response to one request."""
         response = sent.response
         self._judge.requests.append(sent)
+        self._sent_requests[sent.request_id] = sent
         self._judge.counts[f"status {response.status}"] += 1
         if response.status == 200 and response.complete and not self._judge.is_own_response(sent):
             self._record_violation(
@@ -93,6 +100,7 @@
         self.result.violations += self._judge.violations
         for replica in self._all_replicas:
             self._check_cold_limit(replica)
+            self._check_named_limit(replica)
             self._check_removal_from_service(replica)
         self._check_destinations()
         self._check_attempt_limit()
@@ -118,6 +126,49 @@
                     )
                     break
 
+    def _check_named_limit(self, replica: RecordingReplica) -> None:
+        """Check that a replica that names a limit got no more from the routers that it had told."""
+        for span in self._limit_spans[replica.name]:
+            limit = LIMIT_OVERSHOOT * span.per_second * LIMIT_WINDOW_S + LIMIT_TOLERANCE
+            moments = self._arrivals_from_informed(replica, span)
+            for index, first in enumerate(moments):
+                count = sum(first <= moment < first + LIMIT_WINDOW_S for moment in moments[index:])
+                if count > limit:
+                    self._record_violation(
+                        f"{replica.name}: {count} requests from {first:.3f} on, for a limit of "
+                        f"{span.per_second} a second"
+                    )
+                    break
+            self.result.counts["requests under a limit"] += len(moments)
+
+    def _arrivals_from_informed(self, replica: RecordingReplica, span: LimitSpan) -> list[float]:
+        """Return when requests arrived under a limit, from routers without a fault that knew it."""
+        names = {item.host: item.name for item in self.world.routers}
+        informed_at: dict[str, float] = {}
+        moments = []
+        for arrival in replica.arrivals:
+            if not span.start <= arrival.at <= span.end or arrival.rejected:
+                continue
+            router = names[arrival.router]
+            answered = self._passed_on_at(arrival.request)
+            if answered is not None:
+                informed_at[router] = min(answered, informed_at.get(router, answered))
+            known = informed_at.get(router, arrival.at) + LIMIT_NOTICE_S <= arrival.at
+            if (
+                known
+                and arrival.at >= span.start + LIMIT_STABLE_S
+                and self._is_fault_free(router, arrival.at, arrival.at)
+            ):
+                moments.append(arrival.at)
+        return moments
+
+    def _passed_on_at(self, request: str) -> float | None:
+        """Return when the caller of a request had its complete success, `None` without one."""
+        sent = self._sent_requests.get(request)
+        if sent is None or sent.response.status != 200 or not sent.response.complete:
+            return None
+        return sent.done_at
+
     def _check_removal_from_service(self, replica: RecordingReplica) -> None:
         """Check that draining replicas and replicas of evacuated zones got no late requests."""
         spans = [
--- a/features/entry_faults.py
+++ b/features/entry_faults.py
@@ -7,10 +7,12 @@
 from features.entry_run_state import (
     COLD_S,
     DRAIN_LIMIT_S,
+    NAMED_LIMITS,
     PACE_MS,
     RECOVERY_S,
     REPLICAS_BY_SERVICE,
     ROUTER_COUNT,
+    LimitSpan,
     RunState,
     TimeSpan,
 )
@@ -34,6 +36,7 @@
             self._corrupt_responses,
             self._kill_router,
             self._shut_down_router,
+            self._name_limit,
         ]
         if self._only_faults:
             kinds = [kind for kind in kinds if kind.__name__.strip("_") in self._only_faults]
@@ -197,6 +200,22 @@
             for kind in kinds:
                 setattr(replica.faults, kind, 0)
 
+    async def _name_limit(self) -> None:
+        """Let a replica name a limit of requests a second in all its answers."""
+        name = self._rng.choice(list(self.world.replicas))
+        faults = self.world.replicas[name].faults
+        if faults.request_limit is not None:
+            return
+        per_second = round(self._rng.uniform(*NAMED_LIMITS), 2)
+        span = LimitSpan(trio.current_time(), per_second=per_second)
+        self._limit_spans[name].append(span)
+        faults.request_limit = per_second
+        try:
+            await trio.sleep(self._rng.uniform(5.0, 15.0))
+        finally:
+            span.end = trio.current_time()
+            faults.request_limit = None
+
     def _reserve_router(self) -> VirtualRouter | None:
         """Reserve a running router that no other fault stops, unless fewer than two are left."""
         free = [r for r in self.world.routers if r.is_running() and r.name not in self._reserved]
--- a/features/entry_run_state.py
+++ b/features/entry_run_state.py
@@ -9,7 +9,7 @@
 
 from features.virtual_world import RecordingReplica, VirtualWorld
 from skylarklift.entry.model import Bounds
-from soak.checker import Checker
+from soak.checker import Checker, SentRequest
 
 ROUTER_COUNT = 4
 CALLER_COUNT = 10
@@ -18,6 +18,8 @@
 REPLICAS_BY_SERVICE = {"lm": 4, "till": 3}
 COLD_PER_S = 2.0
 COLD_S = 4.0
+# The limits that replicas name, in requests a second, are drawn from this range.
+NAMED_LIMITS = (0.2, 2.0)
 # A replica or zone must get no more requests this long after it began to drain or was evacuated.
 DRAIN_LIMIT_S = 2.0
 EVACUATION_LIMIT_S = 5.0
@@ -37,6 +39,13 @@
 COLD_WINDOW_S = 1.0
 # These bounds are so tight that the load of a run exceeds them if routers do not enforce them.
 TIGHT_BOUNDS = Bounds(cold_overshoot=1.0, cold_tolerance=1, retry_ratio=0.02, retry_extra=3)
+# A replica that names a limit gets at most this many times what the limit allows, and some more, in
+# each window, from all routers that had passed on such an answer a while before.
+LIMIT_WINDOW_S = 4.0
+LIMIT_OVERSHOOT = 1.5
+LIMIT_TOLERANCE = 5
+LIMIT_NOTICE_S = 0.5
+LIMIT_STABLE_S = 3.0
 MAX_OVERLOADED_RATIO = 0.03
 MIN_OVERLOADED = 20
 
@@ -62,6 +71,13 @@
     end: float = float("inf")
 
 
+@dataclass
+class LimitSpan(TimeSpan):
+    """A time span in which a replica names a limit, in requests a second."""
+
+    per_second: float = 0.0
+
+
 @dataclass
 class RunResult:
     """The violated invariants and the counts of a run."""
@@ -85,6 +101,7 @@
         self._draining: dict[str, TimeSpan] = {}
         self._evacuations: dict[str, list[TimeSpan]] = defaultdict(list)
         self._cold_spans: dict[str, list[TimeSpan]] = defaultdict(list)
+        self._limit_spans: dict[str, list[LimitSpan]] = defaultdict(list)
         self._zones: dict[str, str] = {}
         # When callers disconnected, by request.
         self._disconnected_at: dict[str, float] = {}
@@ -97,6 +114,7 @@
         self._store_restored = trio.Event()
         self._seen_versions: dict[str, tuple[int, int]] = {}
         self._last_number = 0
+        self._sent_requests: dict[str, SentRequest] = {}
         self._sending = True
         self.world: VirtualWorld | None = None
         self.result = RunResult(seed)
--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -10,6 +10,16 @@
       | 2    | 15   |
       | 10   | 15   |
 
+  # Guards against upstreams that get more requests than they take from all routers together.
+  Scenario Outline: Replicas that name a limit get no more from all routers, seed <seed>
+    When entry routers run for <span> virtual seconds with seed <seed> and only the faults "name_limit"
+    Then no invariant was violated
+
+    Examples:
+      | seed | span |
+      | 1    | 20   |
+      | 2    | 20   |
+
   Scenario Outline: Random runs detect the mutation <mutation>
     When entry routers run for <span> s with the mutation "<mutation>" and only the faults "<faults>"
     Then a run violates an invariant with the text "<text>"
--- a/features/steps/entry_runs.py
+++ b/features/steps/entry_runs.py
@@ -13,6 +13,14 @@
     context.violations = run_seed(seed, span).violations
 
 
+@when(
+    "entry routers run for {span:d} virtual seconds with seed {seed:d} and only the faults "
+    '"{faults}"'
+)
+def run_with_faults(context, seed, span, faults):
+    context.violations = run_seed(seed, span, tuple(faults.split(","))).violations
+
+
 @when(
     'entry routers run for {span:d} s with the mutation "{mutation}" and only the faults "{faults}"'
 )
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -33,7 +33,7 @@
     in the middle of the event after that number of events; `silent_after` stops sending there
     but keeps the connection open.  `silent` runs requests without ever responding, and
     `keep_answer` runs some without responding.  `first_event_ms` delays the first event of streams.
-    `long_runs` requests take `long_run_ms`.
+    `long_runs` requests take `long_run_ms`.  `request_limit` is named in all answers.
     """
 
     shed: int = 0
@@ -50,6 +50,7 @@
     first_event_ms: int = 0
     long_runs: int = 0
     long_run_ms: int = 0
+    request_limit: float | None = None
 
 
 @dataclass
@@ -115,6 +116,7 @@
         fields = {name.decode(): value.decode() for name, value in head.headers}
         faults = self.faults
         echo = (b"x-attempt-id", fields.get("x-attempt-id", "").encode())
+        named = self._state_headers()
         if fields.get("x-expect-replica", self.name) != self.name:
             self.rejected += 1
             await caller.send_response(421, [echo, (b"x-replica-id", self.name.encode())], b"")
@@ -122,7 +124,7 @@
         if faults.shed:
             faults.shed -= 1
             self.rejected += 1
-            await caller.send_response(503, [echo, (b"x-not-executed", b"1")], b"")
+            await caller.send_response(503, [echo, (b"x-not-executed", b"1"), *named], b"")
             return True
         run = Run(
             fields.get("x-attempt-id", ""),
@@ -167,9 +169,16 @@
         run.cancelled = True
         raise CallerDisconnected("router disconnected from a silent replica")
 
+    def _state_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header fields of all answers, by which a replica speaks of itself."""
+        if self.faults.request_limit is None:
+            return []
+        return [(b"server-limit", b"%.2f" % self.faults.request_limit)]
+
     def _response_headers(self, run, signed=True) -> list[tuple[bytes, bytes]]:
         """Return the header fields of a response."""
         fields = [(b"x-attempt-id", run.request_id.encode()), (b"keep-alive", b"timeout=5")]
+        fields += self._state_headers()
         if signed:
             fields.append((b"x-replica-signature", f"sig-{self.name}".encode()))
         return fields
