Divide the limits that upstreams name among few routers, and send what is over elsewhere

Callers saw nothing at once: upstreams that asked for 2 to 3.1 requests a second got up to twice that, until they fail for all. Cause: nothing read the limit, and no limit of the fleet but that of cold replicas had a form that works when a router's equal part is below one request.

Routers tell each other named and lifted limits. Each limit is divided among the first routers of the replica's order, as many as its burst has whole requests; a share is a token bucket that starts empty, so a router that starts, wakes or learns late adds nothing. A router that hears none or few of the others, or knows fewer than they count, uses no share (the limit of cold replicas gains this too). A full bucket of a replica with little load is used for any chat, so that what is named is also used. Requests over the limit take another upstream, or get 503 at once as upstreams_limited.

Ruled out: a limit for each router (sum too high), equal shares (nothing at 390 routers), shares by reported demand (routers with different views exceed the sum).

--- /dev/null
+++ b/features/entry_limits.feature
@@ -0,0 +1,55 @@
+Feature: Limits that upstreams name on the requests a second from all routers together
+
+  A share is a token bucket of a few routers, so that the sum holds whatever their number.
+
+  # Guards against routers that each keep to a limit by themselves while their sum exceeds it.
+  Scenario Outline: <routers> routers together use a limit of <limit> a second and keep to it, <case>
+    Given <routers> routers before an upstream that names a limit of <limit> a second
+    When each of them sends what it may for <before> s
+    And <event>
+    And each of them sends what it may for 12 s
+    Then no 4 s hold more than 1.5 times what the limit allows and 5 more
+    And the last 10 s use at least <used> of the limit
+
+    Examples:
+      | routers | limit | before | event                                             | used | case                |
+      | 1       | 3.0   | 8      | nothing else happens                              | 0.9  | alone               |
+      | 2       | 0.5   | 8      | nothing else happens                              | 0.7  | a small limit       |
+      | 6       | 3.0   | 8      | nothing else happens                              | 0.8  | in steady state     |
+      | 6       | 40.0  | 8      | nothing else happens                              | 0.9  | a large limit       |
+      | 390     | 3.0   | 4      | nothing else happens                              | 0.7  | in steady state     |
+      | 6       | 3.0   | 8      | 2 routers start anew, knowing 3 others            | 0.7  | some just started   |
+      | 390     | 3.0   | 4      | 200 routers start anew, knowing 3 others          | 0.3  | many just started   |
+      | 6       | 3.0   | 8      | 2 routers wake after 40 s                         | 0.7  | some woken          |
+      | 90      | 3.0   | 4      | 60 routers wake after 40 s                        | 0.4  | most woken          |
+      | 6       | 3.0   | 8      | 2 routers are cut off for 40 s                    | 0.7  | some cut off        |
+      | 90      | 3.0   | 4      | 45 routers are cut off for 40 s                   | 0.0  | a half cut off      |
+
+  Scenario Outline: What a router makes of the answers of an upstream: <case>
+    Given a router before an upstream that has named no limit
+    When it learns of "<history>"
+    Then the upstream has the limit "<limit>"
+
+    # An item is MS:named:LIMIT for an answer, MS:plain:SENT_MS for an answer without a limit to a
+    # request sent then, MS:told:LIMIT:AGE_MS for another router's report, and MS:nothing.
+    Examples:
+      | case                                        | history                                | limit |
+      | a limit in an answer                        | 0:named:3                              | 3.0   |
+      | the newest limit counts                     | 0:named:3 100:named:2.5                | 2.5   |
+      | an answer without a limit lifts it          | 0:named:3 200:plain:100                |       |
+      | an answer from before does not lift it      | 100:named:3 200:plain:50               | 3.0   |
+      | another router's report                     | 0:told:3:20                            | 3.0   |
+      | an older report changes nothing             | 500:named:3 600:told:9:400             | 3.0   |
+      | a report lifts an older limit               | 0:named:3 500:told:none:100            |       |
+      | a report of a limit older than the lifting  | 0:named:3 200:plain:150 300:told:3:200 |       |
+      | an answer that nothing has confirmed lately | 0:named:3 60000:nothing                |       |
+      | a report that is too old                    | 70000:told:3:65000                     |       |
+
+  # Guards against a limited upstream that is chosen although others may take the request.
+  Scenario: Requests over a limit go to another upstream, and are refused at once without one
+    Given a router among 0 others before 2 replicas, by the seed 1
+    When the replica that a chat prefers names a limit of 0.5 a second
+    Then of 12 requests of the chat, one each 170 ms, the replica gets at most 5
+    And the others go to the other replica, with "upstreams_limited" as the reason
+    When the other replica names a limit of 0.5 a second too
+    Then a request of the chat finds no upstream, with the reason "upstreams_limited"
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -19,7 +19,7 @@
 from skylarklift.clock import ManualClock
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.fleet import GossipMessage
-from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget
+from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
 from skylarklift.entry.model import Bounds, Endpoint, Workspace
 from skylarklift.entry.retry_state import Outcome, RetryState
 from skylarklift.entry.rows import RowTable, TableSummary
@@ -90,7 +90,7 @@
         for rank, limit in enumerate(limits):
             if context.clock.now() < starts[rank]:
                 continue
-            while limit.allows("r0", COLD_PER_S, context.router_count, rank):
+            while limit.allows("r0", COLD_PER_S, FleetShare(context.router_count, rank)):
                 limit.record_request("r0")
                 context.arrivals.append(context.clock.now())
         context.clock.advance(STEP_MS)
--- /dev/null
+++ b/features/steps/entry_limits.py
@@ -0,0 +1,208 @@
+"""Steps for limits that upstreams name on the requests of all routers together."""
+
+from behave import given, then, when
+
+from features.entry_fixtures import choose, new_call
+from skylarklift.clock import ManualClock
+from skylarklift.entry.choose import Choice, NoUpstream
+from skylarklift.entry.fleet import DISCOVERY_MS, Fleet, GossipMessage
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.rate_limits import LimitReport, RateLimits
+from skylarklift.entry.rows import TableSummary
+
+EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
+HERE = Endpoint("127.0.0.2", 1)
+STEP_MS = 200
+# In a larger fleet a router hears the others in turn, all of them in this many steps.
+SMALL_FLEET = 20
+ROTATION_STEPS = 20
+WINDOW_MS = 4000
+REPLICA = "r0"
+
+
+class SimulatedRouter:
+    """The parts of a router that decide whether it may send to an upstream with a limit."""
+
+    def __init__(self, clock, name, limit):
+        self.name = name
+        self.fleet = Fleet(clock, name)
+        self.limits = RateLimits(clock)
+        self.limits.record_named(REPLICA, limit)
+        # The routers that hear each other have the same number.
+        self.part = 0
+        self.frozen = False
+
+    def hear(self, others):
+        """Receive gossip of other routers."""
+        for other in others:
+            message = GossipMessage(
+                other.name, "b", "", EMPTY_SUMMARIES, router_count=other.fleet.router_count()
+            )
+            self.fleet.record_message(message, HERE)
+
+    def send(self):
+        """Send what is allowed now; return how many requests."""
+        count = 0
+        while self.limits.allows(REPLICA, self.fleet.share(REPLICA)):
+            self.limits.record_request(REPLICA)
+            count += 1
+        return count
+
+
+@given("{count:d} routers before an upstream that names a limit of {limit:f} a second")
+def routers_before_limited(context, count, limit):
+    context.clock = ManualClock(100_000)
+    context.limit = limit
+    context.routers = [SimulatedRouter(context.clock, f"n{n}", limit) for n in range(count)]
+    context.sent = []
+    for router in context.routers:
+        for other in context.routers:
+            router.fleet.add(other.name, HERE)
+    gossip(context)
+    context.clock.advance(DISCOVERY_MS)
+
+
+def gossip(context, step=0, rounds=1):
+    """Let the routers that run hear one of `rounds` parts of those that they can hear."""
+    running = [router for router in context.routers if not router.frozen]
+    for router in running:
+        router.hear(
+            other
+            for other in running[step % rounds :: rounds]
+            if other is not router and other.part == router.part
+        )
+
+
+@when("each of them sends what it may for {span:d} s")
+def send_for(context, span):
+    for step in range(span * 1000 // STEP_MS):
+        gossip(context, step, rounds=1 if len(context.routers) < SMALL_FLEET else ROTATION_STEPS)
+        for router in context.routers:
+            if not router.frozen:
+                context.sent += [context.clock.now()] * router.send()
+        context.clock.advance(STEP_MS)
+
+
+@when("nothing else happens")
+def nothing_happens(context):
+    pass
+
+
+@when("{count:d} routers start anew, knowing {known:d} others")
+def start_anew(context, count, known):
+    for number in range(count):
+        router = SimulatedRouter(context.clock, f"n{number}", context.limit)
+        context.routers[number] = router
+        router.hear(context.routers[-known:])
+
+
+@when("{count:d} routers wake after {span:d} s")
+def wake_after(context, count, span):
+    frozen = context.routers[:count]
+    for router in frozen:
+        router.frozen = True
+    send_for(context, span)
+    for router in frozen:
+        router.frozen = False
+    # They send before they read the messages that have arrived.
+    for router in frozen:
+        context.sent += [context.clock.now()] * router.send()
+
+
+@when("{count:d} routers are cut off for {span:d} s")
+def cut_off_for(context, count, span):
+    for number, router in enumerate(context.routers):
+        router.part = int(number < count)
+    send_for(context, span)
+
+
+@then("no 4 s hold more than 1.5 times what the limit allows and 5 more")
+def limit_is_kept(context):
+    most = 1.5 * context.limit * WINDOW_MS / 1000 + 5
+    for first in set(context.sent):
+        count = sum(first <= moment < first + WINDOW_MS for moment in context.sent)
+        assert count <= most, f"{count} in 4 s, {most} allowed"
+
+
+@then("the last 10 s use at least {ratio:f} of the limit")
+def limit_is_used(context, ratio):
+    start = context.clock.now() - 10_000
+    count = sum(moment >= start for moment in context.sent)
+    assert count >= ratio * context.limit * 10, count
+
+
+@given("a router before an upstream that has named no limit")
+def router_without_limit(context):
+    context.clock = ManualClock(0)
+    context.limits = RateLimits(context.clock)
+
+
+@when('it learns of "{history}"')
+def learn_of(context, history):
+    for item in history.split():
+        at, kind, *values = item.split(":")
+        context.clock.advance(int(at) - context.clock.now())
+        context.limits.expire()
+        match kind:
+            case "named":
+                context.limits.record_named(REPLICA, float(values[0]))
+            case "plain":
+                context.limits.record_lifted(REPLICA, int(values[0]))
+            case "told":
+                limit = None if values[0] == "none" else float(values[0])
+                context.limits.apply_report(LimitReport(REPLICA, limit, int(values[1])))
+
+
+@then('the upstream has the limit "{limit}"')
+def has_limit(context, limit):
+    assert context.limits.named().get(REPLICA) == float(limit), context.limits.named()
+
+
+@then('the upstream has the limit ""')
+def has_no_limit(context):
+    assert not context.limits.is_limited(REPLICA), context.limits.named()
+
+
+@when("the replica that a chat prefers names a limit of {limit:f} a second")
+def preferred_names_limit(context, limit):
+    context.call = new_call("base:100,s1:400,own:30")
+    context.preferred = choose(context.core, context.call).upstream.record.replica
+    context.core.chooser.rate_limits.record_named(context.preferred, limit)
+    context.clock.advance(DISCOVERY_MS)
+
+
+@then("of {count:d} requests of the chat, one each {apart:d} ms, the replica gets at most {most:d}")
+def replica_gets_at_most(context, count, apart, most):
+    context.choices = []
+    for _ in range(count):
+        choice = choose(context.core, context.call)
+        assert isinstance(choice, Choice), choice
+        # No placement is recorded, so that the chat goes on to prefer the same replica.
+        context.core.chooser.rate_limits.record_request(choice.upstream.record.replica)
+        context.choices.append(choice)
+        context.clock.advance(apart)
+    names = [choice.upstream.record.replica for choice in context.choices]
+    assert names.count(context.preferred) <= most, names
+
+
+@then('the others go to the other replica, with "{reason}" as the reason')
+def others_pass_over(context, reason):
+    others = [
+        choice for choice in context.choices if choice.upstream.record.replica != context.preferred
+    ]
+    assert others
+    for choice in others:
+        found = [(item.replica, item.reason.value) for item in choice.passed_over]
+        assert found == [(context.preferred, reason)], found
+
+
+@when("the other replica names a limit of {limit:f} a second too")
+def other_names_limit(context, limit):
+    (other,) = set(context.names) - {context.preferred}
+    context.core.chooser.rate_limits.record_named(other, limit)
+
+
+@then('a request of the chat finds no upstream, with the reason "{reason}"')
+def finds_no_upstream(context, reason):
+    found = choose(context.core, context.call)
+    assert isinstance(found, NoUpstream) and found.value == reason, found
--- a/skylarklift/entry/affinity.py
+++ b/skylarklift/entry/affinity.py
@@ -67,16 +67,20 @@
     holders: Collection[ReplicaId],
     load_limit: float,
     zone: ZoneId,
+    scarce: Collection[ReplicaId] = (),
 ) -> Iterator[ReplicaId]:
     """Yield the candidates from the best to the worst for a chat.
 
-    Of several holders, those in `zone` come first: the chat costs the same there, and its bytes
-    stay in the zone.  `ranked` yields at least all candidates, in the chat's rendezvous order.
+    Of several holders, the `scarce` ones come first, which take only a few requests, then those in
+    `zone`: the chat costs the same there, and its bytes stay in the zone.  `ranked` yields at least
+    all candidates, in the chat's rendezvous order.
     """
     load = candidates.load
     sound_holders = [name for name in holders if name in candidates and load(name) < load_limit]
     by_weight = _sort_by_weight(key, sound_holders)
-    yield from sorted(by_weight, key=lambda name: candidates[name].record.zone != zone)
+    yield from sorted(
+        by_weight, key=lambda name: (name not in scarce, candidates[name].record.zone != zone)
+    )
     for name in ranked:
         if name in candidates and name not in holders and load(name) < load_limit:
             yield name
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -80,7 +80,7 @@
         """Count the request as in flight during the block; abort its connection if unfinished."""
         core = self.core
         core.chooser.start_request(self.choice, self.call)
-        if core.rate_limits.is_limited(self.record.replica):
+        if core.chooser.rate_limits.is_limited(self.record.replica):
             core.metrics.increment("limited_sends", self.record.replica)
         core.attempts.add(self)
         try:
@@ -140,7 +140,7 @@
         if head.cold_ms:
             self.core.cluster_state.apply_reported_cold_time(self.record.replica, head.cold_ms)
         if not head.moved:
-            self.core.record_rate_limit(self.record.replica, head.request_limit)
+            self.core.record_rate_limit(self.record.replica, head.request_limit, self._sent_at)
         if head.status in SUCCESS_STATUSES and (not head.signed or head.encoded):
             raise ResponseInvalid(f"status {head.status} unsigned or with a content encoding")
         return head
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from itertools import chain
 
 from skylarklift.clock import Clock
 from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
@@ -20,6 +21,7 @@
 from skylarklift.entry.health import Health
 from skylarklift.entry.model import Bounds, Call, Route, ServicePlan, Workspace
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
+from skylarklift.entry.rate_limits import RateLimits
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
@@ -33,6 +35,8 @@
 # The replicas with the most tokens of a prompt's shared parts count as its holders if these are at
 # least this ratio of all shared tokens.
 HOLDER_RATIO = 0.5
+# A replica that names a limit is idle if it carries less than this ratio of the mean load.
+IDLE_LOAD_RATIO = 0.5
 # Copying a prefix from another replica pays off from this many tokens on.
 MIN_COPY_TOKENS = 64
 HASH_RANGE = 1 << 32
@@ -46,16 +50,26 @@
     OUTSIDE_ALLOWED_REGIONS = "no_upstream_at_home"
     EJECTED = "upstreams_failing"
     COLD = "upstreams_cold"
+    LIMITED = "upstreams_limited"
     TRIED = "upstreams_tried"
 
 
+@dataclass(frozen=True, slots=True)
+class PassedOver:
+    """An upstream that may get no request now, and why."""
+
+    replica: ReplicaId
+    reason: NoUpstream
+
+
 @dataclass(frozen=True, slots=True)
 class Choice:
     """The chosen upstream and the figures behind the choice.
 
     `load` and `mean` count requests in flight.  `position` is the index of the upstream in the
     order of candidates.  `copy_source` is a replica from which the chosen one can copy the part
-    of the prefix that it lacks.
+    of the prefix that it lacks.  `passed_over` names the upstreams that would have been better
+    but may get no request now, with the reason.
     """
 
     upstream: Upstream
@@ -64,6 +78,7 @@
     position: int
     cold: bool
     copy_source: Upstream | None = None
+    passed_over: tuple[PassedOver, ...] = ()
 
 
 class Chooser:
@@ -87,6 +102,7 @@
         self._zone = zone
         self._regions = regions or {}
         self.cold_limit = ColdRequestLimit(clock, bounds)
+        self.rate_limits = RateLimits(clock)
         self.prefixes = PrefixIndex(clock)
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
@@ -123,14 +139,39 @@
             ordered = self._order_by_affinity(call, service, candidates, mean)
         else:
             ordered = iter(self._order_by_load(candidates))
-        for position, name in enumerate(ordered):
+        passed_over: list[PassedOver] = []
+        idle = self._idle_limited(candidates, mean)
+        for position, name in enumerate(chain(idle, ordered)):
             item = candidates[name]
-            cold = self.is_cold(item, plan)
-            if cold and not self._cold_limit_allows(item, plan):
+            reason = self._reason_to_pass_over(item, plan)
+            if reason is not None:
+                passed_over.append(PassedOver(name, reason))
                 continue
-            copy_source = self._find_copy_source(call, item) if by_affinity else None
-            return Choice(item, candidates.load(name), mean, position, cold, copy_source)
-        return NoUpstream.COLD
+            return Choice(
+                item,
+                candidates.load(name),
+                mean,
+                position,
+                self.is_cold(item, plan),
+                self._find_copy_source(call, item) if by_affinity else None,
+                tuple(passed_over),
+            )
+        # A limit may last; what is cold takes more requests soon.
+        if any(item.reason is NoUpstream.COLD for item in passed_over):
+            return NoUpstream.COLD
+        return NoUpstream.LIMITED
+
+    def _reason_to_pass_over(
+        self, upstream: Upstream, plan: ServicePlan | None
+    ) -> NoUpstream | None:
+        """Return why a candidate may not take one more request now, `None` if it may."""
+        replica = upstream.record.replica
+        if self.is_cold(upstream, plan) and not self._cold_limit_allows(upstream, plan):
+            return NoUpstream.COLD
+        limits = self.rate_limits
+        if limits.is_limited(replica) and not limits.allows(replica, self._fleet.share(replica)):
+            return NoUpstream.LIMITED
+        return None
 
     def _candidates(
         self,
@@ -187,7 +228,29 @@
         holders = self._find_holders(call, candidates)
         load_limit = AFFINITY_LOAD_RATIO * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
         ranked = self._rendezvous.order(key, service, self._cluster_state.members_of(service))
-        return order_by_affinity(key, ranked, candidates, holders, load_limit, self._zone)
+        scarce = self._limited_with_tokens(candidates)
+        return order_by_affinity(key, ranked, candidates, holders, load_limit, self._zone, scarce)
+
+    def _limited_with_tokens(self, candidates: Candidates) -> list[ReplicaId]:
+        """Return the candidates that name a limit under which this router may send now."""
+        limits, fleet = self.rate_limits, self._fleet
+        return [
+            replica
+            for replica in limits.limited()
+            if replica in candidates and limits.allows(replica, fleet.share(replica))
+        ]
+
+    def _idle_limited(self, candidates: Candidates, mean: float) -> Iterator[ReplicaId]:
+        """Yield the candidates under a limit whose full share would otherwise go unused.
+
+        In a large fleet few routers may send to such a replica, and hardly any chat of theirs
+        would prefer it.
+        """
+        limits = self.rate_limits
+        for replica in self._limited_with_tokens(candidates):
+            if limits.is_full(replica, self._fleet.share(replica)):
+                if candidates.load(replica) < IDLE_LOAD_RATIO * mean:
+                    yield replica
 
     def _find_holders(self, call: Call, candidates: Candidates) -> frozenset[ReplicaId]:
         """Return the candidates that hold most of a prompt's shared parts, if that is enough."""
@@ -252,13 +315,8 @@
 
     def _cold_limit_allows(self, upstream: Upstream, plan: ServicePlan) -> bool:
         """Return whether this router may send one more request to a cold replica."""
-        fleet = self._fleet
-        if not fleet.discovery_done():
-            return False
         replica = upstream.record.replica
-        return self.cold_limit.allows(
-            replica, plan.cold_per_s, fleet.router_count(), fleet.rank(replica)
-        )
+        return self.cold_limit.allows(replica, plan.cold_per_s, self._fleet.share(replica))
 
     def start_request(self, choice: Choice, call: Call) -> None:
         """Count a request as in flight, right before it is sent."""
@@ -267,6 +325,7 @@
         self.in_flight[replica] += 1
         if choice.cold:
             self.cold_limit.record_request(replica)
+        self.rate_limits.record_request(replica)
         self._health.start_trial(replica)
 
     def end_request(self, replica: ReplicaId) -> None:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -1,6 +1,7 @@
 """The state and services that the tasks of one entry router share."""
 
 import random
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -18,7 +19,7 @@
 from skylarklift.entry.health import Health
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings
-from skylarklift.entry.rate_limits import RateLimits
+from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
@@ -57,7 +58,6 @@
     chooser: Chooser
     retry_budget: FleetRetryBudget
     suspects: CrashSuspects
-    rate_limits: RateLimits
     progress: UpstreamProgress
     connection_pool: ConnectionPool
     rng: random.Random = field(default_factory=random.Random)
@@ -77,16 +77,41 @@
         self.chooser.cold_limit.forget(replica)
         self.connection_pool.close_idle(replica)
         self.progress.forget(replica)
-        self.rate_limits.forget(replica)
+        self.chooser.rate_limits.forget(replica)
         self.probes.pop(replica, None)
 
-    def record_rate_limit(self, replica: ReplicaId, per_second: float | None) -> None:
-        """Record the limit that an upstream names in an answer, `None` if it names none."""
+    def record_rate_limit(
+        self, replica: ReplicaId, per_second: float | None, sent_at: Millis
+    ) -> None:
+        """Record the limit that the answer to a request names, `None` if it names none."""
+        limits = self.chooser.rate_limits
         if per_second is None:
-            if self.rate_limits.record_lifted(replica):
-                self.event_log.write("upstream_limit_lifted", subject=replica)
-        elif self.rate_limits.record_named(replica, per_second):
-            self.event_log.write("upstream_limit_named", subject=replica, per_second=per_second)
+            if limits.record_lifted(replica, sent_at):
+                self._tell_rate_limit(replica, None, self.settings.node)
+        elif limits.record_named(replica, per_second):
+            self._tell_rate_limit(replica, per_second, self.settings.node)
+
+    def apply_limit_reports(self, reports: Iterable[LimitReport], source: str) -> None:
+        """Apply what another router knows of the limits that upstreams name."""
+        for report in reports:
+            if report.replica in self.cluster_state.upstreams:
+                if self.chooser.rate_limits.apply_report(report):
+                    self._tell_rate_limit(report.replica, report.per_second, source)
+
+    def _tell_rate_limit(self, replica: ReplicaId, per_second: float | None, source: str) -> None:
+        """Log that a limit is new or lifted, and tell the other routers at once."""
+        if per_second is None:
+            self.event_log.write("upstream_limit_lifted", subject=replica, source=source)
+        else:
+            self.event_log.write(
+                "upstream_limit_named", subject=replica, per_second=per_second, source=source
+            )
+        self.state_changed.set()
+
+    def expire_rate_limits(self) -> None:
+        """Drop the limits that no answer has confirmed for long."""
+        for replica in self.chooser.rate_limits.expire():
+            self.event_log.write("upstream_limit_expired", subject=replica)
 
     def report_crash(self, report: CrashReport) -> None:
         """Record a crash that this router saw, and tell the other routers at once."""
@@ -136,7 +161,7 @@
                 for hold in self.suspects.held()
             },
         )
-        metrics.replace_gauges("upstream_limit", self.rate_limits.named())
+        metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         for table in RowTable:
             metrics.set_gauge("rows_age_ms", self.cluster_state.age_ms(table), table.name.lower())
             metrics.set_gauge("reads_store", int(self.reading_store[table]), table.name.lower())
@@ -173,7 +198,6 @@
         chooser=chooser,
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
-        rate_limits=RateLimits(clock),
         progress=UpstreamProgress(clock),
         connection_pool=ConnectionPool(clock),
     )
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass, field
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.fleet_limits import FleetShare
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.peer_loads import PeerLoads
 from skylarklift.entry.prefixes import Placement
+from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import TableSummary
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
@@ -26,8 +28,23 @@
 # A router that has sent no message for this long is no longer counted among those that divide the
 # fleet's limits.  Until then it may be partitioned from this one and still send requests.
 LIMIT_MEMBER_TTL_MS = 30000
+# After this silence a router may be cut off.  If most routers are silent, this one may be cut off
+# itself; it must notice that before it counts them no more.
+SUSPECT_SILENCE_MS = 20000
 # After this time a router that has just started has received two messages from every other one.
 DISCOVERY_MS = 500
+# A router uses its share of the fleet's limits once it knows this ratio of the routers that the
+# others count.
+KNOWN_ROUTERS_RATIO = 0.8
+# The routers that divide the fleet's limits are determined again after this long.
+MEMBERS_TTL_MS = 250
+# A router reads the store if it did so successfully within this time.
+STORE_READ_TTL_MS = 2500
+MAX_REMEMBERED_RANKS = 2000
+# A router that has sent no message for this long is forgotten.
+FORGET_PEER_MS = 120_000
+# A router that has heard no other one for this long, and does not read the store, may be cut off.
+MAX_SILENCE_OF_ALL_MS = 1500
 READER_KEY = "reader"
 
 
@@ -39,7 +56,8 @@
     of `RowTable`.  `reads_store` is true if the sender reads the store itself.  `loads` holds
     its requests in flight by upstream, `ejected` the milliseconds left of each ejection,
     `maybe_restarted` the ejected upstreams that may have restarted, and `placements` the replicas
-    that recent prompts were sent to.
+    that recent prompts were sent to.  `router_count` is how many routers the sender counts, and
+    `limits` what it knows of the limits that upstreams name.
     """
 
     node: str
@@ -52,6 +70,8 @@
     ejected: dict[str, int] = field(default_factory=dict)
     maybe_restarted: tuple[str, ...] = ()
     placements: tuple[Placement, ...] = ()
+    router_count: int = 0
+    limits: tuple[LimitReport, ...] = ()
 
 
 @dataclass(slots=True)
@@ -66,6 +86,12 @@
     holds_sent_at: Millis = Millis(0)
     last_message: GossipMessage | None = None
 
+    def may_be_cut_off(self, now: Millis) -> bool:
+        """Return whether the router has fallen silent without having announced that it leaves."""
+        if self.received_at is None or self.last_message.leaving:
+            return False
+        return now - self.received_at > SUSPECT_SILENCE_MS
+
 
 class Fleet:
     """The known routers and the last message of each."""
@@ -76,6 +102,15 @@
         self.own_node = own
         self.peers: dict[str, Peer] = {}
         self._loads = PeerLoads()
+        # When this router last read the store itself.
+        self.store_read_at: Millis | None = None
+        self._members: frozenset[str] = frozenset()
+        self._members_until = Millis(0)
+        self._counted_by_others = 0
+        self._last_heard_at = clock.now()
+        # Whether more routers have fallen silent than are heard.
+        self._in_minority = False
+        self._ranks: dict[str, int] = {}
 
     def add(self, node: str, address: Endpoint) -> None:
         """Add a router, or update its address."""
@@ -84,6 +119,7 @@
         known = self.peers.get(node)
         if known is None:
             self.peers[node] = Peer(node, address, self._clock.now())
+            self._members_until = Millis(0)
         else:
             known.address = address
 
@@ -94,7 +130,7 @@
         if peer.last_message is None or peer.last_message.boot != message.boot:
             # After a restart the router knows nothing of earlier messages.
             peer.sent_at = peer.holds_sent_at = Millis(0)
-        peer.received_at = self._clock.now()
+        peer.received_at = self._last_heard_at = self._clock.now()
         peer.last_message = message
         self._loads.record(message.node, message.loads, peer.received_at)
         return peer
@@ -103,18 +139,70 @@
         """Remove a router."""
         self.peers.pop(node, None)
         self._loads.remove(node)
+        self._members_until = Millis(0)
 
-    def _limit_members(self) -> list[str]:
+    def _limit_members(self) -> frozenset[str]:
         """Return the other routers among which the fleet's limits are divided."""
-        limit = self._clock.now() - LIMIT_MEMBER_TTL_MS
-        return [
-            node for node, peer in self.peers.items() if (peer.received_at or peer.added_at) > limit
-        ]
+        now = self._clock.now()
+        if now >= self._members_until:
+            members = self._find_members(now)
+            self._members_until = Millis(now + MEMBERS_TTL_MS)
+            self._counted_by_others = max(
+                (peer.last_message.router_count for peer in self.live_peers()), default=0
+            )
+            if members != self._members:
+                self._members = members
+                self._ranks.clear()
+        return self._members
+
+    def _find_members(self, now: Millis) -> frozenset[str]:
+        """Return the routers that were heard recently, and those that may only be cut off.
+
+        Of two parts of a fleet that do not hear each other, the smaller one goes on counting all,
+        so that the limits are not used twice.
+        """
+        self._forget_silent(now)
+        silent = sum(peer.may_be_cut_off(now) for peer in self.peers.values())
+        self._in_minority = silent > len(self.peers) - silent
+        limit = now - LIMIT_MEMBER_TTL_MS
+        return frozenset(
+            node
+            for node, peer in self.peers.items()
+            if (peer.received_at or peer.added_at) > limit
+            or (self._in_minority and peer.may_be_cut_off(now))
+        )
+
+    def _forget_silent(self, now: Millis) -> None:
+        """Drop the routers that have sent nothing for so long that they will not come back."""
+        for node, peer in list(self.peers.items()):
+            if peer.received_at is not None and peer.received_at <= now - FORGET_PEER_MS:
+                del self.peers[node]
+                self._loads.remove(node)
+
+    def _reads_store(self, now: Millis) -> bool:
+        """Return whether this router has read the store itself recently."""
+        return self.store_read_at is not None and now - self.store_read_at <= STORE_READ_TTL_MS
 
     def router_count(self) -> int:
         """Return how many routers divide the fleet's limits, this one included."""
         return 1 + len(self._limit_members())
 
+    def share(self, key: str) -> FleetShare:
+        """Return this router's share of a limit; the key names a replica, for instance."""
+        own = self.router_count()
+        counted = self._counted_by_others
+        knows_others = self.discovery_done() and own >= KNOWN_ROUTERS_RATIO * counted
+        return FleetShare(
+            max(own, counted), self.rank(key), knows_others and not self._may_be_cut_off()
+        )
+
+    def _may_be_cut_off(self) -> bool:
+        """Return whether this router hears too few others to know how the limits are divided."""
+        now = self._clock.now()
+        if not self._members or self._reads_store(now):
+            return False
+        return self._in_minority or now - self._last_heard_at > MAX_SILENCE_OF_ALL_MS
+
     def discovery_done(self) -> bool:
         """Return whether this router has run long enough to know all others."""
         return self._clock.now() - self._started >= DISCOVERY_MS
@@ -125,8 +213,15 @@
         The key names a replica, for instance.  The order holds all routers that divide the
         fleet's limits.
         """
-        own = rendezvous_weight(key, self.own_node)
-        return sum(rendezvous_weight(key, node) > own for node in self._limit_members())
+        members = self._limit_members()
+        rank = self._ranks.get(key)
+        if rank is None:
+            own = rendezvous_weight(key, self.own_node)
+            rank = sum(rendezvous_weight(key, node) > own for node in members)
+            if len(self._ranks) >= MAX_REMEMBERED_RANKS:
+                self._ranks.clear()
+            self._ranks[key] = rank
+        return rank
 
     def live_peers(self) -> list[Peer]:
         """Return the routers that sent a message recently."""
--- a/skylarklift/entry/fleet_limits.py
+++ b/skylarklift/entry/fleet_limits.py
@@ -5,6 +5,7 @@
 """
 
 from collections import deque
+from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import Bounds
@@ -20,6 +21,19 @@
 COUNTED_REQUESTS_RATIO = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class FleetShare:
+    """How this router takes part in a limit of the whole fleet.
+
+    The limit is divided among `routers`, of which this one has the rank `rank`, from 0.  It is
+    not `usable` while this router may not know all the others.
+    """
+
+    routers: int
+    rank: int
+    usable: bool = True
+
+
 class ColdRequestLimit:
     """The limit on requests that this router may send to a cold replica.
 
@@ -37,15 +51,14 @@
         """Return how many requests a second all routers together may send to a cold replica."""
         return int(cold_per_s * self._bounds.cold_overshoot + self._bounds.cold_tolerance)
 
-    def allows(self, replica: ReplicaId, cold_per_s: float, routers: int, rank: int) -> bool:
-        """Return whether one more request may be sent now.
-
-        `rank` is this router's rank, from 0, in the replica's order of all `routers`.
-        """
+    def allows(self, replica: ReplicaId, cold_per_s: float, share: FleetShare) -> bool:
+        """Return whether one more request may be sent now."""
+        if not share.usable:
+            return False
         limit = self._limit(cold_per_s)
-        allowed = limit // max(1, routers)
+        allowed = limit // max(1, share.routers)
         if not allowed:
-            allowed = int(rank < limit)
+            allowed = int(share.rank < limit)
         sent = self._sent.setdefault(replica, deque())
         oldest = self._clock.now() - COLD_WINDOW_MS - ARRIVAL_SLACK_MS
         while sent and sent[0] <= oldest:
--- a/skylarklift/entry/follower.py
+++ b/skylarklift/entry/follower.py
@@ -74,6 +74,7 @@
                 core.event_log.write("changes_unavailable", table=table.name, detail=str(exc))
                 page = await self._store.read_table(table)
         core.reading_store[table] = True
+        core.fleet.store_read_at = core.clock.now()
         if self._failing:
             self._failing = False
             core.event_log.write("store_regained", table=table.name, version=page.version)
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -158,6 +158,8 @@
                 replica for replica in ejected if core.health.maybe_restarted(replica)
             ),
             placements=tuple(core.chooser.prefixes.own_placements_since(since)),
+            router_count=core.fleet.router_count(),
+            limits=core.chooser.rate_limits.reports(),
         )
 
     # Receiving.
@@ -206,6 +208,7 @@
             core.health.apply_reported_ejection(
                 replica, left_ms, maybe_restarted=replica in message.maybe_restarted
             )
+        core.apply_limit_reports(message.limits, message.node)
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -132,6 +132,7 @@
                     change.event, subject=change.subject, detail="removal delay is over"
                 )
             core.apply_hold_changes(core.suspects.expire(), core.settings.node)
+            core.expire_rate_limits()
             core.connection_pool.close_expired()
             core.event_log.flush()
 
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -59,6 +59,9 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Shared parts of a prompt that the line of a failed attempt names.
 MAX_LOGGED_PARTS = 8
+MAX_LOGGED_PASSED_OVER = 4
+# Reasons that a short wait does not change, so that the request is refused at once.
+LASTING_REASONS = (NoUpstream.LIMITED,)
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -84,6 +87,8 @@
         self.deadline: Millis = call.received_at
         self.crash_guard: CrashGuard | None = None
         self.plan_version = 0
+        # Upstreams that would have been better but may get no request now, as REPLICA:REASON.
+        self.passed_over: list[str] = []
 
     async def run(self) -> None:
         """Serve the request; respond to a `RequestError`, or abort a response that has begun."""
@@ -220,15 +225,23 @@
                 self.call, self.route, self.service, self.tried_replicas, self.workspace
             )
             if isinstance(found, Choice):
+                self._record_passed_over(found)
                 return found
             if found is NoUpstream.TRIED:
                 # Every usable upstream has been tried; one of them may take the request now.
                 self.tried_replicas.clear()
                 continue
-            if core.clock.now() >= min(until, self.deadline):
+            if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
 
+    def _record_passed_over(self, choice: Choice) -> None:
+        """Count the upstreams that the choice passed over, and keep some for the log."""
+        for item in choice.passed_over:
+            self.core.metrics.increment("passed_over", item.reason.value)
+        names = [f"{item.replica}:{item.reason.value}" for item in choice.passed_over]
+        self.passed_over = [*self.passed_over, *names][:MAX_LOGGED_PASSED_OVER]
+
     def _raise_no_upstream(self, reason: NoUpstream) -> Choice:
         """Raise the error for a request that no upstream can take."""
         if not self.retry_state.cannot_have_run:
@@ -337,6 +350,7 @@
             ms_taken=span,
             sends=self.steps,
             last_event=self.forwarder.resume_after if self.forwarder else None,
+            **({"passed_over": self.passed_over} if self.passed_over else {}),
             **(self.crash_guard.log_fields() if self.crash_guard else {}),
         )
 
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -1,12 +1,14 @@
 """Encode the messages between routers: gossip in datagrams, rows in framed streams."""
 
 import zlib
+from math import isfinite
 
 import msgpack
 import trio
 
 from skylarklift.entry.fleet import GossipMessage
 from skylarklift.entry.prefixes import Placement
+from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import RowChange, RowPage, TableSummary
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId
@@ -16,6 +18,9 @@
 MAX_FRAME_BYTES = 16_777_216
 MAX_ROW_REQUEST_BYTES = 4096
 READ_BYTES = 65536
+# Keys of what was added to gossip messages since the first release of the format.
+ROUTER_COUNT_KEY = "routers"
+LIMITS_KEY = "limits"
 COMPRESSION_LEVEL = 1
 
 
@@ -36,8 +41,13 @@
             message.loads,
             message.ejected,
             message.maybe_restarted,
-            # The place of crash reports, which routers of this format no longer send here.
-            (),
+            # Routers of earlier releases send an empty list here, and ignore what they get.
+            {
+                ROUTER_COUNT_KEY: message.router_count,
+                LIMITS_KEY: [
+                    (report.replica, report.per_second, report.age_ms) for report in message.limits
+                ],
+            },
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
     )
@@ -50,7 +60,8 @@
         if format_number != GOSSIP_FORMAT:
             raise PeerError(f"gossip message has format {format_number}, expected {GOSSIP_FORMAT}")
         node, boot, address, tables, reads_store, leaving, *rest = items
-        loads, ejected, maybe_restarted, _, placements = rest
+        loads, ejected, maybe_restarted, extras, placements = rest
+        extras = extras if isinstance(extras, dict) else {}
         return GossipMessage(
             node=str(node),
             boot=str(boot),
@@ -65,11 +76,28 @@
                 Placement(tuple(str(name) for name in names), ReplicaId(replica))
                 for names, replica in placements
             ),
+            router_count=int(extras.get(ROUTER_COUNT_KEY, 0)),
+            limits=tuple(
+                LimitReport(
+                    ReplicaId(str(replica)),
+                    None if per_second is None else _checked_rate(per_second),
+                    int(age_ms),
+                )
+                for replica, per_second, age_ms in extras.get(LIMITS_KEY, ())
+            ),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
 
 
+def _checked_rate(value: object) -> float:
+    """Return a finite non-negative number; raise `ValueError`."""
+    rate = float(value)
+    if not isfinite(rate) or rate < 0:
+        raise ValueError(f"{value!r} is no rate")
+    return rate
+
+
 def encode_page(page: RowPage) -> bytes:
     """Return rows as a compressed message."""
     rows = [(row.key, row.version, row.data) for row in page.rows]
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -13,10 +13,12 @@
 
 from skylarklift.entry import forwarding
 from skylarklift.entry.cluster_state import ClusterState
-from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget
+from skylarklift.entry.fleet import Fleet
+from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
 from skylarklift.entry.http_connection import HttpConnection
 from skylarklift.entry.model import RoutePlan
 from skylarklift.entry.process import EntryRouter
+from skylarklift.entry.rate_limits import RateLimits
 from skylarklift.entry.retry_state import RetryState
 from skylarklift.entry.row_cache import RowCache
 from skylarklift.entry.rows import TableComparison
@@ -120,6 +122,8 @@
     ],
     "use_evacuated_zones": [Replacement(ClusterState, "usable_members", ClusterState.members_of)],
     "ignore_cold_limit": [Replacement(ColdRequestLimit, "allows", lambda self, *args: True)],
+    "ignore_named_limit": [Replacement(RateLimits, "allows", lambda self, *args: True)],
+    "keep_limits_alone": [Replacement(Fleet, "share", lambda self, key: FleetShare(1, 0))],
     "retry_without_budget": [Replacement(FleetRetryBudget, "try_spend", lambda self, *args: True)],
     "omit_expected_replica": [
         Replacement(
