Count a router that is also a seed once

Callers saw less served than could be: in its first 30 s a router counted the seeds beside the routers at their addresses if it had read these in the store, since only gossip of an unknown router replaced a seed. A fleet of 6 counted 8, so shares of the limits that upstreams name, of cold replicas and of retries were a quarter too small, and some routers of low rank had none. Fleet.add now replaces the seed at the address. The test failed before (5 routers for 3).

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -53,3 +53,14 @@
     And the others go to the other replica, with "upstreams_limited" as the reason
     When the other replica names a limit of 0.5 a second too
     Then a request of the chat finds no upstream, with the reason "upstreams_limited"
+
+  # Guards against a seed that is counted as a router of its own beside the router at its address.
+  Scenario Outline: A seed is the router at its address, found <how>
+    Given a router with the seeds "127.0.0.2:7340,127.0.0.3:7340"
+    When the router "n2" at "127.0.0.2:7340" is found <how>
+    Then the router counts 3 routers
+
+    Examples:
+      | how          |
+      | in the store |
+      | by gossip    |
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -9,6 +9,7 @@
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.rate_limits import LimitReport, RateLimits
 from skylarklift.entry.rows import TableSummary
+from skylarklift.platform.settings_file import parse_endpoint
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
 HERE = Endpoint("127.0.0.2", 1)
@@ -206,3 +207,26 @@
 def finds_no_upstream(context, reason):
     found = choose(context.core, context.call)
     assert isinstance(found, NoUpstream) and found.value == reason, found
+
+
+@given('a router with the seeds "{seeds}"')
+def router_with_seeds(context, seeds):
+    context.fleet = Fleet(ManualClock(0), "n1")
+    for text in seeds.split(","):
+        context.fleet.add_seed(parse_endpoint(text))
+
+
+@when('the router "{node}" at "{address}" is found in the store')
+def found_in_store(context, node, address):
+    context.fleet.add(node, parse_endpoint(address))
+
+
+@when('the router "{node}" at "{address}" is found by gossip')
+def found_by_gossip(context, node, address):
+    message = GossipMessage(node, "b", "", EMPTY_SUMMARIES)
+    context.fleet.record_message(message, parse_endpoint(address))
+
+
+@then("the router counts {count:d} routers")
+def counts_routers(context, count):
+    assert context.fleet.router_count() == count, context.fleet.router_count()
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -46,6 +46,7 @@
 # A router that has heard no other one for this long, and does not read the store, may be cut off.
 MAX_SILENCE_OF_ALL_MS = 1500
 READER_KEY = "reader"
+SEED_PREFIX = "seed-"
 
 
 @dataclass(frozen=True, slots=True)
@@ -112,10 +113,15 @@
         self._in_minority = False
         self._ranks: dict[str, int] = {}
 
+    def add_seed(self, address: Endpoint) -> None:
+        """Add a router of which only the address is known."""
+        self.add(f"{SEED_PREFIX}{address}", address)
+
     def add(self, node: str, address: Endpoint) -> None:
-        """Add a router, or update its address."""
+        """Add a router, or update its address; it takes the place of a seed at its address."""
         if node == self.own_node:
             return
+        self.peers.pop(f"{SEED_PREFIX}{address}", None)
         known = self.peers.get(node)
         if known is None:
             self.peers[node] = Peer(node, address, self._clock.now())
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -55,9 +55,9 @@
         self._last_round_at = Millis(0)
         self._serving_count = 0
         self._encoded_page: tuple[tuple[int, bool, int, str], bytes] = ((0, False, 0, ""), b"")
-        for number, seed in enumerate(core.settings.seeds):
+        for seed in core.settings.seeds:
             if seed != core.settings.peers:
-                core.fleet.add(f"seed-{number}", seed)
+                core.fleet.add_seed(seed)
 
     async def open(self) -> None:
         """Bind the datagram socket."""
@@ -200,9 +200,6 @@
         core = self._core
         if message.node not in core.fleet.peers:
             core.event_log.write("router_discovered", peer=message.node, address=str(address))
-            for node, peer in list(core.fleet.peers.items()):
-                if node.startswith("seed-") and peer.address == address:
-                    core.fleet.remove(node)
         peer = core.fleet.record_message(message, address)
         for replica, left_ms in message.ejected.items():
             core.health.apply_reported_ejection(
