Log the store's era, and count rows that are not applied since they are older

Nothing told a router that drops the rows of a restored store from one that never reads them. The era of an answer is decoded in the one client of the store and passed on with a page; no decision uses it yet.

--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -20,7 +20,7 @@
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings
 from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.rows import RowFormat, RowTable
+from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.ids import ReplicaId
@@ -63,6 +63,7 @@
     rng: random.Random = field(default_factory=random.Random)
     probes: dict[ReplicaId, Probe] = field(default_factory=dict)
     attempts: set["Attempt"] = field(default_factory=set)
+    newest_era: Era = NO_ERA
     stopping_since: Millis | None = None
     requests_open: int = 0
     reading_store: dict[RowTable, bool] = field(
@@ -113,6 +114,12 @@
         for replica in self.chooser.rate_limits.expire():
             self.event_log.write("upstream_limit_expired", subject=replica)
 
+    def note_era(self, era: Era, source: str) -> None:
+        """Log that the store was restored from a copy since its rows were read last."""
+        if era > self.newest_era:
+            self.event_log.write("store_era", era=era, before=self.newest_era, source=source)
+            self.newest_era = era
+
     def report_crash(self, report: CrashReport) -> None:
         """Record a crash that this router saw, and tell the other routers at once."""
         self.apply_hold_changes(self.suspects.record_own_crash(report), self.settings.node)
@@ -153,6 +160,7 @@
         metrics.set_gauge("requests_open", self.requests_open)
         metrics.set_gauge("routers_heard", len(self.fleet.live_peers()))
         metrics.set_gauge("upstreams_known", len(self.cluster_state.upstreams))
+        metrics.set_gauge("store_era", self.newest_era)
         now = self.clock.now()
         metrics.replace_gauges(
             "quarantine_held_ms",
@@ -163,6 +171,8 @@
         )
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         for table in RowTable:
+            cache = self.cluster_state.caches[table]
+            metrics.set_gauge("older_rows", cache.older_rows, table.name.lower())
             metrics.set_gauge("rows_age_ms", self.cluster_state.age_ms(table), table.name.lower())
             metrics.set_gauge("reads_store", int(self.reading_store[table]), table.name.lower())
 
--- a/skylarklift/entry/follower.py
+++ b/skylarklift/entry/follower.py
@@ -71,7 +71,12 @@
                 wait_ms = 0 if self._failing else CHANGES_WAIT_MS
                 page = await self._store.read_changes(table, after, wait_ms)
             except ChangesUnavailable as exc:
-                core.event_log.write("changes_unavailable", table=table.name, detail=str(exc))
+                core.event_log.write(
+                    "changes_unavailable",
+                    table=table.name,
+                    detail=str(exc),
+                    older_rows=core.cluster_state.caches[table].older_rows,
+                )
                 page = await self._store.read_table(table)
         core.reading_store[table] = True
         core.fleet.store_read_at = core.clock.now()
@@ -93,6 +98,7 @@
 
 def apply_page(core: Core, table: RowTable, page: RowPage, source: str, age_ms: int) -> bool:
     """Apply rows to the cluster state and log the changes; return whether there were any."""
+    core.note_era(page.era, source)
     core.cluster_state.confirm_version(table, page.version, age_ms)
     changes = core.cluster_state.apply_page(table, page)
     for change in changes:
--- a/skylarklift/entry/row_cache.py
+++ b/skylarklift/entry/row_cache.py
@@ -22,6 +22,8 @@
         self.version = 0
         self.history_floor = 0
         self.digest = 0
+        # The rows that were not applied since they were older than the known ones.
+        self.older_rows = 0
         self._rows: dict[str, RowChange] = {}
 
     def merge(self, page: RowPage) -> list[RowChange]:
@@ -30,6 +32,9 @@
         Rows that are missing from a complete page become tombstones.
         """
         changed = [row for row in page.rows if self._is_newer(row, page)]
+        self.older_rows += sum(
+            row.version < self._rows[row.key].version for row in page.rows if row.key in self._rows
+        )
         if page.complete:
             page_keys = {row.key for row in page.rows}
             changed += [
--- a/skylarklift/entry/rows.py
+++ b/skylarklift/entry/rows.py
@@ -3,6 +3,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
+from typing import NewType
 
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
 from skylarklift.errors import SkylarkError
@@ -16,6 +17,11 @@
     UPSTREAMS = 1
 
 
+Era = NewType("Era", int)
+# The era of rows whose source names none.
+NO_ERA = Era(0)
+
+
 class InvalidRow(SkylarkError):
     """A row that cannot be decoded; it is skipped and the other rows are still applied."""
 
@@ -37,12 +43,14 @@
 class RowPage:
     """Rows of one table up to a version.
 
-    If `complete` is true, the page holds every row that exists; else only changed rows.
+    If `complete` is true, the page holds every row that exists; else only changed rows.  `era`
+    counts how often the store has been restored from an older copy.
     """
 
     rows: list[RowChange]
     version: int
     complete: bool
+    era: Era = NO_ERA
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/platform/names.py
+++ b/skylarklift/platform/names.py
@@ -14,6 +14,8 @@
 PRIORITY = b"x-request-priority"
 KV_FETCH = b"kv-fetch"
 REQUEST_LIMIT = b"server-limit"
+# In all answers of the store; rises each time the store is restored from a copy.
+STORE_ERA = b"store-era"
 
 # Removed from callers' requests, so that a caller's own value never reaches an upstream.  The
 # router sets some of them itself.
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -3,6 +3,7 @@
 import json
 from base64 import b64decode, b64encode
 from collections.abc import Iterator
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -10,9 +11,11 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.http_connection import HttpConnection, connect
-from skylarklift.entry.model import Endpoint
+from skylarklift.entry.model import Endpoint, Headers
 from skylarklift.entry.rows import (
+    NO_ERA,
     ChangesUnavailable,
+    Era,
     MemberStore,
     RowChange,
     RowPage,
@@ -35,6 +38,15 @@
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreAnswer:
+    """An answer of the store: its status, its era and its JSON body."""
+
+    status: int
+    era: Era
+    value: dict[str, Any]
+
+
 class PlatformStore(RowSource, MemberStore):
     """One router's calls to the store; the change feed of each table has its own connection."""
 
@@ -45,44 +57,50 @@
 
     async def read_table(self, table: RowTable) -> RowPage:
         """Return all rows of a table."""
-        rows, version = await self._read_all(self._row_format.table_name(table))
-        return RowPage(rows, version, complete=True)
+        return await self._read_all(self._row_format.table_name(table))
 
     async def read_changes(self, table: RowTable, after: int, wait_ms: int) -> RowPage:
         """Return the rows changed after a version; raise `ChangesUnavailable`."""
         name = self._row_format.table_name(table)
         query = urlencode({"table": name, "after": after, "wait_ms": wait_ms})
         timeout_ms = wait_ms + HEAD_TIMEOUT_MS
-        status, value = await self._call(f"feed-{name}", "GET", names.ROWS_FEED, query, timeout_ms)
-        if status == names.STATUS_CHANGES_UNAVAILABLE:
+        answer = await self._call(f"feed-{name}", "GET", names.ROWS_FEED, query, timeout_ms)
+        if answer.status == names.STATUS_CHANGES_UNAVAILABLE:
             raise ChangesUnavailable(
                 f"changes of table {name} after version {after} are no longer kept"
             )
-        self._check_status(status)
-        return RowPage(list(_row_changes(value)), int(value["row_version"]), complete=False)
-
-    async def _read_all(self, name: str) -> tuple[list[RowChange], int]:
-        """Return all rows of a table and the version as of which they were read."""
+        self._check_status(answer.status)
+        value = answer.value
+        return RowPage(
+            list(_row_changes(value)), int(value["row_version"]), complete=False, era=answer.era
+        )
+
+    async def _read_all(self, name: str) -> RowPage:
+        """Return all rows of a table; raise `StoreError` if the store is restored meanwhile."""
         found: list[RowChange] = []
         version, start = 0, ""
+        era: Era | None = None
         while True:
             fields = {"table": name, "part": "", "limit": PAGE_ROWS}
             if start:
                 fields["source"] = start
-            status, value = await self._call("read", "GET", names.ROWS_GET, urlencode(fields))
-            self._check_status(status)
+            answer = await self._call("read", "GET", names.ROWS_GET, urlencode(fields))
+            self._check_status(answer.status)
+            if era is not None and era != answer.era:
+                raise StoreError(f"the store was restored while table {name} was read")
+            era, value = answer.era, answer.value
             # All pages get the version of the first one.  Changes made since arrive by the feed.
             version = version or int(value["row_version"])
             page = list(_row_changes(value))
             found += page
             if not value.get("has_more") or not page:
-                return found, version
+                return RowPage(found, version, complete=True, era=era)
             start = page[-1].key + "\0"
 
     async def read_members(self) -> dict[str, str]:
         """Return the peer address of each registered router by its name."""
-        rows, _ = await self._read_all(MEMBER_TABLE)
-        return {row.key: row.data.decode("utf-8", "replace") for row in rows if row.data}
+        page = await self._read_all(MEMBER_TABLE)
+        return {row.key: row.data.decode("utf-8", "replace") for row in page.rows if row.data}
 
     async def write_member(self, node: str, address: str | None) -> None:
         """Write a router's member entry, or remove it."""
@@ -92,8 +110,8 @@
             body["remove"].append(row)
         else:
             body["write"].append({**row, "data": b64encode(address.encode()).decode()})
-        status, _ = await self._call("write", "POST", names.ROWS_TX, "", body=body)
-        self._check_status(status)
+        answer = await self._call("write", "POST", names.ROWS_TX, "", body=body)
+        self._check_status(answer.status)
 
     @staticmethod
     def _check_status(status: int) -> None:
@@ -111,8 +129,8 @@
         query: str,
         timeout_ms: int = HEAD_TIMEOUT_MS,
         body: dict[str, Any] | None = None,
-    ) -> tuple[int, dict[str, Any]]:
-        """Make one call and return status and body; calls of one `channel` share a connection.
+    ) -> StoreAnswer:
+        """Make one call and return its answer; calls of one `channel` share a connection.
 
         Raise `StoreAnswerLost` if there is no complete answer in time.
         """
@@ -129,7 +147,7 @@
                 await conn.send(
                     method.encode(), quote(target, safe="/?&=%-.").encode(), JSON_HEADERS, data
                 )
-                status, _ = await conn.read_head()
+                status, headers = await conn.read_head()
             with trio.fail_after(BODY_TIMEOUT_MS / MS_PER_SECOND):
                 text = await conn.read_all(MAX_RESPONSE_BYTES)
         except (TransportError, trio.TooSlowError) as exc:
@@ -141,7 +159,7 @@
                 else:
                     conn.abort()
         try:
-            return status, json.loads(text) if text else {}
+            return StoreAnswer(status, _parse_era(headers), json.loads(text) if text else {})
         except ValueError as exc:
             raise StoreError(f"{method} {path}: not JSON: {exc}") from exc
 
@@ -152,6 +170,12 @@
         return HttpConnection(stream, str(address))
 
 
+def _parse_era(headers: Headers) -> Era:
+    """Return the era in the header fields of an answer, `NO_ERA` without a valid one."""
+    text = dict(headers).get(names.STORE_ERA, b"")
+    return Era(int(text)) if text.isdigit() else NO_ERA
+
+
 def _row_changes(value: dict[str, Any]) -> Iterator[RowChange]:
     """Yield the rows in the body of an answer."""
     for row in value.get("rows") or ():
