--- a/features/entry_checks.py
+++ b/features/entry_checks.py
@@ -82,8 +82,10 @@
                 if router.core is None or router.core.cluster_state.plan is None:
                     continue
                 state = router.core.cluster_state
-                now = (state.plan.version, state.caches[RowTable.UPSTREAMS].version)
-                before = self._seen_versions.get(router.name, (0, 0))
+                cache = state.caches[RowTable.UPSTREAMS]
+                # Versions order rows only within one era of the store.
+                now = (state.plan.version, (getattr(cache, "era", 0), cache.version))
+                before = self._seen_versions.get(router.name, (0, (0, 0)))
                 if now[0] < before[0] or now[1] < before[1]:
                     self._record_violation(
                         f"{router.name} went back from versions {before} to {now}"
--- a/features/entry_faults.py
+++ b/features/entry_faults.py
@@ -1,5 +1,6 @@
 """The faults that a random run of entry routers injects."""
 
+import json
 import signal
 
 import trio
@@ -7,6 +8,8 @@
 from features.entry_run_state import (
     COLD_S,
     DRAIN_LIMIT_S,
+    HEARTBEAT_S,
+    LAPSE_HEARTBEATS,
     NAMED_LIMITS,
     PACE_MS,
     RECOVERY_S,
@@ -17,6 +20,7 @@
     TimeSpan,
 )
 from features.virtual_world import VirtualRouter
+from standins.rows import StoreCopy
 
 
 class FaultInjection(RunState):
@@ -37,6 +41,7 @@
             self._kill_router,
             self._shut_down_router,
             self._name_limit,
+            self._restore_store,
         ]
         if self._only_faults:
             kinds = [kind for kind in kinds if kind.__name__.strip("_") in self._only_faults]
@@ -107,6 +112,65 @@
         with self._record_fault("store"):
             self.world.store.compact()
 
+    async def _restore_store(self) -> None:
+        """Take the store away for a moment and restore it from a copy that is some seconds old.
+
+        The operator and the replicas write again what was lost, in the new era.
+        """
+        if self._store_outages or self._restoring:
+            return
+        self._restoring = True
+        store = self.world.store
+        copy = self._rng.choice(self._store_copies)
+        endpoints = [endpoint for endpoint, _ in self.world.store_endpoints]
+        with self._record_fault("store"):
+            self._store_outages += 1
+            for endpoint in endpoints:
+                endpoint.faults.reset = True
+            await trio.sleep(self._rng.uniform(0.1, 3.0))
+            known = store.copy()
+            store.restore(copy)
+            self._write_operator_rows_again(known)
+            for endpoint in endpoints:
+                endpoint.faults.reset = False
+            self._end_store_outage(True)
+        await trio.sleep(self._rng.uniform(0.1, HEARTBEAT_S))
+        self._write_draining_again(known)
+        await trio.sleep(LAPSE_HEARTBEATS * HEARTBEAT_S)
+        self._remove_lapsed(known)
+        await trio.sleep(RECOVERY_S)
+        self._restoring = False
+
+    def _write_operator_rows_again(self, known: StoreCopy) -> None:
+        """Let the operator write what it had written: its configuration and zones."""
+        store = self.world.store
+        restored = dict(store.tables.get("op", {}))
+        for key, row in known.tables.get("op", {}).items():
+            if key not in restored or restored[key].data != row.data:
+                store.write("op", key, row.data)
+
+    def _write_draining_again(self, known: StoreCopy) -> None:
+        """Let the replicas that had said that they drain say so again."""
+        for name, row in known.tables["servers"].items():
+            if name in self._draining and name in self.world.replicas and row.data is not None:
+                if json.loads(row.data)["state"] == "draining":
+                    self._write_entry(name, state="draining")
+
+    def _remove_lapsed(self, known: StoreCopy) -> None:
+        """Remove the entries of replicas that have left and renew them no more."""
+        store = self.world.store
+        for name in list(store.tables["servers"]):
+            gone = name not in self.world.replicas or name in self._draining
+            row = known.tables["servers"].get(name)
+            if gone and row is not None and row.data is None:
+                store.write("servers", name, None)
+
+    async def _copy_store(self) -> None:
+        """Copy the store each second; keep the copies of the last seconds."""
+        while True:
+            self._store_copies.append(self.world.store.copy())
+            await trio.sleep(1.0)
+
     async def _drop_datagrams(self) -> None:
         """Drop a random part of all datagrams."""
         with self._record_fault(*(item.name for item in self.world.routers)):
--- a/features/entry_run.py
+++ b/features/entry_run.py
@@ -12,6 +12,7 @@
     DISCONNECT_RATIO,
     ENGINE_PATHS,
     FINAL_FAULT_FREE_S,
+    HEARTBEAT_S,
     PACE_MS,
     PATH_PREFIXES,
     REPLICAS_BY_SERVICE,
@@ -48,6 +49,7 @@
                     async with trio.open_nursery() as background:
                         background.start_soon(self._write_heartbeats)
                         background.start_soon(self._run_operator)
+                        background.start_soon(self._copy_store)
                         background.start_soon(self._inject_faults, nursery)
                 with trio.move_on_after(FINAL_FAULT_FREE_S):
                     await self._write_heartbeats()
@@ -131,7 +133,7 @@
             for name in list(self.world.replicas):
                 if name not in self._reserved and name not in self._draining:
                     self._write_entry(name)
-            await trio.sleep(1.2)
+            await trio.sleep(HEARTBEAT_S)
 
     async def _run_operator(self) -> None:
         """Write configurations and evacuate zones at random."""
--- a/features/entry_run_state.py
+++ b/features/entry_run_state.py
@@ -1,6 +1,6 @@
 """The state of a random run of entry routers, shared by its load, its faults and its checks."""
 
-from collections import Counter, defaultdict
+from collections import Counter, defaultdict, deque
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from random import Random
@@ -10,6 +10,7 @@
 from features.virtual_world import RecordingReplica, VirtualWorld
 from skylarklift.entry.model import Bounds
 from soak.checker import Checker, SentRequest
+from standins.rows import StoreCopy
 
 ROUTER_COUNT = 4
 CALLER_COUNT = 10
@@ -36,6 +37,10 @@
 FINAL_FAULT_FREE_S = 8.0
 CALLER_TIMEOUT_S = 6.0
 MAX_ATTEMPTS = 2
+HEARTBEAT_S = 1.2
+# The store drops an entry that was not renewed for this many heartbeats.
+LAPSE_HEARTBEATS = 3
+KEPT_COPIES = 10
 COLD_WINDOW_S = 1.0
 # These bounds are so tight that the load of a run exceeds them if routers do not enforce them.
 TIGHT_BOUNDS = Bounds(cold_overshoot=1.0, cold_tolerance=1, retry_ratio=0.02, retry_extra=3)
@@ -112,7 +117,9 @@
         # The number of current faults that keep all routers from the store.
         self._store_outages = 0
         self._store_restored = trio.Event()
-        self._seen_versions: dict[str, tuple[int, int]] = {}
+        self._restoring = False
+        self._store_copies: deque[StoreCopy] = deque(maxlen=KEPT_COPIES)
+        self._seen_versions: dict[str, tuple[int, tuple[int, int]]] = {}
         self._last_number = 0
         self._sent_requests: dict[str, SentRequest] = {}
         self._sending = True
--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -20,6 +20,17 @@
       | 1    | 20   |
       | 2    | 20   |
 
+  # Guards against routers that take the rows of a restored store for old ones.
+  Scenario Outline: Routers follow a store that is restored from an older copy, seed <seed>
+    When entry routers run for <span> virtual seconds with seed <seed> and only the faults "<faults>"
+    Then no invariant was violated
+
+    Examples:
+      | seed | span | faults                                     |
+      | 4    | 25   | restore_store                              |
+      | 1    | 25   | restore_store,drain_replica                |
+      | 6    | 25   | restore_store,partition_router,kill_router |
+
   Scenario Outline: Random runs detect the mutation <mutation>
     When entry routers run for <span> s with the mutation "<mutation>" and only the faults "<faults>"
     Then a run violates an invariant with the text "<text>"
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -129,7 +129,10 @@
         return replica
 
     def register_replica(self, name: str, service: str, zone: str = "za", **fields) -> None:
-        """Write a replica's own entry to the store, as its heartbeat does."""
+        """Write a replica's own entry to the store, as its heartbeat does.
+
+        The entry changes only if more than its sequence number does.
+        """
         self._heartbeats += 1
         value = {
             "service": service,
@@ -142,6 +145,10 @@
             "sequence": self._heartbeats,
             **fields,
         }
+        stored = self.store.tables.get("servers", {}).get(name)
+        if stored is not None and stored.data is not None:
+            if {**json.loads(stored.data), "sequence": self._heartbeats} == value:
+                return
         self.store.write("servers", name, json.dumps(value).encode())
 
     def stop_accepting(self, name: str) -> None:
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -39,12 +39,24 @@
     version: int
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """A copy of all rows at a version, from which a store can be restored."""
+
+    tables: dict[str, dict[str, StoredRow]]
+    version: int
+
+
 @dataclass
 class RowStore:
-    """All rows with their versions, and an event that is set at each change."""
+    """All rows with their versions, and an event that is set at each change.
+
+    `era` counts how often the store was restored from a copy.
+    """
 
     tables: dict[str, dict[str, StoredRow]] = field(default_factory=dict)
     version: int = 0
+    era: int = 1
     oldest_version: int = 0
     call_count: int = 0
     changed: trio.Event = field(default_factory=trio.Event)
@@ -57,6 +69,19 @@
         self.changed = trio.Event()
         return self.version
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of all rows."""
+        return StoreCopy({name: dict(rows) for name, rows in self.tables.items()}, self.version)
+
+    def restore(self, copy: StoreCopy) -> None:
+        """Go back to a copy: what was written since is gone, and versions are given out again."""
+        self.tables = {name: dict(rows) for name, rows in copy.tables.items()}
+        self.version = copy.version
+        self.oldest_version = min(self.oldest_version, copy.version)
+        self.era += 1
+        self.changed.set()
+        self.changed = trio.Event()
+
     def compact(self) -> None:
         """Drop the tombstones; changes since older versions can no longer be read."""
         self.oldest_version = self.version
@@ -119,14 +144,18 @@
             return False
         await trio.sleep(faults.slow_ms / MS_PER_SECOND)
         if faults.status:
-            await caller.send_response(faults.status, [], b"")
+            await caller.send_response(faults.status, self._era_headers(), b"")
             return True
         status, value = await self._handle_call(head, body)
         if faults.lose_answers:
             return False
-        await caller.send_response(status, [], json.dumps(value).encode())
+        await caller.send_response(status, self._era_headers(), json.dumps(value).encode())
         return True
 
+    def _era_headers(self) -> list[tuple[bytes, bytes]]:
+        """Return the header field of all answers that names the store's era."""
+        return [(b"store-era", b"%d" % self.store.era)]
+
     async def _handle_call(self, head, body) -> tuple[int, dict]:
         """Execute a call and return its status and answer."""
         parts = urlsplit(unquote(head.target.decode()))
@@ -144,14 +173,15 @@
     async def _feed(self, query) -> tuple[int, dict]:
         """Return the changes after a version, waiting up to `wait_ms` for the first one.
 
-        Return 410 if the version is older than the last compaction.
+        Return 410 if the version is older than the last compaction, or if the store does not
+        have it, since it was restored from an older copy.
         """
         store, table, after = self.store, query["table"], int(query["after"])
         with trio.move_on_after(int(query.get("wait_ms", 0)) / MS_PER_SECOND):
-            while not store.rows(table, after) and after >= store.oldest_version:
+            while not store.rows(table, after) and store.oldest_version <= after <= store.version:
                 await store.changed.wait()
-        if after < store.oldest_version:
-            return 410, {}
+        if not store.oldest_version <= after <= store.version:
+            return 410, {"row_version": store.version}
         return STATUS_OK, {"rows": store.rows(table, after), "row_version": store.version}
 
     def _transact(self, value) -> tuple[int, dict]:
