--- /dev/null
+++ b/features/entry_eras.feature
@@ -0,0 +1,82 @@
+Feature: A store that is restored from an older copy
+
+  Versions of rows go back and are given out again, in a new era.  What the operator and the replicas
+  had written is written again; until then a row of the copy must not undo what routers know.
+
+  # Guards against rows of a restored store that are taken for old ones.
+  Scenario Outline: What is known after a restore: <case>
+    Given a router that knows era 1 at version 50: "<known>"
+    When it reads "<history>"
+    Then it knows "<result>"
+
+    # A row is plan=NUMBER, plan=NUMBER/KEY with another key, out=ZONE, or NAME=STATE/BORN/SEQUENCE.
+    # An item is MS:ERA:VERSION:ROW+ROW for a whole table, MS:ERA:VERSION~ROW for a change, where
+    # -NAME or -out=ZONE is a removal, or MS:later.  All rows of a table have the version of its page.
+    Examples: Configurations
+      | case                                      | known   | history                                | result  |
+      | a newer one in a lower version            | plan=13 | 0:2:20:plan=13 900:2:21~plan=16        | plan=16 |
+      | the copy does not undo a newer one        | plan=13 | 0:2:20:plan=6 9000:later               | plan=13 |
+      | it is written again                       | plan=13 | 0:2:20:plan=6 100:2:21~plan=13         | plan=13 |
+      | it is written again, one after the other  | plan=13 | 0:2:20:plan=6 100:2:21~plan=10 200:2:22~plan=13 9000:later | plan=13 |
+      | numbers are given out again               | plan=13 | 0:2:20:plan=6 100:2:21~plan=9 9000:later  | plan=9  |
+      | a lower number, long after the restore    | plan=13 | 0:2:20:plan=6 9000:2:21~plan=9         | plan=9  |
+      | the same number is given to another one   | plan=13 | 0:2:20:plan=6 100:2:21~plan=13/k2      | plan=13/k2 |
+      | the version is passed before the read     | plan=13 | 0:2:70:plan=16                         | plan=16 |
+      | two restores                              | plan=13 | 0:2:20:plan=6 100:3:10:plan=4 200:3:11~plan=14 | plan=14 |
+      | a page of the old era is late             | plan=13 | 0:2:20:plan=13 10:2:21~plan=14 20:1:60:plan=15 | plan=14 |
+      | a change of the old era is late           | plan=13 | 0:2:20:plan=13 10:2:21~plan=14 20:1:61~plan=15 | plan=14 |
+
+    Examples: Zones
+      | case                                      | known     | history                              | result    |
+      | the copy does not have an evacuation      | plan=1+out=cape-b | 0:2:20:plan=1 100:2:21~out=cape-b 9000:later | plan=1+out=cape-b |
+      | it is not written again                   | plan=1+out=cape-b | 0:2:20:plan=1 9000:later     | plan=1    |
+      | the copy has an evacuation that has ended | plan=1    | 0:2:20:plan=1+out=cape-b 100:2:21~-out=cape-b 9000:later | plan=1 |
+      | an evacuation ordered after the restore   | plan=1    | 0:2:20:plan=1 100:2:21~out=cape-b    | plan=1+out=cape-b |
+      | an evacuation ordered before the read     | plan=1    | 0:2:20:plan=1+out=cape-b             | plan=1+out=cape-b |
+
+    Examples: Upstreams
+      | case                                      | known           | history                        | result          |
+      | an entry that drains, in a lower version  | r1=ready/5/1    | 0:2:20:r1=ready/5/1 900:2:21~r1=draining/5/9 | r1=draining/5/9 |
+      | the copy does not undo a drain            | r1=draining/5/9 | 0:2:20:r1=ready/5/1 100:2:21~r1=draining/5/10 9000:later | r1=draining/5/10 |
+      | a removed one does not come back          | r1=ready/5/1+-r2=ready/5/7 | 0:2:20:r1=ready/5/1+r2=ready/5/2 3600:2:21~-r2 9000:later | r1=ready/5/1 |
+      | a removed one that runs again             | r1=ready/5/1+-r2=ready/5/7 | 0:2:20:r1=ready/5/1 100:2:21~r2=ready/8/1 | r1=ready/5/1+r2=ready/8/1 |
+      | one that the copy lacks                   | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1 1900:2:21~r2=ready/5/4 9000:later | r1=ready/5/1+r2=ready/5/4 |
+      | one that the copy lacks and that is gone  | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1 2300:2:21~r1=ready/5/3 | r1=ready/5/3 |
+      | a removal in the new era                  | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1+r2=ready/5/2 7000:2:21~-r2 | r1=ready/5/1 |
+
+  # Guards against a router that was cut off and brings an old era back.
+  Scenario Outline: Routers of different eras agree on the newer one: <case>
+    Given a router that knows era 1 at version 50: "plan=13"
+    And another router that knows era 2 at version <version>: "plan=14"
+    When each hears the other's summary and fetches what it lacks
+    Then both know "plan=14" in era 2
+    And the router of era 1 does not read the store for that of era 2
+
+    Examples:
+      | case                       | version |
+      | its version is smaller     | 20      |
+      | its version is the same    | 50      |
+      | its version is larger      | 90      |
+
+  # Guards against changes that are asked for by a version that the store has given out again.
+  Scenario: Changes are not read across a restore
+    Given a store with 3 rows, and its client
+    When the store is restored from a copy of 1 row, and 4 other rows are written
+    Then changes after version 3 of era 1 are unavailable
+    And the whole table is read as of era 2
+
+  # Guards against a router that the others do not find since the store has lost its entry.
+  Scenario: A router registers again after a restore
+    Given a store, two replicas of each service, and a router
+    And the store is restored from a copy without the router's entry
+    Then within 4000 ms the store has the router's entry again
+    And within 2000 ms a new configuration is in force
+
+  Scenario Outline: Messages of earlier releases name no era, and are refused where an era is known
+    When <message> without eras is decoded
+    Then its era is 0
+
+    Examples:
+      | message          |
+      | gossip           |
+      | a page of rows   |
--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -47,6 +47,7 @@
       | ignore_cold_limit      | 10   | none   | requests per second while cold            |
       | ignore_named_limit     | 20   | name_limit | for a limit of                        |
       | keep_limits_alone      | 20   | name_limit | for a limit of                        |
+      | ignore_eras            | 25   | restore_store | newest configuration               |
       | retry_without_budget   | 10   | corrupt_responses | retries at                                |
       | omit_expected_replica  | 10   | none   | without x-expect-replica naming it        |
       | ignore_disconnects     | 10   | none   | callers that had disconnected             |
--- a/features/model.feature
+++ b/features/model.feature
@@ -26,6 +26,8 @@
     Examples:
       | system                   | depth |
       | rows                     | 6     |
+      | rows of a restored store | 7     |
+      | a named limit            | 7     |
       | an idempotent request    | 8     |
       | a non-idempotent request | 8     |
       | a resumable stream       | 8     |
@@ -40,6 +42,8 @@
       | mutation                  | system                   | depth |
       | apply_older_rows      | rows                     | 6     |
       | apply_removed_rows    | rows                     | 6     |
+      | accept_old_era        | rows of a restored store | 7     |
+      | ignore_named_limit    | a named limit            | 8     |
       | compare_only_versions | rows                     | 7     |
       | retry_everything      | a non-idempotent request | 6     |
       | retry_any_failure     | a non-resumable stream   | 6     |
--- /dev/null
+++ b/features/steps/entry_eras.py
@@ -0,0 +1,283 @@
+"""Steps for a store that is restored from an older copy."""
+
+import time
+
+import msgpack
+import trio
+from behave import given, then, when
+
+from features.entry_fixtures import new_core, plan_data, upstream_data
+from features.steps.entry_fleet import MAX_READER_AGE_MS
+from features.world_thread import send_request
+from skylarklift.clock import ManualClock
+from skylarklift.entry.fleet import GossipMessage
+from skylarklift.entry.follower import apply_page, rows_for_request
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.rows import (
+    NO_ERA,
+    ChangesUnavailable,
+    RowChange,
+    RowPage,
+    RowTable,
+    TableComparison,
+    TableSummary,
+)
+from skylarklift.entry.wire import decode_gossip, decode_page, encode_gossip, encode_page
+from skylarklift.platform.rows import PlatformRowFormat
+from skylarklift.platform.store import MEMBER_TABLE, PlatformStore
+from standins.entry_world import HOST
+from standins.rows import RowStore, StoreEndpoint
+
+HERE = Endpoint("127.0.0.2", 1)
+KNOWN_VERSION = 50
+
+
+def parse_row(text):
+    """Return the table, key and data of a row, without data for a removal."""
+    removed = text.startswith("-")
+    name, _, value = text.lstrip("-").partition("=")
+    if name == "plan":
+        number, _, key = value.partition("/")
+        return RowTable.OPERATOR, "config", plan_data(int(number), keys=(key or "k1",))
+    if name == "out":
+        return RowTable.OPERATOR, f"evacuate/{value}", None if removed else b"{}"
+    if removed and not value:
+        return RowTable.UPSTREAMS, name, None
+    state, born, sequence = value.split("/")
+    data = upstream_data(
+        port=9000 + int(name[1:]), state=state, born=int(born), sequence=int(sequence)
+    )
+    return RowTable.UPSTREAMS, name, data
+
+
+def apply_text(core, era, version, text, complete):
+    """Apply rows given as text, of which all are in one table."""
+    rows = [parse_row(item) for item in text.split("+") if item]
+    changes = [RowChange(key, version, data) for _, key, data in rows]
+    apply_page(core, rows[0][0], RowPage(changes, version, complete, era), "test", 0)
+
+
+def core_that_knows(clock, era, version, text):
+    """Return a core with rows given as text; `-NAME=...` is an entry that was removed."""
+    core = new_core(clock)
+    items = text.split("+")
+    kept = [item for item in items if not item.startswith("-")]
+    all_rows = "+".join(item.lstrip("-") for item in items)
+    apply_text(core, era, version - 1, all_rows, complete=True)
+    for item in items:
+        if item not in kept:
+            apply_text(core, era, version, item.partition("=")[0], complete=False)
+    for table in RowTable:
+        core.cluster_state.confirm_version(table, version, 0, era)
+    return core
+
+
+@given('a router that knows era {era:d} at version {version:d}: "{text}"')
+def router_knows(context, era, version, text):
+    context.clock = ManualClock(100_000)
+    context.core = core_that_knows(context.clock, era, version, text)
+
+
+@when('it reads "{history}"')
+def reads_history(context, history):
+    start = context.clock.now()
+    for item in history.split():
+        at, _, rest = item.partition(":")
+        while context.clock.now() < start + int(at):
+            context.clock.advance(min(100, start + int(at) - context.clock.now()))
+            apply_due(context.core)
+        if rest == "later":
+            continue
+        era, rest = rest.split(":", 1)
+        complete = "~" not in rest
+        version, rows = rest.split(":" if complete else "~", 1)
+        apply_text(context.core, int(era), int(version), rows, complete)
+        confirm(context.core, int(era))
+
+
+def apply_due(core):
+    """Do what a router's maintenance does."""
+    confirm(core, core.cluster_state.caches[RowTable.UPSTREAMS].era)
+    core.record_state_changes(core.cluster_state.apply_delayed_removals(), "test")
+    core.record_state_changes(core.cluster_state.apply_settled_rows(), "test")
+
+
+def confirm(core, era):
+    """Let the store confirm both tables."""
+    for table in RowTable:
+        version = core.cluster_state.caches[table].version
+        core.cluster_state.confirm_version(table, version, 0, era)
+
+
+def describe(core):
+    """Return what a router knows, in the form of the tables."""
+    state = core.cluster_state
+    parts = []
+    if state.plan is not None:
+        (key,) = state.plan.workspaces
+        parts.append(f"plan={state.plan.version}" + (f"/{key}" if key != "k1" else ""))
+    parts += [f"out={zone}" for zone in sorted(state.evacuated_zones)]
+    for name, item in sorted(state.upstreams.items()):
+        word = "draining" if item.draining else "ready"
+        parts.append(f"{name}={word}/{item.record.started_ms}/{item.record.sequence}")
+    return "+".join(parts)
+
+
+@then('it knows "{result}"')
+def knows(context, result):
+    assert describe(context.core) == result, describe(context.core)
+
+
+@given('another router that knows era {era:d} at version {version:d}: "{text}"')
+def other_knows(context, era, version, text):
+    context.other = core_that_knows(context.clock, era, version, text)
+
+
+def sync(receiver, sender):
+    """Let a router hear another one's gossip and fetch the rows that it lacks."""
+    summaries = tuple(sender.cluster_state.summarize(table) for table in RowTable)
+    message = GossipMessage("n2", "b", "", summaries, reads_store=True)
+    message = decode_gossip(encode_gossip(message))
+    receiver.fleet.record_message(message, HERE)
+    for table, summary in zip(RowTable, message.tables, strict=True):
+        cache = receiver.cluster_state.caches[table]
+        comparison = cache.compare(summary)
+        if comparison is TableComparison.SAME:
+            receiver.cluster_state.confirm_version(table, summary.version, 0, summary.era)
+        elif comparison is not TableComparison.NOTHING_NEW:
+            after = -1 if comparison is TableComparison.ROWS_DIFFER else cache.version
+            request = msgpack.packb((table.value, after, cache.era))
+            page = decode_page(rows_for_request(sender, request))
+            apply_page(receiver, table, page, "n2", 0)
+
+
+@when("each hears the other's summary and fetches what it lacks")
+def both_sync(context):
+    eras = tuple(context.other.cluster_state.caches[table].era for table in RowTable)
+    sync(context.other, context.core)
+    limits = (MAX_READER_AGE_MS,) * len(RowTable)
+    context.old_reads_for_new = context.other.fleet.peer_reads_store(limits, eras)
+    sync(context.core, context.other)
+
+
+@then('both know "{result}" in era {era:d}')
+def both_know(context, result, era):
+    for core in (context.core, context.other):
+        assert describe(core) == result, describe(core)
+        assert core.cluster_state.caches[RowTable.OPERATOR].era == era
+
+
+@then("the router of era 1 does not read the store for that of era 2")
+def old_does_not_read(context):
+    assert not context.old_reads_for_new
+
+
+@given("a store with {count:d} rows, and its client")
+def store_with_rows(context, count):
+    context.store = RowStore()
+    for number in range(count):
+        context.store.write("servers", f"r{number}", b"{}")
+        if not number:
+            context.copy = context.store.copy()
+
+
+@when("the store is restored from a copy of 1 row, and {count:d} other rows are written")
+def restore_and_write(context, count):
+    context.store.restore(context.copy)
+    for number in range(count):
+        context.store.write("servers", f"s{number}", b"{}")
+
+
+def call_store(context, method, *args):
+    """Return what a call of the store's client returns, or that the changes are unavailable."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            endpoint = StoreEndpoint(context.store)
+            listeners = await trio.open_tcp_listeners(0, host=HOST)
+            nursery.start_soon(trio.serve_listeners, endpoint.serve, listeners)
+            address = Endpoint(HOST, listeners[0].socket.getsockname()[1])
+            client = PlatformStore(address, PlatformRowFormat())
+            try:
+                return await getattr(client, method)(*args)
+            except ChangesUnavailable as exc:
+                return exc
+            finally:
+                nursery.cancel_scope.cancel()
+
+    return trio.run(run)
+
+
+@then("changes after version {after:d} of era {era:d} are unavailable")
+def changes_unavailable(context, after, era):
+    found = call_store(context, "read_changes", RowTable.UPSTREAMS, after, 0, era)
+    assert isinstance(found, ChangesUnavailable), found
+
+
+@then("the whole table is read as of era {era:d}")
+def whole_table(context, era):
+    page = call_store(context, "read_table", RowTable.UPSTREAMS)
+    assert page.era == era and page.complete and len(page.rows) == 5, page
+
+
+@given("the store is restored from a copy without the router's entry")
+def restore_without_entry(context):
+    def restore():
+        store = context.world.store
+        copy = store.copy()
+        copy.tables[MEMBER_TABLE].clear()
+        store.restore(copy)
+
+    deadline = time.monotonic() + 5
+    while not registered(context) and time.monotonic() < deadline:
+        time.sleep(0.05)
+    context.thread.run_sync(restore)
+    assert not registered(context)
+
+
+def registered(context):
+    """Return whether the store has the entry of a router."""
+    rows = context.world.store.tables.get(MEMBER_TABLE, {})
+    return any(row.data is not None for row in rows.values())
+
+
+@then("within {span:d} ms the store has the router's entry again")
+def has_entry_again(context, span):
+    deadline = time.monotonic() + span / 1000
+    while not registered(context):
+        assert time.monotonic() < deadline, "no entry"
+        time.sleep(0.05)
+
+
+@then("within {span:d} ms a new configuration is in force")
+def new_configuration(context, span):
+    def replace_key():
+        context.world.keys[:] = ["key-2"]
+        context.world.write_plan()
+
+    context.thread.run_sync(replace_key)
+    deadline = time.monotonic() + span / 1000
+    while send_request(context, "/check/a", key="key-2").status != 200:
+        assert time.monotonic() < deadline, "not in force"
+        time.sleep(0.05)
+
+
+@when("gossip without eras is decoded")
+def gossip_without_eras(context):
+    message = GossipMessage("n2", "b", "", (TableSummary(5, 5, 0, 10),) * len(RowTable))
+    number, *items = msgpack.unpackb(encode_gossip(message))
+    # The place of what was added since, which earlier releases leave empty.
+    items[9] = ()
+    (era,) = {item.era for item in decode_gossip(msgpack.packb([number, *items])).tables}
+    context.era = era
+
+
+@when("a page of rows without eras is decoded")
+def page_without_era(context):
+    page = RowPage([RowChange("r1", 5, b"{}")], 5, complete=True, era=3)
+    context.era = decode_page(encode_page(page, with_era=False)).era
+
+
+@then("its era is 0")
+def era_is_none(context):
+    assert context.era == NO_ERA, context.era
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -12,7 +12,7 @@
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.fleet import Fleet, GossipMessage
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rows import RowTable, TableSummary
+from skylarklift.entry.rows import NO_ERA, RowTable, TableSummary
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
 from skylarklift.errors import ResponseBroken
 from skylarklift.upstreams.events import EventSplitter
@@ -61,8 +61,10 @@
 
 def readers(context):
     """Return the routers that read the store themselves, since no peer does it for them."""
-    limits = (MAX_READER_AGE_MS, MAX_READER_AGE_MS)
-    return [name for name, fleet in context.fleets.items() if not fleet.peer_reads_store(limits)]
+    limits, eras = (MAX_READER_AGE_MS, MAX_READER_AGE_MS), (NO_ERA, NO_ERA)
+    return [
+        name for name, fleet in context.fleets.items() if not fleet.peer_reads_store(limits, eras)
+    ]
 
 
 @when("all messages arrive")
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -2,7 +2,8 @@
 
 The state is built from rows of the platform's store, read by this router or received from
 another one.  A row is applied only if its version is newer than the known one, so the state
-never goes back to an older version.
+never goes back to an older version.  Versions order rows only within one era of the store; when
+it was restored from a copy, what its writers count themselves shows which row is older.
 """
 
 from collections.abc import Mapping
@@ -10,10 +11,14 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
+from skylarklift.entry.restored_rows import DecodedRow, DepartedUpstreams, RestoredRows
 from skylarklift.entry.row_cache import RowCache
 from skylarklift.entry.rows import (
+    NO_ERA,
+    Era,
     EvacuationRow,
     InvalidRow,
+    RowChange,
     RowFormat,
     RowPage,
     RowTable,
@@ -67,6 +72,11 @@
         self._members: dict[ServiceId, dict[ReplicaId, Upstream]] = {}
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
+        self._restored = RestoredRows(clock)
+        self._departed = DepartedUpstreams()
+        # The era in which the configuration was seen last, and the version of its first page.
+        self._plan_era = NO_ERA
+        self._first_plan_version = 0
         # Per table, the version of the last row that changed the state; a heartbeat, which
         # only renews an entry, does not count.
         self.last_change_version = dict.fromkeys(RowTable, 0)
@@ -77,12 +87,19 @@
         """Return whether both tables have been read."""
         return self.plan is not None and self.caches[RowTable.UPSTREAMS].version > 0
 
-    def confirm_version(self, table: RowTable, version: int, age_ms: int = 0) -> None:
+    def confirm_version(
+        self, table: RowTable, version: int, age_ms: int = 0, era: Era = NO_ERA
+    ) -> None:
         """Record that all changes up to `version` are known, confirmed by the store `age_ms` ago.
 
         If the list of upstreams was unconfirmed for long before that, delay removals for a while.
+        What is said of an older era confirms nothing.
         """
-        self.caches[table].version = max(self.caches[table].version, version)
+        cache = self.caches[table]
+        if era < cache.era:
+            return
+        if era == cache.era:
+            cache.version = max(cache.version, version)
         confirmed_at = Millis(self._clock.now() - age_ms)
         last_confirmed_at = self._confirmed_at[table]
         if (
@@ -98,7 +115,11 @@
         """Return the summary of a table that is sent to the other routers."""
         cache = self.caches[table]
         return TableSummary(
-            cache.version, self.last_change_version[table], cache.digest, self.age_ms(table)
+            cache.version,
+            self.last_change_version[table],
+            cache.digest,
+            self.age_ms(table),
+            cache.era,
         )
 
     def age_ms(self, table: RowTable) -> int:
@@ -110,33 +131,108 @@
         """Merge a page of rows into the state and return the changes."""
         changes: list[StateChange] = []
         cache = self.caches[table]
+        # Without rows of an earlier era there is nothing that a copy could be older than.
+        restored = page.complete and page.era > cache.era and cache.version > 0
+        if restored:
+            self._start_era(table, page)
         for row in cache.merge(page):
-            try:
-                decoded = self._format.decode(table, row.key, row.data)
-            except InvalidRow as exc:
-                changes.append(StateChange("row_invalid", row.key, row.version, str(exc)))
-                if table is RowTable.UPSTREAMS:
-                    # An invalid entry replaces an earlier valid one: the replica is no longer used.
-                    decoded = UpstreamRow(ReplicaId(row.key), None)
+            decoded = self._decode(table, row, changes)
+            if decoded is not None:
+                self._restored.release(table, row.key)
+                if self._may_be_outdated(decoded, first_page=restored):
+                    self._restored.hold(table, row.key, decoded, row.version)
+                    changes.append(StateChange("restored_row_held", row.key, row.version))
                 else:
-                    continue
-            match decoded:
-                case RoutePlan():
-                    changes += self._apply_plan(decoded, row.version)
-                case EvacuationRow():
-                    changes += self._apply_evacuation(decoded, row.version)
-                case UpstreamRow():
-                    changes += self._apply_upstream(decoded, row.version)
+                    changes += self._apply_row(decoded, row.version)
             if changes:
                 self.last_change_version[table] = max(self.last_change_version[table], row.version)
         cache.prune_tombstones(MAX_TOMBSTONES)
         return changes
 
+    def _start_era(self, table: RowTable, page: RowPage) -> None:
+        """Prepare for the first rows of a store that was restored from a copy."""
+        self._restored.start_era(table)
+        self.last_change_version[table] = page.version
+        if table is RowTable.OPERATOR:
+            self._first_plan_version = page.version
+        else:
+            until = Millis(self._clock.now() + REMOVAL_DELAY_MS)
+            self._removal_delay_until = max(self._removal_delay_until, until)
+
+    def _decode(
+        self, table: RowTable, row: RowChange, changes: list[StateChange]
+    ) -> DecodedRow | None:
+        """Return a decoded row, `None` if it is not used; add a change if it is invalid."""
+        try:
+            return self._format.decode(table, row.key, row.data)
+        except InvalidRow as exc:
+            changes.append(StateChange("row_invalid", row.key, row.version, str(exc)))
+        if table is RowTable.UPSTREAMS:
+            # An invalid entry replaces an earlier valid one: the replica is no longer used.
+            return UpstreamRow(ReplicaId(row.key), None)
+        return None
+
+    def _apply_row(self, row: DecodedRow, version: int) -> list[StateChange]:
+        """Apply a decoded row."""
+        match row:
+            case RoutePlan():
+                return self._apply_plan(row, version)
+            case EvacuationRow():
+                return self._apply_evacuation(row, version)
+            case UpstreamRow():
+                return self._apply_upstream(row, version)
+
+    def _may_be_outdated(self, row: DecodedRow, *, first_page: bool) -> bool:
+        """Return whether a row of a restored store may be older than what is known.
+
+        In the first page of an era, rows of the copy cannot be told from those written since.
+        """
+        match row:
+            case RoutePlan():
+                known = self.plan
+                settling = first_page or self._restored.is_settling(RowTable.OPERATOR)
+                return settling and known is not None and row.version < known.version
+            case EvacuationRow():
+                # That a zone gets nothing is right in any case; an order of the copy ends soon.
+                return first_page and not row.active
+            case UpstreamRow(record=None):
+                return False
+            case UpstreamRow():
+                upstream = self.upstreams.get(row.replica)
+                last = upstream.record if upstream else self._departed.last_entry(row.replica)
+                return first_page and last is not None and not last.is_older_than(row.record)
+
+    def apply_settled_rows(self) -> list[StateChange]:
+        """Apply the rows that were held back after the store was restored, once that has settled.
+
+        A configuration of the copy stays unused: the known one has been accepted later.
+        """
+        changes: list[StateChange] = []
+        for held in self._restored.take_due():
+            if not isinstance(held.row, RoutePlan) or held.version > self._first_plan_version:
+                changes += self._apply_row(held.row, held.version)
+        return changes
+
+    def _is_newer_plan(self, plan: RoutePlan, known: RoutePlan) -> bool:
+        """Return whether a configuration was accepted after the known one.
+
+        After a restore its number may be given out again, and be lower than the known one.
+        """
+        if plan.version > known.version:
+            return True
+        if self.caches[RowTable.OPERATOR].era <= self._plan_era or plan == known:
+            return False
+        return plan.version == known.version or not self._restored.is_settling(RowTable.OPERATOR)
+
     def _apply_plan(self, plan: RoutePlan, version: int) -> list[StateChange]:
         """Use a configuration from now on, unless the current one is at least as new."""
-        if self.plan is not None and plan.version <= self.plan.version:
+        era = self.caches[RowTable.OPERATOR].era
+        known = self.plan
+        if known is not None and not self._is_newer_plan(plan, known):
+            if plan == known:
+                self._plan_era = era
             return [StateChange("stale_plan_ignored", str(plan.version), version)]
-        self.plan = plan
+        self.plan, self._plan_era = plan, era
         detail = f"{plan.route_count} routes, {len(plan.workspaces)} keys"
         return [StateChange("plan", str(plan.version), version, detail)]
 
@@ -197,7 +293,8 @@
         Return the log event for the change, or an empty string for a mere heartbeat.
         """
         event = ""
-        if replace(record, cold_ms=upstream.record.cold_ms) != upstream.record:
+        known = upstream.record
+        if replace(record, cold_ms=known.cold_ms, sequence=known.sequence) != known:
             event = "upstream_changed"
         if record.cold_ms > 0 and upstream.cold_until <= self._clock.now():
             event = "upstream_cold"
@@ -233,7 +330,7 @@
 
     def _remove_upstream(self, replica: ReplicaId, version: int) -> list[StateChange]:
         """Remove a replica at once."""
-        del self.upstreams[replica]
+        self._departed.add(self.upstreams.pop(replica).record)
         self._delayed_removals.pop(replica, None)
         self._members.clear()
         return [StateChange(UPSTREAM_REMOVED, replica, version)]
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -9,7 +9,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.choose import Chooser
-from skylarklift.entry.cluster_state import ClusterState
+from skylarklift.entry.cluster_state import UPSTREAM_REMOVED, ClusterState, StateChange
 from skylarklift.entry.connection_pool import ConnectionPool
 from skylarklift.entry.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.event_log import EventLog
@@ -23,6 +23,7 @@
 from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
+from skylarklift.entry.wire import PageEncoder
 from skylarklift.ids import ReplicaId
 
 if TYPE_CHECKING:
@@ -45,6 +46,7 @@
     `attempts` are the requests that have been sent to upstreams and not ended.
     `state_changed` is set when a change is to be sent to the other routers at once, and
     `crash_reported` when this router or another one has reported the crash of an upstream.
+    `store_restored` is set when the store has lost what was written to it last.
     """
 
     settings: NodeSettings
@@ -71,6 +73,26 @@
     )
     state_changed: trio.Event = field(default_factory=trio.Event)
     crash_reported: trio.Event = field(default_factory=trio.Event)
+    store_restored: trio.Event = field(default_factory=trio.Event)
+    page_encoder: PageEncoder = field(default_factory=PageEncoder)
+
+    def record_state_changes(
+        self, changes: list[StateChange], source: str, age_ms: int = 0
+    ) -> None:
+        """Log changes of the cluster state, and tell the other routers at once."""
+        for change in changes:
+            if change.event == UPSTREAM_REMOVED:
+                self.forget_upstream(ReplicaId(change.subject))
+            self.event_log.write(
+                change.event,
+                subject=change.subject,
+                version=change.version,
+                detail=change.detail,
+                source=source,
+                age_ms=age_ms,
+            )
+        if changes:
+            self.state_changed.set()
 
     def forget_upstream(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
@@ -118,6 +140,8 @@
         """Log that the store was restored from a copy since its rows were read last."""
         if era > self.newest_era:
             self.event_log.write("store_era", era=era, before=self.newest_era, source=source)
+            if self.newest_era != NO_ERA:
+                self.store_restored.set()
             self.newest_era = era
 
     def report_crash(self, report: CrashReport) -> None:
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -9,7 +9,7 @@
 from skylarklift.entry.peer_loads import PeerLoads
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.rows import TableSummary
+from skylarklift.entry.rows import Era, TableSummary
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
 
@@ -238,18 +238,19 @@
             if peer.received_at is not None and peer.received_at > limit
         ]
 
-    def peer_reads_store(self, age_limits: tuple[int, ...]) -> bool:
+    def peer_reads_store(self, age_limits: tuple[int, ...], eras: tuple[Era, ...]) -> bool:
         """Return whether another router with fresh tables reads the store for this one.
 
-        The tables are fresh if their ages do not exceed `age_limits`.  Of two routers that read
+        The tables are fresh if their ages do not exceed `age_limits`, and they are of no older
+        era than this router's, `eras`.  Of two routers that read
         the store, the one with the lower rendezvous weight stops.
         """
         own = rendezvous_weight(READER_KEY, self.own_node)
         for peer in self.live_peers():
             message = peer.last_message
             fresh = all(
-                summary.age_ms <= limit
-                for summary, limit in zip(message.tables, age_limits, strict=False)
+                summary.age_ms <= limit and summary.era >= era
+                for summary, limit, era in zip(message.tables, age_limits, eras, strict=False)
             )
             if message.reads_store and fresh and rendezvous_weight(READER_KEY, peer.node) > own:
                 return True
--- a/skylarklift/entry/follower.py
+++ b/skylarklift/entry/follower.py
@@ -4,14 +4,20 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.cluster_state import UPSTREAM_REMOVED
 from skylarklift.entry.core import Core
 from skylarklift.entry.http_connection import connect
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rows import ChangesUnavailable, RowPage, RowSource, RowTable
+from skylarklift.entry.rows import (
+    NO_ERA,
+    ChangesUnavailable,
+    Era,
+    RowPage,
+    RowSource,
+    RowTable,
+    TableSummary,
+)
 from skylarklift.entry.wire import MAX_FRAME_BYTES, decode_page, receive_frame, send_frame
 from skylarklift.errors import PeerError, StoreError, TransportError
-from skylarklift.ids import ReplicaId
 
 # The store answers a read of changes as soon as there is one, or without any after this long.  If
 # it does not answer soon after that, it counts as unavailable.
@@ -43,7 +49,7 @@
         core = self._core
         while True:
             if core.cluster_state.caches[self._table].version and core.fleet.peer_reads_store(
-                self._age_limits_ms()
+                self._age_limits_ms(), self._eras()
             ):
                 core.reading_store[self._table] = False
                 await trio.sleep(STANDBY_CHECK_INTERVAL_MS / MS_PER_SECOND)
@@ -60,6 +66,10 @@
         """Return, per table, the greatest age at which a peer's copy is fresh enough."""
         return (MAX_TABLE_AGE_MS,) * len(RowTable)
 
+    def _eras(self) -> tuple[Era, ...]:
+        """Return, per table, the era of this router's copy."""
+        return tuple(self._core.cluster_state.caches[table].era for table in RowTable)
+
     async def _read_store(self) -> None:
         """Read the table or its changes from the store once and apply them."""
         core, table = self._core, self._table
@@ -69,7 +79,8 @@
         else:
             try:
                 wait_ms = 0 if self._failing else CHANGES_WAIT_MS
-                page = await self._store.read_changes(table, after, wait_ms)
+                era = core.cluster_state.caches[table].era
+                page = await self._store.read_changes(table, after, wait_ms, era)
             except ChangesUnavailable as exc:
                 core.event_log.write(
                     "changes_unavailable",
@@ -78,6 +89,9 @@
                     older_rows=core.cluster_state.caches[table].older_rows,
                 )
                 page = await self._store.read_table(table)
+        known_era = core.cluster_state.caches[table].era
+        if page.era < known_era:
+            raise StoreError(f"the store went back from era {known_era} to {page.era}")
         core.reading_store[table] = True
         core.fleet.store_read_at = core.clock.now()
         if self._failing:
@@ -99,47 +113,39 @@
 def apply_page(core: Core, table: RowTable, page: RowPage, source: str, age_ms: int) -> bool:
     """Apply rows to the cluster state and log the changes; return whether there were any."""
     core.note_era(page.era, source)
-    core.cluster_state.confirm_version(table, page.version, age_ms)
+    core.cluster_state.confirm_version(table, page.version, age_ms, page.era)
     changes = core.cluster_state.apply_page(table, page)
-    for change in changes:
-        if change.event == UPSTREAM_REMOVED:
-            core.forget_upstream(ReplicaId(change.subject))
-        core.event_log.write(
-            change.event,
-            subject=change.subject,
-            version=change.version,
-            detail=change.detail,
-            source=source,
-            age_ms=age_ms,
-        )
-    if changes:
-        core.state_changed.set()
+    core.record_state_changes(changes, source, age_ms)
     return bool(changes)
 
 
 async def fetch_rows(
-    core: Core, table: RowTable, address: Endpoint, age_ms: int, *, complete: bool = False
+    core: Core, table: RowTable, address: Endpoint, summary: TableSummary, *, complete: bool = False
 ) -> None:
-    """Fetch the rows that another router has and this one lacks, and apply them.
+    """Fetch the rows that another router has by its summary and this one lacks, and apply them.
 
     With `complete`, fetch all rows, since the two routers disagree on which rows exist.
     """
+    cache = core.cluster_state.caches[table]
     try:
         with trio.fail_after(PEER_TIMEOUT_MS / MS_PER_SECOND):
-            after = ALL_ROWS if complete else core.cluster_state.caches[table].version
-            page = await _request_rows(table, address, after)
+            after = ALL_ROWS if complete else cache.version
+            # Routers of earlier releases know no eras, and refuse requests that name one.
+            era = None if summary.era == NO_ERA else cache.era
+            page = await _request_rows(table, address, after, era)
     except (TransportError, PeerError, OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
         core.metrics.increment("peer_errors")
         core.event_log.write("rows_fetch_failed", peer=str(address), cause=repr(exc))
         return
-    apply_page(core, table, page, str(address), age_ms)
+    apply_page(core, table, page, str(address), summary.age_ms)
 
 
-async def _request_rows(table: RowTable, address: Endpoint, after: int) -> RowPage:
-    """Request the rows changed after a version from another router."""
+async def _request_rows(table: RowTable, address: Endpoint, after: int, era: Era | None) -> RowPage:
+    """Request the rows changed after a version of an era from another router."""
     stream = await connect(address.host, address.port, PEER_TIMEOUT_MS)
     try:
-        await send_frame(stream, msgpack.packb((table.value, after)))
+        request = (table.value, after) if era is None else (table.value, after, era)
+        await send_frame(stream, msgpack.packb(request))
         body = await receive_frame(stream, MAX_FRAME_BYTES)
     finally:
         stream.socket.close()
@@ -148,14 +154,17 @@
     return decode_page(body)
 
 
-def rows_for_request(core: Core, body: bytes) -> RowPage:
-    """Return the rows that another router requests; raise `PeerError`."""
+def rows_for_request(core: Core, body: bytes) -> bytes:
+    """Return the message with the rows that another router requests; raise `PeerError`."""
     try:
-        number, after = msgpack.unpackb(body)
+        number, after, *eras = msgpack.unpackb(body)
         cache = core.cluster_state.caches[RowTable(number)]
+        after = int(after)
     except (ValueError, TypeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid request for rows: {exc}") from exc
     try:
-        return cache.changes_since(int(after))
+        # Versions of another era say nothing of what the other router lacks.
+        page = cache.all_rows() if eras and eras[0] != cache.era else cache.changes_since(after)
     except ChangesUnavailable:
-        return cache.all_rows()
+        page = cache.all_rows()
+    return core.page_encoder.encode(page, with_era=bool(eras))
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -87,6 +87,7 @@
     """An upstream's entry in the platform's list, which the upstream itself writes.
 
     `cold_ms` is the time for which it still stays cold; `started_ms` differs after a restart.
+    `sequence` counts what the upstream has reported since its start.
     """
 
     replica: ReplicaId
@@ -98,6 +99,11 @@
     draining: bool
     cold_ms: int
     started_ms: int
+    sequence: int = 0
+
+    def is_older_than(self, other: "UpstreamRecord") -> bool:
+        """Return whether the upstream itself wrote this entry before the other one."""
+        return (self.started_ms, self.sequence) < (other.started_ms, other.sequence)
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -20,12 +20,11 @@
 )
 from skylarklift.entry.follower import fetch_rows, rows_for_request
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rows import MemberStore, RowPage, RowTable, TableComparison
+from skylarklift.entry.rows import MemberStore, RowTable, TableComparison, TableSummary
 from skylarklift.entry.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
     encode_gossip,
-    encode_page,
     receive_frame,
     send_frame,
 )
@@ -40,6 +39,7 @@
 # Routers that start together register at the same time, so the first read may miss some; the
 # members are read again after this long.
 MEMBERS_REREAD_DELAY_MS = 3000
+REJOIN_JITTER_MS = 2000
 
 
 class Peering:
@@ -54,7 +54,6 @@
         self._next_target = 0
         self._last_round_at = Millis(0)
         self._serving_count = 0
-        self._encoded_page: tuple[tuple[int, bool, int, str], bytes] = ((0, False, 0, ""), b"")
         for seed in core.settings.seeds:
             if seed != core.settings.peers:
                 core.fleet.add_seed(seed)
@@ -217,18 +216,18 @@
         summary = peer.last_message.tables[table.value]
         comparison = state.caches[table].compare(summary)
         if comparison is TableComparison.SAME:
-            state.confirm_version(table, summary.version, summary.age_ms)
+            state.confirm_version(table, summary.version, summary.age_ms, summary.era)
         elif comparison is not TableComparison.NOTHING_NEW and table not in self._fetching:
             self._fetching.add(table)
             complete = comparison is TableComparison.ROWS_DIFFER
-            nursery.start_soon(self._fetch_rows, table, peer.address, summary.age_ms, complete)
+            nursery.start_soon(self._fetch_rows, table, peer.address, summary, complete)
 
     async def _fetch_rows(
-        self, table: RowTable, address: Endpoint, age: int, complete: bool
+        self, table: RowTable, address: Endpoint, summary: TableSummary, complete: bool
     ) -> None:
         """Fetch rows of one table; a table has one fetch at a time."""
         try:
-            await fetch_rows(self._core, table, address, age, complete=complete)
+            await fetch_rows(self._core, table, address, summary, complete=complete)
         finally:
             self._fetching.discard(table)
 
@@ -245,7 +244,7 @@
                 if body is not None and self._serving_count < MAX_CONCURRENT_ROW_REQUESTS:
                     self._serving_count += 1
                     try:
-                        await send_frame(stream, self._encode_page(rows_for_request(core, body)))
+                        await send_frame(stream, rows_for_request(core, body))
                         # The transfer is in progress until the other side has received the rows
                         # and closes the connection.
                         await stream.receive_some(1)
@@ -256,20 +255,24 @@
         finally:
             stream.socket.close()
 
-    def _encode_page(self, page: RowPage) -> bytes:
-        """Return rows as a message; cache the last one, since many routers request it."""
-        key = (page.version, page.complete, len(page.rows), page.rows[0].key if page.rows else "")
-        if self._encoded_page[0] != key:
-            self._encoded_page = (key, encode_page(page))
-        return self._encoded_page[1]
-
     # Members.
 
     async def join(self) -> None:
-        """Register this router in the store and read which others are registered."""
+        """Register this router in the store and read which others are registered.
+
+        Do it again each time that the store was restored from a copy, which may lack the entry.
+        """
+        core = self._core
         await self._retry_until_success(self._register)
-        await trio.sleep(MEMBERS_REREAD_DELAY_MS / MS_PER_SECOND)
+        with trio.move_on_after(MEMBERS_REREAD_DELAY_MS / MS_PER_SECOND):
+            await core.store_restored.wait()
         await self._retry_until_success(self._read_members)
+        while True:
+            await core.store_restored.wait()
+            core.store_restored = trio.Event()
+            # All routers register again, so they spread their calls.
+            await trio.sleep(core.rng.randrange(REJOIN_JITTER_MS) / MS_PER_SECOND)
+            await self._retry_until_success(self._register)
 
     async def _retry_until_success(self, step) -> None:
         """Retry a call of the store until it succeeds, with jitter in the delay between retries."""
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -127,10 +127,9 @@
         core = self._core
         while True:
             await trio.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_SECOND)
-            for change in core.cluster_state.apply_delayed_removals():
-                core.event_log.write(
-                    change.event, subject=change.subject, detail="removal delay is over"
-                )
+            state = core.cluster_state
+            core.record_state_changes(state.apply_delayed_removals(), "removal delay is over")
+            core.record_state_changes(state.apply_settled_rows(), "restored store has settled")
             core.apply_hold_changes(core.suspects.expire(), core.settings.node)
             core.expire_rate_limits()
             core.connection_pool.close_expired()
--- a/skylarklift/entry/row_cache.py
+++ b/skylarklift/entry/row_cache.py
@@ -1,6 +1,7 @@
 """A router's copy of one table, merged by row version from any source."""
 
 from skylarklift.entry.rows import (
+    NO_ERA,
     ChangesUnavailable,
     RowChange,
     RowPage,
@@ -15,10 +16,12 @@
 
     `version` is the newest version up to which every change is known.  Tombstones of versions
     after `history_floor` are kept; a router whose copy is older must read the whole table.
-    `digest` is equal at routers that know the same existing rows.
+    `digest` is equal at routers that know the same existing rows.  All versions are of the same
+    `era`.
     """
 
     def __init__(self):
+        self.era = NO_ERA
         self.version = 0
         self.history_floor = 0
         self.digest = 0
@@ -29,8 +32,11 @@
     def merge(self, page: RowPage) -> list[RowChange]:
         """Merge a page and return the rows that it changed, in order of version.
 
-        Rows that are missing from a complete page become tombstones.
+        Rows that are missing from a complete page become tombstones.  A page of an older era
+        changes nothing; one of a newer era replaces all rows, and must be complete.
         """
+        if page.era != self.era:
+            return self._replace(page) if page.era > self.era and page.complete else []
         changed = [row for row in page.rows if self._is_newer(row, page)]
         self.older_rows += sum(
             row.version < self._rows[row.key].version for row in page.rows if row.key in self._rows
@@ -51,6 +57,24 @@
         changed.sort(key=lambda row: row.version)
         return changed
 
+    def _replace(self, page: RowPage) -> list[RowChange]:
+        """Take all rows from the first page of a newer era; return those that differ."""
+        before = self._rows
+        self._rows = {row.key: row for row in page.rows}
+        changed = [
+            row for row in page.rows if row.key not in before or before[row.key].data != row.data
+        ]
+        for key, row in before.items():
+            if key not in self._rows and row.data is not None:
+                tombstone = self._rows[key] = RowChange(key, page.version, None)
+                changed.append(tombstone)
+        self.digest = 0
+        for row in page.rows:
+            self.digest ^= name_hash(row.key)
+        self.era, self.version, self.history_floor = page.era, page.version, page.version
+        changed.sort(key=lambda row: row.version)
+        return changed
+
     def _is_newer(self, row: RowChange, page: RowPage) -> bool:
         """Return whether a row is newer than the known one.
 
@@ -69,8 +93,10 @@
 
     def compare(self, summary: TableSummary) -> TableComparison:
         """Compare another router's summary of the table with this copy."""
-        if not summary.version:
+        if not summary.version or summary.era < self.era:
             return TableComparison.NOTHING_NEW
+        if summary.era > self.era:
+            return TableComparison.ROWS_DIFFER
         if not self.version or self.version < summary.last_change_version:
             return TableComparison.CHANGES_MISSING
         if summary.version < self.version:
@@ -82,7 +108,7 @@
     def all_rows(self) -> RowPage:
         """Return a complete page of the rows that exist."""
         rows = [row for row in self._rows.values() if row.data is not None]
-        return RowPage(rows, self.version, complete=True)
+        return RowPage(rows, self.version, complete=True, era=self.era)
 
     def changes_since(self, after: int) -> RowPage:
         """Return the rows changed after a version; raise `ChangesUnavailable`."""
@@ -92,7 +118,7 @@
             )
         rows = [row for row in self._rows.values() if row.version > after]
         rows.sort(key=lambda row: row.version)
-        return RowPage(rows, self.version, complete=False)
+        return RowPage(rows, self.version, complete=False, era=self.era)
 
     def prune_tombstones(self, keep: int) -> None:
         """Drop all tombstones but the newest `keep` ones."""
--- a/skylarklift/entry/rows.py
+++ b/skylarklift/entry/rows.py
@@ -59,13 +59,15 @@
 
     `version` is the version up to which the router knows the table.  `last_change_version` is
     the version of the last change other than a heartbeat.  `digest` is a hash of the keys of
-    the existing rows.  `age_ms` is the time since the store confirmed the version.
+    the existing rows.  `age_ms` is the time since the store confirmed the version.  Versions
+    can be compared only within one `era`.
     """
 
     version: int
     last_change_version: int
     digest: int
     age_ms: int
+    era: Era = NO_ERA
 
 
 class TableComparison(Enum):
@@ -115,10 +117,12 @@
         """Return all rows of a table."""
 
     @abstractmethod
-    async def read_changes(self, table: RowTable, after: int, wait_ms: int) -> RowPage:
-        """Return the changes after a version, waiting up to `wait_ms` for one.
+    async def read_changes(
+        self, table: RowTable, after: int, wait_ms: int, era: Era = NO_ERA
+    ) -> RowPage:
+        """Return the changes after a version of an era, waiting up to `wait_ms` for one.
 
-        Raise `ChangesUnavailable`.
+        Raise `ChangesUnavailable`, also if the store is in another era.
         """
 
 
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -1,6 +1,8 @@
 """Encode the messages between routers: gossip in datagrams, rows in framed streams."""
 
 import zlib
+from collections.abc import Hashable, Sequence
+from itertools import zip_longest
 from math import isfinite
 
 import msgpack
@@ -9,7 +11,7 @@
 from skylarklift.entry.fleet import GossipMessage
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.rows import RowChange, RowPage, TableSummary
+from skylarklift.entry.rows import NO_ERA, Era, RowChange, RowPage, TableSummary
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId
 
@@ -21,6 +23,7 @@
 # Keys of what was added to gossip messages since the first release of the format.
 ROUTER_COUNT_KEY = "routers"
 LIMITS_KEY = "limits"
+ERAS_KEY = "eras"
 COMPRESSION_LEVEL = 1
 
 
@@ -47,6 +50,7 @@
                 LIMITS_KEY: [
                     (report.replica, report.per_second, report.age_ms) for report in message.limits
                 ],
+                ERAS_KEY: [summary.era for summary in message.tables],
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
@@ -66,7 +70,7 @@
             node=str(node),
             boot=str(boot),
             address=str(address),
-            tables=tuple(TableSummary(*(int(number) for number in summary)) for summary in tables),
+            tables=_decode_summaries(tables, extras.get(ERAS_KEY, ())),
             reads_store=bool(reads_store),
             leaving=bool(leaving),
             loads={str(name): int(count) for name, count in loads.items()},
@@ -90,6 +94,14 @@
         raise PeerError(f"invalid gossip message: {exc}") from exc
 
 
+def _decode_summaries(tables: Sequence, eras: Sequence) -> tuple[TableSummary, ...]:
+    """Return the summaries of all tables; routers of earlier releases send no eras."""
+    return tuple(
+        TableSummary(*(int(number) for number in summary), Era(int(era)))
+        for summary, era in zip_longest(tables, eras, fillvalue=NO_ERA)
+    )
+
+
 def _checked_rate(value: object) -> float:
     """Return a finite non-negative number; raise `ValueError`."""
     rate = float(value)
@@ -98,10 +110,29 @@
     return rate
 
 
-def encode_page(page: RowPage) -> bytes:
-    """Return rows as a compressed message."""
+def encode_page(page: RowPage, *, with_era: bool = True) -> bytes:
+    """Return rows as a compressed message; routers of earlier releases refuse one with an era."""
     rows = [(row.key, row.version, row.data) for row in page.rows]
-    return zlib.compress(msgpack.packb((page.version, page.complete, rows)), COMPRESSION_LEVEL)
+    fields = (page.version, page.complete, rows)
+    if with_era:
+        fields += (page.era,)
+    return zlib.compress(msgpack.packb(fields), COMPRESSION_LEVEL)
+
+
+class PageEncoder:
+    """Encode pages of rows, keeping the last message, since many routers request the same."""
+
+    def __init__(self):
+        self._key: Hashable = None
+        self._message = b""
+
+    def encode(self, page: RowPage, *, with_era: bool) -> bytes:
+        """Return a page as a compressed message."""
+        first_key = page.rows[0].key if page.rows else ""
+        key = (page.era, page.version, page.complete, len(page.rows), first_key, with_era)
+        if self._key != key:
+            self._key, self._message = key, encode_page(page, with_era=with_era)
+        return self._message
 
 
 def decode_page(data: bytes) -> RowPage:
@@ -111,9 +142,10 @@
         text = unpacker.decompress(data, MAX_FRAME_BYTES)
         if unpacker.unconsumed_tail:
             raise PeerError(f"page of rows exceeds {MAX_FRAME_BYTES} bytes")
-        version, complete, rows = msgpack.unpackb(text)
+        version, complete, rows, *eras = msgpack.unpackb(text)
         changes = [RowChange(str(key), int(number), value) for key, number, value in rows]
-        return RowPage(changes, int(version), bool(complete))
+        era = Era(int(eras[0])) if eras else NO_ERA
+        return RowPage(changes, int(version), bool(complete), era)
     except (ValueError, TypeError, zlib.error, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid page of rows: {exc}") from exc
 
--- a/skylarklift/platform/rows.py
+++ b/skylarklift/platform/rows.py
@@ -81,6 +81,7 @@
         draining=state == "draining",
         cold_ms=int(_number_field(value, "cold_remaining_ms", 0)),
         started_ms=int(_number_field(value, "born", 0)),
+        sequence=int(_number_field(value, "sequence", 0)),
     )
 
 
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -59,8 +59,10 @@
         """Return all rows of a table."""
         return await self._read_all(self._row_format.table_name(table))
 
-    async def read_changes(self, table: RowTable, after: int, wait_ms: int) -> RowPage:
-        """Return the rows changed after a version; raise `ChangesUnavailable`."""
+    async def read_changes(
+        self, table: RowTable, after: int, wait_ms: int, era: Era = NO_ERA
+    ) -> RowPage:
+        """Return the rows changed after a version of an era; raise `ChangesUnavailable`."""
         name = self._row_format.table_name(table)
         query = urlencode({"table": name, "after": after, "wait_ms": wait_ms})
         timeout_ms = wait_ms + HEAD_TIMEOUT_MS
@@ -70,6 +72,12 @@
                 f"changes of table {name} after version {after} are no longer kept"
             )
         self._check_status(answer.status)
+        if answer.era != era:
+            # The store may have given out the version again, for other changes.
+            raise ChangesUnavailable(
+                f"changes of table {name} after version {after} are of era {era}, the store is in "
+                f"era {answer.era}"
+            )
         value = answer.value
         return RowPage(
             list(_row_changes(value)), int(value["row_version"]), complete=False, era=answer.era
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from unittest.mock import patch
 
 import trio
@@ -21,10 +21,11 @@
 from skylarklift.entry.rate_limits import RateLimits
 from skylarklift.entry.retry_state import RetryState
 from skylarklift.entry.row_cache import RowCache
-from skylarklift.entry.rows import TableComparison
+from skylarklift.entry.rows import NO_ERA, TableComparison
 from skylarklift.entry.serving import CallerServer
 from skylarklift.platform import daemon, names
 from skylarklift.platform.headers import PlatformHeaderCodec
+from skylarklift.platform.store import PlatformStore
 from skylarklift.upstreams.events import StreamEvent
 
 
@@ -93,6 +94,47 @@
     return TableComparison.CHANGES_MISSING if missing else TableComparison.SAME
 
 
+read_table = PlatformStore.read_table
+read_changes = PlatformStore.read_changes
+merge = RowCache.merge
+compare = RowCache.compare
+
+
+class AnyEra:
+    """Equal to each era."""
+
+    def __eq__(self, other):
+        return True
+
+    def __ne__(self, other):
+        return False
+
+
+async def _read_table_without_era(self, table):
+    """Read a table as if the store had never been restored."""
+    return replace(await read_table(self, table), era=NO_ERA)
+
+
+async def _read_changes_without_era(self, table, after, wait_ms, era=NO_ERA):
+    """Read changes whatever era the store is in."""
+    return replace(await read_changes(self, table, after, wait_ms, AnyEra()), era=NO_ERA)
+
+
+def _never_outdated(self, row, *, first_page):
+    """Take each row of a restored store for the newest."""
+    return False
+
+
+def _merge_any_era(self, page):
+    """Merge a page of an older era as if it were of the current one."""
+    return merge(self, replace(page, era=max(page.era, self.era)))
+
+
+def _compare_any_era(self, summary):
+    """Compare a summary of an older era as if it were of the current one."""
+    return compare(self, replace(summary, era=max(summary.era, self.era)))
+
+
 class IdDroppingSplitter(forwarding.EventSplitter):
     """An event splitter that drops the event ids."""
 
@@ -131,6 +173,15 @@
         )
     ],
     "apply_older_rows": [Replacement(RowCache, "_is_newer", lambda self, row, page: True)],
+    "ignore_eras": [
+        Replacement(PlatformStore, "read_table", _read_table_without_era),
+        Replacement(PlatformStore, "read_changes", _read_changes_without_era),
+    ],
+    "apply_rows_of_copy": [Replacement(ClusterState, "_may_be_outdated", _never_outdated)],
+    "accept_old_era": [
+        Replacement(RowCache, "merge", _merge_any_era),
+        Replacement(RowCache, "compare", _compare_any_era),
+    ],
     "apply_removed_rows": [Replacement(RowCache, "_is_newer", _is_newer_or_unknown)],
     "compare_only_versions": [Replacement(RowCache, "compare", _compare_only_versions)],
     "use_fixed_cold_limit": [Replacement(ColdRequestLimit, "_limit", lambda self, cold_per_s: 3)],
--- a/tools/orders.py
+++ b/tools/orders.py
@@ -1,6 +1,6 @@
 """Search every order of a few events for violated invariants of the entry router.
 
-The search runs the router's own classes (`RowCache`, `RetryState`, `ColdRequestLimit`), not a
+The search runs the router's own classes (`RowCache`, `RetryState`, `RateLimits`, ...), not a
 model of them.  Each system below adds their environment: a store, messages in transit, time.
 Each distinct state is searched once.
 """
@@ -14,13 +14,16 @@
 from dataclasses import dataclass, field
 
 from skylarklift.clock import ManualClock
-from skylarklift.entry.fleet_limits import ColdRequestLimit
+from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetShare
 from skylarklift.entry.follower import ALL_ROWS
 from skylarklift.entry.model import Bounds, Route, RouteKind
+from skylarklift.entry.rate_limits import LimitReport, RateLimits
 from skylarklift.entry.retry_state import Outcome, RetryState
 from skylarklift.entry.row_cache import RowCache
 from skylarklift.entry.rows import (
+    NO_ERA,
     ChangesUnavailable,
+    Era,
     RowChange,
     RowPage,
     TableComparison,
@@ -85,6 +88,7 @@
     in_transit: list[tuple[int, RowPage]] = field(default_factory=list)
     applied_versions: list[dict[str, int]] = field(default_factory=lambda: [{}, {}])
     recorded_violation: str = ""
+    era: Era = NO_ERA
 
     def events(self) -> Iterator[str]:
         """Yield the names of the events that are possible now."""
@@ -123,18 +127,21 @@
         """Return the page that the store sends to a reader."""
         if not after:
             rows = [row for row in self.rows.values() if row.data is not None]
-            return RowPage(rows, self.version, complete=True)
+            return RowPage(rows, self.version, complete=True, era=self.era)
         rows = [row for row in self.rows.values() if row.version > after]
-        return RowPage(rows, self.version, complete=False)
+        return RowPage(rows, self.version, complete=False, era=self.era)
 
     def _receive_summary(self, reader: int) -> None:
         """Let a router receive the other's table summary, and request the rows that it lacks."""
         cache, other = self.caches[reader], self.caches[1 - reader]
         comparison = cache.compare(
-            TableSummary(other.version, self.last_change_versions[1 - reader], other.digest, 0)
+            TableSummary(
+                other.version, self.last_change_versions[1 - reader], other.digest, 0, other.era
+            )
         )
         if comparison is TableComparison.SAME:
-            cache.version = max(cache.version, other.version)
+            if other.era == cache.era:
+                cache.version = max(cache.version, other.version)
             if _existing_keys(cache) != _existing_keys(other):
                 self.recorded_violation = f"router {reader} compared as the same but has other rows"
         elif comparison is not TableComparison.NOTHING_NEW:
@@ -152,7 +159,9 @@
     def _apply_page(self, reader: int, page: RowPage) -> None:
         """Let a router merge a page; record a violation if it accepts an outdated row."""
         cache, applied = self.caches[reader], self.applied_versions[reader]
-        known_version, existing = cache.version, _existing_keys(cache)
+        # A version of another era says nothing of a page.
+        known_version = cache.version if page.era == cache.era else 0
+        existing = _existing_keys(cache)
         for row in cache.merge(page):
             if (row.key in existing) != (row.data is not None):
                 self.last_change_versions[reader] = max(
@@ -269,6 +278,154 @@
         return ""
 
 
+# Rows of a store that is restored from a copy.
+
+
+@dataclass
+class RestoredRowsSystem(RowsSystem):
+    """The same with one row and a store that may be restored, once, from an earlier copy."""
+
+    copies: list[tuple[dict[str, RowChange], int]] = field(default_factory=list)
+    cached_eras: list[Era] = field(default_factory=lambda: [NO_ERA, NO_ERA])
+
+    def events(self) -> Iterator[str]:
+        """Yield the names of the events that are possible now."""
+        yield from (event for event in super().events() if event not in ("write b", "remove b"))
+        if not self.copies:
+            yield "copy store"
+        elif not self.era:
+            yield "restore store"
+
+    def apply_event(self, event: str) -> None:
+        """Change the state by one event."""
+        if event == "copy store":
+            self.copies.append((dict(self.rows), self.version))
+        elif event == "restore store":
+            rows, self.version = self.copies[0]
+            self.rows = dict(rows)
+            self.era = Era(self.era + 1)
+        else:
+            super().apply_event(event)
+        for reader, cache in enumerate(self.caches):
+            if cache.era < self.cached_eras[reader]:
+                self.recorded_violation = f"router {reader} went back to era {cache.era}"
+            self.cached_eras[reader] = cache.era
+
+    def _store_page(self, after: int) -> RowPage:
+        """Return the page that the store sends to a reader, which asks within its own era."""
+        known = any(cache.version == after and cache.era == self.era for cache in self.caches)
+        return super()._store_page(after if known else 0)
+
+    def _apply_page(self, reader: int, page: RowPage) -> None:
+        """Let a router merge a page; record a violation if it accepts a row of an older era."""
+        cache = self.caches[reader]
+        if page.era > cache.era:
+            # Versions start anew.
+            self.applied_versions[reader] = {}
+            self.last_change_versions[reader] = page.version
+        before = cache.era
+        held = {row.key: row for row in cache.all_rows().rows}
+        super()._apply_page(reader, page)
+        if page.era < before and held != {row.key: row for row in cache.all_rows().rows}:
+            self.recorded_violation = f"router {reader} applied a page of an older era"
+
+    def state_key(self) -> Hashable:
+        """Return a key; of states with equal keys, only one is searched."""
+        copies = tuple(
+            (version, tuple(sorted((key, row.version, row.data) for key, row in rows.items())))
+            for rows, version in self.copies
+        )
+        eras = (self.era, *(cache.era for cache in self.caches))
+        pages = tuple(page.era for _, page in self.in_transit)
+        return (super().state_key(), copies, eras, pages)
+
+    def violation(self) -> str:
+        """Return a description of the violated invariant, or an empty string."""
+        if self.recorded_violation:
+            return self.recorded_violation
+        for cache in self.caches:
+            if cache.era != self.era:
+                continue
+            held = {row.key for row in cache.all_rows().rows}
+            for key, row in self.rows.items():
+                if row.data is None and row.version <= cache.version and key in held:
+                    return f"{key} exists again after its removal"
+                if row.data is not None and row.version <= cache.version and key not in held:
+                    return f"{key} is missing"
+        return ""
+
+
+# A replica that names a limit.
+
+NAMED_PER_S = 0.25
+NAMED_STEP_MS = 2000
+NAMED_WINDOW_MS = 4000
+MOST_IN_WINDOW = 1.5 * NAMED_PER_S * NAMED_WINDOW_MS / 1000 + 5
+
+
+@dataclass
+class NamedLimitSystem(System):
+    """Two routers and a replica that names a limit of a request in four seconds."""
+
+    clock: ManualClock = field(default_factory=lambda: ManualClock(100_000))
+    limits: list[RateLimits] = field(default_factory=list)
+    sent_at: list[int] = field(default_factory=list)
+
+    def __post_init__(self):
+        self.limits = [RateLimits(self.clock) for _ in range(2)]
+
+    def events(self) -> Iterator[str]:
+        """Yield the names of the events that are possible now."""
+        yield "time passes"
+        for rank, limits in enumerate(self.limits):
+            yield f"name {rank}"
+            yield f"restart {rank}"
+            if self.limits[1 - rank].reports():
+                yield f"tell {rank}"
+            if limits.is_limited("r0"):
+                yield f"lift {rank}"
+                if limits.allows("r0", FleetShare(2, rank)):
+                    yield f"send {rank}"
+
+    def apply_event(self, event: str) -> None:
+        """Change the state by one event."""
+        if event == "time passes":
+            self.clock.advance(NAMED_STEP_MS)
+            return
+        name, number = event.split()
+        limits = self.limits[int(number)]
+        match name:
+            case "name":
+                limits.record_named("r0", NAMED_PER_S)
+            case "lift":
+                limits.record_lifted("r0", self.clock.now())
+            case "tell":
+                for report in self.limits[1 - int(number)].reports():
+                    limits.apply_report(LimitReport(report.replica, report.per_second, 100))
+            case "restart":
+                self.limits[int(number)] = RateLimits(self.clock)
+            case "send":
+                limits.record_request("r0")
+                self.sent_at.append(self.clock.now())
+
+    def state_key(self) -> Hashable:
+        """Return a key; of states with equal keys, only one is searched."""
+        now = self.clock.now()
+        known = tuple(
+            tuple(
+                (item.per_second, now - item.observed_at, now - item.filled_at, item.tokens)
+                for item in limits._limits.values()
+            )
+            for limits in self.limits
+        )
+        return (known, tuple(now - moment for moment in self.sent_at))
+
+    def violation(self) -> str:
+        """Return a description of the violated invariant, or an empty string."""
+        recent = [moment for moment in self.sent_at if moment > self.clock.now() - NAMED_WINDOW_MS]
+        return f"{len(recent)} requests in 4 s" if len(recent) > MOST_IN_WINDOW else ""
+
+
 # A cold replica.
 
 ROUTERS = 3
@@ -292,7 +449,7 @@
         """Yield the names of the events that are possible now."""
         yield "time passes"
         for rank in range(ROUTERS):
-            if self.limits[rank].allows("r0", LIMIT_PER_S, ROUTERS, rank):
+            if self.limits[rank].allows("r0", LIMIT_PER_S, FleetShare(ROUTERS, rank)):
                 yield f"send {rank}"
 
     def apply_event(self, event: str) -> None:
@@ -325,6 +482,8 @@
 
 SYSTEMS = {
     "rows": RowsSystem,
+    "rows of a restored store": RestoredRowsSystem,
+    "a named limit": NamedLimitSystem,
     "an idempotent request": lambda: make_request_system(RouteKind.IDEMPOTENT),
     "a non-idempotent request": lambda: make_request_system(RouteKind.NON_IDEMPOTENT),
     "a resumable stream": lambda: make_request_system(RouteKind.STREAM, resumable=True),
