Send nothing more to an upstream that says in an answer that it leaves

Callers whose requests reached a leaving replica late were cut off when it ended; in an outage of the store, or where a replica never says in its entry that it drains, routers went on sending. Cause: only the entry in the store was taken as a sign. The answer's field is read and sticks to the replica until it starts again: an entry that says ready, or that is removed and comes back, does not undo it.

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -136,6 +136,19 @@
     When the replica "till-1" is listed as draining
     Then after 2000 ms no request to "/redeem/a" reaches "till-1"
 
+  # Guards against requests to a replica that has said in its answers that it leaves.
+  Scenario Outline: A replica that says in an answer that it leaves gets no more requests
+    Given the replica "till-1" says in all answers that it leaves
+    When the store has the fault "<fault>"
+    And 8 requests to "/check/a" are sent
+    Then all are answered with 200
+    And the replica "till-1" ran at most 1 requests
+
+    Examples:
+      | fault  |
+      | none   |
+      | silent |
+
   Scenario: An evacuated zone gets no requests after two seconds
     Given the replica "till-1" is in the zone "zb"
     When the zone "zb" is evacuated
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -210,3 +210,30 @@
 
 def choice_of(core, name):
     return Choice(core.cluster_state.upstreams[name], 0, 0.0, 0, cold=False)
+
+
+@when('the replica "{name}" says in an answer that it leaves')
+def says_it_leaves(context, name):
+    state = context.core.cluster_state
+    (change,) = state.mark_leaving(state.upstreams[name].record)
+    assert change.event == "upstream_leaving"
+
+
+ROWS_AFTER_LEAVING = {
+    "its entry says that it is ready": ({"sequence": 5},),
+    "its entry is removed and comes back": (None, {"sequence": 5}),
+    "it starts again under its name": ({"born": 9, "sequence": 1},),
+}
+
+
+@when("then {what}")
+def rows_after_leaving(context, what):
+    record = context.core.cluster_state.upstreams["r0"].record
+    for fields in ROWS_AFTER_LEAVING[what]:
+        data = fields and upstream_data(zone=record.zone, port=record.port, **fields)
+        apply_next_rows(context, RowTable.UPSTREAMS, {"r0": data})
+
+
+@then('the replica "{name}" is used: {used}')
+def replica_is_used(context, name, used):
+    assert (name in chosen_replicas(context)) == parse_yes_no(used)
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -346,3 +346,13 @@
 def exits_with(context, code):
     assert context.run.returncode == code, context.run
     assert len(context.run.stderr.splitlines()) == 1, context.run.stderr
+
+
+@given('the replica "{name}" says in all answers that it leaves')
+def says_it_leaves(context, name):
+    context.world.replicas[name].faults.leaving = True
+
+
+@then('the replica "{name}" ran at most {most:d} requests')
+def ran_at_most(context, name, most):
+    assert len(context.world.replicas[name].runs) <= most, context.world.replicas[name].runs
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -139,6 +139,10 @@
         """
         if head.cold_ms:
             self.core.cluster_state.apply_reported_cold_time(self.record.replica, head.cold_ms)
+        if head.leaving and not head.moved:
+            core = self.core
+            changes = core.cluster_state.mark_leaving(self.record)
+            core.record_state_changes(changes, core.settings.node)
         if not head.moved:
             self.core.record_rate_limit(self.record.replica, head.request_limit, self._sent_at)
         if head.status in SUCCESS_STATUSES and (not head.signed or head.encoded):
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -41,12 +41,16 @@
 
 @dataclass(slots=True)
 class Upstream:
-    """A replica that can take requests, with its known state."""
+    """A replica that can take requests, with its known state.
+
+    `leaving` is true after the replica has said so in an answer, whatever its entry says.
+    """
 
     record: UpstreamRecord
     cold_until: Millis
     known_since: Millis
     draining: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -268,6 +272,16 @@
         if upstream is not None:
             self._extend_cold_period(upstream, self._cold_ms(upstream.record))
 
+    def mark_leaving(self, record: UpstreamRecord) -> list[StateChange]:
+        """Record that an upstream said in an answer that it leaves, until it restarts."""
+        upstream = self.upstreams.get(record.replica)
+        if upstream is None or upstream.leaving or _is_restart(record, upstream.record):
+            return []
+        upstream.leaving = True
+        self._departed.add_announced(record)
+        self._members.clear()
+        return [StateChange("upstream_leaving", record.replica, 0, record.service)]
+
     def apply_reported_cold_time(self, replica: ReplicaId, span_ms: int) -> None:
         """Apply the remaining cold time that a replica reported in a response."""
         upstream = self.upstreams.get(replica)
@@ -310,7 +324,13 @@
     def _add_upstream(self, record: UpstreamRecord, version: int) -> list[StateChange]:
         """Add a replica, or replace its record after a restart under the same name."""
         now = self._clock.now()
-        upstream = Upstream(record, now, known_since=now, draining=record.draining)
+        upstream = Upstream(
+            record,
+            now,
+            known_since=now,
+            draining=record.draining,
+            leaving=self._departed.has_announced(record),
+        )
         self._extend_cold_period(upstream, record.cold_ms)
         self.upstreams[record.replica] = upstream
         self._members.clear()
@@ -353,7 +373,8 @@
             members = {
                 replica: upstream
                 for replica, upstream in self.upstreams.items()
-                if upstream.record.service == service and not upstream.draining
+                if upstream.record.service == service
+                and not (upstream.draining or upstream.leaving)
             }
             self._members[service] = members
         return members
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -170,6 +170,7 @@
     run there, `moved` if another upstream now has the address, `encoded` if the body has a
     content encoding.  `length` is the content-length, `keep_alive_ms` the time for which the
     upstream keeps an idle connection, `cold_ms` the time for which it stays cold.
+    `leaving` is true if the upstream is about to end.
     `request_limit` is the number of requests a second that it takes from all routers together.
     """
 
@@ -184,6 +185,7 @@
     keep_alive_ms: int | None = None
     load: ReplicaLoad | None = None
     cold_ms: int | None = None
+    leaving: bool = False
     request_limit: float | None = None
 
 
--- a/skylarklift/entry/restored_rows.py
+++ b/skylarklift/entry/restored_rows.py
@@ -69,23 +69,41 @@
 
 
 class DepartedUpstreams:
-    """The last entries of removed upstreams, so that no copy of one brings it back."""
+    """The last entries of removed upstreams, so that no copy of one brings it back.
+
+    An upstream that has announced its end is remembered too, beyond the removal of its entry.
+    """
 
     def __init__(self):
         self._records: dict[ReplicaId, UpstreamRecord] = {}
+        self._announced: dict[ReplicaId, UpstreamRecord] = {}
 
     def add(self, record: UpstreamRecord) -> None:
         """Remember a removed upstream; forget the one that was removed first if there are many."""
-        self._records.pop(record.replica, None)
-        self._records[record.replica] = record
-        if len(self._records) > MAX_DEPARTED:
-            del self._records[next(iter(self._records))]
+        _remember(self._records, record)
+
+    def add_announced(self, record: UpstreamRecord) -> None:
+        """Remember that an upstream has announced its end."""
+        _remember(self._announced, record)
+
+    def has_announced(self, record: UpstreamRecord) -> bool:
+        """Return whether an upstream has announced its end since its start."""
+        known = self._announced.get(record.replica)
+        return known is not None and known.started_ms == record.started_ms
 
     def last_entry(self, replica: ReplicaId) -> UpstreamRecord | None:
         """Return the last entry of a removed upstream, `None` if it is not known."""
         return self._records.get(replica)
 
 
+def _remember(records: dict[ReplicaId, UpstreamRecord], record: UpstreamRecord) -> None:
+    """Add a record as the newest; drop the oldest one if there are many."""
+    records.pop(record.replica, None)
+    records[record.replica] = record
+    if len(records) > MAX_DEPARTED:
+        del records[next(iter(records))]
+
+
 def _settle_ms(table: RowTable) -> int:
     """Return how long after a new era began its rows may be held back."""
     return OPERATOR_SETTLE_MS if table is RowTable.OPERATOR else UPSTREAM_SETTLE_MS
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -107,6 +107,7 @@
             keep_alive_ms=_parse_keep_alive_ms(fields.get(b"keep-alive", b"")),
             load=_parse_load(fields.get(names.REPLICA_LOAD, b"")),
             cold_ms=_parse_uint(fields.get(names.COLD_START)),
+            leaving=fields.get(names.LEAVING, b"").strip() == names.LEAVING_VALUE,
             request_limit=_parse_decimal(fields.get(names.REQUEST_LIMIT)),
         )
 
--- a/skylarklift/platform/names.py
+++ b/skylarklift/platform/names.py
@@ -14,6 +14,8 @@
 PRIORITY = b"x-request-priority"
 KV_FETCH = b"kv-fetch"
 REQUEST_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+LEAVING_VALUE = b"1"
 # In all answers of the store; rises each time the store is restored from a copy.
 STORE_ERA = b"store-era"
 
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -34,6 +34,7 @@
     but keeps the connection open.  `silent` runs requests without ever responding, and
     `keep_answer` runs some without responding.  `first_event_ms` delays the first event of streams.
     `long_runs` requests take `long_run_ms`.  `request_limit` is named in all answers.
+    `leaving` says in all answers that the replica leaves.
     """
 
     shed: int = 0
@@ -51,6 +52,7 @@
     long_runs: int = 0
     long_run_ms: int = 0
     request_limit: float | None = None
+    leaving: bool = False
 
 
 @dataclass
@@ -171,9 +173,12 @@
 
     def _state_headers(self) -> list[tuple[bytes, bytes]]:
         """Return the header fields of all answers, by which a replica speaks of itself."""
-        if self.faults.request_limit is None:
-            return []
-        return [(b"server-limit", b"%.2f" % self.faults.request_limit)]
+        fields = []
+        if self.faults.request_limit is not None:
+            fields.append((b"server-limit", b"%.2f" % self.faults.request_limit))
+        if self.faults.leaving:
+            fields.append((b"server-leaving", b"1"))
+        return fields
 
     def _response_headers(self, run, signed=True) -> list[tuple[bytes, bytes]]:
         """Return the header fields of a response."""
