Send an upstream nothing for as long as it asks with its 503

Callers waited for retries at replicas that had just turned them away, and such replicas got each router's requests all the same. Cause: the Retry-After of an upstream's 503 was not read. If all upstreams of a service ask to wait, the caller gets 503 at once, and a Retry-After that is not before the first of them takes requests.

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -149,6 +149,21 @@
       | none   |
       | silent |
 
+  # Guards against requests to a replica that has asked this router to wait.
+  Scenario: A replica that turns a request away and asks to wait gets no requests meanwhile
+    Given the replicas "till-1" shed requests and want none for 2.5 s
+    When 12 requests to "/check/a" are sent, one each 150 ms
+    Then all are answered with 200
+    And the replica "till-1" turned 1 requests away
+    When the replicas "till-1" shed no more requests
+    Then within 3500 ms a request to "/check/a" reaches "till-1"
+
+  Scenario: A caller is told when to come back if all replicas ask to wait
+    Given the replicas "till-1,till-2" shed requests and want none for 3.0 s
+    When 4 requests to "/check/a" are sent
+    Then all are refused at once with a Retry-After of 1500 to 4500 ms
+    And the replica "till-1" turned 1 requests away
+
   Scenario: An evacuated zone gets no requests after two seconds
     Given the replica "till-1" is in the zone "zb"
     When the zone "zb" is evacuated
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -356,3 +356,47 @@
 @then('the replica "{name}" ran at most {most:d} requests')
 def ran_at_most(context, name, most):
     assert len(context.world.replicas[name].runs) <= most, context.world.replicas[name].runs
+
+
+@given('the replicas "{names}" shed requests and want none for {span:f} s')
+def shed_and_ask_to_wait(context, names, span):
+    for replica in replicas_by_name(context, names):
+        replica.faults.shed = 100
+        replica.faults.retry_after_s = span
+
+
+@when('the replicas "{names}" shed no more requests')
+def shed_no_more(context, names):
+    for replica in replicas_by_name(context, names):
+        replica.faults.shed = 0
+
+
+@when('{count:d} requests to "{path}" are sent, one each {apart:d} ms')
+def requests_sent_apart(context, count, path, apart):
+    context.responses = []
+    for number in range(count):
+        response = send_request(context, path, request_id=f"id-{number}")
+        context.responses.append((f"id-{number}", response))
+        time.sleep(apart / 1000)
+
+
+@then('the replica "{name}" turned {count:d} requests away')
+def turned_away(context, name, count):
+    assert context.world.replicas[name].rejected == count, context.world.replicas[name].rejected
+
+
+@then('within {span:d} ms a request to "{path}" reaches "{name}"')
+def reaches_within(context, span, path, name):
+    deadline = time.monotonic() + span / 1000
+    while not context.world.replicas[name].runs:
+        assert time.monotonic() < deadline, "no request"
+        assert send_request(context, path).status == 200
+        time.sleep(0.05)
+
+
+@then("all are refused at once with a Retry-After of {least:d} to {most:d} ms")
+def refused_with_retry_after(context, least, most):
+    for _, response in context.responses:
+        assert response.status == 503, response
+        retry_ms = float(response.headers["retry-after"]) * 1000
+        assert least <= retry_ms <= most, response.headers
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -137,18 +137,24 @@
 
         A success must be signed by the upstream and must not have a content encoding.
         """
-        if head.cold_ms:
-            self.core.cluster_state.apply_reported_cold_time(self.record.replica, head.cold_ms)
-        if head.leaving and not head.moved:
-            core = self.core
-            changes = core.cluster_state.mark_leaving(self.record)
-            core.record_state_changes(changes, core.settings.node)
         if not head.moved:
-            self.core.record_rate_limit(self.record.replica, head.request_limit, self._sent_at)
+            self._record_upstream_state(head)
         if head.status in SUCCESS_STATUSES and (not head.signed or head.encoded):
             raise ResponseInvalid(f"status {head.status} unsigned or with a content encoding")
         return head
 
+    def _record_upstream_state(self, head: ResponseHead) -> None:
+        """Record what the upstream says of itself in the head of a response."""
+        core, replica = self.core, self.record.replica
+        if head.cold_ms:
+            core.cluster_state.apply_reported_cold_time(replica, head.cold_ms)
+        if head.leaving:
+            changes = core.cluster_state.mark_leaving(self.record)
+            core.record_state_changes(changes, core.settings.node)
+        if head.hold_off_ms:
+            core.record_hold_off(replica, head.hold_off_ms)
+        core.record_rate_limit(replica, head.request_limit, self._sent_at)
+
     def classify(self) -> Outcome:
         """Set the outcome by the head of the response, and return it."""
         head = self.head
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -19,6 +19,7 @@
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import ColdRequestLimit
 from skylarklift.entry.health import Health
+from skylarklift.entry.hold_offs import HoldOffs
 from skylarklift.entry.model import Bounds, Call, Route, ServicePlan, Workspace
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.rate_limits import RateLimits
@@ -51,6 +52,7 @@
     EJECTED = "upstreams_failing"
     COLD = "upstreams_cold"
     LIMITED = "upstreams_limited"
+    HELD_OFF = "upstreams_ask_to_wait"
     TRIED = "upstreams_tried"
 
 
@@ -103,6 +105,7 @@
         self._regions = regions or {}
         self.cold_limit = ColdRequestLimit(clock, bounds)
         self.rate_limits = RateLimits(clock)
+        self.hold_offs = HoldOffs(clock)
         self.prefixes = PrefixIndex(clock)
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
@@ -193,15 +196,19 @@
             }
             if not usable:
                 return NoUpstream.OUTSIDE_ALLOWED_REGIONS
-        if not self._without(usable, tried):
+        held_off = self.hold_offs.active()
+        if not self._without(usable, held_off):
+            return NoUpstream.HELD_OFF
+        excluded = held_off.union(tried)
+        if not self._without(usable, excluded):
             return NoUpstream.TRIED
         blocked = self._health.blocked()
-        healthy = self._without(usable, blocked.union(tried))
+        healthy = self._without(usable, blocked | excluded)
         if healthy:
             return healthy
         # If all upstreams are ejected, one that was reachable last time is better than none.
         unreachable = {name for name in usable if not self._health.reachable(name)}
-        return self._without(usable, unreachable.union(tried)) or NoUpstream.EJECTED
+        return self._without(usable, unreachable | excluded) or NoUpstream.EJECTED
 
     def _without(
         self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
@@ -209,6 +216,15 @@
         """Return the members that are not excluded as candidates."""
         return Candidates(members, excluded, self.in_flight, self._fleet.peer_loads())
 
+    def wait_ms(self, service: ServiceId) -> int:
+        """Return the time until some upstream of a service no longer asks to wait."""
+        return self.hold_offs.shortest_ms(self._cluster_state.usable_members(service))
+
+    def forget_requests_of(self, replica: ReplicaId) -> None:
+        """Drop what an upstream that has ended asked of its callers."""
+        self.rate_limits.forget(replica)
+        self.hold_offs.forget(replica)
+
     def load(self, replica: ReplicaId) -> int:
         """Return the known number of requests in flight at an upstream from all routers."""
         return self.in_flight[replica] + self._fleet.peer_loads().get(replica, 0)
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -36,6 +36,7 @@
 # unavailable and upstreams may have failed to renew their entries.
 STORE_OUTAGE_MS = 2500
 NEVER_CONFIRMED_AGE_MS = 1_000_000
+UPSTREAM_ADDED = "upstream_added"
 UPSTREAM_REMOVED = "upstream_removed"
 
 
@@ -335,7 +336,7 @@
         self.upstreams[record.replica] = upstream
         self._members.clear()
         detail = f"{record.service} {record.host}:{record.port} cold {record.cold_ms} ms"
-        return [StateChange("upstream_added", record.replica, version, detail)]
+        return [StateChange(UPSTREAM_ADDED, record.replica, version, detail)]
 
     def _remove_or_delay(self, replica: ReplicaId, version: int) -> list[StateChange]:
         """Remove a replica, or delay the removal after an outage of the store."""
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -9,7 +9,12 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.choose import Chooser
-from skylarklift.entry.cluster_state import UPSTREAM_REMOVED, ClusterState, StateChange
+from skylarklift.entry.cluster_state import (
+    UPSTREAM_ADDED,
+    UPSTREAM_REMOVED,
+    ClusterState,
+    StateChange,
+)
 from skylarklift.entry.connection_pool import ConnectionPool
 from skylarklift.entry.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.event_log import EventLog
@@ -83,6 +88,9 @@
         for change in changes:
             if change.event == UPSTREAM_REMOVED:
                 self.forget_upstream(ReplicaId(change.subject))
+            elif change.event == UPSTREAM_ADDED:
+                # A new process knows nothing of what the one before it asked for.
+                self.chooser.forget_requests_of(ReplicaId(change.subject))
             self.event_log.write(
                 change.event,
                 subject=change.subject,
@@ -100,9 +108,15 @@
         self.chooser.cold_limit.forget(replica)
         self.connection_pool.close_idle(replica)
         self.progress.forget(replica)
-        self.chooser.rate_limits.forget(replica)
+        self.chooser.forget_requests_of(replica)
         self.probes.pop(replica, None)
 
+    def record_hold_off(self, replica: ReplicaId, span_ms: int) -> None:
+        """Record that an upstream wants no request from this router for some time."""
+        if self.chooser.hold_offs.record(replica, span_ms):
+            self.metrics.increment("hold_offs", replica)
+            self.event_log.write("upstream_hold_off", subject=replica, span_ms=span_ms)
+
     def record_rate_limit(
         self, replica: ReplicaId, per_second: float | None, sent_at: Millis
     ) -> None:
@@ -193,6 +207,7 @@
                 for hold in self.suspects.held()
             },
         )
+        metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         for table in RowTable:
             cache = self.cluster_state.caches[table]
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -170,7 +170,8 @@
     run there, `moved` if another upstream now has the address, `encoded` if the body has a
     content encoding.  `length` is the content-length, `keep_alive_ms` the time for which the
     upstream keeps an idle connection, `cold_ms` the time for which it stays cold.
-    `leaving` is true if the upstream is about to end.
+    `leaving` is true if the upstream is about to end, `hold_off_ms` the time for which it wants
+    no request from this router.
     `request_limit` is the number of requests a second that it takes from all routers together.
     """
 
@@ -186,6 +187,7 @@
     load: ReplicaLoad | None = None
     cold_ms: int | None = None
     leaving: bool = False
+    hold_off_ms: int | None = None
     request_limit: float | None = None
 
 
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -61,7 +61,7 @@
 MAX_LOGGED_PARTS = 8
 MAX_LOGGED_PASSED_OVER = 4
 # Reasons that a short wait does not change, so that the request is refused at once.
-LASTING_REASONS = (NoUpstream.LIMITED,)
+LASTING_REASONS = (NoUpstream.LIMITED, NoUpstream.HELD_OFF)
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -247,7 +247,9 @@
         if not self.retry_state.cannot_have_run:
             raise OutcomeUnknown(f"the upstream failed, and no other one: {reason.value}")
         raise Refusal(
-            reason.value, "no upstream can take it now", retry_after_ms=self._retry_after_ms()
+            reason.value,
+            "no upstream can take it now",
+            retry_after_ms=self.core.chooser.wait_ms(self.service) + self._retry_after_ms(),
         )
 
     def _retry_after_ms(self) -> int:
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -107,6 +107,7 @@
             keep_alive_ms=_parse_keep_alive_ms(fields.get(b"keep-alive", b"")),
             load=_parse_load(fields.get(names.REPLICA_LOAD, b"")),
             cold_ms=_parse_uint(fields.get(names.COLD_START)),
+            hold_off_ms=_parse_hold_off_ms(status, fields.get(names.RETRY_AFTER)),
             leaving=fields.get(names.LEAVING, b"").strip() == names.LEAVING_VALUE,
             request_limit=_parse_decimal(fields.get(names.REQUEST_LIMIT)),
         )
@@ -143,6 +144,12 @@
     return number if isfinite(number) and number >= 0 else None
 
 
+def _parse_hold_off_ms(status: int, value: bytes | None) -> int | None:
+    """Return for how long an upstream wants no request, if it turns one away and says so."""
+    seconds = _parse_decimal(value) if status == names.STATUS_TURNED_AWAY else None
+    return None if seconds is None else int(seconds * MS_PER_SECOND)
+
+
 def _parse_prompt_parts(value: bytes) -> tuple[PromptPart, ...]:
     """Return the prompt parts of a comma-separated list of ID:TOKENS, skipping malformed ones."""
     parts = []
--- a/skylarklift/platform/names.py
+++ b/skylarklift/platform/names.py
@@ -14,6 +14,7 @@
 PRIORITY = b"x-request-priority"
 KV_FETCH = b"kv-fetch"
 REQUEST_LIMIT = b"server-limit"
+RETRY_AFTER = b"retry-after"
 LEAVING = b"server-leaving"
 LEAVING_VALUE = b"1"
 # In all answers of the store; rises each time the store is restored from a copy.
@@ -50,5 +51,6 @@
 
 LOWEST_PRIORITY = 9
 STATUS_MISDIRECTED = 421
+STATUS_TURNED_AWAY = 503
 STATUS_CHANGES_UNAVAILABLE = 410
 NO_EFFECT_STATUSES = (429, 503)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -34,7 +34,8 @@
     but keeps the connection open.  `silent` runs requests without ever responding, and
     `keep_answer` runs some without responding.  `first_event_ms` delays the first event of streams.
     `long_runs` requests take `long_run_ms`.  `request_limit` is named in all answers.
-    `leaving` says in all answers that the replica leaves.
+    `leaving` says in all answers that the replica leaves.  `retry_after_s` is the time for which
+    it wants nothing after it has shed a request.
     """
 
     shed: int = 0
@@ -53,6 +54,7 @@
     long_run_ms: int = 0
     request_limit: float | None = None
     leaving: bool = False
+    retry_after_s: float | None = None
 
 
 @dataclass
@@ -126,6 +128,8 @@
         if faults.shed:
             faults.shed -= 1
             self.rejected += 1
+            if faults.retry_after_s is not None:
+                named.append((b"retry-after", b"%.2f" % faults.retry_after_s))
             await caller.send_response(503, [echo, (b"x-not-executed", b"1"), *named], b"")
             return True
         run = Run(
