Refuse odd entries of other writers in the decoder, and go on with the others

An entry with a number too large, no number, or a port of digits that are none ended the router that read it (OverflowError, ValueError past the decoder), again after each start; one with a port out of range, a name in place of an address or half a surrogate pair was taken and failed later. Cause: the decoder raised what its caller does not know, and checked forms but not ranges. Numbers are bounded by what JSON holds exactly, addresses are parsed in one place with their range, texts must be encodable, and a body of the store that is not as published is a StoreError. Deep nesting was refused before and is tested now.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -310,3 +310,25 @@
       | arrives            | forwarded |
       | while it is probed | yes       |
       | never              | no        |
+
+  # Guards against routers that end, or no longer follow the list, because of another writer's entry.
+  Scenario Outline: An odd entry in the list names no upstream and leaves the others: <entry>
+    Given a router that knows 3 replicas
+    When another writer leaves an entry with <entry>
+    Then the entry is logged as invalid, and requests go to the 3 replicas
+
+    Examples:
+      | entry                          |
+      | 100,000 nested lists           |
+      | 100,000 nested lists in a zone |
+      | slots of 1e999                 |
+      | slots of 5,000 digits          |
+      | slots of NaN                   |
+      | a negative cold time           |
+      | a start of 1e300               |
+      | the port 99999                 |
+      | the port 0                     |
+      | a port of superscript digits   |
+      | a host that is no IP address   |
+      | a lone surrogate as zone       |
+      | bytes that are no text         |
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -1,5 +1,7 @@
 """Steps for the cluster state, the upstream health and the crash suspects of an entry router."""
 
+import json
+
 from behave import then, when
 
 from features.entry_fixtures import (
@@ -15,8 +17,9 @@
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.crash_evidence import CrashReport, suspects_of
 from skylarklift.entry.crash_messages import CrashMessage
+from skylarklift.entry.follower import apply_page
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.rows import RowTable
+from skylarklift.entry.rows import RowChange, RowPage, RowTable
 
 
 @when('the replica "{name}" is draining')
@@ -237,3 +240,38 @@
 @then('the replica "{name}" is used: {used}')
 def replica_is_used(context, name, used):
     assert (name in chosen_replicas(context)) == parse_yes_no(used)
+
+
+DEEP = "[" * 100_000 + "]" * 100_000
+ODD_ENTRIES = {
+    "100,000 nested lists": DEEP.encode(),
+    "100,000 nested lists in a zone": upstream_data().replace(b'"cape-a"', DEEP.encode()),
+    "slots of 1e999": upstream_data().replace(b'"slots": 64', b'"slots": 1e999'),
+    "slots of 5,000 digits": upstream_data().replace(b'"slots": 64', b'"slots": ' + b"9" * 5000),
+    "slots of NaN": upstream_data().replace(b'"slots": 64', b'"slots": NaN'),
+    "a negative cold time": upstream_data(cold_remaining_ms=-1),
+    "a start of 1e300": upstream_data().replace(b'"born": 1', b'"born": 1e300'),
+    "the port 99999": upstream_data(port=99999),
+    "the port 0": upstream_data(port=0),
+    "a port of superscript digits": upstream_data(address="127.0.0.1:8\u00b2"),
+    "a host that is no IP address": upstream_data(address="replica.example:8120"),
+    "a lone surrogate as zone": upstream_data().replace(b'"cape-a"', b'"\\ud800"'),
+    "bytes that are no text": b"\xff\xfe\x00{",
+}
+
+
+@when("another writer leaves an entry with {entry}")
+def leaves_odd_entry(context, entry):
+    context.version += 1
+    page = RowPage(
+        [RowChange("odd", context.version, ODD_ENTRIES[entry])], context.version, complete=False
+    )
+    apply_page(context.core, RowTable.UPSTREAMS, page, "store", 0)
+
+
+@then("the entry is logged as invalid, and requests go to the {count:d} replicas")
+def odd_entry_is_invalid(context, count):
+    lines = [line for line in context.core.event_log.lines if line["event"] == "row_invalid"]
+    assert [line["subject"] for line in lines] == ["odd"], lines
+    json.dumps(lines)
+    assert chosen_replicas(context) == {f"r{number}" for number in range(count)}
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -6,10 +6,9 @@
 from skylarklift.clock import ManualClock
 from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.fleet import DISCOVERY_MS, Fleet, GossipMessage
-from skylarklift.entry.model import Endpoint
+from skylarklift.entry.model import Endpoint, parse_endpoint
 from skylarklift.entry.rate_limits import LimitReport, RateLimits
 from skylarklift.entry.rows import TableSummary
-from skylarklift.platform.settings_file import parse_endpoint
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
 HERE = Endpoint("127.0.0.2", 1)
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -2,10 +2,13 @@
 
 from dataclasses import dataclass, field, fields, replace
 from enum import Enum
+from socket import AF_INET, inet_pton
 
 from skylarklift.clock import Millis
 from skylarklift.ids import ReplicaId, RequestId, ServiceId, Version, WorkspaceId, ZoneId
 
+MAX_PORT = 65535
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -223,6 +226,18 @@
         return f"{self.host}:{self.port}"
 
 
+def parse_endpoint(text: str) -> Endpoint | None:
+    """Return the address written as IP:PORT, or `None`."""
+    host, _, port = text.rpartition(":")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        return None
+    try:
+        inet_pton(AF_INET, host)
+    except (OSError, ValueError):
+        return None
+    return Endpoint(host, int(port))
+
+
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
     """The settings of one router.
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -19,7 +19,7 @@
     Peer,
 )
 from skylarklift.entry.follower import fetch_rows, rows_for_request
-from skylarklift.entry.model import Endpoint
+from skylarklift.entry.model import Endpoint, parse_endpoint
 from skylarklift.entry.rows import MemberStore, RowTable, TableComparison, TableSummary
 from skylarklift.entry.wire import (
     MAX_ROW_REQUEST_BYTES,
@@ -295,9 +295,9 @@
     async def _read_members(self) -> None:
         """Add the registered routers to the fleet."""
         for node, address in (await self._members.read_members()).items():
-            host, _, port = address.rpartition(":")
-            if host and port.isdigit():
-                self._core.fleet.add(node, Endpoint(host, int(port)))
+            endpoint = parse_endpoint(address)
+            if endpoint is not None:
+                self._core.fleet.add(node, endpoint)
             else:
                 self._core.event_log.write("member_address_invalid", peer=node, address=address)
 
--- a/skylarklift/platform/rows.py
+++ b/skylarklift/platform/rows.py
@@ -12,11 +12,11 @@
     Target,
     UpstreamRecord,
     Workspace,
+    parse_endpoint,
 )
 from skylarklift.entry.rows import EvacuationRow, InvalidRow, RowFormat, RowTable, UpstreamRow
 from skylarklift.ids import ReplicaId, ServiceId, Version, WorkspaceId, ZoneId
 from skylarklift.platform import names
-from skylarklift.platform.settings_file import parse_endpoint
 
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
@@ -25,6 +25,7 @@
 }
 MS_PER_SECOND = 1000
 DEFAULT_TIMEOUT_MS = 15000
+MAX_EXACT_INTEGER = 2**53 - 1
 UPSTREAM_STATES = ("ready", "draining")
 
 
@@ -77,11 +78,11 @@
         host=address.host,
         port=address.port,
         zone=ZoneId(_text_field(value, "zone")),
-        slots=int(_number_field(value, "slots")),
+        slots=_int_field(value, "slots"),
         draining=state == "draining",
-        cold_ms=int(_number_field(value, "cold_remaining_ms", 0)),
-        started_ms=int(_number_field(value, "born", 0)),
-        sequence=int(_number_field(value, "sequence", 0)),
+        cold_ms=_int_field(value, "cold_remaining_ms", 0),
+        started_ms=_int_field(value, "born", 0),
+        sequence=_int_field(value, "sequence", 0),
     )
 
 
@@ -90,15 +91,31 @@
     found = value.get(name)
     if not isinstance(found, str) or not found:
         raise InvalidRow(f"{name} is not a non-empty string")
+    if not _is_encodable(found):
+        raise InvalidRow(f"{name} cannot be encoded")
     return found
 
 
-def _number_field(value: dict[str, Any], name: str, default: float | None = None) -> float:
-    """Return a number field, or the default if it is missing; raise `InvalidRow`."""
+def _is_encodable(text: str) -> bool:
+    """Return whether a text can be sent to other routers: JSON may hold half a surrogate pair."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
+def _int_field(value: dict[str, Any], name: str, default: int | None = None) -> int:
+    """Return the whole part of a number field, or the default if it is missing.
+
+    Raise `InvalidRow` if it is no number that JSON can hold exactly, or negative.
+    """
     found = value.get(name, default)
     if isinstance(found, bool) or not isinstance(found, (int, float)):
         raise InvalidRow(f"{name} is not a number")
-    return found
+    if not 0 <= found <= MAX_EXACT_INTEGER:
+        raise InvalidRow(f"{name} is out of range")
+    return int(found)
 
 
 def decode_plan(data: bytes) -> RoutePlan:
@@ -106,7 +123,7 @@
     value = _parse_object(data)
     try:
         return _parse_plan(value)
-    except (KeyError, TypeError, ValueError, AttributeError) as exc:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as exc:
         raise InvalidRow(f"configuration: {type(exc).__name__}: {exc}") from exc
 
 
--- a/skylarklift/platform/settings_file.py
+++ b/skylarklift/platform/settings_file.py
@@ -2,7 +2,7 @@
 
 from pathlib import Path
 
-from skylarklift.entry.model import Bounds, Endpoint, NodeSettings
+from skylarklift.entry.model import Bounds, Endpoint, NodeSettings, parse_endpoint
 from skylarklift.errors import SettingsError
 from skylarklift.ids import ZoneId
 from skylarklift.util.findings import Finding
@@ -73,14 +73,6 @@
         }
 
 
-def parse_endpoint(text: str) -> Endpoint | None:
-    """Return the address written as IP:PORT, or `None`."""
-    host, separator, port = text.rpartition(":")
-    if not separator or not host or not port.isdigit():
-        return None
-    return Endpoint(host, int(port))
-
-
 def read_node_settings(path: str) -> NodeSettings:
     """Return the settings of a file; raise `SettingsError` with all findings."""
     try:
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -2,7 +2,6 @@
 
 import json
 from base64 import b64decode, b64encode
-from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -78,10 +77,8 @@
                 f"changes of table {name} after version {after} are of era {era}, the store is in "
                 f"era {answer.era}"
             )
-        value = answer.value
-        return RowPage(
-            list(_row_changes(value)), int(value["row_version"]), complete=False, era=answer.era
-        )
+        rows, version = _decode_rows(answer.value)
+        return RowPage(rows, version, complete=False, era=answer.era)
 
     async def _read_all(self, name: str) -> RowPage:
         """Return all rows of a table; raise `StoreError` if the store is restored meanwhile."""
@@ -96,12 +93,12 @@
             self._check_status(answer.status)
             if era is not None and era != answer.era:
                 raise StoreError(f"the store was restored while table {name} was read")
-            era, value = answer.era, answer.value
+            era = answer.era
+            page, page_version = _decode_rows(answer.value)
             # All pages get the version of the first one.  Changes made since arrive by the feed.
-            version = version or int(value["row_version"])
-            page = list(_row_changes(value))
+            version = version or page_version
             found += page
-            if not value.get("has_more") or not page:
+            if not answer.value.get("has_more") or not page:
                 return RowPage(found, version, complete=True, era=era)
             start = page[-1].key + "\0"
 
@@ -168,7 +165,7 @@
                     conn.abort()
         try:
             return StoreAnswer(status, _parse_era(headers), json.loads(text) if text else {})
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             raise StoreError(f"{method} {path}: not JSON: {exc}") from exc
 
     async def _connect(self) -> HttpConnection:
@@ -184,9 +181,23 @@
     return Era(int(text)) if text.isdigit() else NO_ERA
 
 
-def _row_changes(value: dict[str, Any]) -> Iterator[RowChange]:
-    """Yield the rows in the body of an answer."""
-    for row in value.get("rows") or ():
-        deleted = bool(row.get("deleted"))
-        data = None if deleted else b64decode(row.get("data") or "")
-        yield RowChange(row["key"], int(row["row_version"]), data)
+def _decode_rows(value: dict[str, Any]) -> tuple[list[RowChange], int]:
+    """Return the rows and the version in the body of an answer; raise `StoreError`."""
+    try:
+        return [_decode_row(row) for row in value.get("rows") or ()], int(value["row_version"])
+    except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as exc:
+        raise StoreError(f"unexpected answer of the store: {type(exc).__name__}: {exc}") from exc
+
+
+def _decode_row(row: dict[str, Any]) -> RowChange:
+    """Return one row; data that cannot be read stays as it is, for the decoder to refuse."""
+    data = None if row.get("deleted") else str(row.get("data") or "").encode()
+    if data is not None:
+        try:
+            data = b64decode(data)
+        except ValueError:
+            # The row exists, so it must not be taken for removed.
+            pass
+    # JSON may hold half a surrogate pair, which cannot be sent on to other routers.
+    key = str(row["key"]).encode("utf-8", "replace").decode()
+    return RowChange(key, int(row["row_version"]), data)
--- a/skylarklift/ui/fleet.py
+++ b/skylarklift/ui/fleet.py
@@ -8,11 +8,10 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.http_connection import HttpConnection, connect
-from skylarklift.entry.model import Endpoint, RoutePlan
+from skylarklift.entry.model import Endpoint, RoutePlan, parse_endpoint
 from skylarklift.entry.rows import EvacuationRow, InvalidRow, RowTable, UpstreamRow
 from skylarklift.errors import SettingsError, TransportError
 from skylarklift.platform.rows import PlatformRowFormat
-from skylarklift.platform.settings_file import parse_endpoint
 from skylarklift.platform.store import PlatformStore
 from skylarklift.ui.output import ExitCode, Output
 from skylarklift.util.findings import Finding
