Take late requests at a stopping router only if they end before the process does

Callers of long requests that reached a stopping router after 2.5 s were cut off with no answer at the end of the grace, among them requests that must not be repeated. Cause: what the router takes was bounded by the time since the signal alone (6 s for all but streams), not by how long a request may last. After 2.5 s it now takes a request only if its deadline is within the time left; others get 503, not run, at once. Before: a request of 5.5 s on a route of 8 s that came 2.7 s after SIGTERM ran and was cut off; after: 503, not run. The scenario failed before.

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -199,6 +199,20 @@
     Then the caller got 6 events in order, each once
     And the router was not ready after SIGTERM and exited within 8000 ms
 
+  # Guards against requests that a stopping router takes late and then cuts off.
+  Scenario Outline: A request of up to 8 s that reaches a stopping router after <late> ms
+    Given all routes have a timeout of 8000 ms
+    And the replicas "lm-1,lm-2" send an event every 1100 ms
+    And requests to "till-1,till-2" take <takes> ms
+    When a request to "/redeem/a" arrives <late> ms after SIGTERM, while a stream runs
+    Then the late request got the status <status>
+    And the request to "/redeem/a" ran <runs> times
+
+    Examples:
+      | late | takes | status | runs |
+      | 2300 | 1000  | 200    | 1    |
+      | 2700 | 5500  | 503    | 0    |
+
   Scenario: A request that crashes replicas is refused after a few crashes
     Given the replicas "lm-1,lm-2,lm-3,lm-4,lm-5,lm-6" crash on "/chat/poison"
     When a request to "/chat/poison" is sent 6 times
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -14,6 +14,8 @@
 from standins.entry_world import free_port
 
 METRICS_DELAY_LIMIT_S = 1
+# A stream that begins then keeps a stopping router from ending early.
+STREAM_AFTER_SIGTERM_S = 1.8
 
 
 @given('the replicas "{names}" send an event every {pace:d} ms')
@@ -400,3 +402,34 @@
         assert response.status == 503, response
         retry_ms = float(response.headers["retry-after"]) * 1000
         assert least <= retry_ms <= most, response.headers
+
+
+@given('requests to "{names}" take {span:d} ms')
+def requests_take(context, names, span):
+    for replica in replicas_by_name(context, names):
+        replica.faults.long_runs = 100
+        replica.faults.long_run_ms = span
+
+
+@when('a request to "{path}" arrives {late:d} ms after SIGTERM, while a stream runs')
+def arrives_after_sigterm(context, path, late):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            context.router.process.send_signal(signal.SIGTERM)
+            await trio.sleep(STREAM_AFTER_SIGTERM_S)
+            nursery.start_soon(save_response, context, "/chat/a")
+            await trio.sleep(late / 1000 - STREAM_AFTER_SIGTERM_S)
+            context.late_response = await context.world.call(context.router, path, deadline_ms=8000)
+
+    context.thread.run(run)
+
+
+@then("the late request got the status {status:d}")
+def late_status(context, status):
+    assert context.late_response.status == status, context.late_response
+
+
+@then('the request to "{path}" ran {count:d} times')
+def ran_times(context, path, count):
+    runs = [run for run in all_runs(context) if run.target == path]
+    assert len(runs) == count, runs
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -8,6 +8,8 @@
 from skylarklift.ids import ReplicaId, RequestId, ServiceId, Version, WorkspaceId, ZoneId
 
 MAX_PORT = 65535
+# A router ends this long before the end of the grace period, when the platform kills the process.
+STOPPING_MARGIN_MS = 400
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -209,6 +211,10 @@
     cold_tolerance: int = 5
     load_factor: float = 2.0
 
+    def drain_ms(self) -> int:
+        """Return how long a stopping router may go on with requests."""
+        return self.grace_ms - STOPPING_MARGIN_MS
+
     def update_from(self, other: "Bounds") -> None:
         """Copy all values from another object."""
         for item in fields(other):
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -26,9 +26,6 @@
 # A stopping router serves for at least this long, since new requests arrive until the readiness
 # checks have taken it out of rotation.
 MIN_STOPPING_MS = 3600
-# Requests are drained until this long before the end of the grace period, when the platform kills
-# the process.
-STOPPING_MARGIN_MS = 400
 LEAVE_TIMEOUT_MS = 200
 
 
@@ -112,8 +109,7 @@
     async def _drain_requests(self) -> None:
         """Wait until all requests have completed, within the grace period, then leave the fleet."""
         core = self._core
-        longest = core.settings.bounds.grace_ms - STOPPING_MARGIN_MS
-        while core.stopping_ms() < longest:
+        while core.stopping_ms() < core.settings.bounds.drain_ms():
             if core.stopping_ms() >= MIN_STOPPING_MS and not core.requests_open:
                 break
             await trio.sleep(20 / MS_PER_SECOND)
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -13,7 +13,7 @@
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.model import Call, Endpoint, Route, RouteKind, SendOptions, Workspace
+from skylarklift.entry.model import Call, Endpoint, Route, SendOptions, Workspace
 from skylarklift.entry.prefixes import shared_parts
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
@@ -48,10 +48,9 @@
 # the minimum, is probed with a new connection.
 INITIAL_SILENCE_RATIO = 0.4
 MIN_INITIAL_SILENCE_MS = 300
-# How long a stopping router still accepts streams and other requests.  Later ones might not
-# complete before the process ends.
-STOPPING_ACCEPT_STREAM_MS = 2500
-STOPPING_ACCEPT_OTHER_MS = 6000
+# How long a stopping router still accepts all requests, since callers come until the readiness
+# checks have taken it out.  Later it accepts those that certainly end before the process does.
+STOPPING_ACCEPT_MS = 2500
 # A route's time-out may be shorter than its work takes, so a time-out counts as a failure of the
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
@@ -144,11 +143,11 @@
 
     def _refuse_if_stopping(self) -> None:
         """Refuse a request that this stopping router might not finish before it ends."""
-        stopping_ms = self.core.stopping_ms()
-        if stopping_ms is None:
+        core = self.core
+        stopping_ms = core.stopping_ms()
+        if stopping_ms is None or stopping_ms <= STOPPING_ACCEPT_MS:
             return
-        stream = self.route.kind is RouteKind.STREAM
-        if stopping_ms > (STOPPING_ACCEPT_STREAM_MS if stream else STOPPING_ACCEPT_OTHER_MS):
+        if self.deadline > core.stopping_since + core.settings.bounds.drain_ms():
             raise Refusal("stopping", "this router is stopping", retry_after_ms=50)
 
     # Attempts.
