Judge parts of the same rank in the order of their names

Routers with the same evidence could hold back different parts: of two parts that are as suspect as each other, the judgement took the one that came first in a set, whose order differs from process to process.

--- a/skylarklift/entry/crash_evidence.py
+++ b/skylarklift/entry/crash_evidence.py
@@ -195,7 +195,11 @@
         The crashes of a convicted part are explained by it, so they no longer count for others.
         """
         judgement = Judgement()
-        parts = [item for item in self._unjudged if item.kind is SuspectKind.PART]
+        # By name, so that all routers come to the same judgement on parts of the same rank.
+        parts = sorted(
+            (item for item in self._unjudged if item.kind is SuspectKind.PART),
+            key=lambda item: item.name,
+        )
         self._unjudged.clear()
         while guilty := [item for item in parts if self._is_guilty(item)]:
             worst = max(guilty, key=self._rank)
