Explain by what upstreams asked for why a request was refused or sent elsewhere

A request that was refused as upstreams_limited or upstreams_ask_to_wait could not be explained from its id: the lines that say what the upstreams asked for may be minutes older. explain adds them for each upstream that a request passed over, and all of them for such a refusal; fleet shows the limits, the time left of each request to wait and the store's era.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -64,3 +64,12 @@
       | how          |
       | in the store |
       | by gossip    |
+
+  # Guards against requests of which no log says why they were refused or sent elsewhere.
+  Scenario: Log, metrics and commands say what held a request back
+    Given a store, two replicas of each service, and a router
+    And the replicas "till-1,till-2" name a limit of 0.5 a second
+    When 4 requests to "/check/a" are sent
+    Then the last one got 503 at once, as "upstreams_limited"
+    And explaining it shows when "till-1" and "till-2" named their limits
+    And the metrics and the fleet command show the limits
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -1,14 +1,21 @@
 """Steps for limits that upstreams name on the requests of all routers together."""
 
+import io
+import time
+from contextlib import redirect_stdout
+
 from behave import given, then, when
 
 from features.entry_fixtures import choose, new_call
+from features.steps.entry_process_faults import run_fleet_command
+from features.world_thread import replicas_by_name
 from skylarklift.clock import ManualClock
 from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.fleet import DISCOVERY_MS, Fleet, GossipMessage
 from skylarklift.entry.model import Endpoint, parse_endpoint
 from skylarklift.entry.rate_limits import LimitReport, RateLimits
 from skylarklift.entry.rows import TableSummary
+from skylarklift.ui.main import main
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
 HERE = Endpoint("127.0.0.2", 1)
@@ -229,3 +236,41 @@
 @then("the router counts {count:d} routers")
 def counts_routers(context, count):
     assert context.fleet.router_count() == count, context.fleet.router_count()
+
+
+@given('the replicas "{names}" name a limit of {limit:f} a second')
+def replicas_name_limit(context, names, limit):
+    for replica in replicas_by_name(context, names):
+        replica.faults.request_limit = limit
+
+
+@then('the last one got 503 at once, as "{code}"')
+def refused_as(context, code):
+    context.request, response = context.responses[-1]
+    assert response.status == 503 and code.encode() in response.body, response
+    time.sleep(0.3)
+    (line,) = [line for line in context.router.lines() if line.get("id") == context.request]
+    assert line["sends"] == [code] and line["ms_taken"] < 100, line
+
+
+@then('explaining it shows when "{first}" and "{second}" named their limits')
+def explained(context, first, second):
+    output = io.StringIO()
+    with redirect_stdout(output):
+        assert main(["explain", context.request, str(context.router.log)]) == 0
+    for name in (first, second):
+        found = [
+            line
+            for line in output.getvalue().splitlines()
+            if "upstream_limit_named" in line and name in line
+        ]
+        assert found, output.getvalue()
+
+
+@then("the metrics and the fleet command show the limits")
+def metrics_show_limits(context):
+    # A router serves its metrics on its readiness address too.
+    port = context.router.readiness_port
+    store = context.world.store_endpoints[0][1]
+    output = run_fleet_command(store, port).stdout
+    assert "upstream_limit" in output and "till-1" in output and "0.5" in output, output
--- a/skylarklift/ui/fleet.py
+++ b/skylarklift/ui/fleet.py
@@ -54,7 +54,7 @@
     return ExitCode.UNREACHABLE if silent_routers else ExitCode.OK
 
 
-def _router_line(name: str, values: dict[str, int] | None) -> str:
+def _router_line(name: str, values: dict[str, float] | None) -> str:
     """Return the output line of one router."""
     if values is None:
         return f"{name}: no answer"
@@ -65,6 +65,9 @@
         "upstreams_known",
         "requests_open",
         "quarantine_held_ms",
+        "store_era",
+        "upstream_limit",
+        "hold_off_left_ms",
     )
     found = {key: value for key, value in values.items() if key.startswith(shown)}
     return f"{name}: {json.dumps(found)}"
@@ -72,7 +75,7 @@
 
 async def _read_fleet(
     address: Endpoint, metrics_port: int
-) -> tuple[StoreSummary, dict[str, dict[str, int] | None]]:
+) -> tuple[StoreSummary, dict[str, dict[str, float] | None]]:
     """Read the store, then fetch the metrics of every router listed in it."""
     rows = PlatformRowFormat()
     store = PlatformStore(address, rows)
@@ -83,7 +86,7 @@
                 _count_row(summary, rows.decode(table, row.key, row.data))
             except InvalidRow:
                 summary.unreadable += (row.key,)
-    metrics_by_router: dict[str, dict[str, int] | None] = {}
+    metrics_by_router: dict[str, dict[str, float] | None] = {}
 
     async def fetch(node: str, peer: str) -> None:
         host = peer.rpartition(":")[0]
@@ -107,7 +110,7 @@
             summary.draining += item.record.draining
 
 
-async def _fetch_metrics(host: str, port: int) -> dict[str, int] | None:
+async def _fetch_metrics(host: str, port: int) -> dict[str, float] | None:
     """Return a router's metrics by name, or `None` if it does not answer."""
     try:
         with trio.fail_after(CALL_TIMEOUT_MS / MS_PER_SECOND):
@@ -121,5 +124,7 @@
         return None
     pairs = [line.rsplit(" ", 1) for line in text.splitlines()]
     return {
-        name.removeprefix(METRIC_PREFIX): int(value) for name, value in pairs if value.isdigit()
+        name.removeprefix(METRIC_PREFIX): json.loads(value)
+        for name, value in pairs
+        if value.replace(".", "", 1).isdigit()
     }
--- a/skylarklift/ui/logs.py
+++ b/skylarklift/ui/logs.py
@@ -21,7 +21,25 @@
     "quarantine_released",
     "quarantine_expired",
 )
-ROUTER_EVENTS = ("start", "stopping", "stop", "store_lost", "store_regained", "plan", "zone_out")
+ROUTER_EVENTS = (
+    "start",
+    "stopping",
+    "stop",
+    "store_lost",
+    "store_regained",
+    "store_era",
+    "plan",
+    "zone_out",
+)
+# What upstreams ask of their callers; it holds until they say otherwise.
+DEMAND_EVENTS = (
+    "upstream_limit_named",
+    "upstream_limit_lifted",
+    "upstream_limit_expired",
+    "upstream_hold_off",
+    "upstream_leaving",
+)
+DEMAND_REFUSALS = ("upstreams_limited", "upstreams_ask_to_wait")
 
 
 def explain(options: argparse.Namespace, out: Output) -> int:
@@ -88,8 +106,8 @@
 
     These are lines about the request's upstreams and lines of `ROUTER_EVENTS` that were logged up
     to `around_ms` before and after it, and, whenever it was, how the part that it was held back
-    for came to be held back.  The clocks of routers are not comparable, so each router's lines
-    are selected by its own time stamps.
+    for came to be held back, and what the upstreams that it passed over asked for.  The clocks of
+    routers are not comparable, so each router's lines are selected by its own time stamps.
     """
     time_ranges: dict[str, tuple[int, int]] = {}
     for line in request_lines:
@@ -98,6 +116,8 @@
         time_ranges[line["node"]] = (min(first, started_at), max(last, line["ms"]))
     upstreams = {line["upstream"] for line in request_lines if "upstream" in line}
     held = {line["subject"] for line in request_lines if "subject" in line}
+    passed_over = _passed_over(request_lines)
+    refused = any(step in DEMAND_REFUSALS for line in request_lines for step in _steps(line))
     related = []
     for line in lines:
         if "id" in line or line["node"] not in time_ranges:
@@ -106,12 +126,27 @@
         if line["event"] in QUARANTINE_EVENTS:
             if line["subject"] in held and line["ms"] <= last + around_ms:
                 related.append(line)
+        elif line["event"] in DEMAND_EVENTS:
+            if (refused or line["subject"] in passed_over | upstreams) and line["ms"] <= last:
+                related.append(line)
         elif first - around_ms <= line["ms"] <= last + around_ms:
             if line.get("subject", "") in upstreams or line["event"] in ROUTER_EVENTS:
                 related.append(line)
     return related
 
 
+def _steps(line: dict[str, Any]) -> list[str]:
+    """Return the steps of a line that ends a request; the `sends` of other lines is a count."""
+    return line["sends"] if line["event"] in REQUEST_EVENTS else []
+
+
+def _passed_over(request_lines: list[dict[str, Any]]) -> set[str]:
+    """Return the upstreams that a request passed over, from items of the form REPLICA:REASON."""
+    return {
+        item.partition(":")[0] for line in request_lines for item in line.get("passed_over", ())
+    }
+
+
 def _format_line(line: dict[str, Any]) -> str:
     """Format a log line as text."""
     fields = " ".join(
