Refuse what limited upstreams do not take once the others have no slot free

Callers waited for streams that a replica could not go on with: where most replicas named limits, all that was over went to the few others, to several times their slots, and ended at its deadline. What a limited replica does not take goes to another one only while that has a slot free; else it is refused at once. Without named limits the choice is as before. The case of 64 running requests failed before.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -54,6 +54,18 @@
     When the other replica names a limit of 0.5 a second too
     Then a request of the chat finds no upstream, with the reason "upstreams_limited"
 
+  # Guards against replicas that are swamped by what others, which name a limit, do not take.
+  Scenario Outline: What a limited replica does not take goes to another one while that has room
+    Given a router among 0 others before 2 replicas, by the seed 1
+    When the replica that a chat prefers names a limit of 0.5 a second
+    And the other replica runs <running> requests in its 64 slots
+    Then a request of the chat gets "<result>"
+
+    Examples:
+      | running | result            |
+      | 63      | the other replica |
+      | 64      | upstreams_limited |
+
   # Guards against a seed that is counted as a router of its own beside the router at its address.
   Scenario Outline: A seed is the router at its address, found <how>
     Given a router with the seeds "127.0.0.2:7340,127.0.0.3:7340"
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -274,3 +274,19 @@
     store = context.world.store_endpoints[0][1]
     output = run_fleet_command(store, port).stdout
     assert "upstream_limit" in output and "till-1" in output and "0.5" in output, output
+
+
+@when("the other replica runs {count:d} requests in its 64 slots")
+def other_runs(context, count):
+    (context.other,) = set(context.names) - {context.preferred}
+    context.core.chooser.in_flight[context.other] = count
+
+
+@then('a request of the chat gets "{result}"')
+def chat_gets(context, result):
+    found = choose(context.core, context.call)
+    if isinstance(found, NoUpstream):
+        assert found.value == result, found
+    else:
+        assert found.upstream.record.replica == context.other
+        assert result == "the other replica", found
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -52,6 +52,7 @@
     EJECTED = "upstreams_failing"
     COLD = "upstreams_cold"
     LIMITED = "upstreams_limited"
+    FULL = "upstreams_full"
     HELD_OFF = "upstreams_ask_to_wait"
     TRIED = "upstreams_tried"
 
@@ -143,11 +144,16 @@
         else:
             ordered = iter(self._order_by_load(candidates))
         passed_over: list[PassedOver] = []
+        limited = False
         idle = self._idle_limited(candidates, mean)
         for position, name in enumerate(chain(idle, ordered)):
             item = candidates[name]
             reason = self._reason_to_pass_over(item, plan)
+            if reason is None and limited and candidates.load(name) >= item.record.slots:
+                # What the limited ones do not take must not swamp the rest.
+                reason = NoUpstream.FULL
             if reason is not None:
+                limited = limited or reason is NoUpstream.LIMITED
                 passed_over.append(PassedOver(name, reason))
                 continue
             return Choice(
