--- a/features/entry_checks.py
+++ b/features/entry_checks.py
@@ -129,7 +129,7 @@
                     break
 
     def _check_named_limit(self, replica: RecordingReplica) -> None:
-        """Check that a replica that names a limit got no more from the routers that it had told."""
+        """Check that a replica that names a limit got no more from the routers that knew it."""
         for span in self._limit_spans[replica.name]:
             limit = LIMIT_OVERSHOOT * span.per_second * LIMIT_WINDOW_S + LIMIT_TOLERANCE
             moments = self._arrivals_from_informed(replica, span)
--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -31,19 +31,19 @@
     Then the upstream has the limit "<limit>"
 
     # An item is MS:named:LIMIT for an answer, MS:plain:SENT_MS for an answer without a limit to a
-    # request sent then, MS:told:LIMIT:AGE_MS for another router's report, and MS:nothing.
+    # request sent then, MS:reported:LIMIT:AGE_MS for another router's report, and MS:nothing.
     Examples:
       | case                                        | history                                | limit |
       | a limit in an answer                        | 0:named:3                              | 3.0   |
       | the newest limit counts                     | 0:named:3 100:named:2.5                | 2.5   |
       | an answer without a limit lifts it          | 0:named:3 200:plain:100                |       |
       | an answer from before does not lift it      | 100:named:3 200:plain:50               | 3.0   |
-      | another router's report                     | 0:told:3:20                            | 3.0   |
-      | an older report changes nothing             | 500:named:3 600:told:9:400             | 3.0   |
-      | a report lifts an older limit               | 0:named:3 500:told:none:100            |       |
-      | a report of a limit older than the lifting  | 0:named:3 200:plain:150 300:told:3:200 |       |
+      | another router's report                     | 0:reported:3:20                            | 3.0   |
+      | an older report changes nothing             | 500:named:3 600:reported:9:400             | 3.0   |
+      | a report lifts an older limit               | 0:named:3 500:reported:none:100            |       |
+      | a report of a limit older than the lifting  | 0:named:3 200:plain:150 300:reported:3:200 |       |
       | an answer that nothing has confirmed lately | 0:named:3 60000:nothing                |       |
-      | a report that is too old                    | 70000:told:3:65000                     |       |
+      | a report that is too old                    | 70000:reported:3:65000                     |       |
 
   # Guards against a limited upstream that is chosen although others may take the request.
   Scenario: Requests over a limit go to another upstream, and are refused at once without one
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -155,7 +155,7 @@
                 context.limits.record_named(REPLICA, float(values[0]))
             case "plain":
                 context.limits.record_lifted(REPLICA, int(values[0]))
-            case "told":
+            case "reported":
                 limit = None if values[0] == "none" else float(values[0])
                 context.limits.apply_report(LimitReport(REPLICA, limit, int(values[1])))
 
--- /dev/null
+++ b/features/steps/entry_quarantine_decisions.py
@@ -0,0 +1,351 @@
+"""Steps for the decisions on what crashes upstreams: evidence, judgement, holds, messages."""
+
+import json
+
+import msgpack
+import trio
+from behave import given, then, when
+
+from features.entry_fixtures import core_with_replicas, new_call, parse_yes_no
+from skylarklift.clock import ManualClock, Millis
+from skylarklift.entry.attempt import Attempt
+from skylarklift.entry.choose import Choice
+from skylarklift.entry.core import Probe
+from skylarklift.entry.crash_evidence import (
+    MAX_SUSPECTS,
+    CrashReport,
+    Suspect,
+    SuspectKind,
+    suspects_of,
+)
+from skylarklift.entry.crash_guard import CrashGuard
+from skylarklift.entry.crash_messages import (
+    CrashMessage,
+    decode_crash_message,
+    encode_crash_message,
+    is_crash_message,
+)
+from skylarklift.entry.model import ResponseHead
+from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
+from skylarklift.entry.retry_state import Outcome, RetryState
+from skylarklift.entry.suspects import (
+    JUDGEMENT_DELAY_MS,
+    CrashSuspects,
+    suspect_parts,
+    suspects_of_call,
+)
+from skylarklift.errors import PeerError
+from standins.entry_world import free_port
+
+START_MS = 100_000
+PART = Suspect(SuspectKind.PART, "bad")
+
+
+@given("a router that has seen no crash")
+def no_crash_seen(context):
+    context.clock = ManualClock(START_MS)
+    context.suspects = CrashSuspects(context.clock)
+
+
+@when('it hears of "{history}"')
+def hears_of(context, history):
+    context.convicted = []
+    for item in history.split():
+        at, what, *rest = item.split(":")
+        if START_MS + int(at) - context.clock.now() >= JUDGEMENT_DELAY_MS:
+            judge(context)
+        context.clock.advance(START_MS + int(at) - context.clock.now())
+        if what == "served":
+            context.suspects.record_served([Suspect(SuspectKind.PART, rest[0])])
+            continue
+        if what == "held":
+            hold_back(context, suspects_of(int(rest[0]), ())[0])
+            continue
+        parts = tuple(rest[1].rstrip("!").split("+"))
+        answered = rest[1].endswith("!")
+        report = CrashReport(what, context.clock.now(), int(rest[0]), parts, answered)
+        apply_changes(context, context.suspects.record_own_crash(report))
+    judge(context)
+
+
+def judge(context):
+    """Judge parts, as a router does once all reports of a crash have arrived."""
+    context.clock.advance(JUDGEMENT_DELAY_MS)
+    apply_changes(context, context.suspects.judge_parts())
+
+
+def apply_changes(context, changes):
+    """Keep the list of those convicted and not released."""
+    for change in changes:
+        if change.event == "quarantine_released":
+            context.convicted.remove(change.hold.suspect)
+        else:
+            context.convicted.append(change.hold.suspect)
+
+
+@when('the crashes "{history}" are known, and another router holds "bad" first')
+def hears_of_hold_before_judgement(context, history):
+    for item in history.split():
+        at, replica, number, part = item.split(":")
+        context.clock.advance(START_MS + int(at) - context.clock.now())
+        report = CrashReport(replica, context.clock.now(), int(number), (part,))
+        context.suspects.record_own_crash(report)
+    hold_back(context, PART)
+    assert context.suspects.judge_parts() == []
+
+
+@then("there is one hold on the part, of {span:d} ms and in its first term")
+def one_hold(context, span):
+    (hold,) = context.suspects.held()
+    assert (hold.term, hold.until - hold.held_at) == (1, span), hold
+
+
+@then('it has convicted "{names}"')
+def has_convicted(context, names):
+    found = [
+        "request" if suspect.kind is SuspectKind.REQUEST else suspect.name
+        for suspect in context.convicted
+    ]
+    assert found == names.split("+"), found
+
+
+@then('it has convicted ""')
+def has_convicted_nothing(context):
+    assert not context.convicted, context.convicted
+
+
+@given("a router whose last probe of a replica was {ms:d} ms ago and found it {found}")
+def replica_was_probed(context, ms, found):
+    context.core = core_with_replicas(1, upstream_port=free_port())
+    now = context.core.clock.now()
+    context.core.probes["r0"] = Probe(Millis(now - ms), found == "reachable")
+
+
+@when("an answer of the replica breaks off and its port is closed")
+def answer_breaks_off(context):
+    core, call = context.core, new_call("aa:1,bad:1,own:1")
+    choice = Choice(core.cluster_state.upstreams["r0"], 0, 0.0, 0, cold=False)
+    attempt = Attempt(core, call, choice, None, repeatable=True)
+    attempt.outcome = Outcome.BROKEN
+    trio.run(CrashGuard(core, call, 5).check_for_crash, attempt)
+
+
+@then("the crash is reported: {reported}")
+def crash_is_reported(context, reported):
+    message = context.core.suspects.make_message("n1", Millis(0), relay=False, with_holds=True)
+    found = message is not None and [report.parts for report in message.crashes]
+    assert bool(found) == parse_yes_no(reported), found
+
+
+class RecordingConnection:
+    """A connection that only records whether it was closed."""
+
+    closed = False
+
+    def abort(self):
+        self.closed = True
+
+
+@given('a request with the parts "{parts}" that was sent, and answered since {age} ms')
+def request_was_sent(context, parts, age):
+    context.core = core = core_with_replicas(1)
+    call = new_call(",".join(f"{part}:1" for part in parts.split(",")))
+    choice = Choice(core.cluster_state.upstreams["r0"], 0, 0.0, 0, cold=False)
+    suspects = suspects_of_call(call, 5)
+    attempt = Attempt(core, call, choice, None, repeatable=True, suspects=suspects)
+    attempt.conn = context.conn = RecordingConnection()
+    attempt.outcome = Outcome.BROKEN
+    context.attempt = attempt
+    if age != "no":
+        attempt.answered_at = Millis(core.clock.now() - int(age))
+    core.attempts.add(attempt)
+
+
+@given("the head of its answer has come: {come}")
+def head_has_come(context, come):
+    if parse_yes_no(come):
+        context.attempt.head = ResponseHead(200, [], signed=True)
+        assert context.attempt.classify() is Outcome.ANSWERED
+
+
+@then("it counts as one that may have run")
+def may_have_run(context):
+    route = context.core.cluster_state.plan.route("app.example", "/chat/x")
+    assert context.attempt.outcome is Outcome.BROKEN
+    for outcome in (context.attempt.outcome, Outcome.ANSWERED):
+        state = RetryState(route)
+        state.record(outcome)
+        assert not state.cannot_have_run, outcome
+
+
+@when('the part "{part}" is held back')
+def part_is_held_back(context, part):
+    context.clock, context.suspects = context.core.clock, context.core.suspects
+    changes = hold_back(context, Suspect(SuspectKind.PART, part))
+    context.core.apply_hold_changes(changes, "n2")
+
+
+@then("its connection is closed: {closed}")
+def connection_is_closed(context, closed):
+    assert context.conn.closed == parse_yes_no(closed)
+
+
+@given("a router of rank {rank:d} that holds back a part since 0 ms")
+def router_holds_back(context, rank):
+    context.rank = rank
+    context.clock = ManualClock(START_MS)
+    context.suspects = CrashSuspects(context.clock)
+    hold_back(context, PART)
+
+
+def hold_back(context, suspect):
+    """Let another router report that a suspect is held back from now on."""
+    quarantine = Quarantine(context.clock)
+    quarantine.hold(suspect, 3)
+    message = CrashMessage("n2", decisions=tuple(quarantine.decisions()))
+    return context.suspects.apply_message(message)
+
+
+def release_elsewhere(context, suspect):
+    """Let another router report that a suspect is released after its first hold."""
+    quarantine = Quarantine(context.clock)
+    quarantine.hold(suspect, 3)
+    quarantine.release(suspect)
+    message = CrashMessage("n2", decisions=tuple(quarantine.decisions()))
+    return context.suspects.apply_message(message)
+
+
+@when('"{events}" happen')
+def events_happen(context, events):
+    context.events = [
+        (int(at), what) for at, _, what in (item.partition(":") for item in events.split(","))
+    ]
+
+
+@when('"" happen')
+def no_events_happen(context):
+    context.events = []
+
+
+@then('requests with the part are let through at "{let}" of "{asked}" ms')
+def let_through_at(context, let, asked):
+    steps = [(int(at), "ask") for at in asked.split(",")] + context.events
+    found = []
+    for at, what in sorted(steps):
+        context.clock.advance(START_MS + at - context.clock.now())
+        context.suspects.expire()
+        if what == "served":
+            context.suspects.record_served([PART])
+        elif what == "released-elsewhere":
+            release_elsewhere(context, PART)
+        elif what == "crash":
+            report = CrashReport("r1", context.clock.now(), 5, (PART.name,))
+            context.suspects.record_own_crash(report)
+        elif may_pass(context):
+            found.append(str(at))
+    assert found == let.split(","), found
+
+
+def may_pass(context):
+    """Return whether a request with the part is let through now."""
+    hold = context.suspects.find_hold([PART])
+    return hold is None or context.suspects.start_trial(hold, context.rank)
+
+
+@when("it hears of {crashes:d} crashes with {parts:d} parts each, and holds back {holds:d} parts")
+def hears_of_many(context, crashes, parts, holds):
+    for number in range(crashes):
+        names = tuple(f"{number}-{'x' * 50}-{part}" for part in range(parts))
+        report = CrashReport(f"r{number}", context.clock.now(), number + 1, names)
+        context.suspects.record_own_crash(report)
+    for number in range(holds):
+        hold_back(context, Suspect(SuspectKind.PART, f"{number}-{'x' * 50}"))
+
+
+@then("its message to a new router has at most {limit:d} bytes")
+def message_has_at_most(context, limit):
+    message = context.suspects.make_message("n1", Millis(0), relay=True, with_holds=True)
+    data = encode_crash_message(message, context.clock.now())
+    assert len(message.decisions) == MAX_HOLDS and 0 < len(data) <= limit, len(data)
+    assert decode_crash_message(data, context.clock.now()).crashes
+
+
+@then("it remembers at most {suspects:d} suspects and {holds:d} holds")
+def remembers_at_most(context, suspects, holds):
+    assert suspects == MAX_SUSPECTS and holds == MAX_HOLDS
+    assert context.suspects.suspect_count() <= suspects
+    assert len(context.suspects.held()) <= holds
+    # Longer names, and more parts of one prompt, are not suspected at all.
+    call = new_call(f"{'x' * 65}:1," + "".join(f"p{number}:1," for number in range(40)) + "own:1")
+    assert len(suspect_parts(call)) <= 32 and "x" * 65 not in suspect_parts(call)
+
+
+@when("a part is held back, released, and reported as held back once more")
+def held_and_released(context):
+    assert [change.event for change in hold_back(context, PART)] == ["quarantined"]
+    assert context.suspects.find_hold([PART]).state is HoldState.HELD
+    context.clock.advance(500)
+    context.suspects.record_served([PART])
+    assert hold_back(context, PART) == []
+
+
+@then("the part is not held back")
+def part_is_not_held(context):
+    assert context.suspects.find_hold([PART]) is None
+
+
+@given("a router that heard of two crashes from a router that has ended since")
+def heard_of_two_crashes(context):
+    no_crash_seen(context)
+    now = context.clock.now()
+    reports = (
+        CrashReport("r1", Millis(now - 300), 1, ("bad",)),
+        CrashReport("r2", now, 2, ("bad",)),
+    )
+    context.suspects.apply_message(CrashMessage("n2", crashes=reports))
+
+
+@when("{span:d} ms pass and it sends to a router that {receiver}")
+def sends_to_receiver(context, span, receiver):
+    since = Millis(0 if receiver == "has just started" else START_MS - 100)
+    context.clock.advance(span)
+    now = context.clock.now()
+    message = context.suspects.make_message(
+        "n1", since, relay=receiver.endswith("large fleet"), with_holds=True
+    )
+    context.receiver = CrashSuspects(context.clock)
+    if message is not None:
+        context.receiver.apply_message(
+            decode_crash_message(encode_crash_message(message, now), now)
+        )
+
+
+@then("that one convicts the part at its own first crash of it: {convicts}")
+def receiver_convicts(context, convicts):
+    report = CrashReport("r3", context.clock.now(), 3, ("bad",))
+    context.receiver.record_own_crash(report)
+    assert bool(context.receiver.judge_parts()) == parse_yes_no(convicts)
+
+
+@when('another router sends the message "{text}" about crashes')
+def sends_crash_message(context, text):
+    context.data = msgpack.packb(json.loads(text))
+
+
+@then("it is invalid, and a message of a later version is read")
+def message_is_invalid(context):
+    assert is_crash_message(context.data)
+    try:
+        decode_crash_message(context.data, Millis(START_MS))
+    except PeerError:
+        valid = False
+    else:
+        valid = True
+    assert not valid
+    later = msgpack.packb([101, "n", [[5, "r", 20, ["p"], True]], [], [], "more"])
+    report = CrashReport("r", Millis(START_MS - 20), 5, ("p",), answered=True)
+    assert decode_crash_message(later, Millis(START_MS)).crashes == (report,)
+    assert suspects_of(5, ("p",))[1] == Suspect(SuspectKind.PART, "p")
+
+
+# What operators see.
--- a/skylarklift/entry/affinity.py
+++ b/skylarklift/entry/affinity.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
 from skylarklift.entry.candidates import Candidates
-from skylarklift.entry.cluster_state import Upstream
+from skylarklift.entry.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
--- a/skylarklift/entry/candidates.py
+++ b/skylarklift/entry/candidates.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Iterator, Mapping
 from itertools import repeat
 
-from skylarklift.entry.cluster_state import Upstream
+from skylarklift.entry.upstream import Upstream
 from skylarklift.ids import ReplicaId
 
 
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -15,7 +15,7 @@
 from skylarklift.clock import Clock
 from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
 from skylarklift.entry.candidates import Candidates
-from skylarklift.entry.cluster_state import ClusterState, Upstream
+from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import ColdRequestLimit
 from skylarklift.entry.health import Health
@@ -23,6 +23,7 @@
 from skylarklift.entry.model import Bounds, Call, Route, ServicePlan, Workspace
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.rate_limits import RateLimits
+from skylarklift.entry.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -7,7 +7,7 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
@@ -25,6 +25,13 @@
     TableSummary,
     UpstreamRow,
 )
+from skylarklift.entry.upstream import (
+    UPSTREAM_ADDED,
+    UPSTREAM_REMOVED,
+    StateChange,
+    Upstream,
+    is_restart,
+)
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
 # After an outage the store drops the entries that upstreams could not renew during it.  The
@@ -36,32 +43,6 @@
 # unavailable and upstreams may have failed to renew their entries.
 STORE_OUTAGE_MS = 2500
 NEVER_CONFIRMED_AGE_MS = 1_000_000
-UPSTREAM_ADDED = "upstream_added"
-UPSTREAM_REMOVED = "upstream_removed"
-
-
-@dataclass(slots=True)
-class Upstream:
-    """A replica that can take requests, with its known state.
-
-    `leaving` is true after the replica has said so in an answer, whatever its entry says.
-    """
-
-    record: UpstreamRecord
-    cold_until: Millis
-    known_since: Millis
-    draining: bool = False
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class StateChange:
-    """A change of the cluster state, as written to the log."""
-
-    event: str
-    subject: str
-    version: int
-    detail: str = ""
 
 
 class ClusterState:
@@ -190,7 +171,7 @@
     def _may_be_outdated(self, row: DecodedRow, *, first_page: bool) -> bool:
         """Return whether a row of a restored store may be older than what is known.
 
-        In the first page of an era, rows of the copy cannot be told from those written since.
+        In the first page of an era, rows of the copy look like those written since.
         """
         match row:
             case RoutePlan():
@@ -276,7 +257,7 @@
     def mark_leaving(self, record: UpstreamRecord) -> list[StateChange]:
         """Record that an upstream said in an answer that it leaves, until it restarts."""
         upstream = self.upstreams.get(record.replica)
-        if upstream is None or upstream.leaving or _is_restart(record, upstream.record):
+        if upstream is None or upstream.leaving or is_restart(record, upstream.record):
             return []
         upstream.leaving = True
         self._departed.add_announced(record)
@@ -295,7 +276,7 @@
             return self._remove_or_delay(row.replica, version)
         was_delayed = self._delayed_removals.pop(row.replica, None) is not None
         known = self.upstreams.get(row.replica)
-        if known is None or _is_restart(known.record, row.record):
+        if known is None or is_restart(known.record, row.record):
             return self._add_upstream(row.record, version)
         event = self._update_upstream(known, row.record)
         if not event and was_delayed:
@@ -390,12 +371,3 @@
             for replica, upstream in members.items()
             if upstream.record.zone not in self.evacuated_zones
         }
-
-
-def _is_restart(known: UpstreamRecord, reported: UpstreamRecord) -> bool:
-    """Return whether an entry shows that the replica has restarted since the known entry."""
-    return (
-        reported.started_ms != known.started_ms
-        or (reported.host, reported.port) != (known.host, known.port)
-        or reported.service != known.service
-    )
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -9,12 +9,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.choose import Chooser
-from skylarklift.entry.cluster_state import (
-    UPSTREAM_ADDED,
-    UPSTREAM_REMOVED,
-    ClusterState,
-    StateChange,
-)
+from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.connection_pool import ConnectionPool
 from skylarklift.entry.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.event_log import EventLog
@@ -27,6 +22,7 @@
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
+from skylarklift.entry.upstream import UPSTREAM_ADDED, UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.entry.wire import PageEncoder
 from skylarklift.ids import ReplicaId
@@ -84,7 +80,7 @@
     def record_state_changes(
         self, changes: list[StateChange], source: str, age_ms: int = 0
     ) -> None:
-        """Log changes of the cluster state, and tell the other routers at once."""
+        """Log changes of the cluster state, and send it to the other routers at once."""
         for change in changes:
             if change.event == UPSTREAM_REMOVED:
                 self.forget_upstream(ReplicaId(change.subject))
@@ -124,19 +120,21 @@
         limits = self.chooser.rate_limits
         if per_second is None:
             if limits.record_lifted(replica, sent_at):
-                self._tell_rate_limit(replica, None, self.settings.node)
+                self._announce_rate_limit(replica, None, self.settings.node)
         elif limits.record_named(replica, per_second):
-            self._tell_rate_limit(replica, per_second, self.settings.node)
+            self._announce_rate_limit(replica, per_second, self.settings.node)
 
     def apply_limit_reports(self, reports: Iterable[LimitReport], source: str) -> None:
         """Apply what another router knows of the limits that upstreams name."""
         for report in reports:
             if report.replica in self.cluster_state.upstreams:
                 if self.chooser.rate_limits.apply_report(report):
-                    self._tell_rate_limit(report.replica, report.per_second, source)
+                    self._announce_rate_limit(report.replica, report.per_second, source)
 
-    def _tell_rate_limit(self, replica: ReplicaId, per_second: float | None, source: str) -> None:
-        """Log that a limit is new or lifted, and tell the other routers at once."""
+    def _announce_rate_limit(
+        self, replica: ReplicaId, per_second: float | None, source: str
+    ) -> None:
+        """Log that a limit is new or lifted, and send it to the other routers at once."""
         if per_second is None:
             self.event_log.write("upstream_limit_lifted", subject=replica, source=source)
         else:
@@ -159,13 +157,13 @@
             self.newest_era = era
 
     def report_crash(self, report: CrashReport) -> None:
-        """Record a crash that this router saw, and tell the other routers at once."""
+        """Record a crash that this router saw, and send it to the other routers at once."""
         self.apply_hold_changes(self.suspects.record_own_crash(report), self.settings.node)
         self.crash_reported.set()
         self.state_changed.set()
 
     def apply_hold_changes(self, changes: list[HoldChange], source: str) -> None:
-        """Log changes of what is held back, and tell the other routers at once."""
+        """Log changes of what is held back, and send it to the other routers at once."""
         now = self.clock.now()
         for change in changes:
             hold = change.hold
--- a/skylarklift/entry/prefixes.py
+++ b/skylarklift/entry/prefixes.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.cluster_state import Upstream
 from skylarklift.entry.model import PromptPart
+from skylarklift.entry.upstream import Upstream
 from skylarklift.ids import ReplicaId
 
 PLACEMENT_TTL_MS = 60000
--- a/skylarklift/entry/rate_limits.py
+++ b/skylarklift/entry/rate_limits.py
@@ -1,6 +1,6 @@
 """The limits that upstreams name on the requests a second from all routers together.
 
-Routers tell each other what upstreams name.  Each limit is divided among the routers that come
+Routers report to each other what upstreams name.  Each limit is divided among the routers that come
 first in an order known to all, few enough that each has a usable share.  A share is a token
 bucket that starts empty, so that a router that has just started or just learned of a limit adds
 nothing to what the others send.
@@ -19,7 +19,7 @@
 BURST_REQUESTS = 4
 # A limit that no answer has confirmed for this long is dropped.
 LIMIT_TTL_MS = 60_000
-# That a limit was lifted is told to the other routers for this long.
+# That a limit was lifted is reported to the other routers for this long.
 LIFTED_TTL_MS = 5000
 # A report counts as this much older than it says, for its time on the way, so that what comes back
 # from another router is never taken for something newer.
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class LimitReport:
-    """What a router tells of an upstream's limit, in requests a second, seen `age_ms` ago.
+    """What a router reports of an upstream's limit, in requests a second, seen `age_ms` ago.
 
     `per_second` is `None` if the limit was lifted.
     """
@@ -75,7 +75,7 @@
         return self._update(replica, None, sent_at)
 
     def apply_report(self, report: LimitReport) -> bool:
-        """Apply what another router told; return whether a limit is new or lifted by it."""
+        """Apply what another router reported; return whether a limit is new or lifted by it."""
         now = self._clock.now()
         observed_at = Millis(now - max(0, report.age_ms) - RELAY_DELAY_MS)
         known = self._limits.get(report.replica)
@@ -144,7 +144,7 @@
         }
 
     def reports(self) -> tuple[LimitReport, ...]:
-        """Return what to tell the other routers, the newest first if there is too much."""
+        """Return what to report to the other routers, the newest first if there is too much."""
         now = self._clock.now()
         newest = sorted(self._limits.items(), key=lambda item: -item[1].observed_at)
         return tuple(
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -8,7 +8,6 @@
 from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.caller_connection import CallerConnection
 from skylarklift.entry.choose import Choice, NoUpstream
-from skylarklift.entry.cluster_state import Upstream
 from skylarklift.entry.core import Core
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
@@ -20,6 +19,7 @@
 from skylarklift.entry.suspects import (
     call_fingerprint,
 )
+from skylarklift.entry.upstream import Upstream
 from skylarklift.errors import (
     AnswerLate,
     BadRequest,
