Keep an upstream's request to wait while its entry lapses and comes back

A replica that had asked a router to wait got its requests again when its entry was removed and written again without a restart, as after an outage of the store: what it had asked for was dropped with the entry. A request to wait now belongs to one start of a replica and ends by its time. The case 'wants nothing for 9 s, its entry is removed and comes back' of entry.feature failed before.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -125,17 +125,20 @@
       | the replica "r0" is unreachable |
 
   # Guards against an entry of before that undoes what a replica said in an answer.
-  Scenario Outline: A replica that said in an answer that it leaves is used again: <again>
+  Scenario Outline: A replica that said in an answer that it <said> is used again: <again>
     Given a router that knows 3 replicas
-    When the replica "r0" says in an answer that it leaves
+    When the replica "r0" says in an answer that it <said>
     And then <what>
     Then the replica "r0" is used: <again>
 
     Examples:
-      | what                                  | again |
-      | its entry says that it is ready       | no    |
-      | its entry is removed and comes back   | no    |
-      | it starts again under its name        | yes   |
+      | said                  | what                                | again |
+      | leaves                | its entry says that it is ready     | no    |
+      | leaves                | its entry is removed and comes back | no    |
+      | leaves                | it starts again under its name      | yes   |
+      | wants nothing for 9 s | its entry says that it is ready     | no    |
+      | wants nothing for 9 s | its entry is removed and comes back | no    |
+      | wants nothing for 9 s | it starts again under its name      | yes   |
 
   Scenario Outline: A request reaches only upstreams in its allowed regions
     Given a router that knows 6 replicas in the regions "east,west,west"
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -215,6 +215,12 @@
     return Choice(core.cluster_state.upstreams[name], 0, 0.0, 0, cold=False)
 
 
+@when('the replica "{name}" says in an answer that it wants nothing for {span:d} s')
+def says_it_wants_nothing(context, name, span):
+    record = context.core.cluster_state.upstreams[name].record
+    context.core.record_hold_off(record, span * 1000)
+
+
 @when('the replica "{name}" says in an answer that it leaves')
 def says_it_leaves(context, name):
     state = context.core.cluster_state
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -152,7 +152,7 @@
             changes = core.cluster_state.mark_leaving(self.record)
             core.record_state_changes(changes, core.settings.node)
         if head.hold_off_ms:
-            core.record_hold_off(replica, head.hold_off_ms)
+            core.record_hold_off(self.record, head.hold_off_ms)
         core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
     def classify(self) -> Outcome:
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -203,7 +203,7 @@
             }
             if not usable:
                 return NoUpstream.OUTSIDE_ALLOWED_REGIONS
-        held_off = self.hold_offs.active()
+        held_off = self.hold_offs.active(usable)
         if not self._without(usable, held_off):
             return NoUpstream.HELD_OFF
         excluded = held_off.union(tried)
@@ -227,11 +227,6 @@
         """Return the time until some upstream of a service no longer asks to wait."""
         return self.hold_offs.shortest_ms(self._cluster_state.usable_members(service))
 
-    def forget_requests_of(self, replica: ReplicaId) -> None:
-        """Drop what an upstream that has ended asked of its callers."""
-        self.rate_limits.forget(replica)
-        self.hold_offs.forget(replica)
-
     def load(self, replica: ReplicaId) -> int:
         """Return the known number of requests in flight at an upstream from all routers."""
         return self.in_flight[replica] + self._fleet.peer_loads().get(replica, 0)
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -18,11 +18,11 @@
 from skylarklift.entry.header_codec import HeaderCodec
 from skylarklift.entry.health import Health
 from skylarklift.entry.metrics import Metrics
-from skylarklift.entry.model import NodeSettings
+from skylarklift.entry.model import NodeSettings, UpstreamRecord
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
-from skylarklift.entry.upstream import UPSTREAM_ADDED, UPSTREAM_REMOVED, StateChange
+from skylarklift.entry.upstream import UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.entry.wire import PageEncoder
 from skylarklift.ids import ReplicaId
@@ -84,9 +84,6 @@
         for change in changes:
             if change.event == UPSTREAM_REMOVED:
                 self.forget_upstream(ReplicaId(change.subject))
-            elif change.event == UPSTREAM_ADDED:
-                # A new process knows nothing of what the one before it asked for.
-                self.chooser.forget_requests_of(ReplicaId(change.subject))
             self.event_log.write(
                 change.event,
                 subject=change.subject,
@@ -104,14 +101,13 @@
         self.chooser.cold_limit.forget(replica)
         self.connection_pool.close_idle(replica)
         self.progress.forget(replica)
-        self.chooser.forget_requests_of(replica)
         self.probes.pop(replica, None)
 
-    def record_hold_off(self, replica: ReplicaId, span_ms: int) -> None:
+    def record_hold_off(self, record: UpstreamRecord, span_ms: int) -> None:
         """Record that an upstream wants no request from this router for some time."""
-        if self.chooser.hold_offs.record(replica, span_ms):
-            self.metrics.increment("hold_offs", replica)
-            self.event_log.write("upstream_hold_off", subject=replica, span_ms=span_ms)
+        if self.chooser.hold_offs.record(record, span_ms):
+            self.metrics.increment("hold_offs", record.replica)
+            self.event_log.write("upstream_hold_off", subject=record.replica, span_ms=span_ms)
 
     def record_rate_limit(
         self, replica: ReplicaId, per_second: float | None, sent_at: Millis
--- a/skylarklift/entry/rate_limits.py
+++ b/skylarklift/entry/rate_limits.py
@@ -164,10 +164,6 @@
                     ended.append(replica)
         return ended
 
-    def forget(self, replica: ReplicaId) -> None:
-        """Drop the limit of a removed upstream."""
-        self._limits.pop(replica, None)
-
 
 def _burst(per_second: float) -> float:
     """Return how many tokens the buckets of all routers may hold together."""
