Let chats leave loaded holders sooner while limits have shifted the load

After the limits that most replicas named had ended, callers met overloaded replicas: few replicas held most prefixes by then, and in a large fleet all routers filled them at once, on loads that were seconds old. The load from which a chat goes to another replica is the mean's double less a fifth as a rule, and four fifths of the mean for half a minute after a limit, each with two requests more. Without named limits nothing changes. The case 'named a limit, and lifted it' failed before.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -66,6 +66,18 @@
       | 63      | the other replica |
       | 64      | upstreams_limited |
 
+  # Guards against few replicas that hold most prefixes, and are filled by all routers at once.
+  Scenario Outline: A chat stays with a holder that has more than its part of the load: <stays>
+    Given a router among 0 others before 4 replicas, by the seed 1
+    When the replica that a chat prefers holds its prefix and runs 16 requests, the others 10 each
+    And <limits>
+    Then the chat stays with it: <stays>
+
+    Examples:
+      | limits                                   | stays |
+      | no upstream named a limit                | yes   |
+      | an upstream named a limit, and lifted it | no    |
+
   # Guards against a seed that is counted as a router of its own beside the router at its address.
   Scenario Outline: A seed is the router at its address, found <how>
     Given a router with the seeds "127.0.0.2:7340,127.0.0.3:7340"
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.entry_fixtures import choose, new_call
+from features.entry_fixtures import choose, new_call, parse_yes_no
 from features.steps.entry_process_faults import run_fleet_command
 from features.world_thread import replicas_by_name
 from skylarklift.clock import ManualClock
@@ -290,3 +290,35 @@
     else:
         assert found.upstream.record.replica == context.other
         assert result == "the other replica", found
+
+
+@when(
+    "the replica that a chat prefers holds its prefix and runs {own:d} requests, "
+    "the others {other:d} each"
+)
+def holder_runs(context, own, other):
+    context.call = new_call("base:100,s1:400,own:30")
+    choice = choose(context.core, context.call)
+    context.preferred = choice.upstream.record.replica
+    context.core.chooser.start_request(choice, context.call)
+    for name in context.names:
+        context.core.chooser.in_flight[name] = own if name == context.preferred else other
+
+
+@when("no upstream named a limit")
+def no_limit_named(context):
+    assert not context.core.chooser.rate_limits.has_shifted_load()
+
+
+@when("an upstream named a limit, and lifted it")
+def limit_named_and_lifted(context):
+    limits = context.core.chooser.rate_limits
+    limits.record_named(context.names[0], 2.0)
+    context.clock.advance(100)
+    assert limits.record_lifted(context.names[0], context.clock.now())
+
+
+@then("the chat stays with it: {stays}")
+def chat_stays(context, stays):
+    found = choose(context.core, context.call).upstream.record.replica
+    assert (found == context.preferred) == parse_yes_no(stays), found
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -31,6 +31,9 @@
 # factor times this ratio, plus the extra requests.
 AFFINITY_LOAD_RATIO = 0.8
 AFFINITY_EXTRA_REQUESTS = 2
+# The same after limits that upstreams named: then few replicas hold most prefixes, and all routers
+# would fill them at once.
+SHIFTED_LOAD_RATIO = 0.4
 # An upstream in another zone counts as having this many more requests in flight: bytes between
 # zones cost more than a place beside another request, as long as places are free.
 OTHER_ZONE_PENALTY = 1.5
@@ -244,7 +247,9 @@
         """
         key = affinity_key(call)
         holders = self._find_holders(call, candidates)
-        load_limit = AFFINITY_LOAD_RATIO * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
+        shifted = self.rate_limits.has_shifted_load()
+        ratio = SHIFTED_LOAD_RATIO if shifted else AFFINITY_LOAD_RATIO
+        load_limit = ratio * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
         ranked = self._rendezvous.order(key, service, self._cluster_state.members_of(service))
         scarce = self._limited_with_tokens(candidates)
         return order_by_affinity(key, ranked, candidates, holders, load_limit, self._zone, scarce)
--- a/skylarklift/entry/rate_limits.py
+++ b/skylarklift/entry/rate_limits.py
@@ -20,7 +20,7 @@
 # A limit that no answer has confirmed for this long is dropped.
 LIMIT_TTL_MS = 60_000
 # That a limit was lifted is reported to the other routers for this long.
-LIFTED_TTL_MS = 5000
+LIFTED_TTL_MS = 30_000
 # A report counts as this much older than it says, for its time on the way, so that what comes back
 # from another router is never taken for something newer.
 RELAY_DELAY_MS = 50
@@ -129,6 +129,10 @@
         limit.tokens = min(limit.tokens + accrued, _capacity(limit.per_second, share))
         return limit.tokens
 
+    def has_shifted_load(self) -> bool:
+        """Return whether some upstream names a limit, or did so lately: others have its chats."""
+        return bool(self._limits)
+
     def limited(self) -> Iterable[ReplicaId]:
         """Return the upstreams that name a limit."""
         if not self._limits:
