--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -28,6 +28,8 @@
 SETTLED_ANSWER_MS = 500
 # An answer that has lasted this long makes its request less suspect.
 STARTED_ANSWER_MS = 80
+# Decimals of a mean load in the log.
+LOGGED_DECIMALS = 2
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 
@@ -155,6 +157,16 @@
             core.record_hold_off(self.record, head.hold_off_ms)
         core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
+    def load_fields(self) -> dict[str, float | None]:
+        """Return, for the log, the load that the choice assumed and the one that was answered."""
+        choice, told = self.choice, self.head.load if self.head else None
+        return {
+            "load": choice.load,
+            "mean": round(choice.mean, LOGGED_DECIMALS),
+            "load_age_ms": choice.load_age_ms,
+            "told_load": None if told is None else told.running + told.waiting,
+        }
+
     def classify(self) -> Outcome:
         """Set the outcome by the head of the response, and return it."""
         head = self.head
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -73,7 +73,8 @@
 class Choice:
     """The chosen upstream and the figures behind the choice.
 
-    `load` and `mean` count requests in flight.  `position` is the index of the upstream in the
+    `load` and `mean` count requests in flight; `load_age_ms` is the age of the oldest report of
+    another router that they rest on.  `position` is the index of the upstream in the
     order of candidates.  `copy_source` is a replica from which the chosen one can copy the part
     of the prefix that it lacks.  `passed_over` names the upstreams that would have been better
     but may get no request now, with the reason.
@@ -84,6 +85,7 @@
     mean: float
     position: int
     cold: bool
+    load_age_ms: int = 0
     copy_source: Upstream | None = None
     passed_over: tuple[PassedOver, ...] = ()
 
@@ -166,6 +168,7 @@
                 mean,
                 position,
                 self.is_cold(item, plan),
+                self._fleet.load_age_ms(),
                 self._find_copy_source(call, item) if by_affinity else None,
                 tuple(passed_over),
             )
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -263,6 +263,11 @@
         )
         return max(LOAD_TTL_MS, int(LOAD_TTL_ROTATIONS * rotation_ms))
 
+    def load_age_ms(self) -> int:
+        """Return the age of the oldest reported load that counts, 0 without any."""
+        oldest = self._loads.oldest_received_at()
+        return 0 if oldest is None else self._clock.now() - oldest
+
     def peer_loads(self) -> Mapping[ReplicaId, int]:
         """Return how many requests the other routers have in flight at each upstream."""
         self._loads.expire(Millis(self._clock.now() - self._load_ttl_ms()))
--- a/skylarklift/entry/peer_loads.py
+++ b/skylarklift/entry/peer_loads.py
@@ -41,6 +41,10 @@
             if not totals[replica]:
                 del totals[replica]
 
+    def oldest_received_at(self) -> Millis | None:
+        """Return when the oldest report that counts was received, `None` without any."""
+        return next((report.received_at for report in self._reports.values()), None)
+
     def expire(self, limit: Millis) -> None:
         """Drop the reports that were received at `limit` or before."""
         while self._reports:
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -88,6 +88,7 @@
         self.plan_version = 0
         # Upstreams that would have been better but may get no request now, as REPLICA:REASON.
         self.passed_over: list[str] = []
+        self.attempt: Attempt | None = None
 
     async def run(self) -> None:
         """Serve the request; respond to a `RequestError`, or abort a response that has begun."""
@@ -170,6 +171,7 @@
                 suspects=self.crash_guard.suspects,
                 sent_before=choice.upstream.record.replica in self.sent_to,
             )
+            self.attempt = attempt
             async with attempt.open():
                 status = await self._run_attempt(attempt)
             self.tried_replicas.append(attempt.record.replica)
@@ -351,6 +353,7 @@
             ms_taken=span,
             sends=self.steps,
             last_event=self.forwarder.resume_after if self.forwarder else None,
+            **(self.attempt.load_fields() if self.attempt else {}),
             **({"passed_over": self.passed_over} if self.passed_over else {}),
             **(self.crash_guard.log_fields() if self.crash_guard else {}),
         )
