--- /dev/null
+++ b/features/load_bound.feature
@@ -0,0 +1,49 @@
+Feature: The bound on the load of each replica, with many routers
+
+  Whole fleets of choosers run in virtual time.  Of the requests of any five seconds, at most three in
+  a hundred may reach a replica that holds over twice the mean of its service, and three more.
+
+  # Guards against a bound that is taken from the mean of fewer replicas than the rule's.
+  Scenario Outline: No replica gets more than its share while a zone is evacuated, <routers> routers
+    Given <routers> routers before <replicas> replicas, <rate> requests a second, by the seed <seed>
+    When a zone is evacuated from 2 s to 8 s
+    And all run for 9 s
+    Then no 5 s break the bound on load
+    And no request is refused
+
+    Examples:
+      | routers | replicas | rate | seed |
+      | 8       | 6        | 40   | 1    |
+      | 30      | 24       | 86   | 2    |
+      | 195     | 78       | 280  | 2    |
+      | 390     | 156      | 560  | 1    |
+
+  # Guards against many routers that send a busy subject to one replica before they hear of its load.
+  Scenario Outline: No replica gets more than its share of a busy subject, <ratio> of all, <routers> routers
+    Given <routers> routers before <replicas> replicas, <rate> requests a second, by the seed <seed>
+    When one subject gets <ratio> of the requests from 3 s to 8 s
+    And all run for 10 s
+    Then no 5 s break the bound on load
+    And no request is refused
+
+    Examples:
+      | routers | replicas | rate | seed | ratio |
+      | 30      | 24       | 86   | 1    | 0.16  |
+      | 195     | 78       | 280  | 1    | 0.05  |
+      | 195     | 78       | 280  | 2    | 0.16  |
+      | 390     | 156      | 560  | 1    | 0.16  |
+
+  Scenario Outline: No replica gets more than its share when <case>, <routers> routers
+    Given <routers> routers before <replicas> replicas, <rate> requests a second, by the seed <seed>
+    When <event>
+    And all run for 9 s
+    Then no 5 s break the bound on load
+    And no request is refused
+
+    Examples:
+      | routers | replicas | rate | seed | case                     | event                                  |
+      | 30      | 24       | 86   | 1    | replicas are new         | 5 replicas are added at 2 s            |
+      | 195     | 78       | 280  | 1    | replicas are new         | 16 replicas are added at 2 s           |
+      | 195     | 78       | 280  | 2    | replicas are back        | 20 replicas start again at 2 s         |
+      | 195     | 78       | 280  | 1    | replicas name a limit    | 20 replicas name a limit at 2 s        |
+      | 390     | 156      | 560  | 1    | replicas are back        | 40 replicas start again at 2 s         |
--- /dev/null
+++ b/features/steps/load_bound.py
@@ -0,0 +1,65 @@
+"""Steps for the bound on load: whole fleets of choosers in virtual time."""
+
+from behave import given, then, when
+
+from features.choice_fleet import MAX_OVER_RATIO, ChoiceFleet
+
+COLD_MS = 3000
+LIMIT_PER_S = 2.0
+MS_PER_S = 1000
+
+
+@given(
+    "{routers:d} routers before {replicas:d} replicas, {rate:g} requests a second, "
+    "by the seed {seed:d}"
+)
+def fleet_of_choosers(context, routers, replicas, rate, seed):
+    context.fleet = ChoiceFleet(routers, replicas, rate, seed)
+
+
+@when("a zone is evacuated from {start:d} s to {end:d} s")
+def zone_evacuated(context, start, end):
+    fleet = context.fleet
+    fleet.at(start * MS_PER_S, lambda: fleet.evacuate("cape-a", True))
+    fleet.at(end * MS_PER_S, lambda: fleet.evacuate("cape-a", False))
+
+
+@when("one subject gets {ratio:g} of the requests from {start:d} s to {end:d} s")
+def busy_subject(context, ratio, start, end):
+    fleet = context.fleet
+    fleet.at(start * MS_PER_S, lambda: setattr(fleet, "hot_ratio", ratio))
+    fleet.at(end * MS_PER_S, lambda: setattr(fleet, "hot_ratio", 0.0))
+
+
+@when("{count:d} replicas are added at {start:d} s")
+def replicas_added(context, count, start):
+    fleet = context.fleet
+    fleet.at(start * MS_PER_S, lambda: fleet.add_replicas(count, COLD_MS))
+
+
+@when("{count:d} replicas start again at {start:d} s")
+def replicas_restart(context, count, start):
+    fleet = context.fleet
+    fleet.at(start * MS_PER_S, lambda: fleet.restart(range(count), COLD_MS))
+
+
+@when("{count:d} replicas name a limit at {start:d} s")
+def replicas_limited(context, count, start):
+    fleet = context.fleet
+    fleet.at(start * MS_PER_S, lambda: fleet.limit(range(count), LIMIT_PER_S))
+
+
+@when("all run for {span:d} s")
+def run_fleet(context, span):
+    context.outcome = context.fleet.run(span * MS_PER_S)
+
+
+@then("no 5 s break the bound on load")
+def bound_kept(context):
+    worst = context.outcome.worst_window()
+    assert worst <= MAX_OVER_RATIO, f"{worst:.3f} of a window's requests were over the bound"
+
+
+@then("no request is refused")
+def none_refused(context):
+    assert not context.outcome.refused, context.outcome.refused
