Take the mean load over all replicas of a service, also those that get nothing

Callers: served, but replicas that held the prefixes carried over twice the mean while a zone was evacuated. Cause: the bound on load is a multiple of the mean over the service; the choice took the mean over the candidates, so each evacuated, ejected or already tried replica raised the bound of the others. Ruled out: excepting draining or ejected replicas from the mean, since they lower it and the rule counts them.

--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -114,7 +114,8 @@
     if not candidates:
         return None
     loads = {item.record.replica: plain_load(context, item.record.replica) for item in candidates}
-    mean = sum(loads.values()) / len(loads)
+    # The mean of all replicas, whether or not they may get the request.
+    mean = sum(plain_load(context, item.record.replica) for item in upstreams) / len(upstreams)
     held = {item.record.replica: plain_held(context, call, item) for item in candidates}
     shared_tokens = sum(part.tokens for part in shared_parts(call.parts))
     most = max(held.values())
--- a/skylarklift/entry/candidates.py
+++ b/skylarklift/entry/candidates.py
@@ -1,7 +1,6 @@
 """The upstreams among which a request has a choice, with their loads."""
 
 from collections.abc import Collection, Iterator, Mapping
-from itertools import repeat
 
 from skylarklift.entry.upstream import Upstream
 from skylarklift.ids import ReplicaId
@@ -48,8 +47,3 @@
     def load(self, name: ReplicaId) -> int:
         """Return the known number of requests in flight at an upstream from all routers."""
         return self._own_loads.get(name, 0) + self._peer_loads.get(name, 0)
-
-    def mean_load(self) -> float:
-        """Return the mean load of the candidates."""
-        own = sum(count for name, count in self._own_loads.items() if name in self)
-        return (own + sum(map(self._peer_loads.get, self, repeat(0)))) / len(self)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -10,7 +10,7 @@
 from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
-from itertools import chain
+from itertools import chain, repeat
 
 from skylarklift.clock import Clock
 from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
@@ -143,7 +143,7 @@
         if isinstance(candidates, NoUpstream):
             return candidates
         plan = self._cluster_state.plan.services.get(service)
-        mean = candidates.mean_load()
+        mean = self._mean_load(service)
         by_affinity = plan is not None and plan.engine_slots > 0 and route.affinity
         if by_affinity:
             ordered = self._order_by_affinity(call, service, candidates, mean)
@@ -237,6 +237,16 @@
         """Return the known number of requests in flight at an upstream from all routers."""
         return self.in_flight[replica] + self._fleet.peer_loads().get(replica, 0)
 
+    def _mean_load(self, service: ServiceId) -> float:
+        """Return the mean load of all replicas of a service.
+
+        Those that get nothing count too: the bound on load is a multiple of this mean.
+        """
+        replicas = self._cluster_state.replicas_of(service)
+        own = sum(count for name, count in self.in_flight.items() if name in replicas)
+        reported = sum(map(self._fleet.peer_loads().get, replicas, repeat(0)))
+        return (own + reported) / len(replicas)
+
     def _order_by_affinity(
         self,
         call: Call,
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -56,6 +56,7 @@
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
         self._members: dict[ServiceId, dict[ReplicaId, Upstream]] = {}
+        self._replicas: dict[ServiceId, frozenset[ReplicaId]] = {}
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
         self._restored = RestoredRows(clock)
@@ -261,7 +262,7 @@
             return []
         upstream.leaving = True
         self._departed.add_announced(record)
-        self._members.clear()
+        self._forget_members()
         return [StateChange("upstream_leaving", record.replica, 0, record.service)]
 
     def apply_reported_cold_time(self, replica: ReplicaId, span_ms: int) -> None:
@@ -296,7 +297,7 @@
             event = "upstream_cold"
         if record.draining != upstream.draining:
             event = "upstream_draining"
-            self._members.clear()
+            self._forget_members()
         upstream.record = record
         upstream.draining = record.draining
         if record.cold_ms > 0:
@@ -315,7 +316,7 @@
         )
         self._extend_cold_period(upstream, record.cold_ms)
         self.upstreams[record.replica] = upstream
-        self._members.clear()
+        self._forget_members()
         detail = f"{record.service} {record.host}:{record.port} cold {record.cold_ms} ms"
         return [StateChange(UPSTREAM_ADDED, record.replica, version, detail)]
 
@@ -334,7 +335,7 @@
         """Remove a replica at once."""
         self._departed.add(self.upstreams.pop(replica).record)
         self._delayed_removals.pop(replica, None)
-        self._members.clear()
+        self._forget_members()
         return [StateChange(UPSTREAM_REMOVED, replica, version)]
 
     def apply_delayed_removals(self) -> list[StateChange]:
@@ -345,6 +346,23 @@
         due = [replica for replica, moment in self._delayed_removals.items() if moment <= now]
         return [change for replica in due for change in self._remove_upstream(replica, 0)]
 
+    def _forget_members(self) -> None:
+        """Drop what was derived from the list of upstreams."""
+        self._members.clear()
+        self._replicas.clear()
+
+    def replicas_of(self, service: ServiceId) -> frozenset[ReplicaId]:
+        """Return all replicas of a service, also those that may get no request."""
+        replicas = self._replicas.get(service)
+        if replicas is None:
+            replicas = frozenset(
+                replica
+                for replica, upstream in self.upstreams.items()
+                if upstream.record.service == service
+            )
+            self._replicas[service] = replicas
+        return replicas
+
     def members_of(self, service: ServiceId) -> Mapping[ReplicaId, Upstream]:
         """Return the replicas of a service that are not draining.
 
