Tell other routers at once which upstreams are busy, by the loads in their answers

Callers: served, but at hundreds of routers 3 to 5 in 100 requests reached replicas over the bound on load. Cause: a router tells 8 others each 0.3 s what it has in flight, so at 195 routers a known load is up to 7 s old, longer than a stream lasts. What a replica tells in each answer was decoded and not used. Change: a told load at or above the bound for chats counts for a second at the router that read it, is sent to the next eight at once, and goes on with each message; twice the bound is passed on at once by each router.

--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+import trio
+
 from features.entry_fixtures import (
     ZONES,
     apply_rows,
@@ -23,7 +25,7 @@
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.core import Core
-from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS
+from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS, GossipMessage
 from skylarklift.entry.model import Call, Endpoint, ReplicaLoad
 from skylarklift.entry.peering import Peering
 from skylarklift.entry.rows import RowTable
@@ -34,12 +36,12 @@
 # A request travels this long, and a message between routers.
 TRAVEL_MS = 3
 FIRST_EVENT_MS = 40
-STREAM_MS = 700
 SLOWER_PER_REQUEST = 0.02
-SUBJECTS = 1200
 SUBJECT_SKEW = 0.3
-# Subjects belong to one of a few kinds of request, whose first part is the same.
-KINDS = 3
+# Peaks are noted once the first streams run.
+SETTLING_MS = 2000
+# Callers come in groups of this many on average.
+GROUP_SIZE = 3
 WINDOW_MS = 5000
 # The stated bound: at most this share of a window's requests, or this many, may reach a replica
 # over the bound.
@@ -47,6 +49,24 @@
 MAX_OVER_COUNT = 20
 
 
+@dataclass(frozen=True, slots=True)
+class RequestKind:
+    """A kind of request: its share of all, how long its streams last, and its subjects."""
+
+    name: str
+    ratio: float
+    stream_ms: int
+    subjects: int
+    tokens: int
+
+
+KINDS = (
+    RequestKind("report", 0.22, 1900, 280, 10_000),
+    RequestKind("summary", 0.29, 1300, 370, 600),
+    RequestKind("question", 0.49, 110, 630, 2000),
+)
+
+
 @dataclass(frozen=True, slots=True)
 class SentRequest:
     """A request that reached a replica: when, and whether that was over the bound on load."""
@@ -63,6 +83,7 @@
     peaks: list[float] = field(default_factory=list)
     refused: int = 0
     read_again: int = 0
+    messages: int = 0
 
     def worst_window(self) -> float:
         """Return the greatest share of a window's requests that were over the bound."""
@@ -92,7 +113,7 @@
         self.replicas = [f"r{number}" for number in range(replicas)]
         self.outcome = Outcome()
         self._per_second = per_second
-        self._next_request_ms = float(self.clock.now())
+        self._next_group_ms = float(self.clock.now())
         self._state = self._make_state(replicas)
         self._row_version = 1
         self._cores = [self._make_core(number) for number in range(routers)]
@@ -100,8 +121,12 @@
         self._introduce()
         self._true_loads: Counter[ReplicaId] = Counter()
         self._events: list[tuple[Millis, int, Callable[[], None]]] = []
-        self._order = 0
-        self._weights = [1 / (rank + 1) ** SUBJECT_SKEW for rank in range(SUBJECTS)]
+        self._order = self._requests = 0
+        self._settled_at = Millis(self.clock.now() + SETTLING_MS)
+        self._weights = {
+            kind: [1 / (rank + 1) ** SUBJECT_SKEW for rank in range(kind.subjects)]
+            for kind in KINDS
+        }
         self._cached: dict[ReplicaId, set[str]] = {}
         # The share of requests that are about one subject.
         self.hot_ratio = 0.0
@@ -147,7 +172,9 @@
         """Run for a span of virtual time and return what it showed."""
         end = self.clock.now() + span_ms
         for peering in self._peerings:
-            self.at(self.rng.randrange(ROUND_MS), lambda peering=peering: self._gossip(peering))
+            self.at(
+                self.rng.randrange(ROUND_MS), lambda peering=peering: self._gossip_in_turn(peering)
+            )
         self.at(0, self._send_next)
         self.at(0, self._look)
         while self._events and self._events[0][0] <= end:
@@ -159,7 +186,7 @@
     def _look(self) -> None:
         """Note the highest load over the mean."""
         mean = self._mean()
-        if mean:
+        if mean and self.clock.now() >= self._settled_at:
             self.outcome.peaks.append(max(self._true_loads.values()) / mean)
         self.at(100, self._look)
 
@@ -184,6 +211,11 @@
         entries = {name: self._entry(first + n, cold_ms) for n, name in enumerate(names)}
         self._apply(RowTable.UPSTREAMS, entries)
 
+    def remove(self, numbers: range) -> None:
+        """Let replicas end without notice, and their entries with them."""
+        self._row_version += 1
+        self._apply(RowTable.UPSTREAMS, {f"r{n}": None for n in numbers})
+
     def restart(self, numbers: range, cold_ms: int) -> None:
         """Let replicas start again under their names, cold and empty."""
         self._row_version += 1
@@ -206,6 +238,11 @@
 
     # Messages.
 
+    def _gossip_in_turn(self, peering: Peering) -> None:
+        """Let a router send its messages of one round, and plan the next one."""
+        self._gossip(peering)
+        self.at(ROUND_MS, lambda: self._gossip_in_turn(peering))
+
     def _gossip(self, peering: Peering) -> None:
         """Let a router send its messages of one round."""
         now = self.clock.now()
@@ -215,44 +252,59 @@
             if since not in encoded:
                 encoded[since] = peering._make_message(since)
             peer.sent_at = now
-            target = self._peerings[int(peer.node[1:])]
-            message = encoded[since]
+            self.outcome.messages += 1
+            number, message = int(peer.node[1:]), encoded[since]
             self.at(
-                TRAVEL_MS,
-                lambda target=target, message=message: target._apply_message(
-                    message, Endpoint("127.0.0.1", 1), None
-                ),
+                TRAVEL_MS, lambda number=number, message=message: self._receive(number, message)
+            )
+
+    def _receive(self, number: int, message: GossipMessage) -> None:
+        """Let a router receive a message."""
+        self._peerings[number]._apply_message(message, Endpoint("127.0.0.1", 1), None)
+        self._spread_news(self._cores[number])
+
+    def _spread_news(self, core: Core) -> None:
+        """Let a router send at once what is new to it, as far apart as messages must be."""
+        if core.state_changed.is_set():
+            core.state_changed = trio.Event()
+            self.at(
+                MIN_GOSSIP_INTERVAL_MS,
+                lambda: self._gossip(self._peerings[int(core.settings.node[1:])]),
             )
-        self.at(ROUND_MS, lambda: self._gossip(peering))
 
     # Requests.
 
     def _send_next(self) -> None:
-        """Let a caller's request arrive at some router, and plan the next one."""
-        self._send(self.rng.choice(self._cores), self._make_call())
-        # Several requests may come within a millisecond, so the fractions are kept.
-        self._next_request_ms += self.rng.expovariate(self._per_second / 1000)
-        self.at(max(0, int(self._next_request_ms) - self.clock.now()), self._send_next)
-
-    def _make_call(self) -> Call:
-        """Return a request about one of many subjects."""
+        """Let a group of callers' requests arrive at some routers, and plan the next one."""
+        for _ in range(1 + int(self.rng.expovariate(1 / (GROUP_SIZE - 0.5)))):
+            self._send(self.rng.choice(self._cores))
+        # Several groups may come within a millisecond, so the fractions are kept.
+        self._next_group_ms += self.rng.expovariate(self._per_second / GROUP_SIZE / 1000)
+        self.at(max(0, int(self._next_group_ms) - self.clock.now()), self._send_next)
+
+    def _make_call(self, kind: RequestKind) -> Call:
+        """Return a request of a kind about one of its subjects."""
         if self.rng.random() < self.hot_ratio:
             subject = 0
         else:
-            subject = self.rng.choices(range(SUBJECTS), self._weights)[0]
-        return new_call(f"kind{subject % KINDS}:500,subject{subject}:2000,own:130")
-
-    def _send(self, core: Core, call: Call) -> None:
-        """Choose an upstream for a request and send it there."""
+            subject = self.rng.choices(range(kind.subjects), self._weights[kind])[0]
+        self._requests += 1
+        parts = f"{kind.name}:500,{kind.name}{subject}:{kind.tokens},own:130"
+        return new_call(parts, request=f"q{self._requests}")
+
+    def _send(self, core: Core) -> None:
+        """Choose an upstream for a request of a random kind and send it there."""
+        kind = self.rng.choices(KINDS, [kind.ratio for kind in KINDS])[0]
+        call = self._make_call(kind)
         route = self._state.plan.route("app.example", "/chat/x")
         choice = core.chooser.choose(call, route, SERVICE)
         if not isinstance(choice, Choice):
             self.outcome.refused += 1
             return
         core.chooser.start_request(choice, call)
-        self.at(TRAVEL_MS, lambda: self._arrive(core, choice, call))
+        self.at(TRAVEL_MS, lambda: self._arrive(core, choice, call, kind))
 
-    def _arrive(self, core: Core, choice: Choice, call: Call) -> None:
+    def _arrive(self, core: Core, choice: Choice, call: Call, kind: RequestKind) -> None:
         """Let a request reach its replica, and plan its first event and its end."""
         replica = choice.upstream.record.replica
         held = self._true_loads[replica]
@@ -265,16 +317,15 @@
         cached.add(subject)
         self._true_loads[replica] += 1
         slower = 1 + SLOWER_PER_REQUEST * held
-        self.at(int(FIRST_EVENT_MS * slower), lambda: self._answer(core, replica))
-        span_ms = int(STREAM_MS * slower * self.rng.uniform(0.5, 1.5))
+        self.at(int(FIRST_EVENT_MS * slower), lambda: self._answer(core, choice))
+        span_ms = int(kind.stream_ms * slower * self.rng.uniform(0.4, 1.6))
         self.at(span_ms, lambda: self._end(core, replica))
 
-    def _answer(self, core: Core, replica: ReplicaId) -> None:
+    def _answer(self, core: Core, choice: Choice) -> None:
         """Let the router read the head of an answer, which tells the load of the replica."""
-        load = ReplicaLoad(self._true_loads[replica], 0, 64)
-        record = getattr(core.chooser, "record_told_load", None)
-        if record is not None:
-            record(replica, load)
+        replica = choice.upstream.record.replica
+        core.record_told_load(choice, ReplicaLoad(self._true_loads[replica], 0, 64))
+        self._spread_news(core)
 
     def _end(self, core: Core, replica: ReplicaId) -> None:
         """Let a stream end."""
--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -43,3 +43,18 @@
     Given a router among 1 others before 6 replicas, by the seed 1
     When 50 chats come, each after a replica has joined
     Then no list of members but the newest is kept
+
+  # Guards against many routers that send chats to a replica which is known to be full by its answers.
+  Scenario Outline: What replicas tell of their load in answers counts: <case>
+    Given a router among 3 others before 3 replicas, by the seed 1
+    And the replica that a chat prefers
+    When "<source>" learns from an answer that it holds <load> requests, <age> ms ago
+    Then the chat goes <where>
+
+    Examples:
+      | case                               | source | load | age  | where         |
+      | a busy replica is passed over      | here   | 9    | 0    | elsewhere     |
+      | another router has told it         | n1     | 9    | 300  | elsewhere     |
+      | a load under the bound             | here   | 1    | 0    | there         |
+      | a load that is no longer true      | here   | 9    | 1001 | there         |
+      | another router's news that are old | n1     | 9    | 1001 | there         |
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -25,9 +25,11 @@
 )
 from skylarklift.entry.fleet import LOAD_TTL_MS, GossipMessage
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.model import Endpoint
+from skylarklift.entry.model import Endpoint, ReplicaLoad
 from skylarklift.entry.prefixes import PLACEMENT_TTL_MS, Placement, shared_parts
 from skylarklift.entry.rows import RowTable, TableSummary
+from skylarklift.entry.told_loads import ToldLoad
+from skylarklift.entry.wire import decode_gossip, encode_gossip
 from skylarklift.hashing import rendezvous_weight
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
@@ -265,3 +267,29 @@
     counts = [len(gc.get_referrers(members)) for members in old]
     newest = len(gc.get_referrers(context.member_lists[-1]))
     assert max(counts) < newest, (counts, newest)
+
+
+@given("the replica that a chat prefers")
+def preferred_replica(context):
+    context.call = new_call("base:100,s1:2000,own:30")
+    context.choice = choose(context.core, context.call)
+
+
+@when('"{source}" learns from an answer that it holds {load:d} requests, {age:d} ms ago')
+def load_told(context, source, load, age):
+    core, replica = context.core, context.choice.upstream.record.replica
+    if source == "here":
+        core.record_told_load(context.choice, ReplicaLoad(load, 0, 64))
+        context.clock.advance(age)
+        return
+    told = (ToldLoad(replica, load, age),)
+    message = GossipMessage(source, "b", "", EMPTY_SUMMARIES, told_loads=told)
+    decoded = decode_gossip(encode_gossip(message))
+    for item in decoded.told_loads:
+        core.chooser.told_loads.apply_report(item)
+
+
+@then("the chat goes {where}")
+def chat_goes(context, where):
+    found = choose(context.core, context.call).upstream
+    assert (found is context.choice.upstream) == (where == "there"), found.record.replica
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -153,6 +153,8 @@
         if head.leaving:
             changes = core.cluster_state.mark_leaving(self.record)
             core.record_state_changes(changes, core.settings.node)
+        if head.load is not None:
+            core.record_told_load(self.choice, head.load)
         if head.hold_off_ms:
             core.record_hold_off(self.record, head.hold_off_ms)
         core.record_rate_limit(replica, head.request_limit, self._sent_at)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -23,6 +23,7 @@
 from skylarklift.entry.model import Bounds, Call, Route, ServicePlan, Workspace
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.rate_limits import RateLimits
+from skylarklift.entry.told_loads import ToldLoads
 from skylarklift.entry.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
@@ -76,7 +77,8 @@
     `load` and `mean` count requests in flight; `load_age_ms` is the age of the oldest report of
     another router that they rest on.  `position` is the index of the upstream in the
     order of candidates.  `copy_source` is a replica from which the chosen one can copy the part
-    of the prefix that it lacks.  `passed_over` names the upstreams that would have been better
+    of the prefix that it lacks.  `busy_load` is the load from which it takes no more chats while
+    another replica is less busy.  `passed_over` names the upstreams that would have been better
     but may get no request now, with the reason.
     """
 
@@ -86,6 +88,7 @@
     position: int
     cold: bool
     load_age_ms: int = 0
+    busy_load: float = 0.0
     copy_source: Upstream | None = None
     passed_over: tuple[PassedOver, ...] = ()
 
@@ -114,6 +117,7 @@
         self.rate_limits = RateLimits(clock)
         self.hold_offs = HoldOffs(clock)
         self.prefixes = PrefixIndex(clock)
+        self.told_loads = ToldLoads(clock)
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
 
@@ -144,9 +148,10 @@
             return candidates
         plan = self._cluster_state.plan.services.get(service)
         mean = self._mean_load(service)
+        busy_load = self._busy_load(mean)
         by_affinity = plan is not None and plan.engine_slots > 0 and route.affinity
         if by_affinity:
-            ordered = self._order_by_affinity(call, service, candidates, mean)
+            ordered = self._order_by_affinity(call, service, candidates, busy_load)
         else:
             ordered = iter(self._order_by_load(candidates))
         passed_over: list[PassedOver] = []
@@ -169,6 +174,7 @@
                 position,
                 self.is_cold(item, plan),
                 self._fleet.load_age_ms(),
+                busy_load,
                 self._find_copy_source(call, item) if by_affinity else None,
                 tuple(passed_over),
             )
@@ -227,7 +233,8 @@
         self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
     ) -> Candidates:
         """Return the members that are not excluded as candidates."""
-        return Candidates(members, excluded, self.in_flight, self._fleet.peer_loads())
+        peer_loads, told_loads = self._fleet.peer_loads(), self.told_loads.loads()
+        return Candidates(members, excluded, self.in_flight, peer_loads, told_loads)
 
     def wait_ms(self, service: ServiceId) -> int:
         """Return the time until some upstream of a service no longer asks to wait."""
@@ -247,12 +254,18 @@
         reported = sum(map(self._fleet.peer_loads().get, replicas, repeat(0)))
         return (own + reported) / len(replicas)
 
+    def _busy_load(self, mean: float) -> float:
+        """Return the load from which a replica takes no more chats by affinity."""
+        shifted = self.rate_limits.has_shifted_load()
+        ratio = SHIFTED_LOAD_RATIO if shifted else AFFINITY_LOAD_RATIO
+        return ratio * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
+
     def _order_by_affinity(
         self,
         call: Call,
         service: ServiceId,
         candidates: Candidates,
-        mean: float,
+        busy_load: float,
     ) -> Iterator[ReplicaId]:
         """Yield the replicas from the best to the worst for a chat, overloaded ones last.
 
@@ -260,12 +273,9 @@
         """
         key = affinity_key(call)
         holders = self._find_holders(call, candidates)
-        shifted = self.rate_limits.has_shifted_load()
-        ratio = SHIFTED_LOAD_RATIO if shifted else AFFINITY_LOAD_RATIO
-        load_limit = ratio * self._bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
         ranked = self._rendezvous.order(key, service, self._cluster_state.members_of(service))
         scarce = self._limited_with_tokens(candidates)
-        return order_by_affinity(key, ranked, candidates, holders, load_limit, self._zone, scarce)
+        return order_by_affinity(key, ranked, candidates, holders, busy_load, self._zone, scarce)
 
     def _limited_with_tokens(self, candidates: Candidates) -> list[ReplicaId]:
         """Return the candidates that name a limit under which this router may send now."""
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,7 +8,7 @@
 import trio
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.choose import Chooser
+from skylarklift.entry.choose import Choice, Chooser
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.connection_pool import ConnectionPool
 from skylarklift.entry.crash_evidence import CrashReport, Suspect
@@ -18,7 +18,7 @@
 from skylarklift.entry.header_codec import HeaderCodec
 from skylarklift.entry.health import Health
 from skylarklift.entry.metrics import Metrics
-from skylarklift.entry.model import NodeSettings, UpstreamRecord
+from skylarklift.entry.model import NodeSettings, ReplicaLoad, UpstreamRecord
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
@@ -109,6 +109,13 @@
             self.metrics.increment("hold_offs", record.replica)
             self.event_log.write("upstream_hold_off", subject=record.replica, span_ms=span_ms)
 
+    def record_told_load(self, choice: Choice, told: ReplicaLoad) -> None:
+        """Record the load that an upstream told in an answer; tell the others if it is busy."""
+        replica, load = choice.upstream.record.replica, told.running + told.waiting
+        if self.chooser.told_loads.record(replica, load, choice.busy_load):
+            self.metrics.increment("busy_upstreams")
+            self.state_changed.set()
+
     def record_rate_limit(
         self, replica: ReplicaId, per_second: float | None, sent_at: Millis
     ) -> None:
@@ -202,6 +209,7 @@
             },
         )
         metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
+        metrics.replace_gauges("told_load", dict(self.chooser.told_loads.loads()))
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         for table in RowTable:
             cache = self.cluster_state.caches[table]
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -10,6 +10,7 @@
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import Era, TableSummary
+from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
 
@@ -58,7 +59,8 @@
     its requests in flight by upstream, `ejected` the milliseconds left of each ejection,
     `maybe_restarted` the ejected upstreams that may have restarted, and `placements` the replicas
     that recent prompts were sent to.  `router_count` is how many routers the sender counts, and
-    `limits` what it knows of the limits that upstreams name.
+    `limits` what it knows of the limits that upstreams name.  `told_loads` holds the loads that
+    busy upstreams have told.
     """
 
     node: str
@@ -73,6 +75,7 @@
     placements: tuple[Placement, ...] = ()
     router_count: int = 0
     limits: tuple[LimitReport, ...] = ()
+    told_loads: tuple[ToldLoad, ...] = ()
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -159,6 +159,7 @@
             placements=tuple(core.chooser.prefixes.own_placements_since(since)),
             router_count=core.fleet.router_count(),
             limits=core.chooser.rate_limits.reports(),
+            told_loads=core.chooser.told_loads.reports(),
         )
 
     # Receiving.
@@ -205,6 +206,9 @@
                 replica, left_ms, maybe_restarted=replica in message.maybe_restarted
             )
         core.apply_limit_reports(message.limits, message.node)
+        for told in message.told_loads:
+            if core.chooser.told_loads.apply_report(told):
+                core.state_changed.set()
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
--- /dev/null
+++ b/skylarklift/entry/told_loads.py
@@ -0,0 +1,90 @@
+"""The loads of busy upstreams, as these tell them in their answers.
+
+What routers report of their own requests is old in a large fleet.  The answer of a replica tells
+its load now.  If that is above the bound for chats, the other routers are told; few replicas are at
+any moment, so what is told stays small.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from skylarklift.clock import Clock, Millis
+from skylarklift.ids import ReplicaId
+
+# A told load counts for this long: about as long as streams last.
+TOLD_LOAD_TTL_MS = 1000
+# A report counts as this much older than it says, for its time on the way, so that what comes back
+# from another router is never taken for something newer.
+RELAY_DELAY_MS = 20
+MAX_REPORTS = 12
+# A load from this multiple of the bound on is passed on at once, others with the next message.
+URGENT_LOAD_RATIO = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class ToldLoad:
+    """The requests at an upstream, running or waiting, as it told them `age_ms` ago."""
+
+    replica: ReplicaId
+    load: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Observation:
+    """The load of an upstream at a moment."""
+
+    load: int
+    observed_at: Millis
+
+
+class ToldLoads:
+    """The newest told load of each busy upstream."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._observations: dict[ReplicaId, Observation] = {}
+        self._busy_load = 0.0
+
+    def record(self, replica: ReplicaId, load: int, busy_load: float) -> bool:
+        """Record the load in an answer; return whether the other routers are to know at once."""
+        known, self._busy_load = self._observations.get(replica), busy_load
+        if load < busy_load:
+            # It is no longer busy; what others know of it expires soon.
+            self._observations.pop(replica, None)
+            return False
+        self._observations[replica] = Observation(load, self._clock.now())
+        return known is None
+
+    def apply_report(self, report: ToldLoad) -> bool:
+        """Apply what another router reported, unless something newer is known.
+
+        Return whether the others are to know at once, as the upstream is far too busy.
+        """
+        observed_at = Millis(self._clock.now() - max(0, report.age_ms) - RELAY_DELAY_MS)
+        known = self._observations.get(report.replica)
+        if known is None or known.observed_at < observed_at:
+            self._observations[report.replica] = Observation(report.load, observed_at)
+        return known is None and report.load >= URGENT_LOAD_RATIO * self._busy_load
+
+    def loads(self) -> Mapping[ReplicaId, int]:
+        """Return the told loads that still count."""
+        self._expire()
+        return {replica: item.load for replica, item in self._observations.items()}
+
+    def reports(self) -> tuple[ToldLoad, ...]:
+        """Return what to report to the other routers, the newest first if there is too much."""
+        self._expire()
+        now = self._clock.now()
+        newest = sorted(self._observations.items(), key=lambda item: -item[1].observed_at)
+        return tuple(
+            ToldLoad(replica, item.load, now - item.observed_at)
+            for replica, item in newest[:MAX_REPORTS]
+        )
+
+    def _expire(self) -> None:
+        """Drop what is too old to count."""
+        limit = self._clock.now() - TOLD_LOAD_TTL_MS
+        for replica, item in list(self._observations.items()):
+            if item.observed_at <= limit:
+                del self._observations[replica]
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -12,6 +12,7 @@
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.rows import NO_ERA, Era, RowChange, RowPage, TableSummary
+from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId
 
@@ -24,6 +25,7 @@
 ROUTER_COUNT_KEY = "routers"
 LIMITS_KEY = "limits"
 ERAS_KEY = "eras"
+TOLD_LOADS_KEY = "told"
 COMPRESSION_LEVEL = 1
 
 
@@ -51,6 +53,9 @@
                     (report.replica, report.per_second, report.age_ms) for report in message.limits
                 ],
                 ERAS_KEY: [summary.era for summary in message.tables],
+                TOLD_LOADS_KEY: [
+                    (told.replica, told.load, told.age_ms) for told in message.told_loads
+                ],
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
@@ -89,6 +94,10 @@
                 )
                 for replica, per_second, age_ms in extras.get(LIMITS_KEY, ())
             ),
+            told_loads=tuple(
+                ToldLoad(ReplicaId(str(replica)), int(load), int(age_ms))
+                for replica, load, age_ms in extras.get(TOLD_LOADS_KEY, ())
+            ),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
