Prefer the least loaded replica if all are busy, not those that hold the prefix

Evidence: the scenario with loads of 14, 12 and 12 failed before, and passes now; a holder goes first at equal loads as before. The plain walk that entry_choice.feature compares with has the same order now.

--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -58,3 +58,16 @@
       | a load under the bound             | here   | 1    | 0    | there         |
       | a load that is no longer true      | here   | 9    | 1001 | there         |
       | another router's news that are old | n1     | 9    | 1001 | there         |
+
+  # Guards against replicas that hold a prefix and get the more chats the fuller they are.
+  Scenario Outline: If all replicas are busy, the least loaded one is chosen, even <case>
+    Given a router among 3 others before 3 replicas, by the seed 1
+    And the replica that a chat prefers
+    When the replicas report <loads> requests, the preferred one first
+    Then the chat goes <where>
+
+    Examples:
+      | case                                | loads    | where     |
+      | if another one holds its prefix     | 14 12 12 | elsewhere |
+      | the holder of its prefix            | 12 14 14 | there     |
+      | if they are equal: the holder's     | 12 12 12 | there     |
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -131,8 +131,9 @@
         under = loads[name] < limit
         is_holder = held[name] >= least_held
         near = under and is_holder and most > 0 and item.record.zone == core.settings.zone
-        weight = rendezvous_weight(key, name) if under else -loads[name]
-        return under, is_holder, near, weight
+        if not under:
+            return under, False, False, -loads[name], is_holder
+        return under, is_holder, near, rendezvous_weight(key, name), is_holder
 
     for item in sorted(candidates, key=sort_key, reverse=True):
         plan = core.cluster_state.plan.services["lm"]
@@ -293,3 +294,14 @@
 def chat_goes(context, where):
     found = choose(context.core, context.call).upstream
     assert (found is context.choice.upstream) == (where == "there"), found.record.replica
+
+
+@when("the replicas report {loads} requests, the preferred one first")
+def replicas_report(context, loads):
+    core, preferred = context.core, context.choice.upstream.record.replica
+    core.chooser.start_request(context.choice, context.call)
+    core.chooser.end_request(preferred)
+    names = [preferred, *(name for name in context.names if name != preferred)]
+    # All are busy by the bound, as if most of the service's replicas got nothing.
+    core.settings.bounds.load_factor = 0.5
+    report(context, "n1", dict(zip(names, map(int, loads.split()), strict=True)))
--- a/skylarklift/entry/affinity.py
+++ b/skylarklift/entry/affinity.py
@@ -85,7 +85,7 @@
         if name in candidates and name not in holders and load(name) < load_limit:
             yield name
     overloaded = [name for name in candidates if load(name) >= load_limit]
-    yield from sorted(overloaded, key=lambda name: (name not in holders, load(name)))
+    yield from sorted(overloaded, key=lambda name: (load(name), name not in holders))
 
 
 def _sort_by_weight(key: str, names: Iterable[ReplicaId]) -> list[ReplicaId]:
