Pass on a told load at once only if it is urgent by the bound of its own service

Cause: a router judged what others told by the bound of whichever service had answered it last. The bound of a small plain service is far below the loads of a model service, so each told load of that one went on at once.

--- a/skylarklift/entry/told_loads.py
+++ b/skylarklift/entry/told_loads.py
@@ -23,11 +23,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ToldLoad:
-    """The requests at an upstream, running or waiting, as it told them `age_ms` ago."""
+    """The requests at an upstream, running or waiting, as it told them `age_ms` ago.
+
+    It is `urgent` if the upstream is so far above its bound that all are to know at once.
+    """
 
     replica: ReplicaId
     load: int
     age_ms: int
+    urgent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +40,7 @@
 
     load: int
     observed_at: Millis
+    urgent: bool
 
 
 class ToldLoads:
@@ -44,28 +49,33 @@
     def __init__(self, clock: Clock):
         self._clock = clock
         self._observations: dict[ReplicaId, Observation] = {}
-        self._busy_load = 0.0
 
     def record(self, replica: ReplicaId, load: int, busy_load: float) -> bool:
         """Record the load in an answer; return whether the other routers are to know at once."""
-        known, self._busy_load = self._observations.get(replica), busy_load
+        known = self._observations.get(replica)
         if load < busy_load:
             # It is no longer busy; what others know of it expires soon.
             self._observations.pop(replica, None)
             return False
-        self._observations[replica] = Observation(load, self._clock.now())
+        self._observations[replica] = Observation(
+            load, self._clock.now(), load >= URGENT_LOAD_RATIO * busy_load
+        )
         return known is None
 
     def apply_report(self, report: ToldLoad) -> bool:
         """Apply what another router reported, unless something newer is known.
 
-        Return whether the others are to know at once, as the upstream is far too busy.
+        Return whether the others are to know at once, as the upstream is far above its bound.
         """
+        if report.age_ms >= TOLD_LOAD_TTL_MS:
+            return False
         observed_at = Millis(self._clock.now() - max(0, report.age_ms) - RELAY_DELAY_MS)
         known = self._observations.get(report.replica)
         if known is None or known.observed_at < observed_at:
-            self._observations[report.replica] = Observation(report.load, observed_at)
-        return known is None and report.load >= URGENT_LOAD_RATIO * self._busy_load
+            self._observations[report.replica] = Observation(
+                report.load, observed_at, report.urgent
+            )
+        return known is None and report.urgent
 
     def loads(self) -> Mapping[ReplicaId, int]:
         """Return the told loads that still count."""
@@ -78,7 +88,7 @@
         now = self._clock.now()
         newest = sorted(self._observations.items(), key=lambda item: -item[1].observed_at)
         return tuple(
-            ToldLoad(replica, item.load, now - item.observed_at)
+            ToldLoad(replica, item.load, now - item.observed_at, item.urgent)
             for replica, item in newest[:MAX_REPORTS]
         )
 
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -54,7 +54,8 @@
                 ],
                 ERAS_KEY: [summary.era for summary in message.tables],
                 TOLD_LOADS_KEY: [
-                    (told.replica, told.load, told.age_ms) for told in message.told_loads
+                    (told.replica, told.load, told.age_ms, told.urgent)
+                    for told in message.told_loads
                 ],
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
@@ -95,8 +96,8 @@
                 for replica, per_second, age_ms in extras.get(LIMITS_KEY, ())
             ),
             told_loads=tuple(
-                ToldLoad(ReplicaId(str(replica)), int(load), int(age_ms))
-                for replica, load, age_ms in extras.get(TOLD_LOADS_KEY, ())
+                ToldLoad(ReplicaId(str(replica)), int(load), int(age_ms), bool(urgent))
+                for replica, load, age_ms, urgent in extras.get(TOLD_LOADS_KEY, ())
             ),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
