--- /dev/null
+++ b/features/entry_versions.feature
@@ -0,0 +1,70 @@
+Feature: Streams go on only at the software version that began them
+
+  What two versions of a back end write does not fit together, and replicas do not check it.
+
+  # Guards against streams joined from two software versions within one answer.
+  Scenario Outline: A stream that breaks off goes on at a replica of the same version: <case>
+    Given a router before replicas of the versions "<versions>" that break off each new stream
+    When a request for a stream is sent to them
+    Then the stream is <result>, and goes on at no other version
+
+    Examples:
+      | case                              | versions    | result     |
+      | there is one of the same version  | v1 v1 v2 v2 | complete   |
+      | only itself is of its version     | v1 v2       | complete   |
+      | the replicas name no version      | none none   | broken off |
+
+  # Guards against streams that a client takes up at another version after their router was lost.
+  Scenario Outline: Where a stream that is taken up may go on: <case>
+    Given the proportions "<steps>"
+    And a router that <memory>
+    When a client takes up a stream of a prompt that is "<prompt>", <left> ms before its 15 s end
+    Then it goes on at "<version>", as it is <source>
+
+    # Steps are AGE_S=VERSION:REPLICAS,..., the oldest first.
+    Examples:
+      | case                                 | steps                    | memory                | prompt        | left  | version | source                  |
+      | one version all the time             | 100=v1:1                 | knows nothing of it   | any           | 12000 | v1      | assigned                |
+      | no row is known                      |                          | knows nothing of it   | any           | 12000 | none    | version_unknown         |
+      | assigned to the old one all the time | 100=v1:1 20=v1:4,v2:4    | knows nothing of it   | of v1         | 12000 | v1      | assigned                |
+      | moved long before it began           | 100=v1:1 20=v1:4,v2:4    | knows nothing of it   | of v2         | 12000 | v2      | assigned                |
+      | moved while it may have begun        | 100=v1:1 4=v1:4,v2:4     | knows nothing of it   | of v2         | 9000  | none    | version_ambiguous       |
+      | moved just before, routers lag       | 100=v1:1 4=v1:4,v2:4     | knows nothing of it   | of v2         | 11500 | none    | version_ambiguous       |
+      | not moved by the same step           | 100=v1:1 4=v1:4,v2:4     | knows nothing of it   | of v1         | 9000  | v1      | assigned                |
+      | three versions                       | 90=v1:1 80=v1:2,v2:2,v3:0 | knows nothing of it  | of v2         | 12000 | v2      | assigned                |
+      | began here at the new one            | 100=v1:1 4=v1:4,v2:4     | began it at v2        | of v2         | 9000  | v2      | known_here              |
+      | began here at the old one            | 100=v1:1 4=v1:4,v2:4     | began it at v1        | of v2         | 9000  | v1      | known_here              |
+      | began at a replica without a version | 100=v1:1                 | began it at none      | any           | 9000  | none    | replica_named_no_version |
+      | another router began it              | 100=v1:1 4=v1:4,v2:4     | asks one that knows   | of v2         | 9000  | v1      | known_to_another_router |
+      | no other router knows                | 100=v1:1 4=v1:4,v2:4     | asks one that does not | of v2        | 9000  | none    | version_ambiguous       |
+
+  Scenario: Proportions are the same at every router, and move few prompts
+    Given the proportions "10=v1:8,v2:1"
+    When a replica of "v2" takes the place of one of "v1"
+    Then at most 150 of 1000 prompts move, all of them to "v2"
+    And the row reads back as it was written
+
+  Scenario Outline: Which proportions are written: <case>
+    Given the proportions "<steps>"
+    When the usable replicas are "<replicas>"
+    Then the proportions to write are "<written>"
+
+    Examples:
+      | case                                     | steps                | replicas  | written                 |
+      | the first row                            |                      | v1:3      | 0=v1:1                  |
+      | one version, another number of replicas  | 10=v1:1              | v1:9      |                         |
+      | a second version                         | 10=v1:1              | v1:8,v2:1 | 10=v1:1 0=v1:8,v2:1     |
+      | none can be used                         | 10=v1:1              |           |                         |
+      | steps of which no stream is left         | 100=v1:1 90=v1:1,v2:1 | v2:2     | 90=v1:1,v2:1 0=v2:1     |
+
+  Scenario Outline: A row of a store that was restored from a copy adds to what is known: <case>
+    Given the proportions "20=v1:1 5=v1:4,v2:4"
+    When the store of era <era> tells the row version <number> with "<row>"
+    Then a prompt of "v2" began at "<versions>"
+
+    Examples:
+      | case                   | era | number | row     | versions |
+      | an older copy          | 1   | 1      | 20=v1:1 | v1 v2    |
+      | no row                 | 1   | 0      |         | v1 v2    |
+      | an older row           | 0   | 1      | 9=v3:1  | v1 v2    |
+      | a newer row            | 0   | 3      | 9=v3:1  | v3       |
--- /dev/null
+++ b/features/steps/entry_versions.py
@@ -0,0 +1,195 @@
+"""Steps for streams that may go on only at the software version that began them."""
+
+import trio
+from behave import given, then, when
+
+from features.steps.entry_answers import (
+    CHUNKS,
+    STREAM_HEAD,
+    add_world,
+    call,
+)
+from skylarklift.clock import ManualClock
+from skylarklift.entry.fleet import Fleet, GossipMessage
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.releases import (
+    ReleaseReport,
+    Releases,
+    ReleaseStep,
+    VersionWeight,
+    decode_steps,
+    encode_steps,
+    pick_version,
+)
+from skylarklift.entry.rows import TableSummary
+from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.entry.take_ups import OriginSource, TakenUpStream, TakeUps
+from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
+
+SERVICE = "lm"
+REQUEST = "first-1"
+ROW_VERSION = 2
+LONGEST_MS = 15_000
+STORE_NOW_MS = 10_000_000
+EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
+
+
+@given('a router before replicas of the versions "{versions}" that break off each new stream')
+def replicas_of_versions(context, versions):
+    def reply(request):
+        if request.last_event:
+            return Reply(STREAM_HEAD + CHUNKS + chunked(EVENTS))
+        return Reply(STREAM_HEAD + CHUNKS + chunked(TWO_EVENTS, whole=False), Ending.CLOSE)
+
+    context.versions = versions.split()
+    add_world(context, len(context.versions), reply)
+    world = context.world
+    for number, version in enumerate(context.versions, 1):
+        named = None if version == "none" else version
+        world.register_replica(f"lm-{number}", "lm", version=named)
+    # All routers know the versions before streams begin.
+    context.thread.run(trio.sleep, 1.5)
+
+
+@when("a request for a stream is sent to them")
+def stream_sent(context):
+    context.response = context.thread.run(call, context, "/chat/a", "id-1")
+
+
+@then("the stream is {result}, and goes on at no other version")
+def stream_result(context, result):
+    got = [bool(replica.received) for replica in context.scripted]
+    reached = {version for version, used in zip(context.versions, got, strict=True) if used}
+    assert len(reached) == 1, reached
+    assert context.response.complete == (result == "complete"), context.response
+    if result == "broken off":
+        assert context.response.body == TWO_EVENTS, context.response
+
+
+def parse_weights(text):
+    """Return the proportions VERSION:REPLICAS,..."""
+    pairs = (item.split(":") for item in text.split(","))
+    return tuple(VersionWeight(version, int(count)) for version, count in pairs)
+
+
+def parse_steps(text):
+    """Return the steps AGE_S=PROPORTIONS, separated by spaces."""
+    items = (item.split("=") for item in text.split())
+    return tuple(ReleaseStep(int(age) * 1000, parse_weights(weights)) for age, weights in items)
+
+
+@given('the proportions "{steps}"')
+@given('the proportions ""')
+def proportions(context, steps=""):
+    context.clock = ManualClock(100_000)
+    context.releases = Releases(context.clock)
+    context.steps = parse_steps(steps)
+    if context.steps:
+        report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+        assert context.releases.apply(report)
+
+
+def prompt_of(context, version):
+    """Return the key of a prompt that the newest proportions assign to a version."""
+    if version == "any":
+        return "s0"
+    weights = context.steps[-1].weights
+    return next(key for n in range(100) if pick_version(key := f"s{n}", weights) == version)
+
+
+@given("a router that {memory}")
+def router_with_memory(context, memory):
+    context.fleet = Fleet(context.clock, "n0")
+    context.origins = StreamOrigins(context.clock)
+    context.memory = memory
+    if memory.startswith("began it at "):
+        version = memory.removeprefix("began it at ")
+        context.origins.record(
+            StreamOrigin(REQUEST, SERVICE, None if version == "none" else version)
+        )
+
+
+async def find(context, taken):
+    """Return where a stream may go on; another router answers if there is one."""
+    take_ups = TakeUps(context.fleet, context.origins, context.releases)
+    if not context.memory.startswith("asks"):
+        return await take_ups.find(taken)
+    message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
+    context.fleet.record_message(message, Endpoint("127.0.0.2", 1))
+    origins = StreamOrigins(context.clock)
+    if context.memory == "asks one that knows":
+        origins.record(StreamOrigin(REQUEST, SERVICE, "v1"))
+    other = TakeUps(Fleet(context.clock, "n1"), origins, context.releases)
+    here = Endpoint("127.0.0.1", 1)
+
+    async def answer():
+        other.apply_message((await take_ups.outgoing.receive()).message, here)
+        take_ups.apply_message((await other.outgoing.receive()).message, here)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(answer)
+        return await take_ups.find(taken)
+
+
+@when('a client takes up a stream of a prompt that is "{prompt}", {left:d} ms before its 15 s end')
+def taken_up(context, prompt, left):
+    key = prompt_of(context, prompt.removeprefix("of "))
+    taken = TakenUpStream(REQUEST, SERVICE, key, LONGEST_MS - left)
+    context.found = trio.run(find, context, taken)
+
+
+@then('it goes on at "{version}", as it is {source}')
+def goes_on_at(context, version, source):
+    assert context.found.source is OriginSource(source), context.found
+    assert (context.found.version or "none") == version, context.found
+
+
+@when('a replica of "v2" takes the place of one of "v1"')
+def replica_replaced(context):
+    context.before = context.steps[-1].weights
+    context.after = parse_weights("v1:7,v2:2")
+
+
+@then('at most {most:d} of {count:d} prompts move, all of them to "{version}"')
+def prompts_move(context, most, count, version):
+    keys = [f"s{number}" for number in range(count)]
+    moved = [
+        key for key in keys if pick_version(key, context.before) != pick_version(key, context.after)
+    ]
+    assert 0 < len(moved) <= most, len(moved)
+    assert {pick_version(key, context.after) for key in moved} == {version}
+
+
+@then("the row reads back as it was written")
+def row_reads_back(context):
+    data = encode_steps(context.steps, STORE_NOW_MS)
+    assert decode_steps(data, STORE_NOW_MS) == context.steps
+    later = decode_steps(data, STORE_NOW_MS + 500)
+    assert later[0].age_ms == context.steps[0].age_ms + 500
+    assert decode_steps(b"{odd", 0) == decode_steps(b'{"steps":[7]}', 0) == ()
+
+
+@when('the usable replicas are "{replicas}"')
+@when('the usable replicas are ""')
+def usable_replicas(context, replicas=""):
+    counts = {item.version: item.weight for item in parse_weights(replicas)} if replicas else {}
+    context.written = context.releases.next_row(SERVICE, counts)
+
+
+@then('the proportions to write are "{written}"')
+@then('the proportions to write are ""')
+def proportions_written(context, written=""):
+    assert (context.written or ()) == parse_steps(written), context.written
+
+
+@when('the store of era {era:d} tells the row version {number:d} with "{row}"')
+@when('the store of era {era:d} tells the row version {number:d} with ""')
+def store_tells(context, era, number, row=""):
+    context.releases.apply(ReleaseReport(SERVICE, number, parse_steps(row), era))
+
+
+@then('a prompt of "{prompt}" began at "{versions}"')
+def prompt_began_at(context, prompt, versions):
+    key = prompt_of(context, prompt)
+    found = context.releases.began_at(SERVICE, key, LONGEST_MS)
+    assert found == set(versions.split()), found
--- a/features/virtual_world.py
+++ b/features/virtual_world.py
@@ -129,7 +129,7 @@
             router.cancel_scope = trio.CancelScope()
             router.ended = trio.Event()
             store = PlatformStore(settings.store, rows)
-            entry_router = EntryRouter(core, store, store, lambda: settings, 9464)
+            entry_router = EntryRouter(core, store, store, store, lambda: settings, 9464)
             router.signals, signals = trio.open_memory_channel(4)
             self.nursery.start_soon(self._run, router, entry_router, signals)
 
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -20,13 +20,20 @@
 from skylarklift.entry.fleet_limits import ColdRequestLimit
 from skylarklift.entry.health import Health
 from skylarklift.entry.hold_offs import HoldOffs
-from skylarklift.entry.model import Bounds, Call, Route, ServicePlan, Workspace
+from skylarklift.entry.model import (
+    Bounds,
+    Call,
+    Route,
+    ServicePlan,
+    UpstreamRecord,
+    Workspace,
+)
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.rate_limits import RateLimits
 from skylarklift.entry.told_loads import ToldLoads
 from skylarklift.entry.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
-from skylarklift.ids import ReplicaId, ServiceId, ZoneId
+from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, ZoneId
 
 # A replica takes chats by affinity until its load reaches the mean load times the fleet's load
 # factor times this ratio, plus the extra requests.
@@ -60,6 +67,7 @@
     FULL = "upstreams_full"
     HELD_OFF = "upstreams_ask_to_wait"
     TRIED = "upstreams_tried"
+    OTHER_VERSION = "no_upstream_of_version"
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,9 +149,14 @@
         service: ServiceId,
         tried: Collection[ReplicaId] = (),
         workspace: Workspace | None = None,
+        version: SoftwareVersion | None = None,
     ) -> Choice | NoUpstream:
-        """Return the upstream for a request, or the reason why there is none."""
-        candidates = self._candidates(service, tried, allowed_regions(route, workspace))
+        """Return the upstream for a request, or the reason why there is none.
+
+        With `version`, only upstreams of this software version may take it.
+        """
+        regions = allowed_regions(route, workspace)
+        candidates = self._candidates(service, tried, regions, version)
         if isinstance(candidates, NoUpstream):
             return candidates
         plan = self._cluster_state.plan.services.get(service)
@@ -200,6 +213,7 @@
         service: ServiceId,
         tried: Collection[ReplicaId],
         regions: frozenset[str] | None,
+        version: SoftwareVersion | None,
     ) -> Candidates | NoUpstream:
         """Return the upstreams that may take the request, or the reason why there is none."""
         if not self._cluster_state.members_of(service):
@@ -215,6 +229,10 @@
             }
             if not usable:
                 return NoUpstream.OUTSIDE_ALLOWED_REGIONS
+        if version is not None:
+            usable = self._of_version(usable, version)
+            if not usable:
+                return NoUpstream.OTHER_VERSION
         held_off = self.hold_offs.active(usable)
         if not self._without(usable, held_off):
             return NoUpstream.HELD_OFF
@@ -229,6 +247,19 @@
         unreachable = {name for name in usable if not self._health.reachable(name)}
         return self._without(usable, unreachable | excluded) or NoUpstream.EJECTED
 
+    def _of_version(
+        self, members: Mapping[ReplicaId, Upstream], version: SoftwareVersion
+    ) -> Mapping[ReplicaId, Upstream]:
+        """Return the members that certainly run a software version.
+
+        One that may have restarted may have come back with another one.
+        """
+        return {
+            name: item
+            for name, item in members.items()
+            if item.record.software == version and not self._health.maybe_restarted(name)
+        }
+
     def _without(
         self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
     ) -> Candidates:
@@ -332,7 +363,7 @@
             sources = [
                 upstreams[name]
                 for name in level.names
-                if upstreams[name].record.service == record.service and self._health.allows(name)
+                if _shares_memory(upstreams[name].record, record) and self._health.allows(name)
             ]
             if sources:
                 return max(sources, key=lambda item: item.record.zone == record.zone)
@@ -398,3 +429,8 @@
     if call.parts:
         return call.parts[0].name
     return call.request
+
+
+def _shares_memory(source: UpstreamRecord, target: UpstreamRecord) -> bool:
+    """Return whether a replica can use what another one has read of a prompt."""
+    return source.service == target.service and source.software == target.software
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -18,10 +18,13 @@
 from skylarklift.entry.header_codec import HeaderCodec
 from skylarklift.entry.health import Health
 from skylarklift.entry.metrics import Metrics
-from skylarklift.entry.model import NodeSettings, ReplicaLoad, UpstreamRecord
+from skylarklift.entry.model import NodeSettings, ReplicaLoad, Route, UpstreamRecord
 from skylarklift.entry.rate_limits import LimitReport
+from skylarklift.entry.releases import ReleaseReport, Releases
 from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
+from skylarklift.entry.stream_origins import StreamOrigins
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
+from skylarklift.entry.take_ups import TakeUps
 from skylarklift.entry.upstream import UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.entry.wire import PageEncoder
@@ -31,6 +34,11 @@
     from skylarklift.entry.attempt import Attempt
 
 
+MAX_DEADLINE_MS = 600_000
+# A caller's tries begin a little before its first deadline arrives here.
+DEADLINE_MARGIN_MS = 500
+
+
 @dataclass(frozen=True, slots=True)
 class Probe:
     """The result and time of a connection attempt that checked an upstream."""
@@ -47,6 +55,8 @@
     `attempts` are the requests that have been sent to upstreams and not ended.
     `state_changed` is set when a change is to be sent to the other routers at once, and
     `crash_reported` when this router or another one has reported the crash of an upstream.
+    `deadlines` holds the longest deadline that callers of each route have named.
+    `releases_read` is set once the rows on software versions have been read from the store.
     `store_restored` is set when the store has lost what was written to it last.
     """
 
@@ -63,10 +73,14 @@
     suspects: CrashSuspects
     progress: UpstreamProgress
     connection_pool: ConnectionPool
+    releases: Releases
+    take_ups: TakeUps
     rng: random.Random = field(default_factory=random.Random)
     probes: dict[ReplicaId, Probe] = field(default_factory=dict)
     attempts: set["Attempt"] = field(default_factory=set)
     newest_era: Era = NO_ERA
+    releases_read: trio.Event = field(default_factory=trio.Event)
+    deadlines: dict[str, int] = field(default_factory=dict)
     stopping_since: Millis | None = None
     requests_open: int = 0
     reading_store: dict[RowTable, bool] = field(
@@ -95,6 +109,20 @@
         if changes:
             self.state_changed.set()
 
+    def apply_release(self, report: ReleaseReport, source: str) -> None:
+        """Use a row on the software versions of a service, and tell the other routers."""
+        if not self.releases.apply(report):
+            return
+        self.event_log.write(
+            "release_step",
+            subject=report.service,
+            row_version=report.row_version,
+            replicas={item.version: item.weight for item in report.steps[-1].weights},
+            steps=len(report.steps),
+            source=source,
+        )
+        self.state_changed.set()
+
     def forget_upstream(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
         self.health.forget(replica)
@@ -103,6 +131,17 @@
         self.progress.forget(replica)
         self.probes.pop(replica, None)
 
+    def note_deadline(self, route: Route, deadline_ms: int) -> None:
+        """Record how long a caller of a route waits for a request that it sends the first time."""
+        known_ms = self.deadlines.get(route.name, 0)
+        if deadline_ms > known_ms:
+            self.deadlines[route.name] = min(deadline_ms, MAX_DEADLINE_MS)
+
+    def longest_deadline_ms(self, route: Route) -> int:
+        """Return how long a caller of a route may have waited: as long as any is known to."""
+        longest_ms = max(route.timeout_ms, self.deadlines.get(route.name, 0))
+        return longest_ms + DEADLINE_MARGIN_MS
+
     def record_hold_off(self, record: UpstreamRecord, span_ms: int) -> None:
         """Record that an upstream wants no request from this router for some time."""
         if self.chooser.hold_offs.record(record, span_ms):
@@ -236,6 +275,7 @@
     cluster_state = ClusterState(clock, row_format)
     fleet = Fleet(clock, settings.node)
     health = Health(clock)
+    releases = Releases(clock)
     chooser = Chooser(clock, cluster_state, fleet, health, bounds, settings.zone, settings.regions)
     return Core(
         settings=settings,
@@ -251,4 +291,6 @@
         suspects=CrashSuspects(clock),
         progress=UpstreamProgress(clock),
         connection_pool=ConnectionPool(clock),
+        releases=releases,
+        take_ups=TakeUps(fleet, StreamOrigins(clock), releases),
     )
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -9,6 +9,7 @@
 from skylarklift.entry.peer_loads import PeerLoads
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
+from skylarklift.entry.releases import ReleaseReport
 from skylarklift.entry.rows import Era, TableSummary
 from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.hashing import rendezvous_weight
@@ -60,7 +61,7 @@
     `maybe_restarted` the ejected upstreams that may have restarted, and `placements` the replicas
     that recent prompts were sent to.  `router_count` is how many routers the sender counts, and
     `limits` what it knows of the limits that upstreams name.  `told_loads` holds the loads that
-    busy upstreams have told.
+    busy upstreams have told, `releases` the proportions of software versions.
     """
 
     node: str
@@ -76,6 +77,7 @@
     router_count: int = 0
     limits: tuple[LimitReport, ...] = ()
     told_loads: tuple[ToldLoad, ...] = ()
+    releases: tuple[ReleaseReport, ...] = ()
 
 
 @dataclass(slots=True)
@@ -234,7 +236,11 @@
 
     def live_peers(self) -> list[Peer]:
         """Return the routers that sent a message recently."""
-        limit = self._clock.now() - MAX_PEER_SILENCE_MS
+        return self.peers_heard_within(MAX_PEER_SILENCE_MS)
+
+    def peers_heard_within(self, span_ms: int) -> list[Peer]:
+        """Return the routers that sent a message within a time."""
+        limit = self._clock.now() - span_ms
         return [
             peer
             for peer in self.peers.values()
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -1,5 +1,7 @@
 """Forward an upstream's response to the caller: buffered, in chunks, or event by event."""
 
+from collections.abc import Callable
+
 from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.caller_connection import CallerConnection
 from skylarklift.entry.health import HealthSignal
@@ -23,12 +25,20 @@
     """Forward the response of a request, over all its attempts.
 
     `resume_after` is the id of the last event that the caller has. `upstream_error` is the
-    last server error of an upstream, which is forwarded if no attempt succeeds.
+    last server error of an upstream, which is forwarded if no attempt succeeds.  `on_events` is
+    called before new events of an attempt are sent.
     """
 
-    def __init__(self, caller: CallerConnection, call: Call, retry_state: RetryState):
+    def __init__(
+        self,
+        caller: CallerConnection,
+        call: Call,
+        retry_state: RetryState,
+        on_events: Callable[[Attempt], None],
+    ):
         self._caller = caller
         self._retry_state = retry_state
+        self._on_events = on_events
         self.resume_after = call.resume_after
         self.upstream_error: tuple[ResponseHead, bytes] | None = None
 
@@ -112,14 +122,14 @@
             if any(not event.is_comment for event in events):
                 timer.record_progress()
                 attempt.record_progress()
-            await self._forward_new(events, attempt.head)
+            await self._forward_new(events, attempt)
         if splitter.has_partial_event:
             raise ResponseBroken("the stream ended within an event")
         await attempt.check_end()
         await self._send_head_once(attempt.head)
         return await self._finish(attempt)
 
-    async def _forward_new(self, events: list[StreamEvent], head: ResponseHead) -> None:
+    async def _forward_new(self, events: list[StreamEvent], attempt: Attempt) -> None:
         """Send the events that the caller lacks, in one write; raise `ResponseBroken` at a gap."""
         new: list[bytes] = []
         try:
@@ -129,7 +139,8 @@
         finally:
             # The events before a gap are sent.
             if new:
-                await self._send_head_once(head)
+                self._on_events(attempt)
+                await self._send_head_once(attempt.head)
                 await self._caller.send_data(b"".join(new))
 
     def _is_next_event(self, event: StreamEvent) -> bool:
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -5,7 +5,15 @@
 from socket import AF_INET, inet_pton
 
 from skylarklift.clock import Millis
-from skylarklift.ids import ReplicaId, RequestId, ServiceId, Version, WorkspaceId, ZoneId
+from skylarklift.ids import (
+    ReplicaId,
+    RequestId,
+    ServiceId,
+    SoftwareVersion,
+    Version,
+    WorkspaceId,
+    ZoneId,
+)
 
 MAX_PORT = 65535
 # A router ends this long before the end of the grace period, when the platform kills the process.
@@ -92,7 +100,8 @@
     """An upstream's entry in the platform's list, which the upstream itself writes.
 
     `cold_ms` is the time for which it still stays cold; `started_ms` differs after a restart.
-    `sequence` counts what the upstream has reported since its start.
+    `sequence` counts what the upstream has reported since its start.  `software` is the version of
+    the upstream's software, `None` if the entry names none.
     """
 
     replica: ReplicaId
@@ -105,6 +114,7 @@
     cold_ms: int
     started_ms: int
     sequence: int = 0
+    software: SoftwareVersion | None = None
 
     def is_older_than(self, other: "UpstreamRecord") -> bool:
         """Return whether the upstream itself wrote this entry before the other one."""
@@ -125,7 +135,8 @@
 
     `headers` are those that are forwarded unchanged.  `received_at` is the time at which the
     head was complete; `deadline_ms` is the time that the caller allows from then on, or 0 if it
-    names none.
+    names none.  `resume_after` is the last event that the caller has of a stream that it takes up,
+    and `resumes` the request that brought it the first one.
     """
 
     request: RequestId
@@ -138,6 +149,7 @@
     api_key: str = ""
     deadline_ms: int = 0
     resume_after: int | None = None
+    resumes: RequestId | None = None
     parts: tuple[PromptPart, ...] = ()
     body: bytes = b""
 
--- /dev/null
+++ b/skylarklift/entry/origin_messages.py
@@ -0,0 +1,64 @@
+"""Messages between routers about which software version began a stream."""
+
+from dataclasses import dataclass
+
+import msgpack
+
+from skylarklift.entry.stream_origins import StreamOrigin
+from skylarklift.errors import PeerError
+from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
+
+# The first item of a message; gossip messages and those about crashes have other numbers there.
+ORIGIN_FORMAT = 102
+MAX_ORIGINS = 64
+MAX_ASKED = 16
+
+
+@dataclass(frozen=True, slots=True)
+class OriginMessage:
+    """Origins that the sender knows, the requests it asks about, and those it does not know."""
+
+    node: str
+    origins: tuple[StreamOrigin, ...] = ()
+    asked: tuple[RequestId, ...] = ()
+    unknown: tuple[RequestId, ...] = ()
+
+
+def encode_origin_message(message: OriginMessage) -> bytes:
+    """Return a message as a datagram."""
+    origins = [(item.request, item.service, item.version) for item in message.origins]
+    return msgpack.packb(
+        (
+            ORIGIN_FORMAT,
+            message.node,
+            origins[:MAX_ORIGINS],
+            message.asked[:MAX_ASKED],
+            message.unknown[:MAX_ASKED],
+        )
+    )
+
+
+def is_origin_message(data: bytes) -> bool:
+    """Return whether a datagram is a message about the origins of streams."""
+    return data[1:2] == msgpack.packb(ORIGIN_FORMAT)
+
+
+def decode_origin_message(data: bytes) -> OriginMessage:
+    """Return the message in a datagram; raise `PeerError` if it is invalid."""
+    try:
+        _, node, origins, asked, unknown = msgpack.unpackb(data, use_list=False)
+        return OriginMessage(
+            str(node),
+            tuple(
+                StreamOrigin(
+                    RequestId(str(request)),
+                    ServiceId(str(service)),
+                    None if version is None else SoftwareVersion(str(version)),
+                )
+                for request, service, version in origins[:MAX_ORIGINS]
+            ),
+            tuple(RequestId(str(request)) for request in asked[:MAX_ASKED]),
+            tuple(RequestId(str(request)) for request in unknown[:MAX_ASKED]),
+        )
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
+        raise PeerError(f"invalid message about streams: {exc}") from exc
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -20,6 +20,11 @@
 )
 from skylarklift.entry.follower import fetch_rows, rows_for_request
 from skylarklift.entry.model import Endpoint, parse_endpoint
+from skylarklift.entry.origin_messages import (
+    decode_origin_message,
+    encode_origin_message,
+    is_origin_message,
+)
 from skylarklift.entry.rows import MemberStore, RowTable, TableComparison, TableSummary
 from skylarklift.entry.wire import (
     MAX_ROW_REQUEST_BYTES,
@@ -160,6 +165,7 @@
             router_count=core.fleet.router_count(),
             limits=core.chooser.rate_limits.reports(),
             told_loads=core.chooser.told_loads.reports(),
+            releases=core.releases.reports(),
         )
 
     # Receiving.
@@ -179,6 +185,17 @@
             except PeerError as exc:
                 core.event_log.write("gossip_invalid", peer=str(sender), cause=str(exc))
 
+    async def send_origins(self) -> None:
+        """Send the messages about the origins of streams."""
+        async for item in self._core.take_ups.outgoing:
+            try:
+                data = encode_origin_message(item.message)
+                await self._socket.sendto(data, (item.address.host, item.address.port))
+            except OSError as exc:
+                self._core.event_log.write(
+                    "origin_send_failed", peer=str(item.address), cause=str(exc)
+                )
+
     def _apply_datagram(self, data: bytes, address: Endpoint, nursery: trio.Nursery) -> None:
         """Apply a message of either kind, unless it is this router's own; raise `PeerError`."""
         core = self._core
@@ -189,6 +206,9 @@
                 if report.crashes:
                     core.crash_reported.set()
             return
+        if is_origin_message(data):
+            core.take_ups.apply_message(decode_origin_message(data), address)
+            return
         message = decode_gossip(data)
         if message.node != core.settings.node:
             self._apply_message(message, address, nursery)
@@ -206,6 +226,8 @@
                 replica, left_ms, maybe_restarted=replica in message.maybe_restarted
             )
         core.apply_limit_reports(message.limits, message.node)
+        for report in message.releases:
+            core.apply_release(report, message.node)
         for told in message.told_loads:
             if core.chooser.told_loads.apply_report(told):
                 core.state_changed.set()
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -11,7 +11,8 @@
 from skylarklift.entry.follower import Follower
 from skylarklift.entry.model import Endpoint, NodeSettings
 from skylarklift.entry.peering import Peering
-from skylarklift.entry.rows import MemberStore, RowSource, RowTable
+from skylarklift.entry.release_keeper import ReleaseKeeper
+from skylarklift.entry.rows import MemberStore, ReleaseStore, RowSource, RowTable
 from skylarklift.entry.serving import (
     LISTEN_BACKLOG,
     CallerServer,
@@ -37,6 +38,7 @@
         core: Core,
         rows: RowSource,
         members: MemberStore,
+        releases: ReleaseStore,
         load_settings: Callable[[], NodeSettings],
         metrics_port: int = 0,
     ):
@@ -47,6 +49,7 @@
         self._caller_server = CallerServer(core)
         self._monitoring_server = MonitoringServer(core)
         self._peering = Peering(core, members)
+        self._release_keeper = ReleaseKeeper(core, releases)
 
     async def run(self, signals: AsyncIterator[int]) -> None:
         """Run until a stop signal, then until all requests end or the grace period ends."""
@@ -63,7 +66,9 @@
             start(self._listen, settings.callers, self._caller_server.serve)
             start(self._peering.receive_loop, nursery)
             start(self._peering.send_loop)
+            start(self._peering.send_origins)
             start(self._peering.join)
+            start(self._release_keeper.run)
             for table in RowTable:
                 start(Follower(core, self._rows, table).run)
             start(self._run_maintenance)
--- /dev/null
+++ b/skylarklift/entry/releases.py
@@ -0,0 +1,198 @@
+"""Which software version begins a stream, so that it can be told again without any memory of it.
+
+While several versions of a service serve, each prompt is assigned to one of them by a hash of what
+its requests share, in proportion to the replicas of each version.  The proportions are a row of the
+store, which changes only with a release.  A version gets resumable streams only once the row has
+it.  Older proportions stay in the row for as long as a stream that began under them can be taken
+up: such a stream may go on where all of them assign its prompt to the same version.
+"""
+
+import json
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from skylarklift.clock import Clock, Millis
+from skylarklift.entry.rows import NO_ERA, Era
+from skylarklift.hashing import rendezvous_weight
+from skylarklift.ids import ServiceId, SoftwareVersion
+
+# Proportions count as long as a stream that began under them may be taken up.
+STEP_TTL_MS = 60_000
+MAX_STEPS = 24
+# A router may use proportions for this long after newer ones are in the row.
+SPREAD_MS = 1000
+# A report counts as this much older than it says, for its time on the way.
+REPORT_DELAY_MS = 50
+HASH_RANGE = 1 << 64
+
+
+@dataclass(frozen=True, slots=True)
+class VersionWeight:
+    """A software version and its number of replicas."""
+
+    version: SoftwareVersion
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseStep:
+    """The proportions in force since `age_ms` ago, until those of the next step."""
+
+    age_ms: int
+    weights: tuple[VersionWeight, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseReport:
+    """A service's row as a router knows it: its version and its steps, the oldest first."""
+
+    service: ServiceId
+    row_version: int
+    steps: tuple[ReleaseStep, ...]
+    era: Era = NO_ERA
+
+    def is_newer_than(self, other: "ReleaseReport") -> bool:
+        """Return whether the store accepted this row after the other one."""
+        return (self.era, self.row_version) > (other.era, other.row_version)
+
+
+@dataclass(frozen=True, slots=True)
+class KnownRelease:
+    """A service's row and when its ages were right."""
+
+    report: ReleaseReport
+    known_at: Millis
+
+
+class Releases:
+    """The proportions of the software versions of each service."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._known: dict[ServiceId, KnownRelease] = {}
+
+    def apply(self, report: ReleaseReport) -> bool:
+        """Use a row from now on, unless a newer one is known; return whether it is new."""
+        known = self._known.get(report.service)
+        if known and not report.is_newer_than(known.report):
+            return False
+        if known and (report.era > known.report.era or not report.steps):
+            # The row may be one of a copy, which lacks steps of which streams are left.
+            report = _with_steps(report, self._current(known))
+        self._known[report.service] = KnownRelease(report, self._clock.now())
+        return bool(report.steps)
+
+    def reports(self) -> tuple[ReleaseReport, ...]:
+        """Return the rows, with the ages of now."""
+        return tuple(
+            ReleaseReport(service, known.report.row_version, self._current(known), known.report.era)
+            for service, known in self._known.items()
+        )
+
+    def row_version(self, service: ServiceId) -> int:
+        """Return the version of a service's row, 0 without one."""
+        known = self._known.get(service)
+        return known.report.row_version if known else 0
+
+    def steps(self, service: ServiceId) -> tuple[ReleaseStep, ...]:
+        """Return the steps of a service, the oldest first."""
+        known = self._known.get(service)
+        return self._current(known) if known else ()
+
+    def _current(self, known: KnownRelease) -> tuple[ReleaseStep, ...]:
+        """Return the steps of a row with the ages of now."""
+        elapsed_ms = self._clock.now() - known.known_at
+        return tuple(
+            ReleaseStep(step.age_ms + elapsed_ms, step.weights) for step in known.report.steps
+        )
+
+    def assigned_version(self, service: ServiceId, key: str) -> SoftwareVersion | None:
+        """Return the version that begins streams of a prompt, `None` without a row."""
+        steps = self.steps(service)
+        return pick_version(key, steps[-1].weights) if steps else None
+
+    def began_at(self, service: ServiceId, key: str, max_age_ms: int) -> frozenset[SoftwareVersion]:
+        """Return the versions at which a stream of at most this age can have begun."""
+        return frozenset(
+            pick_version(key, step.weights)
+            for step in _steps_since(self.steps(service), max_age_ms)
+        )
+
+    def has_one_version(self, service: ServiceId) -> bool:
+        """Return whether any stream that is left began at the same version."""
+        steps = _steps_since(self.steps(service), STEP_TTL_MS)
+        return len({item.version for step in steps for item in step.weights}) == 1
+
+    def next_row(
+        self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
+    ) -> tuple[ReleaseStep, ...] | None:
+        """Return the steps to write for the replicas of each version, `None` if all is right."""
+        steps = self.steps(service)
+        weights = _weights(counts)
+        if not weights or (steps and steps[-1].weights == weights):
+            return None
+        return (*_steps_since(steps, STEP_TTL_MS), ReleaseStep(0, weights))[-MAX_STEPS:]
+
+
+def _weights(counts: Mapping[SoftwareVersion, int]) -> tuple[VersionWeight, ...]:
+    """Return the proportions of versions; of a single one, its number does not matter."""
+    if len(counts) == 1:
+        return (VersionWeight(next(iter(counts)), 1),)
+    return tuple(VersionWeight(version, count) for version, count in sorted(counts.items()))
+
+
+def _steps_since(steps: tuple[ReleaseStep, ...], max_age_ms: int) -> tuple[ReleaseStep, ...]:
+    """Return the steps that some router may have used at most `max_age_ms` ago."""
+    replaced = [step.age_ms for step in steps[1:]]
+    old = sum(age_ms > max_age_ms + SPREAD_MS for age_ms in replaced)
+    return steps[old:]
+
+
+def _with_steps(report: ReleaseReport, steps: tuple[ReleaseStep, ...]) -> ReleaseReport:
+    """Return a row with further steps before its own."""
+    merged = (*steps, *(step for step in report.steps if step not in steps))
+    return ReleaseReport(report.service, report.row_version, merged[-MAX_STEPS:], report.era)
+
+
+def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
+    """Return the version of a prompt by weighted rendezvous hashing.
+
+    If a weight changes, only prompts of that version's part move.
+    """
+
+    def score(item: VersionWeight) -> float:
+        point = (rendezvous_weight(key, item.version) + 1) / (HASH_RANGE + 1)
+        return -item.weight / math.log(point) if item.weight else 0.0
+
+    return max(weights, key=score).version
+
+
+def encode_steps(steps: tuple[ReleaseStep, ...], now_ms: int) -> bytes:
+    """Return the data of a row; times are those of the store's clock."""
+    rows = [
+        {
+            "since_ms": now_ms - step.age_ms,
+            "replicas": {item.version: item.weight for item in step.weights},
+        }
+        for step in steps
+    ]
+    return json.dumps({"steps": rows}, separators=(",", ":")).encode()
+
+
+def decode_steps(data: bytes, now_ms: int) -> tuple[ReleaseStep, ...]:
+    """Return the steps in the data of a row, none if it is invalid."""
+    try:
+        return tuple(
+            ReleaseStep(
+                max(0, now_ms - int(row["since_ms"])),
+                tuple(
+                    VersionWeight(SoftwareVersion(str(version)), max(0, int(count)))
+                    for version, count in sorted(row["replicas"].items())
+                ),
+            )
+            for row in json.loads(data)["steps"][-MAX_STEPS:]
+            if row["replicas"]
+        )
+    except (ValueError, TypeError, KeyError, AttributeError):
+        return ()
--- a/skylarklift/entry/rows.py
+++ b/skylarklift/entry/rows.py
@@ -3,12 +3,15 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from enum import Enum
-from typing import NewType
+from typing import TYPE_CHECKING, NewType
 
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
 from skylarklift.errors import SkylarkError
 from skylarklift.ids import ReplicaId, ZoneId
 
+if TYPE_CHECKING:
+    from skylarklift.entry.releases import ReleaseReport
+
 
 class RowTable(Enum):
     """The tables that routers follow; the values are sent between routers."""
@@ -136,3 +139,15 @@
     @abstractmethod
     async def write_member(self, node: str, address: str | None) -> None:
         """Register a router's peer address, or deregister the router if `address` is `None`."""
+
+
+class ReleaseStore(ABC):
+    """The rows that say in which proportions software versions begin streams."""
+
+    @abstractmethod
+    async def read_releases(self) -> "list[ReleaseReport]":
+        """Return the rows of all services."""
+
+    @abstractmethod
+    async def write_release(self, report: "ReleaseReport") -> "ReleaseReport":
+        """Write a service's row if its version is still the one named; return the row as it is."""
--- /dev/null
+++ b/skylarklift/entry/take_ups.py
@@ -0,0 +1,168 @@
+"""Find which software version began a stream that a client takes up, and tell who began which.
+
+What is known exactly goes first: the memory of this router, then that of the others.  Else the
+stream may go on at the version to which its prompt was assigned all the time.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+import trio
+
+from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.fleet import Fleet, Peer
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.origin_messages import OriginMessage
+from skylarklift.entry.releases import Releases
+from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.hashing import rendezvous_weight
+from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
+
+# This many routers keep the origin of a stream besides the one that began it.
+KEEPERS = 3
+# A router asks some more than the keepers, as some of these may be gone, and views differ.
+ASKED_ROUTERS = 8
+ANSWER_TIMEOUT_MS = 120
+MAX_OUTGOING = 1000
+# Routers that were heard within this time are asked and told.
+KEEPER_TTL_MS = 30_000
+
+
+class OriginSource(Enum):
+    """From where a router knows which version began a stream, or why it does not."""
+
+    OWN = "known_here"
+    TOLD = "known_to_another_router"
+    ASSIGNED = "assigned"
+    UNNAMED = "replica_named_no_version"
+    AMBIGUOUS = "version_ambiguous"
+    UNKNOWN = "version_unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class TakenUpStream:
+    """A stream that a caller takes up: the request that began it, and what its prompt shares.
+
+    It began at most `max_age_ms` ago.
+    """
+
+    request: RequestId
+    service: ServiceId
+    key: str
+    max_age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class FoundOrigin:
+    """The version at which a stream may go on, `None` if it may not, and the source of that."""
+
+    source: OriginSource
+    service: ServiceId
+    version: SoftwareVersion | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A message to another router."""
+
+    address: Endpoint
+    message: OriginMessage
+
+
+@dataclass(slots=True)
+class Question:
+    """What this router asked the others about a stream, and how many have yet to answer."""
+
+    open_answers: int
+    answered: trio.Event = field(default_factory=trio.Event)
+
+
+class TakeUps:
+    """The origins of streams: record and tell them, ask for them, answer others."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        origins: StreamOrigins,
+        releases: Releases,
+    ):
+        self._fleet = fleet
+        self._origins = origins
+        self._releases = releases
+        self._questions: dict[RequestId, Question] = {}
+        self._sender, self.outgoing = trio.open_memory_channel(MAX_OUTGOING)
+
+    def record_begun(self, origin: StreamOrigin) -> None:
+        """Record which version sent the first event of a stream, or goes on with it.
+
+        Tell its keepers unless one version alone has served.
+        """
+        self._origins.record(origin)
+        if not self._releases.has_one_version(origin.service):
+            message = OriginMessage(self._fleet.own_node, origins=(origin,))
+            for peer in self._others(origin.request, KEEPERS):
+                self._send(peer.address, message)
+
+    async def find(self, taken: TakenUpStream) -> FoundOrigin:
+        """Return where a stream that a caller takes up may go on."""
+        origin = self._origins.find(taken.request)
+        source = OriginSource.OWN
+        if origin is None and not self._releases.has_one_version(taken.service):
+            await self._ask(taken.request)
+            origin, source = self._origins.find(taken.request), OriginSource.TOLD
+        if origin is not None:
+            source = OriginSource.UNNAMED if origin.version is None else source
+            return FoundOrigin(source, origin.service, origin.version)
+        versions = self._releases.began_at(taken.service, taken.key, taken.max_age_ms)
+        if len(versions) == 1:
+            return FoundOrigin(OriginSource.ASSIGNED, taken.service, next(iter(versions)))
+        source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
+        return FoundOrigin(source, taken.service)
+
+    async def _ask(self, request: RequestId) -> None:
+        """Ask other routers about a stream, and wait until one knows it or all have answered."""
+        peers = self._others(request, ASKED_ROUTERS)
+        if not peers:
+            return
+        question = self._questions.setdefault(request, Question(len(peers)))
+        for peer in peers:
+            self._send(peer.address, OriginMessage(self._fleet.own_node, asked=(request,)))
+        with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
+            await question.answered.wait()
+        self._questions.pop(request, None)
+
+    def apply_message(self, message: OriginMessage, sender: Endpoint) -> None:
+        """Record what another router tells, and answer what it asks."""
+        for origin in message.origins:
+            self._origins.record(origin)
+            question = self._questions.get(origin.request)
+            if question is not None:
+                question.answered.set()
+        for request in message.unknown:
+            question = self._questions.get(request)
+            if question is not None:
+                question.open_answers -= 1
+                if question.open_answers <= 0:
+                    question.answered.set()
+        if message.asked:
+            found = [self._origins.find(request) for request in message.asked]
+            known = tuple(origin for origin in found if origin is not None)
+            names = {origin.request for origin in known}
+            unknown = tuple(request for request in message.asked if request not in names)
+            own = self._fleet.own_node
+            self._send(sender, OriginMessage(own, origins=known, unknown=unknown))
+
+    def _others(self, request: RequestId, count: int) -> list[Peer]:
+        """Return the first routers in the order of a stream, among those heard lately."""
+        peers = self._fleet.peers_heard_within(KEEPER_TTL_MS)
+        if len(peers) <= count:
+            return peers
+        peers.sort(key=lambda peer: rendezvous_weight(request, peer.node), reverse=True)
+        return peers[:count]
+
+    def _send(self, address: Endpoint, message: OriginMessage) -> None:
+        """Let the task that owns the socket send a message; drop it if too many wait."""
+        try:
+            self._sender.send_nowait(Outgoing(address, message))
+        except trio.WouldBlock:
+            return
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -11,10 +11,11 @@
 from skylarklift.entry.fleet import GossipMessage
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
+from skylarklift.entry.releases import ReleaseReport, ReleaseStep, VersionWeight
 from skylarklift.entry.rows import NO_ERA, Era, RowChange, RowPage, TableSummary
 from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.errors import PeerError
-from skylarklift.ids import ReplicaId
+from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 
 GOSSIP_FORMAT = 2
 LENGTH_BYTES = 4
@@ -26,6 +27,7 @@
 LIMITS_KEY = "limits"
 ERAS_KEY = "eras"
 TOLD_LOADS_KEY = "told"
+RELEASES_KEY = "releases"
 COMPRESSION_LEVEL = 1
 
 
@@ -52,6 +54,7 @@
                 LIMITS_KEY: [
                     (report.replica, report.per_second, report.age_ms) for report in message.limits
                 ],
+                RELEASES_KEY: [_release_fields(report) for report in message.releases],
                 ERAS_KEY: [summary.era for summary in message.tables],
                 TOLD_LOADS_KEY: [
                     (told.replica, told.load, told.age_ms, told.urgent)
@@ -99,6 +102,7 @@
                 ToldLoad(ReplicaId(str(replica)), int(load), int(age_ms), bool(urgent))
                 for replica, load, age_ms, urgent in extras.get(TOLD_LOADS_KEY, ())
             ),
+            releases=tuple(_decode_release(*fields) for fields in extras.get(RELEASES_KEY, ())),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
@@ -112,6 +116,35 @@
     )
 
 
+def _release_fields(report: ReleaseReport) -> tuple:
+    """Return the fields of a row on software versions."""
+    steps = [
+        (step.age_ms, [(item.version, item.weight) for item in step.weights])
+        for step in report.steps
+    ]
+    return report.service, report.row_version, report.era, steps
+
+
+def _decode_release(service: str, row_version: int, era: int, steps: Sequence) -> ReleaseReport:
+    """Return a row on software versions; its steps count as older by the message's way."""
+    return ReleaseReport(
+        ServiceId(str(service)),
+        int(row_version),
+        tuple(
+            ReleaseStep(
+                max(0, int(age_ms)),
+                tuple(
+                    VersionWeight(SoftwareVersion(str(version)), max(0, int(weight)))
+                    for version, weight in weights
+                ),
+            )
+            for age_ms, weights in steps
+            if weights
+        ),
+        Era(int(era)),
+    )
+
+
 def _checked_rate(value: object) -> float:
     """Return a finite non-negative number; raise `ValueError`."""
     rate = float(value)
--- a/skylarklift/platform/daemon.py
+++ b/skylarklift/platform/daemon.py
@@ -63,7 +63,7 @@
     event_log = EventLog(clock, settings.node)
     core = make_core(settings, clock, PlatformHeaderCodec(), rows, event_log)
     store = PlatformStore(settings.store, rows)
-    router = EntryRouter(core, store, store, load, metrics_port)
+    router = EntryRouter(core, store, store, store, load, metrics_port)
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
         await router.run(signals)
 
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -66,6 +66,7 @@
             api_key=fields.get(names.API_KEY, b"").decode("latin-1"),
             deadline_ms=_parse_uint(fields.get(names.DEADLINE)) or 0,
             resume_after=_parse_uint(fields.get(names.LAST_EVENT)),
+            resumes=_parse_request_id(fields.get(names.RESUMES)),
             parts=_parse_prompt_parts(fields.get(names.PREFIX, b"")),
         )
 
@@ -126,6 +127,11 @@
     return frozenset(item.strip().lower() for item in value.split(b","))
 
 
+def _parse_request_id(value: bytes | None) -> RequestId | None:
+    """Return the id of a request, or `None`."""
+    return RequestId(value.decode("latin-1")) if value else None
+
+
 def _parse_uint(value: bytes | None) -> int | None:
     """Return a non-negative integer, or `None`."""
     if value is None or not value.isdigit():
--- a/skylarklift/platform/rows.py
+++ b/skylarklift/platform/rows.py
@@ -15,7 +15,7 @@
     parse_endpoint,
 )
 from skylarklift.entry.rows import EvacuationRow, InvalidRow, RowFormat, RowTable, UpstreamRow
-from skylarklift.ids import ReplicaId, ServiceId, Version, WorkspaceId, ZoneId
+from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, Version, WorkspaceId, ZoneId
 from skylarklift.platform import names
 
 ROUTE_KINDS = {
@@ -83,9 +83,17 @@
         cold_ms=_int_field(value, "cold_remaining_ms", 0),
         started_ms=_int_field(value, "born", 0),
         sequence=_int_field(value, "sequence", 0),
+        software=_software_version(value.get("version")),
     )
 
 
+def _software_version(found: Any) -> SoftwareVersion | None:
+    """Return the version of an upstream's software, `None` without one or with an odd one."""
+    if not isinstance(found, str) or not found or not _is_encodable(found):
+        return None
+    return SoftwareVersion(found)
+
+
 def _text_field(value: dict[str, Any], name: str) -> str:
     """Return a non-empty string field; raise `InvalidRow`."""
     found = value.get(name)
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -2,26 +2,29 @@
 
 import json
 from base64 import b64decode, b64encode
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 from urllib.parse import quote, urlencode
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Clock, LoopClock
 from skylarklift.entry.http_connection import HttpConnection, connect
 from skylarklift.entry.model import Endpoint, Headers
+from skylarklift.entry.releases import ReleaseReport, decode_steps, encode_steps
 from skylarklift.entry.rows import (
     NO_ERA,
     ChangesUnavailable,
     Era,
     MemberStore,
+    ReleaseStore,
     RowChange,
     RowPage,
     RowSource,
     RowTable,
 )
 from skylarklift.errors import StoreAnswerLost, StoreError, StoreUnavailable, TransportError
+from skylarklift.ids import ServiceId
 from skylarklift.platform import names
 from skylarklift.platform.rows import PlatformRowFormat
 
@@ -33,6 +36,7 @@
 BODY_TIMEOUT_MS = 1500
 MAX_RESPONSE_BYTES = 8_388_608
 MEMBER_TABLE = "skylarklift-routers"
+RELEASE_TABLE = "skylarklift-releases"
 PAGE_ROWS = 500
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -46,12 +50,14 @@
     value: dict[str, Any]
 
 
-class PlatformStore(RowSource, MemberStore):
+class PlatformStore(RowSource, MemberStore, ReleaseStore):
     """One router's calls to the store; the change feed of each table has its own connection."""
 
-    def __init__(self, address: Endpoint, rows: PlatformRowFormat):
+    def __init__(self, address: Endpoint, rows: PlatformRowFormat, clock: Clock | None = None):
         self._address = address
         self._row_format = rows
+        self._clock = clock or LoopClock()
+        self._clock_offset_ms = 0
         self._conns: dict[str, HttpConnection] = {}
 
     async def read_table(self, table: RowTable) -> RowPage:
@@ -118,6 +124,41 @@
         answer = await self._call("write", "POST", names.ROWS_TX, "", body=body)
         self._check_status(answer.status)
 
+    async def read_releases(self) -> list[ReleaseReport]:
+        """Return the rows on the software versions of all services."""
+        query = urlencode({"table": RELEASE_TABLE, "part": "", "limit": PAGE_ROWS})
+        answer = await self._call("read", "GET", names.ROWS_GET, query)
+        self._check_status(answer.status)
+        return _decode_releases(answer)
+
+    async def write_release(self, report: ReleaseReport) -> ReleaseReport:
+        """Write a service's row if its version is still the one named; return the row as it is."""
+        row = {"table": RELEASE_TABLE, "part": "", "key": report.service}
+        data = encode_steps(report.steps, self._store_now_ms())
+        body = {
+            "expected": [{**row, "row_version": report.row_version}],
+            "write": [{**row, "data": b64encode(data).decode()}],
+            "remove": [],
+        }
+        answer = await self._call("write", "POST", names.ROWS_TX, "", body=body)
+        if answer.status == names.STATUS_CONDITION_FAILED:
+            found = [item for item in await self.read_releases() if item.service == report.service]
+            # A restored store may have no row.
+            return found[0] if found else ReleaseReport(report.service, 0, (), answer.era)
+        self._check_status(answer.status)
+        _, version = _decode_rows(answer.value)
+        return replace(report, row_version=version, era=answer.era)
+
+    def _store_now_ms(self) -> int:
+        """Return the time of the store's clock, by its last answer."""
+        return self._clock_offset_ms + self._clock.now()
+
+    def _note_clock(self, value: dict[str, Any]) -> None:
+        """Record the time of the store's clock that an answer tells."""
+        now_ms = value.get("now_ms")
+        if isinstance(now_ms, (int, float)) and not isinstance(now_ms, bool):
+            self._clock_offset_ms = int(now_ms) - self._clock.now()
+
     @staticmethod
     def _check_status(status: int) -> None:
         """Raise `StoreError` unless the call succeeded."""
@@ -164,7 +205,10 @@
                 else:
                     conn.abort()
         try:
-            return StoreAnswer(status, _parse_era(headers), json.loads(text) if text else {})
+            value = json.loads(text) if text else {}
+            if isinstance(value, dict):
+                self._note_clock(value)
+            return StoreAnswer(status, _parse_era(headers), value)
         except (ValueError, RecursionError) as exc:
             raise StoreError(f"{method} {path}: not JSON: {exc}") from exc
 
@@ -189,6 +233,18 @@
         raise StoreError(f"unexpected answer of the store: {type(exc).__name__}: {exc}") from exc
 
 
+def _decode_releases(answer: StoreAnswer) -> list[ReleaseReport]:
+    """Return the rows on software versions in an answer, without those that cannot be read."""
+    rows, _ = _decode_rows(answer.value)
+    now_ms = int(answer.value.get("now_ms") or 0)
+    return [
+        ReleaseReport(
+            ServiceId(row.key), row.version, decode_steps(row.data or b"", now_ms), answer.era
+        )
+        for row in rows
+    ]
+
+
 def _decode_row(row: dict[str, Any]) -> RowChange:
     """Return one row; data that cannot be read stays as it is, for the decoder to refuse."""
     data = None if row.get("deleted") else str(row.get("data") or "").encode()
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -142,6 +142,7 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "born": 1,
+            "version": "v1",
             "sequence": self._heartbeats,
             **fields,
         }
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -69,6 +69,11 @@
         self.changed = trio.Event()
         return self.version
 
+    def row_version(self, table: str, key: str) -> int:
+        """Return the version of a row, 0 if there is none."""
+        row = self.tables.get(table, {}).get(key)
+        return row.version if row is not None and row.data is not None else 0
+
     def copy(self) -> StoreCopy:
         """Return a copy of all rows."""
         return StoreCopy({name: dict(rows) for name, rows in self.tables.items()}, self.version)
@@ -149,6 +154,7 @@
         status, value = await self._handle_call(head, body)
         if faults.lose_answers:
             return False
+        value["now_ms"] = int(trio.current_time() * MS_PER_SECOND)
         await caller.send_response(status, self._era_headers(), json.dumps(value).encode())
         return True
 
@@ -185,7 +191,10 @@
         return STATUS_OK, {"rows": store.rows(table, after), "row_version": store.version}
 
     def _transact(self, value) -> tuple[int, dict]:
-        """Write and remove rows."""
+        """Write and remove rows, unless an expected one has another version."""
+        for row in value.get("expected", ()):
+            if self.store.row_version(row["table"], row["key"]) != row["row_version"]:
+                return 412, {"rows": [], "row_version": self.store.version}
         for row in value.get("write", ()):
             self.store.write(row["table"], row["key"], b64decode(row["data"]))
         for row in value.get("remove", ()):
