Send what is new of busy upstreams to the next eight routers only, also from a router that reads the store

Cause: a router that reads the store sends each of its rounds to all others; rounds for busy upstreams came on top, 195 datagrams each, so it was late with its own rounds, and others read the store too.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,7 +6,17 @@
 import time
 from pathlib import Path
 
-MEASURES = ("reuse", "choice", "path", "patches", "slopes", "zone", "surge", "control")
+MEASURES = (
+    "reuse",
+    "choice",
+    "load_bound",
+    "path",
+    "patches",
+    "slopes",
+    "zone",
+    "surge",
+    "control",
+)
 RESULTS = Path("bench/results")
 
 
--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -25,7 +25,7 @@
 from skylarklift.entry.choose import Choice
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.core import Core
-from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS, GossipMessage
+from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS, GossipMessage, Peer
 from skylarklift.entry.model import Call, Endpoint, ReplicaLoad
 from skylarklift.entry.peering import Peering
 from skylarklift.entry.rows import RowTable
@@ -240,14 +240,14 @@
 
     def _gossip_in_turn(self, peering: Peering) -> None:
         """Let a router send its messages of one round, and plan the next one."""
-        self._gossip(peering)
+        self._send_to(peering, peering._next_targets())
         self.at(ROUND_MS, lambda: self._gossip_in_turn(peering))
 
-    def _gossip(self, peering: Peering) -> None:
-        """Let a router send its messages of one round."""
+    def _send_to(self, peering: Peering, targets: list[Peer]) -> None:
+        """Let a router send its messages to others."""
         now = self.clock.now()
         encoded = {}
-        for peer in peering._next_targets():
+        for peer in targets:
             since = Millis(peer.sent_at - GOSSIP_INTERVAL_MS)
             if since not in encoded:
                 encoded[since] = peering._make_message(since)
@@ -265,12 +265,10 @@
 
     def _spread_news(self, core: Core) -> None:
         """Let a router send at once what is new to it, as far apart as messages must be."""
-        if core.state_changed.is_set():
-            core.state_changed = trio.Event()
-            self.at(
-                MIN_GOSSIP_INTERVAL_MS,
-                lambda: self._gossip(self._peerings[int(core.settings.node[1:])]),
-            )
+        if core.load_told.is_set():
+            core.load_told = trio.Event()
+            peering = self._peerings[int(core.settings.node[1:])]
+            self.at(MIN_GOSSIP_INTERVAL_MS, lambda: self._send_to(peering, peering._next_in_turn()))
 
     # Requests.
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -54,7 +54,8 @@
     `reading_store` holds, per table, whether this router reads it from the store.
     `attempts` are the requests that have been sent to upstreams and not ended.
     `state_changed` is set when a change is to be sent to the other routers at once, and
-    `crash_reported` when this router or another one has reported the crash of an upstream.
+    `load_told` when an upstream is newly busy, and `crash_reported` when this router or another one
+    has reported the crash of an upstream.
     `deadlines` holds the longest deadline that callers of each route have named.
     `releases_read` is set once the rows on software versions have been read from the store.
     `store_restored` is set when the store has lost what was written to it last.
@@ -87,6 +88,7 @@
         default_factory=lambda: dict.fromkeys(RowTable, False)
     )
     state_changed: trio.Event = field(default_factory=trio.Event)
+    load_told: trio.Event = field(default_factory=trio.Event)
     crash_reported: trio.Event = field(default_factory=trio.Event)
     store_restored: trio.Event = field(default_factory=trio.Event)
     page_encoder: PageEncoder = field(default_factory=PageEncoder)
@@ -153,7 +155,7 @@
         replica, load = choice.upstream.record.replica, told.running + told.waiting
         if self.chooser.told_loads.record(replica, load, choice.busy_load):
             self.metrics.increment("busy_upstreams")
-            self.state_changed.set()
+            self.load_told.set()
 
     def record_rate_limit(
         self, replica: ReplicaId, per_second: float | None, sent_at: Millis
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -81,12 +81,28 @@
             await self.send_round()
             await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
 
+    async def send_told_loads(self) -> None:
+        """Send what is new about busy upstreams to the next routers in turn, at once.
+
+        A router that reads the store sends it to as few as others do, so that it keeps up.
+        """
+        core = self._core
+        while True:
+            await core.load_told.wait()
+            core.load_told = trio.Event()
+            await self._send_to(self._next_in_turn())
+            await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
+
     async def send_round(self) -> None:
         """Send gossip to the routers of this round."""
+        targets = self._next_targets()
+        self._last_round_at = self._core.clock.now()
+        await self._send_to(targets)
+
+    async def _send_to(self, targets: list[Peer]) -> None:
+        """Send gossip to other routers."""
         now = self._core.clock.now()
         encoded: dict[Millis, bytes] = {}
-        targets = self._next_targets()
-        self._last_round_at = now
         for peer in targets:
             # What the last message held is sent once more: datagrams may be lost.
             since = Millis(peer.sent_at - GOSSIP_INTERVAL_MS)
@@ -129,13 +145,20 @@
         peers = list(self._core.fleet.peers.values())
         if len(peers) <= GOSSIP_FANOUT or self._reads_store():
             return peers
-        start = self._next_target % len(peers)
-        self._next_target += GOSSIP_FANOUT
-        targets = (peers + peers)[start : start + GOSSIP_FANOUT]
+        targets = self._next_in_turn()
         if self._core.suspects.has_changes_since(self._last_round_at):
             targets += [peer for peer in self._store_readers() if peer not in targets]
         return targets
 
+    def _next_in_turn(self) -> list[Peer]:
+        """Return the next routers in turn, all of a small fleet."""
+        peers = list(self._core.fleet.peers.values())
+        if len(peers) <= GOSSIP_FANOUT:
+            return peers
+        start = self._next_target % len(peers)
+        self._next_target += GOSSIP_FANOUT
+        return (peers + peers)[start : start + GOSSIP_FANOUT]
+
     def _store_readers(self) -> list[Peer]:
         """Return the live routers that read the store and so send to all others."""
         return [peer for peer in self._core.fleet.live_peers() if peer.last_message.reads_store]
@@ -230,7 +253,7 @@
             core.apply_release(report, message.node)
         for told in message.told_loads:
             if core.chooser.told_loads.apply_report(told):
-                core.state_changed.set()
+                core.load_told.set()
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -66,6 +66,7 @@
             start(self._listen, settings.callers, self._caller_server.serve)
             start(self._peering.receive_loop, nursery)
             start(self._peering.send_loop)
+            start(self._peering.send_told_loads)
             start(self._peering.send_origins)
             start(self._peering.join)
             start(self._release_keeper.run)
