--- a/skylarklift/entry/releases.py
+++ b/skylarklift/entry/releases.py
@@ -109,8 +109,10 @@
 
     def assigned_version(self, service: ServiceId, key: str) -> SoftwareVersion | None:
         """Return the version that begins streams of a prompt, `None` without a row."""
-        steps = self.steps(service)
-        return pick_version(key, steps[-1].weights) if steps else None
+        known = self._known.get(service)
+        if known is None or not known.report.steps:
+            return None
+        return pick_version(key, known.report.steps[-1].weights)
 
     def began_at(self, service: ServiceId, key: str, max_age_ms: int) -> frozenset[SoftwareVersion]:
         """Return the versions at which a stream of at most this age can have begun."""
--- a/skylarklift/ui/logs.py
+++ b/skylarklift/ui/logs.py
@@ -30,6 +30,7 @@
     "store_era",
     "plan",
     "zone_out",
+    "release_step",
 )
 # What upstreams ask of their callers; it holds until they say otherwise.
 DEMAND_EVENTS = (
