Test take-ups at another router, after the first one was lost, and after all were

Real routers before scripted replicas of two versions: 12 streams, taken up at the router that asks, at one whose fellow was killed, and at one that has just started; only streams of prompts that did not move go on there.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -14,6 +14,21 @@
       | only itself is of its version     | v1 v2       | complete   |
       | the replicas name no version      | none none   | broken off |
 
+  # Guards against take-ups at a router that did not begin the stream, or that has just started.
+  Scenario Outline: A client takes its streams up at another router, <case>
+    Given a router before replicas of the versions "v1 v2" that break off each new stream
+    And another router beside it
+    When 12 streams of different prompts begin at the first router
+    And <event>
+    And the client takes all of them up at the second router
+    Then none goes on at another version, and <result>
+
+    Examples:
+      | case                          | event                          | result                           |
+      | which asks the first one      | nothing else happens to them   | all go on                        |
+      | after the first one was lost  | the first router is killed     | all go on                        |
+      | after both were lost          | both are killed and start anew | those that did not move go on    |
+
   # Guards against streams that a client takes up at another version after their router was lost.
   Scenario Outline: Where a stream that is taken up may go on: <case>
     Given the proportions "<steps>"
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -66,6 +66,83 @@
         assert context.response.body == TWO_EVENTS, context.response
 
 
+@given("another router beside it")
+def another_router(context):
+    context.other = context.thread.run(context.world.start_router, "n2")
+    # Both know each other, and which versions there are.
+    context.thread.run(trio.sleep, 1.5)
+
+
+async def call_stream(context, router, number, request, headers):
+    prefix = {"x-prefix-hash": f"aa:50,b{number}:40,cc:10", **headers}
+    return await context.world.call(router, "/chat/a", request_id=request, headers=prefix)
+
+
+def replica_of(context, request):
+    """Return the index of the replica that ran a request last, `None` if none did."""
+    ran = [
+        index
+        for index, replica in enumerate(context.scripted)
+        if any(item.request_id == request for item in replica.received)
+    ]
+    assert len(ran) <= 1, (request, ran)
+    return ran[0] if ran else None
+
+
+@when("{count:d} streams of different prompts begin at the first router")
+def streams_begin(context, count):
+    context.began = {}
+    for number in range(count):
+        response = context.thread.run(
+            call_stream, context, context.router, number, f"s{number}", {}
+        )
+        assert response.complete, response
+        context.began[number] = replica_of(context, f"s{number}")
+    assert set(context.began.values()) == {0, 1}, context.began
+
+
+@when("nothing else happens to them")
+def nothing_happens(context):
+    pass
+
+
+@when("the first router is killed")
+def first_killed(context):
+    context.router.process.kill()
+    context.router.process.wait()
+
+
+@when("both are killed and start anew")
+def both_start_anew(context):
+    for router in (context.router, context.other):
+        router.process.kill()
+        router.process.wait()
+    context.other = context.thread.run(context.world.start_router, "n3")
+
+
+@when("the client takes all of them up at the second router")
+def taken_up_at_second(context):
+    context.responses = {}
+    for number in context.began:
+        headers = {"last-event-id": "2", "resumes": f"s{number}"}
+        context.responses[number] = context.thread.run(
+            call_stream, context, context.other, number, f"t{number}", headers
+        )
+
+
+@then("none goes on at another version, and {result}")
+def take_ups_end(context, result):
+    went_on = {number: replica_of(context, f"t{number}") for number in context.began}
+    for number, replica in went_on.items():
+        response = context.responses[number]
+        assert replica in (None, context.began[number]), (number, replica, context.began[number])
+        assert response.status == (503 if replica is None else 200), (number, response)
+    expected = set(context.began)
+    if result != "all go on":
+        expected = {number for number, replica in context.began.items() if replica == 0}
+    assert {number for number, replica in went_on.items() if replica is not None} == expected
+
+
 def parse_weights(text):
     """Return the proportions VERSION:REPLICAS,..."""
     pairs = (item.split(":") for item in text.split(","))
