--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from skylarklift.clock import Clock, Millis
+from skylarklift.clock import MS_PER_SECOND, Clock, Millis
 from skylarklift.entry.choose import Choice, Chooser
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.connection_pool import ConnectionPool
@@ -53,7 +53,7 @@
 
     `reading_store` holds, per table, whether this router reads it from the store.
     `attempts` are the requests that have been sent to upstreams and not ended.
-    `state_changed` is set when a change is to be sent to the other routers at once, and
+    `state_changed` is set when a change is to be sent to the other routers at once,
     `load_told` when an upstream is newly busy, and `crash_reported` when this router or another one
     has reported the crash of an upstream.
     `deadlines` holds the longest deadline that callers of each route have named.
@@ -125,6 +125,11 @@
         )
         self.state_changed.set()
 
+    async def wait_for_releases(self, limit_ms: int) -> None:
+        """Wait until the rows on software versions have been read, `limit_ms` at most."""
+        with trio.move_on_after(limit_ms / MS_PER_SECOND):
+            await self.releases_read.wait()
+
     def forget_upstream(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
         self.health.forget(replica)
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -7,18 +7,17 @@
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.caller_connection import CallerConnection
-from skylarklift.entry.choose import Choice, NoUpstream, affinity_key
+from skylarklift.entry.choose import Choice, NoUpstream
 from skylarklift.entry.core import Core
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.model import Call, Endpoint, Route, RouteKind, SendOptions, Workspace
+from skylarklift.entry.model import Call, Endpoint, Route, SendOptions, Workspace
 from skylarklift.entry.prefixes import shared_parts
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.stream_origins import StreamOrigin
+from skylarklift.entry.stream_version import StreamVersion
 from skylarklift.entry.suspects import call_fingerprint
-from skylarklift.entry.take_ups import FoundOrigin, TakenUpStream
 from skylarklift.entry.upstream import Upstream
 from skylarklift.errors import (
     AnswerLate,
@@ -42,7 +41,6 @@
 STARTING_RETRY_DIVISOR = 4
 MAX_STARTING_RETRY_MS = 2000
 DEFAULT_DEADLINE_MS = 2000
-MAX_RELEASES_WAIT_MS = 500
 RETRY_AFTER_MS = 500
 RETRY_AFTER_JITTER_MS = 1000
 # An upstream that sends nothing for this ratio of the route's latency objective, but at least for
@@ -90,12 +88,7 @@
         # Upstreams that would have been better but may get no request now, as REPLICA:REASON.
         self.passed_over: list[str] = []
         self.attempt: Attempt | None = None
-        # The stream that the caller takes up, and the version that began what it has of it.
-        self.origin: FoundOrigin | None = None
-        self.recorded_attempt: Attempt | None = None
-        self.version: SoftwareVersion | None = None
-        # The version that is to begin the stream.
-        self.assigned: SoftwareVersion | None = None
+        self.stream_version: StreamVersion | None = None
 
     async def run(self) -> None:
         """Serve the request; respond to a `RequestError`, or abort a response that has begun."""
@@ -103,7 +96,7 @@
         try:
             await self._wait_for_configuration()
             self._admit()
-            await self._find_origin()
+            self.service = await self.stream_version.find(self.service)
             status = await self._serve()
         except RequestError as exc:
             status = await self._respond_with_error(exc)
@@ -139,7 +132,9 @@
             if self.workspace is None:
                 raise BadRequest("unknown_key", "the API key is not known", status=401)
         self.retry_state = RetryState(route)
-        self.forwarder = Forwarder(self.caller, call, self.retry_state, self._record_events)
+        self.stream_version = StreamVersion(core, call, route)
+        on_events = self.stream_version.record_events
+        self.forwarder = Forwarder(self.caller, call, self.retry_state, on_events)
         limit_ms = min(call.deadline_ms or route.timeout_ms, route.timeout_ms)
         self.deadline = Millis(call.received_at + limit_ms)
         self._refuse_if_stopping()
@@ -159,66 +154,6 @@
         if self.deadline > core.stopping_since + core.settings.bounds.drain_ms():
             raise Refusal("stopping", "this router is stopping", retry_after_ms=50)
 
-    # Streams that may go on only at the software version that began them.
-
-    async def _find_origin(self) -> None:
-        """Find at which version a stream begins, or goes on; raise `Refusal` if that is unknown."""
-        core, call = self.core, self.call
-        if not self._is_resumable():
-            return
-        if call.resume_after is None:
-            core.note_deadline(self.route, call.deadline_ms)
-            key = affinity_key(call)
-            self.assigned = core.releases.assigned_version(self.service, key)
-            return
-        if not core.releases.steps(self.service):
-            with trio.move_on_after(MAX_RELEASES_WAIT_MS / MS_PER_SECOND):
-                await core.releases_read.wait()
-        request = call.resumes or call.request
-        key = affinity_key(call) if call.parts else request
-        taken = TakenUpStream(request, self.service, key, self._max_stream_age_ms())
-        self.origin = await core.take_ups.find(taken)
-        core.metrics.increment("take_ups", self.origin.source.value)
-        self.version = self.origin.version
-        if self.version is None:
-            raise Refusal(
-                self.origin.source.value,
-                "which version began the stream is not known, so it cannot go on",
-                retry_after_ms=None,
-            )
-        if self.origin.service in (target.service for target in self.route.targets):
-            self.service = self.origin.service
-
-    def _max_stream_age_ms(self) -> int:
-        """Return how long ago a stream that the caller takes up began at most.
-
-        The caller has waited since before that, for as long as its deadline has run.
-        """
-        longest_ms = self.core.longest_deadline_ms(self.route)
-        left_ms = self.call.deadline_ms
-        return max(0, longest_ms - left_ms) if 0 < left_ms else longest_ms
-
-    def _is_resumable(self) -> bool:
-        """Return whether the request is for a stream that may be resumed."""
-        return self.route.kind is RouteKind.STREAM and self.route.resumable
-
-    def _record_events(self, attempt: Attempt) -> None:
-        """Record, before the first events of an attempt are sent, which version made them."""
-        if self.recorded_attempt is attempt or not self._is_resumable():
-            return
-        self.recorded_attempt = attempt
-        core, record = self.core, attempt.record
-        restarted = core.health.maybe_restarted(record.replica)
-        version = None if restarted else record.software
-        if self.version is None and not self.retry_state.forwarded:
-            core.metrics.increment("streams_begun")
-        self.version = version
-        request = self.call.request
-        if self.origin is not None:
-            core.metrics.increment("take_ups_gone_on")
-            request = self.call.resumes or request
-        core.take_ups.record_begun(StreamOrigin(request, record.service, version))
-
     # Attempts.
 
     async def _serve(self) -> int:
@@ -290,10 +225,11 @@
         core = self.core
         until = core.clock.now() + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
         while True:
-            if self.retry_state.forwarded and self.version is None:
+            required = self.stream_version.required
+            if self.retry_state.forwarded and required is None:
                 raise OutcomeUnknown("the upstream named no version at which the stream can go on")
-            found = self._choose(self.version or self.assigned)
-            if found is NoUpstream.OTHER_VERSION and self.version is None:
+            found = self._choose(required or self.stream_version.assigned)
+            if found is NoUpstream.OTHER_VERSION and required is None:
                 # All replicas of the assigned version leave; none will take the stream up either.
                 found = self._choose(None)
             if isinstance(found, Choice):
@@ -414,15 +350,6 @@
             parts=[part.name for part in shared_parts(self.call.parts)[:MAX_LOGGED_PARTS]],
         )
 
-    def _version_fields(self) -> dict[str, str | None]:
-        """Return, for the log, the version of a stream and how a take-up's was found."""
-        fields: dict[str, str | None] = {}
-        if self.version is not None:
-            fields["version"] = self.version
-        if self.origin is not None:
-            fields.update(resumes=self.call.resumes, take_up=self.origin.source.value)
-        return fields
-
     def _log_result(self, status: int) -> None:
         """Log the result of the request and update the metrics."""
         core = self.core
@@ -440,7 +367,7 @@
             sends=self.steps,
             last_event=self.forwarder.resume_after if self.forwarder else None,
             **(self.attempt.load_fields() if self.attempt else {}),
-            **self._version_fields(),
+            **(self.stream_version.log_fields() if self.stream_version else {}),
             **({"passed_over": self.passed_over} if self.passed_over else {}),
             **(self.crash_guard.log_fields() if self.crash_guard else {}),
         )
--- /dev/null
+++ b/skylarklift/entry/stream_version.py
@@ -0,0 +1,97 @@
+"""The software version of one caller's stream: where it begins, and where it may go on."""
+
+from skylarklift.entry.attempt import Attempt
+from skylarklift.entry.choose import affinity_key
+from skylarklift.entry.core import Core
+from skylarklift.entry.model import Call, Route, RouteKind
+from skylarklift.entry.stream_origins import StreamOrigin
+from skylarklift.entry.take_ups import FoundOrigin, TakenUpStream
+from skylarklift.errors import Refusal
+from skylarklift.ids import ServiceId, SoftwareVersion
+
+MAX_RELEASES_WAIT_MS = 500
+
+
+class StreamVersion:
+    """The version at which a stream is to begin, or must go on once it has begun.
+
+    `required` is the version of what the caller has of the stream, `assigned` the one that is to
+    begin it; both stay `None` for other requests.  `origin` tells how the version of a stream that
+    the caller takes up was found.
+    """
+
+    def __init__(self, core: Core, call: Call, route: Route):
+        self._core = core
+        self._call = call
+        self._route = route
+        self._resumable = route.kind is RouteKind.STREAM and route.resumable
+        self._recorded: Attempt | None = None
+        self.required: SoftwareVersion | None = None
+        self.assigned: SoftwareVersion | None = None
+        self.origin: FoundOrigin | None = None
+
+    async def find(self, service: ServiceId) -> ServiceId:
+        """Find the version, and return the service of the stream; raise `Refusal`."""
+        core, call = self._core, self._call
+        if not self._resumable:
+            return service
+        if call.resume_after is not None:
+            return await self._find_origin(service)
+        core.note_deadline(self._route, call.deadline_ms)
+        self.assigned = core.releases.assigned_version(service, affinity_key(call))
+        return service
+
+    async def _find_origin(self, service: ServiceId) -> ServiceId:
+        """Find where a stream that the caller takes up may go on; raise `Refusal` if nowhere."""
+        core, call = self._core, self._call
+        if not core.releases.steps(service):
+            await core.wait_for_releases(MAX_RELEASES_WAIT_MS)
+        request = call.resumes or call.request
+        key = affinity_key(call) if call.parts else request
+        taken = TakenUpStream(request, service, key, self._max_age_ms())
+        self.origin = await core.take_ups.find(taken)
+        core.metrics.increment("take_ups", self.origin.source.value)
+        self.required = self.origin.version
+        if self.required is None:
+            raise Refusal(
+                self.origin.source.value,
+                "which version began the stream is not known, so it cannot go on",
+                retry_after_ms=None,
+            )
+        targets = [target.service for target in self._route.targets]
+        return self.origin.service if self.origin.service in targets else service
+
+    def _max_age_ms(self) -> int:
+        """Return how long ago a stream that the caller takes up began at most.
+
+        The caller has waited since before that, for as long as its deadline has run.
+        """
+        longest_ms = self._core.longest_deadline_ms(self._route)
+        return max(0, longest_ms - self._call.deadline_ms)
+
+    def record_events(self, attempt: Attempt) -> None:
+        """Record, before the first events of an attempt are sent, which version made them."""
+        if self._recorded is attempt or not self._resumable:
+            return
+        core, record = self._core, attempt.record
+        if self.origin is not None:
+            core.metrics.increment("take_ups_gone_on")
+        elif self._recorded is None:
+            core.metrics.increment("streams_begun")
+        self._recorded = attempt
+        # The entry of a replica that may have restarted may be one of before.
+        restarted = core.health.maybe_restarted(record.replica)
+        self.required = None if restarted else record.software
+        request = self._call.request
+        if self.origin is not None and self._call.resumes is not None:
+            request = self._call.resumes
+        core.take_ups.record_begun(StreamOrigin(request, record.service, self.required))
+
+    def log_fields(self) -> dict[str, str | None]:
+        """Return, for the log, the version of a stream and how a take-up's was found."""
+        fields: dict[str, str | None] = {}
+        if self.required is not None:
+            fields["version"] = self.required
+        if self.origin is not None:
+            fields.update(resumes=self._call.resumes, take_up=self.origin.source.value)
+        return fields
