--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -22,7 +22,7 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock, Millis
-from skylarklift.entry.choose import Choice
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.core import Core
 from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS, GossipMessage, Peer
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -17,7 +17,7 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock
-from skylarklift.entry.choose import Choice
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.fleet import GossipMessage
 from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
 from skylarklift.entry.model import Bounds, Endpoint, Workspace
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -15,12 +15,12 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.choose import (
     AFFINITY_EXTRA_REQUESTS,
     AFFINITY_LOAD_RATIO,
     HOLDER_RATIO,
     MIN_COPY_TOKENS,
-    Choice,
     affinity_key,
 )
 from skylarklift.entry.fleet import LOAD_TTL_MS, GossipMessage
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -14,7 +14,7 @@
     upstream_data,
 )
 from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choose import Choice
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.crash_evidence import CrashReport, suspects_of
 from skylarklift.entry.crash_messages import CrashMessage
 from skylarklift.entry.follower import apply_page
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -9,7 +9,7 @@
 from features.world import run_virtual
 from skylarklift.clock import LoopClock, ManualClock
 from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choose import Choice
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.fleet import Fleet, GossipMessage
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.rows import NO_ERA, RowTable, TableSummary
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -9,7 +9,7 @@
 from features.entry_fixtures import core_with_replicas, new_call, parse_yes_no
 from skylarklift.clock import ManualClock, Millis
 from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choose import Choice
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.core import Probe
 from skylarklift.entry.crash_evidence import (
     MAX_SUSPECTS,
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -6,7 +6,7 @@
 import trio
 
 from skylarklift.clock import Millis
-from skylarklift.entry.choose import Choice
+from skylarklift.entry.choice import Choice
 from skylarklift.entry.core import Core, Probe
 from skylarklift.entry.crash_evidence import Suspect
 from skylarklift.entry.health import HealthSignal
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -8,13 +8,12 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping
-from dataclasses import dataclass
-from enum import Enum
 from itertools import chain, repeat
 
 from skylarklift.clock import Clock
 from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
 from skylarklift.entry.candidates import Candidates
+from skylarklift.entry.choice import Choice, NoUpstream, PassedOver
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import ColdRequestLimit
@@ -55,52 +54,6 @@
 HASH_RANGE = 1 << 32
 
 
-class NoUpstream(Enum):
-    """Why no upstream can take a request."""
-
-    NONE_KNOWN = "no_upstream_known"
-    ZONES_EVACUATED = "zones_out"
-    OUTSIDE_ALLOWED_REGIONS = "no_upstream_at_home"
-    EJECTED = "upstreams_failing"
-    COLD = "upstreams_cold"
-    LIMITED = "upstreams_limited"
-    FULL = "upstreams_full"
-    HELD_OFF = "upstreams_ask_to_wait"
-    TRIED = "upstreams_tried"
-    OTHER_VERSION = "no_upstream_of_version"
-
-
-@dataclass(frozen=True, slots=True)
-class PassedOver:
-    """An upstream that may get no request now, and why."""
-
-    replica: ReplicaId
-    reason: NoUpstream
-
-
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """The chosen upstream and the figures behind the choice.
-
-    `load` and `mean` count requests in flight; `load_age_ms` is the age of the oldest report of
-    another router that they rest on.  `position` is the index of the upstream in the
-    order of candidates.  `copy_source` is a replica from which the chosen one can copy the part
-    of the prefix that it lacks.  `busy_load` is the load from which it takes no more chats while
-    another replica is less busy.  `passed_over` names the upstreams that would have been better
-    but may get no request now, with the reason.
-    """
-
-    upstream: Upstream
-    load: int
-    mean: float
-    position: int
-    cold: bool
-    load_age_ms: int = 0
-    busy_load: float = 0.0
-    copy_source: Upstream | None = None
-    passed_over: tuple[PassedOver, ...] = ()
-
-
 class Chooser:
     """Choose upstreams by affinity, load, health and the request limit of cold ones."""
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,7 +8,8 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
-from skylarklift.entry.choose import Choice, Chooser
+from skylarklift.entry.choice import Choice
+from skylarklift.entry.choose import Chooser
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.connection_pool import ConnectionPool
 from skylarklift.entry.crash_evidence import CrashReport, Suspect
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -7,7 +7,7 @@
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.caller_connection import CallerConnection
-from skylarklift.entry.choose import Choice, NoUpstream
+from skylarklift.entry.choice import Choice, NoUpstream
 from skylarklift.entry.core import Core
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
