Let a replica that may have restarted begin streams, though it goes on with none

Cause, found on reading the change: a new resumable stream went only to replicas that certainly run the assigned version, which excludes those that could not be reached; on a deployment whose requests are all such streams, a replica that is back would never get the request that shows it to be sound. With one version only, the members are not filtered at all, so that a choice costs no walk. The scenario "it begins, one may have restarted" fails if the two cases are not told apart. The longest deadlines of routes are bounded, and the rows on versions count as read once another router has told them.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -53,6 +53,23 @@
       | another router began it              | 100=v1:1 4=v1:4,v2:4     | asks one that knows   | of v2         | 9000  | v1      | known_to_another_router |
       | no other router knows                | 100=v1:1 4=v1:4,v2:4     | asks one that does not | of v2        | 9000  | none    | version_ambiguous       |
 
+  # Guards against replicas that come back and never get the streams that would show them to be sound.
+  Scenario Outline: Which replicas may take a stream of "v1": <case>
+    Given a router before replicas r0 and r1 of "v1" and r2 of "v2"
+    When "<event>" happens
+    Then a stream that "v1" <state> may go to "<replicas>"
+
+    Examples:
+      | case                                      | event                   | state       | replicas |
+      | it begins                                 | nothing                 | is to begin | r0 r1    |
+      | it goes on                                | nothing                 | has begun   | r0 r1    |
+      | it begins, one may have restarted         | r0 was unreachable      | is to begin | r0 r1    |
+      | it goes on, one may have restarted        | r0 was unreachable      | has begun   | r1       |
+      | one has come back with another version    | r0 is back as v2        | has begun   | r1       |
+      | one changes its entry                     | r0 says v3              | is to begin | r1       |
+      | one names no version any more             | r0 says nothing         | has begun   | r1       |
+      | all others have left                      | r1 and r2 have left     | is to begin | r0       |
+
   Scenario: Proportions are the same at every router, and move few prompts
     Given the proportions "10=v1:8,v2:1"
     When a replica of "v2" takes the place of one of "v1"
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -3,6 +3,13 @@
 import trio
 from behave import given, then, when
 
+from features.entry_fixtures import (
+    ZONES,
+    apply_next_rows,
+    core_with_replicas,
+    new_call,
+    upstream_data,
+)
 from features.steps.entry_answers import (
     CHUNKS,
     STREAM_HEAD,
@@ -10,7 +17,9 @@
     call,
 )
 from skylarklift.clock import ManualClock
+from skylarklift.entry.choice import Choice, WantedVersion
 from skylarklift.entry.fleet import Fleet, GossipMessage
+from skylarklift.entry.health import MAX_EJECTION_MS, HealthSignal
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.releases import (
     ReleaseReport,
@@ -21,7 +30,7 @@
     encode_steps,
     pick_version,
 )
-from skylarklift.entry.rows import TableSummary
+from skylarklift.entry.rows import RowTable, TableSummary
 from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
 from skylarklift.entry.take_ups import OriginSource, TakenUpStream, TakeUps
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
@@ -270,3 +279,48 @@
     key = prompt_of(context, prompt)
     found = context.releases.began_at(SERVICE, key, LONGEST_MS)
     assert found == set(versions.split()), found
+
+
+@given('a router before replicas r0 and r1 of "v1" and r2 of "v2"')
+def router_before_versions(context):
+    context.clock = ManualClock(100_000)
+    context.core = core_with_replicas(3, context.clock)
+    context.version = 1
+    apply_next_rows(context, RowTable.UPSTREAMS, {"r2": entry(2, version="v2")})
+
+
+def entry(number, **fields):
+    return upstream_data(zone=ZONES[number], port=9000 + number, **fields)
+
+
+@when('"{event}" happens')
+def versions_change(context, event):
+    health, clock = context.core.health, context.clock
+    match event:
+        case "r0 was unreachable":
+            health.record_result("r0", HealthSignal.UNREACHABLE)
+            clock.advance(MAX_EJECTION_MS)
+        case "r0 is back as v2":
+            rows = {"r0": entry(0, version="v2", born=7)}
+            apply_next_rows(context, RowTable.UPSTREAMS, rows)
+        case "r0 says v3":
+            apply_next_rows(context, RowTable.UPSTREAMS, {"r0": entry(0, version="v3")})
+        case "r0 says nothing":
+            apply_next_rows(context, RowTable.UPSTREAMS, {"r0": entry(0, version=None)})
+        case "r1 and r2 have left":
+            apply_next_rows(context, RowTable.UPSTREAMS, {"r1": None, "r2": None})
+
+
+@then('a stream that "{version}" {state} may go to "{replicas}"')
+def stream_may_go_to(context, version, state, replicas):
+    core = context.core
+    wanted = WantedVersion(version, begun=state == "has begun")
+    route = core.cluster_state.plan.route("app.example", "/chat/x")
+    found = set()
+    for number in range(60):
+        call = new_call(f"base:100,s{number}:2000,own:30")
+        choice = core.chooser.choose(call, route, SERVICE, (), None, wanted)
+        if isinstance(choice, Choice):
+            found.add(choice.upstream.record.replica)
+        context.clock.advance(1200)
+    assert found == set(replicas.split()), found
--- a/skylarklift/entry/choice.py
+++ b/skylarklift/entry/choice.py
@@ -4,7 +4,7 @@
 from enum import Enum
 
 from skylarklift.entry.upstream import Upstream
-from skylarklift.ids import ReplicaId
+from skylarklift.ids import ReplicaId, SoftwareVersion
 
 
 class NoUpstream(Enum):
@@ -51,3 +51,11 @@
     busy_load: float = 0.0
     copy_source: Upstream | None = None
     passed_over: tuple[PassedOver, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class WantedVersion:
+    """The software version that is to take a stream, which it has `begun` or is to begin."""
+
+    version: SoftwareVersion
+    begun: bool
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -13,7 +13,7 @@
 from skylarklift.clock import Clock
 from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
 from skylarklift.entry.candidates import Candidates
-from skylarklift.entry.choice import Choice, NoUpstream, PassedOver
+from skylarklift.entry.choice import Choice, NoUpstream, PassedOver, WantedVersion
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.fleet import Fleet
 from skylarklift.entry.fleet_limits import ColdRequestLimit
@@ -32,7 +32,7 @@
 from skylarklift.entry.told_loads import ToldLoads
 from skylarklift.entry.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
-from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, ZoneId
+from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
 # A replica takes chats by affinity until its load reaches the mean load times the fleet's load
 # factor times this ratio, plus the extra requests.
@@ -102,12 +102,9 @@
         service: ServiceId,
         tried: Collection[ReplicaId] = (),
         workspace: Workspace | None = None,
-        version: SoftwareVersion | None = None,
+        version: WantedVersion | None = None,
     ) -> Choice | NoUpstream:
-        """Return the upstream for a request, or the reason why there is none.
-
-        With `version`, only upstreams of this software version may take it.
-        """
+        """Return the upstream for a request, or the reason why there is none."""
         regions = allowed_regions(route, workspace)
         candidates = self._candidates(service, tried, regions, version)
         if isinstance(candidates, NoUpstream):
@@ -166,7 +163,7 @@
         service: ServiceId,
         tried: Collection[ReplicaId],
         regions: frozenset[str] | None,
-        version: SoftwareVersion | None,
+        version: WantedVersion | None,
     ) -> Candidates | NoUpstream:
         """Return the upstreams that may take the request, or the reason why there is none."""
         if not self._cluster_state.members_of(service):
@@ -183,7 +180,7 @@
             if not usable:
                 return NoUpstream.OUTSIDE_ALLOWED_REGIONS
         if version is not None:
-            usable = self._of_version(usable, version)
+            usable = self._of_version(service, usable, version)
             if not usable:
                 return NoUpstream.OTHER_VERSION
         held_off = self.hold_offs.active(usable)
@@ -201,16 +198,21 @@
         return self._without(usable, unreachable | excluded) or NoUpstream.EJECTED
 
     def _of_version(
-        self, members: Mapping[ReplicaId, Upstream], version: SoftwareVersion
+        self, service: ServiceId, members: Mapping[ReplicaId, Upstream], wanted: WantedVersion
     ) -> Mapping[ReplicaId, Upstream]:
-        """Return the members that certainly run a software version.
+        """Return the members of a software version.
 
-        One that may have restarted may have come back with another one.
+        One that may have restarted may have come back with another version, so it goes on with no
+        stream.
         """
+        if not wanted.begun and self._cluster_state.versions_of(service) == {wanted.version}:
+            return members
+        maybe_restarted = self._health.maybe_restarted
         return {
             name: item
             for name, item in members.items()
-            if item.record.software == version and not self._health.maybe_restarted(name)
+            if item.record.software == wanted.version
+            and not (wanted.begun and maybe_restarted(name))
         }
 
     def _without(
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -32,7 +32,7 @@
     Upstream,
     is_restart,
 )
-from skylarklift.ids import ReplicaId, ServiceId, ZoneId
+from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, ZoneId
 
 # After an outage the store drops the entries that upstreams could not renew during it.  The
 # upstreams write them again within about two seconds, so removals right after an outage are
@@ -57,6 +57,7 @@
         self.evacuated_zones: set[ZoneId] = set()
         self._members: dict[ServiceId, dict[ReplicaId, Upstream]] = {}
         self._replicas: dict[ServiceId, frozenset[ReplicaId]] = {}
+        self._versions: dict[ServiceId, frozenset[SoftwareVersion | None]] = {}
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
         self._restored = RestoredRows(clock)
@@ -293,6 +294,7 @@
         known = upstream.record
         if replace(record, cold_ms=known.cold_ms, sequence=known.sequence) != known:
             event = "upstream_changed"
+            self._versions.clear()
         if record.cold_ms > 0 and upstream.cold_until <= self._clock.now():
             event = "upstream_cold"
         if record.draining != upstream.draining:
@@ -350,6 +352,7 @@
         """Drop what was derived from the list of upstreams."""
         self._members.clear()
         self._replicas.clear()
+        self._versions.clear()
 
     def replicas_of(self, service: ServiceId) -> frozenset[ReplicaId]:
         """Return all replicas of a service, also those that may get no request."""
@@ -363,6 +366,16 @@
             self._replicas[service] = replicas
         return replicas
 
+    def versions_of(self, service: ServiceId) -> frozenset[SoftwareVersion | None]:
+        """Return the software versions of a service's replicas, `None` for those that name none."""
+        versions = self._versions.get(service)
+        if versions is None:
+            versions = frozenset(
+                self.upstreams[replica].record.software for replica in self.replicas_of(service)
+            )
+            self._versions[service] = versions
+        return versions
+
     def members_of(self, service: ServiceId) -> Mapping[ReplicaId, Upstream]:
         """Return the replicas of a service that are not draining.
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -36,6 +36,7 @@
 
 
 MAX_DEADLINE_MS = 600_000
+MAX_DEADLINES = 5000
 # A caller's tries begin a little before its first deadline arrives here.
 DEADLINE_MARGIN_MS = 500
 
@@ -58,7 +59,7 @@
     `load_told` when an upstream is newly busy, and `crash_reported` when this router or another one
     has reported the crash of an upstream.
     `deadlines` holds the longest deadline that callers of each route have named.
-    `releases_read` is set once the rows on software versions have been read from the store.
+    `releases_read` is set once rows on software versions are known, or there are none.
     `store_restored` is set when the store has lost what was written to it last.
     """
 
@@ -116,6 +117,7 @@
         """Use a row on the software versions of a service, and tell the other routers."""
         if not self.releases.apply(report):
             return
+        self.releases_read.set()
         self.event_log.write(
             "release_step",
             subject=report.service,
@@ -144,6 +146,8 @@
         known_ms = self.deadlines.get(route.name, 0)
         if deadline_ms > known_ms:
             self.deadlines[route.name] = min(deadline_ms, MAX_DEADLINE_MS)
+        while len(self.deadlines) > MAX_DEADLINES:
+            del self.deadlines[next(iter(self.deadlines))]
 
     def longest_deadline_ms(self, route: Route) -> int:
         """Return how long a caller of a route may have waited: as long as any is known to."""
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -7,7 +7,7 @@
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.caller_connection import CallerConnection
-from skylarklift.entry.choice import Choice, NoUpstream
+from skylarklift.entry.choice import Choice, NoUpstream, WantedVersion
 from skylarklift.entry.core import Core
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
@@ -27,7 +27,7 @@
     RequestError,
     TransportError,
 )
-from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
+from skylarklift.ids import ReplicaId, ServiceId
 
 # While no upstream can take a request, the request waits and the upstreams are checked at this
 # interval, for up to the route's latency objective divided by `UPSTREAM_WAIT_DIVISOR`.
@@ -225,11 +225,12 @@
         core = self.core
         until = core.clock.now() + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
         while True:
-            required = self.stream_version.required
-            if self.retry_state.forwarded and required is None:
+            wanted = self.stream_version.wanted()
+            begun = wanted is not None and wanted.begun
+            if self.retry_state.forwarded and not begun:
                 raise OutcomeUnknown("the upstream named no version at which the stream can go on")
-            found = self._choose(required or self.stream_version.assigned)
-            if found is NoUpstream.OTHER_VERSION and required is None:
+            found = self._choose(wanted)
+            if found is NoUpstream.OTHER_VERSION and not begun:
                 # All replicas of the assigned version leave; none will take the stream up either.
                 found = self._choose(None)
             if isinstance(found, Choice):
@@ -243,7 +244,7 @@
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
 
-    def _choose(self, version: SoftwareVersion | None) -> Choice | NoUpstream:
+    def _choose(self, version: WantedVersion | None) -> Choice | NoUpstream:
         """Return an upstream of a version, of any one if `None`, or why there is none."""
         return self.core.chooser.choose(
             self.call, self.route, self.service, self.tried_replicas, self.workspace, version
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/stream_version.py
@@ -1,6 +1,7 @@
 """The software version of one caller's stream: where it begins, and where it may go on."""
 
 from skylarklift.entry.attempt import Attempt
+from skylarklift.entry.choice import WantedVersion
 from skylarklift.entry.choose import affinity_key
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
@@ -69,6 +70,12 @@
         longest_ms = self._core.longest_deadline_ms(self._route)
         return max(0, longest_ms - self._call.deadline_ms)
 
+    def wanted(self) -> WantedVersion | None:
+        """Return the version that is to take the stream next, `None` if any may."""
+        if self.required is not None:
+            return WantedVersion(self.required, begun=True)
+        return None if self.assigned is None else WantedVersion(self.assigned, begun=False)
+
     def record_events(self, attempt: Attempt) -> None:
         """Record, before the first events of an attempt are sent, which version made them."""
         if self._recorded is attempt or not self._resumable:
