--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -265,8 +265,8 @@
 
     def _spread_news(self, core: Core) -> None:
         """Let a router send at once what is new to it, as far apart as messages must be."""
-        if core.load_told.is_set():
-            core.load_told = trio.Event()
+        if core.load_observed.is_set():
+            core.load_observed = trio.Event()
             peering = self._peerings[int(core.settings.node[1:])]
             self.at(MIN_GOSSIP_INTERVAL_MS, lambda: self._send_to(peering, peering._next_in_turn()))
 
@@ -322,7 +322,7 @@
     def _answer(self, core: Core, choice: Choice) -> None:
         """Let the router read the head of an answer, which tells the load of the replica."""
         replica = choice.upstream.record.replica
-        core.record_told_load(choice, ReplicaLoad(self._true_loads[replica], 0, 64))
+        core.record_observed_load(choice, ReplicaLoad(self._true_loads[replica], 0, 64))
         self._spread_news(core)
 
     def _end(self, core: Core, replica: ReplicaId) -> None:
--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -54,7 +54,7 @@
     Examples:
       | case                               | source | load | age  | where         |
       | a busy replica is passed over      | here   | 9    | 0    | elsewhere     |
-      | another router has told it         | n1     | 9    | 300  | elsewhere     |
+      | another router reports it          | n1     | 9    | 300  | elsewhere     |
       | a load under the bound             | here   | 1    | 0    | there         |
       | a load that is no longer true      | here   | 9    | 1001 | there         |
       | another router's news that are old | n1     | 9    | 1001 | there         |
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -14,13 +14,13 @@
       | only itself is of its version     | v1 v2       | complete   |
       | the replicas name no version      | none none   | broken off |
 
-  # Guards against take-ups at a router that did not begin the stream, or that has just started.
-  Scenario Outline: A client takes its streams up at another router, <case>
+  # Guards against resumptions at a router that did not begin the stream, or that has just started.
+  Scenario Outline: A client resumes its streams at another router, <case>
     Given a router before replicas of the versions "v1 v2" that break off each new stream
     And another router beside it
     When 12 streams of different prompts begin at the first router
     And <event>
-    And the client takes all of them up at the second router
+    And the client resumes all of them at the second router
     Then none goes on at another version, and <result>
 
     Examples:
@@ -29,11 +29,11 @@
       | after the first one was lost  | the first router is killed     | all go on                        |
       | after both were lost          | both are killed and start anew | those that did not move go on    |
 
-  # Guards against streams that a client takes up at another version after their router was lost.
-  Scenario Outline: Where a stream that is taken up may go on: <case>
+  # Guards against streams that a client resumes at another version after their router was lost.
+  Scenario Outline: Where a stream that is resumed may go on: <case>
     Given the proportions "<steps>"
     And a router that <memory>
-    When a client takes up a stream of a prompt that is "<prompt>", <left> ms before its 15 s end
+    When a client resumes a stream of a prompt that is "<prompt>", <left> ms before its 15 s end
     Then it goes on at "<version>", as it is <source>
 
     # Steps are AGE_S=VERSION:REPLICAS,..., the oldest first.
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -26,9 +26,9 @@
 from skylarklift.entry.fleet import LOAD_TTL_MS, GossipMessage
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Endpoint, ReplicaLoad
+from skylarklift.entry.observed_loads import ObservedLoad
 from skylarklift.entry.prefixes import PLACEMENT_TTL_MS, Placement, shared_parts
 from skylarklift.entry.rows import RowTable, TableSummary
-from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.entry.wire import decode_gossip, encode_gossip
 from skylarklift.hashing import rendezvous_weight
 
@@ -277,17 +277,17 @@
 
 
 @when('"{source}" learns from an answer that it holds {load:d} requests, {age:d} ms ago')
-def load_told(context, source, load, age):
+def load_observed(context, source, load, age):
     core, replica = context.core, context.choice.upstream.record.replica
     if source == "here":
-        core.record_told_load(context.choice, ReplicaLoad(load, 0, 64))
+        core.record_observed_load(context.choice, ReplicaLoad(load, 0, 64))
         context.clock.advance(age)
         return
-    told = (ToldLoad(replica, load, age),)
-    message = GossipMessage(source, "b", "", EMPTY_SUMMARIES, told_loads=told)
+    observed = (ObservedLoad(replica, load, age),)
+    message = GossipMessage(source, "b", "", EMPTY_SUMMARIES, observed_loads=observed)
     decoded = decode_gossip(encode_gossip(message))
-    for item in decoded.told_loads:
-        core.chooser.told_loads.apply_report(item)
+    for item in decoded.observed_loads:
+        core.chooser.observed_loads.apply_report(item)
 
 
 @then("the chat goes {where}")
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -30,9 +30,9 @@
     encode_steps,
     pick_version,
 )
+from skylarklift.entry.resumptions import OriginSource, ResumedStream, Resumptions
 from skylarklift.entry.rows import RowTable, TableSummary
 from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
-from skylarklift.entry.take_ups import OriginSource, TakenUpStream, TakeUps
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
 SERVICE = "lm"
@@ -129,7 +129,7 @@
     context.other = context.thread.run(context.world.start_router, "n3")
 
 
-@when("the client takes all of them up at the second router")
+@when("the client resumes all of them at the second router")
 def taken_up_at_second(context):
     context.responses = {}
     for number in context.began:
@@ -140,7 +140,7 @@
 
 
 @then("none goes on at another version, and {result}")
-def take_ups_end(context, result):
+def resumptions_end(context, result):
     went_on = {number: replica_of(context, f"t{number}") for number in context.began}
     for number, replica in went_on.items():
         response = context.responses[number]
@@ -197,30 +197,30 @@
 
 async def find(context, taken):
     """Return where a stream may go on; another router answers if there is one."""
-    take_ups = TakeUps(context.fleet, context.origins, context.releases)
+    resumptions = Resumptions(context.fleet, context.origins, context.releases)
     if not context.memory.startswith("asks"):
-        return await take_ups.find(taken)
+        return await resumptions.find(taken)
     message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
     context.fleet.record_message(message, Endpoint("127.0.0.2", 1))
     origins = StreamOrigins(context.clock)
     if context.memory == "asks one that knows":
         origins.record(StreamOrigin(REQUEST, SERVICE, "v1"))
-    other = TakeUps(Fleet(context.clock, "n1"), origins, context.releases)
+    other = Resumptions(Fleet(context.clock, "n1"), origins, context.releases)
     here = Endpoint("127.0.0.1", 1)
 
     async def answer():
-        other.apply_message((await take_ups.outgoing.receive()).message, here)
-        take_ups.apply_message((await other.outgoing.receive()).message, here)
+        other.apply_message((await resumptions.outgoing.receive()).message, here)
+        resumptions.apply_message((await other.outgoing.receive()).message, here)
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(answer)
-        return await take_ups.find(taken)
+        return await resumptions.find(taken)
 
 
-@when('a client takes up a stream of a prompt that is "{prompt}", {left:d} ms before its 15 s end')
+@when('a client resumes a stream of a prompt that is "{prompt}", {left:d} ms before its 15 s end')
 def taken_up(context, prompt, left):
     key = prompt_of(context, prompt.removeprefix("of "))
-    taken = TakenUpStream(REQUEST, SERVICE, key, LONGEST_MS - left)
+    taken = ResumedStream(REQUEST, SERVICE, key, LONGEST_MS - left)
     context.found = trio.run(find, context, taken)
 
 
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -154,19 +154,19 @@
             changes = core.cluster_state.mark_leaving(self.record)
             core.record_state_changes(changes, core.settings.node)
         if head.load is not None:
-            core.record_told_load(self.choice, head.load)
+            core.record_observed_load(self.choice, head.load)
         if head.hold_off_ms:
             core.record_hold_off(self.record, head.hold_off_ms)
         core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
     def load_fields(self) -> dict[str, float | None]:
         """Return, for the log, the load that the choice assumed and the one that was answered."""
-        choice, told = self.choice, self.head.load if self.head else None
+        choice, observed = self.choice, self.head.load if self.head else None
         return {
             "load": choice.load,
             "mean": round(choice.mean, LOGGED_DECIMALS),
             "load_age_ms": choice.load_age_ms,
-            "told_load": None if told is None else told.running + told.waiting,
+            "observed_load": None if observed is None else observed.running + observed.waiting,
         }
 
     def classify(self) -> Outcome:
--- a/skylarklift/entry/candidates.py
+++ b/skylarklift/entry/candidates.py
@@ -10,7 +10,7 @@
     """The members of a service without those that may not take the request now.
 
     Loads count requests in flight: `own_loads` of this router, `peer_loads` of the others.
-    `told_loads` holds what busy members told of themselves.
+    `observed_loads` holds what busy members answered of themselves.
     Members are not copied, and loads are looked up where they are needed: a service may have
     hundreds of members, and a choice weighs only a few of them.
     """
@@ -21,13 +21,13 @@
         excluded: Collection[ReplicaId],
         own_loads: Mapping[ReplicaId, int],
         peer_loads: Mapping[ReplicaId, int],
-        told_loads: Mapping[ReplicaId, int],
+        observed_loads: Mapping[ReplicaId, int],
     ):
         self._members = members
         self._excluded = {name for name in excluded if name in members}
         self._own_loads = own_loads
         self._peer_loads = peer_loads
-        self._told_loads = told_loads
+        self._observed_loads = observed_loads
 
     def __len__(self) -> int:
         """Return how many candidates there are."""
@@ -50,4 +50,4 @@
     def load(self, name: ReplicaId) -> int:
         """Return the known number of requests in flight at an upstream from all routers."""
         counted = self._own_loads.get(name, 0) + self._peer_loads.get(name, 0)
-        return max(counted, self._told_loads.get(name, 0))
+        return max(counted, self._observed_loads.get(name, 0))
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -27,9 +27,9 @@
     UpstreamRecord,
     Workspace,
 )
+from skylarklift.entry.observed_loads import ObservedLoads
 from skylarklift.entry.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.rate_limits import RateLimits
-from skylarklift.entry.told_loads import ToldLoads
 from skylarklift.entry.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
@@ -78,7 +78,7 @@
         self.rate_limits = RateLimits(clock)
         self.hold_offs = HoldOffs(clock)
         self.prefixes = PrefixIndex(clock)
-        self.told_loads = ToldLoads(clock)
+        self.observed_loads = ObservedLoads(clock)
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
 
@@ -219,8 +219,8 @@
         self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
     ) -> Candidates:
         """Return the members that are not excluded as candidates."""
-        peer_loads, told_loads = self._fleet.peer_loads(), self.told_loads.loads()
-        return Candidates(members, excluded, self.in_flight, peer_loads, told_loads)
+        peer_loads, observed_loads = self._fleet.peer_loads(), self.observed_loads.loads()
+        return Candidates(members, excluded, self.in_flight, peer_loads, observed_loads)
 
     def wait_ms(self, service: ServiceId) -> int:
         """Return the time until some upstream of a service no longer asks to wait."""
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -22,10 +22,10 @@
 from skylarklift.entry.model import NodeSettings, ReplicaLoad, Route, UpstreamRecord
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.releases import ReleaseReport, Releases
+from skylarklift.entry.resumptions import Resumptions
 from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.stream_origins import StreamOrigins
 from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
-from skylarklift.entry.take_ups import TakeUps
 from skylarklift.entry.upstream import UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.upstream_progress import UpstreamProgress
 from skylarklift.entry.wire import PageEncoder
@@ -56,8 +56,8 @@
     `reading_store` holds, per table, whether this router reads it from the store.
     `attempts` are the requests that have been sent to upstreams and not ended.
     `state_changed` is set when a change is to be sent to the other routers at once,
-    `load_told` when an upstream is newly busy, and `crash_reported` when this router or another one
-    has reported the crash of an upstream.
+    `load_observed` when an upstream is newly busy, and `crash_reported` when this router or another
+    one has reported the crash of an upstream.
     `deadlines` holds the longest deadline that callers of each route have named.
     `releases_read` is set once rows on software versions are known, or there are none.
     `store_restored` is set when the store has lost what was written to it last.
@@ -77,7 +77,7 @@
     progress: UpstreamProgress
     connection_pool: ConnectionPool
     releases: Releases
-    take_ups: TakeUps
+    resumptions: Resumptions
     rng: random.Random = field(default_factory=random.Random)
     probes: dict[ReplicaId, Probe] = field(default_factory=dict)
     attempts: set["Attempt"] = field(default_factory=set)
@@ -90,7 +90,7 @@
         default_factory=lambda: dict.fromkeys(RowTable, False)
     )
     state_changed: trio.Event = field(default_factory=trio.Event)
-    load_told: trio.Event = field(default_factory=trio.Event)
+    load_observed: trio.Event = field(default_factory=trio.Event)
     crash_reported: trio.Event = field(default_factory=trio.Event)
     store_restored: trio.Event = field(default_factory=trio.Event)
     page_encoder: PageEncoder = field(default_factory=PageEncoder)
@@ -160,12 +160,12 @@
             self.metrics.increment("hold_offs", record.replica)
             self.event_log.write("upstream_hold_off", subject=record.replica, span_ms=span_ms)
 
-    def record_told_load(self, choice: Choice, told: ReplicaLoad) -> None:
-        """Record the load that an upstream told in an answer; tell the others if it is busy."""
-        replica, load = choice.upstream.record.replica, told.running + told.waiting
-        if self.chooser.told_loads.record(replica, load, choice.busy_load):
+    def record_observed_load(self, choice: Choice, answered: ReplicaLoad) -> None:
+        """Record the load that an upstream answered; report it to the others if it is busy."""
+        replica, load = choice.upstream.record.replica, answered.running + answered.waiting
+        if self.chooser.observed_loads.record(replica, load, choice.busy_load):
             self.metrics.increment("busy_upstreams")
-            self.load_told.set()
+            self.load_observed.set()
 
     def record_rate_limit(
         self, replica: ReplicaId, per_second: float | None, sent_at: Millis
@@ -260,7 +260,7 @@
             },
         )
         metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
-        metrics.replace_gauges("told_load", dict(self.chooser.told_loads.loads()))
+        metrics.replace_gauges("observed_load", dict(self.chooser.observed_loads.loads()))
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         for table in RowTable:
             cache = self.cluster_state.caches[table]
@@ -304,5 +304,5 @@
         progress=UpstreamProgress(clock),
         connection_pool=ConnectionPool(clock),
         releases=releases,
-        take_ups=TakeUps(fleet, StreamOrigins(clock), releases),
+        resumptions=Resumptions(fleet, StreamOrigins(clock), releases),
     )
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -6,12 +6,12 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.fleet_limits import FleetShare
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.observed_loads import ObservedLoad
 from skylarklift.entry.peer_loads import PeerLoads
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.releases import ReleaseReport
 from skylarklift.entry.rows import Era, TableSummary
-from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
 
@@ -60,8 +60,8 @@
     its requests in flight by upstream, `ejected` the milliseconds left of each ejection,
     `maybe_restarted` the ejected upstreams that may have restarted, and `placements` the replicas
     that recent prompts were sent to.  `router_count` is how many routers the sender counts, and
-    `limits` what it knows of the limits that upstreams name.  `told_loads` holds the loads that
-    busy upstreams have told, `releases` the proportions of software versions.
+    `limits` what it knows of the limits that upstreams name.  `observed_loads` holds the loads that
+    busy upstreams have answered, `releases` the proportions of software versions.
     """
 
     node: str
@@ -76,7 +76,7 @@
     placements: tuple[Placement, ...] = ()
     router_count: int = 0
     limits: tuple[LimitReport, ...] = ()
-    told_loads: tuple[ToldLoad, ...] = ()
+    observed_loads: tuple[ObservedLoad, ...] = ()
     releases: tuple[ReleaseReport, ...] = ()
 
 
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -135,7 +135,7 @@
 
     `headers` are those that are forwarded unchanged.  `received_at` is the time at which the
     head was complete; `deadline_ms` is the time that the caller allows from then on, or 0 if it
-    names none.  `resume_after` is the last event that the caller has of a stream that it takes up,
+    names none.  `resume_after` is the last event that the caller has of a stream that it resumes,
     and `resumes` the request that brought it the first one.
     """
 
--- a/skylarklift/entry/told_loads.py
+++ b/skylarklift/entry/observed_loads.py
@@ -1,8 +1,8 @@
 """The loads of busy upstreams, as these tell them in their answers.
 
 What routers report of their own requests is old in a large fleet.  The answer of a replica tells
-its load now.  If that is above the bound for chats, the other routers are told; few replicas are at
-any moment, so what is told stays small.
+its load now.  If that is above the bound for chats, it is reported to the others; few replicas
+are at any moment, so the reports stay small.
 """
 
 from collections.abc import Mapping
@@ -11,8 +11,8 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.ids import ReplicaId
 
-# A told load counts for this long: about as long as streams last.
-TOLD_LOAD_TTL_MS = 1000
+# An observed load counts for this long: about as long as streams last.
+OBSERVED_LOAD_TTL_MS = 1000
 # A report counts as this much older than it says, for its time on the way, so that what comes back
 # from another router is never taken for something newer.
 RELAY_DELAY_MS = 20
@@ -22,8 +22,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ToldLoad:
-    """The requests at an upstream, running or waiting, as it told them `age_ms` ago.
+class ObservedLoad:
+    """The requests at an upstream, running or waiting, as it answered `age_ms` ago.
 
     It is `urgent` if the upstream is so far above its bound that all are to know at once.
     """
@@ -43,8 +43,8 @@
     urgent: bool
 
 
-class ToldLoads:
-    """The newest told load of each busy upstream."""
+class ObservedLoads:
+    """The newest observed load of each busy upstream."""
 
     def __init__(self, clock: Clock):
         self._clock = clock
@@ -62,12 +62,12 @@
         )
         return known is None
 
-    def apply_report(self, report: ToldLoad) -> bool:
+    def apply_report(self, report: ObservedLoad) -> bool:
         """Apply what another router reported, unless something newer is known.
 
         Return whether the others are to know at once, as the upstream is far above its bound.
         """
-        if report.age_ms >= TOLD_LOAD_TTL_MS:
+        if report.age_ms >= OBSERVED_LOAD_TTL_MS:
             return False
         observed_at = Millis(self._clock.now() - max(0, report.age_ms) - RELAY_DELAY_MS)
         known = self._observations.get(report.replica)
@@ -78,23 +78,23 @@
         return known is None and report.urgent
 
     def loads(self) -> Mapping[ReplicaId, int]:
-        """Return the told loads that still count."""
+        """Return the observed loads that still count."""
         self._expire()
         return {replica: item.load for replica, item in self._observations.items()}
 
-    def reports(self) -> tuple[ToldLoad, ...]:
+    def reports(self) -> tuple[ObservedLoad, ...]:
         """Return what to report to the other routers, the newest first if there is too much."""
         self._expire()
         now = self._clock.now()
         newest = sorted(self._observations.items(), key=lambda item: -item[1].observed_at)
         return tuple(
-            ToldLoad(replica, item.load, now - item.observed_at, item.urgent)
+            ObservedLoad(replica, item.load, now - item.observed_at, item.urgent)
             for replica, item in newest[:MAX_REPORTS]
         )
 
     def _expire(self) -> None:
         """Drop what is too old to count."""
-        limit = self._clock.now() - TOLD_LOAD_TTL_MS
+        limit = self._clock.now() - OBSERVED_LOAD_TTL_MS
         for replica, item in list(self._observations.items()):
             if item.observed_at <= limit:
                 del self._observations[replica]
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -81,15 +81,15 @@
             await self.send_round()
             await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
 
-    async def send_told_loads(self) -> None:
+    async def send_observed_loads(self) -> None:
         """Send what is new about busy upstreams to the next routers in turn, at once.
 
         A router that reads the store sends it to as few as others do, so that it keeps up.
         """
         core = self._core
         while True:
-            await core.load_told.wait()
-            core.load_told = trio.Event()
+            await core.load_observed.wait()
+            core.load_observed = trio.Event()
             await self._send_to(self._next_in_turn())
             await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
 
@@ -187,7 +187,7 @@
             placements=tuple(core.chooser.prefixes.own_placements_since(since)),
             router_count=core.fleet.router_count(),
             limits=core.chooser.rate_limits.reports(),
-            told_loads=core.chooser.told_loads.reports(),
+            observed_loads=core.chooser.observed_loads.reports(),
             releases=core.releases.reports(),
         )
 
@@ -210,7 +210,7 @@
 
     async def send_origins(self) -> None:
         """Send the messages about the origins of streams."""
-        async for item in self._core.take_ups.outgoing:
+        async for item in self._core.resumptions.outgoing:
             try:
                 data = encode_origin_message(item.message)
                 await self._socket.sendto(data, (item.address.host, item.address.port))
@@ -230,7 +230,7 @@
                     core.crash_reported.set()
             return
         if is_origin_message(data):
-            core.take_ups.apply_message(decode_origin_message(data), address)
+            core.resumptions.apply_message(decode_origin_message(data), address)
             return
         message = decode_gossip(data)
         if message.node != core.settings.node:
@@ -251,9 +251,9 @@
         core.apply_limit_reports(message.limits, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
-        for told in message.told_loads:
-            if core.chooser.told_loads.apply_report(told):
-                core.load_told.set()
+        for observed in message.observed_loads:
+            if core.chooser.observed_loads.apply_report(observed):
+                core.load_observed.set()
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -11,7 +11,7 @@
 from skylarklift.entry.follower import Follower
 from skylarklift.entry.model import Endpoint, NodeSettings
 from skylarklift.entry.peering import Peering
-from skylarklift.entry.release_keeper import ReleaseKeeper
+from skylarklift.entry.release_sync import ReleaseSync
 from skylarklift.entry.rows import MemberStore, ReleaseStore, RowSource, RowTable
 from skylarklift.entry.serving import (
     LISTEN_BACKLOG,
@@ -49,7 +49,7 @@
         self._caller_server = CallerServer(core)
         self._monitoring_server = MonitoringServer(core)
         self._peering = Peering(core, members)
-        self._release_keeper = ReleaseKeeper(core, releases)
+        self._release_sync = ReleaseSync(core, releases)
 
     async def run(self, signals: AsyncIterator[int]) -> None:
         """Run until a stop signal, then until all requests end or the grace period ends."""
@@ -66,10 +66,10 @@
             start(self._listen, settings.callers, self._caller_server.serve)
             start(self._peering.receive_loop, nursery)
             start(self._peering.send_loop)
-            start(self._peering.send_told_loads)
+            start(self._peering.send_observed_loads)
             start(self._peering.send_origins)
             start(self._peering.join)
-            start(self._release_keeper.run)
+            start(self._release_sync.run)
             for table in RowTable:
                 start(Follower(core, self._rows, table).run)
             start(self._run_maintenance)
--- a/skylarklift/entry/release_keeper.py
+++ b/skylarklift/entry/release_sync.py
@@ -16,7 +16,7 @@
 RETRY_DELAY_MS = 600
 
 
-class ReleaseKeeper:
+class ReleaseSync:
     """Read the rows once, and write them when the versions of a service change.
 
     Only routers that read the store write.  Of two that write at once, one is refused and takes
--- a/skylarklift/entry/releases.py
+++ b/skylarklift/entry/releases.py
@@ -1,4 +1,4 @@
-"""Which software version begins a stream, so that it can be told again without any memory of it.
+"""Which software version begins a stream, so that it can be found again without any memory of it.
 
 While several versions of a service serve, each prompt is assigned to one of them by a hash of what
 its requests share, in proportion to the replicas of each version.  The proportions are a row of the
@@ -17,7 +17,7 @@
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ServiceId, SoftwareVersion
 
-# Proportions count as long as a stream that began under them may be taken up.
+# Proportions count as long as a stream that began under them may be resumed.
 STEP_TTL_MS = 60_000
 MAX_STEPS = 24
 # A router may use proportions for this long after newer ones are in the row.
--- a/skylarklift/entry/take_ups.py
+++ b/skylarklift/entry/resumptions.py
@@ -1,4 +1,4 @@
-"""Find which software version began a stream that a client takes up, and tell who began which.
+"""Find which software version began a stream that a client resumes, and share who began which.
 
 What is known exactly goes first: the memory of this router, then that of the others.  Else the
 stream may go on at the version to which its prompt was assigned all the time.
@@ -19,20 +19,20 @@
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 
 # This many routers keep the origin of a stream besides the one that began it.
-KEEPERS = 3
-# A router asks some more than the keepers, as some of these may be gone, and views differ.
+BACKUP_ROUTERS = 3
+# A router asks some more than the backup routers, as some of these may be gone, and views differ.
 ASKED_ROUTERS = 8
 ANSWER_TIMEOUT_MS = 120
 MAX_OUTGOING = 1000
-# Routers that were heard within this time are asked and told.
-KEEPER_TTL_MS = 30_000
+# Routers that were heard within this time are asked and informed.
+BACKUP_TTL_MS = 30_000
 
 
 class OriginSource(Enum):
     """From where a router knows which version began a stream, or why it does not."""
 
     OWN = "known_here"
-    TOLD = "known_to_another_router"
+    PEER = "known_to_another_router"
     ASSIGNED = "assigned"
     UNNAMED = "replica_named_no_version"
     AMBIGUOUS = "version_ambiguous"
@@ -40,8 +40,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class TakenUpStream:
-    """A stream that a caller takes up: the request that began it, and what its prompt shares.
+class ResumedStream:
+    """A stream that a caller resumes: the request that began it, and what its prompt shares.
 
     It began at most `max_age_ms` ago.
     """
@@ -77,8 +77,8 @@
     answered: trio.Event = field(default_factory=trio.Event)
 
 
-class TakeUps:
-    """The origins of streams: record and tell them, ask for them, answer others."""
+class Resumptions:
+    """The origins of streams: record, share and look them up, answer others."""
 
     def __init__(
         self,
@@ -95,21 +95,21 @@
     def record_begun(self, origin: StreamOrigin) -> None:
         """Record which version sent the first event of a stream, or goes on with it.
 
-        Tell its keepers unless one version alone has served.
+        Send it to backup routers unless one version alone has served.
         """
         self._origins.record(origin)
         if not self._releases.has_one_version(origin.service):
             message = OriginMessage(self._fleet.own_node, origins=(origin,))
-            for peer in self._others(origin.request, KEEPERS):
+            for peer in self._others(origin.request, BACKUP_ROUTERS):
                 self._send(peer.address, message)
 
-    async def find(self, taken: TakenUpStream) -> FoundOrigin:
-        """Return where a stream that a caller takes up may go on."""
+    async def find(self, taken: ResumedStream) -> FoundOrigin:
+        """Return where a stream that a caller resumes may go on."""
         origin = self._origins.find(taken.request)
         source = OriginSource.OWN
         if origin is None and not self._releases.has_one_version(taken.service):
             await self._ask(taken.request)
-            origin, source = self._origins.find(taken.request), OriginSource.TOLD
+            origin, source = self._origins.find(taken.request), OriginSource.PEER
         if origin is not None:
             source = OriginSource.UNNAMED if origin.version is None else source
             return FoundOrigin(source, origin.service, origin.version)
@@ -154,7 +154,7 @@
 
     def _others(self, request: RequestId, count: int) -> list[Peer]:
         """Return the first routers in the order of a stream, among those heard lately."""
-        peers = self._fleet.peers_heard_within(KEEPER_TTL_MS)
+        peers = self._fleet.peers_heard_within(BACKUP_TTL_MS)
         if len(peers) <= count:
             return peers
         peers.sort(key=lambda peer: rendezvous_weight(request, peer.node), reverse=True)
--- a/skylarklift/entry/stream_origins.py
+++ b/skylarklift/entry/stream_origins.py
@@ -1,8 +1,8 @@
 """Which software version began each resumable stream, so that it goes on only at that version.
 
 A router knows the streams that it began itself.  While several versions serve, or may have, it also
-tells the keepers of a stream, a few routers that come first in an order known to all; a router at
-which a client takes up a stream asks them.
+sends the version to the stream's backup routers, a few that come first in an order known to all; a
+router at which a client resumes a stream asks them.
 """
 
 from collections import OrderedDict
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/stream_version.py
@@ -5,8 +5,8 @@
 from skylarklift.entry.choose import affinity_key
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
+from skylarklift.entry.resumptions import FoundOrigin, ResumedStream
 from skylarklift.entry.stream_origins import StreamOrigin
-from skylarklift.entry.take_ups import FoundOrigin, TakenUpStream
 from skylarklift.errors import Refusal
 from skylarklift.ids import ServiceId, SoftwareVersion
 
@@ -18,7 +18,7 @@
 
     `required` is the version of what the caller has of the stream, `assigned` the one that is to
     begin it; both stay `None` for other requests.  `origin` tells how the version of a stream that
-    the caller takes up was found.
+    the caller resumes was found.
     """
 
     def __init__(self, core: Core, call: Call, route: Route):
@@ -43,15 +43,15 @@
         return service
 
     async def _find_origin(self, service: ServiceId) -> ServiceId:
-        """Find where a stream that the caller takes up may go on; raise `Refusal` if nowhere."""
+        """Find where a stream that the caller resumes may go on; raise `Refusal` if nowhere."""
         core, call = self._core, self._call
         if not core.releases.steps(service):
             await core.wait_for_releases(MAX_RELEASES_WAIT_MS)
         request = call.resumes or call.request
         key = affinity_key(call) if call.parts else request
-        taken = TakenUpStream(request, service, key, self._max_age_ms())
-        self.origin = await core.take_ups.find(taken)
-        core.metrics.increment("take_ups", self.origin.source.value)
+        taken = ResumedStream(request, service, key, self._max_age_ms())
+        self.origin = await core.resumptions.find(taken)
+        core.metrics.increment("resumptions", self.origin.source.value)
         self.required = self.origin.version
         if self.required is None:
             raise Refusal(
@@ -63,7 +63,7 @@
         return self.origin.service if self.origin.service in targets else service
 
     def _max_age_ms(self) -> int:
-        """Return how long ago a stream that the caller takes up began at most.
+        """Return how long ago a stream that the caller resumes began at most.
 
         The caller has waited since before that, for as long as its deadline has run.
         """
@@ -82,7 +82,7 @@
             return
         core, record = self._core, attempt.record
         if self.origin is not None:
-            core.metrics.increment("take_ups_gone_on")
+            core.metrics.increment("resumptions_continued")
         elif self._recorded is None:
             core.metrics.increment("streams_begun")
         self._recorded = attempt
@@ -92,13 +92,13 @@
         request = self._call.request
         if self.origin is not None and self._call.resumes is not None:
             request = self._call.resumes
-        core.take_ups.record_begun(StreamOrigin(request, record.service, self.required))
+        core.resumptions.record_begun(StreamOrigin(request, record.service, self.required))
 
     def log_fields(self) -> dict[str, str | None]:
-        """Return, for the log, the version of a stream and how a take-up's was found."""
+        """Return, for the log, the version of a stream and how a resumption's was found."""
         fields: dict[str, str | None] = {}
         if self.required is not None:
             fields["version"] = self.required
         if self.origin is not None:
-            fields.update(resumes=self._call.resumes, take_up=self.origin.source.value)
+            fields.update(resumes=self._call.resumes, resumption=self.origin.source.value)
         return fields
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -9,11 +9,11 @@
 import trio
 
 from skylarklift.entry.fleet import GossipMessage
+from skylarklift.entry.observed_loads import ObservedLoad
 from skylarklift.entry.prefixes import Placement
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.releases import ReleaseReport, ReleaseStep, VersionWeight
 from skylarklift.entry.rows import NO_ERA, Era, RowChange, RowPage, TableSummary
-from skylarklift.entry.told_loads import ToldLoad
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 
@@ -26,7 +26,7 @@
 ROUTER_COUNT_KEY = "routers"
 LIMITS_KEY = "limits"
 ERAS_KEY = "eras"
-TOLD_LOADS_KEY = "told"
+OBSERVED_LOADS_KEY = "observed"
 RELEASES_KEY = "releases"
 COMPRESSION_LEVEL = 1
 
@@ -56,9 +56,9 @@
                 ],
                 RELEASES_KEY: [_release_fields(report) for report in message.releases],
                 ERAS_KEY: [summary.era for summary in message.tables],
-                TOLD_LOADS_KEY: [
-                    (told.replica, told.load, told.age_ms, told.urgent)
-                    for told in message.told_loads
+                OBSERVED_LOADS_KEY: [
+                    (observed.replica, observed.load, observed.age_ms, observed.urgent)
+                    for observed in message.observed_loads
                 ],
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
@@ -98,9 +98,9 @@
                 )
                 for replica, per_second, age_ms in extras.get(LIMITS_KEY, ())
             ),
-            told_loads=tuple(
-                ToldLoad(ReplicaId(str(replica)), int(load), int(age_ms), bool(urgent))
-                for replica, load, age_ms, urgent in extras.get(TOLD_LOADS_KEY, ())
+            observed_loads=tuple(
+                ObservedLoad(ReplicaId(str(replica)), int(load), int(age_ms), bool(urgent))
+                for replica, load, age_ms, urgent in extras.get(OBSERVED_LOADS_KEY, ())
             ),
             releases=tuple(_decode_release(*fields) for fields in extras.get(RELEASES_KEY, ())),
         )
