--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -205,7 +205,7 @@
         One that may have restarted may have come back with another version, so it goes on with no
         stream.
         """
-        if not wanted.begun and self._cluster_state.versions_of(service) == {wanted.version}:
+        if not wanted.begun and self._cluster_state.services.versions(service) == {wanted.version}:
             return members
         maybe_restarted = self._health.maybe_restarted
         return {
@@ -235,7 +235,7 @@
 
         Those that get nothing count too: the bound on load is a multiple of this mean.
         """
-        replicas = self._cluster_state.replicas_of(service)
+        replicas = self._cluster_state.services.replicas(service)
         own = sum(count for name, count in self.in_flight.items() if name in replicas)
         reported = sum(map(self._fleet.peer_loads().get, replicas, repeat(0)))
         return (own + reported) / len(replicas)
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -25,6 +25,7 @@
     TableSummary,
     UpstreamRow,
 )
+from skylarklift.entry.service_index import ServiceIndex
 from skylarklift.entry.upstream import (
     UPSTREAM_ADDED,
     UPSTREAM_REMOVED,
@@ -32,7 +33,7 @@
     Upstream,
     is_restart,
 )
-from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, ZoneId
+from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
 # After an outage the store drops the entries that upstreams could not renew during it.  The
 # upstreams write them again within about two seconds, so removals right after an outage are
@@ -55,9 +56,7 @@
         self.plan: RoutePlan | None = None
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
-        self._members: dict[ServiceId, dict[ReplicaId, Upstream]] = {}
-        self._replicas: dict[ServiceId, frozenset[ReplicaId]] = {}
-        self._versions: dict[ServiceId, frozenset[SoftwareVersion | None]] = {}
+        self.services = ServiceIndex(self.upstreams)
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
         self._restored = RestoredRows(clock)
@@ -263,7 +262,7 @@
             return []
         upstream.leaving = True
         self._departed.add_announced(record)
-        self._forget_members()
+        self.services.clear()
         return [StateChange("upstream_leaving", record.replica, 0, record.service)]
 
     def apply_reported_cold_time(self, replica: ReplicaId, span_ms: int) -> None:
@@ -294,12 +293,12 @@
         known = upstream.record
         if replace(record, cold_ms=known.cold_ms, sequence=known.sequence) != known:
             event = "upstream_changed"
-            self._versions.clear()
+            self.services.clear()
         if record.cold_ms > 0 and upstream.cold_until <= self._clock.now():
             event = "upstream_cold"
         if record.draining != upstream.draining:
             event = "upstream_draining"
-            self._forget_members()
+            self.services.clear()
         upstream.record = record
         upstream.draining = record.draining
         if record.cold_ms > 0:
@@ -318,7 +317,7 @@
         )
         self._extend_cold_period(upstream, record.cold_ms)
         self.upstreams[record.replica] = upstream
-        self._forget_members()
+        self.services.clear()
         detail = f"{record.service} {record.host}:{record.port} cold {record.cold_ms} ms"
         return [StateChange(UPSTREAM_ADDED, record.replica, version, detail)]
 
@@ -337,7 +336,7 @@
         """Remove a replica at once."""
         self._departed.add(self.upstreams.pop(replica).record)
         self._delayed_removals.pop(replica, None)
-        self._forget_members()
+        self.services.clear()
         return [StateChange(UPSTREAM_REMOVED, replica, version)]
 
     def apply_delayed_removals(self) -> list[StateChange]:
@@ -348,49 +347,12 @@
         due = [replica for replica, moment in self._delayed_removals.items() if moment <= now]
         return [change for replica in due for change in self._remove_upstream(replica, 0)]
 
-    def _forget_members(self) -> None:
-        """Drop what was derived from the list of upstreams."""
-        self._members.clear()
-        self._replicas.clear()
-        self._versions.clear()
-
-    def replicas_of(self, service: ServiceId) -> frozenset[ReplicaId]:
-        """Return all replicas of a service, also those that may get no request."""
-        replicas = self._replicas.get(service)
-        if replicas is None:
-            replicas = frozenset(
-                replica
-                for replica, upstream in self.upstreams.items()
-                if upstream.record.service == service
-            )
-            self._replicas[service] = replicas
-        return replicas
-
-    def versions_of(self, service: ServiceId) -> frozenset[SoftwareVersion | None]:
-        """Return the software versions of a service's replicas, `None` for those that name none."""
-        versions = self._versions.get(service)
-        if versions is None:
-            versions = frozenset(
-                self.upstreams[replica].record.software for replica in self.replicas_of(service)
-            )
-            self._versions[service] = versions
-        return versions
-
     def members_of(self, service: ServiceId) -> Mapping[ReplicaId, Upstream]:
         """Return the replicas of a service that are not draining.
 
         The mapping is the same object as long as they are the same.
         """
-        members = self._members.get(service)
-        if members is None:
-            members = {
-                replica: upstream
-                for replica, upstream in self.upstreams.items()
-                if upstream.record.service == service
-                and not (upstream.draining or upstream.leaving)
-            }
-            self._members[service] = members
-        return members
+        return self.services.members(service)
 
     def usable_members(self, service: ServiceId) -> Mapping[ReplicaId, Upstream]:
         """Return the replicas of a service outside evacuated zones."""
--- a/skylarklift/pools/grants.py
+++ b/skylarklift/pools/grants.py
@@ -6,6 +6,11 @@
 from skylarklift.clock import Millis
 from skylarklift.ids import ChatKey, GrantId, ReplicaId, RouterId, WorkspaceId
 
+# A router must use a grant within this time, counted from before it sent the `Ask` and
+# not counting the time in the queue.  A new admitter that could not collect all grants
+# waits as long before it admits; by then, the grants it does not know of have expired.
+GRANT_TTL_MS = 1500
+
 
 class RefusalCode(Enum):
     """Why a request was not admitted."""
--- a/skylarklift/pools/host.py
+++ b/skylarklift/pools/host.py
@@ -18,8 +18,6 @@
     Done,
     FreshnessSettings,
     Granted,
-    Inventory,
-    InventoryReply,
     Refused,
     Release,
     Unvote,
@@ -29,8 +27,15 @@
 from skylarklift.ids import ChatKey, Fingerprint, GrantId, PoolId, ReplicaId, RouterId, WorkspaceId
 from skylarklift.logger import FAILURES, log
 from skylarklift.pools.admitter import PoolAdmitter
-from skylarklift.pools.grants import AdmissionRequest, Grant, GrantKey, RefusalCode
+from skylarklift.pools.grants import (
+    GRANT_TTL_MS,
+    AdmissionRequest,
+    Grant,
+    GrantKey,
+    RefusalCode,
+)
 from skylarklift.pools.hosted import HostedPool, admitter_order, pool_lease_name
+from skylarklift.pools.maintenance import AdmitterMaintenance
 from skylarklift.pools.takeover import (
     DepartedRouters,
     GrantCollector,
@@ -45,13 +50,8 @@
 from skylarklift.votes.freshness import Freshness
 from skylarklift.votes.lease import LeaseClient, LeaseVoter, VoterSets
 
-# A router must use a grant within this time, counted from before it sent the `Ask` and
-# not counting the time in the queue.  A new admitter that could not collect all grants
-# waits as long before it admits; by then, the grants it does not know of have expired.
-GRANT_TTL_MS = 1500
 TICK_INTERVAL_MS = 20
 IDLE_TICK_INTERVAL_MS = 200
-RECONCILE_INTERVAL_MS = 10_000
 TENURE_BITS = 31
 
 NOT_ADMITTING = "not_admitting"
@@ -91,6 +91,7 @@
         self._telemetry = telemetry
         self.voter = LeaseVoter(clock, cfg.lease_ms)
         self._pools: dict[PoolId, HostedPool] = {}
+        self._maintenance = AdmitterMaintenance(clock, me, self._pools, peers, load_reports)
         self._departed = DepartedRouters(clock, membership)
         self.leaving = False
         heads.on_change.append(self._apply_configuration)
@@ -118,8 +119,8 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_leases, nursery)
             nursery.start_soon(self._run_ticks)
-            nursery.start_soon(self._run_reports)
-            nursery.start_soon(self._run_reconciliation)
+            nursery.start_soon(self._maintenance.run_reports)
+            nursery.start_soon(self._maintenance.run_reconciliation)
 
     async def _run_leases(self, nursery: trio.Nursery) -> None:
         """Update the lease of each pool at every renewal interval."""
@@ -266,57 +267,6 @@
         """Return whether any admitter has queued requests."""
         return any(item.admitter and item.admitter.queued() for item in self._pools.values())
 
-    async def _run_reports(self) -> None:
-        """Collect the replicas' load reports for each pool that this router admits for."""
-        async with trio.open_nursery() as nursery:
-            due: dict[PoolId, Millis] = {}
-            while True:
-                now = self._clock.now()
-                for pool_id, hosted in self._pools.items():
-                    if hosted.admitter is not None and due.get(pool_id, now) <= now:
-                        due[pool_id] = Millis(now + hosted.admitter.pool.report_interval_ms)
-                        nursery.start_soon(self._collect_reports, pool_id)
-                await sleep_ms(IDLE_TICK_INTERVAL_MS)
-
-    async def _collect_reports(self, pool_id: PoolId) -> None:
-        """Request the load report of each replica of a pool."""
-        hosted = self._pools.get(pool_id)
-        if hosted is None or hosted.admitter is None:
-            # The admitter was removed after this task was scheduled.
-            return
-
-        async def collect(name: ReplicaId, url: str) -> None:
-            report = await self._load_reports.read(url)
-            if report is not None and hosted.admitter is not None:
-                hosted.apply_report(name, report)
-
-        async with trio.open_nursery() as nursery:
-            for name, replica in hosted.admitter.pool.replicas.items():
-                nursery.start_soon(collect, ReplicaId(name), replica.url)
-
-    async def _run_reconciliation(self) -> None:
-        """Reconcile the grants periodically with those that routers hold; a release may be lost."""
-        while True:
-            await sleep_ms(RECONCILE_INTERVAL_MS)
-            for pool_id, hosted in list(self._pools.items()):
-                if hosted.admitter is not None:
-                    await self._reconcile(pool_id, hosted, hosted.admitter)
-
-    async def _reconcile(self, pool_id: PoolId, hosted: HostedPool, admitter: PoolAdmitter) -> None:
-        """End the grants of one pool that their routers no longer hold."""
-        for router in {grant.key.router for grant in admitter.grants()} - {self._me}:
-            asked_at = self._clock.now()
-            try:
-                reply = await self._peers.call(router, Inventory(0, pool_id, hosted.tenure))
-            except PeerError as exc:
-                FAILURES.record("inventory_request_failed", exc, router=router)
-                continue
-            if isinstance(reply, InventoryReply) and hosted.admitter is admitter:
-                held = {GrantId(entry.grant) for entry in reply.entries}
-                # A younger grant may not have reached its router before the inventory.
-                before = Millis(asked_at - GRANT_TTL_MS)
-                hosted.deliver(admitter.reconcile(router, held, before))
-
     # Message handlers.
 
     async def answer_ask(self, router: RouterId, message: Ask) -> Granted | Refused:
--- a/skylarklift/pools/placer.py
+++ b/skylarklift/pools/placer.py
@@ -37,8 +37,8 @@
     WorkspaceId,
 )
 from skylarklift.logger import FAILURES
-from skylarklift.pools.grants import Grant, GrantKey
-from skylarklift.pools.host import GRANT_TTL_MS, NOT_ADMITTING, STALE, PoolHost
+from skylarklift.pools.grants import GRANT_TTL_MS, Grant, GrantKey
+from skylarklift.pools.host import NOT_ADMITTING, STALE, PoolHost
 from skylarklift.pools.hosted import RELEASE_CAUSES, admitter_order
 from skylarklift.routers.membership import Membership
 from skylarklift.routers.peers import PeerTransport
--- a/skylarklift/requests/api.py
+++ b/skylarklift/requests/api.py
@@ -13,7 +13,8 @@
 from skylarklift.ids import ServiceId
 from skylarklift.logger import log
 from skylarklift.requests.calls import CallRunner, ServiceCall
-from skylarklift.requests.chats import ChatDependencies, ChatSession
+from skylarklift.requests.chat_dependencies import ChatDependencies
+from skylarklift.requests.chats import ChatSession
 from skylarklift.requests.parsing import CallerRequest, parse_caller_request, parse_chat_request
 from skylarklift.telemetry import Telemetry, error_body
 from skylarklift.upstreams.client import REQUEST_ID_HEADER, BufferedResponse
--- a/skylarklift/requests/chats.py
+++ b/skylarklift/requests/chats.py
@@ -5,61 +5,35 @@
 claimed first and dispatched once.
 """
 
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 
 import httpx
 import trio
 
-from skylarklift.clock import MS_PER_SECOND, Clock, Millis
-from skylarklift.config.routing import RoutingTable
-from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal, RequestError, UpstreamFailed
-from skylarklift.generated import ReleaseCause, RetrySettings
-from skylarklift.ids import Fingerprint, PoolId, ReplicaId
+from skylarklift.clock import MS_PER_SECOND, Millis
+from skylarklift.errors import OutcomeUnknown, RequestError, UpstreamFailed
+from skylarklift.generated import ReleaseCause
+from skylarklift.ids import ReplicaId
 from skylarklift.invariants import INVARIANTS
 from skylarklift.logger import log
-from skylarklift.pools.placer import Placement, PlacementRequest, Placer
+from skylarklift.pools.placer import Placement
 from skylarklift.requests.caller_errors import chat_error, deadline_error
+from skylarklift.requests.chat_dependencies import ChatDependencies
+from skylarklift.requests.chat_placement import ChatPlacer, resolve_pool
 from skylarklift.requests.claim_checks import claim_request, require_owned
-from skylarklift.requests.claims import Claim, ClaimState, ClaimWriter, Outcome
-from skylarklift.requests.gate import Gate
+from skylarklift.requests.claims import Claim, ClaimState, Outcome
 from skylarklift.requests.parsing import CallerRequest, ChatRequest
-from skylarklift.telemetry import Telemetry
 from skylarklift.upstreams.client import (
     REQUEST_ID_HEADER,
     RESUME_HEADER,
     BufferedResponse,
-    UpstreamClient,
     check_request_id,
     is_busy,
 )
-from skylarklift.upstreams.crashes import CrashTracker
 from skylarklift.upstreams.failures import FailureKind, UpstreamError
 from skylarklift.upstreams.reader import EventReader
-from skylarklift.upstreams.reports import LoadReportClient
-from skylarklift.upstreams.retries import RetryBudget
-
-CrashBroadcast = Callable[[Fingerprint, ReplicaId], None]
-
-CHAT_PATH = "/v1/chat/completions"
-
-
-@dataclass
-class ChatDependencies:
-    """The components that all chats of a router share."""
-
-    clock: Clock
-    gate: Gate
-    placer: Placer
-    upstreams: UpstreamClient
-    load_reports: LoadReportClient
-    claims: ClaimWriter
-    budget: RetryBudget
-    poison: CrashTracker
-    retries: RetrySettings
-    telemetry: Telemetry
-    broadcast_crash: CrashBroadcast
 
 
 @dataclass
@@ -204,7 +178,8 @@
 
     async def _dispatch(self, *, stream: bool) -> None:
         """Place the chat and send it to the replica that was granted."""
-        placement, url = await self._place()
+        placer = ChatPlacer(self.deps, self.request, self._trace)
+        placement, url = await placer.place(self.failed_replicas)
         attempt = self._attempt = _Attempt(placement, sent_at=self.deps.clock.now())
         if self._claim is not None:
             self._claim.mark_dispatched()
@@ -237,50 +212,6 @@
             headers[RESUME_HEADER] = str(self._reader.last_event_id)
         return headers
 
-    async def _place(self) -> tuple[Placement, str]:
-        """Return a grant that may be used now, and the URL to send the chat to."""
-        while True:
-            table = await self.deps.gate.require_fresh_within(self.caller.left_ms(self.deps.clock))
-            request = self._placement_request(table)
-            with self.deps.telemetry.span("place", request.trace) as trace:
-                placement = await self.deps.placer.place(replace(request, trace=trace))
-            replica = self.deps.gate.check_placement(placement)
-            if replica is not None:
-                return placement, replica.url + CHAT_PATH
-            self.deps.placer.release(placement, ReleaseCause.CANCELLED)
-
-    def _placement_request(self, table: RoutingTable) -> PlacementRequest:
-        """Return the placement request under the configuration in force now."""
-        pool = self._resolve_pool()
-        if self.deps.poison.is_poisoned(self.caller.fingerprint):
-            raise Refusal(
-                "poisoned", "the request crashed replicas", status=422, retry_after_ms=None
-            )
-        return PlacementRequest(
-            pool=pool,
-            workspace=self.caller.workspace,
-            chat=self.request.chat,
-            priority=self.caller.priority,
-            wait_ms=self.caller.left_ms(self.deps.clock),
-            version=table.version,
-            fingerprint=self.caller.fingerprint,
-            avoid=frozenset(self.failed_replicas),
-            trace=self._trace,
-        )
-
-    def _resolve_pool(self) -> PoolId:
-        """Return the chat's pool; raise `BadRequest` for an unknown workspace or model."""
-        table = self.deps.gate.table()
-        workspace = table.workspace(self.caller.workspace)
-        if workspace is None:
-            text = f"no workspace {self.caller.workspace!r}"
-            raise BadRequest("workspace_unknown", text, status=404)
-        pool = table.pool_for(workspace, self.request.model)
-        if pool is None:
-            text = f"no model {self.request.model!r} for this workspace"
-            raise BadRequest("model_unknown", text, status=404)
-        return pool
-
     async def _attempt_events(self) -> AsyncIterator[bytes]:
         """Yield the events of the current attempt that were not forwarded before."""
         attempt = self._attempt
@@ -345,7 +276,7 @@
     async def _claim_if_non_idempotent(self) -> BufferedResponse | None:
         """Claim a non-idempotent chat; return the recorded response if it already ran."""
         await self.deps.gate.enter(self.caller.left_ms(self.deps.clock))
-        self._resolve_pool()
+        resolve_pool(self.deps.gate.table(), self.request)
         if not self.caller.non_idempotent:
             self.deps.budget.record_request()
             return None
--- a/skylarklift/router.py
+++ b/skylarklift/router.py
@@ -16,7 +16,7 @@
 from skylarklift.operators.status import StatusCollector, pool_status, traffic_counts
 from skylarklift.requests.api import CallerApi
 from skylarklift.requests.calls import CallDependencies, CallRunner
-from skylarklift.requests.chats import ChatDependencies
+from skylarklift.requests.chat_dependencies import ChatDependencies
 from skylarklift.routers.peers import PeerIdentity, PeerServer, TcpPeerTransport
 from skylarklift.serving import make_config, serve_app
 from skylarklift.store.http import HttpStore
