Send what is new of busy upstreams in a message of its own, for services of engines only

Cause: each newly busy replica sent whole messages to eight routers, and took the turns of the regular ones. Change: the loads alone, about 20 B each, with turns of their own; plain services, whose calls last milliseconds, have none.

--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -26,6 +26,7 @@
 from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.core import Core
 from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS, GossipMessage, Peer
+from skylarklift.entry.load_messages import encode_load_message
 from skylarklift.entry.model import Call, Endpoint, ReplicaLoad
 from skylarklift.entry.peering import Peering
 from skylarklift.entry.rows import RowTable
@@ -267,8 +268,21 @@
         """Let a router send at once what is new to it, as far apart as messages must be."""
         if core.load_observed.is_set():
             core.load_observed = trio.Event()
-            peering = self._peerings[int(core.settings.node[1:])]
-            self.at(MIN_GOSSIP_INTERVAL_MS, lambda: self._send_to(peering, peering._next_in_turn()))
+            self.at(MIN_GOSSIP_INTERVAL_MS, lambda: self._send_loads(core))
+
+    def _send_loads(self, core: Core) -> None:
+        """Let a router send what it knows of busy replicas to the next routers in turn."""
+        data = encode_load_message(core.chooser.observed_loads.reports())
+        peering = self._peerings[int(core.settings.node[1:])]
+        for peer in peering._load_turns.next(list(core.fleet.peers.values())):
+            self.outcome.messages += 1
+            number = int(peer.node[1:])
+            self.at(TRAVEL_MS, lambda number=number: self._receive_loads(number, data))
+
+    def _receive_loads(self, number: int, data: bytes) -> None:
+        """Let a router receive loads of busy replicas."""
+        self._peerings[number]._apply_datagram(data, Endpoint("127.0.0.1", 1), None)
+        self._spread_news(self._cores[number])
 
     # Requests.
 
--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -59,6 +59,17 @@
       | a load that is no longer true      | here   | 9    | 1001 | there         |
       | another router's news that are old | n1     | 9    | 1001 | there         |
 
+  Scenario Outline: A message about busy replicas is read, or refused with a clear error: <case>
+    When a router reads the message about loads "<items>"
+    Then it gives "<result>"
+
+    Examples:
+      | case              | items             | result                            |
+      | two replicas      | r0:9:20:0 r1:15:0:1 | r0:9:20:0 r1:15:0:1             |
+      | none              |                   |                                   |
+      | a load of words   | r0:many:20:0      | invalid message about loads       |
+      | too few fields    | r0:9              | invalid message about loads       |
+
   # Guards against replicas that hold a prefix and get the more chats the fuller they are.
   Scenario Outline: If all replicas are busy, the least loaded one is chosen, even <case>
     Given a router among 3 others before 3 replicas, by the seed 1
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -3,6 +3,7 @@
 import gc
 import random
 
+import msgpack
 from behave import given, then, when
 
 from features.entry_fixtures import (
@@ -25,14 +26,22 @@
 )
 from skylarklift.entry.fleet import LOAD_TTL_MS, GossipMessage
 from skylarklift.entry.health import HealthSignal
+from skylarklift.entry.load_messages import (
+    LOAD_FORMAT,
+    decode_load_message,
+    encode_load_message,
+    is_load_message,
+)
 from skylarklift.entry.model import Endpoint, ReplicaLoad
 from skylarklift.entry.observed_loads import ObservedLoad
 from skylarklift.entry.prefixes import PLACEMENT_TTL_MS, Placement, shared_parts
 from skylarklift.entry.rows import RowTable, TableSummary
 from skylarklift.entry.wire import decode_gossip, encode_gossip
+from skylarklift.errors import PeerError
 from skylarklift.hashing import rendezvous_weight
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
+EMPTY_MESSAGE = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
 SUBJECTS = 12
 
 
@@ -305,3 +314,28 @@
     # All are busy by the bound, as if most of the service's replicas got nothing.
     core.settings.bounds.load_factor = 0.5
     report(context, "n1", dict(zip(names, map(int, loads.split()), strict=True)))
+
+
+@when('a router reads the message about loads "{items}"')
+@when('a router reads the message about loads ""')
+def read_load_message(context, items=""):
+    rows = [item.split(":") for item in items.split()]
+    fields = [[*row[:3], *(text == "1" for text in row[3:])] for row in rows]
+    data = msgpack.packb((LOAD_FORMAT, fields))
+    assert is_load_message(data) and not is_load_message(encode_gossip(EMPTY_MESSAGE))
+    try:
+        loads = decode_load_message(data)
+    except PeerError as exc:
+        context.result = str(exc)
+        return
+    assert decode_load_message(encode_load_message(loads)) == loads
+    context.result = " ".join(
+        f"{item.replica}:{item.load}:{item.age_ms}:{int(item.urgent)}" for item in loads
+    )
+
+
+@then('it gives "{result}"')
+@then('it gives ""')
+def gives_result(context, result=""):
+    assert context.result.startswith(result), context.result
+    assert result or not context.result, context.result
--- a/skylarklift/entry/choice.py
+++ b/skylarklift/entry/choice.py
@@ -38,8 +38,8 @@
     another router that they rest on.  `position` is the index of the upstream in the
     order of candidates.  `copy_source` is a replica from which the chosen one can copy the part
     of the prefix that it lacks.  `busy_load` is the load from which it takes no more chats while
-    another replica is less busy.  `passed_over` names the upstreams that would have been better
-    but may get no request now, with the reason.
+    another replica is less busy, 0 for plain services.  `passed_over` names the upstreams that
+    would have been better but may get no request now, with the reason.
     """
 
     upstream: Upstream
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -111,9 +111,10 @@
             return candidates
         plan = self._cluster_state.plan.services.get(service)
         mean = self._mean_load(service)
-        busy_load = self._busy_load(mean)
+        busy_load = 0.0
         by_affinity = plan is not None and plan.engine_slots > 0 and route.affinity
         if by_affinity:
+            busy_load = self._busy_load(mean)
             ordered = self._order_by_affinity(call, service, candidates, busy_load)
         else:
             ordered = iter(self._order_by_load(candidates))
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -162,6 +162,9 @@
 
     def record_observed_load(self, choice: Choice, answered: ReplicaLoad) -> None:
         """Record the load that an upstream answered; report it to the others if it is busy."""
+        if choice.busy_load <= 0:
+            # A plain service has few replicas, and its calls are short.
+            return
         replica, load = choice.upstream.record.replica, answered.running + answered.waiting
         if self.chooser.observed_loads.record(replica, load, choice.busy_load):
             self.metrics.increment("busy_upstreams")
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -99,6 +99,21 @@
         return now - self.received_at > SUSPECT_SILENCE_MS
 
 
+class Turns:
+    """The routers that come next, in turn."""
+
+    def __init__(self):
+        self._next = 0
+
+    def next(self, peers: list[Peer]) -> list[Peer]:
+        """Return the next `GOSSIP_FANOUT` routers, all of a small fleet."""
+        if len(peers) <= GOSSIP_FANOUT:
+            return peers
+        start = self._next % len(peers)
+        self._next += GOSSIP_FANOUT
+        return (peers + peers)[start : start + GOSSIP_FANOUT]
+
+
 class Fleet:
     """The known routers and the last message of each."""
 
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -17,9 +17,16 @@
     MIN_GOSSIP_INTERVAL_MS,
     GossipMessage,
     Peer,
+    Turns,
 )
 from skylarklift.entry.follower import fetch_rows, rows_for_request
+from skylarklift.entry.load_messages import (
+    decode_load_message,
+    encode_load_message,
+    is_load_message,
+)
 from skylarklift.entry.model import Endpoint, parse_endpoint
+from skylarklift.entry.observed_loads import ObservedLoad
 from skylarklift.entry.origin_messages import (
     decode_origin_message,
     encode_origin_message,
@@ -56,7 +63,8 @@
         self._boot = secrets.token_hex(4)
         self._socket: trio.socket.SocketType | None = None
         self._fetching: set[RowTable] = set()
-        self._next_target = 0
+        # What is new of busy upstreams must not take the turns of whole messages.
+        self._gossip_turns, self._load_turns = Turns(), Turns()
         self._last_round_at = Millis(0)
         self._serving_count = 0
         for seed in core.settings.seeds:
@@ -90,7 +98,9 @@
         while True:
             await core.load_observed.wait()
             core.load_observed = trio.Event()
-            await self._send_to(self._next_in_turn())
+            data = encode_load_message(core.chooser.observed_loads.reports())
+            for peer in self._load_turns.next(list(core.fleet.peers.values())):
+                await self._send(peer, [data])
             await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
 
     async def send_round(self) -> None:
@@ -145,20 +155,11 @@
         peers = list(self._core.fleet.peers.values())
         if len(peers) <= GOSSIP_FANOUT or self._reads_store():
             return peers
-        targets = self._next_in_turn()
+        targets = self._gossip_turns.next(peers)
         if self._core.suspects.has_changes_since(self._last_round_at):
             targets += [peer for peer in self._store_readers() if peer not in targets]
         return targets
 
-    def _next_in_turn(self) -> list[Peer]:
-        """Return the next routers in turn, all of a small fleet."""
-        peers = list(self._core.fleet.peers.values())
-        if len(peers) <= GOSSIP_FANOUT:
-            return peers
-        start = self._next_target % len(peers)
-        self._next_target += GOSSIP_FANOUT
-        return (peers + peers)[start : start + GOSSIP_FANOUT]
-
     def _store_readers(self) -> list[Peer]:
         """Return the live routers that read the store and so send to all others."""
         return [peer for peer in self._core.fleet.live_peers() if peer.last_message.reads_store]
@@ -229,6 +230,9 @@
                 if report.crashes:
                     core.crash_reported.set()
             return
+        if is_load_message(data):
+            self._apply_loads(decode_load_message(data))
+            return
         if is_origin_message(data):
             core.resumptions.apply_message(decode_origin_message(data), address)
             return
@@ -251,14 +255,19 @@
         core.apply_limit_reports(message.limits, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
-        for observed in message.observed_loads:
-            if core.chooser.observed_loads.apply_report(observed):
-                core.load_observed.set()
+        self._apply_loads(message.observed_loads)
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
             self._sync_table(table, peer, nursery)
 
+    def _apply_loads(self, loads: tuple[ObservedLoad, ...]) -> None:
+        """Apply observed loads; pass on at once what is urgent."""
+        core = self._core
+        for observed in loads:
+            if core.chooser.observed_loads.apply_report(observed):
+                core.load_observed.set()
+
     def _sync_table(self, table: RowTable, peer: Peer, nursery: trio.Nursery) -> None:
         """Confirm a table by a peer's summary, or fetch the rows that this router lacks."""
         state = self._core.cluster_state
