Take routers that were not heard yet to carry as much as the others, in the mean load

Callers: replicas over the bound, and prompts sent away from replicas that were not busy, for the first seconds of a router in a large fleet. Cause: a router that has just started has heard few others, and took the sum of their loads for the whole: at 195 routers the mean was 0.4 where it is 2.7 after a second, 1.6 where it is 4.3 after four. A bound of that mean calls nearly all replicas busy (55 of 78), more than a message holds. Change: the sum is divided by the part of the routers whose loads are known. Routers whose reports have expired do not count. The scenario "one of three was heard" fails without the change (2, not 4).

--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -82,3 +82,16 @@
       | if another one holds its prefix     | 14 12 12 | elsewhere |
       | the holder of its prefix            | 12 14 14 | there     |
       | if they are equal: the holder's     | 12 12 12 | there     |
+
+  # Guards against a bound on load that is far too low at routers that have just started.
+  Scenario Outline: The mean load counts routers that were not heard yet like the others: <case>
+    Given a router among <routers> others before 4 replicas, by the seed 1
+    When <heard> of them report 8 requests, and <silent> are known by their entries only
+    Then the mean load is <mean>
+    And the mean load is <later> after the lifetime of a report
+
+    Examples:
+      | case                         | routers | heard | silent | mean | later |
+      | all were heard               | 3       | 3     | 0      | 6    | 0     |
+      | one of three was heard       | 3       | 1     | 2      | 4    | 0     |
+      | none was heard, none is busy | 3       | 0     | 3      | 0    | 0     |
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -339,3 +339,22 @@
 def gives_result(context, result=""):
     assert context.result.startswith(result), context.result
     assert result or not context.result, context.result
+
+
+@when("{heard:d} of them report 8 requests, and {silent:d} are known by their entries only")
+def some_report(context, heard, silent):
+    for node in context.nodes[:heard]:
+        report(context, node, {"r0": 8})
+    for node in context.nodes[heard : heard + silent]:
+        context.core.fleet.add(node, Endpoint("127.0.0.2", 1))
+
+
+@then("the mean load is {mean:g}")
+def mean_load_is(context, mean):
+    assert context.core.chooser._mean_load("lm") == mean, context.core.chooser._mean_load("lm")
+
+
+@then("the mean load is {mean:g} after the lifetime of a report")
+def mean_load_is_later(context, mean):
+    context.clock.advance(LOAD_TTL_MS + 1)
+    mean_load_is(context, mean)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -234,12 +234,13 @@
     def _mean_load(self, service: ServiceId) -> float:
         """Return the mean load of all replicas of a service.
 
-        Those that get nothing count too: the bound on load is a multiple of this mean.
+        Those that get nothing count too: the bound on load is a multiple of this mean.  Routers
+        that were not heard yet are taken to carry as much as the others.
         """
         replicas = self._cluster_state.services.replicas(service)
         own = sum(count for name, count in self.in_flight.items() if name in replicas)
         reported = sum(map(self._fleet.peer_loads().get, replicas, repeat(0)))
-        return (own + reported) / len(replicas)
+        return (own + reported) / self._fleet.load_coverage() / len(replicas)
 
     def _busy_load(self, mean: float) -> float:
         """Return the load from which a replica takes no more chats by affinity."""
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -42,6 +42,8 @@
 MEMBERS_TTL_MS = 250
 # A router reads the store if it did so successfully within this time.
 STORE_READ_TTL_MS = 2500
+# The part of all routers whose loads are known is determined again after this long.
+COVERAGE_TTL_MS = 250
 MAX_REMEMBERED_RANKS = 2000
 # A router that has sent no message for this long is forgotten.
 FORGET_PEER_MS = 120_000
@@ -132,6 +134,8 @@
         # Whether more routers have fallen silent than are heard.
         self._in_minority = False
         self._ranks: dict[str, int] = {}
+        self._coverage = 1.0
+        self._coverage_until = Millis(0)
 
     def add_seed(self, address: Endpoint) -> None:
         """Add a router of which only the address is known."""
@@ -287,6 +291,21 @@
         )
         return max(LOAD_TTL_MS, int(LOAD_TTL_ROTATIONS * rotation_ms))
 
+    def load_coverage(self) -> float:
+        """Return the part of all routers whose loads are known, this one included.
+
+        A router that has just started has yet to hear from most others of a large fleet.
+        """
+        now = self._clock.now()
+        if now >= self._coverage_until:
+            limit = now - self._load_ttl_ms()
+            peers = self.peers.values()
+            heard = sum(peer.received_at is not None and peer.received_at > limit for peer in peers)
+            awaited = sum(peer.received_at is None and peer.added_at > limit for peer in peers)
+            self._coverage = (1 + heard) / (1 + heard + awaited)
+            self._coverage_until = Millis(now + COVERAGE_TTL_MS)
+        return self._coverage
+
     def load_age_ms(self) -> int:
         """Return the age of the oldest reported load that counts, 0 without any."""
         oldest = self._loads.oldest_received_at()
