Take the mean load from the newest reports, which stand for all routers

Cause: a report is up to 7 s old there. The bound for chats follows the mean, so nearly all replicas counted as busy. Change: the reports of the last 1.5 s, at least 16, stand for all routers; routers not heard yet count like others, as before. In a fleet whose routers hear all others within 1.5 s nothing changes.

--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -131,6 +131,8 @@
         self._cached: dict[ReplicaId, set[str]] = {}
         # The share of requests that are about one subject.
         self.hot_ratio = 0.0
+        # Routers gossip for this long before the first requests.
+        self.quiet_ms = 0
 
     # Set-up.
 
@@ -176,7 +178,9 @@
             self.at(
                 self.rng.randrange(ROUND_MS), lambda peering=peering: self._gossip_in_turn(peering)
             )
-        self.at(0, self._send_next)
+        self._next_group_ms += self.quiet_ms
+        self._settled_at = Millis(self._settled_at + self.quiet_ms)
+        self.at(self.quiet_ms, self._send_next)
         self.at(0, self._look)
         while self._events and self._events[0][0] <= end:
             moment, _, action = heapq.heappop(self._events)
--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -95,3 +95,16 @@
       | all were heard               | 3       | 3     | 0      | 6    | 0     |
       | one of three was heard       | 3       | 1     | 2      | 4    | 0     |
       | none was heard, none is busy | 3       | 0     | 3      | 0    | 0     |
+
+  # Guards against a mean that lags by seconds in a large fleet, when traffic begins or grows.
+  Scenario Outline: The mean load is that of the newest reports: <case>
+    Given a router among <routers> others before 4 replicas, by the seed 1
+    When all report no requests, and <span> ms later <count> of them 8 requests
+    Then the mean load is <mean>
+
+    Examples:
+      | case                                    | routers | span | count | mean   |
+      | some of many reports are recent         | 100     | 3000 | 20    | 192.38 |
+      | too few are recent, so older ones count | 100     | 3000 | 9     | 106.94 |
+      | all are recent                          | 100     | 1000 | 20    | 40     |
+      | a small fleet, others have expired      | 3       | 3000 | 1     | 2      |
--- a/features/load_bound.feature
+++ b/features/load_bound.feature
@@ -47,3 +47,16 @@
       | 195     | 78       | 280  | 2    | replicas are back        | 20 replicas start again at 2 s         |
       | 195     | 78       | 280  | 1    | replicas name a limit    | 20 replicas name a limit at 2 s        |
       | 390     | 156      | 560  | 1    | replicas are back        | 40 replicas start again at 2 s         |
+
+  # Guards against a mean taken from reports of before the traffic began.
+  Scenario Outline: No replica gets more than its share when traffic begins, <routers> routers
+    Given <routers> routers before <replicas> replicas, <rate> requests a second, by the seed <seed>
+    When no request comes for 8 s
+    And all run for 15 s
+    Then no 5 s break the bound on load
+    And no request is refused
+
+    Examples:
+      | routers | replicas | rate | seed |
+      | 195     | 78       | 280  | 1    |
+      | 390     | 156      | 560  | 2    |
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -24,7 +24,7 @@
     MIN_COPY_TOKENS,
     affinity_key,
 )
-from skylarklift.entry.fleet import LOAD_TTL_MS, GossipMessage
+from skylarklift.entry.fleet import LOAD_TTL_MS, MIN_NEWEST_REPORTS, GossipMessage
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.load_messages import (
     LOAD_FORMAT,
@@ -60,6 +60,8 @@
     """Let another router report its requests in flight."""
     message = GossipMessage(node, "b", "", EMPTY_SUMMARIES, loads=loads)
     context.core.fleet.record_message(message, Endpoint("127.0.0.2", 1))
+    # In the order in which they came.
+    context.reports.pop(node, None)
     context.reports[node] = (context.clock.now(), loads)
 
 
@@ -101,6 +103,21 @@
     return reported + context.core.chooser.in_flight[replica]
 
 
+def plain_mean(context, replicas):
+    """Return the mean load by a walk over the newest reports, which stand for all routers."""
+    now = context.clock.now()
+    ttl_ms = context.core.fleet._load_ttl_ms()
+    reports = [item for item in reversed(context.reports.values()) if item[0] > now - ttl_ms]
+    newest = [
+        loads
+        for number, (at, loads) in enumerate(reports)
+        if at > now - LOAD_TTL_MS or number < MIN_NEWEST_REPORTS
+    ]
+    own = sum(context.core.chooser.in_flight[name] for name in replicas)
+    known = own + sum(loads.get(name, 0) for loads in newest for name in replicas)
+    return known * (1 + len(reports)) / (1 + len(newest)) / len(replicas)
+
+
 def plain_held(context, call, upstream):
     """Return how many shared tokens a replica holds, part by part."""
     chooser = context.core.chooser
@@ -126,7 +143,7 @@
         return None
     loads = {item.record.replica: plain_load(context, item.record.replica) for item in candidates}
     # The mean of all replicas, whether or not they may get the request.
-    mean = sum(plain_load(context, item.record.replica) for item in upstreams) / len(upstreams)
+    mean = plain_mean(context, [item.record.replica for item in upstreams])
     held = {item.record.replica: plain_held(context, call, item) for item in candidates}
     shared_tokens = sum(part.tokens for part in shared_parts(call.parts))
     most = max(held.values())
@@ -349,9 +366,19 @@
         context.core.fleet.add(node, Endpoint("127.0.0.2", 1))
 
 
+@when("all report no requests, and {span:d} ms later {count:d} of them 8 requests")
+def reports_change(context, span, count):
+    for node in context.nodes:
+        report(context, node, {})
+    context.clock.advance(span)
+    for node in context.nodes[:count]:
+        report(context, node, {"r0": 8})
+
+
 @then("the mean load is {mean:g}")
 def mean_load_is(context, mean):
-    assert context.core.chooser._mean_load("lm") == mean, context.core.chooser._mean_load("lm")
+    found = context.core.chooser._mean_load("lm")
+    assert round(found, 2) == mean, found
 
 
 @then("the mean load is {mean:g} after the lifetime of a report")
--- a/features/steps/load_bound.py
+++ b/features/steps/load_bound.py
@@ -49,6 +49,11 @@
     fleet.at(start * MS_PER_S, lambda: fleet.limit(range(count), LIMIT_PER_S))
 
 
+@when("no request comes for {span:d} s")
+def quiet_time(context, span):
+    context.fleet.quiet_ms = span * MS_PER_S
+
+
 @when("all run for {span:d} s")
 def run_fleet(context, span):
     context.outcome = context.fleet.run(span * MS_PER_S)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -8,7 +8,7 @@
 
 from collections import Counter
 from collections.abc import Collection, Iterator, Mapping
-from itertools import chain, repeat
+from itertools import chain
 
 from skylarklift.clock import Clock
 from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
@@ -234,13 +234,11 @@
     def _mean_load(self, service: ServiceId) -> float:
         """Return the mean load of all replicas of a service.
 
-        Those that get nothing count too: the bound on load is a multiple of this mean.  Routers
-        that were not heard yet are taken to carry as much as the others.
+        Those that get nothing count too: the bound on load is a multiple of this mean.
         """
         replicas = self._cluster_state.services.replicas(service)
         own = sum(count for name, count in self.in_flight.items() if name in replicas)
-        reported = sum(map(self._fleet.peer_loads().get, replicas, repeat(0)))
-        return (own + reported) / self._fleet.load_coverage() / len(replicas)
+        return self._fleet.total_load(replicas, own) / len(replicas)
 
     def _busy_load(self, mean: float) -> float:
         """Return the load from which a replica takes no more chats by affinity."""
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -1,6 +1,6 @@
 """The other routers known to this one, with the last gossip message of each."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 
 from skylarklift.clock import Clock, Millis
@@ -25,6 +25,8 @@
 # each peer gets its turn.
 LOAD_TTL_MS = 1500
 LOAD_TTL_ROTATIONS = 1.2
+# The mean load is taken from the reports of the last `LOAD_TTL_MS`, or from this many.
+MIN_NEWEST_REPORTS = 16
 # A router that has sent no message for this long counts neither as live nor as reading the store.
 MAX_PEER_SILENCE_MS = 700
 # A router that has sent no message for this long is no longer counted among those that divide the
@@ -42,8 +44,8 @@
 MEMBERS_TTL_MS = 250
 # A router reads the store if it did so successfully within this time.
 STORE_READ_TTL_MS = 2500
-# The part of all routers whose loads are known is determined again after this long.
-COVERAGE_TTL_MS = 250
+# The routers that were not heard yet are counted again after this long.
+AWAITED_TTL_MS = 250
 MAX_REMEMBERED_RANKS = 2000
 # A router that has sent no message for this long is forgotten.
 FORGET_PEER_MS = 120_000
@@ -134,8 +136,8 @@
         # Whether more routers have fallen silent than are heard.
         self._in_minority = False
         self._ranks: dict[str, int] = {}
-        self._coverage = 1.0
-        self._coverage_until = Millis(0)
+        self._awaited = 0
+        self._awaited_until = Millis(0)
 
     def add_seed(self, address: Endpoint) -> None:
         """Add a router of which only the address is known."""
@@ -291,20 +293,29 @@
         )
         return max(LOAD_TTL_MS, int(LOAD_TTL_ROTATIONS * rotation_ms))
 
-    def load_coverage(self) -> float:
-        """Return the part of all routers whose loads are known, this one included.
+    def total_load(self, replicas: Collection[ReplicaId], own: int) -> float:
+        """Estimate the requests of all routers in flight at some upstreams; `own` are this one's.
 
-        A router that has just started has yet to hear from most others of a large fleet.
+        In a large fleet most reports are older than a stream lasts.  The newest ones stand for all,
+        also for routers that were not heard yet.
         """
+        self.peer_loads()
+        since = Millis(self._clock.now() - LOAD_TTL_MS)
+        load, number = self._loads.sum_newest(replicas, since, MIN_NEWEST_REPORTS)
+        routers = 1 + self._loads.count() + self._count_awaited()
+        return (own + load) * routers / (1 + number)
+
+    def _count_awaited(self) -> int:
+        """Return how many routers are known by their addresses only, and may be running."""
         now = self._clock.now()
-        if now >= self._coverage_until:
+        if now >= self._awaited_until:
             limit = now - self._load_ttl_ms()
             peers = self.peers.values()
-            heard = sum(peer.received_at is not None and peer.received_at > limit for peer in peers)
-            awaited = sum(peer.received_at is None and peer.added_at > limit for peer in peers)
-            self._coverage = (1 + heard) / (1 + heard + awaited)
-            self._coverage_until = Millis(now + COVERAGE_TTL_MS)
-        return self._coverage
+            self._awaited = sum(
+                peer.received_at is None and peer.added_at > limit for peer in peers
+            )
+            self._awaited_until = Millis(now + AWAITED_TTL_MS)
+        return self._awaited
 
     def load_age_ms(self) -> int:
         """Return the age of the oldest reported load that counts, 0 without any."""
--- a/skylarklift/entry/peer_loads.py
+++ b/skylarklift/entry/peer_loads.py
@@ -1,7 +1,7 @@
 """Sums of the loads that other routers report, kept up to date as reports arrive and expire."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from skylarklift.clock import Millis
@@ -41,6 +41,25 @@
             if not totals[replica]:
                 del totals[replica]
 
+    def count(self) -> int:
+        """Return how many routers' reports are kept."""
+        return len(self._reports)
+
+    def sum_newest(
+        self, replicas: Collection[ReplicaId], since: Millis, least: int
+    ) -> tuple[int, int]:
+        """Return the load that the newest reports name at some upstreams, and their number.
+
+        These are the reports received after `since`, and older ones if fewer than `least` are.
+        """
+        load = number = 0
+        for report in reversed(self._reports.values()):
+            if number >= least and report.received_at <= since:
+                break
+            number += 1
+            load += sum(count for name, count in report.loads.items() if name in replicas)
+        return load, number
+
     def oldest_received_at(self) -> Millis | None:
         """Return when the oldest report that counts was received, `None` without any."""
         return next((report.received_at for report in self._reports.values()), None)
