--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -52,8 +52,8 @@
 # members are read again after this long.
 MEMBERS_REREAD_DELAY_MS = 3000
 REJOIN_JITTER_MS = 2000
-# A round to many routers is sent in small parts: what overflows a queue on the way is lost, each time
-# for the same routers.
+# A round to many routers is sent in small parts: what overflows a queue on the way is lost, each
+# time for the same routers.
 MAX_BURST_DATAGRAMS = 16
 BURST_PAUSE_MS = 4
 
