--- a/skylarklift/entry/resumptions.py
+++ b/skylarklift/entry/resumptions.py
@@ -103,21 +103,21 @@
             for peer in self._others(origin.request, BACKUP_ROUTERS):
                 self._send(peer.address, message)
 
-    async def find(self, taken: ResumedStream) -> FoundOrigin:
+    async def find(self, stream: ResumedStream) -> FoundOrigin:
         """Return where a stream that a caller resumes may go on."""
-        origin = self._origins.find(taken.request)
+        origin = self._origins.find(stream.request)
         source = OriginSource.OWN
-        if origin is None and not self._releases.has_one_version(taken.service):
-            await self._ask(taken.request)
-            origin, source = self._origins.find(taken.request), OriginSource.PEER
+        if origin is None and not self._releases.has_one_version(stream.service):
+            await self._ask(stream.request)
+            origin, source = self._origins.find(stream.request), OriginSource.PEER
         if origin is not None:
             source = OriginSource.UNNAMED if origin.version is None else source
             return FoundOrigin(source, origin.service, origin.version)
-        versions = self._releases.began_at(taken.service, taken.key, taken.max_age_ms)
+        versions = self._releases.began_at(stream.service, stream.key, stream.max_age_ms)
         if len(versions) == 1:
-            return FoundOrigin(OriginSource.ASSIGNED, taken.service, next(iter(versions)))
+            return FoundOrigin(OriginSource.ASSIGNED, stream.service, next(iter(versions)))
         source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
-        return FoundOrigin(source, taken.service)
+        return FoundOrigin(source, stream.service)
 
     async def _ask(self, request: RequestId) -> None:
         """Ask other routers about a stream, and wait until one knows it or all have answered."""
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/stream_version.py
@@ -49,8 +49,8 @@
             await core.wait_for_releases(MAX_RELEASES_WAIT_MS)
         request = call.resumes or call.request
         key = affinity_key(call) if call.parts else request
-        taken = ResumedStream(request, service, key, self._max_age_ms())
-        self.origin = await core.resumptions.find(taken)
+        stream = ResumedStream(request, service, key, self._max_age_ms())
+        self.origin = await core.resumptions.find(stream)
         core.metrics.increment("resumptions", self.origin.source.value)
         self.required = self.origin.version
         if self.required is None:
