Let holders that are not fuller than the mean of the busy ones keep their chats

Cause: if all replicas that may take a chat are busy, the least loaded one took it (a change of this issue), so chats left their holders for one request less, were read again and kept all busy for longer. Change: a holder that carries no more than the mean of the overloaded ones goes first, then the least loaded. The scenario of the least loaded one keeps its rows, now named by the rule, and gets two at the mean.

--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -70,8 +70,9 @@
       | a load of words   | r0:many:20:0      | invalid message about loads       |
       | too few fields    | r0:9              | invalid message about loads       |
 
-  # Guards against replicas that hold a prefix and get the more chats the fuller they are.
-  Scenario Outline: If all replicas are busy, the least loaded one is chosen, even <case>
+  # Guards against replicas that hold a prefix and get the more chats the fuller they are, and against
+  # chats that are read again wherever they come while all are busy.
+  Scenario Outline: If all replicas are busy, a holder takes its chats up to their mean, <case>
     Given a router among 3 others before 3 replicas, by the seed 1
     And the replica that a chat prefers
     When the replicas report <loads> requests, the preferred one first
@@ -79,9 +80,11 @@
 
     Examples:
       | case                                | loads    | where     |
-      | if another one holds its prefix     | 14 12 12 | elsewhere |
-      | the holder of its prefix            | 12 14 14 | there     |
-      | if they are equal: the holder's     | 12 12 12 | there     |
+      | the holder is fuller                | 14 12 12 | elsewhere |
+      | the holder is the least loaded      | 12 14 14 | there     |
+      | all are equal                       | 12 12 12 | there     |
+      | the holder is not above the mean    | 13 12 14 | there     |
+      | the holder is above the mean        | 13 12 13 | elsewhere |
 
   # Guards against a bound on load that is far too low at routers that have just started.
   Scenario Outline: The mean load counts routers that were not heard yet like the others: <case>
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -151,6 +151,8 @@
     bounds = core.settings.bounds
     limit = AFFINITY_LOAD_RATIO * bounds.load_factor * mean + AFFINITY_EXTRA_REQUESTS
     key = affinity_key(call)
+    overloaded = [count for count in loads.values() if count >= limit]
+    overloaded_mean = sum(overloaded) / max(1, len(overloaded))
 
     def sort_key(item):
         name = item.record.replica
@@ -158,7 +160,7 @@
         is_holder = held[name] >= least_held
         near = under and is_holder and most > 0 and item.record.zone == core.settings.zone
         if not under:
-            return under, False, False, -loads[name], is_holder
+            return under, is_holder and loads[name] <= overloaded_mean, False, -loads[name], False
         return under, is_holder, near, rendezvous_weight(key, name), is_holder
 
     for item in sorted(candidates, key=sort_key, reverse=True):
--- a/skylarklift/entry/affinity.py
+++ b/skylarklift/entry/affinity.py
@@ -1,9 +1,10 @@
 """The order in which a chat prefers the replicas of its service.
 
 Holders of its prefix come first, those in the router's zone before others, then the other replicas
-in the chat's rendezvous order; overloaded ones come last, the least loaded of them first.  The
-order is made step by step, since most requests take the first replica, and a service may have
-hundreds.
+in the chat's rendezvous order; overloaded ones come last.  Of these, holders that carry no more
+than the mean of the overloaded ones come first, then the least loaded: if all are busy, a chat that
+leaves its holder for one request more is read again and keeps all busy for longer.  The order is
+made step by step, since most requests take the first replica, and a service may have hundreds.
 """
 
 from collections import OrderedDict
@@ -85,7 +86,10 @@
         if name in candidates and name not in holders and load(name) < load_limit:
             yield name
     overloaded = [name for name in candidates if load(name) >= load_limit]
-    yield from sorted(overloaded, key=lambda name: (load(name), name not in holders))
+    if overloaded:
+        mean = sum(map(load, overloaded)) / len(overloaded)
+        near = {name for name in holders if name in candidates and load(name) <= mean}
+        yield from sorted(overloaded, key=lambda name: (name not in near, load(name)))
 
 
 def _sort_by_weight(key: str, names: Iterable[ReplicaId]) -> list[ReplicaId]:
