--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -299,7 +299,7 @@
         In a large fleet most reports are older than a stream lasts.  The newest ones stand for all,
         also for routers that were not heard yet.
         """
-        self.peer_loads()
+        self._expire_loads()
         since = Millis(self._clock.now() - LOAD_TTL_MS)
         load, number = self._loads.sum_newest(replicas, since, MIN_NEWEST_REPORTS)
         routers = 1 + self._loads.count() + self._count_awaited()
@@ -324,5 +324,9 @@
 
     def peer_loads(self) -> Mapping[ReplicaId, int]:
         """Return how many requests the other routers have in flight at each upstream."""
-        self._loads.expire(Millis(self._clock.now() - self._load_ttl_ms()))
+        self._expire_loads()
         return self._loads.totals
+
+    def _expire_loads(self) -> None:
+        """Drop the reported loads that no longer count."""
+        self._loads.expire(Millis(self._clock.now() - self._load_ttl_ms()))
