--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -266,9 +266,9 @@
     def _receive(self, number: int, message: GossipMessage) -> None:
         """Let a router receive a message."""
         self._peerings[number]._apply_message(message, Endpoint("127.0.0.1", 1), None)
-        self._spread_news(self._cores[number])
+        self._spread_loads(self._cores[number])
 
-    def _spread_news(self, core: Core) -> None:
+    def _spread_loads(self, core: Core) -> None:
         """Let a router send at once what is new to it, as far apart as messages must be."""
         if core.load_observed.is_set():
             core.load_observed = trio.Event()
@@ -286,7 +286,7 @@
     def _receive_loads(self, number: int, data: bytes) -> None:
         """Let a router receive loads of busy replicas."""
         self._peerings[number]._apply_datagram(data, Endpoint("127.0.0.1", 1), None)
-        self._spread_news(self._cores[number])
+        self._spread_loads(self._cores[number])
 
     # Requests.
 
@@ -341,7 +341,7 @@
         """Let the router read the head of an answer, which tells the load of the replica."""
         replica = choice.upstream.record.replica
         core.record_observed_load(choice, ReplicaLoad(self._true_loads[replica], 0, 64))
-        self._spread_news(core)
+        self._spread_loads(core)
 
     def _end(self, core: Core, replica: ReplicaId) -> None:
         """Let a stream end."""
--- a/features/entry_choice.feature
+++ b/features/entry_choice.feature
@@ -57,7 +57,7 @@
       | another router reports it          | n1     | 9    | 300  | elsewhere     |
       | a load under the bound             | here   | 1    | 0    | there         |
       | a load that is no longer true      | here   | 9    | 1001 | there         |
-      | another router's news that are old | n1     | 9    | 1001 | there         |
+      | a report that is old by now         | n1     | 9    | 1001 | there         |
 
   Scenario Outline: A message about busy replicas is read, or refused with a clear error: <case>
     When a router reads the message about loads "<items>"
