--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,7 @@
 """Replicas restart under their ids with new software while the store is down."""
 
-import json
 import re
 import tempfile
-from contextlib import suppress
 from itertools import count
 from pathlib import Path
 
@@ -135,11 +133,7 @@
                 code = await Case(fleet, record).run()
             finally:
                 fleet.stop()
-                for router in fleet.routers:
-                    for line in router.lines():
-                        with suppress(KeyError):
-                            if line["event"].startswith(("upstream_", "store_", "start")):
-                                record.write(f"log of {router.name}: {json.dumps(line)}")
+                record.write_logs(fleet, ("upstream_", "store_", "start"))
             nursery.cancel_scope.cancel()
     return code
 
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -1,8 +1,10 @@
 """What the cases share: routers as separate processes, replicas with a version, a record."""
 
+import json
 import os
 import sys
 import time
+import zlib
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -13,6 +15,8 @@
 from standins.replica import MS_PER_SECOND, Replica
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+# The chats of each run are others.
+RUN = os.urandom(4).hex()
 # As in the settings of a small deployment, where they are not addresses.
 SETTINGS = {
     "role": "entry-router",
@@ -63,6 +67,13 @@
         self._file.write(f"{time.monotonic() - self._started:8.3f} {text}\n")
         self._file.flush()
 
+    def write_logs(self, fleet: "Fleet", events: tuple[str, ...]) -> None:
+        """Write the lines of the routers' logs whose event begins with one of `events`."""
+        for router in fleet.routers:
+            for line in router.lines():
+                if line["event"].startswith(events):
+                    self.write(f"log of {router.name}: {json.dumps(line)}")
+
 
 @dataclass
 class VersionedReplica(Replica):
@@ -130,8 +141,8 @@
 def resume_options(first_try: str, made: list, deadline_ms: int, started: float) -> dict:
     """Return what a client sends with a try of a stream of which it has the events `made`."""
     left_ms = deadline_ms - int((trio.current_time() - started) * MS_PER_SECOND)
-    number = int.from_bytes(first_try.split("-")[0].encode(), "big") % 10**8
-    headers = {"x-prefix-hash": f"aa{number:08d}:500,bb{number:08d}:40,cc{number:08d}:10"}
+    number = zlib.crc32(f"{RUN} {first_try.partition('-')[0]}".encode())
+    headers = {"x-prefix-hash": f"aa{number:08x}:500,bb{number:08x}:40,cc{number:08x}:10"}
     if made:
         headers.update({"last-event-id": made[-1][2], "resumes": first_try})
     return {"deadline_ms": left_ms, "headers": headers}
