--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,126 +1,109 @@
-"""Replicas restart under their ids with new software while the store is down."""
+"""Keys are taken away until no tenant holds one."""
 
-import re
+import json
 import tempfile
-from itertools import count
+from collections import Counter
 from pathlib import Path
 
 import trio
 
 from review.fleet import BROKEN, HELD, Fleet, Record, run_case, with_trouble
+from standins.platform_world import ROUTE_DEFAULTS, ROUTES, SERVICES
 
 FOLDER = Path(__file__).resolve().parent
-STORE_DOWN_S = 8.0
-REPLICA_DOWN_S = 2.0
-HEARTBEAT_S = 1.2
-ALLOWED_STREAMS = 2
-SHORT_EVENTS, LONG_EVENTS = 1, 48
+# As in the site's trouble { kind = "revoke", count = 2, gap_s = 1.5 }.
+REVOKE_GAP_S = 1.5
+CONFIG_APPLY_MS = 2000
+KEYS = {"w1": "key-of-w1", "w2": "key-of-w2"}
+NEVER_HELD = "key-of-nobody"
+GAP_S = 0.1
 
 
 class Case:
-    """One run of the case: the deployment, its clients, and the disruption."""
+    """One run of the case: the deployment, its clients, and the changes of its keys."""
 
     def __init__(self, fleet: Fleet, record: Record):
         self.fleet = fleet
         self.record = record
-        self.numbers = count(1)
-        self.stopping = False
-        self.joined: list[str] = []
-        self.streams = self.complete = 0
-        self.born = dict.fromkeys(("lm-1", "lm-2", "lm-3", "lm-4"), 1)
-        self.up = set(self.born)
+        self.version = 0
+        self.taken_away: dict[str, float] = {}
+        self.answers: Counter[tuple[str, int]] = Counter()
+        self.sent: dict[str, tuple[str, bool]] = {}
 
     async def run(self) -> int:
         """Play the day; return the exit code."""
         fleet = self.fleet
-        door = await fleet.open_store_endpoint()
-        fleet.write_plan(timeout_ms=15000, goal_ms=1000)
-        for name in self.born:
-            await fleet.add_replica(name, "lm")
-        routers = [await fleet.start_router(f"edge-za-{number}") for number in (1, 2)]
+        await fleet.open_store_endpoint()
+        held = dict(KEYS)
+        self.write_configuration(held)
+        replicas = [await fleet.add_replica(name, "till") for name in ("till-1", "till-2")]
+        for number in (1, 2, 3):
+            await fleet.start_router(f"edge-za-{number}")
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self.heartbeats, door, nursery.cancel_scope)
-            async with trio.open_nursery() as clients:
-                for router in routers:
-                    clients.start_soon(self.send, clients, router, SHORT_EVENTS, 0.05)
-                await trio.sleep(3)
-                if with_trouble():
-                    door.faults.silent = True
-                    self.record.write("the store is down")
-                clients.start_soon(self.restore, door, STORE_DOWN_S)
-                await trio.sleep(0.2)
-                await self.restart("lm-1")
-                await trio.sleep(2.0)
-                for router in routers:
-                    clients.start_soon(self.send, clients, router, LONG_EVENTS, 0.06)
-                await trio.sleep(3.2)
-                await self.restart("lm-2")
-                await trio.sleep(1)
-                self.stopping = True
+            for router in fleet.routers:
+                for key in (*KEYS.values(), NEVER_HELD):
+                    nursery.start_soon(self.send, router, key)
+            await trio.sleep(2)
+            if with_trouble():
+                for tenant, key in KEYS.items():
+                    del held[tenant]
+                    self.write_configuration(held)
+                    self.taken_away[key] = trio.current_time()
+                    await trio.sleep(REVOKE_GAP_S)
+            await trio.sleep(6)
             nursery.cancel_scope.cancel()
-        self.record.write(
-            f"{self.streams} streams, {self.complete} complete, {len(self.joined)} hold events of "
-            f"two versions (at most {ALLOWED_STREAMS} may)"
-        )
-        return BROKEN if len(self.joined) > ALLOWED_STREAMS else HELD
-
-    async def restore(self, door, span_s: float) -> None:
-        """Let the store answer again."""
-        await trio.sleep(span_s)
-        door.faults.silent = False
-        self.record.write("the store answers")
-
-    async def restart(self, name: str) -> None:
-        """Crash a replica; it is back after some seconds, with its id and the newer software."""
-        self.record.write(f"{name} crashes")
-        self.up.discard(name)
-        self.fleet.stop_replica(name)
-        await trio.sleep(REPLICA_DOWN_S)
-        replica = self.fleet.replicas[name]
-        replica.software = "v2"
-        self.born[name] += 1
-        port = await self.fleet.listen(name, replica.serve, self.fleet.ports[name])
-        assert port == self.fleet.ports[name]
-        self.up.add(name)
-        self.record.write(f"{name} is back with the software v2")
-
-    async def heartbeats(self, door, scope) -> None:
-        """Write the entries of the replicas that run, as long as the store takes them."""
+        return self.judge(replicas)
+
+    def write_configuration(self, held: dict[str, str]) -> None:
+        """Write the next version; all tenants stay, with the keys that they still hold."""
+        self.version += 1
+        value = {
+            "version": self.version,
+            "routes": [
+                {**ROUTE_DEFAULTS, "name": prefix, "prefix": prefix, **fields}
+                for prefix, fields in ROUTES.items()
+            ],
+            "services": SERVICES,
+            "limits": {"idle_timeout_ms": 15000},
+            "tenants": [
+                {"name": tenant, "api_keys": [held[tenant]] if tenant in held else []}
+                for tenant in KEYS
+            ],
+        }
+        self.fleet.store.write("op", "config", json.dumps(value).encode())
+        self.record.write(f"version {self.version} is acknowledged, tenants {value['tenants']}")
+
+    async def send(self, router, key: str) -> None:
+        """Send requests that may not be repeated with a key."""
+        number = 0
         while True:
-            if not door.faults.silent:
-                for name in sorted(self.up):
-                    replica = self.fleet.replicas[name]
-                    self.fleet.register_replica(
-                        name, "lm", version=replica.software, born=self.born[name]
-                    )
-            await trio.sleep(HEARTBEAT_S / 4)
-
-    async def send(self, clients, router, events: int, gap_s: float) -> None:
-        """Begin streams at a router, each of its own chat."""
-        while not self.stopping:
-            clients.start_soon(self.stream, router, next(self.numbers), events)
-            await trio.sleep(gap_s)
-
-    async def stream(self, router, number: int, events: int) -> None:
-        """Read one stream, and note which versions made its events."""
-        name = f"req{number:05d}"
-        self.record.write(f"client sends {name} to {router.name}, {events} events")
-        response = await self.fleet.call(
-            router,
-            f"/chat/{events}/{number}",
-            request_id=name,
-            deadline_ms=15000,
-            headers={"x-prefix-hash": f"aa{number:06x}:500,bb{number:06x}:40,cc{number:06x}:10"},
+            number += 1
+            name = f"{router.name}-{key}-{number}"
+            taken_at = self.taken_away.get(key)
+            late = taken_at is not None and (
+                trio.current_time() > taken_at + CONFIG_APPLY_MS / 1000
+            )
+            self.sent[name] = (key, late)
+            response = await self.fleet.call(router, "/redeem/1", request_id=name, key=key)
+            self.answers[key, response.status] += 1
+            self.record.write(f"client sent {name}, got {response.status}")
+            await trio.sleep(GAP_S)
+
+    def judge(self, replicas) -> int:
+        """Return whether a request ran whose key no configuration held, or holds no more."""
+        never, dropped = 0, 0
+        for replica in replicas:
+            for run in replica.runs:
+                key, late = self.sent[run.request_id]
+                tenant = run.headers.get("x-tenant")
+                self.record.write(f"{replica.name} ran {run.request_id} for the tenant {tenant}")
+                never += key == NEVER_HELD
+                dropped += late
+        self.record.write(
+            f"answers {dict(self.answers)}; {never} requests ran with a key that no configuration "
+            f"ever held, {dropped} with one that was taken away over {CONFIG_APPLY_MS} ms before"
         )
-        made = re.findall(r"data: (\S+) (\S+) (\d+)", response.body.decode())
-        versions = sorted({version for _, version, _ in made})
-        self.streams += 1
-        self.complete += response.complete
-        line = f"client got {name}: {response.status}, {len(made)} events, versions {versions}"
-        if len(versions) > 1:
-            self.joined.append(name)
-            line += f" JOINED {sorted({(one, other) for one, other, _ in made})}"
-        self.record.write(line)
+        return BROKEN if never or dropped else HELD
 
 
 async def main() -> int:
@@ -133,7 +116,6 @@
                 code = await Case(fleet, record).run()
             finally:
                 fleet.stop()
-                record.write_logs(fleet, ("upstream_", "store_", "start"))
             nursery.cancel_scope.cancel()
     return code
 
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A router is killed while a newer software version is being released."""
+"""Replicas restart under their ids with new software while the store is down."""
 
 import re
 import tempfile
@@ -7,18 +7,15 @@
 
 import trio
 
-from review.fleet import BROKEN, HELD, Fleet, Record, resume_options, run_case, with_trouble
+from review.fleet import BROKEN, HELD, Fleet, Record, run_case, with_trouble
 
 FOLDER = Path(__file__).resolve().parent
-TIMEOUT_MS = DEADLINE_MS = 15000
-EVENTS, GAP_S, STREAMS, ROUTERS = 150, 0.02, 150, 6
-NEW_EVENTS, NEW_GAP_S = 2, 0.2
-OLD, REPLACED, RELEASE_GAP_S = 10, 8, 0.72
-# A leaving replica serves for `drain_ms` and at times many seconds longer.
-DRAIN_S = 2.0 + 6.0
-TRIES, RETRY_S = 3, 0.5
-# "Of 12 or more streams that clients take up again ..., the share that goes on is under half".
-TAKEN_UP_AT_LEAST = 12
+STORE_DOWN_S = 8.0
+REPLICA_DOWN_S = 2.0
+HEARTBEAT_S = 1.2
+ALLOWED_STREAMS = 2
+SHORT_EVENTS, LONG_EVENTS = 1, 24
+PACE_MS = 160
 
 
 class Case:
@@ -29,108 +26,103 @@
         self.record = record
         self.numbers = count(1)
         self.stopping = False
-        self.taken_up = self.went_on = self.new = self.begun = 0
+        self.joined: list[str] = []
+        self.streams = self.complete = 0
+        self.born = dict.fromkeys(("lm-1", "lm-2", "lm-3", "lm-4"), 1)
+        self.up = set(self.born)
 
     async def run(self) -> int:
         """Play the day; return the exit code."""
         fleet = self.fleet
-        await fleet.open_store_endpoint()
-        fleet.write_plan(timeout_ms=TIMEOUT_MS, goal_ms=1000)
-        for number in range(OLD):
-            await fleet.add_replica(f"old-{number}", "lm")
-        for number in range(1, ROUTERS + 1):
-            await fleet.start_router(f"edge-za-{number}")
-        await trio.sleep(2)
-        async with trio.open_nursery() as clients:
-            for number in range(STREAMS):
-                router = fleet.routers[number % len(fleet.routers)]
-                clients.start_soon(self.stream, next(self.numbers), router)
-                await trio.sleep(GAP_S)
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.begin_new)
-                for number in range(REPLACED):
-                    await self.add_new(f"new-{number}")
-                    nursery.start_soon(self.drain, f"old-{number}")
-                    await trio.sleep(RELEASE_GAP_S)
-                await trio.sleep(1)
+        fleet.pace_ms = PACE_MS
+        door = await fleet.open_store_endpoint()
+        fleet.write_plan(timeout_ms=15000, goal_ms=1000)
+        for name in self.born:
+            await fleet.add_replica(name, "lm")
+        routers = [await fleet.start_router(f"edge-za-{number}") for number in (1, 2)]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.heartbeats, door, nursery.cancel_scope)
+            async with trio.open_nursery() as clients:
+                for router in routers:
+                    clients.start_soon(self.send, clients, router, SHORT_EVENTS, 0.05)
+                await trio.sleep(3)
                 if with_trouble():
-                    self.record.write("edge-za-1 is killed")
-                    fleet.routers[0].process.kill()
-                await trio.sleep(4)
+                    door.faults.silent = True
+                    self.record.write("the store is down")
+                clients.start_soon(self.restore, door, STORE_DOWN_S)
+                await trio.sleep(0.2)
+                await self.restart("lm-1")
+                await trio.sleep(2.0)
+                for router in routers:
+                    clients.start_soon(self.send, clients, router, LONG_EVENTS, 0.06)
+                await trio.sleep(3.2)
+                await self.restart("lm-2")
+                await trio.sleep(1)
                 self.stopping = True
-        went_on = self.went_on / max(1, self.taken_up)
-        begun = self.begun / max(1, self.new)
+            nursery.cancel_scope.cancel()
         self.record.write(
-            f"{self.taken_up} streams taken up again, {self.went_on} went on ({went_on:.2f}); "
-            f"{self.new} new streams, {self.begun} began ({begun:.2f})"
+            f"{self.streams} streams, {self.complete} complete, {len(self.joined)} hold events of "
+            f"two versions (at most {ALLOWED_STREAMS} may)"
         )
-        if self.taken_up < TAKEN_UP_AT_LEAST:
-            return HELD
-        return BROKEN if went_on < begun / 2 else HELD
-
-    async def add_new(self, name: str) -> None:
-        """Start a replica of the newer version."""
-        replica = self.fleet.make_replica(name)
-        replica.software = "v2"
-        self.fleet.replicas[name], self.fleet.services[name] = replica, "lm"
-        self.fleet.ports[name] = await self.fleet.listen(name, replica.serve)
-        self.fleet.register_replica(name, "lm", version="v2")
-        self.record.write(f"{name} is added with the software v2")
-
-    async def drain(self, name: str) -> None:
-        """Let a replica leave: it says so, serves on for some seconds, and exits."""
-        self.fleet.register_replica(name, "lm", state="draining")
-        self.record.write(f"{name} is draining")
-        await trio.sleep(DRAIN_S)
-        self.fleet.store.write("servers", name, None)
+        return BROKEN if len(self.joined) > ALLOWED_STREAMS else HELD
+
+    async def restore(self, door, span_s: float) -> None:
+        """Let the store answer again."""
+        await trio.sleep(span_s)
+        door.faults.silent = False
+        self.record.write("the store answers")
+
+    async def restart(self, name: str) -> None:
+        """Crash a replica; it is back after some seconds, with its id and the newer software."""
+        self.record.write(f"{name} crashes")
+        self.up.discard(name)
         self.fleet.stop_replica(name)
-        self.record.write(f"{name} has left")
-
-    async def begin_new(self) -> None:
-        """Begin short streams of other chats at the routers that are not disturbed."""
-        async with trio.open_nursery() as nursery:
-            while not self.stopping:
-                for router in self.fleet.routers[1:]:
-                    nursery.start_soon(self.begin_one, router)
-                await trio.sleep(NEW_GAP_S)
-
-    async def begin_one(self, router) -> None:
-        """Begin one short stream."""
-        number = next(self.numbers)
-        name = f"req{number:05d}-1"
-        options = resume_options(name, [], DEADLINE_MS, trio.current_time())
-        target = f"/chat/{NEW_EVENTS}/{number}"
-        response = await self.fleet.call(router, target, request_id=name, **options)
-        self.new += 1
-        self.begun += response.status == 200
-        self.record.write(f"client got new {name}: {response.status}")
-
-    async def stream(self, number: int, router) -> None:
-        """Read one stream; take it up again at another router after a broken connection."""
-        first_try, made = f"req{number:05d}-1", []
-        started = trio.current_time()
-        for attempt in range(1, TRIES + 1):
-            name = f"req{number:05d}-{attempt}"
-            options = resume_options(first_try, made, DEADLINE_MS, started)
-            self.record.write(f"client sends {name} to {router.name} after {len(made)} events")
-            response = await self.fleet.call(
-                router, f"/chat/{EVENTS}/{number}", request_id=name, **options
-            )
-            found = re.findall(r"data: (\S+) (\S+) (\d+)\n", response.body.decode())
-            code = re.findall(r'"code": "(\w+)"', response.body.decode())
-            self.record.write(f"client got {name}: {response.status} {code} {len(found)} events")
-            if made and attempt == 2:
-                self.taken_up += 1
-            if made and found:
-                self.went_on += 1
-            made += found
-            if (response.complete and response.status == 200) or not made:
-                return
-            if attempt > 1 and found:
-                return
-            if attempt > 1:
-                await trio.sleep(RETRY_S)
-            router = self.fleet.routers[1 + (number + attempt) % (ROUTERS - 1)]
+        await trio.sleep(REPLICA_DOWN_S)
+        replica = self.fleet.replicas[name]
+        replica.software = "v2"
+        self.born[name] += 1
+        port = await self.fleet.listen(name, replica.serve, self.fleet.ports[name])
+        assert port == self.fleet.ports[name]
+        self.up.add(name)
+        self.record.write(f"{name} is back with the software v2")
+
+    async def heartbeats(self, door, scope) -> None:
+        """Write the entries of the replicas that run, as long as the store takes them."""
+        while True:
+            if not door.faults.silent:
+                for name in sorted(self.up):
+                    replica = self.fleet.replicas[name]
+                    self.fleet.register_replica(
+                        name, "lm", version=replica.software, born=self.born[name]
+                    )
+            await trio.sleep(HEARTBEAT_S / 4)
+
+    async def send(self, clients, router, events: int, gap_s: float) -> None:
+        """Begin streams at a router, each of its own chat."""
+        while not self.stopping:
+            clients.start_soon(self.stream, router, next(self.numbers), events)
+            await trio.sleep(gap_s)
+
+    async def stream(self, router, number: int, events: int) -> None:
+        """Read one stream, and note which versions made its events."""
+        name = f"req{number:05d}"
+        self.record.write(f"client sends {name} to {router.name}, {events} events")
+        response = await self.fleet.call(
+            router,
+            f"/chat/{events}/{number}",
+            request_id=name,
+            deadline_ms=15000,
+            headers={"x-prefix-hash": f"aa{number:06x}:500,bb{number:06x}:40,cc{number:06x}:10"},
+        )
+        made = re.findall(r"data: (\S+) (\S+) (\d+)", response.body.decode())
+        versions = sorted({version for _, version, _ in made})
+        self.streams += 1
+        self.complete += response.complete
+        line = f"client got {name}: {response.status}, {len(made)} events, versions {versions}"
+        if len(versions) > 1:
+            self.joined.append(name)
+            line += f" JOINED {sorted({(one, other) for one, other, _ in made})}"
+        self.record.write(line)
 
 
 async def main() -> int:
@@ -143,7 +135,7 @@
                 code = await Case(fleet, record).run()
             finally:
                 fleet.stop()
-                record.write_logs(fleet, ("release_", "store_", "request_failed"))
+                record.write_logs(fleet, ("upstream_", "store_", "start"))
             nursery.cancel_scope.cancel()
     return code
 
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -114,9 +114,11 @@
         super().__init__(nursery, folder)
         self.record = record
 
+    pace_ms = 80
+
     def make_replica(self, name: str) -> VersionedReplica:
         """Create a replica without starting it."""
-        return VersionedReplica(name, pace_ms=80, record=self.record)
+        return VersionedReplica(name, pace_ms=self.pace_ms, record=self.record)
 
     def _launch(self, name: str, store_endpoint_index: int, peer_port: int) -> RouterProcess:
         """Write a router's settings file and start the router's process."""
