--- a/review/3/case.py
+++ b/review/3/case.py
@@ -90,7 +90,7 @@
 
 async def main() -> int:
     """Run the case."""
-    record = Record(FOLDER)
+    record = Record(FOLDER / "record.txt")
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             fleet = Fleet(nursery, folder, record)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -10,7 +10,9 @@
 
 FOLDER = Path(__file__).resolve().parent
 TIMEOUT_MS, DEADLINE_MS = 8000, 15000
-STREAMS, EVENTS, GAP_S = 48, 64, 0.06
+STREAMS, EVENTS, GAP_S = 48, 88, 0.06
+# As on day scale-2 of the site: share = 0.46, x = 1.0, gap_s = 0.72.
+OLD, REPLACED, RELEASE_GAP_S = 7, 3, 0.72
 RESTART_S = 0.5
 TRIES, RETRY_S = 5, 0.4
 ALLOWED_STREAMS = 2
@@ -30,8 +32,8 @@
         fleet = self.fleet
         await fleet.open_store_endpoint()
         fleet.write_plan(timeout_ms=TIMEOUT_MS, goal_ms=1000)
-        for name in ("lm-1", "lm-2"):
-            await fleet.add_replica(name, "lm")
+        for number in range(OLD):
+            await fleet.add_replica(f"old-{number}", "lm")
         for number in (1, 2, 3):
             await fleet.start_router(f"edge-za-{number}")
         await trio.sleep(2)
@@ -39,14 +41,10 @@
             for number in range(STREAMS):
                 clients.start_soon(self.stream, number)
                 await trio.sleep(GAP_S)
-            for name in ("lm-3", "lm-4"):
-                replica = fleet.make_replica(name)
-                replica.software = "v2"
-                fleet.replicas[name], fleet.services[name] = replica, "lm"
-                fleet.ports[name] = await fleet.listen(name, replica.serve)
-                fleet.register_replica(name, "lm", version="v2")
-                self.record.write(f"{name} is added with the software v2")
-            await trio.sleep(2.4)
+            for number in range(REPLACED):
+                await self.replace(number)
+                await trio.sleep(RELEASE_GAP_S)
+            await trio.sleep(1.5)
             if with_trouble():
                 await self.kill_all()
         self.record.write(
@@ -55,6 +53,17 @@
         )
         return BROKEN if len(self.joined) > ALLOWED_STREAMS else HELD
 
+    async def replace(self, number: int) -> None:
+        """Start a replica of the newer version; an old one drains, and serves on for a while."""
+        replica = self.fleet.make_replica(f"new-{number}")
+        replica.software = "v2"
+        name = replica.name
+        self.fleet.replicas[name], self.fleet.services[name] = replica, "lm"
+        self.fleet.ports[name] = await self.fleet.listen(name, replica.serve)
+        self.fleet.register_replica(name, "lm", version="v2")
+        self.fleet.register_replica(f"old-{number}", "lm", state="draining")
+        self.record.write(f"{name} is added with the software v2, old-{number} is draining")
+
     async def kill_all(self) -> None:
         """Kill all routers at the same moment; the platform starts them again soon after."""
         self.record.write("all routers are killed")
@@ -104,7 +113,7 @@
 
 async def main() -> int:
     """Run the case."""
-    record = Record(FOLDER)
+    record = Record(FOLDER / "record.txt")
     with tempfile.TemporaryDirectory() as folder:
         async with trio.open_nursery() as nursery:
             fleet = Fleet(nursery, folder, record)
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -2,6 +2,8 @@
 
 import json
 import os
+import signal
+import subprocess
 import sys
 import time
 import zlib
@@ -14,7 +16,12 @@
 from standins.platform_world import HOST
 from standins.replica import MS_PER_SECOND, Replica
 
-HELD, BROKEN, NOT_RUN = 0, 1, 2
+# Python ends with 1 at any error, so a broken rule has another code, which run.sh turns into 1.
+HELD, BROKEN, NOT_RUN = 0, 10, 2
+# A case that has not ended by then has failed; its processes are ended.
+LIMIT_S = 100
+# The processes that this case has started.
+STARTED: list[subprocess.Popen] = []
 # The chats of each run are others.
 RUN = os.urandom(4).hex()
 # As in the settings of a small deployment, where they are not addresses.
@@ -58,8 +65,8 @@
 class Record:
     """The lines of `record.txt`: what was sent, answered and run, with the time since the start."""
 
-    def __init__(self, folder: Path):
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path):
+        self._file = path.open("w")
         self._started = time.monotonic()
 
     def write(self, text: str) -> None:
@@ -122,6 +129,12 @@
         """Create a replica without starting it."""
         return VersionedReplica(name, pace_ms=self.pace_ms, record=self.record)
 
+    def _start_process(self, settings: Path, log: Path) -> subprocess.Popen:
+        """Start the process of a router, and remember it."""
+        process = super()._start_process(settings, log)
+        STARTED.append(process)
+        return process
+
     async def call(self, router: RouterProcess, target: str, **options) -> Response:
         """Send a request; without an answer return an empty response, or raise `OSError`."""
         try:
@@ -160,12 +173,31 @@
     return {"deadline_ms": left_ms, "headers": headers}
 
 
+def end_processes() -> None:
+    """End all processes that this case has started."""
+    for process in STARTED:
+        if process.poll() is None:
+            process.kill()
+            process.wait()
+
+
+def _stop(_number, _frame) -> None:
+    """End the processes and this one, as the case was told to stop or takes too long."""
+    end_processes()
+    os._exit(NOT_RUN)
+
+
 def run_case(main) -> None:
     """Run a case's main function and exit with the code that it returns; 2 if it cannot run."""
     os.chdir(ROOT)
+    for number in (signal.SIGTERM, signal.SIGALRM):
+        signal.signal(number, _stop)
+    signal.alarm(LIMIT_S)
+    code = NOT_RUN
     try:
         code = trio.run(main)
     except* Exception as group:
         print(f"the case could not run: {group.exceptions!r}", file=sys.stderr)
-        code = NOT_RUN
+    finally:
+        end_processes()
     sys.exit(code)
