Take a stream's age as unknown unless callers' longest deadline is known

Cause: a router that has just started reckoned how long ago a stream can have begun from the deadlines that it had seen itself, and took the route's time-out where it had seen none. Callers wait for longer than that, so the age came out as 0 ms, the proportions under which the stream began were left out, and the single version that remained was taken for certain.

Change: the longest deadline is kept by service, with its age (2 minutes at most), told by gossip, and written into the row on software versions with each step, so that routers that start anew know it. Without one, if the caller has more time left than any known one, or names none, the stream may have begun under any proportions of the last minute.

Ruled out: a lower bound of the age from the shortest deadline named, which would let more go on: a caller's second try may begin a stream with less time left than any deadline seen.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -53,6 +53,27 @@
       | another router began it              | 100=v1:1 4=v1:4,v2:4     | asks one that knows   | of v2         | 9000  | v1      | known_to_another_router |
       | no other router knows                | 100=v1:1 4=v1:4,v2:4     | asks one that does not | of v2        | 9000  | none    | version_ambiguous       |
 
+  # Guards against streams that are joined after all routers were lost, where callers wait for longer
+  # than the time-out of their route (review/4).
+  Scenario Outline: How old a stream may be that a client resumes at a router with <known>
+    Given the proportions "100=v1:1 4=v1:4,v2:4"
+    And a new router with <known>
+    When a client resumes a stream of a prompt that moved, on a route of 5 s, with <left> ms left
+    Then the resumed stream <result>
+
+    Examples:
+      | known                                  | left  | result                       |
+      | no deadline                            | 9000  | is refused, as version_ambiguous |
+      | no deadline                            | 0     | is refused, as version_ambiguous |
+      | a deadline of 15 s here                | 9000  | is refused, as version_ambiguous |
+      | a deadline of 15 s here                | 13000 | goes on at v2                |
+      | a deadline of 15 s by another router   | 9000  | is refused, as version_ambiguous |
+      | a deadline of 15 s by another router   | 13000 | goes on at v2                |
+      | a deadline of 15 s by the row          | 13000 | goes on at v2                |
+      | a deadline of 15 s here                | 16000 | is refused, as version_ambiguous |
+      | a deadline of 15 s here                | 0     | is refused, as version_ambiguous |
+      | a deadline of 15 s, 2 minutes ago      | 13000 | is refused, as version_ambiguous |
+
   # Guards against replicas that come back and never get the streams that would show them to be sound.
   Scenario Outline: Which replicas may take a stream of "v1": <case>
     Given a router before replicas r0 and r1 of "v1" and r2 of "v2"
--- a/features/steps/entry_outside_values.py
+++ b/features/steps/entry_outside_values.py
@@ -44,12 +44,14 @@
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.releases import (
     ReleaseReport,
+    ReleaseRow,
     ReleaseStep,
     VersionWeight,
-    decode_steps,
-    encode_steps,
+    decode_release_row,
+    encode_release_row,
 )
 from skylarklift.entry.rows import InvalidRow, RowChange, RowPage, RowTable, TableSummary
+from skylarklift.entry.stream_deadlines import LongestDeadline
 from skylarklift.entry.stream_origins import StreamOrigin
 from skylarklift.entry.wire import decode_gossip, decode_page, encode_gossip, encode_page
 from skylarklift.errors import (
@@ -254,7 +256,9 @@
 # Sound messages, one value of which is replaced after another.
 
 SUMMARIES = (TableSummary(5, 4, 7, 20, 1), TableSummary(6, 6, 9, 20, 1))
-RELEASE = ReleaseReport("lm", 3, (ReleaseStep(10, (VersionWeight("v1", 2),)),), 1)
+RELEASE = ReleaseReport(
+    "lm", 3, (ReleaseStep(10, (VersionWeight("v1", 2),)),), 1, LongestDeadline(15_000, 20)
+)
 GOSSIP = GossipMessage(
     node="r2",
     boot="b",
@@ -382,7 +386,8 @@
 
 def steps_row(odd):
     """Yield changed copies of a row on software versions."""
-    yield from in_json(encode_steps(RELEASE.steps, 1000), odd)
+    row = ReleaseRow(RELEASE.steps, RELEASE.deadline)
+    yield from in_json(encode_release_row(row, 1000), odd)
 
 
 STORE_ANSWER = json.dumps(
@@ -436,7 +441,7 @@
     "row on software versions": (
         steps_row,
         lambda core, data: core.apply_release(
-            ReleaseReport("lm", 9, decode_steps(data, 1000)), "test"
+            ReleaseReport("lm", 9, decode_release_row(data, 1000).steps), "test"
         ),
         SkylarkError,
     ),
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -1,5 +1,7 @@
 """Steps for streams that may go on only at the software version that began them."""
 
+from dataclasses import replace
+
 import trio
 from behave import given, then, when
 
@@ -23,16 +25,21 @@
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.releases import (
     ReleaseReport,
+    ReleaseRow,
     Releases,
     ReleaseStep,
     VersionWeight,
-    decode_steps,
-    encode_steps,
+    decode_release_row,
+    encode_release_row,
     pick_version,
 )
 from skylarklift.entry.resumptions import OriginSource, ResumedStream, Resumptions
 from skylarklift.entry.rows import RowTable, TableSummary
+from skylarklift.entry.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
 from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.entry.stream_version import StreamVersion
+from skylarklift.entry.wire import decode_gossip, encode_gossip
+from skylarklift.errors import Refusal
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
 SERVICE = "lm"
@@ -230,6 +237,54 @@
     assert (context.found.version or "none") == version, context.found
 
 
+@given("a new router with {known}")
+def just_started(context, known):
+    context.core = core_with_replicas(3, context.clock)
+    releases, deadline = context.core.releases, LongestDeadline(LONGEST_MS, 0)
+    report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    match known:
+        case "no deadline":
+            assert releases.apply(report)
+        case "a deadline of 15 s here":
+            assert releases.apply(report)
+            releases.deadlines.record(SERVICE, LONGEST_MS)
+        case "a deadline of 15 s by another router":
+            message = gossip_of_releases(replace(report, deadline=deadline))
+            assert releases.apply(decode_gossip(encode_gossip(message)).releases[0])
+        case "a deadline of 15 s by the row":
+            data = encode_release_row(ReleaseRow(context.steps, deadline), STORE_NOW_MS)
+            row = decode_release_row(data, STORE_NOW_MS)
+            assert releases.apply(replace(report, deadline=row.deadline))
+        case "a deadline of 15 s, 2 minutes ago":
+            releases.deadlines.record(SERVICE, LONGEST_MS)
+            context.clock.advance(DEADLINE_TTL_MS)
+            assert releases.apply(report)
+
+
+def gossip_of_releases(*releases):
+    """Return a message of another router about software versions."""
+    return GossipMessage("n1", "b", "", EMPTY_SUMMARIES, releases=releases)
+
+
+@when("a client resumes a stream of a prompt that moved, on a route of 5 s, with {left:d} ms left")
+def resumed_after_start(context, left):
+    core = context.core
+    route = core.cluster_state.plan.route("app.example", "/chat/x")
+    call = new_call(f"{prompt_of(context, 'v2')}:10,own:1", deadline_ms=left)
+    call.resume_after, call.resumes = 2, REQUEST
+    version = StreamVersion(core, call, route)
+    try:
+        trio.run(version.find, SERVICE)
+        context.result = f"goes on at {version.required}"
+    except Refusal as exc:
+        context.result = f"is refused, as {exc.code}"
+
+
+@then("the resumed stream {result}")
+def resumed_stream(context, result):
+    assert context.result == result, context.result
+
+
 @when('a replica of "v2" takes the place of one of "v1"')
 def replica_replaced(context):
     context.before = context.steps[-1].weights
@@ -248,11 +303,14 @@
 
 @then("the row reads back as it was written")
 def row_reads_back(context):
-    data = encode_steps(context.steps, STORE_NOW_MS)
-    assert decode_steps(data, STORE_NOW_MS) == context.steps
-    later = decode_steps(data, STORE_NOW_MS + 500)
-    assert later[0].age_ms == context.steps[0].age_ms + 500
-    assert decode_steps(b"{odd", 0) == decode_steps(b'{"steps":[7]}', 0) == ()
+    row = ReleaseRow(context.steps, LongestDeadline(15_000, 200))
+    data = encode_release_row(row, STORE_NOW_MS)
+    assert decode_release_row(data, STORE_NOW_MS) == row
+    later = decode_release_row(data, STORE_NOW_MS + 500)
+    assert later.steps[0].age_ms == context.steps[0].age_ms + 500
+    assert later.deadline == LongestDeadline(15_000, 700)
+    for odd in (b"{odd", b'{"steps":[7]}'):
+        assert decode_release_row(odd, 0) == ReleaseRow()
 
 
 @when('the usable replicas are "{replicas}"')
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -19,7 +19,7 @@
 from skylarklift.entry.header_codec import HeaderCodec
 from skylarklift.entry.health import Health
 from skylarklift.entry.metrics import Metrics
-from skylarklift.entry.model import NodeSettings, ReplicaLoad, Route, UpstreamRecord
+from skylarklift.entry.model import NodeSettings, ReplicaLoad, UpstreamRecord
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.releases import ReleaseReport, Releases
 from skylarklift.entry.resumptions import Resumptions
@@ -36,12 +36,6 @@
     from skylarklift.entry.attempt import Attempt
 
 
-MAX_DEADLINE_MS = 600_000
-MAX_DEADLINES = 5000
-# A caller's tries begin a little before its first deadline arrives here.
-DEADLINE_MARGIN_MS = 500
-
-
 @dataclass(frozen=True, slots=True)
 class Probe:
     """The result and time of a connection attempt that checked an upstream."""
@@ -59,7 +53,6 @@
     `state_changed` is set when a change is to be sent to the other routers at once,
     `load_observed` when an upstream is newly busy, and `crash_reported` when this router or another
     one has reported the crash of an upstream.
-    `deadlines` holds the longest deadline that callers of each route have named.
     `releases_read` is set once rows on software versions are known, or there are none.
     `store_restored` is set when the store has lost what was written to it last.
     """
@@ -84,7 +77,6 @@
     attempts: set["Attempt"] = field(default_factory=set)
     newest_era: Era = NO_ERA
     releases_read: trio.Event = field(default_factory=trio.Event)
-    deadlines: dict[str, int] = field(default_factory=dict)
     stopping_since: Millis | None = None
     requests_open: int = 0
     reading_store: dict[RowTable, bool] = field(
@@ -150,19 +142,6 @@
         self.progress.forget(replica)
         self.probes.pop(replica, None)
 
-    def note_deadline(self, route: Route, deadline_ms: int) -> None:
-        """Record how long a caller of a route waits for a request that it sends the first time."""
-        known_ms = self.deadlines.get(route.name, 0)
-        if deadline_ms > known_ms:
-            self.deadlines[route.name] = min(deadline_ms, MAX_DEADLINE_MS)
-        while len(self.deadlines) > MAX_DEADLINES:
-            del self.deadlines[next(iter(self.deadlines))]
-
-    def longest_deadline_ms(self, route: Route) -> int:
-        """Return how long a caller of a route may have waited: as long as any is known to."""
-        longest_ms = max(route.timeout_ms, self.deadlines.get(route.name, 0))
-        return longest_ms + DEADLINE_MARGIN_MS
-
     def record_hold_off(self, record: UpstreamRecord, span_ms: int) -> None:
         """Record that an upstream wants no request from this router for some time."""
         if self.chooser.hold_offs.record(record, span_ms):
--- a/skylarklift/entry/release_sync.py
+++ b/skylarklift/entry/release_sync.py
@@ -48,7 +48,12 @@
         for service, counts in self._count_versions().items():
             steps = core.releases.next_row(service, counts)
             if steps is not None:
-                report = ReleaseReport(service, core.releases.row_version(service), steps)
+                report = ReleaseReport(
+                    service,
+                    core.releases.row_version(service),
+                    steps,
+                    deadline=core.releases.deadlines.longest(service),
+                )
                 self._apply([await self._store.write_release(report)])
 
     def _apply(self, reports: list[ReleaseReport]) -> None:
--- a/skylarklift/entry/releases.py
+++ b/skylarklift/entry/releases.py
@@ -10,10 +10,12 @@
 import json
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from typing import Any
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.rows import NO_ERA, Era
+from skylarklift.entry.stream_deadlines import LongestDeadline, StreamDeadlines
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ServiceId, SoftwareVersion
 from skylarklift.util.bounded import checked_integer, checked_list, checked_text, parse_json
@@ -46,18 +48,30 @@
 
 @dataclass(frozen=True, slots=True)
 class ReleaseReport:
-    """A service's row as a router knows it: its version and its steps, the oldest first."""
+    """A service's row as a router knows it: its version and its steps, the oldest first.
+
+    `deadline` is the longest that callers of the service have named, `None` if none is known.
+    """
 
     service: ServiceId
     row_version: int
     steps: tuple[ReleaseStep, ...]
     era: Era = NO_ERA
+    deadline: LongestDeadline | None = None
 
     def is_newer_than(self, other: "ReleaseReport") -> bool:
         """Return whether the store accepted this row after the other one."""
         return (self.era, self.row_version) > (other.era, other.row_version)
 
 
+@dataclass(frozen=True, slots=True)
+class ReleaseRow:
+    """The data of a service's row."""
+
+    steps: tuple[ReleaseStep, ...] = ()
+    deadline: LongestDeadline | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class KnownRelease:
     """A service's row and when its ages were right."""
@@ -67,14 +81,19 @@
 
 
 class Releases:
-    """The proportions of the software versions of each service."""
+    """The proportions of the software versions of each service, and how long callers wait."""
 
     def __init__(self, clock: Clock):
         self._clock = clock
         self._known: dict[ServiceId, KnownRelease] = {}
+        self.deadlines = StreamDeadlines(clock)
 
     def apply(self, report: ReleaseReport) -> bool:
         """Use a row from now on, unless a newer one is known; return whether it is new."""
+        if report.deadline is not None:
+            self.deadlines.record(
+                report.service, report.deadline.span_ms, report.deadline.age_ms + REPORT_DELAY_MS
+            )
         known = self._known.get(report.service)
         if known and not report.is_newer_than(known.report):
             return False
@@ -87,7 +106,9 @@
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
         return tuple(
-            ReleaseReport(service, known.report.row_version, self._current(known), known.report.era)
+            replace(
+                known.report, steps=self._current(known), deadline=self.deadlines.longest(service)
+            )
             for service, known in self._known.items()
         )
 
@@ -122,6 +143,14 @@
             for step in _steps_since(self.steps(service), max_age_ms)
         )
 
+    def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
+        """Return how long ago a stream that a caller resumes began at most.
+
+        Without a bound it may have begun under any proportions that are kept.
+        """
+        found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
+        return STEP_TTL_MS if found is None else min(found, STEP_TTL_MS)
+
     def has_one_version(self, service: ServiceId) -> bool:
         """Return whether any stream that is left began at the same version."""
         steps = _steps_since(self.steps(service), STEP_TTL_MS)
@@ -155,7 +184,7 @@
 def _with_steps(report: ReleaseReport, steps: tuple[ReleaseStep, ...]) -> ReleaseReport:
     """Return a row with further steps before its own."""
     merged = (*steps, *(step for step in report.steps if step not in steps))
-    return ReleaseReport(report.service, report.row_version, merged[-MAX_STEPS:], report.era)
+    return replace(report, steps=merged[-MAX_STEPS:])
 
 
 def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
@@ -171,31 +200,49 @@
     return max(weights, key=score).version
 
 
-def encode_steps(steps: tuple[ReleaseStep, ...], now_ms: int) -> bytes:
+def encode_release_row(row: ReleaseRow, now_ms: int) -> bytes:
     """Return the data of a row; times are those of the store's clock."""
-    rows = [
+    steps = [
         {
             "since_ms": now_ms - step.age_ms,
             "replicas": {item.version: item.weight for item in step.weights},
         }
-        for step in steps
+        for step in row.steps
     ]
-    return json.dumps({"steps": rows}, separators=(",", ":")).encode()
+    value: dict[str, Any] = {"steps": steps}
+    if row.deadline is not None:
+        value["deadline_ms"] = row.deadline.span_ms
+        value["deadline_named_ms"] = now_ms - row.deadline.age_ms
+    return json.dumps(value, separators=(",", ":")).encode()
 
 
-def decode_steps(data: bytes, now_ms: int) -> tuple[ReleaseStep, ...]:
-    """Return the steps in the data of a row, none if it is invalid."""
+def decode_release_row(data: bytes, now_ms: int) -> ReleaseRow:
+    """Return the data of a row, without steps if it is invalid."""
     try:
-        return tuple(
-            ReleaseStep(
-                max(0, now_ms - checked_integer(row["since_ms"])),
-                tuple(
-                    VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(count))
-                    for version, count in sorted(row["replicas"].items())
-                ),
-            )
-            for row in checked_list(parse_json(data)["steps"])[-MAX_STEPS:]
-            if row["replicas"]
-        )
+        value = parse_json(data)
+        return ReleaseRow(_decode_steps(value, now_ms), _decode_deadline(value, now_ms))
     except (ValueError, TypeError, KeyError, AttributeError):
-        return ()
+        return ReleaseRow()
+
+
+def _decode_deadline(value: dict[str, Any], now_ms: int) -> LongestDeadline | None:
+    """Return the longest deadline in a row, `None` without one; raise `ValueError`."""
+    if "deadline_ms" not in value:
+        return None
+    named_ms = checked_integer(value.get("deadline_named_ms"))
+    return LongestDeadline(checked_integer(value["deadline_ms"]), max(0, now_ms - named_ms))
+
+
+def _decode_steps(value: dict[str, Any], now_ms: int) -> tuple[ReleaseStep, ...]:
+    """Return the steps in a row; raise `ValueError` and others if they are invalid."""
+    return tuple(
+        ReleaseStep(
+            max(0, now_ms - checked_integer(row["since_ms"])),
+            tuple(
+                VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(count))
+                for version, count in sorted(row["replicas"].items())
+            ),
+        )
+        for row in checked_list(value["steps"])[-MAX_STEPS:]
+        if row["replicas"]
+    )
--- /dev/null
+++ b/skylarklift/entry/stream_deadlines.py
@@ -0,0 +1,79 @@
+"""How long callers wait for their streams, so that the age of one that is resumed is bounded.
+
+A caller that resumes a stream names how long it will still wait.  Together with the longest time
+that any caller of the service waits, this tells how long ago the stream began at most.  Routers
+report the longest time to each other, and keep it in the row on software versions for those that
+start anew.
+"""
+
+from dataclasses import dataclass
+
+from skylarklift.clock import Clock, Millis
+from skylarklift.ids import ServiceId
+
+MAX_DEADLINE_MS = 600_000
+MAX_SERVICES = 5000
+# A deadline that no caller has named for this long counts no more.
+DEADLINE_TTL_MS = 120_000
+# A caller's tries begin a little before its first deadline arrives here.
+DEADLINE_MARGIN_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class LongestDeadline:
+    """The longest deadline of a service's callers, and how long ago one last named it."""
+
+    span_ms: int
+    age_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KnownDeadline:
+    """The longest deadline of a service's callers, and when one last named it."""
+
+    span_ms: int
+    named_at: Millis
+
+
+class StreamDeadlines:
+    """The longest deadline that callers of each service have named lately, at any router."""
+
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        self._known: dict[ServiceId, KnownDeadline] = {}
+
+    def record(self, service: ServiceId, span_ms: int, age_ms: int = 0) -> None:
+        """Record that a caller named a deadline `age_ms` ago, with the first try of a stream."""
+        if span_ms <= 0 or age_ms >= DEADLINE_TTL_MS:
+            return
+        found = KnownDeadline(min(span_ms, MAX_DEADLINE_MS), Millis(self._clock.now() - age_ms))
+        known = self._find(service)
+        if known is None or (found.span_ms, found.named_at) > (known.span_ms, known.named_at):
+            self._known[service] = found
+        while len(self._known) > MAX_SERVICES:
+            del self._known[next(iter(self._known))]
+
+    def _find(self, service: ServiceId) -> KnownDeadline | None:
+        """Return what is known of a service and still counts."""
+        known = self._known.get(service)
+        if known is None or known.named_at <= self._clock.now() - DEADLINE_TTL_MS:
+            return None
+        return known
+
+    def longest(self, service: ServiceId) -> LongestDeadline | None:
+        """Return the longest deadline of a service, `None` if none is known."""
+        known = self._find(service)
+        if known is None:
+            return None
+        return LongestDeadline(known.span_ms, self._clock.now() - known.named_at)
+
+    def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int | None:
+        """Return how long ago a stream that a caller resumes began at most, `None` if unknown.
+
+        The caller will wait for `left_ms` more, 0 if it names no time.  `timeout_ms` is the
+        time-out of the route, which callers need not know.
+        """
+        known = self._find(service)
+        if known is None or not 0 < left_ms <= known.span_ms:
+            return None
+        return max(known.span_ms, timeout_ms) + DEADLINE_MARGIN_MS - left_ms
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/stream_version.py
@@ -38,7 +38,7 @@
             return service
         if call.resume_after is not None:
             return await self._find_origin(service)
-        core.note_deadline(self._route, call.deadline_ms)
+        core.releases.deadlines.record(service, call.deadline_ms)
         self.assigned = core.releases.assigned_version(service, affinity_key(call))
         return service
 
@@ -49,7 +49,8 @@
             await core.wait_for_releases(MAX_RELEASES_WAIT_MS)
         request = call.resumes or call.request
         key = affinity_key(call) if call.parts else request
-        stream = ResumedStream(request, service, key, self._max_age_ms())
+        max_age_ms = core.releases.max_age_ms(service, self._route.timeout_ms, call.deadline_ms)
+        stream = ResumedStream(request, service, key, max_age_ms)
         self.origin = await core.resumptions.find(stream)
         core.metrics.increment("resumptions", self.origin.source.value)
         self.required = self.origin.version
@@ -62,14 +63,6 @@
         targets = [target.service for target in self._route.targets]
         return self.origin.service if self.origin.service in targets else service
 
-    def _max_age_ms(self) -> int:
-        """Return how long ago a stream that the caller resumes began at most.
-
-        The caller has waited since before that, for as long as its deadline has run.
-        """
-        longest_ms = self._core.longest_deadline_ms(self._route)
-        return max(0, longest_ms - self._call.deadline_ms)
-
     def wanted(self) -> WantedVersion | None:
         """Return the version that is to take the stream next, `None` if any may."""
         if self.required is not None:
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -1,7 +1,8 @@
 """Encode the messages between routers: gossip in datagrams, rows in framed streams."""
 
 import zlib
-from collections.abc import Hashable, Sequence
+from collections.abc import Hashable, Mapping, Sequence
+from dataclasses import replace
 from itertools import zip_longest
 from typing import Any
 
@@ -14,6 +15,7 @@
 from skylarklift.entry.rate_limits import LimitReport
 from skylarklift.entry.releases import ReleaseReport, ReleaseStep, VersionWeight
 from skylarklift.entry.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
+from skylarklift.entry.stream_deadlines import LongestDeadline
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 from skylarklift.util.bounded import (
@@ -36,6 +38,7 @@
 ERAS_KEY = "eras"
 OBSERVED_LOADS_KEY = "observed"
 RELEASES_KEY = "releases"
+DEADLINES_KEY = "deadlines"
 COMPRESSION_LEVEL = 1
 
 
@@ -63,6 +66,11 @@
                     (report.replica, report.per_second, report.age_ms) for report in message.limits
                 ],
                 RELEASES_KEY: [_release_fields(report) for report in message.releases],
+                DEADLINES_KEY: {
+                    report.service: (report.deadline.span_ms, report.deadline.age_ms)
+                    for report in message.releases
+                    if report.deadline is not None
+                },
                 ERAS_KEY: [summary.era for summary in message.tables],
                 OBSERVED_LOADS_KEY: [
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
@@ -105,7 +113,7 @@
             observed_loads=tuple(
                 decode_observed_load(*fields) for fields in extras.get(OBSERVED_LOADS_KEY, ())
             ),
-            releases=tuple(_decode_release(*fields) for fields in extras.get(RELEASES_KEY, ())),
+            releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
@@ -156,6 +164,19 @@
     return report.service, report.row_version, report.era, steps
 
 
+def _decode_releases(rows: Sequence, deadlines: Mapping) -> tuple[ReleaseReport, ...]:
+    """Return the rows on software versions; routers of earlier releases send no deadlines."""
+    found = []
+    for fields in rows:
+        report = _decode_release(*fields)
+        if report.service in deadlines:
+            span_ms, age_ms = deadlines[report.service]
+            deadline = LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
+            report = replace(report, deadline=deadline)
+        found.append(report)
+    return tuple(found)
+
+
 def _decode_release(service: Any, row_version: Any, era: Any, steps: Sequence) -> ReleaseReport:
     """Return a row on software versions; its steps count as older by the message's way."""
     return ReleaseReport(
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -11,7 +11,12 @@
 from skylarklift.clock import MS_PER_SECOND, Clock, LoopClock
 from skylarklift.entry.http_connection import HttpConnection, connect
 from skylarklift.entry.model import Endpoint, Headers
-from skylarklift.entry.releases import ReleaseReport, decode_steps, encode_steps
+from skylarklift.entry.releases import (
+    ReleaseReport,
+    ReleaseRow,
+    decode_release_row,
+    encode_release_row,
+)
 from skylarklift.entry.rows import (
     NO_ERA,
     ChangesUnavailable,
@@ -140,7 +145,7 @@
     async def write_release(self, report: ReleaseReport) -> ReleaseReport:
         """Write a service's row if its version is still the one named; return the row as it is."""
         row = {"table": RELEASE_TABLE, "part": "", "key": report.service}
-        data = encode_steps(report.steps, self._store_now_ms())
+        data = encode_release_row(ReleaseRow(report.steps, report.deadline), self._store_now_ms())
         body = {
             "expected": [{**row, "row_version": report.row_version}],
             "write": [{**row, "data": b64encode(data).decode()}],
@@ -248,12 +253,13 @@
     """Return the rows on software versions in an answer, without those that cannot be read."""
     rows, _ = _decode_rows(answer.value)
     now_ms = answer.value.get("now_ms") or 0
-    return [
-        ReleaseReport(
-            ServiceId(row.key), row.version, decode_steps(row.data or b"", now_ms), answer.era
-        )
-        for row in rows
-    ]
+    return [_decode_release(row, now_ms, answer.era) for row in rows]
+
+
+def _decode_release(row: RowChange, now_ms: int, era: Era) -> ReleaseReport:
+    """Return a row on software versions, without steps if it cannot be read."""
+    found = decode_release_row(row.data or b"", now_ms)
+    return ReleaseReport(ServiceId(row.key), row.version, found.steps, era, found.deadline)
 
 
 def _decode_row(row: dict[str, Any]) -> RowChange:
