Take rows on software versions for certain only while something confirms them

Callers saw: streams went on at another software version.

Cause: a router's copy of the row had no age. It was read once, and trusted from then on; a router could not tell that there was nothing else from having heard of nothing else.

Change: one rule in Releases: rows are current if the store, or another router for which it did, confirmed them in the last 2.5 s. The router that reads the store reads the rows each second, also after a failed write; gossip carries the age. Rows that are not current decide nothing, unless all other routers are heard. What a silent router may still use counts as long as it is silent.

Ruled out: refusing each resumption while the store is away, which would break LOST; refusing new streams at a router that is cut off.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -74,6 +74,39 @@
       | a deadline of 15 s here                | 0     | is refused, as version_ambiguous |
       | a deadline of 15 s, 2 minutes ago      | 13000 | is refused, as version_ambiguous |
 
+  # Guards against a router that is cut off amid a release, and takes what it has heard for all that
+  # there is: it took streams up at the only version that it knew.
+  Scenario Outline: Where a stream goes on by rows that may be outdated: <case>
+    Given the proportions "<steps>"
+    And other routers of which <others>
+    And the rows were the newest ones <age> ms ago
+    When a client resumes a stream of a prompt that is "<prompt>", 13000 ms before its 15 s end
+    Then it goes on at "<version>", as it is <source>
+
+    Examples:
+      | case                                | steps                | age   | others                | prompt | version | source            |
+      | confirmed lately                    | 100=v1:1             | 2500  | none is known         | any    | v1      | assigned          |
+      | not confirmed, alone                | 100=v1:1             | 2501  | none is known         | any    | none    | releases_outdated |
+      | not confirmed, one router is silent | 100=v1:1             | 9000  | one of 3 is silent    | any    | none    | releases_outdated |
+      | not confirmed, all others are heard | 100=v1:1             | 9000  | all 3 are heard       | any    | v1      | assigned          |
+      | not confirmed, many others unknown  | 100=v1:1             | 9000  | 3 are heard of 9      | any    | none    | releases_outdated |
+      | not confirmed, one has left         | 100=v1:1             | 9000  | one of 3 has left     | any    | v1      | assigned          |
+      | a silent one may lag, prompt moved  | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v2  | none    | version_ambiguous |
+      | a silent one may lag, not moved     | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v1  | v1      | assigned          |
+      | none is silent, prompt moved        | 100=v1:1 8=v1:4,v2:4 | 100   | all 3 are heard       | of v2  | v2      | assigned          |
+
+  # Guards against proportions that a router reads once, and then trusts while its writes are refused.
+  Scenario Outline: A router reads the rows on software versions <when>
+    Given a store that refuses <calls>
+    When a row with "9=v1:1 0=v1:1,v2:1" is written by another router, and 3 s pass
+    Then the router <knows> the row, and rows are known to be current: <current>
+
+    Examples:
+      | when                           | calls  | knows          | current |
+      | again and again                | none   | knows          | yes     |
+      | although its writes fail       | writes | knows          | yes     |
+      | and does not trust old ones    | reads  | does not know  | no      |
+
   # Guards against replicas that come back and never get the streams that would show them to be sound.
   Scenario Outline: Which replicas may take a stream of "v1": <case>
     Given a router before replicas r0 and r1 of "v1" and r2 of "v2"
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -4,10 +4,12 @@
 
 import trio
 from behave import given, then, when
+from trio.testing import MockClock
 
 from features.entry_fixtures import (
     ZONES,
     apply_next_rows,
+    apply_rows,
     core_with_replicas,
     new_call,
     upstream_data,
@@ -18,11 +20,12 @@
     add_world,
     call,
 )
-from skylarklift.clock import ManualClock
+from skylarklift.clock import LoopClock, ManualClock
 from skylarklift.entry.choice import Choice, WantedVersion
 from skylarklift.entry.fleet import Fleet, GossipMessage
 from skylarklift.entry.health import MAX_EJECTION_MS, HealthSignal
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.release_sync import ReleaseSync
 from skylarklift.entry.releases import (
     ReleaseReport,
     ReleaseRow,
@@ -34,12 +37,12 @@
     pick_version,
 )
 from skylarklift.entry.resumptions import OriginSource, ResumedStream, Resumptions
-from skylarklift.entry.rows import RowTable, TableSummary
+from skylarklift.entry.rows import ReleaseStore, RowTable, TableSummary
 from skylarklift.entry.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
 from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
 from skylarklift.entry.stream_version import StreamVersion
 from skylarklift.entry.wire import decode_gossip, encode_gossip
-from skylarklift.errors import Refusal
+from skylarklift.errors import Refusal, StoreUnavailable
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
 SERVICE = "lm"
@@ -47,6 +50,8 @@
 ROW_VERSION = 2
 LONGEST_MS = 15_000
 STORE_NOW_MS = 10_000_000
+# A router is silent after this long in a small fleet.
+SILENCE_MS = 9000
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
 
 
@@ -176,6 +181,9 @@
 def proportions(context, steps=""):
     context.clock = ManualClock(100_000)
     context.releases = Releases(context.clock)
+    context.releases.confirm(0)
+    context.fleet = Fleet(context.clock, "n0")
+    context.origins, context.memory = StreamOrigins(context.clock), "knows nothing of it"
     context.steps = parse_steps(steps)
     if context.steps:
         report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
@@ -192,8 +200,6 @@
 
 @given("a router that {memory}")
 def router_with_memory(context, memory):
-    context.fleet = Fleet(context.clock, "n0")
-    context.origins = StreamOrigins(context.clock)
     context.memory = memory
     if memory.startswith("began it at "):
         version = memory.removeprefix("began it at ")
@@ -242,6 +248,7 @@
     context.core = core_with_replicas(3, context.clock)
     releases, deadline = context.core.releases, LongestDeadline(LONGEST_MS, 0)
     report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    context.core.releases.confirm(0)
     match known:
         case "no deadline":
             assert releases.apply(report)
@@ -258,6 +265,7 @@
         case "a deadline of 15 s, 2 minutes ago":
             releases.deadlines.record(SERVICE, LONGEST_MS)
             context.clock.advance(DEADLINE_TTL_MS)
+            releases.confirm(0)
             assert releases.apply(report)
 
 
@@ -285,6 +293,110 @@
     assert context.result == result, context.result
 
 
+@given("the rows were the newest ones {age:d} ms ago")
+def rows_confirmed(context, age):
+    report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    context.releases = Releases(context.clock)
+    context.releases.apply(report)
+    context.releases.confirm(age)
+
+
+# By a case: how many routers were heard, how many routers these count, which one differs, and how.
+OTHER_ROUTERS = {
+    "none is known": (0, 0, ""),
+    "all 3 are heard": (3, 4, ""),
+    "one of 3 is silent": (3, 4, "silent"),
+    "one of 3 has left": (3, 4, "left"),
+    "3 are heard of 9": (3, 9, ""),
+}
+
+
+@given("other routers of which {others}")
+def other_routers(context, others):
+    count, counted, odd = OTHER_ROUTERS[others]
+    for number in range(count):
+        leaving = odd == "left" and number == 0
+        heard(context, number, router_count=counted, leaving=leaving)
+    context.clock.advance(SILENCE_MS)
+    for number in range(bool(odd), count):
+        heard(context, number, router_count=counted)
+
+
+def heard(context, number, **fields):
+    """Let the router hear another one."""
+    message = GossipMessage(f"n{number + 1}", "b", "", EMPTY_SUMMARIES, **fields)
+    context.fleet.record_message(message, Endpoint("127.0.0.2", number + 1))
+
+
+@when('a stream of "{version}" begins')
+def stream_begins(context, version):
+    context.resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, version))
+
+
+@then("{count:d} routers are told its version")
+def routers_told(context, count):
+    async def receive():
+        channel = context.resumptions.outgoing
+        return [await channel.receive() for _ in range(channel.statistics().current_buffer_used)]
+
+    told = trio.run(receive)
+    assert len({item.address for item in told}) == count, told
+    assert all(item.message.origins[0].request == REQUEST for item in told)
+
+
+class ScriptedReleases(ReleaseStore):
+    """A store of one row on software versions, which may refuse calls."""
+
+    def __init__(self, refused):
+        self.refused = refused
+        self.row = ReleaseReport(SERVICE, 1, parse_steps("9=v1:1"))
+        self.reads = 0
+
+    async def read_releases(self):
+        self.reads += 1
+        if self.refused == "reads" and self.reads > 1:
+            raise StoreUnavailable("status 429")
+        return [self.row]
+
+    async def write_release(self, report):
+        if self.refused == "writes":
+            raise StoreUnavailable("status 429")
+        if report.row_version == self.row.row_version:
+            self.row = replace(report, row_version=report.row_version + 1)
+        return self.row
+
+
+@given("a store that refuses {calls}")
+def scripted_store(context, calls):
+    context.store = ScriptedReleases(calls)
+
+
+@when('a row with "{row}" is written by another router, and 3 s pass')
+def row_written(context, row):
+    async def play():
+        clock = LoopClock()
+        context.core = core_with_replicas(2, clock)
+        apply_rows(context.core, RowTable.UPSTREAMS, 2, {"r1": entry(1, version="v2")})
+        context.core.reading_store = dict.fromkeys(RowTable, True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ReleaseSync(context.core, context.store).run)
+            await trio.sleep(0.05)
+            context.store.row = ReleaseReport(SERVICE, 8, parse_steps(row))
+            await trio.sleep(3)
+            context.current = context.core.releases.are_current()
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@then("the router {knows} the row, and rows are known to be current: {current}")
+def knows_row(context, knows, current):
+    version = context.core.releases.row_version(SERVICE)
+    assert (version >= 8) == (knows == "knows"), version
+    assert context.current == (current == "yes"), context.core.releases.age_ms()
+
+
 @when('a replica of "v2" takes the place of one of "v1"')
 def replica_replaced(context):
     context.before = context.steps[-1].weights
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/fleet.py
@@ -65,7 +65,8 @@
     `maybe_restarted` the ejected upstreams that may have restarted, and `placements` the replicas
     that recent prompts were sent to.  `router_count` is how many routers the sender counts, and
     `limits` what it knows of the limits that upstreams name.  `observed_loads` holds the loads that
-    busy upstreams have answered, `releases` the proportions of software versions.
+    busy upstreams have answered, `releases` the proportions of software versions, which were the
+    newest ones `releases_age_ms` ago, `None` if that is not known.
     """
 
     node: str
@@ -82,6 +83,7 @@
     limits: tuple[LimitReport, ...] = ()
     observed_loads: tuple[ObservedLoad, ...] = ()
     releases: tuple[ReleaseReport, ...] = ()
+    releases_age_ms: int | None = None
 
 
 @dataclass(slots=True)
@@ -223,10 +225,31 @@
         """Return this router's share of a limit; the key names a replica, for instance."""
         own = self.router_count()
         counted = self._counted_by_others
-        knows_others = self.discovery_done() and own >= KNOWN_ROUTERS_RATIO * counted
-        return FleetShare(
-            max(own, counted), self.rank(key), knows_others and not self._may_be_cut_off()
+        usable = self._knows_others(own, counted) and not self._may_be_cut_off()
+        return FleetShare(max(own, counted), self.rank(key), usable)
+
+    def _knows_others(self, own: int, counted: int) -> bool:
+        """Return whether this router counts about as many routers as the others do."""
+        return self.discovery_done() and own >= KNOWN_ROUTERS_RATIO * counted
+
+    def hears_all(self) -> bool:
+        """Return whether there are others, and none of those that were heard is silent now."""
+        if self.longest_silence_ms() > 0 or not self.live_peers():
+            return False
+        return self._knows_others(self.router_count(), self._counted_by_others)
+
+    def longest_silence_ms(self) -> int:
+        """Return for how long the most silent router was not heard, 0 if messages of all are due.
+
+        Those that said that they leave do not count.
+        """
+        now, due_ms = self._clock.now(), self._load_ttl_ms()
+        silences = (
+            now - peer.received_at
+            for peer in self.peers.values()
+            if peer.received_at is not None and not peer.last_message.leaving
         )
+        return max((silence for silence in silences if silence > due_ms), default=0)
 
     def _may_be_cut_off(self) -> bool:
         """Return whether this router hears too few others to know how the limits are divided."""
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -311,6 +311,10 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def has_engines(self) -> bool:
+        """Return whether any service has model engines."""
+        return any(plan.engine_slots for plan in self.services.values())
+
     def workspace(self, api_key: str) -> Workspace | None:
         """Return the workspace that holds an API key, `None` for an unknown or empty one."""
         return self.workspaces.get(api_key) if api_key else None
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -32,6 +32,7 @@
     encode_origin_message,
     is_origin_message,
 )
+from skylarklift.entry.releases import REPORT_DELAY_MS
 from skylarklift.entry.rows import MemberStore, RowTable, TableComparison, TableSummary
 from skylarklift.entry.wire import (
     MAX_ROW_REQUEST_BYTES,
@@ -199,6 +200,7 @@
             limits=core.chooser.rate_limits.reports(),
             observed_loads=core.chooser.observed_loads.reports(),
             releases=core.releases.reports(),
+            releases_age_ms=core.releases.age_ms(),
         )
 
     # Receiving.
@@ -267,6 +269,8 @@
         core.apply_limit_reports(message.limits, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
+        if message.releases_age_ms is not None:
+            core.releases.confirm(message.releases_age_ms + REPORT_DELAY_MS)
         self._apply_loads(message.observed_loads)
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
--- a/skylarklift/entry/release_sync.py
+++ b/skylarklift/entry/release_sync.py
@@ -1,10 +1,13 @@
-"""Keep the rows that say in which proportions the software versions of services begin streams."""
+"""Keep the rows that say in which proportions the software versions of services begin streams.
+
+The rows are known by age: what the store does not confirm any more may be outdated.
+"""
 
 from collections import Counter
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.releases import ReleaseReport
 from skylarklift.entry.rows import ReleaseStore
@@ -14,34 +17,57 @@
 CHECK_INTERVAL_MS = 150
 # After the store refused or lost a call.
 RETRY_DELAY_MS = 600
+# A router that reads the store reads the rows at this interval, and confirms them to the others.
+READ_INTERVAL_MS = 1000
 
 
 class ReleaseSync:
-    """Read the rows once, and write them when the versions of a service change.
+    """Read the rows, and write them when the versions of a service change.
 
-    Only routers that read the store write.  Of two that write at once, one is refused and takes
-    the row of the other.
+    Only routers that read the store do so, but for the first read.  Of two that write at once, one
+    is refused and takes the row of the other.
     """
 
     def __init__(self, core: Core, store: ReleaseStore):
         self._core = core
         self._store = store
+        # When the rows were read last, `None` if a write may have failed since.
+        self._read_at: Millis | None = None
 
     async def run(self) -> None:
         """Read the rows, then follow the list of upstreams."""
         core = self._core
         while True:
             try:
-                if not core.releases_read.is_set():
-                    self._apply(await self._store.read_releases())
-                    core.releases_read.set()
+                if self._is_read_due():
+                    await self._read()
                 if core.cluster_state.complete and all(core.reading_store.values()):
                     await self._write_changes()
                 await trio.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
             except StoreError as exc:
+                self._read_at = None
                 core.event_log.write("release_sync_failed", cause=str(exc))
                 await trio.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
 
+    def _is_read_due(self) -> bool:
+        """Return whether to read the rows; without services of engines there are none."""
+        core = self._core
+        if not core.releases_read.is_set():
+            return True
+        plan = core.cluster_state.plan
+        if not all(core.reading_store.values()) or plan is None or not plan.has_engines():
+            return False
+        return self._read_at is None or core.clock.now() - self._read_at >= READ_INTERVAL_MS
+
+    async def _read(self) -> None:
+        """Read the rows, which were the newest ones at the time of the call at least."""
+        core = self._core
+        called_at = core.clock.now()
+        self._apply(await self._store.read_releases())
+        core.releases.confirm(core.clock.now() - called_at)
+        core.releases_read.set()
+        self._read_at = core.clock.now()
+
     async def _write_changes(self) -> None:
         """Write the rows of the services whose versions have changed."""
         core = self._core
--- a/skylarklift/entry/releases.py
+++ b/skylarklift/entry/releases.py
@@ -23,8 +23,11 @@
 # Proportions count as long as a stream that began under them may be resumed.
 STEP_TTL_MS = 60_000
 MAX_STEPS = 24
-# A router may use proportions for this long after newer ones are in the row.
+# A router that is in touch with the others may use proportions for this long after newer ones are
+# in the row.
 SPREAD_MS = 1000
+# Rows that were not known to be the newest ones within this time may be outdated.
+CONFIRMED_TTL_MS = 2500
 # A report counts as this much older than it says, for its time on the way.
 REPORT_DELAY_MS = 50
 HASH_RANGE = 1 << 64
@@ -87,6 +90,26 @@
         self._clock = clock
         self._known: dict[ServiceId, KnownRelease] = {}
         self.deadlines = StreamDeadlines(clock)
+        # When the known rows were the newest ones for certain.
+        self._confirmed_at: Millis | None = None
+
+    def confirm(self, age_ms: int) -> None:
+        """Record that, `age_ms` ago, the store had no newer rows than are known now."""
+        confirmed_at = Millis(self._clock.now() - age_ms)
+        if self._confirmed_at is None or confirmed_at > self._confirmed_at:
+            self._confirmed_at = confirmed_at
+
+    def age_ms(self) -> int | None:
+        """Return how long ago the known rows were the newest ones, `None` if that is not known."""
+        return None if self._confirmed_at is None else self._clock.now() - self._confirmed_at
+
+    def are_current(self) -> bool:
+        """Return whether the known rows were the newest ones lately.
+
+        If not, there may be versions and proportions that this router has not heard of.
+        """
+        age_ms = self.age_ms()
+        return age_ms is not None and age_ms <= CONFIRMED_TTL_MS
 
     def apply(self, report: ReleaseReport) -> bool:
         """Use a row from now on, unless a newer one is known; return whether it is new."""
@@ -136,11 +159,17 @@
             return None
         return pick_version(key, known.report.steps[-1].weights)
 
-    def began_at(self, service: ServiceId, key: str, max_age_ms: int) -> frozenset[SoftwareVersion]:
-        """Return the versions at which a stream of at most this age can have begun."""
+    def began_at(
+        self, service: ServiceId, key: str, max_age_ms: int, silence_ms: int = 0
+    ) -> frozenset[SoftwareVersion]:
+        """Return the versions at which a stream of at most this age can have begun.
+
+        A router that was not heard for `silence_ms` may have begun it by proportions that were
+        replaced since then.
+        """
         return frozenset(
             pick_version(key, step.weights)
-            for step in _steps_since(self.steps(service), max_age_ms)
+            for step in _steps_since(self.steps(service), max_age_ms + silence_ms)
         )
 
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
--- a/skylarklift/entry/resumptions.py
+++ b/skylarklift/entry/resumptions.py
@@ -37,6 +37,7 @@
     UNNAMED = "replica_named_no_version"
     AMBIGUOUS = "version_ambiguous"
     UNKNOWN = "version_unknown"
+    OUTDATED = "releases_outdated"
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +99,7 @@
         Send it to backup routers unless one version alone has served.
         """
         self._origins.record(origin)
-        if not self._releases.has_one_version(origin.service):
+        if not self._has_one_version(origin.service):
             message = OriginMessage(self._fleet.own_node, origins=(origin,))
             for peer in self._others(origin.request, BACKUP_ROUTERS):
                 self._send(peer.address, message)
@@ -107,13 +108,32 @@
         """Return where a stream that a caller resumes may go on."""
         origin = self._origins.find(stream.request)
         source = OriginSource.OWN
-        if origin is None and not self._releases.has_one_version(stream.service):
+        if origin is None and not self._has_one_version(stream.service):
             await self._ask(stream.request)
             origin, source = self._origins.find(stream.request), OriginSource.PEER
         if origin is not None:
             source = OriginSource.UNNAMED if origin.version is None else source
             return FoundOrigin(source, origin.service, origin.version)
-        versions = self._releases.began_at(stream.service, stream.key, stream.max_age_ms)
+        return self._derive(stream)
+
+    def _has_one_version(self, service: ServiceId) -> bool:
+        """Return whether any stream that is left certainly began at the same version."""
+        return self._knows_releases() and self._releases.has_one_version(service)
+
+    def _knows_releases(self) -> bool:
+        """Return whether the rows on software versions are the newest ones.
+
+        While the store is away nobody changes them, so it is enough to hear all other routers.
+        """
+        return self._releases.are_current() or self._fleet.hears_all()
+
+    def _derive(self, stream: ResumedStream) -> FoundOrigin:
+        """Return where a stream may go on that no router remembers, by the proportions."""
+        if not self._knows_releases():
+            return FoundOrigin(OriginSource.OUTDATED, stream.service)
+        versions = self._releases.began_at(
+            stream.service, stream.key, stream.max_age_ms, self._fleet.longest_silence_ms()
+        )
         if len(versions) == 1:
             return FoundOrigin(OriginSource.ASSIGNED, stream.service, next(iter(versions)))
         source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/stream_version.py
@@ -5,12 +5,13 @@
 from skylarklift.entry.choose import affinity_key
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
-from skylarklift.entry.resumptions import FoundOrigin, ResumedStream
+from skylarklift.entry.resumptions import FoundOrigin, OriginSource, ResumedStream
 from skylarklift.entry.stream_origins import StreamOrigin
 from skylarklift.errors import Refusal
 from skylarklift.ids import ServiceId, SoftwareVersion
 
 MAX_RELEASES_WAIT_MS = 500
+OUTDATED_RETRY_AFTER_MS = 300
 
 
 class StreamVersion:
@@ -55,10 +56,12 @@
         core.metrics.increment("resumptions", self.origin.source.value)
         self.required = self.origin.version
         if self.required is None:
+            # Another router may know, and this one when it is in touch again.
+            outdated = self.origin.source is OriginSource.OUTDATED
             raise Refusal(
                 self.origin.source.value,
                 "which version began the stream is not known, so it cannot go on",
-                retry_after_ms=None,
+                retry_after_ms=OUTDATED_RETRY_AFTER_MS if outdated else None,
             )
         targets = [target.service for target in self._route.targets]
         return self.origin.service if self.origin.service in targets else service
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/wire.py
@@ -38,6 +38,7 @@
 ERAS_KEY = "eras"
 OBSERVED_LOADS_KEY = "observed"
 RELEASES_KEY = "releases"
+RELEASES_AGE_KEY = "releases_age"
 DEADLINES_KEY = "deadlines"
 COMPRESSION_LEVEL = 1
 
@@ -66,6 +67,7 @@
                     (report.replica, report.per_second, report.age_ms) for report in message.limits
                 ],
                 RELEASES_KEY: [_release_fields(report) for report in message.releases],
+                RELEASES_AGE_KEY: message.releases_age_ms,
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
@@ -113,12 +115,18 @@
             observed_loads=tuple(
                 decode_observed_load(*fields) for fields in extras.get(OBSERVED_LOADS_KEY, ())
             ),
+            releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
 
 
+def _optional_age(value: Any) -> int | None:
+    """Return a span in milliseconds, `None` without one; raise `ValueError`."""
+    return None if value is None else _checked_age(value)
+
+
 def _checked_age(value: Any) -> int:
     """Return a span in milliseconds, 0 for a negative one; raise `ValueError`."""
     return max(0, checked_integer(value, -MAX_INTEGER))
