Send the origin of each stream to backup routers

Cause: while one version alone served, a stream's origin stayed with the router that began it. With that router lost, the proportions had to decide, and they are ambiguous for each prompt that moved since.

Change: origins always go to three backup routers.

Ruled out: sending the origins of running streams when a release begins: a router that is killed in that moment, or cut off, would not.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -95,6 +95,18 @@
       | a silent one may lag, not moved     | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v1  | v1      | assigned          |
       | none is silent, prompt moved        | 100=v1:1 8=v1:4,v2:4 | 100   | all 3 are heard       | of v2  | v2      | assigned          |
 
+  # Guards against streams that only a lost router knew, as one version served when they began.
+  Scenario Outline: A stream's origin is sent to backup routers: <steps>
+    Given the proportions "<steps>"
+    And other routers of which all 3 are heard
+    When a stream of "v1" begins
+    Then 3 routers are told its version
+
+    Examples:
+      | steps                |
+      | 100=v1:1             |
+      | 100=v1:1 8=v1:4,v2:4 |
+
   # Guards against proportions that a router reads once, and then trusts while its writes are refused.
   Scenario Outline: A router reads the rows on software versions <when>
     Given a store that refuses <calls>
--- a/skylarklift/entry/resumptions.py
+++ b/skylarklift/entry/resumptions.py
@@ -96,13 +96,13 @@
     def record_begun(self, origin: StreamOrigin) -> None:
         """Record which version sent the first event of a stream, or goes on with it.
 
-        Send it to backup routers unless one version alone has served.
+        Send it to backup routers, also if one version alone serves: another one may join before
+        the stream is resumed.
         """
         self._origins.record(origin)
-        if not self._has_one_version(origin.service):
-            message = OriginMessage(self._fleet.own_node, origins=(origin,))
-            for peer in self._others(origin.request, BACKUP_ROUTERS):
-                self._send(peer.address, message)
+        message = OriginMessage(self._fleet.own_node, origins=(origin,))
+        for peer in self._others(origin.request, BACKUP_ROUTERS):
+            self._send(peer.address, message)
 
     async def find(self, stream: ResumedStream) -> FoundOrigin:
         """Return where a stream that a caller resumes may go on."""
