Bound what all requests of a router together keep in memory

Cause: each connection had limits, their sum had none; bodies were copied up to three times.

Change: BufferBudget charges what a request keeps beyond 16 kB, a quarter of limits.memory_mb in all. A body without room waits for 1 s at most and gets 503 (it has not run); an incomplete event without room is an invalid answer. Bodies are sent without copies; upstreams are read in smaller parts and turns. The rest of a request that was refused unread is read and dropped for up to 1 s, so that the response is not lost by a reset.

Ruled out: lower limits for each request, as the configuration allows bodies of 4 MB.

--- a/features/entry_bytes.feature
+++ b/features/entry_bytes.feature
@@ -32,6 +32,22 @@
       | event of small chunks   | /chat/a   |
       | trailer                 | /once/a   |
 
+  # Guards against many connections that together use up the memory of the process, which ends the
+  # requests of all others with it (first report of issue 37).
+  Scenario Outline: <count> requests <kind> at once leave the router in service
+    Given a router before a replica that sends "<bytes>" without end, and one that takes 300 ms
+    When <count> requests to "<path>" with bodies of <size> bytes are sent at once
+    Then the router's process used at most 300 MB
+    And each request of them got <status>
+    And the router answered each readiness check within 1000 ms
+
+    Examples:
+      | count | kind                   | bytes              | path      | size    | status           |
+      | 60    | with 4 MB              | event              | /redeem/a | 4000000 | 200, 503         |
+      | 8     | with 4 MB              | event              | /redeem/a | 4000000 | 200              |
+      | 400   | for streams, endless   | event              | /chat/a   | 10      | 0, 502, 503      |
+      | 400   | for streams, endless   | lines of one event | /chat/a   | 10      | 0, 502, 503      |
+
   Scenario Outline: A stream that stalls while bytes still arrive is resumed elsewhere
     Given a router before a replica that sends "<bytes>" now and then, and a sound one
     When 4 requests to "/chat/a" with a deadline of 8000 ms are sent
--- a/features/steps/entry_bytes.py
+++ b/features/steps/entry_bytes.py
@@ -1,6 +1,7 @@
 """Steps for upstreams that send bytes that are no response."""
 
 import time
+from collections import Counter
 from pathlib import Path
 
 import trio
@@ -50,33 +51,78 @@
     context.memory_before = resident_bytes(context.router.process.pid)
 
 
+@given('a router before a replica that sends "{kind}" without end, and one that takes {span:d} ms')
+def router_before_endless_and_slow(context, kind, span):
+    slow = Replica("till-1", pace_ms=span)
+    open_world(context, {"lm-1": RawReplica(ENDLESS[kind]), "till-1": slow})
+
+
+async def watch(context):
+    """Measure the router's memory, and how long it takes to answer a readiness check."""
+    context.longest_wait_ms = context.memory_peak = 0
+    while True:
+        started = time.monotonic()
+        await context.world.is_ready(context.router)
+        span = (time.monotonic() - started) * 1000
+        context.longest_wait_ms = max(context.longest_wait_ms, span)
+        memory = resident_bytes(context.router.process.pid)
+        context.memory_peak = max(context.memory_peak, memory)
+        await trio.sleep(READINESS_INTERVAL_MS / 1000)
+
+
 @when('a request to "{path}" with a deadline of {deadline:d} ms is sent')
 def request_with_deadline(context, path, deadline):
-    context.longest_wait_ms = 0
-    context.memory_peak = 0
-    done = []
-
-    async def watch():
-        """Measure how long the router takes to answer a readiness check."""
-        while not done:
-            started = time.monotonic()
-            await context.world.is_ready(context.router)
-            span = (time.monotonic() - started) * 1000
-            context.longest_wait_ms = max(context.longest_wait_ms, span)
-            memory = resident_bytes(context.router.process.pid)
-            context.memory_peak = max(context.memory_peak, memory)
-            await trio.sleep(READINESS_INTERVAL_MS / 1000)
-
     async def run():
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(watch)
+            nursery.start_soon(watch, context)
             response = await context.world.call(context.router, path, deadline_ms=deadline)
-            done.append(True)
+            nursery.cancel_scope.cancel()
         return response
 
     context.response = context.thread.run(run)
 
 
+@when('{count:d} requests to "{path}" with bodies of {size:d} bytes are sent at once')
+def requests_at_once(context, count, path, size):
+    context.statuses = Counter()
+
+    async def send(number):
+        try:
+            response = await context.world.call(
+                context.router,
+                path,
+                body=b"x" * size,
+                request_id=f"q{number}",
+                deadline_ms=10_000,
+                headers={"x-prefix-hash": f"{number}a:50,{number}b:40,{number}c:10"},
+            )
+            context.statuses[response.status if response.complete else 0] += 1
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The router answered before it had read the body, and closed the connection.
+            context.statuses[503] += 1
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch, context)
+            async with trio.open_nursery() as callers:
+                for number in range(count):
+                    callers.start_soon(send, number)
+            nursery.cancel_scope.cancel()
+
+    context.thread.run(run)
+
+
+@then("the router's process used at most {size:d} MB")
+def memory_used(context, size):
+    assert context.router.process.poll() is None, "the process has ended"
+    assert context.memory_peak / BYTES_PER_MB <= size, context.memory_peak / BYTES_PER_MB
+
+
+@then("each request of them got {statuses}")
+def statuses_got(context, statuses):
+    assert set(context.statuses) <= set(map(int, statuses.split(","))), context.statuses
+
+
 @then("the replica's connection was closed within {span:d} ms")
 def connection_closed(context, span):
     # The caller's answer may arrive before the replica's task has run and seen the reset.
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -34,7 +34,7 @@
 @then('the events are "{numbers}" and a partial event is left: {partial}')
 def events_are(context, numbers, partial):
     assert [str(event.event_id) for event in context.events] == numbers.split(",")
-    assert context.splitter.has_partial_event == parse_yes_no(partial)
+    assert bool(context.splitter.partial_bytes) == parse_yes_no(partial)
     assert context.data.startswith(b"".join(event.raw for event in context.events))
 
 
--- a/skylarklift/entry/caller_connection.py
+++ b/skylarklift/entry/caller_connection.py
@@ -7,11 +7,18 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.buffer_budget import BufferShare
 from skylarklift.entry.http_connection import FRAMING_FIELDS, NO_BODY_STATUSES, RESET_ON_CLOSE
 from skylarklift.entry.model import CallerLimits, Headers
-from skylarklift.errors import BadRequest, SkylarkError
+from skylarklift.errors import BadRequest, Refusal, SkylarkError
 
 READ_BYTES = 65536
+# A body waits this long for the memory that other requests use.
+MAX_BUFFER_WAIT_MS = 1000
+BUFFER_POLL_INTERVAL_MS = 20
+# The rest of a request that was refused is read and dropped for this long.
+DISCARD_MS = 1000
+OVERLOADED_RETRY_AFTER_MS = 1000
 
 
 class CallerDisconnected(SkylarkError):
@@ -68,8 +75,12 @@
             raise BadRequest("ambiguous_framing", "more than one header field gives a body length")
         return RequestHead(event.method, event.target, headers)
 
-    async def read_body(self, limits: CallerLimits) -> bytes:
-        """Return the whole body; raise `BadRequest` or `CallerDisconnected`."""
+    async def read_body(self, limits: CallerLimits, share: BufferShare | None = None) -> bytes:
+        """Return the whole body, charged to `share`; raise `RequestError` or `CallerDisconnected`.
+
+        While other requests use up the budget, the rest is not read; after `MAX_BUFFER_WAIT_MS`
+        the request is refused.
+        """
         if self._http.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self._write(self._http.send(go_on))
@@ -84,6 +95,8 @@
                 size += len(event.data)
                 if size > limits.body_bytes:
                     raise BadRequest("body_too_large", "the body is too large", status=413)
+                if share is not None:
+                    await _charge(share, size)
                 parts.append(bytes(event.data))
         raise BadRequest("body_too_slow", "the request's body took too long", status=408)
 
@@ -190,6 +203,21 @@
             self._eof_received = True
         self.abort()
 
+    async def close_unread(self) -> None:
+        """Close the connection after a response to a request that was not read to its end.
+
+        Closing with unread bytes resets the connection, and the response is lost on its way.
+        """
+        try:
+            await self._stream.send_eof()
+            with trio.move_on_after(DISCARD_MS / MS_PER_SECOND):
+                while await self._stream.receive_some(READ_BYTES):
+                    pass
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            # The caller has disconnected already.
+            self._eof_received = True
+        self.abort()
+
     def abort(self) -> None:
         """Close the connection immediately.
 
@@ -211,3 +239,17 @@
         except (OSError, trio.ClosedResourceError):
             # The connection is closed already.
             return
+
+
+async def _charge(share: BufferShare, size: int) -> None:
+    """Charge for a body of which `size` bytes have come; raise `Refusal` if that takes too long."""
+    with trio.move_on_after(MAX_BUFFER_WAIT_MS / MS_PER_SECOND):
+        while True:
+            if share.resize(size):
+                return
+            await trio.sleep(BUFFER_POLL_INTERVAL_MS / MS_PER_SECOND)
+    raise Refusal(
+        "memory_used_up",
+        "the bodies of other requests use up the memory for them",
+        retry_after_ms=OVERLOADED_RETRY_AFTER_MS,
+    )
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,6 +8,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.entry.buffer_budget import BufferBudget
 from skylarklift.entry.choice import Choice
 from skylarklift.entry.choose import Chooser
 from skylarklift.entry.cluster_state import ClusterState
@@ -72,6 +73,7 @@
     connection_pool: ConnectionPool
     releases: Releases
     resumptions: Resumptions
+    buffers: BufferBudget
     rng: random.Random = field(default_factory=random.Random)
     probes: dict[ReplicaId, Probe] = field(default_factory=dict)
     attempts: set["Attempt"] = field(default_factory=set)
@@ -296,4 +298,5 @@
         connection_pool=ConnectionPool(clock),
         releases=releases,
         resumptions=Resumptions(fleet, StreamOrigins(clock), releases),
+        buffers=BufferBudget(settings.memory_mb),
     )
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/forwarding.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from skylarklift.entry.attempt import Attempt
+from skylarklift.entry.buffer_budget import BufferBudget, BufferShare
 from skylarklift.entry.caller_connection import CallerConnection
 from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Call, ResponseHead, RouteKind
@@ -35,10 +36,12 @@
         call: Call,
         retry_state: RetryState,
         on_events: Callable[[Attempt], None],
+        buffers: BufferBudget,
     ):
         self._caller = caller
         self._retry_state = retry_state
         self._on_events = on_events
+        self._buffers = buffers
         self.resume_after = call.resume_after
         self.upstream_error: tuple[ResponseHead, bytes] | None = None
 
@@ -100,7 +103,17 @@
         return await self._finish(attempt)
 
     async def _forward_events(self, attempt: Attempt, timer: SilenceTimer) -> int:
-        """Forward complete events in order, each once."""
+        """Forward complete events in order, each once; raise `TransportError`."""
+        with self._buffers.open_share() as share:
+            await self._forward_each_event(attempt, timer, share)
+        await attempt.check_end()
+        await self._send_head_once(attempt.head)
+        return await self._finish(attempt)
+
+    async def _forward_each_event(
+        self, attempt: Attempt, timer: SilenceTimer, share: BufferShare
+    ) -> None:
+        """Forward events until the upstream ends the stream; charge incomplete ones to `share`."""
         splitter = EventSplitter()
         counted_before = 0
         # Once an event has an id, the upstream goes on with the stream.
@@ -113,6 +126,8 @@
             if data is None:
                 break
             events = splitter.feed(data)
+            if not share.resize(splitter.partial_bytes):
+                raise ResponseInvalid("incomplete events use up the memory for them")
             if events:
                 counted_before = attempt.conn.counted_bytes
             elif attempt.conn.counted_bytes - counted_before > MAX_EVENT_BYTES:
@@ -123,11 +138,8 @@
                 timer.record_progress()
                 attempt.record_progress()
             await self._forward_new(events, attempt)
-        if splitter.has_partial_event:
+        if splitter.partial_bytes:
             raise ResponseBroken("the stream ended within an event")
-        await attempt.check_end()
-        await self._send_head_once(attempt.head)
-        return await self._finish(attempt)
 
     async def _forward_new(self, events: list[StreamEvent], attempt: Attempt) -> None:
         """Send the events that the caller lacks, in one write; raise `ResponseBroken` at a gap."""
--- a/skylarklift/entry/http_connection.py
+++ b/skylarklift/entry/http_connection.py
@@ -10,7 +10,7 @@
 from skylarklift.entry.model import Headers
 from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid, TransportError
 
-READ_BYTES = 65536
+READ_BYTES = 16384
 # A request of up to this size is sent before its response is read.  The rest of a longer one is
 # sent while the response is read, since a response may arrive before the whole body is sent.
 MAX_FIRST_WRITE_BYTES = 16384
@@ -26,7 +26,7 @@
 # each costs time however small it is.
 MIN_PART_BYTES = 512
 # After this many parts that arrived together, other tasks get a turn.
-MAX_PARTS_PER_TURN = 256
+MAX_PARTS_PER_TURN = 64
 FRAMING_FIELDS = (b"content-length", b"transfer-encoding")
 # Statuses whose responses have no body.
 NO_BODY_STATUSES = (204, 304)
@@ -56,7 +56,7 @@
         self._authority = authority.encode("ascii")
         self._http = h11.Connection(h11.CLIENT)
         self._request: h11.Request | None = None
-        self._unsent = b""
+        self._unsent = memoryview(b"")
         self._must_close = False
         self._eof_received = False
         self._peeked: h11.Event | None = None
@@ -75,17 +75,17 @@
         if body or method in BODY_METHODS:
             framed.append((b"content-length", b"%d" % len(body)))
         self._request = h11.Request(method=method, target=target, headers=framed)
-        data = self._http.send(self._request)
+        head = self._http.send(self._request)
         if body:
-            data += self._http.send(h11.Data(data=body))
-        data += self._http.send(h11.EndOfMessage())
-        if len(data) > MAX_FIRST_WRITE_BYTES:
-            data, self._unsent = data[:MAX_FIRST_WRITE_BYTES], data[MAX_FIRST_WRITE_BYTES:]
-        await self._write(data)
+            # A request with a length is sent as it is, so that the body need not be copied.
+            self._http.send(h11.Data(data=body))
+        self._http.send(h11.EndOfMessage())
+        self._unsent = memoryview(body)[MAX_FIRST_WRITE_BYTES:]
+        await self._write(head + body[:MAX_FIRST_WRITE_BYTES])
 
     async def send_remaining_body(self) -> None:
         """Send what `send` left of a long body."""
-        rest, self._unsent = self._unsent, b""
+        rest, self._unsent = self._unsent, memoryview(b"")
         if not rest:
             return
         self._must_close = True
@@ -97,7 +97,7 @@
         """Return whether a part of the body is still to be sent."""
         return bool(self._unsent)
 
-    async def _write(self, data: bytes) -> None:
+    async def _write(self, data: bytes | memoryview) -> None:
         """Write bytes; do not raise if the other side has closed the connection.
 
         It may have sent a response before it closed, so only reading shows whether the request
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -20,6 +20,8 @@
 # A router ends this long before the end of the grace period, when the platform kills the process.
 STOPPING_MARGIN_MS = 400
 
+DEFAULT_MEMORY_MB = 300
+
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -264,7 +266,7 @@
 
     `regions` maps each zone to its region.  `callers`, `readiness` and `peers` are the addresses
     on which the router serves callers, readiness checks and the other routers; `store` is the
-    address of the platform's store.
+    address of the platform's store.  The process ends if it uses more than `memory_mb`.
     """
 
     node: str
@@ -275,6 +277,7 @@
     peers: Endpoint
     seeds: tuple[Endpoint, ...]
     store: Endpoint
+    memory_mb: int = DEFAULT_MEMORY_MB
     bounds: Bounds = field(default_factory=Bounds)
 
     def with_bounds(self, bounds: Bounds) -> "NodeSettings":
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -165,5 +165,6 @@
         if settings == core.settings:
             return
         core.settings.bounds.update_from(settings.bounds)
+        core.buffers.set_memory(settings.memory_mb)
         core.event_log.write("settings_reloaded", cause=cause)
         core.settings = settings.with_bounds(core.settings.bounds)
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -12,7 +12,7 @@
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.model import Call, Endpoint, Route, SendOptions, Workspace
+from skylarklift.entry.model import Call, Endpoint, Headers, Route, SendOptions, Workspace
 from skylarklift.entry.prefixes import shared_parts
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
@@ -136,7 +136,7 @@
         self.retry_state = RetryState(route)
         self.stream_version = StreamVersion(core, call, route)
         on_events = self.stream_version.record_events
-        self.forwarder = Forwarder(self.caller, call, self.retry_state, on_events)
+        self.forwarder = Forwarder(self.caller, call, self.retry_state, on_events, core.buffers)
         limit_ms = min(call.deadline_ms or route.timeout_ms, route.timeout_ms)
         self.deadline = Millis(call.received_at + limit_ms)
         self._refuse_if_stopping()
@@ -329,11 +329,8 @@
             self.caller.abort()
             return 0
         self.steps.append(exc.code)
-        headers = list(JSON_HEADERS)
-        if exc.retry_after_ms is not None:
-            headers.append((b"retry-after", b"%.3f" % (exc.retry_after_ms / MS_PER_SECOND)))
         body = json.dumps({"error": {"code": exc.code, "message": str(exc), "run": exc.run.value}})
-        await self.caller.send_response(exc.status, headers, body.encode())
+        await self.caller.send_response(exc.status, error_headers(exc), body.encode())
         return exc.status
 
     # Logging.
@@ -376,6 +373,14 @@
         )
 
 
+def error_headers(exc: RequestError) -> Headers:
+    """Return the header fields of the response to a request that gets an error."""
+    headers = list(JSON_HEADERS)
+    if exc.retry_after_ms is not None:
+        headers.append((b"retry-after", b"%.3f" % (exc.retry_after_ms / MS_PER_SECOND)))
+    return headers
+
+
 def _endpoint_of(upstream: Upstream | None) -> Endpoint | None:
     """Return the address of an upstream, or `None` without one."""
     if upstream is None:
--- a/skylarklift/entry/serving.py
+++ b/skylarklift/entry/serving.py
@@ -5,9 +5,9 @@
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.caller_connection import CallerConnection, CallerDisconnected, RequestHead
 from skylarklift.entry.core import Core
-from skylarklift.entry.model import CallerLimits
-from skylarklift.entry.request_handler import JSON_HEADERS, RequestHandler
-from skylarklift.errors import BadRequest
+from skylarklift.entry.model import Call, CallerLimits
+from skylarklift.entry.request_handler import RequestHandler, error_headers
+from skylarklift.errors import BadRequest, RequestError
 
 LISTEN_BACKLOG = 1024
 # A stopping router keeps idle connections for this long.  By then the readiness checks have taken
@@ -61,8 +61,8 @@
                 await self._serve_request(caller, head, limits)
             finally:
                 core.requests_open -= 1
-        except BadRequest as exc:
-            await self._reject_invalid(caller, exc)
+        except RequestError as exc:
+            await self._reject(caller, exc)
             return False
         if not caller.prepare_next_request():
             await caller.close()
@@ -82,18 +82,23 @@
     async def _serve_request(
         self, caller: CallerConnection, head: RequestHead, limits: CallerLimits
     ) -> None:
-        """Serve one request; cancel its work when the caller disconnects."""
+        """Read and serve one request."""
         core = self._core
         call = core.header_codec.decode_request(
             head.method, head.target, head.headers, core.clock.now()
         )
-        call.body = await caller.read_body(limits)
-        caller.close_after_response = core.stopping_since is not None
+        with core.buffers.open_share() as share:
+            call.body = await caller.read_body(limits, share)
+            caller.close_after_response = core.stopping_since is not None
+            await self._run_request(caller, call)
+
+    async def _run_request(self, caller: CallerConnection, call: Call) -> None:
+        """Run a request that was read; cancel its work when the caller disconnects."""
         disconnect: CallerDisconnected | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._cancel_on_disconnect, caller, nursery.cancel_scope)
             try:
-                await RequestHandler(core, caller, call).run()
+                await RequestHandler(self._core, caller, call).run()
             except CallerDisconnected as exc:
                 disconnect = exc
             nursery.cancel_scope.cancel()
@@ -107,17 +112,17 @@
         if not caller.response_complete:
             scope.cancel()
 
-    async def _reject_invalid(self, caller: CallerConnection, exc: BadRequest) -> None:
-        """Respond to an invalid request with an error, and close the connection."""
+    async def _reject(self, caller: CallerConnection, exc: RequestError) -> None:
+        """Respond to a request that cannot be read with an error, and close the connection."""
         self._core.metrics.increment("requests", str(exc.status))
         self._core.event_log.write("request_invalid", code=exc.code, cause=str(exc))
         caller.close_after_response = True
         try:
-            await caller.send_error(exc.status, JSON_HEADERS, exc.code)
+            await caller.send_error(exc.status, error_headers(exc), exc.code)
         except CallerDisconnected:
             self._core.metrics.increment("callers_gone")
             return
-        await caller.close()
+        await caller.close_unread()
 
 
 class MonitoringServer:
--- a/skylarklift/platform/settings_file.py
+++ b/skylarklift/platform/settings_file.py
@@ -2,7 +2,14 @@
 
 from pathlib import Path
 
-from skylarklift.entry.model import MAX_PORT, Bounds, Endpoint, NodeSettings, parse_endpoint
+from skylarklift.entry.model import (
+    DEFAULT_MEMORY_MB,
+    MAX_PORT,
+    Bounds,
+    Endpoint,
+    NodeSettings,
+    parse_endpoint,
+)
 from skylarklift.errors import SettingsError
 from skylarklift.ids import ZoneId
 from skylarklift.util.bounded import parse_decimal, parse_integer
@@ -100,6 +107,7 @@
         peers=Endpoint(callers.host, peer_port),
         seeds=tuple(Endpoint(seed.host, peer_port) for seed in seeds if seed is not None),
         store=source.endpoint("platform.address"),
+        memory_mb=int(source.number("limits.memory_mb", DEFAULT_MEMORY_MB)),
         bounds=_parse_bounds(source),
     )
     if source.findings:
--- a/skylarklift/upstreams/events.py
+++ b/skylarklift/upstreams/events.py
@@ -38,9 +38,9 @@
         self._searched = 0
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether the buffer holds an incomplete event."""
-        return bool(self._buffer)
+    def partial_bytes(self) -> int:
+        """Return the size of the incomplete event in the buffer, 0 without one."""
+        return len(self._buffer)
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add received bytes; return the events that are now complete.
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -134,6 +134,7 @@
             "port_range": f"{peer_port},{peer_port}",
             "platform.address": f"{HOST}:{self.store_endpoints[store_endpoint_index][1]}",
             "bounds.grace_s": 8,
+            "limits.memory_mb": 300,
         }
         settings.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
         process = self._start_process(settings, log)
