Take a replica's status for a promise only if the replica states it

Cause: Attempt.classify took each status below 500 for an answer; the check of statuses that promise stood behind the branch for server errors.

Change: 408, 421, 429 and 503 without X-Not-Executed are failures: 502 for a request that may not be repeated, another try for idempotent ones, which get the replica's answer if that fails, too.

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -84,6 +84,23 @@
       | encoded       | 502    |
       | errors        | 500    |
 
+  # Guards against a replica's own status that a caller takes for the promise that its request did not
+  # run, so that it sends it once more (review/2).
+  Scenario Outline: A replica's status <status> after running a request to "<path>" promises nothing
+    Given the replicas "till-1,till-2" run requests and answer <status>
+    When a request to "<path>" is sent
+    Then the caller got the status <answered>
+    And each replica ran it once at most
+
+    Examples:
+      | path      | status | answered |
+      | /redeem/a | 408    | 502      |
+      | /redeem/a | 429    | 502      |
+      | /redeem/a | 503    | 502      |
+      | /redeem/a | 404    | 404      |
+      | /check/a  | 429    | 429      |
+      | /check/a  | 503    | 503      |
+
   Scenario: A request that all replicas shed has not run and gets 503 with a retry delay
     Given the replicas "till-1,till-2" have the fault "shed"
     When a request to "/redeem/a" is sent
--- a/features/steps/entry_process.py
+++ b/features/steps/entry_process.py
@@ -175,6 +175,12 @@
         setattr(replica.faults, fault, 100)
 
 
+@given('the replicas "{names}" run requests and answer {status:d}')
+def run_and_answer(context, names, status):
+    for replica in replicas_by_name(context, names):
+        replica.faults.errors, replica.faults.error_status = 100, status
+
+
 @given('the replicas "{names}" respond without a length')
 def respond_without_length(context, names):
     for replica in replicas_by_name(context, names):
@@ -235,3 +241,10 @@
 def ran_no_request(context, name):
     assert not context.world.replicas[name].runs
     assert context.world.replicas[name].rejected
+
+
+@then("each replica ran it once at most")
+def each_ran_once(context):
+    for replica in context.world.replicas.values():
+        assert len(replica.runs) <= 1, replica.runs
+    assert all_runs(context)
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -32,6 +32,8 @@
 LOGGED_DECIMALS = 2
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
+# Statuses by which a caller concludes that the request did not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class Attempt:
@@ -171,11 +173,14 @@
         }
 
     def classify(self) -> Outcome:
-        """Set the outcome by the head of the response, and return it."""
+        """Set the outcome by the head of the response, and return it.
+
+        A status alone does not show that the request did not run.
+        """
         head = self.head
         if head.not_run or head.moved:
             self.outcome = Outcome.NOT_RUN
-        elif head.status in SERVER_ERROR_STATUSES:
+        elif head.status in SERVER_ERROR_STATUSES or head.status in NOT_RUN_STATUSES:
             self.outcome = Outcome.FAILED
         else:
             self.outcome = Outcome.ANSWERED
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/request_handler.py
@@ -5,14 +5,22 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Millis
-from skylarklift.entry.attempt import Attempt
+from skylarklift.entry.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.caller_connection import CallerConnection
 from skylarklift.entry.choice import Choice, NoUpstream, WantedVersion
 from skylarklift.entry.core import Core
 from skylarklift.entry.crash_guard import CrashGuard
 from skylarklift.entry.forwarding import Forwarder
 from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.model import Call, Endpoint, Headers, Route, SendOptions, Workspace
+from skylarklift.entry.model import (
+    Call,
+    Endpoint,
+    Headers,
+    Route,
+    RouteKind,
+    SendOptions,
+    Workspace,
+)
 from skylarklift.entry.prefixes import shared_parts
 from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.silence import SilenceTimer, forward_until_silent
@@ -53,8 +61,6 @@
 # A route's time-out may be shorter than its work takes, so a time-out counts as a failure of the
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
-# Statuses by which a caller concludes that the request did not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Shared parts of a prompt that the line of a failed attempt names.
 MAX_LOGGED_PARTS = 8
 MAX_LOGGED_PASSED_OVER = 4
@@ -315,7 +321,7 @@
         failed = self.forwarder.upstream_error
         if outcome is Outcome.FAILED and failed is not None:
             head, body = failed
-            if head.status in NOT_RUN_STATUSES:
+            if head.status in NOT_RUN_STATUSES and self.route.kind is not RouteKind.IDEMPOTENT:
                 raise OutcomeUnknown(f"the upstream answered {head.status} and may have run it")
             await self.caller.send_response(head.status, head.headers, body)
             return head.status
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -26,8 +26,9 @@
 class ReplicaFaults:
     """The faults of a replica; integers count the requests still to be affected.
 
-    `shed` responds 503 without running the request, `errors` responds 500, `unsigned` leaves
-    out the signature header, `lose_response` runs the request and closes the connection,
+    `shed` responds 503 without running the request, `errors` responds with `error_status` after
+    running it, `unsigned` leaves out the signature header, `lose_response` runs the request and
+    closes the connection,
     `extra_response` sends a second, foreign response, `unframed` ends a response by closing
     the connection, and `encoded` declares a content encoding.  `break_after` closes streams
     in the middle of the event after that number of events; `silent_after` stops sending there
@@ -40,6 +41,7 @@
 
     shed: int = 0
     errors: int = 0
+    error_status: int = 500
     unsigned: int = 0
     lose_response: int = 0
     extra_response: int = 0
@@ -208,7 +210,7 @@
         status = 200
         if faults.errors:
             faults.errors -= 1
-            status = 500
+            status = faults.error_status
         signed = True
         if faults.unsigned:
             faults.unsigned -= 1
