Doubt a replica's software until its next entry after it was unreachable

Cause: the doubt that a replica may have restarted ended with the first request that succeeded there, and its entry of before the restart was trusted again.

Change: Upstream.software_doubted is set when this or another router could not reach the replica, and ends with its next entry; a restarted one is a new record. Until then it goes on with no stream, and what it begins names no version.

Ruled out: waiting for two entries, as a replica that is still down is doubted again by the next request to it.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -119,7 +119,9 @@
       | although its writes fail       | writes | knows          | yes     |
       | and does not trust old ones    | reads  | does not know  | no      |
 
-  # Guards against replicas that come back and never get the streams that would show them to be sound.
+  # Guards against a replica that comes back with other software while the store is away, and is trusted
+  # by its old entry once a request succeeds (KNOWN-RED, the review's case of commit ecadb0e), and
+  # against replicas that come back and never get the streams that would show them to be sound.
   Scenario Outline: Which replicas may take a stream of "v1": <case>
     Given a router before replicas r0 and r1 of "v1" and r2 of "v2"
     When "<event>" happens
@@ -131,6 +133,10 @@
       | it goes on                                | nothing                 | has begun   | r0 r1    |
       | it begins, one may have restarted         | r0 was unreachable      | is to begin | r0 r1    |
       | it goes on, one may have restarted        | r0 was unreachable      | has begun   | r1       |
+      | it goes on, one answers again             | r0 answers again        | has begun   | r1       |
+      | it begins, one answers again              | r0 answers again        | is to begin | r0 r1    |
+      | it goes on, one has written its entry     | r0 writes again         | has begun   | r0 r1    |
+      | it goes on, another router reports it     | n1 reports r0           | has begun   | r1       |
       | one has come back with another version    | r0 is back as v2        | has begun   | r1       |
       | one changes its entry                     | r0 says v3              | is to begin | r1       |
       | one names no version any more             | r0 says nothing         | has begun   | r1       |
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -10,6 +10,7 @@
     ZONES,
     apply_next_rows,
     apply_rows,
+    choose,
     core_with_replicas,
     new_call,
     upstream_data,
@@ -21,10 +22,12 @@
     call,
 )
 from skylarklift.clock import LoopClock, ManualClock
+from skylarklift.entry.attempt import Attempt
 from skylarklift.entry.choice import Choice, WantedVersion
 from skylarklift.entry.fleet import Fleet, GossipMessage
 from skylarklift.entry.health import MAX_EJECTION_MS, HealthSignal
-from skylarklift.entry.model import Endpoint
+from skylarklift.entry.model import Endpoint, SendOptions
+from skylarklift.entry.peering import Peering
 from skylarklift.entry.release_sync import ReleaseSync
 from skylarklift.entry.releases import (
     ReleaseReport,
@@ -470,6 +473,17 @@
         case "r0 was unreachable":
             health.record_result("r0", HealthSignal.UNREACHABLE)
             clock.advance(MAX_EJECTION_MS)
+        case "r0 answers again" | "r0 writes again":
+            attempt = attempt_at(context.core, "r0")
+            attempt.report_signal(HealthSignal.UNREACHABLE)
+            clock.advance(MAX_EJECTION_MS)
+            attempt.report_signal(HealthSignal.GOOD)
+            if event == "r0 writes again":
+                apply_next_rows(context, RowTable.UPSTREAMS, {"r0": entry(0, sequence=2)})
+        case "n1 reports r0":
+            report_ejection(context.core, "r0")
+            clock.advance(MAX_EJECTION_MS)
+            health.record_result("r0", HealthSignal.GOOD)
         case "r0 is back as v2":
             rows = {"r0": entry(0, version="v2", born=7)}
             apply_next_rows(context, RowTable.UPSTREAMS, rows)
@@ -481,6 +495,32 @@
             apply_next_rows(context, RowTable.UPSTREAMS, {"r1": None, "r2": None})
 
 
+def attempt_at(core, replica):
+    """Return an attempt at a replica."""
+    for number in range(60):
+        call = new_call(f"base:100,s{number}:2000,own:30")
+        choice = choose(core, call)
+        if choice.upstream.record.replica == replica:
+            options = SendOptions(replica, None, 100, None, None)
+            return Attempt(core, call, choice, options, repeatable=True)
+    raise AssertionError(f"no request goes to {replica}")
+
+
+def report_ejection(core, replica):
+    """Let another router report that it could not reach a replica."""
+    message = GossipMessage(
+        "n1", "b", "", EMPTY_SUMMARIES, ejected={replica: 100}, maybe_restarted=(replica,)
+    )
+
+    async def apply():
+        async with trio.open_nursery() as nursery:
+            data = encode_gossip(message)
+            Peering(core, members=None)._apply_datagram(data, Endpoint("127.0.0.2", 1), nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(apply)
+
+
 @then('a stream that "{version}" {state} may go to "{replicas}"')
 def stream_may_go_to(context, version, state, replicas):
     core = context.core
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/attempt.py
@@ -253,6 +253,8 @@
         core = self.core
         if signal is HealthSignal.GOOD and core.health.maybe_restarted(self.record.replica):
             core.cluster_state.restart_cold_period(self.record.replica)
+        if signal is HealthSignal.UNREACHABLE:
+            core.cluster_state.doubt_software(self.record.replica)
         others = core.cluster_state.members_of(self.record.service)
         if core.health.record_result(self.record.replica, signal, others):
             core.connection_pool.close_idle(self.record.replica)
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/choose.py
@@ -200,19 +200,21 @@
     ) -> Mapping[ReplicaId, Upstream]:
         """Return the members of a software version.
 
-        One that may have restarted may have come back with another version, so it goes on with no
-        stream.
+        One that may have come back with another version goes on with no stream.
         """
         if not wanted.begun and self._cluster_state.services.versions(service) == {wanted.version}:
             return members
-        maybe_restarted = self._health.maybe_restarted
         return {
             name: item
             for name, item in members.items()
             if item.record.software == wanted.version
-            and not (wanted.begun and maybe_restarted(name))
+            and not (wanted.begun and self.may_have_other_software(item))
         }
 
+    def may_have_other_software(self, upstream: Upstream) -> bool:
+        """Return whether an upstream may have restarted since its entry was written."""
+        return upstream.software_doubted or self._health.maybe_restarted(upstream.record.replica)
+
     def _without(
         self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
     ) -> Candidates:
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/cluster_state.py
@@ -258,6 +258,12 @@
         if upstream is not None:
             self._extend_cold_period(upstream, self._cold_ms(upstream.record))
 
+    def doubt_software(self, replica: ReplicaId) -> None:
+        """Record that a replica could not be reached: its entry may be from before a restart."""
+        upstream = self.upstreams.get(replica)
+        if upstream is not None:
+            upstream.software_doubted = True
+
     def mark_leaving(self, record: UpstreamRecord) -> list[StateChange]:
         """Record that an upstream said in an answer that it leaves, until it restarts."""
         upstream = self.upstreams.get(record.replica)
@@ -304,6 +310,7 @@
             self.services.clear()
         upstream.record = record
         upstream.draining = record.draining
+        upstream.software_doubted = False
         if record.cold_ms > 0:
             self._extend_cold_period(upstream, record.cold_ms)
         return event
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/peering.py
@@ -262,6 +262,8 @@
         if message.node not in core.fleet.peers:
             core.event_log.write("router_discovered", peer=message.node, address=str(address))
         peer = core.fleet.record_message(message, address)
+        for replica in message.maybe_restarted:
+            core.cluster_state.doubt_software(replica)
         for replica, left_ms in message.ejected.items():
             core.health.apply_reported_ejection(
                 replica, left_ms, maybe_restarted=replica in message.maybe_restarted
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/stream_version.py
@@ -83,8 +83,8 @@
             core.metrics.increment("streams_begun")
         self._recorded = attempt
         # The entry of a replica that may have restarted may be one of before.
-        restarted = core.health.maybe_restarted(record.replica)
-        self.required = None if restarted else record.software
+        doubted = core.chooser.may_have_other_software(attempt.choice.upstream)
+        self.required = None if doubted else record.software
         request = self._call.request
         if self.origin is not None and self._call.resumes is not None:
             request = self._call.resumes
--- a/skylarklift/entry/upstream.py
+++ b/skylarklift/entry/upstream.py
@@ -14,6 +14,8 @@
     """A replica that can take requests, with its known state.
 
     `leaving` is true after the replica has said so in an answer, whatever its entry says.
+    `software_doubted` is true from when it could not be reached until its next entry: it may have
+    come back with other software, and cannot say so while the store is away.
     """
 
     record: UpstreamRecord
@@ -21,6 +23,7 @@
     known_since: Millis
     draining: bool = False
     leaving: bool = False
+    software_doubted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
