--- a/bench/choice.py
+++ b/bench/choice.py
@@ -6,9 +6,9 @@
 from bench.report import Report
 from features.entry_fixtures import choose, core_with_replicas, new_call
 from skylarklift.clock import ManualClock
-from skylarklift.entry.fleet import GossipMessage
+from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rows import TableSummary
+from skylarklift.entry.state.rows import TableSummary
 
 SIZES = ((8, 12), (67, 56), (195, 156), (390, 650))
 # From letter 1's size on, a choice may take a little longer.
--- a/bench/load_bound.py
+++ b/bench/load_bound.py
@@ -2,7 +2,7 @@
 
 from bench.report import Report
 from features.choice_fleet import MAX_OVER_RATIO, ROUND_MS, ChoiceFleet, Outcome
-from skylarklift.entry.fleet import GOSSIP_FANOUT
+from skylarklift.entry.gossip.fleet import GOSSIP_FANOUT
 
 # Routers, replicas and requests a second.
 SIZES = ((30, 24, 86), (195, 78, 285), (390, 156, 570))
--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -22,14 +22,19 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock, Millis
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.cluster_state import ClusterState
 from skylarklift.entry.core import Core
-from skylarklift.entry.fleet import GOSSIP_INTERVAL_MS, MIN_GOSSIP_INTERVAL_MS, GossipMessage, Peer
-from skylarklift.entry.load_messages import encode_load_message
+from skylarklift.entry.gossip.fleet import (
+    GOSSIP_INTERVAL_MS,
+    MIN_GOSSIP_INTERVAL_MS,
+    GossipMessage,
+    Peer,
+)
+from skylarklift.entry.gossip.load_messages import encode_load_message
+from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Call, Endpoint, ReplicaLoad
-from skylarklift.entry.peering import Peering
-from skylarklift.entry.rows import RowTable
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.state.cluster_state import ClusterState
+from skylarklift.entry.state.rows import RowTable
 from skylarklift.ids import ReplicaId
 
 ROUND_MS = GOSSIP_INTERVAL_MS + MIN_GOSSIP_INTERVAL_MS
--- a/features/entry_checks.py
+++ b/features/entry_checks.py
@@ -27,7 +27,7 @@
     RunState,
 )
 from features.virtual_world import RecordingReplica
-from skylarklift.entry.rows import RowTable
+from skylarklift.entry.state.rows import RowTable
 from soak.checker import SentRequest
 
 
--- a/features/entry_fixtures.py
+++ b/features/entry_fixtures.py
@@ -5,7 +5,7 @@
 from skylarklift.clock import ManualClock, Millis
 from skylarklift.entry.core import Core, make_core
 from skylarklift.entry.model import Call, Endpoint, NodeSettings, PromptPart
-from skylarklift.entry.rows import RowChange, RowPage, RowTable
+from skylarklift.entry.state.rows import RowChange, RowPage, RowTable
 from skylarklift.platform.headers import PlatformHeaderCodec
 from skylarklift.platform.rows import PlatformRowFormat
 
--- a/features/steps/entry.py
+++ b/features/steps/entry.py
@@ -17,12 +17,12 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.fleet import GossipMessage
-from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
+from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.model import Bounds, Endpoint, Workspace
-from skylarklift.entry.retry_state import Outcome, RetryState
-from skylarklift.entry.rows import RowTable, TableSummary
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
+from skylarklift.entry.requests.retry_state import Outcome, RetryState
+from skylarklift.entry.state.rows import RowTable, TableSummary
 from skylarklift.platform.rows import decode_plan
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -16,27 +16,27 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.choose import (
-    AFFINITY_EXTRA_REQUESTS,
-    AFFINITY_LOAD_RATIO,
-    HOLDER_RATIO,
-    MIN_COPY_TOKENS,
-    affinity_key,
-)
-from skylarklift.entry.fleet import LOAD_TTL_MS, MIN_NEWEST_REPORTS, GossipMessage
-from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.load_messages import (
+from skylarklift.entry.gossip.fleet import LOAD_TTL_MS, MIN_NEWEST_REPORTS, GossipMessage
+from skylarklift.entry.gossip.load_messages import (
     LOAD_FORMAT,
     decode_load_message,
     encode_load_message,
     is_load_message,
 )
+from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint, ReplicaLoad
-from skylarklift.entry.observed_loads import ObservedLoad
-from skylarklift.entry.prefixes import PLACEMENT_TTL_MS, Placement, shared_parts
-from skylarklift.entry.rows import RowTable, TableSummary
-from skylarklift.entry.wire import decode_gossip, encode_gossip
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.choose import (
+    AFFINITY_EXTRA_REQUESTS,
+    AFFINITY_LOAD_RATIO,
+    HOLDER_RATIO,
+    MIN_COPY_TOKENS,
+    affinity_key,
+)
+from skylarklift.entry.placement.health import HealthSignal
+from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.placement.prefixes import PLACEMENT_TTL_MS, Placement, shared_parts
+from skylarklift.entry.state.rows import RowTable, TableSummary
 from skylarklift.errors import PeerError
 from skylarklift.hashing import rendezvous_weight
 
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -13,13 +13,13 @@
     plan_data,
     upstream_data,
 )
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.crash_evidence import CrashReport, suspects_of
-from skylarklift.entry.crash_messages import CrashMessage
-from skylarklift.entry.follower import apply_page
-from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.rows import RowChange, RowPage, RowTable
+from skylarklift.entry.crashes.crash_evidence import CrashReport, suspects_of
+from skylarklift.entry.crashes.crash_messages import CrashMessage
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.health import HealthSignal
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.state.follower import apply_page
+from skylarklift.entry.state.rows import RowChange, RowPage, RowTable
 
 
 @when('the replica "{name}" is draining')
--- a/features/steps/entry_eras.py
+++ b/features/steps/entry_eras.py
@@ -10,10 +10,11 @@
 from features.steps.entry_fleet import MAX_READER_AGE_MS
 from features.world_thread import send_request
 from skylarklift.clock import ManualClock
-from skylarklift.entry.fleet import GossipMessage
-from skylarklift.entry.follower import apply_page, rows_for_request
+from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.wire import decode_gossip, decode_page, encode_gossip, encode_page
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rows import (
+from skylarklift.entry.state.follower import apply_page, rows_for_request
+from skylarklift.entry.state.rows import (
     NO_ERA,
     ChangesUnavailable,
     RowChange,
@@ -22,7 +23,6 @@
     TableComparison,
     TableSummary,
 )
-from skylarklift.entry.wire import decode_gossip, decode_page, encode_gossip, encode_page
 from skylarklift.platform.rows import PlatformRowFormat
 from skylarklift.platform.store import MEMBER_TABLE, PlatformStore
 from standins.entry_world import HOST
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -8,13 +8,13 @@
 from features.entry_fixtures import core_with_replicas, new_call, new_core, parse_yes_no
 from features.world import run_virtual
 from skylarklift.clock import LoopClock, ManualClock
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.fleet import Fleet, GossipMessage
+from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.peering import Peering
-from skylarklift.entry.rows import NO_ERA, RowTable, TableSummary
-from skylarklift.entry.silence import SilenceTimer, forward_until_silent
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
+from skylarklift.entry.state.rows import NO_ERA, RowTable, TableSummary
 from skylarklift.errors import ResponseBroken
 from skylarklift.upstreams.events import EventSplitter
 
@@ -172,7 +172,7 @@
             conn.arrived.set()
         return False
 
-    with patch("skylarklift.entry.silence.is_reachable", probe):
+    with patch("skylarklift.entry.requests.silence.is_reachable", probe):
         try:
             await forward_until_silent(core, attempt, SilenceTimer(core.clock, 300), forward)
         except ResponseBroken:
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -10,11 +10,11 @@
 from features.steps.entry_process_faults import run_fleet_command
 from features.world_thread import replicas_by_name
 from skylarklift.clock import ManualClock
-from skylarklift.entry.choice import Choice, NoUpstream
-from skylarklift.entry.fleet import DISCOVERY_MS, Fleet, GossipMessage
+from skylarklift.entry.gossip.fleet import DISCOVERY_MS, Fleet, GossipMessage
 from skylarklift.entry.model import Endpoint, parse_endpoint
-from skylarklift.entry.rate_limits import LimitReport, RateLimits
-from skylarklift.entry.rows import TableSummary
+from skylarklift.entry.placement.choice import Choice, NoUpstream
+from skylarklift.entry.placement.rate_limits import LimitReport, RateLimits
+from skylarklift.entry.state.rows import TableSummary
 from skylarklift.ui.main import main
 
 EMPTY_SUMMARIES = (TableSummary(0, 0, 0, 0),) * 2
--- a/features/steps/entry_outside_values.py
+++ b/features/steps/entry_outside_values.py
@@ -21,28 +21,30 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock, Millis
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.crash_evidence import CrashReport, Suspect, SuspectKind
-from skylarklift.entry.crash_messages import (
+from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect, SuspectKind
+from skylarklift.entry.crashes.crash_messages import (
     CrashMessage,
     ServedReport,
     encode_crash_message,
 )
-from skylarklift.entry.fleet import GossipMessage
-from skylarklift.entry.follower import apply_page, rows_for_request
-from skylarklift.entry.load_messages import encode_load_message
+from skylarklift.entry.crashes.quarantine import Hold, HoldState
+from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.load_messages import encode_load_message
+from skylarklift.entry.gossip.peering import Peering
+from skylarklift.entry.gossip.wire import decode_gossip, decode_page, encode_gossip, encode_page
 from skylarklift.entry.model import Endpoint, SendOptions
-from skylarklift.entry.observed_loads import ObservedLoad
-from skylarklift.entry.origin_messages import (
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.placement.prefixes import Placement
+from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.state.follower import apply_page, rows_for_request
+from skylarklift.entry.state.rows import InvalidRow, RowChange, RowPage, RowTable, TableSummary
+from skylarklift.entry.versions.origin_messages import (
     OriginMessage,
     encode_origin_message,
 )
-from skylarklift.entry.peering import Peering
-from skylarklift.entry.prefixes import Placement
-from skylarklift.entry.quarantine import Hold, HoldState
-from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.releases import (
+from skylarklift.entry.versions.releases import (
     ReleaseReport,
     ReleaseRow,
     ReleaseStep,
@@ -50,10 +52,8 @@
     decode_release_row,
     encode_release_row,
 )
-from skylarklift.entry.rows import InvalidRow, RowChange, RowPage, RowTable, TableSummary
-from skylarklift.entry.stream_deadlines import LongestDeadline
-from skylarklift.entry.stream_origins import StreamOrigin
-from skylarklift.entry.wire import decode_gossip, decode_page, encode_gossip, encode_page
+from skylarklift.entry.versions.stream_deadlines import LongestDeadline
+from skylarklift.entry.versions.stream_origins import StreamOrigin
 from skylarklift.errors import (
     BadRequest,
     PeerError,
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -8,32 +8,32 @@
 
 from features.entry_fixtures import core_with_replicas, new_call, parse_yes_no
 from skylarklift.clock import ManualClock, Millis
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choice import Choice
 from skylarklift.entry.core import Probe
-from skylarklift.entry.crash_evidence import (
+from skylarklift.entry.crashes.crash_evidence import (
     MAX_SUSPECTS,
     CrashReport,
     Suspect,
     SuspectKind,
     suspects_of,
 )
-from skylarklift.entry.crash_guard import CrashGuard
-from skylarklift.entry.crash_messages import (
+from skylarklift.entry.crashes.crash_guard import CrashGuard
+from skylarklift.entry.crashes.crash_messages import (
     CrashMessage,
     decode_crash_message,
     encode_crash_message,
     is_crash_message,
 )
-from skylarklift.entry.model import ResponseHead
-from skylarklift.entry.quarantine import MAX_HOLDS, HoldState, Quarantine
-from skylarklift.entry.retry_state import Outcome, RetryState
-from skylarklift.entry.suspects import (
+from skylarklift.entry.crashes.quarantine import MAX_HOLDS, HoldState, Quarantine
+from skylarklift.entry.crashes.suspects import (
     JUDGEMENT_DELAY_MS,
     CrashSuspects,
     suspect_parts,
     suspects_of_call,
 )
+from skylarklift.entry.model import ResponseHead
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from skylarklift.errors import PeerError
 from standins.entry_world import free_port
 
--- a/features/steps/entry_silence.py
+++ b/features/steps/entry_silence.py
@@ -7,7 +7,7 @@
 
 from features.world_thread import all_runs, replicas_by_name
 from skylarklift.clock import ManualClock, Millis
-from skylarklift.entry.upstream_progress import UpstreamProgress
+from skylarklift.entry.placement.upstream_progress import UpstreamProgress
 
 START_MS = 10_000
 LONG_STREAM_EVENTS = 80
--- a/features/steps/entry_start.py
+++ b/features/steps/entry_start.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from features.world_thread import WorldThread, all_runs
-from skylarklift.entry.cluster_state import STORE_OUTAGE_MS
+from skylarklift.entry.state.cluster_state import STORE_OUTAGE_MS
 from standins.entry_world import HOST
 
 DEADLINE_MS = 4000
--- a/features/steps/entry_tool.py
+++ b/features/steps/entry_tool.py
@@ -14,8 +14,8 @@
 
 from skylarklift.clock import ManualClock
 from skylarklift.entry.event_log import EventLog
-from skylarklift.entry.rows import InvalidRow, RowTable
-from skylarklift.entry.wire import decode_gossip, decode_page
+from skylarklift.entry.gossip.wire import decode_gossip, decode_page
+from skylarklift.entry.state.rows import InvalidRow, RowTable
 from skylarklift.errors import PeerError, SettingsError
 from skylarklift.platform.headers import PlatformHeaderCodec
 from skylarklift.platform.rows import PlatformRowFormat, decode_plan
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -22,14 +22,16 @@
     call,
 )
 from skylarklift.clock import LoopClock, ManualClock
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choice import Choice, WantedVersion
-from skylarklift.entry.fleet import Fleet, GossipMessage
-from skylarklift.entry.health import MAX_EJECTION_MS, HealthSignal
+from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.gossip.peering import Peering
+from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint, SendOptions
-from skylarklift.entry.peering import Peering
-from skylarklift.entry.release_sync import ReleaseSync
-from skylarklift.entry.releases import (
+from skylarklift.entry.placement.choice import Choice, WantedVersion
+from skylarklift.entry.placement.health import MAX_EJECTION_MS, HealthSignal
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.state.rows import ReleaseStore, RowTable, TableSummary
+from skylarklift.entry.versions.release_sync import ReleaseSync
+from skylarklift.entry.versions.releases import (
     ReleaseReport,
     ReleaseRow,
     Releases,
@@ -39,12 +41,10 @@
     encode_release_row,
     pick_version,
 )
-from skylarklift.entry.resumptions import OriginSource, ResumedStream, Resumptions
-from skylarklift.entry.rows import ReleaseStore, RowTable, TableSummary
-from skylarklift.entry.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
-from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
-from skylarklift.entry.stream_version import StreamVersion
-from skylarklift.entry.wire import decode_gossip, encode_gossip
+from skylarklift.entry.versions.resumptions import OriginSource, ResumedStream, Resumptions
+from skylarklift.entry.versions.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
+from skylarklift.entry.versions.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import Refusal, StoreUnavailable
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,33 +8,33 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
-from skylarklift.entry.buffer_budget import BufferBudget
-from skylarklift.entry.choice import Choice
-from skylarklift.entry.choose import Chooser
-from skylarklift.entry.cluster_state import ClusterState
-from skylarklift.entry.connection_pool import ConnectionPool
-from skylarklift.entry.crash_evidence import CrashReport, Suspect
+from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
+from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.event_log import EventLog
-from skylarklift.entry.fleet import Fleet
-from skylarklift.entry.fleet_limits import FleetRetryBudget
-from skylarklift.entry.header_codec import HeaderCodec
-from skylarklift.entry.health import Health
+from skylarklift.entry.gossip.fleet import Fleet
+from skylarklift.entry.gossip.wire import PageEncoder
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings, ReplicaLoad, UpstreamRecord
-from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.releases import ReleaseReport, Releases
-from skylarklift.entry.resumptions import Resumptions
-from skylarklift.entry.rows import NO_ERA, Era, RowFormat, RowTable
-from skylarklift.entry.stream_origins import StreamOrigins
-from skylarklift.entry.suspects import QUARANTINED, CrashSuspects, HoldChange
-from skylarklift.entry.upstream import UPSTREAM_REMOVED, StateChange
-from skylarklift.entry.upstream_progress import UpstreamProgress
-from skylarklift.entry.wire import PageEncoder
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.choose import Chooser
+from skylarklift.entry.placement.fleet_limits import FleetRetryBudget
+from skylarklift.entry.placement.health import Health
+from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.placement.upstream_progress import UpstreamProgress
+from skylarklift.entry.requests.buffer_budget import BufferBudget
+from skylarklift.entry.requests.connection_pool import ConnectionPool
+from skylarklift.entry.requests.header_codec import HeaderCodec
+from skylarklift.entry.state.cluster_state import ClusterState
+from skylarklift.entry.state.rows import NO_ERA, Era, RowFormat, RowTable
+from skylarklift.entry.state.upstream import UPSTREAM_REMOVED, StateChange
+from skylarklift.entry.versions.releases import ReleaseReport, Releases
+from skylarklift.entry.versions.resumptions import Resumptions
+from skylarklift.entry.versions.stream_origins import StreamOrigins
 from skylarklift.errors import leaf_errors, raise_location
 from skylarklift.ids import ReplicaId
 
 if TYPE_CHECKING:
-    from skylarklift.entry.attempt import Attempt
+    from skylarklift.entry.requests.attempt import Attempt
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/skylarklift/entry/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Recognize what crashes upstreams, and hold it back."""
--- a/skylarklift/entry/crash_guard.py
+++ b/skylarklift/entry/crashes/crash_guard.py
@@ -3,13 +3,13 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.attempt import Attempt, is_reachable
 from skylarklift.entry.core import Core
-from skylarklift.entry.crash_evidence import CrashReport
+from skylarklift.entry.crashes.crash_evidence import CrashReport
+from skylarklift.entry.crashes.quarantine import Hold
+from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS, suspect_parts, suspects_of_call
 from skylarklift.entry.model import Call
-from skylarklift.entry.quarantine import Hold
-from skylarklift.entry.retry_state import Outcome, RetryState
-from skylarklift.entry.suspects import JUDGEMENT_DELAY_MS, suspect_parts, suspects_of_call
+from skylarklift.entry.requests.attempt import Attempt, is_reachable
+from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from skylarklift.errors import OutcomeUnknown, Refusal
 from skylarklift.ids import Fingerprint
 
--- a/skylarklift/entry/crash_messages.py
+++ b/skylarklift/entry/crashes/crash_messages.py
@@ -10,14 +10,14 @@
 import msgpack
 
 from skylarklift.clock import Millis
-from skylarklift.entry.crash_evidence import (
+from skylarklift.entry.crashes.crash_evidence import (
     CRASH_TTL_MS,
     SERVED_TTL_MS,
     CrashReport,
     Suspect,
     SuspectKind,
 )
-from skylarklift.entry.quarantine import MAX_HOLD_MS, MAX_HOLDS, Hold, HoldState
+from skylarklift.entry.crashes.quarantine import MAX_HOLD_MS, MAX_HOLDS, Hold, HoldState
 from skylarklift.errors import PeerError
 from skylarklift.ids import Fingerprint, ReplicaId
 from skylarklift.util.bounded import (
--- a/skylarklift/entry/suspects.py
+++ b/skylarklift/entry/crashes/suspects.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.crash_evidence import (
+from skylarklift.entry.crashes.crash_evidence import (
     CRASH_TTL_MS,
     CrashEvidence,
     CrashReport,
@@ -16,10 +16,10 @@
     SuspectKind,
     suspects_of,
 )
-from skylarklift.entry.crash_messages import CrashMessage, ServedReport
+from skylarklift.entry.crashes.crash_messages import CrashMessage, ServedReport
+from skylarklift.entry.crashes.quarantine import Hold, HoldState, Quarantine
 from skylarklift.entry.model import Call
-from skylarklift.entry.prefixes import shared_parts
-from skylarklift.entry.quarantine import Hold, HoldState, Quarantine
+from skylarklift.entry.placement.prefixes import shared_parts
 from skylarklift.hashing import body_fingerprint
 from skylarklift.ids import Fingerprint
 
--- /dev/null
+++ b/skylarklift/entry/gossip/__init__.py
@@ -0,0 +1,1 @@
+"""Exchange messages with the other routers, and know which there are."""
--- a/skylarklift/entry/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -4,14 +4,14 @@
 from dataclasses import dataclass, field
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.fleet_limits import FleetShare
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.observed_loads import ObservedLoad
-from skylarklift.entry.peer_loads import PeerLoads
-from skylarklift.entry.prefixes import Placement
-from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.releases import ReleaseReport
-from skylarklift.entry.rows import Era, TableSummary
+from skylarklift.entry.placement.fleet_limits import FleetShare
+from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.placement.peer_loads import PeerLoads
+from skylarklift.entry.placement.prefixes import Placement
+from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.state.rows import Era, TableSummary
+from skylarklift.entry.versions.releases import ReleaseReport
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
 
--- a/skylarklift/entry/load_messages.py
+++ b/skylarklift/entry/gossip/load_messages.py
@@ -2,8 +2,8 @@
 
 import msgpack
 
-from skylarklift.entry.observed_loads import MAX_REPORTS, ObservedLoad
-from skylarklift.entry.wire import decode_observed_load
+from skylarklift.entry.gossip.wire import decode_observed_load
+from skylarklift.entry.placement.observed_loads import MAX_REPORTS, ObservedLoad
 from skylarklift.errors import PeerError
 
 # The first item of a message; other messages between routers have other numbers there.
--- a/skylarklift/entry/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -6,12 +6,12 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
-from skylarklift.entry.crash_messages import (
+from skylarklift.entry.crashes.crash_messages import (
     decode_crash_message,
     encode_crash_message,
     is_crash_message,
 )
-from skylarklift.entry.fleet import (
+from skylarklift.entry.gossip.fleet import (
     GOSSIP_FANOUT,
     GOSSIP_INTERVAL_MS,
     MIN_GOSSIP_INTERVAL_MS,
@@ -19,28 +19,28 @@
     Peer,
     Turns,
 )
-from skylarklift.entry.follower import fetch_rows, rows_for_request
-from skylarklift.entry.load_messages import (
+from skylarklift.entry.gossip.load_messages import (
     decode_load_message,
     encode_load_message,
     is_load_message,
 )
-from skylarklift.entry.model import Endpoint, parse_endpoint
-from skylarklift.entry.observed_loads import ObservedLoad
-from skylarklift.entry.origin_messages import (
-    decode_origin_message,
-    encode_origin_message,
-    is_origin_message,
-)
-from skylarklift.entry.releases import REPORT_DELAY_MS
-from skylarklift.entry.rows import MemberStore, RowTable, TableComparison, TableSummary
-from skylarklift.entry.wire import (
+from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
     encode_gossip,
     receive_frame,
     send_frame,
 )
+from skylarklift.entry.model import Endpoint, parse_endpoint
+from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.state.follower import fetch_rows, rows_for_request
+from skylarklift.entry.state.rows import MemberStore, RowTable, TableComparison, TableSummary
+from skylarklift.entry.versions.origin_messages import (
+    decode_origin_message,
+    encode_origin_message,
+    is_origin_message,
+)
+from skylarklift.entry.versions.releases import REPORT_DELAY_MS
 from skylarklift.errors import PeerError, StoreError
 
 MAX_DATAGRAM_BYTES = 65507
--- a/skylarklift/entry/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -9,13 +9,13 @@
 import msgpack
 import trio
 
-from skylarklift.entry.fleet import GossipMessage
-from skylarklift.entry.observed_loads import ObservedLoad
-from skylarklift.entry.prefixes import Placement
-from skylarklift.entry.rate_limits import LimitReport
-from skylarklift.entry.releases import ReleaseReport, ReleaseStep, VersionWeight
-from skylarklift.entry.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
-from skylarklift.entry.stream_deadlines import LongestDeadline
+from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.placement.prefixes import Placement
+from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
+from skylarklift.entry.versions.releases import ReleaseReport, ReleaseStep, VersionWeight
+from skylarklift.entry.versions.stream_deadlines import LongestDeadline
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 from skylarklift.util.bounded import (
--- a/skylarklift/entry/affinity.py
+++ b/skylarklift/entry/placement/affinity.py
@@ -10,8 +10,8 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
-from skylarklift.entry.candidates import Candidates
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.placement.candidates import Candidates
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
--- a/skylarklift/entry/candidates.py
+++ b/skylarklift/entry/placement/candidates.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection, Iterator, Mapping
 
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.ids import ReplicaId
 
 
--- a/skylarklift/entry/choice.py
+++ b/skylarklift/entry/placement/choice.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.ids import ReplicaId, SoftwareVersion
 
 
--- a/skylarklift/entry/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -11,14 +11,7 @@
 from itertools import chain
 
 from skylarklift.clock import Clock
-from skylarklift.entry.affinity import RendezvousCache, order_by_affinity
-from skylarklift.entry.candidates import Candidates
-from skylarklift.entry.choice import Choice, NoUpstream, PassedOver, WantedVersion
-from skylarklift.entry.cluster_state import ClusterState
-from skylarklift.entry.fleet import Fleet
-from skylarklift.entry.fleet_limits import ColdRequestLimit
-from skylarklift.entry.health import Health
-from skylarklift.entry.hold_offs import HoldOffs
+from skylarklift.entry.gossip.fleet import Fleet
 from skylarklift.entry.model import (
     Bounds,
     Call,
@@ -27,10 +20,17 @@
     UpstreamRecord,
     Workspace,
 )
-from skylarklift.entry.observed_loads import ObservedLoads
-from skylarklift.entry.prefixes import PrefixIndex, shared_parts
-from skylarklift.entry.rate_limits import RateLimits
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.placement.affinity import RendezvousCache, order_by_affinity
+from skylarklift.entry.placement.candidates import Candidates
+from skylarklift.entry.placement.choice import Choice, NoUpstream, PassedOver, WantedVersion
+from skylarklift.entry.placement.fleet_limits import ColdRequestLimit
+from skylarklift.entry.placement.health import Health
+from skylarklift.entry.placement.hold_offs import HoldOffs
+from skylarklift.entry.placement.observed_loads import ObservedLoads
+from skylarklift.entry.placement.prefixes import PrefixIndex, shared_parts
+from skylarklift.entry.placement.rate_limits import RateLimits
+from skylarklift.entry.state.cluster_state import ClusterState
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
 
--- a/skylarklift/entry/hold_offs.py
+++ b/skylarklift/entry/placement/hold_offs.py
@@ -5,7 +5,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import UpstreamRecord
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.ids import ReplicaId
 
 # An upstream that asks for more is sent a request after this long.
--- a/skylarklift/entry/prefixes.py
+++ b/skylarklift/entry/placement/prefixes.py
@@ -10,7 +10,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import PromptPart
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.ids import ReplicaId
 
 PLACEMENT_TTL_MS = 60000
--- a/skylarklift/entry/rate_limits.py
+++ b/skylarklift/entry/placement/rate_limits.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
-from skylarklift.entry.fleet_limits import FleetShare
+from skylarklift.entry.placement.fleet_limits import FleetShare
 from skylarklift.ids import ReplicaId
 
 # The buckets of all routers together hold what a limit allows in this time, and some more, so that
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -8,18 +8,18 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
-from skylarklift.entry.follower import Follower
+from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS
+from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Endpoint, NodeSettings
-from skylarklift.entry.peering import Peering
-from skylarklift.entry.release_sync import ReleaseSync
-from skylarklift.entry.rows import MemberStore, ReleaseStore, RowSource, RowTable
-from skylarklift.entry.serving import (
+from skylarklift.entry.requests.serving import (
     LISTEN_BACKLOG,
     CallerServer,
     MonitoringServer,
     close_idle_when_stopping,
 )
-from skylarklift.entry.suspects import JUDGEMENT_DELAY_MS
+from skylarklift.entry.state.follower import Follower
+from skylarklift.entry.state.rows import MemberStore, ReleaseStore, RowSource, RowTable
+from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.errors import SettingsError
 
 MAINTENANCE_INTERVAL_MS = 250
--- /dev/null
+++ b/skylarklift/entry/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Serve callers' requests: connections, attempts at upstreams, forwarding, retries."""
--- a/skylarklift/entry/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -6,18 +6,18 @@
 import trio
 
 from skylarklift.clock import Millis
-from skylarklift.entry.choice import Choice
 from skylarklift.entry.core import Core, Probe
-from skylarklift.entry.crash_evidence import Suspect
-from skylarklift.entry.health import HealthSignal
-from skylarklift.entry.http_connection import (
+from skylarklift.entry.crashes.crash_evidence import Suspect
+from skylarklift.entry.model import Call, ResponseHead, SendOptions
+from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.health import HealthSignal
+from skylarklift.entry.requests.http_connection import (
     MAX_RESPONSES_READ,
     NO_BODY_STATUSES,
     HttpConnection,
     connect,
 )
-from skylarklift.entry.model import Call, ResponseHead, SendOptions
-from skylarklift.entry.retry_state import Outcome
+from skylarklift.entry.requests.retry_state import Outcome
 from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid, TransportError
 
 PROBE_TIMEOUT_MS = 250
--- a/skylarklift/entry/caller_connection.py
+++ b/skylarklift/entry/requests/caller_connection.py
@@ -7,9 +7,13 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.buffer_budget import BufferShare
-from skylarklift.entry.http_connection import FRAMING_FIELDS, NO_BODY_STATUSES, RESET_ON_CLOSE
 from skylarklift.entry.model import CallerLimits, Headers
+from skylarklift.entry.requests.buffer_budget import BufferShare
+from skylarklift.entry.requests.http_connection import (
+    FRAMING_FIELDS,
+    NO_BODY_STATUSES,
+    RESET_ON_CLOSE,
+)
 from skylarklift.errors import BadRequest, Refusal, SkylarkError
 
 READ_BYTES = 65536
--- a/skylarklift/entry/connection_pool.py
+++ b/skylarklift/entry/requests/connection_pool.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.http_connection import HttpConnection, connect
 from skylarklift.entry.model import UpstreamRecord
+from skylarklift.entry.requests.http_connection import HttpConnection, connect
 from skylarklift.ids import ReplicaId
 
 # A connection between VMs takes a millisecond or two; a lost packet is sent again within 250 ms.
--- a/skylarklift/entry/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Callable
 
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.buffer_budget import BufferBudget, BufferShare
-from skylarklift.entry.caller_connection import CallerConnection
-from skylarklift.entry.health import HealthSignal
 from skylarklift.entry.model import Call, ResponseHead, RouteKind
-from skylarklift.entry.response_body import ResponseBody
-from skylarklift.entry.retry_state import Outcome, RetryState
-from skylarklift.entry.silence import SilenceTimer
+from skylarklift.entry.placement.health import HealthSignal
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.buffer_budget import BufferBudget, BufferShare
+from skylarklift.entry.requests.caller_connection import CallerConnection
+from skylarklift.entry.requests.response_body import ResponseBody
+from skylarklift.entry.requests.retry_state import Outcome, RetryState
+from skylarklift.entry.requests.silence import SilenceTimer
 from skylarklift.errors import OutcomeUnknown, ResponseBroken, ResponseInvalid
 from skylarklift.upstreams.events import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 
--- a/skylarklift/entry/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -5,13 +5,9 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Millis
-from skylarklift.entry.attempt import NOT_RUN_STATUSES, Attempt
-from skylarklift.entry.caller_connection import CallerConnection
-from skylarklift.entry.choice import Choice, NoUpstream, WantedVersion
 from skylarklift.entry.core import Core
-from skylarklift.entry.crash_guard import CrashGuard
-from skylarklift.entry.forwarding import Forwarder
-from skylarklift.entry.health import HealthSignal
+from skylarklift.entry.crashes.crash_guard import CrashGuard
+from skylarklift.entry.crashes.suspects import call_fingerprint
 from skylarklift.entry.model import (
     Call,
     Endpoint,
@@ -21,12 +17,16 @@
     SendOptions,
     Workspace,
 )
-from skylarklift.entry.prefixes import shared_parts
-from skylarklift.entry.retry_state import Outcome, RetryState, uses_retry_budget
-from skylarklift.entry.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.stream_version import StreamVersion
-from skylarklift.entry.suspects import call_fingerprint
-from skylarklift.entry.upstream import Upstream
+from skylarklift.entry.placement.choice import Choice, NoUpstream, WantedVersion
+from skylarklift.entry.placement.health import HealthSignal
+from skylarklift.entry.placement.prefixes import shared_parts
+from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
+from skylarklift.entry.requests.caller_connection import CallerConnection
+from skylarklift.entry.requests.forwarding import Forwarder
+from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
+from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
+from skylarklift.entry.state.upstream import Upstream
+from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import (
     AnswerLate,
     BadRequest,
--- a/skylarklift/entry/response_body.py
+++ b/skylarklift/entry/requests/response_body.py
@@ -1,7 +1,7 @@
 """Read the body of a response that is not a stream of events, within a limit."""
 
-from skylarklift.entry.http_connection import HttpConnection
-from skylarklift.entry.silence import SilenceTimer
+from skylarklift.entry.requests.http_connection import HttpConnection
+from skylarklift.entry.requests.silence import SilenceTimer
 from skylarklift.errors import ResponseInvalid
 
 # A response without a length that exceeds this is not expected to end.
--- a/skylarklift/entry/serving.py
+++ b/skylarklift/entry/requests/serving.py
@@ -3,10 +3,14 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.caller_connection import CallerConnection, CallerDisconnected, RequestHead
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, CallerLimits
-from skylarklift.entry.request_handler import RequestHandler, error_headers
+from skylarklift.entry.requests.caller_connection import (
+    CallerConnection,
+    CallerDisconnected,
+    RequestHead,
+)
+from skylarklift.entry.requests.request_handler import RequestHandler, error_headers
 from skylarklift.errors import BadRequest, RequestError
 
 LISTEN_BACKLOG = 1024
--- a/skylarklift/entry/silence.py
+++ b/skylarklift/entry/requests/silence.py
@@ -5,10 +5,10 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
-from skylarklift.entry.attempt import Attempt, is_reachable
-from skylarklift.entry.caller_connection import CallerDisconnected
 from skylarklift.entry.core import Core
-from skylarklift.entry.upstream_progress import Silence
+from skylarklift.entry.placement.upstream_progress import Silence
+from skylarklift.entry.requests.attempt import Attempt, is_reachable
+from skylarklift.entry.requests.caller_connection import CallerDisconnected
 from skylarklift.errors import RequestError, ResponseBroken, TransportError
 
 MIN_CHECK_INTERVAL_MS = 100
--- a/skylarklift/entry/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -11,9 +11,9 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
-from skylarklift.entry.restored_rows import DecodedRow, DepartedUpstreams, RestoredRows
-from skylarklift.entry.row_cache import RowCache
-from skylarklift.entry.rows import (
+from skylarklift.entry.state.restored_rows import DecodedRow, DepartedUpstreams, RestoredRows
+from skylarklift.entry.state.row_cache import RowCache
+from skylarklift.entry.state.rows import (
     NO_ERA,
     Era,
     EvacuationRow,
@@ -25,8 +25,8 @@
     TableSummary,
     UpstreamRow,
 )
-from skylarklift.entry.service_index import ServiceIndex
-from skylarklift.entry.upstream import (
+from skylarklift.entry.state.service_index import ServiceIndex
+from skylarklift.entry.state.upstream import (
     UPSTREAM_ADDED,
     UPSTREAM_REMOVED,
     StateChange,
--- a/skylarklift/entry/follower.py
+++ b/skylarklift/entry/state/follower.py
@@ -5,9 +5,10 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
-from skylarklift.entry.http_connection import connect
+from skylarklift.entry.gossip.wire import MAX_FRAME_BYTES, decode_page, receive_frame, send_frame
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.rows import (
+from skylarklift.entry.requests.http_connection import connect
+from skylarklift.entry.state.rows import (
     NO_ERA,
     ChangesUnavailable,
     Era,
@@ -16,7 +17,6 @@
     RowTable,
     TableSummary,
 )
-from skylarklift.entry.wire import MAX_FRAME_BYTES, decode_page, receive_frame, send_frame
 from skylarklift.errors import PeerError, StoreError, TransportError
 from skylarklift.util.bounded import checked_integer
 
--- a/skylarklift/entry/restored_rows.py
+++ b/skylarklift/entry/state/restored_rows.py
@@ -9,7 +9,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
-from skylarklift.entry.rows import EvacuationRow, RowTable, UpstreamRow
+from skylarklift.entry.state.rows import EvacuationRow, RowTable, UpstreamRow
 from skylarklift.ids import ReplicaId
 
 # Operators write their rows again as soon as the store is back.
--- a/skylarklift/entry/row_cache.py
+++ b/skylarklift/entry/state/row_cache.py
@@ -1,6 +1,6 @@
 """A router's copy of one table, merged by row version from any source."""
 
-from skylarklift.entry.rows import (
+from skylarklift.entry.state.rows import (
     NO_ERA,
     ChangesUnavailable,
     RowChange,
--- /dev/null
+++ b/skylarklift/entry/versions/__init__.py
@@ -0,0 +1,1 @@
+"""Keep streams at the software version that began them."""
--- a/skylarklift/entry/origin_messages.py
+++ b/skylarklift/entry/versions/origin_messages.py
@@ -5,7 +5,7 @@
 
 import msgpack
 
-from skylarklift.entry.stream_origins import StreamOrigin
+from skylarklift.entry.versions.stream_origins import StreamOrigin
 from skylarklift.errors import PeerError
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 from skylarklift.util.bounded import checked_text
--- a/skylarklift/entry/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -9,8 +9,8 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
-from skylarklift.entry.releases import ReleaseReport
-from skylarklift.entry.rows import ReleaseStore
+from skylarklift.entry.state.rows import ReleaseStore
+from skylarklift.entry.versions.releases import ReleaseReport
 from skylarklift.errors import StoreError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
--- a/skylarklift/entry/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.rows import NO_ERA, Era
-from skylarklift.entry.stream_deadlines import LongestDeadline, StreamDeadlines
+from skylarklift.entry.state.rows import NO_ERA, Era
+from skylarklift.entry.versions.stream_deadlines import LongestDeadline, StreamDeadlines
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ServiceId, SoftwareVersion
 from skylarklift.util.bounded import checked_integer, checked_list, checked_text, parse_json
--- a/skylarklift/entry/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -10,11 +10,11 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.fleet import Fleet, Peer
+from skylarklift.entry.gossip.fleet import Fleet, Peer
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.origin_messages import OriginMessage
-from skylarklift.entry.releases import Releases
-from skylarklift.entry.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.entry.versions.origin_messages import OriginMessage
+from skylarklift.entry.versions.releases import Releases
+from skylarklift.entry.versions.stream_origins import StreamOrigin, StreamOrigins
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 
--- a/skylarklift/entry/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -1,12 +1,12 @@
 """The software version of one caller's stream: where it begins, and where it may go on."""
 
-from skylarklift.entry.attempt import Attempt
-from skylarklift.entry.choice import WantedVersion
-from skylarklift.entry.choose import affinity_key
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
-from skylarklift.entry.resumptions import FoundOrigin, OriginSource, ResumedStream
-from skylarklift.entry.stream_origins import StreamOrigin
+from skylarklift.entry.placement.choice import WantedVersion
+from skylarklift.entry.placement.choose import affinity_key
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.versions.resumptions import FoundOrigin, OriginSource, ResumedStream
+from skylarklift.entry.versions.stream_origins import StreamOrigin
 from skylarklift.errors import Refusal
 from skylarklift.ids import ServiceId, SoftwareVersion
 
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -1,7 +1,6 @@
 """Translate between the platform's header fields and the router's requests and responses."""
 
 from skylarklift.clock import Millis
-from skylarklift.entry.header_codec import BadCall, HeaderCodec
 from skylarklift.entry.model import (
     Call,
     Headers,
@@ -10,6 +9,7 @@
     ResponseHead,
     SendOptions,
 )
+from skylarklift.entry.requests.header_codec import BadCall, HeaderCodec
 from skylarklift.ids import RequestId
 from skylarklift.platform import names
 from skylarklift.util.bounded import parse_decimal, parse_integer
--- a/skylarklift/platform/rows.py
+++ b/skylarklift/platform/rows.py
@@ -13,7 +13,7 @@
     Workspace,
     parse_endpoint,
 )
-from skylarklift.entry.rows import EvacuationRow, InvalidRow, RowFormat, RowTable, UpstreamRow
+from skylarklift.entry.state.rows import EvacuationRow, InvalidRow, RowFormat, RowTable, UpstreamRow
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, Version, WorkspaceId, ZoneId
 from skylarklift.platform import names
 from skylarklift.util.bounded import (
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -9,15 +9,9 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, LoopClock
-from skylarklift.entry.http_connection import HttpConnection, connect
 from skylarklift.entry.model import Endpoint, Headers
-from skylarklift.entry.releases import (
-    ReleaseReport,
-    ReleaseRow,
-    decode_release_row,
-    encode_release_row,
-)
-from skylarklift.entry.rows import (
+from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.state.rows import (
     NO_ERA,
     ChangesUnavailable,
     Era,
@@ -28,6 +22,12 @@
     RowSource,
     RowTable,
 )
+from skylarklift.entry.versions.releases import (
+    ReleaseReport,
+    ReleaseRow,
+    decode_release_row,
+    encode_release_row,
+)
 from skylarklift.errors import StoreAnswerLost, StoreError, StoreUnavailable, TransportError
 from skylarklift.ids import ServiceId
 from skylarklift.platform import names
--- a/skylarklift/ui/fleet.py
+++ b/skylarklift/ui/fleet.py
@@ -7,9 +7,9 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.entry.http_connection import HttpConnection, connect
 from skylarklift.entry.model import Endpoint, RoutePlan, parse_endpoint
-from skylarklift.entry.rows import EvacuationRow, InvalidRow, RowTable, UpstreamRow
+from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.state.rows import EvacuationRow, InvalidRow, RowTable, UpstreamRow
 from skylarklift.errors import SettingsError, TransportError
 from skylarklift.platform.rows import PlatformRowFormat
 from skylarklift.platform.store import PlatformStore
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -11,18 +11,18 @@
 
 import trio
 
-from skylarklift.entry import forwarding
-from skylarklift.entry.cluster_state import ClusterState
-from skylarklift.entry.fleet import Fleet
-from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
-from skylarklift.entry.http_connection import HttpConnection
+from skylarklift.entry.gossip.fleet import Fleet
 from skylarklift.entry.model import RoutePlan
+from skylarklift.entry.placement.fleet_limits import ColdRequestLimit, FleetRetryBudget, FleetShare
+from skylarklift.entry.placement.rate_limits import RateLimits
 from skylarklift.entry.process import EntryRouter
-from skylarklift.entry.rate_limits import RateLimits
-from skylarklift.entry.retry_state import RetryState
-from skylarklift.entry.row_cache import RowCache
-from skylarklift.entry.rows import NO_ERA, TableComparison
-from skylarklift.entry.serving import CallerServer
+from skylarklift.entry.requests import forwarding
+from skylarklift.entry.requests.http_connection import HttpConnection
+from skylarklift.entry.requests.retry_state import RetryState
+from skylarklift.entry.requests.serving import CallerServer
+from skylarklift.entry.state.cluster_state import ClusterState
+from skylarklift.entry.state.row_cache import RowCache
+from skylarklift.entry.state.rows import NO_ERA, TableComparison
 from skylarklift.platform import daemon, names
 from skylarklift.platform.headers import PlatformHeaderCodec
 from skylarklift.platform.store import PlatformStore
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -6,8 +6,8 @@
 
 import trio
 
-from skylarklift.entry.caller_connection import CallerConnection, CallerDisconnected
 from skylarklift.entry.model import CallerLimits
+from skylarklift.entry.requests.caller_connection import CallerConnection, CallerDisconnected
 from skylarklift.errors import BadRequest
 
 LIMITS = CallerLimits(header_bytes=65536, idle_ms=60000)
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from skylarklift.entry.caller_connection import CallerConnection, CallerDisconnected
 from skylarklift.entry.model import CallerLimits
+from skylarklift.entry.requests.caller_connection import CallerConnection, CallerDisconnected
 from skylarklift.errors import BadRequest
 
 LIMITS = CallerLimits(idle_ms=60000)
--- a/standins/scripted_replica.py
+++ b/standins/scripted_replica.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from skylarklift.entry.http_connection import RESET_ON_CLOSE
+from skylarklift.entry.requests.http_connection import RESET_ON_CLOSE
 
 READ_BYTES = 65536
 SIGNED_HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-replica-signature: s\r\n"
--- a/tools/limit_orders.py
+++ b/tools/limit_orders.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass, field
 
 from skylarklift.clock import ManualClock
-from skylarklift.entry.fleet_limits import ColdRequestLimit, FleetShare
 from skylarklift.entry.model import Bounds
-from skylarklift.entry.rate_limits import LimitReport, RateLimits
+from skylarklift.entry.placement.fleet_limits import ColdRequestLimit, FleetShare
+from skylarklift.entry.placement.rate_limits import LimitReport, RateLimits
 from tools.order_search import System
 
 # A replica that names a limit.
--- a/tools/orders.py
+++ b/tools/orders.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from skylarklift.entry.model import Route, RouteKind
-from skylarklift.entry.retry_state import Outcome, RetryState
+from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from tools.limit_orders import ColdReplicaSystem, NamedLimitSystem
 from tools.order_search import System, search
 from tools.row_orders import RestoredRowsSystem, RowsSystem
--- a/tools/row_orders.py
+++ b/tools/row_orders.py
@@ -3,9 +3,9 @@
 from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field
 
-from skylarklift.entry.follower import ALL_ROWS
-from skylarklift.entry.row_cache import RowCache
-from skylarklift.entry.rows import (
+from skylarklift.entry.state.follower import ALL_ROWS
+from skylarklift.entry.state.row_cache import RowCache
+from skylarklift.entry.state.rows import (
     NO_ERA,
     ChangesUnavailable,
     Era,
