Fetch rows from a second router if the first one does not answer

Cause: a table had one fetch at a time, from the router whose message came first.

Change: a fetch that has lasted for 200 ms is joined by one from another router, three at most.

Ruled out: a shorter time-out, as a large row takes that long on a slow link.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -349,3 +349,23 @@
       | a host that is no IP address   |
       | a lone surrogate as zone       |
       | bytes that are no text         |
+
+  # Guards against a router that asks one that it does not reach again and again for what others have,
+  # as the messages of that one come first each time.
+  Scenario Outline: Rows are fetched from another router if the first one does not answer: <case>
+    Given a router that fetches a table from "n1"
+    When <span> ms later "<node>" tells that it has newer rows
+    Then rows are fetched from "<node>": <fetched>
+
+    Examples:
+      | case                        | span | node | fetched |
+      | the first one may answer    | 199  | n2   | no      |
+      | it has not answered         | 200  | n2   | yes     |
+      | from the same one           | 500  | n1   | no      |
+
+  Scenario: At most 3 routers are asked for a table at the same time
+    Given a router that fetches a table from "n1"
+    When 300 ms later "n2" tells that it has newer rows
+    And 300 ms later "n3" tells that it has newer rows
+    And 300 ms later "n4" tells that it has newer rows
+    Then rows are fetched from "n4": no
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -10,6 +10,7 @@
 from skylarklift.clock import LoopClock, ManualClock
 from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
 from skylarklift.entry.gossip.peering import Peering
+from skylarklift.entry.gossip.row_fetches import RowFetches
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.requests.attempt import Attempt
@@ -236,3 +237,24 @@
 def each_got_one(context, span):
     assert sorted(context.queue.received) == sorted(context.addresses), len(context.queue.received)
     assert context.took_ms <= span, context.took_ms
+
+
+@given('a router that fetches a table from "{node}"')
+def fetches_table(context, node):
+    context.clock = ManualClock(10_000)
+    context.fetches = RowFetches(context.clock)
+    assert context.fetches.start(RowTable.OPERATOR, node)
+
+
+@when('{span:d} ms later "{node}" tells that it has newer rows')
+def tells_newer_rows(context, span, node):
+    context.clock.advance(span)
+    context.started = context.fetches.start(RowTable.OPERATOR, node)
+
+
+@then('rows are fetched from "{node}": {fetched}')
+def rows_fetched(context, node, fetched):
+    assert context.started == parse_yes_no(fetched)
+    if context.started:
+        context.fetches.end(RowTable.OPERATOR, node)
+        assert not context.fetches.start(RowTable.OPERATOR, "n1")
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -24,6 +24,7 @@
     encode_load_message,
     is_load_message,
 )
+from skylarklift.entry.gossip.row_fetches import RowFetches
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
@@ -67,7 +68,7 @@
         self._members = members
         self._boot = secrets.token_hex(4)
         self._socket: trio.socket.SocketType | None = None
-        self._fetching: set[RowTable] = set()
+        self._fetches = RowFetches(core.clock)
         # What is new of busy upstreams must not take the turns of whole messages.
         self._gossip_turns, self._load_turns = Turns(), Turns()
         self._last_round_at = Millis(0)
@@ -293,19 +294,20 @@
         comparison = state.caches[table].compare(summary)
         if comparison is TableComparison.SAME:
             state.confirm_version(table, summary.version, summary.age_ms, summary.era)
-        elif comparison is not TableComparison.NOTHING_NEW and table not in self._fetching:
-            self._fetching.add(table)
+        elif comparison is not TableComparison.NOTHING_NEW and self._fetches.start(
+            table, peer.node
+        ):
             complete = comparison is TableComparison.ROWS_DIFFER
-            nursery.start_soon(self._fetch_rows, table, peer.address, summary, complete)
+            nursery.start_soon(self._fetch_rows, table, peer, summary, complete)
 
     async def _fetch_rows(
-        self, table: RowTable, address: Endpoint, summary: TableSummary, complete: bool
+        self, table: RowTable, peer: Peer, summary: TableSummary, complete: bool
     ) -> None:
-        """Fetch rows of one table; a table has one fetch at a time."""
+        """Fetch rows of one table from another router."""
         try:
-            await fetch_rows(self._core, table, address, summary, complete=complete)
+            await fetch_rows(self._core, table, peer.address, summary, complete=complete)
         finally:
-            self._fetching.discard(table)
+            self._fetches.end(table, peer.node)
 
     async def serve_rows(self, stream: trio.SocketStream) -> None:
         """Send the requested rows to another router, unless too many requests are in progress.
