Test endless streams by what other callers get meanwhile

Cause: the scenario with 400 endless streams asked for readiness checks within 1000 ms.

Change: 300 streams, and 20 requests of another service beside them that must all get 200; memory and statuses as before. The bodies of 4 MB keep the check of readiness, measured by a process of its own, as the callers and replicas of the test keep its loop busy.

--- a/features/entry_bytes.feature
+++ b/features/entry_bytes.feature
@@ -42,11 +42,22 @@
     And the router answered each readiness check within 1000 ms
 
     Examples:
-      | count | kind                   | bytes              | path      | size    | status           |
-      | 60    | with 4 MB              | event              | /redeem/a | 4000000 | 200, 503         |
-      | 8     | with 4 MB              | event              | /redeem/a | 4000000 | 200              |
-      | 400   | for streams, endless   | event              | /chat/a   | 10      | 0, 502, 503      |
-      | 400   | for streams, endless   | lines of one event | /chat/a   | 10      | 0, 502, 503      |
+      | count | kind      | bytes | path      | size    | status   |
+      | 60    | with 4 MB | event | /redeem/a | 4000000 | 200, 503 |
+      | 8     | with 4 MB | event | /redeem/a | 4000000 | 200      |
+
+  # Guards against the same from replicas, with 300 streams at once.
+  Scenario Outline: <count> streams of a replica that sends "<bytes>" leave the other callers served
+    Given a router before a replica that sends "<bytes>" without end, and one that takes 300 ms
+    When <count> requests to "/chat/a" with bodies of 10 bytes are sent at once, and 20 to "/redeem/a"
+    Then the router's process used at most 300 MB
+    And each request of them got 0, 502, 503
+    And each of the others got 200
+
+    Examples:
+      | count | bytes              |
+      | 300   | event              |
+      | 300   | lines of one event |
 
   Scenario Outline: A stream that stalls while bytes still arrive is resumed elsewhere
     Given a router before a replica that sends "<bytes>" now and then, and a sound one
--- a/features/steps/entry_bytes.py
+++ b/features/steps/entry_bytes.py
@@ -1,8 +1,11 @@
 """Steps for upstreams that send bytes that are no response."""
 
+import sys
 import time
 from collections import Counter
+from contextlib import contextmanager
 from pathlib import Path
+from subprocess import PIPE, Popen
 
 import trio
 from behave import given, then, when
@@ -82,34 +85,76 @@
     context.response = context.thread.run(run)
 
 
+async def watch_memory(context):
+    """Measure the router's memory."""
+    context.memory_peak = 0
+    while True:
+        memory = resident_bytes(context.router.process.pid)
+        context.memory_peak = max(context.memory_peak, memory)
+        await trio.sleep(READINESS_INTERVAL_MS / 1000)
+
+
+@contextmanager
+def readiness_watch(context):
+    """Measure, during a block and from another process, the time of readiness checks."""
+    command = [sys.executable, "-m", "features.readiness_watch", HOST]
+    command.append(str(context.router.readiness_port))
+    with Popen(command, stdin=PIPE, stdout=PIPE, text=True) as process:
+        yield
+        output, _ = process.communicate()
+    context.longest_wait_ms = float(output)
+    assert context.longest_wait_ms > 0
+
+
 @when('{count:d} requests to "{path}" with bodies of {size:d} bytes are sent at once')
 def requests_at_once(context, count, path, size):
-    context.statuses = Counter()
+    send_at_once(context, count, path, size)
 
-    async def send(number):
-        try:
-            response = await context.world.call(
-                context.router,
-                path,
-                body=b"x" * size,
-                request_id=f"q{number}",
-                deadline_ms=10_000,
-                headers={"x-prefix-hash": f"{number}a:50,{number}b:40,{number}c:10"},
-            )
-            context.statuses[response.status if response.complete else 0] += 1
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            # The router answered before it had read the body, and closed the connection.
-            context.statuses[503] += 1
+
+@when(
+    '{count:d} requests to "{path}" with bodies of {size:d} bytes are sent at once, and {others:d} '
+    'to "{other_path}"'
+)
+def requests_beside_others(context, count, path, size, others, other_path):
+    send_at_once(context, count, path, size, others, other_path)
+
+
+def send_at_once(context, count, path, size, others=0, other_path=""):
+    """Send requests, and others beside them; count the statuses of both apart."""
+    context.statuses, context.other_statuses = Counter(), Counter()
 
     async def run():
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(watch, context)
+            nursery.start_soon(watch_memory, context)
             async with trio.open_nursery() as callers:
                 for number in range(count):
-                    callers.start_soon(send, number)
+                    callers.start_soon(send_one, context, path, size, number, context.statuses)
+                for number in range(count, count + others):
+                    callers.start_soon(
+                        send_one, context, other_path, 10, number, context.other_statuses
+                    )
             nursery.cancel_scope.cancel()
 
-    context.thread.run(run)
+    # The callers and replicas of this process keep its loop busy, so another one measures.
+    with readiness_watch(context):
+        context.thread.run(run)
+
+
+async def send_one(context, path, size, number, statuses):
+    """Send one request with a prompt of its own, and count its status; 0 if it was cut off."""
+    try:
+        response = await context.world.call(
+            context.router,
+            path,
+            body=b"x" * size,
+            request_id=f"q{number}",
+            deadline_ms=10_000,
+            headers={"x-prefix-hash": f"{number}a:50,{number}b:40,{number}c:10"},
+        )
+        statuses[response.status if response.complete else 0] += 1
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The router answered before it had read the body, and closed the connection.
+        statuses[503] += 1
 
 
 @then("the router's process used at most {size:d} MB")
@@ -278,3 +323,8 @@
 def fails_as(context, kind, span):
     assert context.failure is not None and context.failure.kind.value == kind, context.failure
     assert context.took_ms <= span, context.took_ms
+
+
+@then("each of the others got {status:d}")
+def others_got(context, status):
+    assert set(context.other_statuses) == {status}, context.other_statuses
