--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -100,7 +100,7 @@
     Given the proportions "<steps>"
     And other routers of which all 3 are heard
     When a stream of "v1" begins
-    Then 3 routers are told its version
+    Then 3 routers are sent its version
 
     Examples:
       | steps                |
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -337,15 +337,15 @@
     context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, version))
 
 
-@then("{count:d} routers are told its version")
-def routers_told(context, count):
+@then("{count:d} routers are sent its version")
+def routers_sent(context, count):
     async def receive():
         channel = context.resumptions.outgoing
         return [await channel.receive() for _ in range(channel.statistics().current_buffer_used)]
 
-    told = trio.run(receive)
-    assert len({item.address for item in told}) == count, told
-    assert all(item.message.origins[0].request == REQUEST for item in told)
+    sent = trio.run(receive)
+    assert len({item.address for item in sent}) == count, sent
+    assert all(item.message.origins[0].request == REQUEST for item in sent)
 
 
 class ScriptedReleases(ReleaseStore):
