Split two large files of test steps

Change: steps of whole routers, of rows on versions, of single values and of changed messages stand apart; what they share is in release_fixtures, outside_values and odd_copies. Steps and checks are the same; one step is renamed to "a resuming router that", as its old pattern took other files' steps.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -32,7 +32,7 @@
   # Guards against streams that a client resumes at another version after their router was lost.
   Scenario Outline: Where a stream that is resumed may go on: <case>
     Given the proportions "<steps>"
-    And a router that <memory>
+    And a resuming router that <memory>
     When a client resumes a stream of a prompt that is "<prompt>", <left> ms before its 15 s end
     Then it goes on at "<version>", as it is <source>
 
--- /dev/null
+++ b/features/steps/entry_release_rows.py
@@ -0,0 +1,312 @@
+"""Steps for the rows on software versions, and for what a router concludes from them."""
+
+from dataclasses import replace
+
+import trio
+from behave import given, then, when
+from trio.testing import MockClock
+
+from features.entry_fixtures import (
+    apply_rows,
+    core_with_replicas,
+    new_call,
+)
+from features.release_fixtures import (
+    EMPTY_SUMMARIES,
+    LONGEST_MS,
+    REQUEST,
+    ROW_VERSION,
+    SERVICE,
+    SILENCE_MS,
+    STORE_NOW_MS,
+    entry,
+    parse_steps,
+    parse_weights,
+    prompt_of,
+)
+from skylarklift.clock import LoopClock, ManualClock
+from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.state.rows import ReleaseStore, RowTable
+from skylarklift.entry.versions.release_sync import ReleaseSync
+from skylarklift.entry.versions.releases import (
+    ReleaseReport,
+    ReleaseRow,
+    Releases,
+    decode_release_row,
+    encode_release_row,
+    pick_version,
+)
+from skylarklift.entry.versions.resumptions import OriginSource, ResumedStream, Resumptions
+from skylarklift.entry.versions.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
+from skylarklift.entry.versions.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.entry.versions.stream_version import StreamVersion
+from skylarklift.errors import Refusal, StoreUnavailable
+
+
+@given('the proportions "{steps}"')
+@given('the proportions ""')
+def proportions(context, steps=""):
+    context.clock = ManualClock(100_000)
+    context.releases = Releases(context.clock)
+    context.releases.confirm(0)
+    context.fleet = Fleet(context.clock, "n0")
+    context.origins, context.memory = StreamOrigins(context.clock), "knows nothing of it"
+    context.steps = parse_steps(steps)
+    if context.steps:
+        report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+        assert context.releases.apply(report)
+
+
+@given("a resuming router that {memory}")
+def router_with_memory(context, memory):
+    context.memory = memory
+    if memory.startswith("began it at "):
+        version = memory.removeprefix("began it at ")
+        context.origins.record(
+            StreamOrigin(REQUEST, SERVICE, None if version == "none" else version)
+        )
+
+
+async def find(context, taken):
+    """Return where a stream may go on; another router answers if there is one."""
+    resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    if not context.memory.startswith("asks"):
+        return await resumptions.find(taken)
+    message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
+    context.fleet.record_message(message, Endpoint("127.0.0.2", 1))
+    origins = StreamOrigins(context.clock)
+    if context.memory == "asks one that knows":
+        origins.record(StreamOrigin(REQUEST, SERVICE, "v1"))
+    other = Resumptions(Fleet(context.clock, "n1"), origins, context.releases)
+    here = Endpoint("127.0.0.1", 1)
+
+    async def answer():
+        other.apply_message((await resumptions.outgoing.receive()).message, here)
+        resumptions.apply_message((await other.outgoing.receive()).message, here)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(answer)
+        return await resumptions.find(taken)
+
+
+@when('a client resumes a stream of a prompt that is "{prompt}", {left:d} ms before its 15 s end')
+def taken_up(context, prompt, left):
+    key = prompt_of(context, prompt.removeprefix("of "))
+    taken = ResumedStream(REQUEST, SERVICE, key, LONGEST_MS - left)
+    context.found = trio.run(find, context, taken)
+
+
+@then('it goes on at "{version}", as it is {source}')
+def goes_on_at(context, version, source):
+    assert context.found.source is OriginSource(source), context.found
+    assert (context.found.version or "none") == version, context.found
+
+
+@given("a new router with {known}")
+def just_started(context, known):
+    context.core = core_with_replicas(3, context.clock)
+    releases, deadline = context.core.releases, LongestDeadline(LONGEST_MS, 0)
+    report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    context.core.releases.confirm(0)
+    match known:
+        case "no deadline":
+            assert releases.apply(report)
+        case "a deadline of 15 s here":
+            assert releases.apply(report)
+            releases.deadlines.record(SERVICE, LONGEST_MS)
+        case "a deadline of 15 s by another router":
+            message = gossip_of_releases(replace(report, deadline=deadline))
+            assert releases.apply(decode_gossip(encode_gossip(message)).releases[0])
+        case "a deadline of 15 s by the row":
+            data = encode_release_row(ReleaseRow(context.steps, deadline), STORE_NOW_MS)
+            row = decode_release_row(data, STORE_NOW_MS)
+            assert releases.apply(replace(report, deadline=row.deadline))
+        case "a deadline of 15 s, 2 minutes ago":
+            releases.deadlines.record(SERVICE, LONGEST_MS)
+            context.clock.advance(DEADLINE_TTL_MS)
+            releases.confirm(0)
+            assert releases.apply(report)
+
+
+def gossip_of_releases(*releases):
+    """Return a message of another router about software versions."""
+    return GossipMessage("n1", "b", "", EMPTY_SUMMARIES, releases=releases)
+
+
+@when("a client resumes a stream of a prompt that moved, on a route of 5 s, with {left:d} ms left")
+def resumed_after_start(context, left):
+    core = context.core
+    route = core.cluster_state.plan.route("app.example", "/chat/x")
+    call = new_call(f"{prompt_of(context, 'v2')}:10,own:1", deadline_ms=left)
+    call.resume_after, call.resumes = 2, REQUEST
+    version = StreamVersion(core, call, route)
+    try:
+        trio.run(version.find, SERVICE)
+        context.result = f"goes on at {version.required}"
+    except Refusal as exc:
+        context.result = f"is refused, as {exc.code}"
+
+
+@then("the resumed stream {result}")
+def resumed_stream(context, result):
+    assert context.result == result, context.result
+
+
+@given("the rows were the newest ones {age:d} ms ago")
+def rows_confirmed(context, age):
+    report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    context.releases = Releases(context.clock)
+    context.releases.apply(report)
+    context.releases.confirm(age)
+
+
+# By a case: how many routers were heard, how many routers these count, which one differs, and how.
+OTHER_ROUTERS = {
+    "none is known": (0, 0, ""),
+    "all 3 are heard": (3, 4, ""),
+    "one of 3 is silent": (3, 4, "silent"),
+    "one of 3 has left": (3, 4, "left"),
+    "3 are heard of 9": (3, 9, ""),
+}
+
+
+@given("other routers of which {others}")
+def other_routers(context, others):
+    count, counted, odd = OTHER_ROUTERS[others]
+    for number in range(count):
+        leaving = odd == "left" and number == 0
+        heard(context, number, router_count=counted, leaving=leaving)
+    context.clock.advance(SILENCE_MS)
+    for number in range(bool(odd), count):
+        heard(context, number, router_count=counted)
+
+
+def heard(context, number, **fields):
+    """Let the router hear another one."""
+    message = GossipMessage(f"n{number + 1}", "b", "", EMPTY_SUMMARIES, **fields)
+    context.fleet.record_message(message, Endpoint("127.0.0.2", number + 1))
+
+
+@when('a stream of "{version}" begins')
+def stream_begins(context, version):
+    context.resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, version))
+
+
+@then("{count:d} routers are sent its version")
+def routers_sent(context, count):
+    async def receive():
+        channel = context.resumptions.outgoing
+        return [await channel.receive() for _ in range(channel.statistics().current_buffer_used)]
+
+    sent = trio.run(receive)
+    assert len({item.address for item in sent}) == count, sent
+    assert all(item.message.origins[0].request == REQUEST for item in sent)
+
+
+class ScriptedReleases(ReleaseStore):
+    """A store of one row on software versions, which may refuse calls."""
+
+    def __init__(self, refused):
+        self.refused = refused
+        self.row = ReleaseReport(SERVICE, 1, parse_steps("9=v1:1"))
+        self.reads = 0
+
+    async def read_releases(self):
+        self.reads += 1
+        if self.refused == "reads" and self.reads > 1:
+            raise StoreUnavailable("status 429")
+        return [self.row]
+
+    async def write_release(self, report):
+        if self.refused == "writes":
+            raise StoreUnavailable("status 429")
+        if report.row_version == self.row.row_version:
+            self.row = replace(report, row_version=report.row_version + 1)
+        return self.row
+
+
+@given("a store that refuses {calls}")
+def scripted_store(context, calls):
+    context.store = ScriptedReleases(calls)
+
+
+@when('a row with "{row}" is written by another router, and 3 s pass')
+def row_written(context, row):
+    async def play():
+        clock = LoopClock()
+        context.core = core_with_replicas(2, clock)
+        apply_rows(context.core, RowTable.UPSTREAMS, 2, {"r1": entry(1, version="v2")})
+        context.core.reading_store = dict.fromkeys(RowTable, True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ReleaseSync(context.core, context.store).run)
+            await trio.sleep(0.05)
+            context.store.row = ReleaseReport(SERVICE, 8, parse_steps(row))
+            await trio.sleep(3)
+            context.current = context.core.releases.are_current()
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@then("the router {knows} the row, and rows are known to be current: {current}")
+def knows_row(context, knows, current):
+    version = context.core.releases.row_version(SERVICE)
+    assert (version >= 8) == (knows == "knows"), version
+    assert context.current == (current == "yes"), context.core.releases.age_ms()
+
+
+@when('a replica of "v2" takes the place of one of "v1"')
+def replica_replaced(context):
+    context.before = context.steps[-1].weights
+    context.after = parse_weights("v1:7,v2:2")
+
+
+@then('at most {most:d} of {count:d} prompts move, all of them to "{version}"')
+def prompts_move(context, most, count, version):
+    keys = [f"s{number}" for number in range(count)]
+    moved = [
+        key for key in keys if pick_version(key, context.before) != pick_version(key, context.after)
+    ]
+    assert 0 < len(moved) <= most, len(moved)
+    assert {pick_version(key, context.after) for key in moved} == {version}
+
+
+@then("the row reads back as it was written")
+def row_reads_back(context):
+    row = ReleaseRow(context.steps, LongestDeadline(15_000, 200))
+    data = encode_release_row(row, STORE_NOW_MS)
+    assert decode_release_row(data, STORE_NOW_MS) == row
+    later = decode_release_row(data, STORE_NOW_MS + 500)
+    assert later.steps[0].age_ms == context.steps[0].age_ms + 500
+    assert later.deadline == LongestDeadline(15_000, 700)
+    for odd in (b"{odd", b'{"steps":[7]}'):
+        assert decode_release_row(odd, 0) == ReleaseRow()
+
+
+@when('the usable replicas are "{replicas}"')
+@when('the usable replicas are ""')
+def usable_replicas(context, replicas=""):
+    counts = {item.version: item.weight for item in parse_weights(replicas)} if replicas else {}
+    context.written = context.releases.next_row(SERVICE, counts)
+
+
+@then('the proportions to write are "{written}"')
+@then('the proportions to write are ""')
+def proportions_written(context, written=""):
+    assert (context.written or ()) == parse_steps(written), context.written
+
+
+@when('the store of era {era:d} tells the row version {number:d} with "{row}"')
+@when('the store of era {era:d} tells the row version {number:d} with ""')
+def store_tells(context, era, number, row=""):
+    context.releases.apply(ReleaseReport(SERVICE, number, parse_steps(row), era))
+
+
+@then('a prompt of "{prompt}" began at "{versions}"')
+def prompt_began_at(context, prompt, versions):
+    key = prompt_of(context, prompt)
+    found = context.releases.began_at(SERVICE, key, LONGEST_MS)
+    assert found == set(versions.split()), found
