Check plain numbers and ASCII text on a short way

Decoding a gossip message of 1 kB costs 95 us, and 66 us before numbers and text were checked.

Change: a plain integer in range is returned at once, and text is encoded again only if it is not ASCII. The same values pass and fail.

--- a/skylarklift/util/bounded.py
+++ b/skylarklift/util/bounded.py
@@ -48,6 +48,8 @@
 
     NaN is out of any range.
     """
+    if type(value) is int and least <= value <= most:
+        return value
     if isinstance(value, bool) or not isinstance(value, (int, float)):
         raise ValueError(f"{type(value).__name__} in place of a number")
     if not least <= value <= most:
@@ -71,7 +73,8 @@
     """
     if not isinstance(value, str):
         raise ValueError(f"{type(value).__name__} in place of a text")
-    value.encode()
+    if not value.isascii():
+        value.encode()
     return value
 
 
