Receive signals from a daemon's first statement to the end of its process

Callers saw connections cut without an answer, and operators exit codes -1, -2 and -15: SIGHUP while a router imported its code ended it, and so did a second SIGTERM or SIGINT, or a SIGHUP in the drain, at the drain's end.

Cause: imports take 0.5 s (1.0 s for skylarkliftd), and handlers stood only after them; trio.open_signal_receiver raises signals again, with the default action, when it is left.

Change: both daemons block SIGTERM, SIGINT and SIGHUP in their first statement, before they import the rest, and a thread waits for them. Before the router runs, a stop signal ends the process at once with code 0; in the drain, SIGHUP reloads (skylarkliftd: is logged as ignored) and stop signals are logged.

Ruled out: handlers in Python, with SIG_IGN at the end.

Left: the interpreter's own start, 30 to 40 ms here, in which the default actions hold.

--- a/features/chat_calls.py
+++ b/features/chat_calls.py
@@ -23,8 +23,8 @@
         return self.status == 200 and ended and streamed_text(self.text) == self.expected_text
 
 
-def send_chat(context, router, number, tokens, prompt=None):
-    """Stream one chat and keep its response."""
+def send_chat(context, router, number, tokens, prompt=None, after_first=lambda: None):
+    """Stream one chat, call `after_first` when it has begun to arrive, and keep its response."""
     prompt = prompt or f"question {number}"
     body = {
         "model": "till-model",
@@ -34,14 +34,19 @@
     }
     url = context.deployment.processes[router].url + "/v1/chat/completions"
     try:
-        response = httpx.post(
+        with httpx.stream(
+            "POST",
             url,
             json=body,
             headers=chat_headers(chat=f"chat-{number}"),
             timeout=TIMEOUT_S,
             trust_env=False,
-        )
-        result = ChatResponse(prompt, tokens, response.status_code, response.text)
+        ) as response:
+            parts = response.iter_text()
+            text = next(parts, "")
+            after_first()
+            text += "".join(parts)
+        result = ChatResponse(prompt, tokens, response.status_code, text)
     except httpx.HTTPError as exc:
         result = ChatResponse(prompt, tokens, 0, repr(exc))
     context.responses.append(result)
--- /dev/null
+++ b/features/process_signals.feature
@@ -0,0 +1,92 @@
+Feature: Signals at any moment of a router's process, and its exit codes
+
+  SIGHUP reloads the settings or changes nothing; the first SIGTERM or SIGINT stops the router, and
+  no further signal changes how it ends.  This holds from the first statement of the program to the
+  end of the process.
+
+  # Guards against signals that end a process with their default action while it imports its code.
+  Scenario Outline: A router of the <daemon> that gets <signals> while it loads <library> ends in order
+    Given a router of the <daemon> that is loading "<library>"
+    When it gets the signals "<signals>"
+    Then it ends with exit code 0 within 900 ms
+    And its log says that it ended because of "<cause> before serving" with code 0
+
+    Examples:
+      | daemon         | library | signals                | cause   |
+      | platform       | msgpack | SIGTERM                | SIGTERM |
+      | platform       | msgpack | SIGINT                 | SIGINT  |
+      | platform       | msgpack | SIGTERM SIGTERM SIGHUP | SIGTERM |
+      | platform       | msgpack | SIGHUP SIGHUP SIGINT   | SIGINT  |
+      | platform       | xxhash  | SIGTERM SIGHUP         | SIGTERM |
+      | own deployment | msgspec | SIGTERM                | SIGTERM |
+      | own deployment | msgspec | SIGINT SIGINT          | SIGINT  |
+      | own deployment | xxhash  | SIGTERM SIGTERM SIGHUP | SIGTERM |
+      | own deployment | xxhash  | SIGHUP SIGTERM         | SIGTERM |
+
+  # Guards against a reload that ends a process while it imports its code or waits for the store.
+  Scenario Outline: A router of the <daemon> that gets <signals> while it starts goes on to serve
+    Given a router of the <daemon> that is loading "<library>"
+    When it gets the signals "<signals>"
+    Then it answers requests for its health
+    When it gets the signals "<signals>"
+    Then it answers requests for its health
+    When it gets the signals "SIGTERM"
+    Then it ends with exit code 0 within 9000 ms
+
+    Examples:
+      | daemon         | library | signals                     |
+      | platform       | msgpack | SIGHUP                      |
+      | platform       | xxhash  | SIGHUP SIGHUP SIGHUP SIGHUP |
+      | own deployment | msgspec | SIGHUP                      |
+      | own deployment | xxhash  | SIGHUP SIGHUP SIGHUP SIGHUP |
+
+  Scenario: A stop signal while the settings are read ends a router at once
+    Given a router of the platform whose settings do not come
+    When it gets the signals "SIGHUP SIGTERM"
+    Then it ends with exit code 0 within 900 ms
+
+  # Guards against signals after the first stop signal that change the exit code.
+  Scenario: Routers of the platform that get further signals in the drain finish it
+    Given a store and replicas that send an event each 500 ms
+    When routers with a stream each get these signals, the second series in the drain
+      | first         | in the drain                  |
+      | SIGTERM       | SIGHUP                        |
+      | SIGTERM       | SIGTERM                       |
+      | SIGINT        | SIGINT                        |
+      | SIGTERM       | SIGINT SIGHUP SIGTERM SIGHUP  |
+      | SIGHUP SIGINT | SIGHUP SIGHUP SIGINT SIGINT   |
+    Then each stream is complete, and each router ends with exit code 0
+    And the log of each names the first stop signal as the cause
+
+  Scenario: Routers of the own deployment that get further signals in the drain finish it
+    Given an own deployment whose engines send a token each 40 ms
+    When its routers get these signals in turn with a chat under way
+      | first         | in the drain                 |
+      | SIGTERM       | SIGHUP SIGTERM               |
+      | SIGINT        | SIGINT SIGINT                |
+      | SIGHUP SIGINT | SIGTERM SIGHUP SIGINT SIGHUP |
+    Then each chat is complete, and each router ends with exit code 0
+    And the log of each names the first stop signal as the cause
+
+  # Guards against signals between the end of the drain and the end of the process.
+  Scenario Outline: A router of the <daemon> that gets signals without a pause until it is gone
+    Given a router of the <daemon> that is loading "xxhash"
+    Then it answers requests for its health
+    When it gets the signals "SIGTERM"
+    And it gets all signals over and over until it has ended
+    Then it ends with exit code 0 within 100 ms
+
+    Examples:
+      | daemon         |
+      | platform       |
+      | own deployment |
+
+  Scenario: Settings that changed while a router started or drains are reloaded at SIGHUP
+    Given a router of the platform that is loading "xxhash"
+    Then it answers requests for its health
+    When its settings change and it gets the signals "SIGHUP"
+    Then its log has 1 lines on reloaded settings within 1000 ms
+    When it gets the signals "SIGTERM"
+    And its settings change and it gets the signals "SIGHUP"
+    Then its log has 2 lines on reloaded settings within 1000 ms
+    And it ends with exit code 0 within 9000 ms
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -76,6 +76,7 @@
             start(self._judge_crashes)
             start(self._poll_settings)
             await self._wait_for_stop_signal(signals)
+            start(self._handle_late_signals, signals)
             start(close_idle_when_stopping, core, self._caller_server)
             await self._drain_requests()
             nursery.cancel_scope.cancel()
@@ -109,6 +110,14 @@
             core.event_log.write("stopping", requests_open=core.requests_open)
             return
 
+    async def _handle_late_signals(self, signals: AsyncIterator[int]) -> None:
+        """Reload the settings at each SIGHUP while the router stops; ignore other signals."""
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self._reload("signal")
+            else:
+                self._core.event_log.write("signal_ignored", signal=signal.Signals(number).name)
+
     async def _drain_requests(self) -> None:
         """Wait until all requests have completed, within the grace period, then leave the fleet."""
         core = self._core
--- a/skylarklift/ui/logs.py
+++ b/skylarklift/ui/logs.py
@@ -25,6 +25,7 @@
     "start",
     "stopping",
     "stop",
+    "exit",
     "store_lost",
     "store_regained",
     "store_era",
--- a/tools/floors.py
+++ b/tools/floors.py
@@ -34,7 +34,7 @@
     ("coordination",),
     ("operators",),
     ("router",),
-    ("ui", "daemon"),
+    ("ui", "daemon", "program"),
 )
 
 
