Keep exit codes when a router's log has no reader, or its streams are closed

Operators saw exit code 1 and a traceback, or nothing, where the settings were wrong (2) or a task had failed; a router whose standard output was closed at its start wrote its log lines to a socket of its own (descriptor 1 was `socket:[264652]`), and skylarkliftd ended with code 1.

--- a/features/process_signals.feature
+++ b/features/process_signals.feature
@@ -1,4 +1,4 @@
-Feature: Signals at any moment of a router's process, and its exit codes
+Feature: Signals at any moment of a router's process
 
   SIGHUP reloads the settings or changes nothing; the first SIGTERM or SIGINT stops the router, and
   no further signal changes how it ends.  This holds from the first statement of the program to the
--- a/skylarklift/daemon.py
+++ b/skylarklift/daemon.py
@@ -3,11 +3,13 @@
 import sys
 
 from skylarklift.util.signals import receive_signals
+from skylarklift.util.standard_streams import STDERR, open_closed_streams
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the daemon; return its exit code."""
-    signals = receive_signals(sys.argv[1:] if argv is None else argv)
+    signals = receive_signals(sys.argv[1:] if argv is None else argv, STDERR)
+    open_closed_streams()
     # This import takes long, so it comes after.
     from skylarklift.program import run_program
 
--- a/skylarklift/platform/daemon.py
+++ b/skylarklift/platform/daemon.py
@@ -3,11 +3,13 @@
 import sys
 
 from skylarklift.util.signals import receive_signals
+from skylarklift.util.standard_streams import STDOUT, open_closed_streams
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the router; return its exit code."""
-    signals = receive_signals(sys.argv[1:] if argv is None else argv)
+    signals = receive_signals(sys.argv[1:] if argv is None else argv, STDOUT)
+    open_closed_streams()
     # This import takes long, so it comes after.
     from skylarklift.platform.program import run_program
 
--- a/skylarklift/util/daemons.py
+++ b/skylarklift/util/daemons.py
@@ -12,7 +12,7 @@
 
 from skylarklift.clock import LoopClock, Millis
 from skylarklift.errors import SettingsError, leaf_errors, raise_location
-from skylarklift.util.signals import STDOUT, ProcessSignals
+from skylarklift.util.signals import ProcessSignals
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -80,7 +80,8 @@
         for finding in findings:
             _print_error(finding)
         if not check:
-            _log_exit(daemon.name, Exit(EXIT_SETTINGS, "; ".join(findings)))
+            ended = Exit(EXIT_SETTINGS, "; ".join(findings))
+            _log_exit(daemon.name, ended, signals.log_descriptor)
         return EXIT_SETTINGS
     if check:
         print(f"{daemon.path}: valid")
@@ -88,7 +89,7 @@
     ended = trio.run(_run_to_end, daemon, settings, signals)
     if ended.code == EXIT_SYSTEM:
         _print_error(f"{daemon.name}: {ended.cause}")
-    _log_exit(daemon.node_of(settings), ended)
+    _log_exit(daemon.node_of(settings), ended, signals.log_descriptor)
     return ended.code
 
 
@@ -114,13 +115,13 @@
     return Exit(code, cause, raise_location((faults or leaves)[0]), LoopClock().now())
 
 
-def _log_exit(node: str, ended: Exit) -> None:
-    """Log an exit as one line on standard output."""
+def _log_exit(node: str, ended: Exit, descriptor: int) -> None:
+    """Log an exit as one line."""
     fields = {name: value for name, value in asdict(ended).items() if value not in ("", None)}
     line = json.dumps({"node": node, "event": "exit", **fields}, separators=(",", ":"))
     # The reader of the log may have gone; the exit code stays the same.
     with suppress(OSError):
-        os.write(STDOUT, line.encode() + b"\n")
+        os.write(descriptor, line.encode() + b"\n")
 
 
 def _print_error(text: str) -> None:
--- a/skylarklift/util/signals.py
+++ b/skylarklift/util/signals.py
@@ -9,7 +9,6 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 
-STDOUT = 1
 STOP_SIGNALS = frozenset((signal.SIGTERM, signal.SIGINT))
 RECEIVED_SIGNALS = STOP_SIGNALS | {signal.SIGHUP}
 CHECK_OPTION = "--check"
@@ -24,7 +23,8 @@
     interpreter.
     """
 
-    def __init__(self):
+    def __init__(self, log_descriptor: int):
+        self.log_descriptor = log_descriptor
         self.stop_cause = ""
         # An ordered set, since several signals of one number count as one until it is taken.
         self._received: dict[signal.Signals, None] = {}
@@ -64,18 +64,25 @@
         if number in STOP_SIGNALS:
             self.stop_cause = self.stop_cause or number.name
             if self._wake is None:
-                _end_process(number.name)
+                self._end_process(number.name)
         self._received[number] = None
         if self._wake is not None:
             self._wake()
 
+    def _end_process(self, name: str) -> None:
+        """Log the exit and end the process, without waiting for imports or reads in progress."""
+        line = f'{{"event":"exit","code":{os.EX_OK},"cause":"{name} before serving"}}\n'
+        with suppress(OSError):
+            os.write(self.log_descriptor, line.encode())
+        os._exit(os.EX_OK)
 
-def receive_signals(arguments: list[str]) -> ProcessSignals:
+
+def receive_signals(arguments: list[str], log_descriptor: int) -> ProcessSignals:
     """Return the signals of a daemon that was started with these command line arguments.
 
     A check of the settings keeps the default actions: ended early, it must not seem passed.
     """
-    signals = ProcessSignals()
+    signals = ProcessSignals(log_descriptor)
     if CHECK_OPTION not in arguments:
         signals.start()
     return signals
@@ -83,11 +90,3 @@
 
 def _drop() -> None:
     """Leave a signal that arrives after the daemon has ended its work."""
-
-
-def _end_process(name: str) -> None:
-    """Log the exit and end the process, without waiting for imports or reads in progress."""
-    line = f'{{"event":"exit","code":{os.EX_OK},"cause":"{name} before serving"}}\n'
-    with suppress(OSError):
-        os.write(STDOUT, line.encode())
-    os._exit(os.EX_OK)
