Send signals in series in the soak, and let it excuse no exit code but of a starting interpreter

The soak let a router that had not logged its start end with -15 at SIGTERM, so it could not see that a router imports its code without receiving signals, and sent no SIGHUP and no second signal.

Now a router must exit with 0 whenever it received signals at the time, and must receive them before it has loaded its code (the kernel's masks and maps tell). This is stricter: the only excuse is a process whose interpreter still starts. New faults: SIGTERM followed by up to six signals, SIGHUP in series with the settings file empty for a moment (excuses no failed request), and SIGHUP in series at a router that starts. Mutated routers start like the daemon.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -5,7 +5,7 @@
     Then the soak found no violation
 
     # Regressions: with seed 6 the harness used one port twice; with seed 113 a router got SIGTERM
-    # while it was importing its code.
+    # while it was importing its code (features/process_signals.feature holds that moment fast).
     Examples:
       | seed |
       | 1    |
--- a/features/steps/soaking.py
+++ b/features/steps/soaking.py
@@ -19,7 +19,7 @@
 def soak_mutated(context, duration, mutation, faults):
     # Whether a request meets the fault is random, and a busy machine sends fewer requests, so
     # several seeds are tried.
-    program = ("-m", "standins.mutations", mutation)
+    program = ("-m", "standins.mutated_router", mutation)
     for seed in range(1, MAX_SEEDS + 1):
         options = Options(
             seed, duration, program=program, only_faults=tuple(faults.split(",")), short_pauses=True
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -18,7 +18,9 @@
 # A request that was sent this long ago has been read by its router.
 REQUEST_READ_S = 0.05
 # Faults that are planned shutdowns, which must not abort requests.
-PLANNED_STOPS = ("router_stop", "router_stops_in_series")
+PLANNED_STOPS = ("router_stop", "router_stops_in_series", "router_stop_signals")
+# What no request may notice.
+HARMLESS_KINDS = ("router_reloads",)
 
 
 @dataclass
@@ -64,7 +66,8 @@
     def is_undisturbed(self, start: float, end: float) -> bool:
         """Return whether no fault was active in a span or in the `RECOVERY_S` before it."""
         return not any(
-            item.start < end and item.end > start - RECOVERY_S for item in self.fault_spans
+            item.kind not in HARMLESS_KINDS and item.start < end and item.end > start - RECOVERY_S
+            for item in self.fault_spans
         )
 
     def check_response(self, sent: SentRequest) -> None:
@@ -113,7 +116,7 @@
         ):
             return False
         excused = any(
-            item.kind not in PLANNED_STOPS
+            item.kind not in PLANNED_STOPS + HARMLESS_KINDS
             and item.start < sent.done_at
             and item.end > at - RECOVERY_S
             for item in self.fault_spans
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,9 +9,17 @@
 from soak.checker import GRACE_S, Checker
 from soak.proxy import LoopbackProxy, Mode
 from standins.entry_world import EntryWorld, RouterProcess
+from standins.process_state import has_loaded, receives_signal
 
 MAX_FAULT_S = 3.0
 RESTART_DELAY_S = 0.3
+FURTHER_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+MAX_SIGNALS = 6
+MAX_SIGNAL_GAP_S = 1.0
+START_POLL_S = 0.005
+START_POLLS = 2000
+# A router loads it in the middle of its imports.
+LIBRARY_OF_CODE = "msgpack"
 
 
 class Faults:
@@ -41,6 +49,9 @@
             self.router_kill,
             self.router_stop,
             self.router_stops_in_series,
+            self.router_stop_signals,
+            self.router_reloads,
+            self.router_start_reloads,
         ]
 
     async def wait_fault_duration(self) -> None:
@@ -177,18 +188,87 @@
                     nursery.start_soon(self._stop_router, router)
                     await trio.sleep(self._rng.uniform(0.1, 1.5))
 
-    async def _stop_router(self, router: RouterProcess) -> None:
+    async def router_stop_signals(self) -> None:
+        """Shut one router down, and send it further signals in its drain and until its end."""
+        router = self._choose_free_router()
+        if router is not None:
+            await self._stop_router(router, further=self._draw_signals(FURTHER_SIGNALS))
+
+    async def router_reloads(self) -> None:
+        """Send SIGHUP to a router in series, with its settings file empty for a moment."""
+        router = self._choose_free_router()
+        if router is None:
+            return
+        self._busy.add(router.name)
+        text = router.settings.read_text()
+        for content in (text, "", text):
+            router.settings.write_text(content)
+            await self._send_signals(router, self._draw_signals((signal.SIGHUP,)))
+        self._check_runs_on(router)
+        self._busy.discard(router.name)
+
+    async def router_start_reloads(self) -> None:
+        """Kill a router, start it again, and send SIGHUP in series while it starts."""
+        router = self._choose_free_router()
+        if router is None:
+            return
+        self._busy.add(router.name)
+        router.process.kill()
+        await self._world.restart_router(router)
+        await self._wait_until_signals_are_received(router)
+        await self._send_signals(router, self._draw_signals((signal.SIGHUP,)))
+        self._check_runs_on(router)
+        self._busy.discard(router.name)
+
+    def _draw_signals(self, choices: tuple[signal.Signals, ...]) -> list[signal.Signals]:
+        """Return a random series of signals."""
+        return self._rng.choices(choices, k=self._rng.randint(1, MAX_SIGNALS))
+
+    async def _send_signals(self, router: RouterProcess, numbers: list[signal.Signals]) -> None:
+        """Send signals at short random intervals, as long as the process runs."""
+        for number in numbers:
+            if router.process.poll() is None:
+                router.process.send_signal(number)
+            await trio.sleep(self._rng.uniform(0.0, MAX_SIGNAL_GAP_S))
+
+    async def _wait_until_signals_are_received(self, router: RouterProcess) -> None:
+        """Wait until a starting process receives signals, which it must before it loads code."""
+        for _ in range(START_POLLS):
+            if self._receives_signals(router) or router.process.poll() is not None:
+                return
+            await trio.sleep(START_POLL_S)
+        self._checker.violations.append(f"{router.name} does not come to receive signals")
+
+    def _receives_signals(self, router: RouterProcess) -> bool:
+        """Return whether a process receives signals; only a starting interpreter may not."""
+        has_loaded_code = has_loaded(router.process.pid, LIBRARY_OF_CODE)
+        receives = receives_signal(router.process.pid, signal.SIGTERM)
+        if has_loaded_code and not receives and router.process.poll() is None:
+            self._checker.violations.append(f"{router.name} loads code, but receives no signals")
+        return receives
+
+    def _check_runs_on(self, router: RouterProcess) -> None:
+        """Check that a router has not ended."""
+        code = router.process.poll()
+        if code is not None:
+            self._checker.violations.append(f"{router.name} exited with code {code} after SIGHUP")
+
+    async def _stop_router(
+        self, router: RouterProcess, further: list[signal.Signals] | None = None
+    ) -> None:
         """Send SIGTERM to a router, which must exit with code 0 within its grace period."""
         self._busy.add(router.name)
         self._checker.shutdowns.append((router.name, trio.current_time()))
-        was_up = router.is_up()
+        # While the interpreter starts, before the first statement, the default action holds.
+        allowed = (0,) if self._receives_signals(router) else (0, -signal.SIGTERM)
         router.process.send_signal(signal.SIGTERM)
         with trio.move_on_after(GRACE_S + 1):
-            await trio.to_thread.run_sync(router.process.wait, abandon_on_cancel=True)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._send_signals, router, further or [])
+                await trio.to_thread.run_sync(router.process.wait, abandon_on_cancel=True)
+                nursery.cancel_scope.cancel()
         code = router.process.poll()
-        # A process that is still importing its code does not handle SIGTERM yet, and accepts
-        # no requests.
-        if code != 0 and (was_up or code != -signal.SIGTERM):
+        if code not in allowed:
             self._checker.violations.append(f"{router.name} exited with code {code} after SIGTERM")
         await self._world.restart_router(router)
         self._busy.discard(router.name)
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -65,11 +65,6 @@
     readiness_port: int
     settings: Path
     log: Path
-    start_count: int = 1
-
-    def is_up(self) -> bool:
-        """Return whether the process that was started last has logged its start."""
-        return sum(line["event"] == "start" for line in self.lines()) >= self.start_count
 
     def lines(self) -> list[dict]:
         """Return the log records that are written completely."""
@@ -108,7 +103,6 @@
     async def restart_router(self, router: RouterProcess) -> None:
         """Start a router again on its previous ports after its process has ended."""
         router.process.wait()
-        router.start_count += 1
         router.process = self._start_process(router.settings, router.log)
 
     async def wait_ready(self, router: RouterProcess) -> None:
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -1,9 +1,8 @@
 """Mutations of the entry router that violate its invariants, to show that tests detect them.
 
-Usage, to run a mutated router: python -m standins.mutations NAME
+`standins.mutated_router` runs a mutated router.
 """
 
-import sys
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, replace
@@ -23,7 +22,7 @@
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.row_cache import RowCache
 from skylarklift.entry.state.rows import NO_ERA, TableComparison
-from skylarklift.platform import daemon, names
+from skylarklift.platform import names
 from skylarklift.platform.headers import PlatformHeaderCodec
 from skylarklift.platform.store import PlatformStore
 from skylarklift.upstreams.events import StreamEvent
@@ -201,8 +200,3 @@
         for item in MUTATIONS[name]:
             stack.enter_context(patch.object(item.owner, item.attribute, item.replacement))
         yield
-
-
-if __name__ == "__main__":
-    with mutated(sys.argv[1]):
-        sys.exit(daemon.main([]))
--- a/standins/process_state.py
+++ b/standins/process_state.py
@@ -10,9 +10,10 @@
 SIGNAL_GAP_S = 0.02
 
 
-def handles_signal(pid: int, number: int) -> bool:
-    """Return whether a process has a handler for a signal."""
-    return bool(_signal_mask(pid, "SigCgt") >> (number - 1) & 1)
+def receives_signal(pid: int, number: int) -> bool:
+    """Return whether a signal does not have its default action in a process."""
+    masks = (_signal_mask(pid, name) for name in ("SigBlk", "SigCgt"))
+    return any(mask >> (number - 1) & 1 for mask in masks)
 
 
 def _signal_mask(pid: int, name: str) -> int:
