Retry a port that is in use, rather than end the entry router

Cause: trio.open_tcp_listeners and the bind of the gossip socket raised into the router's nursery. A router is ready only once callers can connect. Ruled out: TIME_WAIT (trio sets SO_REUSEADDR on listeners).

--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -56,6 +56,7 @@
     one has reported the crash of an upstream.
     `releases_read` is set once rows on software versions are known, or there are none.
     `store_restored` is set when the store has lost what was written to it last.
+    `accepts_callers` is true once callers can connect.
     """
 
     settings: NodeSettings
@@ -81,6 +82,7 @@
     releases_read: trio.Event = field(default_factory=trio.Event)
     stopping_since: Millis | None = None
     requests_open: int = 0
+    accepts_callers: bool = False
     reading_store: dict[RowTable, bool] = field(
         default_factory=lambda: dict.fromkeys(RowTable, False)
     )
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -43,6 +43,7 @@
 )
 from skylarklift.entry.versions.releases import REPORT_DELAY_MS
 from skylarklift.errors import PeerError, StoreError
+from skylarklift.util.listening import open_datagram_socket
 
 MAX_DATAGRAM_BYTES = 65507
 # All holds are sent once in this time, so that each router knows them soon after its start.
@@ -58,6 +59,8 @@
 # time for the same routers.
 MAX_BURST_DATAGRAMS = 16
 BURST_PAUSE_MS = 4
+# After an error of receiving, which may last.
+RECEIVE_PAUSE_MS = 5
 
 
 class Peering:
@@ -77,12 +80,6 @@
             if seed != core.settings.peers:
                 core.fleet.add_seed(seed)
 
-    async def open(self) -> None:
-        """Bind the datagram socket."""
-        address = self._core.settings.peers
-        self._socket = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
-        await self._socket.bind((address.host, address.port))
-
     # Sending.
 
     async def send_loop(self) -> None:
@@ -137,10 +134,18 @@
         """Send datagrams to another router."""
         try:
             for data in datagrams:
-                await self._socket.sendto(data, (peer.address.host, peer.address.port))
+                await self._send_datagram(data, peer.address)
         except OSError as exc:
             self._core.event_log.write("gossip_send_failed", peer=peer.node, cause=str(exc))
 
+    async def _send_datagram(self, data: bytes, address: Endpoint) -> None:
+        """Send one datagram; drop it while the socket is not bound yet.
+
+        The others take the sender's address for this router's.
+        """
+        if self._socket is not None:
+            await self._socket.sendto(data, (address.host, address.port))
+
     def _encode_crashes(self, peer: Peer, since: Millis) -> list[bytes]:
         """Return the message about crashes for another router, none if there is nothing to send."""
         core = self._core
@@ -207,14 +212,18 @@
     # Receiving.
 
     async def receive_loop(self, nursery: trio.Nursery) -> None:
-        """Receive gossip and apply it."""
-        core = self._core
+        """Receive gossip and apply it, once the datagram socket is open."""
+        core, address = self._core, self._core.settings.peers
+        self._socket = await open_datagram_socket(
+            address.host, address.port, core.clock, core.event_log.write
+        )
         while True:
             try:
                 data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 # A datagram to a closed port comes back as an error; the socket stays usable.
                 core.event_log.write("gossip_receive_failed", cause=str(exc))
+                await trio.sleep(RECEIVE_PAUSE_MS / MS_PER_SECOND)
                 continue
             try:
                 self._apply_datagram(data, Endpoint(sender[0], sender[1]), nursery)
@@ -229,7 +238,7 @@
         async for item in self._core.resumptions.outgoing:
             try:
                 data = encode_origin_message(item.message)
-                await self._socket.sendto(data, (item.address.host, item.address.port))
+                await self._send_datagram(data, item.address)
             except OSError as exc:
                 self._core.event_log.write(
                     "origin_send_failed", peer=str(item.address), cause=str(exc)
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -12,7 +12,6 @@
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Endpoint, NodeSettings
 from skylarklift.entry.requests.serving import (
-    LISTEN_BACKLOG,
     CallerServer,
     MonitoringServer,
     close_idle_when_stopping,
@@ -21,6 +20,7 @@
 from skylarklift.entry.state.rows import MemberStore, ReleaseStore, RowSource, RowTable
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.errors import SettingsError
+from skylarklift.util.listening import Acceptor, Serve
 
 MAINTENANCE_INTERVAL_MS = 250
 SETTINGS_POLL_INTERVAL_MS = 2000
@@ -58,12 +58,8 @@
         core.event_log.write("start", zone=settings.zone, callers=str(settings.callers))
         async with trio.open_nursery() as nursery:
             start = nursery.start_soon
-            await self._peering.open()
-            start(self._listen, settings.peers, self._peering.serve_rows)
-            start(self._listen, settings.readiness, self._monitoring_server.serve)
-            metrics_address = Endpoint(settings.callers.host, self._metrics_port)
-            start(self._listen, metrics_address, self._monitoring_server.serve)
-            start(self._listen, settings.callers, self._caller_server.serve)
+            for acceptor in self._make_acceptors():
+                start(acceptor.run)
             start(self._peering.receive_loop, nursery)
             start(self._peering.send_loop)
             start(self._peering.send_observed_loads)
@@ -82,17 +78,40 @@
         core.event_log.write("stop", requests_open=core.requests_open)
         core.event_log.flush()
 
-    async def _listen(self, address: Endpoint, handler) -> None:
-        """Serve connections to one address with `handler`."""
-        listeners = await trio.open_tcp_listeners(
-            address.port, host=address.host, backlog=LISTEN_BACKLOG
+    def _make_acceptors(self) -> list[Acceptor]:
+        """Return what accepts connections at each address."""
+        settings = self._core.settings
+        metrics = Endpoint(settings.callers.host, self._metrics_port)
+        monitor = self._monitoring_server.serve
+        return [
+            self._make_acceptor(settings.peers, self._peering.serve_rows),
+            self._make_acceptor(settings.readiness, monitor),
+            self._make_acceptor(metrics, monitor),
+            self._make_acceptor(
+                settings.callers, self._caller_server.serve, on_open=self._record_open
+            ),
+        ]
+
+    def _make_acceptor(self, address: Endpoint, serve: Serve, **callbacks) -> Acceptor:
+        """Return what accepts connections at one address."""
+        core = self._core
+        return Acceptor(
+            address.host,
+            address.port,
+            partial(self._serve_isolated, serve),
+            core.clock,
+            core.event_log.write,
+            **callbacks,
         )
-        await trio.serve_listeners(partial(self._serve_isolated, handler), listeners)
 
-    async def _serve_isolated(self, handler, stream: trio.SocketStream) -> None:
+    def _record_open(self) -> None:
+        """Record that callers can connect, so that the router may be ready."""
+        self._core.accepts_callers = True
+
+    async def _serve_isolated(self, serve: Serve, stream: trio.SocketStream) -> None:
         """Serve a connection, logging exceptions so that they end only that connection."""
         try:
-            await handler(stream)
+            await serve(stream)
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as group:
             self._core.event_log.write("connection_serve_failed", cause=repr(group.exceptions))
         except* Exception as group:
--- a/skylarklift/entry/requests/serving.py
+++ b/skylarklift/entry/requests/serving.py
@@ -13,7 +13,6 @@
 from skylarklift.entry.requests.request_handler import RequestHandler, error_headers
 from skylarklift.errors import BadRequest, RequestError
 
-LISTEN_BACKLOG = 1024
 # A stopping router keeps idle connections for this long.  By then the readiness checks have taken
 # it out of rotation, and it gets no new connections.
 IDLE_CLOSE_DELAY_MS = 3000
@@ -168,7 +167,9 @@
 
 def is_ready(core: Core) -> bool:
     """Return whether this router should get new connections."""
-    return core.cluster_state.complete and core.stopping_since is None
+    if not core.accepts_callers or core.stopping_since is not None:
+        return False
+    return core.cluster_state.complete
 
 
 async def close_idle_when_stopping(core: Core, server: CallerServer) -> None:
