Keep a router alive when serving one request fails unexpectedly

What callers saw: after one request whose serving raised an error that nothing expected, the router ended with exit code 3, and all its connections with it. Cause: such an error is to end only its connection, but to log it the router asked the connection for its own address, which it had closed by then: EBADF left the handler and ended all tasks. The virtual network of the random runs gives the address of closed sockets, so they did not show it. Change: the address at which the connection was accepted is logged. Ruled out: a particular request as the cause; any unexpected error did it. Evidence: the new scenario, three such requests to a real router: before, the router was gone after the first one; now it logs 3 unhandled_error, answers callers, and ends with 0.

--- a/features/process_resources.feature
+++ b/features/process_resources.feature
@@ -37,3 +37,11 @@
     When the router starts again
     Then its readiness address answers 503 for 1500 ms
     And a SIGTERM ends it with exit code 0
+
+  # Guards against an unexpected error in one request that ends the router with exit code 3.
+  Scenario: An unexpected error while a request is served ends only its connection
+    Given a router that fails unexpectedly in requests to "/check/faulty"
+    When 3 requests to "/check/faulty" fail without an answer
+    Then it answers callers
+    And it logged "unhandled_error" 3 times, and "start" 1 times
+    And a SIGTERM ends it with exit code 0
--- a/features/steps/process_resources.py
+++ b/features/steps/process_resources.py
@@ -8,6 +8,7 @@
 
 from features.world_thread import WorldThread, send_request
 from standins.entry_world import HOST, LOG_TAIL_CHARS, Response, free_port
+from standins.faulty_router import FAULTY_PATH
 
 POLL_S = 0.05
 ANSWER_LIMIT_S = 5
@@ -94,6 +95,21 @@
     context.taken.close()
 
 
+@given('a router that fails unexpectedly in requests to "{path}"')
+def faulty_router(context, path):
+    assert path == FAULTY_PATH
+    build_world(context)
+    context.world.program = ("-m", "standins.faulty_router")
+    context.router = context.thread.run(context.world.start_router, "n1")
+
+
+@when('{count:d} requests to "{path}" fail without an answer')
+def requests_fail(context, count, path):
+    for _ in range(count):
+        assert try_request(context, path).status == 0
+        assert context.router.process.poll() is None, state_of(context)
+
+
 def try_request(context, path):
     """Return the response to a request, an empty one if the router takes no connection."""
     try:
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -98,7 +98,7 @@
         return Acceptor(
             address.host,
             address.port,
-            partial(self._serve_isolated, serve),
+            partial(self._serve_isolated, serve, address),
             core.clock,
             core.event_log.write,
             **callbacks,
@@ -108,14 +108,17 @@
         """Record that callers can connect, so that the router may be ready."""
         self._core.accepts_callers = True
 
-    async def _serve_isolated(self, serve: Serve, stream: trio.SocketStream) -> None:
+    async def _serve_isolated(
+        self, serve: Serve, address: Endpoint, stream: trio.SocketStream
+    ) -> None:
         """Serve a connection, logging exceptions so that they end only that connection."""
         try:
             await serve(stream)
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as group:
             self._core.event_log.write("connection_serve_failed", cause=repr(group.exceptions))
         except* Exception as group:
-            self._core.record_fault(group, str(stream.socket.getsockname()))
+            # The connection is closed by now, so it can't be asked for its own address.
+            self._core.record_fault(group, str(address))
 
     async def _wait_for_stop_signal(self, signals: AsyncIterator[int]) -> None:
         """Wait for a stop signal, reloading the settings at each SIGHUP."""
