Wait for settings that are being written, at the start and at a reload

What callers saw: a router that was started while its settings were missing or half written ended at once with exit code 2 (settings of the own deployment that are no text: with a traceback); at a reload in that moment, values that were not written yet were taken for their defaults; an unexpected error of reading them ended a running router. Cause: a file was read once, and what parsed was applied. Errors there are logged as faults. Ruled out: an atomic rename, with which the old code had no fault. Evidence: 21 scenarios with real processes of both daemons.

--- a/features/process_resources.feature
+++ b/features/process_resources.feature
@@ -45,3 +45,70 @@
     Then it answers callers
     And it logged "unhandled_error" 3 times, and "start" 1 times
     And a SIGTERM ends it with exit code 0
+
+  # Guards against a process that ends because its settings are being written at its start.
+  Scenario Outline: <daemon> starts while its settings file is <state>
+    Given <daemon> that has not started, with a settings file that is <state>
+    When it starts, and after 2000 ms its settings file is whole
+    Then it serves within 6000 ms
+    And a SIGTERM ends the daemon with exit code 0
+
+    Examples:
+      | daemon             | state       |
+      | an entry router    | missing     |
+      | an entry router    | empty       |
+      | an entry router    | cut off     |
+      | an entry router    | not text    |
+      | an entry router    | a directory |
+      | a router daemon    | missing     |
+      | a router daemon    | empty       |
+      | a router daemon    | cut off     |
+      | a router daemon    | not text    |
+      | a router daemon    | a directory |
+
+  # Guards against a mistake in the settings that is waited for without end, or not reported.
+  Scenario Outline: <daemon> whose settings file stays <state> ends with exit code 2
+    Given <daemon> that has not started, with a settings file that is <state>
+    When it starts
+    Then it ends with exit code 2 after 2500 to 8000 ms, and names its settings file
+    And a check of its settings ends with exit code 2 within 2500 ms
+
+    Examples:
+      | daemon             | state    |
+      | an entry router    | cut off  |
+      | an entry router    | not text |
+      | a router daemon    | cut off  |
+      | a router daemon    | not text |
+
+  # Guards against a part of the settings that was written first and is taken for the whole.
+  Scenario Outline: An entry router keeps its settings while their file is <state> for a moment
+    Given an entry router whose settings name a bound
+    When its settings file is <state> for 60 ms, with a SIGHUP
+    Then it logged no "settings_reloaded" within 2500 ms
+    And it answers callers
+
+    Examples:
+      | state               |
+      | empty               |
+      | cut before a bound  |
+      | cut within a bound  |
+
+  # Guards against a change of the settings that is lost because the file was read too early.
+  Scenario Outline: An entry router applies settings that are written <way>
+    Given an entry router whose settings name a bound
+    When its settings file gets another bound <way>
+    Then it logged "settings_reloaded" once within <span> ms
+
+    Examples:
+      | way                            | span |
+      | at once, with a SIGHUP         | 800  |
+      | at once, without a signal      | 3500 |
+      | in two parts, with a SIGHUP    | 3500 |
+
+  # Guards against settings that end a running router because reading them fails unexpectedly.
+  Scenario: An unexpected error while settings are reloaded does not end the router
+    Given an entry router whose settings name a bound
+    When its settings file gets a value at which reading fails unexpectedly, with a SIGHUP
+    Then it logged "unhandled_error" within 1000 ms
+    And it answers callers
+    And a SIGTERM ends it with exit code 0
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -21,6 +21,7 @@
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.errors import SettingsError
 from skylarklift.util.listening import Acceptor, Serve
+from skylarklift.util.settings_reload import SETTLE_MS
 
 MAINTENANCE_INTERVAL_MS = 250
 SETTINGS_POLL_INTERVAL_MS = 2000
@@ -50,6 +51,8 @@
         self._monitoring_server = MonitoringServer(core)
         self._peering = Peering(core, members)
         self._release_sync = ReleaseSync(core, releases)
+        self._reload_requested = trio.Event()
+        self._reload_cause = ""
 
     async def run(self, signals: AsyncIterator[int]) -> None:
         """Run until a stop signal, then until all requests end or the grace period ends."""
@@ -168,24 +171,52 @@
     # Settings.
 
     async def _poll_settings(self) -> None:
-        """Reload the settings at intervals, in case the file changes without a signal."""
+        """Reload the settings at each request, and at intervals in case the file changes."""
         while True:
-            await trio.sleep(SETTINGS_POLL_INTERVAL_MS / MS_PER_SECOND)
-            self._reload("file")
+            self._reload_cause = "file"
+            with trio.move_on_after(SETTINGS_POLL_INTERVAL_MS / MS_PER_SECOND):
+                await self._reload_requested.wait()
+            self._reload_requested = trio.Event()
+            try:
+                await self._reload_settled(self._reload_cause)
+            except Exception as exc:
+                self._core.record_fault(exc, "settings")
 
     def _reload(self, cause: str) -> None:
-        """Apply changed settings; keep the current ones if the file is invalid.
+        """Let the settings be read again soon."""
+        self._reload_cause = cause
+        self._reload_requested.set()
 
-        `bounds` is updated in place, since other parts of the router refer to it.
+    async def _reload_settled(self, cause: str) -> None:
+        """Apply changed settings that were read twice alike; keep the current ones otherwise.
+
+        What has been written of a file so far may be valid.
         """
+        settings = self._read_changed()
+        while settings is not None:
+            await trio.sleep(SETTLE_MS / MS_PER_SECOND)
+            again = self._read_changed()
+            if again == settings:
+                return self._apply_settings(settings, cause)
+            settings = again
+        return None
+
+    def _read_changed(self) -> NodeSettings | None:
+        """Return the settings in the file, `None` if they are invalid or have not changed."""
         core = self._core
         try:
             settings = self._load_settings()
         except SettingsError as exc:
             core.event_log.write("settings_invalid", findings=[str(item) for item in exc.findings])
-            return
-        if settings == core.settings:
-            return
+            return None
+        return None if settings == core.settings else settings
+
+    def _apply_settings(self, settings: NodeSettings, cause: str) -> None:
+        """Use other settings.
+
+        `bounds` is updated in place, since other parts of the router refer to it.
+        """
+        core = self._core
         core.settings.bounds.update_from(settings.bounds)
         core.buffers.set_memory(settings.memory_mb)
         core.event_log.write("settings_reloaded", cause=cause)
--- a/skylarklift/settings.py
+++ b/skylarklift/settings.py
@@ -29,6 +29,8 @@
         text = Path(path).read_text()
     except OSError as exc:
         raise SettingsError([Finding(path, 0, "", exc.strerror or str(exc))]) from exc
+    except UnicodeDecodeError as exc:
+        raise SettingsError([Finding(path, 0, "", f"is not text: {exc}")]) from exc
     return parse_settings(path, text, environment)
 
 
@@ -96,7 +98,9 @@
         return Path(name).read_text().strip()
     except OSError as exc:
         findings.append(document.finding(path, f"cannot read {name}: {exc.strerror}"))
-        return ""
+    except UnicodeDecodeError:
+        findings.append(document.finding(path, f"cannot read {name}: not text"))
+    return ""
 
 
 def _semantic_findings(document: JsonDocument, settings: Settings) -> list[Finding]:
--- a/skylarklift/util/daemons.py
+++ b/skylarklift/util/daemons.py
@@ -7,6 +7,7 @@
 import trio
 
 from skylarklift.errors import SettingsError, leaf_errors
+from skylarklift.util.settings_reload import load_at_start
 
 EXIT_OK = 0
 EXIT_SETTINGS = 2
@@ -25,7 +26,7 @@
 ) -> int:
     """Load the settings and run a daemon, or only validate them; return the exit code."""
     try:
-        settings = load()
+        settings = load() if check else load_at_start(path, load)
     except SettingsError as exc:
         for finding in exc.findings:
             print(finding, file=sys.stderr)
