Wait a few seconds for a port of the own daemon, and log a lack of descriptors once

What callers saw: a router daemon that was started while the process before still had one of its ports ended with exit code 3; at the limit of descriptors it wrote a traceback ten times a second. Cause: hypercorn and trio.serve_tcp open a port once; trio logs each accept that fails with its traceback. Change: the ports of callers, operators and other routers are tried for 5 s, then the daemon ends with 3 and one line as before. accept_failed is logged once for each cause and then once a minute. An unexpected error in a connection of another router ends only that connection. Ruled out: SO_REUSEADDR, which both set.

--- a/features/process_resources.feature
+++ b/features/process_resources.feature
@@ -201,3 +201,37 @@
       | 256   | 89      | 29     |
       | 1024  | 470     | 32     |
       | 4100  | 2008    | 32     |
+
+  # Guards against a router daemon that ends because the process before has not let go of its ports.
+  Scenario Outline: A router daemon starts while its <kind> port is in use
+    Given a router daemon whose <kind> port is in use
+    When it starts, and after 4000 ms the port is free
+    Then it serves within 4000 ms
+    And its log has "listen_failed" 1 times, and "listening" 1 times
+    And a SIGTERM ends the daemon with exit code 0
+
+    Examples:
+      | kind      |
+      | callers   |
+      | operators |
+      | peers     |
+
+  # Guards against a wrong port in the settings that is waited for without end.
+  Scenario Outline: A router daemon whose <kind> port stays in use ends with one line
+    Given a router daemon whose <kind> port is in use
+    When it starts
+    Then it ends with exit code 3 after 5000 to 12000 ms, and names the cause last
+
+    Examples:
+      | kind      |
+      | callers   |
+      | operators |
+      | peers     |
+
+  # Guards against a router daemon that writes tracebacks while it has no descriptors left.
+  Scenario: A router daemon without descriptors for new callers logs that once
+    Given a router daemon with a limit of 90 descriptors
+    And 200 connections to its callers address for 3000 ms
+    Then it serves within 8000 ms
+    And its log has "accept_failed" 1 times, and no traceback
+    And a SIGTERM ends the daemon with exit code 0
--- a/features/steps/process_settings.py
+++ b/features/steps/process_settings.py
@@ -25,6 +25,8 @@
 from standins.entry_world import HOST
 from standins.faulty_router import FAULTY_SETTING
 
+CALLERS = "callers"
+SECTIONS = (CALLERS, "operators", "peers")
 BOUND = "bounds.cap_factor"
 END_LIMIT_S = 12
 
@@ -83,13 +85,13 @@
 
     module = "skylarklift.daemon"
 
-    def __init__(self, settings: Path, whole: str, port: int):
+    def __init__(self, settings: Path, whole: str, ports: dict[str, int]):
         super().__init__(settings, whole)
-        self._port = port
+        self.ports = ports
 
     def serves(self) -> bool:
         try:
-            httpx.get(f"http://{HOST}:{self._port}/health", trust_env=False)
+            httpx.get(f"http://{HOST}:{self.ports[CALLERS]}/health", trust_env=False)
         except httpx.HTTPError:
             return False
         return True
@@ -122,26 +124,34 @@
     context.router = router = context.thread.run(context.world.start_router, "n1")
     router.process.kill()
     router.process.wait()
-    add_daemon(context, EntryDaemon(router.settings, router.settings.read_text(), context), state)
+    daemon = EntryDaemon(router.settings, router.settings.read_text(), context)
+    add_daemon(context, daemon)
+    spoil(daemon.settings, daemon.whole, state)
 
 
 @given("a router daemon that has not started, with a settings file that is {state}")
 def router_daemon(context, state):
+    daemon = make_router_daemon(context)
+    spoil(daemon.settings, daemon.whole, state)
+
+
+def make_router_daemon(context):
+    """Return a router daemon that has its settings and has not been started."""
     folder = tempfile.TemporaryDirectory()
     context.cleanups = [*getattr(context, "cleanups", []), folder.cleanup]
-    ports = free_ports(3)
+    ports = dict(zip(SECTIONS, free_ports(len(SECTIONS)), strict=True))
     value = dict(SETTINGS)
-    for section, port in zip(("callers", "operators", "peers"), ports, strict=True):
+    for section, port in ports.items():
         value[section] = {**value.get(section, {}), "listen": {"port": port}}
     path, whole = Path(folder.name) / "router.json", json.dumps(value, indent=1)
     path.write_text(whole)
-    add_daemon(context, RouterDaemon(path, whole, ports[0]), state)
+    return add_daemon(context, RouterDaemon(path, whole, ports))
 
 
-def add_daemon(context, daemon, state):
+def add_daemon(context, daemon):
     context.daemon = daemon
     context.cleanups.append(daemon.stop)
-    spoil(daemon.settings, daemon.whole, state)
+    return daemon
 
 
 @when("it starts")
--- a/skylarklift/routers/peers.py
+++ b/skylarklift/routers/peers.py
@@ -11,11 +11,11 @@
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.clock import MS_PER_SECOND, Clock, LoopClock, Millis
 from skylarklift.errors import PeerError, PeerTimeout, PeerUnreachable, SkylarkError
 from skylarklift.generated import Address, Failure, PeerSettings
 from skylarklift.ids import BootId, RouterId, ZoneId
-from skylarklift.logger import log
+from skylarklift.logger import FAILURES, log
 from skylarklift.routers.frames import (
     FrameStream,
     TrafficCounter,
@@ -23,6 +23,8 @@
     authenticate_as_server,
 )
 from skylarklift.routers.wire import Message
+from skylarklift.serving import PORT_WAIT_LIMIT_MS
+from skylarklift.util.listening import Acceptor
 
 Handler = Callable[[RouterId, Message], Awaitable[Message]]
 
@@ -182,21 +184,29 @@
         self._counts = counts
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
-        """Accept connections until cancelled."""
-        cfg = self._identity.cfg
-        if self._identity.server_tls is None:
-            serve = trio.serve_tcp
-            options = {}
-        else:
-            serve = trio.serve_ssl_over_tcp
-            options = {"ssl_context": self._identity.server_tls}
-        await serve(
-            self._serve_connection,
-            cfg.listen.port,
-            host=cfg.listen.host,
-            task_status=task_status,
-            **options,
+        """Accept connections until cancelled; raise `OSError` if the address stays in use."""
+        listen = self._identity.cfg.listen
+        acceptor = Acceptor(
+            listen.host,
+            listen.port,
+            self._serve_isolated,
+            LoopClock(),
+            log.warning,
+            open_limit_ms=PORT_WAIT_LIMIT_MS,
         )
+        await acceptor.run(task_status)
+
+    async def _serve_isolated(self, stream: trio.SocketStream) -> None:
+        """Serve a connection, logging exceptions so that they end only that connection."""
+        tls = self._identity.server_tls
+        try:
+            if tls is None:
+                await self._serve_connection(stream)
+            else:
+                await self._serve_connection(trio.SSLStream(stream, tls, server_side=True))
+        except* Exception as group:
+            self._counts.broken_connections += 1
+            FAILURES.record("peer_connection_serve_failed", group)
 
     async def _serve_connection(self, stream: trio.abc.Stream) -> None:
         """Serve one connection; its failures do not affect other connections."""
