--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -12,7 +12,6 @@
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Endpoint, NodeSettings
 from skylarklift.entry.requests.serving import (
-    LISTEN_BACKLOG,
     CallerServer,
     MonitoringServer,
     close_idle_when_stopping,
@@ -21,6 +20,8 @@
 from skylarklift.entry.state.rows import MemberStore, ReleaseStore, RowSource, RowTable
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.errors import SettingsError
+from skylarklift.util.listening import Acceptor, Serve
+from skylarklift.util.settings_reload import SETTLE_MS
 
 MAINTENANCE_INTERVAL_MS = 250
 SETTINGS_POLL_INTERVAL_MS = 2000
@@ -47,9 +48,11 @@
         self._load_settings = load_settings
         self._metrics_port = metrics_port
         self._caller_server = CallerServer(core)
-        self._monitoring_server = MonitoringServer(core)
+        self._monitoring_server = MonitoringServer(core, self._caller_server.update_gauges)
         self._peering = Peering(core, members)
         self._release_sync = ReleaseSync(core, releases)
+        self._reload_requested = trio.Event()
+        self._reload_cause = ""
 
     async def run(self, signals: AsyncIterator[int]) -> None:
         """Run until a stop signal, then until all requests end or the grace period ends."""
@@ -58,12 +61,8 @@
         core.event_log.write("start", zone=settings.zone, callers=str(settings.callers))
         async with trio.open_nursery() as nursery:
             start = nursery.start_soon
-            await self._peering.open()
-            start(self._listen, settings.peers, self._peering.serve_rows)
-            start(self._listen, settings.readiness, self._monitoring_server.serve)
-            metrics_address = Endpoint(settings.callers.host, self._metrics_port)
-            start(self._listen, metrics_address, self._monitoring_server.serve)
-            start(self._listen, settings.callers, self._caller_server.serve)
+            for acceptor in self._make_acceptors():
+                start(acceptor.run)
             start(self._peering.receive_loop, nursery)
             start(self._peering.send_loop)
             start(self._peering.send_observed_loads)
@@ -74,6 +73,7 @@
                 start(Follower(core, self._rows, table).run)
             start(self._run_maintenance)
             start(self._judge_crashes)
+            start(self._handle_shortages)
             start(self._poll_settings)
             await self._wait_for_stop_signal(signals)
             start(self._handle_late_signals, signals)
@@ -83,21 +83,69 @@
         core.event_log.write("stop", requests_open=core.requests_open)
         core.event_log.flush()
 
-    async def _listen(self, address: Endpoint, handler) -> None:
-        """Serve connections to one address with `handler`."""
-        listeners = await trio.open_tcp_listeners(
-            address.port, host=address.host, backlog=LISTEN_BACKLOG
+    def _make_acceptors(self) -> list[Acceptor]:
+        """Return what accepts connections at each address."""
+        settings = self._core.settings
+        metrics = Endpoint(settings.callers.host, self._metrics_port)
+        monitor = self._monitoring_server.serve
+        return [
+            self._make_acceptor(
+                settings.peers,
+                self._peering.serve_rows,
+                max_open=lambda: self._core.descriptors.routers,
+            ),
+            self._make_acceptor(settings.readiness, monitor),
+            self._make_acceptor(metrics, monitor),
+            self._make_acceptor(
+                settings.callers,
+                self._caller_server.serve,
+                on_open=self._record_open,
+                wait_turn=self._caller_server.wait_turn,
+            ),
+        ]
+
+    def _make_acceptor(self, address: Endpoint, serve: Serve, **callbacks) -> Acceptor:
+        """Return what accepts connections at one address."""
+        core = self._core
+        return Acceptor(
+            address.host,
+            address.port,
+            partial(self._serve_isolated, serve, address),
+            core.clock,
+            core.event_log.write,
+            on_shortage=self._release_descriptors,
+            **callbacks,
         )
-        await trio.serve_listeners(partial(self._serve_isolated, handler), listeners)
 
-    async def _serve_isolated(self, handler, stream: trio.SocketStream) -> None:
+    def _release_descriptors(self) -> None:
+        """Close connections that nobody uses, as the process has no descriptor left."""
+        self._core.update_descriptors()
+        self._caller_server.release_descriptors()
+        self._core.connection_pool.trim_idle(0)
+
+    async def _handle_shortages(self) -> None:
+        """Close connections that nobody uses each time that one to an upstream can't be opened."""
+        core = self._core
+        while True:
+            await core.descriptors_short.wait()
+            core.descriptors_short = trio.Event()
+            self._release_descriptors()
+
+    def _record_open(self) -> None:
+        """Record that callers can connect, so that the router may be ready."""
+        self._core.accepts_callers = True
+
+    async def _serve_isolated(
+        self, serve: Serve, address: Endpoint, stream: trio.SocketStream
+    ) -> None:
         """Serve a connection, logging exceptions so that they end only that connection."""
         try:
-            await handler(stream)
+            await serve(stream)
         except* (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as group:
             self._core.event_log.write("connection_serve_failed", cause=repr(group.exceptions))
         except* Exception as group:
-            self._core.record_fault(group, str(stream.socket.getsockname()))
+            # The connection is closed by now, so it can't be asked for its own address.
+            self._core.record_fault(group, str(address))
 
     async def _wait_for_stop_signal(self, signals: AsyncIterator[int]) -> None:
         """Wait for a stop signal, reloading the settings at each SIGHUP."""
@@ -141,6 +189,8 @@
             core.apply_hold_changes(core.suspects.expire(), core.settings.node)
             core.expire_rate_limits()
             core.connection_pool.close_expired()
+            core.update_descriptors()
+            self._caller_server.close_excess()
             core.event_log.flush()
 
     async def _judge_crashes(self) -> None:
@@ -155,24 +205,52 @@
     # Settings.
 
     async def _poll_settings(self) -> None:
-        """Reload the settings at intervals, in case the file changes without a signal."""
+        """Reload the settings at each request, and at intervals in case the file changes."""
         while True:
-            await trio.sleep(SETTINGS_POLL_INTERVAL_MS / MS_PER_SECOND)
-            self._reload("file")
+            self._reload_cause = "file"
+            with trio.move_on_after(SETTINGS_POLL_INTERVAL_MS / MS_PER_SECOND):
+                await self._reload_requested.wait()
+            self._reload_requested = trio.Event()
+            try:
+                await self._reload_settled(self._reload_cause)
+            except Exception as exc:
+                self._core.record_fault(exc, "settings")
 
     def _reload(self, cause: str) -> None:
-        """Apply changed settings; keep the current ones if the file is invalid.
+        """Let the settings be read again soon."""
+        self._reload_cause = cause
+        self._reload_requested.set()
 
-        `bounds` is updated in place, since other parts of the router refer to it.
+    async def _reload_settled(self, cause: str) -> None:
+        """Apply changed settings that were read twice alike; keep the current ones otherwise.
+
+        What has been written of a file so far may be valid.
         """
+        settings = self._read_changed()
+        while settings is not None:
+            await trio.sleep(SETTLE_MS / MS_PER_SECOND)
+            again = self._read_changed()
+            if again == settings:
+                return self._apply_settings(settings, cause)
+            settings = again
+        return None
+
+    def _read_changed(self) -> NodeSettings | None:
+        """Return the settings in the file, `None` if they are invalid or have not changed."""
         core = self._core
         try:
             settings = self._load_settings()
         except SettingsError as exc:
             core.event_log.write("settings_invalid", findings=[str(item) for item in exc.findings])
-            return
-        if settings == core.settings:
-            return
+            return None
+        return None if settings == core.settings else settings
+
+    def _apply_settings(self, settings: NodeSettings, cause: str) -> None:
+        """Use other settings.
+
+        `bounds` is updated in place, since other parts of the router refer to it.
+        """
+        core = self._core
         core.settings.bounds.update_from(settings.bounds)
         core.buffers.set_memory(settings.memory_mb)
         core.event_log.write("settings_reloaded", cause=cause)
--- a/skylarklift/util/daemons.py
+++ b/skylarklift/util/daemons.py
@@ -12,6 +12,7 @@
 
 from skylarklift.clock import LoopClock, Millis
 from skylarklift.errors import SettingsError, leaf_errors, raise_location
+from skylarklift.util.settings_reload import load_at_start
 from skylarklift.util.signals import ProcessSignals
 
 EXIT_OK = 0
@@ -74,7 +75,7 @@
 def run_daemon(daemon: Daemon[SettingsT], signals: ProcessSignals, *, check: bool) -> int:
     """Load the settings and run a daemon, or only validate them; return the exit code."""
     try:
-        settings = daemon.load()
+        settings = daemon.load() if check else load_at_start(daemon.path, daemon.load)
     except SettingsError as exc:
         findings = [str(finding) for finding in exc.findings]
         for finding in findings:
