Read the store when the rows of the router that reads it do not arrive

Callers and replicas: a router that heard the reader of the store, but could not reach it, went on with old rows for as long as that lasted.

Cause: a router that reads the store and whose messages arrive counted as one that rows come from. Fetches that had no answer were joined by others from further routers, never by a read of the store.

Change: while a fetch of a table has had no answer for 400 ms, the router reads the table from the store. RowFetches moves from Peering to Core, so that the follower sees it.

Ruled out by the trace (docs/incidents/limits-of-upstreams.md): routers that start again within the second in which they had sent, and shares of too few routers.

--- a/features/entry.feature
+++ b/features/entry.feature
@@ -363,6 +363,18 @@
       | it has not answered         | 200  | n2   | yes     |
       | from the same one           | 500  | n1   | no      |
 
+  # Guards against routers that wait for rows of one that they cannot reach, and do not read the store.
+  Scenario Outline: Rows that another router does not deliver are read from the store: <case>
+    Given a router that fetches a table from "n1"
+    When <span> ms pass and the fetch <state>
+    Then the router reads the table itself: <reads>
+
+    Examples:
+      | case                        | span | state     | reads |
+      | the other one may answer    | 399  | goes on   | no    |
+      | it has not answered         | 400  | goes on   | yes   |
+      | it has answered or refused  | 400  | has ended | no    |
+
   Scenario: At most 3 routers are asked for a table at the same time
     Given a router that fetches a table from "n1"
     When 300 ms later "n2" tells that it has newer rows
--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -31,6 +31,30 @@
       | 1    | 25   | restore_store,drain_replica                |
       | 6    | 25   | restore_store,partition_router,kill_router |
 
+  # Guards against routers that rely on the messages of one whose rows they cannot get, and so send
+  # to a zone that was evacuated and is back, with cold replicas.
+  Scenario Outline: Cold replicas are not overrun amid cuts and kills of routers, seed <seed>
+    When entry routers run for <span> virtual seconds with seed <seed> and only the faults "<faults>"
+    Then no invariant was violated
+
+    Examples:
+      | seed | span | faults                                     |
+      | 25   | 25   | partition_router,kill_router               |
+      | 29   | 25   | partition_router,kill_router               |
+      | 9    | 25   | restore_store,partition_router,kill_router |
+      | 12   | 25   | restore_store,partition_router,kill_router |
+
+  # Guards against routers that go on with old rows while one reads the store that they hear only.
+  Scenario Outline: Rows arrive where the reader of the store cannot be reached, <count> routers
+    Given <count> routers, of which the one that reads the store cannot be reached by the others
+    Then each of them knows that a zone is evacuated within <span> ms
+
+    Examples:
+      | count | span |
+      | 2     | 1000 |
+      | 4     | 1000 |
+      | 12    | 1000 |
+
   Scenario Outline: Random runs detect the mutation <mutation>
     When entry routers run for <span> s with the mutation "<mutation>" and only the faults "<faults>"
     Then a run violates an invariant with the text "<text>"
--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -258,3 +258,16 @@
     if context.started:
         context.fetches.end(RowTable.OPERATOR, node)
         assert not context.fetches.start(RowTable.OPERATOR, "n1")
+
+
+@when("{span:d} ms pass and the fetch {state}")
+def fetch_goes_on(context, span, state):
+    context.clock.advance(span)
+    if state == "has ended":
+        context.fetches.end(RowTable.OPERATOR, "n1")
+
+
+@then("the router reads the table itself: {reads}")
+def reads_itself(context, reads):
+    assert context.fetches.is_unanswered(RowTable.OPERATOR) == parse_yes_no(reads)
+    assert not context.fetches.is_unanswered(RowTable.UPSTREAMS)
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -12,6 +12,7 @@
 from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.event_log import EventLog
 from skylarklift.entry.gossip.fleet import Fleet
+from skylarklift.entry.gossip.row_fetches import RowFetches
 from skylarklift.entry.gossip.wire import PageEncoder
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import NodeSettings, ReplicaLoad, UpstreamRecord
@@ -65,6 +66,7 @@
     metrics: Metrics
     cluster_state: ClusterState
     fleet: Fleet
+    row_fetches: RowFetches
     health: Health
     chooser: Chooser
     retry_budget: FleetRetryBudget
@@ -290,6 +292,7 @@
         metrics=Metrics(),
         cluster_state=cluster_state,
         fleet=fleet,
+        row_fetches=RowFetches(clock),
         health=health,
         chooser=chooser,
         retry_budget=FleetRetryBudget(clock, bounds),
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -24,7 +24,6 @@
     encode_load_message,
     is_load_message,
 )
-from skylarklift.entry.gossip.row_fetches import RowFetches
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
@@ -68,7 +67,6 @@
         self._members = members
         self._boot = secrets.token_hex(4)
         self._socket: trio.socket.SocketType | None = None
-        self._fetches = RowFetches(core.clock)
         # What is new of busy upstreams must not take the turns of whole messages.
         self._gossip_turns, self._load_turns = Turns(), Turns()
         self._last_round_at = Millis(0)
@@ -294,7 +292,7 @@
         comparison = state.caches[table].compare(summary)
         if comparison is TableComparison.SAME:
             state.confirm_version(table, summary.version, summary.age_ms, summary.era)
-        elif comparison is not TableComparison.NOTHING_NEW and self._fetches.start(
+        elif comparison is not TableComparison.NOTHING_NEW and self._core.row_fetches.start(
             table, peer.node
         ):
             complete = comparison is TableComparison.ROWS_DIFFER
@@ -307,7 +305,7 @@
         try:
             await fetch_rows(self._core, table, peer.address, summary, complete=complete)
         finally:
-            self._fetches.end(table, peer.node)
+            self._core.row_fetches.end(table, peer.node)
 
     async def serve_rows(self, stream: trio.SocketStream) -> None:
         """Send the requested rows to another router, unless too many requests are in progress.
--- a/skylarklift/entry/gossip/row_fetches.py
+++ b/skylarklift/entry/gossip/row_fetches.py
@@ -7,6 +7,8 @@
 # reachable, though its messages arrive.
 HEDGE_DELAY_MS = 200
 MAX_FETCHES = 3
+# A router that has waited for rows for this long reads them from the store itself.
+MAX_UNANSWERED_MS = 400
 
 
 class RowFetches:
@@ -26,6 +28,11 @@
         running[node] = now
         return True
 
+    def is_unanswered(self, table: RowTable) -> bool:
+        """Return whether a fetch has run for so long that its router may not be reachable."""
+        now = self._clock.now()
+        return any(now - at >= MAX_UNANSWERED_MS for at in self._started[table].values())
+
     def end(self, table: RowTable, node: str) -> None:
         """Record that a fetch has ended."""
         self._started[table].pop(node, None)
--- a/skylarklift/entry/state/follower.py
+++ b/skylarklift/entry/state/follower.py
@@ -49,9 +49,7 @@
         """Read the store while no other router does so for this one."""
         core = self._core
         while True:
-            if core.cluster_state.caches[self._table].version and core.fleet.peer_reads_store(
-                self._age_limits_ms(), self._eras()
-            ):
+            if self._gets_rows_from_others():
                 core.reading_store[self._table] = False
                 await trio.sleep(STANDBY_CHECK_INTERVAL_MS / MS_PER_SECOND)
                 continue
@@ -63,6 +61,13 @@
                 span = RETRY_DELAY_MS + core.rng.randrange(RETRY_JITTER_MS)
                 await trio.sleep(span / MS_PER_SECOND)
 
+    def _gets_rows_from_others(self) -> bool:
+        """Return whether another router reads the store, and its rows arrive here."""
+        core, table = self._core, self._table
+        if not core.cluster_state.caches[table].version or core.row_fetches.is_unanswered(table):
+            return False
+        return core.fleet.peer_reads_store(self._age_limits_ms(), self._eras())
+
     def _age_limits_ms(self) -> tuple[int, ...]:
         """Return, per table, the greatest age at which a peer's copy is fresh enough."""
         return (MAX_TABLE_AGE_MS,) * len(RowTable)
