Reset HTTP/1.0 callers whose router is killed within a stream

Callers of HTTP/1.0 saw a stream end in order when their router was killed within it, so that the first events looked like the whole answer: the kernel ends the connections of a killed process with FIN. SO_LINGER with a time-out of 0 was set only when the router itself gave an answer up. It is set now from the head of an answer without framing on and taken back at its orderly end, so the kernel resets the connection whenever the process ends within it.

Ruled out: the end of a drain; it reset the caller before, and does now. The virtual network now tells SO_LINGER on from off.

--- a/features/steps/entry_bytes.py
+++ b/features/steps/entry_bytes.py
@@ -253,18 +253,21 @@
     open_world(context, {"lm-1": RawReplica(BROKEN_STREAM)})
 
 
-@when('an HTTP/1.0 caller sends a request to "{path}"')
-def old_caller_sends(context, path):
-    head = (
+def old_caller_head(path, deadline_ms=4000):
+    """Return the head of an HTTP/1.0 caller's request for a stream."""
+    return (
         f"POST {path} HTTP/1.0\r\nhost: app.example\r\nx-attempt-id: q1\r\nx-api-key: key-1\r\n"
-        "x-token-count: 100,50\r\nx-prefix-hash: aa:50,bb:40,cc:10\r\nx-deadline-ms: 4000\r\n"
-        "content-length: 0\r\n\r\n"
-    )
+        "x-token-count: 100,50\r\nx-prefix-hash: aa:50,bb:40,cc:10\r\n"
+        f"x-deadline-ms: {deadline_ms}\r\ncontent-length: 0\r\n\r\n"
+    ).encode()
+
 
+@when('an HTTP/1.0 caller sends a request to "{path}"')
+def old_caller_sends(context, path):
     async def send():
         stream = await trio.open_tcp_stream(HOST, context.router.caller_port)
         async with stream:
-            await stream.send_all(head.encode())
+            await stream.send_all(old_caller_head(path))
             received = b""
             with trio.fail_after(6):
                 while data := await stream.receive_some(65536):
--- a/skylarklift/entry/requests/caller_connection.py
+++ b/skylarklift/entry/requests/caller_connection.py
@@ -10,6 +10,7 @@
 from skylarklift.entry.model import CallerLimits, Headers
 from skylarklift.entry.requests.buffer_budget import BufferShare
 from skylarklift.entry.requests.http_connection import (
+    CLOSE_IN_ORDER,
     FRAMING_FIELDS,
     NO_BODY_STATUSES,
     RESET_ON_CLOSE,
@@ -150,6 +151,8 @@
         if self.close_after_response:
             headers = [*headers, (b"connection", b"close")]
         self.head_sent = True
+        if self._ends_with_connection():
+            self._set_linger(RESET_ON_CLOSE)
         await self._write(self._http.send(h11.Response(status_code=status, headers=headers)))
 
     async def send_data(self, data: bytes) -> None:
@@ -162,6 +165,8 @@
         data = self._http.send(h11.EndOfMessage())
         if data:
             await self._write(data)
+        if self._ends_with_connection():
+            self._set_linger(CLOSE_IN_ORDER)
 
     async def send_response(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response in one write."""
@@ -223,23 +228,20 @@
         self.abort()
 
     def abort(self) -> None:
-        """Close the connection immediately.
-
-        Reset it if a response without framing is unfinished: its end is the end of the
-        connection, so closing in order would make it look complete.
-        """
-        if self.head_sent and not self.response_complete and self._ends_with_connection():
-            self._reset_on_close()
+        """Close the connection immediately; reset it within a response without framing."""
         self._stream.socket.close()
 
     def _ends_with_connection(self) -> bool:
         """Return whether the caller takes the end of the connection for the end of the body."""
         return self._http.their_http_version in (None, b"1.0")
 
-    def _reset_on_close(self) -> None:
-        """Make closing discard what is unsent and reset the connection."""
+    def _set_linger(self, linger: bytes) -> None:
+        """Set how the connection ends, also when this process is killed.
+
+        Within a response without framing it must not end in order, which would look complete.
+        """
         try:
-            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            self._stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         except (OSError, trio.ClosedResourceError):
             # The connection is closed already.
             return
--- a/skylarklift/entry/requests/http_connection.py
+++ b/skylarklift/entry/requests/http_connection.py
@@ -22,6 +22,8 @@
 MAX_INTERIM_RESPONSES = 8
 # SO_LINGER with a time-out of 0: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# SO_LINGER off: unsent data is still sent, then the end of the connection.
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 # A part of a body, such as a chunk, counts at least this much towards a limit on the body, since
 # each costs time however small it is.
 MIN_PART_BYTES = 512
--- a/standins/virtual_net.py
+++ b/standins/virtual_net.py
@@ -16,6 +16,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.requests.http_connection import RESET_ON_CLOSE
 
 WINDOW_BYTES = 65536
 FIRST_PORT = 40000
@@ -205,11 +206,11 @@
         return self._peer
 
     def setsockopt(self, level, option, value, length=None) -> None:
-        """Make `close` send a reset if `SO_LINGER` is set; ignore all other options."""
+        """Make `close` send a reset if `SO_LINGER` is on; ignore all other options."""
         if self.closed:
             raise _closed_error()
         if option == socket.SO_LINGER:
-            self._reset_on_close = True
+            self._reset_on_close = value == RESET_ON_CLOSE
 
     def getsockopt(self, level, option, length=None):
         """Return whether the socket listens, the only option that trio reads."""
