Doubt the version of a replica whose connection ended within an answer

A connection that ends within an answer now raises a doubt, until the store confirms the entry 1.2 s later, or until a connection from before shows that the process runs. A stream that finds no other replica waits for that, at most 3 s; a stream that began in a doubt can be resumed once it is over.

Ruled out: to doubt until the next entry, as replicas that only break answers off would then go on with no stream. Not covered: a router that has seen no connection end.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -14,6 +14,17 @@
       | only itself is of its version     | v1 v2       | complete   |
       | the replicas name no version      | none none   | broken off |
 
+  # Guards against a replica that is back as another version before its entry says so.
+  Scenario Outline: A replica that crashes in a stream is back at once as "<version>"
+    Given a router before a replica of "v1" that crashes in a stream, and is "<version>" <delay> ms later
+    When a request for a stream is sent to it
+    Then the caller gets <events> events of "v1"
+
+    Examples:
+      | version | delay | events |
+      | v1      | 700   | 6      |
+      | v2      | 700   | 2      |
+
   # Guards against resumptions at a router that did not begin the stream, or that has just started.
   Scenario Outline: A client resumes its streams at another router, <case>
     Given a router before replicas of the versions "v1 v2" that break off each new stream
@@ -137,6 +148,11 @@
       | it begins, one answers again              | r0 answers again        | is to begin | r0 r1    |
       | it goes on, one has written its entry     | r0 writes again         | has begun   | r0 r1    |
       | it goes on, another router reports it     | n1 reports r0           | has begun   | r1       |
+      | it goes on, one broke an answer off       | r0 broke off            | has begun   | r1       |
+      | it goes on, one broke off, long confirmed | r0 broke off long ago   | has begun   | r0 r1    |
+      | it goes on, one broke off and still runs  | r0 broke off one answer | has begun   | r0 r1    |
+      | it goes on, all broke an answer off       | r0 and r1 broke off     | has begun   | none     |
+      | it begins, one broke an answer off        | r0 broke off            | is to begin | r0 r1    |
       | one has come back with another version    | r0 is back as v2        | has begun   | r1       |
       | one changes its entry                     | r0 says v3              | is to begin | r1       |
       | one names no version any more             | r0 says nothing         | has begun   | r1       |
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -20,11 +20,13 @@
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.gossip.wire import encode_gossip
-from skylarklift.entry.model import Endpoint, SendOptions
+from skylarklift.entry.model import Endpoint, ResponseHead, SendOptions
 from skylarklift.entry.placement.choice import Choice, WantedVersion
 from skylarklift.entry.placement.health import MAX_EJECTION_MS, HealthSignal
 from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.http_connection import HttpConnection
 from skylarklift.entry.state.rows import RowTable
+from skylarklift.errors import ResponseBroken
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
 
@@ -45,7 +47,38 @@
     context.thread.run(trio.sleep, 1.5)
 
 
+@given(
+    'a router before a replica of "v1" that crashes in a stream, and is "{version}" '
+    "{delay:d} ms later"
+)
+def crashes_and_is_back(context, version, delay):
+    async def write_entry(world):
+        await trio.sleep(delay / 1000)
+        world.register_replica("lm-1", "lm", version=version, born=2)
+
+    def reply(request):
+        if request.last_event:
+            rest = EVENTS[len(TWO_EVENTS) :].replace(b"e-", version.encode() + b"-")
+            return Reply(STREAM_HEAD + CHUNKS + chunked(rest))
+        context.world.nursery.start_soon(write_entry, context.world)
+        events = chunked(TWO_EVENTS.replace(b"e-", b"v1-"), whole=False)
+        return Reply(STREAM_HEAD + CHUNKS + events, Ending.CRASH_RESTARTED)
+
+    add_world(context, 1, reply)
+    context.world.register_replica("lm-1", "lm", version="v1")
+    context.thread.run(trio.sleep, 1.5)
+
+
+@then('the caller gets {count:d} events of "{version}"')
+def events_of_version(context, count, version):
+    events = b"".join(b"id: %d\ndata: %s-%d\n\n" % (n, version.encode(), n) for n in range(1, 7))
+    response = context.response
+    assert response.complete == (count == 6), response
+    assert b"".join(events.splitlines(True)[: 3 * count]) == response.body, response
+
+
 @when("a request for a stream is sent to them")
+@when("a request for a stream is sent to it")
 def stream_sent(context):
     context.response = context.thread.run(call, context, "/chat/a", "id-1")
 
@@ -159,6 +192,20 @@
             attempt.report_signal(HealthSignal.GOOD)
             if event == "r0 writes again":
                 apply_next_rows(context, RowTable.UPSTREAMS, {"r0": entry(0, sequence=2)})
+        case "r0 broke off" | "r0 and r1 broke off":
+            break_off(context, *event.split()[:-2:2])
+        case "r0 broke off long ago":
+            break_off(context, "r0")
+            clock.advance(2000)
+            apply_next_rows(context, RowTable.UPSTREAMS, {})
+        case "r0 broke off one answer":
+            old = attempt_at(context.core, "r0")
+            old.conn = HttpConnection(None, "r0")
+            old.conn.connected_at = clock.now()
+            old.head = ResponseHead(200, [])
+            clock.advance(500)
+            break_off(context, "r0")
+            old.record_progress()
         case "n1 reports r0":
             report_ejection(context.core, "r0")
             clock.advance(MAX_EJECTION_MS)
@@ -174,6 +221,12 @@
             apply_next_rows(context, RowTable.UPSTREAMS, {"r1": None, "r2": None})
 
 
+def break_off(context, *replicas):
+    """Let a connection to each replica end within an answer."""
+    for replica in replicas:
+        attempt_at(context.core, replica).record_failure(ResponseBroken("closed"))
+
+
 def attempt_at(core, replica):
     """Return an attempt at a replica."""
     for number in range(60):
@@ -212,4 +265,4 @@
         if isinstance(choice, Choice):
             found.add(choice.upstream.record.replica)
         context.clock.advance(1200)
-    assert found == set(replicas.split()), found
+    assert found == set(replicas.split()) - {"none"}, found
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -26,12 +26,12 @@
 from skylarklift.entry.requests.header_codec import HeaderCodec
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.rows import NO_ERA, Era, RowFormat, RowTable
-from skylarklift.entry.state.upstream import UPSTREAM_REMOVED, StateChange
+from skylarklift.entry.state.upstream import PROCESS_END_MS, UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.versions.releases import ReleaseReport, Releases
 from skylarklift.entry.versions.resumptions import Resumptions
 from skylarklift.entry.versions.stream_origins import StreamOrigins
 from skylarklift.errors import leaf_errors, raise_location
-from skylarklift.ids import ReplicaId
+from skylarklift.ids import ReplicaId, ServiceId
 
 if TYPE_CHECKING:
     from skylarklift.entry.requests.attempt import Attempt
@@ -108,6 +108,18 @@
         if changes:
             self.state_changed.set()
 
+    def look_for_old_connections(self, service: ServiceId) -> None:
+        """Trust the entries of the upstreams that hold a connection from before a suspicion."""
+        for replica, upstream in self.cluster_state.members_of(service).items():
+            if upstream.restart_suspected_at is None:
+                continue
+            if self.clock.now() < upstream.restart_suspected_at + PROCESS_END_MS:
+                # The ends of the other connections may be on their way.
+                continue
+            connected_at = self.connection_pool.oldest_open(replica)
+            if connected_at is not None:
+                upstream.record_alive(connected_at)
+
     def apply_release(self, report: ReleaseReport, source: str) -> None:
         """Use a row on the software versions of a service, and tell the other routers."""
         if not self.releases.apply(report):
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -29,6 +29,7 @@
 from skylarklift.entry.placement.observed_loads import ObservedLoads
 from skylarklift.entry.placement.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.placement.rate_limits import RateLimits
+from skylarklift.entry.placement.software_versions import SoftwareVersions
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
@@ -71,6 +72,7 @@
         self._bounds = bounds
         self._zone = zone
         self._regions = regions or {}
+        self.software = SoftwareVersions(cluster_state, health)
         self.cold_limit = ColdRequestLimit(clock, bounds)
         self.rate_limits = RateLimits(clock)
         self.hold_offs = HoldOffs(clock)
@@ -178,9 +180,9 @@
             if not usable:
                 return NoUpstream.OUTSIDE_ALLOWED_REGIONS
         if version is not None:
-            usable = self._of_version(service, usable, version)
-            if not usable:
-                return NoUpstream.OTHER_VERSION
+            usable = self.software.select(service, usable, version)
+            if isinstance(usable, NoUpstream):
+                return usable
         held_off = self.hold_offs.active(usable)
         if not self._without(usable, held_off):
             return NoUpstream.HELD_OFF
@@ -195,26 +197,6 @@
         unreachable = {name for name in usable if not self._health.reachable(name)}
         return self._without(usable, unreachable | excluded) or NoUpstream.EJECTED
 
-    def _of_version(
-        self, service: ServiceId, members: Mapping[ReplicaId, Upstream], wanted: WantedVersion
-    ) -> Mapping[ReplicaId, Upstream]:
-        """Return the members of a software version.
-
-        One that may have come back with another version goes on with no stream.
-        """
-        if not wanted.begun and self._cluster_state.services.versions(service) == {wanted.version}:
-            return members
-        return {
-            name: item
-            for name, item in members.items()
-            if item.record.software == wanted.version
-            and not (wanted.begun and self.may_have_other_software(item))
-        }
-
-    def may_have_other_software(self, upstream: Upstream) -> bool:
-        """Return whether an upstream may have restarted since its entry was written."""
-        return upstream.software_doubted or self._health.maybe_restarted(upstream.record.replica)
-
     def _without(
         self, members: Mapping[ReplicaId, Upstream], excluded: Collection[ReplicaId]
     ) -> Candidates:
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -19,13 +19,12 @@
 )
 from skylarklift.entry.requests.process_watch import ProcessWatch
 from skylarklift.entry.requests.retry_state import Outcome
+from skylarklift.entry.state.upstream import PROCESS_END_MS
 from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid, TransportError
 
 PROBE_TIMEOUT_MS = 250
 # The result of a probe is reused for this long.
 PROBE_TTL_MS = 300
-# The connections of a process that ends, its listener among them, end within this time.
-PROCESS_END_MS = 60
 # A request that crashes its upstream does so when it begins to run, which its first events may
 # precede by a little.
 SETTLED_ANSWER_MS = 500
@@ -234,6 +233,9 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
+        upstream = self.core.cluster_state.upstreams.get(replica)
+        if upstream is not None:
+            upstream.record_alive(self.conn.connected_at)
         if self.has_settled():
             self.record_served()
         if self.answered_at is None:
@@ -283,6 +285,8 @@
             self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
+            if isinstance(exc, ResponseBroken) and not self.aborted:
+                self.core.cluster_state.suspect_restart(self.record.replica)
             self.report_signal(
                 HealthSignal.BROKEN if isinstance(exc, ResponseBroken) else HealthSignal.FAILED
             )
--- a/skylarklift/entry/requests/connection_pool.py
+++ b/skylarklift/entry/requests/connection_pool.py
@@ -48,7 +48,9 @@
         if conn is not None:
             return conn
         stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
-        return HttpConnection(stream, f"{record.host}:{record.port}")
+        conn = HttpConnection(stream, f"{record.host}:{record.port}")
+        conn.connected_at = self._clock.now()
+        return conn
 
     def _take_idle(self, replica: ReplicaId, recently_used: bool) -> HttpConnection | None:
         """Remove and return the most recently used idle connection that is still usable."""
@@ -63,6 +65,13 @@
             item.conn.close()
         return None
 
+    def oldest_open(self, replica: ReplicaId) -> Millis | None:
+        """Return since when the oldest idle connection that is still open stands, if any."""
+        idle = self._idle.get(replica, ())
+        return min(
+            (item.conn.connected_at for item in idle if item.conn.has_no_input()), default=None
+        )
+
     def release(self, replica: ReplicaId, conn: HttpConnection, keep_alive_ms: int | None) -> None:
         """Keep a connection for reuse after a complete response, or close it."""
         if not conn.prepare_next_request():
--- a/skylarklift/entry/requests/http_connection.py
+++ b/skylarklift/entry/requests/http_connection.py
@@ -6,7 +6,7 @@
 import h11
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.model import Headers
 from skylarklift.errors import ConnectFailed, ResponseBroken, ResponseInvalid, TransportError
 
@@ -54,6 +54,8 @@
     """A connection to an upstream, to the store, or to a router's metrics address."""
 
     def __init__(self, stream: trio.SocketStream, authority: str):
+        # When the connection was made, if it is one of a pool.
+        self.connected_at = Millis(0)
         self._stream = stream
         self._authority = authority.encode("ascii")
         self._http = h11.Connection(h11.CLIENT)
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -49,6 +49,8 @@
 STARTING_RETRY_DIVISOR = 4
 MAX_STARTING_RETRY_MS = 2000
 DEFAULT_DEADLINE_MS = 2000
+# A stream waits this long for the entries of replicas that may have restarted.
+RESTART_WAIT_MS = 3000
 RETRY_AFTER_MS = 500
 RETRY_AFTER_JITTER_MS = 1000
 # An upstream that sends nothing for this ratio of the route's latency objective, but at least for
@@ -231,7 +233,8 @@
         Raise `Refusal` or `OutcomeUnknown` if there is still none.
         """
         core = self.core
-        until = core.clock.now() + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
+        waited_from = core.clock.now()
+        until = waited_from + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
         while True:
             wanted = self.stream_version.wanted()
             begun = wanted is not None and wanted.begun
@@ -248,6 +251,9 @@
                 # Every usable upstream has been tried; one of them may take the request now.
                 self.tried_replicas.clear()
                 continue
+            if found is NoUpstream.MAYBE_RESTARTED:
+                core.look_for_old_connections(self.service)
+                until = waited_from + RESTART_WAIT_MS
             if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -109,6 +109,10 @@
             cache.era,
         )
 
+    def confirmed_at(self, table: RowTable) -> Millis | None:
+        """Return when the store last confirmed the known version of a table, `None` if never."""
+        return self._confirmed_at[table]
+
     def age_ms(self, table: RowTable) -> int:
         """Return the milliseconds since the store last confirmed the known version of a table."""
         confirmed_at = self._confirmed_at[table]
@@ -264,6 +268,12 @@
         if upstream is not None:
             upstream.software_doubted = True
 
+    def suspect_restart(self, replica: ReplicaId) -> None:
+        """Record that a connection to a replica ended within an answer."""
+        upstream = self.upstreams.get(replica)
+        if upstream is not None:
+            upstream.restart_suspected_at = self._clock.now()
+
     def mark_leaving(self, record: UpstreamRecord) -> list[StateChange]:
         """Record that an upstream said in an answer that it leaves, until it restarts."""
         upstream = self.upstreams.get(record.replica)
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -7,6 +7,10 @@
 
 UPSTREAM_ADDED = "upstream_added"
 UPSTREAM_REMOVED = "upstream_removed"
+# The entry of a replica that restarted is in the store this long after its connections ended.
+ENTRY_DELAY_MS = 1200
+# The connections of a process that ends are seen to end within this time of each other.
+PROCESS_END_MS = 60
 
 
 @dataclass(slots=True)
@@ -16,6 +20,7 @@
     `leaving` is true after the replica has said so in an answer, whatever its entry says.
     `software_doubted` is true from when it could not be reached until its next entry: it may have
     come back with other software, and cannot say so while the store is away.
+    `restart_suspected_at` is when a connection to it last ended within an answer.
     """
 
     record: UpstreamRecord
@@ -24,6 +29,23 @@
     draining: bool = False
     leaving: bool = False
     software_doubted: bool = False
+    restart_suspected_at: Millis | None = None
+
+    def may_have_restarted(self, rows_confirmed_at: Millis | None) -> bool:
+        """Return whether it may have restarted since its entry was written.
+
+        Not if the store confirmed the entry later than that of a new process would be there.
+        """
+        suspected_at = self.restart_suspected_at
+        if suspected_at is None:
+            return False
+        return rows_confirmed_at is None or rows_confirmed_at < suspected_at + ENTRY_DELAY_MS
+
+    def record_alive(self, connected_at: Millis) -> None:
+        """Record that a connection of some age is open, so that its process has not ended."""
+        suspected_at = self.restart_suspected_at
+        if suspected_at is not None and connected_at < suspected_at - PROCESS_END_MS:
+            self.restart_suspected_at = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -74,21 +74,37 @@
 
     def record_events(self, attempt: Attempt) -> None:
         """Record, before the first events of an attempt are sent, which version made them."""
-        if self._recorded is attempt or not self._resumable:
+        if not self._resumable:
             return
-        core, record = self._core, attempt.record
-        if self.origin is not None:
-            core.metrics.increment("resumptions_continued")
-        elif self._recorded is None:
-            core.metrics.increment("streams_begun")
-        self._recorded = attempt
-        # The entry of a replica that may have restarted may be one of before.
-        doubted = core.chooser.may_have_other_software(attempt.choice.upstream)
-        self.required = None if doubted else record.software
+        version = self._version_of(attempt)
+        if self._recorded is not attempt:
+            self._count(attempt)
+        elif self.required is not None or version is None:
+            return
+        self._recorded, self.required = attempt, version
         request = self._call.request
         if self.origin is not None and self._call.resumes is not None:
             request = self._call.resumes
-        core.resumptions.record_begun(StreamOrigin(request, record.service, self.required))
+        origin = StreamOrigin(request, attempt.record.service, version)
+        self._core.resumptions.record_begun(origin)
+
+    def _count(self, attempt: Attempt) -> None:
+        """Count a stream that begins, or one that a caller resumes, at its first events."""
+        if self.origin is not None:
+            self._core.metrics.increment("resumptions_continued")
+        elif self._recorded is None:
+            self._core.metrics.increment("streams_begun")
+
+    def _version_of(self, attempt: Attempt) -> SoftwareVersion | None:
+        """Return the version of the replica of an attempt, `None` if that is not certain.
+
+        The entry of a replica that may have restarted may be one of before.
+        """
+        core, upstream = self._core, attempt.choice.upstream
+        if core.cluster_state.upstreams.get(attempt.record.replica) is not upstream:
+            return None
+        doubted = core.chooser.software.may_have_other_software(upstream)
+        return None if doubted else attempt.record.software
 
     def log_fields(self) -> dict[str, str | None]:
         """Return, for the log, the version of a stream and how a resumption's was found."""
