Split events at each end of a line that Server-Sent Events allow

Two events were taken for one where a blank line ended unlike the line before it, or with a single carriage return: the second one's id was not seen, and the next event looked like a gap. Of two ids of an event the first one counted, and a byte order mark hid the id. A blank line now ends an event whatever ends the two lines; a carriage return at the end of what has come waits for a line feed.

Ruled out: LF and CRLF streams, which were sound at each place of a split.

--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -138,6 +138,7 @@
                 timer.record_progress()
                 attempt.record_progress()
             await self._forward_new(events, attempt)
+        await self._forward_new(splitter.finish(), attempt)
         if splitter.partial_bytes:
             raise ResponseBroken("the stream ended within an event")
 
--- a/skylarklift/upstreams/events.py
+++ b/skylarklift/upstreams/events.py
@@ -1,5 +1,6 @@
 """Split a stream of server-sent events into single events and parse their ids."""
 
+import re
 from dataclasses import dataclass
 
 from skylarklift.errors import ResponseInvalid
@@ -7,9 +8,12 @@
 
 # An upstream that sends more than this without the end of an event does not send events.
 MAX_EVENT_BYTES = 1_048_576
-EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
-LONGEST_END_BYTES = max(len(end) for end in EVENT_ENDS)
-ID_FIELD = b"id:"
+# Two ends of lines.  A group that is not entered again keeps a CRLF from counting as two.
+EVENT_END = re.compile(rb"(?>\r\n|\n|\r)(?>\r\n|\n|\r)")
+LONGEST_END_BYTES = len(b"\r\n\r\n")
+CARRIAGE_RETURN = b"\r"
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+ID_FIELD = b"id"
 COMMENT_START = b":"
 
 
@@ -51,12 +55,13 @@
         buffer = self._buffer
         buffer += data
         events, start = [], 0
-        while (end := _find_event_end(buffer, max(start, self._searched))) >= 0:
-            raw = bytes(buffer[start:end])
-            events.append(StreamEvent(_parse_event_id(raw), raw))
-            start = end
-            if start == len(buffer):
+        while start < len(buffer):
+            end = _find_event_end(buffer, max(start, self._searched))
+            if end < 0 or (end == len(buffer) and buffer.endswith(CARRIAGE_RETURN)):
+                # A line feed that belongs to the carriage return may be on its way.
                 break
+            events.append(_make_event(bytes(buffer[start:end])))
+            start = end
         del buffer[:start]
         if len(buffer) > MAX_EVENT_BYTES:
             raise ResponseInvalid(f"an event exceeds {MAX_EVENT_BYTES} bytes")
@@ -64,27 +69,37 @@
         self._searched = max(0, len(buffer) - LONGEST_END_BYTES + 1)
         return events
 
+    def finish(self) -> list[StreamEvent]:
+        """Return the event that only the end of the stream shows to be complete, if any."""
+        if _find_event_end(self._buffer, self._searched) < 0:
+            return []
+        raw = bytes(self._buffer)
+        self._buffer.clear()
+        return [_make_event(raw)]
+
 
 def _find_event_end(buffer: bytearray, start: int) -> int:
     """Return the index after the first event's end from `start` on, or -1 if it is incomplete."""
-    ends = [
-        found + len(separator)
-        for separator in EVENT_ENDS
-        if (found := buffer.find(separator, start)) >= 0
-    ]
-    return min(ends, default=-1)
+    found = EVENT_END.search(buffer, start)
+    return found.end() if found else -1
+
+
+def _make_event(raw: bytes) -> StreamEvent:
+    """Return a complete event; raise `ResponseInvalid` if its id is too large."""
+    return StreamEvent(_parse_event_id(raw), raw)
 
 
 def _parse_event_id(raw: bytes) -> int | None:
     """Return the id of an event, or `None` if it has none or it is not a number.
 
-    Raise `ResponseInvalid` if the number is too large.
+    Of several fields the last one counts.  Raise `ResponseInvalid` if the number is too large.
     """
-    for line in raw.splitlines():
+    text = b""
+    for line in raw.removeprefix(BYTE_ORDER_MARK).splitlines():
         if line.startswith(ID_FIELD):
-            text = line[len(ID_FIELD) :].strip()
-            return _parse_id(text) if text.isdigit() else None
-    return None
+            name, _, value = line.partition(b":")
+            text = value.strip() if name == ID_FIELD else text
+    return _parse_id(text) if text.isdigit() else None
 
 
 def _parse_id(digits: bytes) -> int:
