--- a/skylarklift/entry/requests/process_watch.py
+++ b/skylarklift/entry/requests/process_watch.py
@@ -8,8 +8,6 @@
 from skylarklift.errors import ConnectFailed
 
 CONNECT_TIMEOUT_MS = 250
-# An upstream may close a connection that stays without a request, so it is replaced before.
-RENEW_INTERVAL_MS = 1500
 RECONNECT_INTERVAL_MS = 50
 
 
@@ -34,25 +32,25 @@
         """Keep an idle connection open, once it is wanted, until cancelled."""
         await self._wanted.wait()
         while True:
-            if await self._hold_connection():
-                continue
+            await self._hold_connection()
             self._ended_at = self._clock.now()
             await trio.sleep(RECONNECT_INTERVAL_MS / MS_PER_SECOND)
 
-    async def _hold_connection(self) -> bool:
-        """Hold one connection until it is to be replaced; return whether the upstream kept it."""
+    async def _hold_connection(self) -> None:
+        """Hold one connection until it ends.
+
+        It is not replaced before: a process that stands still would not accept another one.
+        """
         try:
             stream = await connect(self._record.host, self._record.port, CONNECT_TIMEOUT_MS)
         except (ConnectFailed, OSError):
             # Without a descriptor it is not known either.
-            return False
+            return
         try:
-            with trio.move_on_after(RENEW_INTERVAL_MS / MS_PER_SECOND):
-                await stream.receive_some(1)
-                return False
-            return True
+            await stream.receive_some(1)
         except trio.BrokenResourceError:
-            return False
+            # A reset is an end, too.
+            return
         finally:
             stream.socket.close()
 
