--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -12,10 +12,13 @@
 from skylarklift.entry.model import UpstreamRecord
 from skylarklift.entry.requests.http_connection import HttpConnection, connect
 from skylarklift.entry.requests.status_format import StatusFormat
+from skylarklift.entry.state.upstream import Upstream
 from skylarklift.errors import ConnectFailed, TransportError
+from skylarklift.ids import ServiceId
 
 ANSWER_TIMEOUT_MS = 250
 MAX_STATUS_BYTES = 65536
+MAX_ASKED = 8
 STATUS_OK = 200
 
 
@@ -51,6 +54,28 @@
     return Identity.SAME if started_ms == record.started_ms else Identity.OTHER
 
 
+async def identify_suspects(core: Core, service: ServiceId) -> None:
+    """Ask the upstreams of a service that may have restarted whether they have."""
+    members = core.cluster_state.members_of(service).values()
+    suspects = [item for item in members if item.restart_suspected_at is not None]
+    async with trio.open_nursery() as nursery:
+        for upstream in suspects[:MAX_ASKED]:
+            nursery.start_soon(_identify_suspect, core, upstream)
+
+
+async def _identify_suspect(core: Core, upstream: Upstream) -> None:
+    """Ask one upstream whether it has restarted since its entry was written."""
+    record_identity(core, upstream, await identify_anew(core, upstream.record))
+
+
+def record_identity(core: Core, upstream: Upstream, identity: Identity) -> None:
+    """Trust or doubt the entry of an upstream by what its process has said."""
+    if identity is Identity.SAME:
+        upstream.record_same_process()
+    elif identity is Identity.OTHER:
+        core.cluster_state.doubt_software(upstream.record.replica)
+
+
 async def identify_anew(core: Core, record: UpstreamRecord) -> Identity:
     """Return whether the process at the address of an entry is the one of that entry."""
     try:
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -23,6 +23,7 @@
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
+from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
 from skylarklift.entry.state.upstream import Upstream
@@ -49,6 +50,8 @@
 STARTING_RETRY_DIVISOR = 4
 MAX_STARTING_RETRY_MS = 2000
 DEFAULT_DEADLINE_MS = 2000
+# A stream waits this long for the entries of replicas that may have restarted.
+RESTART_WAIT_MS = 3000
 RETRY_AFTER_MS = 500
 RETRY_AFTER_JITTER_MS = 1000
 # An upstream that sends nothing for this ratio of the route's latency objective, but at least for
@@ -231,7 +234,8 @@
         Raise `Refusal` or `OutcomeUnknown` if there is still none.
         """
         core = self.core
-        until = core.clock.now() + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
+        waited_from = core.clock.now()
+        until = waited_from + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
         while True:
             wanted = self.stream_version.wanted()
             begun = wanted is not None and wanted.begun
@@ -248,6 +252,12 @@
                 # Every usable upstream has been tried; one of them may take the request now.
                 self.tried_replicas.clear()
                 continue
+            if found is NoUpstream.MAYBE_RESTARTED:
+                core.look_for_old_connections(self.service)
+                if until < waited_from + RESTART_WAIT_MS:
+                    until = waited_from + RESTART_WAIT_MS
+                    await identify_suspects(core, self.service)
+                    continue
             if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -14,8 +14,8 @@
 
 MAX_RELEASES_WAIT_MS = 500
 OUTDATED_RETRY_AFTER_MS = 300
-# The entry of a replica that has restarted is known this long after its start.
-ENTRY_DELAY_MS = 2000
+# The entry of a replica that has restarted is known here this long after its start.
+ENTRY_KNOWN_MS = 2000
 
 
 class StreamVersion:
@@ -111,10 +111,11 @@
         if is_restart(record, current.record):
             # Its events may be from before or after the restart.
             return record.software if record.software == current.record.software else None
-        if self._recorded is attempt:
+        if self._recorded is attempt and self.required is not None:
             return self.required
         # The entry of a replica that may have restarted may be one of before.
-        return None if core.chooser.may_have_other_software(current) else record.software
+        doubted = core.chooser.software.may_have_other_software(current)
+        return None if doubted else record.software
 
     async def confirm(self, attempt: Attempt) -> None:
         """After an attempt that broke off early, check that its events were of its entry's version.
@@ -122,7 +123,7 @@
         A replica that restarts under its name writes its entry a moment later.
         """
         age_ms = attempt.answer_age_ms()
-        if self._recorded is not attempt or self.required is None or age_ms > ENTRY_DELAY_MS:
+        if self._recorded is not attempt or self.required is None or age_ms > ENTRY_KNOWN_MS:
             return
         if await identify_anew(self._core, attempt.record) is Identity.OTHER:
             self._record(None)
--- a/standins/scripted_replica.py
+++ b/standins/scripted_replica.py
@@ -7,6 +7,7 @@
 import trio
 
 from skylarklift.entry.requests.http_connection import RESET_ON_CLOSE
+from standins.raw_replica import NO_STATUS
 from standins.replica import STATUS_PATH
 
 READ_BYTES = 65536
@@ -99,7 +100,7 @@
     def _status(self) -> bytes:
         """Return the answer to a question about the process."""
         if self.born is None:
-            return b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
+            return NO_STATUS
         return framed(b"HTTP/1.1 200 OK\r\n", b'{"born":%d}' % self.born)
 
     async def _end(self, stream: trio.SocketStream, ending: Ending) -> None:
