Soak streams of real processes, and check each caller's tries

Callers reported streams out of order, of which no test of real sockets told anything: the soak had one caller's exchange in view, replicas within its own process and whole answers only. The new one (`python -m soak.streams`) runs six routers and nine replicas as processes: replicas frame answers in five ways, split events at random bytes, break off in order or by a reset, and are killed, stopped, cut off and released; callers keep connections, speak HTTP/1.0, read slowly and take streams up while the first try runs. The checker judges events over all tries of a request, without I/O.

A replica that lives on and ends an answer without a length in order between two events looks done to everybody, so replicas reset there unless `--orderly-cuts` is given.

--- /dev/null
+++ b/features/soak_streams.feature
@@ -0,0 +1,52 @@
+Feature: Soak of streams over real sockets, judged by what callers received over all tries
+
+  Scenario Outline: The checker reports <fault>
+    When a caller of "<kind>" with 6 events makes the tries "<tries>"
+    Then the checker finds "<found>"
+
+    Examples: streams in order
+      | fault                              | kind     | tries                                                    | found |
+      | nothing about one whole try        | /chat/   | 0 1-6/v1/a.1.1 complete                                  |       |
+      | nothing about two runs in a try    | /chat/   | 0 1-3/v1/a.1.1,4-6/v1/b.1.1 complete                     |       |
+      | nothing about a resumed stream     | /chat/   | 0 1-3/v1/a.1.1 reset; 3 4-6/v1/b.1.1 complete            |       |
+      | nothing about tries side by side   | /chat/   | 0 1-5/v1/a.1.1 left by the caller; 3 4-6/v1/b.1.1 complete |     |
+      | nothing about an end that is left  | /chat/   | 0 1-6/v1/a.1.1 reset; 6 none complete                    |       |
+      | nothing about a stream given up    | /chat/   | 0 1-3/v1/a.1.1 ended before its end                      |       |
+      | nothing about a refusal            | /chat/   | 0 1-3/v1/a.1.1 reset; 3 none complete 503                |       |
+      | nothing about a refused run        | /redeem/ | 0 none complete 503; 0 :t2/b.1.1 complete                |       |
+
+    Examples: streams out of order
+      | fault                              | kind     | tries                                                    | found                         |
+      | a missing event                    | /chat/   | 0 1-2/v1/a.1.1,4-6/v1/a.1.1 complete                     | event 4 in place of 3         |
+      | an event that comes twice          | /chat/   | 0 1-3/v1/a.1.1,3-6/v1/b.1.1 complete                     | event 3 in place of 4         |
+      | ids that go back                   | /chat/   | 0 1-3/v1/a.1.1,1-6/v1/b.1.1 complete                     | event 1 in place of 4         |
+      | a first event that is not the first | /brief/ | 0 2-6/v1/a.1.1 complete                                  | event 2 in place of 1         |
+      | a take-up from too early           | /chat/   | 0 1-3/v1/a.1.1 reset; 3 3-6/v1/b.1.1 complete            | event 3 in place of 4         |
+      | a take-up from too late            | /chat/   | 0 1-3/v1/a.1.1 reset; 3 5-6/v1/b.1.1 complete            | event 5 in place of 4         |
+      | an early end                       | /once/   | 0 1-5/v1/a.1.1 complete                                  | complete after event 5        |
+      | an early end of an empty try       | /chat/   | 0 1-3/v1/a.1.1 reset; 3 none complete                    | complete after event 3        |
+      | versions joined within a try       | /chat/   | 0 1-3/v1/a.1.1,4-6/v2/b.1.1 complete                     | joined versions v1, v2        |
+      | versions joined over tries         | /chat/   | 0 1-3/v1/a.1.1 reset; 3 4-6/v2/b.1.1 complete            | joined versions v1, v2        |
+      | a stream that ran again            | /once/   | 0 1-3/v1/a.1.1,4-6/v1/b.1.1 complete                     | ran 2 times and may run once  |
+      | a third run                        | /chat/   | 0 1-2/v1/a.1.1,3-4/v1/b.1.1,5-6/v1/c.1.1 complete        | ran 3 times within one try    |
+      | a refusal of what ran              | /redeem/ | 0 :t1/a.1.1 complete 503                                 | status 503 for t1, which ran  |
+      | the answer to another request      | /check/  | 0 :t9/a.1.1 complete                                     | not its own answer            |
+
+  Scenario: The checker counts an event only once it is whole
+    When a caller receives "id: 1\ndata: a v1 a.1.1 q 1..\n\nid: 2\ndata: a v1 a.1.1 q 2" in parts of any size
+    Then it holds event 1
+
+  # Guards against streams that callers receive out of order while processes end and links are cut.
+  Scenario Outline: A short soak of streams with all faults, seed <seed>
+    When the soak of streams runs for 6 s with seed <seed>
+    Then no stream is out of order
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+
+  # Guards against versions joined by a replica that restarts at once, before its new entry.
+  Scenario: A short soak of streams while replicas restart with other versions
+    When the soak of streams runs for 6 s with seed 1 and only the faults "replica_other_version,replica_kill"
+    Then no stream is out of order
--- /dev/null
+++ b/features/steps/soak_streams.py
@@ -0,0 +1,95 @@
+"""Steps for the soak of streams and its checker."""
+
+from behave import then, when
+
+from soak.stream_checker import Kind, Received, ReplicaRun, SentCall, StreamChecker, Try, TryEnd
+from soak.streams import Options, run_seed
+
+MIN_REQUESTS = 40
+
+
+def make_events(text: str, request: str) -> list[Received]:
+    """Return the events of FIRST-LAST/SOFTWARE/RUN, several separated by commas."""
+    events = []
+    for part in text.split(","):
+        numbers, software, run = part.split("/")
+        first, last = (int(number) for number in numbers.split("-"))
+        replica = run.partition(".")[0]
+        names = (replica, software, run, request)
+        events += [Received(number, *names) for number in range(first, last + 1)]
+    return events
+
+
+def make_try(number: int, text: str, request: str) -> tuple[Try, list[ReplicaRun]]:
+    """Return a try written as AFTER EVENTS END [STATUS], and its runs.
+
+    A single answer is written as :ATTEMPT/RUN in place of the events.
+    """
+    after, received, *end = text.split(" ")
+    status = int(end.pop()) if end[-1].isdigit() else 200
+    item = Try(f"t{number}", "n1", int(after), status=status, end=TryEnd(" ".join(end)))
+    if received == "none":
+        return item, []
+    if received.startswith(":"):
+        answer, run = received.split("/")
+        item.receive(answer.encode(), is_stream=False)
+        return item, [ReplicaRun(run, item.attempt, "a")]
+    item.events = make_events(received, request)
+    names = sorted({event.run for event in item.events})
+    return item, [ReplicaRun(name, item.attempt, name[0]) for name in names]
+
+
+@when('a caller of "{kind}" with {last:d} events makes the tries "{tries}"')
+def tries_made(context, kind, last, tries):
+    call, runs = SentCall("q", Kind(kind), last), []
+    for number, text in enumerate(tries.split("; "), 1):
+        item, own_runs = make_try(number, text, call.name)
+        call.tries.append(item)
+        runs += own_runs
+    checker = StreamChecker(runs)
+    checker.check(call)
+    context.found = checker.violations
+
+
+@then('the checker finds "{found}"')
+def checker_finds(context, found):
+    assert len(context.found) == 1 and found in context.found[0].split("\n")[0], context.found
+
+
+@then('the checker finds ""')
+def checker_finds_nothing(context):
+    assert not context.found, context.found
+
+
+@when('a caller receives "{text}" in parts of any size')
+def receives_in_parts(context, text):
+    data = text.replace("\\n", "\n").encode()
+    context.tries = []
+    for size in range(1, len(data) + 1):
+        item = Try("t1", "n1", status=200)
+        for start in range(0, len(data), size):
+            item.receive(data[start : start + size], is_stream=True)
+        context.tries.append(item)
+
+
+@then("it holds event {number:d}")
+def holds_event(context, number):
+    assert {item.last_event for item in context.tries} == {number}
+    assert not any(item.unreadable for item in context.tries)
+
+
+@when("the soak of streams runs for {span:d} s with seed {seed:d}")
+def soak_runs(context, span, seed):
+    context.result = run_seed(Options(seed, span))
+
+
+@when('the soak of streams runs for {span:d} s with seed {seed:d} and only the faults "{faults}"')
+def soak_runs_with_faults(context, span, seed, faults):
+    context.result = run_seed(Options(seed, span, only_faults=tuple(faults.split(","))))
+
+
+@then("no stream is out of order")
+def no_stream_out_of_order(context):
+    result = context.result
+    assert not result.violations, "\n".join(result.violations)
+    assert len(result.calls) > MIN_REQUESTS, result.summary()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,10 +1,13 @@
 """A loopback TCP proxy that delays, resets or holds back traffic, in one or both directions."""
 
+import socket
 from dataclasses import dataclass, field
 from enum import Enum
 
 import trio
 
+from skylarklift.entry.requests.http_connection import RESET_ON_CLOSE
+
 HOST = "127.0.0.1"
 READ_BYTES = 65536
 MS_PER_SECOND = 1000
@@ -21,12 +24,16 @@
 
 @dataclass
 class LoopbackProxy:
-    """A proxy in front of the port `target`."""
+    """A proxy in front of the port `target`.
+
+    With `passes_resets`, a connection that one side resets is reset on the other one too.
+    """
 
     target: int
     mode: Mode = Mode.FORWARD
     delay_ms: int = 0
     port: int = 0
+    passes_resets: bool = False
     _connections: set[trio.SocketStream] = field(default_factory=set)
     _changed: trio.Event = field(default_factory=trio.Event)
 
@@ -60,6 +67,9 @@
                 # The server has ended its direction, so it accepts no further requests.
                 nursery.cancel_scope.cancel()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            if self.passes_resets:
+                _reset_on_close(source)
+                _reset_on_close(sink)
             nursery.cancel_scope.cancel()
 
     def set_mode(self, mode: Mode) -> None:
@@ -72,3 +82,9 @@
         """Close all connections."""
         for stream in list(self._connections):
             stream.socket.close()
+
+
+def _reset_on_close(stream: trio.SocketStream) -> None:
+    """Make closing a connection reset it, unless it is closed already."""
+    if stream.socket.fileno() >= 0:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
--- /dev/null
+++ b/soak/stream_callers.py
@@ -0,0 +1,317 @@
+"""Callers of the soak of streams: they keep connections, take streams up and retry."""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import h11
+import trio
+
+from soak.stream_checker import NOT_RUN_STATUSES, STATUS_OK, Kind, SentCall, Try, TryEnd
+from standins.entry_world import RouterProcess
+
+HOST = "127.0.0.1"
+MS_PER_SECOND = 1000
+DEADLINES_MS = {
+    Kind.STREAM: 15000,
+    Kind.ONCE: 12000,
+    Kind.BRIEF: 3000,
+    Kind.NON_IDEMPOTENT: 2500,
+    Kind.IDEMPOTENT: 2500,
+}
+KIND_WEIGHTS = {
+    Kind.STREAM: 10,
+    Kind.ONCE: 4,
+    Kind.BRIEF: 4,
+    Kind.NON_IDEMPOTENT: 2,
+    Kind.IDEMPOTENT: 2,
+}
+EVENTS = {Kind.STREAM: (70, 76), Kind.ONCE: (50, 58), Kind.BRIEF: (3, 4)}
+MAX_TRIES = 5
+MAX_REFUSALS = 12
+MIN_LEFT_MS = 200
+POLL_S = 0.02
+RETRY_PAUSE_S = (0.05, 0.3)
+MAX_RETRY_AFTER_S = 1.0
+SLOW_TRY_MS = (300, 1500)
+BODY_BYTES = (1, 600)
+READ_BYTES = 65536
+SLOW_READ_BYTES = 100
+SLOW_READ_PAUSE_S = 0.04
+
+
+def now_ms() -> int:
+    """Return the time in milliseconds, on the clock that the replicas' logs use."""
+    return int(time.monotonic() * MS_PER_SECOND)
+
+
+@dataclass
+class Habits:
+    """How one caller behaves."""
+
+    http_1_0: bool
+    reads_slowly: bool
+    overlaps: bool
+    leaves_old_tries: bool
+
+    @classmethod
+    def draw(cls, rng: Random) -> "Habits":
+        """Return random habits."""
+        return cls(
+            http_1_0=rng.random() < 0.25,
+            reads_slowly=rng.random() < 0.2,
+            overlaps=rng.random() < 0.6,
+            leaves_old_tries=rng.random() < 0.5,
+        )
+
+
+@dataclass
+class Link:
+    """A connection to a router, with the state of the protocol on it."""
+
+    stream: trio.SocketStream
+    http: h11.Connection = field(default_factory=lambda: h11.Connection(h11.CLIENT))
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.stream.socket.close()
+
+
+class Caller:
+    """One caller, which sends one request after the other."""
+
+    def __init__(self, routers: list[RouterProcess], rng: Random, calls: list[SentCall], name: str):
+        self._routers = routers
+        self._rng = rng
+        self._calls = calls
+        self._name = name
+        self._count = 0
+        self._habits = Habits.draw(rng)
+        self._links: dict[str, Link] = {}
+
+    async def run(self, is_loading: Callable[[], bool]) -> None:
+        """Send requests until the load ends."""
+        while is_loading():
+            self._count += 1
+            kind = self._rng.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
+            last = self._rng.randint(*EVENTS[kind]) if kind.is_stream else 0
+            call = SentCall(f"{self._name}q{self._count}", kind, last)
+            self._calls.append(call)
+            await CallRun(call, self, self._rng, self._habits).run()
+            await trio.sleep(self._rng.uniform(0.0, 0.2))
+
+    def choose_router(self, but_not: set[str]) -> RouterProcess:
+        """Return a router, if possible one that has no try of the request."""
+        others = [item for item in self._routers if item.name not in but_not]
+        return self._rng.choice(others or self._routers)
+
+    async def take_link(self, router: RouterProcess) -> Link:
+        """Return the open connection to a router's process, or a new one."""
+        link = self._links.pop(router.name, None)
+        if link is not None and not link.stream.socket.is_readable():
+            return link
+        if link is not None:
+            link.close()
+        return Link(await trio.open_tcp_stream(HOST, router.caller_port))
+
+    def keep_link(self, router: RouterProcess, link: Link) -> None:
+        """Keep a connection for the next request, if it can carry one."""
+        http = link.http
+        usable = http.our_state is h11.DONE and http.their_state is h11.DONE
+        if self._habits.http_1_0 or not usable or router.name in self._links:
+            link.close()
+            return
+        http.start_next_cycle()
+        self._links[router.name] = link
+
+
+class CallRun:
+    """One request: its tries one after the other, and side by side while one seems slow."""
+
+    def __init__(self, call: SentCall, caller: Caller, rng: Random, habits: Habits):
+        self._call = call
+        self._caller = caller
+        self._rng = rng
+        self._habits = habits
+        self._deadline_ms = now_ms() + DEADLINES_MS[call.kind]
+        self._active: dict[str, trio.CancelScope] = {}
+        self._progress_ms = now_ms()
+        self._slow_ms = rng.randint(*SLOW_TRY_MS)
+        self._part = rng.randrange(8)
+
+    async def run(self) -> None:
+        """Make tries until one is complete, none may follow, or the deadline has passed."""
+        async with trio.open_nursery() as nursery:
+            await self._start_try(nursery)
+            while True:
+                await trio.sleep(POLL_S)
+                if self._is_done():
+                    break
+                if not self._active:
+                    if not self._may_retry():
+                        break
+                    await self._pause()
+                    await self._start_try(nursery)
+                elif self._seems_slow():
+                    await self._start_try(nursery)
+            nursery.cancel_scope.cancel()
+
+    def _is_done(self) -> bool:
+        """Return whether a try is complete, or the deadline has passed."""
+        complete = any(
+            item.end is TryEnd.COMPLETE and item.status == STATUS_OK for item in self._call.tries
+        )
+        return complete or now_ms() >= self._deadline_ms
+
+    def _may_retry(self) -> bool:
+        """Return whether another try may follow those that have ended."""
+        tries = self._call.tries
+        sent = [item for item in tries if not certainly_not_run(item)]
+        if self._deadline_ms - now_ms() < MIN_LEFT_MS or len(tries) >= MAX_REFUSALS:
+            return False
+        if not self._call.kind.repeatable:
+            return not sent
+        return len(sent) < MAX_TRIES
+
+    def _seems_slow(self) -> bool:
+        """Return whether to take the stream up elsewhere while the last try goes on."""
+        if not self._habits.overlaps or self._call.kind is not Kind.STREAM:
+            return False
+        if len(self._active) > 1 or now_ms() - self._progress_ms < self._slow_ms:
+            return False
+        return self._may_retry()
+
+    async def _pause(self) -> None:
+        """Wait before the next try, at least as long as a refusal asked for."""
+        asked_s = min(self._call.tries[-1].retry_after_s, MAX_RETRY_AFTER_S)
+        await trio.sleep(max(asked_s, self._rng.uniform(*RETRY_PAUSE_S)))
+
+    async def _start_try(self, nursery: trio.Nursery) -> None:
+        """Start the next try at another router."""
+        call = self._call
+        left_ms = self._deadline_ms - now_ms()
+        if left_ms <= 0:
+            return
+        if not call.held():
+            # Two tries that both begin the stream would be two streams.
+            self._leave_tries_but(None)
+        router = self._caller.choose_router({item.router for item in call.tries[-2:]})
+        item = Try(
+            f"{call.name}t{len(call.tries) + 1}",
+            router.name,
+            resume_after=call.held() if call.kind.is_stream else 0,
+            http_1_0=self._habits.http_1_0,
+            started_ms=now_ms(),
+        )
+        request = self._encode(item, left_ms)
+        call.tries.append(item)
+        self._progress_ms = now_ms()
+        self._active[item.attempt] = trio.CancelScope()
+        nursery.start_soon(self._run_try, router, item, request)
+
+    def _encode(self, item: Try, left_ms: int) -> h11.Request:
+        """Return the head of a try's request."""
+        call = self._call
+        fields = [
+            ("host", "app.example"),
+            ("x-attempt-id", item.attempt),
+            ("x-api-key", "key-1"),
+            ("x-deadline-ms", str(left_ms)),
+        ]
+        if call.kind.is_stream:
+            fields.append(("x-token-count", "100,50"))
+            parts = f"aa{self._part}:500,bb{self._part}:40,cc{call.name}:10"
+            fields.append(("x-prefix-hash", parts))
+        if item.resume_after:
+            fields.append(("last-event-id", str(item.resume_after)))
+            fields.append(("resumes", call.first_attempt() or item.attempt))
+        method = "GET" if call.kind is Kind.IDEMPOTENT else "POST"
+        if method == "POST":
+            fields.append(("content-length", str(self._rng.randint(*BODY_BYTES))))
+        target = f"{call.kind.value}{call.last}/{call.name}"
+        return h11.Request(method=method, target=target, headers=fields)
+
+    async def _run_try(self, router: RouterProcess, item: Try, request: h11.Request) -> None:
+        """Make one try; record how it ended."""
+        link: Link | None = None
+        item.end = TryEnd.LEFT
+        try:
+            with self._active[item.attempt]:
+                item.end = TryEnd.NOT_SENT
+                link = await self._caller.take_link(router)
+                item.end = TryEnd.LEFT
+                item.end = await self._exchange(link, item, request)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            item.end = TryEnd.RESET
+        except OSError:
+            # No connection was made.
+            item.end = TryEnd.NOT_SENT
+        finally:
+            item.ended_ms = now_ms()
+            del self._active[item.attempt]
+            if link is not None and item.end is TryEnd.COMPLETE:
+                self._caller.keep_link(router, link)
+            elif link is not None:
+                link.close()
+
+    async def _exchange(self, link: Link, item: Try, request: h11.Request) -> TryEnd:
+        """Send a request and receive its response."""
+        http = link.http
+        size = int(dict(request.headers).get(b"content-length", b"0"))
+        data = http.send(request)
+        if item.http_1_0:
+            data = data.replace(b" HTTP/1.1\r\n", b" HTTP/1.0\r\n", 1)
+        if size:
+            data += http.send(h11.Data(data=b"w" * size))
+        await link.stream.send_all(data + http.send(h11.EndOfMessage()))
+        while True:
+            try:
+                event = http.next_event()
+                if event is h11.NEED_DATA:
+                    http.receive_data(await self._receive(link))
+                    continue
+            except h11.RemoteProtocolError:
+                return TryEnd.CUT
+            if isinstance(event, h11.Response):
+                self._record_head(item, event)
+            elif isinstance(event, h11.Data):
+                self._record_data(item, bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return TryEnd.COMPLETE
+            elif isinstance(event, h11.ConnectionClosed):
+                return TryEnd.CUT
+
+    async def _receive(self, link: Link) -> bytes:
+        """Return the next bytes, a few at a time if this caller reads slowly."""
+        if self._habits.reads_slowly:
+            await trio.sleep(SLOW_READ_PAUSE_S)
+            return await link.stream.receive_some(SLOW_READ_BYTES)
+        return await link.stream.receive_some(READ_BYTES)
+
+    def _record_head(self, item: Try, event: h11.Response) -> None:
+        """Record the head of the response."""
+        item.status = event.status_code
+        text = dict(event.headers).get(b"retry-after", b"0").decode()
+        item.retry_after_s = float(text)
+
+    def _record_data(self, item: Try, data: bytes) -> None:
+        """Record a part of the body; leave older tries once the new one brings events."""
+        count = len(item.events)
+        item.receive(data, is_stream=self._call.kind.is_stream)
+        if len(item.events) == count:
+            return
+        self._progress_ms = now_ms()
+        if self._habits.leaves_old_tries and item is self._call.tries[-1]:
+            self._leave_tries_but(item)
+
+    def _leave_tries_but(self, kept: Try | None) -> None:
+        """Leave all tries that go on, but one."""
+        for attempt, scope in self._active.items():
+            if kept is None or attempt != kept.attempt:
+                scope.cancel()
+
+
+def certainly_not_run(item: Try) -> bool:
+    """Return whether a try has certainly not run."""
+    return item.end is TryEnd.NOT_SENT or item.status in NOT_RUN_STATUSES
--- /dev/null
+++ b/soak/stream_checker.py
@@ -0,0 +1,251 @@
+"""Check what callers received over all tries of their requests, without I/O."""
+
+import json
+from collections import defaultdict
+from dataclasses import dataclass, field
+from enum import Enum
+
+# Statuses that guarantee that the request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+STATUS_OK = 200
+EVENT_END = b"\n\n"
+# Replicas that may run one try of a resumable stream or an idempotent request.
+MAX_RUNS = 2
+
+
+class Kind(Enum):
+    """The kind of a request; its value is the prefix of its route."""
+
+    STREAM = "/chat/"
+    ONCE = "/once/"
+    BRIEF = "/brief/"
+    NON_IDEMPOTENT = "/redeem/"
+    IDEMPOTENT = "/check/"
+
+    @property
+    def is_stream(self) -> bool:
+        """Return whether the answer is a stream of events."""
+        return self in (Kind.STREAM, Kind.ONCE, Kind.BRIEF)
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether the request may run more than once."""
+        return self not in (Kind.ONCE, Kind.NON_IDEMPOTENT)
+
+
+class TryEnd(Enum):
+    """How a try ended for its caller."""
+
+    OPEN = "open"
+    COMPLETE = "complete"
+    CUT = "ended before its end"
+    RESET = "reset"
+    LEFT = "left by the caller"
+    NOT_SENT = "not connected"
+
+
+@dataclass(frozen=True)
+class Received:
+    """One event that a caller received, as its data names it."""
+
+    number: int
+    replica: str
+    software: str
+    run: str
+    request: str
+
+
+@dataclass
+class Try:
+    """One try of a request at one router, and what came back.
+
+    `resume_after` is the last event that the caller had when it sent the try.
+    """
+
+    attempt: str
+    router: str
+    resume_after: int = 0
+    http_1_0: bool = False
+    status: int = 0
+    end: TryEnd = TryEnd.OPEN
+    started_ms: int = 0
+    ended_ms: int = 0
+    retry_after_s: float = 0.0
+    body: bytearray = field(default_factory=bytearray)
+    events: list[Received] = field(default_factory=list)
+    unreadable: list[bytes] = field(default_factory=list)
+
+    def receive(self, data: bytes, *, is_stream: bool) -> None:
+        """Add bytes of the body; only whole events count."""
+        self.body += data
+        if not is_stream or self.status != STATUS_OK:
+            return
+        *whole, rest = bytes(self.body).split(EVENT_END)
+        self.body = bytearray(rest)
+        for raw in whole:
+            event = parse_event(raw)
+            if event is None:
+                self.unreadable.append(raw)
+            else:
+                self.events.append(event)
+
+    @property
+    def last_event(self) -> int:
+        """Return the last event that the caller has after this try."""
+        return self.events[-1].number if self.events else self.resume_after
+
+
+@dataclass
+class SentCall:
+    """One request of a caller, over all its tries; `last` is the last event of its stream."""
+
+    name: str
+    kind: Kind
+    last: int = 0
+    tries: list[Try] = field(default_factory=list)
+
+    def held(self) -> int:
+        """Return the last event that the caller has."""
+        return max((item.last_event for item in self.tries), default=0)
+
+    def first_attempt(self) -> str | None:
+        """Return the id of the try that brought the first event."""
+        for item in self.tries:
+            if item.events and item.resume_after == 0:
+                return item.attempt
+        return None
+
+
+@dataclass
+class ReplicaRun:
+    """One run of a request, as its replica logged it."""
+
+    run: str
+    attempt: str
+    replica: str
+    fields: dict = field(default_factory=dict)
+    ended: str = "killed"
+    last_sent: int | None = None
+
+
+def parse_event(raw: bytes) -> Received | None:
+    """Return an event, or `None` if it is not as replicas make them."""
+    lines = raw.decode("latin-1").split("\n")
+    words = lines[-1].rstrip(".").split(" ")
+    if len(lines) != 2 or len(words) != 6 or words[0] != "data:":
+        return None
+    if lines[0] != f"id: {words[5]}":
+        return None
+    return Received(int(words[5]), *words[1:5])
+
+
+def parse_runs(lines: list[str]) -> list[ReplicaRun]:
+    """Return the runs in the lines of replicas' logs."""
+    runs: dict[str, ReplicaRun] = {}
+    for line in lines:
+        fields = json.loads(line)
+        name = fields.pop("run")
+        if "attempt" in fields:
+            runs[name] = ReplicaRun(name, fields["attempt"], name.partition(".")[0], fields)
+        elif name in runs:
+            runs[name].ended, runs[name].last_sent = fields["ended"], fields["last_sent"]
+    return list(runs.values())
+
+
+class StreamChecker:
+    """Check each request when all is over, and collect the violations."""
+
+    def __init__(self, runs: list[ReplicaRun]):
+        self.violations: list[str] = []
+        self._runs: dict[str, list[ReplicaRun]] = defaultdict(list)
+        for run in runs:
+            self._runs[run.attempt].append(run)
+
+    def check(self, call: SentCall) -> None:
+        """Check one request."""
+        found = self._check_runs(call)
+        if call.kind.is_stream:
+            found += check_events(call)
+        else:
+            found += check_answers(call)
+        if found:
+            self.violations.append("\n    ".join(["; ".join(found), *self.history(call)]))
+
+    def _check_runs(self, call: SentCall) -> list[str]:
+        """Return what is wrong with how often a request ran."""
+        found = []
+        counts = {item.attempt: len(self._runs[item.attempt]) for item in call.tries}
+        if not call.kind.repeatable and sum(counts.values()) > 1:
+            found.append(f"ran {sum(counts.values())} times and may run once")
+        if max(counts.values(), default=0) > MAX_RUNS:
+            found.append(f"ran {max(counts.values())} times within one try")
+        for item in call.tries:
+            if item.status in NOT_RUN_STATUSES and counts[item.attempt]:
+                found.append(f"status {item.status} for {item.attempt}, which ran")
+        return found
+
+    def history(self, call: SentCall) -> list[str]:
+        """Return the tries and runs of a request, one a line."""
+        lines = [f"{call.name} {call.kind.value} of {call.last} events"]
+        for item in call.tries:
+            version = "HTTP/1.0" if item.http_1_0 else "HTTP/1.1"
+            lines.append(
+                f"try {item.attempt} at {item.router} {version} from {item.started_ms} to "
+                f"{item.ended_ms} ms: status {item.status}, after {item.resume_after}, "
+                f"events {describe_events(item.events)}, {len(item.body)} B left, {item.end.value}"
+            )
+            for run in self._runs[item.attempt]:
+                lines.append(
+                    f"  run {run.run}: {run.fields}, last sent {run.last_sent}, {run.ended}"
+                )
+        return lines
+
+
+def describe_events(events: list[Received]) -> str:
+    """Return ranges of event numbers, with the run that made them."""
+    ranges: list[list] = []
+    for event in events:
+        if ranges and ranges[-1][2] == event.run and ranges[-1][1] + 1 == event.number:
+            ranges[-1][1] = event.number
+        else:
+            ranges.append([event.number, event.number, event.run, event.software])
+    texts = [f"{first}-{last} of {run} {software}" for first, last, run, software in ranges]
+    return ", ".join(texts) or "none"
+
+
+def check_events(call: SentCall) -> list[str]:
+    """Return what is wrong with the events of a stream, over all its tries."""
+    found = []
+    for item in call.tries:
+        expected = item.resume_after
+        for event in item.events:
+            expected += 1
+            if event.number != expected:
+                found.append(f"{item.attempt}: event {event.number} in place of {expected}")
+                break
+        if item.unreadable:
+            found.append(f"{item.attempt}: no event: {item.unreadable[0]!r}")
+        if item.end is TryEnd.COMPLETE and item.status == STATUS_OK:
+            if item.last_event != call.last:
+                found.append(f"{item.attempt}: complete after event {item.last_event}")
+            if item.body:
+                found.append(f"{item.attempt}: complete within an event")
+    events = [event for item in call.tries for event in item.events]
+    versions = sorted({event.software for event in events})
+    if len(versions) > 1:
+        found.append(f"joined versions {', '.join(versions)}")
+    if any(event.request != call.name for event in events):
+        found.append("events of another request")
+    if any(event.run.partition(".")[0] != event.replica for event in events):
+        found.append("a run with events of two replicas")
+    return found
+
+
+def check_answers(call: SentCall) -> list[str]:
+    """Return what is wrong with the single answers of a request."""
+    found = []
+    for item in call.tries:
+        if item.end is TryEnd.COMPLETE and item.status == STATUS_OK:
+            if not item.body.endswith(f":{item.attempt}".encode()):
+                found.append(f"{item.attempt}: not its own answer: {bytes(item.body)!r}")
+    return found
--- /dev/null
+++ b/soak/stream_faults.py
@@ -0,0 +1,148 @@
+"""The faults of the soak of streams: signals to routers and replicas, cut links, releases."""
+
+import signal
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+
+from soak.checker import Checker
+from soak.faults import Faults
+from soak.stream_world import STREAM_SERVICE, ReplicaProcess, StreamWorld
+
+# A replica's entry follows its start by up to this.
+ENTRY_DELAY_S = 1.0
+DOWN_S = (0.0, 1.5)
+DRAIN_S = (0.2, 2.0)
+RELEASE_PAUSE_S = (0.1, 1.0)
+ROUTER_POLL_S = 0.1
+
+
+class StreamFaults(Faults):
+    """Injects faults; replicas are processes, and routers are watched."""
+
+    def __init__(self, world: StreamWorld, rng: Random, checker: Checker):
+        super().__init__(world, rng, checker)
+        self._replica_world = world
+        self.replica_proxies = world.replica_proxies
+        self._release_count = 1
+        # Set when no fault follows; a release in progress then stops.
+        self.ending = False
+
+    def kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the functions that inject one fault each."""
+        path_faults = [self.replica_path, self.replica_reset] if self.replica_proxies else []
+        return [
+            *path_faults,
+            self.replica_kill,
+            self.replica_kill,
+            self.replica_pause,
+            self.replica_cut,
+            self.replica_other_version,
+            self.release,
+            self.store_path,
+            self.store_status,
+            self.store_loses,
+            self.store_forgets,
+            self.router_pause,
+            self.router_kill,
+            self.router_stop,
+            self.router_stops_in_series,
+        ]
+
+    # Replicas.
+
+    def _choose_free_replica(self) -> ReplicaProcess | None:
+        """Return a replica without a fault, or `None` if there is none."""
+        replicas = self._replica_world.replica_processes.values()
+        free = [item for item in replicas if item.name not in self._busy]
+        return self._rng.choice(free) if len(free) > 1 else None
+
+    async def replica_kill(self) -> None:
+        """Kill a replica, some at once after a stop, and start it again."""
+        replica = self._choose_free_replica()
+        if replica is None:
+            return
+        if self._rng.random() < 0.3:
+            # What routers send meanwhile stays unread, so that the kernel resets the connections.
+            replica.process.send_signal(signal.SIGSTOP)
+            await trio.sleep(self._rng.uniform(0.0, 0.5))
+        await self._restart(replica, replica.software, signal.SIGKILL)
+
+    async def replica_other_version(self) -> None:
+        """Kill a replica and start it under its id with another version of the software."""
+        replica = self._choose_free_replica()
+        if replica is not None:
+            software = f"v{self._rng.randint(1, self._release_count + 1)}"
+            await self._restart(replica, software, signal.SIGKILL)
+
+    async def replica_pause(self) -> None:
+        """Suspend a replica's process for a random duration."""
+        replica = self._choose_free_replica()
+        if replica is None:
+            return
+        self._busy.add(replica.name)
+        replica.process.send_signal(signal.SIGSTOP)
+        try:
+            await self.wait_fault_duration()
+        finally:
+            replica.process.send_signal(signal.SIGCONT)
+            self._busy.discard(replica.name)
+
+    async def replica_cut(self) -> None:
+        """Make a replica reset all its connections, or end them in order, a few times."""
+        for _ in range(self._rng.randint(1, 3)):
+            replica = self._choose_free_replica()
+            if replica is not None:
+                replica.process.send_signal(self._rng.choice((signal.SIGUSR1, signal.SIGUSR2)))
+            await trio.sleep(self._rng.uniform(0.0, 0.3))
+
+    async def release(self) -> None:
+        """Replace the replicas of the streams by ones of a new version, one after the other."""
+        self._release_count += 1
+        software = f"v{self._release_count}"
+        for replica in list(self._replica_world.replica_processes.values()):
+            if self.ending:
+                return
+            if replica.service != STREAM_SERVICE or replica.name in self._busy:
+                continue
+            self._busy.add(replica.name)
+            if self._rng.random() < 0.7:
+                self._replica_world.write_entry(replica, state="draining")
+                await trio.sleep(self._rng.uniform(*DRAIN_S))
+            await self._restart(replica, software, signal.SIGTERM)
+            await trio.sleep(self._rng.uniform(*RELEASE_PAUSE_S))
+
+    async def _restart(
+        self, replica: ReplicaProcess, software: str, number: signal.Signals
+    ) -> None:
+        """End a replica's process and start it again; its entry follows within a second."""
+        world = self._replica_world
+        self._busy.add(replica.name)
+        replica.process.send_signal(number)
+        await trio.to_thread.run_sync(replica.process.wait)
+        if self._rng.random() < 0.6:
+            await trio.sleep(self._rng.uniform(*DOWN_S))
+        replica.software = software
+        world.start_replica_process(replica)
+        early = self._rng.random() < 0.3
+        if early:
+            world.write_entry(replica)
+        await world.wait_listening(replica)
+        if not early:
+            await trio.sleep(self._rng.uniform(0.0, ENTRY_DELAY_S))
+            world.write_entry(replica)
+        self._busy.discard(replica.name)
+
+    # Routers.
+
+    async def watch_routers(self) -> None:
+        """Report each router that ends by itself, and start it again."""
+        while True:
+            await trio.sleep(ROUTER_POLL_S)
+            for router in self._world.routers:
+                code = router.process.poll()
+                if code is None or router.name in self._busy:
+                    continue
+                self._checker.violations.append(f"{router.name} ended by itself, code {code}")
+                await self._world.restart_router(router)
--- /dev/null
+++ b/soak/stream_world.py
@@ -0,0 +1,195 @@
+"""Routers and replicas as real processes, for the soak of streams."""
+
+import signal
+import socket
+import subprocess
+import sys
+from dataclasses import dataclass
+from enum import Enum
+from pathlib import Path
+from random import Random
+
+import trio
+
+from soak.proxy import LoopbackProxy
+from soak.stream_callers import DEADLINES_MS
+from soak.stream_checker import Kind
+from standins.entry_world import ROOT, EntryWorld, free_port
+from standins.platform_world import HOST, ROUTE_DEFAULTS
+from standins.stream_replica import Framing, open_listener
+from standins.stream_wire import Ending
+
+REPLICA_POLL_S = 0.02
+REPLICA_START_POLLS = 500
+# One replica of so many serves single answers, the others streams.
+REPLICAS_PER_PLAIN = 3
+# The services, each with the kinds of request that go to it.
+STREAM_SERVICE, PLAIN_SERVICE = "lm", "till"
+ROUTE_FIELDS = {
+    Kind.STREAM: {"route_type": "streaming", "stream_resume": True, "max_attempts": 2},
+    Kind.ONCE: {"route_type": "streaming", "stream_resume": False, "max_attempts": 1},
+    Kind.BRIEF: {"route_type": "streaming", "stream_resume": True, "max_attempts": 2},
+    Kind.NON_IDEMPOTENT: {"route_type": "non_idempotent", "max_attempts": 1},
+    Kind.IDEMPOTENT: {"route_type": "idempotent", "max_attempts": 2},
+}
+FIRST_VERSION = "v1"
+
+
+class ReplicaPath(Enum):
+    """What routers reach at a replica's address.
+
+    `OWN`: its own listener, which ends with its process.  `KEPT`: a listener that stays open while
+    the replica is restarted.  `PROXY`: a proxy, which can cut the path.
+    """
+
+    OWN = "own"
+    KEPT = "kept"
+    PROXY = "proxy"
+
+
+PATH_WEIGHTS = {ReplicaPath.OWN: 3, ReplicaPath.KEPT: 4, ReplicaPath.PROXY: 2}
+
+
+def make_routes() -> list[dict]:
+    """Return the routes of the operator's configuration."""
+    return [
+        {
+            **ROUTE_DEFAULTS,
+            "name": kind.value,
+            "prefix": kind.value,
+            "service": STREAM_SERVICE if kind.is_stream else PLAIN_SERVICE,
+            "timeout_ms": DEADLINES_MS[kind],
+            **fields,
+        }
+        for kind, fields in ROUTE_FIELDS.items()
+    ]
+
+
+@dataclass
+class ReplicaProcess:
+    """One replica: its process, and what it is started with.
+
+    With a `listener` of this process its port can be reached while it is restarted.
+    """
+
+    name: str
+    service: str
+    port: int
+    listener: socket.socket | None
+    software: str = FIRST_VERSION
+    start_count: int = 0
+    process: subprocess.Popen | None = None
+
+    def is_running(self) -> bool:
+        """Return whether its process runs."""
+        return self.process is not None and self.process.poll() is None
+
+
+class StreamWorld(EntryWorld):
+    """A store, and routers and replicas as processes."""
+
+    def __init__(self, nursery: trio.Nursery, folder: str, seed: int):
+        super().__init__(nursery, folder)
+        self._seed = seed
+        self.replica_processes: dict[str, ReplicaProcess] = {}
+        self.replica_proxies: dict[str, LoopbackProxy] = {}
+        # From which the replicas that are started next choose.
+        self.replica_paths = tuple(ReplicaPath)
+        self.framings = tuple(Framing)
+        self.unframed_cut = Ending.RESET
+
+    def write_routes(self) -> None:
+        """Write the configuration to the store."""
+        self.write_plan({"routes": make_routes()})
+
+    @property
+    def replica_log(self) -> Path:
+        """Return the file to which all replicas write."""
+        return self.folder / "replicas.log"
+
+    async def add_replica_process(self, number: int, rng: Random) -> None:
+        """Start a replica and write its entry; some keep their port, some are behind a proxy."""
+        service = PLAIN_SERVICE if number % REPLICAS_PER_PLAIN == 2 else STREAM_SERVICE
+        weights = [PATH_WEIGHTS[path] for path in self.replica_paths]
+        path = rng.choices(self.replica_paths, weights)[0]
+        name, port = f"{service}-{number}-{path.value}", free_port()
+        listener = open_listener(port) if path is ReplicaPath.KEPT else None
+        replica = ReplicaProcess(name, service, port, listener)
+        self.replica_processes[name], self.ports[name] = replica, port
+        if path is ReplicaPath.PROXY:
+            proxy = LoopbackProxy(port, passes_resets=True)
+            proxy.port = await self.listen(f"proxy-{name}", proxy.serve)
+            self.proxy_ports[name], self.replica_proxies[name] = proxy.port, proxy
+        self.start_replica_process(replica)
+        await self.wait_listening(replica)
+        self.write_entry(replica)
+
+    def start_replica_process(self, replica: ReplicaProcess) -> None:
+        """Start the process of a replica at its port."""
+        replica.start_count += 1
+        seed = f"{self._seed * 1000 + replica.start_count}"
+        arguments = [replica.name, replica.software, str(replica.start_count), seed]
+        framings = ",".join(framing.value for framing in self.framings)
+        arguments += [str(self.replica_log), framings, self.unframed_cut.value]
+        arguments.append(str(replica.port))
+        descriptors = []
+        if replica.listener is not None:
+            descriptors = [replica.listener.fileno()]
+            arguments.append(str(descriptors[0]))
+        with (self.folder / "replicas.err").open("a") as output:
+            replica.process = subprocess.Popen(
+                [sys.executable, "-m", "standins.stream_replica", *arguments],
+                cwd=ROOT,
+                pass_fds=descriptors,
+                stdout=output,
+                stderr=output,
+            )
+
+    async def wait_listening(self, replica: ReplicaProcess) -> None:
+        """Wait until a replica accepts connections; fail if that takes too long."""
+        for _ in range(REPLICA_START_POLLS):
+            if await can_connect(replica.port):
+                return
+            await trio.sleep(REPLICA_POLL_S)
+        raise AssertionError(f"{replica.name} does not listen")
+
+    def write_entry(self, replica: ReplicaProcess, state: str = "ready") -> None:
+        """Write a replica's entry to the store, as it does itself on the platform."""
+        self.register_replica(
+            replica.name,
+            replica.service,
+            born=replica.start_count,
+            version=replica.software,
+            state=state,
+        )
+
+    def log_lines(self) -> list[str]:
+        """Return the lines that the replicas have logged."""
+        text = self.replica_log.read_text() if self.replica_log.exists() else ""
+        return text.splitlines()
+
+    def stop(self) -> None:
+        """Kill all processes that this world started."""
+        super().stop()
+        for replica in self.replica_processes.values():
+            if replica.is_running():
+                replica.process.send_signal(signal.SIGCONT)
+                replica.process.kill()
+                replica.process.wait()
+            if replica.listener is not None:
+                replica.listener.close()
+
+
+async def can_connect(port: int) -> bool:
+    """Return whether a port accepts connections."""
+    try:
+        stream = await trio.open_tcp_stream(HOST, port)
+    except OSError:
+        return False
+    await stream.aclose()
+    return True
+
+
+def write_lines(path: Path, lines: list[str]) -> None:
+    """Write lines to a file."""
+    path.write_text("".join(f"{line}\n" for line in lines))
--- /dev/null
+++ b/soak/streams.py
@@ -0,0 +1,209 @@
+"""Run the soak of streams: real routers and replicas, and a check of all tries of each request."""
+
+import argparse
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+
+import trio
+
+from soak.checker import Checker
+from soak.proxy import LoopbackProxy
+from soak.stream_callers import Caller
+from soak.stream_checker import STATUS_OK, SentCall, StreamChecker, TryEnd, parse_runs
+from soak.stream_faults import StreamFaults
+from soak.stream_world import ReplicaPath, StreamWorld, write_lines
+from standins.entry_world import free_port
+from standins.stream_replica import Framing
+from standins.stream_wire import Ending
+
+GRACE_CHOICES_S = (3, 8)
+SERIES_LENGTH = (2, 5)
+SERIES_STEP_S = (0.0, 0.8)
+SERIES_PAUSE_S = (0.2, 2.0)
+# The load goes on for this long after the faults.
+SETTLE_S = 2.0
+# The requests in flight may take this long to end.
+LAST_CALLS_S = 3.0
+
+
+@dataclass
+class Options:
+    """The size of a run."""
+
+    seed: int
+    span_s: float = 20.0
+    routers: int = 6
+    replicas: int = 9
+    callers: int = 24
+    keep: str = ""
+    # Python arguments that start a router; if empty, the platform's daemon is started.
+    program: tuple[str, ...] = ()
+    framings: tuple[Framing, ...] = tuple(Framing)
+    paths: tuple[ReplicaPath, ...] = tuple(ReplicaPath)
+    # How replicas that live on break off between events of an answer that its connection ends.
+    unframed_cut: Ending = Ending.RESET
+    # Names of the faults to inject; if empty, all of them.
+    only_faults: tuple[str, ...] = ()
+
+
+@dataclass
+class Result:
+    """What one run showed."""
+
+    calls: list[SentCall]
+    faults: Counter[str]
+    violations: list[str] = field(default_factory=list)
+
+    def summary(self) -> str:
+        """Return counts of the requests by kind, complete of all, and of the faults."""
+        sent = Counter(call.kind.name.lower() for call in self.calls)
+        served = Counter(
+            call.kind.name.lower()
+            for call in self.calls
+            if any(item.end is TryEnd.COMPLETE and item.status == STATUS_OK for item in call.tries)
+        )
+        kinds = ", ".join(f"{name} {served[name]}/{sent[name]}" for name in sorted(sent))
+        tries = sum(len(call.tries) for call in self.calls)
+        return f"{kinds}; {tries} tries; faults {dict(self.faults)}"
+
+
+class StreamSoak:
+    """One run with one seed."""
+
+    def __init__(self, options: Options, world: StreamWorld):
+        self._options = options
+        self._world = world
+        self._rng = Random(options.seed)
+        self._checker = Checker()
+        self._calls: list[SentCall] = []
+        self._loading = True
+        self._faults = StreamFaults(world, self._rng, self._checker)
+
+    async def run(self) -> Result:
+        """Run load and faults, then check what callers received."""
+        await self._build()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._faults.watch_routers)
+            async with trio.open_nursery() as callers:
+                for number in range(self._options.callers):
+                    rng = Random(f"{self._options.seed} caller {number}")
+                    caller = Caller(self._world.routers, rng, self._calls, f"c{number}")
+                    callers.start_soon(caller.run, lambda: self._loading)
+                async with trio.open_nursery() as faults:
+                    with trio.move_on_after(self._options.span_s):
+                        await self._inject_faults(faults)
+                    self._faults.ending = True
+                await trio.sleep(SETTLE_S)
+                self._loading = False
+                callers.cancel_scope.deadline = trio.current_time() + LAST_CALLS_S
+            nursery.cancel_scope.cancel()
+        return self._check()
+
+    async def _build(self) -> None:
+        """Start replicas, store endpoints and routers, with proxies between some."""
+        world, options = self._world, self._options
+        world.program = options.program
+        world.framings, world.replica_paths = options.framings, options.paths
+        world.unframed_cut = options.unframed_cut
+        world.extra_settings = {"bounds.grace_s": str(self._rng.choice(GRACE_CHOICES_S))}
+        world.write_routes()
+        for number in range(options.replicas):
+            await world.add_replica_process(number, self._rng)
+        for number in range(options.routers):
+            await world.open_store_endpoint()
+            proxy = LoopbackProxy(world.store_endpoints[number][1])
+            port = await world.listen(f"proxy-store-endpoint-{number}", proxy.serve)
+            world.store_endpoints[number] = (world.store_endpoints[number][0], port)
+            self._faults.store_proxies.append(proxy)
+            world.launch_router(f"n{number}", store_endpoint_index=number, peer_port=free_port())
+        for router in world.routers:
+            await world.wait_ready(router)
+
+    async def _inject_faults(self, nursery: trio.Nursery) -> None:
+        """Inject series of faults that overlap, with pauses between the series."""
+        only = self._options.only_faults
+        kinds = [kind for kind in self._faults.kinds() if not only or kind.__name__ in only]
+        while True:
+            for _ in range(self._rng.randint(*SERIES_LENGTH)):
+                kind = self._rng.choice(kinds)
+                self._checker.counts[kind.__name__] += 1
+                nursery.start_soon(kind)
+                await trio.sleep(self._rng.uniform(*SERIES_STEP_S))
+            await trio.sleep(self._rng.uniform(*SERIES_PAUSE_S))
+
+    def _check(self) -> Result:
+        """Check all requests."""
+        checker = StreamChecker(parse_runs(self._world.log_lines()))
+        for call in self._calls:
+            checker.check(call)
+        violations = self._checker.violations + checker.violations
+        return Result(self._calls, self._checker.counts, violations)
+
+
+def run_seed(options: Options) -> Result:
+    """Run one seed and return what it showed."""
+
+    async def main(folder: str) -> Result:
+        async with trio.open_nursery() as nursery:
+            world = StreamWorld(nursery, folder, options.seed)
+            try:
+                result = await StreamSoak(options, world).run()
+            finally:
+                world.stop()
+            nursery.cancel_scope.cancel()
+        return result
+
+    with tempfile.TemporaryDirectory() as folder:
+        return trio.run(main, options.keep or folder)
+
+
+def main() -> int:
+    """Run the seeds and print their violations; return 1 if there are any, else 0."""
+    parser = argparse.ArgumentParser(prog="soak.streams", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="first seed (default: %(default)s)")
+    parser.add_argument(
+        "--seeds", type=int, default=1, help="number of seeds (default: %(default)s)"
+    )
+    parser.add_argument("--span", type=float, default=20.0, help="seconds of faults per seed")
+    parser.add_argument("--routers", type=int, default=6)
+    parser.add_argument("--replicas", type=int, default=9)
+    parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument(
+        "--orderly-cuts",
+        action="store_true",
+        help="replicas also end answers without a length in order between two events",
+    )
+    parser.add_argument("--keep", default="", help="folder to keep logs and records in")
+    arguments = parser.parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.seeds):
+        keep = arguments.keep and str(Path(arguments.keep) / str(seed))
+        if keep:
+            Path(keep).mkdir(parents=True, exist_ok=True)
+        result = run_seed(
+            Options(
+                seed,
+                arguments.span,
+                arguments.routers,
+                arguments.replicas,
+                arguments.callers,
+                keep,
+                unframed_cut=Ending.ORDERLY if arguments.orderly_cuts else Ending.RESET,
+            )
+        )
+        failed += bool(result.violations)
+        print(f"seed {seed}: {result.summary()}", flush=True)
+        for text in result.violations:
+            print(f"  BROKEN {text}", flush=True)
+        if keep:
+            write_lines(Path(keep) / "broken.txt", result.violations)
+    print(f"{arguments.seeds - failed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -86,6 +86,8 @@
         self.routers: list[RouterProcess] = []
         # Python arguments that start a router; if empty, the platform's daemon is started.
         self.program: tuple[str, ...] = ()
+        # Settings of the routers that are started next, beside the usual ones or in their place.
+        self.extra_settings: dict[str, str] = {}
 
     # Routers.
 
@@ -135,6 +137,7 @@
             "platform.address": f"{HOST}:{self.store_endpoints[store_endpoint_index][1]}",
             "bounds.grace_s": 8,
             "limits.memory_mb": 300,
+            **self.extra_settings,
         }
         settings.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
         process = self._start_process(settings, log)
