Keep the caller's place in a stream in one class

A stream that broke off behind an event without an id was taken up from its last id, or from its start, so that callers got pieces of two runs joined; events without ids that a run repeated came twice; and a run that ended before the event that its caller has made the stream look complete. StreamPosition knows what the caller has over all runs; a place behind an event without an id is not gone on from, and the stream ends incomplete.

Ruled out: a first id other than 1 on a fresh run, which nothing here forbids; a comment, after which a run may still begin again.

--- a/features/entry_ends.feature
+++ b/features/entry_ends.feature
@@ -18,3 +18,18 @@
     Given a router before a replica that sends 6 events, one each 10 ms
     When an HTTP/1.0 caller sends a request to "/once/a"
     Then the HTTP/1.0 caller got 6 events and the end of the connection
+
+  # Guards against runs that are joined behind an event that no run can go on from.
+  Scenario Outline: A stream that breaks off after "<events>" <result>
+    Given a router before 2 replicas that break off a stream after "<events>"
+    When a request to "/chat/a" is sent to them
+    Then the caller got events "<got>", and the answer <result>
+
+    # A number is an event with that id, x one without an id, c a comment.
+    Examples:
+      | events | got           | result                 |
+      | 1 2    | 1 2 3 4 5 6   | is complete            |
+      | c      | c 1 2 3 4 5 6 | is complete            |
+      | x      | x             | is not complete        |
+      | 1 2 x  | 1 2 x         | is not complete        |
+      | 1 x 2  | 1 x 2 3 4 5 6 | is complete            |
--- a/features/steps/entry_ends.py
+++ b/features/steps/entry_ends.py
@@ -5,10 +5,13 @@
 import trio
 from behave import given, then, when
 
+from features.steps.entry_answers import CHUNKS, STREAM_HEAD, add_world
 from features.steps.entry_bytes import old_caller_head, open_world
 from features.world_thread import event_ids
+from skylarklift.upstreams.events import EventSplitter
 from standins.entry_world import HOST
 from standins.replica import Replica
+from standins.scripted_replica import Ending, Reply, chunked
 
 READ_BYTES = 65536
 LONGEST_READ_S = 14
@@ -52,3 +55,32 @@
     assert not context.was_reset
     body = context.received.partition(b"\r\n\r\n")[2]
     assert event_ids(body) == list(range(1, count + 1)), context.received
+
+
+@given('a router before 2 replicas that break off a stream after "{names}"')
+def replicas_break_off_after(context, names):
+    raw = {"x": b"data: x\n\n", "c": b": c\n\n"}
+    start = b"".join(
+        raw.get(name, b"id: %s\ndata: e\n\n" % name.encode()) for name in names.split()
+    )
+
+    def reply(request):
+        if len(context.scripted[0].received) + len(context.scripted[1].received) > 1:
+            return Reply(STREAM_HEAD + CHUNKS + chunked(events_after(request.last_event)))
+        return Reply(STREAM_HEAD + CHUNKS + chunked(start, whole=False), Ending.CLOSE)
+
+    add_world(context, 2, reply)
+
+
+def events_after(last_event):
+    """Return the events of a stream of six behind the last one that a caller has."""
+    numbers = range(int(last_event or 0) + 1, 7)
+    return b"".join(b"id: %d\ndata: e\n\n" % number for number in numbers)
+
+
+@then('the caller got events "{names}", and the answer {result}')
+def caller_got_events(context, names, result):
+    events = EventSplitter().feed(context.response.body)
+    got = [str(event.event_id or ("c" if event.is_comment else "x")) for event in events]
+    assert got == names.split(), context.response
+    assert context.response.complete == (result == "is complete"), context.response
--- a/features/steps/stream_events.py
+++ b/features/steps/stream_events.py
@@ -1,8 +1,12 @@
 """Steps for the events of a stream and the caller's place in it."""
 
-from behave import then, when
+from behave import given, then, when
 
-from skylarklift.upstreams.events import EventSplitter
+from skylarklift.errors import ResponseBroken, ResponseInvalid
+from skylarklift.upstreams.events import EventSplitter, StreamEvent
+from skylarklift.upstreams.stream_position import StreamPosition
+
+FAILURES = {ResponseBroken: "is broken off", ResponseInvalid: "is no part of it"}
 
 
 def split(parts):
@@ -29,3 +33,48 @@
     for events in context.splits:
         assert [event.event_id for event in events] == expected, events
         assert b"".join(event.raw for event in events) == context.data, events
+
+
+def make_events(names):
+    """Return the events that a test names."""
+    raw = {"x": b"data: x\n\n", "c": b": c\n\n"}
+    return [
+        StreamEvent(int(name) if name.isdigit() else None, raw.get(name, b"data: e\n\n"))
+        for name in names.split()
+    ]
+
+
+@given('a caller that has "{names}" of a stream')
+@given('a caller that has "" of a stream')
+def caller_has(context, names=""):
+    context.position = StreamPosition(None)
+    context.position.start_run(continuing=False)
+    for event in make_events(names):
+        assert context.position.is_next(event)
+
+
+@when('a run "{start}" brings "{names}"')
+@when('a run "{start}" brings ""')
+def run_brings(context, start, names=""):
+    position = context.position
+    position.start_run(continuing=start == "goes on")
+    context.got, context.result = [], "is sound"
+    try:
+        for name, event in zip(names.split(), make_events(names), strict=True):
+            if position.is_next(event):
+                context.got.append(name)
+        position.end_run()
+    except (ResponseBroken, ResponseInvalid) as exc:
+        context.result = FAILURES[type(exc)]
+
+
+@then('the caller gets "{names}", and the run {result}')
+@then('the caller gets "", and the run {result}')
+def caller_gets(context, result, names=""):
+    assert context.got == names.split(), context.got
+    assert context.result == result, context.result
+
+
+@then("another run {result}")
+def another_run(context, result):
+    assert context.position.exact == (result == "may go on"), context.position.last
--- a/features/stream_events.feature
+++ b/features/stream_events.feature
@@ -18,3 +18,40 @@
       | id: 1\nid\ndata: a\n\n                            | none    |
       | ï»¿id: 1\ndata: a\n\nid: 2\ndata: b\n\n           | 1 2     |
       | : wait\n\nid: 1\ndata: a\n\ndata: b\n\n           | none 1 none |
+
+  # Guards against pieces that come twice or are joined over the runs of a stream.
+  Scenario Outline: What of a run follows what the caller has: <case>
+    Given a caller that has "<has>" of a stream
+    When a run "<start>" brings "<run>"
+    Then the caller gets "<gets>", and the run <result>
+
+    # A number is an event with that id, x one without an id, c a comment.
+    Examples:
+      | case                                      | has     | start    | run       | gets    | result           |
+      | the rest                                  | 1 2     | goes on  | 3 4       | 3 4     | is sound         |
+      | the whole stream                          | 1 2     | goes on  | 1 2 3     | 3       | is sound         |
+      | a gap                                     | 1 2     | goes on  | 4 5       |         | is broken off    |
+      | a text                                    | 1 2     | goes on  | x         |         | is no part of it |
+      | a comment first                           | 1 2     | goes on  | c 3       | c 3     | is sound         |
+      | an event without id that the caller has   | 1 x 2   | goes on  | 1 x 2 x 3 | x 3     | is sound         |
+      | nothing more                              | 1 2     | goes on  |           |         | is sound         |
+      | an end before what the caller has         | 1 2 3   | goes on  | 1 2       |         | is no part of it |
+      | the same, taken up by the caller          | 1 2 3   | is taken up | 1 2    |         | is no part of it |
+      | an end mark, taken up by the caller       | 1 2 3   | is taken up | x      | x       | is sound         |
+      | ids that do not begin with 1              |         | is fresh | 5 6       | 5 6     | is sound         |
+      | ids that go back                          |         | is fresh | 1 2 1 2 3 | 1 2 3   | is sound         |
+
+  # Guards against runs that are joined where the caller's place in the stream is not known.
+  Scenario Outline: After "<has>" another run <result>
+    Given a caller that has "<has>" of a stream
+    Then another run <result>
+
+    Examples:
+      | has   | result           |
+      | 1 2   | may go on        |
+      | c     | may go on        |
+      | 1 c   | may go on        |
+      | x 1   | may go on        |
+      | x     | may not go on    |
+      | 1 x   | may not go on    |
+      | 1 x c | may not go on    |
--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -12,6 +12,7 @@
 from skylarklift.entry.requests.silence import SilenceTimer
 from skylarklift.errors import OutcomeUnknown, ResponseBroken, ResponseInvalid
 from skylarklift.upstreams.events import MAX_EVENT_BYTES, EventSplitter, StreamEvent
+from skylarklift.upstreams.stream_position import StreamPosition
 
 # A longer response than this is forwarded as it arrives.  Other responses, except streams of
 # events, are buffered until they are complete, so that the request can be retried if a response
@@ -25,9 +26,8 @@
 class Forwarder:
     """Forward the response of a request, over all its attempts.
 
-    `resume_after` is the id of the last event that the caller has. `upstream_error` is the
-    last server error of an upstream, which is forwarded if no attempt succeeds.  `on_events` is
-    called before new events of an attempt are sent.
+    `upstream_error` is the last server error of an upstream, which is forwarded if no attempt
+    succeeds.  `on_events` is called before new events of an attempt are sent.
     """
 
     def __init__(
@@ -42,9 +42,14 @@
         self._retry_state = retry_state
         self._on_events = on_events
         self._buffers = buffers
-        self.resume_after = call.resume_after
+        self._position = StreamPosition(call.resume_after)
         self.upstream_error: tuple[ResponseHead, bytes] | None = None
 
+    @property
+    def resume_after(self) -> int | None:
+        """Return the id of the last event that the caller has."""
+        return self._position.last
+
     async def forward(self, attempt: Attempt, timer: SilenceTimer) -> int:
         """Send the request and forward its response.
 
@@ -116,8 +121,7 @@
         """Forward events until the upstream ends the stream; charge incomplete ones to `share`."""
         splitter = EventSplitter()
         counted_before = 0
-        # Once an event has an id, the upstream goes on with the stream.
-        resuming = self._retry_state.forwarded
+        self._position.start_run(continuing=self._retry_state.forwarded)
         timer.record_progress()
         timer.probe_after_ms = MID_STREAM_SILENCE_MS
         while True:
@@ -132,8 +136,6 @@
                 counted_before = attempt.conn.counted_bytes
             elif attempt.conn.counted_bytes - counted_before > MAX_EVENT_BYTES:
                 raise ResponseInvalid(f"an event in small parts exceeds {MAX_EVENT_BYTES} bytes")
-            if resuming:
-                resuming = check_resumption(events)
             if any(not event.is_comment for event in events):
                 timer.record_progress()
                 attempt.record_progress()
@@ -141,35 +143,23 @@
         await self._forward_new(splitter.finish(), attempt)
         if splitter.partial_bytes:
             raise ResponseBroken("the stream ended within an event")
+        self._position.end_run()
 
     async def _forward_new(self, events: list[StreamEvent], attempt: Attempt) -> None:
         """Send the events that the caller lacks, in one write; raise `ResponseBroken` at a gap."""
         new: list[bytes] = []
         try:
             for event in events:
-                if self._is_next_event(event):
+                if self._position.is_next(event):
                     new.append(event.raw)
         finally:
             # The events before a gap are sent.
+            self._retry_state.position_known = self._position.exact
             if new:
                 self._on_events(attempt)
                 await self._send_head_once(attempt.head)
                 await self._caller.send_data(b"".join(new))
 
-    def _is_next_event(self, event: StreamEvent) -> bool:
-        """Return whether the caller still lacks an event; raise `ResponseBroken` at a gap."""
-        number, last = event.event_id, self.resume_after
-        if number is None:
-            return True
-        if last is not None and number <= last:
-            return False
-        if last is not None and number != last + 1:
-            raise ResponseBroken(
-                f"event {number} follows event {last}; the events between are missing"
-            )
-        self.resume_after = number
-        return True
-
     async def _send_head_once(self, head: ResponseHead) -> None:
         """Send the head of the response unless an earlier attempt has sent it."""
         if not self._retry_state.forwarded:
@@ -182,17 +172,3 @@
         attempt.report_signal(HealthSignal.GOOD)
         await self._caller.send_end()
         return attempt.head.status
-
-
-def check_resumption(events: list[StreamEvent]) -> bool:
-    """Return whether no event with an id has come; raise `ResponseInvalid` for one without.
-
-    What is neither an event with an id nor a comment, such as the text of an error, is no part of
-    the stream that the caller has the start of.
-    """
-    for event in events:
-        if event.event_id is not None:
-            return False
-        if not event.is_comment:
-            raise ResponseInvalid("a stream was resumed with an event without an id")
-    return True
--- a/skylarklift/entry/requests/retry_state.py
+++ b/skylarklift/entry/requests/retry_state.py
@@ -30,13 +30,15 @@
     """The attempts of one request so far.
 
     `possible_runs` counts the attempts in which the request may have run; `forwarded` is set
-    once a part of a response has been sent to the caller.
+    once a part of a response has been sent to the caller, and `position_known` while another run
+    of a stream could go on from there.
     """
 
     route: Route
     attempts: int = 0
     possible_runs: int = 0
     forwarded: bool = False
+    position_known: bool = True
 
     def record(self, outcome: Outcome) -> None:
         """Count a finished attempt."""
@@ -56,7 +58,7 @@
         """Return whether another attempt may follow one with this outcome."""
         if self.attempts >= MAX_ATTEMPTS:
             return False
-        if self.forwarded and self.route.kind is not RouteKind.STREAM:
+        if self.forwarded and not (self.route.kind is RouteKind.STREAM and self.position_known):
             # The caller has a part of a response, and only a stream of events can be resumed.
             return False
         if outcome in (Outcome.NOT_SENT, Outcome.NOT_RUN):
--- a/standins/mutations.py
+++ b/standins/mutations.py
@@ -27,6 +27,7 @@
 from skylarklift.platform.headers import PlatformHeaderCodec
 from skylarklift.platform.store import PlatformStore
 from skylarklift.upstreams.events import StreamEvent
+from skylarklift.upstreams.stream_position import StreamPosition
 
 
 @dataclass(frozen=True)
@@ -157,7 +158,7 @@
     "skip_drain": [Replacement(EntryRouter, "_drain_requests", _skip_drain)],
     "ignore_event_ids": [
         Replacement(forwarding, "EventSplitter", IdDroppingSplitter),
-        Replacement(forwarding, "check_resumption", lambda events: False),
+        Replacement(StreamPosition, "is_next", lambda self, event: True),
     ],
     "use_draining_upstreams": [
         Replacement(ClusterState, "members_of", _include_draining_upstreams)
