Use the caller's place in a stream in the own deployment, too

Callers of the own deployment could get a run without ids joined to numbered events, events after the end marker, and an end marker of a run that was shorter than what they have: each attempt had a reader of its own that knew the last id only. The reader now shares StreamPosition.

Ruled out: an early end without the marker, which was an error before. Not changed: a plain service's answer without a length that ends early is still taken as whole.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -58,6 +58,11 @@
       | all events in one chunk        | a complete stream                 |
       | one byte in each chunk         | a complete stream                 |
       | events repeated after a resume | a complete stream                 |
+      | events after its end           | a complete stream                 |
+      | a run that goes on             | a complete stream                 |
+      | only its end left              | a complete stream                 |
+      | a run without ids after others | a broken stream                   |
+      | a run that ends before others  | a broken stream                   |
       | a missing event                | a broken stream                   |
       | another request's events       | an error for another request's id |
       | no end                         | an unfinished stream              |
--- a/features/steps/entry_bytes.py
+++ b/features/steps/entry_bytes.py
@@ -15,6 +15,7 @@
 from skylarklift.upstreams.client import UpstreamClient
 from skylarklift.upstreams.failures import UpstreamError
 from skylarklift.upstreams.reader import EventReader
+from skylarklift.upstreams.stream_position import StreamPosition
 from standins.entry_world import HOST
 from standins.raw_replica import BROKEN_STREAM, DRIPS, ENDLESS, SLOW_BODIES, RawReplica
 from standins.replica import Replica
@@ -309,7 +310,9 @@
             with trio.fail_after(8):
                 response = await client.send_request("POST", url, {"X-Attempt-Id": "q1"}, b"")
                 if kind == "stream":
-                    async for _ in client.stream_events(response, EventReader(RequestId("q1"), 0)):
+                    async for _ in client.stream_events(
+                        response, EventReader(RequestId("q1"), StreamPosition(0))
+                    ):
                         pass
                 else:
                     await client.read_response(response)
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -22,6 +22,7 @@
 from skylarklift.upstreams.failures import FailureKind, UpstreamError
 from skylarklift.upstreams.reader import EventReader
 from skylarklift.upstreams.retries import RetryBudget
+from skylarklift.upstreams.stream_position import StreamPosition
 
 NAME = ClaimName(WorkspaceId("w"), "k")
 OWN_ROW = ClaimRow(claim="own", router="r1", fingerprint="f")
@@ -165,13 +166,26 @@
 }
 
 
+WITHOUT_ID = b'data: {"id": "chatcmpl-abc"}\n\n'
+STREAM_CHUNKS["events after its end"] = [ALL_EVENTS + make_event(4)]
+# Streams of which each run is read by a reader of its own.
+RUNS = {
+    "a run without ids after others": [[make_event(1)], [WITHOUT_ID, DONE_EVENT]],
+    "a run that ends before others": [[make_event(1), make_event(2)], [make_event(1), DONE_EVENT]],
+    "a run that goes on": [[make_event(1)], [make_event(2), make_event(3), DONE_EVENT]],
+    "only its end left": [[make_event(1) + make_event(2) + make_event(3)], [DONE_EVENT]],
+}
+
+
 @when("a stream with {shape} is read")
 def step_events(context, shape):
-    context.reader = EventReader(RequestId("abc"), 0)
+    position = StreamPosition(0)
     context.output, context.error = b"", None
     try:
-        for chunk in STREAM_CHUNKS[shape]:
-            context.output += context.reader.feed(chunk)
+        for run in RUNS.get(shape, [STREAM_CHUNKS.get(shape)]):
+            context.reader = EventReader(RequestId("abc"), position)
+            for chunk in run:
+                context.output += context.reader.feed(chunk)
     except UpstreamError as exc:
         context.error = exc
 
--- a/skylarklift/requests/chats.py
+++ b/skylarklift/requests/chats.py
@@ -34,6 +34,7 @@
 )
 from skylarklift.upstreams.failures import FailureKind, UpstreamError
 from skylarklift.upstreams.reader import EventReader
+from skylarklift.upstreams.stream_position import StreamPosition
 
 
 @dataclass
@@ -58,6 +59,8 @@
     _attempt: _Attempt | None = None
     _claim: Claim | None = None
     _reader: EventReader | None = None
+    # Engines number events from 1.
+    _position: StreamPosition = field(default_factory=lambda: StreamPosition(0))
     _trace: str = ""
 
     @property
@@ -208,16 +211,14 @@
         }
         if self._trace:
             headers["traceparent"] = self._trace
-        if stream and self._reader is not None and self._reader.last_event_id:
-            headers[RESUME_HEADER] = str(self._reader.last_event_id)
+        if stream and self._position.last:
+            headers[RESUME_HEADER] = str(self._position.last)
         return headers
 
     async def _attempt_events(self) -> AsyncIterator[bytes]:
         """Yield the events of the current attempt that were not forwarded before."""
         attempt = self._attempt
-        if self._reader is None or self.resume_count:
-            last_event_id = self._reader.last_event_id if self._reader else 0
-            self._reader = EventReader(self.caller.request_id, last_event_id)
+        self._reader = EventReader(self.caller.request_id, self._position)
         async for events in self.deps.upstreams.stream_events(attempt.response, self._reader):
             if attempt.first_token_ms < 0:
                 attempt.first_token_ms = self.deps.clock.now() - attempt.sent_at
@@ -260,16 +261,14 @@
         """Return whether the chat may be dispatched again after a failure.
 
         A non-idempotent chat is dispatched again only if nothing of it was sent.  A stream
-        without event ids cannot be resumed once a part of it was forwarded.
+        cannot be resumed behind an event without an id.
         """
         if self._claim is not None:
             if exc.sent:
                 return False
             self._claim.dispatched = False
             return True
-        cannot_resume = self._reader is not None and not self._reader.has_event_ids
-        partly_forwarded = self._attempt is not None and self._attempt.first_token_ms >= 0
-        return not (cannot_resume and partly_forwarded)
+        return self._position.exact
 
     # Claims.
 
