Count what upstreams answer about their process; let the soak's replicas answer it

Cause: logs and metrics could not tell whether replicas say when they started.

Change: metric process_identity; stand-in replicas of the soak answer with their start number, as their entries do.

--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -35,12 +35,14 @@
 
     The connection may be used for one more request if `prepare_next_request` says so.
     """
+    identity = Identity.UNKNOWN
     with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
         try:
-            return await _ask(core.status_format, record, conn)
+            identity = await _ask(core.status_format, record, conn)
         except TransportError as exc:
             core.event_log.write("upstream_status_unknown", subject=record.replica, cause=str(exc))
-    return Identity.UNKNOWN
+    core.metrics.increment("process_identity", identity.value)
+    return identity
 
 
 async def _ask(status: StatusFormat, record: UpstreamRecord, conn: HttpConnection) -> Identity:
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -25,6 +25,7 @@
 
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
+STATUS_PATH = "/-/report"
 PACE_S = 0.035
 MAX_BATCH = 4
 PLAIN_RUN_S = (0.005, 0.06)
@@ -170,6 +171,10 @@
     def _serve_one(self, wire: Wire) -> bool:
         """Serve one request; return whether the connection can carry another."""
         request = wire.read_head()
+        if request.target == STATUS_PATH:
+            body = b'{"born":%d}' % self._start
+            wire.write(self._head(request, "200 OK", f"content-length: {len(body)}") + body)
+            return True
         if request.headers.get("x-expect-replica", self.name) != self.name:
             wire.read_body(request.body_bytes)
             wire.write(self._head(request, "421 Misdirected Request", "content-length: 0"))
