Take a process as unknown if its entry does not say when it started

Cause: an entry without a start (0) differed from any start that a process names, so such a replica would have been doubted until its next entry.

--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -51,7 +51,7 @@
     code, _ = await conn.read_head()
     body = await conn.read_all(MAX_STATUS_BYTES)
     started_ms = status.decode_started_ms(body) if code == STATUS_OK else None
-    if started_ms is None:
+    if started_ms is None or not record.started_ms:
         return Identity.UNKNOWN
     return Identity.SAME if started_ms == record.started_ms else Identity.OTHER
 
