Doubt entries of replicas that ended idle connections, and after a standstill

The soak of streams traced joined versions to routers that noticed no end within an answer: a replica that is back at once with other software had ended their idle connections, and a router that had been stopped (SIGSTOP) went on with streams by the entries of before. An idle connection that ends before its time now raises the doubt of the commits before; so does, for all replicas, a maintenance round that is 500 ms late.

Open: a router without any connection to such a replica knows nothing until its entry comes.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -151,6 +151,10 @@
       | it goes on, one broke an answer off       | r0 broke off            | has begun   | r1       |
       | it goes on, one broke off, long confirmed | r0 broke off long ago   | has begun   | r0 r1    |
       | it goes on, one broke off and still runs  | r0 broke off one answer | has begun   | r0 r1    |
+      | it goes on, one ended an idle connection  | r0 ended an idle one    | has begun   | r1       |
+      | it goes on, one ended it after its time   | r0 ended it late        | has begun   | r0 r1    |
+      | it goes on, the router stood still        | a standstill            | has begun   | none     |
+      | it goes on, long after a standstill       | a standstill long ago   | has begun   | r0 r1    |
       | it goes on, all broke an answer off       | r0 and r1 broke off     | has begun   | none     |
       | it begins, one broke an answer off        | r0 broke off            | is to begin | r0 r1    |
       | one has come back with another version    | r0 is back as v2        | has begun   | r1       |
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -1,5 +1,7 @@
 """Steps for streams that may go on only at the software version that began them."""
 
+from unittest.mock import Mock
+
 import trio
 from behave import given, then, when
 
@@ -198,6 +200,13 @@
             break_off(context, "r0")
             clock.advance(2000)
             apply_next_rows(context, RowTable.UPSTREAMS, {})
+        case "r0 ended an idle one" | "r0 ended it late":
+            end_idle_connection(context, 10_000 if event == "r0 ended it late" else 100)
+        case "a standstill" | "a standstill long ago":
+            context.core.suspect_all_restarts()
+            if event == "a standstill long ago":
+                clock.advance(2000)
+                apply_next_rows(context, RowTable.UPSTREAMS, {})
         case "r0 broke off one answer":
             old = attempt_at(context.core, "r0")
             old.conn = HttpConnection(None, "r0")
@@ -221,6 +230,16 @@
             apply_next_rows(context, RowTable.UPSTREAMS, {"r1": None, "r2": None})
 
 
+def end_idle_connection(context, after_ms):
+    """Let r0 end an idle connection, and the router look at it some time after its last use."""
+    conn = Mock(HttpConnection)
+    pool = context.core.connection_pool
+    pool.release("r0", conn, None)
+    context.clock.advance(after_ms)
+    conn.has_no_input.return_value = False
+    pool.find_early_ends()
+
+
 def break_off(context, *replicas):
     """Let a connection to each replica end within an answer."""
     for replica in replicas:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -108,6 +108,11 @@
         if changes:
             self.state_changed.set()
 
+    def suspect_all_restarts(self) -> None:
+        """Doubt all entries, after a time in which this router stood still and noticed nothing."""
+        for replica in self.cluster_state.upstreams:
+            self.cluster_state.suspect_restart(replica)
+
     def look_for_old_connections(self, service: ServiceId) -> None:
         """Trust the entries of the upstreams that hold a connection from before a suspicion."""
         for replica, upstream in self.cluster_state.members_of(service).items():
@@ -307,7 +312,7 @@
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
         progress=UpstreamProgress(clock),
-        connection_pool=ConnectionPool(clock),
+        connection_pool=ConnectionPool(clock, cluster_state.suspect_restart),
         releases=releases,
         resumptions=Resumptions(fleet, StreamOrigins(clock), releases),
         buffers=BufferBudget(settings.memory_mb),
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -23,6 +23,8 @@
 from skylarklift.errors import SettingsError
 
 MAINTENANCE_INTERVAL_MS = 250
+# A process whose maintenance is late by this much has stood still.
+STANDSTILL_MS = 500
 SETTINGS_POLL_INTERVAL_MS = 2000
 # A stopping router serves for at least this long, since new requests arrive until the readiness
 # checks have taken it out of rotation.
@@ -125,7 +127,10 @@
         """Apply removals whose delay is over, close expired connections, and flush the log."""
         core = self._core
         while True:
+            due = core.clock.now() + MAINTENANCE_INTERVAL_MS
             await trio.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_SECOND)
+            if core.clock.now() >= due + STANDSTILL_MS:
+                core.suspect_all_restarts()
             state = core.cluster_state
             core.record_state_changes(state.apply_delayed_removals(), "removal delay is over")
             core.record_state_changes(state.apply_settled_rows(), "restored store has settled")
--- a/skylarklift/entry/requests/connection_pool.py
+++ b/skylarklift/entry/requests/connection_pool.py
@@ -1,6 +1,7 @@
 """Pool of idle connections to upstreams."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
@@ -30,10 +31,14 @@
 
 
 class ConnectionPool:
-    """The idle connections of one router, by upstream."""
+    """The idle connections of one router, by upstream.
 
-    def __init__(self, clock: Clock):
+    `on_early_end` is called for an upstream that has ended one before its time.
+    """
+
+    def __init__(self, clock: Clock, on_early_end: Callable[[ReplicaId], None]):
         self._clock = clock
+        self._on_early_end = on_early_end
         self._idle: dict[ReplicaId, deque[IdleConnection]] = {}
 
     async def acquire(
@@ -60,11 +65,24 @@
             if recently_used and now - idle[-1].idle_since > RECENT_USE_MS:
                 return None
             item = idle.pop()
-            if item.expires_at > now and item.conn.has_no_input():
-                return item.conn
+            if item.expires_at > now:
+                if item.conn.has_no_input():
+                    return item.conn
+                self._on_early_end(replica)
             item.conn.close()
         return None
 
+    def find_early_ends(self) -> None:
+        """Close the idle connections that upstreams have ended before their time."""
+        now = self._clock.now()
+        for replica, idle in self._idle.items():
+            ended = [item for item in idle if not item.conn.has_no_input()]
+            if any(item.expires_at > now for item in ended):
+                self._on_early_end(replica)
+            for item in ended:
+                idle.remove(item)
+                item.conn.close()
+
     def oldest_open(self, replica: ReplicaId) -> Millis | None:
         """Return since when the oldest idle connection that is still open stands, if any."""
         idle = self._idle.get(replica, ())
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -10,7 +10,6 @@
 from skylarklift.entry.crashes.suspects import call_fingerprint
 from skylarklift.entry.model import (
     Call,
-    Endpoint,
     Headers,
     Route,
     RouteKind,
@@ -25,7 +24,6 @@
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.state.upstream import Upstream
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import (
     AnswerLate,
@@ -224,7 +222,7 @@
             left_ms=max(1, self.deadline - self.core.clock.now()),
             priority=priority if engine is not None and engine.engine_slots else None,
             resume_after=self.forwarder.resume_after,
-            copy_from=_endpoint_of(choice.copy_source),
+            copy_from=choice.copy_source and choice.copy_source.endpoint,
         )
 
     async def _choose_upstream(self) -> Choice:
@@ -240,6 +238,8 @@
             begun = wanted is not None and wanted.begun
             if self.retry_state.forwarded and not begun:
                 raise OutcomeUnknown("the upstream named no version at which the stream can go on")
+            if begun:
+                core.connection_pool.find_early_ends()
             found = self._choose(wanted)
             if found is NoUpstream.OTHER_VERSION and not begun:
                 # All replicas of the assigned version leave; none will take the stream up either.
@@ -391,10 +391,3 @@
     if exc.retry_after_ms is not None:
         headers.append((b"retry-after", b"%.3f" % (exc.retry_after_ms / MS_PER_SECOND)))
     return headers
-
-
-def _endpoint_of(upstream: Upstream | None) -> Endpoint | None:
-    """Return the address of an upstream, or `None` without one."""
-    if upstream is None:
-        return None
-    return Endpoint(upstream.record.host, upstream.record.port)
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import Millis
-from skylarklift.entry.model import UpstreamRecord
+from skylarklift.entry.model import Endpoint, UpstreamRecord
 
 UPSTREAM_ADDED = "upstream_added"
 UPSTREAM_REMOVED = "upstream_removed"
@@ -31,6 +31,11 @@
     software_doubted: bool = False
     restart_suspected_at: Millis | None = None
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Return the address of the upstream."""
+        return Endpoint(self.record.host, self.record.port)
+
     def may_have_restarted(self, rows_confirmed_at: Millis | None) -> bool:
         """Return whether it may have restarted since its entry was written.
 
