--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -32,8 +32,8 @@
     restart_suspected_at: Millis | None = None
 
     @property
-    def address(self) -> Endpoint:
-        """Return where the replica takes requests."""
+    def endpoint(self) -> Endpoint:
+        """Return the address of the upstream."""
         return Endpoint(self.record.host, self.record.port)
 
     def may_have_restarted(self, rows_confirmed_at: Millis | None) -> bool:
