--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -25,14 +25,15 @@
 from skylarklift.entry.requests.buffer_budget import BufferBudget
 from skylarklift.entry.requests.connection_pool import ConnectionPool
 from skylarklift.entry.requests.header_codec import HeaderCodec
+from skylarklift.entry.requests.status_format import StatusFormat
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.rows import NO_ERA, Era, RowFormat, RowTable
-from skylarklift.entry.state.upstream import UPSTREAM_REMOVED, StateChange
+from skylarklift.entry.state.upstream import PROCESS_END_MS, UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.versions.releases import ReleaseReport, Releases
 from skylarklift.entry.versions.resumptions import Resumptions
 from skylarklift.entry.versions.stream_origins import StreamOrigins
 from skylarklift.errors import leaf_errors, raise_location
-from skylarklift.ids import ReplicaId
+from skylarklift.ids import ReplicaId, ServiceId
 from skylarklift.util.descriptors import DescriptorShares, descriptor_limit, divide_descriptors
 
 if TYPE_CHECKING:
@@ -65,6 +66,7 @@
     settings: NodeSettings
     clock: Clock
     header_codec: HeaderCodec
+    status_format: StatusFormat
     event_log: EventLog
     metrics: Metrics
     cluster_state: ClusterState
@@ -116,6 +118,23 @@
         if changes:
             self.state_changed.set()
 
+    def suspect_all_restarts(self) -> None:
+        """Doubt all entries, after a time in which this router stood still and noticed nothing."""
+        for replica in self.cluster_state.upstreams:
+            self.cluster_state.suspect_restart(replica)
+
+    def look_for_old_connections(self, service: ServiceId) -> None:
+        """Trust the entries of the upstreams that hold a connection from before a suspicion."""
+        for replica, upstream in self.cluster_state.members_of(service).items():
+            if upstream.restart_suspected_at is None:
+                continue
+            if self.clock.now() < upstream.restart_suspected_at + PROCESS_END_MS:
+                # The ends of the other connections may be on their way.
+                continue
+            connected_at = self.connection_pool.oldest_open(replica)
+            if connected_at is not None:
+                upstream.record_alive(connected_at)
+
     def apply_release(self, report: ReleaseReport, source: str) -> None:
         """Use a row on the software versions of a service, and tell the other routers."""
         if not self.releases.apply(report):
@@ -290,6 +309,7 @@
     clock: Clock,
     header_codec: HeaderCodec,
     row_format: RowFormat,
+    status_format: StatusFormat,
     event_log: EventLog,
 ) -> Core:
     """Return the core of a router that has no rows yet."""
@@ -303,6 +323,7 @@
         settings=settings,
         clock=clock,
         header_codec=header_codec,
+        status_format=status_format,
         event_log=event_log,
         metrics=Metrics(),
         cluster_state=cluster_state,
@@ -313,7 +334,7 @@
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
         progress=UpstreamProgress(clock),
-        connection_pool=ConnectionPool(clock),
+        connection_pool=ConnectionPool(clock, cluster_state.suspect_restart),
         releases=releases,
         resumptions=Resumptions(fleet, StreamOrigins(clock), releases),
         buffers=BufferBudget(settings.memory_mb),
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -17,10 +17,14 @@
     HttpConnection,
     connect,
 )
+from skylarklift.entry.requests.process_identity import Identity, identify, record_identity
+from skylarklift.entry.requests.process_watch import ProcessWatch
 from skylarklift.entry.requests.retry_state import Outcome
+from skylarklift.entry.state.upstream import PROCESS_END_MS
 from skylarklift.errors import (
     ConnectFailed,
     LocalShortage,
+    ProcessReplaced,
     ResponseBroken,
     ResponseInvalid,
     TransportError,
@@ -76,6 +80,7 @@
         self.sent_before = sent_before
         self.suspects = suspects
         self._served_recorded = False
+        self.process_watch = ProcessWatch(core.clock, self.record)
         self.conn: HttpConnection | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
@@ -107,6 +112,8 @@
         """Send the request and return the head of its response; raise `TransportError`."""
         self.core.make_room_for_attempts()
         self.conn = await self._connect()
+        if self._resumes:
+            await self._check_process()
         self.outcome = Outcome.BROKEN
         call = self.call
         headers = self.core.header_codec.encode_upstream_headers(call, self.options)
@@ -131,7 +138,9 @@
         core = self.core
         try:
             return await core.connection_pool.acquire(
-                self.record, recently_used=not self.repeatable, new=self.sent_before
+                self.record,
+                recently_used=not self.repeatable,
+                new=self.sent_before or self._resumes,
             )
         except LocalShortage:
             core.descriptors_short.set()
@@ -139,6 +148,22 @@
             await trio.sleep(SHORTAGE_PAUSE_MS / MS_PER_SECOND)
             raise
 
+    @property
+    def _resumes(self) -> bool:
+        """Return whether the attempt goes on with a stream that has begun."""
+        return self.repeatable and self.options.resume_after is not None
+
+    async def _check_process(self) -> None:
+        """Raise `ProcessReplaced` if the upstream has restarted since its entry was written."""
+        core, record = self.core, self.record
+        identity = await identify(core, record, self.conn)
+        record_identity(core, self.choice.upstream, identity)
+        if identity is Identity.OTHER:
+            raise ProcessReplaced(f"{record.replica} has restarted since its entry")
+        if not self.conn.prepare_next_request():
+            self.conn.abort()
+            self.conn = await self._connect()
+
     async def _read_head(self) -> ResponseHead:
         """Return the head of the response, skipping responses that carry another request id."""
         for _ in range(MAX_RESPONSES_READ):
@@ -148,6 +173,8 @@
                 # It may be a second copy of the answer to an earlier request.
                 raise ResponseInvalid(f"status {head.status} without an id of a request")
             if head.request is None or head.request == self.call.request:
+                if self.conn.ends_with_connection:
+                    self.process_watch.start()
                 return self._check_head(head)
             self.core.event_log.write(
                 "response_id_mismatch", id=self.call.request, upstream=self.record.replica
@@ -221,8 +248,11 @@
         """
         if not self.conn.ends_with_connection or self.head.status in NO_BODY_STATUSES:
             return
+        ended_at = self.core.clock.now()
+        await trio.sleep(PROCESS_END_MS / MS_PER_SECOND)
         now = self.core.clock.now()
-        if not await is_reachable(self.core, self, since=now, if_unknown=False):
+        died = self.process_watch.has_ended_since(Millis(ended_at - PROCESS_END_MS))
+        if died or not await is_reachable(self.core, self, since=now, if_unknown=False):
             raise ResponseBroken("the upstream ended within an answer without a length")
 
     def answer_age_ms(self) -> int | None:
@@ -245,6 +275,9 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
+        upstream = self.core.cluster_state.upstreams.get(replica)
+        if upstream is not None:
+            upstream.record_alive(self.conn.connected_at)
         if self.has_settled():
             self.record_served()
         if self.answered_at is None:
@@ -292,11 +325,15 @@
         if isinstance(exc, LocalShortage):
             self.outcome = Outcome.NOT_SENT
             self.core.metrics.increment("local_shortages")
+        elif isinstance(exc, ProcessReplaced):
+            self.outcome = Outcome.NOT_SENT
         elif isinstance(exc, ConnectFailed):
             self.outcome = Outcome.NOT_SENT
             self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
+            if isinstance(exc, ResponseBroken) and not self.aborted:
+                self.core.cluster_state.suspect_restart(self.record.replica)
             self.report_signal(
                 HealthSignal.BROKEN if isinstance(exc, ResponseBroken) else HealthSignal.FAILED
             )
--- a/skylarklift/entry/requests/http_connection.py
+++ b/skylarklift/entry/requests/http_connection.py
@@ -7,7 +7,7 @@
 import h11
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.model import Headers
 from skylarklift.errors import (
     ConnectFailed,
@@ -32,6 +32,8 @@
 MAX_INTERIM_RESPONSES = 8
 # SO_LINGER with a time-out of 0: closing discards unsent data and resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# SO_LINGER off: unsent data is still sent, then the end of the connection.
+CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 # A part of a body, such as a chunk, counts at least this much towards a limit on the body, since
 # each costs time however small it is.
 MIN_PART_BYTES = 512
@@ -72,6 +74,8 @@
     """A connection to an upstream, to the store, or to a router's metrics address."""
 
     def __init__(self, stream: trio.SocketStream, authority: str):
+        # When the connection was made, if it is one of a pool.
+        self.connected_at = Millis(0)
         self._stream = stream
         self._authority = authority.encode("ascii")
         self._http = h11.Connection(h11.CLIENT)
--- /dev/null
+++ b/skylarklift/entry/requests/process_identity.py
@@ -0,0 +1,92 @@
+"""Ask an upstream's process when it started, to tell it from the one that its entry describes.
+
+A process that restarts at once under its name may run other software before its entry says so.
+"""
+
+from enum import Enum
+
+import trio
+
+from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.core import Core
+from skylarklift.entry.model import UpstreamRecord
+from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.requests.status_format import StatusFormat
+from skylarklift.entry.state.upstream import Upstream
+from skylarklift.errors import ConnectFailed, TransportError
+from skylarklift.ids import ServiceId
+
+ANSWER_TIMEOUT_MS = 250
+MAX_STATUS_BYTES = 65536
+MAX_ASKED = 8
+STATUS_OK = 200
+
+
+class Identity(Enum):
+    """Whether a process is the one that an entry describes."""
+
+    SAME = "same"
+    OTHER = "other"
+    UNKNOWN = "unknown"
+
+
+async def identify(core: Core, record: UpstreamRecord, conn: HttpConnection) -> Identity:
+    """Return whether the process behind an unused connection is the one of an entry.
+
+    The connection may be used for one more request if `prepare_next_request` says so.
+    """
+    identity = Identity.UNKNOWN
+    with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
+        try:
+            identity = await _ask(core.status_format, record, conn)
+        except TransportError as exc:
+            core.event_log.write("upstream_status_unknown", subject=record.replica, cause=str(exc))
+    core.metrics.increment("process_identity", identity.value)
+    return identity
+
+
+async def _ask(status: StatusFormat, record: UpstreamRecord, conn: HttpConnection) -> Identity:
+    """Return the answer of a process; raise `TransportError`."""
+    await conn.send(b"GET", status.target, [], b"")
+    code, _ = await conn.read_head()
+    body = await conn.read_all(MAX_STATUS_BYTES)
+    started_ms = status.decode_started_ms(body) if code == STATUS_OK else None
+    if started_ms is None or not record.started_ms:
+        return Identity.UNKNOWN
+    return Identity.SAME if started_ms == record.started_ms else Identity.OTHER
+
+
+async def identify_suspects(core: Core, service: ServiceId) -> None:
+    """Ask the upstreams of a service that may have restarted whether they have."""
+    members = core.cluster_state.members_of(service).values()
+    suspects = [item for item in members if item.restart_suspected_at is not None]
+    async with trio.open_nursery() as nursery:
+        for upstream in suspects[:MAX_ASKED]:
+            nursery.start_soon(_identify_suspect, core, upstream)
+
+
+async def _identify_suspect(core: Core, upstream: Upstream) -> None:
+    """Ask one upstream whether it has restarted since its entry was written."""
+    record_identity(core, upstream, await identify_anew(core, upstream.record))
+
+
+def record_identity(core: Core, upstream: Upstream, identity: Identity) -> None:
+    """Trust or doubt the entry of an upstream by what its process has said."""
+    if identity is Identity.SAME:
+        upstream.record_same_process()
+    elif identity is Identity.OTHER:
+        core.cluster_state.doubt_software(upstream.record.replica)
+
+
+async def identify_anew(core: Core, record: UpstreamRecord) -> Identity:
+    """Return whether the process at the address of an entry is the one of that entry."""
+    try:
+        stream = await connect(record.host, record.port, ANSWER_TIMEOUT_MS)
+    except ConnectFailed:
+        # A process that has ended was not replaced yet.
+        return Identity.UNKNOWN
+    conn = HttpConnection(stream, f"{record.host}:{record.port}")
+    try:
+        return await identify(core, record, conn)
+    finally:
+        conn.abort()
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -10,7 +10,6 @@
 from skylarklift.entry.crashes.suspects import call_fingerprint
 from skylarklift.entry.model import (
     Call,
-    Endpoint,
     Headers,
     Route,
     RouteKind,
@@ -23,9 +22,9 @@
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
+from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.state.upstream import Upstream
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import (
     AnswerLate,
@@ -49,6 +48,8 @@
 STARTING_RETRY_DIVISOR = 4
 MAX_STARTING_RETRY_MS = 2000
 DEFAULT_DEADLINE_MS = 2000
+# A stream waits this long for the entries of replicas that may have restarted.
+RESTART_WAIT_MS = 3000
 RETRY_AFTER_MS = 500
 RETRY_AFTER_JITTER_MS = 1000
 # An upstream that sends nothing for this ratio of the route's latency objective, but at least for
@@ -222,7 +223,7 @@
             left_ms=max(1, self.deadline - self.core.clock.now()),
             priority=priority if engine is not None and engine.engine_slots else None,
             resume_after=self.forwarder.resume_after,
-            copy_from=_endpoint_of(choice.copy_source),
+            copy_from=choice.copy_source and choice.copy_source.endpoint,
         )
 
     async def _choose_upstream(self) -> Choice:
@@ -231,12 +232,15 @@
         Raise `Refusal` or `OutcomeUnknown` if there is still none.
         """
         core = self.core
-        until = core.clock.now() + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
+        waited_from = core.clock.now()
+        until = waited_from + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
         while True:
             wanted = self.stream_version.wanted()
             begun = wanted is not None and wanted.begun
             if self.retry_state.forwarded and not begun:
                 raise OutcomeUnknown("the upstream named no version at which the stream can go on")
+            if begun:
+                core.connection_pool.find_early_ends()
             found = self._choose(wanted)
             if found is NoUpstream.OTHER_VERSION and not begun:
                 # All replicas of the assigned version leave; none will take the stream up either.
@@ -248,6 +252,12 @@
                 # Every usable upstream has been tried; one of them may take the request now.
                 self.tried_replicas.clear()
                 continue
+            if found is NoUpstream.MAYBE_RESTARTED:
+                core.look_for_old_connections(self.service)
+                if until < waited_from + RESTART_WAIT_MS:
+                    until = waited_from + RESTART_WAIT_MS
+                    await identify_suspects(core, self.service)
+                    continue
             if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
@@ -300,6 +310,7 @@
             if not attempt.withdrawn:
                 attempt.record_failure(exc)
                 await self.crash_guard.check_for_crash(attempt)
+                await self.stream_version.confirm(attempt)
             return 0
 
     def _initial_silence_ms(self) -> int:
@@ -385,10 +396,3 @@
     if exc.retry_after_ms is not None:
         headers.append((b"retry-after", b"%.3f" % (exc.retry_after_ms / MS_PER_SECOND)))
     return headers
-
-
-def _endpoint_of(upstream: Upstream | None) -> Endpoint | None:
-    """Return the address of an upstream, or `None` without one."""
-    if upstream is None:
-        return None
-    return Endpoint(upstream.record.host, upstream.record.port)
--- a/standins/raw_replica.py
+++ b/standins/raw_replica.py
@@ -4,7 +4,10 @@
 
 import trio
 
+from standins.replica import STATUS_PATH
+
 READ_BYTES = 65536
+NO_STATUS = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n"
 ANSWER_HEAD = b"HTTP/1.1 200 OK\r\nx-attempt-id: %s\r\nx-replica-signature: s\r\n"
 CHUNKED = b"transfer-encoding: chunked\r\n\r\n"
 EVENT_STREAM = b"content-type: text/event-stream\r\n"
@@ -97,6 +100,9 @@
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
         request = await self._read_head(stream)
+        while request.startswith(b"GET " + STATUS_PATH):
+            await stream.send_all(NO_STATUS)
+            request = await self._read_head(stream)
         if not request:
             return
         self.requests += 1
