Tell other routers of replicas that may have restarted

A router that had no connection to a replica that is back at once with other software went on with streams there by its old entry, though other routers had seen its connections end. Each round of gossip now names the upstreams that ended a connection of the sender in the last 0.7 s, and a break within an answer starts a round at once. Routers of earlier releases ignore the field.

Two steps wrote entries of replicas from a thread without a loop, and one scenario ended with that error once in a run (must be called from async context); they run in the loop now.

--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -32,6 +32,11 @@
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
 
+async def register(world, name, version):
+    """Write the entry of a replica, in the loop whose tasks wait for changes of the store."""
+    world.register_replica(name, "lm", version=version)
+
+
 @given('a router before replicas of the versions "{versions}" that break off each new stream')
 def replicas_of_versions(context, versions):
     def reply(request):
@@ -44,7 +49,7 @@
     world = context.world
     for number, version in enumerate(context.versions, 1):
         named = None if version == "none" else version
-        world.register_replica(f"lm-{number}", "lm", version=named)
+        context.thread.run(register, world, f"lm-{number}", named)
     # All routers know the versions before streams begin.
     context.thread.run(trio.sleep, 1.5)
 
@@ -67,7 +72,7 @@
         return Reply(STREAM_HEAD + CHUNKS + events, Ending.CRASH_RESTARTED)
 
     add_world(context, 1, reply)
-    context.world.register_replica("lm-1", "lm", version="v1")
+    context.thread.run(register, context.world, "lm-1", "v1")
     context.thread.run(trio.sleep, 1.5)
 
 
@@ -215,6 +220,8 @@
             clock.advance(500)
             break_off(context, "r0")
             old.record_progress()
+        case "n1 saw r0 end one":
+            apply_message(context.core, suspected_restarts=("r0",))
         case "n1 reports r0":
             report_ejection(context.core, "r0")
             clock.advance(MAX_EJECTION_MS)
@@ -259,9 +266,12 @@
 
 def report_ejection(core, replica):
     """Let another router report that it could not reach a replica."""
-    message = GossipMessage(
-        "n1", "b", "", EMPTY_SUMMARIES, ejected={replica: 100}, maybe_restarted=(replica,)
-    )
+    apply_message(core, ejected={replica: 100}, maybe_restarted=(replica,))
+
+
+def apply_message(core, **fields):
+    """Let a message of another router arrive."""
+    message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES, **fields)
 
     async def apply():
         async with trio.open_nursery() as nursery:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -111,7 +111,7 @@
     def suspect_all_restarts(self) -> None:
         """Doubt all entries, after a time in which this router stood still and noticed nothing."""
         for replica in self.cluster_state.upstreams:
-            self.cluster_state.suspect_restart(replica)
+            self.cluster_state.suspect_restart(replica, seen_here=False)
 
     def look_for_old_connections(self, service: ServiceId) -> None:
         """Trust the entries of the upstreams that hold a connection from before a suspicion."""
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -66,7 +66,8 @@
     that recent prompts were sent to.  `router_count` is how many routers the sender counts, and
     `limits` what it knows of the limits that upstreams name.  `observed_loads` holds the loads that
     busy upstreams have answered, `releases` the proportions of software versions, which were the
-    newest ones `releases_age_ms` ago, `None` if that is not known.
+    newest ones `releases_age_ms` ago, `None` if that is not known.  `suspected_restarts` are the
+    upstreams that have ended connections to the sender lately.
     """
 
     node: str
@@ -84,6 +85,7 @@
     observed_loads: tuple[ObservedLoad, ...] = ()
     releases: tuple[ReleaseReport, ...] = ()
     releases_age_ms: int | None = None
+    suspected_restarts: tuple[str, ...] = ()
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -202,6 +202,7 @@
             observed_loads=core.chooser.observed_loads.reports(),
             releases=core.releases.reports(),
             releases_age_ms=core.releases.age_ms(),
+            suspected_restarts=tuple(state.seen_restarts()),
         )
 
     # Receiving.
@@ -263,6 +264,8 @@
         if message.node not in core.fleet.peers:
             core.event_log.write("router_discovered", peer=message.node, address=str(address))
         peer = core.fleet.record_message(message, address)
+        for replica in message.suspected_restarts:
+            core.cluster_state.suspect_restart(replica, seen_here=False)
         for replica in message.maybe_restarted:
             core.cluster_state.doubt_software(replica)
         for replica, left_ms in message.ejected.items():
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -40,6 +40,7 @@
 RELEASES_KEY = "releases"
 RELEASES_AGE_KEY = "releases_age"
 DEADLINES_KEY = "deadlines"
+SUSPECTED_RESTARTS_KEY = "suspected_restarts"
 COMPRESSION_LEVEL = 1
 
 
@@ -68,6 +69,7 @@
                 ],
                 RELEASES_KEY: [_release_fields(report) for report in message.releases],
                 RELEASES_AGE_KEY: message.releases_age_ms,
+                SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
@@ -115,6 +117,9 @@
             observed_loads=tuple(
                 decode_observed_load(*fields) for fields in extras.get(OBSERVED_LOADS_KEY, ())
             ),
+            suspected_restarts=tuple(
+                checked_text(name) for name in extras.get(SUSPECTED_RESTARTS_KEY, ())
+            ),
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
         )
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -287,6 +287,7 @@
             self.outcome = Outcome.BROKEN
             if isinstance(exc, ResponseBroken) and not self.aborted:
                 self.core.cluster_state.suspect_restart(self.record.replica)
+                self.core.state_changed.set()
             self.report_signal(
                 HealthSignal.BROKEN if isinstance(exc, ResponseBroken) else HealthSignal.FAILED
             )
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -268,11 +268,16 @@
         if upstream is not None:
             upstream.software_doubted = True
 
-    def suspect_restart(self, replica: ReplicaId) -> None:
-        """Record that a connection to a replica ended within an answer."""
+    def suspect_restart(self, replica: ReplicaId, *, seen_here: bool = True) -> None:
+        """Record that a replica ended a connection, here or at another router."""
         upstream = self.upstreams.get(replica)
         if upstream is not None:
-            upstream.restart_suspected_at = self._clock.now()
+            upstream.suspect_restart(self._clock.now(), seen_here=seen_here)
+
+    def seen_restarts(self) -> list[ReplicaId]:
+        """Return the replicas that ended a connection of this router lately."""
+        now = self._clock.now()
+        return [name for name, item in self.upstreams.items() if item.tells_restart(now)]
 
     def mark_leaving(self, record: UpstreamRecord) -> list[StateChange]:
         """Record that an upstream said in an answer that it leaves, until it restarts."""
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -9,6 +9,8 @@
 UPSTREAM_REMOVED = "upstream_removed"
 # The entry of a replica that restarted is in the store this long after its connections ended.
 ENTRY_DELAY_MS = 1200
+# The other routers are told of a suspicion for this long, in two rounds of gossip or more.
+SUSPICION_TOLD_MS = 700
 # The connections of a process that ends are seen to end within this time of each other.
 PROCESS_END_MS = 60
 
@@ -20,7 +22,8 @@
     `leaving` is true after the replica has said so in an answer, whatever its entry says.
     `software_doubted` is true from when it could not be reached until its next entry: it may have
     come back with other software, and cannot say so while the store is away.
-    `restart_suspected_at` is when a connection to it last ended within an answer.
+    `restart_suspected_at` is when it last ended a connection that was in use or could have been,
+    and `restart_seen_at` the same of connections of this router.
     """
 
     record: UpstreamRecord
@@ -30,12 +33,31 @@
     leaving: bool = False
     software_doubted: bool = False
     restart_suspected_at: Millis | None = None
+    restart_seen_at: Millis | None = None
 
     @property
     def endpoint(self) -> Endpoint:
         """Return the address of the upstream."""
         return Endpoint(self.record.host, self.record.port)
 
+    def suspect_restart(self, now: Millis, *, seen_here: bool) -> None:
+        """Record that it ended a connection; another router tells the same one several times."""
+        suspected_at = self.restart_suspected_at
+        if seen_here:
+            self.restart_seen_at = now
+        elif suspected_at is not None and now < suspected_at + SUSPICION_TOLD_MS:
+            return
+        self.restart_suspected_at = now
+
+    def tells_restart(self, now: Millis) -> bool:
+        """Return whether the other routers are to be told that it may have restarted."""
+        seen_at = self.restart_seen_at
+        return (
+            seen_at is not None
+            and self.restart_suspected_at is not None
+            and now < seen_at + SUSPICION_TOLD_MS
+        )
+
     def may_have_restarted(self, rows_confirmed_at: Millis | None) -> bool:
         """Return whether it may have restarted since its entry was written.
 
