Log the framing of each answer and the events that were sent of it

A router's lines named the replica of each attempt, but not the events that it sent on nor what ended the answer, so a stream that ended too early, one that was taken up from the wrong place and one with an event missing looked alike. `send_failed`, `request` and `request_failed` now have `framing` and `events` (ids of the first and last event sent of the attempt).

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -64,6 +64,7 @@
     When a request to "/chat/a" is sent
     Then the caller got 6 events in order, each once
     And the second run began at event 4
+    And the log names the events "1-3 4-6" of its attempts, ended by chunks
 
   Scenario: A stream that breaks off and may not be resumed ends incomplete
     Given the replicas "lm-1,lm-2" break off streams after 3 events
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -14,6 +14,8 @@
 from standins.entry_world import free_port
 
 METRICS_DELAY_LIMIT_S = 1
+LOG_POLLS = 40
+LOG_POLL_S = 0.05
 
 
 @given('the replicas "{names}" send an event every {pace:d} ms')
@@ -293,6 +295,20 @@
     assert {"x1", "x2", "x3", "x4", "config"} <= subjects, subjects
 
 
+@then('the log names the events "{ranges}" of its attempts, ended by chunks')
+def log_names_events(context, ranges):
+    lines = []
+    # The line of the result is written after the response.
+    for _ in range(LOG_POLLS):
+        lines = [item for item in context.router.lines() if "framing" in item]
+        if lines and lines[-1]["event"] == "request":
+            break
+        time.sleep(LOG_POLL_S)
+    ranges_logged = [line["events"] for line in lines[-2:]]
+    assert " ".join(f"{first}-{last}" for first, last in ranges_logged) == ranges, lines
+    assert {line["framing"] for line in lines[-2:]} == {"chunked"}, lines
+
+
 @then("the metrics count {count:d} requests with the status {status:d}")
 def metrics_count(context, count, status):
     async def ask():
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -77,6 +77,8 @@
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
         self.aborted = self.withdrawn = self.crash_reported = False
+        # The ids of the first and the last event that were sent to the caller, empty without one.
+        self.event_range: list[int] = []
         # When the first event or the complete answer arrived.
         self.answered_at: Millis | None = None
         self._sent_at = core.clock.now()
@@ -177,6 +179,30 @@
             "observed_load": None if observed is None else observed.running + observed.waiting,
         }
 
+    def answer_fields(self) -> dict[str, int | str | list[int] | None]:
+        """Return, for the log, the age and framing of the answer, and the events sent of it."""
+        return {
+            "answer_age_ms": self.answer_age_ms(),
+            "framing": self._framing(),
+            "events": self.event_range,
+        }
+
+    def log_fields(self) -> dict[str, float | str | list[int] | None]:
+        """Return, for the log of the result, the load and the answer of the last attempt."""
+        return {**self.load_fields(), **self.answer_fields()}
+
+    def _framing(self) -> str | None:
+        """Return what ends the answer's body, `None` before the head of the answer."""
+        if self.head is None:
+            return None
+        if self.conn.ends_with_connection:
+            return "connection"
+        return "chunked" if self.head.length is None else "length"
+
+    def record_event(self, number: int) -> None:
+        """Record that an event is sent to the caller."""
+        self.event_range = [*self.event_range[:1], number] if self.event_range else [number, number]
+
     def classify(self) -> Outcome:
         """Set the outcome by the head of the response, and return it.
 
--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -149,6 +149,8 @@
             for event in events:
                 if self._is_next_event(event):
                     new.append(event.raw)
+                    if event.event_id is not None:
+                        attempt.record_event(event.event_id)
         finally:
             # The events before a gap are sent.
             if new:
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -358,7 +358,7 @@
             detail=attempt.detail,
             sends=self.retry_state.attempts,
             load=attempt.choice.load,
-            answer_age_ms=attempt.answer_age_ms(),
+            **attempt.answer_fields(),
             parts=[part.name for part in shared_parts(self.call.parts)[:MAX_LOGGED_PARTS]],
         )
 
@@ -378,7 +378,7 @@
             ms_taken=span,
             sends=self.steps,
             last_event=self.forwarder.resume_after if self.forwarder else None,
-            **(self.attempt.load_fields() if self.attempt else {}),
+            **(self.attempt.log_fields() if self.attempt else {}),
             **(self.stream_version.log_fields() if self.stream_version else {}),
             **({"passed_over": self.passed_over} if self.passed_over else {}),
             **(self.crash_guard.log_fields() if self.crash_guard else {}),
