--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -10,7 +10,6 @@
 from skylarklift.entry.crashes.suspects import call_fingerprint
 from skylarklift.entry.model import (
     Call,
-    Endpoint,
     Headers,
     Route,
     RouteKind,
@@ -23,9 +22,9 @@
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
+from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
-from skylarklift.entry.state.upstream import Upstream
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import (
     AnswerLate,
@@ -224,7 +223,7 @@
             left_ms=max(1, self.deadline - self.core.clock.now()),
             priority=priority if engine is not None and engine.engine_slots else None,
             resume_after=self.forwarder.resume_after,
-            copy_from=_endpoint_of(choice.copy_source),
+            copy_from=choice.copy_source.address if choice.copy_source else None,
         )
 
     async def _choose_upstream(self) -> Choice:
@@ -253,7 +252,10 @@
                 continue
             if found is NoUpstream.MAYBE_RESTARTED:
                 core.look_for_old_connections(self.service)
-                until = waited_from + RESTART_WAIT_MS
+                if until < waited_from + RESTART_WAIT_MS:
+                    until = waited_from + RESTART_WAIT_MS
+                    await identify_suspects(core, self.service)
+                    continue
             if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
@@ -306,6 +308,7 @@
             if not attempt.withdrawn:
                 attempt.record_failure(exc)
                 await self.crash_guard.check_for_crash(attempt)
+                await self.stream_version.confirm(attempt)
             return 0
 
     def _initial_silence_ms(self) -> int:
@@ -391,10 +394,3 @@
     if exc.retry_after_ms is not None:
         headers.append((b"retry-after", b"%.3f" % (exc.retry_after_ms / MS_PER_SECOND)))
     return headers
-
-
-def _endpoint_of(upstream: Upstream | None) -> Endpoint | None:
-    """Return the address of an upstream, or `None` without one."""
-    if upstream is None:
-        return None
-    return Endpoint(upstream.record.host, upstream.record.port)
