--- a/soak/streams.py
+++ b/soak/streams.py
@@ -177,6 +177,10 @@
         action="store_true",
         help="replicas also end answers without a length in order between two events",
     )
+    parser.add_argument("--faults", default="", help="names of the only faults, with commas")
+    parser.add_argument(
+        "--paths", default="own,kept,proxy", help="what routers reach at the replicas' addresses"
+    )
     parser.add_argument("--keep", default="", help="folder to keep logs and records in")
     arguments = parser.parse_args()
     failed = 0
@@ -192,7 +196,9 @@
                 arguments.replicas,
                 arguments.callers,
                 keep,
+                paths=tuple(ReplicaPath(value) for value in arguments.paths.split(",")),
                 unframed_cut=Ending.ORDERLY if arguments.orderly_cuts else Ending.RESET,
+                only_faults=tuple(filter(None, arguments.faults.split(","))),
             )
         )
         failed += bool(result.violations)
