--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -223,7 +223,7 @@
             left_ms=max(1, self.deadline - self.core.clock.now()),
             priority=priority if engine is not None and engine.engine_slots else None,
             resume_after=self.forwarder.resume_after,
-            copy_from=choice.copy_source.address if choice.copy_source else None,
+            copy_from=choice.copy_source and choice.copy_source.endpoint,
         )
 
     async def _choose_upstream(self) -> Choice:
@@ -239,6 +239,8 @@
             begun = wanted is not None and wanted.begun
             if self.retry_state.forwarded and not begun:
                 raise OutcomeUnknown("the upstream named no version at which the stream can go on")
+            if begun:
+                core.connection_pool.find_early_ends()
             found = self._choose(wanted)
             if found is NoUpstream.OTHER_VERSION and not begun:
                 # All replicas of the assigned version leave; none will take the stream up either.
