--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import Any
 
 # Statuses that guarantee that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -118,15 +119,32 @@
 
 @dataclass
 class ReplicaRun:
-    """One run of a request, as its replica logged it."""
+    """One run of a request, as its replica logged it; the fields with defaults are of streams.
+
+    `asked_after` is the event after which the router wanted it, `first` where it began.
+    """
 
     run: str
     attempt: str
     replica: str
-    fields: dict = field(default_factory=dict)
+    software: str = ""
+    asked_after: str | None = None
+    first: int = 0
+    framing: str = ""
+    plan: str = ""
+    body_unread: bool = False
     ended: str = "killed"
     last_sent: int | None = None
 
+    def describe(self) -> str:
+        """Return the run as text."""
+        body = ", body unread" if self.body_unread else ""
+        return (
+            f"run {self.run} {self.software} asked after {self.asked_after}, began at "
+            f"{self.first}, framing {self.framing}, plan {self.plan}{body}, "
+            f"last sent {self.last_sent}, ended: {self.ended}"
+        )
+
 
 def parse_event(raw: bytes) -> Received | None:
     """Return an event, or `None` if it is not as replicas make them."""
@@ -144,14 +162,29 @@
     runs: dict[str, ReplicaRun] = {}
     for line in lines:
         fields = json.loads(line)
-        name = fields.pop("run")
+        name = fields["run"]
         if "attempt" in fields:
-            runs[name] = ReplicaRun(name, fields["attempt"], name.partition(".")[0], fields)
+            runs[name] = make_run(fields)
         elif name in runs:
             runs[name].ended, runs[name].last_sent = fields["ended"], fields["last_sent"]
     return list(runs.values())
 
 
+def make_run(fields: dict[str, Any]) -> ReplicaRun:
+    """Return the run in a line that a replica logged at its start."""
+    return ReplicaRun(
+        run=fields["run"],
+        attempt=fields["attempt"],
+        replica=fields["run"].partition(".")[0],
+        software=fields.get("software", ""),
+        asked_after=fields.get("asked_after"),
+        first=fields.get("first", 0),
+        framing=fields.get("framing", ""),
+        plan=fields.get("plan", ""),
+        body_unread=fields.get("body_unread", False),
+    )
+
+
 class StreamChecker:
     """Check each request when all is over, and collect the violations."""
 
@@ -194,10 +227,7 @@
                 f"{item.ended_ms} ms: status {item.status}, after {item.resume_after}, "
                 f"events {describe_events(item.events)}, {len(item.body)} B left, {item.end.value}"
             )
-            for run in self._runs[item.attempt]:
-                lines.append(
-                    f"  run {run.run}: {run.fields}, last sent {run.last_sent}, {run.ended}"
-                )
+            lines += [f"  {run.describe()}" for run in self._runs[item.attempt]]
         return lines
 
 
