--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -152,6 +152,8 @@
             for event in events:
                 if self._position.is_next(event):
                     new.append(event.raw)
+                    if event.event_id is not None:
+                        attempt.record_event(event.event_id)
         finally:
             # The events before a gap are sent.
             self._retry_state.position_known = self._position.exact
