--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -22,6 +22,7 @@
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
+from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
 from skylarklift.entry.versions.stream_version import StreamVersion
@@ -253,7 +254,10 @@
                 continue
             if found is NoUpstream.MAYBE_RESTARTED:
                 core.look_for_old_connections(self.service)
-                until = waited_from + RESTART_WAIT_MS
+                if until < waited_from + RESTART_WAIT_MS:
+                    until = waited_from + RESTART_WAIT_MS
+                    await identify_suspects(core, self.service)
+                    continue
             if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
@@ -306,6 +310,7 @@
             if not attempt.withdrawn:
                 attempt.record_failure(exc)
                 await self.crash_guard.check_for_crash(attempt)
+                await self.stream_version.confirm(attempt)
             return 0
 
     def _initial_silence_ms(self) -> int:
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -68,6 +68,10 @@
             return False
         return rows_confirmed_at is None or rows_confirmed_at < suspected_at + ENTRY_DELAY_MS
 
+    def record_same_process(self) -> None:
+        """Record that the process has said that it is the one of the entry."""
+        self.restart_suspected_at = None
+
     def record_alive(self, connected_at: Millis) -> None:
         """Record that a connection of some age is open, so that its process has not ended."""
         suspected_at = self.restart_suspected_at
