--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -14,9 +14,9 @@
 
 MAX_RELEASES_WAIT_MS = 500
 OUTDATED_RETRY_AFTER_MS = 300
+STATUS_CONFLICT = 409
 # The entry of a replica that has restarted is known here this long after its start.
 ENTRY_KNOWN_MS = 2000
-STATUS_CONFLICT = 409
 
 
 class StreamVersion:
@@ -132,7 +132,10 @@
         A replica that restarts under its name writes its entry a moment later.
         """
         age_ms = attempt.answer_age_ms()
-        if self._recorded is not attempt or self.required is None or age_ms > ENTRY_KNOWN_MS:
+        if self._recorded is not attempt or self.required is None:
+            return
+        if age_ms is None or age_ms > ENTRY_KNOWN_MS:
+            # Only comments came, or the entry is known by now.
             return
         if await identify_anew(self._core, attempt.record) is Identity.OTHER:
             self._record(None)
