Send no stream on to a process that does not say in time when it started

Change: no answer is an outcome of its own. Nothing is sent there, and a restart is suspected until the process answers or the store confirms the entry.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -26,6 +26,7 @@
       | case                       | processes                                        | result     |
       | both are as they were      | those of their entries                           | complete   |
       | they do not say            | of unknown starts                                | complete   |
+      | they say nothing in time   | silent                                           | broken off |
       | both have restarted        | newer ones                                       | broken off |
       | both restart in the stream | newer ones from the first event on               | broken off |
 
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -58,8 +58,9 @@
 def processes_are(context, processes):
     born = {"those of their entries": 1, "of unknown starts": None, "newer ones": 2}
     for replica in context.scripted:
-        if processes in born:
-            replica.born = born[processes]
+        replica.hides_status = processes == "silent"
+        if processes in born or replica.hides_status:
+            replica.born = born.get(processes)
             continue
         replica.born = 1
         replica.answer = restarting(replica, replica.answer)
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -160,8 +160,8 @@
         core, record = self.core, self.record
         identity = await identify(core, record, self.conn)
         record_identity(core, self.choice.upstream, identity)
-        if identity is Identity.OTHER:
-            raise ProcessReplaced(f"{record.replica} has restarted since its entry")
+        if identity in (Identity.OTHER, Identity.UNANSWERED):
+            raise ProcessReplaced(f"{record.replica} may have restarted: {identity.value}")
         if not self.conn.prepare_next_request():
             self.conn.abort()
             self.conn = await self._connect()
--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -23,11 +23,16 @@
 
 
 class Identity(Enum):
-    """Whether a process is the one that an entry describes."""
+    """Whether a process is the one that an entry describes.
+
+    `UNKNOWN`: it does not say when it started.  `UNANSWERED`: it said nothing in time, as one that
+    has just been replaced.
+    """
 
     SAME = "same"
     OTHER = "other"
     UNKNOWN = "unknown"
+    UNANSWERED = "unanswered"
 
 
 async def identify(core: Core, record: UpstreamRecord, conn: HttpConnection) -> Identity:
@@ -35,7 +40,7 @@
 
     The connection may be used for one more request if `prepare_next_request` says so.
     """
-    identity = Identity.UNKNOWN
+    identity = Identity.UNANSWERED
     with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
         try:
             identity = await _ask(core.status_format, record, conn)
@@ -76,6 +81,8 @@
         upstream.record_same_process()
     elif identity is Identity.OTHER:
         core.cluster_state.doubt_software(upstream.record.replica)
+    elif identity is Identity.UNANSWERED:
+        core.cluster_state.suspect_restart(upstream.record.replica)
 
 
 async def identify_anew(core: Core, record: UpstreamRecord) -> Identity:
--- a/standins/scripted_replica.py
+++ b/standins/scripted_replica.py
@@ -60,7 +60,8 @@
 class ScriptedReplica:
     """Answer by a function of the request; `ran` holds the ids of the requests that it ran.
 
-    `born` is when its process started, `None` if it does not say so.
+    `born` is when its process started, `None` if it does not say so; with `hides_status` it does
+    not answer when it is asked.
     """
 
     answer: Callable[[ReceivedRequest], Reply]
@@ -69,6 +70,7 @@
     ran: list[str] = field(default_factory=list)
     connections: set[trio.SocketStream] = field(default_factory=set)
     born: int | None = None
+    hides_status: bool = False
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
@@ -80,6 +82,8 @@
                 request, buffer = await self._read_request(stream, buffer, number)
                 if request is None:
                     return
+                if request.target == STATUS_PATH and self.hides_status:
+                    await trio.sleep_forever()
                 if request.target == STATUS_PATH:
                     await stream.send_all(self._status())
                     continue
