Keep the exit code of bad settings when a stop signal comes at the end

A router that ended for findings in its settings (code 2) and got SIGTERM before its process was gone ended with 0, as if it had been stopped in order: signals still counted as coming before serving. They are dropped from then on.

--- a/features/process_exits.feature
+++ b/features/process_exits.feature
@@ -21,6 +21,16 @@
       | platform       | SIGTERM        | without a reader    | 0    |                            |
       | own deployment | SIGTERM        | without a reader    | 0    |                            |
 
+  # Guards against a stop signal that turns the exit code of bad settings into the one of a stop.
+  Scenario Outline: Routers of the <daemon> that end for bad settings keep their exit code under signals
+    When <count> routers of the <daemon> with bad settings get SIGTERM over and over once they have logged their exit
+    Then each exit code is 2
+
+    Examples:
+      | daemon         | count |
+      | platform       | 12    |
+      | own deployment | 6     |
+
   # Guards against lines of the log that go to a socket, which got the number of the closed stream.
   Scenario Outline: No socket of a router of the <daemon> gets the number of a closed stream
     Given a router of the <daemon> that was started with its standard streams closed
--- a/features/steps/process_exits.py
+++ b/features/steps/process_exits.py
@@ -123,6 +123,34 @@
         trial.process.send_signal(signal.SIGTERM)
 
 
+@when(
+    "{count:d} routers of the {daemon} with bad settings get SIGTERM over and over "
+    "once they have logged their exit"
+)
+def stop_signals_at_end(context, count, daemon):
+    context.codes = []
+    for _ in range(count):
+        trial = new_trial(context, daemon)
+        trial.settings.write_text("{")
+        trial.process = process = subprocess.Popen(
+            [sys.executable, "-m", MODULES[daemon], "--settings", str(trial.settings)],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        while b'"event":"exit"' not in process.stdout.readline():
+            assert process.poll() is None
+        while process.poll() is None:
+            process.send_signal(signal.SIGTERM)
+        process.stdout.close()
+        context.codes.append(process.returncode)
+
+
+@then("each exit code is {code:d}")
+def each_exit_code(context, code):
+    assert set(context.codes) == {code}, context.codes
+
+
 @then('its exit code is {code:d}, and if its log is kept it has one line on that with "{cause}"')
 def exit_is_logged(context, code, cause):
     trial = context.trial
--- a/skylarklift/util/daemons.py
+++ b/skylarklift/util/daemons.py
@@ -76,6 +76,7 @@
     try:
         settings = daemon.load()
     except SettingsError as exc:
+        signals.drop()
         findings = [str(finding) for finding in exc.findings]
         for finding in findings:
             _print_error(finding)
--- a/skylarklift/util/signals.py
+++ b/skylarklift/util/signals.py
@@ -45,7 +45,11 @@
         try:
             yield
         finally:
-            self._wake = _drop
+            self.drop()
+
+    def drop(self) -> None:
+        """Drop all further signals, as the exit code of the daemon is known."""
+        self._wake = _do_nothing
 
     def take(self) -> signal.Signals | None:
         """Return the signal that was received first and has not been taken yet."""
@@ -88,5 +92,5 @@
     return signals
 
 
-def _drop() -> None:
-    """Leave a signal that arrives after the daemon has ended its work."""
+def _do_nothing() -> None:
+    """Wake nobody."""
