--- a/skylarklift/util/daemons.py
+++ b/skylarklift/util/daemons.py
@@ -77,6 +77,7 @@
     try:
         settings = daemon.load() if check else load_at_start(daemon.path, daemon.load)
     except SettingsError as exc:
+        signals.drop()
         findings = [str(finding) for finding in exc.findings]
         for finding in findings:
             _print_error(finding)
