--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -63,6 +63,7 @@
         replica = self._choose_free_replica()
         if replica is None:
             return
+        self._busy.add(replica.name)
         if self._rng.random() < 0.3:
             # What routers send meanwhile stays unread, so that the kernel resets the connections.
             replica.process.send_signal(signal.SIGSTOP)
