Let no router send to a cold replica within the second of its former process

Replicas: a cold replica got 4 to 6 requests a second for a limit of 3 when routers were killed and started again 0.05 to 0.3 s later.

Cause: a router sent its share of the limit 0.5 s after its start, though what its process had sent before it was killed still counted.

Change: a cold replica of the first list that a router gets takes its requests only 1.15 s (COLD_WINDOW_MS + ARRIVAL_SLACK_MS) after its start. A replica that is listed later or restarts has got nothing from the former process, and takes them after 0.5 s as before; warm replicas at once.

Evidence: "Routers that start again soon", before 7 of 8 rows fail (4, 4, 6, 6, 4, 4, 4 requests; the row of 500 ms passes), after 8 of 8 pass. entry 121, entry_limits 29, entry_choice 32, entry_process 67, entry_eras 30 scenarios passed.

entry_runs 37 scenarios passed.

--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -55,6 +55,23 @@
       | 4     | 1000 |
       | 12    | 1000 |
 
+  # Guards against routers that send to a cold replica again within the second in which they had sent.
+  Scenario Outline: Routers that start again soon keep the limit of a cold replica: <victims> of <count>, <span> ms
+    Given <count> routers that get requests all the time, and a cold replica
+    When <victims> of them are killed again and again, and start <span> ms later
+    Then at most 3 requests reach the replica in any second, and at least <least> in all
+
+    Examples:
+      | count | victims | span | least |
+      | 1     | all     | 50   | 8     |
+      | 1     | all     | 200  | 8     |
+      | 4     | all     | 50   | 8     |
+      | 4     | all     | 200  | 8     |
+      | 4     | n1      | 200  | 12    |
+      | 4     | n2      | 200  | 12    |
+      | 4     | n3      | 300  | 12    |
+      | 4     | n3      | 500  | 12    |
+
   Scenario Outline: Random runs detect the mutation <mutation>
     When entry routers run for <span> s with the mutation "<mutation>" and only the faults "<faults>"
     Then a run violates an invariant with the text "<text>"
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -345,6 +345,8 @@
     def _cold_limit_allows(self, upstream: Upstream, plan: ServicePlan) -> bool:
         """Return whether this router may send one more request to a cold replica."""
         replica = upstream.record.replica
+        if upstream.listed_at_start and self.cold_limit.may_have_sent_before():
+            return False
         return self.cold_limit.allows(replica, plan.cold_per_s, self._fleet.share(replica))
 
     def start_request(self, choice: Choice, call: Call) -> None:
--- a/skylarklift/entry/placement/fleet_limits.py
+++ b/skylarklift/entry/placement/fleet_limits.py
@@ -45,6 +45,7 @@
     def __init__(self, clock: Clock, bounds: Bounds):
         self._clock = clock
         self._bounds = bounds
+        self._started = clock.now()
         self._sent: dict[ReplicaId, deque[Millis]] = {}
 
     def _limit(self, cold_per_s: float) -> int:
@@ -65,6 +66,10 @@
             sent.popleft()
         return len(sent) < allowed
 
+    def may_have_sent_before(self) -> bool:
+        """Return whether requests that this router sent before it started may still count."""
+        return self._clock.now() - self._started < COLD_WINDOW_MS + ARRIVAL_SLACK_MS
+
     def record_request(self, replica: ReplicaId) -> None:
         """Record a request that is being sent to a cold replica."""
         self._sent.setdefault(replica, deque()).append(self._clock.now())
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -57,6 +57,7 @@
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
         self.services = ServiceIndex(self.upstreams)
+        self._list_known = False
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
         self._restored = RestoredRows(clock)
@@ -134,6 +135,10 @@
             if changes:
                 self.last_change_version[table] = max(self.last_change_version[table], row.version)
         cache.prune_tombstones(MAX_TOMBSTONES)
+        if table is RowTable.UPSTREAMS and not self._list_known:
+            self._list_known = True
+            for upstream in self.upstreams.values():
+                upstream.listed_at_start = True
         return changes
 
     def _start_era(self, table: RowTable, page: RowPage) -> None:
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -16,6 +16,7 @@
     `leaving` is true after the replica has said so in an answer, whatever its entry says.
     `software_doubted` is true from when it could not be reached until its next entry: it may have
     come back with other software, and cannot say so while the store is away.
+    `listed_at_start` is true if its entry is of the first list that this router got.
     """
 
     record: UpstreamRecord
@@ -24,6 +25,7 @@
     draining: bool = False
     leaving: bool = False
     software_doubted: bool = False
+    listed_at_start: bool = False
 
 
 @dataclass(frozen=True, slots=True)
