--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -24,6 +24,7 @@
     come back with other software, and cannot say so while the store is away.
     `restart_suspected_at` is when it last ended a connection that was in use or could have been,
     and `restart_seen_at` the same of connections of this router.
+    `listed_at_start` is true if its entry is of the first list that this router got.
     """
 
     record: UpstreamRecord
@@ -32,6 +33,7 @@
     draining: bool = False
     leaving: bool = False
     software_doubted: bool = False
+    listed_at_start: bool = False
     restart_suspected_at: Millis | None = None
     restart_seen_at: Millis | None = None
 
