Forward the events that came before an invalid one in the same read

Seen, own deployment: if a read brought good events and then an invalid one, the good ones were dropped but counted as forwarded, so that the stream was resumed behind them and the caller never got them (found by review, shown with feed of 2+3+5).

Change: the reader returns what it accepted, and raises once that is forwarded.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -49,6 +49,7 @@
       | 2       | 599000 | refused  |
       | 2       | 601000 | allowed  |
 
+  # Guards against events that count as forwarded, but are lost with an invalid one that follows them.
   Scenario Outline: A stream with <shape> is read as <result>
     When a stream with <shape> is read
     Then the reader returns <result>
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -19,6 +19,7 @@
 from skylarklift.requests.claims import Claim, ClaimName, ClaimState, ClaimWriter, claim_from_result
 from skylarklift.store.base import Row, WriteResult
 from skylarklift.upstreams.crashes import CrashTracker
+from skylarklift.upstreams.events import EventSplitter
 from skylarklift.upstreams.failures import FailureKind, UpstreamError
 from skylarklift.upstreams.reader import EventReader
 from skylarklift.upstreams.retries import RetryBudget
@@ -177,6 +178,13 @@
 }
 
 
+def assert_output_reaches(output, position):
+    """Assert that the events that count as forwarded are in the output."""
+    numbers = [event.event_id for event in EventSplitter().feed(output)]
+    known = [number for number in numbers if number is not None]
+    assert (known[-1] if known else 0) == (position.last or 0), (output, position.last)
+
+
 @when("a stream with {shape} is read")
 def step_events(context, shape):
     position = StreamPosition(0)
@@ -186,8 +194,10 @@
             context.reader = EventReader(RequestId("abc"), position)
             for chunk in run:
                 context.output += context.reader.feed(chunk)
+                context.reader.raise_failure()
     except UpstreamError as exc:
         context.error = exc
+    assert_output_reaches(context.output, position)
 
 
 READER_OUTCOMES = {
--- a/skylarklift/upstreams/client.py
+++ b/skylarklift/upstreams/client.py
@@ -76,6 +76,7 @@
                 events = reader.feed(data)
                 if events:
                     yield events
+                reader.raise_failure()
         except httpx.HTTPError as exc:
             raise UpstreamError(FailureKind.BROKEN, _error_text(exc), sent=True) from exc
         if not reader.finished:
--- a/skylarklift/upstreams/reader.py
+++ b/skylarklift/upstreams/reader.py
@@ -26,15 +26,30 @@
         self._splitter = EventSplitter()
         self._position = position
         position.start_run(continuing=bool(position.last))
+        self._failure: UpstreamError | None = None
         self.finished = False
 
     def feed(self, data: bytes) -> bytes:
-        """Return the complete new events of the data, to be forwarded unchanged."""
+        """Return the complete new events of the data, to be forwarded unchanged.
+
+        The events before one that is invalid are returned: `position` counts them as forwarded.
+        `raise_failure` then tells of the invalid one.
+        """
+        accepted: list[bytes] = []
         try:
-            events = self._splitter.feed(data)
-            return b"".join(event.raw for event in events if self._accept(event))
+            for event in self._splitter.feed(data):
+                if self._accept(event):
+                    accepted.append(event.raw)
         except TransportError as exc:
-            raise UpstreamError(FailureKind.BROKEN, str(exc), sent=True) from exc
+            self._failure = UpstreamError(FailureKind.BROKEN, str(exc), sent=True)
+        except UpstreamError as exc:
+            self._failure = exc
+        return b"".join(accepted)
+
+    def raise_failure(self) -> None:
+        """Raise `UpstreamError` if an event was invalid, once the events before are forwarded."""
+        if self._failure is not None:
+            raise self._failure
 
     def _accept(self, event: StreamEvent) -> bool:
         """Check one event; return whether to forward it.
