Open all ports of a router of the own deployment before it serves callers

Seen: with the operators' port taken, skylarkliftd served callers for 5 s and then ended with 3, cutting their streams; a SIGTERM in a wait for a port gave 3, not 0 (review).

Cause: each server waited for its port by itself, some of them while others served.

Change: the ports are opened first, that of the callers last; a stop signal ends the wait, with exit code 0. The health check of the test times out after 1 s, not 5 s.

--- a/features/process_resources.feature
+++ b/features/process_resources.feature
@@ -228,6 +228,20 @@
       | operators |
       | peers     |
 
+  # Guards against a router daemon that serves callers, and then ends for want of another port, and
+  # against a stop signal that does not end its wait.
+  Scenario Outline: A router daemon that waits for its <kind> port serves nobody, and can be stopped
+    Given a router daemon whose <kind> port is in use
+    When it starts, and has logged that the port is not free
+    Then it does not serve within 1500 ms
+    And a SIGTERM ends the daemon with exit code 0
+
+    Examples:
+      | kind      |
+      | callers   |
+      | operators |
+      | peers     |
+
   # Guards against a router daemon that writes tracebacks while it has no descriptors left.
   Scenario: A router daemon without descriptors for new callers logs that once
     Given a router daemon with a limit of 90 descriptors
--- a/features/steps/process_own_daemon.py
+++ b/features/steps/process_own_daemon.py
@@ -30,6 +30,18 @@
     context.taken.close()
 
 
+@when("it starts, and has logged that the port is not free")
+def starts_and_waits(context):
+    daemon_starts(context)
+    logged = wait_until(lambda: count_lines(context, "listen_failed"), START_LIMIT_S)
+    assert logged, context.daemon.tail()
+
+
+@then("it does not serve within {span:d} ms")
+def does_not_serve(context, span):
+    assert not wait_until(context.daemon.serves, span / 1000), context.daemon.tail()
+
+
 def count_lines(context, text):
     return sum(f'"{text}"' in line for line in context.daemon.output.read_text().splitlines())
 
--- a/features/steps/process_settings.py
+++ b/features/steps/process_settings.py
@@ -29,6 +29,7 @@
 SECTIONS = (CALLERS, "operators", "peers")
 BOUND = "bounds.cap_factor"
 END_LIMIT_S = 12
+HEALTH_TIMEOUT_S = 1
 
 
 class Daemon(ABC):
@@ -91,7 +92,8 @@
 
     def serves(self) -> bool:
         try:
-            httpx.get(f"http://{HOST}:{self.ports[CALLERS]}/health", trust_env=False)
+            url = f"http://{HOST}:{self.ports[CALLERS]}/health"
+            httpx.get(url, trust_env=False, timeout=HEALTH_TIMEOUT_S)
         except httpx.HTTPError:
             return False
         return True
--- a/skylarklift/router.py
+++ b/skylarklift/router.py
@@ -2,12 +2,20 @@
 
 import secrets
 import ssl
+from dataclasses import dataclass
 
 import trio
+from hypercorn.config import Config
 
 from skylarklift.clock import MS_PER_SECOND, LoopClock, sleep_ms
 from skylarklift.coordination import Coordination
-from skylarklift.generated import RouterStatus, Settings, TlsSettings
+from skylarklift.generated import (
+    CallerSettings,
+    OperatorApiSettings,
+    RouterStatus,
+    Settings,
+    TlsSettings,
+)
 from skylarklift.ids import BootId, RouterId, ZoneId
 from skylarklift.invariants import INVARIANTS
 from skylarklift.logger import log
@@ -18,7 +26,7 @@
 from skylarklift.requests.calls import CallDependencies, CallRunner
 from skylarklift.requests.chat_dependencies import ChatDependencies
 from skylarklift.routers.peers import PeerIdentity, PeerServer, TcpPeerTransport
-from skylarklift.serving import make_config, serve_app
+from skylarklift.serving import make_config, open_address, serve_app
 from skylarklift.store.http import HttpStore
 from skylarklift.telemetry import Telemetry
 from skylarklift.upstreams.client import UpstreamClient
@@ -30,6 +38,14 @@
 GRACEFUL_TIMEOUT_S = 1.0
 
 
+@dataclass(frozen=True)
+class OpenAddresses:
+    """The configurations of the servers whose addresses are open."""
+
+    callers: Config
+    operators: Config
+
+
 class Router:
     """The servers and clients of one router and its coordination."""
 
@@ -101,32 +117,50 @@
     # Running.
 
     async def run(self) -> None:
-        """Run until `stop` is called and the shutdown has drained the requests."""
+        """Run until `stop` is called and the shutdown has drained the requests.
+
+        Raise `OSError`, before anybody is served, if an address stays in use.
+        """
         async with trio.open_nursery() as nursery:
-            await nursery.start(self.peer_server.run)
-            nursery.start_soon(self.coordination.run)
-            nursery.start_soon(self._run_gauges)
-            nursery.start_soon(self._serve_operators)
-            log.info("router_started", boot=self.peers.identity.boot, zone=self.cfg.zone)
-            await self._serve_callers(nursery)
+            with trio.CancelScope() as opening:
+                nursery.start_soon(self._cancel_when_stopped, opening)
+                opened = await self._open_addresses(nursery)
+            if not opening.cancelled_caught:
+                nursery.start_soon(self.coordination.run)
+                nursery.start_soon(self._run_gauges)
+                nursery.start_soon(
+                    serve_app, self.operator_api.app, opened.operators, trio.sleep_forever
+                )
+                log.info("router_started", boot=self.peers.identity.boot, zone=self.cfg.zone)
+                await self._serve_callers(nursery, opened.callers)
             nursery.cancel_scope.cancel()
         await self._close()
 
-    async def _serve_callers(self, nursery: trio.Nursery) -> None:
+    async def _cancel_when_stopped(self, scope: trio.CancelScope) -> None:
+        """Cancel a scope once `stop` is called."""
+        await self._stop.wait()
+        scope.cancel()
+
+    async def _open_addresses(self, nursery: trio.Nursery) -> OpenAddresses:
+        """Listen at all addresses, that of the callers last."""
+        operators = await self._open_address(self.cfg.operators)
+        await nursery.start(self.peer_server.run)
+        callers = await self._open_address(self.cfg.callers)
+        return OpenAddresses(callers, operators)
+
+    async def _open_address(self, cfg: CallerSettings | OperatorApiSettings) -> Config:
+        """Listen at one address; return its configuration."""
+        limit = self.cfg.callers.header_limit_bytes
+        config = make_config(cfg.listen, cfg.tls, limit, GRACEFUL_TIMEOUT_S)
+        await open_address(config)
+        return config
+
+    async def _serve_callers(self, nursery: trio.Nursery, config: Config) -> None:
         """Serve callers until the shutdown has drained the requests."""
-        cfg = self.cfg.callers
         drained = trio.Event()
         nursery.start_soon(self._drain_when_stopped, drained)
-        config = make_config(cfg.listen, cfg.tls, cfg.header_limit_bytes, GRACEFUL_TIMEOUT_S)
         await serve_app(self.caller_api.app, config, drained.wait)
 
-    async def _serve_operators(self) -> None:
-        """Serve operators until cancelled."""
-        cfg = self.cfg.operators
-        limit = self.cfg.callers.header_limit_bytes
-        config = make_config(cfg.listen, cfg.tls, limit, GRACEFUL_TIMEOUT_S)
-        await serve_app(self.operator_api.app, config, trio.sleep_forever)
-
     def stop(self) -> None:
         """Begin a graceful shutdown."""
         self._stop.set()
--- a/skylarklift/serving.py
+++ b/skylarklift/serving.py
@@ -54,10 +54,12 @@
 
 
 async def serve_app(app: QuartTrio, config: Config, stop: Callable[[], Awaitable[None]]) -> None:
-    """Serve until `stop` returns, then wait up to `graceful_timeout` for running requests.
+    """Serve until `stop` returns, then wait up to `graceful_timeout` for running requests."""
+    await serve(app, config, shutdown_trigger=stop, mode="asgi")
+
 
-    Raise `OSError` if the address stays in use.
-    """
+async def open_address(config: Config) -> None:
+    """Listen at the address of a configuration; raise `OSError` if it stays in use."""
     if not ACCEPT_LOGGER.handlers:
         ACCEPT_LOGGER.addHandler(AcceptFailureHandler())
         ACCEPT_LOGGER.propagate = False
@@ -66,7 +68,6 @@
         partial(_open_socket, address), address, LoopClock(), log.warning, PORT_WAIT_LIMIT_MS
     )
     config.bind = [f"fd://{sock.detach()}"]
-    await serve(app, config, shutdown_trigger=stop, mode="asgi")
 
 
 async def _open_socket(address: str) -> socket.socket:
