--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -80,10 +80,21 @@
         for element in feature.get("elements", ()):
             if element["type"] != "background":
                 name = f"{feature['name']}: {element['name']}".strip()
+                print_failures(name, element)
                 results.append(Result(name, element.get("status") == "passed"))
     return results
 
 
+def print_failures(name: str, element: dict) -> None:
+    """Print what the failed steps of a scenario say."""
+    for step in element.get("steps", ()):
+        result = step.get("result", {})
+        if result.get("status") in ("failed", "error"):
+            message = result.get("error_message", "")
+            text = message if isinstance(message, str) else "\n".join(message)
+            print(f"{name}: {step['name']}\n{text[-OUTPUT_LIMIT_CHARS:]}")
+
+
 def main() -> int:
     """Run all checks and features; print the counts as the last line."""
     results = [run_check(name, arguments) for name, arguments in CHECKS.items()]
