Let a raw replica go on when its status was asked for and nothing else

Cause, by reading: a router may close a connection after it has asked the process for its status; the reset left the stand-in's task outside of its handler and ended the test's world.

Change: it is an end like others.

--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -9,7 +9,7 @@
 UPSTREAM_REMOVED = "upstream_removed"
 # The entry of a replica that restarted is in the store this long after its connections ended.
 ENTRY_DELAY_MS = 1200
-# The other routers are told of a suspicion for this long, in two rounds of gossip or more.
+# A suspicion is sent to other routers for this long, in two rounds of gossip or more.
 SUSPICION_TOLD_MS = 700
 # The connections of a process that ends are seen to end within this time of each other.
 PROCESS_END_MS = 60
@@ -54,7 +54,7 @@
         self.restart_suspected_at = now
 
     def tells_restart(self, now: Millis) -> bool:
-        """Return whether the other routers are to be told that it may have restarted."""
+        """Return whether to send to other routers that it may have restarted."""
         seen_at = self.restart_seen_at
         return (
             seen_at is not None
--- a/standins/raw_replica.py
+++ b/standins/raw_replica.py
@@ -99,11 +99,13 @@
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection."""
-        request = await self._read_head(stream)
-        while request.startswith(b"GET " + STATUS_PATH):
-            await stream.send_all(NO_STATUS)
-            request = await self._read_head(stream)
+        try:
+            request = await self._read_request(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The router has only asked for the status, and closed the connection.
+            request = b""
         if not request:
+            stream.socket.close()
             return
         self.requests += 1
         started = trio.current_time()
@@ -116,6 +118,14 @@
         finally:
             stream.socket.close()
 
+    async def _read_request(self, stream: trio.SocketStream) -> bytes:
+        """Return the head of the first request that does not ask for the status."""
+        request = await self._read_head(stream)
+        while request.startswith(b"GET " + STATUS_PATH):
+            await stream.send_all(NO_STATUS)
+            request = await self._read_head(stream)
+        return request
+
     async def _read_head(self, stream: trio.SocketStream) -> bytes:
         """Return the head of a request, and what came of its body."""
         received = b""
