--- a/features/steps/entry_process.py
+++ b/features/steps/entry_process.py
@@ -126,7 +126,7 @@
 @then("the caller gets 400 or a closed connection, and no replica ran a request")
 def gets_400(context):
     assert context.received == b"" or context.received.startswith(b"HTTP/1.1 400"), context.received
-    assert not all_runs(context)
+    assert not all_runs(context), all_runs(context)
 
 
 @given('the replicas "{names}" break off streams after {count:d} events')
@@ -166,7 +166,7 @@
 
 @then("the request did not run")
 def request_did_not_run(context):
-    assert not all_runs(context)
+    assert not all_runs(context), all_runs(context)
 
 
 @given('the replicas "{names}" have the fault "{fault}"')
