--- a/features/process_resources.feature
+++ b/features/process_resources.feature
@@ -141,7 +141,7 @@
     And none of the idle connections was closed
 
   # Guards against callers that wait until their deadline for a connection that no one will give up.
-  Scenario: A caller for whom no connection is left is told at once to return later
+  Scenario: A caller for whom no connection is left is refused at once with a Retry-After
     Given an entry router with a limit of 90 descriptors set before its start
     When 60 callers send requests that take 2000 ms each
     Then 20 to 40 of them are answered with 200, and all others with 503 within 1500 ms
