Ask the other routers for a resumed stream also where one version is known

What callers saw: a stream that began at one software version went on at another one, at a router whose rows named one version only, 100 ms beside routers that refused it rightly. Cause: Resumptions.find asked nobody if all rows of the last minute name one version. The row of a new version follows its first streams by up to a second, and a router that the store turns away has it later still. The class: what this router cannot read was taken for unchanged. Change: a router that does not remember a stream always asks the backup routers before it derives the version; has_one_version is gone. Ruled out: old rows alone (the two new rows fail with rows that are 0 ms old).

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -56,7 +56,8 @@
       | after the first one was lost  | the first router is killed     | all go on                        |
       | after both were lost          | both are killed and start anew | those that did not move go on    |
 
-  # Guards against streams that a client resumes at another version after their router was lost.
+  # Guards against streams that a client resumes at another version after their router was lost, or
+  # at a router that knows of one version only and asks no other one (issue 43).
   Scenario Outline: Where a stream that is resumed may go on: <case>
     Given the proportions "<steps>"
     And a resuming router that <memory>
@@ -77,8 +78,11 @@
       | began here at the new one            | 100=v1:1 4=v1:4,v2:4     | began it at v2        | of v2         | 9000  | v2      | known_here              |
       | began here at the old one            | 100=v1:1 4=v1:4,v2:4     | began it at v1        | of v2         | 9000  | v1      | known_here              |
       | began at a replica without a version | 100=v1:1                 | began it at none      | any           | 9000  | none    | replica_named_no_version |
-      | another router began it              | 100=v1:1 4=v1:4,v2:4     | asks one that knows   | of v2         | 9000  | v1      | known_to_another_router |
+      | another router began it              | 100=v1:1 4=v1:4,v2:4     | asks one that knows v1 | of v2        | 9000  | v1      | known_to_another_router |
       | no other router knows                | 100=v1:1 4=v1:4,v2:4     | asks one that does not | of v2        | 9000  | none    | version_ambiguous       |
+      | one version here, another one began it | 100=v1:1               | asks one that knows v3 | any          | 9000  | v3      | known_to_another_router |
+      | one version here, not certain there  | 100=v1:1                 | asks one that knows none | any        | 9000  | none    | replica_named_no_version |
+      | one version, no other router knows   | 100=v1:1                 | asks one that does not | any          | 9000  | v1      | assigned                |
 
   # Guards against streams that are joined after all routers were lost, where callers wait for longer
   # than the time-out of their route (review/4).
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -77,8 +77,9 @@
     message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
     context.fleet.record_message(message, Endpoint("127.0.0.2", 1))
     origins = StreamOrigins(context.clock)
-    if context.memory == "asks one that knows":
-        origins.record(StreamOrigin(REQUEST, SERVICE, "v1"))
+    if context.memory.startswith("asks one that knows "):
+        version = context.memory.removeprefix("asks one that knows ")
+        origins.record(StreamOrigin(REQUEST, SERVICE, None if version == "none" else version))
     other = Resumptions(Fleet(context.clock, "n1"), origins, context.releases)
     here = Endpoint("127.0.0.1", 1)
 
@@ -88,7 +89,10 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(answer)
-        return await resumptions.find(taken)
+        found = await resumptions.find(taken)
+        # It still waits if nothing was asked.
+        nursery.cancel_scope.cancel()
+    return found
 
 
 @when('a client resumes a stream of a prompt that is "{prompt}", {left:d} ms before its 15 s end')
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -180,11 +180,6 @@
         found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
         return STEP_TTL_MS if found is None else min(found, STEP_TTL_MS)
 
-    def has_one_version(self, service: ServiceId) -> bool:
-        """Return whether any stream that is left began at the same version."""
-        steps = _steps_since(self.steps(service), STEP_TTL_MS)
-        return len({item.version for step in steps for item in step.weights}) == 1
-
     def next_row(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
     ) -> tuple[ReleaseStep, ...] | None:
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -1,7 +1,8 @@
 """Find which software version began a stream that a client resumes, and share who began which.
 
-What is known exactly goes first: the memory of this router, then that of the others.  Else the
-stream may go on at the version to which its prompt was assigned all the time.
+What is known exactly goes first: the memory of this router, then that of the others, also where
+this router knows of one version only.  Else the stream may go on at the version to which its prompt
+was assigned all the time.
 """
 
 from dataclasses import dataclass, field, replace
@@ -114,7 +115,7 @@
         """Return where a stream that a caller resumes may go on."""
         origin, asked = self._origins.find(stream.request), 0
         source = OriginSource.OWN
-        if origin is None and not self._has_one_version(stream.service):
+        if origin is None:
             asked = await self._ask(stream.request)
             origin, source = self._origins.find(stream.request), OriginSource.PEER
         if origin is None:
@@ -124,10 +125,6 @@
             found = FoundOrigin(source, origin.service, origin.version)
         return replace(found, asked=asked, releases_age_ms=self._releases.age_ms())
 
-    def _has_one_version(self, service: ServiceId) -> bool:
-        """Return whether any stream that is left certainly began at the same version."""
-        return self._knows_releases() and self._releases.has_one_version(service)
-
     def _knows_releases(self) -> bool:
         """Return whether the rows on software versions are the newest ones.
 
