Take unconfirmed rows for the newest only while no router reads the store

Cause: a router that hears all others took its rows for the newest, as 'while the store is away nobody changes them'. The store turns single machines away and serves the others, which read and write the rows. Change: hearing all others counts only while none of them says that it reads the store. Ruled out: dropping that rule, since then every take-up without memory would be refused while the store is away for all.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -106,7 +106,8 @@
       | a deadline of 15 s, 2 minutes ago      | 13000 | is refused, as version_ambiguous |
 
   # Guards against a router that is cut off amid a release, and takes what it has heard for all that
-  # there is: it took streams up at the only version that it knew.
+  # there is: it took streams up at the only version that it knew; and against one that the store turns
+  # away while other routers read and write the rows (issue 43).
   Scenario Outline: Where a stream goes on by rows that may be outdated: <case>
     Given the proportions "<steps>"
     And other routers of which <others>
@@ -120,6 +121,7 @@
       | not confirmed, alone                | 100=v1:1             | 2501  | none is known         | any    | none    | releases_outdated |
       | not confirmed, one router is silent | 100=v1:1             | 9000  | one of 3 is silent    | any    | none    | releases_outdated |
       | not confirmed, all others are heard | 100=v1:1             | 9000  | all 3 are heard       | any    | v1      | assigned          |
+      | not confirmed, but one reads the store | 100=v1:1          | 9000  | all 3 are heard, one reads the store | any | none | releases_outdated |
       | not confirmed, many others unknown  | 100=v1:1             | 9000  | 3 are heard of 9      | any    | none    | releases_outdated |
       | not confirmed, one has left         | 100=v1:1             | 9000  | one of 3 has left     | any    | v1      | assigned          |
       | a silent one may lag, prompt moved  | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v2  | none    | version_ambiguous |
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -170,6 +170,7 @@
 OTHER_ROUTERS = {
     "none is known": (0, 0, ""),
     "all 3 are heard": (3, 4, ""),
+    "all 3 are heard, one reads the store": (3, 4, "reads"),
     "one of 3 is silent": (3, 4, "silent"),
     "one of 3 has left": (3, 4, "left"),
     "3 are heard of 9": (3, 9, ""),
@@ -183,8 +184,9 @@
         leaving = odd == "left" and number == 0
         heard(context, number, router_count=counted, leaving=leaving)
     context.clock.advance(SILENCE_MS)
-    for number in range(bool(odd), count):
-        heard(context, number, router_count=counted)
+    for number in range(odd in ("silent", "left"), count):
+        reads = odd == "reads" and number == 0
+        heard(context, number, router_count=counted, reads_store=reads)
 
 
 def heard(context, number, **fields):
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -293,6 +293,10 @@
             if peer.received_at is not None and peer.received_at > limit
         ]
 
+    def any_peer_reads_store(self) -> bool:
+        """Return whether another router said lately that it reads the store."""
+        return any(peer.last_message.reads_store for peer in self.live_peers())
+
     def peer_reads_store(self, age_limits: tuple[int, ...], eras: tuple[Era, ...]) -> bool:
         """Return whether another router with fresh tables reads the store for this one.
 
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -128,9 +128,11 @@
     def _knows_releases(self) -> bool:
         """Return whether the rows on software versions are the newest ones.
 
-        While the store is away nobody changes them, so it is enough to hear all other routers.
+        While no router reads the store nobody changes them, so it is enough to hear all others.
         """
-        return self._releases.are_current() or self._fleet.hears_all()
+        if self._releases.are_current():
+            return True
+        return self._fleet.hears_all() and not self._fleet.any_peer_reads_store()
 
     def _derive(self, stream: ResumedStream) -> FoundOrigin:
         """Return where a stream may go on that no router remembers, by the proportions."""
