Begin a stream only at the process of an entry, asked once a connection

What callers saw: streams of two versions, several in one burst: they had begun at a replica that had restarted under its id with another version, before its entry said so. Cause: a fresh stream was recorded under the entry that the router held, and the process was asked only after an early break-off, when it may be gone. A router without memory of the stream (its router and the backup routers killed together) then derives the version from the row, which never had the other one. Change: a connection belongs to one process for life, so the router asks it for its start once, before the first resumable stream on it, and begins the stream only at the process of the entry. The version of such a stream is that of the entry and of the row, so no memory is needed for it. After two replicas that may have restarted it begins at any one and cannot be resumed. The question after an early break-off, with its bound of 2 s, is gone. AttemptConnection holds what attempt.py had of this. A changed row: 'both restart in the stream' expected 'broken off'; its stand-in restarts in place before it sends, on a connection that had just said the old start, so the events are of that process, and the other replica is still that of its entry: 'complete'. Ruled out: to ask while the first event is awaited (the run is wasted if it is another process, and takes a second connection); to ask after the break (the process is gone); open connections and heartbeats as signs (missing or late signs are no proof).

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -28,7 +28,21 @@
       | they do not say            | of unknown starts                                | complete   |
       | they say nothing in time   | silent                                           | broken off |
       | both have restarted        | newer ones                                       | broken off |
-      | both restart in the stream | newer ones from the first event on               | broken off |
+      | each restarts as it begins | newer ones from the first event on               | complete   |
+
+  # Guards against streams that begin at a replica that restarted under its name, and that a router
+  # without memory of them takes up at the version of its old entry (issue 43).
+  Scenario Outline: Streams begin only at the process of an entry, if there is one: <case>
+    Given a router before replicas of the versions "v1 v1" that break off each new stream
+    And the processes of the replicas are <processes>
+    When 12 streams of different prompts are sent to them
+    Then they began at <count> replicas, and all are <result>
+
+    Examples:
+      | case                   | processes                  | count | result     |
+      | both are as they were  | those of their entries     | 2     | complete   |
+      | the first is a new one | a newer one and an old one | 1     | complete   |
+      | both are new ones      | newer ones                 | 2     | broken off |
 
   # Guards against a replica that is back as another version before its entry says so.
   Scenario Outline: A replica that crashes in a stream is back at once as "<version>"
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -57,6 +57,9 @@
 @given("the processes of the replicas are {processes}")
 def processes_are(context, processes):
     born = {"those of their entries": 1, "of unknown starts": None, "newer ones": 2}
+    if processes == "a newer one and an old one":
+        context.scripted[0].born, context.scripted[1].born = 2, 1
+        return
     for replica in context.scripted:
         replica.hides_status = processes == "silent"
         if processes in born or replica.hides_status:
@@ -119,6 +122,26 @@
     context.response = context.thread.run(call, context, "/chat/a", "id-1")
 
 
+@when("{count:d} streams of different prompts are sent to them")
+def streams_sent(context, count):
+    context.responses = [
+        context.thread.run(call_stream, context, context.router, number, f"s{number}", {})
+        for number in range(count)
+    ]
+
+
+@then("they began at {count:d} replicas, and all are {result}")
+def streams_began_at(context, count, result):
+    began = [
+        any(not request.last_event for request in replica.received) for replica in context.scripted
+    ]
+    assert sum(began) == count, began
+    # The last one is of its entry if any is.
+    assert began[-1], began
+    for response in context.responses:
+        assert response.complete == (result == "complete"), response
+
+
 @then("the stream is {result}, and goes on at no other version")
 def stream_result(context, result):
     got = [bool(replica.received) for replica in context.scripted]
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -5,20 +5,21 @@
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND, Millis
+from skylarklift.clock import Millis
 from skylarklift.entry.core import Core, Probe
 from skylarklift.entry.crashes.crash_evidence import Suspect
 from skylarklift.entry.model import Call, ResponseHead, SendOptions
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.requests.answer_end import AnswerEnd, EndSign
+from skylarklift.entry.requests.attempt_connection import AttemptConnection
 from skylarklift.entry.requests.http_connection import (
     MAX_RESPONSES_READ,
     NO_BODY_STATUSES,
     HttpConnection,
     connect,
 )
-from skylarklift.entry.requests.process_identity import Identity, identify, record_identity
+from skylarklift.entry.requests.process_identity import Identity
 from skylarklift.entry.requests.process_watch import ProcessWatch
 from skylarklift.entry.requests.retry_state import Outcome
 from skylarklift.errors import (
@@ -30,7 +31,6 @@
     TransportError,
 )
 
-SHORTAGE_PAUSE_MS = 50
 PROBE_TIMEOUT_MS = 250
 # The result of a probe is reused for this long.
 PROBE_TTL_MS = 300
@@ -67,6 +67,7 @@
         route_name: str = "",
         suspects: Sequence[Suspect] = (),
         sent_before: bool = False,
+        checks_process: bool = False,
     ):
         self.core = core
         self.call = call
@@ -75,10 +76,17 @@
         self.options = options
         self.route_name = route_name
         self.repeatable = repeatable
-        # Whether the upstream got this request in an earlier attempt.  A second copy of its answer
-        # to that one, which has the same id, may come on the same connection.
-        self.sent_before = sent_before
         self.suspects = suspects
+        # Whether the request may go only to the process that the entry describes.
+        self._checks_process = checks_process
+        # If the upstream got this request before, a second copy of that answer, with the same id,
+        # may come on the same connection.
+        self._way = AttemptConnection(
+            core,
+            choice.upstream,
+            recently_used=not repeatable,
+            new=sent_before or (repeatable and options.resume_after is not None),
+        )
         self._served_recorded = False
         self.process_watch = ProcessWatch(self.record)
         self.conn: HttpConnection | None = None
@@ -115,9 +123,8 @@
     async def send(self) -> ResponseHead:
         """Send the request and return the head of its response; raise `TransportError`."""
         self.core.make_room_for_attempts()
-        self.conn = await self._connect()
-        if self._resumes:
-            await self._check_process()
+        open_conn = self._way.open_checked if self._checks_process else self._way.open
+        self.conn = await open_conn()
         self.outcome = Outcome.BROKEN
         call = self.call
         headers = self.core.header_codec.encode_upstream_headers(call, self.options)
@@ -137,37 +144,6 @@
             raise failure
         return self.head
 
-    async def _connect(self) -> HttpConnection:
-        """Return a connection to the upstream; raise `ConnectFailed`."""
-        core = self.core
-        try:
-            return await core.connection_pool.acquire(
-                self.record,
-                recently_used=not self.repeatable,
-                new=self.sent_before or self._resumes,
-            )
-        except LocalShortage:
-            core.descriptors_short.set()
-            # Another attempt is of use once a descriptor is free.
-            await trio.sleep(SHORTAGE_PAUSE_MS / MS_PER_SECOND)
-            raise
-
-    @property
-    def _resumes(self) -> bool:
-        """Return whether the attempt goes on with a stream that has begun."""
-        return self.repeatable and self.options.resume_after is not None
-
-    async def _check_process(self) -> None:
-        """Raise `ProcessReplaced` if the upstream has restarted since its entry was written."""
-        core, record = self.core, self.record
-        identity = await identify(core, record, self.conn)
-        record_identity(core, self.choice.upstream, identity)
-        if identity in (Identity.OTHER, Identity.UNANSWERED):
-            raise ProcessReplaced(f"{record.replica} may have restarted: {identity.value}")
-        if not self.conn.prepare_next_request():
-            self.conn.abort()
-            self.conn = await self._connect()
-
     async def _read_head(self) -> ResponseHead:
         """Return the head of the response, skipping responses that carry another request id."""
         for _ in range(MAX_RESPONSES_READ):
@@ -218,6 +194,11 @@
         if not head.limit_unreadable:
             core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
+    @property
+    def identity(self) -> Identity | None:
+        """Return whose process the connection is to, `None` if it was not checked."""
+        return self._way.identity
+
     def load_fields(self) -> dict[str, float | None]:
         """Return, for the log, the load that the choice assumed and the one that was answered."""
         choice, observed = self.choice, self.head.load if self.head else None
@@ -235,6 +216,7 @@
             "framing": self._framing(),
             "events": self.event_range,
             "end_sign": self.end_sign and self.end_sign.value,
+            "process": self.identity and self.identity.value,
         }
 
     def log_fields(self) -> dict[str, float | str | list[int] | None]:
@@ -357,6 +339,7 @@
             self.core.metrics.increment("local_shortages")
         elif isinstance(exc, ProcessReplaced):
             self.outcome = Outcome.NOT_SENT
+            self.core.metrics.increment("processes_replaced")
         elif isinstance(exc, ConnectFailed):
             self.outcome = Outcome.NOT_SENT
             self.report_signal(HealthSignal.UNREACHABLE)
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -182,6 +182,7 @@
                 route_name=self.route.name,
                 suspects=self.crash_guard.suspects,
                 sent_before=choice.upstream.record.replica in self.sent_to,
+                checks_process=self.stream_version.checks_process(),
             )
             self.attempt = attempt
             async with attempt.open():
@@ -308,7 +309,7 @@
             if not attempt.withdrawn:
                 attempt.record_failure(exc)
                 await self.crash_guard.check_for_crash(attempt)
-                await self.stream_version.confirm(attempt)
+                self.stream_version.record_failure(exc)
             return 0
 
     def _initial_silence_ms(self) -> int:
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -5,23 +5,18 @@
 from skylarklift.entry.placement.choice import WantedVersion
 from skylarklift.entry.placement.choose import affinity_key
 from skylarklift.entry.requests.attempt import Attempt
-from skylarklift.entry.requests.process_identity import (
-    Identity,
-    ask_process_anew,
-    compare_start,
-    record_identity,
-)
+from skylarklift.entry.requests.process_identity import Identity
 from skylarklift.entry.state.upstream import is_restart
 from skylarklift.entry.versions.resumptions import FoundOrigin, OriginSource, ResumedStream
 from skylarklift.entry.versions.stream_origins import StreamOrigin
-from skylarklift.errors import BadRequest, ConnectFailed, Refusal
+from skylarklift.errors import BadRequest, ProcessReplaced, Refusal, TransportError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
 MAX_RELEASES_WAIT_MS = 500
 OUTDATED_RETRY_AFTER_MS = 300
 STATUS_CONFLICT = 409
-# The entry of a replica that has restarted is known here this long after its start.
-ENTRY_KNOWN_MS = 2000
+# After this many replicas that may have restarted a new stream begins at any one.
+MAX_PROCESS_REFUSALS = 2
 
 
 class StreamVersion:
@@ -38,6 +33,7 @@
         self._route = route
         self._resumable = route.kind is RouteKind.STREAM and route.resumable
         self._recorded: Attempt | None = None
+        self._process_refusals = 0
         self.required: SoftwareVersion | None = None
         self.assigned: SoftwareVersion | None = None
         self.origin: FoundOrigin | None = None
@@ -90,6 +86,20 @@
             return WantedVersion(self.required, begun=True)
         return None if self.assigned is None else WantedVersion(self.assigned, begun=False)
 
+    def checks_process(self) -> bool:
+        """Return whether the next attempt is only for the process of its upstream's entry.
+
+        A new stream is served by any process if there seems to be no such one, and cannot be
+        resumed then.
+        """
+        if not self._resumable:
+            return False
+        return self.required is not None or self._process_refusals < MAX_PROCESS_REFUSALS
+
+    def record_failure(self, exc: TransportError) -> None:
+        """Count an attempt that another process than that of its upstream's entry would get."""
+        self._process_refusals += isinstance(exc, ProcessReplaced)
+
     def record_events(self, attempt: Attempt) -> None:
         """Record, before the first events of an attempt are sent, which version made them."""
         if not self._resumable:
@@ -120,6 +130,14 @@
 
     def _version_of(self, attempt: Attempt) -> SoftwareVersion | None:
         """Return the version whose events an attempt brings, `None` if that is not certain."""
+        if attempt.identity is Identity.SAME:
+            return attempt.record.software
+        if attempt.identity is Identity.UNKNOWN:
+            return self._version_by_entry(attempt)
+        return None
+
+    def _version_by_entry(self, attempt: Attempt) -> SoftwareVersion | None:
+        """Return the version of an upstream that does not say when it started, by its entries."""
         core, record = self._core, attempt.record
         current = core.cluster_state.upstreams.get(record.replica, attempt.choice.upstream)
         if is_restart(record, current.record):
@@ -131,27 +149,6 @@
         doubted = core.chooser.software.may_have_other_software(current)
         return None if doubted else record.software
 
-    async def confirm(self, attempt: Attempt) -> None:
-        """After an attempt that broke off early, check that its events were of its entry's version.
-
-        A replica that restarts under its name writes its entry a moment later.
-        """
-        age_ms = attempt.answer_age_ms()
-        if self._recorded is not attempt or self.required is None:
-            return
-        if age_ms is None or age_ms > ENTRY_KNOWN_MS:
-            # Only comments came, or the entry is known by now.
-            return
-        try:
-            process = await ask_process_anew(self._core, attempt.record)
-        except ConnectFailed:
-            # A process that has ended was not replaced yet.
-            return
-        identity = compare_start(attempt.record, process)
-        record_identity(self._core, attempt.choice.upstream, identity)
-        if identity is Identity.OTHER:
-            self._record(None)
-
     def log_fields(self) -> dict[str, str | int | None]:
         """Return, for the log, the version of a stream and how a resumption's was found."""
         fields: dict[str, str | int | None] = {}
