Let another run behind the last event tell whether an unframed stream has ended

Cause: nothing tells such an end from a whole answer; the living process was taken for a proof. Change: where the stream may be resumed, the router asks for another run behind the last event, within the runs and the retry budget. It brings events, or ends at the same place. The log lines of requests have a module of their own. Ruled out: to break such a stream off when its runs are used up (two existing rows with a crash before would end incomplete though whole).

--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -1,6 +1,7 @@
 """Forward an upstream's response to the caller: buffered, in chunks, or event by event."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from skylarklift.entry.model import Call, ResponseHead, RouteKind
 from skylarklift.entry.placement.health import HealthSignal
@@ -23,11 +24,20 @@
 STATUS_OK = 200
 
 
+@dataclass(frozen=True, slots=True)
+class UnconfirmedEnd:
+    """Where a stream ended with its connection; `last_event` is `None` before the first one."""
+
+    last_event: int | None
+    head: ResponseHead
+
+
 class Forwarder:
     """Forward the response of a request, over all its attempts.
 
     `upstream_error` is the last server error of an upstream, which is forwarded if no attempt
-    succeeds.  `on_events` is called before new events of an attempt are sent.
+    succeeds.  `on_events` is called before new events of an attempt are sent.  `end` is where a
+    stream that may go on ended with its connection.
     """
 
     def __init__(
@@ -44,6 +54,7 @@
         self._buffers = buffers
         self._position = StreamPosition(call.resume_after)
         self.upstream_error: tuple[ResponseHead, bytes] | None = None
+        self.end: UnconfirmedEnd | None = None
 
     @property
     def resume_after(self) -> int | None:
@@ -112,9 +123,36 @@
         with self._buffers.open_share() as share:
             await self._forward_each_event(attempt, timer, share)
         await attempt.check_end()
+        if not self._is_end_certain(attempt):
+            attempt.outcome = Outcome.UNCONFIRMED
+            attempt.report_signal(HealthSignal.GOOD)
+            return 0
         await self._send_head_once(attempt.head)
         return await self._finish(attempt)
 
+    def _is_end_certain(self, attempt: Attempt) -> bool:
+        """Return whether a stream has ended, as its framing shows or a second run at this place.
+
+        A replica that lives may end the connection between two events, too.  Where no other run may
+        go on, that it lives is the best sign.
+        """
+        may_go_on = self._retry_state.repeatable and self._position.exact
+        if not attempt.conn.ends_with_connection or not may_go_on:
+            return True
+        before, self.end = self.end, UnconfirmedEnd(self._position.last, attempt.head)
+        return before is not None and before.last_event == self.end.last_event
+
+    @property
+    def has_unconfirmed_end(self) -> bool:
+        """Return whether the caller has all of a stream up to where it seemed to end."""
+        return self.end is not None and self.end.last_event == self._position.last
+
+    async def accept_end(self) -> int:
+        """Complete the response at an end that no other run can confirm; return the status."""
+        await self._send_head_once(self.end.head)
+        await self._caller.send_end()
+        return self.end.head.status
+
     async def _forward_each_event(
         self, attempt: Attempt, timer: SilenceTimer, share: BufferShare
     ) -> None:
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -18,11 +18,11 @@
 )
 from skylarklift.entry.placement.choice import Choice, NoUpstream, WantedVersion
 from skylarklift.entry.placement.health import HealthSignal
-from skylarklift.entry.placement.prefixes import shared_parts
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.process_identity import identify_suspects
+from skylarklift.entry.requests.request_log import log_failed_attempt, log_result
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
 from skylarklift.entry.versions.stream_version import StreamVersion
@@ -62,8 +62,6 @@
 # A route's time-out may be shorter than its work takes, so a time-out counts as a failure of the
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
-# Shared parts of a prompt that the line of a failed attempt names.
-MAX_LOGGED_PARTS = 8
 MAX_LOGGED_PASSED_OVER = 4
 # Reasons that a short wait does not change, so that the request is refused at once.
 LASTING_REASONS = (NoUpstream.LIMITED, NoUpstream.HELD_OFF, NoUpstream.OTHER_VERSION)
@@ -108,7 +106,7 @@
         except RequestError as exc:
             status = await self._respond_with_error(exc)
         finally:
-            self._log_result(status)
+            log_result(self, status)
 
     # Admission.
 
@@ -187,13 +185,14 @@
             self.attempt = attempt
             async with attempt.open():
                 status = await self._run_attempt(attempt)
-            self.tried_replicas.append(attempt.record.replica)
+            if attempt.outcome is not Outcome.UNCONFIRMED:
+                self.tried_replicas.append(attempt.record.replica)
             self.sent_to.add(attempt.record.replica)
             self.steps.append(f"{attempt.record.replica}:{attempt.outcome.value}")
             if status:
                 return status
             self.retry_state.record(attempt.outcome)
-            self._log_failed_attempt(attempt)
+            log_failed_attempt(self.core, self.call, attempt, self.retry_state.attempts)
             await self.crash_guard.wait_for_judgement(attempt)
             if not self._may_retry(attempt.outcome):
                 return await self._finish_failed(attempt.outcome)
@@ -323,6 +322,8 @@
 
         Raise `RequestError` if the router responds with an error of its own.
         """
+        if self.forwarder.has_unconfirmed_end:
+            return await self.forwarder.accept_end()
         if self.retry_state.forwarded:
             self.caller.abort()
             return 0
@@ -340,7 +341,9 @@
         raise OutcomeUnknown("the upstream's answer was lost")
 
     async def _respond_with_error(self, exc: RequestError) -> int:
-        """Respond with the router's own error, or abort a response that has begun."""
+        """Respond with the router's own error, or end a response that has begun."""
+        if self.forwarder is not None and self.forwarder.has_unconfirmed_end:
+            return await self.forwarder.accept_end()
         if self.caller.head_sent:
             self.caller.abort()
             return 0
@@ -349,45 +352,6 @@
         await self.caller.send_response(exc.status, error_headers(exc), body.encode())
         return exc.status
 
-    # Logging.
-
-    def _log_failed_attempt(self, attempt: Attempt) -> None:
-        """Log and count an attempt that did not complete the request."""
-        self.core.metrics.increment("sends_failed", attempt.outcome.value)
-        self.core.event_log.write(
-            "send_failed",
-            id=self.call.request,
-            upstream=attempt.record.replica,
-            outcome=attempt.outcome.value,
-            detail=attempt.detail,
-            sends=self.retry_state.attempts,
-            load=attempt.choice.load,
-            **attempt.answer_fields(),
-            parts=[part.name for part in shared_parts(self.call.parts)[:MAX_LOGGED_PARTS]],
-        )
-
-    def _log_result(self, status: int) -> None:
-        """Log the result of the request and update the metrics."""
-        core = self.core
-        span = core.clock.now() - self.call.received_at
-        route = self.route.name if self.route else ""
-        core.metrics.increment("requests", str(status))
-        core.metrics.observe_ms("request", span, route and self.route.kind.value)
-        core.event_log.write(
-            "request" if status in range(200, 300) else "request_failed",
-            id=self.call.request,
-            route=route,
-            plan=self.plan_version,
-            status=status,
-            ms_taken=span,
-            sends=self.steps,
-            last_event=self.forwarder.resume_after if self.forwarder else None,
-            **(self.attempt.log_fields() if self.attempt else {}),
-            **(self.stream_version.log_fields() if self.stream_version else {}),
-            **({"passed_over": self.passed_over} if self.passed_over else {}),
-            **(self.crash_guard.log_fields() if self.crash_guard else {}),
-        )
-
 
 def error_headers(exc: RequestError) -> Headers:
     """Return the header fields of the response to a request that gets an error."""
--- /dev/null
+++ b/skylarklift/entry/requests/request_log.py
@@ -0,0 +1,53 @@
+"""Log and count the attempts and results of requests."""
+
+from typing import TYPE_CHECKING
+
+from skylarklift.entry.core import Core
+from skylarklift.entry.model import Call
+from skylarklift.entry.placement.prefixes import shared_parts
+from skylarklift.entry.requests.attempt import Attempt
+
+if TYPE_CHECKING:
+    from skylarklift.entry.requests.request_handler import RequestHandler
+
+# Shared parts of a prompt that the line of a failed attempt names.
+MAX_LOGGED_PARTS = 8
+
+
+def log_failed_attempt(core: Core, call: Call, attempt: Attempt, sends: int) -> None:
+    """Log and count an attempt that did not complete the request; `sends` are those so far."""
+    core.metrics.increment("sends_failed", attempt.outcome.value)
+    core.event_log.write(
+        "send_failed",
+        id=call.request,
+        upstream=attempt.record.replica,
+        outcome=attempt.outcome.value,
+        detail=attempt.detail,
+        sends=sends,
+        load=attempt.choice.load,
+        **attempt.answer_fields(),
+        parts=[part.name for part in shared_parts(call.parts)[:MAX_LOGGED_PARTS]],
+    )
+
+
+def log_result(handler: "RequestHandler", status: int) -> None:
+    """Log the result of a request and update the metrics."""
+    core, call = handler.core, handler.call
+    span = core.clock.now() - call.received_at
+    route = handler.route.name if handler.route else ""
+    core.metrics.increment("requests", str(status))
+    core.metrics.observe_ms("request", span, route and handler.route.kind.value)
+    core.event_log.write(
+        "request" if status in range(200, 300) else "request_failed",
+        id=call.request,
+        route=route,
+        plan=handler.plan_version,
+        status=status,
+        ms_taken=span,
+        sends=handler.steps,
+        last_event=handler.forwarder.resume_after if handler.forwarder else None,
+        **(handler.attempt.log_fields() if handler.attempt else {}),
+        **(handler.stream_version.log_fields() if handler.stream_version else {}),
+        **({"passed_over": handler.passed_over} if handler.passed_over else {}),
+        **(handler.crash_guard.log_fields() if handler.crash_guard else {}),
+    )
--- a/skylarklift/entry/requests/retry_state.py
+++ b/skylarklift/entry/requests/retry_state.py
@@ -15,6 +15,8 @@
     `NOT_SENT`: no connection was made.  `NOT_RUN`: the upstream said that it did not run the
     request.  `FAILED`: it responded with a server error.  `BROKEN`: the connection broke, or the
     response was incomplete or invalid.  `SILENT`: no response was complete before the deadline.
+    `UNCONFIRMED`: a stream that only its connection ends has ended, and another run behind its last
+    event would show whether that was its end.
     """
 
     ANSWERED = "answered"
@@ -23,6 +25,7 @@
     FAILED = "failed"
     BROKEN = "broken"
     SILENT = "silent"
+    UNCONFIRMED = "unconfirmed"
 
 
 @dataclass(slots=True)
@@ -63,7 +66,12 @@
             return False
         if outcome in (Outcome.NOT_SENT, Outcome.NOT_RUN):
             return True
-        return self.repeatable and self.possible_runs < self.route.max_runs
+        return self.repeatable and not self.runs_used_up
+
+    @property
+    def runs_used_up(self) -> bool:
+        """Return whether the route allows no other run of the request."""
+        return self.possible_runs >= self.route.max_runs
 
     @property
     def cannot_have_run(self) -> bool:
