Drop what arrives of a try once its stream is begun again

Cause: a caller of the soak of streams that begins a stream a second time cancels its former try. Bytes of it that the kernel had received by then were still read, so its event 1 counted beside the events of the next try, and the checker named "joined versions" that no router had joined. Change: such a try is marked as dropped: it takes no more bytes and ends as left. The checks are the same. Ruled out: leaving out tries without an event in the checker, which would hide streams that a router joins.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -36,6 +36,15 @@
     When a caller receives "id: 1\ndata: a v1 a.1.1 q 1..\n\nid: 2\ndata: a v1 a.1.1 q 2" in parts of any size
     Then it holds event 1
 
+  Scenario Outline: A caller that begins a stream again counts nothing of the try that it left, <arriving>
+    When a caller begins a stream again while <arriving> of "v1" arrives
+    Then only the events of its last try count
+
+    Examples:
+      | arriving         |
+      | event 1          |
+      | the whole stream |
+
   # Guards against streams that callers receive out of order while processes end and links are cut.
   Scenario Outline: A short soak of streams with all faults, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -195,7 +195,7 @@
             return
         if not call.held():
             # Two tries that both begin the stream would be two streams.
-            self._leave_tries_but(None)
+            self._drop_tries()
         router = self._caller.choose_router({item.router for item in call.tries[-2:]})
         item = Try(
             f"{call.name}t{len(call.tries) + 1}",
@@ -248,6 +248,8 @@
             # No connection was made.
             item.end = TryEnd.NOT_SENT
         finally:
+            if item.dropped:
+                item.end = TryEnd.LEFT
             item.ended_ms = now_ms()
             del self._active[item.attempt]
             if link is not None and item.end is TryEnd.COMPLETE:
@@ -305,12 +307,19 @@
         if self._habits.leaves_old_tries and item is self._call.tries[-1]:
             self._leave_tries_but(item)
 
-    def _leave_tries_but(self, kept: Try | None) -> None:
+    def _leave_tries_but(self, kept: Try) -> None:
         """Leave all tries that go on, but one."""
         for attempt, scope in self._active.items():
-            if kept is None or attempt != kept.attempt:
+            if attempt != kept.attempt:
                 scope.cancel()
 
+    def _drop_tries(self) -> None:
+        """Leave all tries that go on; what has arrived of them and is not read yet is dropped."""
+        for item in self._call.tries:
+            if item.attempt in self._active:
+                item.dropped = True
+                self._active[item.attempt].cancel()
+
 
 def certainly_not_run(item: Try) -> bool:
     """Return whether a try has certainly not run."""
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -60,7 +60,8 @@
 class Try:
     """One try of a request at one router, and what came back.
 
-    `resume_after` is the last event that the caller had when it sent the try.
+    `resume_after` is the last event that the caller had when it sent the try.  With `dropped` the
+    caller began the stream again, so that nothing of this try counts.
     """
 
     attempt: str
@@ -72,12 +73,15 @@
     started_ms: int = 0
     ended_ms: int = 0
     retry_after_s: float = 0.0
+    dropped: bool = False
     body: bytearray = field(default_factory=bytearray)
     events: list[Received] = field(default_factory=list)
     unreadable: list[bytes] = field(default_factory=list)
 
     def receive(self, data: bytes, *, is_stream: bool) -> None:
         """Add bytes of the body; only whole events count."""
+        if self.dropped:
+            return
         self.body += data
         if not is_stream or self.status != STATUS_OK:
             return
