Let the soak of streams have large events and callers that pause

Change: the target of a request names the size of the stream's events, 55 bytes or 40 kB; 4 in 10 callers have a receive buffer of 4 KiB and stop reading for up to 2.5 s now and then, 7 in 10 of their streams are large, of the others 15 in 100. Habits and pace of reading have a module of their own. Ruled out: the 100 bytes per read of the slow callers for large events, with which no such stream reaches its end within its deadline.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -36,6 +36,15 @@
     When a caller receives "id: 1\ndata: a v1 a.1.1 q 1..\n\nid: 2\ndata: a v1 a.1.1 q 2" in parts of any size
     Then it holds event 1
 
+  Scenario Outline: The checker reports an event that is <size> than its stream's
+    When a caller that asked for events of 55 bytes receives one of <bytes>
+    Then the event is unreadable
+
+    Examples:
+      | size    | bytes |
+      | shorter | 54    |
+      | longer  | 56    |
+
   Scenario Outline: A caller that begins a stream again counts nothing of the try that it left, <arriving>
     When a caller begins a stream again while <arriving> of "v1" arrives
     Then only the events of its last try count
--- a/features/steps/soak_callers.py
+++ b/features/steps/soak_callers.py
@@ -6,18 +6,21 @@
 import trio
 from behave import then, when
 
-from soak.stream_callers import CallRun, Habits, Link
-from soak.stream_checker import Kind, SentCall, StreamChecker
+from soak.stream_callers import CallRun, Link
+from soak.stream_checker import Kind, SentCall, StreamChecker, Try
+from soak.stream_habits import Habits
+from standins.stream_events import EVENT_BYTES, encode_event
 
 LAST_EVENT = 2
 HEAD = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
-HABITS = Habits(http_1_0=False, reads_slowly=False, overlaps=True, leaves_old_tries=True)
+HABITS = Habits(overlaps=True, leaves_old_tries=True)
 
 
 def make_body(software: str, count: int) -> bytes:
     """Return the first events of a stream, as one chunk."""
-    text = "".join(f"id: {n}\ndata: a {software} a.1.1 q {n}\n\n" for n in range(1, count + 1))
-    return b"%x\r\n%s\r\n" % (len(text), text.encode())
+    names = f"a {software} a.1.1 q"
+    data = b"".join(encode_event(n, names, EVENT_BYTES) for n in range(1, count + 1))
+    return b"%x\r\n%s\r\n" % (len(data), data)
 
 
 class ScriptedStream:
@@ -84,3 +87,14 @@
     checker = StreamChecker([])
     checker.check(context.call)
     assert not checker.violations, checker.violations
+
+
+@when("a caller that asked for events of {asked:d} bytes receives one of {size:d}")
+def receives_event(context, asked, size):
+    context.received = Try("t1", "n1", status=200, event_bytes=asked)
+    context.received.receive(encode_event(1, "a v1 a.1.1 q", size), is_stream=True)
+
+
+@then("the event is unreadable")
+def event_is_unreadable(context):
+    assert len(context.received.unreadable) == 1 and not context.received.events
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -1,5 +1,6 @@
 """Callers of the soak of streams: they keep connections, take streams up and retry."""
 
+import socket
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -9,7 +10,9 @@
 import trio
 
 from soak.stream_checker import NOT_RUN_STATUSES, STATUS_OK, Kind, SentCall, Try, TryEnd
+from soak.stream_habits import SMALL_BUFFER_BYTES, Habits, LoadMix, Reader
 from standins.entry_world import RouterProcess
+from standins.stream_events import WantedStream
 
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
@@ -36,9 +39,6 @@
 MAX_RETRY_AFTER_S = 1.0
 SLOW_TRY_MS = (300, 1500)
 BODY_BYTES = (1, 600)
-READ_BYTES = 65536
-SLOW_READ_BYTES = 100
-SLOW_READ_PAUSE_S = 0.04
 
 
 def now_ms() -> int:
@@ -46,26 +46,6 @@
     return int(time.monotonic() * MS_PER_SECOND)
 
 
-@dataclass
-class Habits:
-    """How one caller behaves."""
-
-    http_1_0: bool
-    reads_slowly: bool
-    overlaps: bool
-    leaves_old_tries: bool
-
-    @classmethod
-    def draw(cls, rng: Random) -> "Habits":
-        """Return random habits."""
-        return cls(
-            http_1_0=rng.random() < 0.25,
-            reads_slowly=rng.random() < 0.2,
-            overlaps=rng.random() < 0.6,
-            leaves_old_tries=rng.random() < 0.5,
-        )
-
-
 @dataclass
 class Link:
     """A connection to a router, with the state of the protocol on it."""
@@ -81,13 +61,20 @@
 class Caller:
     """One caller, which sends one request after the other."""
 
-    def __init__(self, routers: list[RouterProcess], rng: Random, calls: list[SentCall], name: str):
+    def __init__(
+        self,
+        routers: list[RouterProcess],
+        rng: Random,
+        calls: list[SentCall],
+        name: str,
+        mix: LoadMix,
+    ):
         self._routers = routers
         self._rng = rng
         self._calls = calls
         self._name = name
         self._count = 0
-        self._habits = Habits.draw(rng)
+        self._habits = Habits.draw(rng, mix)
         self._links: dict[str, Link] = {}
 
     async def run(self, is_loading: Callable[[], bool]) -> None:
@@ -96,7 +83,8 @@
             self._count += 1
             kind = self._rng.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
             last = self._rng.randint(*EVENTS[kind]) if kind.is_stream else 0
-            call = SentCall(f"{self._name}q{self._count}", kind, last)
+            event_bytes = self._habits.draw_event_bytes(self._rng)
+            call = SentCall(f"{self._name}q{self._count}", kind, last, event_bytes)
             self._calls.append(call)
             await CallRun(call, self, self._rng, self._habits).run()
             await trio.sleep(self._rng.uniform(0.0, 0.2))
@@ -113,7 +101,19 @@
             return link
         if link is not None:
             link.close()
-        return Link(await trio.open_tcp_stream(HOST, router.caller_port))
+        return Link(await self._connect(router.caller_port))
+
+    async def _connect(self, port: int) -> trio.SocketStream:
+        """Return a new connection, with a small receive buffer if this caller pauses."""
+        sock = trio.socket.socket()
+        if self._habits.pauses:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+        try:
+            await sock.connect((HOST, port))
+        except BaseException:
+            sock.close()
+            raise
+        return trio.SocketStream(sock)
 
     def keep_link(self, router: RouterProcess, link: Link) -> None:
         """Keep a connection for the next request, if it can carry one."""
@@ -134,6 +134,7 @@
         self._caller = caller
         self._rng = rng
         self._habits = habits
+        self._reader = Reader(habits, rng, call.event_bytes)
         self._deadline_ms = now_ms() + DEADLINES_MS[call.kind]
         self._active: dict[str, trio.CancelScope] = {}
         self._progress_ms = now_ms()
@@ -203,6 +204,7 @@
             resume_after=call.held() if call.kind.is_stream else 0,
             http_1_0=self._habits.http_1_0,
             started_ms=now_ms(),
+            event_bytes=call.event_bytes,
         )
         request = self._encode(item, left_ms)
         call.tries.append(item)
@@ -229,7 +231,7 @@
         method = "GET" if call.kind is Kind.IDEMPOTENT else "POST"
         if method == "POST":
             fields.append(("content-length", str(self._rng.randint(*BODY_BYTES))))
-        target = f"{call.kind.value}{call.last}/{call.name}"
+        target = WantedStream(call.name, call.last, call.event_bytes).target(call.kind.value)
         return h11.Request(method=method, target=target, headers=fields)
 
     async def _run_try(self, router: RouterProcess, item: Try, request: h11.Request) -> None:
@@ -271,7 +273,7 @@
             try:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
-                    http.receive_data(await self._receive(link))
+                    http.receive_data(await self._reader.receive(link.stream))
                     continue
             except h11.RemoteProtocolError:
                 return TryEnd.CUT
@@ -284,13 +286,6 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return TryEnd.CUT
 
-    async def _receive(self, link: Link) -> bytes:
-        """Return the next bytes, a few at a time if this caller reads slowly."""
-        if self._habits.reads_slowly:
-            await trio.sleep(SLOW_READ_PAUSE_S)
-            return await link.stream.receive_some(SLOW_READ_BYTES)
-        return await link.stream.receive_some(READ_BYTES)
-
     def _record_head(self, item: Try, event: h11.Response) -> None:
         """Record the head of the response."""
         item.status = event.status_code
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -6,12 +6,14 @@
 from enum import Enum
 from typing import Any
 
+from standins.stream_events import EVENT_BYTES, EVENT_END, PADDING, has_size
+
 # Statuses that guarantee that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STATUS_OK = 200
-EVENT_END = b"\n\n"
 # Replicas that may run one try of a resumable stream or an idempotent request.
 MAX_RUNS = 2
+SHOWN_BYTES = 200
 
 
 class Kind(Enum):
@@ -61,7 +63,8 @@
     """One try of a request at one router, and what came back.
 
     `resume_after` is the last event that the caller had when it sent the try.  With `dropped` the
-    caller began the stream again, so that nothing of this try counts.
+    caller began the stream again, so that nothing of this try counts.  With `event_bytes` events
+    of another size are unreadable.
     """
 
     attempt: str
@@ -74,6 +77,7 @@
     ended_ms: int = 0
     retry_after_s: float = 0.0
     dropped: bool = False
+    event_bytes: int | None = None
     body: bytearray = field(default_factory=bytearray)
     events: list[Received] = field(default_factory=list)
     unreadable: list[bytes] = field(default_factory=list)
@@ -89,7 +93,8 @@
         self.body = bytearray(rest)
         for raw in whole:
             event = parse_event(raw)
-            if event is None:
+            wrong_size = self.event_bytes is not None and not has_size(raw, self.event_bytes)
+            if event is None or wrong_size:
                 self.unreadable.append(raw)
             else:
                 self.events.append(event)
@@ -102,11 +107,15 @@
 
 @dataclass
 class SentCall:
-    """One request of a caller, over all its tries; `last` is the last event of its stream."""
+    """One request of a caller, over all its tries.
+
+    `last` is the last event of its stream, and `event_bytes` the size of each.
+    """
 
     name: str
     kind: Kind
     last: int = 0
+    event_bytes: int = EVENT_BYTES
     tries: list[Try] = field(default_factory=list)
 
     def held(self) -> int:
@@ -153,7 +162,7 @@
 def parse_event(raw: bytes) -> Received | None:
     """Return an event, or `None` if it is not as replicas make them."""
     lines = raw.decode("latin-1").split("\n")
-    words = lines[-1].rstrip(".").split(" ")
+    words = lines[-1].rstrip(PADDING.decode()).split(" ")
     if len(lines) != 2 or len(words) != 6 or words[0] != "data:":
         return None
     if lines[0] != f"id: {words[5]}":
@@ -223,7 +232,7 @@
 
     def history(self, call: SentCall) -> list[str]:
         """Return the tries and runs of a request, one a line."""
-        lines = [f"{call.name} {call.kind.value} of {call.last} events"]
+        lines = [f"{call.name} {call.kind.value} of {call.last} events of {call.event_bytes} B"]
         for item in call.tries:
             version = "HTTP/1.0" if item.http_1_0 else "HTTP/1.1"
             lines.append(
@@ -258,7 +267,7 @@
                 found.append(f"{item.attempt}: event {event.number} in place of {expected}")
                 break
         if item.unreadable:
-            found.append(f"{item.attempt}: no event: {item.unreadable[0]!r}")
+            found.append(f"{item.attempt}: no event: {item.unreadable[0][:SHOWN_BYTES]!r}")
         if item.end is TryEnd.COMPLETE and item.status == STATUS_OK:
             if item.last_event != call.last:
                 found.append(f"{item.attempt}: complete after event {item.last_event}")
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -15,6 +15,7 @@
 from soak.stream_callers import Caller
 from soak.stream_checker import STATUS_OK, Kind, SentCall, StreamChecker, TryEnd, parse_runs
 from soak.stream_faults import StreamFaults
+from soak.stream_habits import HEAVY_MIX, LoadMix
 from soak.stream_world import ReplicaPath, StreamWorld, write_lines
 from standins.entry_world import free_port
 from standins.stream_replica import Framing
@@ -46,6 +47,7 @@
     paths: tuple[ReplicaPath, ...] = tuple(ReplicaPath)
     # How replicas that live on break off between events of an answer that its connection ends.
     unframed_cut: Ending = Ending.RESET
+    mix: LoadMix = LoadMix()
     # Names of the faults to inject; if empty, all of them.
     only_faults: tuple[str, ...] = ()
 
@@ -97,7 +99,9 @@
             async with trio.open_nursery() as callers:
                 for number in range(self._options.callers):
                     rng = Random(f"{self._options.seed} caller {number}")
-                    caller = Caller(self._world.routers, rng, self._calls, f"c{number}")
+                    caller = Caller(
+                        self._world.routers, rng, self._calls, f"c{number}", self._options.mix
+                    )
                     callers.start_soon(caller.run, lambda: self._loading)
                 async with trio.open_nursery() as faults:
                     with trio.move_on_after(self._options.span_s):
@@ -183,6 +187,11 @@
         action="store_true",
         help="replicas also end answers without a length in order between two events",
     )
+    parser.add_argument(
+        "--large-events",
+        action="store_true",
+        help="all streams have large events, and most callers pause",
+    )
     parser.add_argument("--faults", default="", help="names of the only faults, with commas")
     parser.add_argument(
         "--paths", default="own,kept,proxy", help="what routers reach at the replicas' addresses"
@@ -200,6 +209,8 @@
     options.only_faults = tuple(filter(None, arguments.faults.split(",")))
     if arguments.orderly_cuts:
         options.unframed_cut = Ending.ORDERLY
+    if arguments.large_events:
+        options.mix = HEAVY_MIX
     if arguments.keep:
         folder = Path(arguments.keep) / str(seed)
         folder.mkdir(parents=True, exist_ok=True)
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -21,6 +21,7 @@
 from enum import Enum
 from random import Random
 
+from standins.stream_events import WantedStream, encode_event
 from standins.stream_wire import ConnectionCuts, ConnectionEnded, Ending, Request, Wire
 
 HOST = "127.0.0.1"
@@ -29,7 +30,6 @@
 PACE_S = 0.035
 MAX_BATCH = 4
 PLAIN_RUN_S = (0.005, 0.06)
-EVENT_BYTES = 55
 PART_PAUSE_S = 0.001
 # Parts of the answers.
 BREAK_RATIO = 0.12
@@ -84,7 +84,7 @@
 
 def draw_plan(rng: Random, request: Request, framings: Sequence[Framing]) -> AnswerPlan:
     """Return a random plan for a stream; some resumed ones start again from an earlier event."""
-    last = int(request.target.split("/")[2])
+    last = WantedStream.parse(request.target).last
     first = int(request.headers.get("last-event-id", "0")) + 1
     if first > 1 and rng.random() < RESTART_RATIO:
         first = rng.choice((1, rng.randint(1, first)))
@@ -102,11 +102,6 @@
     )
 
 
-def encode_event(number: int, names: str) -> bytes:
-    """Return one event; `names` tells its replica, software, run and stream."""
-    return f"id: {number}\ndata: {names} {number}".encode().ljust(EVENT_BYTES, b".") + b"\n\n"
-
-
 def cut_randomly(rng: Random, data: bytes, max_parts: int) -> Iterator[bytes]:
     """Yield the data in parts, cut at random bytes."""
     cuts = sorted(rng.randrange(len(data) + 1) for _ in range(rng.randint(0, max_parts - 1)))
@@ -248,7 +243,9 @@
         self._plan = plan
         self._rng = rng
         self._request = request
-        self._names = f"{names} {request.target.split('/')[3]}"
+        wanted = WantedStream.parse(request.target)
+        self._names = f"{names} {wanted.name}"
+        self._event_bytes = wanted.event_bytes
         self.last_sent = plan.first - 1
 
     def send(self, make_head) -> None:
@@ -266,6 +263,10 @@
         if plan.framing is Framing.CHUNKED:
             self._write_in_parts(b"0\r\n\r\n")
 
+    def _event(self, number: int) -> bytes:
+        """Return one event."""
+        return encode_event(number, self._names, self._event_bytes)
+
     def _framing_fields(self) -> list[str]:
         """Return the header fields that frame the body."""
         framing = self._plan.framing
@@ -273,7 +274,7 @@
             return ["transfer-encoding: chunked"]
         if framing in (Framing.LENGTH, Framing.HTTP_1_0_LENGTH):
             numbers = range(self._plan.first, self._plan.last + 1)
-            size = sum(len(encode_event(number, self._names)) for number in numbers)
+            size = sum(len(self._event(number)) for number in numbers)
             return [f"content-length: {size}"]
         return ["connection: close"] if framing is Framing.CONNECTION else []
 
@@ -287,7 +288,7 @@
         time.sleep(PACE_S * max(1, end - first))
         if rng.random() < PAUSE_RATIO:
             time.sleep(rng.uniform(*PAUSE_S))
-        data = b"".join(encode_event(number, self._names) for number in range(first, end))
+        data = b"".join(self._event(number) for number in range(first, end))
         if data:
             self._write_body(data)
         self.last_sent = end - 1
@@ -298,7 +299,7 @@
     def _break_off(self, number: int) -> None:
         """End the connection, after a part of the next event if the plan says so."""
         if self._plan.breaks_within:
-            event = encode_event(number, self._names)
+            event = self._event(number)
             self._write_body(event[: self._rng.randrange(1, len(event))])
             self._wire.cut_ending = None
         self._wire.end(self._plan.ending)
