Kill most or all routers at the same moment in the soak of streams

Cause: the soak killed one router at a time, so some router always remembered where a stream began. Change: herd_kill, one of the default faults, kills 6 in 10 or all of the routers that have no other fault, and starts them again.

--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -7,7 +7,7 @@
 import trio
 
 from soak.checker import Checker
-from soak.faults import Faults
+from soak.faults import RESTART_DELAY_S, Faults
 from soak.stream_world import STREAM_SERVICE, ReplicaProcess, StreamWorld
 
 # A replica's entry follows its start by up to this.
@@ -15,6 +15,8 @@
 DOWN_S = (0.0, 1.5)
 DRAIN_S = (0.2, 2.0)
 RELEASE_PAUSE_S = (0.1, 1.0)
+# Parts of the routers that one herd kill ends.
+HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
 
 
@@ -46,6 +48,7 @@
             self.store_forgets,
             self.router_pause,
             self.router_kill,
+            self.herd_kill,
             self.router_stop,
             self.router_stops_in_series,
         ]
@@ -137,6 +140,19 @@
 
     # Routers.
 
+    async def herd_kill(self) -> None:
+        """Kill most or all routers at the same moment and start them again."""
+        free = [item for item in self._world.routers if item.name not in self._busy]
+        ratio = self._rng.choice(HERD_RATIOS)
+        chosen = self._rng.sample(free, round(ratio * len(free)))
+        for router in chosen:
+            self._busy.add(router.name)
+            router.process.kill()
+        await trio.sleep(RESTART_DELAY_S)
+        for router in chosen:
+            await self._world.restart_router(router)
+            self._busy.discard(router.name)
+
     async def watch_routers(self) -> None:
         """Report each router that ends by itself, and start it again."""
         while True:
