Let replicas of the soak of streams send what nobody asked for

Cause: the replicas' answers ended where they should, so no connection brought bytes after an answer, or a second one. The history of a request names them. Ruled out: extras after answers that their connection ends, where nothing tells them from the body.

--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -134,7 +134,8 @@
 class ReplicaRun:
     """One run of a request, as its replica logged it; the fields with defaults are of streams.
 
-    `asked_after` is the event after which the router wanted it, `first` where it began.
+    `asked_after` is the event after which the router wanted it, `first` where it began, and `extra`
+    what the replica sent after the answer although nobody asked for it.
     """
 
     run: str
@@ -148,6 +149,7 @@
     body_unread: bool = False
     ended: str = "killed"
     last_sent: int | None = None
+    extra: str = "nothing"
 
     def describe(self) -> str:
         """Return the run as text."""
@@ -155,7 +157,7 @@
         return (
             f"run {self.run} {self.software} asked after {self.asked_after}, began at "
             f"{self.first}, framing {self.framing}, plan {self.plan}{body}, "
-            f"last sent {self.last_sent}, ended: {self.ended}"
+            f"last sent {self.last_sent}, ended: {self.ended}, followed by {self.extra}"
         )
 
 
@@ -178,6 +180,8 @@
         name = fields["run"]
         if "attempt" in fields:
             runs[name] = make_run(fields)
+        elif "extra" in fields:
+            runs[name].extra = fields["extra"]
         elif name in runs:
             runs[name].ended, runs[name].last_sent = fields["ended"], fields["last_sent"]
     return list(runs.values())
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -22,6 +22,7 @@
 from random import Random
 
 from standins.stream_events import WantedStream, encode_event
+from standins.stream_extras import Extras, draw_ratio
 from standins.stream_wire import ConnectionCuts, ConnectionEnded, Ending, Request, Wire
 
 HOST = "127.0.0.1"
@@ -130,7 +131,9 @@
         self._log = os.open(log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         self._framings = framings
         self._unframed_cut = unframed_cut
+        self._extra_ratio = draw_ratio(Random(f"{seed} {name} extras"))
         self._run_count = 0
+        self._connection_count = 0
         self._lock = threading.Lock()
         self._cuts = ConnectionCuts()
 
@@ -151,11 +154,18 @@
             run = f"{self.name}.{self._start}.{self._run_count}"
         return run, Random(f"{self._seed} {run}")
 
+    def _next_rng(self) -> Random:
+        """Return the random numbers of a new connection."""
+        with self._lock:
+            self._connection_count += 1
+            return Random(f"{self._seed} connection {self._connection_count}")
+
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection until it ends."""
         wire = Wire(sock, self._cuts)
+        extras = Extras(wire, self._next_rng(), self._extra_ratio)
         try:
-            while self._serve_one(wire):
+            while self._serve_one(wire, extras):
                 pass
         except (ConnectionEnded, OSError):
             # The router has gone, or this replica has broken off.
@@ -163,9 +173,10 @@
         finally:
             wire.close()
 
-    def _serve_one(self, wire: Wire) -> bool:
+    def _serve_one(self, wire: Wire, extras: Extras) -> bool:
         """Serve one request; return whether the connection can carry another."""
         request = wire.read_head()
+        extras.precede_answer()
         if request.target == STATUS_PATH:
             body = b'{"born":%d}' % self._start
             wire.write(self._head(request, "200 OK", f"content-length: {len(body)}") + body)
@@ -174,9 +185,14 @@
             wire.read_body(request.body_bytes)
             wire.write(self._head(request, "421 Misdirected Request", "content-length: 0"))
             return True
-        if request.is_stream:
-            return self._serve_stream(wire, request)
-        return self._serve_plain(wire, request)
+        run, rng = self._next_run()
+        serve = self._serve_stream if request.is_stream else self._serve_plain
+        goes_on = serve(wire, request, run, rng)
+        extra = extras.draw() if goes_on else None
+        if extra is not None:
+            self.write_log(run=run, extra=extra.describe())
+            extras.send(extra)
+        return goes_on
 
     def _head(self, request: Request, status: str, *fields: str, version: str = "1.1") -> bytes:
         """Return the head of an answer."""
@@ -189,9 +205,8 @@
         ]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
-    def _serve_plain(self, wire: Wire, request: Request) -> bool:
+    def _serve_plain(self, wire: Wire, request: Request, run: str, rng: Random) -> bool:
         """Serve a request with a single answer, which some break off before."""
-        run, rng = self._next_run()
         wire.read_body(request.body_bytes)
         self.write_log(run=run, attempt=request.attempt, target=request.target)
         time.sleep(rng.uniform(*PLAIN_RUN_S))
@@ -203,9 +218,8 @@
             wire.write(part)
         return True
 
-    def _serve_stream(self, wire: Wire, request: Request) -> bool:
+    def _serve_stream(self, wire: Wire, request: Request, run: str, rng: Random) -> bool:
         """Serve a stream by a random plan, and log how far it came."""
-        run, rng = self._next_run()
         plan = draw_plan(rng, request, self._framings)
         if not plan.leaves_body:
             wire.read_body(request.body_bytes)
--- a/standins/stream_wire.py
+++ b/standins/stream_wire.py
@@ -65,6 +65,7 @@
         self._cuts_seen = cuts.count
         # How it is ended in place of what is asked for, if set.
         self.cut_ending: Ending | None = None
+        self._written: list[bytes] = []
         sock.settimeout(IDLE_POLL_S)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
@@ -104,6 +105,7 @@
         head = self._receive(seen.index(HEAD_END) + len(HEAD_END)).decode("latin-1")
         start, *lines = head.split("\r\n")
         method, target, _ = start.split(" ")
+        self._written.clear()
         fields = (line.partition(":") for line in lines if line)
         return Request(method, target, {name.lower(): text.strip() for name, _, text in fields})
 
@@ -112,8 +114,13 @@
         while size > 0:
             size -= len(self._receive(min(size, READ_BYTES)))
 
+    def last_answer(self) -> bytes:
+        """Return all bytes that were written since the last request."""
+        return b"".join(self._written)
+
     def write(self, data: bytes) -> None:
         """Write bytes, however slowly the router reads them."""
+        self._written.append(data)
         rest = memoryview(data)
         while rest:
             self.check_cut()
