Compare in the soak what routers decide about one stream

Cause: routers with different views of store and peers may answer differently for one stream; the soak saw that only if a caller received events of two versions. Change: 4 in 10 callers take a stream up at two routers at the same moment, and a check compares what the routers' logs say about one stream. Two versions contradict each other at any time. A router that goes on contradicts one that refuses within 100 ms as the first replica named no version. A refusal for lack of knowledge (unknown, ambiguous, outdated) contradicts nothing, and none is compared while an earlier try goes on, since its router may just have learnt more. A table in features/soak_streams.feature plays twelve pairs. Ruled out: judging by the events that callers receive, which shows nothing where the guess of a router is right by chance.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -45,6 +45,28 @@
       | shorter | 54    |
       | longer  | 56    |
 
+  # Guards against routers of which one goes on with a stream at a version, while another goes on at
+  # another version or knows that none is certain (issue 43).
+  Scenario Outline: The checker compares the decisions of two routers, <first> and <second>, <gap> ms
+    Given a try of a stream that <state>
+    When n1 decides "<first>" about it, and n2 "<second>" <gap> ms later
+    Then the decisions <verdict>
+
+    Examples:
+      | first                    | second                      | gap  | state     | verdict               |
+      | known_here v1            | assigned v1                 | 0    | has ended | agree                 |
+      | assigned v1              | known_to_another_router v2  | 0    | has ended | contradict each other |
+      | assigned v1              | assigned v2                 | 5000 | goes on   | contradict each other |
+      | replica_named_no_version | assigned v1                 | 0    | has ended | contradict each other |
+      | known_here v1            | replica_named_no_version    | 90   | has ended | contradict each other |
+      | known_here v1            | replica_named_no_version    | 200  | has ended | agree                 |
+      | replica_named_no_version | assigned v1                 | 200  | has ended | agree                 |
+      | replica_named_no_version | assigned v1                 | 0    | goes on   | agree                 |
+      | replica_named_no_version | replica_named_no_version    | 0    | has ended | agree                 |
+      | version_unknown          | assigned v1                 | 0    | has ended | agree                 |
+      | version_ambiguous        | known_here v1               | 0    | has ended | agree                 |
+      | releases_outdated        | known_to_another_router v1  | 0    | has ended | agree                 |
+
   Scenario Outline: A caller that begins a stream again counts nothing of the try that it left, <arriving>
     When a caller begins a stream again while <arriving> of "v1" arrives
     Then only the events of its last try count
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -154,6 +154,8 @@
                         break
                     await self._pause()
                     await self._start_try(nursery)
+                    if self._takes_up_twice():
+                        await self._start_try(nursery)
                 elif self._seems_slow():
                     await self._start_try(nursery)
             nursery.cancel_scope.cancel()
@@ -183,6 +185,12 @@
             return False
         return self._may_retry()
 
+    def _takes_up_twice(self) -> bool:
+        """Return whether to take the stream up at two routers at the same moment."""
+        if not self._habits.takes_up_twice or not self._call.kind.repeatable:
+            return False
+        return self._call.held() > 0
+
     async def _pause(self) -> None:
         """Wait before the next try, at least as long as a refusal asked for."""
         asked_s = min(self._call.tries[-1].retry_after_s, MAX_RETRY_AFTER_S)
@@ -289,6 +297,7 @@
     def _record_head(self, item: Try, event: h11.Response) -> None:
         """Record the head of the response."""
         item.status = event.status_code
+        item.answered_ms = now_ms()
         text = dict(event.headers).get(b"retry-after", b"0").decode()
         item.retry_after_s = float(text)
 
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
@@ -74,6 +75,7 @@
     status: int = 0
     end: TryEnd = TryEnd.OPEN
     started_ms: int = 0
+    answered_ms: int = 0
     ended_ms: int = 0
     retry_after_s: float = 0.0
     dropped: bool = False
@@ -211,9 +213,9 @@
         for run in runs:
             self._runs[run.attempt].append(run)
 
-    def check(self, call: SentCall) -> None:
-        """Check one request."""
-        found = self._check_runs(call)
+    def check(self, call: SentCall, more: Sequence[str] = ()) -> None:
+        """Check one request; `more` is what else was found wrong with it."""
+        found = [*more, *self._check_runs(call)]
         if call.kind.is_stream:
             found += check_events(call)
         else:
--- a/soak/stream_habits.py
+++ b/soak/stream_habits.py
@@ -39,6 +39,7 @@
     reads_slowly: bool = False
     overlaps: bool = False
     leaves_old_tries: bool = False
+    takes_up_twice: bool = False
     pauses: bool = False
     large_ratio: float = 0.0
 
@@ -51,6 +52,7 @@
             reads_slowly=rng.random() < 0.2,
             overlaps=rng.random() < 0.6,
             leaves_old_tries=rng.random() < 0.5,
+            takes_up_twice=rng.random() < 0.4,
             pauses=pauses,
             large_ratio=mix.large_if_pausing if pauses else mix.large_if_not,
         )
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
@@ -168,6 +169,12 @@
         text = self.replica_log.read_text() if self.replica_log.exists() else ""
         return text.splitlines()
 
+    def router_log_lines(self) -> Iterator[str]:
+        """Yield the lines that the routers have logged."""
+        for router in self.routers:
+            with router.log.open(errors="replace") as log:
+                yield from log
+
     def stop(self) -> None:
         """Kill all processes that this world started."""
         super().stop()
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -14,6 +14,7 @@
 from soak.proxy import LoopbackProxy
 from soak.stream_callers import Caller
 from soak.stream_checker import STATUS_OK, Kind, SentCall, StreamChecker, TryEnd, parse_runs
+from soak.stream_decisions import check_decisions, parse_decisions
 from soak.stream_faults import StreamFaults
 from soak.stream_habits import HEAVY_MIX, LoadMix
 from soak.stream_world import ReplicaPath, StreamWorld, write_lines
@@ -148,8 +149,9 @@
     def _check(self) -> Result:
         """Check all requests."""
         checker = StreamChecker(parse_runs(self._world.log_lines()))
+        decisions = parse_decisions(self._world.router_log_lines())
         for call in self._calls:
-            checker.check(call)
+            checker.check(call, check_decisions(call, decisions))
         violations = self._checker.violations + checker.violations
         return Result(self._calls, self._checker.counts, violations)
 
