Start replicas of two services at each other's address in the soak

Cause: no address of the soak ever went to a replica of another service. Change: replica_addresses_swap, one of the default faults, kills a replica of each service and starts each at the address of the other; the entries follow up to a second later. The checker reports a request that ran at another service; a row of its table shows that. Ruled out: replicas behind the proxy, whose address stays the proxy's.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -28,6 +28,7 @@
       | versions joined within a try       | /chat/   | 0 1-3/v1/a.1.1,4-6/v2/b.1.1 complete                     | joined versions v1, v2        |
       | versions joined over tries         | /chat/   | 0 1-3/v1/a.1.1 reset; 3 4-6/v2/b.1.1 complete            | joined versions v1, v2        |
       | a stream that ran again            | /once/   | 0 1-3/v1/a.1.1,4-6/v1/b.1.1 complete                     | ran 2 times and may run once  |
+      | a run at another service           | /chat/   | 0 1-6/v1/till-2.1.1 complete                             | ran at another service        |
       | a third run                        | /chat/   | 0 1-2/v1/a.1.1,3-4/v1/b.1.1,5-6/v1/c.1.1 complete        | ran 3 times within one try    |
       | a refusal of what ran              | /redeem/ | 0 :t1/a.1.1 complete 503                                 | status 503 for t1, which ran  |
       | the answer to another request      | /check/  | 0 :t9/a.1.1 complete                                     | not its own answer            |
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -21,6 +21,11 @@
     return events
 
 
+def make_run(name: str, attempt: str) -> ReplicaRun:
+    """Return the run of an attempt with the name REPLICA.START.COUNT."""
+    return ReplicaRun(name, attempt, name.partition(".")[0])
+
+
 def make_try(number: int, text: str, request: str) -> tuple[Try, list[ReplicaRun]]:
     """Return a try written as AFTER EVENTS END [STATUS], and its runs.
 
@@ -34,10 +39,10 @@
     if received.startswith(":"):
         answer, run = received.split("/")
         item.receive(answer.encode(), is_stream=False)
-        return item, [ReplicaRun(run, item.attempt, "a")]
+        return item, [make_run(run, item.attempt)]
     item.events = make_events(received, request)
     names = sorted({event.run for event in item.events})
-    return item, [ReplicaRun(name, item.attempt, name[0]) for name in names]
+    return item, [make_run(name, item.attempt) for name in names]
 
 
 @when('a caller of "{kind}" with {last:d} events makes the tries "{tries}"')
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -14,6 +14,8 @@
 STATUS_OK = 200
 # Replicas that may run one try of a resumable stream or an idempotent request.
 MAX_RUNS = 2
+# The services; the name of a replica begins with its service.
+STREAM_SERVICE, PLAIN_SERVICE = "lm", "till"
 SHOWN_BYTES = 200
 
 
@@ -31,6 +33,11 @@
         """Return whether the answer is a stream of events."""
         return self in (Kind.STREAM, Kind.ONCE, Kind.BRIEF)
 
+    @property
+    def service(self) -> str:
+        """Return the service that serves it."""
+        return STREAM_SERVICE if self.is_stream else PLAIN_SERVICE
+
     @property
     def repeatable(self) -> bool:
         """Return whether the request may run more than once."""
@@ -153,6 +160,12 @@
     last_sent: int | None = None
     extra: str = "nothing"
 
+    @property
+    def service(self) -> str:
+        """Return the service that the replica's name begins with, empty if with none."""
+        service, dash, _ = self.replica.partition("-")
+        return service if dash else ""
+
     def describe(self) -> str:
         """Return the run as text."""
         body = ", body unread" if self.body_unread else ""
@@ -231,6 +244,9 @@
             found.append(f"ran {sum(counts.values())} times and may run once")
         if max(counts.values(), default=0) > MAX_RUNS:
             found.append(f"ran {max(counts.values())} times within one try")
+        runs = [run for item in call.tries for run in self._runs[item.attempt]]
+        if any(run.service not in ("", call.kind.service) for run in runs):
+            found.append("ran at another service")
         for item in call.tries:
             if item.status in NOT_RUN_STATUSES and counts[item.attempt]:
                 found.append(f"status {item.status} for {item.attempt}, which ran")
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -2,13 +2,15 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from itertools import combinations
 from random import Random
 
 import trio
 
 from soak.checker import Checker
 from soak.faults import RESTART_DELAY_S, Faults
-from soak.stream_world import STREAM_SERVICE, ReplicaProcess, StreamWorld
+from soak.stream_checker import STREAM_SERVICE
+from soak.stream_world import ReplicaPath, ReplicaProcess, StreamWorld
 
 # A replica's entry follows its start by up to this.
 ENTRY_DELAY_S = 1.0
@@ -41,6 +43,7 @@
             self.replica_pause,
             self.replica_cut,
             self.replica_other_version,
+            self.replica_addresses_swap,
             self.release,
             self.store_path,
             self.store_status,
@@ -80,6 +83,32 @@
             software = f"v{self._rng.randint(1, self._release_count + 1)}"
             await self._restart(replica, software, signal.SIGKILL)
 
+    async def replica_addresses_swap(self) -> None:
+        """Kill a replica of each service, and start each at the address of the other one."""
+        pair = self._choose_free_pair()
+        if pair is None:
+            return
+        for replica in pair:
+            self._busy.add(replica.name)
+            replica.process.kill()
+        for replica in pair:
+            await trio.to_thread.run_sync(replica.process.wait)
+        self._replica_world.swap_addresses(*pair)
+        async with trio.open_nursery() as nursery:
+            for replica in pair:
+                nursery.start_soon(self._restart, replica, replica.software, signal.SIGKILL)
+
+    def _choose_free_pair(self) -> tuple[ReplicaProcess, ReplicaProcess] | None:
+        """Return two replicas of different services that routers reach in the same way, if any."""
+        replicas = self._replica_world.replica_processes.values()
+        free = [item for item in replicas if item.name not in self._busy]
+        pairs = [
+            (one, other)
+            for one, other in combinations(free, 2)
+            if one.service != other.service and one.path is other.path is not ReplicaPath.PROXY
+        ]
+        return self._rng.choice(pairs) if pairs else None
+
     async def replica_pause(self) -> None:
         """Suspend a replica's process for a random duration."""
         replica = self._choose_free_replica()
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -14,7 +14,7 @@
 
 from soak.proxy import LoopbackProxy
 from soak.stream_callers import DEADLINES_MS
-from soak.stream_checker import Kind
+from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
 from standins.entry_world import ROOT, EntryWorld, free_port
 from standins.platform_world import HOST, ROUTE_DEFAULTS
 from standins.stream_replica import Framing, open_listener
@@ -24,8 +24,6 @@
 REPLICA_START_POLLS = 500
 # One replica of so many serves single answers, the others streams.
 REPLICAS_PER_PLAIN = 3
-# The services, each with the kinds of request that go to it.
-STREAM_SERVICE, PLAIN_SERVICE = "lm", "till"
 ROUTE_FIELDS = {
     Kind.STREAM: {"route_type": "streaming", "stream_resume": True, "max_attempts": 2},
     Kind.ONCE: {"route_type": "streaming", "stream_resume": False, "max_attempts": 1},
@@ -58,7 +56,7 @@
             **ROUTE_DEFAULTS,
             "name": kind.value,
             "prefix": kind.value,
-            "service": STREAM_SERVICE if kind.is_stream else PLAIN_SERVICE,
+            "service": kind.service,
             "timeout_ms": DEADLINES_MS[kind],
             **fields,
         }
@@ -75,6 +73,7 @@
 
     name: str
     service: str
+    path: ReplicaPath
     port: int
     listener: socket.socket | None
     software: str = FIRST_VERSION
@@ -115,7 +114,7 @@
         path = rng.choices(self.replica_paths, weights)[0]
         name, port = f"{service}-{number}-{path.value}", free_port()
         listener = open_listener(port) if path is ReplicaPath.KEPT else None
-        replica = ReplicaProcess(name, service, port, listener)
+        replica = ReplicaProcess(name, service, path, port, listener)
         self.replica_processes[name], self.ports[name] = replica, port
         if path is ReplicaPath.PROXY:
             proxy = LoopbackProxy(port, passes_resets=True)
@@ -125,6 +124,13 @@
         await self.wait_listening(replica)
         self.write_entry(replica)
 
+    def swap_addresses(self, one: ReplicaProcess, other: ReplicaProcess) -> None:
+        """Let two replicas that do not run start at each other's address next."""
+        one.port, other.port = other.port, one.port
+        one.listener, other.listener = other.listener, one.listener
+        for replica in (one, other):
+            self.ports[replica.name] = replica.port
+
     def start_replica_process(self, replica: ReplicaProcess) -> None:
         """Start the process of a replica at its port."""
         replica.start_count += 1
