Change the configuration during the soak of streams

Cause: the routes were written once, before the load. Ruled out: time-outs, tries and resumption of the routes, which change what a caller may be answered.

--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -20,6 +20,13 @@
 # Parts of the routers that one herd kill ends.
 HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
+CONFIG_STEP_S = (0.0, 0.6)
+# Fields of all routes that a change of the configuration sets.
+CONFIG_CHANGES = {
+    "goal_ms": (100, 500, 3000),
+    "priority": (1, 2, 5),
+    "session_affinity": (True, False),
+}
 
 
 class StreamFaults(Faults):
@@ -45,6 +52,7 @@
             self.replica_other_version,
             self.replica_addresses_swap,
             self.release,
+            self.config_change,
             self.store_path,
             self.store_status,
             self.store_loses,
@@ -167,6 +175,15 @@
             world.write_entry(replica)
         self._busy.discard(replica.name)
 
+    # The operator.
+
+    async def config_change(self) -> None:
+        """Change the configuration a few times, in what must not change any answer."""
+        for _ in range(self._rng.randint(1, 3)):
+            changes = {name: self._rng.choice(values) for name, values in CONFIG_CHANGES.items()}
+            self._replica_world.write_routes(changes)
+            await trio.sleep(self._rng.uniform(*CONFIG_STEP_S))
+
     # Routers.
 
     async def herd_kill(self) -> None:
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -9,6 +9,7 @@
 from enum import Enum
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import trio
 
@@ -49,11 +50,12 @@
 PATH_WEIGHTS = {ReplicaPath.OWN: 3, ReplicaPath.KEPT: 4, ReplicaPath.PROXY: 2}
 
 
-def make_routes() -> list[dict]:
-    """Return the routes of the operator's configuration."""
+def make_routes(changes: dict[str, Any] | None = None) -> list[dict]:
+    """Return the routes of the operator's configuration, with `changes` in all of them."""
     return [
         {
             **ROUTE_DEFAULTS,
+            **(changes or {}),
             "name": kind.value,
             "prefix": kind.value,
             "service": kind.service,
@@ -98,9 +100,9 @@
         self.framings = tuple(Framing)
         self.unframed_cut = Ending.RESET
 
-    def write_routes(self) -> None:
-        """Write the configuration to the store."""
-        self.write_plan({"routes": make_routes()})
+    def write_routes(self, changes: dict[str, Any] | None = None) -> None:
+        """Write the next version of the configuration, with `changes` in all routes."""
+        self.write_plan({"routes": make_routes(changes)})
 
     @property
     def replica_log(self) -> Path:
