Take zones out and put them back in the soak of streams

Cause: all routers and replicas of the soak were in one zone, which was never out. Ruled out: both zones out at once, when every refusal is right.

--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -10,7 +10,7 @@
 from soak.checker import Checker
 from soak.faults import RESTART_DELAY_S, Faults
 from soak.stream_checker import STREAM_SERVICE
-from soak.stream_world import ReplicaPath, ReplicaProcess, StreamWorld
+from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
 
 # A replica's entry follows its start by up to this.
 ENTRY_DELAY_S = 1.0
@@ -37,6 +37,7 @@
         self._replica_world = world
         self.replica_proxies = world.replica_proxies
         self._release_count = 1
+        self._zone_is_out = False
         # Set when no fault follows; a release in progress then stops.
         self.ending = False
 
@@ -53,6 +54,7 @@
             self.replica_addresses_swap,
             self.release,
             self.config_change,
+            self.zone_out,
             self.store_path,
             self.store_status,
             self.store_loses,
@@ -184,6 +186,19 @@
             self._replica_world.write_routes(changes)
             await trio.sleep(self._rng.uniform(*CONFIG_STEP_S))
 
+    async def zone_out(self) -> None:
+        """Take one zone out for a random duration and put it back, some twice in series."""
+        if self._zone_is_out:
+            return
+        self._zone_is_out = True
+        zone = self._rng.choice(ZONES)
+        for _ in range(self._rng.choice((1, 1, 2))):
+            self._replica_world.write_evacuation(zone, active=True)
+            await self.wait_fault_duration()
+            self._replica_world.write_evacuation(zone, active=False)
+            await trio.sleep(self._rng.uniform(*CONFIG_STEP_S))
+        self._zone_is_out = False
+
     # Routers.
 
     async def herd_kill(self) -> None:
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -33,6 +33,7 @@
     Kind.IDEMPOTENT: {"route_type": "idempotent", "max_attempts": 2},
 }
 FIRST_VERSION = "v1"
+ZONES = ("za", "zb")
 
 
 class ReplicaPath(Enum):
@@ -75,6 +76,7 @@
 
     name: str
     service: str
+    zone: str
     path: ReplicaPath
     port: int
     listener: socket.socket | None
@@ -115,8 +117,9 @@
         weights = [PATH_WEIGHTS[path] for path in self.replica_paths]
         path = rng.choices(self.replica_paths, weights)[0]
         name, port = f"{service}-{number}-{path.value}", free_port()
+        zone = ZONES[number // REPLICAS_PER_PLAIN % len(ZONES)]
         listener = open_listener(port) if path is ReplicaPath.KEPT else None
-        replica = ReplicaProcess(name, service, path, port, listener)
+        replica = ReplicaProcess(name, service, zone, path, port, listener)
         self.replica_processes[name], self.ports[name] = replica, port
         if path is ReplicaPath.PROXY:
             proxy = LoopbackProxy(port, passes_resets=True)
@@ -167,11 +170,16 @@
         self.register_replica(
             replica.name,
             replica.service,
+            replica.zone,
             born=replica.start_count,
             version=replica.software,
             state=state,
         )
 
+    def write_evacuation(self, zone: str, active: bool) -> None:
+        """Take a zone out, or put it back."""
+        self.store.write("op", f"evacuate/{zone}", b"{}" if active else None)
+
     def log_lines(self) -> list[str]:
         """Return the lines that the replicas have logged."""
         text = self.replica_log.read_text() if self.replica_log.exists() else ""
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -17,7 +17,7 @@
 from soak.stream_decisions import check_decisions, parse_decisions
 from soak.stream_faults import StreamFaults
 from soak.stream_habits import HEAVY_MIX, LoadMix
-from soak.stream_world import ReplicaPath, StreamWorld, write_lines
+from soak.stream_world import ZONES, ReplicaPath, StreamWorld, write_lines
 from standins.entry_world import free_port
 from standins.stream_replica import Framing
 from standins.stream_wire import Ending
@@ -130,6 +130,7 @@
             port = await world.listen(f"proxy-store-endpoint-{number}", proxy.serve)
             world.store_endpoints[number] = (world.store_endpoints[number][0], port)
             self._faults.store_proxies.append(proxy)
+            world.extra_settings["zone"] = ZONES[number % len(ZONES)]
             world.launch_router(f"n{number}", store_endpoint_index=number, peer_port=free_port())
         for router in world.routers:
             await world.wait_ready(router)
