Let routers reread their settings in the soak of streams

Cause: the soak of streams sent routers no SIGHUP, and no signals during a shutdown. Change: router_reloads and router_stop_signals are default faults there, with up to two signals in each series, so that a short run stays short; the soak of requests keeps six. A reload waits until a router that was just started receives signals, and a router that never does is a violation as in router_start_reloads. Ruled out: reloads before the interpreter handles signals, which is known and listed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,6 +25,8 @@
 class Faults:
     """Injects faults; the seed of `rng` determines their parameters."""
 
+    max_signals = MAX_SIGNALS
+
     def __init__(self, world: EntryWorld, rng: Random, checker: Checker):
         self._world = world
         self._rng = rng
@@ -200,6 +202,7 @@
         if router is None:
             return
         self._busy.add(router.name)
+        await self._wait_until_signals_are_received(router)
         text = router.settings.read_text()
         for content in (text, "", text):
             router.settings.write_text(content)
@@ -222,7 +225,7 @@
 
     def _draw_signals(self, choices: tuple[signal.Signals, ...]) -> list[signal.Signals]:
         """Return a random series of signals."""
-        return self._rng.choices(choices, k=self._rng.randint(1, MAX_SIGNALS))
+        return self._rng.choices(choices, k=self._rng.randint(1, self.max_signals))
 
     async def _send_signals(self, router: RouterProcess, numbers: list[signal.Signals]) -> None:
         """Send signals at short random intervals, as long as the process runs."""
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -32,6 +32,8 @@
 class StreamFaults(Faults):
     """Injects faults; replicas are processes, and routers are watched."""
 
+    max_signals = 2
+
     def __init__(self, world: StreamWorld, rng: Random, checker: Checker):
         super().__init__(world, rng, checker)
         self._replica_world = world
@@ -64,6 +66,8 @@
             self.herd_kill,
             self.router_stop,
             self.router_stops_in_series,
+            self.router_stop_signals,
+            self.router_reloads,
         ]
 
     # Replicas.
