Freeze the open connections of a link in the soak of streams

Cause: the proxy cut or delayed all connections of a link alike; a link whose open connections go silent while new ones work was not played. Ruled out: letting resets through, by which a router would learn of the end.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -35,6 +35,7 @@
     port: int = 0
     passes_resets: bool = False
     _connections: set[trio.SocketStream] = field(default_factory=set)
+    _frozen: set[trio.SocketStream] = field(default_factory=set)
     _changed: trio.Event = field(default_factory=trio.Event)
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -51,6 +52,7 @@
                 nursery.start_soon(self._forward, other, stream, Mode.HOLD_FROM_TARGET, nursery)
         finally:
             self._connections -= {stream, other}
+            self._frozen -= {stream, other}
             stream.socket.close()
             other.socket.close()
 
@@ -58,23 +60,47 @@
         """Forward one direction; `cut_mode` is the mode that holds it back."""
         try:
             while data := await source.receive_some(READ_BYTES):
-                while self.mode in (Mode.HOLD_BOTH, cut_mode):
+                while self._holds(source, cut_mode):
                     await self._changed.wait()
                 await trio.sleep(self.delay_ms / MS_PER_SECOND)
                 await sink.send_all(data)
+            await self._wait_thawed(source)
             await sink.send_eof()
             if cut_mode is Mode.HOLD_FROM_TARGET:
                 # The server has ended its direction, so it accepts no further requests.
                 nursery.cancel_scope.cancel()
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            await self._wait_thawed(source)
             if self.passes_resets:
                 _reset_on_close(source)
                 _reset_on_close(sink)
             nursery.cancel_scope.cancel()
 
+    def _holds(self, source: trio.SocketStream, cut_mode: Mode) -> bool:
+        """Return whether the data of one direction of a connection is held back."""
+        return self.mode in (Mode.HOLD_BOTH, cut_mode) or source in self._frozen
+
+    async def _wait_thawed(self, source: trio.SocketStream) -> None:
+        """Wait while a connection is frozen, so that its end does not get through either."""
+        while source in self._frozen:
+            await self._changed.wait()
+
     def set_mode(self, mode: Mode) -> None:
         """Set the mode; data that was held back is sent once its direction is forwarded again."""
         self.mode = mode
+        self._notify()
+
+    def freeze(self) -> None:
+        """Hold back both directions of the open connections; new ones are forwarded."""
+        self._frozen |= self._connections
+
+    def thaw(self) -> None:
+        """Send what the frozen connections held back."""
+        self._frozen.clear()
+        self._notify()
+
+    def _notify(self) -> None:
+        """Let all connections see what has changed."""
         self._changed.set()
         self._changed = trio.Event()
 
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -9,6 +9,7 @@
 
 from soak.checker import Checker
 from soak.faults import RESTART_DELAY_S, Faults
+from soak.proxy import LoopbackProxy
 from soak.stream_checker import STREAM_SERVICE
 from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
 
@@ -45,9 +46,9 @@
 
     def kinds(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the functions that inject one fault each."""
-        path_faults = [self.replica_path, self.replica_reset] if self.replica_proxies else []
+        path_faults = [self.replica_path, self.replica_reset, self.replica_freeze]
         return [
-            *path_faults,
+            *(path_faults if self.replica_proxies else []),
             self.replica_kill,
             self.replica_kill,
             self.replica_pause,
@@ -58,6 +59,7 @@
             self.config_change,
             self.zone_out,
             self.store_path,
+            self.store_freeze,
             self.store_status,
             self.store_loses,
             self.store_forgets,
@@ -181,6 +183,24 @@
             world.write_entry(replica)
         self._busy.discard(replica.name)
 
+    # Network paths.
+
+    async def replica_freeze(self) -> None:
+        """Freeze the open connections to a replica."""
+        await self._freeze(self._rng.choice(list(self.replica_proxies.values())))
+
+    async def store_freeze(self) -> None:
+        """Freeze the open connections of one router to the store."""
+        await self._freeze(self._rng.choice(self.store_proxies))
+
+    async def _freeze(self, proxy: LoopbackProxy) -> None:
+        """Freeze the open connections of a path, then let them go on or close them."""
+        proxy.freeze()
+        await self.wait_fault_duration()
+        if self._rng.random() < 0.5:
+            proxy.reset()
+        proxy.thaw()
+
     # The operator.
 
     async def config_change(self) -> None:
