--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -1,6 +1,8 @@
 """The faults of the soak of streams: signals to routers and replicas, cut links, releases."""
 
 import signal
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
 from itertools import combinations
 from random import Random
@@ -12,6 +14,7 @@
 from soak.proxy import LoopbackProxy
 from soak.stream_checker import STREAM_SERVICE
 from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
+from standins.entry_world import ROOT
 
 # A replica's entry follows its start by up to this.
 ENTRY_DELAY_S = 1.0
@@ -22,6 +25,7 @@
 HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
 CONFIG_STEP_S = (0.0, 0.6)
+MAX_BUSY_PROCESSES = 3
 # Fields of all routes that a change of the configuration sets.
 CONFIG_CHANGES = {
     "goal_ms": (100, 500, 3000),
@@ -41,6 +45,7 @@
         self.replica_proxies = world.replica_proxies
         self._release_count = 1
         self._zone_is_out = False
+        self._machine_is_busy = False
         # Set when no fault follows; a release in progress then stops.
         self.ending = False
 
@@ -58,6 +63,7 @@
             self.release,
             self.config_change,
             self.zone_out,
+            self.busy_machine,
             self.store_path,
             self.store_freeze,
             self.store_status,
@@ -223,6 +229,22 @@
             await trio.sleep(self._rng.uniform(*CONFIG_STEP_S))
         self._zone_is_out = False
 
+    # The machine.
+
+    async def busy_machine(self) -> None:
+        """Keep a few cores busy for a random duration."""
+        if self._machine_is_busy:
+            return
+        self._machine_is_busy = True
+        processes = [start_busy_process() for _ in range(self._rng.randint(1, MAX_BUSY_PROCESSES))]
+        try:
+            await self.wait_fault_duration()
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+        self._machine_is_busy = False
+
     # Routers.
 
     async def herd_kill(self) -> None:
@@ -248,3 +270,8 @@
                     continue
                 self._checker.violations.append(f"{router.name} ended by itself, code {code}")
                 await self._world.restart_router(router)
+
+
+def start_busy_process() -> subprocess.Popen:
+    """Start a process that uses one core until it is killed."""
+    return subprocess.Popen([sys.executable, "-m", "standins.busy_process"], cwd=ROOT)
