Test the frozen links and the extra answers of the soak by themselves

Cause: freeze and thaw of the proxy, and the moments at which replicas send what nobody asked for, were shown by whole soaks only. Change: two tables in features/soak_streams.feature. The message about two decisions says what each router found. No check has changed.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -77,6 +77,26 @@
       | event 1          |
       | the whole stream |
 
+  Scenario Outline: A replica sends a second copy of its answer, <moment>
+    When a replica answers "one", then "two", and sends a copy of the first "<moment>"
+    Then the router receives "<before>" before its second request, and "<after>" after it
+
+    Examples:
+      | moment                 | before | after  |
+      | at once                | oneone | two    |
+      | delayed                | oneone | two    |
+      | before the next answer | one    | onetwo |
+
+  Scenario Outline: An open connection is frozen and <goes on>
+    When the open connection of a link is frozen, and later <goes on>
+    Then it brings nothing while it is frozen, and a new connection brings its answer
+    And then it brings <brings>
+
+    Examples:
+      | goes on | brings     |
+      | thawed  | its answer |
+      | closed  | its end    |
+
   # Guards against streams that callers receive out of order while processes end and links are cut.
   Scenario Outline: A short soak of streams with all faults, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>
--- a/soak/stream_decisions.py
+++ b/soak/stream_decisions.py
@@ -51,8 +51,8 @@
             continue
         if differ(a, b) or is_refused_beside(call, first, second, decisions):
             found.append(
-                f"{first.attempt} at {first.router} goes on at {a.describe()}, "
-                f"{second.attempt} at {second.router} at {b.describe()}"
+                f"{first.attempt} finds {a.describe()} at {first.router}, "
+                f"{second.attempt} finds {b.describe()} at {second.router}"
             )
     return found
 
