--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -28,6 +28,7 @@
       | versions joined within a try       | /chat/   | 0 1-3/v1/a.1.1,4-6/v2/b.1.1 complete                     | joined versions v1, v2        |
       | versions joined over tries         | /chat/   | 0 1-3/v1/a.1.1 reset; 3 4-6/v2/b.1.1 complete            | joined versions v1, v2        |
       | a stream that ran again            | /once/   | 0 1-3/v1/a.1.1,4-6/v1/b.1.1 complete                     | ran 2 times and may run once  |
+      | a run at another service           | /chat/   | 0 1-6/v1/till-2.1.1 complete                             | ran at another service        |
       | a third run                        | /chat/   | 0 1-2/v1/a.1.1,3-4/v1/b.1.1,5-6/v1/c.1.1 complete        | ran 3 times within one try    |
       | a refusal of what ran              | /redeem/ | 0 :t1/a.1.1 complete 503                                 | status 503 for t1, which ran  |
       | the answer to another request      | /check/  | 0 :t9/a.1.1 complete                                     | not its own answer            |
@@ -36,6 +37,66 @@
     When a caller receives "id: 1\ndata: a v1 a.1.1 q 1..\n\nid: 2\ndata: a v1 a.1.1 q 2" in parts of any size
     Then it holds event 1
 
+  Scenario Outline: The checker reports an event that is <size> than its stream's
+    When a caller that asked for events of 55 bytes receives one of <bytes>
+    Then the event is unreadable
+
+    Examples:
+      | size    | bytes |
+      | shorter | 54    |
+      | longer  | 56    |
+
+  # Guards against routers of which one goes on with a stream at a version, while another goes on at
+  # another version or knows that none is certain (issue 43).
+  Scenario Outline: The checker compares the decisions of two routers, <first> and <second>, <gap> ms
+    Given a try of a stream that <state>
+    When n1 decides "<first>" about it, and n2 "<second>" <gap> ms later
+    Then the decisions <verdict>
+
+    Examples:
+      | first                    | second                      | gap  | state     | verdict               |
+      | known_here v1            | assigned v1                 | 0    | has ended | agree                 |
+      | assigned v1              | known_to_another_router v2  | 0    | has ended | contradict each other |
+      | assigned v1              | assigned v2                 | 5000 | goes on   | contradict each other |
+      | replica_named_no_version | assigned v1                 | 0    | has ended | contradict each other |
+      | known_here v1            | replica_named_no_version    | 90   | has ended | contradict each other |
+      | known_here v1            | replica_named_no_version    | 200  | has ended | agree                 |
+      | replica_named_no_version | assigned v1                 | 200  | has ended | agree                 |
+      | replica_named_no_version | assigned v1                 | 0    | goes on   | agree                 |
+      | replica_named_no_version | replica_named_no_version    | 0    | has ended | agree                 |
+      | version_unknown          | assigned v1                 | 0    | has ended | agree                 |
+      | version_ambiguous        | known_here v1               | 0    | has ended | agree                 |
+      | releases_outdated        | known_to_another_router v1  | 0    | has ended | agree                 |
+
+  Scenario Outline: A caller that begins a stream again counts nothing of the try that it left, <arriving>
+    When a caller begins a stream again while <arriving> of "v1" arrives
+    Then only the events of its last try count
+
+    Examples:
+      | arriving         |
+      | event 1          |
+      | the whole stream |
+
+  Scenario Outline: A replica sends a second copy of its answer, <moment>
+    When a replica answers "one", then "two", and sends a copy of the first "<moment>"
+    Then the router receives "<before>" before its second request, and "<after>" after it
+
+    Examples:
+      | moment                 | before | after  |
+      | at once                | oneone | two    |
+      | delayed                | oneone | two    |
+      | before the next answer | one    | onetwo |
+
+  Scenario Outline: An open connection is frozen and <goes on>
+    When the open connection of a link is frozen, and later <goes on>
+    Then it brings nothing while it is frozen, and a new connection brings its answer
+    And then it brings <brings>
+
+    Examples:
+      | goes on | brings     |
+      | thawed  | its answer |
+      | closed  | its end    |
+
   # Guards against streams that callers receive out of order while processes end and links are cut.
   Scenario Outline: A short soak of streams with all faults, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>
@@ -58,3 +119,25 @@
       | seed |
       | 1    |
       | 2    |
+
+  # Guards against streams that look whole to slow callers when a replica ends, since a router that
+  # waits for its caller reads their end long after it arrived (issue 43).
+  Scenario Outline: A short soak of large events with slow callers and replicas killed, seed <seed>
+    When it runs for 6 s with seed <seed>, large events, slow callers and only "replica_kill"
+    Then no stream is out of order
+    And half of the resumable streams are complete
+
+    Examples:
+      | seed |
+      | 5    |
+
+  # Guards against streams joined from two software versions when no router is left that remembers
+  # where they began (issue 43).
+  Scenario Outline: A short soak of herd kills and releases, seed <seed>
+    When the soak of streams runs for 6 s with seed <seed> and only "herd_kill, release"
+    Then no stream is out of order
+    And a fifth of the resumable streams are complete
+
+    Examples:
+      | seed |
+      | 1    |
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -3,6 +3,7 @@
 from behave import then, when
 
 from soak.stream_checker import Kind, Received, ReplicaRun, SentCall, StreamChecker, Try, TryEnd
+from soak.stream_habits import HEAVY_MIX
 from soak.stream_world import ReplicaPath
 from soak.streams import Options, run_seed
 
@@ -21,6 +22,11 @@
     return events
 
 
+def make_run(name: str, attempt: str) -> ReplicaRun:
+    """Return the run of an attempt with the name REPLICA.START.COUNT."""
+    return ReplicaRun(name, attempt, name.partition(".")[0])
+
+
 def make_try(number: int, text: str, request: str) -> tuple[Try, list[ReplicaRun]]:
     """Return a try written as AFTER EVENTS END [STATUS], and its runs.
 
@@ -34,10 +40,10 @@
     if received.startswith(":"):
         answer, run = received.split("/")
         item.receive(answer.encode(), is_stream=False)
-        return item, [ReplicaRun(run, item.attempt, "a")]
+        return item, [make_run(run, item.attempt)]
     item.events = make_events(received, request)
     names = sorted({event.run for event in item.events})
-    return item, [ReplicaRun(name, item.attempt, name[0]) for name in names]
+    return item, [make_run(name, item.attempt) for name in names]
 
 
 @when('a caller of "{kind}" with {last:d} events makes the tries "{tries}"')
@@ -90,6 +96,22 @@
     context.result = run_seed(options)
 
 
+@when('the soak of streams runs for {span:d} s with seed {seed:d} and only "{faults}"')
+def soak_runs_only(context, span, seed, faults):
+    context.result = run_seed(Options(seed, span, only_faults=tuple(faults.split(", "))))
+
+
+@when('it runs for {span:d} s with seed {seed:d}, large events, slow callers and only "{faults}"')
+def soak_runs_heavy(context, span, seed, faults):
+    options = Options(seed, span, mix=HEAVY_MIX, only_faults=tuple(faults.split(", ")))
+    context.result = run_seed(options)
+
+
+@then("a fifth of the resumable streams are complete")
+def fifth_complete(context):
+    assert context.result.served_ratio(Kind.STREAM) >= 0.2, context.result.summary()
+
+
 @then("half of the resumable streams are complete")
 def half_complete(context):
     assert context.result.served_ratio(Kind.STREAM) >= 0.5, context.result.summary()
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -2,16 +2,21 @@
 
 import json
 from collections import defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Any
 
+from standins.stream_events import EVENT_BYTES, EVENT_END, PADDING, has_size
+
 # Statuses that guarantee that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 STATUS_OK = 200
-EVENT_END = b"\n\n"
 # Replicas that may run one try of a resumable stream or an idempotent request.
 MAX_RUNS = 2
+# The services; the name of a replica begins with its service.
+STREAM_SERVICE, PLAIN_SERVICE = "lm", "till"
+SHOWN_BYTES = 200
 
 
 class Kind(Enum):
@@ -28,6 +33,11 @@
         """Return whether the answer is a stream of events."""
         return self in (Kind.STREAM, Kind.ONCE, Kind.BRIEF)
 
+    @property
+    def service(self) -> str:
+        """Return the service that serves it."""
+        return STREAM_SERVICE if self.is_stream else PLAIN_SERVICE
+
     @property
     def repeatable(self) -> bool:
         """Return whether the request may run more than once."""
@@ -60,7 +70,9 @@
 class Try:
     """One try of a request at one router, and what came back.
 
-    `resume_after` is the last event that the caller had when it sent the try.
+    `resume_after` is the last event that the caller had when it sent the try.  With `dropped` the
+    caller began the stream again, so that nothing of this try counts.  With `event_bytes` events
+    of another size are unreadable.
     """
 
     attempt: str
@@ -70,14 +82,19 @@
     status: int = 0
     end: TryEnd = TryEnd.OPEN
     started_ms: int = 0
+    answered_ms: int = 0
     ended_ms: int = 0
     retry_after_s: float = 0.0
+    dropped: bool = False
+    event_bytes: int | None = None
     body: bytearray = field(default_factory=bytearray)
     events: list[Received] = field(default_factory=list)
     unreadable: list[bytes] = field(default_factory=list)
 
     def receive(self, data: bytes, *, is_stream: bool) -> None:
         """Add bytes of the body; only whole events count."""
+        if self.dropped:
+            return
         self.body += data
         if not is_stream or self.status != STATUS_OK:
             return
@@ -85,7 +102,8 @@
         self.body = bytearray(rest)
         for raw in whole:
             event = parse_event(raw)
-            if event is None:
+            wrong_size = self.event_bytes is not None and not has_size(raw, self.event_bytes)
+            if event is None or wrong_size:
                 self.unreadable.append(raw)
             else:
                 self.events.append(event)
@@ -98,11 +116,15 @@
 
 @dataclass
 class SentCall:
-    """One request of a caller, over all its tries; `last` is the last event of its stream."""
+    """One request of a caller, over all its tries.
+
+    `last` is the last event of its stream, and `event_bytes` the size of each.
+    """
 
     name: str
     kind: Kind
     last: int = 0
+    event_bytes: int = EVENT_BYTES
     tries: list[Try] = field(default_factory=list)
 
     def held(self) -> int:
@@ -121,7 +143,8 @@
 class ReplicaRun:
     """One run of a request, as its replica logged it; the fields with defaults are of streams.
 
-    `asked_after` is the event after which the router wanted it, `first` where it began.
+    `asked_after` is the event after which the router wanted it, `first` where it began, and `extra`
+    what the replica sent after the answer although nobody asked for it.
     """
 
     run: str
@@ -135,6 +158,13 @@
     body_unread: bool = False
     ended: str = "killed"
     last_sent: int | None = None
+    extra: str = "nothing"
+
+    @property
+    def service(self) -> str:
+        """Return the service that the replica's name begins with, empty if with none."""
+        service, dash, _ = self.replica.partition("-")
+        return service if dash else ""
 
     def describe(self) -> str:
         """Return the run as text."""
@@ -142,14 +172,14 @@
         return (
             f"run {self.run} {self.software} asked after {self.asked_after}, began at "
             f"{self.first}, framing {self.framing}, plan {self.plan}{body}, "
-            f"last sent {self.last_sent}, ended: {self.ended}"
+            f"last sent {self.last_sent}, ended: {self.ended}, followed by {self.extra}"
         )
 
 
 def parse_event(raw: bytes) -> Received | None:
     """Return an event, or `None` if it is not as replicas make them."""
     lines = raw.decode("latin-1").split("\n")
-    words = lines[-1].rstrip(".").split(" ")
+    words = lines[-1].rstrip(PADDING.decode()).split(" ")
     if len(lines) != 2 or len(words) != 6 or words[0] != "data:":
         return None
     if lines[0] != f"id: {words[5]}":
@@ -165,6 +195,8 @@
         name = fields["run"]
         if "attempt" in fields:
             runs[name] = make_run(fields)
+        elif "extra" in fields:
+            runs[name].extra = fields["extra"]
         elif name in runs:
             runs[name].ended, runs[name].last_sent = fields["ended"], fields["last_sent"]
     return list(runs.values())
@@ -194,9 +226,9 @@
         for run in runs:
             self._runs[run.attempt].append(run)
 
-    def check(self, call: SentCall) -> None:
-        """Check one request."""
-        found = self._check_runs(call)
+    def check(self, call: SentCall, more: Sequence[str] = ()) -> None:
+        """Check one request; `more` is what else was found wrong with it."""
+        found = [*more, *self._check_runs(call)]
         if call.kind.is_stream:
             found += check_events(call)
         else:
@@ -212,6 +244,9 @@
             found.append(f"ran {sum(counts.values())} times and may run once")
         if max(counts.values(), default=0) > MAX_RUNS:
             found.append(f"ran {max(counts.values())} times within one try")
+        runs = [run for item in call.tries for run in self._runs[item.attempt]]
+        if any(run.service not in ("", call.kind.service) for run in runs):
+            found.append("ran at another service")
         for item in call.tries:
             if item.status in NOT_RUN_STATUSES and counts[item.attempt]:
                 found.append(f"status {item.status} for {item.attempt}, which ran")
@@ -219,7 +254,7 @@
 
     def history(self, call: SentCall) -> list[str]:
         """Return the tries and runs of a request, one a line."""
-        lines = [f"{call.name} {call.kind.value} of {call.last} events"]
+        lines = [f"{call.name} {call.kind.value} of {call.last} events of {call.event_bytes} B"]
         for item in call.tries:
             version = "HTTP/1.0" if item.http_1_0 else "HTTP/1.1"
             lines.append(
@@ -254,7 +289,7 @@
                 found.append(f"{item.attempt}: event {event.number} in place of {expected}")
                 break
         if item.unreadable:
-            found.append(f"{item.attempt}: no event: {item.unreadable[0]!r}")
+            found.append(f"{item.attempt}: no event: {item.unreadable[0][:SHOWN_BYTES]!r}")
         if item.end is TryEnd.COMPLETE and item.status == STATUS_OK:
             if item.last_event != call.last:
                 found.append(f"{item.attempt}: complete after event {item.last_event}")
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -1,53 +1,81 @@
 """The faults of the soak of streams: signals to routers and replicas, cut links, releases."""
 
 import signal
+import subprocess
+import sys
 from collections.abc import Awaitable, Callable
+from itertools import combinations
 from random import Random
 
 import trio
 
 from soak.checker import Checker
-from soak.faults import Faults
-from soak.stream_world import STREAM_SERVICE, ReplicaProcess, StreamWorld
+from soak.faults import RESTART_DELAY_S, Faults
+from soak.proxy import LoopbackProxy
+from soak.stream_checker import STREAM_SERVICE
+from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
+from standins.entry_world import ROOT
 
 # A replica's entry follows its start by up to this.
 ENTRY_DELAY_S = 1.0
 DOWN_S = (0.0, 1.5)
 DRAIN_S = (0.2, 2.0)
 RELEASE_PAUSE_S = (0.1, 1.0)
+# Parts of the routers that one herd kill ends.
+HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
+CONFIG_STEP_S = (0.0, 0.6)
+MAX_BUSY_PROCESSES = 3
+# Fields of all routes that a change of the configuration sets.
+CONFIG_CHANGES = {
+    "goal_ms": (100, 500, 3000),
+    "priority": (1, 2, 5),
+    "session_affinity": (True, False),
+}
 
 
 class StreamFaults(Faults):
     """Injects faults; replicas are processes, and routers are watched."""
 
+    max_signals = 2
+
     def __init__(self, world: StreamWorld, rng: Random, checker: Checker):
         super().__init__(world, rng, checker)
         self._replica_world = world
         self.replica_proxies = world.replica_proxies
         self._release_count = 1
+        self._zone_is_out = False
+        self._machine_is_busy = False
         # Set when no fault follows; a release in progress then stops.
         self.ending = False
 
     def kinds(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the functions that inject one fault each."""
-        path_faults = [self.replica_path, self.replica_reset] if self.replica_proxies else []
+        path_faults = [self.replica_path, self.replica_reset, self.replica_freeze]
         return [
-            *path_faults,
+            *(path_faults if self.replica_proxies else []),
             self.replica_kill,
             self.replica_kill,
             self.replica_pause,
             self.replica_cut,
             self.replica_other_version,
+            self.replica_addresses_swap,
             self.release,
+            self.config_change,
+            self.zone_out,
+            self.busy_machine,
             self.store_path,
+            self.store_freeze,
             self.store_status,
             self.store_loses,
             self.store_forgets,
             self.router_pause,
             self.router_kill,
+            self.herd_kill,
             self.router_stop,
             self.router_stops_in_series,
+            self.router_stop_signals,
+            self.router_reloads,
         ]
 
     # Replicas.
@@ -77,6 +105,32 @@
             software = f"v{self._rng.randint(1, self._release_count + 1)}"
             await self._restart(replica, software, signal.SIGKILL)
 
+    async def replica_addresses_swap(self) -> None:
+        """Kill a replica of each service, and start each at the address of the other one."""
+        pair = self._choose_free_pair()
+        if pair is None:
+            return
+        for replica in pair:
+            self._busy.add(replica.name)
+            replica.process.kill()
+        for replica in pair:
+            await trio.to_thread.run_sync(replica.process.wait)
+        self._replica_world.swap_addresses(*pair)
+        async with trio.open_nursery() as nursery:
+            for replica in pair:
+                nursery.start_soon(self._restart, replica, replica.software, signal.SIGKILL)
+
+    def _choose_free_pair(self) -> tuple[ReplicaProcess, ReplicaProcess] | None:
+        """Return two replicas of different services that routers reach in the same way, if any."""
+        replicas = self._replica_world.replica_processes.values()
+        free = [item for item in replicas if item.name not in self._busy]
+        pairs = [
+            (one, other)
+            for one, other in combinations(free, 2)
+            if one.service != other.service and one.path is other.path is not ReplicaPath.PROXY
+        ]
+        return self._rng.choice(pairs) if pairs else None
+
     async def replica_pause(self) -> None:
         """Suspend a replica's process for a random duration."""
         replica = self._choose_free_replica()
@@ -135,8 +189,77 @@
             world.write_entry(replica)
         self._busy.discard(replica.name)
 
+    # Network paths.
+
+    async def replica_freeze(self) -> None:
+        """Freeze the open connections to a replica."""
+        await self._freeze(self._rng.choice(list(self.replica_proxies.values())))
+
+    async def store_freeze(self) -> None:
+        """Freeze the open connections of one router to the store."""
+        await self._freeze(self._rng.choice(self.store_proxies))
+
+    async def _freeze(self, proxy: LoopbackProxy) -> None:
+        """Freeze the open connections of a path, then let them go on or close them."""
+        proxy.freeze()
+        await self.wait_fault_duration()
+        if self._rng.random() < 0.5:
+            proxy.reset()
+        proxy.thaw()
+
+    # The operator.
+
+    async def config_change(self) -> None:
+        """Change the configuration a few times, in what must not change any answer."""
+        for _ in range(self._rng.randint(1, 3)):
+            changes = {name: self._rng.choice(values) for name, values in CONFIG_CHANGES.items()}
+            self._replica_world.write_routes(changes)
+            await trio.sleep(self._rng.uniform(*CONFIG_STEP_S))
+
+    async def zone_out(self) -> None:
+        """Take one zone out for a random duration and put it back, some twice in series."""
+        if self._zone_is_out:
+            return
+        self._zone_is_out = True
+        zone = self._rng.choice(ZONES)
+        for _ in range(self._rng.choice((1, 1, 2))):
+            self._replica_world.write_evacuation(zone, active=True)
+            await self.wait_fault_duration()
+            self._replica_world.write_evacuation(zone, active=False)
+            await trio.sleep(self._rng.uniform(*CONFIG_STEP_S))
+        self._zone_is_out = False
+
+    # The machine.
+
+    async def busy_machine(self) -> None:
+        """Keep a few cores busy for a random duration."""
+        if self._machine_is_busy:
+            return
+        self._machine_is_busy = True
+        processes = [start_busy_process() for _ in range(self._rng.randint(1, MAX_BUSY_PROCESSES))]
+        try:
+            await self.wait_fault_duration()
+        finally:
+            for process in processes:
+                process.kill()
+                process.wait()
+        self._machine_is_busy = False
+
     # Routers.
 
+    async def herd_kill(self) -> None:
+        """Kill most or all routers at the same moment and start them again."""
+        free = [item for item in self._world.routers if item.name not in self._busy]
+        ratio = self._rng.choice(HERD_RATIOS)
+        chosen = self._rng.sample(free, round(ratio * len(free)))
+        for router in chosen:
+            self._busy.add(router.name)
+            router.process.kill()
+        await trio.sleep(RESTART_DELAY_S)
+        for router in chosen:
+            await self._world.restart_router(router)
+            self._busy.discard(router.name)
+
     async def watch_routers(self) -> None:
         """Report each router that ends by itself, and start it again."""
         while True:
@@ -147,3 +270,8 @@
                     continue
                 self._checker.violations.append(f"{router.name} ended by itself, code {code}")
                 await self._world.restart_router(router)
+
+
+def start_busy_process() -> subprocess.Popen:
+    """Start a process that uses one core until it is killed."""
+    return subprocess.Popen([sys.executable, "-m", "standins.busy_process"], cwd=ROOT)
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -4,16 +4,18 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from random import Random
+from typing import Any
 
 import trio
 
 from soak.proxy import LoopbackProxy
 from soak.stream_callers import DEADLINES_MS
-from soak.stream_checker import Kind
+from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
 from standins.entry_world import ROOT, EntryWorld, free_port
 from standins.platform_world import HOST, ROUTE_DEFAULTS
 from standins.stream_replica import Framing, open_listener
@@ -23,8 +25,6 @@
 REPLICA_START_POLLS = 500
 # One replica of so many serves single answers, the others streams.
 REPLICAS_PER_PLAIN = 3
-# The services, each with the kinds of request that go to it.
-STREAM_SERVICE, PLAIN_SERVICE = "lm", "till"
 ROUTE_FIELDS = {
     Kind.STREAM: {"route_type": "streaming", "stream_resume": True, "max_attempts": 2},
     Kind.ONCE: {"route_type": "streaming", "stream_resume": False, "max_attempts": 1},
@@ -33,6 +33,7 @@
     Kind.IDEMPOTENT: {"route_type": "idempotent", "max_attempts": 2},
 }
 FIRST_VERSION = "v1"
+ZONES = ("za", "zb")
 
 
 class ReplicaPath(Enum):
@@ -50,14 +51,15 @@
 PATH_WEIGHTS = {ReplicaPath.OWN: 3, ReplicaPath.KEPT: 4, ReplicaPath.PROXY: 2}
 
 
-def make_routes() -> list[dict]:
-    """Return the routes of the operator's configuration."""
+def make_routes(changes: dict[str, Any] | None = None) -> list[dict]:
+    """Return the routes of the operator's configuration, with `changes` in all of them."""
     return [
         {
             **ROUTE_DEFAULTS,
+            **(changes or {}),
             "name": kind.value,
             "prefix": kind.value,
-            "service": STREAM_SERVICE if kind.is_stream else PLAIN_SERVICE,
+            "service": kind.service,
             "timeout_ms": DEADLINES_MS[kind],
             **fields,
         }
@@ -74,6 +76,8 @@
 
     name: str
     service: str
+    zone: str
+    path: ReplicaPath
     port: int
     listener: socket.socket | None
     software: str = FIRST_VERSION
@@ -98,9 +102,9 @@
         self.framings = tuple(Framing)
         self.unframed_cut = Ending.RESET
 
-    def write_routes(self) -> None:
-        """Write the configuration to the store."""
-        self.write_plan({"routes": make_routes()})
+    def write_routes(self, changes: dict[str, Any] | None = None) -> None:
+        """Write the next version of the configuration, with `changes` in all routes."""
+        self.write_plan({"routes": make_routes(changes)})
 
     @property
     def replica_log(self) -> Path:
@@ -113,8 +117,9 @@
         weights = [PATH_WEIGHTS[path] for path in self.replica_paths]
         path = rng.choices(self.replica_paths, weights)[0]
         name, port = f"{service}-{number}-{path.value}", free_port()
+        zone = ZONES[number // REPLICAS_PER_PLAIN % len(ZONES)]
         listener = open_listener(port) if path is ReplicaPath.KEPT else None
-        replica = ReplicaProcess(name, service, port, listener)
+        replica = ReplicaProcess(name, service, zone, path, port, listener)
         self.replica_processes[name], self.ports[name] = replica, port
         if path is ReplicaPath.PROXY:
             proxy = LoopbackProxy(port, passes_resets=True)
@@ -124,6 +129,13 @@
         await self.wait_listening(replica)
         self.write_entry(replica)
 
+    def swap_addresses(self, one: ReplicaProcess, other: ReplicaProcess) -> None:
+        """Let two replicas that do not run start at each other's address next."""
+        one.port, other.port = other.port, one.port
+        one.listener, other.listener = other.listener, one.listener
+        for replica in (one, other):
+            self.ports[replica.name] = replica.port
+
     def start_replica_process(self, replica: ReplicaProcess) -> None:
         """Start the process of a replica at its port."""
         replica.start_count += 1
@@ -158,16 +170,27 @@
         self.register_replica(
             replica.name,
             replica.service,
+            replica.zone,
             born=replica.start_count,
             version=replica.software,
             state=state,
         )
 
+    def write_evacuation(self, zone: str, active: bool) -> None:
+        """Take a zone out, or put it back."""
+        self.store.write("op", f"evacuate/{zone}", b"{}" if active else None)
+
     def log_lines(self) -> list[str]:
         """Return the lines that the replicas have logged."""
         text = self.replica_log.read_text() if self.replica_log.exists() else ""
         return text.splitlines()
 
+    def router_log_lines(self) -> Iterator[str]:
+        """Yield the lines that the routers have logged."""
+        for router in self.routers:
+            with router.log.open(errors="replace") as log:
+                yield from log
+
     def stop(self) -> None:
         """Kill all processes that this world started."""
         super().stop()
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -21,6 +21,8 @@
 from enum import Enum
 from random import Random
 
+from standins.stream_events import WantedStream, encode_event
+from standins.stream_extras import Extras, draw_ratio
 from standins.stream_wire import ConnectionCuts, ConnectionEnded, Ending, Request, Wire
 
 HOST = "127.0.0.1"
@@ -29,7 +31,6 @@
 PACE_S = 0.035
 MAX_BATCH = 4
 PLAIN_RUN_S = (0.005, 0.06)
-EVENT_BYTES = 55
 PART_PAUSE_S = 0.001
 # Parts of the answers.
 BREAK_RATIO = 0.12
@@ -84,7 +85,7 @@
 
 def draw_plan(rng: Random, request: Request, framings: Sequence[Framing]) -> AnswerPlan:
     """Return a random plan for a stream; some resumed ones start again from an earlier event."""
-    last = int(request.target.split("/")[2])
+    last = WantedStream.parse(request.target).last
     first = int(request.headers.get("last-event-id", "0")) + 1
     if first > 1 and rng.random() < RESTART_RATIO:
         first = rng.choice((1, rng.randint(1, first)))
@@ -102,11 +103,6 @@
     )
 
 
-def encode_event(number: int, names: str) -> bytes:
-    """Return one event; `names` tells its replica, software, run and stream."""
-    return f"id: {number}\ndata: {names} {number}".encode().ljust(EVENT_BYTES, b".") + b"\n\n"
-
-
 def cut_randomly(rng: Random, data: bytes, max_parts: int) -> Iterator[bytes]:
     """Yield the data in parts, cut at random bytes."""
     cuts = sorted(rng.randrange(len(data) + 1) for _ in range(rng.randint(0, max_parts - 1)))
@@ -135,7 +131,9 @@
         self._log = os.open(log, os.O_WRONLY | os.O_APPEND | os.O_CREAT)
         self._framings = framings
         self._unframed_cut = unframed_cut
+        self._extra_ratio = draw_ratio(Random(f"{seed} {name} extras"))
         self._run_count = 0
+        self._connection_count = 0
         self._lock = threading.Lock()
         self._cuts = ConnectionCuts()
 
@@ -156,11 +154,18 @@
             run = f"{self.name}.{self._start}.{self._run_count}"
         return run, Random(f"{self._seed} {run}")
 
+    def _next_rng(self) -> Random:
+        """Return the random numbers of a new connection."""
+        with self._lock:
+            self._connection_count += 1
+            return Random(f"{self._seed} connection {self._connection_count}")
+
     def serve(self, sock: socket.socket) -> None:
         """Serve one connection until it ends."""
         wire = Wire(sock, self._cuts)
+        extras = Extras(wire, self._next_rng(), self._extra_ratio)
         try:
-            while self._serve_one(wire):
+            while self._serve_one(wire, extras):
                 pass
         except (ConnectionEnded, OSError):
             # The router has gone, or this replica has broken off.
@@ -168,9 +173,10 @@
         finally:
             wire.close()
 
-    def _serve_one(self, wire: Wire) -> bool:
+    def _serve_one(self, wire: Wire, extras: Extras) -> bool:
         """Serve one request; return whether the connection can carry another."""
         request = wire.read_head()
+        extras.precede_answer()
         if request.target == STATUS_PATH:
             body = b'{"born":%d}' % self._start
             wire.write(self._head(request, "200 OK", f"content-length: {len(body)}") + body)
@@ -179,9 +185,14 @@
             wire.read_body(request.body_bytes)
             wire.write(self._head(request, "421 Misdirected Request", "content-length: 0"))
             return True
-        if request.is_stream:
-            return self._serve_stream(wire, request)
-        return self._serve_plain(wire, request)
+        run, rng = self._next_run()
+        serve = self._serve_stream if request.is_stream else self._serve_plain
+        goes_on = serve(wire, request, run, rng)
+        extra = extras.draw() if goes_on else None
+        if extra is not None:
+            self.write_log(run=run, extra=extra.describe())
+            extras.send(extra)
+        return goes_on
 
     def _head(self, request: Request, status: str, *fields: str, version: str = "1.1") -> bytes:
         """Return the head of an answer."""
@@ -194,9 +205,8 @@
         ]
         return ("\r\n".join(lines) + "\r\n\r\n").encode()
 
-    def _serve_plain(self, wire: Wire, request: Request) -> bool:
+    def _serve_plain(self, wire: Wire, request: Request, run: str, rng: Random) -> bool:
         """Serve a request with a single answer, which some break off before."""
-        run, rng = self._next_run()
         wire.read_body(request.body_bytes)
         self.write_log(run=run, attempt=request.attempt, target=request.target)
         time.sleep(rng.uniform(*PLAIN_RUN_S))
@@ -208,9 +218,8 @@
             wire.write(part)
         return True
 
-    def _serve_stream(self, wire: Wire, request: Request) -> bool:
+    def _serve_stream(self, wire: Wire, request: Request, run: str, rng: Random) -> bool:
         """Serve a stream by a random plan, and log how far it came."""
-        run, rng = self._next_run()
         plan = draw_plan(rng, request, self._framings)
         if not plan.leaves_body:
             wire.read_body(request.body_bytes)
@@ -248,7 +257,9 @@
         self._plan = plan
         self._rng = rng
         self._request = request
-        self._names = f"{names} {request.target.split('/')[3]}"
+        wanted = WantedStream.parse(request.target)
+        self._names = f"{names} {wanted.name}"
+        self._event_bytes = wanted.event_bytes
         self.last_sent = plan.first - 1
 
     def send(self, make_head) -> None:
@@ -266,6 +277,10 @@
         if plan.framing is Framing.CHUNKED:
             self._write_in_parts(b"0\r\n\r\n")
 
+    def _event(self, number: int) -> bytes:
+        """Return one event."""
+        return encode_event(number, self._names, self._event_bytes)
+
     def _framing_fields(self) -> list[str]:
         """Return the header fields that frame the body."""
         framing = self._plan.framing
@@ -273,7 +288,7 @@
             return ["transfer-encoding: chunked"]
         if framing in (Framing.LENGTH, Framing.HTTP_1_0_LENGTH):
             numbers = range(self._plan.first, self._plan.last + 1)
-            size = sum(len(encode_event(number, self._names)) for number in numbers)
+            size = sum(len(self._event(number)) for number in numbers)
             return [f"content-length: {size}"]
         return ["connection: close"] if framing is Framing.CONNECTION else []
 
@@ -287,7 +302,7 @@
         time.sleep(PACE_S * max(1, end - first))
         if rng.random() < PAUSE_RATIO:
             time.sleep(rng.uniform(*PAUSE_S))
-        data = b"".join(encode_event(number, self._names) for number in range(first, end))
+        data = b"".join(self._event(number) for number in range(first, end))
         if data:
             self._write_body(data)
         self.last_sent = end - 1
@@ -298,7 +313,7 @@
     def _break_off(self, number: int) -> None:
         """End the connection, after a part of the next event if the plan says so."""
         if self._plan.breaks_within:
-            event = encode_event(number, self._names)
+            event = self._event(number)
             self._write_body(event[: self._rng.randrange(1, len(event))])
             self._wire.cut_ending = None
         self._wire.end(self._plan.ending)
