Take no empty run for the end of a stream that no other run confirms

Cause: such an end was accepted if its process lived, though the run shows nothing of the stream. Change: an end that no other run confirms is accepted only from a run that brought events; else the answer is broken off.

--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -26,10 +26,14 @@
 
 @dataclass(frozen=True, slots=True)
 class UnconfirmedEnd:
-    """Where a stream ended with its connection; `last_event` is `None` before the first one."""
+    """Where a stream ended with its connection; `last_event` is `None` before the first one.
+
+    `brought_events` is whether the run that ended there had brought any.
+    """
 
     last_event: int | None
     head: ResponseHead
+    brought_events: bool
 
 
 class Forwarder:
@@ -139,13 +143,15 @@
         may_go_on = self._retry_state.repeatable and self._position.exact
         if not attempt.conn.ends_with_connection or not may_go_on:
             return True
-        before, self.end = self.end, UnconfirmedEnd(self._position.last, attempt.head)
+        before, brought_events = self.end, bool(attempt.event_range)
+        self.end = UnconfirmedEnd(self._position.last, attempt.head, brought_events)
         return before is not None and before.last_event == self.end.last_event
 
     @property
-    def has_unconfirmed_end(self) -> bool:
-        """Return whether the caller has all of a stream up to where it seemed to end."""
-        return self.end is not None and self.end.last_event == self._position.last
+    def may_accept_end(self) -> bool:
+        """Return whether the caller has all of a stream up to where a run of events ended."""
+        end = self.end
+        return end is not None and end.brought_events and end.last_event == self._position.last
 
     async def accept_end(self) -> int:
         """Complete the response at an end that no other run can confirm; return the status."""
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -322,7 +322,7 @@
 
         Raise `RequestError` if the router responds with an error of its own.
         """
-        if self.forwarder.has_unconfirmed_end:
+        if self.forwarder.may_accept_end:
             return await self.forwarder.accept_end()
         if self.retry_state.forwarded:
             self.caller.abort()
@@ -342,7 +342,7 @@
 
     async def _respond_with_error(self, exc: RequestError) -> int:
         """Respond with the router's own error, or end a response that has begun."""
-        if self.forwarder is not None and self.forwarder.has_unconfirmed_end:
+        if self.forwarder is not None and self.forwarder.may_accept_end:
             return await self.forwarder.accept_end()
         if self.caller.head_sent:
             self.caller.abort()
