Take what a process has answered since for the identity of older connections

Change: a connection made while the entry was known, and before its process answered something on a connection known to be its, is to that process; no question is needed. Both are facts of this router's own order, so no clock of others counts. Ruled out: open connections and heartbeats as such signs, which may be missing or late.

--- a/skylarklift/entry/requests/attempt_connection.py
+++ b/skylarklift/entry/requests/attempt_connection.py
@@ -8,7 +8,6 @@
 from skylarklift.entry.requests.http_connection import HttpConnection
 from skylarklift.entry.requests.process_identity import (
     Identity,
-    ask_process,
     compare_start,
     identify,
     record_identity,
@@ -73,25 +72,27 @@
     async def _identify(self, conn: HttpConnection) -> tuple[HttpConnection, Identity]:
         """Return a connection that can carry the request, and whose process it is to."""
         if conn.reused:
-            known = compare_start(self._record, await self._known_process(conn))
+            known = await self._identify_used(conn)
             if known in (Identity.SAME, Identity.UNKNOWN):
                 return conn, known
             conn.abort()
             conn = await self._acquire(new=True)
-        identity = await identify(self._core, self._record, conn)
+        identity = await identify(self._core, self._upstream, conn)
         if identity in (Identity.OTHER, Identity.UNANSWERED) or conn.prepare_next_request():
             return conn, identity
         # It closes the connection after its answer; on the next one it may be another process.
         conn.abort()
         return await self._acquire(new=True), Identity.UNKNOWN
 
-    async def _known_process(self, conn: HttpConnection) -> ProcessStart | None:
-        """Return what the process behind a used connection has said, or says now.
+    async def _identify_used(self, conn: HttpConnection) -> Identity:
+        """Return whose process a used connection is to; it can carry the request if known.
 
-        What comes on the connection may answer an earlier request, and is then not used.
+        What comes on it may answer an earlier request, so only one answer counts.
         """
+        if conn.process is None and self._upstream.is_connected_to_process(conn.connected_at):
+            conn.process = ProcessStart(self._record.started_ms)
         if conn.process is not None:
-            return conn.process
-        process = await ask_process(self._core, self._record, conn)
-        says_start = process is not None and process.started_ms is not None
-        return process if says_start and conn.prepare_next_request() else None
+            return compare_start(self._record, conn.process)
+        identity = await identify(self._core, self._upstream, conn)
+        is_usable = identity is Identity.SAME and conn.prepare_next_request()
+        return Identity.SAME if is_usable else Identity.UNANSWERED
--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -84,9 +84,12 @@
         conn.abort()
 
 
-async def identify(core: Core, record: UpstreamRecord, conn: HttpConnection) -> Identity:
+async def identify(core: Core, upstream: Upstream, conn: HttpConnection) -> Identity:
     """Return whether the process behind an unused connection is the one of an entry."""
-    identity = compare_start(record, await ask_process(core, record, conn))
+    asked_at = core.clock.now()
+    identity = compare_start(upstream.record, await ask_process(core, upstream.record, conn))
+    if identity is Identity.SAME:
+        upstream.record_process_seen(asked_at)
     core.metrics.increment("process_identity", identity.value)
     return identity
 
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -26,6 +26,7 @@
     and `restart_seen_at` the same of connections of this router.  `asked_at` is when this router
     last asked whether it has restarted.
     `listed_at_start` is true if its entry is of the first list that this router got.
+    `process_seen_at` is when the process of its entry was last asked something that it answered.
     """
 
     record: UpstreamRecord
@@ -38,6 +39,7 @@
     restart_suspected_at: Millis | None = None
     restart_seen_at: Millis | None = None
     asked_at: Millis = Millis(0)
+    process_seen_at: Millis = Millis(0)
 
     @property
     def endpoint(self) -> Endpoint:
@@ -72,6 +74,17 @@
             return False
         return rows_confirmed_at is None or rows_confirmed_at < suspected_at + ENTRY_DELAY_MS
 
+    def record_process_seen(self, asked_at: Millis) -> None:
+        """Record that the process of the entry answered what it was asked at some time."""
+        self.process_seen_at = max(self.process_seen_at, asked_at)
+
+    def is_connected_to_process(self, connected_at: Millis) -> bool:
+        """Return whether a connection made at some time is to the process of the entry.
+
+        That process served before, as its entry was known, and after, as it has answered since.
+        """
+        return self.known_since < connected_at < self.process_seen_at
+
     def record_same_process(self) -> None:
         """Record that the process has said that it is the one of the entry."""
         self.restart_suspected_at = None
