Take an answer for broken off whose link was closed with it

Cause: the process lived and said so; what the second connection shows beside that was no longer looked at. Change: the second connection is made for each answer without a length again. If it is seen to end within 60 ms of the answer's end, or while the process is asked, the link was closed. The clock is only a further reason to doubt an end, never one to trust it. Ruled out: doubting each end of that connection (a replica may close it as idle).

--- a/skylarklift/entry/requests/answer_end.py
+++ b/skylarklift/entry/requests/answer_end.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import ProcessStart, UpstreamRecord
 from skylarklift.entry.requests.http_connection import HttpConnection
@@ -18,18 +18,22 @@
 from skylarklift.errors import ConnectFailed
 
 MAX_QUESTIONS = 3
+# The connections over a link that is closed are seen to end within this time of each other.
+LINK_END_MS = 60
 QUESTION_PAUSE_MS = 60
 
 
 class EndSign(Enum):
     """What showed whether an answer that its connection ends is whole.
 
-    `PROCESS_SILENT`: nothing that shows its process to live came in time.
+    `PROCESS_SILENT`: nothing that shows its process to live came in time.  `LINK_CLOSED`: the
+    process lives, but its other connection ended with that of the answer.
     """
 
     PROCESS_LIVES = "process_lives"
     PROCESS_REPLACED = "process_replaced"
     PROCESS_SILENT = "process_silent"
+    LINK_CLOSED = "link_closed"
 
 
 class AnswerEnd:
@@ -47,6 +51,14 @@
 
     async def judge(self) -> EndSign:
         """Ask the process of the answer, now that the end has been read."""
+        since = Millis(self._core.clock.now() - LINK_END_MS)
+        sign = await self._ask_often()
+        if sign is EndSign.PROCESS_LIVES and self._watch.has_ended_since(since):
+            return EndSign.LINK_CLOSED
+        return sign
+
+    async def _ask_often(self) -> EndSign:
+        """Ask until an answer tells, a few times."""
         for _ in range(MAX_QUESTIONS):
             sign = await self._ask()
             if sign is not EndSign.PROCESS_SILENT:
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -19,7 +19,7 @@
     HttpConnection,
     connect,
 )
-from skylarklift.entry.requests.process_identity import Identity
+from skylarklift.entry.requests.process_identity import Identity, compare_start
 from skylarklift.entry.requests.process_watch import ProcessWatch
 from skylarklift.entry.requests.retry_state import Outcome
 from skylarklift.errors import (
@@ -88,7 +88,7 @@
             new=sent_before or (repeatable and options.resume_after is not None),
         )
         self._served_recorded = False
-        self.process_watch = ProcessWatch(self.record)
+        self.process_watch = ProcessWatch(core.clock, self.record)
         self.conn: HttpConnection | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
@@ -153,8 +153,10 @@
                 # It may be a second copy of the answer to an earlier request.
                 raise ResponseInvalid(f"status {head.status} without an id of a request")
             if head.request is None or head.request == self.call.request:
-                if self._needs_watch(status):
+                if self.conn.ends_with_connection and status not in NO_BODY_STATUSES:
                     self.process_watch.start()
+                if compare_start(self.record, self.conn.process) is Identity.SAME:
+                    self.choice.upstream.record_process_seen(self._sent_at)
                 return self._check_head(head)
             self.core.event_log.write(
                 "response_id_mismatch", id=self.call.request, upstream=self.record.replica
@@ -162,12 +164,6 @@
             await self.conn.skip_response()
         raise ResponseInvalid("only responses with the id of another request")
 
-    def _needs_watch(self, status: int) -> bool:
-        """Return whether only a second connection may show at the end that the process lives."""
-        if not self.conn.ends_with_connection or status in NO_BODY_STATUSES:
-            return False
-        return self.conn.process is None or self.conn.process.started_ms is None
-
     def _check_head(self, head: ResponseHead) -> ResponseHead:
         """Return the head if the response may be forwarded; raise `ResponseInvalid`.
 
