Say "ran" when a request was sent, failed, and no other upstream takes it

Callers saw `no_upstream`, `no_replica` or `stale_router` with run "not_run" for calls and chats that an upstream had received and failed: docs/reference/codes.md promises that such a request surely did not run. Cause: the refusal of the search for another upstream replaced the failure of the dispatch before it. Change: after a dispatch that was sent, a refusal that says "not run" becomes `upstream_failed` (502, ran), with the refusal's Retry-After and both texts. Requests that may run once are not concerned: they are tried again only if nothing of them was sent.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -51,6 +51,12 @@
     When the service drops its response and a non-idempotent request is sent twice
     Then both responses say "unknown" and the service counts one effect
 
+  # Guards against "not run" for a call that was sent and that no other upstream could take.
+  Scenario: A call whose only upstream fails after it was sent is not refused as not run
+    Given a deployment of 3 routers and 3 engines
+    When the service drops its response and an idempotent call is sent
+    Then the call failed as "upstream_failed" with run "ran"
+
   Scenario: The chat of a caller that disconnects is cancelled at the engine
     Given a deployment of 3 routers and 3 engines
     When a caller disconnects in the middle of a stream
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -265,6 +265,21 @@
     assert effect_count(context, "dropped") == 1
 
 
+@when("the service drops its response and an idempotent call is sent")
+def step_dropped_call(context):
+    context.deployment.control("redeem", drop_answer=True)
+    url = context.deployment.processes["router-1"].url + "/services/redeem/tokens"
+    headers = {"Skylarklift-Workspace": "wash-a"}
+    context.response = httpx.get(url, headers=headers, timeout=TIMEOUT_S, trust_env=False)
+    context.deployment.control("redeem", drop_answer=False)
+
+
+@then('the call failed as "{code}" with run "{run}"')
+def step_call_failed(context, code, run):
+    error = context.response.json()["error"]
+    assert (error["code"], error["run"]) == (code, run), error
+
+
 @when("a caller disconnects in the middle of a stream")
 def step_caller_disconnects(context):
     deployment = context.deployment
--- a/skylarklift/requests/caller_errors.py
+++ b/skylarklift/requests/caller_errors.py
@@ -1,7 +1,7 @@
 """Errors that callers get for failures of upstreams and for missed deadlines."""
 
 from skylarklift.clock import MS_PER_SECOND
-from skylarklift.errors import OutcomeUnknown, Refusal, RequestError, UpstreamFailed
+from skylarklift.errors import OutcomeUnknown, Refusal, RequestError, RunState, UpstreamFailed
 from skylarklift.upstreams.failures import UpstreamError
 
 DEADLINE_STATUS = 504
@@ -24,6 +24,17 @@
     return UpstreamFailed(f"the upstream failed: {exc}", retry_after_ms=MS_PER_SECOND)
 
 
+def denies_run(refusal: RequestError, failure: UpstreamError | None) -> bool:
+    """Return whether a refusal says "not run" although an earlier dispatch was sent."""
+    return failure is not None and refusal.run is RunState.NOT_RUN
+
+
+def retry_error(refusal: RequestError, failure: UpstreamError) -> RequestError:
+    """Return the error for a request that an upstream failed and that no other one took."""
+    text = f"the upstream failed: {failure}; no other took the request: {refusal}"
+    return UpstreamFailed(text, retry_after_ms=refusal.retry_after_ms)
+
+
 def deadline_error(sent: bool) -> RequestError:
     """Return the error for a missed deadline; `sent` says whether the request was dispatched."""
     if not sent:
--- a/skylarklift/requests/calls.py
+++ b/skylarklift/requests/calls.py
@@ -7,10 +7,15 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock
-from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal
+from skylarklift.errors import BadRequest, OutcomeUnknown, Refusal, RequestError
 from skylarklift.generated import Replica, RetrySettings, Service
 from skylarklift.ids import ReplicaId, ServiceId
-from skylarklift.requests.caller_errors import call_error, deadline_error
+from skylarklift.requests.caller_errors import (
+    call_error,
+    deadline_error,
+    denies_run,
+    retry_error,
+)
 from skylarklift.requests.claim_checks import claim_request, require_owned
 from skylarklift.requests.claims import Claim, ClaimState, ClaimWriter, Outcome
 from skylarklift.requests.gate import Gate
@@ -92,18 +97,22 @@
     async def _run_retryable(self, call: ServiceCall, service: Service) -> BufferedResponse:
         """Run a call without a claim; retry it where its method or the failure allows that."""
         failed: set[ReplicaId] = set()
-        sent = False
+        sent_failure: UpstreamError | None = None
         while True:
-            name, upstream = await self._choose_upstream(call, failed)
             try:
+                name, upstream = await self._choose_upstream(call, failed)
                 return await self._forward(call, service, upstream)
             except UpstreamError as exc:
-                sent = sent or exc.sent
+                sent_failure = exc if exc.sent else sent_failure
                 failed.add(name)
                 self._deps.telemetry.count(f"upstream.{exc.kind.value}")
                 retryable = not exc.sent or call.method in IDEMPOTENT_METHODS
                 if not retryable or not self._may_retry(failed):
-                    raise call_error(exc, sent) from exc
+                    raise call_error(exc, sent_failure is not None) from exc
+            except RequestError as exc:
+                if not denies_run(exc, sent_failure):
+                    raise
+                raise retry_error(exc, sent_failure) from exc
 
     def _may_retry(self, failed: set[ReplicaId]) -> bool:
         """Return whether the attempt limit and the retry budget allow another dispatch."""
--- a/skylarklift/requests/chats.py
+++ b/skylarklift/requests/chats.py
@@ -19,7 +19,12 @@
 from skylarklift.invariants import INVARIANTS
 from skylarklift.logger import log
 from skylarklift.pools.placer import Placement
-from skylarklift.requests.caller_errors import chat_error, deadline_error
+from skylarklift.requests.caller_errors import (
+    chat_error,
+    deadline_error,
+    denies_run,
+    retry_error,
+)
 from skylarklift.requests.chat_dependencies import ChatDependencies
 from skylarklift.requests.chat_placement import ChatPlacer, resolve_pool
 from skylarklift.requests.claim_checks import claim_request, require_owned
@@ -59,6 +64,7 @@
     _attempt: _Attempt | None = None
     _claim: Claim | None = None
     _reader: EventReader | None = None
+    _sent_failure: UpstreamError | None = None
     # Engines number events from 1.
     _position: StreamPosition = field(default_factory=lambda: StreamPosition(0))
     _trace: str = ""
@@ -181,8 +187,7 @@
 
     async def _dispatch(self, *, stream: bool) -> None:
         """Place the chat and send it to the replica that was granted."""
-        placer = ChatPlacer(self.deps, self.request, self._trace)
-        placement, url = await placer.place(self.failed_replicas)
+        placement, url = await self._place()
         attempt = self._attempt = _Attempt(placement, sent_at=self.deps.clock.now())
         if self._claim is not None:
             self._claim.mark_dispatched()
@@ -201,6 +206,16 @@
             raise UpstreamError(FailureKind.BUSY, reason, sent=self._claim is not None)
         check_request_id(response, self.caller.request_id)
 
+    async def _place(self) -> tuple[Placement, str]:
+        """Return a grant and the URL to send the chat to."""
+        placer = ChatPlacer(self.deps, self.request, self._trace)
+        try:
+            return await placer.place(self.failed_replicas)
+        except RequestError as exc:
+            if not denies_run(exc, self._sent_failure):
+                raise
+            raise retry_error(exc, self._sent_failure) from exc
+
     def _headers(self, stream: bool) -> dict[str, str]:
         """Return the request headers for the engine."""
         headers = {
@@ -230,6 +245,8 @@
     async def _raise_unless_retryable(self, exc: UpstreamError) -> None:
         """Release the grant and record the failure; raise unless the chat may be retried."""
         placement = self._attempt.placement
+        if exc.sent:
+            self._sent_failure = exc
         crashed = exc.kind is FailureKind.BROKEN and await self._engine_is_down(placement)
         self._release_grant(ReleaseCause.CRASHED if crashed else ReleaseCause.FAILED)
         self.failed_replicas.add(placement.replica)
