Take no answer for whole that only its connection ends, unless its JSON is complete

Callers of skylarkliftd got half an answer with status 200 when a service or engine that sends neither a length nor chunks died in the middle of it: the kernel closes its connections in order. A marked request's half answer was even recorded as its outcome. Cause: `read_response` took the end of the connection for the end of the body. Change: such a body counts only if it is declared as JSON and is one JSON object or array; others fail as broken, so idempotent calls and chats are tried again within the budget, and a request that may run once gets `outcome_unknown`. HEAD, 204 and 304 have no body.

Ruled out: proof by a living process (`boot`, an idle connection); see docs/design/requests.md. Price: a text without a length from a living service is `upstream_failed`.

--- a/skylarklift/upstreams/client.py
+++ b/skylarklift/upstreams/client.py
@@ -8,6 +8,7 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.ids import RequestId
+from skylarklift.upstreams.body_end import JSON_TYPE, has_delimited_body, is_whole_json
 from skylarklift.upstreams.failures import FailureKind, UpstreamError
 from skylarklift.upstreams.reader import EventReader
 
@@ -61,11 +62,13 @@
             method, url, headers=headers, content=body, extensions=self._extensions
         )
         try:
-            return await self._transport.handle_async_request(request)
+            response = await self._transport.handle_async_request(request)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
             raise UpstreamError(FailureKind.UNREACHABLE, _error_text(exc), sent=False) from exc
         except httpx.HTTPError as exc:
             raise UpstreamError(FailureKind.BROKEN, _error_text(exc), sent=True) from exc
+        response.request = request
+        return response
 
     async def stream_events(
         self, response: httpx.Response, reader: EventReader
@@ -83,7 +86,7 @@
             raise UpstreamError(FailureKind.BROKEN, "the stream ended early", sent=True)
 
     async def read_response(self, response: httpx.Response) -> BufferedResponse:
-        """Read a response to its end and close it; raise if it does not seem to end."""
+        """Read a response to its end and close it; raise if nothing shows that it is whole."""
         parts, size = [], 0
         has_length = "content-length" in response.headers
         try:
@@ -97,11 +100,12 @@
             raise UpstreamError(FailureKind.BROKEN, _error_text(exc), sent=True) from exc
         finally:
             await self.close_response(response)
-        return BufferedResponse(
-            response.status_code,
-            response.headers.get("content-type", "application/json"),
-            b"".join(parts),
-        )
+        content_type = response.headers.get("content-type", "")
+        body = b"".join(parts)
+        if not has_delimited_body(response) and not is_whole_json(content_type, body):
+            text = "the connection ended a body without a length"
+            raise UpstreamError(FailureKind.BROKEN, text, sent=True)
+        return BufferedResponse(response.status_code, content_type or JSON_TYPE, body)
 
     async def close_response(self, response: httpx.Response) -> None:
         """Close a response; this cancels the request at an engine that still runs it."""
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -196,6 +196,13 @@
         port = free_ports(1)[0]
         return self._launch(name, ["-m", module, "--port", str(port), *options], port)
 
+    def start_undelimited(self, name: str, script: str) -> ManagedProcess:
+        """Start an upstream that answers without a length, as a script says."""
+        started = self._start_standin(name, "standins.undelimited", ["--script", script])
+        url = f"{started.url}/control"
+        self.wait_until(lambda: httpx.get(url, trust_env=False).is_success, f"{name} to be up")
+        return started
+
     def _launch(self, name: str, command: list[str], port: int) -> ManagedProcess:
         """Start a Python process whose output is appended to its log file."""
         log = self.folder / f"{name}.log"
