End a stream with an error event when its deadline passed while the router stood still

Callers saw the connection of a stream break without an error event ("peer closed connection without sending complete message body"); a caller of HTTP/1.0 could not tell. Cause: the deadline's cancel scope stayed open over the generator's `yield`. A router that was frozen reads data and the deadline in one step, and the cancellation then struck in the server's send, outside of the stream. Change: the scope is open only while the next events are awaited; what comes late ends as `deadline`.

Ruled out: a caller that is waited for beyond the deadline got its error event before, too (trial).

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -51,6 +51,12 @@
     When the service drops its response and a non-idempotent request is sent twice
     Then both responses say "unknown" and the service counts one effect
 
+  # Guards against a cancellation by the deadline that strikes outside of the stream and breaks its connection.
+  Scenario: Streams whose router is frozen past their deadline end with an error event
+    Given a deployment of 3 routers and 3 engines
+    When a router is frozen past the deadline of 6 streams
+    Then every stream ends with the error "deadline"
+
   # Guards against "not run" for a call that was sent and that no other upstream could take.
   Scenario: A call whose only upstream fails after it was sent is not refused as not run
     Given a deployment of 3 routers and 3 engines
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -4,12 +4,13 @@
 import signal
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import httpx
 from behave import given, then, when
 
 from features.chat_calls import send_chat, send_chats
-from features.steps.path import chat_headers, send_non_idempotent
+from features.steps.path import chat_body, chat_headers, send_non_idempotent
 from standins.deployment import Deployment, Shape
 from standins.engine import CRASH_MARK
 
@@ -265,6 +266,39 @@
     assert effect_count(context, "dropped") == 1
 
 
+@when("a router is frozen past the deadline of {count:d} streams")
+def step_freeze_past_deadline(context, count):
+    router = context.deployment.processes["router-1"]
+    bodies = context.stream_ends = []
+
+    def stream(number):
+        headers = chat_headers(chat=f"frozen-{number}", **{"Skylarklift-Deadline-Ms": "1500"})
+        body = chat_body(2000, stream=True)
+        url = f"{router.url}/v1/chat/completions"
+        try:
+            response = httpx.post(
+                url, json=body, headers=headers, timeout=TIMEOUT_S, trust_env=False
+            )
+            bodies.append(response.text)
+        except httpx.HTTPError as exc:
+            bodies.append(repr(exc))
+
+    with ThreadPoolExecutor(count) as executor:
+        for number in range(count):
+            executor.submit(stream, number)
+        time.sleep(0.8)
+        router.signal(signal.SIGSTOP)
+        time.sleep(1.5)
+        router.signal(signal.SIGCONT)
+    wait_for_health(context)
+
+
+@then('every stream ends with the error "{code}"')
+def step_streams_end(context, code):
+    ends = [text[-300:] for text in context.stream_ends]
+    assert ends and all(f'"code": "{code}"' in end for end in ends), ends
+
+
 @when("the service drops its response and an idempotent call is sent")
 def step_dropped_call(context):
     context.deployment.control("redeem", drop_answer=True)
--- a/skylarklift/requests/chats.py
+++ b/skylarklift/requests/chats.py
@@ -5,7 +5,7 @@
 claimed first and dispatched once.
 """
 
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 
@@ -64,6 +64,7 @@
     _attempt: _Attempt | None = None
     _claim: Claim | None = None
     _reader: EventReader | None = None
+    _events: AsyncGenerator[bytes] | None = None
     _sent_failure: UpstreamError | None = None
     # Engines number events from 1.
     _position: StreamPosition = field(default_factory=lambda: StreamPosition(0))
@@ -120,23 +121,37 @@
     async def events(self) -> AsyncIterator[bytes]:
         """Yield the events of a started chat; the last is the end marker or an error."""
         try:
-            with self._span("answer"), self._deadline() as scope:
-                while True:
-                    try:
-                        async for events in self._attempt_events():
-                            yield events
-                        self._finish()
-                        return
-                    except UpstreamError as exc:
-                        await self._resume_after(exc)
-            if scope.cancelled_caught:
-                raise deadline_error(self.dispatch_count > 0)
+            with self._span("answer"):
+                while events := await self._next_events():
+                    yield events
         except RequestError as exc:
             self.deps.telemetry.count("chats.broken")
             yield self.deps.telemetry.error_event(exc)
         finally:
+            if self._events is not None:
+                await self._events.aclose()
             await self._abort()
 
+    async def _next_events(self) -> bytes:
+        """Return the next events, of another replica after a break; nothing at the end.
+
+        The deadline's scope must not be open while the caller is waited for: its cancellation
+        would strike outside of this class.
+        """
+        with self._deadline():
+            while True:
+                if self._events is None:
+                    self._events = self._attempt_events()
+                try:
+                    return await anext(self._events)
+                except StopAsyncIteration:
+                    self._finish()
+                    return b""
+                except UpstreamError as exc:
+                    self._events = None
+                    await self._resume_after(exc)
+        raise deadline_error(self.dispatch_count > 0)
+
     def _deadline(self) -> trio.CancelScope:
         """Return a cancel scope that ends at the caller's deadline."""
         return trio.move_on_after(self.caller.left_ms(self.deps.clock) / MS_PER_SECOND)
@@ -230,7 +245,7 @@
             headers[RESUME_HEADER] = str(self._position.last)
         return headers
 
-    async def _attempt_events(self) -> AsyncIterator[bytes]:
+    async def _attempt_events(self) -> AsyncGenerator[bytes]:
         """Yield the events of the current attempt that were not forwarded before."""
         attempt = self._attempt
         self._reader = EventReader(self.caller.request_id, self._position)
