Close a connection behind the response that is to end with it

Callers of HTTP/1.0, and those that ask for `Connection: close`, got their whole response from skylarkliftd and then waited on: the connection stayed open until they gave up, and its task stayed with the router. Cause: the server tells the app of the end before it closes, and Quart-Trio cancels the task that sends, which is the one that closes. Change: the last message of a response is sent in a shielded scope.

Ruled out: the keep-alive time-out, which is not running then (a trial waited 20 s).

features/closed_connections.feature: failed before, 4 of 4 scenarios; passes now, 4 of 4.

--- a/skylarklift/serving.py
+++ b/skylarklift/serving.py
@@ -14,6 +14,7 @@
 from skylarklift.logger import log
 from skylarklift.util.failure_reports import FailureReports
 from skylarklift.util.listening import LISTEN_BACKLOG, open_with_retries
+from skylarklift.util.response_ends import ResponseEnds
 
 # A port may still be in use by the process before; later it is a mistake in the settings.
 PORT_WAIT_LIMIT_MS = 5000
@@ -55,7 +56,7 @@
 
 async def serve_app(app: QuartTrio, config: Config, stop: Callable[[], Awaitable[None]]) -> None:
     """Serve until `stop` returns, then wait up to `graceful_timeout` for running requests."""
-    await serve(app, config, shutdown_trigger=stop, mode="asgi")
+    await serve(ResponseEnds(app), config, shutdown_trigger=stop, mode="asgi")
 
 
 async def open_address(config: Config) -> None:
