Date evidence of freshness by the read that gave it

A router counted its configuration as newer-proven than it was: up to the store's slowness, the time that voters took to agree to a change, or a standstill, so it could send work to a zone that was taken out for longer than `fresh_for_ms` allows. Cause: a moment of noticing stood for one of happening. `_load` dated the rows by when it began, after they had been read; the write of a patch vouched for the view, and the write of a view for the configuration, by the time of the write, though only the read before says something of the other row. Change: the rows keep the moment at which their read began, and all evidence from them carries it.

--- /dev/null
+++ b/features/steps/late_readings.py
@@ -0,0 +1,105 @@
+"""Steps on routers that read, or act on, something late."""
+
+import random
+from collections import Counter
+
+import trio
+from behave import given, then, when
+
+from features.fakes import FakeNetwork, FakePlatform, make_node
+from features.world import make_routing, run_virtual
+from skylarklift.clock import sleep_ms
+from skylarklift.config.patching import PatchRequest
+from skylarklift.generated import PatchFormat
+from skylarklift.ids import PatchId, Version
+
+SEED = 1
+
+
+def make_router(context, name, nursery):
+    """Return a router on the scenario's platform; its tasks do not run."""
+    boot = f"{name}-boot"
+    return make_node(name, "zone-1", boot, context.platform, context.network, Counter(), nursery)
+
+
+async def accept_patch(node, patch_id, patch):
+    """Let a router accept a patch."""
+    base = Version(node.heads.table.version)
+    request = PatchRequest(base, PatchId(patch_id), "anna", PatchFormat.MERGE, patch)
+    await node.heads.accept(request)
+
+
+def prepare_slowly(node, duration_ms):
+    """Let the voters of a router agree only after some time."""
+
+    async def prepare(_heads):
+        await sleep_ms(duration_ms)
+        return True
+
+    node.heads.prepare = prepare
+
+
+@given("a router whose store has a configuration and a view")
+def step_router(context):
+    context.platform = FakePlatform(random.Random(SEED))
+    context.network = FakeNetwork(random.Random(SEED))
+
+
+def run_steps(context, change):
+    """Run a change at a router, beside another one that wrote the first heads."""
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            first = make_router(context, "r0", nursery)
+            first.heads.prepare = prepare_at_once
+            await accept_patch(first, "p0", make_routing())
+            await first.views.join(first.me, first.gossip.own_member())
+            await change(first, nursery)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(SEED, run)
+
+
+async def prepare_at_once(_heads):
+    """Agree."""
+    return True
+
+
+@when("the answer that tells of a newer patch takes {duration:d} ms")
+def step_slow_answer(context, duration):
+    async def change(_first, nursery):
+        node = make_router(context, "r1", nursery)
+        context.platform.extra_delay_ms = duration
+        async with trio.open_nursery() as reading:
+            reading.start_soon(node.heads.refresh)
+            # Only the first read is slow, that of the heads.
+            await sleep_ms(1)
+            context.platform.extra_delay_ms = 0
+        context.age_ms = node.freshness.evidence_age_ms()
+
+    run_steps(context, change)
+
+
+@when("a patch is accepted after voters agreed within {duration:d} ms")
+def step_slow_patch(context, duration):
+    async def change(first, _nursery):
+        prepare_slowly(first, duration)
+        await accept_patch(first, "p1", {"zones": {"zone-1": {"state": "out"}}})
+        context.age_ms = first.freshness.evidence_age_ms()
+
+    run_steps(context, change)
+
+
+@when("a view is written after voters agreed within {duration:d} ms")
+def step_slow_view(context, duration):
+    async def change(first, _nursery):
+        prepare_slowly(first, duration)
+        await first.views.mark_leaving(first.me)
+        context.age_ms = first.freshness.evidence_age_ms()
+
+    run_steps(context, change)
+
+
+@then("its evidence is at least {age:d} ms old")
+def step_evidence_age(context, age):
+    assert context.age_ms >= age, context.age_ms
--- a/skylarklift/config/heads.py
+++ b/skylarklift/config/heads.py
@@ -69,10 +69,14 @@
 
 @dataclass
 class StoreHeads:
-    """The two head rows that one read of the store returned; `None` for an absent row."""
+    """The two head rows that one read of the store returned; `None` for an absent row.
+
+    `read_at` is when the read began, the last moment at which they are known to be the newest.
+    """
 
     config: Row | None
     view: Row | None
+    read_at: Millis
 
     def numbers(self) -> HeadNumbers:
         """Return the configuration version and the view number; 0 for an absent row."""
@@ -141,20 +145,19 @@
             self.store_away = True
             raise
         self.store_away = False
-        stored = StoreHeads(rows.get(HEAD_KEY), rows.get(VIEW_KEY))
+        stored = StoreHeads(rows.get(HEAD_KEY), rows.get(VIEW_KEY), asked_at)
         self.acceptance_tracker.record_store_read(asked_at)
         self._freshness.record_store_read(asked_at, stored.numbers())
         return stored
 
     async def _load(self, stored: StoreHeads) -> None:
         """Load a newer configuration and view from the store."""
-        asked_at = self._clock.now()
         async with self._load_lock:
             if stored.config and stored.config.value["version"] > self.table.version:
                 await self._load_table(convert(stored.config.value, type=HeadRow))
             if stored.view is not None:
                 self._install_view(convert(stored.view.value, type=ViewRow))
-            self._freshness.record_store_read(asked_at, stored.numbers())
+            self._freshness.record_store_read(stored.read_at, stored.numbers())
 
     async def _load_table(self, head: HeadRow) -> None:
         """Load a configuration from the latest snapshot and the patches that follow it."""
@@ -180,10 +183,13 @@
         self.table = table
         self._notify_change()
 
-    def install_written_view(self, view: ViewRow, started_at: Millis) -> None:
-        """Install a view that this router wrote; the write began at `started_at`."""
+    def install_written_view(self, view: ViewRow, read_at: Millis) -> None:
+        """Install a view that this router wrote.
+
+        The write says nothing about the configuration, which was read at `read_at`.
+        """
         self._install_view(view)
-        self._freshness.record_store_read(started_at, self.numbers())
+        self._freshness.record_store_read(read_at, self.numbers())
 
     def _install_view(self, view: ViewRow) -> None:
         """Replace the view if the given one is newer."""
@@ -279,10 +285,11 @@
             if request.base != self.table.version:
                 raise StalePatch(self.table.version, await self.changes_since(request.base))
             plan = plan_patch(self.table, stored.config, request)
-            written_at = await self._write_plan(plan, request)
+            await self._write_plan(plan, request)
             self.recent_patches.append(plan.row)
             self._install_table(plan.table)
-            self._freshness.record_store_read(written_at, self.numbers())
+            # The write says nothing about the view, which was read before.
+            self._freshness.record_store_read(stored.read_at, self.numbers())
             await self._write_snapshot_if_due(plan)
             return plan.table.version
 
@@ -291,8 +298,8 @@
         row = await self._store.read(PATCH_ID_PREFIX + patch_id)
         return None if row is None else Version(convert(row.value, type=PatchIdRow).version)
 
-    async def _write_plan(self, plan: PatchPlan, request: PatchRequest) -> Millis:
-        """Announce and write a planned patch; return when the last attempt to write began.
+    async def _write_plan(self, plan: PatchPlan, request: PatchRequest) -> None:
+        """Announce and write a planned patch.
 
         After a lost answer the same conditional transaction is sent again.  It
         either takes effect now, or conflicts because an earlier attempt took effect.
@@ -303,13 +310,12 @@
         answer_lost = False
         deadline = self._clock.now() + SETTLE_TIMEOUT_MS
         while True:
-            started_at = self._clock.now()
             try:
                 await self._store.transact(plan.writes)
-                return started_at
+                return
             except StoreConflict as exc:
                 await self._settle_conflict(plan, request, exc, answer_lost)
-                return started_at
+                return
             except StoreAnswerLost:
                 answer_lost = True
             except StoreUnavailable:
--- a/skylarklift/coordination.py
+++ b/skylarklift/coordination.py
@@ -53,7 +53,7 @@
         self.voters = VoterSets(clock, cfg.freshness.voters, fresh_for_ms + lease_ms)
         self.freshness = Freshness(clock, fresh_for_ms, self.voters)
         self.heads = HeadManager(clock, cfg.store, tables, objects, self.freshness, self.voters)
-        self.views = ViewChanger(clock, self.heads, tables)
+        self.views = ViewChanger(self.heads, tables)
         self.membership = Membership(clock, self.me, cfg.peers)
         self.gossip = Gossip(
             clock,
--- a/skylarklift/routers/views.py
+++ b/skylarklift/routers/views.py
@@ -6,14 +6,14 @@
 from msgspec import to_builtins
 from msgspec.structs import replace
 
-from skylarklift.clock import Clock, sleep_ms
-from skylarklift.config.heads import HeadManager
+from skylarklift.clock import sleep_ms
+from skylarklift.config.heads import HeadManager, StoreHeads
 from skylarklift.config.patching import VIEW_KEY
 from skylarklift.errors import PatchError, StoreAnswerLost, StoreConflict, StoreUnavailable
 from skylarklift.generated import Member, ViewRow
 from skylarklift.ids import RouterId
 from skylarklift.logger import FAILURES
-from skylarklift.store.base import ABSENT, Row, TableStore, Write
+from skylarklift.store.base import ABSENT, TableStore, Write
 from skylarklift.votes.freshness import HeadNumbers
 
 MAX_WRITE_ATTEMPTS = 20
@@ -23,8 +23,7 @@
 class ViewChanger:
     """Changes the view by conditional writes, which are announced to the freshness voters first."""
 
-    def __init__(self, clock: Clock, heads: HeadManager, store: TableStore):
-        self._clock = clock
+    def __init__(self, heads: HeadManager, store: TableStore):
         self._heads = heads
         self._store = store
 
@@ -57,13 +56,14 @@
             members = change(self._heads.view.members)
             if members == self._heads.view.members:
                 return
-            if await self._write_view(stored.view, members):
+            if await self._write_view(stored, members):
                 return
             await sleep_ms(random.uniform(0, MAX_RETRY_DELAY_MS))
         raise PatchError(f"view not changed after {MAX_WRITE_ATTEMPTS} attempts")
 
-    async def _write_view(self, row: Row | None, members: dict[str, Member]) -> bool:
+    async def _write_view(self, stored: StoreHeads, members: dict[str, Member]) -> bool:
         """Try once to write the next view; return whether it was written and installed."""
+        row = stored.view
         if (row.value["number"] if row else 0) != self._heads.view.number:
             return False
         view = ViewRow(number=self._heads.view.number + 1, members=members)
@@ -71,7 +71,6 @@
         if not await self._heads.prepare(announced):
             return False
         write = Write(VIEW_KEY, to_builtins(view), row.version if row else ABSENT)
-        started_at = self._clock.now()
         try:
             await self._store.transact([write])
         except StoreUnavailable:
@@ -81,5 +80,5 @@
             FAILURES.record("view_write_failed", exc, view=str(view.number))
             # The next attempt reads the view again and sees whether this write took effect.
             return False
-        self._heads.install_written_view(view, started_at)
+        self._heads.install_written_view(view, stored.read_at)
         return True
