Count a router's departure from when it is noticed, not from the last look before

A router that stood still for more than 5 s and then read that another one had just left took that one for long gone: as the next admitter it did not wait for the requests of the departed router, so a replica could get more than its bound. Cause: `DepartedRouters` dated a departure by this router's last tick before it. Change: it dates it by when it is noticed, which is never too early.

--- a/features/late_readings.feature
+++ b/features/late_readings.feature
@@ -11,3 +11,10 @@
       | the answer that tells of a newer patch takes 3000 ms      |
       | a patch is accepted after voters agreed within 3000 ms    |
       | a view is written after voters agreed within 3000 ms      |
+
+  # Guards against grants that a takeover leaves out, as their router left the view while this one stood still.
+  Scenario: A router that left the view while this one stood still has departed recently
+    Given a view of two routers that a router has noted
+    When the router stands still for 10000 ms and reads that one of them left
+    Then it counts that one as recently departed
+    And no longer 5000 ms later
--- a/features/steps/late_readings.py
+++ b/features/steps/late_readings.py
@@ -8,10 +8,16 @@
 
 from features.fakes import FakeNetwork, FakePlatform, make_node
 from features.world import make_routing, run_virtual
-from skylarklift.clock import sleep_ms
+from skylarklift.clock import ManualClock, sleep_ms
 from skylarklift.config.patching import PatchRequest
-from skylarklift.generated import PatchFormat
-from skylarklift.ids import PatchId, Version
+from skylarklift.config.routing import RoutingTable
+from skylarklift.generated import Ask, Granted, Member, PatchFormat, PeerSettings
+from skylarklift.ids import PatchId, PoolId, RouterId, Version
+from skylarklift.pools.admitter import PoolAdmitter
+from skylarklift.pools.hosted import HostedPool
+from skylarklift.pools.takeover import DepartedRouters
+from skylarklift.routers.membership import Membership
+from skylarklift.votes.lease import LeaseClient, VoterSets
 
 SEED = 1
 
@@ -103,3 +109,76 @@
 @then("its evidence is at least {age:d} ms old")
 def step_evidence_age(context, age):
     assert context.age_ms >= age, context.age_ms
+
+
+@given("a view of two routers that a router has noted")
+def step_noted_view(context):
+    context.clock = ManualClock()
+    context.membership = Membership(context.clock, RouterId("r1"), PeerSettings(keys=["k"]))
+    member = Member(host="h", port=1, zone="zone-1", boot="b")
+    context.membership.apply_view(1, {RouterId("r1"): member, RouterId("r2"): member})
+    context.departed = DepartedRouters(context.clock, context.membership)
+    context.departed.recently_departed()
+
+
+@when("the router stands still for {duration:d} ms and reads that one of them left")
+def step_late_view(context, duration):
+    context.clock.advance(duration)
+    members = {RouterId("r1"): context.membership.members[RouterId("r1")]}
+    context.membership.apply_view(2, members)
+
+
+@then("it counts that one as recently departed")
+def step_departed(context):
+    assert context.departed.recently_departed() == {RouterId("r2")}
+
+
+@then("no longer {duration:d} ms later")
+def step_not_departed(context, duration):
+    context.clock.advance(duration)
+    assert not context.departed.recently_departed()
+
+
+@given("an admitter with a free replica")
+def step_admitter(context):
+    context.clock = ManualClock()
+    context.pool = RoutingTable(Version(1), make_routing()).routing.pools["till"]
+
+
+@when("it stands still for {duration:d} ms between its decision and its answer")
+def step_late_answer(context, duration):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            context.platform = FakePlatform(random.Random(SEED))
+            context.network = FakeNetwork(random.Random(SEED))
+            node = make_node(
+                "r0",
+                "zone-1",
+                "b",
+                context.platform,
+                context.network,
+                Counter(),
+                nursery,
+                context.clock,
+            )
+            lease = LeaseClient(context.clock, VoterSets(context.clock, 1, 0), "pool/till", 4000)
+            admitter = PoolAdmitter(context.clock, context.pool, list(context.pool.replicas))
+            hosted = HostedPool(lease, admitter)
+            decide = hosted.decide
+
+            async def decide_and_stand_still(request):
+                decision = await decide(request)
+                context.clock.advance(duration)
+                return decision
+
+            hosted.decide = decide_and_stand_still
+            ask = Ask(0, 1, "till", 1, 1, 1000, "w0", 1, 0, [], "")
+            context.granted = await node.pools._decide(RouterId("r0"), ask, PoolId("till"), hosted)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(SEED, run)
+
+
+@then("the grant says that it waited for less than {limit:d} ms")
+def step_waited(context, limit):
+    assert isinstance(context.granted, Granted) and context.granted.waited_ms < limit
--- a/skylarklift/pools/takeover.py
+++ b/skylarklift/pools/takeover.py
@@ -25,21 +25,26 @@
     def __init__(self, clock: Clock, membership: Membership):
         self._clock = clock
         self._membership = membership
-        self._last_seen: dict[RouterId, Millis] = {}
+        self._noted: set[RouterId] = set()
+        self._departed_at: dict[RouterId, Millis] = {}
 
     def recently_departed(self) -> set[RouterId]:
-        """Record the present members; return the routers that left the view recently.
+        """Note the present members; return the routers that left the view recently.
 
+        A departure counts from when it is noticed, as this router may have stood still before.
         Call it at least once for each view, or members of that view may be missed.
         """
         now = self._clock.now()
-        members = self._membership.members
-        self._last_seen.update(dict.fromkeys(members, now))
+        members = set(self._membership.members)
+        self._departed_at.update(dict.fromkeys(self._noted - members, now))
+        self._noted = members
         oldest = now - DEPARTED_ROUTER_TTL_MS
-        self._last_seen = {
-            name: seen_at for name, seen_at in self._last_seen.items() if seen_at > oldest
+        self._departed_at = {
+            name: moment
+            for name, moment in self._departed_at.items()
+            if moment > oldest and name not in members
         }
-        return self._last_seen.keys() - members.keys()
+        return set(self._departed_at)
 
 
 async def count_unlisted_requests(
