Let a grant's time run from the admitter's decision, not from its answer

A grant that an admitter decided on before it stood still was accepted by the router that had asked, though another admitter may have taken over meanwhile and not know of it: `waited_ms`, by which the asker extends the grant's time, was measured when the answer was sent.

--- a/features/late_readings.feature
+++ b/features/late_readings.feature
@@ -18,3 +18,9 @@
     When the router stands still for 10000 ms and reads that one of them left
     Then it counts that one as recently departed
     And no longer 5000 ms later
+
+  # Guards against a grant that is used after its time, as the admitter stood still before it answered.
+  Scenario: The time that an admitter stood still after its decision is no waiting time of the grant
+    Given an admitter with a free replica
+    When it stands still for 4000 ms between its decision and its answer
+    Then the grant says that it waited for less than 1000 ms
--- a/skylarklift/pools/host.py
+++ b/skylarklift/pools/host.py
@@ -288,7 +288,8 @@
         key = GrantKey(router, GrantId(message.grant))
         decision = await hosted.decide(self._admission_request(key, message))
         if isinstance(decision, Grant):
-            waited_ms = self._clock.now() - asked_at
+            # The grant's time runs from the decision on, whatever held up this answer.
+            waited_ms = max(0, decision.granted_at - asked_at)
             return Granted(0, message.grant, decision.replica, hosted.version, waited_ms, tenure)
         code = NOT_ADMITTING if decision.code is RefusalCode.HANDED_OVER else decision.code.value
         return Refused(0, code, decision.retry_ms, self._expected_admitter(pool_id))
