Suspect and remove no router for the time in which its prober stood still

A router that had stood still suspected its neighbour when it woke, told the others so, and, if one probe had failed before it stood still for `remove_after_ms`, removed a healthy router from the view. Cause: the prober took the time since it last read an answer for the neighbour's silence. Change: silence adds up over the gaps that failing probes leave; a longer gap, in which this router stood still or asked nothing, adds none. Suspicions expire before a removal is decided. A refused connection still counts at once, and a router that is silent is suspected and removed as soon as before.

--- a/features/late_readings.feature
+++ b/features/late_readings.feature
@@ -24,3 +24,18 @@
     Given an admitter with a free replica
     When it stands still for 4000 ms between its decision and its answer
     Then the grant says that it waited for less than 1000 ms
+
+  # Guards against suspicions, and removals, of a router for the time in which the one that probes it stood still.
+  Scenario Outline: A router that does not answer for <silent> ms while its prober <prober> is <state>
+    Given a view of two routers that a router has noted
+    When the other router does not answer for <silent> ms while its prober <prober>
+    Then the other router is <state>
+
+    Examples:
+      | silent | prober       | state                  |
+      | 6000   | stands still | not suspected          |
+      | 20000  | stands still | not suspected          |
+      | 500    | runs         | not suspected          |
+      | 2000   | runs         | suspected              |
+      | 14000  | runs         | suspected              |
+      | 17000  | runs         | suspected and removed  |
--- a/features/steps/late_readings.py
+++ b/features/steps/late_readings.py
@@ -20,6 +20,7 @@
 from skylarklift.votes.lease import LeaseClient, VoterSets
 
 SEED = 1
+PROBE_INTERVAL_MS = 500
 
 
 def make_router(context, name, nursery):
@@ -182,3 +183,32 @@
 @then("the grant says that it waited for less than {limit:d} ms")
 def step_waited(context, limit):
     assert isinstance(context.granted, Granted) and context.granted.waited_ms < limit
+
+
+@when("the other router does not answer for {duration:d} ms while its prober {prober}")
+def step_silent_router(context, duration, prober):
+    membership = context.membership
+    membership.record_answer(RouterId("r2"))
+    context.clock.advance(PROBE_INTERVAL_MS)
+    step_ms = duration if prober == "stands still" else PROBE_INTERVAL_MS
+    membership.record_probe_failure(RouterId("r2"), refused=False)
+    for _ in range(duration // step_ms):
+        context.clock.advance(step_ms)
+        # Two probes were on their way.
+        membership.record_probe_failure(RouterId("r2"), refused=False)
+        membership.record_probe_failure(RouterId("r2"), refused=False)
+
+
+STATES = {
+    "not suspected": (False, False),
+    "suspected": (True, False),
+    "suspected and removed": (True, True),
+}
+
+
+@then("the other router is {state}")
+def step_other_state(context, state):
+    membership = context.membership
+    suspected = RouterId("r2") not in membership.live()
+    removed = RouterId("r2") in membership.members_to_remove()
+    assert (suspected, removed) == STATES[state], (suspected, removed)
--- a/skylarklift/routers/membership.py
+++ b/skylarklift/routers/membership.py
@@ -20,6 +20,9 @@
 from skylarklift.ids import BootId, RouterId
 
 DIGEST_MASK = 0xFFFFFFFF
+# A router that runs reads the failure of a probe at most this many intervals and a call's
+# time-out after that of the one before.
+PROBE_GAP_INTERVALS = 2
 
 
 @dataclass
@@ -30,6 +33,14 @@
     renewed_at: Millis
 
 
+@dataclass
+class _Silence:
+    """For how long probes of a router have failed without an answer between them."""
+
+    duration_ms: int
+    noted_at: Millis
+
+
 class Membership:
     """The view and the suspicions as known to one router."""
 
@@ -41,7 +52,7 @@
         self.members: dict[RouterId, Member] = {}
         self._suspicions: dict[RouterId, _Suspicion] = {}
         self._last_answer_at: dict[RouterId, Millis] = {}
-        self._silent_since: dict[RouterId, Millis] = {}
+        self._silences: dict[RouterId, _Silence] = {}
 
     def apply_view(self, view: int, members: dict[RouterId, Member]) -> None:
         """Apply a newer view and drop the suspicions and probe results of removed members."""
@@ -51,7 +62,7 @@
         self.members = dict(members)
         for router in [name for name in self._suspicions if name not in members]:
             del self._suspicions[router]
-        for known in (self._last_answer_at, self._silent_since):
+        for known in (self._last_answer_at, self._silences):
             for router in [name for name in known if name not in members]:
                 del known[router]
 
@@ -60,7 +71,7 @@
     def record_answer(self, router: RouterId) -> None:
         """Record an answer from a router and end the suspicion of it."""
         self._last_answer_at[router] = self._clock.now()
-        self._silent_since.pop(router, None)
+        self._silences.pop(router, None)
         self._suspicions.pop(router, None)
 
     def record_probe_failure(self, router: RouterId, *, refused: bool) -> None:
@@ -72,11 +83,25 @@
         if router not in self.members:
             return
         now = self._clock.now()
-        silent_since = self._silent_since.setdefault(router, now)
-        silence_ms = now - max(self._last_answer_at.get(router, silent_since), Millis(0))
+        silence_ms = self._extend_silence(router, now)
         if refused or silence_ms >= self._cfg.suspect_after_ms:
             self._suspicions[router] = _Suspicion(BootId(self.members[router].boot), now)
 
+    def _extend_silence(self, router: RouterId, now: Millis) -> int:
+        """Add a failed probe to the silence of a router; return how long that is now.
+
+        A gap that probes do not leave is not counted: this router stood still, or asked nothing.
+        """
+        silence = self._silences.get(router)
+        if silence is None:
+            start = self._last_answer_at.get(router, now)
+            silence = self._silences[router] = _Silence(0, start)
+        gap_ms = now - silence.noted_at
+        if gap_ms <= PROBE_GAP_INTERVALS * self._cfg.pull_interval_ms + self._cfg.call_timeout_ms:
+            silence.duration_ms += gap_ms
+        silence.noted_at = now
+        return silence.duration_ms
+
     # Exchange of suspicions.
 
     def suspicion_entries(self) -> list[SuspicionEntry]:
@@ -151,9 +176,9 @@
 
         Only probes by this router count.
         """
-        limit = self._clock.now() - self._cfg.remove_after_ms
+        self._expire_suspicions(self._clock.now())
         return [
             name
-            for name, since in sorted(self._silent_since.items())
-            if since <= limit and name in self._suspicions
+            for name, silence in sorted(self._silences.items())
+            if silence.duration_ms >= self._cfg.remove_after_ms and name in self._suspicions
         ]
