Let the late end of a hold of a lease not end the vote for the next hold

Two routers could admit for a pool at once, each with a majority, so that replicas got more than their bound. Cause: a voter that stood still, or a second connection, reads an `Unvote` of an earlier hold after the `Vote` of the same router's next one, and the vote was ended by name and router alone. Change: votes and their ends carry the number of the hold, random for each hold; an end that names another one is ignored. Routers that do not send the number yet count as hold 0, as before.

--- a/features/late_readings.feature
+++ b/features/late_readings.feature
@@ -39,3 +39,9 @@
       | 2000   | runs         | suspected              |
       | 14000  | runs         | suspected              |
       | 17000  | runs         | suspected and removed  |
+
+  # Guards against two admitters of a pool: a voter that stood still reads the end of an old vote after the new vote.
+  Scenario: A voter that reads late that a hold of a lease ended keeps its vote for the next hold
+    Given two routers in a view, of which one holds the lease of a pool
+    When it hands the lease over, gets it again, and the voter then reads that the first hold ended
+    Then the voter refuses its vote to a third router
--- a/features/steps/late_readings.py
+++ b/features/steps/late_readings.py
@@ -11,7 +11,8 @@
 from skylarklift.clock import ManualClock, sleep_ms
 from skylarklift.config.patching import PatchRequest
 from skylarklift.config.routing import RoutingTable
-from skylarklift.generated import Ask, Granted, Member, PatchFormat, PeerSettings
+from skylarklift.errors import PeerError
+from skylarklift.generated import Ask, Granted, Member, PatchFormat, PeerSettings, Vote
 from skylarklift.ids import PatchId, PoolId, RouterId, Version
 from skylarklift.pools.admitter import PoolAdmitter
 from skylarklift.pools.hosted import HostedPool
@@ -212,3 +213,55 @@
     suspected = RouterId("r2") not in membership.live()
     removed = RouterId("r2") in membership.members_to_remove()
     assert (suspected, removed) == STATES[state], (suspected, removed)
+
+
+@given("two routers in a view, of which one holds the lease of a pool")
+def step_holder(context):
+    context.platform = FakePlatform(random.Random(SEED))
+    context.network = FakeNetwork(random.Random(SEED))
+
+
+async def start_pair(context, nursery):
+    """Return two routers that know the same view and configuration; their tasks do not run."""
+    pair = [make_router(context, name, nursery) for name in ("r1", "r2")]
+    for node in pair:
+        context.network.nodes[node.me] = node
+        node.heads.prepare = prepare_at_once
+    await accept_patch(pair[0], "p0", make_routing())
+    for node in pair:
+        await node.views.join(node.me, node.gossip.own_member())
+    for node in pair:
+        await node.heads.refresh()
+    return pair
+
+
+@when("it hands the lease over, gets it again, and the voter then reads that the first hold ended")
+def step_late_unvote(context):
+    late = []
+
+    async def read_later(router, message):
+        late.append((router, message))
+        raise PeerError("the voter stands still")
+
+    async def run():
+        async with trio.open_nursery() as nursery:
+            holder, voter = await start_pair(context, nursery)
+            pool = PoolId("till")
+            hosted = holder.pools._pools[pool]
+            await sleep_ms(2 * hosted.lease.duration_ms)
+            await holder.pools._renew(pool, hosted)
+            voter.handlers["Unvote"] = read_later
+            await holder.pools.hand_over(pool)
+            await holder.pools._renew(pool, hosted)
+            assert hosted.lease.is_held() and len(late) == 1
+            await voter.pools.answer_unvote(*late[0])
+            ask = Vote(0, hosted.lease.name, hosted.lease.duration_ms, voter.heads.view.number)
+            context.vote = await voter.pools.answer_vote(RouterId("r3"), ask)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(SEED, run)
+
+
+@then("the voter refuses its vote to a third router")
+def step_vote_refused(context):
+    assert not context.vote.granted
--- a/skylarklift/generated.py
+++ b/skylarklift/generated.py
@@ -362,6 +362,7 @@
     key: str
     span_ms: int
     view: int
+    hold: int = 0
 
 
 class VoteReply(Message):
@@ -374,6 +375,7 @@
 class Unvote(Message):
     seq: int
     key: str
+    hold: int = 0
 
 
 class Prepare(Message):
--- a/skylarklift/pools/host.py
+++ b/skylarklift/pools/host.py
@@ -178,8 +178,8 @@
     async def _request_vote(self, router: RouterId, lease: LeaseClient) -> bool:
         """Request the vote of one router; return whether it granted it."""
         if router == self._me:
-            return self.voter.vote(lease.name, self._me, lease.duration_ms).granted
-        message = Vote(0, lease.name, lease.duration_ms, self._heads.view.number)
+            return self.voter.vote(lease.name, self._me, lease.duration_ms, lease.hold).granted
+        message = Vote(0, lease.name, lease.duration_ms, self._heads.view.number, lease.hold)
         try:
             reply = await self._peers.call(router, message)
         except PeerError as exc:
@@ -221,14 +221,15 @@
             return
         self._stop_admitting(pool_id)
         asked = hosted.lease.start_round()
+        hold = hosted.lease.hold
         hosted.lease.release()
 
         async def send_unvote(router: RouterId) -> None:
             if router == self._me:
-                self.voter.unvote(hosted.lease.name, self._me)
+                self.voter.unvote(hosted.lease.name, self._me, hold)
                 return
             try:
-                await self._peers.call(router, Unvote(0, hosted.lease.name))
+                await self._peers.call(router, Unvote(0, hosted.lease.name, hold))
             except PeerError as exc:
                 FAILURES.record("unvote_send_failed", exc, router=router)
 
@@ -339,12 +340,12 @@
         """Vote on a lease; refuse a router whose view has another number than this router's."""
         if message.view != self._heads.view.number:
             return VoteReply(0, False, "", 0)
-        answer = self.voter.vote(message.key, router, message.span_ms)
+        answer = self.voter.vote(message.key, router, message.span_ms, message.hold)
         return VoteReply(0, answer.granted, answer.holder, answer.left_ms)
 
     async def answer_unvote(self, router: RouterId, message: Unvote) -> Done:
         """End a vote at the request of the lease's holder."""
-        self.voter.unvote(message.key, router)
+        self.voter.unvote(message.key, router, message.hold)
         return Done(0)
 
     # Queries.
--- a/skylarklift/votes/lease.py
+++ b/skylarklift/votes/lease.py
@@ -7,12 +7,16 @@
 lease from before it asked and the voter counts its vote from when it answered, so a
 lease always ends at the holder first, and no clocks are compared.
 
+A holder may end its votes early.  Such a message can be read late, after votes of the same
+router for a later hold of the lease; the number of the hold tells them apart.
+
 A change of the view may change the voters.  For `settle_ms` after a router learned
 of the change, its leases need a majority of the old voters and one of the new voters.  During this
 time another router may still act on the old view; it stops once its view is no
 longer fresh, and its lease expires soon after.
 """
 
+import secrets
 from dataclasses import dataclass, field
 
 from skylarklift.clock import Clock, Millis
@@ -22,6 +26,8 @@
 # A holder shortens its lease by this much, since two clocks may run at slightly
 # different speeds.
 CLOCK_DRIFT_PERCENT = 2
+# Random, so that a process does not repeat the numbers of the one before it.
+HOLD_BITS = 31
 
 
 @dataclass(frozen=True)
@@ -35,9 +41,10 @@
 
 @dataclass
 class _Vote:
-    """The vote that a voter has given for one lease."""
+    """The vote that a voter has given for one lease, and the number of the holder's hold."""
 
     holder: RouterId
+    hold: int
     expires_at: Millis
 
 
@@ -50,7 +57,7 @@
         self._no_votes_until = Millis(clock.now() + max_duration_ms)
         self._votes: dict[str, _Vote] = {}
 
-    def vote(self, name: str, router: RouterId, duration_ms: int) -> VoteAnswer:
+    def vote(self, name: str, router: RouterId, duration_ms: int, hold: int) -> VoteAnswer:
         """Vote for `router` for `duration_ms`, unless another router has or may have the vote."""
         now = self._clock.now()
         if now < self._no_votes_until or duration_ms > self._max_duration_ms:
@@ -58,14 +65,14 @@
         current = self._votes.get(name)
         if current is not None and current.expires_at > now and current.holder != router:
             return VoteAnswer(False, current.holder, current.expires_at - now)
-        self._votes[name] = _Vote(router, Millis(now + duration_ms))
+        self._votes[name] = _Vote(router, hold, Millis(now + duration_ms))
         self._drop_expired(now)
         return VoteAnswer(True, router, duration_ms)
 
-    def unvote(self, name: str, router: RouterId) -> None:
-        """End a vote before it expires, as requested by its holder."""
+    def unvote(self, name: str, router: RouterId, hold: int) -> None:
+        """End a vote before it expires, as requested by its holder for one of its holds."""
         vote = self._votes.get(name)
-        if vote is not None and vote.holder == router:
+        if vote is not None and vote.holder == router and vote.hold == hold:
             del self._votes[name]
 
     def _drop_expired(self, now: Millis) -> None:
@@ -131,6 +138,7 @@
         self._asked_at = Millis(0)
         self._granted: set[RouterId] = set()
         self._round = 0
+        self.hold = secrets.randbits(HOLD_BITS)
 
     def start_round(self) -> list[RouterId]:
         """Start a round of voting; return the routers to ask."""
@@ -174,3 +182,4 @@
         """Release the lease; votes still in transit no longer count."""
         self._held_until = Millis(0)
         self._round += 1
+        self.hold = secrets.randbits(HOLD_BITS)
--- a/tools/schema.py
+++ b/tools/schema.py
@@ -123,9 +123,9 @@
     "FetchReply": "seq: int; routing: Snapshot?; patches: [bytes]; view: bytes;"
     "version: int; view_number: int; evidence_age_ms: int",
     "Snapshot": "version: int; digest: str; body: bytes",
-    "Vote": "seq: int; key: str; span_ms: int; view: int",
+    "Vote": "seq: int; key: str; span_ms: int; view: int; hold: int = 0",
     "VoteReply": "seq: int; granted: bool; holder: str; left_ms: int",
-    "Unvote": "seq: int; key: str",
+    "Unvote": "seq: int; key: str; hold: int = 0",
     "Prepare": "seq: int; version: int; view: int",
     "Prepared": "seq: int; agreed: bool",
     "Withdraw": "seq: int; version: int; view: int",
