Write no change that the voters agreed to before this router stood still

A router that stood still between the agreement of the freshness voters and its write wrote the change however late. By then the voters may vouch for the old numbers again (they wait 10 s), so with the store away routers went on as fresh on a configuration that was no longer the newest. Change: an agreement that took `SETTLE_TIMEOUT_MS` is withdrawn, for patches and for views; the operator's patch is refused as not in force, a view is tried again.

Not changed: a write that is repeated for up to 8 s may take effect up to 10 s after the last one was sent, and voters wait for 10 s from the agreement on. That needs a longer wait or a new agreement for each repetition.

--- a/features/late_readings.feature
+++ b/features/late_readings.feature
@@ -45,3 +45,16 @@
     Given two routers in a view, of which one holds the lease of a pool
     When it hands the lease over, gets it again, and the voter then reads that the first hold ended
     Then the voter refuses its vote to a third router
+
+  # Guards against a change that takes effect after the voters, who waited for it, vouch for the old numbers again.
+  Scenario Outline: A router that stood still for <pause> ms while voters agreed to a <change> <does>
+    Given a router whose store has a configuration and a view
+    When it writes a <change> after voters agreed within <pause> ms
+    Then the change of the <change> is <state>
+
+    Examples:
+      | change | pause | does              | state       |
+      | patch  | 3000  | writes it         | written     |
+      | patch  | 60000 | does not write it | not written |
+      | view   | 3000  | writes it         | written     |
+      | view   | 60000 | does not write it | not written |
--- a/features/steps/late_readings.py
+++ b/features/steps/late_readings.py
@@ -9,19 +9,21 @@
 from features.fakes import FakeNetwork, FakePlatform, make_node
 from features.world import make_routing, run_virtual
 from skylarklift.clock import ManualClock, sleep_ms
-from skylarklift.config.patching import PatchRequest
+from skylarklift.config.patching import HEAD_KEY, VIEW_KEY, PatchRequest
 from skylarklift.config.routing import RoutingTable
-from skylarklift.errors import PeerError
+from skylarklift.errors import PatchError, PeerError
 from skylarklift.generated import Ask, Granted, Member, PatchFormat, PeerSettings, Vote
 from skylarklift.ids import PatchId, PoolId, RouterId, Version
 from skylarklift.pools.admitter import PoolAdmitter
 from skylarklift.pools.hosted import HostedPool
 from skylarklift.pools.takeover import DepartedRouters
 from skylarklift.routers.membership import Membership
+from skylarklift.votes.freshness import HeadNumbers
 from skylarklift.votes.lease import LeaseClient, VoterSets
 
 SEED = 1
 PROBE_INTERVAL_MS = 500
+MAX_CHANGE_S = 600
 
 
 def make_router(context, name, nursery):
@@ -265,3 +267,28 @@
 @then("the voter refuses its vote to a third router")
 def step_vote_refused(context):
     assert not context.vote.granted
+
+
+@when("it writes a {kind} after voters agreed within {duration:d} ms")
+def step_write_late(context, kind, duration):
+    async def change(first, _nursery):
+        prepare_slowly(first, duration)
+        before = first.heads.numbers()
+        with trio.move_on_after(MAX_CHANGE_S):
+            try:
+                if kind == "patch":
+                    await accept_patch(first, "p1", {"zones": {"zone-1": {"state": "out"}}})
+                else:
+                    await first.views.mark_leaving(first.me)
+            except PatchError:
+                pass
+        rows = context.platform.rows
+        written = HeadNumbers(rows[HEAD_KEY].value["version"], rows[VIEW_KEY].value["number"])
+        context.written = written.is_newer_than(before)
+
+    run_steps(context, change)
+
+
+@then("the change of the {_kind:w} is {state}")
+def step_written(context, _kind, state):
+    assert context.written == (state == "written")
--- a/skylarklift/config/heads.py
+++ b/skylarklift/config/heads.py
@@ -293,6 +293,19 @@
             await self._write_snapshot_if_due(plan)
             return plan.table.version
 
+    async def agree_on(self, announced: HeadNumbers) -> bool:
+        """Announce a change to the freshness voters; return whether it may be written now.
+
+        Voters wait for the write for a limited time, in which this router may have stood still.
+        """
+        asked_at = self._clock.now()
+        if not await self.prepare(announced):
+            return False
+        if self._clock.now() - asked_at < SETTLE_TIMEOUT_MS:
+            return True
+        await self.withdraw(announced)
+        return False
+
     async def _accepted_version(self, patch_id: PatchId) -> Version | None:
         """Return the version under which a patch id was accepted, or `None`."""
         row = await self._store.read(PATCH_ID_PREFIX + patch_id)
@@ -305,7 +318,7 @@
         either takes effect now, or conflicts because an earlier attempt took effect.
         """
         announced = HeadNumbers(plan.table.version, self.view.number)
-        if not await self.prepare(announced):
+        if not await self.agree_on(announced):
             raise PatchError("too few routers answer to put a change in force; try again")
         answer_lost = False
         deadline = self._clock.now() + SETTLE_TIMEOUT_MS
--- a/skylarklift/routers/views.py
+++ b/skylarklift/routers/views.py
@@ -68,7 +68,7 @@
             return False
         view = ViewRow(number=self._heads.view.number + 1, members=members)
         announced = HeadNumbers(self._heads.table.version, view.number)
-        if not await self._heads.prepare(announced):
+        if not await self._heads.agree_on(announced):
             return False
         write = Write(VIEW_KEY, to_builtins(view), row.version if row else ABSENT)
         try:
