Count the crash of an engine that is back when the router reads the break

A request that crashes engines could be sent on to more of them than `poison_crashes` allows, when the router read a break late (it stood still, was busy, or waited for a slow caller) and the engine had been started again. Cause: "its load report can be read now" was taken for "it has not crashed". Change: the report must also name the process (`boot`) that the broken response came from (`X-Engine-Boot`).

Ruled out: a break without a response's head names no process; there only the report tells, as before.

--- a/features/failures.feature
+++ b/features/failures.feature
@@ -51,6 +51,13 @@
     When the service drops its response and a non-idempotent request is sent twice
     Then both responses say "unknown" and the service counts one effect
 
+  # Guards against a crash that is not counted, as the engine is back when its router reads that the stream broke.
+  Scenario: The crash of an engine is counted by a router that stood still until the engine was back
+    Given a deployment of 3 routers and 3 engines
+    When an engine is killed and restarted in the middle of a stream while its router stands still
+    Then every response is complete
+    And the router has counted one crash
+
   # Guards against a cancellation by the deadline that strikes outside of the stream and breaks its connection.
   Scenario: Streams whose router is frozen past their deadline end with an error event
     Given a deployment of 3 routers and 3 engines
--- a/features/steps/failures.py
+++ b/features/steps/failures.py
@@ -266,6 +266,39 @@
     assert effect_count(context, "dropped") == 1
 
 
+def count_crashes(context, router):
+    """Return how many crashes a router has noticed itself."""
+    return context.deployment.processes[router].log.read_text().count('"replica_crashed"')
+
+
+@when("an engine is killed and restarted in the middle of a stream while its router stands still")
+def step_crash_unseen(context):
+    deployment = context.deployment
+    router = deployment.processes["router-1"]
+    context.crashes_before = count_crashes(context, "router-1")
+    busy = []
+
+    def find_busy():
+        busy[:] = [name for name in ENGINES if running_chats(context, name)]
+        return bool(busy)
+
+    with ThreadPoolExecutor(1) as executor:
+        executor.submit(send_chat, context, "router-1", "unseen", 500)
+        deployment.wait_until(find_busy, "an engine to be busy")
+        router.signal(signal.SIGSTOP)
+        deployment.processes[busy[0]].signal(signal.SIGKILL)
+        deployment.processes[busy[0]].process.wait()
+        deployment.restart_engine(busy[0])
+        deployment.wait_until(lambda: running_chats(context, busy[0]) == 0, "the engine to be back")
+        router.signal(signal.SIGCONT)
+    wait_for_health(context)
+
+
+@then("the router has counted one crash")
+def step_one_crash(context):
+    assert count_crashes(context, "router-1") - context.crashes_before == 1
+
+
 @when("a router is frozen past the deadline of {count:d} streams")
 def step_freeze_past_deadline(context, count):
     router = context.deployment.processes["router-1"]
--- a/skylarklift/requests/chats.py
+++ b/skylarklift/requests/chats.py
@@ -31,6 +31,7 @@
 from skylarklift.requests.claims import Claim, ClaimState, Outcome
 from skylarklift.requests.parsing import CallerRequest, ChatRequest
 from skylarklift.upstreams.client import (
+    ENGINE_BOOT_HEADER,
     REQUEST_ID_HEADER,
     RESUME_HEADER,
     BufferedResponse,
@@ -262,7 +263,7 @@
         placement = self._attempt.placement
         if exc.sent:
             self._sent_failure = exc
-        crashed = exc.kind is FailureKind.BROKEN and await self._engine_is_down(placement)
+        crashed = exc.kind is FailureKind.BROKEN and await self._engine_crashed(placement)
         self._release_grant(ReleaseCause.CRASHED if crashed else ReleaseCause.FAILED)
         self.failed_replicas.add(placement.replica)
         self.deps.telemetry.count(f"upstream.{exc.kind.value}")
@@ -275,14 +276,20 @@
         if self.deps.poison.is_poisoned(self.caller.fingerprint):
             raise UpstreamFailed("the request crashed several replicas and is not tried again")
 
-    async def _engine_is_down(self, placement: Placement) -> bool:
-        """Return whether the engine itself is down, and not just the connection to it.
+    async def _engine_crashed(self, placement: Placement) -> bool:
+        """Return whether the engine's process has ended, and not just the connection to it.
 
-        An engine is down if its load report cannot be read.
+        It has if its load report cannot be read, or names another process than the response: this
+        router may notice the break when the engine is back.
         """
         pool = self.deps.gate.table().pool(placement.request.pool)
         replica = pool.replicas.get(placement.replica) if pool else None
-        return replica is not None and await self.deps.load_reports.read(replica.url) is None
+        if replica is None:
+            return False
+        report = await self.deps.load_reports.read(replica.url)
+        response = self._attempt.response
+        boot = response.headers.get(ENGINE_BOOT_HEADER, "") if response is not None else ""
+        return report is None or bool(boot and boot != report.boot)
 
     def _report_crash(self, placement: Placement) -> None:
         """Record the crash and broadcast it to the other routers."""
--- a/skylarklift/upstreams/client.py
+++ b/skylarklift/upstreams/client.py
@@ -19,6 +19,8 @@
 KEEPALIVE_EXPIRY_S = 2
 REQUEST_ID_HEADER = "X-Request-Id"
 RESUME_HEADER = "Last-Event-ID"
+# The boot id of the load report, in a response.
+ENGINE_BOOT_HEADER = "X-Engine-Boot"
 # A response without a length that exceeds this is not expected to end.
 MAX_UNDECLARED_BYTES = 4_194_304
 # A part of a body counts at least this much, since each costs time however small it is.
