Begin a new tenure when a lease that had ended is held again

An admitter whose lease had ended, as it stood still, went on with its old account if it got the lease again before its next tick saw the end: grants that another router gave meanwhile did not count. The tick usually comes first, so this was found by reading. Change: a renewal that finds the lease ended stops admitting first, so the takeover collects the grants anew.

--- a/features/late_readings.feature
+++ b/features/late_readings.feature
@@ -58,3 +58,9 @@
       | patch  | 60000 | does not write it | not written |
       | view   | 3000  | writes it         | written     |
       | view   | 60000 | does not write it | not written |
+
+  # Guards against an account that is gone on with, although another router may have admitted while the lease had ended.
+  Scenario: An admitter that stood still until its lease had ended begins a new tenure when it has the lease again
+    Given two routers in a view, of which one holds the lease of a pool
+    When it stands still until the lease has ended, and gets it again before it looks
+    Then its tenure is a new one
--- a/features/steps/late_readings.py
+++ b/features/steps/late_readings.py
@@ -292,3 +292,28 @@
 @then("the change of the {_kind:w} is {state}")
 def step_written(context, _kind, state):
     assert context.written == (state == "written")
+
+
+@when("it stands still until the lease has ended, and gets it again before it looks")
+def step_lease_ended(context):
+    async def run():
+        async with trio.open_nursery() as nursery:
+            holder, _ = await start_pair(context, nursery)
+            pool = PoolId("till")
+            hosted = holder.pools._pools[pool]
+            await sleep_ms(2 * hosted.lease.duration_ms)
+            await holder.pools._renew(pool, hosted)
+            context.tenures = [hosted.tenure]
+            await sleep_ms(2 * hosted.lease.duration_ms)
+            await holder.pools._renew(pool, hosted)
+            context.tenures.append(hosted.tenure)
+            assert hosted.lease.is_held() and hosted.admitter is not None
+            nursery.cancel_scope.cancel()
+
+    run_virtual(SEED, run)
+
+
+@then("its tenure is a new one")
+def step_new_tenure(context):
+    first, second = context.tenures
+    assert first and second and first != second
--- a/skylarklift/pools/host.py
+++ b/skylarklift/pools/host.py
@@ -152,6 +152,9 @@
         grants.
         """
         lease = hosted.lease
+        if not lease.is_held():
+            # Another router may have admitted since the lease ended.
+            self._stop_admitting(pool_id)
         asked = lease.start_round()
         number = lease.round_number()
 
