--- a/skylarklift/requests/chats.py
+++ b/skylarklift/requests/chats.py
@@ -5,7 +5,7 @@
 claimed first and dispatched once.
 """
 
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncGenerator, AsyncIterator, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field, replace
 
@@ -19,13 +19,19 @@
 from skylarklift.invariants import INVARIANTS
 from skylarklift.logger import log
 from skylarklift.pools.placer import Placement
-from skylarklift.requests.caller_errors import chat_error, deadline_error
+from skylarklift.requests.caller_errors import (
+    chat_error,
+    deadline_error,
+    denies_run,
+    retry_error,
+)
 from skylarklift.requests.chat_dependencies import ChatDependencies
 from skylarklift.requests.chat_placement import ChatPlacer, resolve_pool
 from skylarklift.requests.claim_checks import claim_request, require_owned
 from skylarklift.requests.claims import Claim, ClaimState, Outcome
 from skylarklift.requests.parsing import CallerRequest, ChatRequest
 from skylarklift.upstreams.client import (
+    ENGINE_BOOT_HEADER,
     REQUEST_ID_HEADER,
     RESUME_HEADER,
     BufferedResponse,
@@ -59,6 +65,8 @@
     _attempt: _Attempt | None = None
     _claim: Claim | None = None
     _reader: EventReader | None = None
+    _events: AsyncGenerator[bytes] | None = None
+    _sent_failure: UpstreamError | None = None
     # Engines number events from 1.
     _position: StreamPosition = field(default_factory=lambda: StreamPosition(0))
     _trace: str = ""
@@ -114,23 +122,37 @@
     async def events(self) -> AsyncIterator[bytes]:
         """Yield the events of a started chat; the last is the end marker or an error."""
         try:
-            with self._span("answer"), self._deadline() as scope:
-                while True:
-                    try:
-                        async for events in self._attempt_events():
-                            yield events
-                        self._finish()
-                        return
-                    except UpstreamError as exc:
-                        await self._resume_after(exc)
-            if scope.cancelled_caught:
-                raise deadline_error(self.dispatch_count > 0)
+            with self._span("answer"):
+                while events := await self._next_events():
+                    yield events
         except RequestError as exc:
             self.deps.telemetry.count("chats.broken")
             yield self.deps.telemetry.error_event(exc)
         finally:
+            if self._events is not None:
+                await self._events.aclose()
             await self._abort()
 
+    async def _next_events(self) -> bytes:
+        """Return the next events, of another replica after a break; nothing at the end.
+
+        The deadline's scope must not be open while the caller is waited for: its cancellation
+        would strike outside of this class.
+        """
+        with self._deadline():
+            while True:
+                if self._events is None:
+                    self._events = self._attempt_events()
+                try:
+                    return await anext(self._events)
+                except StopAsyncIteration:
+                    self._finish()
+                    return b""
+                except UpstreamError as exc:
+                    self._events = None
+                    await self._resume_after(exc)
+        raise deadline_error(self.dispatch_count > 0)
+
     def _deadline(self) -> trio.CancelScope:
         """Return a cancel scope that ends at the caller's deadline."""
         return trio.move_on_after(self.caller.left_ms(self.deps.clock) / MS_PER_SECOND)
@@ -181,8 +203,7 @@
 
     async def _dispatch(self, *, stream: bool) -> None:
         """Place the chat and send it to the replica that was granted."""
-        placer = ChatPlacer(self.deps, self.request, self._trace)
-        placement, url = await placer.place(self.failed_replicas)
+        placement, url = await self._place()
         attempt = self._attempt = _Attempt(placement, sent_at=self.deps.clock.now())
         if self._claim is not None:
             self._claim.mark_dispatched()
@@ -201,6 +222,16 @@
             raise UpstreamError(FailureKind.BUSY, reason, sent=self._claim is not None)
         check_request_id(response, self.caller.request_id)
 
+    async def _place(self) -> tuple[Placement, str]:
+        """Return a grant and the URL to send the chat to."""
+        placer = ChatPlacer(self.deps, self.request, self._trace)
+        try:
+            return await placer.place(self.failed_replicas)
+        except RequestError as exc:
+            if not denies_run(exc, self._sent_failure):
+                raise
+            raise retry_error(exc, self._sent_failure) from exc
+
     def _headers(self, stream: bool) -> dict[str, str]:
         """Return the request headers for the engine."""
         headers = {
@@ -215,7 +246,7 @@
             headers[RESUME_HEADER] = str(self._position.last)
         return headers
 
-    async def _attempt_events(self) -> AsyncIterator[bytes]:
+    async def _attempt_events(self) -> AsyncGenerator[bytes]:
         """Yield the events of the current attempt that were not forwarded before."""
         attempt = self._attempt
         self._reader = EventReader(self.caller.request_id, self._position)
@@ -230,7 +261,9 @@
     async def _raise_unless_retryable(self, exc: UpstreamError) -> None:
         """Release the grant and record the failure; raise unless the chat may be retried."""
         placement = self._attempt.placement
-        crashed = exc.kind is FailureKind.BROKEN and await self._engine_is_down(placement)
+        if exc.sent:
+            self._sent_failure = exc
+        crashed = exc.kind is FailureKind.BROKEN and await self._engine_crashed(placement)
         self._release_grant(ReleaseCause.CRASHED if crashed else ReleaseCause.FAILED)
         self.failed_replicas.add(placement.replica)
         self.deps.telemetry.count(f"upstream.{exc.kind.value}")
@@ -243,14 +276,20 @@
         if self.deps.poison.is_poisoned(self.caller.fingerprint):
             raise UpstreamFailed("the request crashed several replicas and is not tried again")
 
-    async def _engine_is_down(self, placement: Placement) -> bool:
-        """Return whether the engine itself is down, and not just the connection to it.
+    async def _engine_crashed(self, placement: Placement) -> bool:
+        """Return whether the engine's process has ended, and not just the connection to it.
 
-        An engine is down if its load report cannot be read.
+        It has if its load report cannot be read, or names another process than the response: this
+        router may notice the break when the engine is back.
         """
         pool = self.deps.gate.table().pool(placement.request.pool)
         replica = pool.replicas.get(placement.replica) if pool else None
-        return replica is not None and await self.deps.load_reports.read(replica.url) is None
+        if replica is None:
+            return False
+        report = await self.deps.load_reports.read(replica.url)
+        response = self._attempt.response
+        boot = response.headers.get(ENGINE_BOOT_HEADER, "") if response is not None else ""
+        return report is None or bool(boot and boot != report.boot)
 
     def _report_crash(self, placement: Placement) -> None:
         """Record the crash and broadcast it to the other routers."""
