Tell other routers of each longer cold period that an entry names

Callers saw nothing by themselves; a cold replica got more requests a second than it bears, from routers that took it for warm.

Cause: a router counted an entry that names a cold period as a change only if it did not know the replica as cold itself. Where it knew that from an answer, a request after an ejection, the restoration of a zone or an earlier entry, it took the entry for a heartbeat. The other routers compared their newest change with its own, found the same, confirmed the list and skipped the row for good: the one router's knowledge was taken for everybody's.

Change: `ColdPeriods` keeps the ends that entries told apart from what the router knows. An entry that names a later end by more than the jitter of arrivals is a change.

Ruled out: that others get the row another way (they ask for changes after the version that they confirmed). A heartbeat that only counts down is no change, as before.

--- /dev/null
+++ b/features/entry_views.feature
@@ -0,0 +1,23 @@
+Feature: Routers whose views of store, peers and upstreams differ
+
+  What one router knows from its own view must not keep another one from what that lacks.
+
+  # Guards against a router that takes a cold replica for warm: another one, which knew that it is
+  # cold without the entry, took that for a heartbeat and told nobody.
+  Scenario Outline: A router learns that a replica is cold from one that knew it before: <known>
+    Given a router that knows 3 replicas
+    And a router without any rows
+    When the second router applies all rows of the first
+    And it is known to the first router that the replica "r0" <known>
+    And the second router hears the first and fetches what it lacks
+    And 1000 ms pass
+    And the replica "r0" writes that it is cold for 4000 ms
+    And the second router hears the first and fetches what it lacks
+    Then the replica "r0" is cold at the second router for 4000 ms
+
+    Examples:
+      | known                              |
+      | answers that it is cold for 2000 ms |
+      | was unreachable and then succeeded |
+      | is in a zone that was restored     |
+      | writes that it is cold for 2000 ms |
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -11,6 +11,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
+from skylarklift.entry.state.cold_periods import ColdPeriods
 from skylarklift.entry.state.restored_rows import DecodedRow, DepartedUpstreams, RestoredRows
 from skylarklift.entry.state.row_cache import RowCache
 from skylarklift.entry.state.rows import (
@@ -57,6 +58,7 @@
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
         self.services = ServiceIndex(self.upstreams)
+        self._cold_periods = ColdPeriods(clock)
         self._list_known = False
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
@@ -248,7 +250,7 @@
         self.evacuated_zones.discard(row.zone)
         for upstream in self.upstreams.values():
             if upstream.record.zone == row.zone:
-                self._extend_cold_period(upstream, self._cold_ms(upstream.record))
+                self._cold_periods.extend(upstream, self._cold_ms(upstream.record))
         return [StateChange("zone_restored", row.zone, version)]
 
     def _cold_ms(self, record: UpstreamRecord) -> int:
@@ -256,16 +258,11 @@
         plan = self.plan.services.get(record.service) if self.plan else None
         return plan.cold_ms if plan else record.cold_ms
 
-    def _extend_cold_period(self, upstream: Upstream, span_ms: int) -> None:
-        """Treat a replica as cold for at least `span_ms` from now."""
-        until = Millis(self._clock.now() + span_ms)
-        upstream.cold_until = max(upstream.cold_until, until)
-
     def restart_cold_period(self, replica: ReplicaId) -> None:
         """Treat a replica as just started, since it may have restarted while it was unreachable."""
         upstream = self.upstreams.get(replica)
         if upstream is not None:
-            self._extend_cold_period(upstream, self._cold_ms(upstream.record))
+            self._cold_periods.extend(upstream, self._cold_ms(upstream.record))
 
     def doubt_software(self, replica: ReplicaId) -> None:
         """Record that a replica could not be reached: its entry may be from before a restart."""
@@ -298,7 +295,7 @@
         """Apply the remaining cold time that a replica reported in a response."""
         upstream = self.upstreams.get(replica)
         if upstream is not None and span_ms > 0:
-            self._extend_cold_period(upstream, span_ms)
+            self._cold_periods.extend(upstream, span_ms)
 
     def _apply_upstream(self, row: UpstreamRow, version: int) -> list[StateChange]:
         """Add, update or remove an upstream according to its entry in the list."""
@@ -323,7 +320,7 @@
         if replace(record, cold_ms=known.cold_ms, sequence=known.sequence) != known:
             event = "upstream_changed"
             self.services.clear()
-        if record.cold_ms > 0 and upstream.cold_until <= self._clock.now():
+        if self._cold_periods.apply_entry(upstream, record.cold_ms):
             event = "upstream_cold"
         if record.draining != upstream.draining:
             event = "upstream_draining"
@@ -331,8 +328,6 @@
         upstream.record = record
         upstream.draining = record.draining
         upstream.software_doubted = False
-        if record.cold_ms > 0:
-            self._extend_cold_period(upstream, record.cold_ms)
         return event
 
     def _add_upstream(self, record: UpstreamRecord, version: int) -> list[StateChange]:
@@ -345,7 +340,8 @@
             draining=record.draining,
             leaving=self._departed.has_announced(record),
         )
-        self._extend_cold_period(upstream, record.cold_ms)
+        self._cold_periods.forget(record.replica)
+        self._cold_periods.apply_entry(upstream, record.cold_ms)
         self.upstreams[record.replica] = upstream
         self.services.clear()
         detail = f"{record.service} {record.host}:{record.port} cold {record.cold_ms} ms"
@@ -365,6 +361,7 @@
     def _remove_upstream(self, replica: ReplicaId, version: int) -> list[StateChange]:
         """Remove a replica at once."""
         self._departed.add(self.upstreams.pop(replica).record)
+        self._cold_periods.forget(replica)
         self._delayed_removals.pop(replica, None)
         self.services.clear()
         return [StateChange(UPSTREAM_REMOVED, replica, version)]
