--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -24,6 +24,7 @@
     encode_load_message,
     is_load_message,
 )
+from skylarklift.entry.gossip.membership import Membership
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
@@ -31,7 +32,7 @@
     receive_frame,
     send_frame,
 )
-from skylarklift.entry.model import Endpoint, parse_endpoint
+from skylarklift.entry.model import Endpoint
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.state.follower import fetch_rows, rows_for_request
 from skylarklift.entry.state.rows import MemberStore, RowTable, TableComparison, TableSummary
@@ -41,7 +42,7 @@
     is_origin_message,
 )
 from skylarklift.entry.versions.releases import REPORT_DELAY_MS
-from skylarklift.errors import PeerError, StoreError
+from skylarklift.errors import PeerError
 from skylarklift.util.listening import open_datagram_socket
 
 MAX_DATAGRAM_BYTES = 65507
@@ -49,11 +50,6 @@
 HOLDS_INTERVAL_MS = 1000
 ROWS_TIMEOUT_MS = 2000
 MAX_CONCURRENT_ROW_REQUESTS = 4
-MEMBERS_RETRY_DELAY_MS = 1500
-# Routers that start together register at the same time, so the first read may miss some; the
-# members are read again after this long.
-MEMBERS_REREAD_DELAY_MS = 3000
-REJOIN_JITTER_MS = 2000
 # A round to many routers is sent in small parts: what overflows a queue on the way is lost, each
 # time for the same routers.
 MAX_BURST_DATAGRAMS = 16
@@ -67,7 +63,7 @@
 
     def __init__(self, core: Core, members: MemberStore):
         self._core = core
-        self._members = members
+        self._membership = Membership(core, members)
         self._boot = secrets.token_hex(4)
         self._socket: trio.socket.SocketType | None = None
         # What is new of busy upstreams must not take the turns of whole messages.
@@ -346,53 +342,10 @@
     # Members.
 
     async def join(self) -> None:
-        """Register this router in the store and read which others are registered.
-
-        Do it again each time that the store was restored from a copy, which may lack the entry.
-        """
-        core = self._core
-        await self._retry_until_success(self._register)
-        with trio.move_on_after(MEMBERS_REREAD_DELAY_MS / MS_PER_SECOND):
-            await core.store_restored.wait()
-        await self._retry_until_success(self._read_members)
-        while True:
-            await core.store_restored.wait()
-            core.store_restored = trio.Event()
-            # All routers register again, so they spread their calls.
-            await trio.sleep(core.rng.randrange(REJOIN_JITTER_MS) / MS_PER_SECOND)
-            await self._retry_until_success(self._register)
-
-    async def _retry_until_success(self, step) -> None:
-        """Retry a call of the store until it succeeds, with jitter in the delay between retries."""
-        core = self._core
-        while True:
-            try:
-                await step()
-                return
-            except StoreError as exc:
-                core.event_log.write("membership_sync_failed", cause=str(exc))
-                span = MEMBERS_RETRY_DELAY_MS + core.rng.randrange(MEMBERS_RETRY_DELAY_MS)
-                await trio.sleep(span / MS_PER_SECOND)
-
-    async def _register(self) -> None:
-        """Register this router and read the members."""
-        settings = self._core.settings
-        await self._members.write_member(settings.node, str(settings.peers))
-        await self._read_members()
-
-    async def _read_members(self) -> None:
-        """Add the registered routers to the fleet."""
-        for node, address in (await self._members.read_members()).items():
-            endpoint = parse_endpoint(address)
-            if endpoint is not None:
-                self._core.fleet.add(node, endpoint)
-            else:
-                self._core.event_log.write("member_address_invalid", peer=node, address=address)
+        """Register this router in the store and find the others, until cancelled."""
+        await self._membership.run()
 
     async def leave(self) -> None:
         """Announce that this router leaves, and deregister it from the store."""
         await self.send_round()
-        try:
-            await self._members.write_member(self._core.settings.node, None)
-        except StoreError as exc:
-            self._core.event_log.write("member_remove_failed", cause=str(exc))
+        await self._membership.end()
