Count what messages between routers say from their arrival

Callers whose stream is resumed at a router that stood still could be sent on by outdated rows on software versions; replicas could get requests by outdated tables and limits.

Cause: a router that stood still (SIGSTOP), or was busy, found the messages of the others in its socket and took their ages as of the moment of reading. So the first thing a router did after a standstill was to confirm what it knew from before by messages from before.

Change: the socket records when datagrams arrive (SO_TIMESTAMPNS). The wait is added to all ages in messages, taken off ejections, and counts for when a router was heard and for reports of crashes. If the time of day is set in between, a router never counts as heard earlier than before.

Ruled out: dropping such messages; what they say besides ages (crashes, origins of streams, suspicions) holds still. Sockets of the virtual network have no such record: waits are 0 there.

In process, on a real socket; not run with SIGSTOP.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -21,3 +21,13 @@
       | was unreachable and then succeeded |
       | is in a zone that was restored     |
       | writes that it is cold for 2000 ms |
+
+  # Guards against a router that stood still and takes what waited in its socket meanwhile for new:
+  # it held outdated rows for confirmed ones, and silent routers for heard ones.
+  Scenario: What waited in the socket of a router that stood still is as old as it is
+    Given a router whose tables and rows on versions were confirmed 5000 ms ago
+    When a message confirms them 100 ms after the store, and the router stands still for 600 ms
+    Then its tables and rows on versions were confirmed 700 ms ago or before
+    And it heard the other router 600 ms ago or before
+    And an ejection of 1000 ms that the message names ends in 400 ms or before
+    And a limit that the message names was seen 600 ms ago or before
--- /dev/null
+++ b/features/steps/entry_standstill.py
@@ -0,0 +1,104 @@
+"""Steps for routers that stood still and then read what arrived meanwhile."""
+
+import time
+from dataclasses import replace
+
+import trio
+from behave import given, then, when
+
+from features.entry_fixtures import apply_rows, new_core, plan_data, upstream_data
+from skylarklift.clock import LoopClock, Millis
+from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.peering import Peering
+from skylarklift.entry.gossip.wire import encode_gossip
+from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.state.rows import RowTable
+from standins.entry_world import free_port
+
+OPEN_S = 0.2
+READ_S = 0.05
+TABLES = {
+    RowTable.OPERATOR: {"config": plan_data()},
+    RowTable.UPSTREAMS: {"r0": upstream_data()},
+}
+
+
+@given("a router whose tables and rows on versions were confirmed {span:d} ms ago")
+def confirmed_before(context, span):
+    context.confirmed_ms = span
+
+
+@when(
+    "a message confirms them {age:d} ms after the store, "
+    "and the router stands still for {span:d} ms"
+)
+def stands_still(context, age, span):
+    trio.run(receive_after_standstill, context, age, span)
+
+
+async def receive_after_standstill(context, age, span):
+    """Let a message wait in the socket of a router, and record what the router knows by it."""
+    core = new_core(LoopClock(), port=free_port())
+    for table, rows in TABLES.items():
+        apply_rows(core, table, 1, rows, complete=True)
+        core.cluster_state._confirmed_at[table] = Millis(core.clock.now() - context.confirmed_ms)
+    core.releases.confirm(context.confirmed_ms)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(Peering(core, members=None).receive_loop, nursery)
+        await trio.sleep(OPEN_S)
+        await send(core, make_message(core, age))
+        time.sleep(span / 1000)  # noqa: ASYNC251 - the loop must not run
+        await trio.sleep(READ_S)
+        context.core, context.now = core, core.clock.now()
+        context.ages = [core.cluster_state.age_ms(table) for table in RowTable]
+        context.ages.append(core.releases.age_ms())
+        context.ejected = core.health.ejected()
+        context.limits = core.chooser.rate_limits.reports()
+        nursery.cancel_scope.cancel()
+
+
+def make_message(core, age):
+    """Return the message of a router that knows the same rows."""
+    summaries = tuple(
+        replace(core.cluster_state.summarize(table), age_ms=age) for table in RowTable
+    )
+    return GossipMessage(
+        "n2",
+        "b",
+        "",
+        summaries,
+        reads_store=True,
+        ejected={"r0": 1000},
+        limits=(LimitReport("r0", 5.0, 0),),
+        releases_age_ms=age,
+    )
+
+
+async def send(core, message):
+    """Send a message to a router."""
+    sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+    address = core.settings.peers
+    with sock:
+        await sock.sendto(encode_gossip(message), (address.host, address.port))
+
+
+@then("its tables and rows on versions were confirmed {span:d} ms ago or before")
+def confirmed_ago(context, span):
+    assert all(span <= age < context.confirmed_ms for age in context.ages), context.ages
+
+
+@then("it heard the other router {span:d} ms ago or before")
+def heard_ago(context, span):
+    silence_ms = context.now - context.core.fleet.peers["n2"].received_at
+    assert silence_ms >= span, silence_ms
+
+
+@then("an ejection of 1000 ms that the message names ends in {span:d} ms or before")
+def ejection_ends(context, span):
+    assert 0 < context.ejected["r0"] <= span, context.ejected
+
+
+@then("a limit that the message names was seen {span:d} ms ago or before")
+def limit_seen(context, span):
+    (report,) = context.limits
+    assert report.age_ms >= span, report
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -159,14 +159,17 @@
         else:
             known.address = address
 
-    def record_message(self, message: GossipMessage, address: Endpoint) -> Peer:
-        """Record a router's message and return the router."""
+    def record_message(self, message: GossipMessage, address: Endpoint, waited_ms: int = 0) -> Peer:
+        """Record a router's message, which arrived `waited_ms` ago, and return the router."""
         self.add(message.node, address)
         peer = self.peers[message.node]
         if peer.last_message is None or peer.last_message.boot != message.boot:
             # After a restart the router knows nothing of earlier messages.
             peer.sent_at = peer.holds_sent_at = Millis(0)
-        peer.received_at = self._last_heard_at = self._clock.now()
+        arrived_at = Millis(self._clock.now() - waited_ms)
+        # The time of day, by which the wait is measured, may have been set in between.
+        peer.received_at = max(arrived_at, peer.received_at or arrived_at)
+        self._last_heard_at = max(arrived_at, self._last_heard_at)
         peer.last_message = message
         self._loads.record(message.node, message.loads, peer.received_at)
         return peer
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -25,6 +25,7 @@
     is_load_message,
 )
 from skylarklift.entry.gossip.membership import Membership
+from skylarklift.entry.gossip.waiting import add_wait, add_wait_to_loads
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
@@ -43,6 +44,7 @@
 )
 from skylarklift.entry.versions.releases import REPORT_DELAY_MS
 from skylarklift.errors import PeerError
+from skylarklift.util.datagrams import receive_datagram, record_arrivals
 from skylarklift.util.listening import open_datagram_socket
 
 MAX_DATAGRAM_BYTES = 65507
@@ -212,16 +214,18 @@
         self._socket = await open_datagram_socket(
             address.host, address.port, core.clock, core.event_log.write
         )
+        record_arrivals(self._socket)
         while True:
             try:
-                data, sender = await self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+                datagram = await receive_datagram(self._socket, MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 # A datagram to a closed port comes back as an error; the socket stays usable.
                 core.event_log.write("gossip_receive_failed", cause=str(exc))
                 await trio.sleep(RECEIVE_PAUSE_MS / MS_PER_SECOND)
                 continue
+            sender = Endpoint(datagram.host, datagram.port)
             try:
-                self._apply_datagram(data, Endpoint(sender[0], sender[1]), nursery)
+                self._apply_datagram(datagram.data, sender, nursery, datagram.waited_ms)
             except PeerError as exc:
                 core.event_log.write("gossip_invalid", peer=str(sender), cause=str(exc))
             except Exception as exc:
@@ -239,34 +243,40 @@
                     "origin_send_failed", peer=str(item.address), cause=str(exc)
                 )
 
-    def _apply_datagram(self, data: bytes, address: Endpoint, nursery: trio.Nursery) -> None:
-        """Apply a message of either kind, unless it is this router's own; raise `PeerError`."""
+    def _apply_datagram(
+        self, data: bytes, address: Endpoint, nursery: trio.Nursery, waited_ms: int = 0
+    ) -> None:
+        """Apply a message of any kind that arrived `waited_ms` ago; raise `PeerError`.
+
+        This router's own messages are ignored.
+        """
         core = self._core
         if is_crash_message(data):
-            report = decode_crash_message(data, core.clock.now())
+            report = decode_crash_message(data, Millis(core.clock.now() - waited_ms))
             if report.node != core.settings.node:
                 core.apply_hold_changes(core.suspects.apply_message(report), report.node)
                 if report.crashes:
                     core.crash_reported.set()
             return
         if is_load_message(data):
-            self._apply_loads(decode_load_message(data))
+            self._apply_loads(add_wait_to_loads(decode_load_message(data), waited_ms))
             return
         if is_origin_message(data):
             core.resumptions.apply_message(decode_origin_message(data), address)
             return
         message = decode_gossip(data)
         if message.node != core.settings.node:
-            self._apply_message(message, address, nursery)
+            self._apply_message(message, address, nursery, waited_ms)
 
     def _apply_message(
-        self, message: GossipMessage, address: Endpoint, nursery: trio.Nursery
+        self, message: GossipMessage, address: Endpoint, nursery: trio.Nursery, waited_ms: int = 0
     ) -> None:
-        """Apply one gossip message."""
+        """Apply one gossip message that arrived `waited_ms` ago."""
         core = self._core
+        message = add_wait(message, waited_ms)
         if message.node not in core.fleet.peers:
             core.event_log.write("router_discovered", peer=message.node, address=str(address))
-        peer = core.fleet.record_message(message, address)
+        peer = core.fleet.record_message(message, address, waited_ms)
         for replica in message.suspected_restarts:
             core.cluster_state.suspect_restart(replica, seen_here=False)
         for replica in message.maybe_restarted:
--- /dev/null
+++ b/skylarklift/entry/gossip/waiting.py
@@ -0,0 +1,47 @@
+"""Add to the ages in messages the time for which they had waited to be read.
+
+A router that stood still, or was busy, reads messages long after their arrival.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.versions.releases import ReleaseReport
+
+
+def add_wait(message: GossipMessage, waited_ms: int) -> GossipMessage:
+    """Return a message with the ages of now, after it has waited."""
+    if not waited_ms:
+        return message
+    age_ms = message.releases_age_ms
+    return replace(
+        message,
+        tables=tuple(
+            replace(summary, age_ms=summary.age_ms + waited_ms) for summary in message.tables
+        ),
+        ejected={
+            replica: max(0, left_ms - waited_ms) for replica, left_ms in message.ejected.items()
+        },
+        limits=tuple(
+            replace(report, age_ms=report.age_ms + waited_ms) for report in message.limits
+        ),
+        observed_loads=add_wait_to_loads(message.observed_loads, waited_ms),
+        releases=tuple(_add_wait_to_release(report, waited_ms) for report in message.releases),
+        releases_age_ms=None if age_ms is None else age_ms + waited_ms,
+    )
+
+
+def add_wait_to_loads(loads: Iterable[ObservedLoad], waited_ms: int) -> tuple[ObservedLoad, ...]:
+    """Return observed loads with the ages of now."""
+    return tuple(replace(load, age_ms=load.age_ms + waited_ms) for load in loads)
+
+
+def _add_wait_to_release(report: ReleaseReport, waited_ms: int) -> ReleaseReport:
+    """Return a row on software versions with the ages of now."""
+    deadline = report.deadline
+    if deadline is not None:
+        deadline = replace(deadline, age_ms=deadline.age_ms + waited_ms)
+    steps = tuple(replace(step, age_ms=step.age_ms + waited_ms) for step in report.steps)
+    return replace(report, steps=steps, deadline=deadline)
--- a/standins/virtual_net.py
+++ b/standins/virtual_net.py
@@ -374,6 +374,7 @@
         if receiver is not None:
             receiver.enqueue((data, source))
 
-    async def recvfrom(self, count: int):
-        """Return the next datagram and its sender."""
-        return await self._next_queued()
+    async def recvmsg(self, count: int, control_size: int):
+        """Return the next datagram, no control messages, no flags, and its sender."""
+        data, sender = await self._next_queued()
+        return data, [], 0, sender
