Take replicas for cold after a standstill until their entries are confirmed

A replica that had become cold while a router stood still got all the requests that had waited at that router, over the limit that holds for all machines.

Cause: the router chose by its list from before the standstill. It doubted only which process an entry belongs to (`suspect_all_restarts`), and that only from the next check of the maintenance on.

Change: `Standstill` notices, from the first moment after, that the maintenance is late. For 2500 ms from then, a list that was not confirmed within 1500 ms (a running router is told more often) counts all upstreams as cold: the router sends its share of the cold limit. A confirmation ends it.

Ruled out: doing so without a standstill; while the store is away nobody is told more, and a service of cold upstreams would refuse most requests. Standstills below 1500 ms change nothing.

The 7 cases of the second scenario are new with the class.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -31,3 +31,28 @@
     And it heard the other router 600 ms ago or before
     And an ejection of 1000 ms that the message names ends in 400 ms or before
     And a limit that the message names was seen 600 ms ago or before
+
+  # Guards against a router that stood still while a replica became cold, and then sent it all the
+  # requests that had waited, before it read the list of upstreams.
+  Scenario: A router that stood still sends no more than a cold replica bears
+    Given a store, two replicas of each service, and a router
+    And the replicas of "till" take 2 requests a second while they are cold
+    When the router stands still, "till-1" becomes cold, and 60 requests to "/check/a" arrive
+    Then within 1000 ms after the router goes on "till-1" runs 8 requests at most
+
+  # Guards against a router that trusts the list of upstreams from before a standstill.
+  Scenario Outline: A replica counts as cold after a standstill of <span> ms: <cold>
+    Given a router that knows 3 replicas
+    When the router stands still for <span> ms
+    And <after>
+    Then the replica "r0" counts as cold: <cold>
+
+    Examples:
+      | span | after                             | cold |
+      | 1000 | 0 ms pass                         | no   |
+      | 1500 | 0 ms pass                         | yes  |
+      | 5000 | 0 ms pass                         | yes  |
+      | 5000 | the list of upstreams is confirmed | no   |
+      | 5000 | the router runs on for 1000 ms    | yes  |
+      | 5000 | the router runs on for 2500 ms    | no   |
+      | 0    | the router runs on for 5000 ms    | no   |
--- a/features/steps/entry_standstill.py
+++ b/features/steps/entry_standstill.py
@@ -1,7 +1,9 @@
 """Steps for routers that stood still and then read what arrived meanwhile."""
 
+import signal
 import time
 from dataclasses import replace
+from functools import partial
 
 import trio
 from behave import given, then, when
@@ -12,11 +14,16 @@
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.gossip.wire import encode_gossip
 from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.rows import RowTable
 from standins.entry_world import free_port
 
 OPEN_S = 0.2
 READ_S = 0.05
+PLAN_S = 1.0
+ANSWER_S = 0.3
+STANDSTILL_S = 3
+COLD_MS = 9000
 TABLES = {
     RowTable.OPERATOR: {"config": plan_data()},
     RowTable.UPSTREAMS: {"r0": upstream_data()},
@@ -102,3 +109,63 @@
 def limit_seen(context, span):
     (report,) = context.limits
     assert report.age_ms >= span, report
+
+
+@given('the replicas of "{service}" take {rate:d} requests a second while they are cold')
+def cold_rate(context, service, rate):
+    def change():
+        context.world.service_plans = [
+            {**plan, "cold_per_s": rate} if plan["name"] == service else plan
+            for plan in context.world.service_plans
+        ]
+        context.world.write_plan()
+
+    context.thread.run_sync(change)
+    time.sleep(PLAN_S)
+
+
+@when('the router stands still, "{name}" becomes cold, and {count:d} requests to "{path}" arrive')
+def becomes_cold(context, name, count, path):
+    context.thread.run(wake_with_requests, context.world, context.router, name, count, path)
+
+
+async def wake_with_requests(world, router, name, count, path):
+    """Let requests wait at a router that stands still while a replica becomes cold."""
+    router.process.send_signal(signal.SIGSTOP)
+    # This change answers what the router has asked the store; it does not ask again.
+    world.register_replica("till-2", "till", slots=65)
+    await trio.sleep(ANSWER_S)
+    world.register_replica(name, "till", cold_remaining_ms=COLD_MS)
+    for _ in range(count):
+        world.nursery.start_soon(partial(world.call, router, path, deadline_ms=COLD_MS))
+    await trio.sleep(STANDSTILL_S)
+    # The store turns this router away, so that it does not learn of the change at once.
+    world.store_endpoints[0][0].faults.status = 503
+    router.process.send_signal(signal.SIGCONT)
+
+
+@then('within {span:d} ms after the router goes on "{name}" runs {most:d} requests at most')
+def runs_at_most(context, span, name, most):
+    time.sleep(span / 1000)
+    replicas = context.world.replicas.values()
+    runs = {replica.name: len(replica.runs) for replica in replicas}
+    assert sum(runs.values()) > 0 and runs[name] <= most, runs
+
+
+@when("the router stands still for {span:d} ms")
+def router_stands_still(context, span):
+    run_for(context.core, CHECK_INTERVAL_MS)
+    context.clock.advance(span)
+
+
+@when("the router runs on for {span:d} ms")
+def router_runs_on(context, span):
+    run_for(context.core, span)
+
+
+def run_for(core, span):
+    """Let a router's maintenance run for a time."""
+    for _ in range(span // CHECK_INTERVAL_MS):
+        core.standstill.check()
+        core.clock.advance(CHECK_INTERVAL_MS)
+    core.standstill.check()
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -26,6 +26,7 @@
 from skylarklift.entry.requests.connection_pool import ConnectionPool
 from skylarklift.entry.requests.header_codec import HeaderCodec
 from skylarklift.entry.requests.status_format import StatusFormat
+from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.rows import NO_ERA, Era, RowFormat, RowTable
 from skylarklift.entry.state.upstream import PROCESS_END_MS, UPSTREAM_REMOVED, StateChange
@@ -70,6 +71,7 @@
     event_log: EventLog
     metrics: Metrics
     cluster_state: ClusterState
+    standstill: Standstill
     fleet: Fleet
     row_fetches: RowFetches
     health: Health
@@ -315,10 +317,20 @@
     """Return the core of a router that has no rows yet."""
     bounds = settings.bounds
     cluster_state = ClusterState(clock, row_format)
+    standstill = Standstill(clock)
     fleet = Fleet(clock, settings.node)
     health = Health(clock)
     releases = Releases(clock)
-    chooser = Chooser(clock, cluster_state, fleet, health, bounds, settings.zone, settings.regions)
+    chooser = Chooser(
+        clock,
+        cluster_state,
+        standstill,
+        fleet,
+        health,
+        bounds,
+        settings.zone,
+        settings.regions,
+    )
     return Core(
         settings=settings,
         clock=clock,
@@ -327,6 +339,7 @@
         event_log=event_log,
         metrics=Metrics(),
         cluster_state=cluster_state,
+        standstill=standstill,
         fleet=fleet,
         row_fetches=RowFetches(clock),
         health=health,
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -30,7 +30,9 @@
 from skylarklift.entry.placement.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.placement.rate_limits import RateLimits
 from skylarklift.entry.placement.software_versions import SoftwareVersions
+from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
+from skylarklift.entry.state.rows import RowTable
 from skylarklift.entry.state.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId, ServiceId, ZoneId
@@ -50,6 +52,8 @@
 # Copying a prefix from another replica pays off from this many tokens on.
 MIN_COPY_TOKENS = 64
 HASH_RANGE = 1 << 32
+# The list of upstreams is confirmed more often than this while the router runs.
+OLD_ENTRIES_MS = 1500
 
 
 class Chooser:
@@ -59,6 +63,7 @@
         self,
         clock: Clock,
         cluster_state: ClusterState,
+        standstill: Standstill,
         fleet: Fleet,
         health: Health,
         bounds: Bounds,
@@ -67,6 +72,7 @@
     ):
         self._clock = clock
         self._cluster_state = cluster_state
+        self._standstill = standstill
         self._fleet = fleet
         self._health = health
         self._bounds = bounds
@@ -317,12 +323,20 @@
     def is_cold(self, upstream: Upstream, plan: ServicePlan | None) -> bool:
         """Return whether an upstream is still limited to a few requests a second.
 
-        An upstream that may have restarted counts as cold.
+        An upstream that may have restarted counts as cold, and so do all of them after a
+        standstill, until their entries are known anew.
         """
         if plan is None or plan.cold_per_s <= 0:
             return False
-        restarted = self._health.maybe_restarted(upstream.record.replica)
-        return restarted or upstream.cold_until > self._clock.now()
+        if self._health.maybe_restarted(upstream.record.replica) or self._entries_are_old():
+            return True
+        return upstream.cold_until > self._clock.now()
+
+    def _entries_are_old(self) -> bool:
+        """Return whether the list of upstreams is from before a standstill of this router."""
+        if not self._standstill.has_just_ended():
+            return False
+        return self._cluster_state.age_ms(RowTable.UPSTREAMS) >= OLD_ENTRIES_MS
 
     def _cold_limit_allows(self, upstream: Upstream, plan: ServicePlan) -> bool:
         """Return whether this router may send one more request to a cold replica."""
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -16,6 +16,7 @@
     MonitoringServer,
     close_idle_when_stopping,
 )
+from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.follower import Follower
 from skylarklift.entry.state.rows import MemberStore, ReleaseStore, RowSource, RowTable
 from skylarklift.entry.versions.release_sync import ReleaseSync
@@ -23,9 +24,6 @@
 from skylarklift.util.listening import Acceptor, Serve
 from skylarklift.util.settings_reload import SETTLE_MS
 
-MAINTENANCE_INTERVAL_MS = 250
-# A process whose maintenance is late by this much has stood still.
-STANDSTILL_MS = 500
 SETTINGS_POLL_INTERVAL_MS = 2000
 # A stopping router serves for at least this long, since new requests arrive until the readiness
 # checks have taken it out of rotation.
@@ -184,9 +182,8 @@
         """Apply removals whose delay is over, close expired connections, and flush the log."""
         core = self._core
         while True:
-            due = core.clock.now() + MAINTENANCE_INTERVAL_MS
-            await trio.sleep(MAINTENANCE_INTERVAL_MS / MS_PER_SECOND)
-            if core.clock.now() >= due + STANDSTILL_MS:
+            await trio.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
+            if core.standstill.check():
                 core.suspect_all_restarts()
             state = core.cluster_state
             core.record_state_changes(state.apply_delayed_removals(), "removal delay is over")
