Count answers of the store, and rows of routers, from when they were asked for

Cause: what a read of the store brought confirmed the list as of the moment of reading. A router that stood still with a question on the way read the answer of before and told all others, for up to a second, that its list was confirmed just now; they left the reading to it. Rows fetched from another router counted as old as its summary, however long the fetch took.

Change: an answer that was read after a standstill counts as old as the call, rows of a router as their summary and the fetch. Ruled out: counting each answer from its call; the store holds a call for changes for 500 ms on purpose, and a slow store's routers would all read it.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -56,3 +56,21 @@
       | 5000 | the router runs on for 1000 ms    | yes  |
       | 5000 | the router runs on for 2500 ms    | no   |
       | 0    | the router runs on for 5000 ms    | no   |
+
+  # Guards against an answer of the store that waited while the router stood still, taken for new.
+  Scenario Outline: An answer of the store is as old as the standstill before it was read
+    Given a router that knows 3 replicas
+    When an answer of the store is read <span> ms after the call
+    Then the list of upstreams was confirmed <age> ms ago
+
+    Examples:
+      | span | age  |
+      | 500  | 0    |
+      | 749  | 0    |
+      | 3000 | 3000 |
+
+  # Guards against rows of another router that are taken for new after a long fetch.
+  Scenario: Rows of another router are as old as its summary and the fetch
+    Given a router that knows 3 replicas
+    When rows that were 100 ms old arrive 300 ms after they were asked for
+    Then the list of upstreams was confirmed 400 ms ago
--- a/features/steps/entry_standstill.py
+++ b/features/steps/entry_standstill.py
@@ -4,6 +4,7 @@
 import time
 from dataclasses import replace
 from functools import partial
+from unittest.mock import patch
 
 import trio
 from behave import given, then, when
@@ -13,9 +14,11 @@
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.gossip.wire import encode_gossip
+from skylarklift.entry.model import Endpoint
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
-from skylarklift.entry.state.rows import RowTable
+from skylarklift.entry.state.follower import Follower, fetch_rows
+from skylarklift.entry.state.rows import RowPage, RowTable
 from standins.entry_world import free_port
 
 OPEN_S = 0.2
@@ -24,6 +27,8 @@
 ANSWER_S = 0.3
 STANDSTILL_S = 3
 COLD_MS = 9000
+UNCONFIRMED_MS = 10_000
+HERE = Endpoint("127.0.0.2", 1)
 TABLES = {
     RowTable.OPERATOR: {"config": plan_data()},
     RowTable.UPSTREAMS: {"r0": upstream_data()},
@@ -169,3 +174,48 @@
         core.standstill.check()
         core.clock.advance(CHECK_INTERVAL_MS)
     core.standstill.check()
+
+
+class LateStore:
+    """A store whose answer is read a time after the call."""
+
+    def __init__(self, clock, span):
+        self._clock = clock
+        self._span = span
+
+    async def read_changes(self, table, after, wait_ms, era):
+        self._clock.advance(self._span)
+        return RowPage([], after, complete=False, era=era)
+
+
+@when("an answer of the store is read {span:d} ms after the call")
+def read_late(context, span):
+    core = context.core
+    make_unconfirmed(context)
+    core.standstill.check()
+    store = LateStore(context.clock, span)
+    trio.run(Follower(core, store, RowTable.UPSTREAMS)._read_store)
+
+
+@when("rows that were {age:d} ms old arrive {span:d} ms after they were asked for")
+def fetched_late(context, age, span):
+    core = context.core
+    make_unconfirmed(context)
+    summary = replace(core.cluster_state.summarize(RowTable.UPSTREAMS), age_ms=age)
+
+    async def request_rows(table, address, after, era):
+        context.clock.advance(span)
+        return RowPage([], after, complete=False)
+
+    with patch("skylarklift.entry.state.follower._request_rows", request_rows):
+        trio.run(fetch_rows, core, RowTable.UPSTREAMS, HERE, summary)
+
+
+def make_unconfirmed(context):
+    """Let the list of upstreams be old."""
+    context.clock.advance(UNCONFIRMED_MS)
+
+
+@then("the list of upstreams was confirmed {age:d} ms ago")
+def list_confirmed_ago(context, age):
+    assert context.core.cluster_state.age_ms(RowTable.UPSTREAMS) == age
--- a/skylarklift/entry/standstill.py
+++ b/skylarklift/entry/standstill.py
@@ -36,6 +36,10 @@
             return True
         return self._ended_at is not None and self._clock.now() - self._ended_at < DOUBT_MS
 
+    def has_ended_since(self, moment: Millis) -> bool:
+        """Return whether the router stood still at some time since `moment`."""
+        return self._is_late() or (self._ended_at is not None and self._ended_at >= moment)
+
     def _is_late(self) -> bool:
         """Return whether the next check is late."""
         if self._checked_at is None:
--- a/skylarklift/entry/state/follower.py
+++ b/skylarklift/entry/state/follower.py
@@ -3,7 +3,7 @@
 import msgpack
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.gossip.wire import MAX_FRAME_BYTES, decode_page, receive_frame, send_frame
 from skylarklift.entry.model import Endpoint
@@ -80,6 +80,7 @@
         """Read the table or its changes from the store once and apply them."""
         core, table = self._core, self._table
         after = core.cluster_state.caches[table].version
+        called_at = core.clock.now()
         if after == 0:
             page = await self._store.read_table(table)
         else:
@@ -99,11 +100,14 @@
         if page.era < known_era:
             raise StoreError(f"the store went back from era {known_era} to {page.era}")
         core.reading_store[table] = True
-        core.fleet.store_read_at = core.clock.now()
+        # An answer that waited while this router stood still may be as old as the call.
+        now = core.clock.now()
+        age_ms = now - called_at if core.standstill.has_ended_since(called_at) else 0
+        core.fleet.store_read_at = Millis(now - age_ms)
         if self._failing:
             self._failing = False
             core.event_log.write("store_regained", table=table.name, version=page.version)
-        apply_page(core, table, page, "store", 0)
+        apply_page(core, table, page, "store", age_ms)
 
     def _log_store_lost(self, exc: StoreError) -> None:
         """Log the failure of a read, once until a read succeeds."""
@@ -133,6 +137,7 @@
     With `complete`, fetch all rows, since the two routers disagree on which rows exist.
     """
     cache = core.cluster_state.caches[table]
+    asked_at = core.clock.now()
     try:
         with trio.fail_after(PEER_TIMEOUT_MS / MS_PER_SECOND):
             after = ALL_ROWS if complete else cache.version
@@ -143,7 +148,8 @@
         core.metrics.increment("peer_errors")
         core.event_log.write("rows_fetch_failed", peer=str(address), cause=repr(exc))
         return
-    apply_page(core, table, page, str(address), summary.age_ms)
+    age_ms = summary.age_ms + core.clock.now() - asked_at
+    apply_page(core, table, page, str(address), age_ms)
 
 
 async def _request_rows(table: RowTable, address: Endpoint, after: int, era: Era | None) -> RowPage:
