Take the replicas of a zone for cold where only the end of its evacuation was heard

Cause: a router that heard of an evacuation only when it had ended (it stood still or was cut off all the while) dropped the row, and took the zone's replicas for warm; the others count them as cold for their service's cold time.

Change: the end of an evacuation counts as such wherever its row arrives.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -74,3 +74,14 @@
     Given a router that knows 3 replicas
     When rows that were 100 ms old arrive 300 ms after they were asked for
     Then the list of upstreams was confirmed 400 ms ago
+
+  # Guards against a router that heard nothing of an evacuation until it had ended, and takes the
+  # replicas of the zone for warm, as it does not know that they stood idle.
+  Scenario: The replicas of a zone count as cold where only the end of its evacuation was heard
+    Given a router that knows 3 replicas
+    And a router without any rows
+    When the second router applies all rows of the first
+    And the zone of "r0" is evacuated
+    And the zone of "r0" is restored
+    And the second router hears the first and fetches what it lacks
+    Then the replica "r0" is cold at the second router for 3000 ms
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -240,13 +240,12 @@
     def _apply_evacuation(self, row: EvacuationRow, version: int) -> list[StateChange]:
         """Record that a zone is evacuated, or that its evacuation has ended.
 
-        The replicas of a restored zone count as cold again.
+        The replicas of a restored zone count as cold again, also if this router did not hear that
+        it was evacuated.
         """
         if row.active:
             self.evacuated_zones.add(row.zone)
             return [StateChange("zone_out", row.zone, version)]
-        if row.zone not in self.evacuated_zones:
-            return []
         self.evacuated_zones.discard(row.zone)
         for upstream in self.upstreams.values():
             if upstream.record.zone == row.zone:
