--- /dev/null
+++ b/features/entry_views.feature
@@ -0,0 +1,87 @@
+Feature: Routers whose views of store, peers and upstreams differ
+
+  What one router knows from its own view must not keep another one from what that lacks.
+
+  # Guards against a router that takes a cold replica for warm: another one, which knew that it is
+  # cold without the entry, took that for a heartbeat and told nobody.
+  Scenario Outline: A router learns that a replica is cold from one that knew it before: <known>
+    Given a router that knows 3 replicas
+    And a router without any rows
+    When the second router applies all rows of the first
+    And it is known to the first router that the replica "r0" <known>
+    And the second router hears the first and fetches what it lacks
+    And 1000 ms pass
+    And the replica "r0" writes that it is cold for 4000 ms
+    And the second router hears the first and fetches what it lacks
+    Then the replica "r0" is cold at the second router for 4000 ms
+
+    Examples:
+      | known                              |
+      | answers that it is cold for 2000 ms |
+      | was unreachable and then succeeded |
+      | is in a zone that was restored     |
+      | writes that it is cold for 2000 ms |
+
+  # Guards against a router that stood still and takes what waited in its socket meanwhile for new:
+  # it held outdated rows for confirmed ones, and silent routers for heard ones.
+  Scenario: What waited in the socket of a router that stood still is as old as it is
+    Given a router whose tables and rows on versions were confirmed 5000 ms ago
+    When a message confirms them 100 ms after the store, and the router stands still for 600 ms
+    Then its tables and rows on versions were confirmed 700 ms ago or before
+    And it heard the other router 600 ms ago or before
+    And an ejection of 1000 ms that the message names ends in 400 ms or before
+    And a limit that the message names was seen 600 ms ago or before
+
+  # Guards against a router that stood still while a replica became cold, and then sent it all the
+  # requests that had waited, before it read the list of upstreams.
+  Scenario: A router that stood still sends no more than a cold replica bears
+    Given a store, two replicas of each service, and a router
+    And the replicas of "till" take 2 requests a second while they are cold
+    When the router stands still, "till-1" becomes cold, and 60 requests to "/check/a" arrive
+    Then within 1000 ms after the router goes on "till-1" runs 8 requests at most
+
+  # Guards against a router that trusts the list of upstreams from before a standstill.
+  Scenario Outline: A replica counts as cold after a standstill of <span> ms: <cold>
+    Given a router that knows 3 replicas
+    When the router stands still for <span> ms
+    And <after>
+    Then the replica "r0" counts as cold: <cold>
+
+    Examples:
+      | span | after                             | cold |
+      | 1000 | 0 ms pass                         | no   |
+      | 1500 | 0 ms pass                         | yes  |
+      | 5000 | 0 ms pass                         | yes  |
+      | 5000 | the list of upstreams is confirmed | no   |
+      | 5000 | the router runs on for 1000 ms    | yes  |
+      | 5000 | the router runs on for 2500 ms    | no   |
+      | 0    | the router runs on for 5000 ms    | no   |
+
+  # Guards against an answer of the store that waited while the router stood still, taken for new.
+  Scenario Outline: An answer of the store is as old as the standstill before it was read
+    Given a router that knows 3 replicas
+    When an answer of the store is read <span> ms after the call
+    Then the list of upstreams was confirmed <age> ms ago
+
+    Examples:
+      | span | age  |
+      | 500  | 0    |
+      | 749  | 0    |
+      | 3000 | 3000 |
+
+  # Guards against rows of another router that are taken for new after a long fetch.
+  Scenario: Rows of another router are as old as its summary and the fetch
+    Given a router that knows 3 replicas
+    When rows that were 100 ms old arrive 300 ms after they were asked for
+    Then the list of upstreams was confirmed 400 ms ago
+
+  # Guards against a router that heard nothing of an evacuation until it had ended, and takes the
+  # replicas of the zone for warm, as it does not know that they stood idle.
+  Scenario: The replicas of a zone count as cold where only the end of its evacuation was heard
+    Given a router that knows 3 replicas
+    And a router without any rows
+    When the second router applies all rows of the first
+    And the zone of "r0" is evacuated
+    And the zone of "r0" is restored
+    And the second router hears the first and fetches what it lacks
+    Then the replica "r0" is cold at the second router for 3000 ms
