Reserve the ports of test processes while their worlds last

Cause, suspected in KNOWN-RED and now shown: replicas of the stand-ins listened at ports that the system chose. It gives a listener an odd port of the lower half of the ephemeral range, about 7,000, and gives the port of a stopped replica to the next listener of any process, while the routers of the first test still send there. Their replicas bear the same names, so X-Expect-Replica refuses nothing. Ports of routers were probed and then free until the router listened, and again while it was restarted; those of the own deployment came from a block of ports that processes with ids 100 apart share.

Change: standins.ports reserves a port outside the ephemeral range with a bound socket that does not listen, until the world has killed its routers. All ports of worlds and of the own deployment come from there. The new scenario fails before (the port "is given to any listener") and passes now.

Ruled out: unique names of replicas (the features name them, and requests without the field would still run); killing routers earlier (a world already kills them before its replicas' ports are free). A router whose test process was killed by SIGKILL still goes on and is not covered.

--- a/features/entry_process.feature
+++ b/features/entry_process.feature
@@ -137,6 +137,14 @@
     Then all are answered with 200
     And the replica "till-1" ran no request
 
+  # Guards against requests of a router of another test that a replica runs, since it has got the port
+  # of a replica that was stopped there (issue 40).
+  Scenario: No other test process gets the port of a stopped replica
+    When the replica "till-1" is stopped
+    Then no other test process gets its port
+    When it is started again
+    Then a request to "/redeem/a" reaches it within 8000 ms
+
   Scenario: A run is cancelled when its caller disconnects
     Given the replicas "lm-1,lm-2" send an event every 300 ms
     When a caller of "/chat/a" disconnects after 500 ms
--- a/features/steps/entry_process_faults.py
+++ b/features/steps/entry_process_faults.py
@@ -11,7 +11,6 @@
 from behave import given, then, when
 
 from features.world_thread import all_runs, replicas_by_name, send_request
-from standins.entry_world import free_port
 
 METRICS_DELAY_LIMIT_S = 1
 LOG_POLLS = 40
@@ -210,10 +209,9 @@
 def second_router(context):
     async def start():
         await context.world.open_store_endpoint()
-        port = free_port()
         # Routers find each other by their member entries in the store.  Each needs a port of its
         # own, since they share a machine.
-        return await context.world.start_router("n2", store_endpoint_index=1, peer_port=port)
+        return await context.world.start_router("n2", store_endpoint_index=1)
 
     context.second = context.thread.run(start)
     time.sleep(4)
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -35,7 +35,7 @@
 from skylarklift.entry.requests.attempt import Attempt
 from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from skylarklift.errors import PeerError
-from standins.entry_world import free_port
+from standins.ports import reserve_port
 
 START_MS = 100_000
 PART = Suspect(SuspectKind.PART, "bad")
@@ -116,7 +116,7 @@
 
 @given("a router whose last probe of a replica was {ms:d} ms ago and found it {found}")
 def replica_was_probed(context, ms, found):
-    context.core = core_with_replicas(1, upstream_port=free_port())
+    context.core = core_with_replicas(1, upstream_port=reserve_port())
     now = context.core.clock.now()
     context.core.probes["r0"] = Probe(Millis(now - ms), found == "reachable")
 
--- a/features/steps/process_exits.py
+++ b/features/steps/process_exits.py
@@ -12,8 +12,9 @@
 
 from behave import given, then, when
 
-from standins.deployment import FLEET_KEY, OPERATOR_TOKEN, free_ports
+from standins.deployment import FLEET_KEY, OPERATOR_TOKEN
 from standins.entry_world import HOST, ROOT
+from standins.ports import reserve_ports
 from standins.process_state import wait_until_loaded
 
 EXIT_TIMEOUT_S = 20
@@ -32,7 +33,7 @@
         self.daemon = daemon
         self.settings = Path(self._folder.name) / "settings"
         self.log = Path(self._folder.name) / "log"
-        self.ports = free_ports(3)
+        self.ports = reserve_ports(3)
         self.settings.write_text(self._settings_text())
         self.process = None
         self._port_holder = None
--- a/features/steps/process_resources.py
+++ b/features/steps/process_resources.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from features.world_thread import WorldThread, send_request
-from standins.entry_world import HOST, LOG_TAIL_CHARS, Response, free_port
+from standins.entry_world import HOST, LOG_TAIL_CHARS, Response
 from standins.faulty_router import FAULTY_PATH
 
 POLL_S = 0.05
@@ -52,7 +52,7 @@
 @given("a router that ended, and another socket at its {kind} port")
 def router_with_taken_port(context, kind):
     build_world(context)
-    metrics, peers = free_port(), free_port()
+    metrics, peers = context.world.reserve_port(), context.world.reserve_port()
     context.world.program = ("-m", "skylarklift.platform.daemon", "--metrics-port", str(metrics))
 
     async def start():
--- a/features/steps/process_settings.py
+++ b/features/steps/process_settings.py
@@ -21,9 +21,10 @@
     wait_until,
 )
 from features.steps.tool import SETTINGS
-from standins.deployment import ROOT, free_ports
+from standins.deployment import ROOT
 from standins.entry_world import HOST
 from standins.faulty_router import FAULTY_SETTING
+from standins.ports import reserve_ports
 
 CALLERS = "callers"
 SECTIONS = (CALLERS, "operators", "peers")
@@ -141,7 +142,7 @@
     """Return a router daemon that has its settings and has not been started."""
     folder = tempfile.TemporaryDirectory()
     context.cleanups = [*getattr(context, "cleanups", []), folder.cleanup]
-    ports = dict(zip(SECTIONS, free_ports(len(SECTIONS)), strict=True))
+    ports = dict(zip(SECTIONS, reserve_ports(len(SECTIONS)), strict=True))
     value = dict(SETTINGS)
     for section, port in ports.items():
         value[section] = {**value.get(section, {}), "listen": {"port": port}}
--- a/features/steps/security.py
+++ b/features/steps/security.py
@@ -16,7 +16,7 @@
 from skylarklift.router import client_tls, server_tls
 from skylarklift.routers.frames import FrameStream, TrafficCounter, authenticate_as_client
 from skylarklift.routers.peers import PeerCounts, PeerIdentity, PeerServer, TcpPeerTransport
-from standins.deployment import free_ports
+from standins.ports import reserve_port
 
 KEYS = {"old": "the-old-key-of-the-fleet", "new": "the-new-key-of-the-fleet"}
 FRAME_LIMIT = 4096
@@ -39,7 +39,7 @@
 
 @asynccontextmanager
 async def open_server(keys="old", tls=None):
-    port = free_ports(1)[0]
+    port = reserve_port()
     async with trio.open_nursery() as nursery:
         server = PeerServer(make_identity("server", keys, port, tls), answer_done, PeerCounts())
         await nursery.start(server.run)
--- a/features/steps/tool.py
+++ b/features/steps/tool.py
@@ -14,7 +14,8 @@
 from behave import given, then, when
 
 from skylarklift.util.jsonc import parse_text
-from standins.deployment import OPERATOR_TOKEN, ROOT, free_ports
+from standins.deployment import OPERATOR_TOKEN, ROOT
+from standins.ports import reserve_ports
 
 SETTINGS = {
     "router": "r",
@@ -78,7 +79,7 @@
 def step_sample_router(context, deployment):
     text = (ROOT / "samples" / deployment / "router.json").read_text()
     value = parse_text("router.json", text).value
-    ports = free_ports(3)
+    ports = reserve_ports(3)
     for section, port in zip(("callers", "operators", "peers"), ports, strict=True):
         value[section]["listen"]["port"] = port
     with tempfile.TemporaryDirectory() as folder:
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from standins.entry_world import ROOT, EntryWorld, Response, RouterProcess, free_port
+from standins.entry_world import ROOT, EntryWorld, Response, RouterProcess
 from standins.platform_world import HOST
 from standins.replica import MS_PER_SECOND, Replica
 
@@ -144,7 +144,7 @@
 
     def _launch(self, name: str, store_endpoint_index: int, peer_port: int) -> RouterProcess:
         """Write a router's settings file and start the router's process."""
-        callers, readiness, control = free_port(), free_port(), free_port()
+        callers, readiness, control = (self.reserve_port() for _ in range(3))
         settings, log = self.folder / f"{name}.conf", self.folder / f"{name}.log"
         fields = {
             **SETTINGS,
@@ -158,7 +158,8 @@
             "platform.address": f"{HOST}:{self.store_endpoints[store_endpoint_index][1]}",
         }
         settings.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
-        self.program = ("-m", "skylarklift.platform.daemon", "--metrics-port", str(free_port()))
+        metrics = str(self.reserve_port())
+        self.program = ("-m", "skylarklift.platform.daemon", "--metrics-port", metrics)
         process = self._start_process(settings, log)
         return RouterProcess(name, process, callers, readiness, settings, log)
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -12,7 +12,7 @@
 from soak.checker import RECOVERY_S, Checker, FaultSpan, SentRequest
 from soak.faults import Faults
 from soak.proxy import LoopbackProxy
-from standins.entry_world import EntryWorld, Response, RouterProcess, exchange, free_port
+from standins.entry_world import EntryWorld, Response, RouterProcess, exchange
 
 HOST = "127.0.0.1"
 PATHS = ("/chat/", "/once/", "/redeem/", "/check/")
@@ -112,9 +112,7 @@
             port = await world.listen(f"proxy-store-endpoint-{number}", proxy.serve)
             world.store_endpoints[number] = (world.store_endpoints[number][0], port)
             self._faults.store_proxies.append(proxy)
-            await world.start_router(
-                f"n{number}", store_endpoint_index=number, peer_port=free_port()
-            )
+            await world.start_router(f"n{number}", store_endpoint_index=number)
 
     # Load.
 
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -14,7 +14,7 @@
 from soak.proxy import LoopbackProxy
 from soak.stream_callers import DEADLINES_MS
 from soak.stream_checker import Kind
-from standins.entry_world import ROOT, EntryWorld, free_port
+from standins.entry_world import ROOT, EntryWorld
 from standins.platform_world import HOST, ROUTE_DEFAULTS
 from standins.stream_replica import Framing, open_listener
 from standins.stream_wire import Ending
@@ -112,7 +112,7 @@
         service = PLAIN_SERVICE if number % REPLICAS_PER_PLAIN == 2 else STREAM_SERVICE
         weights = [PATH_WEIGHTS[path] for path in self.replica_paths]
         path = rng.choices(self.replica_paths, weights)[0]
-        name, port = f"{service}-{number}-{path.value}", free_port()
+        name, port = f"{service}-{number}-{path.value}", self.reserve_port()
         listener = open_listener(port) if path is ReplicaPath.KEPT else None
         replica = ReplicaProcess(name, service, port, listener)
         self.replica_processes[name], self.ports[name] = replica, port
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -16,7 +16,6 @@
 from soak.stream_checker import STATUS_OK, Kind, SentCall, StreamChecker, TryEnd, parse_runs
 from soak.stream_faults import StreamFaults
 from soak.stream_world import ReplicaPath, StreamWorld, write_lines
-from standins.entry_world import free_port
 from standins.stream_replica import Framing
 from standins.stream_wire import Ending
 
@@ -125,7 +124,7 @@
             port = await world.listen(f"proxy-store-endpoint-{number}", proxy.serve)
             world.store_endpoints[number] = (world.store_endpoints[number][0], port)
             self._faults.store_proxies.append(proxy)
-            world.launch_router(f"n{number}", store_endpoint_index=number, peer_port=free_port())
+            world.launch_router(f"n{number}", store_endpoint_index=number)
         for router in world.routers:
             await world.wait_ready(router)
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -3,28 +3,24 @@
 The demo, the benchmarks and the process tests use it; it is not part of the product.
 """
 
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import httpx
 
+from standins.ports import reserve_port, reserve_ports
+
 ROOT = Path(__file__).resolve().parent.parent
 FLEET_KEY = "a-key-for-the-loopback-fleet"
 OPERATOR_TOKEN = "a-token-for-the-loopback-operator"
 READY_TIMEOUT_S = 30
-PORT_RANGE = (12_000, 32_000)
-PORT_BLOCK = 200
-PORT_STRIDE = 37
 MS_PER_SECOND = 1000
 
 
@@ -46,36 +42,6 @@
 )
 
 
-def _port_numbers() -> Iterator[int]:
-    """Yield port numbers without end, starting at a block that depends on the process id."""
-    first, last = PORT_RANGE
-    blocks = (last - first) // PORT_BLOCK
-    start = os.getpid() * PORT_STRIDE % blocks * PORT_BLOCK
-    for offset in itertools.count():
-        yield first + (start + offset) % (last - first)
-
-
-_PORTS = _port_numbers()
-
-
-def free_ports(count: int) -> list[int]:
-    """Return ports that are free and that this process has not returned before.
-
-    They lie below the system's ephemeral port range, so that no outgoing connection
-    can take one before its server listens.
-    """
-    found: list[int] = []
-    while len(found) < count:
-        port = next(_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        found.append(port)
-    return found
-
-
 @dataclass
 class ManagedProcess:
     """A process that the deployment started."""
@@ -169,7 +135,7 @@
     def start_router(self, name: str) -> ManagedProcess:
         """Write a router's settings file and start the router."""
         if name not in self.router_ports:
-            self.router_ports[name] = tuple(free_ports(3))
+            self.router_ports[name] = tuple(reserve_ports(3))
         callers, operators, peers = self.router_ports[name]
         index = int(name.rsplit("-", 1)[1]) - 1
         settings = {
@@ -193,7 +159,7 @@
 
     def _start_standin(self, name: str, module: str, options: list[str]) -> ManagedProcess:
         """Start a stand-in module on a free port."""
-        port = free_ports(1)[0]
+        port = reserve_port()
         return self._launch(name, ["-m", module, "--port", str(port), *options], port)
 
     def _launch(self, name: str, command: list[str], port: int) -> ManagedProcess:
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -6,43 +6,21 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
-from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
-from random import SystemRandom
 
 import h11
 import trio
 
-from standins.platform_world import HOST, PlatformWorld
+from standins.platform_world import PlatformWorld
+from standins.ports import HOST, release_ports, reserve_port
 
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 10
 POLLS_PER_SECOND = 20
 LOG_TAIL_CHARS = 2000
-PORT_RANGE = (11000, 32000)
-# Drawn at random, since test processes that run side by side must not choose the same ports.
-_port_choice = SystemRandom()
-_given_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Return a port that is free and that this process has not returned before.
-
-    It lies below the system's ephemeral port range, so that no outgoing connection can take
-    it before its router listens.
-    """
-    while True:
-        port = _port_choice.randrange(*PORT_RANGE)
-        if port in _given_ports:
-            continue
-        _given_ports.add(port)
-        with socket.socket() as sock, suppress(OSError):
-            sock.bind((HOST, port))
-            return port
 
 
 @dataclass
@@ -79,11 +57,24 @@
         super().__init__(nursery)
         self.folder = Path(folder)
         self.routers: list[RouterProcess] = []
+        self._reserved_ports: list[int] = []
         # Python arguments that start a router; if empty, the platform's daemon is started.
         self.program: tuple[str, ...] = ()
         # Settings of the routers that are started next, beside the usual ones or in their place.
         self.extra_settings: dict[str, str] = {}
 
+    # Ports.
+
+    def reserve_port(self) -> int:
+        """Return a port that no other test process gets before this world has stopped."""
+        port = reserve_port()
+        self._reserved_ports.append(port)
+        return port
+
+    async def listen(self, name: str, handler, port: int = 0) -> int:
+        """Start a server under a name, by default at a reserved port, and return its port."""
+        return await super().listen(name, handler, port or self.reserve_port())
+
     # Routers.
 
     async def start_router(
@@ -98,7 +89,7 @@
         self, name: str, store_endpoint_index: int = 0, peer_port: int = 0
     ) -> RouterProcess:
         """Start a router without waiting until it is ready."""
-        router = self._launch(name, store_endpoint_index, peer_port or free_port())
+        router = self._launch(name, store_endpoint_index, peer_port or self.reserve_port())
         self.routers.append(router)
         return router
 
@@ -120,7 +111,7 @@
 
     def _launch(self, name: str, store_endpoint_index: int, peer_port: int) -> RouterProcess:
         """Write a router's settings file and start the router's process."""
-        callers, readiness = free_port(), free_port()
+        callers, readiness = self.reserve_port(), self.reserve_port()
         settings, log = self.folder / f"{name}.conf", self.folder / f"{name}.log"
         fields = {
             "node_name": name,
@@ -196,12 +187,14 @@
         return await self.send_request(router.caller_port, method, target, headers, body, **options)
 
     def stop(self) -> None:
-        """Kill the routers that this world started."""
+        """Kill the routers that this world started, and release its ports after that."""
         for router in self.routers:
             if router.process.poll() is None:
                 router.process.send_signal(signal.SIGCONT)
                 router.process.kill()
             router.process.wait()
+        release_ports(self._reserved_ports)
+        self._reserved_ports.clear()
 
 
 async def exchange(stream, method, target, headers, body) -> Response:
--- a/standins/platform_world.py
+++ b/standins/platform_world.py
@@ -9,10 +9,10 @@
 
 import trio
 
+from standins.ports import HOST
 from standins.replica import Replica
 from standins.rows import RowStore, StoreEndpoint
 
-HOST = "127.0.0.1"
 SERVICES = [
     {
         "name": "lm",
