Count a request to a cold replica from when it is sent

Change: once a connection is made, the request counts from then.

The check of the random runs counted arrivals only, so requests that were held up on the way after they were sent counted in a second in which they had not been sent; the rule counts those that were "sent and arrived inside that second".

Ruled out: leaving the product as it is by the reading that counts from the caller's sending.

--- a/features/entry_checks.py
+++ b/features/entry_checks.py
@@ -112,16 +112,21 @@
         self._check_convergence()
 
     def _check_cold_limit(self, replica: RecordingReplica) -> None:
-        """Check that a cold replica got no more requests per second than its limit."""
+        """Check that a cold replica got no more requests per second than its limit.
+
+        Counted are those that were sent and arrived within the second.
+        """
         limit = COLD_PER_S * self.world.bounds.cold_overshoot + self.world.bounds.cold_tolerance
         for span in self._cold_spans[replica.name]:
-            moments = [
-                item.at
+            arrivals = [
+                item
                 for item in replica.arrivals
                 if span.start <= item.at <= span.end and not item.rejected
             ]
-            for index, first in enumerate(moments):
-                count = sum(first <= moment < first + COLD_WINDOW_S for moment in moments[index:])
+            for first in (item.sent_at for item in arrivals):
+                count = sum(
+                    first <= item.sent_at and item.at < first + COLD_WINDOW_S for item in arrivals
+                )
                 if count > limit:
                     self._record_violation(
                         f"{replica.name}: {count} requests per second while cold"
--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -72,6 +72,32 @@
       | 4     | n3      | 300  | 12    |
       | 4     | n3      | 500  | 12    |
 
+  # Guards against requests that count from when their router chose the replica, though they arrive later.
+  Scenario Outline: Requests whose connections are made late keep the limit of a cold replica: <count> routers
+    Given <count> routers that get requests all the time, and a cold replica
+    When the connections to the replica are made <span> ms late, once
+    Then at most 3 requests reach the replica in any second, and at least 3 in all
+
+    Examples:
+      | count | span |
+      | 1     | 250  |
+      | 1     | 380  |
+      | 3     | 380  |
+
+  # Guards against a check that counts requests that were sent before the second, or misses one that was not.
+  Scenario Outline: The limit of a cold replica counts requests that were sent and arrived within a second
+    Given requests that were sent to a cold replica at "<sent>" ms and arrived at "<arrived>" ms
+    Then the check of the random runs finds <count> violations of a limit of 3 a second
+
+    Examples:
+      | sent           | arrived         | count |
+      | 0 300 600 900  | 1 301 601 901   | 1     |
+      | 0 300 600 999  | 1 301 601 1000  | 0     |
+      | 0 300 600 1100 | 1 301 601 1101  | 0     |
+      | 0 500 800 1100 | 400 501 801 1101 | 0    |
+      | 0 500 800 990  | 400 501 801 991 | 1     |
+      | 900 0 300 600  | 901 950 960 970 | 1     |
+
   Scenario Outline: Random runs detect the mutation <mutation>
     When entry routers run for <span> s with the mutation "<mutation>" and only the faults "<faults>"
     Then a run violates an invariant with the text "<text>"
--- a/features/virtual_world.py
+++ b/features/virtual_world.py
@@ -30,13 +30,17 @@
 
 @dataclass
 class Arrival:
-    """A request that reached a replica, and how many requests the replica ran then."""
+    """A request that reached a replica, and how many requests the replica ran then.
+
+    It was at the router until `sent_at`, and then on its way, which a cut can make long.
+    """
 
     at: float
     router: str
     request: str
     rejected: bool
     running: int
+    sent_at: float
 
 
 @dataclass
@@ -52,7 +56,8 @@
         router = stream.socket.getpeername()[0]
         request = fields.get(b"x-attempt-id", b"").decode()
         now = trio.current_time()
-        self.arrivals.append(Arrival(now, router, request, rejected, self.running))
+        sent_at = stream.socket.received_sent_at()
+        self.arrivals.append(Arrival(now, router, request, rejected, self.running, sent_at))
         self.running += 1
         try:
             return await super()._serve_request(caller, stream, head, body)
--- a/skylarklift/entry/placement/fleet_limits.py
+++ b/skylarklift/entry/placement/fleet_limits.py
@@ -74,6 +74,13 @@
         """Record a request that is being sent to a cold replica."""
         self._sent.setdefault(replica, deque()).append(self._clock.now())
 
+    def record_sent(self, replica: ReplicaId, recorded_at: Millis) -> None:
+        """Count a recorded request from now, since its connection may have been held up."""
+        sent = self._sent.setdefault(replica, deque())
+        if recorded_at in sent:
+            sent.remove(recorded_at)
+        sent.append(self._clock.now())
+
     def forget(self, replica: ReplicaId) -> None:
         """Drop the record of a removed replica."""
         self._sent.pop(replica, None)
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -101,13 +101,14 @@
         self.end_sign: EndSign | None = None
         # When the first event or the complete answer arrived.
         self.answered_at: Millis | None = None
-        self._sent_at = core.clock.now()
+        self._sent_at = self._started_at = core.clock.now()
         self._response_read = False
 
     @asynccontextmanager
     async def open(self):
         """Count the request as in flight during the block; abort its connection if unfinished."""
         core = self.core
+        self._started_at = core.clock.now()
         core.chooser.start_request(self.choice, self.call)
         if core.chooser.rate_limits.is_limited(self.record.replica):
             core.metrics.increment("limited_sends", self.record.replica)
@@ -128,6 +129,8 @@
         if self._resumes:
             await self._check_process()
         self.outcome = Outcome.BROKEN
+        if self.choice.cold:
+            self.core.chooser.cold_limit.record_sent(self.record.replica, self._started_at)
         call = self.call
         headers = self.core.header_codec.encode_upstream_headers(call, self.options)
         await self.conn.send(call.method, call.target, headers, call.body)
