--- a/features/steps/entry_standstill.py
+++ b/features/steps/entry_standstill.py
@@ -19,7 +19,7 @@
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.follower import Follower, fetch_rows
 from skylarklift.entry.state.rows import RowPage, RowTable
-from standins.entry_world import free_port
+from standins.ports import reserve_port
 
 OPEN_S = 0.2
 READ_S = 0.05
@@ -50,7 +50,7 @@
 
 async def receive_after_standstill(context, age, span):
     """Let a message wait in the socket of a router, and record what the router knows by it."""
-    core = new_core(LoopClock(), port=free_port())
+    core = new_core(LoopClock(), port=reserve_port())
     for table, rows in TABLES.items():
         apply_rows(core, table, 1, rows, complete=True)
         core.cluster_state._confirmed_at[table] = Millis(core.clock.now() - context.confirmed_ms)
