--- a/features/entry_ends.feature
+++ b/features/entry_ends.feature
@@ -64,3 +64,36 @@
       | /once/a | 12   | close the connection                    | say         | 12  | is complete     |
       | /once/a | 12   | close the connection                    | do not say  | 12  | is complete     |
       | /chat/a | 12   | close the connection                    | say         | 12  | is complete     |
+      | /once/a | 12   | close the connection                    | say a start later than their entries' | 12  | is complete     |
+
+  # Guards against a second connection that is made late, and so to the next process: the router stands
+  # still while the answer comes and its process ends.
+  Scenario Outline: A router that stands still gets an answer without a length from a replica that <ending>
+    Given a router before 2 replicas that send <sent> of 12 large events without a length, and then <ending>
+    And the replicas do not say when they started
+    And the router stands still for 1000 ms as a replica answers
+    When a caller reads a stream of "/once/a", with a pause of 0 ms after its first bytes
+    Then the paused caller got <sent> events, and the answer <result>
+
+    Examples:
+      | sent | ending                                  | result          |
+      | 10   | crash, and accept connections as before | is not complete |
+      | 12   | close the connection                    | is complete     |
+
+  # Guards against a whole stream whose end its caller gets when it has given up, as the run that is to
+  # confirm the end waits in a queue.
+  Scenario: The end of a whole stream without a length is not held back by a run that waits
+    Given a router before a replica that ends whole streams with their connection, and lets resumed ones wait
+    When a stream is sent to it, beside others that it serves
+    Then the caller has the end of the stream after at most 2000 ms
+
+  # Guards against whole streams that leave no retry to those that break off.
+  Scenario Outline: 10 streams that break off are resumed after 60 whole streams that <ending>
+    Given a router before 2 replicas whose whole streams <ending>
+    When 60 whole streams and then 10 that break off are sent to them
+    Then all 10 are complete
+
+    Examples:
+      | ending                   |
+      | have chunks              |
+      | end with the connection  |
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -43,6 +43,32 @@
       | both are as they were  | those of their entries     | 2     | complete   |
       | the first is a new one | a newer one and an old one | 1     | complete   |
       | both are new ones      | newer ones                 | 2     | broken off |
+      | the first is new and refuses the question | a newer one that refuses the question and an old one | 1 | complete |
+      | the first is new and its answer is spoilt | a newer one that spoils the answer and an old one    | 1 | complete |
+
+  # Guards against a stream at a sound process that no router can follow, as it was not asked.
+  Scenario: A stream that begins behind two replaced processes can be resumed
+    Given a router before replicas of the versions "v1 v1 v1" that break off each new stream
+    And all processes but the last one are newer than their entries
+    When 12 streams of different prompts are sent to them
+    Then they began at 1 replicas, and all are complete
+
+  # Guards against streams that began at a replaced process as there seemed to be no other one, and
+  # that a router without memory of them takes up at the version of its old entry.
+  Scenario: A stream that began at a replaced process does not go on after all routers were lost
+    Given a router before replicas of the versions "v1 v1 v1 v1" that break off each new stream
+    And all processes but the last one are newer than their entries
+    And another router beside it
+    When 12 streams of different prompts are sent to them
+    And both are killed and start anew
+    Then no stream that began at a replaced process goes on at the second router
+
+  # Guards against events that were sent before their process ended, are read after it, and are taken
+  # for a sign that it lives.
+  Scenario: A replica that restarts in place gets no stream because a slow caller reads its older events
+    Given a router before a replica that tells no start and restarts as "v2" while a slow caller reads
+    When a stream breaks off by the restart, and the slow caller reads on 400 ms later
+    Then the caller gets 2 events of "v1"
 
   # Guards against a replica that is back as another version before its entry says so.
   Scenario Outline: A replica that crashes in a stream is back at once as "<version>"
--- a/features/steps/entry_ends.py
+++ b/features/steps/entry_ends.py
@@ -7,13 +7,13 @@
 import trio
 from behave import given, then, when
 
-from features.steps.entry_answers import CHUNKS, STREAM_HEAD, add_world
+from features.steps.entry_answers import CHUNKS, STREAM_HEAD, add_world, call
 from features.steps.entry_bytes import old_caller_head, open_world
 from features.world_thread import event_ids
 from skylarklift.upstreams.events import EventSplitter
 from standins.entry_world import HOST
 from standins.replica import Replica
-from standins.scripted_replica import Ending, Reply, chunked
+from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
 READ_BYTES = 65536
 LONGEST_READ_S = 14
@@ -134,12 +134,30 @@
 
 @given("the replicas {tell} when they started")
 def replicas_tell_start(context, tell):
+    births = {"say": 1, "do not say": None, "say a start later than their entries'": 2}
     for replica in context.scripted:
-        replica.born = 1 if tell == "say" else None
+        replica.born = births[tell]
         if tell == "say":
             replica.restarted_born = 2
 
 
+@given("the router stands still for {span:d} ms as a replica answers")
+def router_stands_still(context, span):
+    async def let_go_on():
+        await trio.sleep(span / 1000)
+        context.router.process.send_signal(signal.SIGCONT)
+
+    answer = context.scripted[0].answer
+
+    def stop_and_answer(request):
+        context.router.process.send_signal(signal.SIGSTOP)
+        context.world.nursery.start_soon(let_go_on)
+        return answer(request)
+
+    for replica in context.scripted:
+        replica.answer = stop_and_answer
+
+
 @when('a caller reads a stream of "{path}", with a pause of {pause:d} ms after its first bytes')
 def caller_pauses(context, path, pause):
     async def read():
@@ -184,3 +202,81 @@
     got = event_ids(context.received)
     assert got == list(range(1, count + 1)), got
     assert context.was_whole == (result == "is complete"), got
+
+
+@given(
+    "a router before a replica that ends whole streams with their connection, "
+    "and lets resumed ones wait"
+)
+def lets_resumed_streams_wait(context):
+    def reply(request):
+        if request.last_event:
+            return Reply(b"")
+        if request.request_id == "whole":
+            return Reply(STREAM_HEAD + b"\r\n" + EVENTS, Ending.CLOSE)
+        return Reply(STREAM_HEAD + CHUNKS + chunked(EVENTS))
+
+    add_world(context, 1, reply)
+    context.scripted[0].born = 1
+    context.thread.run(trio.sleep, VERSIONS_KNOWN_S)
+
+
+@when("a stream is sent to it, beside others that it serves")
+def sent_beside_others(context):
+    async def send_others():
+        number = 0
+        while True:
+            number += 1
+            await call(context, "/once/a", f"beside-{number}")
+            await trio.sleep(0.1)
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_others)
+            began_at = trio.current_time()
+            context.response = await context.world.call(
+                context.router, "/chat/a", request_id="whole", deadline_ms=8000
+            )
+            context.span_ms = (trio.current_time() - began_at) * 1000
+            nursery.cancel_scope.cancel()
+
+    context.thread.run(play)
+
+
+@then("the caller has the end of the stream after at most {most:d} ms")
+def end_not_held_back(context, most):
+    assert context.response.body == EVENTS, context.response
+    assert context.response.complete and context.span_ms <= most, context.span_ms
+
+
+@given("a router before 2 replicas whose whole streams {ending}")
+def whole_streams_end(context, ending):
+    def reply(request):
+        rest = b"" if request.last_event else EVENTS
+        if request.request_id.startswith("cut"):
+            if request.last_event:
+                return Reply(STREAM_HEAD + CHUNKS + chunked(EVENTS[len(TWO_EVENTS) :]))
+            return Reply(STREAM_HEAD + CHUNKS + chunked(TWO_EVENTS, whole=False), Ending.CLOSE)
+        if ending == "have chunks":
+            return Reply(STREAM_HEAD + CHUNKS + chunked(rest))
+        return Reply(STREAM_HEAD + b"\r\n" + rest, Ending.CLOSE)
+
+    add_world(context, 2, reply)
+    for replica in context.scripted:
+        replica.born = 1
+    context.thread.run(trio.sleep, VERSIONS_KNOWN_S)
+
+
+@when("{whole:d} whole streams and then {cut:d} that break off are sent to them")
+def whole_then_cut(context, whole, cut):
+    for number in range(whole):
+        assert context.thread.run(call, context, "/chat/a", f"whole-{number}").complete
+    context.cut = [
+        context.thread.run(call, context, "/chat/a", f"cut-{number}") for number in range(cut)
+    ]
+
+
+@then("all {count:d} are complete")
+def cut_are_complete(context, count):
+    complete = sum(response.complete for response in context.cut)
+    assert complete == count, complete
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -1,5 +1,6 @@
 """Steps for streams that may go on only at the software version that began them."""
 
+import socket
 from unittest.mock import Mock
 
 import trio
@@ -18,6 +19,7 @@
     add_world,
     call,
 )
+from features.steps.entry_bytes import old_caller_head
 from skylarklift.clock import ManualClock
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.gossip.peering import Peering
@@ -29,8 +31,15 @@
 from skylarklift.entry.requests.http_connection import HttpConnection
 from skylarklift.entry.state.rows import RowTable
 from skylarklift.errors import ResponseBroken
+from standins.entry_world import HOST
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
 
+LARGE_PARTS = [
+    (b"id: %d\ndata: " % number).ljust(10_000, b".") + b"\n\n" for number in range(1, 400)
+]
+REFUSED_STATUS = b"HTTP/1.1 503 Starting\r\ncontent-length: 0\r\n\r\n"
+SPOILT_STATUS = b"no answer in the protocol\r\n\r\n"
+
 
 async def register(world, name, version):
     """Write the entry of a replica, in the loop whose tasks wait for changes of the store."""
@@ -60,6 +69,13 @@
     if processes == "a newer one and an old one":
         context.scripted[0].born, context.scripted[1].born = 2, 1
         return
+    spoilt = {
+        "a newer one that refuses the question and an old one": REFUSED_STATUS,
+        "a newer one that spoils the answer and an old one": SPOILT_STATUS,
+    }
+    if processes in spoilt:
+        context.scripted[0].status, context.scripted[1].born = spoilt[processes], 1
+        return
     for replica in context.scripted:
         replica.hides_status = processes == "silent"
         if processes in born or replica.hides_status:
@@ -69,6 +85,101 @@
         replica.answer = restarting(replica, replica.answer)
 
 
+@given("all processes but the last one are newer than their entries")
+def all_newer_but_last(context):
+    for replica in context.scripted:
+        replica.born = 2
+    context.scripted[-1].born = 1
+
+
+@then("no stream that began at a replaced process goes on at the second router")
+def none_goes_on(context):
+    began = {number: replica_of_start(context, f"s{number}") for number in range(12)}
+    replaced = [number for number, replica in began.items() if replica != 3]
+    assert replaced, began
+    joined = {}
+    for number in replaced:
+        headers = {"last-event-id": "2", "resumes": f"s{number}"}
+        response = context.thread.run(
+            call_stream, context, context.other, number, f"t{number}", headers
+        )
+        if response.status == 200:
+            joined[number] = (began[number], replica_of(context, f"t{number}"))
+    assert not joined, joined
+
+
+def replica_of_start(context, request):
+    """Return the index of the replica that began a stream."""
+    for index, replica in enumerate(context.scripted):
+        if any(r.request_id == request and not r.last_event for r in replica.received):
+            return index
+    return None
+
+
+@given(
+    'a router before a replica that tells no start and restarts as "{version}" '
+    "while a slow caller reads"
+)
+def restarts_beside_slow_caller(context, version):
+    context.restarted = trio.Event()
+
+    async def write_entry():
+        await trio.sleep(0.9)
+        context.world.register_replica("lm-1", "lm", version=version, born=2)
+
+    def reply(request):
+        if request.last_event:
+            rest = EVENTS[len(TWO_EVENTS) :].replace(b"e-", version.encode() + b"-")
+            return Reply(STREAM_HEAD + CHUNKS + chunked(rest))
+        if request.request_id == "slow":
+            large = b"".join(chunked(part, whole=False) for part in LARGE_PARTS)
+            return Reply(STREAM_HEAD + CHUNKS + large)
+        context.world.nursery.start_soon(write_entry)
+        context.restarted.set()
+        events = chunked(TWO_EVENTS.replace(b"e-", b"v1-"), whole=False)
+        return Reply(STREAM_HEAD + CHUNKS + events, Ending.CRASH_RESTARTED)
+
+    add_world(context, 1, reply)
+    context.thread.run(register, context.world, "lm-1", "v1")
+    context.thread.run(trio.sleep, 1.5)
+
+
+@when("a stream breaks off by the restart, and the slow caller reads on {pause:d} ms later")
+def breaks_off_beside_slow_caller(context, pause):
+    async def read_slowly():
+        sock = trio.socket.socket()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        await sock.connect((HOST, context.router.caller_port))
+        async with trio.SocketStream(sock) as stream:
+            head = old_caller_head("/chat/a", deadline_ms=20_000)
+            await stream.send_all(
+                b"\r\n".join(
+                    b"x-attempt-id: slow" if line.lower().startswith(b"x-attempt-id") else line
+                    for line in head.split(b"\r\n")
+                )
+            )
+            await context.restarted.wait()
+            await trio.sleep(pause / 1000)
+            try:
+                received = 0
+                while data := await stream.receive_some(65536):
+                    # Its older events last for some time.
+                    received += len(data)
+                    await trio.sleep(0.03)
+            except trio.BrokenResourceError:
+                # Its own stream broke off.
+                return
+
+    async def play():
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_slowly)
+            await trio.sleep(0.7)
+            context.response = await call(context, "/chat/a", "id-1")
+            nursery.cancel_scope.cancel()
+
+    context.thread.run(play)
+
+
 def restarting(replica, answer):
     """Return a function that answers, and lets the replica's process be a newer one."""
 
--- a/standins/scripted_replica.py
+++ b/standins/scripted_replica.py
@@ -61,7 +61,8 @@
     """Answer by a function of the request; `ran` holds the ids of the requests that it ran.
 
     `born` is when its process started, `None` if it does not say so; with `hides_status` it does
-    not answer when it is asked.  After a crash it is `restarted_born`, if that is set.
+    not answer when it is asked, and with `status` it answers that.  After a crash it is
+    `restarted_born`, if that is set.
     """
 
     answer: Callable[[ReceivedRequest], Reply]
@@ -71,6 +72,7 @@
     connections: set[trio.SocketStream] = field(default_factory=set)
     born: int | None = None
     hides_status: bool = False
+    status: bytes | None = None
     restarted_born: int | None = None
 
     async def serve(self, stream: trio.SocketStream) -> None:
@@ -104,6 +106,8 @@
 
     def _status(self) -> bytes:
         """Return the answer to a question about the process."""
+        if self.status is not None:
+            return self.status
         if self.born is None:
             return NO_STATUS
         return framed(b"HTTP/1.1 200 OK\r\n", b'{"born":%d}' % self.born)
