--- a/features/entry_answers.feature
+++ b/features/entry_answers.feature
@@ -75,6 +75,7 @@
       | 6 events, and no more runs | close the connection               | /chat/a   | complete            |
       | 2 events            | close the connection                      | /chat/a   | resumed to 6 events |
       | no event            | close the connection                      | /chat/a   | resumed to 6 events |
+      | 2 events, and further runs are reset | close the connection     | /chat/a   | not complete        |
       | 2 events and a part | close the connection                      | /once/a   | not complete        |
       | 2 events            | reset the connection                      | /once/a   | not complete        |
       | 2 events            | crash                                     | /once/a   | not complete        |
--- a/features/steps/entry_answers.py
+++ b/features/steps/entry_answers.py
@@ -142,6 +142,7 @@
         "6 events": (STREAM_HEAD, EVENTS),
         "6 events, and no more runs": (STREAM_HEAD, EVENTS),
         "no event": (STREAM_HEAD, b""),
+        "2 events, and further runs are reset": (STREAM_HEAD, TWO_EVENTS),
         "2 events": (STREAM_HEAD, TWO_EVENTS),
         "2 events and a part": (STREAM_HEAD, TWO_EVENTS + b"id: 3\nda"),
         "a body": (SIGNED_HEAD, b"done"),
@@ -151,6 +152,8 @@
         head, body = bodies[content]
         if request.last_event and content.endswith("no more runs"):
             return Reply(RESUMPTIONS["503 without a promise"])
+        if request.last_event and content.endswith("are reset"):
+            return Reply(b"", Ending.RESET)
         if content == "no event" and sum(len(item.received) for item in context.scripted) > 1:
             return Reply(head + b"\r\n" + EVENTS, Ending.CLOSE)
         if request.last_event:
