--- a/features/steps/entry_answers.py
+++ b/features/steps/entry_answers.py
@@ -143,6 +143,8 @@
         "6 events, and no more runs": (STREAM_HEAD, EVENTS),
         "no event": (STREAM_HEAD, b""),
         "no event, and no more runs": (STREAM_HEAD, b""),
+        "2 events, and further runs are reset": (STREAM_HEAD, TWO_EVENTS),
+        "2 events, then the rest alike": (STREAM_HEAD, TWO_EVENTS),
         "2 events": (STREAM_HEAD, TWO_EVENTS),
         "2 events and a part": (STREAM_HEAD, TWO_EVENTS + b"id: 3\nda"),
         "a body": (SIGNED_HEAD, b"done"),
@@ -153,10 +155,14 @@
         first = sum(len(item.received) for item in context.scripted) == 1
         if not first and content.endswith("no more runs"):
             return Reply(RESUMPTIONS["503 without a promise"])
+        if not first and content.endswith("are reset"):
+            return Reply(b"", Ending.RESET)
         if not first and content == "no event":
-            return Reply(head + b"\r\n" + EVENTS, Ending.CLOSE)
-        if request.last_event:
+            return Reply(head + CHUNKS + chunked(EVENTS))
+        if request.last_event and content.endswith("alike"):
             return Reply(head + b"\r\n" + EVENTS[len(TWO_EVENTS) :], Ending.CLOSE)
+        if request.last_event:
+            return Reply(head + CHUNKS + chunked(EVENTS[len(TWO_EVENTS) :]))
         return Reply(head + b"\r\n" + body, Ending(ending))
 
     add_world(context, 2, reply)
--- a/skylarklift/entry/placement/fleet_limits.py
+++ b/skylarklift/entry/placement/fleet_limits.py
@@ -103,14 +103,15 @@
         """Record a caller's request for a service."""
         self._count(self._requests, service).add(self._clock.now())
 
-    def try_spend(self, service: ServiceId, routers: int) -> bool:
-        """Use one retry; return whether the budget allowed it."""
+    def try_spend(self, service: ServiceId, routers: int, ratio: float = 1.0) -> bool:
+        """Use one retry; return whether this ratio of the budget allowed it."""
         now = self._clock.now()
         bounds = self._bounds
         requests = self._count(self._requests, service).total(now)
         extra = bounds.retry_extra / max(1, routers)
         retries = self._count(self._retries, service)
-        if retries.total(now) + 1 > bounds.retry_ratio * requests * COUNTED_REQUESTS_RATIO + extra:
+        limit = bounds.retry_ratio * requests * COUNTED_REQUESTS_RATIO + extra
+        if retries.total(now) + 1 > ratio * limit:
             return False
         retries.add(now)
         return True
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from contextlib import asynccontextmanager
+from dataclasses import replace
 
 import trio
 
@@ -12,7 +13,7 @@
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.requests.answer_end import AnswerEnd, EndSign
-from skylarklift.entry.requests.attempt_connection import AttemptConnection
+from skylarklift.entry.requests.attempt_connection import ConnectionOpener, ProcessCheck
 from skylarklift.entry.requests.http_connection import (
     MAX_RESPONSES_READ,
     NO_BODY_STATUSES,
@@ -52,8 +53,9 @@
 
     `outcome` is what the attempt amounts to if it ends now: `NOT_SENT` until a connection is
     made, then `BROKEN` until the response is classified.  `aborted` is set when this router ends
-    the attempt because the upstream is silent, `withdrawn` when it does so because the request is
-    held back, and `crash_reported` when the upstream crashed.
+    the attempt because the upstream is silent, `given_up` when it has brought nothing in time,
+    `withdrawn` when it does so because the request is held back, and `crash_reported` when the
+    upstream crashed.
     """
 
     def __init__(
@@ -67,7 +69,8 @@
         route_name: str = "",
         suspects: Sequence[Suspect] = (),
         sent_before: bool = False,
-        checks_process: bool = False,
+        check: ProcessCheck = ProcessCheck.ANY,
+        confirms_end: bool = False,
     ):
         self.core = core
         self.call = call
@@ -77,23 +80,21 @@
         self.route_name = route_name
         self.repeatable = repeatable
         self.suspects = suspects
-        # Whether the request may go only to the process that the entry describes.
-        self._checks_process = checks_process
+        self._check = check
+        # Whether it is to show that a stream has ended which its caller has all of.
+        self.confirms_end = confirms_end
         # If the upstream got this request before, a second copy of that answer, with the same id,
         # may come on the same connection.
-        self._way = AttemptConnection(
-            core,
-            choice.upstream,
-            recently_used=not repeatable,
-            new=sent_before or (repeatable and options.resume_after is not None),
-        )
+        self._sent_before = sent_before
+        # Whose process the connection is to, `None` if it was not asked.
+        self.identity: Identity | None = None
         self._served_recorded = False
         self.process_watch = ProcessWatch(core.clock, self.record)
         self.conn: HttpConnection | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
         self.detail = ""
-        self.aborted = self.withdrawn = self.crash_reported = False
+        self.aborted = self.withdrawn = self.crash_reported = self.given_up = False
         # The ids of the first and the last event that were sent to the caller, empty without one.
         self.event_range: list[int] = []
         # What showed whether an answer without a length is whole, `None` for others.
@@ -124,13 +125,14 @@
     async def send(self) -> ResponseHead:
         """Send the request and return the head of its response; raise `TransportError`."""
         self.core.make_room_for_attempts()
-        open_conn = self._way.open_checked if self._checks_process else self._way.open
-        self.conn = await open_conn()
+        self.conn = await self._open_connection()
+        if self.given_up:
+            raise ConnectFailed(self.detail)
         self.outcome = Outcome.BROKEN
         if self.choice.cold:
             self.core.chooser.cold_limit.record_sent(self.record.replica, self._started_at)
         call = self.call
-        headers = self.core.header_codec.encode_upstream_headers(call, self.options)
+        headers = self.core.header_codec.encode_upstream_headers(call, self._current_options())
         await self.conn.send(call.method, call.target, headers, call.body)
         if not self.conn.has_unsent_body:
             self.head = await self._read_head()
@@ -147,6 +149,25 @@
             raise failure
         return self.head
 
+    async def _open_connection(self) -> HttpConnection:
+        """Return a connection to the upstream; raise `TransportError`."""
+        resumes = self.repeatable and self.options.resume_after is not None
+        opener = ConnectionOpener(
+            self.core,
+            self.choice.upstream,
+            recently_used=not self.repeatable,
+            new=self._sent_before or resumes,
+        )
+        try:
+            return await opener.open(self._check)
+        finally:
+            self.identity = opener.identity
+
+    def _current_options(self) -> SendOptions:
+        """Return the options, with what is left of the time now that the connection is open."""
+        left_ms = self.options.left_ms - (self.core.clock.now() - self._started_at)
+        return replace(self.options, left_ms=max(1, left_ms))
+
     async def _read_head(self) -> ResponseHead:
         """Return the head of the response, skipping responses that carry another request id."""
         for _ in range(MAX_RESPONSES_READ):
@@ -193,11 +214,6 @@
         if not head.limit_unreadable:
             core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
-    @property
-    def identity(self) -> Identity | None:
-        """Return whose process the connection is to, `None` if it was not checked."""
-        return self._way.identity
-
     def load_fields(self) -> dict[str, float | None]:
         """Return, for the log, the load that the choice assumed and the one that was answered."""
         choice, observed = self.choice, self.head.load if self.head else None
@@ -257,6 +273,13 @@
             self.detail = "withdrawn, as the request is held back"
             self.conn.abort()
 
+    def give_up(self, detail: str) -> None:
+        """End the attempt, as it has brought nothing in time."""
+        self.given_up = self.aborted = True
+        self.detail = detail
+        if self.conn is not None:
+            self.conn.abort()
+
     async def check_end(self) -> None:
         """Check an answer that ended with its connection; raise `ResponseBroken` after a crash."""
         if not self.conn.ends_with_connection or self.head.status in NO_BODY_STATUSES:
@@ -286,9 +309,6 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
-        upstream = self.core.cluster_state.upstreams.get(replica)
-        if upstream is not None:
-            upstream.record_alive(self.conn.connected_at)
         if self.has_settled():
             self.record_served()
         if self.answered_at is None:
--- a/skylarklift/entry/requests/attempt_connection.py
+++ b/skylarklift/entry/requests/attempt_connection.py
@@ -1,5 +1,7 @@
 """Open the connection of an attempt, if wanted only one to the process that an entry describes."""
 
+from enum import Enum
+
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
@@ -10,6 +12,7 @@
     Identity,
     compare_start,
     identify,
+    identify_anew,
     record_identity,
 )
 from skylarklift.entry.state.upstream import Upstream
@@ -18,12 +21,34 @@
 SHORTAGE_PAUSE_MS = 50
 
 
-class AttemptConnection:
+class ProcessCheck(Enum):
+    """Which process may get a request.
+
+    `ANY`: whatever serves at the address.  `ASKED`: likewise, but it is asked when it started.
+    `SAME_OR_SILENT`: none that says that it is another one than that of the entry.  `SAME`: only
+    that of the entry, or one that does not say its start.
+    """
+
+    ANY = "any"
+    ASKED = "asked"
+    SAME_OR_SILENT = "same_or_silent"
+    SAME = "same"
+
+
+# What a process may turn out to be.
+ALLOWED_IDENTITIES = {
+    ProcessCheck.ASKED: tuple(Identity),
+    ProcessCheck.SAME_OR_SILENT: (Identity.SAME, Identity.UNKNOWN, Identity.UNANSWERED),
+    ProcessCheck.SAME: (Identity.SAME, Identity.UNKNOWN),
+}
+
+
+class ConnectionOpener:
     """The way to a connection to one upstream.
 
     `recently_used` and `new` say which connections of the pool may be taken, as in `acquire`.
     `identity` is whether the process behind the connection is that of the upstream's entry, `None`
-    if it was not checked.
+    if it was not asked.
     """
 
     def __init__(self, core: Core, upstream: Upstream, *, recently_used: bool, new: bool):
@@ -32,29 +57,20 @@
         self._record = upstream.record
         self._recently_used = recently_used
         self._new = new
+        self._conn: HttpConnection | None = None
         self.identity: Identity | None = None
 
-    async def open(self) -> HttpConnection:
-        """Return a connection to whatever process serves there; raise `ConnectFailed`."""
-        return await self._acquire(new=self._new)
-
-    async def open_checked(self) -> HttpConnection:
-        """Return a connection to the process of the entry; raise `TransportError`.
-
-        A process that does not say when it started is taken for it.
-        """
-        conn = await self._acquire(new=self._new)
+    async def open(self, check: ProcessCheck) -> HttpConnection:
+        """Return a connection that can carry the request; raise `TransportError`."""
         try:
-            conn, self.identity = await self._identify(conn)
+            self._conn = await self._acquire(new=self._new)
+            if check is not ProcessCheck.ANY:
+                await self._check(check)
+            return self._conn
         except BaseException:
-            conn.abort()
+            if self._conn is not None:
+                self._conn.abort()
             raise
-        record_identity(self._core, self._upstream, self.identity)
-        if self.identity in (Identity.OTHER, Identity.UNANSWERED):
-            conn.abort()
-            text = f"{self._record.replica} may have restarted: {self.identity.value}"
-            raise ProcessReplaced(text)
-        return conn
 
     async def _acquire(self, *, new: bool) -> HttpConnection:
         """Return a connection of the pool or a new one; raise `ConnectFailed`."""
@@ -69,30 +85,49 @@
             await trio.sleep(SHORTAGE_PAUSE_MS / MS_PER_SECOND)
             raise
 
-    async def _identify(self, conn: HttpConnection) -> tuple[HttpConnection, Identity]:
-        """Return a connection that can carry the request, and whose process it is to."""
-        if conn.reused:
-            known = await self._identify_used(conn)
-            if known in (Identity.SAME, Identity.UNKNOWN):
-                return conn, known
-            conn.abort()
-            conn = await self._acquire(new=True)
-        identity = await identify(self._core, self._upstream, conn)
-        if identity in (Identity.OTHER, Identity.UNANSWERED) or conn.prepare_next_request():
-            return conn, identity
-        # It closes the connection after its answer; on the next one it may be another process.
-        conn.abort()
-        return await self._acquire(new=True), Identity.UNKNOWN
-
-    async def _identify_used(self, conn: HttpConnection) -> Identity:
-        """Return whose process a used connection is to; it can carry the request if known.
+    async def _check(self, check: ProcessCheck) -> None:
+        """Ask the process; raise `ProcessReplaced` if it may not get the request."""
+        is_ready = await self._identify()
+        self._refuse_unless_allowed(check)
+        if is_ready:
+            return
+        await self._replace()
+        if self.identity is Identity.SAME:
+            # The new connection may be to another process.
+            self.identity = await identify_anew(self._core, self._upstream)
+            self._refuse_unless_allowed(check)
+
+    def _refuse_unless_allowed(self, check: ProcessCheck) -> None:
+        """Raise `ProcessReplaced` if the process may not get the request."""
+        record_identity(self._core, self._upstream, self.identity)
+        if self.identity not in ALLOWED_IDENTITIES[check]:
+            text = f"{self._record.replica} may have restarted: {self.identity.value}"
+            raise ProcessReplaced(text)
+
+    async def _replace(self) -> None:
+        """Take a new connection in place of one that cannot carry the request."""
+        self._conn.abort()
+        self._conn = await self._acquire(new=True)
+
+    async def _identify(self) -> bool:
+        """Set whose process the connection is to; return whether it can carry the request."""
+        if self._conn.reused:
+            if await self._identify_used():
+                return True
+            await self._replace()
+        self.identity = await identify(self._core, self._upstream, self._conn)
+        return self._conn.prepare_next_request()
+
+    async def _identify_used(self) -> bool:
+        """Set whose process a used connection is to; return whether it can carry the request.
 
         What comes on it may answer an earlier request, so only one answer counts.
         """
+        conn = self._conn
         if conn.process is None and self._upstream.is_connected_to_process(conn.connected_at):
             conn.process = ProcessStart(self._record.started_ms)
         if conn.process is not None:
-            return compare_start(self._record, conn.process)
-        identity = await identify(self._core, self._upstream, conn)
-        is_usable = identity is Identity.SAME and conn.prepare_next_request()
-        return Identity.SAME if is_usable else Identity.UNANSWERED
+            self.identity = compare_start(self._record, conn.process)
+            return self.identity in (Identity.SAME, Identity.UNKNOWN)
+        self.identity = await identify(self._core, self._upstream, conn)
+        return self.identity is Identity.SAME and conn.prepare_next_request()
--- a/skylarklift/entry/requests/connection_pool.py
+++ b/skylarklift/entry/requests/connection_pool.py
@@ -97,13 +97,6 @@
                 idle.remove(item)
                 item.conn.close()
 
-    def oldest_open(self, replica: ReplicaId) -> Millis | None:
-        """Return since when the oldest idle connection that is still open stands, if any."""
-        idle = self._idle.get(replica, ())
-        return min(
-            (item.conn.connected_at for item in idle if item.conn.has_no_input()), default=None
-        )
-
     def release(self, replica: ReplicaId, conn: HttpConnection, keep_alive_ms: int | None) -> None:
         """Keep a connection for reuse after a complete response, or close it."""
         if not conn.prepare_next_request():
--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -8,13 +8,13 @@
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import ProcessStart, UpstreamRecord
 from skylarklift.entry.requests.http_connection import HttpConnection, connect
 from skylarklift.entry.requests.status_format import StatusFormat
 from skylarklift.entry.state.upstream import Upstream
-from skylarklift.errors import ConnectFailed, ResponseInvalid, TransportError
+from skylarklift.errors import ConnectFailed, TransportError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
 ANSWER_TIMEOUT_MS = 250
@@ -22,13 +22,15 @@
 MAX_ASKED = 8
 ASK_INTERVAL_MS = 1000
 STATUS_OK = 200
+# Statuses of a process that does not know the question.
+NOT_SUPPORTED_STATUSES = (404, 405, 501)
 
 
 class Identity(Enum):
     """Whether a process is the one that an entry describes.
 
-    `UNKNOWN`: it does not say when it started.  `UNANSWERED`: it said nothing in time, as one that
-    has just been replaced.
+    `UNKNOWN`: it does not know the question, or its entry names no start.  `UNANSWERED`: it said
+    nothing readable in time, as one that has just been replaced.
     """
 
     SAME = "same"
@@ -55,23 +57,22 @@
     """
     with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
         try:
-            conn.process = ProcessStart(await _read_start(core.status_format, conn))
-            return conn.process
-        except ResponseInvalid:
-            # It lives, but does not speak of its start in a way that is known here.
-            conn.process = ProcessStart(None)
-            return conn.process
+            conn.process = await _read_start(core.status_format, conn)
         except TransportError as exc:
             core.event_log.write("upstream_status_unknown", subject=record.replica, cause=str(exc))
+        return conn.process
     return None
 
 
-async def _read_start(status: StatusFormat, conn: HttpConnection) -> int | None:
-    """Return what a process says of its start, `None` if nothing; raise `TransportError`."""
+async def _read_start(status: StatusFormat, conn: HttpConnection) -> ProcessStart | None:
+    """Return what a process says of its start, `None` if that is no answer; raise an error."""
     await conn.send(b"GET", status.target, [], b"")
     code, _ = await conn.read_head()
     body = await conn.read_all(MAX_STATUS_BYTES)
-    return status.decode_started_ms(body) if code == STATUS_OK else None
+    if code in NOT_SUPPORTED_STATUSES:
+        return ProcessStart(None)
+    started_ms = status.decode_started_ms(body) if code == STATUS_OK else None
+    return None if started_ms is None else ProcessStart(started_ms)
 
 
 async def ask_process_anew(core: Core, record: UpstreamRecord) -> ProcessStart | None:
@@ -87,11 +88,8 @@
 async def identify(core: Core, upstream: Upstream, conn: HttpConnection) -> Identity:
     """Return whether the process behind an unused connection is the one of an entry."""
     asked_at = core.clock.now()
-    identity = compare_start(upstream.record, await ask_process(core, upstream.record, conn))
-    if identity is Identity.SAME:
-        upstream.record_process_seen(asked_at)
-    core.metrics.increment("process_identity", identity.value)
-    return identity
+    process = await ask_process(core, upstream.record, conn)
+    return _record_answer(core, upstream, process, asked_at)
 
 
 async def identify_suspects(core: Core, service: ServiceId, version: SoftwareVersion) -> None:
@@ -116,19 +114,34 @@
 
 async def _identify_suspect(core: Core, upstream: Upstream) -> None:
     """Ask one upstream whether it has restarted since its entry was written."""
+    record_identity(core, upstream, await identify_anew(core, upstream))
+
+
+async def identify_anew(core: Core, upstream: Upstream) -> Identity:
+    """Return whether the process that serves at the address of an entry now is that entry's."""
+    asked_at = core.clock.now()
     try:
         process = await ask_process_anew(core, upstream.record)
     except ConnectFailed:
         # A process that has ended was not replaced yet.
-        return
+        return Identity.UNANSWERED
+    return _record_answer(core, upstream, process, asked_at)
+
+
+def _record_answer(
+    core: Core, upstream: Upstream, process: ProcessStart | None, asked_at: Millis
+) -> Identity:
+    """Count the answer to a question that was asked at some time, and return what it shows."""
     identity = compare_start(upstream.record, process)
+    if identity is Identity.SAME:
+        upstream.record_process_seen(asked_at)
     core.metrics.increment("process_identity", identity.value)
-    record_identity(core, upstream, identity)
+    return identity
 
 
 def record_identity(core: Core, upstream: Upstream, identity: Identity) -> None:
     """Trust or doubt the entry of an upstream by what its process has said."""
     if identity is Identity.SAME:
         upstream.record_same_process()
-    elif identity is Identity.OTHER:
+    elif identity is not Identity.UNKNOWN:
         core.cluster_state.doubt_software(upstream.record.replica)
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -63,6 +63,8 @@
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
 MAX_LOGGED_PASSED_OVER = 4
+# Runs that are to confirm the end of a stream use this part of the retry budget.
+CONFIRMATION_BUDGET_RATIO = 0.5
 # Reasons that a short wait does not change, so that the request is refused at once.
 LASTING_REASONS = (NoUpstream.LIMITED, NoUpstream.HELD_OFF, NoUpstream.OTHER_VERSION)
 JSON_HEADERS = [(b"content-type", b"application/json")]
@@ -180,7 +182,8 @@
                 route_name=self.route.name,
                 suspects=self.crash_guard.suspects,
                 sent_before=choice.upstream.record.replica in self.sent_to,
-                checks_process=self.stream_version.checks_process(),
+                check=self.stream_version.process_check(),
+                confirms_end=self.forwarder.may_accept_end,
             )
             self.attempt = attempt
             async with attempt.open():
@@ -206,7 +209,9 @@
             return False
         if not uses_retry_budget(outcome):
             return True
-        if core.retry_budget.try_spend(self.service, core.fleet.router_count()):
+        # Whole streams must leave retries to those that break off.
+        ratio = CONFIRMATION_BUDGET_RATIO if outcome is Outcome.UNCONFIRMED else 1.0
+        if core.retry_budget.try_spend(self.service, core.fleet.router_count(), ratio):
             return True
         core.metrics.increment("repeats_denied")
         return False
@@ -253,7 +258,6 @@
                 self.tried_replicas.clear()
                 continue
             if found is NoUpstream.MAYBE_RESTARTED:
-                core.look_for_old_connections(self.service)
                 await identify_suspects(core, self.service, wanted.version)
                 until = waited_from + RESTART_WAIT_MS
             if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
@@ -322,7 +326,7 @@
 
         Raise `RequestError` if the router responds with an error of its own.
         """
-        if self.forwarder.may_accept_end:
+        if self._may_accept_end(outcome):
             return await self.forwarder.accept_end()
         if self.retry_state.forwarded:
             self.caller.abort()
@@ -340,10 +344,18 @@
             raise AnswerLate("no answer in time")
         raise OutcomeUnknown("the upstream's answer was lost")
 
+    def _may_accept_end(self, outcome: Outcome) -> bool:
+        """Return whether to take the end of a stream for its end, though no run has confirmed it.
+
+        Not if a run has failed to, or all are used up: the caller can take the stream up, which
+        allows others.
+        """
+        has_runs = self.route.max_runs == 1 or not self.retry_state.runs_used_up
+        tells_nothing = self.attempt.given_up or (outcome is Outcome.UNCONFIRMED and has_runs)
+        return tells_nothing and self.forwarder.may_accept_end
+
     async def _respond_with_error(self, exc: RequestError) -> int:
-        """Respond with the router's own error, or end a response that has begun."""
-        if self.forwarder is not None and self.forwarder.may_accept_end:
-            return await self.forwarder.accept_end()
+        """Respond with the router's own error, or abort a response that has begun."""
         if self.caller.head_sent:
             self.caller.abort()
             return 0
--- a/skylarklift/entry/requests/silence.py
+++ b/skylarklift/entry/requests/silence.py
@@ -12,6 +12,8 @@
 from skylarklift.errors import RequestError, ResponseBroken, TransportError
 
 MIN_CHECK_INTERVAL_MS = 100
+# A run that is to confirm the end of a stream brings an event or its end within this time.
+CONFIRMATION_MS = 1000
 # An attempt that is only watched is checked less often: each check may open a connection.
 WATCH_INTERVAL_MS = 600
 
@@ -78,6 +80,8 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_silence, core, attempt, timer)
         nursery.start_soon(attempt.process_watch.run)
+        if attempt.confirms_end:
+            nursery.start_soon(_bound_confirmation, attempt)
         try:
             status = await forward(attempt, timer)
         except (TransportError, RequestError, CallerDisconnected) as exc:
@@ -90,6 +94,13 @@
     return status
 
 
+async def _bound_confirmation(attempt: Attempt) -> None:
+    """Abort a run that brings nothing in time; its caller waits for the end of a stream."""
+    await trio.sleep(CONFIRMATION_MS / MS_PER_SECOND)
+    if not attempt.event_range:
+        attempt.give_up("the end of the stream was not confirmed in time")
+
+
 async def _watch_silence(core: Core, attempt: Attempt, timer: SilenceTimer) -> None:
     """Probe a silent upstream, which ejects it if it is unreachable; abort a repeatable attempt.
 
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -11,8 +11,6 @@
 ENTRY_DELAY_MS = 1200
 # A suspicion is sent to other routers for this long, in two rounds of gossip or more.
 SUSPICION_TOLD_MS = 700
-# The connections of a process that ends are seen to end within this time of each other.
-PROCESS_END_MS = 60
 
 
 @dataclass(slots=True)
@@ -89,12 +87,6 @@
         """Record that the process has said that it is the one of the entry."""
         self.restart_suspected_at = None
 
-    def record_alive(self, connected_at: Millis) -> None:
-        """Record that a connection of some age is open, so that its process has not ended."""
-        suspected_at = self.restart_suspected_at
-        if suspected_at is not None and connected_at < suspected_at - PROCESS_END_MS:
-            self.restart_suspected_at = None
-
 
 @dataclass(frozen=True, slots=True)
 class StateChange:
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -5,7 +5,10 @@
 from skylarklift.entry.placement.choice import WantedVersion
 from skylarklift.entry.placement.choose import affinity_key
 from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.attempt_connection import ProcessCheck
 from skylarklift.entry.requests.process_identity import Identity
+from skylarklift.entry.state.cluster_state import STORE_OUTAGE_MS
+from skylarklift.entry.state.rows import RowTable
 from skylarklift.entry.state.upstream import is_restart
 from skylarklift.entry.versions.resumptions import FoundOrigin, OriginSource, ResumedStream
 from skylarklift.entry.versions.stream_origins import StreamOrigin
@@ -15,7 +18,7 @@
 MAX_RELEASES_WAIT_MS = 500
 OUTDATED_RETRY_AFTER_MS = 300
 STATUS_CONFLICT = 409
-# After this many replicas that may have restarted a new stream begins at any one.
+# After this many replicas that may have restarted a new stream is also for one that does not say.
 MAX_PROCESS_REFUSALS = 2
 
 
@@ -86,15 +89,18 @@
             return WantedVersion(self.required, begun=True)
         return None if self.assigned is None else WantedVersion(self.assigned, begun=False)
 
-    def checks_process(self) -> bool:
-        """Return whether the next attempt is only for the process of its upstream's entry.
+    def process_check(self) -> ProcessCheck:
+        """Return which process may get the next attempt.
 
-        A new stream is served by any process if there seems to be no such one, and cannot be
-        resumed then.
+        A new stream is served by another process than that of an entry only while no entry can
+        come, as the store is away, and cannot be resumed then.
         """
         if not self._resumable:
-            return False
-        return self.required is not None or self._process_refusals < MAX_PROCESS_REFUSALS
+            return ProcessCheck.ANY
+        if self.required is not None or self._process_refusals < MAX_PROCESS_REFUSALS:
+            return ProcessCheck.SAME
+        store_is_away = self._core.cluster_state.age_ms(RowTable.UPSTREAMS) > STORE_OUTAGE_MS
+        return ProcessCheck.ASKED if store_is_away else ProcessCheck.SAME_OR_SILENT
 
     def record_failure(self, exc: TransportError) -> None:
         """Count an attempt that another process than that of its upstream's entry would get."""
