Let stand-in services close a connection whose request they did not read

Now and then "A non-idempotent request without a response from its service is not retried" failed on a busy machine: the call got `deadline` after 5 s and had no effect. Cause by a trial with raw bytes: the stand-in answers a request with a key without reading its body; if the body comes later, the server means to close the connection, Quart-Trio cancels that, and the next request on it is never read. Change: stand-ins end responses as the router does now.

The trial: the next request timed out before; the connection is closed now. The feature passed 1 of 1 time before this change at a lower load, so whether the failure is gone is not shown.

--- a/standins/serving.py
+++ b/standins/serving.py
@@ -9,6 +9,8 @@
 from hypercorn.trio import serve
 from quart_trio import QuartTrio
 
+from skylarklift.util.response_ends import ResponseEnds
+
 
 def hypercorn_config(port: int) -> Config:
     """Return the settings of a server on the loopback interface."""
@@ -32,7 +34,8 @@
 
     async with trio.open_nursery() as nursery:
         nursery.start_soon(watch_signals)
-        await serve(app, hypercorn_config(port), shutdown_trigger=stop.wait, mode="asgi")
+        served = ResponseEnds(app)
+        await serve(served, hypercorn_config(port), shutdown_trigger=stop.wait, mode="asgi")
         nursery.cancel_scope.cancel()
 
 
