Let a router hear all others only if it hears each that they count

Callers could have a stream resumed at a version that did not begin it.

Cause: a router that the store turns away takes its rows on software versions for the newest while it "hears all other routers". That held if it knew four fifths of those that the others count, and said nothing of routers that it knows from the store and never heard (links may pass one way only): just these may have written or heard of newer rows.

Change: it holds only if the router counts as many as the others do, and has heard each that it counts. A row that a killed router left ends it for 30 s after the start, the time for which such a router counts.

Ruled out as the whole cause of streams of two versions: that all others are heard says nothing of what they know, see `Resumptions._knows_releases`.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -85,3 +85,19 @@
     And the zone of "r0" is restored
     And the second router hears the first and fetches what it lacks
     Then the replica "r0" is cold at the second router for 3000 ms
+
+  # Guards against a router that takes what it hears for all there is, while others count a router
+  # that it does not hear: rows that it had not seen changing counted as the newest.
+  Scenario Outline: A router hears all others only if it hears each that these count: <case>
+    Given a router that heard 4 others, which count <counted> routers
+    When it knows <registered> more from the store, and <span> ms pass while the 4 go on
+    Then it hears all others: <all>
+
+    Examples:
+      | case                               | counted | registered | span  | all |
+      | it hears all                       | 5       | 0          | 1000  | yes |
+      | one that it does not know          | 6       | 0          | 1000  | no  |
+      | one that it never heard            | 6       | 1          | 1000  | no  |
+      | one that nobody heard, soon        | 5       | 1          | 1000  | no  |
+      | one that nobody heard, for long    | 5       | 1          | 31000 | yes |
+      | one that it never heard, for long  | 6       | 1          | 31000 | no  |
--- a/features/steps/entry_views.py
+++ b/features/steps/entry_views.py
@@ -1,15 +1,21 @@
 """Steps for routers whose views of store, peers and upstreams differ."""
 
-from behave import then, when
+from behave import given, then, when
 
-from features.entry_fixtures import apply_next_rows, upstream_data
+from features.entry_fixtures import apply_next_rows, parse_yes_no, upstream_data
 from features.steps.entry_cluster_state import (
     replica_known_that,
     zone_evacuated,
     zone_restored,
 )
 from features.steps.entry_eras import sync
-from skylarklift.entry.state.rows import RowTable
+from skylarklift.clock import ManualClock
+from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.state.rows import RowTable, TableSummary
+
+ROUND_MS = 250
+SUMMARIES = (TableSummary(1, 1, 0, 50),) * len(RowTable)
 
 
 @when('it is known to the first router that the replica "{name}" {known}')
@@ -43,3 +49,34 @@
     upstream = context.second.cluster_state.upstreams[name]
     left_ms = upstream.cold_until - context.clock.now()
     assert left_ms == span, left_ms
+
+
+@given("a router that heard {count:d} others, which count {counted:d} routers")
+def heard_others(context, count, counted):
+    context.clock = ManualClock(10_000)
+    context.fleet = Fleet(context.clock, "n0")
+    context.message_count, context.counted = count, counted
+    hear_others(context)
+
+
+def hear_others(context):
+    """Let the others send a message each."""
+    for number in range(1, context.message_count + 1):
+        message = GossipMessage(
+            f"n{number}", "b", "", SUMMARIES, True, router_count=context.counted
+        )
+        context.fleet.record_message(message, Endpoint("127.0.0.1", number))
+
+
+@when("it knows {registered:d} more from the store, and {span:d} ms pass while the {count:d} go on")
+def go_on(context, registered, span, count):
+    for number in range(registered):
+        context.fleet.add(f"registered-{number}", Endpoint("127.0.0.2", 1 + number))
+    for _ in range(span // ROUND_MS):
+        context.clock.advance(ROUND_MS)
+        hear_others(context)
+
+
+@then("it hears all others: {all}")
+def hears_all(context, all):
+    assert context.fleet.hears_all() == parse_yes_no(all)
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -238,10 +238,13 @@
         return self.discovery_done() and own >= KNOWN_ROUTERS_RATIO * counted
 
     def hears_all(self) -> bool:
-        """Return whether there are others, and none of those that were heard is silent now."""
-        if self.longest_silence_ms() > 0 or not self.live_peers():
+        """Return whether there are others, and each that they or this router count is heard."""
+        if self.longest_silence_ms() > 0 or not self.live_peers() or not self.discovery_done():
             return False
-        return self._knows_others(self.router_count(), self._counted_by_others)
+        members = self._limit_members()
+        if any(self.peers[node].received_at is None for node in members if node in self.peers):
+            return False
+        return self.router_count() >= self._counted_by_others
 
     def longest_silence_ms(self) -> int:
         """Return for how long the most silent router was not heard, 0 if messages of all are due.
