Read what has arrived before an upstream is taken for hung

Callers saw streams that paused; replicas ran requests a second time, and sound ones were ejected.

Cause: a router that stood still for longer than 1800 ms found the time of its silence timers over. The probe of the upstream and the answers that waited unread became ready in one turn of the loop, whose tasks run in any order: where the timers' came first, all streams there were aborted as hung (log: `upstream_silent`, reached, hung; two upstreams ejected), although whole answers waited.

Change: what has arrived is read before the timer is looked at again after the probe, 20 ms later.

Ruled out: asking the socket whether bytes wait; bytes without an event are no progress, and the progress of other requests counts, too. Not covered: bytes of another request that waits for a slow caller.

--- a/features/entry_silence.feature
+++ b/features/entry_silence.feature
@@ -42,3 +42,11 @@
     And the replica "till-1" keeps its first answer to itself
     When 40 requests to "/check/a" are sent, one each 50 ms
     Then all are answered with 200 within 1700 ms
+
+  # Guards against a router that stood still and takes upstreams for hung whose answers wait unread.
+  Scenario: Answers that arrive while a router stands still are read, and not run again
+    Given a store, two replicas of each service, and a router
+    And the replicas "lm-1,lm-2" send an event every 100 ms
+    When the router stands still for 2200 ms within 8 streams, 5 times
+    Then all are answered with 200
+    And each request ran once
--- a/features/steps/entry_standstill.py
+++ b/features/steps/entry_standstill.py
@@ -2,6 +2,7 @@
 
 import signal
 import time
+import uuid
 from dataclasses import replace
 from functools import partial
 from unittest.mock import patch
@@ -27,6 +28,7 @@
 ANSWER_S = 0.3
 STANDSTILL_S = 3
 COLD_MS = 9000
+BEGUN_S = 0.25
 UNCONFIRMED_MS = 10_000
 HERE = Endpoint("127.0.0.2", 1)
 TABLES = {
@@ -219,3 +221,34 @@
 @then("the list of upstreams was confirmed {age:d} ms ago")
 def list_confirmed_ago(context, age):
     assert context.core.cluster_state.age_ms(RowTable.UPSTREAMS) == age
+
+
+@when("the router stands still for {span:d} ms within {count:d} streams, {times:d} times")
+def stands_still_within(context, span, count, times):
+    context.responses = []
+    for _ in range(times):
+        context.thread.run(streams_with_standstill, context, span, count)
+
+
+async def streams_with_standstill(context, span, count):
+    """Begin streams, stop the router within them, and wait until they have ended."""
+    router = context.router
+
+    async def call(number):
+        parts = {"x-prefix-hash": f"a{number}:50,b{number}:40,c{number}:10"}
+        response = await context.world.call(
+            router,
+            "/chat/a",
+            deadline_ms=COLD_MS,
+            headers=parts,
+            request_id=f"id-{uuid.uuid4().hex}",
+        )
+        context.responses.append((number, response))
+
+    async with trio.open_nursery() as nursery:
+        for number in range(count):
+            nursery.start_soon(call, number)
+        await trio.sleep(BEGUN_S)
+        router.process.send_signal(signal.SIGSTOP)
+        await trio.sleep(span / 1000)
+        router.process.send_signal(signal.SIGCONT)
--- a/skylarklift/entry/requests/silence.py
+++ b/skylarklift/entry/requests/silence.py
@@ -14,6 +14,8 @@
 MIN_CHECK_INTERVAL_MS = 100
 # An attempt that is only watched is checked less often: each check may open a connection.
 WATCH_INTERVAL_MS = 600
+# What waits unread, as this router stood still or was busy, has been read after this long.
+READ_DELAY_MS = 20
 
 
 class SilenceTimer:
@@ -102,6 +104,7 @@
         if not timer.has_lasted(timer.probe_after_ms):
             continue
         alive = await is_reachable(core, attempt)
+        await trio.sleep(READ_DELAY_MS / MS_PER_SECOND)
         if not timer.has_lasted(timer.probe_after_ms) or attempt.conn is None:
             # It sent something meanwhile, or is still connecting, which has its own time-out.
             continue
