Take no replica for warm by the entry of a copy just after a restore

Three faults add up: routers that saw the restore do not say so; the renewed entry of a replica that they knew as cold is no news to them, so it is not passed on; and requests go before any other router is heard.

Change: gossip says for as long as a restore settles that the store was restored; a router whose first list may be of the copy (it hears that, or a router in an earlier era) treats its replicas as cold for 2.2 s; while an era settles, each row counts as a change; in a store that was ever restored, replicas of the first list are cold for 0.3 s, by when others are heard. Earlier releases ignore and omit the new key.

Ruled out: asking each replica at a start (all routers would ask cold ones); cold until the next entry (entries of warm replicas do not change). Price: in a store that was ever restored a router sends little to model replicas in its first 0.3 s.

--- a/features/entry_runs.feature
+++ b/features/entry_runs.feature
@@ -84,6 +84,20 @@
       | 1     | 380  |
       | 3     | 380  |
 
+  # Guards against a router that starts after a restore and takes replicas for warm by entries of the copy.
+  Scenario Outline: Routers that start after a restore keep the limit of a cold replica: <count> routers, <span> ms
+    Given <count> routers, and a replica that is cold though a copy of the store says that it is not
+    When one of them starts <span> ms after the store was restored, and gets requests all the time
+    Then at most 3 requests reach the replica in any second, and at least 1 in all
+
+    Examples:
+      | count | span |
+      | 2     | 20   |
+      | 4     | 20   |
+      | 4     | 200  |
+      | 4     | 500  |
+      | 4     | 1000 |
+
   # Guards against a check that counts requests that were sent before the second, or misses one that was not.
   Scenario Outline: The limit of a cold replica counts requests that were sent and arrived within a second
     Given requests that were sent to a cold replica at "<sent>" ms and arrived at "<arrived>" ms
--- a/features/odd_copies.py
+++ b/features/odd_copies.py
@@ -58,6 +58,7 @@
     limits=(LimitReport("r2", 5.0, 10),),
     observed_loads=(ObservedLoad("r0", 90, 10, True),),
     releases=(RELEASE,),
+    store_restored=True,
 )
 NOW = Millis(10_000)
 SUSPECT = Suspect(SuspectKind.PART, "aa")
--- a/features/steps/entry_soon_again.py
+++ b/features/steps/entry_soon_again.py
@@ -37,8 +37,8 @@
     assert most <= limit and len(times) >= least, (most, len(times))
 
 
-async def open_cold_world(nursery, count):
-    """Return a world of routers that know a replica as cold, and the replica."""
+async def open_world(nursery, count):
+    """Return a world of routers that know a replica, and the replica."""
     world = VirtualWorld(nursery, Random(1), TIGHT_BOUNDS)
     cold = {"cold_start_s": COLD_S, "cold_per_s": COLD_PER_S}
     world.service_plans = [{**plan, **cold} for plan in world.service_plans]
@@ -47,6 +47,12 @@
     for number in range(count):
         await world.start_router(ZONES[number % len(ZONES)])
     await trio.sleep(SETTLE_S)
+    return world, replica
+
+
+async def open_cold_world(nursery, count):
+    """Return a world of routers that know a replica as cold, and the replica."""
+    world, replica = await open_world(nursery, count)
     cold_ms = int(COLD_S * 1000)
     world.register_replica("lm-0", "lm", ZONES[0], cold_remaining_ms=cold_ms, born=2)
     await trio.sleep(SETTLE_S)
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -11,7 +11,7 @@
 from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.event_log import EventLog
-from skylarklift.entry.gossip.fleet import Fleet
+from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
 from skylarklift.entry.gossip.row_fetches import RowFetches
 from skylarklift.entry.gossip.wire import PageEncoder
 from skylarklift.entry.metrics import Metrics
@@ -118,6 +118,19 @@
         if changes:
             self.state_changed.set()
 
+    def doubt_entries(self, message: GossipMessage) -> None:
+        """Doubt the entries of upstreams that may be outdated by another router's message."""
+        state = self.cluster_state
+        for replica in message.suspected_restarts:
+            state.suspect_restart(replica, seen_here=False)
+        for replica in message.maybe_restarted:
+            state.doubt_software(replica)
+        sender_era = message.tables[RowTable.UPSTREAMS.value].era
+        sender_is_behind = NO_ERA < sender_era < state.caches[RowTable.UPSTREAMS].era
+        if message.store_restored or sender_is_behind:
+            for upstream in state.upstreams.values():
+                upstream.doubt_copied_entry()
+
     def suspect_all_restarts(self) -> None:
         """Doubt all entries, after a time in which this router stood still and noticed nothing."""
         for replica in self.cluster_state.upstreams:
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -67,7 +67,8 @@
     `limits` what it knows of the limits that upstreams name.  `observed_loads` holds the loads that
     busy upstreams have answered, `releases` the proportions of software versions, which were the
     newest ones `releases_age_ms` ago, `None` if that is not known.  `suspected_restarts` are the
-    upstreams that have ended connections to the sender lately.
+    upstreams that have ended connections to the sender lately.  `store_restored` is true while the
+    sender has seen lately that the store was restored from a copy.
     """
 
     node: str
@@ -86,6 +87,7 @@
     releases: tuple[ReleaseReport, ...] = ()
     releases_age_ms: int | None = None
     suspected_restarts: tuple[str, ...] = ()
+    store_restored: bool = False
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -206,6 +206,7 @@
             releases=core.releases.reports(),
             releases_age_ms=core.releases.age_ms(),
             suspected_restarts=tuple(state.seen_restarts()),
+            store_restored=state.restored.is_settling(RowTable.UPSTREAMS),
         )
 
     # Receiving.
@@ -271,10 +272,7 @@
         if message.node not in core.fleet.peers:
             core.event_log.write("router_discovered", peer=message.node, address=str(address))
         peer = core.fleet.record_message(message, address)
-        for replica in message.suspected_restarts:
-            core.cluster_state.suspect_restart(replica, seen_here=False)
-        for replica in message.maybe_restarted:
-            core.cluster_state.doubt_software(replica)
+        core.doubt_entries(message)
         for replica, left_ms in message.ejected.items():
             core.health.apply_reported_ejection(
                 replica, left_ms, maybe_restarted=replica in message.maybe_restarted
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -41,6 +41,7 @@
 RELEASES_AGE_KEY = "releases_age"
 DEADLINES_KEY = "deadlines"
 SUSPECTED_RESTARTS_KEY = "suspected_restarts"
+STORE_RESTORED_KEY = "store_restored"
 COMPRESSION_LEVEL = 1
 
 
@@ -70,6 +71,7 @@
                 RELEASES_KEY: [_release_fields(report) for report in message.releases],
                 RELEASES_AGE_KEY: message.releases_age_ms,
                 SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
+                STORE_RESTORED_KEY: message.store_restored,
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
@@ -120,6 +122,7 @@
             suspected_restarts=tuple(
                 checked_text(name) for name in extras.get(SUSPECTED_RESTARTS_KEY, ())
             ),
+            store_restored=bool(extras.get(STORE_RESTORED_KEY, False)),
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
         )
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -60,13 +60,13 @@
         self._list_known = False
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
-        self._restored = RestoredRows(clock)
+        self.restored = RestoredRows(clock)
         self._departed = DepartedUpstreams()
         # The era in which the configuration was seen last, and the version of its first page.
         self._plan_era = NO_ERA
         self._first_plan_version = 0
         # Per table, the version of the last row that changed the state; a heartbeat, which
-        # only renews an entry, does not count.
+        # only renews an entry, counts just after a restore: others may have the entry of the copy.
         self.last_change_version = dict.fromkeys(RowTable, 0)
         self._confirmed_at: dict[RowTable, Millis | None] = dict.fromkeys(RowTable)
 
@@ -130,24 +130,24 @@
         for row in cache.merge(page):
             decoded = self._decode(table, row, changes)
             if decoded is not None:
-                self._restored.release(table, row.key)
+                self.restored.release(table, row.key)
                 if self._may_be_outdated(decoded, first_page=restored):
-                    self._restored.hold(table, row.key, decoded, row.version)
+                    self.restored.hold(table, row.key, decoded, row.version)
                     changes.append(StateChange("restored_row_held", row.key, row.version))
                 else:
                     changes += self._apply_row(decoded, row.version)
-            if changes:
+            if changes or self.restored.is_settling(table):
                 self.last_change_version[table] = max(self.last_change_version[table], row.version)
         cache.prune_tombstones(MAX_TOMBSTONES)
         if table is RowTable.UPSTREAMS and not self._list_known:
             self._list_known = True
             for upstream in self.upstreams.values():
-                upstream.listed_at_start = True
+                upstream.mark_listed_at_start(page.era)
         return changes
 
     def _start_era(self, table: RowTable, page: RowPage) -> None:
         """Prepare for the first rows of a store that was restored from a copy."""
-        self._restored.start_era(table)
+        self.restored.start_era(table)
         self.last_change_version[table] = page.version
         if table is RowTable.OPERATOR:
             self._first_plan_version = page.version
@@ -189,7 +189,7 @@
         match row:
             case RoutePlan():
                 known = self.plan
-                settling = first_page or self._restored.is_settling(RowTable.OPERATOR)
+                settling = first_page or self.restored.is_settling(RowTable.OPERATOR)
                 return settling and known is not None and row.version < known.version
             case EvacuationRow():
                 # That a zone gets nothing is right in any case; an order of the copy ends soon.
@@ -207,7 +207,7 @@
         A configuration of the copy stays unused: the known one has been accepted later.
         """
         changes: list[StateChange] = []
-        for held in self._restored.take_due():
+        for held in self.restored.take_due():
             if not isinstance(held.row, RoutePlan) or held.version > self._first_plan_version:
                 changes += self._apply_row(held.row, held.version)
         return changes
@@ -221,7 +221,7 @@
             return True
         if self.caches[RowTable.OPERATOR].era <= self._plan_era or plan == known:
             return False
-        return plan.version == known.version or not self._restored.is_settling(RowTable.OPERATOR)
+        return plan.version == known.version or not self.restored.is_settling(RowTable.OPERATOR)
 
     def _apply_plan(self, plan: RoutePlan, version: int) -> list[StateChange]:
         """Use a configuration from now on, unless the current one is at least as new."""
--- a/skylarklift/entry/state/rows.py
+++ b/skylarklift/entry/state/rows.py
@@ -23,6 +23,8 @@
 Era = NewType("Era", int)
 # The era of rows whose source names none.
 NO_ERA = Era(0)
+# The era of a store that was never restored.
+FIRST_ERA = Era(1)
 
 
 class InvalidRow(SkylarkError):
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -4,11 +4,16 @@
 
 from skylarklift.clock import Millis
 from skylarklift.entry.model import Endpoint, UpstreamRecord
+from skylarklift.entry.state.rows import FIRST_ERA, Era
 
 UPSTREAM_ADDED = "upstream_added"
 UPSTREAM_REMOVED = "upstream_removed"
 # The entry of a replica that restarted is in the store this long after its connections ended.
 ENTRY_DELAY_MS = 1200
+# Replicas have renewed the entries of a restored store this long after its return.
+COPIED_ENTRY_MS = 2200
+# A router that starts has heard others by then, which know whether the store was restored lately.
+OTHERS_HEARD_MS = 300
 # A suspicion is sent to other routers for this long, in two rounds of gossip or more.
 SUSPICION_TOLD_MS = 700
 # The connections of a process that ends are seen to end within this time of each other.
@@ -44,6 +49,24 @@
         """Return the address of the upstream."""
         return Endpoint(self.record.host, self.record.port)
 
+    def mark_listed_at_start(self, era: Era) -> None:
+        """Record that its entry is of the first list, which may be of a store restored lately.
+
+        An entry of the copy says nothing of a cold period that began after the copy was made.
+        """
+        self.listed_at_start = True
+        if era > FIRST_ERA:
+            self._treat_as_cold(OTHERS_HEARD_MS)
+
+    def doubt_copied_entry(self) -> None:
+        """Treat it as cold for a while, if its entry was listed just after the store's restore."""
+        if self.listed_at_start:
+            self._treat_as_cold(COPIED_ENTRY_MS)
+
+    def _treat_as_cold(self, span_ms: int) -> None:
+        """Treat it as cold until this long after it became known."""
+        self.cold_until = max(self.cold_until, Millis(self.known_since + span_ms))
+
     def suspect_restart(self, now: Millis, *, seen_here: bool) -> None:
         """Record that it ended a connection; another router tells the same one several times."""
         suspected_at = self.restart_suspected_at
