Doubt an answer also if the end of its second connection shows only when it is asked on

Cause: the second connection ended in the same turn of the loop as the answer's; it was taken for the question before its reader had a turn, so its end was never noted, and the question went to a new connection. Change: a second connection on which no answer comes counts as ended with the answer. Ruled out: a new process (it said the start of the entry).

--- a/skylarklift/entry/requests/answer_end.py
+++ b/skylarklift/entry/requests/answer_end.py
@@ -45,6 +45,8 @@
         self._core = core
         self._record = record
         self._watch = watch
+        # Whether the second connection ended, or brought nothing, when it was asked on.
+        self._watch_failed = False
         said = conn.process.started_ms if conn.process else None
         # When the process of the answer started, 0 if that is not known.
         self._started_ms = said or record.started_ms
@@ -53,7 +55,8 @@
         """Ask the process of the answer, now that the end has been read."""
         since = Millis(self._core.clock.now() - LINK_END_MS)
         sign = await self._ask_often()
-        if sign is EndSign.PROCESS_LIVES and self._watch.has_ended_since(since):
+        watch_ended = self._watch_failed or self._watch.has_ended_since(since)
+        if sign is EndSign.PROCESS_LIVES and watch_ended:
             return EndSign.LINK_CLOSED
         return sign
 
@@ -73,6 +76,7 @@
             process = await self._ask_on(conn)
             if process is not None:
                 return self._compare(process, if_not_said=EndSign.PROCESS_LIVES)
+            self._watch_failed = True
         try:
             process = await ask_process_anew(self._core, self._record)
         except ConnectFailed:
