Name the second connection by what it is, and take no earlier answer for a new one

Cause: ProcessWatch no longer watches a process, and a question that failed would have returned what the connection had said before. Change: SecondConnection in a module of its name; a failed question returns nothing. Wording of a few comments. Ruled out: none.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -3,7 +3,7 @@
   What one router knows from its own view must not keep another one from what that lacks.
 
   # Guards against a router that takes a cold replica for warm: another one, which knew that it is
-  # cold without the entry, took that for a heartbeat and told nobody.
+  # cold without the entry, took that for a heartbeat and sent it to nobody.
   Scenario Outline: A router learns that a replica is cold from one that knew it before: <known>
     Given a router that knows 3 replicas
     And a router without any rows
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -169,7 +169,7 @@
             # After a restart the router knows nothing of earlier messages.
             peer.sent_at = peer.holds_sent_at = Millis(0)
         arrived_at = Millis(self._clock.now() - waited_ms)
-        # The time of day, by which the wait is measured, may have been set in between.
+        # The wait is a difference of times of day, which may have been set in between.
         peer.received_at = max(arrived_at, peer.received_at or arrived_at)
         self._last_heard_at = max(arrived_at, self._last_heard_at)
         peer.last_message = message
--- a/skylarklift/entry/requests/answer_end.py
+++ b/skylarklift/entry/requests/answer_end.py
@@ -14,7 +14,7 @@
 from skylarklift.entry.model import ProcessStart, UpstreamRecord
 from skylarklift.entry.requests.http_connection import HttpConnection
 from skylarklift.entry.requests.process_identity import ask_process, ask_process_anew
-from skylarklift.entry.requests.process_watch import ProcessWatch
+from skylarklift.entry.requests.second_connection import SecondConnection
 from skylarklift.errors import ConnectFailed
 
 MAX_QUESTIONS = 3
@@ -37,16 +37,16 @@
 
 
 class AnswerEnd:
-    """The end of one answer, which came on `conn`; `watch` was begun before it."""
+    """The end of one answer, which came on `conn`; `second` was begun before it."""
 
     def __init__(
-        self, core: Core, record: UpstreamRecord, conn: HttpConnection, watch: ProcessWatch
+        self, core: Core, record: UpstreamRecord, conn: HttpConnection, second: SecondConnection
     ):
         self._core = core
         self._record = record
-        self._watch = watch
+        self._second = second
         # Whether the second connection ended, or brought nothing, when it was asked on.
-        self._watch_failed = False
+        self._second_failed = False
         said = conn.process.started_ms if conn.process else None
         # When the process of the answer started, 0 if that is not known.
         self._started_ms = said or record.started_ms
@@ -55,8 +55,8 @@
         """Ask the process of the answer, now that the end has been read."""
         since = Millis(self._core.clock.now() - LINK_END_MS)
         sign = await self._ask_often()
-        watch_ended = self._watch_failed or self._watch.has_ended_since(since)
-        if sign is EndSign.PROCESS_LIVES and watch_ended:
+        second_ended = self._second_failed or self._second.has_ended_since(since)
+        if sign is EndSign.PROCESS_LIVES and second_ended:
             return EndSign.LINK_CLOSED
         return sign
 
@@ -71,12 +71,12 @@
 
     async def _ask(self) -> EndSign:
         """Ask once: on the second connection, else on a new one."""
-        conn = await self._watch.take()
+        conn = await self._second.take()
         if conn is not None:
             process = await self._ask_on(conn)
             if process is not None:
                 return self._compare(process, if_not_said=EndSign.PROCESS_LIVES)
-            self._watch_failed = True
+            self._second_failed = True
         try:
             process = await ask_process_anew(self._core, self._record)
         except ConnectFailed:
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -21,8 +21,8 @@
     connect,
 )
 from skylarklift.entry.requests.process_identity import Identity, compare_start
-from skylarklift.entry.requests.process_watch import ProcessWatch
 from skylarklift.entry.requests.retry_state import Outcome
+from skylarklift.entry.requests.second_connection import SecondConnection
 from skylarklift.errors import (
     ConnectFailed,
     LocalShortage,
@@ -89,7 +89,7 @@
         # Whose process the connection is to, `None` if it was not asked.
         self.identity: Identity | None = None
         self._served_recorded = False
-        self.process_watch = ProcessWatch(core.clock, self.record)
+        self.second_connection = SecondConnection(core.clock, self.record)
         self.conn: HttpConnection | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
@@ -178,7 +178,7 @@
                 raise ResponseInvalid(f"status {head.status} without an id of a request")
             if head.request is None or head.request == self.call.request:
                 if self.conn.ends_with_connection and status not in NO_BODY_STATUSES:
-                    self.process_watch.start()
+                    self.second_connection.start()
                 if compare_start(self.record, self.conn.process) is Identity.SAME:
                     self.choice.upstream.record_process_seen(self._sent_at)
                 return self._check_head(head)
@@ -284,7 +284,7 @@
         """Check an answer that ended with its connection; raise `ResponseBroken` after a crash."""
         if not self.conn.ends_with_connection or self.head.status in NO_BODY_STATUSES:
             return
-        end = AnswerEnd(self.core, self.record, self.conn, self.process_watch)
+        end = AnswerEnd(self.core, self.record, self.conn, self.second_connection)
         self.end_sign = await end.judge()
         if self.end_sign is not EndSign.PROCESS_LIVES:
             raise ResponseBroken("the upstream ended within an answer without a length")
--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -58,9 +58,9 @@
     with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
         try:
             conn.process = await _read_start(core.status_format, conn)
+            return conn.process
         except TransportError as exc:
             core.event_log.write("upstream_status_unknown", subject=record.replica, cause=str(exc))
-        return conn.process
     return None
 
 
--- a/skylarklift/entry/requests/process_watch.py
+++ b/skylarklift/entry/requests/second_connection.py
@@ -12,7 +12,7 @@
 CONNECT_TIMEOUT_MS = 250
 
 
-class ProcessWatch:
+class SecondConnection:
     """A connection that is made while the answer comes, and used after its end.
 
     Unlike a connection that is made then, it is not to a later process at the same address, and it
--- a/skylarklift/entry/requests/silence.py
+++ b/skylarklift/entry/requests/silence.py
@@ -81,7 +81,7 @@
     status: int | None = None
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_silence, core, attempt, timer)
-        nursery.start_soon(attempt.process_watch.run)
+        nursery.start_soon(attempt.second_connection.run)
         if attempt.confirms_end:
             nursery.start_soon(_bound_confirmation, attempt)
         try:
--- a/skylarklift/entry/state/cold_periods.py
+++ b/skylarklift/entry/state/cold_periods.py
@@ -17,8 +17,8 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        # The ends of the cold periods by those entries that were told as changes.
-        self._told_until: dict[ReplicaId, Millis] = {}
+        # The ends of the cold periods by those entries that were reported as changes.
+        self._reported_until: dict[ReplicaId, Millis] = {}
 
     def extend(self, upstream: Upstream, span_ms: int) -> None:
         """Treat an upstream as cold for at least `span_ms` from now."""
@@ -30,13 +30,13 @@
         if span_ms <= 0:
             return False
         now, replica = self._clock.now(), upstream.record.replica
-        until, told_until = Millis(now + span_ms), self._told_until.get(replica, now)
+        until, reported_until = Millis(now + span_ms), self._reported_until.get(replica, now)
         self.extend(upstream, span_ms)
-        if told_until > now and until <= told_until + ARRIVAL_JITTER_MS:
+        if reported_until > now and until <= reported_until + ARRIVAL_JITTER_MS:
             return False
-        self._told_until[replica] = until
+        self._reported_until[replica] = until
         return True
 
     def forget(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
-        self._told_until.pop(replica, None)
+        self._reported_until.pop(replica, None)
--- a/soak/stream_decisions.py
+++ b/soak/stream_decisions.py
@@ -68,7 +68,7 @@
     """Return whether a router refused what another let go on, though its version is not certain.
 
     A router that refuses because it knows less is not wrong, nor is one that goes on before the
-    other can have told it.
+    other can have reported it.
     """
     refused, other = first, second
     if decisions[refused.attempt].source != NO_VERSION_NAMED:
