--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
+from enum import Enum
 
 from skylarklift.entry.model import Call, ResponseHead, RouteKind
 from skylarklift.entry.placement.health import HealthSignal
@@ -24,6 +25,20 @@
 STATUS_OK = 200
 
 
+class EndProof(Enum):
+    """What showed that a stream which was completed had ended.
+
+    `FRAMING`: a length or chunks.  `NO_OTHER_RUN`: its connection ended, and no other run may show
+    more.  `SECOND_RUN`: another run behind the last event brought none.  `NOTHING`: its connection
+    ended, and the run that was to show whether that was its end was denied or brought nothing.
+    """
+
+    FRAMING = "framing"
+    NO_OTHER_RUN = "no_other_run"
+    SECOND_RUN = "second_run"
+    NOTHING = "nothing"
+
+
 @dataclass(frozen=True, slots=True)
 class UnconfirmedEnd:
     """Where a stream ended with its connection; `last_event` is `None` before the first one.
@@ -41,7 +56,8 @@
 
     `upstream_error` is the last server error of an upstream, which is forwarded if no attempt
     succeeds.  `on_events` is called before new events of an attempt are sent.  `end` is where a
-    stream that may go on ended with its connection.
+    stream that may go on ended with its connection, and `end_proof` what showed that a stream which
+    was completed had ended.
     """
 
     def __init__(
@@ -59,6 +75,7 @@
         self._position = StreamPosition(call.resume_after)
         self.upstream_error: tuple[ResponseHead, bytes] | None = None
         self.end: UnconfirmedEnd | None = None
+        self.end_proof: EndProof | None = None
 
     @property
     def resume_after(self) -> int | None:
@@ -141,11 +158,18 @@
         go on, that it lives is the best sign.
         """
         may_go_on = self._retry_state.repeatable and self._position.exact
-        if not attempt.conn.ends_with_connection or not may_go_on:
+        if not attempt.conn.ends_with_connection:
+            self.end_proof = EndProof.FRAMING
+            return True
+        if not may_go_on:
+            self.end_proof = EndProof.NO_OTHER_RUN
             return True
         before, brought_events = self.end, bool(attempt.event_range)
         self.end = UnconfirmedEnd(self._position.last, attempt.head, brought_events)
-        return before is not None and before.last_event == self.end.last_event
+        if before is None or before.last_event != self.end.last_event:
+            return False
+        self.end_proof = EndProof.SECOND_RUN
+        return True
 
     @property
     def may_accept_end(self) -> bool:
@@ -155,10 +179,18 @@
 
     async def accept_end(self) -> int:
         """Complete the response at an end that no other run can confirm; return the status."""
+        self.end_proof = EndProof.NOTHING
         await self._send_head_once(self.end.head)
         await self._caller.send_end()
         return self.end.head.status
 
+    def log_fields(self) -> dict[str, int | str | None]:
+        """Return, for the log, the last event that the caller has, and what showed the end."""
+        return {
+            "last_event": self.resume_after,
+            "end_proof": self.end_proof and self.end_proof.value,
+        }
+
     async def _forward_each_event(
         self, attempt: Attempt, timer: SilenceTimer, share: BufferShare
     ) -> None:
--- a/skylarklift/entry/requests/request_log.py
+++ b/skylarklift/entry/requests/request_log.py
@@ -45,7 +45,7 @@
         status=status,
         ms_taken=span,
         sends=handler.steps,
-        last_event=handler.forwarder.resume_after if handler.forwarder else None,
+        **(handler.forwarder.log_fields() if handler.forwarder else {}),
         **(handler.attempt.log_fields() if handler.attempt else {}),
         **(handler.stream_version.log_fields() if handler.stream_version else {}),
         **({"passed_over": handler.passed_over} if handler.passed_over else {}),
