--- /dev/null
+++ b/features/unconfirmed_ends.feature
@@ -0,0 +1,41 @@
+Feature: Ends of streams that nothing confirms
+
+  A replica that lives on may end an answer without a length or chunks in order between two events.
+  Only another run behind the last event shows whether that was the end of the stream.
+
+  # Guards against a stream that is told as complete before its last event, as the run that was to
+  # confirm its end was denied, cut off, or is not allowed on its route (issue 46).
+  Scenario Outline: The end of a <path> stream after event <sent> does not look complete to an HTTP/<http> caller when <case>
+    Given a router whose replicas end a stream in order after event <sent> of 6, where <case>
+    When an HTTP/<http> caller reads a stream of "<path>" to its end
+    Then the caller got <sent> events, and no sign that the stream is complete
+
+    Examples:
+      | path    | http | sent | case                                |
+      | /once/a | 1.1  | 2    | all else is as usual                |
+      | /once/a | 1.0  | 2    | all else is as usual                |
+      | /once/a | 1.1  | 0    | all else is as usual                |
+      | /chat/a | 1.1  | 2    | the retry budget is used up         |
+      | /chat/a | 1.0  | 2    | the retry budget is used up         |
+      | /chat/a | 1.1  | 0    | the retry budget is used up         |
+      | /chat/a | 1.1  | 2    | a resumed run brings nothing        |
+      | /chat/a | 1.1  | 2    | a resumed run is reset              |
+      | /chat/a | 1.1  | 2    | a resumed run is refused            |
+      | /chat/a | 1.1  | 2    | the route allows one run            |
+      | /chat/a | 1.1  | 2    | events have no ids                  |
+
+  # Guards against whole streams that their callers never get complete.
+  Scenario Outline: A caller has a whole <path> stream complete after <tries> tries when <case>
+    Given a router whose replicas end a stream in order after event 6 of 6, where <case>
+    When a caller reads a stream of "<path>", and takes it up behind its last event until it is complete
+    Then it has 6 events after <tries> tries
+
+    Examples:
+      | path    | tries | case                        |
+      | /chat/a | 1     | all else is as usual        |
+      | /chat/a | 2     | a resumed run is reset once |
+
+  Scenario: An end of a healthy replica that nothing confirms does not count against it
+    Given a router whose replicas end a stream in order after event 6 of 6, where all else is as usual
+    When 12 callers read streams of "/once/a" one after the other
+    Then no replica was ejected, and no crash was suspected
