--- a/features/entry_answers.feature
+++ b/features/entry_answers.feature
@@ -70,7 +70,7 @@
       | 2 events            | crash, and accept connections as before   | /chat/a   | resumed to 6 events |
       | a body              | crash, and refuse connections 50 ms later | /redeem/a | an error            |
       | a body              | crash, and accept connections as before   | /redeem/a | an error            |
-      | 6 events            | close the connection                      | /once/a   | complete            |
+      | 6 events            | close the connection                      | /once/a   | not complete        |
       | 6 events            | close the connection                      | /chat/a   | complete            |
       | 6 events, and no more runs | close the connection               | /chat/a   | not complete        |
       | 2 events, then the rest alike | crash                           | /chat/a   | not complete        |
--- a/features/entry_ends.feature
+++ b/features/entry_ends.feature
@@ -55,16 +55,20 @@
     When a caller reads a stream of "<path>", with a pause of 2500 ms after its first bytes
     Then the paused caller got <got> events, and the answer <result>
 
+    # Nothing shows that a stream of /once/, of which no other run may tell, has ended.
     Examples:
-      | path    | sent | ending                                  | tell        | got | result          |
-      | /once/a | 10   | crash, and accept connections as before | say         | 10  | is not complete |
-      | /once/a | 10   | crash, and accept connections as before | do not say  | 10  | is not complete |
-      | /chat/a | 10   | crash, and accept connections as before | say         | 12  | is complete     |
-      | /chat/a | 10   | crash, and accept connections as before | do not say  | 12  | is complete     |
-      | /once/a | 12   | close the connection                    | say         | 12  | is complete     |
-      | /once/a | 12   | close the connection                    | do not say  | 12  | is complete     |
-      | /chat/a | 12   | close the connection                    | say         | 12  | is complete     |
-      | /once/a | 12   | close the connection                    | say a start later than their entries' | 12  | is complete     |
+      | path     | sent | ending                                  | tell        | got | result          |
+      | /once/a  | 10   | crash, and accept connections as before | say         | 10  | is not complete |
+      | /once/a  | 10   | crash, and accept connections as before | do not say  | 10  | is not complete |
+      | /chat/a  | 10   | crash, and accept connections as before | say         | 12  | is complete     |
+      | /chat/a  | 10   | crash, and accept connections as before | do not say  | 12  | is complete     |
+      | /once/a  | 12   | close the connection                    | say         | 12  | is not complete |
+      | /once/a  | 12   | close the connection                    | do not say  | 12  | is not complete |
+      | /chat/a  | 12   | close the connection                    | say         | 12  | is complete     |
+      | /check/a | 10   | crash, and accept connections as before | say         | 10  | is not complete |
+      | /check/a | 12   | close the connection                    | say         | 12  | is complete     |
+      | /check/a | 12   | close the connection                    | do not say  | 12  | is complete     |
+      | /check/a | 12   | close the connection                    | say a start later than their entries' | 12  | is complete     |
 
   # Guards against a second connection that is made late, and so to the next process: the router stands
   # still while the answer comes and its process ends.
@@ -72,23 +76,25 @@
     Given a router before 2 replicas that send <sent> of 12 large events without a length, and then <ending>
     And the replicas do not say when they started
     And the router stands still for 1000 ms as a replica answers
-    When a caller reads a stream of "/once/a", with a pause of 0 ms after its first bytes
+    When a caller reads a stream of "<path>", with a pause of 0 ms after its first bytes
     Then the paused caller got <sent> events, and the answer <result>
 
     Examples:
-      | sent | ending                                  | result          |
-      | 10   | crash, and accept connections as before | is not complete |
-      | 12   | close the connection                    | is complete     |
+      | path     | sent | ending                                  | result          |
+      | /once/a  | 10   | crash, and accept connections as before | is not complete |
+      | /once/a  | 12   | close the connection                    | is not complete |
+      | /check/a | 10   | crash, and accept connections as before | is not complete |
+      | /check/a | 12   | close the connection                    | is complete     |
 
-  # Guards against a whole stream whose end its caller gets when it has given up, as the run that is to
-  # confirm the end waits in a queue.
+  # Guards against a whole stream whose caller learns when it has given up that the end is in doubt, as
+  # the run that is to confirm it waits in a queue.
   Scenario: The end of a whole stream without a length is not held back by a run that waits
     Given a router before a replica that ends whole streams with their connection, and lets resumed ones wait
     When a stream is sent to it, beside others that it serves
-    Then the caller has the end of the stream after at most 2000 ms
+    Then the caller has all events, and learns after at most 2000 ms that the end is in doubt
 
   # Guards against whole streams that leave no retry to those that break off.
-  Scenario Outline: 10 streams that break off are resumed after 60 whole streams that <ending>
+  Scenario Outline: 10 streams that break off are resumed after 60 whole streams that <ending>, each with at most 2 tries
     Given a router before 2 replicas whose whole streams <ending>
     When 60 whole streams and then 10 that break off are sent to them
     Then all 10 are complete
--- a/features/steps/unconfirmed_ends.py
+++ b/features/steps/unconfirmed_ends.py
@@ -47,6 +47,8 @@
             resets.append(request)
             return RESUMED["a resumed run is reset"]
         rest = make_events(int(request.last_event) + 1, EVENT_COUNT)
+        if case.startswith("a resumed run is unframed"):
+            return Reply(STREAM_HEAD + b"\r\n" + rest, Ending.CLOSE)
         return Reply(STREAM_HEAD + CHUNKS + chunked(rest))
 
     return answer
@@ -61,7 +63,7 @@
 
     async def build():
         world = context.world
-        if case == "the retry budget is used up":
+        if case.endswith("the retry budget is used up"):
             world.extra_settings = NO_BUDGET
         await world.open_store_endpoint()
         runs = {"max_attempts": 1} if case == "the route allows one run" else {}
--- a/features/unconfirmed_ends.feature
+++ b/features/unconfirmed_ends.feature
@@ -24,7 +24,8 @@
       | /chat/a | 1.1  | 2    | the route allows one run            |
       | /chat/a | 1.1  | 2    | events have no ids                  |
 
-  # Guards against whole streams that their callers never get complete.
+  # Guards against whole streams that their callers never get complete: the try of a caller that takes
+  # a stream up at a doubted end is the second run there.
   Scenario Outline: A caller has a whole <path> stream complete after <tries> tries when <case>
     Given a router whose replicas end a stream in order after event 6 of 6, where <case>
     When a caller reads a stream of "<path>", and takes it up behind its last event until it is complete
@@ -34,6 +35,9 @@
       | path    | tries | case                        |
       | /chat/a | 1     | all else is as usual        |
       | /chat/a | 2     | a resumed run is reset once |
+      | /chat/a | 2     | the retry budget is used up |
+      | /chat/a | 2     | the route allows one run    |
+      | /chat/a | 2     | a resumed run is unframed, and the retry budget is used up |
 
   Scenario: An end of a healthy replica that nothing confirms does not count against it
     Given a router whose replicas end a stream in order after event 6 of 6, where all else is as usual
--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -28,15 +28,12 @@
 class EndProof(Enum):
     """What showed that a stream which was completed had ended.
 
-    `FRAMING`: a length or chunks.  `NO_OTHER_RUN`: its connection ended, and no other run may show
-    more.  `SECOND_RUN`: another run behind the last event brought none.  `NOTHING`: its connection
-    ended, and the run that was to show whether that was its end was denied or brought nothing.
+    `FRAMING`: a length or chunks.  `SECOND_RUN`: its connection ended, and another run behind the
+    last event brought none.
     """
 
     FRAMING = "framing"
-    NO_OTHER_RUN = "no_other_run"
     SECOND_RUN = "second_run"
-    NOTHING = "nothing"
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,7 +44,6 @@
     """
 
     last_event: int | None
-    head: ResponseHead
     brought_events: bool
 
 
@@ -56,7 +52,7 @@
 
     `upstream_error` is the last server error of an upstream, which is forwarded if no attempt
     succeeds.  `on_events` is called before new events of an attempt are sent.  `end` is where a
-    stream that may go on ended with its connection, and `end_proof` what showed that a stream which
+    stream ended with its connection, and `end_proof` what showed that a stream which
     was completed had ended.
     """
 
@@ -154,36 +150,36 @@
     def _is_end_certain(self, attempt: Attempt) -> bool:
         """Return whether a stream has ended, as its framing shows or a second run at this place.
 
-        A replica that lives may end the connection between two events, too.  Where no other run may
-        go on, that it lives is the best sign.
+        A replica that lives may end the connection between two events, too.
         """
-        may_go_on = self._retry_state.repeatable and self._position.exact
         if not attempt.conn.ends_with_connection:
             self.end_proof = EndProof.FRAMING
             return True
-        if not may_go_on:
-            self.end_proof = EndProof.NO_OTHER_RUN
-            return True
         before, brought_events = self.end, bool(attempt.event_range)
-        self.end = UnconfirmedEnd(self._position.last, attempt.head, brought_events)
-        if before is None or before.last_event != self.end.last_event:
+        self.end = UnconfirmedEnd(self._position.last, brought_events)
+        may_go_on = self._retry_state.repeatable and self._position.exact
+        if not may_go_on or before is None or before.last_event != self.end.last_event:
             return False
         self.end_proof = EndProof.SECOND_RUN
         return True
 
+    def expect_end(self, last_event: int | None) -> None:
+        """Take a run that brings nothing as the second one that ended behind an event."""
+        if last_event is not None and last_event == self._position.last:
+            self.end = UnconfirmedEnd(last_event, brought_events=False)
+
     @property
-    def may_accept_end(self) -> bool:
+    def doubted_end(self) -> int | None:
+        """Return the last event that the caller has if a run ended there, `None` otherwise."""
+        ended_here = self.end is not None and self.end.last_event == self._position.last
+        return self._position.last if ended_here and self._position.exact else None
+
+    @property
+    def awaits_confirmation(self) -> bool:
         """Return whether the caller has all of a stream up to where a run of events ended."""
         end = self.end
         return end is not None and end.brought_events and end.last_event == self._position.last
 
-    async def accept_end(self) -> int:
-        """Complete the response at an end that no other run can confirm; return the status."""
-        self.end_proof = EndProof.NOTHING
-        await self._send_head_once(self.end.head)
-        await self._caller.send_end()
-        return self.end.head.status
-
     def log_fields(self) -> dict[str, int | str | None]:
         """Return, for the log, the last event that the caller has, and what showed the end."""
         return {
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -104,6 +104,7 @@
             await self._wait_for_configuration()
             self._admit()
             self.service = await self.stream_version.find(self.service)
+            self.forwarder.expect_end(self.stream_version.doubted_end)
             status = await self._serve()
         except RequestError as exc:
             status = await self._respond_with_error(exc)
@@ -183,7 +184,7 @@
                 suspects=self.crash_guard.suspects,
                 sent_before=choice.upstream.record.replica in self.sent_to,
                 check=self.stream_version.process_check(),
-                confirms_end=self.forwarder.may_accept_end,
+                confirms_end=self.forwarder.awaits_confirmation,
             )
             self.attempt = attempt
             async with attempt.open():
@@ -326,8 +327,7 @@
 
         Raise `RequestError` if the router responds with an error of its own.
         """
-        if self._may_accept_end(outcome):
-            return await self.forwarder.accept_end()
+        self.stream_version.record_doubted_end(self.forwarder.doubted_end)
         if self.retry_state.forwarded:
             self.caller.abort()
             return 0
@@ -344,16 +344,6 @@
             raise AnswerLate("no answer in time")
         raise OutcomeUnknown("the upstream's answer was lost")
 
-    def _may_accept_end(self, outcome: Outcome) -> bool:
-        """Return whether to take the end of a stream for its end, though no run has confirmed it.
-
-        Not if a run has failed to, or all are used up: the caller can take the stream up, which
-        allows others.
-        """
-        has_runs = self.route.max_runs == 1 or not self.retry_state.runs_used_up
-        tells_nothing = self.attempt.given_up or (outcome is Outcome.UNCONFIRMED and has_runs)
-        return tells_nothing and self.forwarder.may_accept_end
-
     async def _respond_with_error(self, exc: RequestError) -> int:
         """Respond with the router's own error, or abort a response that has begun."""
         if self.caller.head_sent:
--- a/skylarklift/entry/versions/origin_messages.py
+++ b/skylarklift/entry/versions/origin_messages.py
@@ -8,7 +8,7 @@
 from skylarklift.entry.versions.stream_origins import StreamOrigin
 from skylarklift.errors import PeerError
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
-from skylarklift.util.bounded import checked_text
+from skylarklift.util.bounded import checked_integer, checked_text
 
 # The first item of a message; gossip messages and those about crashes have other numbers there.
 ORIGIN_FORMAT = 102
@@ -28,7 +28,7 @@
 
 def encode_origin_message(message: OriginMessage) -> bytes:
     """Return a message as a datagram."""
-    origins = [(item.request, item.service, item.version) for item in message.origins]
+    origins = [_origin_fields(item) for item in message.origins]
     return msgpack.packb(
         (
             ORIGIN_FORMAT,
@@ -40,6 +40,12 @@
     )
 
 
+def _origin_fields(origin: StreamOrigin) -> tuple:
+    """Return the fields of an origin; routers of earlier releases know three."""
+    fields = (origin.request, origin.service, origin.version)
+    return fields if origin.doubted_end is None else (*fields, origin.doubted_end)
+
+
 def is_origin_message(data: bytes) -> bool:
     """Return whether a datagram is a message about the origins of streams."""
     return data[1:2] == msgpack.packb(ORIGIN_FORMAT)
@@ -59,10 +65,13 @@
         raise PeerError(f"invalid message about streams: {exc}") from exc
 
 
-def _decode_origin(request: Any, service: Any, version: Any) -> StreamOrigin:
+def _decode_origin(
+    request: Any, service: Any, version: Any, doubted_end: Any = None
+) -> StreamOrigin:
     """Return the origin of one stream; raise `ValueError`."""
     return StreamOrigin(
         RequestId(checked_text(request)),
         ServiceId(checked_text(service)),
         None if version is None else SoftwareVersion(checked_text(version)),
+        None if doubted_end is None else checked_integer(doubted_end),
     )
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -59,7 +59,7 @@
     """The version at which a stream may go on, `None` if it may not, and the source of that.
 
     `asked` is how many other routers were asked, and `releases_age_ms` how old the rows on
-    software versions were, `None` if that is not known.
+    software versions were, `None` if that is not known.  `doubted_end` is that of the origin.
     """
 
     source: OriginSource
@@ -67,6 +67,7 @@
     version: SoftwareVersion | None = None
     asked: int = 0
     releases_age_ms: int | None = None
+    doubted_end: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +123,9 @@
             found = self._derive(stream)
         else:
             source = OriginSource.UNNAMED if origin.version is None else source
-            found = FoundOrigin(source, origin.service, origin.version)
+            found = FoundOrigin(
+                source, origin.service, origin.version, doubted_end=origin.doubted_end
+            )
         return replace(found, asked=asked, releases_age_ms=self._releases.age_ms())
 
     def _knows_releases(self) -> bool:
--- a/skylarklift/entry/versions/stream_origins.py
+++ b/skylarklift/entry/versions/stream_origins.py
@@ -21,12 +21,14 @@
     """The service and the software version that began a stream.
 
     `request` is the client's attempt that brought the first event; `version` is `None` if the
-    replica named none.
+    replica named none.  `doubted_end` is the event behind which a run ended with its connection, so
+    that the stream was broken off there, `None` if none did.
     """
 
     request: RequestId
     service: ServiceId
     version: SoftwareVersion | None
+    doubted_end: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -125,14 +125,24 @@
         elif self._recorded is None:
             self._core.metrics.increment("streams_begun")
 
-    def _record(self, version: SoftwareVersion | None) -> None:
+    @property
+    def doubted_end(self) -> int | None:
+        """Return the event behind which an earlier try of the caller was broken off in doubt."""
+        return None if self.origin is None else self.origin.doubted_end
+
+    def record_doubted_end(self, last_event: int | None) -> None:
+        """Record behind which event the answer is broken off, as nothing confirms its end."""
+        if self._resumable and last_event is not None:
+            self._record(self.required, last_event)
+
+    def _record(self, version: SoftwareVersion | None, doubted_end: int | None = None) -> None:
         """Record, here and at the backup routers, at which version the stream may go on."""
         self.required = version
         request = self._call.request
         if self.origin is not None and self._call.resumes is not None:
             request = self._call.resumes
-        service = self._recorded.record.service
-        self._core.resumptions.record_begun(StreamOrigin(request, service, version))
+        service = self._recorded.record.service if self._recorded else self.origin.service
+        self._core.resumptions.record_begun(StreamOrigin(request, service, version, doubted_end))
 
     def _version_of(self, attempt: Attempt) -> SoftwareVersion | None:
         """Return the version whose events an attempt brings, `None` if that is not certain."""
