--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -280,9 +280,10 @@
         peer = core.fleet.record_message(message, address, waited_ms)
         core.doubt_entries(message)
         for replica, left_ms in message.ejected.items():
-            core.health.apply_reported_ejection(
-                replica, left_ms, maybe_restarted=replica in message.maybe_restarted
-            )
+            doubted = replica in message.maybe_restarted
+            if doubted and not core.health.maybe_restarted(replica):
+                core.event_log.write("upstream_doubted", subject=replica, source=message.node)
+            core.health.apply_reported_ejection(replica, left_ms, maybe_restarted=doubted)
         core.apply_limit_reports(message.limits, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -104,6 +104,12 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def break_off(self) -> None:
+        """Reset all connections on both sides."""
+        for stream in list(self._connections):
+            _reset_on_close(stream)
+            stream.socket.close()
+
     def reset(self) -> None:
         """Close all connections."""
         for stream in list(self._connections):
