--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -104,6 +104,11 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def carries(self, port: int) -> bool:
+        """Return whether one of the proxy's open connections has a local port."""
+        streams = (stream for stream in self._connections if stream.socket.fileno() >= 0)
+        return any(stream.socket.getsockname()[1] == port for stream in streams)
+
     def break_off(self) -> None:
         """Reset all connections on both sides."""
         for stream in list(self._connections):
--- a/soak/router_paths.py
+++ b/soak/router_paths.py
@@ -67,13 +67,15 @@
         self._proxies[port] = proxy
         self._write({target: item.port for target, item in self._proxies.items()})
 
-    def cut(self, how: Cut) -> None:
-        """Cut all ways."""
+    def cut(self, how: Cut, ports: set[int] | None = None) -> None:
+        """Cut the ways to the replicas at some ports, by default all ways."""
+        chosen = set(self._proxies) if ports is None else ports
+        sound = {target: item.port for target, item in self._proxies.items()}
         if how is Cut.HANG:
-            self._write(dict.fromkeys(self._proxies, self._black_hole.port))
+            self._write({**sound, **dict.fromkeys(chosen, self._black_hole.port)})
         elif how is not Cut.END:
-            self._write(dict.fromkeys(self._proxies, self._closed_port))
-        for proxy in self._proxies.values():
+            self._write({**sound, **dict.fromkeys(chosen, self._closed_port)})
+        for proxy in (self._proxies[port] for port in chosen):
             if how is Cut.HANG:
                 proxy.freeze()
             elif how is Cut.RESET:
@@ -87,6 +89,10 @@
         for proxy in self._proxies.values():
             proxy.thaw()
 
+    def carries(self, port: int) -> bool:
+        """Return whether a connection to a replica comes from a local port of these ways."""
+        return any(proxy.carries(port) for proxy in self._proxies.values())
+
     def close(self) -> None:
         """Close the sockets of this process."""
         self._black_hole.close()
