--- /dev/null
+++ b/skylarklift/entry/relays/dialer.py
@@ -0,0 +1,289 @@
+"""Open connections to upstreams: directly, or relayed by another router."""
+
+import random
+from dataclasses import dataclass
+
+import trio
+
+from skylarklift.clock import MS_PER_SECOND, Clock
+from skylarklift.entry.event_log import EventLog
+from skylarklift.entry.gossip.fleet import Peer
+from skylarklift.entry.gossip.wire import receive_frame, send_frame
+from skylarklift.entry.metrics import Metrics
+from skylarklift.entry.model import Endpoint, UpstreamRecord
+from skylarklift.entry.relays.link_states import LinkStates
+from skylarklift.entry.relays.relay_choice import RelayChoice
+from skylarklift.entry.relays.relay_messages import (
+    MAX_REPLY_BYTES,
+    RelayReply,
+    RelayRequest,
+    decode_relay_reply,
+    encode_relay_request,
+)
+from skylarklift.entry.relays.relayed_stream import RelayedStream
+from skylarklift.entry.requests.http_connection import UpstreamStream, connect
+from skylarklift.errors import ConnectFailed, ConnectTimeout, LocalShortage, PeerError
+
+# A connection between VMs takes a millisecond or two.  After this long another router is asked.
+HEDGE_DELAY_MS = 150
+RELAY_CONNECT_TIMEOUT_MS = 200
+RELAY_REPLY_TIMEOUT_MS = 400
+# A relay tries the upstream for this long, and answers before its own time is over.
+RELAYED_CONNECT_TIMEOUT_MS = 250
+# Another router is asked beside one that has not answered for this long.
+RELAY_HEDGE_DELAY_MS = 60
+# Routers of different zones that are asked before an upstream counts as unreachable.
+MAX_RELAYS_ASKED = 3
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """What a router said when it was asked to relay, `None` if nothing, and the connection."""
+
+    reply: RelayReply | None
+    stream: RelayedStream | None = None
+
+
+class RelayPoll:
+    """The answers of routers that are asked to relay one connection; the first one is used."""
+
+    def __init__(self, count: int):
+        self._open_count = count
+        self._changed = trio.Event()
+        self._abandoned = False
+        self.stream: RelayedStream | None = None
+        self.said: list[str] = []
+
+    def record(self, node: str, answer: RelayAnswer) -> None:
+        """Record what a router has answered; close a connection that is not used."""
+        self._open_count -= 1
+        self.said.append(f"{node} {answer.reply.value if answer.reply else 'silent'}")
+        if answer.stream is not None and (self.stream is not None or self._abandoned):
+            answer.stream.socket.close()
+        elif answer.stream is not None:
+            self.stream = answer.stream
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def is_decided(self) -> bool:
+        """Return whether there is a connection, or none will come."""
+        return self.stream is not None or not self._open_count
+
+    async def wait_for_answer(self) -> None:
+        """Wait until one more router has answered."""
+        await self._changed.wait()
+
+    async def wait_decided(self) -> None:
+        """Wait until there is a connection, or all have answered."""
+        while not self.is_decided():
+            await self._changed.wait()
+
+    def abandon(self) -> None:
+        """Close the connection, as nobody waits for it any more."""
+        self._abandoned = True
+        if self.stream is not None:
+            self.stream.socket.close()
+
+
+class DialRace:
+    """Two ways to an upstream at once, of which the first one that arrives is used."""
+
+    def __init__(self):
+        self.stream: UpstreamStream | None = None
+        self.error: ConnectFailed | None = None
+        self._open_ways = 2
+        self.decided = trio.Event()
+
+    def win(self, stream: UpstreamStream) -> bool:
+        """Use a connection, unless there is one already; return whether it is used."""
+        if self.stream is not None:
+            stream.socket.close()
+            return False
+        self.stream = stream
+        self.decided.set()
+        return True
+
+    def lose(self, exc: ConnectFailed) -> None:
+        """Record that one way has failed."""
+        self._open_ways -= 1
+        self.error = exc
+        if not self._open_ways:
+            self.decided.set()
+
+
+class Dialer:
+    """Open connections to upstreams.
+
+    A connection is made directly while the link to the upstream's zone is sound.  If that takes
+    too long or fails, another router is asked to relay one: where it succeeds, the link of this
+    router is at fault and not the upstream.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        links: LinkStates,
+        relays: RelayChoice,
+        event_log: EventLog,
+        metrics: Metrics,
+        rng: random.Random,
+    ):
+        self._clock = clock
+        self._links = links
+        self._relays = relays
+        self._event_log = event_log
+        self._metrics = metrics
+        self._rng = rng
+        # Set when the link to a zone is newly cut.
+        self.link_cut = trio.Event()
+
+    async def dial(self, record: UpstreamRecord, timeout_ms: int) -> UpstreamStream:
+        """Return a connection to an upstream; raise `ConnectFailed`."""
+        if self._links.any_doubt and self._rng.random() >= self._links.direct_share(record):
+            return await self._dial_relayed(record)
+        try:
+            return await self._dial_directly(record, min(timeout_ms, HEDGE_DELAY_MS))
+        except LocalShortage:
+            raise
+        except ConnectFailed as exc:
+            late = isinstance(exc, ConnectTimeout)
+            left_ms = timeout_ms - HEDGE_DELAY_MS
+            if not late or left_ms <= 0:
+                return await self._dial_instead(record, exc)
+        return await self._race(record, left_ms)
+
+    def may_use(self, relay: str | None, record: UpstreamRecord) -> bool:
+        """Return whether an idle connection to an upstream may carry another request.
+
+        Not if the router that relays it ends soon, or the own link is back.
+        """
+        if relay is None:
+            return not (self._links.any_doubt and self._links.open_connections_are_lost(record))
+        return self._links.is_cut(record) and not self._relays.is_leaving(relay)
+
+    async def dial_directly(self, record: UpstreamRecord, timeout_ms: int) -> trio.SocketStream:
+        """Return a direct connection, by which the link is probed; raise `ConnectFailed`."""
+        return await connect(record.host, record.port, timeout_ms)
+
+    async def _dial_directly(self, record: UpstreamRecord, timeout_ms: int) -> trio.SocketStream:
+        """Return a direct connection, and record that the link works; raise `ConnectFailed`."""
+        stream = await connect(record.host, record.port, timeout_ms)
+        if self._links.any_doubt:
+            self._links.record_reached(record)
+        return stream
+
+    async def _dial_instead(self, record: UpstreamRecord, failure: ConnectFailed) -> RelayedStream:
+        """Return a relayed connection after a direct one has failed; raise `ConnectFailed`."""
+        try:
+            return await self._dial_relayed(record)
+        except ConnectFailed as exc:
+            raise ConnectFailed(f"{failure}; {exc}") from exc
+
+    async def _race(self, record: UpstreamRecord, left_ms: int) -> UpstreamStream:
+        """Return the first connection that is made, directly or relayed; raise `ConnectFailed`."""
+        race = DialRace()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._run_direct, race, record, left_ms)
+            nursery.start_soon(self._run_relayed, race, record)
+            try:
+                await race.decided.wait()
+            except trio.Cancelled:
+                if race.stream is not None:
+                    race.stream.socket.close()
+                raise
+            nursery.cancel_scope.cancel()
+        if race.stream is None:
+            raise race.error
+        return race.stream
+
+    async def _run_direct(self, race: DialRace, record: UpstreamRecord, left_ms: int) -> None:
+        """Take part in a race with a direct connection."""
+        try:
+            race.win(await self._dial_directly(record, left_ms))
+        except ConnectFailed as exc:
+            race.lose(exc)
+
+    async def _run_relayed(self, race: DialRace, record: UpstreamRecord) -> None:
+        """Take part in a race with a relayed connection."""
+        try:
+            race.win(await self._dial_relayed(record))
+        except ConnectFailed as exc:
+            race.lose(exc)
+
+    # Relays.
+
+    async def _dial_relayed(self, record: UpstreamRecord) -> RelayedStream:
+        """Return a connection by way of another router; raise `ConnectFailed`.
+
+        A few are asked, one soon after the other, as some may be cut off and not know it yet.
+        """
+        peers = self._relays.candidates(record)[:MAX_RELAYS_ASKED]
+        poll = RelayPoll(len(peers))
+        async with trio.open_nursery() as nursery:
+            for peer in peers:
+                nursery.start_soon(self._ask_in_poll, poll, peer, record)
+                with trio.move_on_after(RELAY_HEDGE_DELAY_MS / MS_PER_SECOND):
+                    await poll.wait_for_answer()
+                if poll.is_decided():
+                    break
+            try:
+                await poll.wait_decided()
+            except trio.Cancelled:
+                poll.abandon()
+                raise
+            nursery.cancel_scope.cancel()
+        if poll.stream is None:
+            said = ", ".join(poll.said) or "none to ask"
+            raise ConnectFailed(f"no router relays to {record.replica}: {said}")
+        self._record_relayed(record, poll.stream.relay)
+        return poll.stream
+
+    async def _ask_in_poll(self, poll: RelayPoll, peer: Peer, record: UpstreamRecord) -> None:
+        """Ask one of several routers to relay."""
+        poll.record(peer.node, await self._ask(peer, record))
+
+    def _record_relayed(self, record: UpstreamRecord, relay: str) -> None:
+        """Record that another router reaches an upstream which this one does not."""
+        self._metrics.increment("relayed_connections", relay)
+        if self._links.record_relayed(record):
+            self._event_log.write("link_cut", zone=record.zone, relay=relay)
+            self.link_cut.set()
+
+    async def _ask(self, peer: Peer, record: UpstreamRecord) -> RelayAnswer:
+        """Ask a router to relay, and return what it said; raise `LocalShortage`."""
+        reply: RelayReply | None = None
+        stream: trio.SocketStream | None = None
+        try:
+            stream = await connect(peer.address.host, peer.address.port, RELAY_CONNECT_TIMEOUT_MS)
+            with trio.fail_after(RELAY_REPLY_TIMEOUT_MS / MS_PER_SECOND):
+                reply = await self._exchange(stream, record)
+        except LocalShortage:
+            raise
+        except (
+            ConnectFailed,
+            PeerError,
+            OSError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+        ) as exc:
+            self._event_log.write("relay_failed", peer=peer.node, cause=repr(exc))
+        finally:
+            if reply is not RelayReply.CONNECTED and stream is not None:
+                stream.socket.close()
+        if reply is RelayReply.CONNECTED:
+            self._relays.record_help(peer.node)
+            return RelayAnswer(reply, RelayedStream(stream, peer.node))
+        if reply is not RelayReply.UNREACHABLE:
+            self._relays.record_no_help(peer.node)
+        return RelayAnswer(reply)
+
+    @staticmethod
+    async def _exchange(stream: trio.SocketStream, record: UpstreamRecord) -> RelayReply:
+        """Send a request to relay, and return the reply; raise `PeerError`."""
+        address = Endpoint(record.host, record.port)
+        request = RelayRequest(record.replica, address, RELAYED_CONNECT_TIMEOUT_MS)
+        await send_frame(stream, encode_relay_request(request))
+        body = await receive_frame(stream, MAX_REPLY_BYTES)
+        if body is None:
+            raise PeerError("connection closed before the reply")
+        return decode_relay_reply(body)
--- /dev/null
+++ b/skylarklift/entry/relays/relay_server.py
@@ -0,0 +1,136 @@
+"""Relay connections of other routers to upstreams that this router reaches."""
+
+import socket
+
+import trio
+
+from skylarklift.entry.core import Core
+from skylarklift.entry.gossip.wire import send_frame
+from skylarklift.entry.relays.relay_messages import (
+    RelayReply,
+    RelayRequest,
+    decode_relay_request,
+    encode_relay_reply,
+)
+from skylarklift.entry.relays.relayed_stream import READ_BYTES
+from skylarklift.entry.requests.http_connection import CLOSE_IN_ORDER, RESET_ON_CLOSE, connect
+from skylarklift.errors import ConnectFailed, LocalShortage
+
+# A relayed connection takes one descriptor to the other router and one to the upstream.
+DESCRIPTORS_EACH = 2
+
+
+class RelayServer:
+    """Serve requests to relay.
+
+    Only upstreams of this router's list are connected to, only directly, and only for routers that
+    this one knows.
+    """
+
+    def __init__(self, core: Core):
+        self._core = core
+
+    async def serve(self, stream: trio.SocketStream, body: bytes) -> None:
+        """Serve a connection whose first frame is a request; raise `PeerError` if it is invalid."""
+        core = self._core
+        request = decode_relay_request(body)
+        refusal = self._find_refusal(request, stream.socket.getpeername()[0])
+        if refusal is not None:
+            core.metrics.increment("relays_refused", refusal.value)
+            await send_frame(stream, encode_relay_reply(refusal))
+            return
+        core.relays_open += 1
+        try:
+            await self._connect_and_forward(stream, request)
+        finally:
+            core.relays_open -= 1
+
+    def _find_refusal(self, request: RelayRequest, host: str) -> RelayReply | None:
+        """Return why not to relay, `None` if nothing is against it."""
+        core = self._core
+        upstream = core.cluster_state.upstreams.get(request.replica)
+        is_router = any(peer.address.host == host for peer in core.fleet.peers.values())
+        if upstream is None or upstream.endpoint != request.address or not is_router:
+            return RelayReply.UNKNOWN_UPSTREAM
+        if core.stopping_since is not None:
+            return RelayReply.STOPPING
+        if core.links.is_cut(upstream.record):
+            return RelayReply.CUT_OFF
+        used = len(core.attempts) + DESCRIPTORS_EACH * (core.relays_open + 1)
+        return RelayReply.BUSY if used > core.descriptors.upstreams else None
+
+    async def _connect_and_forward(self, stream: trio.SocketStream, request: RelayRequest) -> None:
+        """Connect to the upstream, reply, and forward both directions until one side ends."""
+        core = self._core
+        core.make_room_for_attempts()
+        address = request.address
+        try:
+            upstream = await connect(address.host, address.port, request.timeout_ms)
+        except LocalShortage:
+            core.descriptors_short.set()
+            await send_frame(stream, encode_relay_reply(RelayReply.BUSY))
+            return
+        except ConnectFailed:
+            await send_frame(stream, encode_relay_reply(RelayReply.UNREACHABLE))
+            return
+        try:
+            # What is cut short must not look like an end, also if this process is killed.
+            set_linger(stream, RESET_ON_CLOSE)
+            set_linger(upstream, RESET_ON_CLOSE)
+            await send_frame(stream, encode_relay_reply(RelayReply.CONNECTED))
+            await self._forward(stream, upstream)
+        finally:
+            upstream.socket.close()
+
+    async def _forward(self, stream: trio.SocketStream, upstream: trio.SocketStream) -> None:
+        """Forward until the upstream has ended its answers, or the other router its requests."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(forward_requests, stream, upstream, nursery.cancel_scope)
+            await forward_answers(upstream, stream)
+            nursery.cancel_scope.cancel()
+
+
+async def forward_requests(
+    source: trio.SocketStream, target: trio.SocketStream, scope: trio.CancelScope
+) -> None:
+    """Forward the bytes of requests; cancel the scope once the other router has closed."""
+    writable = True
+    try:
+        while data := await source.receive_some(READ_BYTES):
+            if writable:
+                writable = await try_send(target, data)
+        set_linger(target, CLOSE_IN_ORDER)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The request was given up: the upstream's connection is reset, too.
+        writable = False
+    scope.cancel()
+
+
+async def try_send(target: trio.SocketStream, data: bytes) -> bool:
+    """Send bytes; return whether the connection still takes some.
+
+    An upstream may have answered before it closed, so its answer is still read.
+    """
+    try:
+        await target.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return False
+    return True
+
+
+async def forward_answers(source: trio.SocketStream, target: trio.SocketStream) -> None:
+    """Forward the bytes of answers in frames, and their end only if the upstream has ended them."""
+    try:
+        while data := await source.receive_some(READ_BYTES):
+            await send_frame(target, data)
+        await send_frame(target, b"")
+        set_linger(target, CLOSE_IN_ORDER)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # The other router's connection is reset.
+        return
+
+
+def set_linger(stream: trio.SocketStream, linger: bytes) -> None:
+    """Set how closing a connection ends it, unless it is closed already."""
+    if stream.socket.fileno() >= 0:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
