--- a/features/steps/entry_fleet.py
+++ b/features/steps/entry_fleet.py
@@ -132,6 +132,8 @@
     def __init__(self):
         self.arrived = trio.Event()
         self.closed = False
+        # The connection is direct.
+        self.relay = None
 
     async def read(self):
         await self.arrived.wait()
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -1,7 +1,7 @@
 """The state and services that the tasks of one entry router share."""
 
 import random
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -22,6 +22,9 @@
 from skylarklift.entry.placement.health import Health
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.placement.upstream_progress import UpstreamProgress
+from skylarklift.entry.relays.dialer import Dialer
+from skylarklift.entry.relays.link_states import LinkStates
+from skylarklift.entry.relays.relay_choice import RelayChoice
 from skylarklift.entry.requests.buffer_budget import BufferBudget
 from skylarklift.entry.requests.connection_pool import ConnectionPool
 from skylarklift.entry.requests.header_codec import HeaderCodec
@@ -82,6 +85,8 @@
     connection_pool: ConnectionPool
     releases: Releases
     resumptions: Resumptions
+    links: LinkStates
+    dialer: Dialer
     buffers: BufferBudget
     descriptors: DescriptorShares
     rng: random.Random = field(default_factory=random.Random)
@@ -91,6 +96,8 @@
     releases_read: trio.Event = field(default_factory=trio.Event)
     stopping_since: Millis | None = None
     requests_open: int = 0
+    # Connections of other routers to upstreams that this one relays.
+    relays_open: int = 0
     accepts_callers: bool = False
     reading_store: dict[RowTable, bool] = field(
         default_factory=lambda: dict.fromkeys(RowTable, False)
@@ -172,7 +179,8 @@
 
     def make_room_for_attempts(self) -> None:
         """Close idle connections to upstreams that take the descriptors of running attempts."""
-        self.connection_pool.trim_idle(max(0, self.descriptors.upstreams - len(self.attempts)))
+        used = len(self.attempts) + self.relays_open
+        self.connection_pool.trim_idle(max(0, self.descriptors.upstreams - used))
 
     def forget_upstream(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
@@ -182,12 +190,23 @@
         self.progress.forget(replica)
         self.probes.pop(replica, None)
 
-    def record_hold_off(self, record: UpstreamRecord, span_ms: int) -> None:
-        """Record that an upstream wants no request from this router for some time."""
-        if self.chooser.hold_offs.record(record, span_ms):
+    def record_hold_off(
+        self, record: UpstreamRecord, span_ms: int, *, relayed: bool = False
+    ) -> None:
+        """Record that an upstream wants no request from this router, or its relay, for a time."""
+        if relayed:
+            self.state_changed.set()
+        if self.chooser.hold_offs.record(record, span_ms, relayed=relayed):
             self.metrics.increment("hold_offs", record.replica)
             self.event_log.write("upstream_hold_off", subject=record.replica, span_ms=span_ms)
 
+    def apply_hold_offs(self, hold_offs: Mapping[str, int]) -> None:
+        """Apply what upstreams said to the relays of another router, which this one may be."""
+        for replica, left_ms in hold_offs.items():
+            upstream = self.cluster_state.upstreams.get(ReplicaId(replica))
+            if upstream is not None and left_ms > 0:
+                self.record_hold_off(upstream.record, left_ms)
+
     def record_observed_load(self, choice: Choice, answered: ReplicaLoad) -> None:
         """Record the load that an upstream answered; report it to the others if it is busy."""
         if choice.busy_load <= 0:
@@ -279,6 +298,8 @@
         metrics, plan = self.metrics, self.cluster_state.plan
         metrics.set_gauge("plan_version", plan.version if plan else 0)
         metrics.set_gauge("requests_open", self.requests_open)
+        metrics.set_gauge("relays_open", self.relays_open)
+        metrics.set_gauge("links_cut", len(self.links.cut_zones()))
         metrics.set_gauge("connections_limit", self.descriptors.callers, "callers")
         metrics.set_gauge("routers_heard", len(self.fleet.live_peers()))
         metrics.set_gauge("upstreams_known", len(self.cluster_state.upstreams))
@@ -322,6 +343,10 @@
     fleet = Fleet(clock, settings.node)
     health = Health(clock)
     releases = Releases(clock)
+    rng = random.Random()
+    links, metrics = LinkStates(clock), Metrics()
+    relays = RelayChoice(clock, fleet, settings.zone, settings.regions, rng)
+    dialer = Dialer(clock, links, relays, event_log, metrics, rng)
     chooser = Chooser(
         clock,
         cluster_state,
@@ -338,7 +363,7 @@
         header_codec=header_codec,
         status_format=status_format,
         event_log=event_log,
-        metrics=Metrics(),
+        metrics=metrics,
         cluster_state=cluster_state,
         standstill=standstill,
         fleet=fleet,
@@ -348,9 +373,11 @@
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
         progress=UpstreamProgress(clock),
-        connection_pool=ConnectionPool(clock, cluster_state.suspect_restart),
+        connection_pool=ConnectionPool(clock, dialer, cluster_state.suspect_restart),
         releases=releases,
         resumptions=Resumptions(fleet, StreamOrigins(clock), releases),
+        links=links,
+        dialer=dialer,
         buffers=BufferBudget(settings.memory_mb),
         descriptors=divide_descriptors(descriptor_limit(settings.max_fds)),
     )
--- a/skylarklift/entry/crashes/crash_guard.py
+++ b/skylarklift/entry/crashes/crash_guard.py
@@ -8,7 +8,8 @@
 from skylarklift.entry.crashes.quarantine import Hold
 from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS, suspect_parts, suspects_of_call
 from skylarklift.entry.model import Call
-from skylarklift.entry.requests.attempt import Attempt, is_reachable
+from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.reachability import is_reachable
 from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from skylarklift.errors import OutcomeUnknown, Refusal
 from skylarklift.ids import Fingerprint
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -68,7 +68,9 @@
     busy upstreams have answered, `releases` the proportions of software versions, which were the
     newest ones `releases_age_ms` ago, `None` if that is not known.  `suspected_restarts` are the
     upstreams that have ended connections to the sender lately.  `store_restored` is true while the
-    sender has seen lately that the store was restored from a copy.
+    sender has seen lately that the store was restored from a copy.  `zone` is that of the sender,
+    `cut_zones` are the zones to whose upstreams it has lost its links, and `hold_offs` the
+    milliseconds for which upstreams want no request from a router that relays to them.
     """
 
     node: str
@@ -88,6 +90,9 @@
     releases_age_ms: int | None = None
     suspected_restarts: tuple[str, ...] = ()
     store_restored: bool = False
+    zone: str = ""
+    cut_zones: tuple[str, ...] = ()
+    hold_offs: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -35,6 +35,8 @@
 )
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.relays.relay_messages import is_relay_request
+from skylarklift.entry.relays.relay_server import RelayServer
 from skylarklift.entry.state.follower import fetch_rows, rows_for_request
 from skylarklift.entry.state.rows import MemberStore, RowTable, TableComparison, TableSummary
 from skylarklift.entry.versions.origin_messages import (
@@ -72,6 +74,7 @@
         self._gossip_turns, self._load_turns = Turns(), Turns()
         self._last_round_at = Millis(0)
         self._serving_count = 0
+        self._relay_server = RelayServer(core)
         for seed in core.settings.seeds:
             if seed != core.settings.peers:
                 core.fleet.add_seed(seed)
@@ -203,8 +206,12 @@
             observed_loads=core.chooser.observed_loads.reports(),
             releases=core.releases.reports(),
             releases_age_ms=core.releases.age_ms(),
-            suspected_restarts=tuple(state.seen_restarts()),
+            # Ends of connections show nothing of upstreams while a link of this router may be cut.
+            suspected_restarts=() if core.links.is_in_doubt() else tuple(state.seen_restarts()),
             store_restored=state.restored.is_settling(RowTable.UPSTREAMS),
+            zone=core.settings.zone,
+            cut_zones=core.links.cut_zones(),
+            hold_offs=core.chooser.hold_offs.relayed_ms(),
         )
 
     # Receiving.
@@ -284,6 +291,7 @@
             if doubted and not core.health.maybe_restarted(replica):
                 core.event_log.write("upstream_doubted", subject=replica, source=message.node)
             core.health.apply_reported_ejection(replica, left_ms, maybe_restarted=doubted)
+        core.apply_hold_offs(message.hold_offs)
         core.apply_limit_reports(message.limits, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
@@ -324,7 +332,20 @@
         finally:
             self._core.row_fetches.end(table, peer.node)
 
-    async def serve_rows(self, stream: trio.SocketStream) -> None:
+    async def serve(self, stream: trio.SocketStream) -> None:
+        """Serve a connection of another router, which asks for rows or to be its relay."""
+        core = self._core
+        try:
+            with trio.fail_after(ROWS_TIMEOUT_MS / MS_PER_SECOND):
+                body = await receive_frame(stream, MAX_ROW_REQUEST_BYTES)
+            if body is not None and is_relay_request(body):
+                await self._relay_server.serve(stream, body)
+            elif body is not None:
+                await self.serve_rows(stream, body)
+        except (PeerError, OSError, trio.TooSlowError, trio.BrokenResourceError) as exc:
+            core.event_log.write("peer_serve_failed", cause=repr(exc))
+
+    async def serve_rows(self, stream: trio.SocketStream, body: bytes) -> None:
         """Send the requested rows to another router, unless too many requests are in progress.
 
         A router that gets no answer requests the rows from another one, which may have received
@@ -333,8 +354,7 @@
         core = self._core
         try:
             with trio.fail_after(ROWS_TIMEOUT_MS / MS_PER_SECOND):
-                body = await receive_frame(stream, MAX_ROW_REQUEST_BYTES)
-                if body is not None and self._serving_count < MAX_CONCURRENT_ROW_REQUESTS:
+                if self._serving_count < MAX_CONCURRENT_ROW_REQUESTS:
                     self._serving_count += 1
                     try:
                         await send_frame(stream, rows_for_request(core, body))
--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -24,6 +24,9 @@
         ejected={
             replica: max(0, left_ms - waited_ms) for replica, left_ms in message.ejected.items()
         },
+        hold_offs={
+            replica: max(0, left_ms - waited_ms) for replica, left_ms in message.hold_offs.items()
+        },
         limits=tuple(
             replace(report, age_ms=report.age_ms + waited_ms) for report in message.limits
         ),
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -42,6 +42,9 @@
 DEADLINES_KEY = "deadlines"
 SUSPECTED_RESTARTS_KEY = "suspected_restarts"
 STORE_RESTORED_KEY = "store_restored"
+ZONE_KEY = "zone"
+CUT_ZONES_KEY = "cut_zones"
+HOLD_OFFS_KEY = "hold_offs"
 COMPRESSION_LEVEL = 1
 
 
@@ -72,6 +75,9 @@
                 RELEASES_AGE_KEY: message.releases_age_ms,
                 SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
                 STORE_RESTORED_KEY: message.store_restored,
+                ZONE_KEY: message.zone,
+                CUT_ZONES_KEY: message.cut_zones,
+                HOLD_OFFS_KEY: message.hold_offs,
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
@@ -123,6 +129,12 @@
                 checked_text(name) for name in extras.get(SUSPECTED_RESTARTS_KEY, ())
             ),
             store_restored=bool(extras.get(STORE_RESTORED_KEY, False)),
+            zone=checked_text(extras.get(ZONE_KEY, "")),
+            cut_zones=tuple(checked_text(name) for name in extras.get(CUT_ZONES_KEY, ())),
+            hold_offs={
+                checked_text(name): _checked_age(left)
+                for name, left in extras.get(HOLD_OFFS_KEY, {}).items()
+            },
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
         )
--- a/skylarklift/entry/placement/hold_offs.py
+++ b/skylarklift/entry/placement/hold_offs.py
@@ -14,10 +14,14 @@
 
 @dataclass(frozen=True, slots=True)
 class HoldOff:
-    """Until when an upstream that started at `started_ms` wants no request."""
+    """Until when an upstream that started at `started_ms` wants no request.
+
+    `relayed` is whether it said so to the relay of this router, so that others are to know.
+    """
 
     started_ms: int
     until: Millis
+    relayed: bool = False
 
 
 class HoldOffs:
@@ -27,7 +31,7 @@
         self._clock = clock
         self._hold_offs: dict[ReplicaId, HoldOff] = {}
 
-    def record(self, record: UpstreamRecord, span_ms: int) -> bool:
+    def record(self, record: UpstreamRecord, span_ms: int, *, relayed: bool = False) -> bool:
         """Record that an upstream wants nothing for a time; return whether it had not said so."""
         self._expire()
         now = self._clock.now()
@@ -37,7 +41,8 @@
             until = max(known.until, until)
         else:
             known = None
-        self._hold_offs[record.replica] = HoldOff(record.started_ms, until)
+        relayed = relayed or (known is not None and known.relayed)
+        self._hold_offs[record.replica] = HoldOff(record.started_ms, until, relayed)
         return known is None
 
     def active(self, members: Mapping[ReplicaId, Upstream]) -> set[ReplicaId]:
@@ -65,6 +70,15 @@
         now = self._clock.now()
         return {replica: item.until - now for replica, item in self._hold_offs.items()}
 
+    def relayed_ms(self) -> dict[ReplicaId, int]:
+        """Return the time left of what upstreams said to relays of this router."""
+        now = self._clock.now()
+        return {
+            replica: item.until - now
+            for replica, item in self._hold_offs.items()
+            if item.relayed and item.until > now
+        }
+
     def _expire(self) -> None:
         """Drop what is over."""
         now = self._clock.now()
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -11,6 +11,8 @@
 from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Endpoint, NodeSettings
+from skylarklift.entry.relays.link_probes import LinkProbes
+from skylarklift.entry.relays.relay_server import DESCRIPTORS_EACH
 from skylarklift.entry.requests.serving import (
     CallerServer,
     MonitoringServer,
@@ -68,6 +70,7 @@
             start(self._peering.send_observed_loads)
             start(self._peering.send_origins)
             start(self._peering.join)
+            start(LinkProbes(core).run)
             start(self._release_sync.run)
             for table in RowTable:
                 start(Follower(core, self._rows, table).run)
@@ -91,8 +94,8 @@
         return [
             self._make_acceptor(
                 settings.peers,
-                self._peering.serve_rows,
-                max_open=lambda: self._core.descriptors.routers,
+                self._peering.serve,
+                max_open=self._max_peer_connections,
             ),
             self._make_acceptor(settings.readiness, monitor),
             self._make_acceptor(metrics, monitor),
@@ -104,6 +107,11 @@
             ),
         ]
 
+    def _max_peer_connections(self) -> int:
+        """Return the limit on connections of other routers; most are relayed to upstreams."""
+        descriptors = self._core.descriptors
+        return descriptors.routers + descriptors.upstreams // DESCRIPTORS_EACH
+
     def _make_acceptor(self, address: Endpoint, serve: Serve, **callbacks) -> Acceptor:
         """Return what accepts connections at one address."""
         core = self._core
@@ -170,7 +178,8 @@
         """Wait until all requests have completed, within the grace period, then leave the fleet."""
         core = self._core
         while core.stopping_ms() < core.settings.bounds.drain_ms():
-            if core.stopping_ms() >= MIN_STOPPING_MS and not core.requests_open:
+            busy = core.requests_open or core.relays_open
+            if core.stopping_ms() >= MIN_STOPPING_MS and not busy:
                 break
             await trio.sleep(20 / MS_PER_SECOND)
         # Deregister last: while this router serves requests, it uses its share of the fleet's
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -7,7 +7,7 @@
 import trio
 
 from skylarklift.clock import Millis
-from skylarklift.entry.core import Core, Probe
+from skylarklift.entry.core import Core
 from skylarklift.entry.crashes.crash_evidence import Suspect
 from skylarklift.entry.model import Call, ResponseHead, SendOptions
 from skylarklift.entry.placement.choice import Choice
@@ -18,9 +18,9 @@
     MAX_RESPONSES_READ,
     NO_BODY_STATUSES,
     HttpConnection,
-    connect,
 )
 from skylarklift.entry.requests.process_identity import Identity, compare_start
+from skylarklift.entry.requests.reachability import is_reachable
 from skylarklift.entry.requests.retry_state import Outcome
 from skylarklift.entry.requests.second_connection import SecondConnection
 from skylarklift.errors import (
@@ -32,9 +32,6 @@
     TransportError,
 )
 
-PROBE_TIMEOUT_MS = 250
-# The result of a probe is reused for this long.
-PROBE_TTL_MS = 300
 # A request that crashes its upstream does so when it begins to run, which its first events may
 # precede by a little.
 SETTLED_ANSWER_MS = 500
@@ -89,7 +86,7 @@
         # Whose process the connection is to, `None` if it was not asked.
         self.identity: Identity | None = None
         self._served_recorded = False
-        self.second_connection = SecondConnection(core.clock, self.record)
+        self.second_connection = SecondConnection(core.clock, core.dialer, self.record)
         self.conn: HttpConnection | None = None
         self.head: ResponseHead | None = None
         self.outcome = Outcome.NOT_SENT
@@ -210,7 +207,7 @@
         if head.load is not None:
             core.record_observed_load(self.choice, head.load)
         if head.hold_off_ms:
-            core.record_hold_off(self.record, head.hold_off_ms)
+            core.record_hold_off(self.record, head.hold_off_ms, relayed=self.relayed)
         if not head.limit_unreadable:
             core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
@@ -309,6 +306,8 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
+        if self.core.links.any_doubt and not self.relayed:
+            self.core.links.record_answer(self.record)
         if self.has_settled():
             self.record_served()
         if self.answered_at is None:
@@ -327,7 +326,7 @@
         """Return the connection to the pool after a complete response."""
         self.record_served()
         self._response_read = True
-        self.core.connection_pool.release(self.record.replica, self.conn, self.head.keep_alive_ms)
+        self.core.connection_pool.release(self.record, self.conn, self.head.keep_alive_ms)
 
     def report_signal(self, signal: HealthSignal) -> None:
         """Report the result of the attempt to the upstream's health record.
@@ -350,8 +349,11 @@
                 id=self.call.request,
             )
 
-    def record_failure(self, exc: TransportError) -> None:
-        """Set the outcome for a failed connection or response, and report the failure."""
+    async def record_failure(self, exc: TransportError) -> None:
+        """Set the outcome for a failed connection or response, and report the failure.
+
+        What this router's own link, or the router that relays, has done is not the upstream's.
+        """
         self.detail = str(exc)
         if isinstance(exc, LocalShortage):
             self.outcome = Outcome.NOT_SENT
@@ -364,6 +366,10 @@
             self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
+            if isinstance(exc, ResponseBroken) and await self._is_link_at_fault():
+                self.core.metrics.increment("broken_by_links")
+                self.detail = f"{self.detail}; not the upstream, but the way to it"
+                return
             if isinstance(exc, ResponseBroken) and not self.aborted:
                 self.core.cluster_state.suspect_restart(self.record.replica)
                 self.core.state_changed.set()
@@ -371,30 +377,21 @@
                 HealthSignal.BROKEN if isinstance(exc, ResponseBroken) else HealthSignal.FAILED
             )
 
+    @property
+    def relayed(self) -> bool:
+        """Return whether the connection is relayed by another router."""
+        return self.conn is not None and self.conn.relay is not None
 
-async def is_reachable(
-    core: Core, attempt: Attempt, since: Millis | None = None, *, if_unknown: bool = True
-) -> bool:
-    """Return whether an upstream that is silent or broke off still accepts connections.
+    def is_on_lost_link(self) -> bool:
+        """Return whether the connection is over a link of this router that brings nothing."""
+        lost = self.core.links.open_connections_are_lost(self.record)
+        return lost and self.conn is not None and not self.relayed
 
-    That it did before `since` does not count.  Return `if_unknown` if this router itself lacks
-    what a connection needs.
-    """
-    record = attempt.record
-    known = core.probes.get(record.replica)
-    if known is not None and core.clock.now() - known.probed_at < PROBE_TTL_MS:
-        if not known.alive or since is None or known.probed_at >= since:
-            return known.alive
-    try:
-        stream = await connect(record.host, record.port, PROBE_TIMEOUT_MS)
-        stream.socket.close()
-        alive = True
-    except LocalShortage as exc:
-        attempt.detail = f"{attempt.detail}; {exc}"
-        return if_unknown
-    except ConnectFailed as exc:
-        attempt.detail = f"{attempt.detail}; {exc}"
-        attempt.report_signal(HealthSignal.UNREACHABLE)
-        alive = False
-    core.probes[record.replica] = Probe(core.clock.now(), alive)
-    return alive
+    async def _is_link_at_fault(self) -> bool:
+        """Return whether an answer broke off though its upstream is reached by other ways only."""
+        core = self.core
+        if self.relayed:
+            return self.conn.was_reset
+        with trio.CancelScope(shield=True):
+            alive = await is_reachable(core, self, since=core.clock.now())
+        return alive and core.links.is_cut(self.record)
--- a/skylarklift/entry/requests/connection_pool.py
+++ b/skylarklift/entry/requests/connection_pool.py
@@ -6,7 +6,9 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import UpstreamRecord
-from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.relays.dialer import Dialer
+from skylarklift.entry.relays.link_states import LinkStates
+from skylarklift.entry.requests.http_connection import HttpConnection
 from skylarklift.errors import LocalShortage
 from skylarklift.ids import ReplicaId
 
@@ -28,6 +30,7 @@
     """An idle connection, with the time of its last use and the time until it may be reused."""
 
     conn: HttpConnection
+    record: UpstreamRecord
     idle_since: Millis
     expires_at: Millis
 
@@ -38,8 +41,9 @@
     `on_early_end` is called for an upstream that has ended one before its time.
     """
 
-    def __init__(self, clock: Clock, on_early_end: Callable[[ReplicaId], None]):
+    def __init__(self, clock: Clock, dialer: Dialer, on_early_end: Callable[[ReplicaId], None]):
         self._clock = clock
+        self._dialer = dialer
         self._on_early_end = on_early_end
         self._searched_at = Millis(0)
         self._idle: dict[ReplicaId, deque[IdleConnection]] = {}
@@ -56,11 +60,11 @@
         if conn is not None:
             return conn
         try:
-            stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
+            stream = await self._dialer.dial(record, CONNECT_TIMEOUT_MS)
         except LocalShortage:
             if not self.trim_idle(0):
                 raise
-            stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
+            stream = await self._dialer.dial(record, CONNECT_TIMEOUT_MS)
         conn = HttpConnection(stream, f"{record.host}:{record.port}")
         conn.connected_at = self._clock.now()
         return conn
@@ -73,7 +77,7 @@
             if recently_used and now - idle[-1].idle_since > RECENT_USE_MS:
                 return None
             item = idle.pop()
-            if item.expires_at > now:
+            if item.expires_at > now and self._dialer.may_use(item.conn.relay, item.record):
                 if item.conn.has_no_input():
                     return item.conn
                 self._on_early_end(replica)
@@ -97,20 +101,22 @@
                 idle.remove(item)
                 item.conn.close()
 
-    def release(self, replica: ReplicaId, conn: HttpConnection, keep_alive_ms: int | None) -> None:
+    def release(
+        self, record: UpstreamRecord, conn: HttpConnection, keep_alive_ms: int | None
+    ) -> None:
         """Keep a connection for reuse after a complete response, or close it."""
-        if not conn.prepare_next_request():
+        if not conn.prepare_next_request() or not self._dialer.may_use(conn.relay, record):
             conn.close()
             return
         span = (
             DEFAULT_KEEP_ALIVE_MS if keep_alive_ms is None else keep_alive_ms
         ) - KEEP_ALIVE_MARGIN_MS
-        idle = self._idle.setdefault(replica, deque())
+        idle = self._idle.setdefault(record.replica, deque())
         if span <= 0 or len(idle) >= MAX_IDLE_PER_UPSTREAM:
             conn.close()
             return
         now = self._clock.now()
-        idle.append(IdleConnection(conn, now, Millis(now + span)))
+        idle.append(IdleConnection(conn, record, now, Millis(now + span)))
 
     def trim_idle(self, limit: int) -> int:
         """Close idle connections, the longest unused first, down to a limit; return how many."""
@@ -133,9 +139,26 @@
         for replica, idle in list(self._idle.items()):
             while idle and idle[0].expires_at <= now:
                 idle.popleft().conn.close()
+            self._close_relayed(idle)
             if not idle:
                 del self._idle[replica]
 
+    def _close_relayed(self, idle: deque[IdleConnection]) -> None:
+        """Close the relayed connections whose relay ends soon or is no longer needed."""
+        for item in list(idle):
+            relay = item.conn.relay
+            if relay is not None and not self._dialer.may_use(relay, item.record):
+                idle.remove(item)
+                item.conn.close()
+
+    def close_lost(self, links: LinkStates) -> None:
+        """Close the idle direct connections over a link that brings nothing any more."""
+        for idle in self._idle.values():
+            for item in list(idle):
+                if item.conn.relay is None and links.open_connections_are_lost(item.record):
+                    idle.remove(item)
+                    item.conn.abort()
+
     def close_idle(self, replica: ReplicaId) -> None:
         """Close all idle connections to an upstream."""
         for item in self._idle.pop(replica, ()):
--- a/skylarklift/entry/requests/http_connection.py
+++ b/skylarklift/entry/requests/http_connection.py
@@ -9,8 +9,10 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.model import Headers, ProcessStart
+from skylarklift.entry.relays.relayed_stream import RelayedStream
 from skylarklift.errors import (
     ConnectFailed,
+    ConnectTimeout,
     LocalShortage,
     ResponseBroken,
     ResponseInvalid,
@@ -45,6 +47,10 @@
 BODY_METHODS = (b"POST", b"PUT", b"PATCH")
 
 
+# A connection that this process has made itself, or one that another router relays.
+UpstreamStream = trio.SocketStream | RelayedStream
+
+
 async def connect(host: str, port: int, timeout_ms: int) -> trio.SocketStream:
     """Return a connection to an IPv4 address; raise `ConnectFailed`."""
     try:
@@ -65,15 +71,16 @@
 
 def _connect_error(host: str, port: int, exc: OSError | trio.TooSlowError) -> ConnectFailed:
     """Return the error for a connection that failed: only some failures are the other side's."""
-    is_local = isinstance(exc, OSError) and exc.errno in LOCAL_CONNECT_ERRORS
-    kind = LocalShortage if is_local else ConnectFailed
+    kind = ConnectTimeout
+    if isinstance(exc, OSError):
+        kind = LocalShortage if exc.errno in LOCAL_CONNECT_ERRORS else ConnectFailed
     return kind(f"{host}:{port}: {type(exc).__name__} {exc}")
 
 
 class HttpConnection:
     """A connection to an upstream, to the store, or to a router's metrics address."""
 
-    def __init__(self, stream: trio.SocketStream, authority: str):
+    def __init__(self, stream: UpstreamStream, authority: str):
         # When the connection was made, if it is one of a pool.
         self.connected_at = Millis(0)
         # What the process behind it has said of itself, `None` if it was not asked.
@@ -88,11 +95,18 @@
         self._peeked: h11.Event | None = None
         # Whether only the end of the connection ends the current response.
         self.ends_with_connection = False
+        # Whether it ended by a reset, in place of the other side's orderly end.
+        self.was_reset = False
         # Whether an earlier request was sent on the connection.
         self.reused = False
         # The bytes of the current response's body that count towards a limit.
         self.counted_bytes = 0
 
+    @property
+    def relay(self) -> str | None:
+        """Return the router that relays the connection, `None` for a direct one."""
+        return self._stream.relay if isinstance(self._stream, RelayedStream) else None
+
     async def send(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> None:
         """Send a request, up to `MAX_FIRST_WRITE_BYTES`; `send_remaining_body` sends the rest."""
         framed = list(headers)
@@ -227,7 +241,7 @@
         try:
             data = await self._stream.receive_some(READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            self._must_close = True
+            self._must_close = self.was_reset = True
             raise ResponseBroken("connection reset") from exc
         if not data:
             self._eof_received = True
@@ -250,10 +264,14 @@
     def has_no_input(self) -> bool:
         """Return whether the idle connection has received neither data nor an end of stream."""
         try:
-            return not self._stream.socket.is_readable()
+            return not (self._holds_input() or self._stream.socket.is_readable())
         except (OSError, ValueError):
             return False
 
+    def _holds_input(self) -> bool:
+        """Return whether a relayed connection has brought more than was read."""
+        return isinstance(self._stream, RelayedStream) and self._stream.holds_input
+
     def abort(self) -> None:
         """Reset the connection, so that what the other side has not read yet is discarded."""
         self._must_close = True
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -306,12 +306,13 @@
             attempt.detail = "no complete response in time"
             if attempt.outcome is not Outcome.NOT_SENT:
                 attempt.outcome = Outcome.SILENT
-                if core.clock.now() - self.call.received_at >= MIN_TIMEOUT_FAILURE_MS:
+                lasted_ms = core.clock.now() - self.call.received_at
+                if lasted_ms >= MIN_TIMEOUT_FAILURE_MS and not attempt.is_on_lost_link():
                     attempt.report_signal(HealthSignal.FAILED)
             return 0
         except TransportError as exc:
             if not attempt.withdrawn:
-                attempt.record_failure(exc)
+                await attempt.record_failure(exc)
                 await self.crash_guard.check_for_crash(attempt)
                 self.stream_version.record_failure(exc)
             return 0
--- a/skylarklift/entry/requests/second_connection.py
+++ b/skylarklift/entry/requests/second_connection.py
@@ -6,7 +6,8 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import UpstreamRecord
-from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.relays.dialer import Dialer
+from skylarklift.entry.requests.http_connection import HttpConnection, UpstreamStream
 from skylarklift.errors import ConnectFailed
 
 CONNECT_TIMEOUT_MS = 250
@@ -19,8 +20,9 @@
     ends with the answer's if their link is closed.
     """
 
-    def __init__(self, clock: Clock, record: UpstreamRecord):
+    def __init__(self, clock: Clock, dialer: Dialer, record: UpstreamRecord):
         self._clock = clock
+        self._dialer = dialer
         self._record = record
         self._wanted = trio.Event()
         self._opened = trio.Event()
@@ -37,7 +39,7 @@
         await self._wanted.wait()
         record = self._record
         try:
-            stream = await connect(record.host, record.port, CONNECT_TIMEOUT_MS)
+            stream = await self._dialer.dial(record, CONNECT_TIMEOUT_MS)
         except ConnectFailed:
             # Without the connection nothing shows that the process lives.
             self._opened.set()
@@ -51,7 +53,7 @@
         finally:
             conn.abort()
 
-    async def _wait_for_end(self, stream: trio.SocketStream) -> None:
+    async def _wait_for_end(self, stream: UpstreamStream) -> None:
         """Note the end of the connection, unless it is taken before."""
         with self._reading:
             with suppress(trio.BrokenResourceError):
--- a/skylarklift/entry/requests/silence.py
+++ b/skylarklift/entry/requests/silence.py
@@ -7,8 +7,9 @@
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.placement.upstream_progress import Silence
-from skylarklift.entry.requests.attempt import Attempt, is_reachable
+from skylarklift.entry.requests.attempt import Attempt
 from skylarklift.entry.requests.caller_connection import CallerDisconnected
+from skylarklift.entry.requests.reachability import is_reachable
 from skylarklift.errors import RequestError, ResponseBroken, TransportError
 
 MIN_CHECK_INTERVAL_MS = 100
@@ -122,14 +123,15 @@
         cause = core.progress.classify(
             attempt.record.replica, attempt.route_name, timer.silent_since()
         )
-        if alive and (cause is Silence.SLOW or not attempt.repeatable):
+        lost = attempt.is_on_lost_link()
+        if (alive and cause is Silence.SLOW and not lost) or (alive and not attempt.repeatable):
             continue
         core.event_log.write(
             "upstream_silent",
             id=attempt.call.request,
             upstream=attempt.record.replica,
             reached=alive,
-            cause=cause.value,
+            cause="lost_link" if lost else cause.value,
             aborted=attempt.repeatable,
         )
         if attempt.repeatable:
