--- a/features/steps/entry_version_choice.py
+++ b/features/steps/entry_version_choice.py
@@ -1,6 +1,6 @@
 """Steps for which replicas may take a stream of a software version."""
 
-from unittest.mock import Mock
+from unittest.mock import Mock, patch
 
 import trio
 from behave import given, then, when
@@ -87,9 +87,10 @@
 
 def end_idle_connection(context, after_ms):
     """Let r0 end an idle connection, and the router look at it some time after its last use."""
-    conn = Mock(HttpConnection)
-    pool = context.core.connection_pool
-    pool.release("r0", conn, None)
+    conn = Mock(HttpConnection, relay=None)
+    core = context.core
+    pool = core.connection_pool
+    pool.release(core.cluster_state.upstreams["r0"].record, conn, None)
     context.clock.advance(after_ms)
     conn.has_no_input.return_value = False
     pool.find_early_ends()
@@ -97,8 +98,10 @@
 
 def break_off(context, *replicas):
     """Let a connection to each replica end within an answer."""
-    for replica in replicas:
-        attempt_at(context.core, replica).record_failure(ResponseBroken("closed"))
+    with patch("skylarklift.entry.requests.attempt.is_reachable", return_value=True):
+        for replica in replicas:
+            attempt = attempt_at(context.core, replica)
+            trio.run(attempt.record_failure, ResponseBroken("closed"))
 
 
 def attempt_at(core, replica):
--- a/features/steps/process_descriptors.py
+++ b/features/steps/process_descriptors.py
@@ -170,7 +170,7 @@
             async with attempt.open():
                 await attempt.send()
         except TransportError as exc:
-            attempt.record_failure(exc)
+            await attempt.record_failure(exc)
         return attempt
 
     context.attempt = trio.run(send)
