--- /dev/null
+++ b/features/silent_replicas.feature
@@ -0,0 +1,35 @@
+Feature: Replicas that fall silent for a second or so and go on
+
+  That is no disruption: nothing is ejected, run again or broken off that would have gone on.
+
+  Scenario Outline: <silent> of 3 replicas <how> for <span> ms while requests to "<path>" of <work> ms run
+    Given a router before 3 replicas as processes, whose answers to "<path>" take <work> ms
+    When requests to "<path>" are sent, one each 40 ms, and <silent> replicas <how> for <span> ms
+    Then all requests were answered completely with 200
+    And each request ran once at the processes
+    And the router ejected no replica and suspected no crash
+
+    Examples: A suspended process, whose kernel accepts connections
+      | silent | how               | span | path      | work |
+      | 1      | are suspended     | 1000 | /chat/a   | 900  |
+      | 1      | are suspended     | 1400 | /chat/a   | 900  |
+      | 2      | are suspended     | 1400 | /chat/a   | 900  |
+      | 3      | are suspended     | 1400 | /chat/a   | 900  |
+      | 1      | are suspended     | 1400 | /once/a   | 900  |
+      | 1      | are suspended     | 1400 | /check/a  | 300  |
+      | 2      | are suspended     | 1400 | /check/a  | 300  |
+      | 3      | are suspended     | 1400 | /check/a  | 300  |
+      | 1      | are suspended     | 1400 | /check/a  | 900  |
+      | 3      | are suspended     | 1400 | /redeem/a | 900  |
+
+    Examples: A network that delivers nothing
+      | silent | how               | span | path      | work |
+      | 1      | cannot be reached | 1000 | /chat/a   | 900  |
+      | 1      | cannot be reached | 1400 | /chat/a   | 900  |
+      | 2      | cannot be reached | 1400 | /chat/a   | 900  |
+      | 3      | cannot be reached | 1400 | /chat/a   | 900  |
+      | 1      | cannot be reached | 1400 | /once/a   | 900  |
+      | 1      | cannot be reached | 1400 | /check/a  | 300  |
+      | 2      | cannot be reached | 1400 | /check/a  | 300  |
+      | 3      | cannot be reached | 1400 | /check/a  | 300  |
+      | 1      | cannot be reached | 1400 | /redeem/a | 900  |
