--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -137,8 +137,12 @@
 
     async def _forward_events(self, attempt: Attempt, timer: SilenceTimer) -> int:
         """Forward complete events in order, each once; raise `TransportError`."""
+        splitter = EventSplitter()
         with self._buffers.open_share() as share:
-            await self._forward_each_event(attempt, timer, share)
+            try:
+                await self._forward_each_event(attempt, timer, splitter, share)
+            finally:
+                splitter.drop()
         await attempt.check_end()
         if not self._is_end_certain(attempt):
             attempt.outcome = Outcome.UNCONFIRMED
@@ -188,10 +192,9 @@
         }
 
     async def _forward_each_event(
-        self, attempt: Attempt, timer: SilenceTimer, share: BufferShare
+        self, attempt: Attempt, timer: SilenceTimer, splitter: EventSplitter, share: BufferShare
     ) -> None:
         """Forward events until the upstream ends the stream; charge incomplete ones to `share`."""
-        splitter = EventSplitter()
         counted_before = 0
         self._position.start_run(continuing=self._retry_state.forwarded)
         timer.record_progress()
--- a/skylarklift/upstreams/events.py
+++ b/skylarklift/upstreams/events.py
@@ -69,6 +69,10 @@
         self._searched = max(0, len(buffer) - LONGEST_END_BYTES + 1)
         return events
 
+    def drop(self) -> None:
+        """Free the buffer: a failure that is still handled may refer to this splitter."""
+        self._buffer = bytearray()
+
     def finish(self) -> list[StreamEvent]:
         """Return the event that only the end of the stream shows to be complete, if any."""
         if _find_event_end(self._buffer, self._searched) < 0:
