--- a/features/entry_silence.feature
+++ b/features/entry_silence.feature
@@ -20,6 +20,9 @@
       | 100>300,200>400,300>500                          | 1000 | answer_lost |
       | other:100>300,other:200>400,other:300>500        | 1100 | slow        |
       | -100>200,100>300,200>400,300>2500                | 3000 | answer_lost |
+      | -100>50,100>1450,200>1450,300>1450               | 1500 | slow        |
+      | -100>50,100>1450,200>1450,300>1450               | 2350 | slow        |
+      | -100>50,100>1450,200>1450,300>1450               | 2400 | answer_lost |
 
   Scenario: Work that takes longer than that of later requests is not run again
     Given a store, two replicas of each service, and a router
--- a/features/silent_replicas.feature
+++ b/features/silent_replicas.feature
@@ -33,3 +33,18 @@
       | 2      | cannot be reached | 1400 | /check/a  | 300  |
       | 3      | cannot be reached | 1400 | /check/a  | 300  |
       | 1      | cannot be reached | 1400 | /redeem/a | 900  |
+
+  # Guards against a tolerance that leaves requests at a replica that does not come back.
+  Scenario Outline: Requests leave a replica of 3 that <how> for good
+    Given a router before 3 replicas as processes, whose answers to "<path>" take <work> ms
+    When requests to "<path>" are sent, one each 40 ms, and 1 replicas <how> for 4000 ms
+    Then all requests were answered completely with 200
+    And each of them took at most 3500 ms
+    And the router ejected the silent replica within 3500 ms of its silence
+
+    Examples:
+      | how               | path     | work |
+      | are suspended     | /chat/a  | 900  |
+      | cannot be reached | /chat/a  | 900  |
+      | are suspended     | /check/a | 300  |
+      | cannot be reached | /check/a | 300  |
--- a/features/steps/silent_replicas.py
+++ b/features/steps/silent_replicas.py
@@ -4,6 +4,7 @@
 import socket
 import subprocess
 import sys
+import time
 from collections import Counter
 from dataclasses import dataclass
 from pathlib import Path
@@ -24,6 +25,7 @@
 BEFORE_SILENCE_S = 0.6
 AFTER_SILENCE_S = 0.6
 VERSIONS_KNOWN_S = 1.5
+LOG_POLL_S = 0.05
 FAULT_EVENTS = ("upstream_ejected", "crash_suspected", "upstream_doubted")
 
 
@@ -86,16 +88,18 @@
 
 @when('requests to "{path}" are sent, one each 40 ms, and {count:d} replicas {how} for {span:d} ms')
 def send_beside_silence(context, path, count, how, span):
-    context.responses = {}
+    context.responses, context.took_ms = {}, {}
     silent = context.processes[:count]
 
     async def send(name):
         headers = {"x-prefix-hash": f"{name}a:50,{name}b:40,{name}c:10"}
         if not path.startswith(STREAM_PREFIXES):
             headers = {}
+        started = time.monotonic()
         context.responses[name] = await context.world.call(
             context.router, path, request_id=name, headers=headers, deadline_ms=10_000
         )
+        context.took_ms[name] = (time.monotonic() - started) * 1000
 
     async def send_all(nursery, span_s):
         number = 0
@@ -111,6 +115,7 @@
         async with trio.open_nursery() as nursery:
             await send_all(nursery, BEFORE_SILENCE_S)
             fillers = fall_silent(silent, how)
+            nursery.start_soon(note_ejection, context, span / 1000)
             try:
                 await send_all(nursery, span / 1000)
             finally:
@@ -120,6 +125,17 @@
     context.thread.run(run)
 
 
+async def note_ejection(context, span_s):
+    """Note how long after now the router ejects a replica, if it does within a time."""
+    started = time.monotonic()
+    context.ejected_ms = None
+    while time.monotonic() - started < span_s:
+        if any(line["event"] == "upstream_ejected" for line in context.router.lines()):
+            context.ejected_ms = (time.monotonic() - started) * 1000
+            return
+        await trio.sleep(LOG_POLL_S)
+
+
 def fall_silent(processes, how):
     """Suspend the processes, and let their kernels accept no more if they cannot be reached."""
     for item in processes:
@@ -169,3 +185,15 @@
 def nothing_ejected(context):
     lines = [line for line in context.router.lines() if line.get("event") in FAULT_EVENTS]
     assert not lines, lines[:4]
+
+
+@then("each of them took at most {span:d} ms")
+def took_at_most(context, span):
+    assert max(context.took_ms.values()) <= span, max(context.took_ms.values())
+
+
+@then("the router ejected the silent replica within {span:d} ms of its silence")
+def ejected_within(context, span):
+    lines = [line for line in context.router.lines() if line["event"] == "upstream_ejected"]
+    assert lines and {line["upstream"][-2:] for line in lines} == {"-1"}, lines
+    assert context.ejected_ms is not None and context.ejected_ms <= span, context.ejected_ms
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -195,8 +195,9 @@
         excluded = held_off.union(tried)
         if not self._without(usable, excluded):
             return NoUpstream.TRIED
-        blocked = self._health.blocked()
-        healthy = self._without(usable, blocked | excluded)
+        blocked = self._health.blocked() | excluded
+        avoided = self._health.unanswered.avoided()
+        healthy = self._without(usable, blocked | avoided) or self._without(usable, blocked)
         if healthy:
             return healthy
         # If all upstreams are ejected, one that was reachable last time is better than none.
--- a/skylarklift/entry/placement/health.py
+++ b/skylarklift/entry/placement/health.py
@@ -10,6 +10,7 @@
 from enum import Enum
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.placement.unanswered import Unanswered
 from skylarklift.ids import ReplicaId
 
 FAILURES_TO_EJECT = 3
@@ -61,6 +62,7 @@
         self._records: dict[ReplicaId, UpstreamHealth] = {}
         # Those that may be blocked: few, so that a choice need not look at all upstreams.
         self._ejected_before: set[ReplicaId] = set()
+        self.unanswered = Unanswered(clock)
 
     def record_result(
         self, replica: ReplicaId, signal: HealthSignal, others: Iterable[ReplicaId] = ()
@@ -189,3 +191,4 @@
         """Drop the record of a removed upstream."""
         self._records.pop(replica, None)
         self._ejected_before.discard(replica)
+        self.unanswered.record_answer(replica)
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -40,8 +40,6 @@
 SETTLED_ANSWER_MS = 500
 # An answer that has lasted this long makes its request less suspect.
 STARTED_ANSWER_MS = 80
-# Decimals of a mean load in the log.
-LOGGED_DECIMALS = 2
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 # Statuses by which a caller concludes that the request did not run.
@@ -103,6 +101,8 @@
         self.answered_at: Millis | None = None
         self._sent_at = self._started_at = core.clock.now()
         self._response_read = False
+        # Whether no connection was made in time, which a sound upstream's silence may explain.
+        self.silence_tolerated = False
 
     @asynccontextmanager
     async def open(self):
@@ -159,9 +159,12 @@
             new=self._sent_before or resumes,
         )
         try:
-            return await opener.open(self._check)
+            conn = await opener.open(self._check)
         finally:
             self.identity = opener.identity
+        if not conn.reused:
+            self.core.health.unanswered.record_answer(self.record.replica)
+        return conn
 
     def _current_options(self) -> SendOptions:
         """Return the options, with what is left of the time now that the connection is open."""
@@ -214,16 +217,6 @@
         if not head.limit_unreadable:
             core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
-    def load_fields(self) -> dict[str, float | None]:
-        """Return, for the log, the load that the choice assumed and the one that was answered."""
-        choice, observed = self.choice, self.head.load if self.head else None
-        return {
-            "load": choice.load,
-            "mean": round(choice.mean, LOGGED_DECIMALS),
-            "load_age_ms": choice.load_age_ms,
-            "observed_load": None if observed is None else observed.running + observed.waiting,
-        }
-
     def answer_fields(self) -> dict[str, int | str | list[int] | None]:
         """Return, for the log, the age and framing of the answer, and the events sent of it."""
         return {
@@ -234,10 +227,6 @@
             "process": self.identity and self.identity.value,
         }
 
-    def log_fields(self) -> dict[str, float | str | list[int] | None]:
-        """Return, for the log of the result, the load and the answer of the last attempt."""
-        return {**self.load_fields(), **self.answer_fields()}
-
     def _framing(self) -> str | None:
         """Return what ends the answer's body, `None` before the head of the answer."""
         if self.head is None:
@@ -309,6 +298,7 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
+        self.core.health.unanswered.record_answer(replica)
         if self.has_settled():
             self.record_served()
         if self.answered_at is None:
@@ -361,7 +351,11 @@
             self.core.metrics.increment("processes_replaced")
         elif isinstance(exc, ConnectFailed):
             self.outcome = Outcome.NOT_SENT
-            self.report_signal(HealthSignal.UNREACHABLE)
+            unanswered = self.core.health.unanswered
+            replica, began_at = self.record.replica, self._started_at
+            self.silence_tolerated = unanswered.tolerates(replica, exc, began_at)
+            if not self.silence_tolerated:
+                self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
             if isinstance(exc, ResponseBroken) and not self.aborted:
@@ -377,10 +371,12 @@
 ) -> bool:
     """Return whether an upstream that is silent or broke off still accepts connections.
 
-    That it did before `since` does not count.  Return `if_unknown` if this router itself lacks
-    what a connection needs.
+    That it did before `since` does not count.  Without `since` it may also be silent for a time.
+    Return `if_unknown` if this router itself lacks what a connection needs.
     """
-    record = attempt.record
+    record, unanswered, began_at = attempt.record, core.health.unanswered, core.clock.now()
+    if since is None and unanswered.has_tolerated(record.replica):
+        return True
     known = core.probes.get(record.replica)
     if known is not None and core.clock.now() - known.probed_at < PROBE_TTL_MS:
         if not known.alive or since is None or known.probed_at >= since:
@@ -388,11 +384,14 @@
     try:
         stream = await connect(record.host, record.port, PROBE_TIMEOUT_MS)
         stream.socket.close()
+        unanswered.record_answer(record.replica)
         alive = True
     except LocalShortage as exc:
         attempt.detail = f"{attempt.detail}; {exc}"
         return if_unknown
     except ConnectFailed as exc:
+        if unanswered.tolerates(record.replica, exc, began_at) and since is None:
+            return True
         attempt.detail = f"{attempt.detail}; {exc}"
         attempt.report_signal(HealthSignal.UNREACHABLE)
         alive = False
--- a/skylarklift/entry/requests/http_connection.py
+++ b/skylarklift/entry/requests/http_connection.py
@@ -11,6 +11,7 @@
 from skylarklift.entry.model import Headers, ProcessStart
 from skylarklift.errors import (
     ConnectFailed,
+    ConnectTimeout,
     LocalShortage,
     ResponseBroken,
     ResponseInvalid,
@@ -65,8 +66,9 @@
 
 def _connect_error(host: str, port: int, exc: OSError | trio.TooSlowError) -> ConnectFailed:
     """Return the error for a connection that failed: only some failures are the other side's."""
-    is_local = isinstance(exc, OSError) and exc.errno in LOCAL_CONNECT_ERRORS
-    kind = LocalShortage if is_local else ConnectFailed
+    kind = ConnectTimeout
+    if isinstance(exc, OSError):
+        kind = LocalShortage if exc.errno in LOCAL_CONNECT_ERRORS else ConnectFailed
     return kind(f"{host}:{port}: {type(exc).__name__} {exc}")
 
 
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -18,8 +18,10 @@
 )
 from skylarklift.entry.placement.choice import Choice, NoUpstream, WantedVersion
 from skylarklift.entry.placement.health import HealthSignal
+from skylarklift.entry.placement.unanswered import TOLERATED_SILENCE_MS
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
+from skylarklift.entry.requests.connection_pool import CONNECT_TIMEOUT_MS
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.request_log import log_failed_attempt, log_result
@@ -63,6 +65,8 @@
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
 MAX_LOGGED_PASSED_OVER = 4
+# An attempt that ends by this age of its request may have met a silence that is tolerated.
+MAX_EXCUSED_AGE_MS = TOLERATED_SILENCE_MS + CONNECT_TIMEOUT_MS
 # Runs that are to confirm the end of a stream use this part of the retry budget.
 CONFIRMATION_BUDGET_RATIO = 0.5
 # Reasons that a short wait does not change, so that the request is refused at once.
@@ -195,7 +199,10 @@
             self.steps.append(f"{attempt.record.replica}:{attempt.outcome.value}")
             if status:
                 return status
-            self.retry_state.record(attempt.outcome)
+            # An upstream that is silent for a time that is tolerated uses up no attempts.
+            age_ms = core.clock.now() - self.call.received_at
+            excused = attempt.silence_tolerated and age_ms < MAX_EXCUSED_AGE_MS
+            self.retry_state.record(attempt.outcome, excused=excused)
             log_failed_attempt(self.core, self.call, attempt, self.retry_state.attempts)
             await self.crash_guard.wait_for_judgement(attempt)
             if not self._may_retry(attempt.outcome):
--- a/skylarklift/entry/requests/request_log.py
+++ b/skylarklift/entry/requests/request_log.py
@@ -12,6 +12,8 @@
 
 # Shared parts of a prompt that the line of a failed attempt names.
 MAX_LOGGED_PARTS = 8
+# Decimals of a mean load in the log.
+LOGGED_DECIMALS = 2
 
 
 def log_failed_attempt(core: Core, call: Call, attempt: Attempt, sends: int) -> None:
@@ -46,8 +48,20 @@
         ms_taken=span,
         sends=handler.steps,
         **(handler.forwarder.log_fields() if handler.forwarder else {}),
-        **(handler.attempt.log_fields() if handler.attempt else {}),
+        **(_attempt_fields(handler.attempt) if handler.attempt else {}),
         **(handler.stream_version.log_fields() if handler.stream_version else {}),
         **({"passed_over": handler.passed_over} if handler.passed_over else {}),
         **(handler.crash_guard.log_fields() if handler.crash_guard else {}),
     )
+
+
+def _attempt_fields(attempt: Attempt) -> dict[str, float | str | list[int] | None]:
+    """Return the load that the choice assumed, the one that was answered, and the answer."""
+    choice, observed = attempt.choice, attempt.head.load if attempt.head else None
+    return {
+        "load": choice.load,
+        "mean": round(choice.mean, LOGGED_DECIMALS),
+        "load_age_ms": choice.load_age_ms,
+        "observed_load": None if observed is None else observed.running + observed.waiting,
+        **attempt.answer_fields(),
+    }
--- a/skylarklift/entry/requests/retry_state.py
+++ b/skylarklift/entry/requests/retry_state.py
@@ -34,7 +34,8 @@
 
     `possible_runs` counts the attempts in which the request may have run; `forwarded` is set
     once a part of a response has been sent to the caller, and `position_known` while another run
-    of a stream could go on from there.
+    of a stream could go on from there.  `excused` is whether the last attempt does not count
+    towards the limit on attempts.
     """
 
     route: Route
@@ -42,10 +43,12 @@
     possible_runs: int = 0
     forwarded: bool = False
     position_known: bool = True
+    excused: bool = False
 
-    def record(self, outcome: Outcome) -> None:
-        """Count a finished attempt."""
+    def record(self, outcome: Outcome, *, excused: bool = False) -> None:
+        """Count a finished attempt; an excused one may be followed by another in any case."""
         self.attempts += 1
+        self.excused = excused
         if outcome not in (Outcome.NOT_SENT, Outcome.NOT_RUN):
             self.possible_runs += 1
 
@@ -59,7 +62,7 @@
 
     def may_retry(self, outcome: Outcome) -> bool:
         """Return whether another attempt may follow one with this outcome."""
-        if self.attempts >= MAX_ATTEMPTS:
+        if self.attempts >= MAX_ATTEMPTS and not self.excused:
             return False
         if self.forwarded and not (self.route.kind is RouteKind.STREAM and self.position_known):
             # The caller has a part of a response, and only a stream of events can be resumed.
--- a/skylarklift/errors.py
+++ b/skylarklift/errors.py
@@ -166,6 +166,10 @@
     """No connection could be made; nothing was sent."""
 
 
+class ConnectTimeout(ConnectFailed):
+    """A connection was not made in time."""
+
+
 class LocalShortage(ConnectFailed):
     """This process has no descriptor, port or memory for a connection."""
 
