--- a/features/process_resources.feature
+++ b/features/process_resources.feature
@@ -249,3 +249,14 @@
     Then it serves within 8000 ms
     And its log has "accept_failed" 1 times, and no traceback
     And a SIGTERM ends the daemon with exit code 0
+
+  # A user time-out would also decide when keep-alive probes give up, whatever their count.
+  Scenario: No TCP socket of an entry router has a user time-out or sends keep-alive probes
+    Given a router before 3 replicas as processes, whose answers to "/chat/a" take 900 ms
+    When the options of its TCP sockets are read while 6 requests to "/chat/a" run
+    Then none of 12 or more connected ones has a user time-out or sends keep-alive probes
+
+  Scenario: No TCP socket of a router of the own deployment has a user time-out or sends probes
+    Given the small deployment
+    When the options of the TCP sockets of "router-1" are read
+    Then none of 2 or more connected ones has a user time-out or sends keep-alive probes
