--- a/skylarklift/entry/relays/dialer.py
+++ b/skylarklift/entry/relays/dialer.py
@@ -53,10 +53,13 @@
         self._abandoned = False
         self.stream: RelayedStream | None = None
         self.said: list[str] = []
+        # Whether the upstream refused a connection of one of them.
+        self.refused = False
 
     def record(self, node: str, answer: RelayAnswer) -> None:
         """Record what a router has answered; close a connection that is not used."""
         self._open_count -= 1
+        self.refused = self.refused or answer.reply is RelayReply.UNREACHABLE
         self.said.append(f"{node} {answer.reply.value if answer.reply else 'silent'}")
         if answer.stream is not None and (self.stream is not None or self._abandoned):
             answer.stream.socket.close()
@@ -106,7 +109,9 @@
     def lose(self, exc: ConnectFailed) -> None:
         """Record that one way has failed."""
         self._open_ways -= 1
-        self.error = exc
+        # A refusal tells more than a time-out.
+        if self.error is None or isinstance(self.error, ConnectTimeout):
+            self.error = exc
         if not self._open_ways:
             self.decided.set()
 
@@ -234,7 +239,8 @@
             nursery.cancel_scope.cancel()
         if poll.stream is None:
             said = ", ".join(poll.said) or "none to ask"
-            raise ConnectFailed(f"no router relays to {record.replica}: {said}")
+            kind = ConnectFailed if poll.refused else ConnectTimeout
+            raise kind(f"no router relays to {record.replica}: {said}")
         self._record_relayed(record, poll.stream.relay)
         return poll.stream
 
@@ -273,7 +279,7 @@
         if reply is RelayReply.CONNECTED:
             self._relays.record_help(peer.node)
             return RelayAnswer(reply, RelayedStream(stream, peer.node))
-        if reply is not RelayReply.UNREACHABLE:
+        if reply not in (RelayReply.UNREACHABLE, RelayReply.TIMED_OUT):
             self._relays.record_no_help(peer.node)
         return RelayAnswer(reply)
 
--- a/skylarklift/entry/relays/relay_messages.py
+++ b/skylarklift/entry/relays/relay_messages.py
@@ -25,13 +25,15 @@
 class RelayReply(Enum):
     """What a relay says to a request.
 
-    `UNREACHABLE`: it does not reach the upstream either.  `CUT_OFF`: it has lost its own links to
-    the upstream's zone.  `UNKNOWN_UPSTREAM`: it knows no upstream of this name at this address.
-    `BUSY`: it has no room.  `STOPPING`: it is about to end.
+    `UNREACHABLE`: the upstream refuses its connection, too.  `TIMED_OUT`: the upstream did not
+    answer it in time.  `CUT_OFF`: it has lost its own links to the upstream's zone.
+    `UNKNOWN_UPSTREAM`: it knows no upstream of this name at this address.  `BUSY`: it has no room.
+    `STOPPING`: it is about to end.
     """
 
     CONNECTED = "connected"
     UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
     CUT_OFF = "cut_off"
     UNKNOWN_UPSTREAM = "unknown_upstream"
     BUSY = "busy"
--- a/skylarklift/entry/relays/relay_server.py
+++ b/skylarklift/entry/relays/relay_server.py
@@ -14,7 +14,7 @@
 )
 from skylarklift.entry.relays.relayed_stream import READ_BYTES
 from skylarklift.entry.requests.http_connection import CLOSE_IN_ORDER, RESET_ON_CLOSE, connect
-from skylarklift.errors import ConnectFailed, LocalShortage
+from skylarklift.errors import ConnectFailed, ConnectTimeout, LocalShortage
 
 # A relayed connection takes one descriptor to the other router and one to the upstream.
 DESCRIPTORS_EACH = 2
@@ -70,6 +70,9 @@
             core.descriptors_short.set()
             await send_frame(stream, encode_relay_reply(RelayReply.BUSY))
             return
+        except ConnectTimeout:
+            await send_frame(stream, encode_relay_reply(RelayReply.TIMED_OUT))
+            return
         except ConnectFailed:
             await send_frame(stream, encode_relay_reply(RelayReply.UNREACHABLE))
             return
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -37,8 +37,6 @@
 SETTLED_ANSWER_MS = 500
 # An answer that has lasted this long makes its request less suspect.
 STARTED_ANSWER_MS = 80
-# Decimals of a mean load in the log.
-LOGGED_DECIMALS = 2
 SUCCESS_STATUSES = range(200, 300)
 SERVER_ERROR_STATUSES = range(500, 600)
 # Statuses by which a caller concludes that the request did not run.
@@ -100,6 +98,8 @@
         self.answered_at: Millis | None = None
         self._sent_at = self._started_at = core.clock.now()
         self._response_read = False
+        # Whether no connection was made in time, which a sound upstream's silence may explain.
+        self.silence_tolerated = False
 
     @asynccontextmanager
     async def open(self):
@@ -156,9 +156,12 @@
             new=self._sent_before or resumes,
         )
         try:
-            return await opener.open(self._check)
+            conn = await opener.open(self._check)
         finally:
             self.identity = opener.identity
+        if not conn.reused:
+            self.core.health.unanswered.record_answer(self.record.replica)
+        return conn
 
     def _current_options(self) -> SendOptions:
         """Return the options, with what is left of the time now that the connection is open."""
@@ -211,16 +214,6 @@
         if not head.limit_unreadable:
             core.record_rate_limit(replica, head.request_limit, self._sent_at)
 
-    def load_fields(self) -> dict[str, float | None]:
-        """Return, for the log, the load that the choice assumed and the one that was answered."""
-        choice, observed = self.choice, self.head.load if self.head else None
-        return {
-            "load": choice.load,
-            "mean": round(choice.mean, LOGGED_DECIMALS),
-            "load_age_ms": choice.load_age_ms,
-            "observed_load": None if observed is None else observed.running + observed.waiting,
-        }
-
     def answer_fields(self) -> dict[str, int | str | list[int] | None]:
         """Return, for the log, the age and framing of the answer, and the events sent of it."""
         return {
@@ -231,10 +224,6 @@
             "process": self.identity and self.identity.value,
         }
 
-    def log_fields(self) -> dict[str, float | str | list[int] | None]:
-        """Return, for the log of the result, the load and the answer of the last attempt."""
-        return {**self.load_fields(), **self.answer_fields()}
-
     def _framing(self) -> str | None:
         """Return what ends the answer's body, `None` before the head of the answer."""
         if self.head is None:
@@ -306,6 +295,7 @@
         """Record that the upstream sent an event or a part of a body."""
         progress, replica = self.core.progress, self.record.replica
         progress.record_progress(replica)
+        self.core.health.unanswered.record_answer(replica)
         if self.core.links.any_doubt and not self.relayed:
             self.core.links.record_answer(self.record)
         if self.has_settled():
@@ -363,7 +353,11 @@
             self.core.metrics.increment("processes_replaced")
         elif isinstance(exc, ConnectFailed):
             self.outcome = Outcome.NOT_SENT
-            self.report_signal(HealthSignal.UNREACHABLE)
+            unanswered = self.core.health.unanswered
+            replica, began_at = self.record.replica, self._started_at
+            self.silence_tolerated = unanswered.tolerates(replica, exc, began_at)
+            if not self.silence_tolerated:
+                self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
             if isinstance(exc, ResponseBroken) and await self._is_link_at_fault():
@@ -393,5 +387,6 @@
         if self.relayed:
             return self.conn.was_reset
         with trio.CancelScope(shield=True):
-            alive = await is_reachable(core, self, since=core.clock.now())
+            since = None if self.aborted else core.clock.now()
+            alive = await is_reachable(core, self, since=since)
         return alive and core.links.is_cut(self.record)
--- a/skylarklift/entry/requests/reachability.py
+++ b/skylarklift/entry/requests/reachability.py
@@ -20,10 +20,12 @@
 ) -> bool:
     """Return whether an upstream that is silent or broke off still accepts connections.
 
-    That it did before `since` does not count.  Return `if_unknown` if this router itself lacks
-    what a connection needs.
+    That it did before `since` does not count.  Without `since` it may also be silent for a time.
+    Return `if_unknown` if this router itself lacks what a connection needs.
     """
-    record = attempt.record
+    record, unanswered, began_at = attempt.record, core.health.unanswered, core.clock.now()
+    if since is None and unanswered.has_tolerated(record.replica):
+        return True
     known = core.probes.get(record.replica)
     if known is not None and core.clock.now() - known.probed_at < PROBE_TTL_MS:
         if not known.alive or since is None or known.probed_at >= since:
@@ -31,11 +33,14 @@
     try:
         stream = await core.dialer.dial(record, PROBE_TIMEOUT_MS)
         stream.socket.close()
+        unanswered.record_answer(record.replica)
         alive = True
     except LocalShortage as exc:
         attempt.detail = f"{attempt.detail}; {exc}"
         return if_unknown
     except ConnectFailed as exc:
+        if unanswered.tolerates(record.replica, exc, began_at) and since is None:
+            return True
         attempt.detail = f"{attempt.detail}; {exc}"
         attempt.report_signal(HealthSignal.UNREACHABLE)
         alive = False
