--- a/features/fleet_cases.py
+++ b/features/fleet_cases.py
@@ -133,6 +133,24 @@
     world.network.blocked_links = set()
     await send_load(world, 4)
     assert len(world.admitters()) == 1
+    await _return_to_some(world, world.admitters()[0])
+    assert len(world.admitters()) == 1
+
+
+async def _return_to_some(world: World, admitter: RouterId) -> None:
+    """Isolate an admitter until it is replaced, then hide it from its prober and its successor.
+
+    It reaches a majority, and both should admit by what they know: only the votes keep them apart.
+    """
+    world.network.isolate(admitter, world.running_routers())
+    assert await world.wait_for(lambda: set(world.admitters()) - {admitter}, 10)
+    successor = world.admitters()[0]
+    ring = sorted(world.running_routers())
+    prober = ring[ring.index(admitter) - 1]
+    world.network.blocked_links = {frozenset((admitter, other)) for other in (successor, prober)}
+    await send_load(world, 6)
+    world.network.blocked_links = set()
+    await send_load(world, 4)
 
 
 @fleet_case
