--- a/features/fleet.feature
+++ b/features/fleet.feature
@@ -14,6 +14,7 @@
       | 1    | a killed admitter is replaced                                     |
       | 1    | a killed admitter is replaced in a store outage                   |
       | 1    | an isolated admitter is replaced                                  |
+      | 1    | an isolated admitter stays replaced                               |
       | 1    | an admitter hands over before it leaves                           |
       | 1    | a new admitter counts the running chats                           |
       | 1    | zones are taken out and in twice under load                       |
--- a/features/fleet_cases.py
+++ b/features/fleet_cases.py
@@ -153,6 +153,16 @@
     await send_load(world, 4)
 
 
+@fleet_case
+async def an_isolated_admitter_stays_replaced(world: World):
+    isolated = world.admitters()[0]
+    world.network.isolate(isolated, world.running_routers())
+    assert await world.wait_for(lambda: set(world.admitters()) - {isolated}, 10)
+    for _ in range(80):
+        await sleep_ms(100)
+        assert set(world.admitters()) - {isolated}, trio.current_time()
+
+
 @fleet_case
 async def an_admitter_hands_over_before_it_leaves(world: World):
     await send_load(world, 2)
--- a/skylarklift/routers/membership.py
+++ b/skylarklift/routers/membership.py
@@ -133,9 +133,15 @@
         self._expire_suspicions(now)
 
     def digest(self) -> int:
-        """Return a 32-bit digest of the view number and the suspected routers."""
-        self._expire_suspicions(self._clock.now())
-        names = ",".join(sorted(self._suspicions))
+        """Return a 32-bit digest of the view number and the suspected routers.
+
+        A suspicion past half its time counts as another one, so that routers learn of its renewal.
+        """
+        now = self._clock.now()
+        self._expire_suspicions(now)
+        limit = now - self._cfg.suspicion_lasts_ms // 2
+        items = sorted(self._suspicions.items())
+        names = ",".join(f"{name}:{item.renewed_at > limit:d}" for name, item in items)
         return xxh3_64_intdigest(f"{self.view}:{names}".encode()) & DIGEST_MASK
 
     def _expire_suspicions(self, now: Millis) -> None:
