--- a/features/entry_ends.feature
+++ b/features/entry_ends.feature
@@ -74,17 +74,20 @@
   # still while the answer comes and its process ends.
   Scenario Outline: A router that stands still gets an answer without a length from a replica that <ending>
     Given a router before 2 replicas that send <sent> of 12 large events without a length, and then <ending>
-    And the replicas do not say when they started
-    And the router stands still for 1000 ms as a replica answers
+    And the replicas <tell> when they started
+    And the router stands still for <span> ms as a replica answers
     When a caller reads a stream of "<path>", with a pause of 0 ms after its first bytes
     Then the paused caller got <sent> events, and the answer <result>
 
     Examples:
-      | path     | sent | ending                                  | result          |
-      | /once/a  | 10   | crash, and accept connections as before | is not complete |
-      | /once/a  | 12   | close the connection                    | is not complete |
-      | /check/a | 10   | crash, and accept connections as before | is not complete |
-      | /check/a | 12   | close the connection                    | is complete     |
+      | path     | sent | ending                                  | tell       | span | result          |
+      | /once/a  | 10   | crash, and accept connections as before | do not say | 1000 | is not complete |
+      | /once/a  | 12   | close the connection                    | do not say | 1000 | is not complete |
+      | /check/a | 10   | crash, and accept connections as before | do not say | 1000 | is not complete |
+      | /check/a | 12   | close the connection                    | do not say | 1000 | is complete     |
+      | /check/a | 10   | crash, and accept connections as before | say        | 1000 | is not complete |
+      | /check/a | 12   | close the connection                    | say        | 1000 | is complete     |
+      | /check/a | 10   | crash, and accept connections as before | say        | 300  | is not complete |
 
   # Guards against a whole stream whose caller learns when it has given up that the end is in doubt, as
   # the run that is to confirm it waits in a queue.
