--- a/features/brittle_fleet.py
+++ b/features/brittle_fleet.py
@@ -26,6 +26,7 @@
 from skylarklift.entry.gossip.wire import encode_gossip
 from skylarklift.entry.model import Call, Endpoint, Headers, SendOptions
 from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.placement.concurrency_limits import KnownLoads
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.requests.attempt import Attempt
 from skylarklift.errors import ConnectFailed, ResponseBroken, TransportError
@@ -133,6 +134,31 @@
         slots = self.setting.slots * len(self.places)
         return sum(item.busy_ms for item in self.places.values()) / (slots * span_ms)
 
+    # What a test lets happen.
+
+    def reject(self, number: int, replica: ReplicaId) -> None:
+        """Let a router read that a replica, which is brittle, turned a request away."""
+        core = self._cores[number]
+        record = self._state.upstreams[replica].record
+        fields = [(b"x-not-executed", b"1"), (b"server-brittle", b"3")]
+        head = core.header_codec.decode_response_head(503, fields)
+        core.record_limits(record, head, self.clock.now())
+        self._spread_changes(core)
+
+    def multiply_load(self, factor: float) -> None:
+        """Let so many times as many requests come from now on."""
+        self._per_second *= factor
+
+    def routers_without_place(self, replica: ReplicaId) -> int:
+        """Return how many routers may send nothing to a replica, at which none has a request."""
+        record = self._state.upstreams[replica].record
+        return sum(
+            not core.chooser.concurrency_limits.has_place(
+                record, KnownLoads(0, 0, 0.0, len(self.replicas)), core.fleet.share(replica)
+            )
+            for core in self._cores
+        )
+
     # Messages.
 
     def _gossip_in_turn(self, peering: Peering) -> None:
--- a/features/odd_copies.py
+++ b/features/odd_copies.py
@@ -22,6 +22,11 @@
 )
 from skylarklift.entry.crashes.quarantine import Hold, HoldState
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.placement.concurrency_limits import (
+    Backpressure,
+    Rejection,
+    RejectionLimit,
+)
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
@@ -59,6 +64,7 @@
     observed_loads=(ObservedLoad("r0", 90, 10, True),),
     releases=(RELEASE,),
     store_restored=True,
+    backpressure=Backpressure((RejectionLimit("lm", 3, 10),), (Rejection("r0", 10),)),
 )
 NOW = Millis(10_000)
 SUSPECT = Suspect(SuspectKind.PART, "aa")
--- a/features/outside_values.py
+++ b/features/outside_values.py
@@ -25,6 +25,7 @@
     "keep-alive": "timeout=5",
     "retry-after": "1",
     "server-limit": "5",
+    "server-brittle": "3",
     "content-length": "2",
 }
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,6 +8,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.entry.backpressure import record_backpressure
 from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
 from skylarklift.entry.event_log import EventLog
@@ -15,7 +16,7 @@
 from skylarklift.entry.gossip.row_fetches import RowFetches
 from skylarklift.entry.gossip.wire import PageEncoder
 from skylarklift.entry.metrics import Metrics
-from skylarklift.entry.model import NodeSettings, ReplicaLoad, UpstreamRecord
+from skylarklift.entry.model import NodeSettings, ReplicaLoad, ResponseHead, UpstreamRecord
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.choose import Chooser
 from skylarklift.entry.placement.fleet_limits import FleetRetryBudget
@@ -198,6 +199,12 @@
             self.metrics.increment("busy_upstreams")
             self.load_observed.set()
 
+    def record_limits(self, record: UpstreamRecord, head: ResponseHead, sent_at: Millis) -> None:
+        """Record the limits that the answer to a request sent at `sent_at` names."""
+        if not head.limit_unreadable:
+            self.record_rate_limit(record.replica, head.request_limit, sent_at)
+        record_backpressure(self, record, head, sent_at)
+
     def record_rate_limit(
         self, replica: ReplicaId, per_second: float | None, sent_at: Millis
     ) -> None:
@@ -294,6 +301,7 @@
         metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
         metrics.replace_gauges("observed_load", dict(self.chooser.observed_loads.loads()))
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
+        metrics.replace_gauges("rejection_limit", self.chooser.concurrency_limits.named())
         for table in RowTable:
             cache = self.cluster_state.caches[table]
             metrics.set_gauge("older_rows", cache.older_rows, table.name.lower())
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -5,6 +5,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.placement.concurrency_limits import Backpressure
 from skylarklift.entry.placement.fleet_limits import FleetShare
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.peer_loads import PeerLoads
@@ -68,7 +69,8 @@
     busy upstreams have answered, `releases` the proportions of software versions, which were the
     newest ones `releases_age_ms` ago, `None` if that is not known.  `suspected_restarts` are the
     upstreams that have ended connections to the sender lately.  `store_restored` is true while the
-    sender has seen lately that the store was restored from a copy.
+    sender has seen lately that the store was restored from a copy.  `backpressure` is what it knows
+    of upstreams that can reject few requests.
     """
 
     node: str
@@ -88,6 +90,7 @@
     releases_age_ms: int | None = None
     suspected_restarts: tuple[str, ...] = ()
     store_restored: bool = False
+    backpressure: Backpressure = Backpressure()
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -5,6 +5,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Millis
+from skylarklift.entry.backpressure import apply_backpressure
 from skylarklift.entry.core import Core
 from skylarklift.entry.crashes.crash_messages import (
     decode_crash_message,
@@ -205,6 +206,7 @@
             releases_age_ms=core.releases.age_ms(),
             suspected_restarts=tuple(state.seen_restarts()),
             store_restored=state.restored.is_settling(RowTable.UPSTREAMS),
+            backpressure=core.chooser.concurrency_limits.reports(),
         )
 
     # Receiving.
@@ -285,6 +287,7 @@
                 core.event_log.write("upstream_doubted", subject=replica, source=message.node)
             core.health.apply_reported_ejection(replica, left_ms, maybe_restarted=doubted)
         core.apply_limit_reports(message.limits, message.node)
+        apply_backpressure(core, message.backpressure, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
         if message.releases_age_ms is not None:
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -9,6 +9,10 @@
 import msgpack
 import trio
 
+from skylarklift.entry.gossip.backpressure_fields import (
+    backpressure_fields,
+    decode_backpressure,
+)
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
@@ -82,6 +86,7 @@
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
                     for observed in message.observed_loads
                 ],
+                **backpressure_fields(message.backpressure),
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
@@ -124,6 +129,7 @@
             ),
             store_restored=bool(extras.get(STORE_RESTORED_KEY, False)),
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
+            backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -201,6 +201,8 @@
     no request from this router.
     `request_limit` is the number of requests a second that it takes from all routers together;
     `limit_unreadable` is true if it names a limit that is no number.
+    `rejection_limit` is the number of requests that it can reject in a second without failing,
+    `None` if it names none.
     """
 
     status: int
@@ -218,6 +220,7 @@
     hold_off_ms: int | None = None
     request_limit: float | None = None
     limit_unreadable: bool = False
+    rejection_limit: int | None = None
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/placement/candidates.py
+++ b/skylarklift/entry/placement/candidates.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterator, Mapping
 
+from skylarklift.entry.model import Route, Workspace
 from skylarklift.entry.state.upstream import Upstream
 from skylarklift.ids import ReplicaId
 
@@ -51,3 +52,10 @@
         """Return the known number of requests in flight at an upstream from all routers."""
         counted = self._own_loads.get(name, 0) + self._peer_loads.get(name, 0)
         return max(counted, self._observed_loads.get(name, 0))
+
+
+def allowed_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
+    """Return the regions whose upstreams a request may reach, `None` for all."""
+    limits = [route.allowed_regions, workspace.allowed_regions if workspace else ()]
+    bound = [frozenset(regions) for regions in limits if regions]
+    return frozenset.intersection(*bound) if bound else None
--- a/skylarklift/entry/placement/choice.py
+++ b/skylarklift/entry/placement/choice.py
@@ -1,5 +1,6 @@
 """What the choice of an upstream comes to: an upstream, or the reason why there is none."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -17,6 +18,7 @@
     COLD = "upstreams_cold"
     LIMITED = "upstreams_limited"
     FULL = "upstreams_full"
+    SATURATED = "upstreams_saturated"
     HELD_OFF = "upstreams_ask_to_wait"
     TRIED = "upstreams_tried"
     OTHER_VERSION = "no_upstream_of_version"
@@ -60,3 +62,15 @@
 
     version: SoftwareVersion
     begun: bool
+
+
+def summarize(passed_over: Iterable[PassedOver]) -> NoUpstream:
+    """Return why there is no upstream if all were passed over.
+
+    A limit may last; what is cold takes more requests soon.
+    """
+    reasons = {item.reason for item in passed_over}
+    for reason in (NoUpstream.COLD, NoUpstream.LIMITED):
+        if reason in reasons:
+            return reason
+    return NoUpstream.SATURATED
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -21,8 +21,15 @@
     Workspace,
 )
 from skylarklift.entry.placement.affinity import RendezvousCache, order_by_affinity
-from skylarklift.entry.placement.candidates import Candidates
-from skylarklift.entry.placement.choice import Choice, NoUpstream, PassedOver, WantedVersion
+from skylarklift.entry.placement.candidates import Candidates, allowed_regions
+from skylarklift.entry.placement.choice import (
+    Choice,
+    NoUpstream,
+    PassedOver,
+    WantedVersion,
+    summarize,
+)
+from skylarklift.entry.placement.concurrency_limits import ConcurrencyLimits, KnownLoads
 from skylarklift.entry.placement.fleet_limits import ColdRequestLimit
 from skylarklift.entry.placement.health import Health
 from skylarklift.entry.placement.hold_offs import HoldOffs
@@ -81,6 +88,7 @@
         self.software = SoftwareVersions(cluster_state, health)
         self.cold_limit = ColdRequestLimit(clock, bounds)
         self.rate_limits = RateLimits(clock)
+        self.concurrency_limits = ConcurrencyLimits(clock)
         self.hold_offs = HoldOffs(clock)
         self.prefixes = PrefixIndex(clock)
         self.observed_loads = ObservedLoads(clock)
@@ -128,7 +136,7 @@
         idle = self._idle_limited(candidates, mean)
         for position, name in enumerate(chain(idle, ordered)):
             item = candidates[name]
-            reason = self._reason_to_pass_over(item, plan)
+            reason = self._reason_to_pass_over(item, plan, candidates, mean)
             if reason is None and limited and candidates.load(name) >= item.record.slots:
                 # What the limited ones do not take must not swamp the rest.
                 reason = NoUpstream.FULL
@@ -147,16 +155,15 @@
                 self._find_copy_source(call, item) if by_affinity else None,
                 tuple(passed_over),
             )
-        # A limit may last; what is cold takes more requests soon.
-        if any(item.reason is NoUpstream.COLD for item in passed_over):
-            return NoUpstream.COLD
-        return NoUpstream.LIMITED
+        return summarize(passed_over)
 
     def _reason_to_pass_over(
-        self, upstream: Upstream, plan: ServicePlan | None
+        self, upstream: Upstream, plan: ServicePlan | None, candidates: Candidates, mean: float
     ) -> NoUpstream | None:
         """Return why a candidate may not take one more request now, `None` if it may."""
         replica = upstream.record.replica
+        if not self._has_place(upstream.record, candidates, mean):
+            return NoUpstream.SATURATED
         if self.is_cold(upstream, plan) and not self._cold_limit_allows(upstream, plan):
             return NoUpstream.COLD
         limits = self.rate_limits
@@ -164,6 +171,15 @@
             return NoUpstream.LIMITED
         return None
 
+    def _has_place(self, record: UpstreamRecord, candidates: Candidates, mean: float) -> bool:
+        """Return whether an upstream runs one more request of this router, if that is limited."""
+        limits, replica = self.concurrency_limits, record.replica
+        if not limits.is_limited(record.service):
+            return True
+        own, load = self.in_flight[replica], candidates.load(replica)
+        loads = KnownLoads(own, load, mean, len(candidates))
+        return limits.has_place(record, loads, self._fleet.share(replica))
+
     def _candidates(
         self,
         service: ServiceId,
@@ -347,8 +363,12 @@
 
     def start_request(self, choice: Choice, call: Call) -> None:
         """Count a request as in flight, right before it is sent."""
-        replica = choice.upstream.record.replica
+        record = choice.upstream.record
+        replica = record.replica
         self.prefixes.record_own(shared_parts(call.parts), replica)
+        if self.concurrency_limits.is_limited(record.service):
+            own, share = self.in_flight[replica], self._fleet.share(replica)
+            self.concurrency_limits.record_request(record, own, share)
         self.in_flight[replica] += 1
         if choice.cold:
             self.cold_limit.record_request(replica)
@@ -362,13 +382,6 @@
             del self.in_flight[replica]
 
 
-def allowed_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
-    """Return the regions whose upstreams a request may reach, `None` for all."""
-    limits = [route.allowed_regions, workspace.allowed_regions if workspace else ()]
-    bound = [frozenset(regions) for regions in limits if regions]
-    return frozenset.intersection(*bound) if bound else None
-
-
 def affinity_key(call: Call) -> str:
     """Return the hash key for affinity: the last shared part of the prompt.
 
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -7,6 +7,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.backpressure import expire_backpressure
 from skylarklift.entry.core import Core
 from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS
 from skylarklift.entry.gossip.peering import Peering
@@ -190,6 +191,7 @@
             core.record_state_changes(state.apply_settled_rows(), "restored store has settled")
             core.apply_hold_changes(core.suspects.expire(), core.settings.node)
             core.expire_rate_limits()
+            expire_backpressure(core)
             core.connection_pool.close_expired()
             core.update_descriptors()
             self._caller_server.close_excess()
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -211,8 +211,7 @@
             core.record_observed_load(self.choice, head.load)
         if head.hold_off_ms:
             core.record_hold_off(self.record, head.hold_off_ms)
-        if not head.limit_unreadable:
-            core.record_rate_limit(replica, head.request_limit, self._sent_at)
+        core.record_limits(self.record, head, self._sent_at)
 
     def load_fields(self) -> dict[str, float | None]:
         """Return, for the log, the load that the choice assumed and the one that was answered."""
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -66,7 +66,12 @@
 # Runs that are to confirm the end of a stream use this part of the retry budget.
 CONFIRMATION_BUDGET_RATIO = 0.5
 # Reasons that a short wait does not change, so that the request is refused at once.
-LASTING_REASONS = (NoUpstream.LIMITED, NoUpstream.HELD_OFF, NoUpstream.OTHER_VERSION)
+LASTING_REASONS = (
+    NoUpstream.LIMITED,
+    NoUpstream.SATURATED,
+    NoUpstream.HELD_OFF,
+    NoUpstream.OTHER_VERSION,
+)
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -114,6 +114,7 @@
             leaving=fields.get(names.LEAVING, b"").strip() == names.LEAVING_VALUE,
             request_limit=request_limit,
             limit_unreadable=request_limit is None and names.REQUEST_LIMIT in fields,
+            rejection_limit=_parse_rejection_limit(fields.get(names.REJECTION_LIMIT)),
         )
 
 
@@ -168,6 +169,11 @@
         return None
 
 
+def _parse_rejection_limit(value: bytes | None) -> int | None:
+    """Return how many rejections a second an upstream bears, 0 if that is no number."""
+    return None if value is None else _parse_uint(value) or 0
+
+
 def _parse_hold_off_ms(status: int, value: bytes | None) -> int | None:
     """Return for how long an upstream wants no request, if it turns one away and says so."""
     seconds = _parse_decimal(value) if status == names.STATUS_TURNED_AWAY else None
--- a/skylarklift/ui/fleet.py
+++ b/skylarklift/ui/fleet.py
@@ -67,6 +67,7 @@
         "quarantine_held_ms",
         "store_era",
         "upstream_limit",
+        "rejection_limit",
         "hold_off_left_ms",
     )
     found = {key: value for key, value in values.items() if key.startswith(shown)}
--- a/skylarklift/ui/logs.py
+++ b/skylarklift/ui/logs.py
@@ -38,10 +38,14 @@
     "upstream_limit_named",
     "upstream_limit_lifted",
     "upstream_limit_expired",
+    "rejection_limit_named",
+    "rejection_limit_lifted",
+    "rejection_limit_expired",
+    "upstream_rejected",
     "upstream_hold_off",
     "upstream_leaving",
 )
-DEMAND_REFUSALS = ("upstreams_limited", "upstreams_ask_to_wait")
+DEMAND_REFUSALS = ("upstreams_limited", "upstreams_saturated", "upstreams_ask_to_wait")
 
 
 def explain(options: argparse.Namespace, out: Output) -> int:
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -36,6 +36,7 @@
     but keeps the connection open.  `silent` runs requests without ever responding, and
     `keep_answer` runs some without responding.  `first_event_ms` delays the first event of streams.
     `long_runs` requests take `long_run_ms`.  `request_limit` is named in all answers.
+    `rejection_limit` is named in all answers, too: how many requests it can reject in a second.
     `leaving` says in all answers that the replica leaves.  `retry_after_s` is the time for which
     it wants nothing after it has shed a request.
     """
@@ -56,6 +57,7 @@
     long_runs: int = 0
     long_run_ms: int = 0
     request_limit: float | None = None
+    rejection_limit: int | None = None
     leaving: bool = False
     retry_after_s: float | None = None
 
@@ -187,6 +189,8 @@
         fields = []
         if self.faults.request_limit is not None:
             fields.append((b"server-limit", b"%.2f" % self.faults.request_limit))
+        if self.faults.rejection_limit is not None:
+            fields.append((b"server-brittle", b"%d" % self.faults.rejection_limit))
         if self.faults.leaving:
             fields.append((b"server-leaving", b"1"))
         return fields
