--- a/features/brittle_fleet.py
+++ b/features/brittle_fleet.py
@@ -136,12 +136,12 @@
 
     # What a test lets happen.
 
-    def reject(self, number: int, replica: ReplicaId) -> None:
-        """Let a router read that a replica, which is brittle, turned a request away."""
+    def answer(self, number: int, replica: ReplicaId, *, rejects: bool) -> None:
+        """Let a router read the answer of a brittle replica, which may turn a request away."""
         core = self._cores[number]
         record = self._state.upstreams[replica].record
-        fields = [(b"x-not-executed", b"1"), (b"server-brittle", b"3")]
-        head = core.header_codec.decode_response_head(503, fields)
+        fields = [(b"server-brittle", b"3"), *([(b"x-not-executed", b"1")] if rejects else [])]
+        head = core.header_codec.decode_response_head(503 if rejects else 200, fields)
         core.record_limits(record, head, self.clock.now())
         self._spread_changes(core)
 
@@ -149,6 +149,26 @@
         """Let so many times as many requests come from now on."""
         self._per_second *= factor
 
+    def restart_routers(self, numbers: range) -> None:
+        """Kill routers, and start them again with nothing but the addresses of the others."""
+        for number in numbers:
+            self._cancel_requests(self._cores[number])
+            core = self._cores[number] = self._make_core(number)
+            for other in self._cores:
+                core.fleet.add(other.settings.node, HERE)
+            peering = self._peerings[number] = Peering(core, None)
+            self._rounds[core.settings.node] += 1
+            self._plan_round(peering, 0)
+
+    def _cancel_requests(self, core: Core) -> None:
+        """End the requests of a router that is killed."""
+        for replica, running in self._running.items():
+            for sending in [item for item in running if item.core is core]:
+                running.discard(sending)
+                following = self.places[replica].finish(self.clock.now())
+                if following is not None:
+                    self._run(following)
+
     def routers_without_place(self, replica: ReplicaId) -> int:
         """Return how many routers may send nothing to a replica, at which none has a request."""
         record = self._state.upstreams[replica].record
--- a/features/brittle_upstreams.feature
+++ b/features/brittle_upstreams.feature
@@ -48,18 +48,31 @@
       | 90      | 20       | 8     |
       | 390     | 20       | 8     |
 
+  # Guards against routers that know nothing of brittle replicas, or count too few others, at their start.
+  Scenario Outline: Brittle replicas do not fall over when <count> of <routers> routers start anew
+    Given <routers> routers before <replicas> brittle replicas of <slots> slots, by the seed 1
+    And they can reject 2 requests a second, and answers tell loads
+    When 1.5 times what they can run comes for 10 s, and <count> routers start anew at 6 s, while they are brittle
+    Then at most 2 falls and a tenth of the number of replicas are seen
+
+    Examples:
+      | routers | replicas | slots | count |
+      | 3       | 6        | 16    | 1     |
+      | 30      | 24       | 16    | 10    |
+
   # Guards against a rejection that only the router that saw it heeds.
   Scenario Outline: One rejection holds back all of <routers> routers for a second, not longer
     Given <routers> routers before 6 brittle replicas of 800 slots, by the seed 1
     And they can reject 3 requests a second, and answers tell no loads
     When a router's request is rejected by "r0" at 2000 ms
-    Then <routers> routers send nothing to "r0" at 2400 ms, and 0 at 3100 ms
-    And 0 routers send nothing to "r1" at 2400 ms
+    Then <routers> routers send nothing to "r0" at <known> ms, and 0 at 3100 ms
+    And 0 routers send nothing to "r1" at <known> ms
 
     Examples:
-      | routers |
-      | 3       |
-      | 90      |
+      | routers | known |
+      | 3       | 2010  |
+      | 90      | 2200  |
+      | 390     | 2250  |
 
   Scenario Outline: What a router makes of the answers of a service's replicas: <case>
     Given a router before replicas that have named no rejections
--- a/features/steps/brittle_upstreams.py
+++ b/features/steps/brittle_upstreams.py
@@ -28,6 +28,7 @@
 ALLOWED_FALLS = 2
 IDLE_RATIO = 0.0001
 SILENCE_MS = 2000
+NAMED_AT_MS = 600
 BUSY_LOAD = 1000
 ALLOWED_FALLS_RATIO = 0.1
 
@@ -66,6 +67,17 @@
     context.fleet.run(int(span * MS_PER_S))
 
 
+@when(
+    "{ratio:g} times what they can run comes for {span:g} s, and {count:d} routers "
+    "start anew at {moment:g} s, while they are brittle"
+)
+def routers_start_anew(context, ratio, span, count, moment):
+    overload_setting(context, ratio, since_ms=0)
+    fleet = context.fleet
+    fleet.at(int(moment * MS_PER_S), lambda: fleet.restart_routers(range(count)))
+    fleet.run(int(span * MS_PER_S))
+
+
 def overload_setting(context, ratio, since_ms):
     """Build the fleet for a ratio of the load that the replicas can run."""
     setting = BrittleSetting(
@@ -102,7 +114,9 @@
 def request_rejected(context, replica, moment):
     overload_setting(context, IDLE_RATIO, since_ms=0)
     context.moments = {}
-    context.fleet.at(moment, lambda: context.fleet.reject(0, replica))
+    # That the replicas are brittle is known before.
+    context.fleet.at(NAMED_AT_MS, lambda: context.fleet.answer(0, replica, rejects=False))
+    context.fleet.at(moment, lambda: context.fleet.answer(0, replica, rejects=True))
 
 
 @then(
