--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -5,6 +5,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.placement.concurrency_limits import Backpressure
 from skylarklift.entry.placement.fleet_limits import FleetShare
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.peer_loads import PeerLoads
@@ -71,6 +72,7 @@
     sender has seen lately that the store was restored from a copy.  `zone` is that of the sender,
     `cut_zones` are the zones to whose upstreams it has lost its links, and `hold_offs` the
     milliseconds for which upstreams want no request from a router that relays to them.
+    `backpressure` is what it knows of upstreams that can reject few requests.
     """
 
     node: str
@@ -93,6 +95,7 @@
     zone: str = ""
     cut_zones: tuple[str, ...] = ()
     hold_offs: dict[str, int] = field(default_factory=dict)
+    backpressure: Backpressure = Backpressure()
 
 
 @dataclass(slots=True)
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -5,6 +5,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Millis
+from skylarklift.entry.backpressure import apply_backpressure
 from skylarklift.entry.core import Core
 from skylarklift.entry.crashes.crash_messages import (
     decode_crash_message,
@@ -212,6 +213,7 @@
             zone=core.settings.zone,
             cut_zones=core.links.cut_zones(),
             hold_offs=core.chooser.hold_offs.relayed_ms(),
+            backpressure=core.chooser.concurrency_limits.reports(),
         )
 
     # Receiving.
@@ -293,6 +295,7 @@
             core.health.apply_reported_ejection(replica, left_ms, maybe_restarted=doubted)
         core.apply_hold_offs(message.hold_offs)
         core.apply_limit_reports(message.limits, message.node)
+        apply_backpressure(core, message.backpressure, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
         if message.releases_age_ms is not None:
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -211,8 +211,7 @@
             core.record_observed_load(self.choice, head.load)
         if head.hold_off_ms:
             core.record_hold_off(self.record, head.hold_off_ms, relayed=self.relayed)
-        if not head.limit_unreadable:
-            core.record_rate_limit(replica, head.request_limit, self._sent_at)
+        core.record_limits(self.record, head, self._sent_at)
 
     def answer_fields(self) -> dict[str, int | str | list[int] | None]:
         """Return, for the log, the age and framing of the answer, and the events sent of it."""
