--- a/features/cut_off_world.py
+++ b/features/cut_off_world.py
@@ -16,9 +16,9 @@
 LONGEST_READ_S = 14
 # The versions, and all routers, are known to each router some time after the start.
 SETTLE_S = 2.0
-GRACE_S = 8
 ROUTE_TIMEOUT_MS = 8000
 DEFAULT_DEADLINE_MS = 6000
+POLL_S = 0.01
 
 
 @dataclass
@@ -57,6 +57,7 @@
         self.world = world
         self.paths: dict[str, RouterPaths] = {}
         self.routers: dict[str, RouterProcess] = {}
+        self.peer_ports: dict[str, int] = {}
         self.replicas: dict[str, PacedReplica] = {}
         self._numbers = 0
 
@@ -67,15 +68,14 @@
         await world.open_store_endpoint()
         world.write_plan(timeout_ms=ROUTE_TIMEOUT_MS)
         zones = zones or ("za",)
-        for number, replica in enumerate(replicas):
+        for replica in replicas:
             self.replicas[replica.name] = replica
             world.replicas[replica.name] = replica
             world.services[replica.name] = replica.name.split("-")[0]
             world.ports[replica.name] = await world.listen(replica.name, replica.serve)
-            self.register(replica, zones[number % len(zones)])
+            self.register(replica, zones[int(replica.name.split("-")[1]) % len(zones)])
         for name in routers:
-            await self.add_paths(name)
-            self.routers[name] = world.launch_router(name)
+            await self.launch(name)
         for router in self.routers.values():
             await world.wait_ready(router)
         await trio.sleep(SETTLE_S)
@@ -87,11 +87,15 @@
             replica.name, service, zone, **{"version": replica.version, **fields}
         )
 
-    async def add_paths(self, name: str) -> None:
-        """Lay the ways of a router that is not started yet to all replicas."""
+    async def launch(self, name: str, cut: Cut | None = None) -> None:
+        """Start a router with ways to all replicas, cut from the start if that is asked for."""
         self.paths[name] = RouterPaths(self.world, name)
         for port in (self.world.ports[replica] for replica in self.replicas):
             await self.paths[name].add(port)
+        if cut is not None:
+            self.paths[name].cut(cut)
+        self.peer_ports[name] = self.world.reserve_port()
+        self.routers[name] = self.world.launch_router(name, peer_port=self.peer_ports[name])
 
     def close(self) -> None:
         """Close what the ways hold in this process."""
@@ -136,15 +140,14 @@
         names = [name for name, paths in self.paths.items() if paths.carries(run.port)]
         return names[0] if names else None
 
-    async def wait_run(self, request_id: str, events: int, limit_s: float = 4.0) -> PacedRun:
-        """Wait until a run of a request has made some events, and return it."""
-        with trio.move_on_after(limit_s):
-            while True:
-                for run in self.runs(request_id):
-                    if len(run.made_at) >= events:
-                        return run
-                await trio.sleep(0.01)
-        raise AssertionError(f"no run of {request_id} has made {events} events in {limit_s} s")
+    async def wait_run(self, request_id: str, parts: int, limit_s: float = 4.0) -> PacedRun:
+        """Wait until a run of a request has made some events or parts, and return it."""
+        for _ in range(int(limit_s / POLL_S)):
+            for run in self.runs(request_id):
+                if len(run.made_at) >= parts:
+                    return run
+            await trio.sleep(POLL_S)
+        raise AssertionError(f"no run of {request_id} has made {parts} parts in {limit_s} s")
 
     # Callers.
 
--- a/standins/paced_replica.py
+++ b/standins/paced_replica.py
@@ -12,6 +12,7 @@
 MS_PER_SECOND = 1000
 STREAM_PATHS = (b"/chat/", b"/once/")
 ANSWER = b"done"
+PART = b"part of an answer\n"
 
 
 @dataclass
@@ -36,8 +37,9 @@
 class PacedReplica(ScriptedReplica):
     """Answer streams with `events` events, one each `pace_ms`, and other requests after a pace.
 
-    The answer to a stream has chunks, or if it is not `framed` ends with the connection.  The
-    events name the version, so that a caller sees which one wrote them.
+    The answer to a stream has chunks, or if it is not `framed` ends with the connection.  So do
+    then other answers, which have as many parts as streams have events.  The events name the
+    version, so that a caller sees which one wrote them.
     """
 
     def __init__(self, name: str, *, events=6, pace_ms=50, framed=True, version="v1"):
@@ -92,6 +94,8 @@
             try:
                 if request.target.startswith(STREAM_PATHS):
                     await self._send_stream(stream, run)
+                elif not self.framed:
+                    await self._send_parts(stream, run)
                 else:
                     await trio.sleep(self.pace_ms / MS_PER_SECOND)
                     await stream.send_all(self._named(add_length(SIGNED_HEAD, ANSWER), run))
@@ -101,7 +105,7 @@
             nursery.cancel_scope.cancel()
         if run.left_at is not None:
             return False
-        return self.framed or not request.target.startswith(STREAM_PATHS)
+        return self.framed
 
     @staticmethod
     async def _watch_end(stream, run: PacedRun, scope: trio.CancelScope) -> None:
@@ -126,6 +130,14 @@
         if self.framed:
             await stream.send_all(b"0\r\n\r\n")
 
+    async def _send_parts(self, stream: trio.SocketStream, run: PacedRun) -> None:
+        """Send an answer without a length in parts."""
+        await stream.send_all(self._named(SIGNED_HEAD + b"\r\n", run))
+        for number in range(1, self.events + 1):
+            await trio.sleep(self.pace_ms / MS_PER_SECOND)
+            run.made_at[number] = trio.current_time()
+            await stream.send_all(PART)
+
     @staticmethod
     def _named(data: bytes, run: PacedRun) -> bytes:
         """Return bytes of an answer with the id of the request."""
