--- a/features/cut_off_relays.feature
+++ b/features/cut_off_relays.feature
@@ -122,3 +122,29 @@
       | their callers move        | their callers leave         |
       | the router is killed      | the router is killed        |
       | their relays are killed   | all of its relays are killed |
+
+  # Guards against callers who are refused, and sound replicas that all leave out, as the routers that
+  # could relay stop or stand still at once (day stranded-reset: four drain while two are cut off).
+  Scenario Outline: Callers of a router whose connections <cut> are served while all others <fault>
+    Given 3 routers before 2 replicas of each service that send framed answers of 80 parts
+    When the connections of 1 router <cut>, and all others <fault>
+    Then at least two thirds of 12 requests succeed that are sent to the router 0 s later
+    And no router but the first has ejected or doubted a replica, or refused a request
+    And at least two thirds of 12 requests succeed once one of them has started again
+
+    Examples:
+      | cut       | fault                                     |
+      | hang      | stop, each with a stream under way        |
+      | are reset | stop, each with a stream under way        |
+
+  # Guards against replicas that a router takes for dead, and tells others so, as those it asks are silent.
+  Scenario Outline: A router whose connections <cut> takes no replica for dead while all others stand still
+    Given 3 routers before 2 replicas of each service
+    When the connections of 1 router <cut>, and all others stand still for 2 s, with 8 requests to the first
+    Then at least two thirds of 12 requests succeed that are sent to the router 1 s later
+    And no router but the first has ejected or doubted a replica, or refused a request
+
+    Examples:
+      | cut       |
+      | hang      |
+      | are reset |
