--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -97,6 +97,22 @@
       | thawed  | its answer |
       | closed  | its end    |
 
+  Scenario Outline: The ways of a router to a replica are cut, "<how>"
+    When the way of a router to a replica is cut "<how>" while a connection is open
+    Then the open connection <open>, and a new one <new>
+    And after that a new connection brings its answer
+
+    Examples:
+      | how    | open              | new               |
+      | hang   | brings nothing    | hangs             |
+      | reset  | is reset          | is refused        |
+      | refuse | brings its answer | is refused        |
+      | end    | is ended          | brings its answer |
+
+  Scenario: A link resets a connection whose target refuses it
+    When a connection is made through a link to a port that nobody listens at
+    Then it is reset
+
   # Guards against streams that callers receive out of order while processes end and links are cut.
   Scenario Outline: A short soak of streams with all faults, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>
@@ -141,3 +157,24 @@
     Examples:
       | seed |
       | 1    |
+
+  # Guards against streams out of order at routers that are cut off from all replicas, while others
+  # are not (issue 46).
+  Scenario Outline: A short soak of routers cut off from all replicas beside releases, seed <seed>
+    When the soak of streams runs for 6 s with seed <seed> and only "router_cut_off, release, replica_other_version, herd_kill"
+    Then no stream is out of order
+    And some of the resumable streams are complete
+
+    Examples:
+      | seed |
+      | 1    |
+
+  # Guards against streams that look whole when many links end at once, in order or not (issue 46).
+  Scenario Outline: A short soak of many links cut and many replicas silent at once, seed <seed>
+    When the soak of streams runs for 6 s with seed <seed>, orderly cuts and only "router_links_end, replicas_pause, replicas_cut"
+    Then no stream is out of order
+    And some of the resumable streams are complete
+
+    Examples:
+      | seed |
+      | 1    |
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -6,6 +6,7 @@
 from soak.stream_habits import HEAVY_MIX
 from soak.stream_world import ReplicaPath
 from soak.streams import Options, run_seed
+from standins.stream_wire import Ending
 
 MIN_REQUESTS = 40
 
@@ -101,6 +102,16 @@
     context.result = run_seed(Options(seed, span, only_faults=tuple(faults.split(", "))))
 
 
+@when(
+    'the soak of streams runs for {span:d} s with seed {seed:d}, orderly cuts and only "{faults}"'
+)
+def soak_runs_orderly(context, span, seed, faults):
+    options = Options(
+        seed, span, unframed_cut=Ending.ORDERLY, only_faults=tuple(faults.split(", "))
+    )
+    context.result = run_seed(options)
+
+
 @when('it runs for {span:d} s with seed {seed:d}, large events, slow callers and only "{faults}"')
 def soak_runs_heavy(context, span, seed, faults):
     options = Options(seed, span, mix=HEAVY_MIX, only_faults=tuple(faults.split(", ")))
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -26,7 +26,8 @@
 class LoopbackProxy:
     """A proxy in front of the port `target`.
 
-    With `passes_resets`, a connection that one side resets is reset on the other one too.
+    With `passes_resets`, a connection that one side resets is reset on the other one too, and so is
+    one that the target refuses.
     """
 
     target: int
@@ -43,6 +44,8 @@
         try:
             other = await trio.open_tcp_stream(HOST, self.target)
         except OSError:
+            if self.passes_resets:
+                _reset_on_close(stream)
             stream.socket.close()
             return
         self._connections |= {stream, other}
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -12,6 +12,7 @@
 from soak.checker import Checker
 from soak.faults import RESTART_DELAY_S, Faults
 from soak.proxy import LoopbackProxy
+from soak.router_paths import Cut
 from soak.stream_checker import STREAM_SERVICE
 from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
 from standins.entry_world import ROOT
@@ -21,6 +22,12 @@
 DOWN_S = (0.0, 1.5)
 DRAIN_S = (0.2, 2.0)
 RELEASE_PAUSE_S = (0.1, 1.0)
+# The part of the replicas that a fault of many meets at once.
+MANY_RATIO = 0.7
+MANY_PAUSE_S = (0.7, 1.4)
+# The ways in which a router is cut off.
+CUTS_OFF = (Cut.HANG, Cut.RESET, Cut.REFUSE)
+LINKS_END_PAUSE_S = 0.2
 # Parts of the routers that one herd kill ends.
 HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
@@ -46,18 +53,23 @@
         self._release_count = 1
         self._zone_is_out = False
         self._machine_is_busy = False
+        self._cut_off: set[str] = set()
         # Set when no fault follows; a release in progress then stops.
         self.ending = False
 
     def kinds(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the functions that inject one fault each."""
         path_faults = [self.replica_path, self.replica_reset, self.replica_freeze]
+        router_path_faults = [self.router_cut_off, self.router_links_end]
         return [
             *(path_faults if self.replica_proxies else []),
+            *(router_path_faults if self._replica_world.router_paths else []),
             self.replica_kill,
             self.replica_kill,
             self.replica_pause,
             self.replica_cut,
+            self.replicas_pause,
+            self.replicas_cut,
             self.replica_other_version,
             self.replica_addresses_swap,
             self.release,
@@ -80,10 +92,14 @@
 
     # Replicas.
 
+    def _list_free_replicas(self) -> list[ReplicaProcess]:
+        """Return the replicas without a fault."""
+        replicas = self._replica_world.replica_processes.values()
+        return [item for item in replicas if item.name not in self._busy]
+
     def _choose_free_replica(self) -> ReplicaProcess | None:
         """Return a replica without a fault, or `None` if there is none."""
-        replicas = self._replica_world.replica_processes.values()
-        free = [item for item in replicas if item.name not in self._busy]
+        free = self._list_free_replicas()
         return self._rng.choice(free) if len(free) > 1 else None
 
     async def replica_kill(self) -> None:
@@ -122,11 +138,9 @@
 
     def _choose_free_pair(self) -> tuple[ReplicaProcess, ReplicaProcess] | None:
         """Return two replicas of different services that routers reach in the same way, if any."""
-        replicas = self._replica_world.replica_processes.values()
-        free = [item for item in replicas if item.name not in self._busy]
         pairs = [
             (one, other)
-            for one, other in combinations(free, 2)
+            for one, other in combinations(self._list_free_replicas(), 2)
             if one.service != other.service and one.path is other.path is not ReplicaPath.PROXY
         ]
         return self._rng.choice(pairs) if pairs else None
@@ -152,6 +166,30 @@
                 replica.process.send_signal(self._rng.choice((signal.SIGUSR1, signal.SIGUSR2)))
             await trio.sleep(self._rng.uniform(0.0, 0.3))
 
+    def _choose_many_replicas(self) -> list[ReplicaProcess]:
+        """Return most of the replicas without a fault."""
+        free = self._list_free_replicas()
+        return self._rng.sample(free, round(MANY_RATIO * len(free)))
+
+    async def replicas_pause(self) -> None:
+        """Suspend most replicas at once for about a second."""
+        chosen = self._choose_many_replicas()
+        for replica in chosen:
+            self._busy.add(replica.name)
+            replica.process.send_signal(signal.SIGSTOP)
+        try:
+            await trio.sleep(self._rng.uniform(*MANY_PAUSE_S))
+        finally:
+            for replica in chosen:
+                replica.process.send_signal(signal.SIGCONT)
+                self._busy.discard(replica.name)
+
+    async def replicas_cut(self) -> None:
+        """Make most replicas at once reset all their connections, or end them in order."""
+        number = self._rng.choice((signal.SIGUSR1, signal.SIGUSR2))
+        for replica in self._choose_many_replicas():
+            replica.process.send_signal(number)
+
     async def release(self) -> None:
         """Replace the replicas of the streams by ones of a new version, one after the other."""
         self._release_count += 1
@@ -207,6 +245,37 @@
             proxy.reset()
         proxy.thaw()
 
+    def _choose_whole_paths(self) -> list[str]:
+        """Return one or all of the routers that can be cut off and are not."""
+        whole = [name for name in self._replica_world.router_paths if name not in self._cut_off]
+        self._rng.shuffle(whole)
+        return whole if self._rng.random() < 0.5 else whole[:1]
+
+    async def router_cut_off(self) -> None:
+        """Cut one router, or most, off from all replicas, some in two ways in turn."""
+        chosen = self._choose_whole_paths()
+        self._cut_off.update(chosen)
+        try:
+            for _ in range(self._rng.choice((1, 1, 2))):
+                self._cut_paths(chosen, self._rng.choice(CUTS_OFF))
+                await self.wait_fault_duration()
+        finally:
+            for name in chosen:
+                self._replica_world.router_paths[name].restore()
+            self._cut_off.difference_update(chosen)
+
+    async def router_links_end(self) -> None:
+        """End the connections of one router, or most, to replicas in order, once or three times."""
+        chosen = self._choose_whole_paths()
+        for _ in range(self._rng.choice((1, 3))):
+            self._cut_paths(chosen, Cut.END)
+            await trio.sleep(LINKS_END_PAUSE_S)
+
+    def _cut_paths(self, names: list[str], how: Cut) -> None:
+        """Cut the ways of some routers to replicas."""
+        for name in names:
+            self._replica_world.router_paths[name].cut(how)
+
     # The operator.
 
     async def config_change(self) -> None:
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -14,6 +14,7 @@
 import trio
 
 from soak.proxy import LoopbackProxy
+from soak.router_paths import RouterPaths
 from soak.stream_callers import DEADLINES_MS
 from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
 from standins.entry_world import ROOT, EntryWorld
@@ -34,6 +35,7 @@
 }
 FIRST_VERSION = "v1"
 ZONES = ("za", "zb")
+PATH_ROUTER = ("-m", "standins.path_router")
 
 
 class ReplicaPath(Enum):
@@ -97,6 +99,8 @@
         self._seed = seed
         self.replica_processes: dict[str, ReplicaProcess] = {}
         self.replica_proxies: dict[str, LoopbackProxy] = {}
+        # By the names of the routers whose ways to replicas can be cut.
+        self.router_paths: dict[str, RouterPaths] = {}
         # From which the replicas that are started next choose.
         self.replica_paths = tuple(ReplicaPath)
         self.framings = tuple(Framing)
@@ -129,6 +133,18 @@
         await self.wait_listening(replica)
         self.write_entry(replica)
 
+    async def add_router_paths(self, name: str) -> None:
+        """Let the ways to replicas of a router that is started later be cut."""
+        paths = self.router_paths[name] = RouterPaths(self, name)
+        for replica in self.replica_processes:
+            await paths.add(self.proxy_ports.get(replica, self.ports[replica]))
+
+    def _choose_program(self, settings: Path) -> tuple[str, ...]:
+        """Return the Python arguments that start the router with this settings file."""
+        if settings.stem in self.router_paths:
+            return PATH_ROUTER
+        return super()._choose_program(settings)
+
     def swap_addresses(self, one: ReplicaProcess, other: ReplicaProcess) -> None:
         """Let two replicas that do not run start at each other's address next."""
         one.port, other.port = other.port, one.port
@@ -201,6 +217,8 @@
                 replica.process.wait()
             if replica.listener is not None:
                 replica.listener.close()
+        for paths in self.router_paths.values():
+            paths.close()
 
 
 async def can_connect(port: int) -> bool:
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -27,6 +27,8 @@
 SERIES_PAUSE_S = (0.2, 2.0)
 # The load goes on for this long after the faults.
 SETTLE_S = 2.0
+# One router of so many has ways to replicas that no fault cuts.
+ROUTERS_PER_UNCUT = 3
 # The requests in flight may take this long to end.
 LAST_CALLS_S = 3.0
 
@@ -45,8 +47,9 @@
     program: tuple[str, ...] = ()
     framings: tuple[Framing, ...] = tuple(Framing)
     paths: tuple[ReplicaPath, ...] = tuple(ReplicaPath)
-    # How replicas that live on break off between events of an answer that its connection ends.
-    unframed_cut: Ending = Ending.RESET
+    # How replicas that live on break off between events of an answer that its connection ends; if
+    # `None`, the seed determines it.
+    unframed_cut: Ending | None = None
     mix: LoadMix = LoadMix()
     # Names of the faults to inject; if empty, all of them.
     only_faults: tuple[str, ...] = ()
@@ -58,6 +61,7 @@
 
     calls: list[SentCall]
     faults: Counter[str]
+    unframed_cut: Ending
     violations: list[str] = field(default_factory=list)
 
     def summary(self) -> str:
@@ -66,7 +70,8 @@
         served = Counter(call.kind.name.lower() for call in self.calls if is_served(call))
         kinds = ", ".join(f"{name} {served[name]}/{sent[name]}" for name in sorted(sent))
         tries = sum(len(call.tries) for call in self.calls)
-        return f"{kinds}; {tries} tries; faults {dict(self.faults)}"
+        cut = self.unframed_cut.value
+        return f"{kinds}; {tries} tries; unframed cut {cut}; faults {dict(self.faults)}"
 
     def served_ratio(self, kind: Kind) -> float:
         """Return the part of the requests of a kind that were complete, 1 without any."""
@@ -118,7 +123,7 @@
         world, options = self._world, self._options
         world.program = options.program
         world.framings, world.replica_paths = options.framings, options.paths
-        world.unframed_cut = options.unframed_cut
+        world.unframed_cut = options.unframed_cut or self._rng.choice(list(Ending))
         world.extra_settings = {"bounds.grace_s": str(self._rng.choice(GRACE_CHOICES_S))}
         world.write_routes()
         for number in range(options.replicas):
@@ -130,6 +135,8 @@
             world.store_endpoints[number] = (world.store_endpoints[number][0], port)
             self._faults.store_proxies.append(proxy)
             world.extra_settings["zone"] = ZONES[number % len(ZONES)]
+            if number % ROUTERS_PER_UNCUT and not options.program:
+                await world.add_router_paths(f"n{number}")
             world.launch_router(f"n{number}", store_endpoint_index=number)
         for router in world.routers:
             await world.wait_ready(router)
@@ -153,7 +160,8 @@
         for call in self._calls:
             checker.check(call, check_decisions(call, decisions))
         violations = self._checker.violations + checker.violations
-        return Result(self._calls, self._checker.counts, violations)
+        cut = self._world.unframed_cut
+        return Result(self._calls, self._checker.counts, cut, violations)
 
 
 def run_seed(options: Options) -> Result:
@@ -187,7 +195,8 @@
     parser.add_argument(
         "--orderly-cuts",
         action="store_true",
-        help="replicas also end answers without a length in order between two events",
+        help="replicas end answers without a length in order between two events (default: the seed"
+        " determines whether)",
     )
     parser.add_argument(
         "--large-events",
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -135,17 +135,20 @@
 
     def _start_process(self, settings: Path, log: Path) -> subprocess.Popen:
         """Start the process of a router, with its output appended to the log file."""
-        program = self.program or ("-m", "skylarklift.platform.daemon")
         environment = {**os.environ, "SKYLARKLIFT_NODE_FILE": str(settings)}
         with log.open("a") as output:
             return subprocess.Popen(
-                [sys.executable, *program],
+                [sys.executable, *self._choose_program(settings)],
                 cwd=ROOT,
                 env=environment,
                 stdout=output,
                 stderr=output,
             )
 
+    def _choose_program(self, settings: Path) -> tuple[str, ...]:
+        """Return the Python arguments that start the router with this settings file."""
+        return self.program or ("-m", "skylarklift.platform.daemon")
+
     async def is_ready(self, router: RouterProcess) -> bool:
         """Return whether a router's readiness endpoint responds with 200."""
         try:
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -2,8 +2,8 @@
 
 Usage: python -m standins.stream_replica NAME SOFTWARE START SEED LOG FRAMINGS CUT PORT [LISTENER]
 
-CUT tells how it breaks off between two events of an answer that its connection ends: a process
-that lives on and closes in order there cannot be told from one that is done.
+CUT tells how it breaks off between two events of an answer that its connection ends: only another
+run tells a process that lives on and closes in order there from one that is done.
 
 With the descriptor of a listener, it accepts there, and connections wait while it is restarted.
 SIGUSR1 makes it reset all its connections, SIGUSR2 end them in order.
