--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -145,6 +145,24 @@
       | a deadline of 15 s here                | 0     | is refused, as version_ambiguous |
       | a deadline of 15 s, 2 minutes ago      | 13000 | is refused, as version_ambiguous |
 
+  # Guards against a stream that is taken for younger than it is, and joined, as its caller named the time
+  # that it had left before the request waited at a router that stood still (issue 46).
+  Scenario Outline: How old a stream may be that a client resumes at a router that <event>
+    Given the proportions "100=v1:1 4=v1:4,v2:4"
+    And a new router with a deadline of 15 s here
+    And that router <event>
+    When a client resumes a stream of a prompt that moved, on a route of 5 s, with 12000 ms left
+    Then the resumed stream <result>
+
+    Examples:
+      | event                                              | result                           |
+      | runs for 0 ms                                      | is refused, as version_ambiguous |
+      | runs for 3000 ms                                   | goes on at v2                    |
+      | stands still for 3000 ms                           | is refused, as version_ambiguous |
+      | stands still for 3000 ms, then runs for 500 ms     | is refused, as version_ambiguous |
+      | stands still for 3000 ms, then runs for 3000 ms    | goes on at v2                    |
+      | stands still for 3000 ms, then for 3000 ms again   | is refused, as version_ambiguous |
+
   # Guards against a router that is cut off amid a release, and takes what it has heard for all that
   # there is: it took streams up at the only version that it knew; and against one that the store turns
   # away while other routers read and write the rows (issue 43).
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -28,6 +28,7 @@
 from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint
+from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.rows import ReleaseStore, RowTable
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.entry.versions.releases import (
@@ -134,6 +135,38 @@
             assert releases.apply(report)
 
 
+def run_router(context, span_ms):
+    """Let a router run, with the checks of its maintenance."""
+    for _ in range(span_ms // CHECK_INTERVAL_MS):
+        context.clock.advance(CHECK_INTERVAL_MS)
+        context.core.standstill.check()
+
+
+@given("that router runs for {span:d} ms")
+def router_runs(context, span):
+    context.core.standstill.check()
+    run_router(context, span)
+    context.core.releases.confirm(0)
+
+
+@given("that router stands still for {span:d} ms")
+@given("that router stands still for {span:d} ms, then runs for {running:d} ms")
+def router_stands_still(context, span, running=0):
+    context.core.standstill.check()
+    context.clock.advance(span)
+    run_router(context, running)
+    context.core.releases.confirm(0)
+
+
+@given("that router stands still for {span:d} ms, then for {more:d} ms again")
+def router_stands_still_twice(context, span, more):
+    context.core.standstill.check()
+    context.clock.advance(span)
+    context.core.standstill.check()
+    context.clock.advance(more)
+    context.core.releases.confirm(0)
+
+
 def gossip_of_releases(*releases):
     """Return a message of another router about software versions."""
     return GossipMessage("n1", "b", "", EMPTY_SUMMARIES, releases=releases)
--- a/skylarklift/entry/standstill.py
+++ b/skylarklift/entry/standstill.py
@@ -17,12 +17,14 @@
         self._clock = clock
         self._checked_at: Millis | None = None
         self._ended_at: Millis | None = None
+        self._lasted_ms = 0
 
     def check(self) -> bool:
         """Return whether the router has stood still since the last check."""
         late = self._is_late()
         now = self._clock.now()
         if late:
+            self._lasted_ms = self.waiting_ms()
             self._ended_at = now
         self._checked_at = now
         return late
@@ -40,6 +42,17 @@
         """Return whether the router stood still at some time since `moment`."""
         return self._is_late() or (self._ended_at is not None and self._ended_at >= moment)
 
+    def waiting_ms(self) -> int:
+        """Return for how long what is read now may have waited for this router at most.
+
+        What arrived before a standstill may wait through the next one too.
+        """
+        now = self._clock.now()
+        began_at = self._checked_at if self._is_late() else now
+        if self._ended_at is None or began_at - self._ended_at >= DOUBT_MS:
+            return now - began_at
+        return now - began_at + self._lasted_ms
+
     def _is_late(self) -> bool:
         """Return whether the next check is late."""
         if self._checked_at is None:
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -68,6 +68,8 @@
         request = call.resumes or call.request
         key = affinity_key(call) if call.parts else request
         max_age_ms = core.releases.max_age_ms(service, self._route.timeout_ms, call.deadline_ms)
+        # The caller named the time that it had left before the request waited here.
+        max_age_ms += core.standstill.waiting_ms()
         stream = ResumedStream(request, service, key, max_age_ms)
         self.origin = await core.resumptions.find(stream)
         core.metrics.increment("resumptions", self.origin.source.value)
