--- a/features/relays.feature
+++ b/features/relays.feature
@@ -61,7 +61,8 @@
       | routers                             | order   |
       | a:za=1, b:za=9, c:zb=1              | a c b   |
       | a:za=cut, b:za=1, c:zb=1            | b c     |
-      | a:za=leaving, b:zb=1                | b       |
+      | a:za=leaving, b:zb=1                | b a     |
+      | a:za=leaving, b:zb=1, c:zb=9        | b c a   |
       | a:far=1, b:zb=5                     | b       |
       | a:za=cut, b:za=cut, c:zb=cut        |         |
       | a:za=1, b:za=paused, c:zb=2         | a c     |
--- a/skylarklift/entry/relays/dialer.py
+++ b/skylarklift/entry/relays/dialer.py
@@ -22,7 +22,7 @@
 )
 from skylarklift.entry.relays.relayed_stream import RelayedStream
 from skylarklift.entry.requests.http_connection import UpstreamStream, connect
-from skylarklift.errors import ConnectFailed, ConnectTimeout, LocalShortage, PeerError
+from skylarklift.errors import ConnectFailed, ConnectTimeout, LocalShortage, NoRelay, PeerError
 
 # A connection between VMs takes a millisecond or two.  After this long another router is asked.
 HEDGE_DELAY_MS = 150
@@ -53,13 +53,12 @@
         self._abandoned = False
         self.stream: RelayedStream | None = None
         self.said: list[str] = []
-        # Whether the upstream refused a connection of one of them.
-        self.refused = False
+        self._replies: set[RelayReply | None] = set()
 
     def record(self, node: str, answer: RelayAnswer) -> None:
         """Record what a router has answered; close a connection that is not used."""
         self._open_count -= 1
-        self.refused = self.refused or answer.reply is RelayReply.UNREACHABLE
+        self._replies.add(answer.reply)
         self.said.append(f"{node} {answer.reply.value if answer.reply else 'silent'}")
         if answer.stream is not None and (self.stream is not None or self._abandoned):
             answer.stream.socket.close()
@@ -68,6 +67,12 @@
         self._changed.set()
         self._changed = trio.Event()
 
+    def error_type(self) -> type[ConnectFailed]:
+        """Return what it means that none of them has connected."""
+        if RelayReply.UNREACHABLE in self._replies:
+            return ConnectFailed
+        return ConnectTimeout if RelayReply.TIMED_OUT in self._replies else NoRelay
+
     def is_decided(self) -> bool:
         """Return whether there is a connection, or none will come."""
         return self.stream is not None or not self._open_count
@@ -182,7 +187,9 @@
         try:
             return await self._dial_relayed(record)
         except ConnectFailed as exc:
-            raise ConnectFailed(f"{failure}; {exc}") from exc
+            unclear = isinstance(exc, NoRelay) and self._relays.knows_others()
+            kind = NoRelay if unclear else type(failure)
+            raise kind(f"{failure}; {exc}") from exc
 
     async def _race(self, record: UpstreamRecord, left_ms: int) -> UpstreamStream:
         """Return the first connection that is made, directly or relayed; raise `ConnectFailed`."""
@@ -239,8 +246,7 @@
             nursery.cancel_scope.cancel()
         if poll.stream is None:
             said = ", ".join(poll.said) or "none to ask"
-            kind = ConnectFailed if poll.refused else ConnectTimeout
-            raise kind(f"no router relays to {record.replica}: {said}")
+            raise poll.error_type()(f"no router relays to {record.replica}: {said}")
         self._record_relayed(record, poll.stream.relay)
         return poll.stream
 
--- a/skylarklift/entry/relays/relay_choice.py
+++ b/skylarklift/entry/relays/relay_choice.py
@@ -59,10 +59,15 @@
         first, rest = [], []
         for peer in peers:
             zone = peer.last_message.zone
-            (rest if zone in seen else first).append(peer)
+            later = zone in seen or peer.last_message.leaving
+            (rest if later else first).append(peer)
             seen.add(zone)
         return first + rest
 
+    def knows_others(self) -> bool:
+        """Return whether there are other routers, also if none of them can be asked now."""
+        return any(peer.received_at is not None for peer in self._fleet.peers.values())
+
     def is_leaving(self, node: str) -> bool:
         """Return whether a router has said that it ends soon, or is not known any more."""
         peer = self._fleet.peers.get(node)
@@ -78,16 +83,21 @@
         self._paused_until[node] = Millis(self._clock.now() + PAUSE_MS)
 
     def _may_relay(self, peer: Peer, record: UpstreamRecord) -> bool:
-        """Return whether a router serves, in this region, and has its link to an upstream."""
+        """Return whether a router is in this region and has its link to an upstream."""
         message = peer.last_message
-        if message.leaving or record.zone in message.cut_zones:
+        if record.zone in message.cut_zones:
             return False
         return self._regions.get(message.zone) == self._regions.get(self._zone)
 
-    def _rank(self, peer: Peer) -> tuple[bool, bool, float]:
-        """Return the sort key of a router, the best one lowest."""
+    def _rank(self, peer: Peer) -> tuple[bool, bool, bool, float]:
+        """Return the sort key of a router, the best one lowest; those that end soon come last."""
         message = peer.last_message
         reached_at = self._reached_at.get(peer.node)
         unproven = reached_at is None or self._clock.now() - reached_at > MAX_SILENCE_MS
         load = sum(message.loads.values()) + self.open_counts[peer.node]
-        return unproven, message.zone != self._zone, (1 + load) * self._rng.uniform(0.5, 1.0)
+        return (
+            message.leaving,
+            unproven,
+            message.zone != self._zone,
+            (1 + load) * self._rng.uniform(0.5, 1.0),
+        )
--- a/skylarklift/entry/relays/relay_server.py
+++ b/skylarklift/entry/relays/relay_server.py
@@ -18,6 +18,8 @@
 
 # A relayed connection takes one descriptor to the other router and one to the upstream.
 DESCRIPTORS_EACH = 2
+# A stopping router relays nothing new for so long before it ends.
+LAST_RELAY_MS = 1000
 
 
 class RelayServer:
@@ -52,7 +54,11 @@
         is_router = any(peer.address.host == host for peer in core.fleet.peers.values())
         if upstream is None or upstream.endpoint != request.address or not is_router:
             return RelayReply.UNKNOWN_UPSTREAM
-        if core.stopping_since is not None:
+        stopping_ms = core.stopping_ms()
+        if (
+            stopping_ms is not None
+            and stopping_ms > core.settings.bounds.drain_ms() - LAST_RELAY_MS
+        ):
             return RelayReply.STOPPING
         if core.links.is_cut(upstream.record):
             return RelayReply.CUT_OFF
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -26,6 +26,7 @@
 from skylarklift.errors import (
     ConnectFailed,
     LocalShortage,
+    NoRelay,
     ProcessReplaced,
     ResponseBroken,
     ResponseInvalid,
@@ -355,7 +356,8 @@
             unanswered = self.core.health.unanswered
             replica, began_at = self.record.replica, self._started_at
             self.silence_tolerated = unanswered.tolerates(replica, exc, began_at)
-            if not self.silence_tolerated:
+            cut_off = isinstance(exc, NoRelay) and self.core.links.is_cut(self.record)
+            if not self.silence_tolerated and not cut_off:
                 self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
--- a/skylarklift/entry/requests/reachability.py
+++ b/skylarklift/entry/requests/reachability.py
@@ -5,7 +5,7 @@
 from skylarklift.clock import Millis
 from skylarklift.entry.core import Core, Probe
 from skylarklift.entry.placement.health import HealthSignal
-from skylarklift.errors import ConnectFailed, LocalShortage
+from skylarklift.errors import ConnectFailed, LocalShortage, NoRelay
 
 if TYPE_CHECKING:
     from skylarklift.entry.requests.attempt import Attempt
@@ -39,6 +39,8 @@
         attempt.detail = f"{attempt.detail}; {exc}"
         return if_unknown
     except ConnectFailed as exc:
+        if isinstance(exc, NoRelay) and core.links.is_cut(record):
+            return if_unknown
         if unanswered.tolerates(record.replica, exc, began_at) and since is None:
             return True
         attempt.detail = f"{attempt.detail}; {exc}"
--- a/skylarklift/errors.py
+++ b/skylarklift/errors.py
@@ -170,6 +170,10 @@
     """A connection was not made in time."""
 
 
+class NoRelay(ConnectTimeout):
+    """No direct connection was made, and no other router could tell whether it is the upstream."""
+
+
 class LocalShortage(ConnectFailed):
     """This process has no descriptor, port or memory for a connection."""
 
