--- a/features/entry_bytes.feature
+++ b/features/entry_bytes.feature
@@ -46,7 +46,8 @@
       | 60    | with 4 MB | event | /redeem/a | 4000000 | 200, 503 |
       | 8     | with 4 MB | event | /redeem/a | 4000000 | 200      |
 
-  # Guards against the same from replicas, with 300 streams at once.
+  # Guards against the same from replicas, with 300 streams at once, and against incomplete events
+  # that stay in memory while the failures of their streams are handled (issue 46).
   Scenario Outline: <count> streams of a replica that sends "<bytes>" leave the other callers served
     Given a router before a replica that sends "<bytes>" without end, and one that takes 300 ms
     When <count> requests to "/chat/a" with bodies of 10 bytes are sent at once, and 20 to "/redeem/a"
@@ -58,6 +59,7 @@
       | count | bytes              |
       | 300   | event              |
       | 300   | lines of one event |
+      | 600   | event              |
 
   Scenario Outline: A stream that stalls while bytes still arrive is resumed elsewhere
     Given a router before a replica that sends "<bytes>" now and then, and a sound one
