--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -40,6 +40,11 @@
     When the router stands still, "till-1" becomes cold, and 60 requests to "/check/a" arrive
     Then within 1000 ms after the router goes on "till-1" runs 8 requests at most
 
+  # Guards against a standstill that no check notices, as none was made before it.
+  Scenario: A router that stands still before its first check has stood still
+    When a router stands still for 1000 ms, 50 ms after its maintenance began
+    Then it has noticed that it stood still
+
   # Guards against a router that trusts the list of upstreams from before a standstill.
   Scenario Outline: A replica counts as cold after a standstill of <span> ms: <cold>
     Given a router that knows 3 replicas
--- a/features/steps/entry_standstill.py
+++ b/features/steps/entry_standstill.py
@@ -17,6 +17,7 @@
 from skylarklift.entry.gossip.wire import encode_gossip
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.process import EntryRouter
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.follower import Follower, fetch_rows
 from skylarklift.entry.state.rows import RowPage, RowTable
@@ -178,6 +179,30 @@
     core.standstill.check()
 
 
+@when("a router stands still for {span:d} ms, {after:d} ms after its maintenance began")
+def stands_still_early(context, span, after):
+    trio.run(stand_still_early, context, span / 1000, after / 1000)
+
+
+async def stand_still_early(context, span_s, after_s):
+    """Hold up the loop in which the maintenance runs, and record what the router noticed."""
+    core = new_core(LoopClock(), port=reserve_port())
+    router = EntryRouter(core, None, None, None, lambda: core.settings)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(router._run_maintenance)
+        await trio.sleep(after_s)
+        began_at = core.clock.now()
+        time.sleep(span_s)  # noqa: ASYNC251 - the loop must not run
+        await trio.sleep(READ_S)
+        context.noticed = core.standstill.has_ended_since(began_at)
+        nursery.cancel_scope.cancel()
+
+
+@then("it has noticed that it stood still")
+def has_noticed(context):
+    assert context.noticed
+
+
 class LateStore:
     """A store whose answer is read a time after the call."""
 
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -181,6 +181,7 @@
     async def _run_maintenance(self) -> None:
         """Apply removals whose delay is over, close expired connections, and flush the log."""
         core = self._core
+        core.standstill.check()
         while True:
             await trio.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
             if core.standstill.check():
