--- a/features/cut_off_relays.feature
+++ b/features/cut_off_relays.feature
@@ -43,6 +43,12 @@
       | /once/a  | unframed | live on while new ones are refused |
       | /check/a | unframed | hang                               |
 
+  # Guards against a router in the middle that buffers what a caller does not read.
+  Scenario: A caller that reads nothing holds up the replica, also by way of another router
+    Given 3 routers before 1 replicas of each service that send large answers of 5000 parts
+    When 1 router is cut off, and a caller of "/once/a" reads nothing for 4 s
+    Then the replica has made at most 48 MB of 100 MB
+
   # Guards against callers held to their deadlines by routers that ask each other in vain.
   Scenario Outline: All replicas <fault>: requests are refused soon, and served once replicas are back
     Given 3 routers before 2 replicas of each service
@@ -84,6 +90,19 @@
     When a request to relay to a replica comes to the peers' port of a router
     Then it is connected, and the replica answers
 
+  # Guards against a router whose own callers are refused, or that ends, because of what is held open or
+  # broken off at its peers' port.
+  Scenario Outline: A router serves its callers beside <count> requests to relay that are <state>
+    Given 2 routers before 2 replicas of each service
+    When <count> requests to relay to a replica come to a router, which are <state>
+    Then at least 12 of 12 requests of its callers succeed, and later requests to relay are served
+
+    Examples:
+      | count | state                  |
+      | 300   | held open              |
+      | 300   | broken off in a frame  |
+      | 100   | reset at once          |
+
   # Guards against a router that never had links of its own, and so takes all replicas for dead.
   Scenario Outline: Callers of a router that starts while its connections <cut> are served
     Given 3 routers before 3 replicas of each service
--- a/features/steps/cut_off_forged_hops.py
+++ b/features/steps/cut_off_forged_hops.py
@@ -1,9 +1,13 @@
 """Steps for requests to relay that no router sends."""
 
+import socket
+
 import msgpack
 import trio
 from behave import then, when
 
+from features.steps.cut_off_routers import send_all
+from skylarklift.entry.requests.http_connection import RESET_ON_CLOSE
 from standins.entry_world import HOST
 from standins.replica import STATUS_PATH
 
@@ -109,3 +113,46 @@
 def is_connected_and_answers(context):
     assert is_connected(context.reply), context.reply
     assert context.status and b'"born":1' in context.status, context.status
+
+
+@when("{count:d} requests to relay to a replica come to a router, which are {state}")
+def many_asked_for(context, count, state):
+    fleet = context.fleet
+    context.held = []
+
+    async def play():
+        context.values = (await make_targets(context))["a replica"]
+        target = "a frame that breaks off" if state.startswith("broken") else "a replica"
+        for _ in range(count):
+            stream = await trio.open_tcp_stream(HOST, fleet.peer_ports["a"])
+            await stream.send_all(make_frame(target, context.values))
+            if state == "reset at once":
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+                stream.socket.close()
+            context.held.append(stream)
+        await trio.sleep(1)
+
+    context.thread.run(play)
+
+
+@then(
+    "at least {least:d} of {requests:d} requests of its callers succeed, and later requests to "
+    "relay are served"
+)
+def serves_beside(context, least, requests):
+    fleet = context.fleet
+
+    async def play():
+        readings = await send_all(context, ["a"], requests)
+        for stream in context.held:
+            stream.socket.close()
+        await trio.sleep(1)
+        async with await trio.open_tcp_stream(HOST, fleet.peer_ports["a"]) as stream:
+            await stream.send_all(make_frame("a replica", context.values))
+            return readings, await read_reply(stream)
+
+    readings, reply = context.thread.run(play)
+    served = sum(reading.served for _, reading in readings)
+    assert served >= least, (served, readings)
+    assert is_connected(reply), reply
+    assert fleet.routers["a"].process.poll() is None
--- a/standins/paced_replica.py
+++ b/standins/paced_replica.py
@@ -39,16 +39,19 @@
 
     The answer to a stream has chunks, or if it is not `framed` ends with the connection.  So do
     then other answers, which have as many parts as streams have events.  The events name the
-    version, so that a caller sees which one wrote them.
+    version, so that a caller sees which one wrote them, and have at least `event_bytes` of data.
     """
 
-    def __init__(self, name: str, *, events=6, pace_ms=50, framed=True, version="v1"):
+    def __init__(
+        self, name: str, *, events=6, pace_ms=50, framed=True, version="v1", event_bytes=0
+    ):
         super().__init__(lambda request: None, born=1)
         self.name = name
         self.events = events
         self.pace_ms = pace_ms
         self.framed = framed
         self.version = version
+        self.event_bytes = event_bytes
         self.runs: list[PacedRun] = []
         self._nursery: trio.Nursery | None = None
 
@@ -124,7 +127,8 @@
         await stream.send_all(self._named(SIGNED_HEAD + EVENT_STREAM + chunks + b"\r\n", run))
         for number in range(run.last_event + 1, self.events + 1):
             await trio.sleep(self.pace_ms / MS_PER_SECOND)
-            event = b"id: %d\ndata: %s-%d\n\n" % (number, self.version.encode(), number)
+            data = b"data: %s-%d" % (self.version.encode(), number)
+            event = b"id: %d\n%s\n\n" % (number, data.ljust(self.event_bytes, b"."))
             run.made_at[number] = trio.current_time()
             await stream.send_all(b"%x\r\n%s\r\n" % (len(event), event) if self.framed else event)
         if self.framed:
