--- a/features/cut_off_relays.feature
+++ b/features/cut_off_relays.feature
@@ -2,7 +2,7 @@
 
   A router that is cut off reaches replicas by way of another router, which may fail on its part.
 
-  # Guards against an answer that ends with the router in the middle and is told as complete, and
+  # Guards against an answer that ends with the router in the middle and looks complete, and
   # against callers who are refused as one of several relays is lost (issue 46, rule RECOVER).
   Scenario Outline: The relay of <kind> answer of <path> <fault>, for an HTTP/<http> caller
     Given 4 routers before 2 replicas of each service that send <kind> answers of 40 parts
--- a/features/relays.feature
+++ b/features/relays.feature
@@ -106,3 +106,20 @@
     Given a core that knows an upstream
     When another router says that the upstream wants nothing for 2000 ms from its relay
     Then nothing is sent to the upstream until 2000 ms have passed
+
+  # Guards against connections that stay open, as their request is cancelled while they are made.
+  Scenario Outline: Dials that are cancelled while <way> leave no connection open
+    Given a dialer whose upstream <upstream>, and relays that answer after <delay> ms
+    When 60 dials are cancelled, each a little later than the one before, over <span> ms
+    Then no connection stays open
+
+    Examples:
+      | way                     | upstream              | delay | span |
+      | a relay is asked        | refuses               | 10    | 30   |
+      | several relays are asked | refuses              | 80    | 160  |
+      | both ways are tried     | accepts no connection | 5     | 220  |
+
+  Scenario: A router without a free descriptor for a relay tells that as any other failure
+    Given a dialer whose upstream refuses, and no descriptor for its relays
+    When a dial is made
+    Then it fails as a connection that cannot be made
--- a/features/unconfirmed_ends.feature
+++ b/features/unconfirmed_ends.feature
@@ -3,7 +3,7 @@
   A replica that lives on may end an answer without a length or chunks in order between two events.
   Only another run behind the last event shows whether that was the end of the stream.
 
-  # Guards against a stream that is told as complete before its last event, as the run that was to
+  # Guards against a stream that looks complete before its last event, as the run that was to
   # confirm its end was denied, cut off, or is not allowed on its route (issue 46).
   Scenario Outline: The end of a <path> stream after event <sent> does not look complete to an HTTP/<http> caller when <case>
     Given a router whose replicas end a stream in order after event <sent> of 6, where <case>
--- a/skylarklift/entry/backpressure.py
+++ b/skylarklift/entry/backpressure.py
@@ -14,7 +14,7 @@
 def record_backpressure(
     core: "Core", record: UpstreamRecord, head: ResponseHead, sent_at: Millis
 ) -> None:
-    """Record what the head of an answer says of rejections, and tell the other routers news."""
+    """Record what the head of an answer says of rejections, and send what is new to the others."""
     limits, service = core.chooser.concurrency_limits, record.service
     if head.rejection_limit is None:
         if limits.record_unnamed(service, sent_at):
--- a/skylarklift/entry/placement/concurrency_limits.py
+++ b/skylarklift/entry/placement/concurrency_limits.py
@@ -21,7 +21,7 @@
 LIFT_DELAY_MS = 3000
 # After a rejection no router sends to the upstream for this long.
 REJECTION_HOLD_MS = 1000
-# An upstream gets nothing for this long after an answer that told of waiting requests.
+# An upstream gets nothing for this long after an answer that reports waiting requests.
 WAITING_HOLD_MS = 200
 # A load that an upstream answered counts for this long.
 ANSWERED_LOAD_TTL_MS = 1000
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class AnsweredLoad:
-    """The load that an upstream told in an answer, and when."""
+    """The load that an upstream reported in an answer, and when."""
 
     load: ReplicaLoad
     answered_at: Millis
@@ -125,11 +125,11 @@
         return self._update(service, None, sent_at)
 
     def record_rejection(self, replica: ReplicaId) -> bool:
-        """Record that an upstream rejected a request; return whether that is news for others."""
+        """Record that an upstream rejected a request; return whether others are to know."""
         return self._hold_back(replica, self._clock.now())
 
     def record_load(self, replica: ReplicaId, load: ReplicaLoad) -> None:
-        """Record the load that an upstream of a limited service told in an answer."""
+        """Record the load that an upstream of a limited service reported in an answer."""
         self._loads[replica] = AnsweredLoad(load, self._clock.now())
 
     def apply_limit(self, report: RejectionLimit) -> bool:
@@ -205,7 +205,7 @@
         return rejected_at is not None and rejected_at > self._clock.now() - REJECTION_HOLD_MS
 
     def _recent_load(self, replica: ReplicaId) -> AnsweredLoad | None:
-        """Return what an upstream told of its load, `None` if that is too old."""
+        """Return what an upstream reported of its load, `None` if that is too old."""
         found = self._loads.get(replica)
         if found is None or found.answered_at <= self._clock.now() - ANSWERED_LOAD_TTL_MS:
             return None
@@ -218,10 +218,10 @@
         )
 
     def _slots(self, record: UpstreamRecord) -> int:
-        """Return how many requests an upstream runs at once, the least that it told."""
+        """Return how many requests an upstream runs at once, the least that it reported."""
         answered = self._loads.get(record.replica)
-        told = [record.slots, answered.load.slots if answered is not None else 0]
-        return min((slots for slots in told if slots > 0), default=1)
+        reported = [record.slots, answered.load.slots if answered is not None else 0]
+        return min((slots for slots in reported if slots > 0), default=1)
 
     def _places(self, record: UpstreamRecord, share: FleetShare) -> int:
         """Return how many of an upstream's slots are this router's; of few, the first have one."""
--- a/skylarklift/entry/relays/dialer.py
+++ b/skylarklift/entry/relays/dialer.py
@@ -26,6 +26,7 @@
 
 # A connection between VMs takes a millisecond or two.  After this long another router is asked.
 HEDGE_DELAY_MS = 150
+DIRECT_RETRY_MS = 100
 RELAY_CONNECT_TIMEOUT_MS = 200
 RELAY_REPLY_TIMEOUT_MS = 400
 # A relay tries the upstream for this long, and answers before its own time is over.
@@ -111,6 +112,11 @@
         self.decided.set()
         return True
 
+    def abandon(self) -> None:
+        """Close the connection, as nobody waits for it any more."""
+        if self.stream is not None:
+            self.stream.socket.close()
+
     def lose(self, exc: ConnectFailed) -> None:
         """Record that one way has failed."""
         self._open_ways -= 1
@@ -194,26 +200,34 @@
     async def _race(self, record: UpstreamRecord, left_ms: int) -> UpstreamStream:
         """Return the first connection that is made, directly or relayed; raise `ConnectFailed`."""
         race = DialRace()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._run_direct, race, record, left_ms)
-            nursery.start_soon(self._run_relayed, race, record)
-            try:
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._run_direct, race, record, left_ms)
+                nursery.start_soon(self._run_relayed, race, record)
                 await race.decided.wait()
-            except trio.Cancelled:
-                if race.stream is not None:
-                    race.stream.socket.close()
-                raise
-            nursery.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
+        except BaseException:
+            race.abandon()
+            raise
         if race.stream is None:
             raise race.error
         return race.stream
 
     async def _run_direct(self, race: DialRace, record: UpstreamRecord, left_ms: int) -> None:
-        """Take part in a race with a direct connection."""
-        try:
-            race.win(await self._dial_directly(record, left_ms))
-        except ConnectFailed as exc:
-            race.lose(exc)
+        """Take part in a race with a direct connection, which is begun anew a few times.
+
+        The system would repeat a request for a connection only after a second.
+        """
+        until = self._clock.now() + left_ms
+        while True:
+            span_ms = min(DIRECT_RETRY_MS, until - self._clock.now())
+            try:
+                race.win(await self._dial_directly(record, max(1, span_ms)))
+                return
+            except ConnectFailed as exc:
+                if not isinstance(exc, ConnectTimeout) or self._clock.now() >= until:
+                    race.lose(exc)
+                    return
 
     async def _run_relayed(self, race: DialRace, record: UpstreamRecord) -> None:
         """Take part in a race with a relayed connection."""
@@ -231,19 +245,19 @@
         """
         peers = self._relays.candidates(record)[:MAX_RELAYS_ASKED]
         poll = RelayPoll(len(peers))
-        async with trio.open_nursery() as nursery:
-            for peer in peers:
-                nursery.start_soon(self._ask_in_poll, poll, peer, record)
-                with trio.move_on_after(RELAY_HEDGE_DELAY_MS / MS_PER_SECOND):
-                    await poll.wait_for_answer()
-                if poll.is_decided():
-                    break
-            try:
+        try:
+            async with trio.open_nursery() as nursery:
+                for peer in peers:
+                    nursery.start_soon(self._ask_in_poll, poll, peer, record)
+                    with trio.move_on_after(RELAY_HEDGE_DELAY_MS / MS_PER_SECOND):
+                        await poll.wait_for_answer()
+                    if poll.is_decided():
+                        break
                 await poll.wait_decided()
-            except trio.Cancelled:
-                poll.abandon()
-                raise
-            nursery.cancel_scope.cancel()
+                nursery.cancel_scope.cancel()
+        except BaseException:
+            poll.abandon()
+            raise
         if poll.stream is None:
             said = ", ".join(poll.said) or "none to ask"
             raise poll.error_type()(f"no router relays to {record.replica}: {said}")
@@ -262,15 +276,13 @@
             self.link_cut.set()
 
     async def _ask(self, peer: Peer, record: UpstreamRecord) -> RelayAnswer:
-        """Ask a router to relay, and return what it said; raise `LocalShortage`."""
+        """Ask a router to relay, and return what it said."""
         reply: RelayReply | None = None
         stream: trio.SocketStream | None = None
         try:
             stream = await connect(peer.address.host, peer.address.port, RELAY_CONNECT_TIMEOUT_MS)
             with trio.fail_after(RELAY_REPLY_TIMEOUT_MS / MS_PER_SECOND):
                 reply = await self._exchange(stream, record)
-        except LocalShortage:
-            raise
         except (
             ConnectFailed,
             PeerError,
--- a/skylarklift/entry/relays/link_states.py
+++ b/skylarklift/entry/relays/link_states.py
@@ -30,13 +30,14 @@
 
     `relayed_at` holds when each upstream was last reached by way of another router only, and
     `cut_at` is when the first of these was, `None` while the link is sound.  `direct_share` is the
-    part of new connections that is made directly.  `answered_at` is when an open connection last
-    brought bytes.
+    part of new connections that is made directly.  `reached_at` is when the last direct one was
+    made, and `answered_at` when an open one last brought bytes.
     """
 
     relayed_at: dict[ReplicaId, Millis] = field(default_factory=dict)
     cut_at: Millis | None = None
     direct_share: float = 1.0
+    reached_at: Millis = Millis(0)
     answered_at: Millis = Millis(0)
 
 
@@ -56,9 +57,8 @@
         if link is None:
             return
         link.relayed_at.pop(record.replica, None)
-        if link.cut_at is None:
-            # Whatever is wrong there, it is not the link to the whole zone.
-            link.relayed_at.clear()
+        link.reached_at = self._clock.now()
+        if link.cut_at is None and not link.relayed_at:
             del self._zones[record.zone]
             self._update_doubt()
 
@@ -71,7 +71,9 @@
         if link.cut_at is not None:
             link.direct_share = 0.0
             return False
-        fresh = [at for at in link.relayed_at.values() if now - at < EVIDENCE_TTL_MS]
+        # What was reached directly since shows that the link to the whole zone is not cut.
+        since = max(link.reached_at + 1, now - EVIDENCE_TTL_MS + 1)
+        fresh = [at for at in link.relayed_at.values() if at >= since]
         if len(fresh) < UPSTREAMS_TO_CUT:
             return False
         link.cut_at, link.direct_share = min(fresh), 0.0
--- a/skylarklift/entry/relays/relay_choice.py
+++ b/skylarklift/entry/relays/relay_choice.py
@@ -1,7 +1,6 @@
 """Choose the routers that are asked to relay connections to an upstream."""
 
 import random
-from collections import Counter
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.gossip.fleet import Fleet, Peer
@@ -36,8 +35,6 @@
         self._rng = rng
         self._paused_until: dict[str, Millis] = {}
         self._reached_at: dict[str, Millis] = {}
-        # Connections of this router that each other one relays.
-        self.open_counts: Counter[str] = Counter()
 
     def candidates(self, record: UpstreamRecord) -> list[Peer]:
         """Return the routers that may reach an upstream, in the order in which to ask them."""
@@ -94,7 +91,7 @@
         message = peer.last_message
         reached_at = self._reached_at.get(peer.node)
         unproven = reached_at is None or self._clock.now() - reached_at > MAX_SILENCE_MS
-        load = sum(message.loads.values()) + self.open_counts[peer.node]
+        load = sum(message.loads.values())
         return (
             message.leaving,
             unproven,
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -21,7 +21,6 @@
 from skylarklift.entry.placement.unanswered import TOLERATED_SILENCE_MS
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
-from skylarklift.entry.requests.connection_pool import CONNECT_TIMEOUT_MS
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.request_log import log_failed_attempt, log_result
@@ -66,7 +65,7 @@
 MIN_TIMEOUT_FAILURE_MS = 1000
 MAX_LOGGED_PASSED_OVER = 4
 # An attempt that ends by this age of its request may have met a silence that is tolerated.
-MAX_EXCUSED_AGE_MS = TOLERATED_SILENCE_MS + CONNECT_TIMEOUT_MS
+MAX_EXCUSED_AGE_MS = TOLERATED_SILENCE_MS
 # Runs that are to confirm the end of a stream use this part of the retry budget.
 CONFIRMATION_BUDGET_RATIO = 0.5
 # Reasons that a short wait does not change, so that the request is refused at once.
