--- a/features/relays.feature
+++ b/features/relays.feature
@@ -66,7 +66,8 @@
       | a:far=1, b:zb=5                     | b       |
       | a:za=cut, b:za=cut, c:zb=cut        |         |
       | a:za=1, b:za=paused, c:zb=2         | a c     |
-      | a:za=50, b:za=1, c:zb=proven        | c b a   |
+      | a:za=50, b:za=1, c:zb=1             | b c a   |
+      | a:za=90, b:zb=1, c:zb=50            | a b c   |
 
   # Guards against a relay's own end that looks like that of the upstream.
   Scenario Outline: A relayed connection that brings <frames> in parts of <size> bytes is read as <read>
--- a/features/steps/relay_dials.py
+++ b/features/steps/relay_dials.py
@@ -40,11 +40,9 @@
     def knows_others(self):
         return True
 
-    def record_help(self, node):
+    def record_no_help(self, node):
         """Record nothing."""
 
-    record_no_help = record_help
-
 
 def make_dialer(relay_port):
     """Return a dialer whose relays listen at one port."""
--- a/features/steps/relays.py
+++ b/features/steps/relays.py
@@ -134,8 +134,6 @@
         fleet.record_message(message, Endpoint("10.0.0.9", 1))
         if says == "paused":
             context.relays.record_no_help(name)
-        elif says == "proven":
-            context.relays.record_help(name)
 
 
 @then('"{order}" are asked to relay, in this order')
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -45,6 +45,10 @@
     from skylarklift.entry.requests.attempt import Attempt
 
 
+# A relayed connection takes one descriptor to the other router and one to the upstream.
+DESCRIPTORS_EACH_RELAY = 2
+
+
 @dataclass(frozen=True, slots=True)
 class Probe:
     """The result and time of a connection attempt that checked an upstream."""
@@ -180,9 +184,13 @@
 
     def make_room_for_attempts(self) -> None:
         """Close idle connections to upstreams that take the descriptors of running attempts."""
-        used = len(self.attempts) + self.relays_open
+        used = len(self.attempts) + DESCRIPTORS_EACH_RELAY * self.relays_open
         self.connection_pool.trim_idle(max(0, self.descriptors.upstreams - used))
 
+    def caller_limit(self) -> int:
+        """Return the limit on callers' connections, beside those that are relayed."""
+        return max(1, self.descriptors.callers - DESCRIPTORS_EACH_RELAY * self.relays_open)
+
     def forget_upstream(self, replica: ReplicaId) -> None:
         """Drop what is kept about a removed upstream."""
         self.health.forget(replica)
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -212,7 +212,7 @@
             store_restored=state.restored.is_settling(RowTable.UPSTREAMS),
             zone=core.settings.zone,
             cut_zones=core.links.cut_zones(),
-            hold_offs=core.chooser.hold_offs.relayed_ms(),
+            hold_offs=core.chooser.hold_offs.relayed_ms(state.upstreams),
             backpressure=core.chooser.concurrency_limits.reports(),
         )
 
--- a/skylarklift/entry/placement/hold_offs.py
+++ b/skylarklift/entry/placement/hold_offs.py
@@ -70,14 +70,12 @@
         now = self._clock.now()
         return {replica: item.until - now for replica, item in self._hold_offs.items()}
 
-    def relayed_ms(self) -> dict[ReplicaId, int]:
-        """Return the time left of what upstreams said to relays of this router."""
-        now = self._clock.now()
-        return {
-            replica: item.until - now
-            for replica, item in self._hold_offs.items()
-            if item.relayed and item.until > now
-        }
+    def relayed_ms(self, members: Mapping[ReplicaId, Upstream]) -> dict[ReplicaId, int]:
+        """Return the time left of what the members said to relays of this router."""
+        if not self._hold_offs:
+            return {}
+        active, left_ms = self.active(members), self.left_ms()
+        return {replica: left_ms[replica] for replica in active if self._hold_offs[replica].relayed}
 
     def _expire(self) -> None:
         """Drop what is over."""
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -8,12 +8,11 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.backpressure import expire_backpressure
-from skylarklift.entry.core import Core
+from skylarklift.entry.core import DESCRIPTORS_EACH_RELAY, Core
 from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.model import Endpoint, NodeSettings
 from skylarklift.entry.relays.link_probes import LinkProbes
-from skylarklift.entry.relays.relay_server import DESCRIPTORS_EACH
 from skylarklift.entry.requests.serving import (
     CallerServer,
     MonitoringServer,
@@ -111,7 +110,7 @@
     def _max_peer_connections(self) -> int:
         """Return the limit on connections of other routers; most are relayed to upstreams."""
         descriptors = self._core.descriptors
-        return descriptors.routers + descriptors.upstreams // DESCRIPTORS_EACH
+        return descriptors.routers + descriptors.upstreams // DESCRIPTORS_EACH_RELAY
 
     def _make_acceptor(self, address: Endpoint, serve: Serve, **callbacks) -> Acceptor:
         """Return what accepts connections at one address."""
--- a/skylarklift/entry/relays/dialer.py
+++ b/skylarklift/entry/relays/dialer.py
@@ -26,7 +26,13 @@
 
 # A connection between VMs takes a millisecond or two.  After this long another router is asked.
 HEDGE_DELAY_MS = 150
+# A second direct connection is begun so long after the first one: the system would repeat its
+# request only after a second.
 DIRECT_RETRY_MS = 100
+# Two direct connections and a relayed one.
+RACING_TRIES = 3
+# What a relay reaches is tried directly once more, for this long, before the link is blamed.
+CONFIRM_TIMEOUT_MS = 100
 RELAY_CONNECT_TIMEOUT_MS = 200
 RELAY_REPLY_TIMEOUT_MS = 400
 # A relay tries the upstream for this long, and answers before its own time is over.
@@ -95,12 +101,12 @@
 
 
 class DialRace:
-    """Two ways to an upstream at once, of which the first one that arrives is used."""
+    """Several tries of an upstream at once, of which the first one that arrives is used."""
 
     def __init__(self):
         self.stream: UpstreamStream | None = None
         self.error: ConnectFailed | None = None
-        self._open_ways = 2
+        self._open_ways = RACING_TRIES
         self.decided = trio.Event()
 
     def win(self, stream: UpstreamStream) -> bool:
@@ -156,7 +162,7 @@
     async def dial(self, record: UpstreamRecord, timeout_ms: int) -> UpstreamStream:
         """Return a connection to an upstream; raise `ConnectFailed`."""
         if self._links.any_doubt and self._rng.random() >= self._links.direct_share(record):
-            return await self._dial_relayed(record)
+            return await self._dial_relayed(record, tried=False)
         try:
             return await self._dial_directly(record, min(timeout_ms, HEDGE_DELAY_MS))
         except LocalShortage:
@@ -168,6 +174,18 @@
                 return await self._dial_instead(record, exc)
         return await self._race(record, left_ms)
 
+    async def dial_by(
+        self, relay: str | None, record: UpstreamRecord, timeout_ms: int
+    ) -> UpstreamStream:
+        """Return a connection by one way only, directly without a relay; raise `ConnectFailed`."""
+        if relay is None:
+            return await connect(record.host, record.port, timeout_ms)
+        peer = self._relays.find(relay)
+        answer = RelayAnswer(None) if peer is None else await self._ask(peer, record)
+        if answer.stream is None:
+            raise ConnectFailed(f"{relay} does not relay to {record.replica}")
+        return answer.stream
+
     def may_use(self, relay: str | None, record: UpstreamRecord) -> bool:
         """Return whether an idle connection to an upstream may carry another request.
 
@@ -191,7 +209,7 @@
     async def _dial_instead(self, record: UpstreamRecord, failure: ConnectFailed) -> RelayedStream:
         """Return a relayed connection after a direct one has failed; raise `ConnectFailed`."""
         try:
-            return await self._dial_relayed(record)
+            return await self._dial_relayed(record, tried=True)
         except ConnectFailed as exc:
             unclear = isinstance(exc, NoRelay) and self._relays.knows_others()
             kind = NoRelay if unclear else type(failure)
@@ -203,6 +221,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._run_direct, race, record, left_ms)
+                nursery.start_soon(self._run_direct, race, record, left_ms, DIRECT_RETRY_MS)
                 nursery.start_soon(self._run_relayed, race, record)
                 await race.decided.wait()
                 nursery.cancel_scope.cancel()
@@ -210,38 +229,35 @@
             race.abandon()
             raise
         if race.stream is None:
+            if isinstance(race.error, NoRelay) and not self._relays.knows_others():
+                raise ConnectTimeout(str(race.error)) from race.error
             raise race.error
         return race.stream
 
-    async def _run_direct(self, race: DialRace, record: UpstreamRecord, left_ms: int) -> None:
-        """Take part in a race with a direct connection, which is begun anew a few times.
-
-        The system would repeat a request for a connection only after a second.
-        """
-        until = self._clock.now() + left_ms
-        while True:
-            span_ms = min(DIRECT_RETRY_MS, until - self._clock.now())
-            try:
-                race.win(await self._dial_directly(record, max(1, span_ms)))
-                return
-            except ConnectFailed as exc:
-                if not isinstance(exc, ConnectTimeout) or self._clock.now() >= until:
-                    race.lose(exc)
-                    return
+    async def _run_direct(
+        self, race: DialRace, record: UpstreamRecord, left_ms: int, delay_ms: int = 0
+    ) -> None:
+        """Take part in a race with a direct connection, some time after its start."""
+        await trio.sleep(delay_ms / MS_PER_SECOND)
+        try:
+            race.win(await self._dial_directly(record, max(1, left_ms - delay_ms)))
+        except ConnectFailed as exc:
+            race.lose(exc)
 
     async def _run_relayed(self, race: DialRace, record: UpstreamRecord) -> None:
         """Take part in a race with a relayed connection."""
         try:
-            race.win(await self._dial_relayed(record))
+            race.win(await self._dial_relayed(record, tried=True))
         except ConnectFailed as exc:
             race.lose(exc)
 
     # Relays.
 
-    async def _dial_relayed(self, record: UpstreamRecord) -> RelayedStream:
+    async def _dial_relayed(self, record: UpstreamRecord, *, tried: bool) -> RelayedStream:
         """Return a connection by way of another router; raise `ConnectFailed`.
 
         A few are asked, one soon after the other, as some may be cut off and not know it yet.
+        `tried` is whether a direct connection has just failed.
         """
         peers = self._relays.candidates(record)[:MAX_RELAYS_ASKED]
         poll = RelayPoll(len(peers))
@@ -255,22 +271,35 @@
                         break
                 await poll.wait_decided()
                 nursery.cancel_scope.cancel()
+            if tried and poll.stream is not None:
+                await self._blame_link(record, poll.stream.relay)
         except BaseException:
             poll.abandon()
             raise
         if poll.stream is None:
             said = ", ".join(poll.said) or "none to ask"
             raise poll.error_type()(f"no router relays to {record.replica}: {said}")
-        self._record_relayed(record, poll.stream.relay)
+        self._metrics.increment("relayed_connections", poll.stream.relay)
         return poll.stream
 
     async def _ask_in_poll(self, poll: RelayPoll, peer: Peer, record: UpstreamRecord) -> None:
         """Ask one of several routers to relay."""
         poll.record(peer.node, await self._ask(peer, record))
 
-    def _record_relayed(self, record: UpstreamRecord, relay: str) -> None:
-        """Record that another router reaches an upstream which this one does not."""
-        self._metrics.increment("relayed_connections", relay)
+    async def _blame_link(self, record: UpstreamRecord, relay: str) -> None:
+        """Record that only another router reaches an upstream, if a direct try fails again.
+
+        A silence of the upstream may just have ended.
+        """
+        if record.zone not in self._links.cut_zones():
+            try:
+                stream = await self._dial_directly(record, CONFIRM_TIMEOUT_MS)
+            except ConnectFailed:
+                # The link is at fault.
+                pass
+            else:
+                stream.socket.close()
+                return
         if self._links.record_relayed(record):
             self._event_log.write("link_cut", zone=record.zone, relay=relay)
             self.link_cut.set()
@@ -295,7 +324,6 @@
             if reply is not RelayReply.CONNECTED and stream is not None:
                 stream.socket.close()
         if reply is RelayReply.CONNECTED:
-            self._relays.record_help(peer.node)
             return RelayAnswer(reply, RelayedStream(stream, peer.node))
         if reply not in (RelayReply.UNREACHABLE, RelayReply.TIMED_OUT):
             self._relays.record_no_help(peer.node)
--- a/skylarklift/entry/relays/relay_choice.py
+++ b/skylarklift/entry/relays/relay_choice.py
@@ -11,6 +11,8 @@
 PAUSE_MS = 500
 # A router without news for longer may have ended.
 MAX_SILENCE_MS = 3000
+# Routers that are silent for less may only stand still.
+MAX_SILENCE_OF_OTHERS_MS = 10_000
 
 
 class RelayChoice:
@@ -34,7 +36,6 @@
         self._regions = regions
         self._rng = rng
         self._paused_until: dict[str, Millis] = {}
-        self._reached_at: dict[str, Millis] = {}
 
     def candidates(self, record: UpstreamRecord) -> list[Peer]:
         """Return the routers that may reach an upstream, in the order in which to ask them."""
@@ -63,20 +64,19 @@
 
     def knows_others(self) -> bool:
         """Return whether there are other routers, also if none of them can be asked now."""
-        return any(peer.received_at is not None for peer in self._fleet.peers.values())
+        return bool(self._fleet.peers_heard_within(MAX_SILENCE_OF_OTHERS_MS))
+
+    def find(self, node: str) -> Peer | None:
+        """Return a router by its name, `None` if it is not known."""
+        return self._fleet.peers.get(node)
 
     def is_leaving(self, node: str) -> bool:
         """Return whether a router has said that it ends soon, or is not known any more."""
         peer = self._fleet.peers.get(node)
         return peer is None or peer.last_message is None or peer.last_message.leaving
 
-    def record_help(self, node: str) -> None:
-        """Record that a router has relayed."""
-        self._reached_at[node] = self._clock.now()
-
     def record_no_help(self, node: str) -> None:
         """Leave a router out for a while."""
-        self._reached_at.pop(node, None)
         self._paused_until[node] = Millis(self._clock.now() + PAUSE_MS)
 
     def _may_relay(self, peer: Peer, record: UpstreamRecord) -> bool:
@@ -86,15 +86,12 @@
             return False
         return self._regions.get(message.zone) == self._regions.get(self._zone)
 
-    def _rank(self, peer: Peer) -> tuple[bool, bool, bool, float]:
+    def _rank(self, peer: Peer) -> tuple[bool, bool, float]:
         """Return the sort key of a router, the best one lowest; those that end soon come last."""
         message = peer.last_message
-        reached_at = self._reached_at.get(peer.node)
-        unproven = reached_at is None or self._clock.now() - reached_at > MAX_SILENCE_MS
         load = sum(message.loads.values())
         return (
             message.leaving,
-            unproven,
             message.zone != self._zone,
             (1 + load) * self._rng.uniform(0.5, 1.0),
         )
--- a/skylarklift/entry/relays/relay_server.py
+++ b/skylarklift/entry/relays/relay_server.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from skylarklift.entry.core import Core
+from skylarklift.entry.core import DESCRIPTORS_EACH_RELAY, Core
 from skylarklift.entry.gossip.wire import send_frame
 from skylarklift.entry.relays.relay_messages import (
     RelayReply,
@@ -16,8 +16,11 @@
 from skylarklift.entry.requests.http_connection import CLOSE_IN_ORDER, RESET_ON_CLOSE, connect
 from skylarklift.errors import ConnectFailed, ConnectTimeout, LocalShortage
 
-# A relayed connection takes one descriptor to the other router and one to the upstream.
-DESCRIPTORS_EACH = 2
+# This part of the descriptors for upstreams may be used for relayed connections.
+MAX_RELAY_RATIO = 0.5
+# Before a refusal is passed on, so many others are tried, for this long each.
+CHECKED_UPSTREAMS = 2
+CHECK_TIMEOUT_MS = 100
 # A stopping router relays nothing new for so long before it ends.
 LAST_RELAY_MS = 1000
 
@@ -62,8 +65,10 @@
             return RelayReply.STOPPING
         if core.links.is_cut(upstream.record):
             return RelayReply.CUT_OFF
-        used = len(core.attempts) + DESCRIPTORS_EACH * (core.relays_open + 1)
-        return RelayReply.BUSY if used > core.descriptors.upstreams else None
+        relays = DESCRIPTORS_EACH_RELAY * (core.relays_open + 1)
+        limit = core.descriptors.upstreams
+        is_full = relays > MAX_RELAY_RATIO * limit or len(core.attempts) + relays > limit
+        return RelayReply.BUSY if is_full else None
 
     async def _connect_and_forward(self, stream: trio.SocketStream, request: RelayRequest) -> None:
         """Connect to the upstream, reply, and forward both directions until one side ends."""
@@ -80,7 +85,9 @@
             await send_frame(stream, encode_relay_reply(RelayReply.TIMED_OUT))
             return
         except ConnectFailed:
-            await send_frame(stream, encode_relay_reply(RelayReply.UNREACHABLE))
+            sound = await self._reaches_another(request)
+            reply = RelayReply.UNREACHABLE if sound else RelayReply.CUT_OFF
+            await send_frame(stream, encode_relay_reply(reply))
             return
         try:
             # What is cut short must not look like an end, also if this process is killed.
@@ -91,6 +98,25 @@
         finally:
             upstream.socket.close()
 
+    async def _reaches_another(self, request: RelayRequest) -> bool:
+        """Return whether this router reaches some other upstream, best one of the same zone.
+
+        Else its own link may be cut, and it knows nothing of the upstream.
+        """
+        core, upstreams = self._core, self._core.cluster_state.upstreams
+        wanted = upstreams.get(request.replica)
+        records = [item.record for name, item in upstreams.items() if name != request.replica]
+        core.rng.shuffle(records)
+        records.sort(key=lambda item: wanted is None or item.zone != wanted.record.zone)
+        for record in records[:CHECKED_UPSTREAMS]:
+            try:
+                stream = await connect(record.host, record.port, CHECK_TIMEOUT_MS)
+            except ConnectFailed:
+                continue
+            stream.socket.close()
+            return True
+        return False
+
     async def _forward(self, stream: trio.SocketStream, upstream: trio.SocketStream) -> None:
         """Forward until the upstream has ended its answers, or the other router its requests."""
         async with trio.open_nursery() as nursery:
--- a/skylarklift/entry/requests/answer_end.py
+++ b/skylarklift/entry/requests/answer_end.py
@@ -13,7 +13,7 @@
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import ProcessStart, UpstreamRecord
 from skylarklift.entry.requests.http_connection import HttpConnection
-from skylarklift.entry.requests.process_identity import ask_process, ask_process_anew
+from skylarklift.entry.requests.process_identity import ask_process, ask_process_by
 from skylarklift.entry.requests.second_connection import SecondConnection
 from skylarklift.errors import ConnectFailed
 
@@ -45,6 +45,7 @@
         self._core = core
         self._record = record
         self._second = second
+        self._relay = conn.relay
         # Whether the second connection ended, or brought nothing, when it was asked on.
         self._second_failed = False
         said = conn.process.started_ms if conn.process else None
@@ -78,7 +79,7 @@
                 return self._compare(process, if_not_said=EndSign.PROCESS_LIVES)
             self._second_failed = True
         try:
-            process = await ask_process_anew(self._core, self._record)
+            process = await ask_process_by(self._core, self._record, self._relay)
         except ConnectFailed:
             # Another one may be on its way to the address.
             return EndSign.PROCESS_SILENT
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -179,7 +179,7 @@
                 raise ResponseInvalid(f"status {head.status} without an id of a request")
             if head.request is None or head.request == self.call.request:
                 if self.conn.ends_with_connection and status not in NO_BODY_STATUSES:
-                    self.second_connection.start()
+                    self.second_connection.start(self.conn.relay)
                 if compare_start(self.record, self.conn.process) is Identity.SAME:
                     self.choice.upstream.record_process_seen(self._sent_at)
                 return self._check_head(head)
@@ -356,8 +356,8 @@
             unanswered = self.core.health.unanswered
             replica, began_at = self.record.replica, self._started_at
             self.silence_tolerated = unanswered.tolerates(replica, exc, began_at)
-            cut_off = isinstance(exc, NoRelay) and self.core.links.is_cut(self.record)
-            if not self.silence_tolerated and not cut_off:
+            # What nobody could look at is not held against the upstream.
+            if not self.silence_tolerated and not isinstance(exc, NoRelay):
                 self.report_signal(HealthSignal.UNREACHABLE)
         else:
             self.outcome = Outcome.BROKEN
@@ -386,7 +386,7 @@
         """Return whether an answer broke off though its upstream is reached by other ways only."""
         core = self.core
         if self.relayed:
-            return self.conn.was_reset
+            return self.conn.was_reset and not self.aborted
         with trio.CancelScope(shield=True):
             since = None if self.aborted else core.clock.now()
             alive = await is_reachable(core, self, since=since)
--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -162,7 +162,9 @@
         before, brought_events = self.end, bool(attempt.event_range)
         self.end = UnconfirmedEnd(self._position.last, brought_events)
         may_go_on = self._retry_state.repeatable and self._position.exact
-        if not may_go_on or before is None or before.last_event != self.end.last_event:
+        if not may_go_on or self._position.last is None:
+            return False
+        if before is None or before.last_event != self.end.last_event:
             return False
         self.end_proof = EndProof.SECOND_RUN
         return True
--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -11,7 +11,7 @@
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import ProcessStart, UpstreamRecord
-from skylarklift.entry.requests.http_connection import HttpConnection
+from skylarklift.entry.requests.http_connection import HttpConnection, UpstreamStream
 from skylarklift.entry.requests.status_format import StatusFormat
 from skylarklift.entry.state.upstream import Upstream
 from skylarklift.errors import ConnectFailed, TransportError
@@ -77,7 +77,21 @@
 
 async def ask_process_anew(core: Core, record: UpstreamRecord) -> ProcessStart | None:
     """Ask the process that serves at the address of an entry now; raise `ConnectFailed`."""
-    stream = await core.dialer.dial(record, ANSWER_TIMEOUT_MS)
+    return await _ask_on(core, record, await core.dialer.dial(record, ANSWER_TIMEOUT_MS))
+
+
+async def ask_process_by(
+    core: Core, record: UpstreamRecord, relay: str | None
+) -> ProcessStart | None:
+    """Ask by the way of an answer, whose link may have ended it; raise `ConnectFailed`."""
+    stream = await core.dialer.dial_by(relay, record, ANSWER_TIMEOUT_MS)
+    return await _ask_on(core, record, stream)
+
+
+async def _ask_on(
+    core: Core, record: UpstreamRecord, stream: UpstreamStream
+) -> ProcessStart | None:
+    """Ask the process behind a new connection, which is closed then."""
     conn = HttpConnection(stream, f"{record.host}:{record.port}")
     try:
         return await ask_process(core, record, conn)
--- a/skylarklift/entry/requests/reachability.py
+++ b/skylarklift/entry/requests/reachability.py
@@ -39,7 +39,7 @@
         attempt.detail = f"{attempt.detail}; {exc}"
         return if_unknown
     except ConnectFailed as exc:
-        if isinstance(exc, NoRelay) and core.links.is_cut(record):
+        if isinstance(exc, NoRelay):
             return if_unknown
         if unanswered.tolerates(record.replica, exc, began_at) and since is None:
             return True
--- a/skylarklift/entry/requests/second_connection.py
+++ b/skylarklift/entry/requests/second_connection.py
@@ -25,13 +25,16 @@
         self._dialer = dialer
         self._record = record
         self._wanted = trio.Event()
+        # The router that relays the answer, so that both connections share their links.
+        self._relay: str | None = None
         self._opened = trio.Event()
         self._conn: HttpConnection | None = None
         self._reading = trio.CancelScope()
         self._ended_at: Millis | None = None
 
-    def start(self) -> None:
-        """Let `run` make the connection."""
+    def start(self, relay: str | None) -> None:
+        """Let `run` make the connection by the way of the answer."""
+        self._relay = relay
         self._wanted.set()
 
     async def run(self) -> None:
@@ -39,7 +42,7 @@
         await self._wanted.wait()
         record = self._record
         try:
-            stream = await self._dialer.dial(record, CONNECT_TIMEOUT_MS)
+            stream = await self._dialer.dial_by(self._relay, record, CONNECT_TIMEOUT_MS)
         except ConnectFailed:
             # Without the connection nothing shows that the process lives.
             self._opened.set()
--- a/skylarklift/entry/requests/serving.py
+++ b/skylarklift/entry/requests/serving.py
@@ -36,7 +36,7 @@
         self._core = core
         self._connections = IdleConnections(
             core.clock,
-            lambda: core.descriptors.callers,
+            core.caller_limit,
             partial(record_idle_close, core, "callers"),
         )
         self._refusing_count = 0
