--- a/features/entry_ends.feature
+++ b/features/entry_ends.feature
@@ -97,7 +97,7 @@
     Then the caller has all events, and learns after at most 2000 ms that the end is in doubt
 
   # Guards against whole streams that leave no retry to those that break off.
-  Scenario Outline: 10 streams that break off are resumed after 60 whole streams that <ending>, each with at most 2 tries
+  Scenario Outline: 10 streams that break off are resumed after 60 whole streams that <ending>, each with at most 3 tries
     Given a router before 2 replicas whose whole streams <ending>
     When 60 whole streams and then 10 that break off are sent to them
     Then all 10 are complete
--- a/features/steps/unconfirmed_ends.py
+++ b/features/steps/unconfirmed_ends.py
@@ -43,6 +43,9 @@
             return Reply(STREAM_HEAD + b"\r\n" + events, Ending.CLOSE)
         if case in RESUMED:
             return RESUMED[case]
+        if case.startswith("a resumed run is cut once") and not resets:
+            resets.append(request)
+            return Reply(STREAM_HEAD + b"\r\n", Ending.CLOSE)
         if case == "a resumed run is reset once" and not resets:
             resets.append(request)
             return RESUMED["a resumed run is reset"]
--- a/features/unconfirmed_ends.feature
+++ b/features/unconfirmed_ends.feature
@@ -24,8 +24,8 @@
       | /chat/a | 1.1  | 2    | the route allows one run            |
       | /chat/a | 1.1  | 2    | events have no ids                  |
 
-  # Guards against whole streams that their callers never get complete: the try of a caller that takes
-  # a stream up at a doubted end is the second run there.
+  # Guards against whole streams that their callers never get complete: the tries of a caller that takes
+  # a stream up at a doubted end count as runs there.
   Scenario Outline: A caller has a whole <path> stream complete after <tries> tries when <case>
     Given a router whose replicas end a stream in order after event 6 of 6, where <case>
     When a caller reads a stream of "<path>", and takes it up behind its last event until it is complete
@@ -37,7 +37,14 @@
       | /chat/a | 2     | a resumed run is reset once |
       | /chat/a | 2     | the retry budget is used up |
       | /chat/a | 2     | the route allows one run    |
-      | /chat/a | 2     | a resumed run is unframed, and the retry budget is used up |
+      | /chat/a | 3     | a resumed run is unframed, and the retry budget is used up |
+
+  # Guards against a stream that looks complete, as the caller's next try was cut before its first event
+  # (a short soak, seed 2).
+  Scenario: A caller's second try that is cut in order at once does not complete the stream
+    Given a router whose replicas end a stream in order after event 2 of 6, where a resumed run is cut once, and the retry budget is used up
+    When a caller reads a stream of "/chat/a", and takes it up behind its last event until it is complete
+    Then it has 6 events after 3 tries
 
   Scenario: An end of a healthy replica that nothing confirms does not count against it
     Given a router whose replicas end a stream in order after event 6 of 6, where all else is as usual
--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -1,7 +1,7 @@
 """Forward an upstream's response to the caller: buffered, in chunks, or event by event."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 
 from skylarklift.entry.model import Call, ResponseHead, RouteKind
@@ -12,6 +12,7 @@
 from skylarklift.entry.requests.response_body import ResponseBody
 from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from skylarklift.entry.requests.silence import SilenceTimer
+from skylarklift.entry.versions.stream_origins import DoubtedEnd
 from skylarklift.errors import OutcomeUnknown, ResponseBroken, ResponseInvalid
 from skylarklift.upstreams.events import MAX_EVENT_BYTES, EventSplitter, StreamEvent
 from skylarklift.upstreams.stream_position import StreamPosition
@@ -23,6 +24,9 @@
 # An upstream that sends nothing for this long within a stream is probed.
 MID_STREAM_SILENCE_MS = 600
 STATUS_OK = 200
+# Runs of one answer that end behind the same event with their connections, and those of all tries.
+RUNS_TO_CONFIRM = 2
+ALL_RUNS_TO_CONFIRM = 3
 
 
 class EndProof(Enum):
@@ -40,11 +44,25 @@
 class UnconfirmedEnd:
     """Where a stream ended with its connection; `last_event` is `None` before the first one.
 
-    `brought_events` is whether the run that ended there had brought any.
+    `brought_events` is whether the run that ended there had brought any.  `runs` have ended there,
+    `earlier_runs` of them in earlier tries of the caller.
     """
 
     last_event: int | None
     brought_events: bool
+    runs: int = 1
+    earlier_runs: int = 0
+
+    def is_confirmed(self) -> bool:
+        """Return whether so many runs have ended there that it is the end of the stream.
+
+        More are asked for over several tries: the first one may have been broken off.
+        """
+        return self.runs - self.earlier_runs >= RUNS_TO_CONFIRM or self.runs >= ALL_RUNS_TO_CONFIRM
+
+    def count_run(self, *, brought_events: bool) -> "UnconfirmedEnd":
+        """Return the end after one more run has ended there."""
+        return replace(self, brought_events=brought_events, runs=self.runs + 1)
 
 
 class Forwarder:
@@ -159,26 +177,30 @@
         if not attempt.conn.ends_with_connection:
             self.end_proof = EndProof.FRAMING
             return True
-        before, brought_events = self.end, bool(attempt.event_range)
-        self.end = UnconfirmedEnd(self._position.last, brought_events)
+        last, brought_events = self._position.last, bool(attempt.event_range)
+        if self.end is not None and self.end.last_event == last:
+            self.end = self.end.count_run(brought_events=brought_events)
+        else:
+            self.end = UnconfirmedEnd(last, brought_events)
         may_go_on = self._retry_state.repeatable and self._position.exact
-        if not may_go_on or self._position.last is None:
-            return False
-        if before is None or before.last_event != self.end.last_event:
+        if not may_go_on or last is None or not self.end.is_confirmed():
             return False
         self.end_proof = EndProof.SECOND_RUN
         return True
 
-    def expect_end(self, last_event: int | None) -> None:
-        """Take a run that brings nothing as the second one that ended behind an event."""
-        if last_event is not None and last_event == self._position.last:
-            self.end = UnconfirmedEnd(last_event, brought_events=False)
+    def expect_end(self, end: DoubtedEnd | None) -> None:
+        """Count a run that brings nothing to those of earlier tries that ended there."""
+        if end is not None and end.last_event == self._position.last:
+            self.end = UnconfirmedEnd(end.last_event, False, end.runs, end.runs)
 
     @property
-    def doubted_end(self) -> int | None:
-        """Return the last event that the caller has if a run ended there, `None` otherwise."""
-        ended_here = self.end is not None and self.end.last_event == self._position.last
-        return self._position.last if ended_here and self._position.exact else None
+    def doubted_end(self) -> DoubtedEnd | None:
+        """Return where runs have ended if the caller has all up to there, `None` otherwise."""
+        last = self._position.last
+        ended_here = self.end is not None and self.end.last_event == last
+        if not ended_here or last is None or not self._position.exact:
+            return None
+        return DoubtedEnd(last, self.end.runs)
 
     @property
     def awaits_confirmation(self) -> bool:
--- a/skylarklift/entry/versions/origin_messages.py
+++ b/skylarklift/entry/versions/origin_messages.py
@@ -5,7 +5,7 @@
 
 import msgpack
 
-from skylarklift.entry.versions.stream_origins import StreamOrigin
+from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin
 from skylarklift.errors import PeerError
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 from skylarklift.util.bounded import checked_integer, checked_text
@@ -42,8 +42,8 @@
 
 def _origin_fields(origin: StreamOrigin) -> tuple:
     """Return the fields of an origin; routers of earlier releases know three."""
-    fields = (origin.request, origin.service, origin.version)
-    return fields if origin.doubted_end is None else (*fields, origin.doubted_end)
+    fields, end = (origin.request, origin.service, origin.version), origin.doubted_end
+    return fields if end is None else (*fields, end.last_event, end.runs)
 
 
 def is_origin_message(data: bytes) -> bool:
@@ -65,13 +65,15 @@
         raise PeerError(f"invalid message about streams: {exc}") from exc
 
 
-def _decode_origin(
-    request: Any, service: Any, version: Any, doubted_end: Any = None
-) -> StreamOrigin:
+def _decode_origin(request: Any, service: Any, version: Any, *doubted_end: Any) -> StreamOrigin:
     """Return the origin of one stream; raise `ValueError`."""
+    end = None
+    if doubted_end:
+        last_event, runs = doubted_end
+        end = DoubtedEnd(checked_integer(last_event), checked_integer(runs))
     return StreamOrigin(
         RequestId(checked_text(request)),
         ServiceId(checked_text(service)),
         None if version is None else SoftwareVersion(checked_text(version)),
-        None if doubted_end is None else checked_integer(doubted_end),
+        end,
     )
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -15,7 +15,7 @@
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.versions.origin_messages import OriginMessage
 from skylarklift.entry.versions.releases import Releases
-from skylarklift.entry.versions.stream_origins import StreamOrigin, StreamOrigins
+from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin, StreamOrigins
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 
@@ -67,7 +67,7 @@
     version: SoftwareVersion | None = None
     asked: int = 0
     releases_age_ms: int | None = None
-    doubted_end: int | None = None
+    doubted_end: DoubtedEnd | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/versions/stream_origins.py
+++ b/skylarklift/entry/versions/stream_origins.py
@@ -16,19 +16,27 @@
 MAX_ORIGINS = 20_000
 
 
+@dataclass(frozen=True, slots=True)
+class DoubtedEnd:
+    """The event behind which `runs` runs of a stream ended with their connections."""
+
+    last_event: int
+    runs: int
+
+
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
     """The service and the software version that began a stream.
 
     `request` is the client's attempt that brought the first event; `version` is `None` if the
-    replica named none.  `doubted_end` is the event behind which a run ended with its connection, so
-    that the stream was broken off there, `None` if none did.
+    replica named none.  `doubted_end` is where the stream was broken off as its end was in doubt,
+    `None` if it was not.
     """
 
     request: RequestId
     service: ServiceId
     version: SoftwareVersion | None
-    doubted_end: int | None = None
+    doubted_end: DoubtedEnd | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -11,7 +11,7 @@
 from skylarklift.entry.state.rows import RowTable
 from skylarklift.entry.state.upstream import is_restart
 from skylarklift.entry.versions.resumptions import FoundOrigin, OriginSource, ResumedStream
-from skylarklift.entry.versions.stream_origins import StreamOrigin
+from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin
 from skylarklift.errors import BadRequest, ProcessReplaced, Refusal, TransportError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
@@ -128,16 +128,18 @@
             self._core.metrics.increment("streams_begun")
 
     @property
-    def doubted_end(self) -> int | None:
-        """Return the event behind which an earlier try of the caller was broken off in doubt."""
+    def doubted_end(self) -> DoubtedEnd | None:
+        """Return where an earlier try of the caller was broken off in doubt."""
         return None if self.origin is None else self.origin.doubted_end
 
-    def record_doubted_end(self, last_event: int | None) -> None:
-        """Record behind which event the answer is broken off, as nothing confirms its end."""
-        if self._resumable and last_event is not None:
-            self._record(self.required, last_event)
+    def record_doubted_end(self, end: DoubtedEnd | None) -> None:
+        """Record where the answer is broken off, as nothing confirms its end."""
+        if self._resumable and end is not None:
+            self._record(self.required, end)
 
-    def _record(self, version: SoftwareVersion | None, doubted_end: int | None = None) -> None:
+    def _record(
+        self, version: SoftwareVersion | None, doubted_end: DoubtedEnd | None = None
+    ) -> None:
         """Record, here and at the backup routers, at which version the stream may go on."""
         self.required = version
         request = self._call.request
