Log how old a resumed stream may be, and by how many proportions it was derived

Cause: the lines of streams that are taken up name the version and the age of the rows, which does not tell steps that were cut from steps that a copy of the store lost, nor either from a stream older than what is kept. Change: stream_max_age_ms and release_steps in these lines, era in release_step. Ruled out: nothing; no decision changes.

--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -159,6 +159,7 @@
             "release_step",
             subject=report.service,
             row_version=report.row_version,
+            era=report.era,
             replicas={item.version: item.weight for item in report.steps[-1].weights},
             steps=len(report.steps),
             source=source,
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -145,6 +145,10 @@
         known = self._known.get(service)
         return self._current(known) if known else ()
 
+    def count_steps(self, service: ServiceId, max_age_ms: int) -> int:
+        """Return how many proportions some router may have used at most `max_age_ms` ago."""
+        return len(_steps_since(self.steps(service), max_age_ms))
+
     def _current(self, known: KnownRelease) -> tuple[ReleaseStep, ...]:
         """Return the steps of a row with the ages of now."""
         elapsed_ms = self._clock.now() - known.known_at
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -60,6 +60,8 @@
 
     `asked` is how many other routers were asked, and `releases_age_ms` how old the rows on
     software versions were, `None` if that is not known.  `doubted_end` is that of the origin.
+    `max_age_ms` is how long ago the stream began at most, and `steps` how many proportions of
+    that time were known.
     """
 
     source: OriginSource
@@ -68,6 +70,8 @@
     asked: int = 0
     releases_age_ms: int | None = None
     doubted_end: DoubtedEnd | None = None
+    max_age_ms: int = 0
+    steps: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -126,7 +130,13 @@
             found = FoundOrigin(
                 source, origin.service, origin.version, doubted_end=origin.doubted_end
             )
-        return replace(found, asked=asked, releases_age_ms=self._releases.age_ms())
+        return replace(
+            found,
+            asked=asked,
+            releases_age_ms=self._releases.age_ms(),
+            max_age_ms=stream.max_age_ms,
+            steps=self._releases.count_steps(stream.service, stream.max_age_ms),
+        )
 
     def _knows_releases(self) -> bool:
         """Return whether the rows on software versions are the newest ones.
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -179,4 +179,6 @@
             fields["resumption"] = self.origin.source.value
             fields["routers_asked"] = self.origin.asked
             fields["releases_age_ms"] = self.origin.releases_age_ms
+            fields["stream_max_age_ms"] = self.origin.max_age_ms
+            fields["release_steps"] = self.origin.steps
         return fields
