--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -72,14 +72,8 @@
         """Write the rows of the services whose versions have changed."""
         core = self._core
         for service, counts in self._count_versions().items():
-            steps = core.releases.next_row(service, counts)
-            if steps is not None:
-                report = ReleaseReport(
-                    service,
-                    core.releases.row_version(service),
-                    steps,
-                    deadline=core.releases.deadlines.longest(service),
-                )
+            report = core.releases.next_report(service, counts)
+            if report is not None:
                 self._apply([await self._store.write_release(report)])
 
     def _apply(self, reports: list[ReleaseReport]) -> None:
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -184,6 +184,16 @@
         found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
         return STEP_TTL_MS if found is None else min(found, STEP_TTL_MS)
 
+    def next_report(
+        self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
+    ) -> ReleaseReport | None:
+        """Return the row to write for the replicas of each version, `None` if all is right."""
+        steps = self.next_row(service, counts)
+        if steps is None:
+            return None
+        deadline = self.deadlines.longest(service)
+        return ReleaseReport(service, self.row_version(service), steps, deadline=deadline)
+
     def next_row(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
     ) -> tuple[ReleaseStep, ...] | None:
@@ -228,6 +238,19 @@
     return max(weights, key=score).version
 
 
+def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
+    """Return the data of a service's row; times are those of the store's clock."""
+    return encode_release_row(ReleaseRow(report.steps, report.deadline), now_ms)
+
+
+def decode_report(
+    service: ServiceId, row_version: int, data: bytes, now_ms: int, era: Era
+) -> ReleaseReport:
+    """Return a service's row that was read in an era, without steps if it is invalid."""
+    row = decode_release_row(data, now_ms)
+    return ReleaseReport(service, row_version, row.steps, era, row.deadline)
+
+
 def encode_release_row(row: ReleaseRow, now_ms: int) -> bytes:
     """Return the data of a row; times are those of the store's clock."""
     steps = [
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -22,12 +22,7 @@
     RowSource,
     RowTable,
 )
-from skylarklift.entry.versions.releases import (
-    ReleaseReport,
-    ReleaseRow,
-    decode_release_row,
-    encode_release_row,
-)
+from skylarklift.entry.versions.releases import ReleaseReport, decode_report, encode_report
 from skylarklift.errors import StoreAnswerLost, StoreError, StoreUnavailable, TransportError
 from skylarklift.ids import ServiceId
 from skylarklift.platform import names
@@ -145,7 +140,7 @@
     async def write_release(self, report: ReleaseReport) -> ReleaseReport:
         """Write a service's row if its version is still the one named; return the row as it is."""
         row = {"table": RELEASE_TABLE, "part": "", "key": report.service}
-        data = encode_release_row(ReleaseRow(report.steps, report.deadline), self._store_now_ms())
+        data = encode_report(report, self._store_now_ms())
         body = {
             "expected": [{**row, "row_version": report.row_version}],
             "write": [{**row, "data": b64encode(data).decode()}],
@@ -258,8 +253,7 @@
 
 def _decode_release(row: RowChange, now_ms: int, era: Era) -> ReleaseReport:
     """Return a row on software versions, without steps if it cannot be read."""
-    found = decode_release_row(row.data or b"", now_ms)
-    return ReleaseReport(ServiceId(row.key), row.version, found.steps, era, found.deadline)
+    return decode_report(ServiceId(row.key), row.version, row.data or b"", now_ms, era)
 
 
 def _decode_row(row: dict[str, Any]) -> RowChange:
