Merge steps of software versions that are too many, and never drop one unnoticed

Callers got streams joined from two versions when all routers that remembered them were gone, in releases of more than a dozen replicas. Cause: a row keeps 24 steps, a release of n replicas makes about 2n, and the oldest one kept was taken for the one in force before. Also dropped without a sign: steps of over a minute, though callers may wait ten, and the longest deadline after two minutes. Change: neighbouring steps are merged into the corners of the box that holds them (a prompt gets a version under some weights in the box just if it does at that version's corner), so that a history stays within 24 steps and can only admit more; where that fails, a step says that nothing is known, and a stream as old is refused as release_history_lost. Steps are kept for as long as the longest deadline, a deadline for as long as it is. The form of rows and messages is unchanged: routers of earlier releases read corners as steps and ignore empty ones. Ruled out: more steps (a message every 250 ms carries them: 24 steps of two versions are 0.4 KB). The row of the feature that expected steps of 90 s to be dropped now expects that of steps replaced for 11 minutes, and a new one that those of 10 minutes are kept.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -260,7 +260,8 @@
       | one version, another number of replicas  | 10=v1:1              | v1:9      |                         |
       | a second version                         | 10=v1:1              | v1:8,v2:1 | 10=v1:1 0=v1:8,v2:1     |
       | none can be used                         | 10=v1:1              |           |                         |
-      | steps of which no stream is left         | 100=v1:1 90=v1:1,v2:1 | v2:2     | 90=v1:1,v2:1 0=v2:1     |
+      | steps of which no stream is left         | 700=v1:1 670=v1:1,v2:1 | v2:2    | 670=v1:1,v2:1 0=v2:1    |
+      | steps of which streams may be left       | 620=v1:1 600=v1:1,v2:1 | v2:2    | 620=v1:1 600=v1:1,v2:1 0=v2:1 |
 
   Scenario Outline: A row of a store that was restored from a copy adds to what is known: <case>
     Given the proportions "20=v1:1 5=v1:4,v2:4"
--- a/features/release_fixtures.py
+++ b/features/release_fixtures.py
@@ -5,11 +5,7 @@
     upstream_data,
 )
 from skylarklift.entry.state.rows import TableSummary
-from skylarklift.entry.versions.releases import (
-    ReleaseStep,
-    VersionWeight,
-    pick_version,
-)
+from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, pick_version
 
 SERVICE = "lm"
 REQUEST = "first-1"
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -30,6 +30,7 @@
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.rows import ReleaseStore, RowTable
+from skylarklift.entry.versions.release_steps import pick_version
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.entry.versions.releases import (
     ReleaseReport,
@@ -37,7 +38,6 @@
     Releases,
     decode_release_row,
     encode_release_row,
-    pick_version,
 )
 from skylarklift.entry.versions.resumptions import OriginSource, ResumedStream, Resumptions
 from skylarklift.entry.versions.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
@@ -46,6 +46,11 @@
 from skylarklift.errors import Refusal, StoreUnavailable
 
 
+def row_of(steps):
+    """Return a row of these steps that was written by a router of this release."""
+    return ReleaseReport(SERVICE, ROW_VERSION, steps)
+
+
 @given('the proportions "{steps}"')
 @given('the proportions ""')
 def proportions(context, steps=""):
@@ -56,8 +61,7 @@
     context.origins, context.memory = StreamOrigins(context.clock), "knows nothing of it"
     context.steps = parse_steps(steps)
     if context.steps:
-        report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
-        assert context.releases.apply(report)
+        assert context.releases.apply(row_of(context.steps))
 
 
 @given("a resuming router that {memory}")
@@ -113,7 +117,7 @@
 def just_started(context, known):
     context.core = core_with_replicas(3, context.clock)
     releases, deadline = context.core.releases, LongestDeadline(LONGEST_MS, 0)
-    report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    report = row_of(context.steps)
     context.core.releases.confirm(0)
     match known:
         case "no deadline":
@@ -193,7 +197,7 @@
 
 @given("the rows were the newest ones {age:d} ms ago")
 def rows_confirmed(context, age):
-    report = ReleaseReport(SERVICE, ROW_VERSION, context.steps)
+    report = row_of(context.steps)
     context.releases = Releases(context.clock)
     context.releases.apply(report)
     context.releases.confirm(age)
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -8,13 +8,12 @@
 from features.release_fixtures import LONGEST_MS, SERVICE
 from skylarklift.clock import ManualClock, Millis
 from skylarklift.entry.state.rows import FIRST_ERA, Era
+from skylarklift.entry.versions.release_steps import VersionWeight, pick_version
 from skylarklift.entry.versions.releases import (
     ReleaseReport,
     Releases,
-    VersionWeight,
     decode_report,
     encode_report,
-    pick_version,
 )
 from skylarklift.ids import SoftwareVersion
 
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -18,7 +18,8 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
-from skylarklift.entry.versions.releases import ReleaseReport, ReleaseStep, VersionWeight
+from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, bound_steps
+from skylarklift.entry.versions.releases import ReleaseReport
 from skylarklift.entry.versions.stream_deadlines import LongestDeadline
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
@@ -142,7 +143,7 @@
             },
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
-            releases=_decode_releases(extras.get(RELEASES_KEY, ()), extras.get(DEADLINES_KEY, {})),
+            releases=_decode_releases(extras),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
@@ -198,10 +199,11 @@
     return report.service, report.row_version, report.era, steps
 
 
-def _decode_releases(rows: Sequence, deadlines: Mapping) -> tuple[ReleaseReport, ...]:
+def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
     """Return the rows on software versions; routers of earlier releases send no deadlines."""
+    deadlines = extras.get(DEADLINES_KEY, {})
     found = []
-    for fields in rows:
+    for fields in extras.get(RELEASES_KEY, ()):
         report = _decode_release(*fields)
         if report.service in deadlines:
             span_ms, age_ms = deadlines[report.service]
@@ -216,18 +218,19 @@
     return ReleaseReport(
         ServiceId(checked_text(service)),
         checked_integer(row_version),
+        bound_steps(tuple(_decode_step(*fields) for fields in steps)),
+        Era(checked_integer(era)),
+    )
+
+
+def _decode_step(age_ms: Any, weights: Sequence) -> ReleaseStep:
+    """Return the proportions since a moment; routers of earlier releases send no empty ones."""
+    return ReleaseStep(
+        _checked_age(age_ms),
         tuple(
-            ReleaseStep(
-                _checked_age(age_ms),
-                tuple(
-                    VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(weight))
-                    for version, weight in weights
-                ),
-            )
-            for age_ms, weights in steps
-            if weights
+            VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(weight))
+            for version, weight in weights
         ),
-        Era(checked_integer(era)),
     )
 
 
--- /dev/null
+++ b/skylarklift/entry/versions/release_steps.py
@@ -0,0 +1,181 @@
+"""Which proportions of software versions were in force when, in a bounded number of steps.
+
+Each step holds until the next one.  A history that grows too long is never cut: neighbouring steps
+are merged into ones under which a prompt may get each version that it got under any of them, so
+that a reader can only find more versions possible than there were.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from skylarklift.hashing import rendezvous_weight
+from skylarklift.ids import SoftwareVersion
+
+MAX_STEPS = 24
+# Longer histories of other writers are not merged step by step.
+MAX_READ_STEPS = 96
+# A router that is in touch with the others may use proportions for this long after newer ones are
+# in the row.
+SPREAD_MS = 1000
+HASH_RANGE = 1 << 64
+MS_PER_SECOND = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class VersionWeight:
+    """A software version and its number of replicas."""
+
+    version: SoftwareVersion
+    weight: int
+
+
+@dataclass(frozen=True, slots=True)
+class ReleaseStep:
+    """The proportions in force since `age_ms` ago, until those of the next step.
+
+    Without weights it is not known which proportions were in force.
+    """
+
+    age_ms: int
+    weights: tuple[VersionWeight, ...]
+
+    @property
+    def is_known(self) -> bool:
+        """Return whether it is known which proportions were in force."""
+        return bool(self.weights)
+
+
+def unknown_step(age_ms: int = 0) -> ReleaseStep:
+    """Return a step since which it is not known which proportions were in force."""
+    return ReleaseStep(age_ms, ())
+
+
+def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
+    """Return the version of a prompt by weighted rendezvous hashing.
+
+    If a weight changes, only prompts of that version's part move.
+    """
+
+    def score(item: VersionWeight) -> float:
+        point = (rendezvous_weight(key, item.version) + 1) / (HASH_RANGE + 1)
+        return -item.weight / math.log(point) if item.weight else 0.0
+
+    return max(weights, key=score).version
+
+
+def steps_since(steps: tuple[ReleaseStep, ...], max_age_ms: int) -> tuple[ReleaseStep, ...]:
+    """Return the steps that some router may have used at most `max_age_ms` ago."""
+    replaced = [step.age_ms for step in steps[1:]]
+    old = sum(age_ms > max_age_ms + SPREAD_MS for age_ms in replaced)
+    return steps[old:]
+
+
+def possible_versions(
+    steps: tuple[ReleaseStep, ...], key: str, max_age_ms: int
+) -> frozenset[SoftwareVersion] | None:
+    """Return the versions that a prompt may have got at most `max_age_ms` ago.
+
+    Return `None` if a part of that time is not known.
+    """
+    used = steps_since(steps, max_age_ms)
+    if not all(step.is_known for step in used):
+        return None
+    return frozenset(pick_version(key, step.weights) for step in used)
+
+
+def bound_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
+    """Return a history of at most `MAX_STEPS` steps that admits all that this one does."""
+    if len(steps) > MAX_READ_STEPS:
+        steps = (unknown_step(steps[-MAX_READ_STEPS].age_ms), *steps[1 - MAX_READ_STEPS :])
+    while len(steps) > MAX_STEPS:
+        steps = _choose_merge(steps).apply(steps)
+    return steps
+
+
+@dataclass(frozen=True, slots=True)
+class _Merge:
+    """Steps from `start` up to `end` that fewer others take the place of."""
+
+    start: int
+    end: int
+    merged: tuple[ReleaseStep, ...]
+    cost: float
+
+    def apply(self, steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
+        """Return the steps with these merged."""
+        return (*steps[: self.start], *self.merged, *steps[self.end :])
+
+
+def _choose_merge(steps: tuple[ReleaseStep, ...]) -> _Merge:
+    """Return the merge that makes the fewest prompts uncertain, of the newest least of all."""
+    found = [merge for start in range(len(steps) - 2) if (merge := _merge_at(steps, start))]
+    if found:
+        return min(found, key=lambda merge: merge.cost)
+    return _Merge(0, 2, (unknown_step(steps[0].age_ms),), 0.0)
+
+
+def _merge_at(steps: tuple[ReleaseStep, ...], start: int) -> _Merge | None:
+    """Return the smallest merge of steps from `start` on, `None` if there is none.
+
+    The newest step, which is in force, is not merged.
+    """
+    for end in range(start + 2, len(steps)):
+        group, until_ms = steps[start:end], steps[end].age_ms
+        if not all(step.is_known for step in group):
+            return None
+        corners = _corners(group)
+        if len(corners) < len(group):
+            ages = [group[0].age_ms, *[until_ms] * (len(corners) - 1)]
+            merged = tuple(map(ReleaseStep, ages, corners))
+            age_s = max(until_ms / MS_PER_SECOND, 1.0)
+            return _Merge(start, end, merged, _width(group) / age_s)
+    return None
+
+
+def _corners(group: Sequence[ReleaseStep]) -> list[tuple[VersionWeight, ...]]:
+    """Return proportions that give each prompt all versions that any between the steps' gives it.
+
+    A prompt gets a version under some weights within the steps' ranges just if it does where that
+    version has its largest weight and each other its smallest one.
+    """
+    ranges = _ranges(group)
+    found: list[tuple[VersionWeight, ...]] = []
+    for version, (_, most) in ranges.items():
+        weights = tuple(
+            VersionWeight(other, most if other == version else least)
+            for other, (least, _) in ranges.items()
+        )
+        if most and weights not in found:
+            found.append(weights)
+    return found
+
+
+def _ranges(group: Sequence[ReleaseStep]) -> dict[SoftwareVersion, tuple[int, int]]:
+    """Return the smallest and the largest weight of each version, 0 where it is missing."""
+    weights = [{item.version: item.weight for item in step.weights} for step in group]
+    versions = sorted({version for step in weights for version in step})
+    return {
+        version: (
+            min(step.get(version, 0) for step in weights),
+            max(step.get(version, 0) for step in weights),
+        )
+        for version in versions
+    }
+
+
+def _width(group: Sequence[ReleaseStep]) -> float:
+    """Return about which part of the prompts become uncertain if steps are merged."""
+    shares = [_shares(step) for step in group]
+    versions = {version for step in shares for version in step}
+    return sum(
+        max(step.get(version, 0.0) for step in shares)
+        - min(step.get(version, 0.0) for step in shares)
+        for version in versions
+    )
+
+
+def _shares(step: ReleaseStep) -> dict[SoftwareVersion, float]:
+    """Return each version's part of the prompts."""
+    total = sum(item.weight for item in step.weights) or 1
+    return {item.version: item.weight / total for item in step.weights}
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -4,49 +4,38 @@
 its requests share, in proportion to the replicas of each version.  The proportions are a row of the
 store, which changes only with a release.  A version gets resumable streams only once the row has
 it.  Older proportions stay in the row for as long as a stream that began under them can be taken
-up: such a stream may go on where all of them assign its prompt to the same version.
-"""
+up: such a stream may go on where all of them assign its prompt to the same version."""
 
 import json
-import math
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.state.rows import NO_ERA, Era
-from skylarklift.entry.versions.stream_deadlines import LongestDeadline, StreamDeadlines
-from skylarklift.hashing import rendezvous_weight
+from skylarklift.entry.versions.release_steps import (
+    ReleaseStep,
+    VersionWeight,
+    bound_steps,
+    pick_version,
+    possible_versions,
+    steps_since,
+)
+from skylarklift.entry.versions.stream_deadlines import (
+    MAX_DEADLINE_MS,
+    LongestDeadline,
+    StreamDeadlines,
+)
 from skylarklift.ids import ServiceId, SoftwareVersion
 from skylarklift.util.bounded import checked_integer, checked_list, checked_text, parse_json
 
-# Proportions count as long as a stream that began under them may be resumed.
-STEP_TTL_MS = 60_000
-MAX_STEPS = 24
-# A router that is in touch with the others may use proportions for this long after newer ones are
-# in the row.
-SPREAD_MS = 1000
+# Proportions count as long as a stream that began under them may be resumed, also by a router that
+# was not heard for a while.
+STEP_TTL_MS = MAX_DEADLINE_MS + 60_000
 # Rows that were not known to be the newest ones within this time may be outdated.
 CONFIRMED_TTL_MS = 2500
 # A report counts as this much older than it says, for its time on the way.
 REPORT_DELAY_MS = 50
-HASH_RANGE = 1 << 64
-
-
-@dataclass(frozen=True, slots=True)
-class VersionWeight:
-    """A software version and its number of replicas."""
-
-    version: SoftwareVersion
-    weight: int
-
-
-@dataclass(frozen=True, slots=True)
-class ReleaseStep:
-    """The proportions in force since `age_ms` ago, until those of the next step."""
-
-    age_ms: int
-    weights: tuple[VersionWeight, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,9 +109,12 @@
         known = self._known.get(report.service)
         if known and not report.is_newer_than(known.report):
             return False
-        if known and (report.era > known.report.era or not report.steps):
+        steps = report.steps
+        if known and (report.era > known.report.era or not steps):
             # The row may be one of a copy, which lacks steps of which streams are left.
-            report = _with_steps(report, self._current(known))
+            before = self._current(known)
+            steps = (*before, *(step for step in steps if step not in before))
+        report = replace(report, steps=bound_steps(steps))
         self._known[report.service] = KnownRelease(report, self._clock.now())
         return bool(report.steps)
 
@@ -147,7 +139,7 @@
 
     def count_steps(self, service: ServiceId, max_age_ms: int) -> int:
         """Return how many proportions some router may have used at most `max_age_ms` ago."""
-        return len(_steps_since(self.steps(service), max_age_ms))
+        return len(steps_since(self.steps(service), max_age_ms))
 
     def _current(self, known: KnownRelease) -> tuple[ReleaseStep, ...]:
         """Return the steps of a row with the ages of now."""
@@ -159,30 +151,29 @@
     def assigned_version(self, service: ServiceId, key: str) -> SoftwareVersion | None:
         """Return the version that begins streams of a prompt, `None` without a row."""
         known = self._known.get(service)
-        if known is None or not known.report.steps:
-            return None
-        return pick_version(key, known.report.steps[-1].weights)
+        weights = [step.weights for step in known.report.steps if step.is_known] if known else []
+        return pick_version(key, weights[-1]) if weights else None
 
     def began_at(
         self, service: ServiceId, key: str, max_age_ms: int, silence_ms: int = 0
-    ) -> frozenset[SoftwareVersion]:
+    ) -> frozenset[SoftwareVersion] | None:
         """Return the versions at which a stream of at most this age can have begun.
 
         A router that was not heard for `silence_ms` may have begun it by proportions that were
-        replaced since then.
+        replaced since then.  Return `None` if it is not known which proportions were in force.
         """
-        return frozenset(
-            pick_version(key, step.weights)
-            for step in _steps_since(self.steps(service), max_age_ms + silence_ms)
-        )
+        steps, span_ms = self.steps(service), max_age_ms + silence_ms
+        if span_ms > STEP_TTL_MS and steps and steps[0].age_ms < span_ms:
+            return None
+        return possible_versions(steps, key, span_ms)
 
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
         """Return how long ago a stream that a caller resumes began at most.
 
-        Without a bound it may have begun under any proportions that are kept.
+        Without a bound it may be as old as any caller's.
         """
         found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
-        return STEP_TTL_MS if found is None else min(found, STEP_TTL_MS)
+        return MAX_DEADLINE_MS if found is None else found
 
     def next_report(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
@@ -202,7 +193,7 @@
         weights = _weights(counts)
         if not weights or (steps and steps[-1].weights == weights):
             return None
-        return (*_steps_since(steps, STEP_TTL_MS), ReleaseStep(0, weights))[-MAX_STEPS:]
+        return bound_steps((*steps_since(steps, STEP_TTL_MS), ReleaseStep(0, weights)))
 
 
 def _weights(counts: Mapping[SoftwareVersion, int]) -> tuple[VersionWeight, ...]:
@@ -212,32 +203,6 @@
     return tuple(VersionWeight(version, count) for version, count in sorted(counts.items()))
 
 
-def _steps_since(steps: tuple[ReleaseStep, ...], max_age_ms: int) -> tuple[ReleaseStep, ...]:
-    """Return the steps that some router may have used at most `max_age_ms` ago."""
-    replaced = [step.age_ms for step in steps[1:]]
-    old = sum(age_ms > max_age_ms + SPREAD_MS for age_ms in replaced)
-    return steps[old:]
-
-
-def _with_steps(report: ReleaseReport, steps: tuple[ReleaseStep, ...]) -> ReleaseReport:
-    """Return a row with further steps before its own."""
-    merged = (*steps, *(step for step in report.steps if step not in steps))
-    return replace(report, steps=merged[-MAX_STEPS:])
-
-
-def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
-    """Return the version of a prompt by weighted rendezvous hashing.
-
-    If a weight changes, only prompts of that version's part move.
-    """
-
-    def score(item: VersionWeight) -> float:
-        point = (rendezvous_weight(key, item.version) + 1) / (HASH_RANGE + 1)
-        return -item.weight / math.log(point) if item.weight else 0.0
-
-    return max(weights, key=score).version
-
-
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
     """Return the data of a service's row; times are those of the store's clock."""
     return encode_release_row(ReleaseRow(report.steps, report.deadline), now_ms)
@@ -286,14 +251,15 @@
 
 def _decode_steps(value: dict[str, Any], now_ms: int) -> tuple[ReleaseStep, ...]:
     """Return the steps in a row; raise `ValueError` and others if they are invalid."""
-    return tuple(
-        ReleaseStep(
-            max(0, now_ms - checked_integer(row["since_ms"])),
-            tuple(
-                VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(count))
-                for version, count in sorted(row["replicas"].items())
-            ),
+    return bound_steps(
+        tuple(
+            ReleaseStep(
+                max(0, now_ms - checked_integer(row["since_ms"])),
+                tuple(
+                    VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(count))
+                    for version, count in sorted(row["replicas"].items())
+                ),
+            )
+            for row in checked_list(value["steps"])
         )
-        for row in checked_list(value["steps"])[-MAX_STEPS:]
-        if row["replicas"]
     )
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -39,6 +39,7 @@
     AMBIGUOUS = "version_ambiguous"
     UNKNOWN = "version_unknown"
     OUTDATED = "releases_outdated"
+    LOST = "release_history_lost"
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +155,8 @@
         versions = self._releases.began_at(
             stream.service, stream.key, stream.max_age_ms, self._fleet.longest_silence_ms()
         )
+        if versions is None:
+            return FoundOrigin(OriginSource.LOST, stream.service)
         if len(versions) == 1:
             return FoundOrigin(OriginSource.ASSIGNED, stream.service, next(iter(versions)))
         source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
--- a/skylarklift/entry/versions/stream_deadlines.py
+++ b/skylarklift/entry/versions/stream_deadlines.py
@@ -11,9 +11,12 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.ids import ServiceId
 
+# Callers are taken to wait no longer than this unless they say so.
 MAX_DEADLINE_MS = 600_000
+# Longer spans mean the same as this one: a day.
+MAX_SPAN_MS = 86_400_000
 MAX_SERVICES = 5000
-# A deadline that no caller has named for this long counts no more.
+# A deadline that no caller has named for this long, and for as long as it is, counts no more.
 DEADLINE_TTL_MS = 120_000
 # A caller's tries begin a little before its first deadline arrives here.
 DEADLINE_MARGIN_MS = 500
@@ -44,9 +47,10 @@
 
     def record(self, service: ServiceId, span_ms: int, age_ms: int = 0) -> None:
         """Record that a caller named a deadline `age_ms` ago, with the first try of a stream."""
-        if span_ms <= 0 or age_ms >= DEADLINE_TTL_MS:
+        span_ms = min(span_ms, MAX_SPAN_MS)
+        if span_ms <= 0 or age_ms >= max(DEADLINE_TTL_MS, span_ms):
             return
-        found = KnownDeadline(min(span_ms, MAX_DEADLINE_MS), Millis(self._clock.now() - age_ms))
+        found = KnownDeadline(span_ms, Millis(self._clock.now() - age_ms))
         known = self._find(service)
         if known is None or (found.span_ms, found.named_at) > (known.span_ms, known.named_at):
             self._known[service] = found
@@ -56,9 +60,10 @@
     def _find(self, service: ServiceId) -> KnownDeadline | None:
         """Return what is known of a service and still counts."""
         known = self._known.get(service)
-        if known is None or known.named_at <= self._clock.now() - DEADLINE_TTL_MS:
+        if known is None:
             return None
-        return known
+        ttl_ms = max(DEADLINE_TTL_MS, known.span_ms)
+        return known if known.named_at > self._clock.now() - ttl_ms else None
 
     def longest(self, service: ServiceId) -> LongestDeadline | None:
         """Return the longest deadline of a service, `None` if none is known."""
