Say in a row on software versions in which era of the store it was written

Callers got streams joined from two versions after the store came back from a copy while all routers were killed: a router that has just started took the steps of the copy for all there were. Cause: nothing tells it that rows were lost. Change: a row names the era that its writer knew; read in a later era, or without one in a restored store, it ends with a step that is not known, until a router writes the proportions of then. Routers that knew all rows until 2.5 s before keep their own history and write it again; also routers that lived on take it for whole only then, and while the store is away from all for as long as they hear all others. A first row in a restored store begins unknown. Gossip carries the eras beside the rows (release_eras). Between builds: a router of before ignores the field and drops it from the row, so that its rows count as cut where they may be (over a minute, 24 steps). Ruled out: dating the copy (no answer of the store does); to wait until a copy is surely older (releases would wait as long).

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -274,3 +274,16 @@
       | no row                 | 1   | 0      |         | v1 v2    |
       | an older row           | 0   | 1      | 9=v3:1  | v1 v2    |
       | a newer row            | 0   | 3      | 9=v3:1  | v3       |
+
+  # Guards against a first row of a restored store that is taken for the whole history (issue 49).
+  Scenario Outline: The first row in a store of era <era>
+    Given the proportions ""
+    And the store is in era <era>
+    When the usable replicas are "v1:3"
+    Then the proportions to write are "0=v1:1", and those of before are <before>
+
+    Examples:
+      | era | before  |
+      | 0   | certain |
+      | 1   | certain |
+      | 2   | unknown |
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -29,7 +29,7 @@
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
-from skylarklift.entry.state.rows import ReleaseStore, RowTable
+from skylarklift.entry.state.rows import NO_ERA, ReleaseStore, RowTable
 from skylarklift.entry.versions.release_steps import pick_version
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.entry.versions.releases import (
@@ -48,7 +48,7 @@
 
 def row_of(steps):
     """Return a row of these steps that was written by a router of this release."""
-    return ReleaseReport(SERVICE, ROW_VERSION, steps)
+    return ReleaseReport(SERVICE, ROW_VERSION, steps, written_in=NO_ERA)
 
 
 @given('the proportions "{steps}"')
@@ -342,6 +342,18 @@
     assert (context.written or ()) == parse_steps(written), context.written
 
 
+@given("the store is in era {era:d}")
+def store_in_era(context, era):
+    context.releases.note_era(era)
+
+
+@then('the proportions to write are "{written}", and those of before are {before}')
+def first_row_written(context, written, before):
+    known = tuple(step for step in context.written if step.is_known)
+    assert known == parse_steps(written), context.written
+    assert (known == context.written) == (before == "certain"), context.written
+
+
 @when('the store of era {era:d} tells the row version {number:d} with "{row}"')
 @when('the store of era {era:d} tells the row version {number:d} with ""')
 def store_tells(context, era, number, row=""):
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -270,6 +270,7 @@
 
     def note_era(self, era: Era, source: str) -> None:
         """Log that the store was restored from a copy since its rows were read last."""
+        self.releases.note_era(era)
         if era > self.newest_era:
             self.event_log.write("store_era", era=era, before=self.newest_era, source=source)
             if self.newest_era != NO_ERA:
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -44,6 +44,7 @@
 OBSERVED_LOADS_KEY = "observed"
 RELEASES_KEY = "releases"
 RELEASES_AGE_KEY = "releases_age"
+RELEASE_ERAS_KEY = "release_eras"
 DEADLINES_KEY = "deadlines"
 SUSPECTED_RESTARTS_KEY = "suspected_restarts"
 STORE_RESTORED_KEY = "store_restored"
@@ -78,6 +79,11 @@
                 ],
                 RELEASES_KEY: [_release_fields(report) for report in message.releases],
                 RELEASES_AGE_KEY: message.releases_age_ms,
+                RELEASE_ERAS_KEY: {
+                    report.service: report.written_in
+                    for report in message.releases
+                    if report.written_in is not None
+                },
                 SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
                 STORE_RESTORED_KEY: message.store_restored,
                 ZONE_KEY: message.zone,
@@ -200,8 +206,8 @@
 
 
 def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
-    """Return the rows on software versions; routers of earlier releases send no deadlines."""
-    deadlines = extras.get(DEADLINES_KEY, {})
+    """Return the rows on software versions; earlier releases send neither deadlines nor eras."""
+    deadlines, eras = extras.get(DEADLINES_KEY, {}), extras.get(RELEASE_ERAS_KEY, {})
     found = []
     for fields in extras.get(RELEASES_KEY, ()):
         report = _decode_release(*fields)
@@ -209,6 +215,8 @@
             span_ms, age_ms = deadlines[report.service]
             deadline = LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
             report = replace(report, deadline=deadline)
+        if report.service in eras:
+            report = replace(report, written_in=Era(checked_integer(eras[report.service])))
         found.append(report)
     return tuple(found)
 
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import SoftwareVersion
@@ -18,6 +18,9 @@
 # A router that is in touch with the others may use proportions for this long after newer ones are
 # in the row.
 SPREAD_MS = 1000
+# Routers of earlier releases drop steps without a trace: those replaced for longer than this before
+# they write a row, and the oldest ones beyond `MAX_STEPS`.
+UNMARKED_TTL_MS = 60_000
 HASH_RANGE = 1 << 64
 MS_PER_SECOND = 1000
 
@@ -84,6 +87,38 @@
     return frozenset(pick_version(key, step.weights) for step in used)
 
 
+def join_steps(
+    known: tuple[ReleaseStep, ...],
+    row: tuple[ReleaseStep, ...],
+    span_ms: int,
+    *,
+    is_newest: bool,
+) -> tuple[ReleaseStep, ...]:
+    """Return a whole history up to lately with the steps of a row that began within `span_ms`.
+
+    The last step of the newest row is in force.
+    """
+    told = [step for step in row if step.is_known]
+    later = [step for step in told if step.age_ms < span_ms]
+    last = told[-1:] if is_newest else []
+    earlier = [step for step in (*known, *later) if step not in last]
+    earlier.sort(key=lambda step: step.age_ms, reverse=True)
+    in_force = [replace(step, age_ms=min(step.age_ms, earlier[-1].age_ms)) for step in last]
+    return bound_steps((*earlier, *in_force))
+
+
+def mark_unmarked_cuts(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
+    """Return the steps of a row of an earlier release, with an unknown one where some may lack."""
+    if not steps:
+        return steps
+    oldest, known_ms = steps[0], steps[-1].age_ms + UNMARKED_TTL_MS
+    if oldest.age_ms > known_ms:
+        return (unknown_step(oldest.age_ms), replace(oldest, age_ms=known_ms), *steps[1:])
+    if len(steps) >= MAX_STEPS:
+        return (unknown_step(oldest.age_ms), *steps)
+    return steps
+
+
 def bound_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
     """Return a history of at most `MAX_STEPS` steps that admits all that this one does."""
     if len(steps) > MAX_READ_STEPS:
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -39,6 +39,7 @@
         core = self._core
         while True:
             try:
+                self._note_unchanged()
                 if self._is_read_due():
                     await self._read()
                 if core.cluster_state.complete and all(core.reading_store.values()):
@@ -59,6 +60,12 @@
             return False
         return self._read_at is None or core.clock.now() - self._read_at >= READ_INTERVAL_MS
 
+    def _note_unchanged(self) -> None:
+        """Record that nobody can write rows, if no router reads the store and all are heard."""
+        fleet = self._core.fleet
+        if fleet.hears_all() and not fleet.any_peer_reads_store():
+            self._core.releases.note_unchanged()
+
     async def _read(self) -> None:
         """Read the rows, which were the newest ones at the time of the call at least."""
         core = self._core
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -4,7 +4,11 @@
 its requests share, in proportion to the replicas of each version.  The proportions are a row of the
 store, which changes only with a release.  A version gets resumable streams only once the row has
 it.  Older proportions stay in the row for as long as a stream that began under them can be taken
-up: such a stream may go on where all of them assign its prompt to the same version."""
+up: such a stream may go on where all of them assign its prompt to the same version.
+
+A row says in which era of the store it was written.  In a later era it is one of a copy, and what
+was in force since the copy was made is unknown to who did not follow the rows until then.
+"""
 
 import json
 from collections.abc import Mapping
@@ -12,14 +16,18 @@
 from typing import Any
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.state.rows import NO_ERA, Era
+from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
 from skylarklift.entry.versions.release_steps import (
+    SPREAD_MS,
     ReleaseStep,
     VersionWeight,
     bound_steps,
+    join_steps,
+    mark_unmarked_cuts,
     pick_version,
     possible_versions,
     steps_since,
+    unknown_step,
 )
 from skylarklift.entry.versions.stream_deadlines import (
     MAX_DEADLINE_MS,
@@ -43,6 +51,8 @@
     """A service's row as a router knows it: its version and its steps, the oldest first.
 
     `deadline` is the longest that callers of the service have named, `None` if none is known.
+    `era` is that in which the row was read, `written_in` the one that its writer knew, `None` if
+    it was a router of an earlier release.
     """
 
     service: ServiceId
@@ -50,10 +60,19 @@
     steps: tuple[ReleaseStep, ...]
     era: Era = NO_ERA
     deadline: LongestDeadline | None = None
+    written_in: Era | None = None
 
     def is_newer_than(self, other: "ReleaseReport") -> bool:
-        """Return whether the store accepted this row after the other one."""
-        return (self.era, self.row_version) > (other.era, other.row_version)
+        """Return whether the store accepted this row after the other one, or it tells more."""
+        return self._order() > other._order()
+
+    def _order(self) -> tuple[Era, int, bool]:
+        """Return what orders the reports of a service."""
+        return self.era, self.row_version, self.written_in is not None
+
+    def may_be_of_copy(self) -> bool:
+        """Return whether the store may have lost later rows since this one was written."""
+        return self.era > FIRST_ERA and self.written_in != self.era
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +81,7 @@
 
     steps: tuple[ReleaseStep, ...] = ()
     deadline: LongestDeadline | None = None
+    written_in: Era | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,12 +101,36 @@
         self.deadlines = StreamDeadlines(clock)
         # When the known rows were the newest ones for certain.
         self._confirmed_at: Millis | None = None
+        # Until when nobody can have written rows that this router does not know.
+        self._followed_until: Millis | None = None
+        # The newest era of the store that this router knows.
+        self._era = NO_ERA
+
+    def note_era(self, era: Era) -> None:
+        """Record the era of the store."""
+        self._era = max(self._era, era)
 
     def confirm(self, age_ms: int) -> None:
         """Record that, `age_ms` ago, the store had no newer rows than are known now."""
         confirmed_at = Millis(self._clock.now() - age_ms)
         if self._confirmed_at is None or confirmed_at > self._confirmed_at:
             self._confirmed_at = confirmed_at
+        if self._followed_until is None or confirmed_at > self._followed_until:
+            self._followed_until = confirmed_at
+
+    def note_unchanged(self) -> None:
+        """Record that nobody can write rows now, as the store is away from all routers."""
+        if self._are_followed():
+            self._followed_until = self._clock.now()
+
+    def _are_followed(self) -> bool:
+        """Return whether this router knows all rows that were written until lately."""
+        gap_ms = self._unfollowed_ms()
+        return gap_ms is not None and gap_ms <= CONFIRMED_TTL_MS
+
+    def _unfollowed_ms(self) -> int | None:
+        """Return for how long others may have written rows, `None` if that is not known."""
+        return None if self._followed_until is None else self._clock.now() - self._followed_until
 
     def age_ms(self) -> int | None:
         """Return how long ago the known rows were the newest ones, `None` if that is not known."""
@@ -109,15 +153,27 @@
         known = self._known.get(report.service)
         if known and not report.is_newer_than(known.report):
             return False
-        steps = report.steps
-        if known and (report.era > known.report.era or not steps):
-            # The row may be one of a copy, which lacks steps of which streams are left.
-            before = self._current(known)
-            steps = (*before, *(step for step in steps if step not in before))
-        report = replace(report, steps=bound_steps(steps))
-        self._known[report.service] = KnownRelease(report, self._clock.now())
+        steps = self._complete_steps(report, known)
+        self._known[report.service] = KnownRelease(replace(report, steps=steps), self._clock.now())
         return bool(report.steps)
 
+    def _complete_steps(
+        self, report: ReleaseReport, known: KnownRelease | None
+    ) -> tuple[ReleaseStep, ...]:
+        """Return the steps of a row, with those that it lost or with a sign that it lost some."""
+        steps = report.steps
+        if report.written_in is None:
+            steps = mark_unmarked_cuts(steps)
+        is_later_era = known is not None and report.era > known.report.era
+        is_copy = report.may_be_of_copy() or (is_later_era and report.written_in != report.era)
+        if is_copy or not steps:
+            steps = (*steps, unknown_step())
+        is_whole = all(step.is_known for step in steps)
+        if known is None or is_whole or not self._are_followed():
+            return bound_steps(steps)
+        span_ms, is_newest = self._unfollowed_ms() + SPREAD_MS, not (is_copy and is_later_era)
+        return join_steps(self._current(known), steps, span_ms, is_newest=is_newest)
+
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
         return tuple(
@@ -182,18 +238,34 @@
         steps = self.next_row(service, counts)
         if steps is None:
             return None
-        deadline = self.deadlines.longest(service)
-        return ReleaseReport(service, self.row_version(service), steps, deadline=deadline)
+        return self.make_report(service, steps)
+
+    def make_report(self, service: ServiceId, steps: tuple[ReleaseStep, ...]) -> ReleaseReport:
+        """Return the row to write with these steps."""
+        known = self._known.get(service)
+        return ReleaseReport(
+            service,
+            self.row_version(service),
+            steps,
+            deadline=self.deadlines.longest(service),
+            written_in=known.report.era if known else self._era,
+        )
 
     def next_row(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
     ) -> tuple[ReleaseStep, ...] | None:
-        """Return the steps to write for the replicas of each version, `None` if all is right."""
-        steps = self.steps(service)
-        weights = _weights(counts)
-        if not weights or (steps and steps[-1].weights == weights):
+        """Return the steps to write for the replicas of each version, `None` if all is right.
+
+        A row of a copy is written again, so that it says in which era its steps are known.
+        """
+        known, steps, weights = self._known.get(service), self.steps(service), _weights(counts)
+        is_in_force = bool(steps) and steps[-1].weights == weights
+        if not weights or (is_in_force and not known.report.may_be_of_copy()):
             return None
-        return bound_steps((*steps_since(steps, STEP_TTL_MS), ReleaseStep(0, weights)))
+        if not steps and self._era > FIRST_ERA:
+            steps = (unknown_step(),)
+        kept = steps_since(steps, STEP_TTL_MS)
+        return kept if is_in_force else bound_steps((*kept, ReleaseStep(0, weights)))
 
 
 def _weights(counts: Mapping[SoftwareVersion, int]) -> tuple[VersionWeight, ...]:
@@ -205,7 +277,8 @@
 
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
     """Return the data of a service's row; times are those of the store's clock."""
-    return encode_release_row(ReleaseRow(report.steps, report.deadline), now_ms)
+    row = ReleaseRow(report.steps, report.deadline, report.written_in)
+    return encode_release_row(row, now_ms)
 
 
 def decode_report(
@@ -213,7 +286,7 @@
 ) -> ReleaseReport:
     """Return a service's row that was read in an era, without steps if it is invalid."""
     row = decode_release_row(data, now_ms)
-    return ReleaseReport(service, row_version, row.steps, era, row.deadline)
+    return ReleaseReport(service, row_version, row.steps, era, row.deadline, row.written_in)
 
 
 def encode_release_row(row: ReleaseRow, now_ms: int) -> bytes:
@@ -226,6 +299,8 @@
         for step in row.steps
     ]
     value: dict[str, Any] = {"steps": steps}
+    if row.written_in is not None:
+        value["era"] = row.written_in
     if row.deadline is not None:
         value["deadline_ms"] = row.deadline.span_ms
         value["deadline_named_ms"] = now_ms - row.deadline.age_ms
@@ -236,7 +311,9 @@
     """Return the data of a row, without steps if it is invalid."""
     try:
         value = parse_json(data)
-        return ReleaseRow(_decode_steps(value, now_ms), _decode_deadline(value, now_ms))
+        written_in = Era(checked_integer(value["era"])) if "era" in value else None
+        steps, deadline = _decode_steps(value, now_ms), _decode_deadline(value, now_ms)
+        return ReleaseRow(steps, deadline, written_in)
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
