Tell by the replicas' entries whether a copy of the store lacks proportions

Cause: the row of a copy counts as unknown from then on. Change: a row names a digest of the processes (replica, start, version) for which it was written, and is written again when these change. Read from a copy, it is whole if the same processes serve once all entries are written again (2.5 s), with the same proportions: others need another process, or a version none of whose replicas can be used, which is allowed for versions of less than half of the replicas. Callers are told to come back by then. A row that another router has completed counts before what a router pieced together itself; the step in force is never merged. Ruled out: to compare versions alone (a replica that came back twice under its id shows only in its start); to take proportions between those of the copy and of now (a replica may have been another one in between); the cache of prompts at replicas (not a proof, and a call to each replica).

--- a/features/release_fixtures.py
+++ b/features/release_fixtures.py
@@ -4,6 +4,7 @@
     ZONES,
     upstream_data,
 )
+from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.state.rows import TableSummary
 from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, pick_version
 
@@ -39,3 +40,8 @@
 
 def entry(number, **fields):
     return upstream_data(zone=ZONES[number], port=9000 + number, **fields)
+
+
+def gossip_of_releases(*releases):
+    """Return a message of another router about software versions."""
+    return GossipMessage("n1", "b", "", EMPTY_SUMMARIES, releases=releases)
--- a/features/release_histories.feature
+++ b/features/release_histories.feature
@@ -42,3 +42,50 @@
     When streams begin for 15 s, and are resumed at a router that remembers none
     Then none goes on at another version
     And at least half of those that never moved go on
+
+  # Guards against refusing all streams after a store was restored beside no release, and against
+  # taking its history for whole while a replica's other process may have served (issue 49).
+  Scenario Outline: All routers start anew as the store comes back from a copy beside no release, and <entries>
+    Given a service of one version for 20 s, in which streams begin
+    And all routers start anew with a store of 4000 ms before, and <entries>
+    When the streams of the last 15 s are resumed at a router that remembers none
+    Then <early>, to come back when the entries are written again: <back>
+    When the entries have settled, and the streams are resumed again
+    Then none goes on at another version
+    And <later>
+
+    Examples:
+      | entries                              | early        | back | later        |
+      | it is the second time                | none goes on | yes  | all go on    |
+      | the replicas are the same            | none goes on | yes  | all go on    |
+      | a replica has started anew           | none goes on | no   | none goes on |
+      | a replica starts anew a second later | none goes on | yes  | none goes on |
+      | a replica is missing                 | none goes on | no   | none goes on |
+      | the replicas name no starts          | none goes on | no   | none goes on |
+      | another version has joined           | none goes on | no   | none goes on |
+
+  # Guards against refusing the streams of a version that serves on, beside few replicas of another one,
+  # and against going on with those of a version that may not have been used for a while (issue 49).
+  Scenario Outline: Which streams go on as all routers start anew beside replicas of two versions, <replicas>
+    Given a service of "<replicas>" for 20 s, in which streams begin
+    And all routers start anew with a store of 4000 ms before, and the replicas are the same
+    When the entries have settled, and the streams are resumed again
+    Then none goes on at another version
+    And those of "<certain>" go on, and no others
+
+    Examples:
+      | replicas  | certain |
+      | v1:3      | v1      |
+      | v1:1,v2:2 | v2      |
+      | v1:2,v2:1 | v1      |
+
+  # Guards against other proportions for new streams at routers that have read a long row of a copy (issue 49).
+  Scenario Outline: The proportions in force stay as they are in a history that is bounded, <last>
+    Given a release of 30 replicas, one each 300 ms, in which streams begin
+    When <last>
+    Then new streams begin by the proportions that were written last
+
+    Examples:
+      | last                          |
+      | the row is read               |
+      | the row is read as one of a copy |
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -20,6 +20,7 @@
     SILENCE_MS,
     STORE_NOW_MS,
     entry,
+    gossip_of_releases,
     parse_steps,
     parse_weights,
     prompt_of,
@@ -171,11 +172,6 @@
     context.core.releases.confirm(0)
 
 
-def gossip_of_releases(*releases):
-    """Return a message of another router about software versions."""
-    return GossipMessage("n1", "b", "", EMPTY_SUMMARIES, releases=releases)
-
-
 @when("a client resumes a stream of a prompt that moved, on a route of 5 s, with {left:d} ms left")
 def resumed_after_start(context, left):
     core = context.core
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -5,11 +5,21 @@
 
 from behave import given, then, when
 
-from features.release_fixtures import LONGEST_MS, SERVICE
+from features.release_fixtures import (
+    LONGEST_MS,
+    SERVICE,
+    gossip_of_releases,
+    parse_weights,
+)
 from skylarklift.clock import ManualClock, Millis
+from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
+from skylarklift.entry.model import UpstreamRecord
 from skylarklift.entry.state.rows import FIRST_ERA, Era
+from skylarklift.entry.versions.release_members import digest_members
 from skylarklift.entry.versions.release_steps import VersionWeight, pick_version
+from skylarklift.entry.versions.release_sync import CHECK_INTERVAL_MS
 from skylarklift.entry.versions.releases import (
+    ENTRIES_SETTLE_MS,
     ReleaseReport,
     Releases,
     decode_report,
@@ -78,10 +88,10 @@
         return self.stored[-1].version if self.stored else 0
 
 
-def write_counts(context, releases, counts):
+def write_counts(context, releases, counts, members=None):
     """Let a router that follows the store write the proportions, if they have changed."""
     releases.confirm(0)
-    report = releases.next_report(SERVICE, counts)
+    report = releases.next_report(SERVICE, counts, members)
     if report is not None:
         releases.apply(context.store.write(report))
         context.history.append(weights_of(counts))
@@ -189,3 +199,134 @@
 @then("the row holds at most {most:d} proportions")
 def row_is_bounded(context, most):
     assert len(context.store.read().steps) <= most
+
+
+# The processes of replicas, by the fields in which they differ from those of the copy.
+ENTRIES = {
+    "the replicas are the same": {},
+    "it is the second time": {},
+    "a replica has started anew": {"r1": {"started_ms": 2}},
+    "a replica starts anew a second later": {},
+    "a replica is missing": {"r1": None},
+    "the replicas name no starts": {},
+    "another version has joined": {"r9": {"software": "v2"}},
+}
+
+
+def make_members(starts, changes):
+    """Return the digest of three replicas with changes, and of those that the changes add."""
+    names = sorted({"r0", "r1", "r2", *changes})
+    records = [
+        UpstreamRecord(
+            name, SERVICE, "10.0.0.1", 9000, "za", 8, False, 0, started_ms=starts, software="v1"
+        )
+        for name in names
+        if changes.get(name, {}) is not None
+    ]
+    return digest_members(replace(item, **changes.get(item.replica, {})) for item in records)
+
+
+@given('a service of "{replicas}" for 20 s, in which streams begin')
+def service_of(context, replicas):
+    one_version(context, {item.version: item.weight for item in parse_weights(replicas)})
+
+
+@then('those of "{version}" go on, and no others')
+def only_those_go_on(context, version):
+    assert {item.version for item, found in context.found.items() if found} == {version}
+    begun = [found for item, found in context.found.items() if item.version == version]
+    assert all(begun), sum(map(bool, begun))
+
+
+@given("a service of one version for 20 s, in which streams begin")
+def one_version(context, counts=None):
+    context.clock = ManualClock(1_000_000)
+    context.store = RowOfService(context.clock)
+    context.releases = Releases(context.clock)
+    context.streams, context.history = [], []
+    context.counts = counts or {"v1": 3}
+    context.starts = 1
+    for number in range(20_000 // LATER_STEP_MS):
+        write_counts(context, context.releases, context.counts, make_members(1, {}))
+        begin_streams(context, number)
+        context.clock.advance(LATER_STEP_MS)
+
+
+@given("all routers start anew with a store of {lost:d} ms before, and {entries}")
+def store_and_entries_come_back(context, lost, entries):
+    if entries == "it is the second time":
+        restore_long_before(context)
+    context.store.restore(lost)
+    context.clock.advance(READ_DELAY_MS)
+    context.releases = Releases(context.clock)
+    context.other = Releases(context.clock)
+    context.other.apply(context.store.read())
+    # The router that will write the row hears of it by gossip first.
+    told = decode_gossip(encode_gossip(gossip_of_releases(*context.other.reports())))
+    context.releases.apply(told.releases[0])
+    context.releases.apply(context.store.read())
+    context.entries = entries
+    context.starts = {"the replicas name no starts": 0, "it is the second time": 2}.get(entries, 1)
+    if entries == "another version has joined":
+        context.counts = {"v1": 3, "v2": 1}
+    settle(context, ENTRIES[entries])
+
+
+def restore_long_before(context):
+    """Let another restore go before, after which the history was not known for a while."""
+    context.store.restore(0)
+    context.releases = Releases(context.clock)
+    context.releases.apply(context.store.read())
+    for _ in range(40_000 // LATER_STEP_MS):
+        write_counts(context, context.releases, context.counts, make_members(2, {}))
+        begin_streams(context, f"before-{context.clock.now()}")
+        context.clock.advance(LATER_STEP_MS)
+
+
+def settle(context, changes, span_ms=WRITE_DELAY_MS):
+    """Let a router look at the entries for a while, and write the row when it is due."""
+    for _ in range(span_ms // CHECK_INTERVAL_MS):
+        context.clock.advance(CHECK_INTERVAL_MS)
+        members = make_members(context.starts, changes)
+        write_counts(context, context.releases, context.counts, members)
+        context.other.confirm(0)
+        context.other.apply(context.store.read())
+
+
+@then("none goes on, to come back when the entries are written again: {back}")
+def refused_early(context, back):
+    assert not any(context.found.values())
+    assert (context.releases.settles_in_ms(SERVICE) is not None) == (back == "yes")
+
+
+@when("the entries have settled, and the streams are resumed again")
+def resumed_again(context):
+    changes = ENTRIES[context.entries]
+    if context.entries == "a replica starts anew a second later":
+        settle(context, {}, 1000)
+        changes = ENTRIES["a replica has started anew"]
+    settle(context, changes, ENTRIES_SETTLE_MS)
+    # Another router, which heard of the copy, too.
+    context.releases = context.other
+    resume_all(context)
+
+
+@then("all go on")
+def all_go_on(context):
+    assert all(context.found.values()), sum(map(bool, context.found.values()))
+
+
+@when("the row is read")
+@when("the row is read as one of a copy")
+def row_is_read(context):
+    if "copy" in context.scenario.name:
+        context.store.restore(0)
+    context.releases = Releases(context.clock)
+    context.releases.apply(context.store.read())
+
+
+@then("new streams begin by the proportions that were written last")
+def begin_by_last(context):
+    keys = [f"n{number}" for number in range(1000)]
+    begun = {key: context.releases.assigned_version(SERVICE, key) for key in keys}
+    assert begun == {key: pick_version(key, context.history[-1]) for key in keys}
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -162,6 +162,8 @@
             era=report.era,
             replicas={item.version: item.weight for item in report.steps[-1].weights},
             steps=len(report.steps),
+            written_in=report.written_in,
+            members=report.members,
             source=source,
         )
         self.state_changed.set()
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -87,6 +87,13 @@
     return frozenset(pick_version(key, step.weights) for step in used)
 
 
+def known_for_ms(steps: tuple[ReleaseStep, ...]) -> float:
+    """Return for how long the proportions have been known without a gap."""
+    ends = [step.age_ms for step in steps[1:]] + [0]
+    gaps = [end_ms for step, end_ms in zip(steps, ends, strict=True) if not step.is_known]
+    return min(gaps, default=math.inf)
+
+
 def join_steps(
     known: tuple[ReleaseStep, ...],
     row: tuple[ReleaseStep, ...],
@@ -107,6 +114,31 @@
     return bound_steps((*earlier, *in_force))
 
 
+def undisturbed_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
+    """Return a history in which the last proportions held while no replica joined or left.
+
+    Meanwhile a version of less than half of the replicas may not have been used, as all of its
+    replicas were ejected for a while.
+    """
+    weights = steps[-1].weights
+    total = sum(item.weight for item in weights)
+    unused = [
+        ReleaseStep(0, _without_version(weights, item.version))
+        for item in weights
+        if 0 < 2 * item.weight < total
+    ]
+    return bound_steps((*steps, *unused, ReleaseStep(0, weights))) if unused else steps
+
+
+def _without_version(
+    weights: tuple[VersionWeight, ...], version: SoftwareVersion
+) -> tuple[VersionWeight, ...]:
+    """Return the proportions while a version is not used."""
+    return tuple(
+        VersionWeight(item.version, 0) if item.version == version else item for item in weights
+    )
+
+
 def mark_unmarked_cuts(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
     """Return the steps of a row of an earlier release, with an unknown one where some may lack."""
     if not steps:
@@ -144,7 +176,9 @@
 
 def _choose_merge(steps: tuple[ReleaseStep, ...]) -> _Merge:
     """Return the merge that makes the fewest prompts uncertain, of the newest least of all."""
-    found = [merge for start in range(len(steps) - 2) if (merge := _merge_at(steps, start))]
+    in_force = max((n for n, step in enumerate(steps) if step.is_known), default=0)
+    earlier = steps[: in_force + 1]
+    found = [merge for start in range(in_force - 1) if (merge := _merge_at(earlier, start))]
     if found:
         return min(found, key=lambda merge: merge.cost)
     return _Merge(0, 2, (unknown_step(steps[0].age_ms),), 0.0)
@@ -153,7 +187,7 @@
 def _merge_at(steps: tuple[ReleaseStep, ...], start: int) -> _Merge | None:
     """Return the smallest merge of steps from `start` on, `None` if there is none.
 
-    The newest step, which is in force, is not merged.
+    The last step, which is in force, is not merged.
     """
     for end in range(start + 2, len(steps)):
         group, until_ms = steps[start:end], steps[end].age_ms
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -10,6 +10,7 @@
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
 from skylarklift.entry.state.rows import ReleaseStore
+from skylarklift.entry.versions.release_members import MembersDigest, digest_members
 from skylarklift.entry.versions.releases import ReleaseReport
 from skylarklift.errors import StoreError
 from skylarklift.ids import ServiceId, SoftwareVersion
@@ -79,7 +80,8 @@
         """Write the rows of the services whose versions have changed."""
         core = self._core
         for service, counts in self._count_versions().items():
-            report = core.releases.next_report(service, counts)
+            members = self._digest_members(service)
+            report = core.releases.next_report(service, counts, members)
             if report is not None:
                 self._apply([await self._store.write_release(report)])
 
@@ -88,6 +90,13 @@
         for report in reports:
             self._core.apply_release(report, "store")
 
+    def _digest_members(self, service: ServiceId) -> MembersDigest | None:
+        """Return the digest of the processes of a service's replicas."""
+        state = self._core.cluster_state
+        return digest_members(
+            state.upstreams[replica].record for replica in state.services.replicas(service)
+        )
+
     def _count_versions(self) -> dict[ServiceId, Counter[SoftwareVersion]]:
         """Return how many replicas of each version a service of engines has.
 
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -7,7 +7,8 @@
 up: such a stream may go on where all of them assign its prompt to the same version.
 
 A row says in which era of the store it was written.  In a later era it is one of a copy, and what
-was in force since the copy was made is unknown to who did not follow the rows until then.
+was in force since the copy was made is unknown to who did not follow the rows until then, unless
+the replicas' entries show that no proportions can have changed.
 """
 
 import json
@@ -17,16 +18,19 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
+from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_steps import (
     SPREAD_MS,
     ReleaseStep,
     VersionWeight,
     bound_steps,
     join_steps,
+    known_for_ms,
     mark_unmarked_cuts,
     pick_version,
     possible_versions,
     steps_since,
+    undisturbed_steps,
     unknown_step,
 )
 from skylarklift.entry.versions.stream_deadlines import (
@@ -44,6 +48,8 @@
 CONFIRMED_TTL_MS = 2500
 # A report counts as this much older than it says, for its time on the way.
 REPORT_DELAY_MS = 50
+# By then the replicas have written their entries again in a store that was restored.
+ENTRIES_SETTLE_MS = 2500
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +58,8 @@
 
     `deadline` is the longest that callers of the service have named, `None` if none is known.
     `era` is that in which the row was read, `written_in` the one that its writer knew, `None` if
-    it was a router of an earlier release.
+    it was a router of an earlier release.  `members` are the processes for which it was written,
+    `None` if it was not read from the store.
     """
 
     service: ServiceId
@@ -61,14 +68,21 @@
     era: Era = NO_ERA
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
+    members: MembersDigest | None = None
 
     def is_newer_than(self, other: "ReleaseReport") -> bool:
-        """Return whether the store accepted this row after the other one, or it tells more."""
-        return self._order() > other._order()
+        """Return whether the store accepted this row after the other one."""
+        return (self.era, self.row_version) > (other.era, other.row_version)
 
-    def _order(self) -> tuple[Era, int, bool]:
-        """Return what orders the reports of a service."""
-        return self.era, self.row_version, self.written_in is not None
+    def tells_more_than(self, other: "ReleaseReport") -> bool:
+        """Return whether this is the same row as the other one, with more of its fields."""
+        if (self.era, self.row_version) != (other.era, other.row_version):
+            return False
+        return self._fields_told() > other._fields_told()
+
+    def _fields_told(self) -> int:
+        """Return how many fields are there that not every report of the row has."""
+        return (self.written_in is not None) + (self.members is not None)
 
     def may_be_of_copy(self) -> bool:
         """Return whether the store may have lost later rows since this one was written."""
@@ -82,14 +96,16 @@
     steps: tuple[ReleaseStep, ...] = ()
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
+    members: MembersDigest | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class KnownRelease:
-    """A service's row and when its ages were right."""
+    """A service's row, when its ages were right, and since when the store is in its era."""
 
     report: ReleaseReport
     known_at: Millis
+    era_since: Millis
 
 
 class Releases:
@@ -151,11 +167,16 @@
                 report.service, report.deadline.span_ms, report.deadline.age_ms + REPORT_DELAY_MS
             )
         known = self._known.get(report.service)
-        if known and not report.is_newer_than(known.report):
+        is_newer = known is None or report.is_newer_than(known.report)
+        if not is_newer and not report.tells_more_than(known.report):
             return False
-        steps = self._complete_steps(report, known)
-        self._known[report.service] = KnownRelease(replace(report, steps=steps), self._clock.now())
-        return bool(report.steps)
+        now, steps = self._clock.now(), self._complete_steps(report, known)
+        if not is_newer and report.written_in == known.report.written_in:
+            steps = self._current(known)
+        is_same_era = known is not None and known.report.era == report.era
+        era_since = known.era_since if is_same_era else now
+        self._known[report.service] = KnownRelease(replace(report, steps=steps), now, era_since)
+        return is_newer and bool(report.steps)
 
     def _complete_steps(
         self, report: ReleaseReport, known: KnownRelease | None
@@ -166,13 +187,14 @@
             steps = mark_unmarked_cuts(steps)
         is_later_era = known is not None and report.era > known.report.era
         is_copy = report.may_be_of_copy() or (is_later_era and report.written_in != report.era)
-        if is_copy or not steps:
+        if not steps or (is_copy and steps[-1].is_known):
             steps = (*steps, unknown_step())
-        is_whole = all(step.is_known for step in steps)
-        if known is None or is_whole or not self._are_followed():
+        before = self._current(known) if known else ()
+        knows_more = bool(before) and known_for_ms(before) > known_for_ms(steps)
+        if not knows_more or not self._are_followed():
             return bound_steps(steps)
         span_ms, is_newest = self._unfollowed_ms() + SPREAD_MS, not (is_copy and is_later_era)
-        return join_steps(self._current(known), steps, span_ms, is_newest=is_newest)
+        return join_steps(before, steps, span_ms, is_newest=is_newest)
 
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
@@ -231,16 +253,58 @@
         found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
         return MAX_DEADLINE_MS if found is None else found
 
+    def settles_in_ms(self, service: ServiceId) -> int | None:
+        """Return when a history that may be lost is known again at the latest.
+
+        Return `None` if it is known, or lost.
+        """
+        known = self._known.get(service)
+        if known is None or not known.report.may_be_of_copy():
+            return None
+        left_ms = ENTRIES_SETTLE_MS - (self._clock.now() - known.era_since)
+        return left_ms if left_ms > 0 else None
+
     def next_report(
-        self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
+        self,
+        service: ServiceId,
+        counts: Mapping[SoftwareVersion, int],
+        members: MembersDigest | None = None,
     ) -> ReleaseReport | None:
-        """Return the row to write for the replicas of each version, `None` if all is right."""
-        steps = self.next_row(service, counts)
-        if steps is None:
-            return None
-        return self.make_report(service, steps)
+        """Return the row to write for the replicas of each version, `None` if all is right.
 
-    def make_report(self, service: ServiceId, steps: tuple[ReleaseStep, ...]) -> ReleaseReport:
+        `members` are the processes of the service's replicas.
+        """
+        known = self._known.get(service)
+        if known is not None and self._may_be_whole(known.report, _weights(counts), members):
+            if self.settles_in_ms(service) is not None:
+                return None
+            return self.make_report(service, undisturbed_steps(self.steps(service)[:-1]), members)
+        steps = self.next_row(service, counts)
+        if steps is None and known is not None and known.report.members not in (None, members):
+            # A copy of the store must hold the processes of its time.
+            steps = self.steps(service)
+        return None if steps is None else self.make_report(service, steps, members)
+
+    @staticmethod
+    def _may_be_whole(
+        report: ReleaseReport, weights: tuple[VersionWeight, ...], members: MembersDigest | None
+    ) -> bool:
+        """Return whether a row of a copy may be the newest one that was written.
+
+        Other proportions need other processes of replicas, but for versions that cannot be used.
+        """
+        if not report.may_be_of_copy() or len(report.steps) < 2 or report.steps[-1].is_known:
+            return False
+        if report.members is None or report.members != members:
+            return False
+        return report.steps[-2].weights == weights
+
+    def make_report(
+        self,
+        service: ServiceId,
+        steps: tuple[ReleaseStep, ...],
+        members: MembersDigest | None = None,
+    ) -> ReleaseReport:
         """Return the row to write with these steps."""
         known = self._known.get(service)
         return ReleaseReport(
@@ -249,6 +313,7 @@
             steps,
             deadline=self.deadlines.longest(service),
             written_in=known.report.era if known else self._era,
+            members=members,
         )
 
     def next_row(
@@ -277,7 +342,7 @@
 
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
     """Return the data of a service's row; times are those of the store's clock."""
-    row = ReleaseRow(report.steps, report.deadline, report.written_in)
+    row = ReleaseRow(report.steps, report.deadline, report.written_in, report.members)
     return encode_release_row(row, now_ms)
 
 
@@ -286,7 +351,9 @@
 ) -> ReleaseReport:
     """Return a service's row that was read in an era, without steps if it is invalid."""
     row = decode_release_row(data, now_ms)
-    return ReleaseReport(service, row_version, row.steps, era, row.deadline, row.written_in)
+    return ReleaseReport(
+        service, row_version, row.steps, era, row.deadline, row.written_in, row.members
+    )
 
 
 def encode_release_row(row: ReleaseRow, now_ms: int) -> bytes:
@@ -301,6 +368,8 @@
     value: dict[str, Any] = {"steps": steps}
     if row.written_in is not None:
         value["era"] = row.written_in
+    if row.members is not None:
+        value["members"] = row.members
     if row.deadline is not None:
         value["deadline_ms"] = row.deadline.span_ms
         value["deadline_named_ms"] = now_ms - row.deadline.age_ms
@@ -312,8 +381,9 @@
     try:
         value = parse_json(data)
         written_in = Era(checked_integer(value["era"])) if "era" in value else None
+        members = MembersDigest(checked_text(value["members"])) if "members" in value else None
         steps, deadline = _decode_steps(value, now_ms), _decode_deadline(value, now_ms)
-        return ReleaseRow(steps, deadline, written_in)
+        return ReleaseRow(steps, deadline, written_in, members)
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -25,6 +25,9 @@
 ASKED_ROUTERS = 8
 ANSWER_TIMEOUT_MS = 120
 MAX_OUTGOING = 1000
+OUTDATED_RETRY_AFTER_MS = 300
+# A row follows the end of the time for which a history may be known again by this.
+WRITE_DELAY_MS = 400
 # Routers that were heard within this time are asked and informed.
 BACKUP_TTL_MS = 30_000
 
@@ -61,6 +64,7 @@
 
     `asked` is how many other routers were asked, and `releases_age_ms` how old the rows on
     software versions were, `None` if that is not known.  `doubted_end` is that of the origin.
+    `retry_after_ms` is when it may be known, if it is not.
     `max_age_ms` is how long ago the stream began at most, and `steps` how many proportions of
     that time were known.
     """
@@ -73,6 +77,7 @@
     doubted_end: DoubtedEnd | None = None
     max_age_ms: int = 0
     steps: int = 0
+    retry_after_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,12 +156,16 @@
     def _derive(self, stream: ResumedStream) -> FoundOrigin:
         """Return where a stream may go on that no router remembers, by the proportions."""
         if not self._knows_releases():
-            return FoundOrigin(OriginSource.OUTDATED, stream.service)
+            return FoundOrigin(
+                OriginSource.OUTDATED, stream.service, retry_after_ms=OUTDATED_RETRY_AFTER_MS
+            )
         versions = self._releases.began_at(
             stream.service, stream.key, stream.max_age_ms, self._fleet.longest_silence_ms()
         )
         if versions is None:
-            return FoundOrigin(OriginSource.LOST, stream.service)
+            left_ms = self._releases.settles_in_ms(stream.service)
+            retry_after_ms = None if left_ms is None else left_ms + WRITE_DELAY_MS
+            return FoundOrigin(OriginSource.LOST, stream.service, retry_after_ms=retry_after_ms)
         if len(versions) == 1:
             return FoundOrigin(OriginSource.ASSIGNED, stream.service, next(iter(versions)))
         source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -10,13 +10,12 @@
 from skylarklift.entry.state.cluster_state import STORE_OUTAGE_MS
 from skylarklift.entry.state.rows import RowTable
 from skylarklift.entry.state.upstream import is_restart
-from skylarklift.entry.versions.resumptions import FoundOrigin, OriginSource, ResumedStream
+from skylarklift.entry.versions.resumptions import FoundOrigin, ResumedStream
 from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin
 from skylarklift.errors import BadRequest, ProcessReplaced, Refusal, TransportError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
 MAX_RELEASES_WAIT_MS = 500
-OUTDATED_RETRY_AFTER_MS = 300
 STATUS_CONFLICT = 409
 # After this many replicas that may have restarted a new stream is also for one that does not say.
 MAX_PROCESS_REFUSALS = 2
@@ -76,11 +75,10 @@
         self.required = self.origin.version
         if self.required is None:
             # Another router may know, and this one when it is in touch again.
-            outdated = self.origin.source is OriginSource.OUTDATED
             raise Refusal(
                 self.origin.source.value,
                 "which version began the stream is not known, so it cannot go on",
-                retry_after_ms=OUTDATED_RETRY_AFTER_MS if outdated else None,
+                retry_after_ms=self.origin.retry_after_ms,
             )
         targets = [target.service for target in self._route.targets]
         return self.origin.service if self.origin.service in targets else service
--- a/skylarklift/hashing.py
+++ b/skylarklift/hashing.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from xxhash import xxh3_64_intdigest
+from xxhash import xxh3_64_hexdigest, xxh3_64_intdigest
 
 from skylarklift.ids import ChatKey, Fingerprint
 
@@ -24,6 +24,11 @@
     return xxh3_64_intdigest(name.encode()) & FINGERPRINT_MASK
 
 
+def text_digest(text: str) -> str:
+    """Return a 64-bit hash of a text in hexadecimal."""
+    return xxh3_64_hexdigest(text.encode())
+
+
 def rendezvous_order(key: int | str, names: Iterable[str]) -> list[str]:
     """Return the names in the order of preference for `key`."""
     return sorted(names, key=lambda name: (-rendezvous_weight(key, name), name))
