Bound the time to merge steps of software versions

Cause: each merge tried groups of every length, and up to 96 steps of another writer's row were merged one after the other: 560 ms of processor time for a row of 96 steps with four versions, in the loop of the router. Proportions without any replica count as unknown, as their corners are none. Ruled out: a bound on versions (a release of many is the users' matter).

--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -14,7 +14,7 @@
 
 MAX_STEPS = 24
 # Longer histories of other writers are not merged step by step.
-MAX_READ_STEPS = 96
+MAX_READ_STEPS = 32
 # A router that is in touch with the others may use proportions for this long after newer ones are
 # in the row.
 SPREAD_MS = 1000
@@ -37,7 +37,7 @@
 class ReleaseStep:
     """The proportions in force since `age_ms` ago, until those of the next step.
 
-    Without weights it is not known which proportions were in force.
+    Without weights above 0 it is not known which proportions were in force.
     """
 
     age_ms: int
@@ -46,7 +46,7 @@
     @property
     def is_known(self) -> bool:
         """Return whether it is known which proportions were in force."""
-        return bool(self.weights)
+        return any(item.weight for item in self.weights)
 
 
 def unknown_step(age_ms: int = 0) -> ReleaseStep:
@@ -189,19 +189,26 @@
 
     The last step, which is in force, is not merged.
     """
-    for end in range(start + 2, len(steps)):
-        group, until_ms = steps[start:end], steps[end].age_ms
-        if not all(step.is_known for step in group):
+    versions: set[SoftwareVersion] = set()
+    for end in range(start + 1, len(steps)):
+        if not steps[end - 1].is_known:
             return None
-        corners = _corners(group)
-        if len(corners) < len(group):
-            ages = [group[0].age_ms, *[until_ms] * (len(corners) - 1)]
-            merged = tuple(map(ReleaseStep, ages, corners))
-            age_s = max(until_ms / MS_PER_SECOND, 1.0)
-            return _Merge(start, end, merged, _width(group) / age_s)
+        versions.update(item.version for item in steps[end - 1].weights if item.weight)
+        # There is a corner for each version at most.
+        if end - start > len(versions):
+            return _merge(steps[start:end], start, steps[end].age_ms)
     return None
 
 
+def _merge(group: tuple[ReleaseStep, ...], start: int, until_ms: int) -> _Merge:
+    """Return the merge of a group of steps, the last of which was replaced `until_ms` ago."""
+    corners = _corners(group)
+    ages = [group[0].age_ms, *[until_ms] * (len(corners) - 1)]
+    merged = tuple(map(ReleaseStep, ages, corners))
+    age_s = max(until_ms / MS_PER_SECOND, 1.0)
+    return _Merge(start, start + len(group), merged, _width(group) / age_s)
+
+
 def _corners(group: Sequence[ReleaseStep]) -> list[tuple[VersionWeight, ...]]:
     """Return proportions that give each prompt all versions that any between the steps' gives it.
 
