Read all rows on software versions, not only the first page of them

Callers saw: nothing yet by any report.

Cause: `read_releases` read one page of 500 rows and ignored `has_more`, unlike the reads of the other tables.

Change: it reads all pages as the others do, of one era, and takes the ages as of the last answer, since each step names a moment of the store's clock. The store of the tests honours `limit` and `source` now, so the reads of all three tables are tested over three pages.

Ruled out: a read of the one row after a refused write; the whole list is read once a second anyway.

--- a/features/entry_eras.feature
+++ b/features/entry_eras.feature
@@ -65,6 +65,35 @@
     Then changes after version 3 of era 1 are unavailable
     And the whole table is read as of era 2
 
+  # Guards against rows beyond the first page of an answer that look as if they did not exist.
+  Scenario Outline: A table of more rows than an answer holds is read whole: <table>
+    Given a store with 1201 rows of the table of <table>, and its client
+    Then its client reads 1201 rows of that table
+
+    Examples:
+      | table             |
+      | upstreams         |
+      | routers           |
+      | software versions |
+
+  # Guards against the row of another router that is taken for none, and written over.
+  Scenario: A row on software versions that another router wrote first is found behind many others
+    Given a store with 1201 rows of the table of software versions, and its client
+    When its client writes the last of these rows as if there were none
+    Then it is told the row that the store has
+
+  # Guards against rows of two eras that are taken for one table.
+  Scenario Outline: A table is not read across a restore: <table>
+    Given a store with 1201 rows of the table of <table>, and its client
+    And the store is restored from a copy after the first page
+    Then its client cannot read that table
+
+    Examples:
+      | table             |
+      | upstreams         |
+      | routers           |
+      | software versions |
+
   # Guards against a router that the others do not find since the store has lost its entry.
   Scenario: A router registers again after a restore
     Given a store, two replicas of each service, and a router
--- a/features/steps/entry_eras.py
+++ b/features/steps/entry_eras.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 
 from features.entry_fixtures import new_core, plan_data, upstream_data
+from features.release_fixtures import parse_steps, parse_weights
 from features.steps.entry_fleet import MAX_READER_AGE_MS
 from features.world_thread import send_request
 from skylarklift.clock import ManualClock
@@ -23,8 +24,15 @@
     TableComparison,
     TableSummary,
 )
+from skylarklift.entry.versions.releases import (
+    ReleaseReport,
+    ReleaseRow,
+    encode_release_row,
+)
+from skylarklift.errors import StoreError
+from skylarklift.ids import ServiceId
 from skylarklift.platform.rows import PlatformRowFormat
-from skylarklift.platform.store import MEMBER_TABLE, PlatformStore
+from skylarklift.platform.store import MEMBER_TABLE, RELEASE_TABLE, PlatformStore
 from standins.entry_world import HOST
 from standins.rows import RowStore, StoreEndpoint
 
@@ -174,7 +182,7 @@
 
 @given("a store with {count:d} rows, and its client")
 def store_with_rows(context, count):
-    context.store = RowStore()
+    context.store, context.endpoint = RowStore(), None
     for number in range(count):
         context.store.write("servers", f"r{number}", b"{}")
         if not number:
@@ -193,14 +201,14 @@
 
     async def run():
         async with trio.open_nursery() as nursery:
-            endpoint = StoreEndpoint(context.store)
+            endpoint = context.endpoint or StoreEndpoint(context.store)
             listeners = await trio.open_tcp_listeners(0, host=HOST)
             nursery.start_soon(trio.serve_listeners, endpoint.serve, listeners)
             address = Endpoint(HOST, listeners[0].socket.getsockname()[1])
             client = PlatformStore(address, PlatformRowFormat())
             try:
                 return await getattr(client, method)(*args)
-            except ChangesUnavailable as exc:
+            except (ChangesUnavailable, StoreError) as exc:
                 return exc
             finally:
                 nursery.cancel_scope.cancel()
@@ -214,6 +222,78 @@
     assert isinstance(found, ChangesUnavailable), found
 
 
+# By a table: its name in the store, and the call that reads it, which may have an argument.
+TABLE_READS = {
+    "upstreams": ("servers", "read_table", RowTable.UPSTREAMS),
+    "routers": (MEMBER_TABLE, "read_members"),
+    "software versions": (RELEASE_TABLE, "read_releases"),
+}
+
+
+class RestoredBetweenPages(StoreEndpoint):
+    """A store that is restored from a copy after it has sent the first page of a table."""
+
+    def _page(self, query):
+        found = super()._page(query)
+        if "source" not in query:
+            self.store.restore(self.store.copy())
+        return found
+
+    def _era_headers(self):
+        return [(b"store-era", b"%d" % self.page_era)]
+
+    async def _handle_call(self, head, body):
+        self.page_era = self.store.era
+        return await super()._handle_call(head, body)
+
+
+@given("a store with {count:d} rows of the table of {table}, and its client")
+def store_with_table(context, count, table):
+    context.store, context.endpoint = RowStore(), None
+    context.store_table = table
+    data = encode_release_row(ReleaseRow(parse_steps("0=v1:1")), 0)
+    for number in range(count):
+        context.store.write(TABLE_READS[table][0], f"r{number:04}", data)
+
+
+@given("the store is restored from a copy after the first page")
+def restored_after_page(context):
+    context.endpoint = RestoredBetweenPages(context.store)
+
+
+def read_whole_table(context):
+    """Return what the client of the store returns for all rows of the table."""
+    _, method, *args = TABLE_READS[context.store_table]
+    return call_store(context, method, *args)
+
+
+@then("its client reads {count:d} rows of that table")
+def client_reads_rows(context, count):
+    found = read_whole_table(context)
+    found = found.rows if isinstance(found, RowPage) else found
+    assert len(found) == count, len(found)
+
+
+@then("its client cannot read that table")
+def client_cannot_read(context):
+    found = read_whole_table(context)
+    assert isinstance(found, StoreError), type(found)
+
+
+@when("its client writes the last of these rows as if there were none")
+def client_writes_last(context):
+    context.last = max(context.store.tables[RELEASE_TABLE])
+    report = ReleaseReport(ServiceId(context.last), 0, parse_steps("0=v2:1"))
+    context.found = call_store(context, "write_release", report)
+
+
+@then("it is told the row that the store has")
+def told_row(context):
+    version = context.store.row_version(RELEASE_TABLE, context.last)
+    assert context.found.row_version == version, context.found
+    assert [step.weights for step in context.found.steps] == [parse_weights("v1:1")]
+
+
 @then("the whole table is read as of era {era:d}")
 def whole_table(context, era):
     page = call_store(context, "read_table", RowTable.UPSTREAMS)
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -132,10 +132,9 @@
 
     async def read_releases(self) -> list[ReleaseReport]:
         """Return the rows on the software versions of all services."""
-        query = urlencode({"table": RELEASE_TABLE, "part": "", "limit": PAGE_ROWS})
-        answer = await self._call("read", "GET", names.ROWS_GET, query)
-        self._check_status(answer.status)
-        return _decode_releases(answer)
+        page = await self._read_all(RELEASE_TABLE)
+        now_ms = self._store_now_ms()
+        return [_decode_release(row, now_ms, page.era) for row in page.rows]
 
     async def write_release(self, report: ReleaseReport) -> ReleaseReport:
         """Write a service's row if its version is still the one named; return the row as it is."""
@@ -244,13 +243,6 @@
         raise StoreError(f"unexpected answer of the store: {type(exc).__name__}: {exc}") from exc
 
 
-def _decode_releases(answer: StoreAnswer) -> list[ReleaseReport]:
-    """Return the rows on software versions in an answer, without those that cannot be read."""
-    rows, _ = _decode_rows(answer.value)
-    now_ms = answer.value.get("now_ms") or 0
-    return [_decode_release(row, now_ms, answer.era) for row in rows]
-
-
 def _decode_release(row: RowChange, now_ms: int, era: Era) -> ReleaseReport:
     """Return a row on software versions, without steps if it cannot be read."""
     return decode_report(ServiceId(row.key), row.version, row.data or b"", now_ms, era)
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -13,6 +13,7 @@
 
 LIMITS = CallerLimits(idle_ms=60000)
 STATUS_OK = 200
+MAX_PAGE_ROWS = 500
 MS_PER_SECOND = 1000
 
 
@@ -166,16 +167,23 @@
         """Execute a call and return its status and answer."""
         parts = urlsplit(unquote(head.target.decode()))
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        store = self.store
         if parts.path == "/-/rows-get":
-            rows = sorted(store.rows(query["table"]), key=lambda row: row["key"])
-            return STATUS_OK, {"rows": rows, "has_more": False, "row_version": store.version}
+            return STATUS_OK, self._page(query)
         if parts.path == "/-/rows-feed":
             return await self._feed(query)
         if parts.path == "/-/rows-tx":
             return self._transact(json.loads(body))
         return 404, {}
 
+    def _page(self, query) -> dict:
+        """Return the rows of a table from `source` on, as many as one answer holds."""
+        store, source = self.store, query.get("source", "")
+        rows = [row for row in store.rows(query["table"]) if row["key"] >= source]
+        rows.sort(key=lambda row: row["key"])
+        limit = min(int(query.get("limit", MAX_PAGE_ROWS)), MAX_PAGE_ROWS)
+        has_more = len(rows) > limit
+        return {"rows": rows[:limit], "has_more": has_more, "row_version": store.version}
+
     async def _feed(self, query) -> tuple[int, dict]:
         """Return the changes after a version, waiting up to `wait_ms` for the first one.
 
