Convict the narrowest part that explains the crashes, not one that all share

Callers saw: a sound request was refused with 503 `crashes_upstreams`, "the part aa crashed 3 upstreams", `retry-after` 30 s, since it shared the part "aa" with requests whose next part crashes replicas (listed in KNOWN-RED.txt, seen twice beside load). All requests with "aa" are held back then, and those with the bad part bring no more evidence against it.

Cause: a crash weighs half for a part that was only in requests whose answer had begun 80 ms before. In this outline a request with "aa,bad" crashes its replica 60 ms after its first event, a sound one with "aa" is retried beside it and has no answer yet. 20 ms later, and the crash weighs 0.5 for "bad" and 1 for "aa": at the third crash "aa" has a weight of 3 and "bad" of 2.5 or less, so "aa" alone is guilty. Yet each request with "bad" has "aa" before it: "aa" can never have less evidence.

Change: a record says behind which parts its own one always came. If a guilty part has such a one that took part in all of its crashes, in more than one request, that one is convicted in its place, the deepest first.

Before: 3 of the 5 new examples fail ("aa" or "bb" convicted).

--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -59,6 +59,11 @@
       | a part in two crashes                    | 0:r1:1:aa+bad 300:r2:2:aa+bad                                                                  |           |
       | a part beside a repeated request        | 0:r1:1:bad 1:r1:9:bb 300:r2:1:bad 301:r2:9:bb 600:r3:1:bad 601:r3:8:bb 900:r4:2:bad           | request+bad |
       | a part whose requests had been answered | 0:r1:1:bad 1:r1:9:bb! 300:r2:1:bad 301:r2:9:bb! 600:r3:1:bad 601:r3:8:bb 602:r3:9:bb! 900:r4:2:bad | request+bad |
+      | a part behind one that others share too   | 0:r1:1:aa+bad! 1:r1:7:aa 300:r2:2:aa+bad 301:r2:8:aa 600:r3:3:aa+bad 601:r3:9:aa | bad |
+      | the same, its answers had all begun       | 0:r1:1:aa+bad! 1:r1:7:aa 300:r2:2:aa+bad! 301:r2:8:aa 600:r3:3:aa+bad! 601:r3:9:aa | bad |
+      | the same, behind two such parts           | 0:r1:1:aa+bb+bad! 1:r1:7:aa 300:r2:2:aa+bb+bad! 301:r2:8:aa+bb 600:r3:3:aa+bb+bad! 601:r3:9:aa | bad |
+      | a part that crashes behind different ones | 0:r1:1:aa+x1 300:r2:2:aa+x2 600:r3:3:aa+x3 | aa |
+      | a part behind which one repeats itself    | 0:r1:1:aa+x1! 1:r1:7:aa+x2 300:r2:1:aa+x1! 301:r2:8:aa+x3 600:r3:1:aa+x1! 601:r3:9:aa+x4 | aa |
       | a part that crashes after some events   | 0:r1:1:bb! 300:r2:2:bb! 600:r3:3:bb! 900:r4:4:bb! 1200:r5:5:bb! 1500:r6:6:bb!                 | bb        |
       | a repeated request                       | 0:r1:1:aa+bb 300:r2:1:aa+bb 600:r3:1:aa+bb                                                     | request   |
       | a part that is served in between         | 0:r1:1:bb 300:r2:2:bb 500:served:bb 600:r3:3:bb 900:r4:4:bb                                    |           |
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -96,13 +96,26 @@
     """The crashes in which a suspect took part.
 
     `unanswered` are the crashes at which it was in a request without an answer.  `fingerprints`
-    are the requests that had a part, and `depth` is its place in their prompts.
+    are the requests that had a part, `depth` is its place in their prompts, and `behind` are the
+    parts before it in all of them, `None` without a prompt yet.
     """
 
     crashes: list[Crash] = field(default_factory=list)
     unanswered: set[Crash] = field(default_factory=set)
     fingerprints: set[Fingerprint] = field(default_factory=set)
     depth: int = 0
+    behind: frozenset[Suspect] | None = None
+
+    def note_prompt(self, fingerprint: Fingerprint, before: frozenset[Suspect]) -> None:
+        """Record a request that had a part, and the parts before that one in its prompt."""
+        if len(self.fingerprints) < CRASHES_TO_CONVICT:
+            self.fingerprints.add(fingerprint)
+        self.depth = max(self.depth, len(before))
+        self.behind = before if self.behind is None else self.behind & before
+
+    def is_of_several_requests(self) -> bool:
+        """Return whether the evidence is of more than one request that is sent repeatedly."""
+        return len(self.fingerprints) > 1
 
 
 @dataclass(slots=True)
@@ -147,11 +160,14 @@
         if list(held):
             crash.explained = True
             return []
-        for depth, suspect in enumerate(report.suspects()):
+        suspects = report.suspects()
+        requests = [item for item in suspects if item.kind is SuspectKind.REQUEST]
+        parts = [item for item in suspects if item.kind is SuspectKind.PART]
+        for suspect in suspects:
             if not self._recently_served(suspect):
-                self._add(suspect, crash, report, depth)
+                depth = parts.index(suspect) if suspect in parts else 0
+                self._add(suspect, crash, report, frozenset(parts[:depth]))
                 self._unjudged.add(suspect)
-        requests = [item for item in report.suspects() if item.kind is SuspectKind.REQUEST]
         convicted = [item for item in requests if self._is_guilty(item)]
         for suspect in convicted:
             self._limit_to_parts(suspect, report)
@@ -176,8 +192,10 @@
         self._crashes.append(crash)
         return crash
 
-    def _add(self, suspect: Suspect, crash: Crash, report: CrashReport, depth: int) -> None:
-        """Add a crash to the record of a suspect."""
+    def _add(
+        self, suspect: Suspect, crash: Crash, report: CrashReport, before: frozenset[Suspect]
+    ) -> None:
+        """Add a crash to the record of a suspect; `before` are the parts before it."""
         record = self._records.setdefault(suspect, SuspectRecord())
         self._records.move_to_end(suspect)
         _limit_size(self._records, MAX_SUSPECTS)
@@ -185,14 +203,14 @@
             record.crashes.append(crash)
         if not report.answered:
             record.unanswered.add(crash)
-        record.depth = max(record.depth, depth)
-        if len(record.fingerprints) < CRASHES_TO_CONVICT:
-            record.fingerprints.add(report.fingerprint)
+        record.note_prompt(report.fingerprint, before)
 
     def judge_parts(self) -> Judgement:
         """Convict the parts with enough new evidence, the most suspect one first.
 
         The crashes of a convicted part are explained by it, so they no longer count for others.
+        All requests with a part also have those before it.  So these are in all its crashes, and in
+        others besides: they are convicted only if it does not explain as much.
         """
         judgement = Judgement()
         # By name, so that all routers come to the same judgement on parts of the same rank.
@@ -202,8 +220,7 @@
         )
         self._unjudged.clear()
         while guilty := [item for item in parts if self._is_guilty(item)]:
-            worst = max(guilty, key=self._rank)
-            parts.remove(worst)
+            worst = self._narrowest(max(guilty, key=self._rank))
             crashes = self._records[worst].crashes
             judgement.acquitted += self._acquit(crashes)
             judgement.convicted.append(worst)
@@ -235,7 +252,7 @@
             unanswered = {crash.replica for crash in counted if crash in record.unanswered}
             weight = len(unanswered) + ANSWERED_WEIGHT * len(replicas - unanswered)
             return weight >= CRASHES_TO_CONVICT
-        if len(record.fingerprints) < 2:
+        if not record.is_of_several_requests():
             # One request that is sent repeatedly says nothing of the parts of its prompt.
             return False
         count = self.crash_weight(suspect)
@@ -244,6 +261,23 @@
         served = self.last_served(suspect) is not None
         return not served and count >= CRASHES_TO_CONVICT and len(replicas) >= 2
 
+    def _narrowest(self, part: Suspect) -> Suspect:
+        """Return the part that explains all crashes of a guilty one, and is in the fewest requests.
+
+        It need not weigh as much: at some of them its requests may have been answered, while
+        others, which had only the parts before it, were not.
+        """
+        crashes = set(self._counted_crashes(part, self._records[part]))
+        behind = [
+            suspect
+            for suspect, record in self._records.items()
+            if record.behind is not None
+            and part in record.behind
+            and record.is_of_several_requests()
+            and crashes.issubset(self._counted_crashes(suspect, record))
+        ]
+        return max(behind, key=lambda item: self._records[item].depth, default=part)
+
     def _rank(self, part: Suspect) -> tuple[float, bool, int]:
         """Return how suspect a part is: by its crashes, if it was never served, by its depth.
 
