Count the age of an answer up to its break, not up to the end of a probe

Cause: whether an answer had begun 80 ms or lasted 500 ms before the crash was asked after the upstream had been probed, which takes up to 250 ms, or longer where another router is asked to.

Change: the age ends when the answer breaks off, in the log as well.

Ruled out: to report the time of the break as that of the crash: a probe must begin later than that, and reports of one crash may be 1.5 s apart.

Before: 3 of the 6 new examples fail (a probe of 200 or 460 ms). After: 6 of 6.

--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -127,6 +127,22 @@
       | 50  | unreachable |
       | 400 | reachable   |
 
+  # Guards against a request that counts as answered for a while, or is not suspected at all, since
+  # the router took that long to find out that its upstream had crashed.
+  Scenario Outline: The age of an answer ends when it breaks off
+    Given a router that needs <ms> ms to find that a replica is unreachable
+    When an answer of the replica breaks off <age> ms after its first event
+    Then its request is reported as <reported>
+
+    Examples:
+      | age | ms  | reported              |
+      | 60  | 0   | about to be answered  |
+      | 60  | 200 | about to be answered  |
+      | 60  | 460 | about to be answered  |
+      | 100 | 0   | answered for a while  |
+      | 100 | 460 | answered for a while  |
+      | 500 | 0   | none                  |
+
   # Guards against a hold that never ends, ends for all requests at once, or comes back by itself.
   Scenario Outline: A hold is followed by a trial, and by a longer hold or a release: <case>
     Given a router of rank <rank> that holds back a part since 0 ms
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -34,7 +34,7 @@
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.requests.attempt import Attempt
 from skylarklift.entry.requests.retry_state import Outcome, RetryState
-from skylarklift.errors import PeerError
+from skylarklift.errors import ConnectFailed, PeerError, ResponseBroken
 from standins.ports import reserve_port
 
 START_MS = 100_000
@@ -130,6 +130,42 @@
     trio.run(CrashGuard(core, call, 5).check_for_crash, attempt)
 
 
+@given("a router that needs {ms:d} ms to find that a replica is unreachable")
+def slow_to_find(context, ms):
+    context.core = core_with_replicas(1)
+
+    async def dial(*_):
+        context.core.clock.advance(ms)
+        raise ConnectFailed("refused")
+
+    context.core.dialer.dial = dial
+
+
+@when("an answer of the replica breaks off {age:d} ms after its first event")
+def answer_breaks_off_after(context, age):
+    core, call = context.core, new_call("aa:1,bad:1,own:1")
+    choice = Choice(core.cluster_state.upstreams["r0"], 0, 0.0, 0, cold=False)
+    attempt = Attempt(core, call, choice, None, repeatable=True)
+    attempt.answered_at = core.clock.now()
+    core.clock.advance(age)
+
+    async def end():
+        await attempt.record_failure(ResponseBroken("reset"))
+        await CrashGuard(core, call, 5).check_for_crash(attempt)
+
+    trio.run(end)
+
+
+@then("its request is reported as {reported}")
+def request_reported(context, reported):
+    message = context.core.suspects.make_message("n1", Millis(0), relay=False, with_holds=True)
+    found = "none"
+    if message is not None:
+        answered = message.crashes[0].answered
+        found = "answered for a while" if answered else "about to be answered"
+    assert found == reported, message
+
+
 @then("the crash is reported: {reported}")
 def crash_is_reported(context, reported):
     message = context.core.suspects.make_message("n1", Millis(0), relay=False, with_holds=True)
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -97,6 +97,8 @@
         self.end_sign: EndSign | None = None
         # When the first event or the complete answer arrived.
         self.answered_at: Millis | None = None
+        # When the answer broke off, `None` before.
+        self.broken_at: Millis | None = None
         self._sent_at = self._started_at = core.clock.now()
         self._response_read = False
         # Whether no connection was made in time, which a sound upstream's silence may explain.
@@ -276,10 +278,14 @@
             raise ResponseBroken("the upstream ended within an answer without a length")
 
     def answer_age_ms(self) -> int | None:
-        """Return the milliseconds since the first event or the answer arrived, `None` before."""
+        """Return how long the answer has lasted since its first event, `None` before that.
+
+        What follows its break, such as probes of the upstream, does not count.
+        """
         if self.answered_at is None:
             return None
-        return self.core.clock.now() - self.answered_at
+        until = self.core.clock.now() if self.broken_at is None else self.broken_at
+        return until - self.answered_at
 
     def has_started(self) -> bool:
         """Return whether the answer began a while ago, so that another request is more suspect."""
@@ -344,6 +350,7 @@
 
         What this router's own link, or the router that relays, has done is not the upstream's.
         """
+        self.broken_at = self.core.clock.now()
         self.detail = str(exc)
         if isinstance(exc, LocalShortage):
             self.outcome = Outcome.NOT_SENT
