Remember all replicas that have left lately, however many leave at once

A router that has seen 650 replicas go (a release of a large fleet) and then reads a store that was restored from a copy uses 150 of them again: they are gone, or leave and still answer (DRAIN, for those that said so in their answers "in touch or not").

Cause: the last entries of removed upstreams, and the announcements of those that leave, were 500 at most, whatever their age; the oldest one made room for each further one.

Change: nothing of the last two minutes is forgotten; copies of the store are some seconds old, and replicas that leave end within some seconds. The newest 500 are kept for longer, as before. An announcement is renewed when the entry is removed, as an upstream may leave for long before.

Ruled out: a larger number, which is cut by a larger fleet; age alone, which forgets more than before where few leave. Tombstones (500, too) do say what was cut: a router with an older copy gets all rows (a scenario for it passes before and after).

Before: 4 of the 5 new examples fail, 151 replicas used in place of 1 (in the fourth, whose replicas said it ten minutes before, likewise). After: 44 of 44 scenarios of entry_eras.feature pass.

--- a/features/entry_eras.feature
+++ b/features/entry_eras.feature
@@ -44,6 +44,35 @@
       | one that the copy lacks and that is gone  | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1 2300:2:21~r1=ready/5/3 | r1=ready/5/3 |
       | a removal in the new era                  | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1+r2=ready/5/2 7000:2:21~-r2 | r1=ready/5/1 |
 
+  # Guards against replicas that are gone, or leave, and get requests since many others went, too.
+  Scenario Outline: A copy of the store brings none of many replicas back: <case>
+    Given a router that has read the entries of 651 replicas
+    And <leaving> of them say that they leave, and 650 entries go <age> ms later
+    When a copy of the store with all entries is read, and entries of <written> are written again
+    Then the router sends to <count> of the replicas
+
+    Examples:
+      | case                                 | leaving | age    | written | count |
+      | they are gone                        | 0       | 0      | none    | 1     |
+      | they have left                       | 650     | 0      | none    | 1     |
+      | they leave                           | 650     | 0      | all     | 1     |
+      | they leave, and said so long ago     | 650     | 600000 | all     | 1     |
+      | they were lost by the copy           | 0       | 0      | all     | 651   |
+
+  # Guards against replicas that stay at a router which missed many removals.
+  Scenario: A router that missed the removal of many replicas hears of all of them
+    Given a router that has read the entries of 651 replicas
+    And another router that knows them, too
+    And 0 of them say that they leave, and 650 entries go 0 ms later
+    When each hears the other's summary and fetches what it lacks
+    Then both routers send to 1 of the replicas
+
+  Scenario: Replicas that have left are forgotten some time later
+    Given a router that has read the entries of 651 replicas
+    And 650 of them say that they leave, and 650 entries go 0 ms later
+    When the last replica comes back under its name and leaves 600000 ms later
+    Then the router remembers at most 1000 that have left
+
   # Guards against a router that was cut off and brings an old era back.
   Scenario Outline: Routers of different eras agree on the newer one: <case>
     Given a router that knows era 1 at version 50: "plan=13"
--- a/features/steps/entry_eras.py
+++ b/features/steps/entry_eras.py
@@ -136,6 +136,84 @@
     assert describe(context.core) == result, describe(context.core)
 
 
+def many_entries(count, sequence=1, first=0):
+    """Return the entries of many replicas as text."""
+    return "+".join(f"r{number}=ready/5/{sequence}" for number in range(first, count))
+
+
+@given("a router that has read the entries of {count:d} replicas")
+def router_knows_many(context, count):
+    context.clock = ManualClock(100_000)
+    context.count = count
+    context.core = core_that_knows(context.clock, 1, KNOWN_VERSION, many_entries(count))
+
+
+@given("another router that knows them, too")
+def other_knows_many(context):
+    text = many_entries(context.count)
+    context.other = core_that_knows(context.clock, 1, KNOWN_VERSION, text)
+
+
+@given("{leaving:d} of them say that they leave, and {count:d} entries go {age:d} ms later")
+def many_leave(context, leaving, count, age):
+    state = context.core.cluster_state
+    for number in range(1, leaving + 1):
+        state.mark_leaving(state.upstreams[f"r{number}"].record)
+    run_confirmed(context, age)
+    removed = "+".join(f"-r{number}" for number in range(1, count + 1))
+    apply_text(context.core, 1, KNOWN_VERSION + 1, removed, complete=False)
+    assert len(state.upstreams) == context.count - count
+
+
+def run_confirmed(context, span_ms):
+    """Let time pass in which the store confirms the tables each second."""
+    for _ in range(span_ms // 1000):
+        context.clock.advance(1000)
+        confirm(context.core, 1)
+
+
+@when("a copy of the store with all entries is read, and entries of {written} are written again")
+def copy_read(context, written):
+    context.clock.advance(500)
+    apply_text(context.core, 2, KNOWN_VERSION, many_entries(context.count), complete=True)
+    context.clock.advance(500)
+    if written == "all":
+        entries = many_entries(context.count, sequence=2)
+        apply_text(context.core, 2, KNOWN_VERSION + 1, entries, complete=False)
+
+
+def count_members(core):
+    """Return to how many replicas a router may send."""
+    return len(core.cluster_state.members_of("lm"))
+
+
+@then("the router sends to {count:d} of the replicas")
+def router_sends_to(context, count):
+    assert count_members(context.core) == count, count_members(context.core)
+
+
+@then("both routers send to {count:d} of the replicas")
+def both_send_to(context, count):
+    for core in (context.core, context.other):
+        assert count_members(core) == count, count_members(core)
+
+
+@when("the last replica comes back under its name and leaves {span:d} ms later")
+def last_leaves(context, span):
+    run_confirmed(context, span)
+    state = context.core.cluster_state
+    name = f"r{context.count - 1}"
+    apply_text(context.core, 1, KNOWN_VERSION + 2, f"{name}=ready/6/1", complete=False)
+    state.mark_leaving(state.upstreams[name].record)
+    apply_text(context.core, 1, KNOWN_VERSION + 3, f"-{name}", complete=False)
+
+
+@then("the router remembers at most {count:d} that have left")
+def remembers_left(context, count):
+    departed = context.core.cluster_state.departed
+    assert 0 < len(departed) <= count, len(departed)
+
+
 @given('another router that knows era {era:d} at version {version:d}: "{text}"')
 def other_knows(context, era, version, text):
     context.other = core_that_knows(context.clock, era, version, text)
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -63,7 +63,7 @@
         self._delayed_removals: dict[ReplicaId, Millis] = {}
         self._removal_delay_until = Millis(0)
         self.restored = RestoredRows(clock)
-        self._departed = DepartedUpstreams()
+        self.departed = DepartedUpstreams(clock)
         # The era in which the configuration was seen last, and the version of its first page.
         self._plan_era = NO_ERA
         self._first_plan_version = 0
@@ -200,7 +200,7 @@
                 return False
             case UpstreamRow():
                 upstream = self.upstreams.get(row.replica)
-                last = upstream.record if upstream else self._departed.last_entry(row.replica)
+                last = upstream.record if upstream else self.departed.last_entry(row.replica)
                 return first_page and last is not None and not last.is_older_than(row.record)
 
     def apply_settled_rows(self) -> list[StateChange]:
@@ -286,7 +286,7 @@
         if upstream is None or upstream.leaving or is_restart(record, upstream.record):
             return []
         upstream.leaving = True
-        self._departed.add_announced(record)
+        self.departed.add_announced(record)
         self.services.clear()
         return [StateChange("upstream_leaving", record.replica, 0, record.service)]
 
@@ -337,7 +337,7 @@
             now,
             known_since=now,
             draining=record.draining,
-            leaving=self._departed.has_announced(record),
+            leaving=self.departed.has_announced(record),
         )
         self._cold_periods.forget(record.replica)
         self._cold_periods.apply_entry(upstream, record.cold_ms)
@@ -359,7 +359,8 @@
 
     def _remove_upstream(self, replica: ReplicaId, version: int) -> list[StateChange]:
         """Remove a replica at once."""
-        self._departed.add(self.upstreams.pop(replica).record)
+        upstream = self.upstreams.pop(replica)
+        self.departed.add(upstream.record, announced=upstream.leaving)
         self._cold_periods.forget(replica)
         self._delayed_removals.pop(replica, None)
         self.services.clear()
--- a/skylarklift/entry/state/restored_rows.py
+++ b/skylarklift/entry/state/restored_rows.py
@@ -16,7 +16,10 @@
 OPERATOR_SETTLE_MS = 3000
 # An entry that its replica does not renew lapses after three heartbeats.
 UPSTREAM_SETTLE_MS = 6000
-MAX_DEPARTED = 500
+# A copy of the store is some seconds old, and an upstream that leaves ends within some, too.
+DEPARTED_TTL_MS = 120_000
+# This many are remembered for longer.
+MIN_DEPARTED = 500
 
 DecodedRow = RoutePlan | EvacuationRow | UpstreamRow
 
@@ -68,40 +71,63 @@
         return due
 
 
+@dataclass(frozen=True, slots=True)
+class DepartedUpstream:
+    """The last entry of an upstream, and when it was removed or said that it leaves."""
+
+    record: UpstreamRecord
+    departed_at: Millis
+
+
 class DepartedUpstreams:
     """The last entries of removed upstreams, so that no copy of one brings it back.
 
     An upstream that has announced its end is remembered too, beyond the removal of its entry.
+    However many leave at once, none is forgotten while an entry of it may come back.
     """
 
-    def __init__(self):
-        self._records: dict[ReplicaId, UpstreamRecord] = {}
-        self._announced: dict[ReplicaId, UpstreamRecord] = {}
+    def __init__(self, clock: Clock):
+        self._clock = clock
+        # Both in the order in which they were added.
+        self._removed: dict[ReplicaId, DepartedUpstream] = {}
+        self._announced: dict[ReplicaId, DepartedUpstream] = {}
 
-    def add(self, record: UpstreamRecord) -> None:
-        """Remember a removed upstream; forget the one that was removed first if there are many."""
-        _remember(self._records, record)
+    def add(self, record: UpstreamRecord, *, announced: bool) -> None:
+        """Remember a removed upstream, and whether it had announced its end."""
+        self._remember(self._removed, record)
+        if announced:
+            self.add_announced(record)
 
     def add_announced(self, record: UpstreamRecord) -> None:
         """Remember that an upstream has announced its end."""
-        _remember(self._announced, record)
+        self._remember(self._announced, record)
 
     def has_announced(self, record: UpstreamRecord) -> bool:
         """Return whether an upstream has announced its end since its start."""
         known = self._announced.get(record.replica)
-        return known is not None and known.started_ms == record.started_ms
+        return known is not None and known.record.started_ms == record.started_ms
 
     def last_entry(self, replica: ReplicaId) -> UpstreamRecord | None:
         """Return the last entry of a removed upstream, `None` if it is not known."""
-        return self._records.get(replica)
+        known = self._removed.get(replica)
+        return known.record if known else None
 
+    def __len__(self) -> int:
+        """Return how many removed upstreams are remembered."""
+        return len(self._removed)
 
-def _remember(records: dict[ReplicaId, UpstreamRecord], record: UpstreamRecord) -> None:
-    """Add a record as the newest; drop the oldest one if there are many."""
-    records.pop(record.replica, None)
-    records[record.replica] = record
-    if len(records) > MAX_DEPARTED:
-        del records[next(iter(records))]
+    def _remember(
+        self, departed: dict[ReplicaId, DepartedUpstream], record: UpstreamRecord
+    ) -> None:
+        """Add a record as the newest; drop the oldest ones if there are many."""
+        now = self._clock.now()
+        departed.pop(record.replica, None)
+        departed[record.replica] = DepartedUpstream(record, now)
+        while len(departed) > MIN_DEPARTED:
+            oldest = next(iter(departed.values()))
+            if oldest.departed_at > now - DEPARTED_TTL_MS:
+                return
+            del departed[oldest.record.replica]
 
 
 def _settle_ms(table: RowTable) -> int:
