Remember that a replica leaves although its entry is gone when it says so

A replica whose entry has been removed says in an answer that it leaves; when its entry is back, with a heartbeat or after the store was restored, it gets new requests (DRAIN, which binds a router that has passed on such an answer "in touch or not").

Change: it is recorded for any replica, by its start.

Before: 2 of the 3 new examples fail (2 replicas used in place of 1), the one that has started again is used as it should.

--- a/features/entry_eras.feature
+++ b/features/entry_eras.feature
@@ -59,6 +59,20 @@
       | they leave, and said so long ago     | 650     | 600000 | all     | 1     |
       | they were lost by the copy           | 0       | 0      | all     | 651   |
 
+  # Guards against a replica that leaves and gets requests, as it said so while it was not listed.
+  Scenario Outline: An entry that comes back is not of a replica that leaves: <case>
+    Given a router that knows era 1 at version 50: "r1=ready/5/1+r2=ready/5/1"
+    When it reads "0:1:51~-r1"
+    And an answer of r1, which started at 5, says that it leaves
+    And it reads "<entry>"
+    Then the router sends to <count> of the replicas
+
+    Examples:
+      | case                        | entry               | count |
+      | it comes back by the feed   | 0:1:52~r1=ready/5/2 | 1     |
+      | it comes back in a new era  | 0:2:40:r1=ready/5/1+r2=ready/5/1 100:2:41~r1=ready/5/2 | 1 |
+      | it has started again        | 0:1:52~r1=ready/7/1 | 2     |
+
   # Guards against replicas that stay at a router which missed many removals.
   Scenario: A router that missed the removal of many replicas hears of all of them
     Given a router that has read the entries of 651 replicas
--- a/features/steps/entry_eras.py
+++ b/features/steps/entry_eras.py
@@ -148,6 +148,13 @@
     context.core = core_that_knows(context.clock, 1, KNOWN_VERSION, many_entries(count))
 
 
+@when("an answer of {name}, which started at {started:d}, says that it leaves")
+def answer_says_leaving(context, name, started):
+    table, key, data = parse_row(f"{name}=ready/{started}/1")
+    row = PlatformRowFormat().decode(table, key, data)
+    context.core.cluster_state.mark_leaving(row.record)
+
+
 @given("another router that knows them, too")
 def other_knows_many(context):
     text = many_entries(context.count)
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -281,12 +281,17 @@
         return [name for name, item in self.upstreams.items() if item.tells_restart(now)]
 
     def mark_leaving(self, record: UpstreamRecord) -> list[StateChange]:
-        """Record that an upstream said in an answer that it leaves, until it restarts."""
+        """Record that an upstream said in an answer that it leaves, until it restarts.
+
+        Its entry may be gone by then, and come back.
+        """
         upstream = self.upstreams.get(record.replica)
-        if upstream is None or upstream.leaving or is_restart(record, upstream.record):
+        if upstream is not None and (upstream.leaving or is_restart(record, upstream.record)):
             return []
-        upstream.leaving = True
         self.departed.add_announced(record)
+        if upstream is None:
+            return []
+        upstream.leaving = True
         self.services.clear()
         return [StateChange("upstream_leaving", record.replica, 0, record.service)]
 
