Judge no part while reports of its crashes may still be under way

Cause: parts are judged 100 ms after a report, which takes the reports that have come by then for all. Those of other routers may take 600 ms (`RELAY_MS`).

Change: a guilty part is judged later if one behind it took part in all of its crashes but those of the last 600 ms, two at least. The router goes on judging each 100 ms until it has done so.

Ruled out: to wait 600 ms with every judgement, in which a pace of 60 ms brings several crashes more.

Before: the new example with a late report fails ("aa" convicted), and so does the scenario of the running router without its change (nothing is ever held back).

--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -51,8 +51,8 @@
     Then it has convicted "<convicted>"
 
     # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, with `!` at the end if it had been
-    # answered for a while, MS:served:PART, or MS:held:REQUEST for another router's message that a
-    # request is held back.
+    # answered for a while, MS:served:PART, MS:later, or MS:held:REQUEST for another router's
+    # message that a request is held back.
     Examples:
       | case                                     | history                                                                                        | convicted |
       | a part in three crashes                  | 0:r1:1:aa+bad 300:r2:1:aa+bad 310:served:aa 600:r3:2:aa+bad                                    | bad       |
@@ -64,6 +64,9 @@
       | the same, behind two such parts           | 0:r1:1:aa+bb+bad! 1:r1:7:aa 300:r2:2:aa+bb+bad! 301:r2:8:aa+bb 600:r3:3:aa+bb+bad! 601:r3:9:aa | bad |
       | a part that crashes behind different ones | 0:r1:1:aa+x1 300:r2:2:aa+x2 600:r3:3:aa+x3 | aa |
       | a part behind which one repeats itself    | 0:r1:1:aa+x1! 1:r1:7:aa+x2 300:r2:1:aa+x1! 301:r2:8:aa+x3 600:r3:1:aa+x1! 601:r3:9:aa+x4 | aa |
+      | a part whose last report comes late       | 0:r1:1:aa+bad 1:r1:7:aa 300:r2:2:aa+bad 301:r2:8:aa 600:r3:9:aa 1150:r3:3:aa+bad 2000:later | bad |
+      | a part behind which one was there twice   | 0:r1:1:aa+bb 1:r1:7:aa 300:r2:2:aa+bb 301:r2:8:aa 600:r3:9:aa 1150:later 1400:later | aa |
+      | a part that waits for reports no longer   | 0:r1:1:aa+bb 300:r2:2:aa+bb 600:r3:9:aa 1250:later 1400:r3:3:aa+bb 2000:later | aa |
       | a part that crashes after some events   | 0:r1:1:bb! 300:r2:2:bb! 600:r3:3:bb! 900:r4:4:bb! 1200:r5:5:bb! 1500:r6:6:bb!                 | bb        |
       | a repeated request                       | 0:r1:1:aa+bb 300:r2:1:aa+bb 600:r3:1:aa+bb                                                     | request   |
       | a part that is served in between         | 0:r1:1:bb 300:r2:2:bb 500:served:bb 600:r3:3:bb 900:r4:4:bb                                    |           |
@@ -81,6 +84,11 @@
       | crashes that lie long apart              | 0:r1:1:bb 31000:r2:2:bb 62000:r3:3:bb                                                          |           |
       | the same report once more                | 0:r1:1:bb 10:r1:1:bb 300:r2:2:bb 310:r2:2:bb                                                   |           |
 
+  # Guards against a part that is never judged as nothing more is reported.
+  Scenario: A router judges a part that waited for reports, though none comes
+    Given a router that hears of "0:r1:1:aa+bb 300:r2:2:aa+bb 600:r3:9:aa" as it runs
+    Then it holds back "aa" between 600 and 800 ms after the last crash
+
   # Guards against a last crash by the router's own retry, before the third one has been judged.
   Scenario: A request that crashes a third upstream is not sent to a fourth
     Given a store, two replicas of each service, and a router
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -5,9 +5,10 @@
 import msgpack
 import trio
 from behave import given, then, when
+from trio.testing import MockClock
 
 from features.entry_fixtures import core_with_replicas, new_call, parse_yes_no
-from skylarklift.clock import ManualClock, Millis
+from skylarklift.clock import MS_PER_SECOND, LoopClock, ManualClock, Millis
 from skylarklift.entry.core import Probe
 from skylarklift.entry.crashes.crash_evidence import (
     MAX_SUSPECTS,
@@ -32,12 +33,14 @@
 )
 from skylarklift.entry.model import ResponseHead
 from skylarklift.entry.placement.choice import Choice
+from skylarklift.entry.process import EntryRouter
 from skylarklift.entry.requests.attempt import Attempt
 from skylarklift.entry.requests.retry_state import Outcome, RetryState
 from skylarklift.errors import ConnectFailed, PeerError, ResponseBroken
 from standins.ports import reserve_port
 
 START_MS = 100_000
+RUN_ON_S = 2
 PART = Suspect(SuspectKind.PART, "bad")
 
 
@@ -55,6 +58,9 @@
         if START_MS + int(at) - context.clock.now() >= JUDGEMENT_DELAY_MS:
             judge(context)
         context.clock.advance(START_MS + int(at) - context.clock.now())
+        if what == "later":
+            judge(context)
+            continue
         if what == "served":
             context.suspects.record_served([Suspect(SuspectKind.PART, rest[0])])
             continue
@@ -68,6 +74,33 @@
     judge(context)
 
 
+@given('a router that hears of "{history}" as it runs')
+def running_router_hears(context, history):
+    async def play():
+        core = context.core = core_with_replicas(1, LoopClock())
+        router = EntryRouter(core, None, None, None, lambda: core.settings)
+        start_ms = core.clock.now()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(router._judge_crashes)
+            for item in history.split():
+                at, replica, number, parts = item.split(":")
+                await trio.sleep((start_ms + int(at) - core.clock.now()) / MS_PER_SECOND)
+                now, names = core.clock.now(), tuple(parts.split("+"))
+                core.report_crash(CrashReport(replica, now, int(number), names))
+            context.last_crash_at = core.clock.now()
+            await trio.sleep(RUN_ON_S)
+            nursery.cancel_scope.cancel()
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@then('it holds back "{part}" between {least:d} and {most:d} ms after the last crash')
+def holds_back_later(context, part, least, most):
+    (hold,) = context.core.suspects.held()
+    assert hold.suspect.name == part, hold
+    assert least <= hold.held_at - context.last_crash_at <= most, hold
+
+
 def judge(context):
     """Judge parts, as a router does once all reports of a crash have arrived."""
     context.clock.advance(JUDGEMENT_DELAY_MS)
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -29,6 +29,8 @@
 # Crashes of several replicas within this time count once: they have another cause, such as a
 # loss of power.
 SIMULTANEOUS_MS = 50
+# Reports of a crash by other routers may come this long after the first one.
+LATE_REPORT_MS = 600
 MAX_SUSPECTS = 2000
 MAX_SERVED_PARTS = 4000
 MAX_RECENT_REPORTS = 2000
@@ -220,7 +222,12 @@
         )
         self._unjudged.clear()
         while guilty := [item for item in parts if self._is_guilty(item)]:
-            worst = self._narrowest(max(guilty, key=self._rank))
+            most_suspect = max(guilty, key=self._rank)
+            worst = self._narrowest(most_suspect)
+            if self._awaits_reports(worst):
+                parts.remove(most_suspect)
+                self._unjudged.add(most_suspect)
+                continue
             crashes = self._records[worst].crashes
             judgement.acquitted += self._acquit(crashes)
             judgement.convicted.append(worst)
@@ -261,22 +268,49 @@
         served = self.last_served(suspect) is not None
         return not served and count >= CRASHES_TO_CONVICT and len(replicas) >= 2
 
+    def has_unjudged(self) -> bool:
+        """Return whether there are suspects that have yet to be judged."""
+        return bool(self._unjudged)
+
     def _narrowest(self, part: Suspect) -> Suspect:
         """Return the part that explains all crashes of a guilty one, and is in the fewest requests.
 
         It need not weigh as much: at some of them its requests may have been answered, while
         others, which had only the parts before it, were not.
         """
-        crashes = set(self._counted_crashes(part, self._records[part]))
-        behind = [
+        crashes = self._crashes_of(part)
+        explaining = [
+            suspect for suspect in self._parts_behind(part) if crashes <= self._crashes_of(suspect)
+        ]
+        return max(explaining, key=lambda item: self._records[item].depth, default=part)
+
+    def _awaits_reports(self, part: Suspect) -> bool:
+        """Return whether a part behind a guilty one may explain its crashes, too.
+
+        It does so if it took part in most of them, and reports of the others may be under way.
+        """
+        crashes = self._crashes_of(part)
+        settled_at = self._clock.now() - LATE_REPORT_MS
+        for suspect in self._parts_behind(part):
+            missing = crashes - self._crashes_of(suspect)
+            may_come = all(crash.crashed_at > settled_at for crash in missing)
+            if missing and may_come and len(crashes - missing) >= CRASHES_TO_CONVICT - 1:
+                return True
+        return False
+
+    def _parts_behind(self, part: Suspect) -> list[Suspect]:
+        """Return the parts of several requests that always came behind a part."""
+        return [
             suspect
             for suspect, record in self._records.items()
             if record.behind is not None
             and part in record.behind
             and record.is_of_several_requests()
-            and crashes.issubset(self._counted_crashes(suspect, record))
         ]
-        return max(behind, key=lambda item: self._records[item].depth, default=part)
+
+    def _crashes_of(self, suspect: Suspect) -> set[Crash]:
+        """Return the recent crashes that are evidence against a suspect."""
+        return set(self._counted_crashes(suspect, self._records[suspect]))
 
     def _rank(self, part: Suspect) -> tuple[float, bool, int]:
         """Return how suspect a part is: by its crashes, if it was never served, by its depth.
--- a/skylarklift/entry/crashes/suspects.py
+++ b/skylarklift/entry/crashes/suspects.py
@@ -104,6 +104,10 @@
                 changes.append(HoldChange(QUARANTINE_RELEASED, released))
         return changes
 
+    def has_unjudged(self) -> bool:
+        """Return whether there are suspects that have yet to be judged."""
+        return self._evidence.has_unjudged()
+
     def _hold(self, suspect: Suspect) -> HoldChange:
         """Hold a suspect back."""
         hold = self._quarantine.hold(suspect, self._evidence.crash_total(suspect))
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -210,7 +210,8 @@
         """Judge the suspects of each crash once all reports of it may have arrived."""
         core = self._core
         while True:
-            await core.crash_reported.wait()
+            if not core.suspects.has_unjudged():
+                await core.crash_reported.wait()
             core.crash_reported = trio.Event()
             await trio.sleep(JUDGEMENT_DELAY_MS / MS_PER_SECOND)
             core.apply_hold_changes(core.suspects.judge_parts(), core.settings.node)
