Keep the limit that an upstream names until it is lifted, not for a minute

An upstream that names a limit and gets no request for a minute, such as one of an evacuated zone, is sent all that callers bring until its first answer (LIMIT, whose bound holds for as long as it says so).

The time was there for upstreams that are gone, and for a limit of 0, under which no request is sent and so no answer can lift it.

Change: limits are kept for as long as the upstream is listed, and a minute longer. One that names less than one request a minute is tried once a minute by all routers together. That a limit was lifted is kept as long, so that an old report does not bring it back; it is told to others for 30 s as before.

Ruled out: a longer time, which is passed by a longer pause.

Changed examples: two of the table of what a router makes of answers wanted no limit after 60 s of nothing, and none by a report of 65 s ago. They contradict the rule; they now want the limit, after 600 s too, and further ones want none once the upstream is gone, and none by a report from before a lifting.

--- a/features/entry_limits.feature
+++ b/features/entry_limits.feature
@@ -24,6 +24,9 @@
       | 90      | 3.0   | 4      | 60 routers wake after 40 s                        | 0.4  | most woken          |
       | 6       | 3.0   | 8      | 2 routers are cut off for 40 s                    | 0.7  | some cut off        |
       | 90      | 3.0   | 4      | 45 routers are cut off for 40 s                   | 0.0  | a half cut off      |
+      | 6       | 3.0   | 8      | the upstream gets nothing for 70 s                | 0.8  | after a long pause  |
+      | 90      | 3.0   | 4      | the upstream gets nothing for 70 s                | 0.5  | after a long pause  |
+      | 6       | 3.0   | 8      | the upstream gets nothing for 700 s               | 0.8  | after a longer one  |
 
   Scenario Outline: What a router makes of the answers of an upstream: <case>
     Given a router before an upstream that has named no limit
@@ -42,8 +45,17 @@
       | an older report changes nothing             | 500:named:3 600:reported:9:400             | 3.0   |
       | a report lifts an older limit               | 0:named:3 500:reported:none:100            |       |
       | a report of a limit older than the lifting  | 0:named:3 200:plain:150 300:reported:3:200 |       |
-      | an answer that nothing has confirmed lately | 0:named:3 60000:nothing                |       |
-      | a report that is too old                    | 70000:reported:3:65000                     |       |
+      | a limit that nothing has confirmed lately   | 0:named:3 600000:nothing               | 3.0   |
+      | a report of one that nothing has confirmed  | 70000:reported:3:65000                     | 3.0   |
+      | the upstream is gone                        | 0:named:3 1000:gone 60000:nothing          |       |
+      | the upstream was gone for a moment          | 0:named:3 1000:gone 9000:back              | 3.0   |
+      | an old report long after the lifting        | 0:named:3 200:plain:150 90000:reported:3:89900 |   |
+
+  # Guards against an upstream that can never lift its limit, as it gets nothing to answer.
+  Scenario: An upstream that names a limit of 0 is tried about once a minute
+    Given 6 routers before an upstream that names a limit of 0.0 a second
+    When each of them sends what it may for 300 s
+    Then it gets between 2 and 6 requests
 
   # Guards against a limited upstream that is chosen although others may take the request.
   Scenario: Requests over a limit go to another upstream, and are refused at once without one
--- a/features/steps/entry_limits.py
+++ b/features/steps/entry_limits.py
@@ -25,6 +25,8 @@
 ROTATION_STEPS = 20
 WINDOW_MS = 4000
 REPLICA = "r0"
+# What callers bring at once to a router before the first answer.
+UNLIMITED_REQUESTS = 10
 
 
 class SimulatedRouter:
@@ -33,6 +35,7 @@
     def __init__(self, clock, name, limit):
         self.name = name
         self.fleet = Fleet(clock, name)
+        self.limit = limit
         self.limits = RateLimits(clock)
         self.limits.record_named(REPLICA, limit)
         # The routers that hear each other have the same number.
@@ -50,6 +53,10 @@
     def send(self):
         """Send what is allowed now; return how many requests."""
         count = 0
+        if not self.limits.is_limited(REPLICA):
+            # The answers name the limit again.
+            self.limits.record_named(REPLICA, self.limit)
+            return UNLIMITED_REQUESTS
         while self.limits.allows(REPLICA, self.fleet.share(REPLICA)):
             self.limits.record_request(REPLICA)
             count += 1
@@ -116,6 +123,20 @@
         context.sent += [context.clock.now()] * router.send()
 
 
+@when("the upstream gets nothing for {span:d} s")
+def gets_nothing_for(context, span):
+    for step in range(span * 1000 // STEP_MS):
+        gossip(context, step, rounds=1 if len(context.routers) < SMALL_FLEET else ROTATION_STEPS)
+        for router in context.routers:
+            router.limits.expire([REPLICA])
+        context.clock.advance(STEP_MS)
+
+
+@then("it gets between {least:d} and {most:d} requests")
+def gets_between(context, least, most):
+    assert least <= len(context.sent) <= most, len(context.sent)
+
+
 @when("{count:d} routers are cut off for {span:d} s")
 def cut_off_for(context, count, span):
     for number, router in enumerate(context.routers):
@@ -146,11 +167,16 @@
 
 @when('it learns of "{history}"')
 def learn_of(context, history):
+    listed = [REPLICA]
     for item in history.split():
         at, kind, *values = item.split(":")
         context.clock.advance(int(at) - context.clock.now())
-        context.limits.expire()
+        context.limits.expire(listed)
         match kind:
+            case "gone":
+                listed = []
+            case "back":
+                listed = [REPLICA]
             case "named":
                 context.limits.record_named(REPLICA, float(values[0]))
             case "plain":
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -264,8 +264,8 @@
         self.state_changed.set()
 
     def expire_rate_limits(self) -> None:
-        """Drop the limits that no answer has confirmed for long."""
-        for replica in self.chooser.rate_limits.expire():
+        """Drop the limits of upstreams that are gone."""
+        for replica in self.chooser.rate_limits.expire(self.cluster_state.upstreams):
             self.event_log.write("upstream_limit_expired", subject=replica)
 
     def note_era(self, era: Era, source: str) -> None:
--- a/skylarklift/entry/placement/rate_limits.py
+++ b/skylarklift/entry/placement/rate_limits.py
@@ -6,7 +6,7 @@
 nothing to what the others send.
 """
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
@@ -17,10 +17,12 @@
 # each of several routers can hold a whole request.
 BURST_MS = 1000
 BURST_REQUESTS = 4
-# A limit that no answer has confirmed for this long is dropped.
-LIMIT_TTL_MS = 60_000
+# Of an upstream that is no longer listed nothing is kept that is older than this.
+UNLISTED_TTL_MS = 60_000
 # That a limit was lifted is reported to the other routers for this long.
-LIFTED_TTL_MS = 30_000
+LIFTED_REPORT_MS = 30_000
+# An upstream that names less is tried at this rate, so that its answers can lift the limit.
+MIN_PER_SECOND = 1 / 60
 # A report counts as this much older than it says, for its time on the way, so that what comes back
 # from another router is never taken for something newer.
 RELAY_DELAY_MS = 50
@@ -76,11 +78,9 @@
 
     def apply_report(self, report: LimitReport) -> bool:
         """Apply what another router reported; return whether a limit is new or lifted by it."""
-        now = self._clock.now()
-        observed_at = Millis(now - max(0, report.age_ms) - RELAY_DELAY_MS)
+        observed_at = Millis(self._clock.now() - max(0, report.age_ms) - RELAY_DELAY_MS)
         known = self._limits.get(report.replica)
-        ttl_ms = LIFTED_TTL_MS if report.per_second is None else LIMIT_TTL_MS
-        if observed_at <= now - ttl_ms or (known and observed_at <= known.observed_at):
+        if known is not None and observed_at <= known.observed_at:
             return False
         return self._update(report.replica, report.per_second, observed_at)
 
@@ -125,7 +125,8 @@
         if not share.usable or share.rank >= holders:
             limit.tokens = 0.0
             return 0.0
-        accrued = limit.per_second / holders * elapsed_ms / MS_PER_SECOND
+        per_second = max(limit.per_second, MIN_PER_SECOND)
+        accrued = per_second / holders * elapsed_ms / MS_PER_SECOND
         limit.tokens = min(limit.tokens + accrued, _capacity(limit.per_second, share))
         return limit.tokens
 
@@ -146,21 +147,28 @@
     def reports(self) -> tuple[LimitReport, ...]:
         """Return what to report to the other routers, the newest first if there is too much."""
         now = self._clock.now()
-        newest = sorted(self._limits.items(), key=lambda item: -item[1].observed_at)
+        reported = [
+            item
+            for item in self._limits.items()
+            if item[1].per_second is not None or item[1].observed_at > now - LIFTED_REPORT_MS
+        ]
+        newest = sorted(reported, key=lambda item: -item[1].observed_at)
         return tuple(
             LimitReport(replica, limit.per_second, now - limit.observed_at)
             for replica, limit in newest[:MAX_REPORTS]
         )
 
-    def expire(self) -> list[ReplicaId]:
-        """Drop what nothing has confirmed for long; return the upstreams whose limit ends by it."""
-        now = self._clock.now()
+    def expire(self, listed: Container[ReplicaId]) -> list[ReplicaId]:
+        """Drop the limits of upstreams that are gone; return those that had named one.
+
+        An upstream that is listed may still need its limit, however long it has got no request.
+        """
+        limit = self._clock.now() - UNLISTED_TTL_MS
         ended = []
-        for replica, limit in list(self._limits.items()):
-            ttl_ms = LIFTED_TTL_MS if limit.per_second is None else LIMIT_TTL_MS
-            if limit.observed_at <= now - ttl_ms:
+        for replica, known in list(self._limits.items()):
+            if replica not in listed and known.observed_at <= limit:
                 del self._limits[replica]
-                if limit.per_second is not None:
+                if known.per_second is not None:
                     ended.append(replica)
         return ended
 
