--- a/features/entry_eras.feature
+++ b/features/entry_eras.feature
@@ -44,6 +44,49 @@
       | one that the copy lacks and that is gone  | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1 2300:2:21~r1=ready/5/3 | r1=ready/5/3 |
       | a removal in the new era                  | r1=ready/5/1+r2=ready/5/2 | 0:2:20:r1=ready/5/1+r2=ready/5/2 7000:2:21~-r2 | r1=ready/5/1 |
 
+  # Guards against replicas that are gone, or leave, and get requests since many others went, too.
+  Scenario Outline: A copy of the store brings none of many replicas back: <case>
+    Given a router that has read the entries of 651 replicas
+    And <leaving> of them say that they leave, and 650 entries go <age> ms later
+    When a copy of the store with all entries is read, and entries of <written> are written again
+    Then the router sends to <count> of the replicas
+
+    Examples:
+      | case                                 | leaving | age    | written | count |
+      | they are gone                        | 0       | 0      | none    | 1     |
+      | they have left                       | 650     | 0      | none    | 1     |
+      | they leave                           | 650     | 0      | all     | 1     |
+      | they leave, and said so long ago     | 650     | 600000 | all     | 1     |
+      | they were lost by the copy           | 0       | 0      | all     | 651   |
+
+  # Guards against a replica that leaves and gets requests, as it said so while it was not listed.
+  Scenario Outline: An entry that comes back is not of a replica that leaves: <case>
+    Given a router that knows era 1 at version 50: "r1=ready/5/1+r2=ready/5/1"
+    When it reads "0:1:51~-r1"
+    And an answer of r1, which started at 5, says that it leaves
+    And it reads "<entry>"
+    Then the router sends to <count> of the replicas
+
+    Examples:
+      | case                        | entry               | count |
+      | it comes back by the feed   | 0:1:52~r1=ready/5/2 | 1     |
+      | it comes back in a new era  | 0:2:40:r1=ready/5/1+r2=ready/5/1 100:2:41~r1=ready/5/2 | 1 |
+      | it has started again        | 0:1:52~r1=ready/7/1 | 2     |
+
+  # Guards against replicas that stay at a router which missed many removals.
+  Scenario: A router that missed the removal of many replicas hears of all of them
+    Given a router that has read the entries of 651 replicas
+    And another router that knows them, too
+    And 0 of them say that they leave, and 650 entries go 0 ms later
+    When each hears the other's summary and fetches what it lacks
+    Then both routers send to 1 of the replicas
+
+  Scenario: Replicas that have left are forgotten some time later
+    Given a router that has read the entries of 651 replicas
+    And 650 of them say that they leave, and 650 entries go 0 ms later
+    When the last replica comes back under its name and leaves 600000 ms later
+    Then the router remembers at most 1000 that have left
+
   # Guards against a router that was cut off and brings an old era back.
   Scenario Outline: Routers of different eras agree on the newer one: <case>
     Given a router that knows era 1 at version 50: "plan=13"
@@ -65,6 +108,35 @@
     Then changes after version 3 of era 1 are unavailable
     And the whole table is read as of era 2
 
+  # Guards against rows beyond the first page of an answer that look as if they did not exist.
+  Scenario Outline: A table of more rows than an answer holds is read whole: <table>
+    Given a store with 1201 rows of the table of <table>, and its client
+    Then its client reads 1201 rows of that table
+
+    Examples:
+      | table             |
+      | upstreams         |
+      | routers           |
+      | software versions |
+
+  # Guards against the row of another router that is taken for none, and written over.
+  Scenario: A row on software versions that another router wrote first is found behind many others
+    Given a store with 1201 rows of the table of software versions, and its client
+    When its client writes the last of these rows as if there were none
+    Then it is told the row that the store has
+
+  # Guards against rows of two eras that are taken for one table.
+  Scenario Outline: A table is not read across a restore: <table>
+    Given a store with 1201 rows of the table of <table>, and its client
+    And the store is restored from a copy after the first page
+    Then its client cannot read that table
+
+    Examples:
+      | table             |
+      | upstreams         |
+      | routers           |
+      | software versions |
+
   # Guards against a router that the others do not find since the store has lost its entry.
   Scenario: A router registers again after a restore
     Given a store, two replicas of each service, and a router
