Let routers of earlier releases learn the version of a stream whose end is in doubt

Callers of a router of an earlier release may get a stream that goes on at another version, or none, after another router broke it off as nothing confirmed its end: the old router drops the whole message on the stream, as its origin has five fields there (it knows three), and with it the origins of other streams in an answer.

Such a message is sent twice, without the ends first and then those alone. In answers only to routers that do not name their zone, as those that do read ends: an asker goes on with the first message.

--- a/features/steps/two_releases.py
+++ b/features/steps/two_releases.py
@@ -4,8 +4,17 @@
 import tempfile
 from pathlib import Path
 
+import trio
 from behave import given, then, when
 
+from features.release_fixtures import EMPTY_SUMMARIES, REQUEST, SERVICE
+from skylarklift.clock import ManualClock
+from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.model import Endpoint
+from skylarklift.entry.versions.origin_messages import OriginMessage
+from skylarklift.entry.versions.releases import Releases
+from skylarklift.entry.versions.resumptions import Resumptions
+from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin, StreamOrigins
 from soak.builds import HistoryMissing, extract_build, run_in_build
 from standins.entry_world import ROOT
 
@@ -91,3 +100,34 @@
 @then('it answers "{answer}"')
 def answers(context, answer):
     assert context.answer == answer, context.answer
+
+
+@given("a new router that knows a stream whose end is in doubt")
+def knows_doubted_end(context):
+    clock = ManualClock(1000)
+    context.fleet = Fleet(clock, "n1")
+    context.resumptions = Resumptions(context.fleet, StreamOrigins(clock), Releases(clock))
+    context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, "v1", DoubtedEnd(9, 2)))
+
+
+@when("a router {release} asks it about the stream")
+def asks_about(context, release):
+    address = Endpoint("127.0.0.2", 2)
+    if release != "that was not heard":
+        zone = "za" if release == "that names its zone" else ""
+        context.fleet.record_message(
+            GossipMessage("n2", "b", "", EMPTY_SUMMARIES, zone=zone), address
+        )
+    context.resumptions.apply_message(OriginMessage("n2", asked=(REQUEST,)), address)
+
+
+@then('the answers are "{answers}"')
+def answers_are(context, answers):
+    async def receive():
+        channel = context.resumptions.outgoing
+        return [await channel.receive() for _ in range(channel.statistics().current_buffer_used)]
+
+    found = [origin for item in trio.run(receive) for origin in item.message.origins]
+    assert {origin.version for origin in found} == {"v1"}
+    said = ["with the end" if origin.doubted_end else "without it" for origin in found]
+    assert ", ".join(said) == answers, said
--- a/features/two_releases.feature
+++ b/features/two_releases.feature
@@ -34,6 +34,33 @@
       | bec77ee | page with an era |                                                     |
       | bec77ee | row              | written_in                                          |
 
+  # Guards against a router of an earlier release that does not learn at which version a stream may go
+  # on, as it drops all of a message in which one stream was broken off with its end in doubt (issue 49).
+  Scenario Outline: A router of <release> learns the origins of streams, one of them with a doubted end
+    Given the routers of the commit <release>
+    When each of them and a new one writes "a doubted end"
+    Then the old one reads all but "<fields>" of the new one
+    And the new one reads all of the old one, and takes "<fields>" for not said
+
+    Examples:
+      | release | fields      |
+      | 9ef9c67 |             |
+      | 54041a1 | doubted_end |
+      | bec77ee | doubted_end |
+
+  # Guards against a router that goes on with the first message about a stream, which lacks the end that
+  # it would read, and against one that can read no message with an end.
+  Scenario Outline: A router <release> asks about a stream whose end is in doubt
+    Given a new router that knows a stream whose end is in doubt
+    When a router <release> asks it about the stream
+    Then the answers are "<answers>"
+
+    Examples:
+      | release                      | answers               |
+      | that names its zone          | with the end          |
+      | of a release without zones   | without it, with the end |
+      | that was not heard           | without it, with the end |
+
   # Guards against a router that waits in vain for one that knows no relays.
   Scenario Outline: A router of <release> refuses what it does not know
     Given the routers of the commit <release>
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -97,6 +97,14 @@
     hold_offs: dict[str, int] = field(default_factory=dict)
     backpressure: Backpressure = Backpressure()
 
+    @property
+    def knows_doubted_ends(self) -> bool:
+        """Return whether the sender is of a release whose routers read doubted ends of streams.
+
+        Those that name their zone do.
+        """
+        return bool(self.zone)
+
 
 @dataclass(slots=True)
 class Peer:
--- a/skylarklift/entry/versions/origin_messages.py
+++ b/skylarklift/entry/versions/origin_messages.py
@@ -1,6 +1,6 @@
 """Messages between routers about which software version began a stream."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgpack
@@ -40,6 +40,18 @@
     )
 
 
+def split_doubted_ends(message: OriginMessage) -> tuple[OriginMessage, ...]:
+    """Return a message as ones of which any router reads the first, which has no doubted end.
+
+    Routers of earlier releases drop a message with one, and with it the versions in it.
+    """
+    ended = tuple(item for item in message.origins if item.doubted_end is not None)
+    if not ended:
+        return (message,)
+    plain = tuple(replace(item, doubted_end=None) for item in message.origins)
+    return replace(message, origins=plain), OriginMessage(message.node, origins=ended)
+
+
 def _origin_fields(origin: StreamOrigin) -> tuple:
     """Return the fields of an origin; routers of earlier releases know three."""
     fields, end = (origin.request, origin.service, origin.version), origin.doubted_end
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -13,7 +13,7 @@
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.gossip.fleet import Fleet, Peer
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.versions.origin_messages import OriginMessage
+from skylarklift.entry.versions.origin_messages import OriginMessage, split_doubted_ends
 from skylarklift.entry.versions.releases import Releases
 from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin, StreamOrigins
 from skylarklift.hashing import rendezvous_weight
@@ -110,12 +110,13 @@
         """Record which version sent the first event of a stream, or goes on with it.
 
         Send it to backup routers, also if one version alone serves: another one may join before
-        the stream is resumed.
+        the stream is resumed.  A router may just have been replaced by one of an earlier release.
         """
         self._origins.record(origin)
-        message = OriginMessage(self._fleet.own_node, origins=(origin,))
+        messages = split_doubted_ends(OriginMessage(self._fleet.own_node, origins=(origin,)))
         for peer in self._others(origin.request, BACKUP_ROUTERS):
-            self._send(peer.address, message)
+            for message in messages:
+                self._send(peer.address, message)
 
     async def find(self, stream: ResumedStream) -> FoundOrigin:
         """Return where a stream that a caller resumes may go on."""
@@ -196,8 +197,16 @@
             known = tuple(origin for origin in found if origin is not None)
             names = {origin.request for origin in known}
             unknown = tuple(request for request in message.asked if request not in names)
-            own = self._fleet.own_node
-            self._send(sender, OriginMessage(own, origins=known, unknown=unknown))
+            answer = OriginMessage(self._fleet.own_node, origins=known, unknown=unknown)
+            self._answer(message.node, sender, answer)
+
+    def _answer(self, node: str, address: Endpoint, answer: OriginMessage) -> None:
+        """Answer a router; it goes on with the first message that names the stream."""
+        peer = self._fleet.peers.get(node)
+        heard = peer.last_message if peer is not None else None
+        is_read = heard is not None and heard.knows_doubted_ends
+        for message in (answer,) if is_read else split_doubted_ends(answer):
+            self._send(address, message)
 
     def _others(self, request: RequestId, count: int) -> list[Peer]:
         """Return the first routers in the order of a stream, among those heard lately."""
