Tell routers of earlier releases where proportions of versions are not known

After all routers that remember a stream are gone, new routers and old ones may let it go on at another version: a new router writes into the row, or tells in gossip, since when it does not know which proportions were in force, as a step without replicas; a router of an earlier release drops such a step as it reads. It takes the next one for what was in force before, passes the row on as if it were whole, and writes it so.

Such a step, if a known one follows, now names a version of which there is no replica (the empty one, which no entry can have). Old routers keep it as they read, pass it on and write it again; they find two versions possible for a stream of that time and refuse it. New routers read it as not known.

Ruled out: a field beside the steps, which old routers do not write again. Not covered: a last step that is not known (a row of a copy, in gossip only); as a version of no replica it would stop new streams at old routers.

--- a/features/build_messages.py
+++ b/features/build_messages.py
@@ -4,6 +4,7 @@
 the tests.  It prints JSON.
 
 Usage: python build_messages.py write KIND | read KIND HEX... | ask KIND | answer HEX
+  | write_again HEX | pass_on HEX | row HEX AGE_MS | heard HEX AGE_MS
 """
 
 import json
@@ -26,7 +27,7 @@
 
 NOW = Millis(10_000_000)
 ROW_VERSION = 7
-ERA = rows.Era(2)
+FIRST_ERA, ERA = rows.Era(1), rows.Era(2)
 
 
 def find(module: str) -> Any:
@@ -71,7 +72,7 @@
 
 def unknown_steps() -> tuple:
     """Return proportions of which the first ones are not known."""
-    return make_step(9000), make_step(4000, v1=1), make_step(0, v2=3)
+    return make_step(9000), make_step(4000, v2=1), make_step(0, v2=3)
 
 
 def make_backpressure() -> Any:
@@ -173,6 +174,60 @@
     return releases.encode_release_row(row, NOW)
 
 
+def read_row(data: bytes, row_version: int = ROW_VERSION) -> Any:
+    """Return what a router that has just started knows after it has read a service's row."""
+    row = releases.decode_release_row(data, NOW)
+    report = make(
+        releases.ReleaseReport,
+        service="lm",
+        row_version=row_version,
+        steps=row.steps,
+        era=FIRST_ERA,
+        deadline=row.deadline,
+        written_in=getattr(row, "written_in", None),
+    )
+    known = releases.Releases(ManualClock(NOW))
+    known.apply(report)
+    known.confirm(0)
+    return known
+
+
+def write_again(data: bytes) -> bytes:
+    """Return the row that a router which has read it writes when a replica of v3 joins."""
+    known = read_row(data)
+    steps = known.next_row("lm", {"v2": 3, "v3": 1})
+    row = make(releases.ReleaseRow, steps=steps, deadline=None, written_in=FIRST_ERA)
+    return releases.encode_release_row(row, NOW)
+
+
+def pass_on(data: bytes) -> bytes:
+    """Return the gossip of a router that has read a row."""
+    reports = read_row(data).reports()
+    message = make(fleet.GossipMessage, **{**vars_of(make_gossip(())), "releases": reports})
+    return wire.encode_gossip(message)
+
+
+def vars_of(value: Any) -> dict[str, Any]:
+    """Return the fields of an object."""
+    return {item.name: getattr(value, item.name) for item in fields(value)}
+
+
+def find_versions(known: Any, max_age_ms: int) -> list[str]:
+    """Return the versions at which a stream can have begun, none if that is not known."""
+    found = {key: known.began_at("lm", key, max_age_ms) for key in ("s0", "s1", "s2", "s3")}
+    certain = [versions for versions in found.values() if versions and len(versions) == 1]
+    return sorted({version for versions in certain for version in versions})
+
+
+def heard(data: bytes) -> Any:
+    """Return what a router that has just started knows after a gossip message."""
+    known = releases.Releases(ManualClock(NOW))
+    for report in wire.decode_gossip(data).releases:
+        known.apply(report)
+    known.confirm(0)
+    return known
+
+
 def make_page(era: int) -> Any:
     """Return a page of rows."""
     changes = [rows.RowChange("k1", 3, b"data"), rows.RowChange("k2", 4, None)]
@@ -262,6 +317,14 @@
         return [ask(*items).hex()]
     if command == "answer":
         return answer(bytes.fromhex(*items))
+    if command in ("write_again", "pass_on"):
+        return [
+            {"write_again": write_again, "pass_on": pass_on}[command](bytes.fromhex(*items)).hex()
+        ]
+    if command in ("row", "heard"):
+        data, age_ms = items
+        known = {"row": read_row, "heard": heard}[command](bytes.fromhex(data))
+        return find_versions(known, int(age_ms))
     kind, *datagrams = items
     try:
         return to_plain(read(kind, [bytes.fromhex(item) for item in datagrams]))
--- a/features/steps/two_releases.py
+++ b/features/steps/two_releases.py
@@ -102,6 +102,37 @@
     assert context.answer == answer, context.answer
 
 
+@given("a row by a new router that does not know which proportions were in force 4 to 9 s ago")
+def row_with_unknown(context):
+    context.row = run_script(ROOT, "write", "row with unknown proportions")
+
+
+@when("a router of the earlier release {change}")
+def old_router_changes(context, change):
+    commands = {"passes it on": "pass_on", "writes it again": "write_again"}
+    context.command = "heard" if change in ("passes it on", "has heard of it") else "row"
+    if change == "has heard of it":
+        context.row = run_script(ROOT, "write", "unknown proportions")
+    if change in commands:
+        context.row = run_script(context.old, commands[change], *context.row)
+
+
+def versions_for(context, reader, age_ms):
+    """Return the versions at which a router that has just started takes up streams of an age."""
+    tree = context.old if reader == "an old router" else ROOT
+    return run_script(tree, context.command, *context.row, str(age_ms))
+
+
+@then("{reader} takes up no stream of the last {age:d} s by proportions")
+def takes_up_none(context, reader, age):
+    assert versions_for(context, reader, age * 1000) == []
+
+
+@then('{reader} takes up streams of the last {age:d} s by proportions at "{version}"')
+def takes_up_some(context, reader, age, version):
+    assert versions_for(context, reader, age * 1000) == [version]
+
+
 @given("a new router that knows a stream whose end is in doubt")
 def knows_doubted_end(context):
     clock = ManualClock(1000)
--- a/features/two_releases.feature
+++ b/features/two_releases.feature
@@ -48,6 +48,30 @@
       | 54041a1 | doubted_end |
       | bec77ee | doubted_end |
 
+  # Guards against streams joined as routers of an earlier release know no proportions that are not known,
+  # and write or pass on a row as if it told all (issue 49).
+  Scenario Outline: A row that lacks proportions is read by <reader>, after a router of <release> <change>
+    Given the routers of the commit <release>
+    And a row by a new router that does not know which proportions were in force 4 to 9 s ago
+    When a router of the earlier release <change>
+    Then <reader> takes up no stream of the last 8 s by proportions
+    And <reader> takes up streams of the last 2 s by proportions at "v2"
+
+    Examples:
+      | release | change           | reader        |
+      | 9ef9c67 | has read it      | an old router |
+      | 9ef9c67 | has heard of it  | an old router |
+      | 9ef9c67 | passes it on     | a new router  |
+      | 9ef9c67 | writes it again  | a new router  |
+      | 54041a1 | has read it      | an old router |
+      | 54041a1 | has heard of it  | an old router |
+      | 54041a1 | passes it on     | a new router  |
+      | 54041a1 | writes it again  | a new router  |
+      | bec77ee | has read it      | an old router |
+      | bec77ee | has heard of it  | an old router |
+      | bec77ee | passes it on     | a new router  |
+      | bec77ee | writes it again  | a new router  |
+
   # Guards against a router that goes on with the first message about a stream, which lacks the end that
   # it would read, and against one that can read no message with an end.
   Scenario Outline: A router <release> asks about a stream whose end is in doubt
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -18,7 +18,13 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
-from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, bound_steps
+from skylarklift.entry.versions.release_steps import (
+    ReleaseStep,
+    VersionWeight,
+    bound_steps,
+    read_step,
+    tell_steps,
+)
 from skylarklift.entry.versions.releases import ReleaseReport
 from skylarklift.entry.versions.stream_deadlines import LongestDeadline
 from skylarklift.errors import PeerError
@@ -200,7 +206,7 @@
     """Return the fields of a row on software versions."""
     steps = [
         (step.age_ms, [(item.version, item.weight) for item in step.weights])
-        for step in report.steps
+        for step in tell_steps(report.steps)
     ]
     return report.service, report.row_version, report.era, steps
 
@@ -232,8 +238,8 @@
 
 
 def _decode_step(age_ms: Any, weights: Sequence) -> ReleaseStep:
-    """Return the proportions since a moment; routers of earlier releases send no empty ones."""
-    return ReleaseStep(
+    """Return the proportions since a moment."""
+    return read_step(
         _checked_age(age_ms),
         tuple(
             VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(weight))
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -33,6 +33,9 @@
     weight: int
 
 
+UNKNOWN_WEIGHTS = (VersionWeight(SoftwareVersion(""), 1),)
+
+
 @dataclass(frozen=True, slots=True)
 class ReleaseStep:
     """The proportions in force since `age_ms` ago, until those of the next step.
@@ -54,6 +57,25 @@
     return ReleaseStep(age_ms, ())
 
 
+def tell_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
+    """Return steps as rows and messages have them, for `read_step`.
+
+    Routers of earlier releases drop a step without weights, and write rows without it; so an
+    unknown one that a known one follows has a version of no replica, at which no stream goes on.
+    """
+    known = [number for number, step in enumerate(steps) if step.is_known]
+    newest = max(known, default=0)
+    return tuple(
+        replace(step, weights=UNKNOWN_WEIGHTS) if number < newest and not step.is_known else step
+        for number, step in enumerate(steps)
+    )
+
+
+def read_step(age_ms: int, weights: tuple[VersionWeight, ...]) -> ReleaseStep:
+    """Return a step of a row or a message."""
+    return ReleaseStep(age_ms, () if weights == UNKNOWN_WEIGHTS else weights)
+
+
 def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
     """Return the version of a prompt by weighted rendezvous hashing.
 
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -26,7 +26,9 @@
     mark_unmarked_cuts,
     pick_version,
     possible_versions,
+    read_step,
     steps_since,
+    tell_steps,
     unknown_step,
 )
 from skylarklift.entry.versions.stream_deadlines import (
@@ -296,7 +298,7 @@
             "since_ms": now_ms - step.age_ms,
             "replicas": {item.version: item.weight for item in step.weights},
         }
-        for step in row.steps
+        for step in tell_steps(row.steps)
     ]
     value: dict[str, Any] = {"steps": steps}
     if row.written_in is not None:
@@ -330,7 +332,7 @@
     """Return the steps in a row; raise `ValueError` and others if they are invalid."""
     return bound_steps(
         tuple(
-            ReleaseStep(
+            read_step(
                 max(0, now_ms - checked_integer(row["since_ms"])),
                 tuple(
                     VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(count))
