Let the soak of streams run routers of an earlier commit beside new ones

Nothing played two releases side by side. The old programs are taken from the history of the repository; where they have no path router, links of old routers are not cut.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -169,6 +169,18 @@
       | seed |
       | 1    |
 
+  # Guards against streams out of order while routers of an earlier release and new ones take each
+  # other's place (issue 49).
+  Scenario Outline: A short soak of routers of two builds that replace each other beside releases, seed <seed>
+    When it runs for 8 s with seed <seed>, routers of the commit 9ef9c67 and only "routers_replaced, release, router_kill"
+    Then no stream is out of order
+    And half of the resumable streams are complete
+    And routers of both builds have run
+
+    Examples:
+      | seed |
+      | 1    |
+
   # Guards against streams that look whole when many links end at once, in order or not (issue 46).
   Scenario Outline: A short soak of many links cut and many replicas silent at once, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>, orderly cuts and only "router_links_end, replicas_pause, replicas_cut"
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -112,6 +112,18 @@
     context.result = run_seed(options)
 
 
+@when('it runs for {span:d} s with seed {seed:d}, routers of the commit {old} and only "{faults}"')
+def soak_runs_builds(context, span, seed, old, faults):
+    options = Options(seed, span, only_faults=tuple(faults.split(", ")), old_build=old)
+    context.result = run_seed(options)
+
+
+@then("routers of both builds have run")
+def both_builds_ran(context):
+    starts = context.result.starts
+    assert len(starts) == 2, starts
+
+
 @when('it runs for {span:d} s with seed {seed:d}, large events, slow callers and only "{faults}"')
 def soak_runs_heavy(context, span, seed, faults):
     options = Options(seed, span, mix=HEAVY_MIX, only_faults=tuple(faults.split(", ")))
--- a/soak/builds.py
+++ b/soak/builds.py
@@ -4,7 +4,11 @@
 import subprocess
 import sys
 import tarfile
+import time
+from collections import Counter
+from enum import Enum
 from pathlib import Path
+from random import Random
 
 from standins.entry_world import ROOT
 
@@ -39,6 +43,53 @@
     return arguments if module.exists() else ("-m", "skylarklift.platform.daemon")
 
 
+class Build(Enum):
+    """Which of the two builds a router is of."""
+
+    OLD = "old"
+    NEW = "new"
+
+
+class BuildMix:
+    """The builds of the routers of a run: at each start the old one or that of this tree.
+
+    The seed determines which one, unless a fault has named it.  `log` gets a line for each start.
+    """
+
+    def __init__(self, old: Path, seed: int, log: Path):
+        self._trees = {Build.OLD: old, Build.NEW: ROOT}
+        self._seed = seed
+        self._log = log
+        self._starts: Counter[tuple[str, Build]] = Counter()
+        self._named: dict[str, Build] = {}
+        self._current: dict[str, Build] = {}
+
+    def name_next(self, router: str, build: Build) -> None:
+        """Let the next start of a router be of a build."""
+        self._named[router] = build
+
+    def choose(self, router: str) -> Path:
+        """Return the tree of the build of a router that is started now."""
+        count = sum(self._starts[router, build] for build in Build)
+        drawn = Random(f"{self._seed} build {router} {count}").choice(list(Build))
+        build = self._current[router] = self._named.pop(router, drawn)
+        self._starts[router, build] += 1
+        with self._log.open("a") as log:
+            log.write(f"{time.time():.3f} {router} {build.value}\n")
+        return self._trees[build]
+
+    def tree(self, router: str) -> Path:
+        """Return the tree of the build that a router was last started with."""
+        return self._trees[self._current[router]]
+
+    def count_starts(self) -> Counter[str]:
+        """Return how many routers were started of each build."""
+        found: Counter[str] = Counter()
+        for (_, build), count in self._starts.items():
+            found[build.value] += count
+        return found
+
+
 def run_in_build(tree: Path, script: Path, *arguments: str) -> str:
     """Run a Python file with the packages of a build, and return what it prints."""
     run = "import runpy, sys; sys.argv.pop(0); runpy.run_path(sys.argv[0], run_name='__main__')"
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from soak.builds import Build
 from soak.checker import Checker
 from soak.faults import RESTART_DELAY_S, Faults
 from soak.proxy import LoopbackProxy
@@ -64,6 +65,7 @@
         return [
             *(path_faults if self.replica_proxies else []),
             *(router_path_faults if self._replica_world.router_paths else []),
+            *([self.routers_replaced] if self._replica_world.builds else []),
             self.replica_kill,
             self.replica_kill,
             self.replica_pause,
@@ -329,6 +331,17 @@
             await self._world.restart_router(router)
             self._busy.discard(router.name)
 
+    async def routers_replaced(self) -> None:
+        """Replace the routers in turn by ones of the old build, or of the new one."""
+        builds, build = self._replica_world.builds, self._rng.choice(list(Build))
+        for router in list(self._world.routers):
+            if self.ending:
+                return
+            if router.name not in self._busy:
+                builds.name_next(router.name, build)
+                await self._stop_router(router)
+                await trio.sleep(self._rng.uniform(*RELEASE_PAUSE_S))
+
     async def watch_routers(self) -> None:
         """Report each router that ends by itself, and start it again."""
         while True:
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -13,6 +13,7 @@
 
 import trio
 
+from soak.builds import BuildMix, choose_arguments
 from soak.proxy import LoopbackProxy
 from soak.router_paths import RouterPaths
 from soak.stream_callers import DEADLINES_MS
@@ -104,6 +105,8 @@
         # From which the replicas that are started next choose.
         self.replica_paths = tuple(ReplicaPath)
         self.framings = tuple(Framing)
+        # The builds of the routers; if `None`, all are of this tree.
+        self.builds: BuildMix | None = None
         self.unframed_cut = Ending.RESET
 
     def write_routes(self, changes: dict[str, Any] | None = None) -> None:
@@ -141,9 +144,15 @@
 
     def _choose_program(self, settings: Path) -> tuple[str, ...]:
         """Return the Python arguments that start the router with this settings file."""
-        if settings.stem in self.router_paths:
+        if settings.stem not in self.router_paths:
+            return super()._choose_program(settings)
+        if self.builds is None:
             return PATH_ROUTER
-        return super()._choose_program(settings)
+        return choose_arguments(self.builds.tree(settings.stem), PATH_ROUTER)
+
+    def _choose_tree(self, settings: Path) -> Path:
+        """Return the folder of the build of a router that is started now."""
+        return self.builds.choose(settings.stem) if self.builds else ROOT
 
     def swap_addresses(self, one: ReplicaProcess, other: ReplicaProcess) -> None:
         """Let two replicas that do not run start at each other's address next."""
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -10,6 +10,7 @@
 
 import trio
 
+from soak.builds import BuildMix, extract_build
 from soak.checker import Checker
 from soak.proxy import LoopbackProxy
 from soak.stream_callers import Caller
@@ -53,6 +54,8 @@
     mix: LoadMix = LoadMix()
     # Names of the faults to inject; if empty, all of them.
     only_faults: tuple[str, ...] = ()
+    # The commit of the old build of half of the routers; without it, all are of this tree.
+    old_build: str = ""
 
 
 @dataclass
@@ -63,6 +66,8 @@
     faults: Counter[str]
     unframed_cut: Ending
     violations: list[str] = field(default_factory=list)
+    # The routers started of each build, if there are two.
+    starts: Counter[str] = field(default_factory=Counter)
 
     def summary(self) -> str:
         """Return counts of the requests by kind, complete of all, and of the faults."""
@@ -71,7 +76,8 @@
         kinds = ", ".join(f"{name} {served[name]}/{sent[name]}" for name in sorted(sent))
         tries = sum(len(call.tries) for call in self.calls)
         cut = self.unframed_cut.value
-        return f"{kinds}; {tries} tries; unframed cut {cut}; faults {dict(self.faults)}"
+        text = f"{kinds}; {tries} tries; unframed cut {cut}; faults {dict(self.faults)}"
+        return f"{text}; routers started {dict(self.starts)}" if self.starts else text
 
     def served_ratio(self, kind: Kind) -> float:
         """Return the part of the requests of a kind that were complete, 1 without any."""
@@ -122,6 +128,9 @@
         """Start replicas, store endpoints and routers, with proxies between some."""
         world, options = self._world, self._options
         world.program = options.program
+        if options.old_build:
+            tree = extract_build(options.old_build, world.folder)
+            world.builds = BuildMix(tree, options.seed, world.folder / "builds.log")
         world.framings, world.replica_paths = options.framings, options.paths
         world.unframed_cut = options.unframed_cut or self._rng.choice(list(Ending))
         world.extra_settings = {"bounds.grace_s": str(self._rng.choice(GRACE_CHOICES_S))}
@@ -161,7 +170,8 @@
             checker.check(call, check_decisions(call, decisions))
         violations = self._checker.violations + checker.violations
         cut = self._world.unframed_cut
-        return Result(self._calls, self._checker.counts, cut, violations)
+        starts = self._world.builds.count_starts() if self._world.builds else Counter()
+        return Result(self._calls, self._checker.counts, cut, violations, starts)
 
 
 def run_seed(options: Options) -> Result:
@@ -207,6 +217,9 @@
     parser.add_argument(
         "--paths", default="own,kept,proxy", help="what routers reach at the replicas' addresses"
     )
+    parser.add_argument(
+        "--old-build", default="", help="commit of an earlier build that half of the routers run"
+    )
     parser.add_argument("--keep", default="", help="folder to keep logs and records in")
     return parser.parse_args()
 
@@ -218,6 +231,7 @@
     )
     options.paths = tuple(ReplicaPath(value) for value in arguments.paths.split(","))
     options.only_faults = tuple(filter(None, arguments.faults.split(",")))
+    options.old_build = arguments.old_build
     if arguments.orderly_cuts:
         options.unframed_cut = Ending.ORDERLY
     if arguments.large_events:
--- a/standins/entry_world.py
+++ b/standins/entry_world.py
@@ -136,15 +136,20 @@
     def _start_process(self, settings: Path, log: Path) -> subprocess.Popen:
         """Start the process of a router, with its output appended to the log file."""
         environment = {**os.environ, "SKYLARKLIFT_NODE_FILE": str(settings)}
+        tree = self._choose_tree(settings)
         with log.open("a") as output:
             return subprocess.Popen(
                 [sys.executable, *self._choose_program(settings)],
-                cwd=ROOT,
+                cwd=tree,
                 env=environment,
                 stdout=output,
                 stderr=output,
             )
 
+    def _choose_tree(self, settings: Path) -> Path:
+        """Return the folder whose programs the router with this settings file runs."""
+        return ROOT
+
     def _choose_program(self, settings: Path) -> tuple[str, ...]:
         """Return the Python arguments that start the router with this settings file."""
         return self.program or ("-m", "skylarklift.platform.daemon")
