Check where streams go on after routers of two releases have written the row in turn

A router of an earlier release drops steps as it writes the row, and says neither in which era it wrote it.

--- a/features/steps/two_releases.py
+++ b/features/steps/two_releases.py
@@ -19,6 +19,8 @@
 from standins.entry_world import ROOT
 
 SCRIPT = ROOT / "features" / "build_messages.py"
+RELEASES = ROOT / "features" / "build_releases.py"
+COPY_AGE_MS = 3000
 # What a reading holds of a field that was not said.
 NOT_SAID = (None, False, "", [], {}, {"limits": [], "rejections": []})
 MISSING = "no such field"
@@ -133,6 +135,48 @@
     assert versions_for(context, reader, age * 1000) == [version]
 
 
+@when(
+    "the rows of a release of {replicas:d} replicas, one each {gap:d} ms, are written by {writers}"
+)
+def rows_written(context, replicas, gap, writers):
+    steps = [
+        {"v1": old, "v2": done + 1} if old else {"v2": done + 1}
+        for done in range(replicas - 1)
+        for old in (replicas - done, replicas - done - 1)
+    ]
+    names = writers.strip('"').split(", ")
+    share = len(steps) // sum(name != "copy" for name in names)
+    play = {"now": 10_000_000, "gap_ms": gap // 2}
+    for name in names:
+        if name == "copy":
+            restore(play)
+            continue
+        play["counts"], steps = steps[:share], steps[share:]
+        tree = ROOT if name == "new" else context.old
+        play = json.loads(run_in_build(tree, RELEASES, "play", given=json.dumps(play)))
+    found = run_in_build(ROOT, RELEASES, "resume", given=json.dumps(play))
+    context.found = json.loads(found)
+
+
+def restore(play):
+    """Let the store go back to a copy of some seconds ago."""
+    play["rows"] = [row for row in play["rows"] if row[0] <= play["now"] - COPY_AGE_MS]
+    play["era"] = play.get("era", 1) + 1
+
+
+@then("a new router that has just started takes up streams by proportions at no other version")
+def takes_up_none_elsewhere(context):
+    wrong = [pair for pair in context.found if pair[1] not in (None, pair[0])]
+    assert context.found
+    assert not wrong, f"{len(wrong)} of {len(context.found)}"
+
+
+@then("it takes up {some} of them")
+def takes_up_part(context, some):
+    going = sum(version is not None for _, version in context.found)
+    assert bool(going) == (some == "some"), f"{going} of {len(context.found)}"
+
+
 @given("a new router that knows a stream whose end is in doubt")
 def knows_doubted_end(context):
     clock = ManualClock(1000)
--- a/features/two_releases.feature
+++ b/features/two_releases.feature
@@ -72,6 +72,30 @@
       | bec77ee | passes it on     | a new router  |
       | bec77ee | writes it again  | a new router  |
 
+  # Guards against streams joined by new routers where routers of an earlier release have written rows on
+  # software versions, before new ones or after them (issue 49).
+  Scenario Outline: Routers of <release> and new ones write the rows of a release of <replicas> replicas: <writers>
+    Given the routers of the commit <release>
+    When the rows of a release of <replicas> replicas, one each <gap> ms, are written by "<writers>"
+    Then a new router that has just started takes up streams by proportions at no other version
+    And it takes up <some> of them
+
+    Examples:
+      | release | replicas | gap | writers               | some |
+      | 9ef9c67 | 8        | 400 | old, new              | some |
+      | 9ef9c67 | 8        | 400 | new, old              | some |
+      | 9ef9c67 | 30       | 300 | old, new              | some |
+      | 9ef9c67 | 30       | 300 | new, old              | some |
+      | 9ef9c67 | 78       | 150 | new, old, new, old    | some |
+      | 9ef9c67 | 78       | 150 | old, new, old, new    | some |
+      | 9ef9c67 | 9        | 500 | new, copy, old        | none |
+      | 9ef9c67 | 9        | 500 | old, copy, new        | some |
+      | 9ef9c67 | 9        | 500 | new, copy, new, old   | none |
+      | 54041a1 | 30       | 300 | old, new              | some |
+      | 54041a1 | 30       | 300 | new, old              | some |
+      | 54041a1 | 9        | 500 | new, copy, new, old   | none |
+      | bec77ee | 30       | 300 | new, old, new         | some |
+
   # Guards against a router that goes on with the first message about a stream, which lacks the end that
   # it would read, and against one that can read no message with an end.
   Scenario Outline: A router <release> asks about a stream whose end is in doubt
--- a/soak/builds.py
+++ b/soak/builds.py
@@ -90,12 +90,13 @@
         return found
 
 
-def run_in_build(tree: Path, script: Path, *arguments: str) -> str:
-    """Run a Python file with the packages of a build, and return what it prints."""
+def run_in_build(tree: Path, script: Path, *arguments: str, given: str = "") -> str:
+    """Run a Python file with the packages of a build and an input; return what it prints."""
     run = "import runpy, sys; sys.argv.pop(0); runpy.run_path(sys.argv[0], run_name='__main__')"
     found = subprocess.run(
         [sys.executable, "-c", run, str(script), *arguments],
         cwd=tree,
+        input=given,
         capture_output=True,
         text=True,
     )
