Join a history with a row that has nothing but its one step

Callers would see a router end: `join_steps` takes the age of the newest of the earlier steps, and where a router's whole history is one step and the row has the same one (same age, same proportions) behind a gap, there are none, so it raises `IndexError`. Through gossip that is one lost message; in `ReleaseSync.run`, which expects store errors only, it ends the process.

The scenario failed before with the `IndexError`, passes now.

--- a/features/release_histories.feature
+++ b/features/release_histories.feature
@@ -89,3 +89,9 @@
       | last                          |
       | the row is read               |
       | the row is read as one of a copy |
+
+  # Guards against a router that ends with an error as it joins a row with all of whose steps it agrees (issue 49).
+  Scenario: A history of one step is joined with a row that has the same step behind a gap
+    Given the history "5=v1:3" that a router has followed for 1000 ms
+    When it joins the row "9= 5=v1:3"
+    Then the joined history is "5=v1:3"
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -9,6 +9,7 @@
     LONGEST_MS,
     SERVICE,
     gossip_of_releases,
+    parse_steps,
     parse_weights,
 )
 from skylarklift.clock import ManualClock, Millis
@@ -16,7 +17,12 @@
 from skylarklift.entry.model import UpstreamRecord
 from skylarklift.entry.state.rows import FIRST_ERA, Era
 from skylarklift.entry.versions.release_members import digest_members
-from skylarklift.entry.versions.release_steps import VersionWeight, pick_version
+from skylarklift.entry.versions.release_steps import (
+    VersionWeight,
+    join_steps,
+    pick_version,
+    unknown_step,
+)
 from skylarklift.entry.versions.release_sync import CHECK_INTERVAL_MS
 from skylarklift.entry.versions.releases import (
     ENTRIES_SETTLE_MS,
@@ -330,3 +336,20 @@
     keys = [f"n{number}" for number in range(1000)]
     begun = {key: context.releases.assigned_version(SERVICE, key) for key in keys}
     assert begun == {key: pick_version(key, context.history[-1]) for key in keys}
+
+
+@given('the history "{steps}" that a router has followed for {span:d} ms')
+def followed_history(context, steps, span):
+    context.known, context.span_ms = parse_steps(steps), span
+
+
+@when('it joins the row "{row}"')
+def join_row(context, row):
+    gap, last = row.split("= ")
+    steps = (unknown_step(int(gap) * 1000), *parse_steps(last))
+    context.joined = join_steps(context.known, steps, context.span_ms, is_newest=True)
+
+
+@then('the joined history is "{steps}"')
+def joined_history(context, steps):
+    assert context.joined == parse_steps(steps), context.joined
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -110,7 +110,8 @@
     last = told[-1:] if is_newest else []
     earlier = [step for step in (*known, *later) if step not in last]
     earlier.sort(key=lambda step: step.age_ms, reverse=True)
-    in_force = [replace(step, age_ms=min(step.age_ms, earlier[-1].age_ms)) for step in last]
+    newest_ms = earlier[-1].age_ms if earlier else math.inf
+    in_force = [replace(step, age_ms=min(step.age_ms, newest_ms)) for step in last]
     return bound_steps((*earlier, *in_force))
 
 
