Keep the origin of a stream for as long as its caller may resume it

Callers who wait for longer than half a minute resumed streams that no router remembered, though all lived; they went on by the proportions, or were refused. Cause: an origin was recorded at the first event of a try and kept for 30 s, by the router that ran the stream, too, while a caller may wait 600 s. A router with more than 20,000 dropped the oldest, and answered as if it had known all. Change: the router that records an origin keeps it until its caller's deadline, 30 s at least and 600 s at most; backup routers for the longest deadline of the service. While the stream runs it is told again each 10 s, so backup routers that start meanwhile have it, and so do routers of earlier releases, which keep one for 30 s since they heard it; at most 100 a second. A renewal does not overwrite what another router found to be of no certain version. 50,000 are kept; first to go are those that the proportions alone tell (one version in all of them, and it is theirs). A stream may begin at another version than the assigned one (none of it left, an entry doubted, no row yet), so a router that has dropped any other says so: streams that it may have known are refused as origins_dropped, there and where it is asked. It says so as an origin without service and version, which an earlier router takes for a stream that cannot go on. The fields of an origin on the wire are unchanged.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -10,6 +10,7 @@
     "reuse",
     "choice",
     "load_bound",
+    "stream_origins",
     "path",
     "patches",
     "slopes",
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -76,7 +76,7 @@
 
 async def find(context, taken):
     """Return where a stream may go on; another router answers if there is one."""
-    resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    resumptions = Resumptions(context.clock, context.fleet, context.origins, context.releases)
     if not context.memory.startswith("asks"):
         return await resumptions.find(taken)
     message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
@@ -85,7 +85,7 @@
     if context.memory.startswith("asks one that knows "):
         version = context.memory.removeprefix("asks one that knows ")
         origins.record(StreamOrigin(REQUEST, SERVICE, None if version == "none" else version))
-    other = Resumptions(Fleet(context.clock, "n1"), origins, context.releases)
+    other = Resumptions(context.clock, Fleet(context.clock, "n1"), origins, context.releases)
     here = Endpoint("127.0.0.1", 1)
 
     async def answer():
@@ -234,7 +234,9 @@
 
 @when('a stream of "{version}" begins')
 def stream_begins(context, version):
-    context.resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    context.resumptions = Resumptions(
+        context.clock, context.fleet, context.origins, context.releases
+    )
     context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, version))
 
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -393,7 +393,7 @@
         progress=UpstreamProgress(clock),
         connection_pool=ConnectionPool(clock, dialer, cluster_state.suspect_restart),
         releases=releases,
-        resumptions=Resumptions(fleet, StreamOrigins(clock), releases),
+        resumptions=Resumptions(clock, fleet, StreamOrigins(clock), releases),
         links=links,
         dialer=dialer,
         buffers=BufferBudget(settings.memory_mb),
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -200,6 +200,9 @@
             core.record_state_changes(state.apply_settled_rows(), "restored store has settled")
             core.apply_hold_changes(core.suspects.expire(), core.settings.node)
             core.expire_rate_limits()
+            # After a standstill, clients may have left.
+            if not core.standstill.has_just_ended():
+                core.resumptions.renew_running()
             expire_backpressure(core)
             core.connection_pool.close_expired()
             core.update_descriptors()
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -117,6 +117,8 @@
         except RequestError as exc:
             status = await self._respond_with_error(exc)
         finally:
+            if self.stream_version is not None:
+                self.stream_version.end()
             log_result(self, status)
 
     # Admission.
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -48,6 +48,11 @@
         """Return whether it is known which proportions were in force."""
         return bool(self.weights)
 
+    def only_version(self) -> SoftwareVersion | None:
+        """Return the version that gets all prompts, `None` if there are several or none."""
+        versions = [item.version for item in self.weights if item.weight]
+        return versions[0] if len(versions) == 1 else None
+
 
 def unknown_step(age_ms: int = 0) -> ReleaseStep:
     """Return a step since which it is not known which proportions were in force."""
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -210,6 +210,13 @@
         weights = [step.weights for step in known.report.steps if step.is_known] if known else []
         return pick_version(key, weights[-1]) if weights else None
 
+    def begins_only_at(self, service: ServiceId, version: SoftwareVersion | None) -> bool:
+        """Return whether all known proportions give each prompt to this version."""
+        known = self._known.get(service)
+        if known is None or version is None:
+            return False
+        return all(step.only_version() == version for step in known.report.steps)
+
     def began_at(
         self, service: ServiceId, key: str, max_age_ms: int, silence_ms: int = 0
     ) -> frozenset[SoftwareVersion] | None:
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -10,17 +10,22 @@
 
 import trio
 
-from skylarklift.clock import MS_PER_SECOND
+from skylarklift.clock import MS_PER_SECOND, Clock
 from skylarklift.entry.gossip.fleet import Fleet, Peer
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.versions.origin_messages import OriginMessage
+from skylarklift.entry.versions.backup_routers import choose_backups, first_nodes
+from skylarklift.entry.versions.origin_messages import MAX_ORIGINS, OriginMessage
 from skylarklift.entry.versions.releases import Releases
-from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin, StreamOrigins
-from skylarklift.hashing import rendezvous_weight
+from skylarklift.entry.versions.running_streams import RunningStreams
+from skylarklift.entry.versions.stream_origins import (
+    MAX_KEPT_MS,
+    DoubtedEnd,
+    StreamOrigin,
+    StreamOrigins,
+    lost_origin,
+)
 from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 
-# This many routers keep the origin of a stream besides the one that began it.
-BACKUP_ROUTERS = 3
 # A router asks some more than the backup routers, as some of these may be gone, and views differ.
 ASKED_ROUTERS = 8
 ANSWER_TIMEOUT_MS = 120
@@ -40,6 +45,7 @@
     UNKNOWN = "version_unknown"
     OUTDATED = "releases_outdated"
     LOST = "release_history_lost"
+    DROPPED = "origins_dropped"
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,17 +91,28 @@
 
 @dataclass(slots=True)
 class Question:
-    """What this router asked the others about a stream, and how many have yet to answer."""
+    """What this router asked the others about a stream, and how many have yet to answer.
+
+    `dropped` is true once one of them may have dropped the origin.
+    """
 
     open_answers: int
+    dropped: bool = False
     answered: trio.Event = field(default_factory=trio.Event)
 
+    def count_unknown(self) -> None:
+        """Note that one of them does not know the stream."""
+        self.open_answers -= 1
+        if self.open_answers <= 0:
+            self.answered.set()
+
 
 class Resumptions:
     """The origins of streams: record, share and look them up, answer others."""
 
     def __init__(
         self,
+        clock: Clock,
         fleet: Fleet,
         origins: StreamOrigins,
         releases: Releases,
@@ -103,28 +120,77 @@
         self._fleet = fleet
         self._origins = origins
         self._releases = releases
+        self._running = RunningStreams(clock)
+        self._heard: frozenset[str] = frozenset()
         self._questions: dict[RequestId, Question] = {}
         self._sender, self.outgoing = trio.open_memory_channel(MAX_OUTGOING)
 
-    def record_begun(self, origin: StreamOrigin) -> None:
+    def record_begun(
+        self,
+        origin: StreamOrigin,
+        kept_ms: int = MAX_KEPT_MS,
+        *,
+        run: RequestId | None = None,
+    ) -> None:
         """Record which version sent the first event of a stream, or goes on with it.
 
         Send it to backup routers, also if one version alone serves: another one may join before
-        the stream is resumed.
+        the stream is resumed.  The client may come back within `kept_ms`.  `run` is the request
+        that the stream answers while it runs.
         """
-        self._origins.record(origin)
+        peers = self._heard_peers()
+        backups = choose_backups(origin.request, self._heard)
+        if run is not None:
+            self._running.record(run, origin, backups)
+        self._record(origin, kept_ms, self._fleet.own_node)
         message = OriginMessage(self._fleet.own_node, origins=(origin,))
-        for peer in self._others(origin.request, BACKUP_ROUTERS):
-            self._send(peer.address, message)
+        for node in backups.nodes:
+            self._send(peers[node].address, message)
+
+    def end_run(self, run: RequestId) -> None:
+        """Note that a request is answered by a stream no longer."""
+        self._running.end(run)
+
+    def renew_running(self) -> None:
+        """Record the origins of the streams that run here again, here and at backup routers."""
+        told: dict[str, list[StreamOrigin]] = {}
+        peers = self._heard_peers()
+        for stream in self._running.take_due(self._heard):
+            self._record(stream.origin, 0, self._fleet.own_node)
+            for node in stream.backups.nodes:
+                told.setdefault(node, []).append(stream.origin)
+        for node, origins in told.items():
+            message = OriginMessage(self._fleet.own_node, origins=tuple(origins[:MAX_ORIGINS]))
+            self._send(peers[node].address, message)
+
+    def _record(self, origin: StreamOrigin, kept_ms: int, node: str) -> None:
+        """Record an origin that a router told."""
+        derivable = self._releases.begins_only_at(origin.service, origin.version)
+        self._origins.record(origin, kept_ms, node=node, derivable=derivable)
+
+    def _learn(self, origin: StreamOrigin, node: str) -> None:
+        """Record an origin that another router tells.
+
+        What one router could not tell the version of, no other one can.  A client may have left a
+        router that still takes its stream for running.
+        """
+        known = self._origins.find_recorded(origin.request)
+        if known is not None and known.origin.version is None and known.node != node:
+            return
+        longest = self._releases.deadlines.longest(origin.service)
+        self._record(origin, MAX_KEPT_MS if longest is None else longest.span_ms, node)
 
     async def find(self, stream: ResumedStream) -> FoundOrigin:
         """Return where a stream that a caller resumes may go on."""
         origin, asked = self._origins.find(stream.request), 0
-        source = OriginSource.OWN
+        source, dropped = OriginSource.OWN, self._origins.lacks_some()
         if origin is None:
-            asked = await self._ask(stream.request)
+            asked, dropped_there = await self._ask(stream.request)
+            dropped |= dropped_there
             origin, source = self._origins.find(stream.request), OriginSource.PEER
-        if origin is None:
+        if origin is None and dropped:
+            found = FoundOrigin(OriginSource.DROPPED, stream.service)
+        elif origin is None:
             found = self._derive(stream)
         else:
             source = OriginSource.UNNAMED if origin.version is None else source
@@ -162,50 +228,54 @@
         source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
         return FoundOrigin(source, stream.service)
 
-    async def _ask(self, request: RequestId) -> int:
+    async def _ask(self, request: RequestId) -> tuple[int, bool]:
         """Ask other routers about a stream, and wait until one knows it or all have answered.
 
-        Return how many were asked.
+        Return how many were asked, and whether one may have dropped its origin.
         """
-        peers = self._others(request, ASKED_ROUTERS)
-        if not peers:
-            return 0
-        question = self._questions.setdefault(request, Question(len(peers)))
-        for peer in peers:
-            self._send(peer.address, OriginMessage(self._fleet.own_node, asked=(request,)))
+        peers = self._heard_peers()
+        asked = first_nodes(request, peers, ASKED_ROUTERS)
+        if not asked:
+            return 0, False
+        question = self._questions.setdefault(request, Question(len(asked)))
+        for node in asked:
+            self._send(peers[node].address, OriginMessage(self._fleet.own_node, asked=(request,)))
         with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
             await question.answered.wait()
         self._questions.pop(request, None)
-        return len(peers)
+        return len(asked), question.dropped
 
     def apply_message(self, message: OriginMessage, sender: Endpoint) -> None:
         """Record what another router tells, and answer what it asks."""
         for origin in message.origins:
-            self._origins.record(origin)
             question = self._questions.get(origin.request)
-            if question is not None:
+            if not origin.is_lost:
+                self._learn(origin, message.node)
+            if question is not None and origin.is_lost:
+                question.dropped = True
+                question.count_unknown()
+            elif question is not None:
                 question.answered.set()
         for request in message.unknown:
             question = self._questions.get(request)
             if question is not None:
-                question.open_answers -= 1
-                if question.open_answers <= 0:
-                    question.answered.set()
+                question.count_unknown()
         if message.asked:
             found = [self._origins.find(request) for request in message.asked]
             known = tuple(origin for origin in found if origin is not None)
             names = {origin.request for origin in known}
             unknown = tuple(request for request in message.asked if request not in names)
+            if self._origins.lacks_some():
+                known, unknown = (*known, *map(lost_origin, unknown)), ()
             own = self._fleet.own_node
             self._send(sender, OriginMessage(own, origins=known, unknown=unknown))
 
-    def _others(self, request: RequestId, count: int) -> list[Peer]:
-        """Return the first routers in the order of a stream, among those heard lately."""
-        peers = self._fleet.peers_heard_within(BACKUP_TTL_MS)
-        if len(peers) <= count:
-            return peers
-        peers.sort(key=lambda peer: rendezvous_weight(request, peer.node), reverse=True)
-        return peers[:count]
+    def _heard_peers(self) -> dict[str, Peer]:
+        """Return the routers heard lately."""
+        peers = {peer.node: peer for peer in self._fleet.peers_heard_within(BACKUP_TTL_MS)}
+        if peers.keys() != self._heard:
+            self._heard = frozenset(peers)
+        return peers
 
     def _send(self, address: Endpoint, message: OriginMessage) -> None:
         """Let the task that owns the socket send a message; drop it if too many wait."""
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -11,9 +11,10 @@
 from skylarklift.entry.state.rows import RowTable
 from skylarklift.entry.state.upstream import is_restart
 from skylarklift.entry.versions.resumptions import FoundOrigin, OriginSource, ResumedStream
-from skylarklift.entry.versions.stream_origins import DoubtedEnd, StreamOrigin
+from skylarklift.entry.versions.stream_deadlines import DEADLINE_MARGIN_MS
+from skylarklift.entry.versions.stream_origins import MAX_KEPT_MS, DoubtedEnd, StreamOrigin
 from skylarklift.errors import BadRequest, ProcessReplaced, Refusal, TransportError
-from skylarklift.ids import ServiceId, SoftwareVersion
+from skylarklift.ids import RequestId, ServiceId, SoftwareVersion
 
 MAX_RELEASES_WAIT_MS = 500
 OUTDATED_RETRY_AFTER_MS = 300
@@ -118,7 +119,7 @@
         if self._recorded is not attempt:
             self._count_begun()
         self._recorded = attempt
-        self._record(version)
+        self._record(version, run=self._call.request)
 
     def _count_begun(self) -> None:
         """Count a stream that begins here, or goes on here for a caller that resumes it."""
@@ -134,11 +135,19 @@
 
     def record_doubted_end(self, end: DoubtedEnd | None) -> None:
         """Record where the answer is broken off, as nothing confirms its end."""
+        self.end()
         if self._resumable and end is not None:
             self._record(self.required, end)
 
+    def end(self) -> None:
+        """Note that the request is answered no longer."""
+        self._core.resumptions.end_run(self._call.request)
+
     def _record(
-        self, version: SoftwareVersion | None, doubted_end: DoubtedEnd | None = None
+        self,
+        version: SoftwareVersion | None,
+        doubted_end: DoubtedEnd | None = None,
+        run: RequestId | None = None,
     ) -> None:
         """Record, here and at the backup routers, at which version the stream may go on."""
         self.required = version
@@ -146,7 +155,15 @@
         if self.origin is not None and self._call.resumes is not None:
             request = self._call.resumes
         service = self._recorded.record.service if self._recorded else self.origin.service
-        self._core.resumptions.record_begun(StreamOrigin(request, service, version, doubted_end))
+        origin = StreamOrigin(request, service, version, doubted_end)
+        self._core.resumptions.record_begun(origin, self._kept_ms(), run=run)
+
+    def _kept_ms(self) -> int:
+        """Return for how long the caller may still resume the stream."""
+        call = self._call
+        if call.deadline_ms <= 0:
+            return MAX_KEPT_MS
+        return call.received_at + call.deadline_ms + DEADLINE_MARGIN_MS - self._core.clock.now()
 
     def _version_of(self, attempt: Attempt) -> SoftwareVersion | None:
         """Return the version whose events an attempt brings, `None` if that is not certain."""
