Remember for as long as callers wait that a router was silent

Callers could get streams joined from two versions that a router had begun by replaced proportions while it was apart: another router that did not remember them took them up by what was in force elsewhere. Cause: a silence counted only while it lasted. A router that was back after 6 s counted as never silent, and one that is silent for 120 s was forgotten. Change: a silence that ended counts for streams that may have begun until its end. Routers keep up to 16 (those that no other one covers; the oldest two are merged into one that covers both) for 11 minutes, and tell them with their gossip, so that a router that has just started knows them; a router of an earlier release ignores them. A router that restarted may have run apart before, so its silence counts, too; one that said that it leaves does not. One that is forgotten counts as apart for 11 minutes since it was last heard; a stream that may be older than these is refused (release_history_lost). Narrowed, as it is provable: a router that was last heard at L used the proportions of L or, before, those in force, so what counts are those since the earlier of L and the beginning of the stream, where their spans were added up before. Changed test: "all 3 are heard" lets them be heard each 500 ms for the 9 s, where it let them be silent for 9 s and then heard once, which now is a silence.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -165,7 +165,8 @@
 
   # Guards against a router that is cut off amid a release, and takes what it has heard for all that
   # there is: it took streams up at the only version that it knew; and against one that the store turns
-  # away while other routers read and write the rows (issue 43).
+  # away while other routers read and write the rows (issue 43).  Against streams that a router began by
+  # replaced proportions while it was apart, and that are resumed once it is back (issue 49).
   Scenario Outline: Where a stream goes on by rows that may be outdated: <case>
     Given the proportions "<steps>"
     And other routers of which <others>
@@ -185,6 +186,15 @@
       | a silent one may lag, prompt moved  | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v2  | none    | version_ambiguous |
       | a silent one may lag, not moved     | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v1  | v1      | assigned          |
       | none is silent, prompt moved        | 100=v1:1 8=v1:4,v2:4 | 100   | all 3 are heard       | of v2  | v2      | assigned          |
+      | one lagged a moment ago, prompt moved | 100=v1:1 8=v1:4,v2:4 | 100 | one of 3 was silent and is back | of v2 | none | version_ambiguous |
+      | one lagged a moment ago, not moved  | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent and is back | of v1 | v1 | assigned      |
+      | one lagged, moved before            | 100=v1:1 20=v1:4,v2:4 | 100  | one of 3 was silent and is back | of v2 | v2 | assigned      |
+      | one lagged before any such stream   | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent until 4 s ago | of v2 | v2 | assigned    |
+      | one lagged when such a stream began | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent until 2 s ago | of v2 | none | version_ambiguous |
+      | one lagged, and has restarted       | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent and has restarted | of v2 | none | version_ambiguous |
+      | one left, and has started anew      | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 has left and is back | of v2 | v2  | assigned         |
+      | one lagged, as another one tells    | 100=v1:1 8=v1:4,v2:4 | 100   | all 3 are heard, one tells of a silence | of v2 | none | version_ambiguous |
+      | one is silent and forgotten         | 300=v1:1 100=v1:4,v2:4 | 100 | one of 3 is silent for two minutes | of v2 | none | version_ambiguous |
 
   # Guards against streams that only a lost router knew, as one version served when they began.
   Scenario Outline: A stream's origin is sent to backup routers: <steps>
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -25,7 +25,8 @@
     prompt_of,
 )
 from skylarklift.clock import LoopClock, ManualClock
-from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.gossip.fleet import FORGET_PEER_MS, Fleet, GossipMessage
+from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
@@ -45,6 +46,8 @@
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import Refusal, StoreUnavailable
 
+HEARD_INTERVAL_MS = 500
+
 
 def row_of(steps):
     """Return a row of these steps that was written by a router of this release."""
@@ -210,6 +213,13 @@
     "all 3 are heard, one reads the store": (3, 4, "reads"),
     "one of 3 is silent": (3, 4, "silent"),
     "one of 3 has left": (3, 4, "left"),
+    "one of 3 was silent and is back": (3, 4, "back"),
+    "one of 3 was silent until 4 s ago": (3, 4, "back for 4000"),
+    "one of 3 was silent until 2 s ago": (3, 4, "back for 2000"),
+    "one of 3 was silent and has restarted": (3, 4, "restarted"),
+    "one of 3 has left and is back": (3, 4, "left, back"),
+    "all 3 are heard, one tells of a silence": (3, 4, "tells"),
+    "one of 3 is silent for two minutes": (3, 4, "forgotten"),
     "3 are heard of 9": (3, 9, ""),
 }
 
@@ -217,18 +227,37 @@
 @given("other routers of which {others}")
 def other_routers(context, others):
     count, counted, odd = OTHER_ROUTERS[others]
+    is_missing = odd not in ("", "reads", "tells")
     for number in range(count):
-        leaving = odd == "left" and number == 0
-        heard(context, number, router_count=counted, leaving=leaving)
-    context.clock.advance(SILENCE_MS)
-    for number in range(odd in ("silent", "left"), count):
-        reads = odd == "reads" and number == 0
-        heard(context, number, router_count=counted, reads_store=reads)
+        heard(context, number, router_count=counted, leaving="left" in odd and number == 0)
+    span_ms = 2 * FORGET_PEER_MS if odd == "forgotten" else SILENCE_MS
+    back_ms = int(odd.removeprefix("back for ")) if odd.startswith("back for") else 0
+    hear_for(context, span_ms - back_ms, range(is_missing, count), router_count=counted)
+    if "back" in odd or odd == "restarted":
+        heard(context, 0, router_count=counted, boot="other" if odd != "back" else "b")
+    if odd == "reads":
+        heard(context, 0, router_count=counted, reads_store=True)
+    if odd == "tells":
+        message = GossipMessage(
+            "n1", "b", "", EMPTY_SUMMARIES, silences=(SilenceReport(SILENCE_MS, 100),)
+        )
+        for silence in decode_gossip(encode_gossip(message)).silences:
+            context.fleet.silences.apply_report(silence)
+    hear_for(context, back_ms, range(count), router_count=counted)
+
+
+def hear_for(context, span_ms, numbers, **fields):
+    """Let the router hear others again and again for a time."""
+    for _ in range(span_ms // HEARD_INTERVAL_MS):
+        context.clock.advance(HEARD_INTERVAL_MS)
+        for number in numbers:
+            heard(context, number, **fields)
+        context.fleet.router_count()
 
 
-def heard(context, number, **fields):
+def heard(context, number, boot="b", **fields):
     """Let the router hear another one."""
-    message = GossipMessage(f"n{number + 1}", "b", "", EMPTY_SUMMARIES, **fields)
+    message = GossipMessage(f"n{number + 1}", boot, "", EMPTY_SUMMARIES, **fields)
     context.fleet.record_message(message, Endpoint("127.0.0.2", number + 1))
 
 
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -4,6 +4,12 @@
 from dataclasses import dataclass, field
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.gossip.silences import (
+    SILENCE_TTL_MS,
+    EndedSilences,
+    Silence,
+    SilenceReport,
+)
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.placement.concurrency_limits import Backpressure
 from skylarklift.entry.placement.fleet_limits import FleetShare
@@ -72,7 +78,8 @@
     sender has seen lately that the store was restored from a copy.  `zone` is that of the sender,
     `cut_zones` are the zones to whose upstreams it has lost its links, and `hold_offs` the
     milliseconds for which upstreams want no request from a router that relays to them.
-    `backpressure` is what it knows of upstreams that can reject few requests.
+    `backpressure` is what it knows of upstreams that can reject few requests, and `silences` are
+    the times that have ended in which it did not hear a router.
     """
 
     node: str
@@ -96,6 +103,7 @@
     cut_zones: tuple[str, ...] = ()
     hold_offs: dict[str, int] = field(default_factory=dict)
     backpressure: Backpressure = Backpressure()
+    silences: tuple[SilenceReport, ...] = ()
 
 
 @dataclass(slots=True)
@@ -141,6 +149,7 @@
         self.own_node = own
         self.peers: dict[str, Peer] = {}
         self._loads = PeerLoads()
+        self.silences = EndedSilences(clock)
         # When this router last read the store itself.
         self.store_read_at: Millis | None = None
         self._members: frozenset[str] = frozenset()
@@ -177,6 +186,7 @@
             # After a restart the router knows nothing of earlier messages.
             peer.sent_at = peer.holds_sent_at = Millis(0)
         arrived_at = Millis(self._clock.now() - waited_ms)
+        self._note_ended_silence(peer, arrived_at)
         # The wait is a difference of times of day, which may have been set in between.
         peer.received_at = max(arrived_at, peer.received_at or arrived_at)
         self._last_heard_at = max(arrived_at, self._last_heard_at)
@@ -184,6 +194,16 @@
         self._loads.record(message.node, message.loads, peer.received_at)
         return peer
 
+    def _note_ended_silence(self, peer: Peer, ended_at: Millis) -> None:
+        """Record that a router was silent until now, if it was and had not said that it leaves.
+
+        If it has started anew, its last process may have run for as long.
+        """
+        if peer.received_at is None or peer.last_message.leaving:
+            return
+        if ended_at - peer.received_at > self._load_ttl_ms():
+            self.silences.record(Silence(peer.received_at, ended_at))
+
     def remove(self, node: str) -> None:
         """Remove a router."""
         self.peers.pop(node, None)
@@ -225,6 +245,8 @@
         """Drop the routers that have sent nothing for so long that they will not come back."""
         for node, peer in list(self.peers.items()):
             if peer.received_at is not None and peer.received_at <= now - FORGET_PEER_MS:
+                # It may go on apart, but not for longer than this.
+                self._note_ended_silence(peer, Millis(peer.received_at + SILENCE_TTL_MS))
                 del self.peers[node]
                 self._loads.remove(node)
 
@@ -269,6 +291,13 @@
         )
         return max((silence for silence in silences if silence > due_ms), default=0)
 
+    def longest_apart_ms(self, max_age_ms: int) -> int:
+        """Return since when a router may use old proportions, if a stream began so long ago.
+
+        A router that is silent, or was then, may have begun it by those of when it was last heard.
+        """
+        return max(self.longest_silence_ms(), self.silences.longest_ms(max_age_ms))
+
     def _may_be_cut_off(self) -> bool:
         """Return whether this router hears too few others to know how the limits are divided."""
         now = self._clock.now()
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -26,6 +26,7 @@
     is_load_message,
 )
 from skylarklift.entry.gossip.membership import Membership
+from skylarklift.entry.gossip.silences import MAX_SILENCES
 from skylarklift.entry.gossip.waiting import add_wait, add_wait_to_loads
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
@@ -214,6 +215,7 @@
             cut_zones=core.links.cut_zones(),
             hold_offs=core.chooser.hold_offs.relayed_ms(state.upstreams),
             backpressure=core.chooser.concurrency_limits.reports(),
+            silences=core.fleet.silences.reports(),
         )
 
     # Receiving.
@@ -287,6 +289,8 @@
         if message.node not in core.fleet.peers:
             core.event_log.write("router_discovered", peer=message.node, address=str(address))
         peer = core.fleet.record_message(message, address, waited_ms)
+        for silence in message.silences[:MAX_SILENCES]:
+            core.fleet.silences.apply_report(silence)
         core.doubt_entries(message)
         for replica, left_ms in message.ejected.items():
             doubted = replica in message.maybe_restarted
--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -35,6 +35,10 @@
         backpressure=add_wait_to_backpressure(message.backpressure, waited_ms),
         releases=tuple(_add_wait_to_release(report, waited_ms) for report in message.releases),
         releases_age_ms=None if age_ms is None else age_ms + waited_ms,
+        silences=tuple(
+            replace(item, began_ms=item.began_ms + waited_ms, ended_ms=item.ended_ms + waited_ms)
+            for item in message.silences
+        ),
     )
 
 
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -14,6 +14,7 @@
     decode_backpressure,
 )
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
@@ -51,6 +52,7 @@
 ZONE_KEY = "zone"
 CUT_ZONES_KEY = "cut_zones"
 HOLD_OFFS_KEY = "hold_offs"
+SILENCES_KEY = "silences"
 COMPRESSION_LEVEL = 1
 
 
@@ -89,6 +91,7 @@
                 ZONE_KEY: message.zone,
                 CUT_ZONES_KEY: message.cut_zones,
                 HOLD_OFFS_KEY: message.hold_offs,
+                SILENCES_KEY: [(item.began_ms, item.ended_ms) for item in message.silences],
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
@@ -150,11 +153,17 @@
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras),
+            silences=tuple(_decode_silence(*ages) for ages in extras.get(SILENCES_KEY, ())),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
 
 
+def _decode_silence(began_ms: Any, ended_ms: Any) -> SilenceReport:
+    """Return a silence that ended; raise `ValueError`."""
+    return SilenceReport(_checked_age(began_ms), _checked_age(ended_ms))
+
+
 def _optional_age(value: Any) -> int | None:
     """Return a span in milliseconds, `None` without one; raise `ValueError`."""
     return None if value is None else _checked_age(value)
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -218,14 +218,14 @@
         return all(step.only_version() == version for step in known.report.steps)
 
     def began_at(
-        self, service: ServiceId, key: str, max_age_ms: int, silence_ms: int = 0
+        self, service: ServiceId, key: str, max_age_ms: int, apart_ms: int = 0
     ) -> frozenset[SoftwareVersion] | None:
         """Return the versions at which a stream of at most this age can have begun.
 
-        A router that was not heard for `silence_ms` may have begun it by proportions that were
-        replaced since then.  Return `None` if it is not known which proportions were in force.
+        A router that has been, or was, apart since `apart_ms` ago may have begun it by the
+        proportions of then.  Return `None` if it is not known which proportions were in force.
         """
-        steps, span_ms = self.steps(service), max_age_ms + silence_ms
+        steps, span_ms = self.steps(service), max(max_age_ms, apart_ms)
         if span_ms > STEP_TTL_MS and steps and steps[0].age_ms < span_ms:
             return None
         return possible_versions(steps, key, span_ms)
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -12,6 +12,7 @@
 
 from skylarklift.clock import MS_PER_SECOND, Clock
 from skylarklift.entry.gossip.fleet import Fleet, Peer
+from skylarklift.entry.gossip.silences import SILENCE_TTL_MS
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.versions.backup_routers import choose_backups, first_nodes
 from skylarklift.entry.versions.origin_messages import MAX_ORIGINS, OriginMessage
@@ -218,9 +219,10 @@
         """Return where a stream may go on that no router remembers, by the proportions."""
         if not self._knows_releases():
             return FoundOrigin(OriginSource.OUTDATED, stream.service)
-        versions = self._releases.began_at(
-            stream.service, stream.key, stream.max_age_ms, self._fleet.longest_silence_ms()
-        )
+        if stream.max_age_ms > SILENCE_TTL_MS:
+            return FoundOrigin(OriginSource.LOST, stream.service)
+        apart_ms = self._fleet.longest_apart_ms(stream.max_age_ms)
+        versions = self._releases.began_at(stream.service, stream.key, stream.max_age_ms, apart_ms)
         if versions is None:
             return FoundOrigin(OriginSource.LOST, stream.service)
         if len(versions) == 1:
