Write the row on software versions again for the longest deadline of callers

Callers were refused who could have gone on, after all routers had started anew two minutes after a release or later: the row's deadline had expired, so their streams counted as old as any (600 s). Where a longer deadline had been named since, a stream could count as younger than it was, and be joined. Cause: a service's deadline was written only with new proportions. Change: the router that reads the store writes the row again when a longer deadline was named than the row holds, or when the row's was named over a minute ago and has been since; per service at most once in 5 s, tries that fail or lose against another writer included, and never while nobody names one. The write is conditional as before; one that lost takes the other's row and is made again 5 s later. The form of the row is unchanged. Callers that name 15 s each second for 180 s: the row is written 2 to 3 times; a longer one each second for 31 s: 6 to 7 times; nobody names one: never.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -220,6 +220,31 @@
       | although its writes fail       | writes | knows          | yes     |
       | and does not trust old ones    | reads  | does not know  | no      |
 
+  # Guards against a deadline in the row that has expired, or is too short, when all routers start
+  # anew: they take streams for older, or for younger, than they can be (issue 49).
+  Scenario Outline: A router that reads the store writes the row again for its longest deadline: <case>
+    Given a store that refuses <calls>
+    And its row has <stored>
+    When callers name <named>, and <span> s pass
+    Then the row has <deadline>
+    And the row was written <writes> times for that
+
+    Examples:
+      | case                           | calls         | stored                | named                    | span | deadline                                   | writes   |
+      | there is none                  | none          | no deadline           | none                     | 60   | no deadline                                | 0 to 0   |
+      | the first one                  | none          | no deadline           | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | a longer one                   | none          | 15 s, named 10 s ago  | 600 s once               | 10   | a deadline of 600 s, named at most 10 s ago | 1 to 1   |
+      | a shorter one                  | none          | 600 s, named 10 s ago | 15 s each second         | 30   | a deadline of 600 s, named at most 45 s ago | 0 to 0  |
+      | the same one, named lately     | none          | 15 s, named 10 s ago  | 15 s once                | 10   | a deadline of 15 s, named at most 25 s ago | 0 to 0   |
+      | the same one, named before     | none          | 15 s, named 90 s ago  | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | the same one, expired          | none          | 15 s, named 500 s ago | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | a longer one, expired          | none          | 60 s, named 500 s ago | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | the same one again and again   | none          | 15 s, named 10 s ago  | 15 s each second         | 180  | a deadline of 15 s, named at most 61 s ago | 2 to 3   |
+      | nobody names the row's         | none          | 15 s, named 90 s ago  | none                     | 60   | a deadline of 15 s, named at most 155 s ago | 0 to 0   |
+      | a longer one each second       | none          | 15 s, named 10 s ago  | a longer one each second | 31   | a deadline of 41 s, named at most 5 s ago  | 6 to 7   |
+      | the write is refused           | writes        | no deadline           | 15 s once                | 31   | no deadline                                | 6 to 7   |
+      | another router writes just then | one lost race | 15 s, named 10 s ago | 600 s once               | 10   | a deadline of 600 s, named at most 10 s ago | 2 to 2   |
+
   # Guards against a replica that comes back with other software while the store is away, and is trusted
   # by its old entry once a request succeeds (KNOWN-RED, the review's case of commit ecadb0e), and
   # against replicas that come back and never get the streams that would show them to be sound.
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -286,17 +286,33 @@
     def __init__(self, refused):
         self.refused = refused
         self.row = ReleaseReport(SERVICE, 1, parse_steps("9=v1:1"))
-        self.reads = 0
+        self.reads = self.writes = 0
+        # When the ages in the row were right.
+        self.aged_at = None
+
+    def aged_row(self):
+        """Return the row with the age of its deadline of now."""
+        now = trio.current_time()
+        elapsed_ms = round((now - (self.aged_at or now)) * 1000)
+        self.aged_at, deadline = now, self.row.deadline
+        if deadline is not None:
+            deadline = replace(deadline, age_ms=deadline.age_ms + elapsed_ms)
+            self.row = replace(self.row, deadline=deadline)
+        return self.row
 
     async def read_releases(self):
         self.reads += 1
         if self.refused == "reads" and self.reads > 1:
             raise StoreUnavailable("status 429")
-        return [self.row]
+        return [self.aged_row()]
 
     async def write_release(self, report):
+        self.aged_row()
+        self.writes += 1
         if self.refused == "writes":
             raise StoreUnavailable("status 429")
+        if self.refused == "one lost race" and self.writes == 1:
+            self.row = replace(self.row, row_version=self.row.row_version + 1)
         if report.row_version == self.row.row_version:
             self.row = replace(report, row_version=report.row_version + 1)
         return self.row
@@ -307,6 +323,63 @@
     context.store = ScriptedReleases(calls)
 
 
+@given("its row has {deadline}")
+def row_with_deadline(context, deadline):
+    if deadline != "no deadline":
+        span, age = deadline.removesuffix(" s ago").split(" s, named ")
+        stored = LongestDeadline(int(span) * 1000, int(age) * 1000)
+        context.store.row = replace(context.store.row, deadline=stored)
+
+
+# By a case: the deadline in seconds that a caller names in each second, from the first one on.
+NAMED_DEADLINES = {
+    "none": lambda second: 0,
+    "15 s once": lambda second: 15 * (second == 0),
+    "600 s once": lambda second: 600 * (second == 0),
+    "15 s each second": lambda second: 15,
+    "a longer one each second": lambda second: 15 + second,
+}
+
+
+@when("callers name {named}, and {span:d} s pass")
+def deadlines_named(context, named, span):
+    async def play():
+        clock = LoopClock()
+        context.core = core_with_replicas(2, clock)
+        apply_rows(context.core, RowTable.UPSTREAMS, 1, {"r1": entry(1, version="v1")})
+        context.core.reading_store = dict.fromkeys(RowTable, True)
+        began_at = clock.now()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ReleaseSync(context.core, context.store).run)
+            # The row is read and, as to its proportions, right.
+            await trio.sleep(2)
+            context.store.writes = 0
+            for second in range(span):
+                deadline = NAMED_DEADLINES[named](second)
+                context.core.releases.deadlines.record(SERVICE, deadline * 1000)
+                await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        context.elapsed_ms = clock.now() - began_at
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@then("the row has a deadline of {span:d} s, named at most {age:d} s ago")
+def stored_deadline(context, span, age):
+    stored = context.store.row.deadline
+    assert (stored.span_ms, stored.age_ms <= age * 1000) == (span * 1000, True), stored
+
+
+@then("the row has no deadline")
+def no_stored_deadline(context):
+    assert context.store.row.deadline is None, context.store.row
+
+
+@then("the row was written {least:d} to {most:d} times for that")
+def written_for_deadline(context, least, most):
+    assert least <= context.store.writes <= most, context.store.writes
+
+
 @when('a row with "{row}" is written by another router, and 3 s pass')
 def row_written(context, row):
     async def play():
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -4,6 +4,7 @@
 """
 
 from collections import Counter
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -11,6 +12,7 @@
 from skylarklift.entry.core import Core
 from skylarklift.entry.state.rows import ReleaseStore
 from skylarklift.entry.versions.releases import ReleaseReport
+from skylarklift.entry.versions.stream_deadlines import LongestDeadline
 from skylarklift.errors import StoreError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
@@ -19,6 +21,16 @@
 RETRY_DELAY_MS = 600
 # A router that reads the store reads the rows at this interval, and confirms them to the others.
 READ_INTERVAL_MS = 1000
+# A row is written for its deadline alone at most once in this time.
+DEADLINE_INTERVAL_MS = 5000
+
+
+@dataclass(frozen=True, slots=True)
+class StoredDeadline:
+    """The deadline in a row of the store, and when its age was right."""
+
+    deadline: LongestDeadline
+    known_at: Millis
 
 
 class ReleaseSync:
@@ -33,6 +45,9 @@
         self._store = store
         # When the rows were read last, `None` if a write may have failed since.
         self._read_at: Millis | None = None
+        # The deadlines in the rows of the store, and when they were read.
+        self._stored: dict[ServiceId, StoredDeadline] = {}
+        self._deadlines_written_at: dict[ServiceId, Millis] = {}
 
     async def run(self) -> None:
         """Read the rows, then follow the list of upstreams."""
@@ -70,7 +85,9 @@
         """Read the rows, which were the newest ones at the time of the call at least."""
         core = self._core
         called_at = core.clock.now()
-        self._apply(await self._store.read_releases())
+        reports = await self._store.read_releases()
+        self._stored.clear()
+        self._apply(reports)
         core.releases.confirm(core.clock.now() - called_at)
         core.releases_read.set()
         self._read_at = core.clock.now()
@@ -79,15 +96,45 @@
         """Write the rows of the services whose versions have changed."""
         core = self._core
         for service, counts in self._count_versions().items():
-            report = core.releases.next_report(service, counts)
+            report = core.releases.next_report(service, counts) or self._deadline_report(service)
             if report is not None:
                 self._apply([await self._store.write_release(report)])
 
+    def _deadline_report(self, service: ServiceId) -> ReleaseReport | None:
+        """Return the row to write again for its deadline, `None` if that is right or was written.
+
+        A write that lost against another one is made again after the same time.
+        """
+        now = self._core.clock.now()
+        written_at = self._deadlines_written_at.get(service)
+        if written_at is not None and now - written_at < DEADLINE_INTERVAL_MS:
+            return None
+        report = self._core.releases.deadline_report(service, self._stored_deadline(service))
+        if report is not None:
+            self._deadlines_written_at[service] = now
+        return report
+
+    def _stored_deadline(self, service: ServiceId) -> LongestDeadline | None:
+        """Return the deadline in the row of the store, with the age of now."""
+        stored = self._stored.get(service)
+        if stored is None:
+            return None
+        elapsed_ms = self._core.clock.now() - stored.known_at
+        return replace(stored.deadline, age_ms=stored.deadline.age_ms + elapsed_ms)
+
     def _apply(self, reports: list[ReleaseReport]) -> None:
         """Use rows of the store."""
         for report in reports:
+            self._note_deadline(report)
             self._core.apply_release(report, "store")
 
+    def _note_deadline(self, report: ReleaseReport) -> None:
+        """Record the deadline in a row of the store."""
+        if report.deadline is None:
+            self._stored.pop(report.service, None)
+        else:
+            self._stored[report.service] = StoredDeadline(report.deadline, self._core.clock.now())
+
     def _count_versions(self) -> dict[ServiceId, Counter[SoftwareVersion]]:
         """Return how many replicas of each version a service of engines has.
 
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -258,6 +258,15 @@
             written_in=known.report.era if known else self._era,
         )
 
+    def deadline_report(
+        self, service: ServiceId, stored: LongestDeadline | None
+    ) -> ReleaseReport | None:
+        """Return the row to write again for its deadline, `None` if `stored` is still right."""
+        longest, steps = self.deadlines.longest(service), self.steps(service)
+        if longest is None or not steps or not longest.must_replace(stored):
+            return None
+        return self.make_report(service, steps_since(steps, STEP_TTL_MS))
+
     def next_row(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
     ) -> tuple[ReleaseStep, ...] | None:
--- a/skylarklift/entry/versions/stream_deadlines.py
+++ b/skylarklift/entry/versions/stream_deadlines.py
@@ -20,6 +20,8 @@
 DEADLINE_TTL_MS = 120_000
 # A caller's tries begin a little before its first deadline arrives here.
 DEADLINE_MARGIN_MS = 500
+# The row on software versions tells a deadline that was named by this long ago.
+MAX_STORED_AGE_MS = 60_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +31,12 @@
     span_ms: int
     age_ms: int
 
+    def must_replace(self, stored: "LongestDeadline | None") -> bool:
+        """Return whether it must be stored in place of what is stored, with the ages of now."""
+        if stored is None or self.span_ms > stored.span_ms:
+            return True
+        return self.age_ms < stored.age_ms and stored.age_ms > MAX_STORED_AGE_MS
+
 
 @dataclass(frozen=True, slots=True)
 class KnownDeadline:
