Count a shorter deadline of callers once a longer one counts no more

Callers' streams could count as younger than they were, and be joined: a service's longest deadline hid the shorter ones that were named after it. Once it had expired, the next short one that was named stood for all (600 s, then 500 s 590 s later, then 15 s: a stream of 490 s counted as 5.5 s old); with deadlines of over 600 s, 600 s did. Change: routers keep the deadlines that no longer one outlives, up to four for a service (the two of the most similar length are merged into one that covers both), and tell all of them by gossip and by the row (shorter_deadlines, beside what earlier routers read and write; they ignore it and drop it from the row, which is then written again).

--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -52,5 +52,8 @@
     deadline = report.deadline
     if deadline is not None:
         deadline = replace(deadline, age_ms=deadline.age_ms + waited_ms)
+    shorter = tuple(
+        replace(item, age_ms=item.age_ms + waited_ms) for item in report.shorter_deadlines
+    )
     steps = tuple(replace(step, age_ms=step.age_ms + waited_ms) for step in report.steps)
-    return replace(report, steps=steps, deadline=deadline)
+    return replace(report, steps=steps, deadline=deadline, shorter_deadlines=shorter)
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -21,7 +21,7 @@
 from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
 from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, bound_steps
 from skylarklift.entry.versions.releases import ReleaseReport
-from skylarklift.entry.versions.stream_deadlines import LongestDeadline
+from skylarklift.entry.versions.stream_deadlines import MAX_DEADLINES, LongestDeadline
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 from skylarklift.util.bounded import (
@@ -47,6 +47,7 @@
 RELEASES_AGE_KEY = "releases_age"
 RELEASE_ERAS_KEY = "release_eras"
 DEADLINES_KEY = "deadlines"
+SHORTER_DEADLINES_KEY = "shorter_deadlines"
 SUSPECTED_RESTARTS_KEY = "suspected_restarts"
 STORE_RESTORED_KEY = "store_restored"
 ZONE_KEY = "zone"
@@ -97,6 +98,11 @@
                     for report in message.releases
                     if report.deadline is not None
                 },
+                SHORTER_DEADLINES_KEY: {
+                    report.service: [(item.span_ms, item.age_ms) for item in shorter]
+                    for report in message.releases
+                    if (shorter := report.shorter_deadlines)
+                },
                 ERAS_KEY: [summary.era for summary in message.tables],
                 OBSERVED_LOADS_KEY: [
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
@@ -217,19 +223,28 @@
 def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
     """Return the rows on software versions; earlier releases send neither deadlines nor eras."""
     deadlines, eras = extras.get(DEADLINES_KEY, {}), extras.get(RELEASE_ERAS_KEY, {})
+    shorter_deadlines = extras.get(SHORTER_DEADLINES_KEY, {})
     found = []
     for fields in extras.get(RELEASES_KEY, ()):
         report = _decode_release(*fields)
         if report.service in deadlines:
-            span_ms, age_ms = deadlines[report.service]
-            deadline = LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
-            report = replace(report, deadline=deadline)
+            shorter = shorter_deadlines.get(report.service, ())[:MAX_DEADLINES]
+            report = replace(
+                report,
+                deadline=_decode_deadline(*deadlines[report.service]),
+                shorter_deadlines=tuple(_decode_deadline(*fields) for fields in shorter),
+            )
         if report.service in eras:
             report = replace(report, written_in=Era(checked_integer(eras[report.service])))
         found.append(report)
     return tuple(found)
 
 
+def _decode_deadline(span_ms: Any, age_ms: Any) -> LongestDeadline:
+    """Return a deadline of a service; raise `ValueError`."""
+    return LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
+
+
 def _decode_release(service: Any, row_version: Any, era: Any, steps: Sequence) -> ReleaseReport:
     """Return a row on software versions; its steps count as older by the message's way."""
     return ReleaseReport(
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -26,10 +26,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredDeadline:
-    """The deadline in a row of the store, and when its age was right."""
+class StoredDeadlines:
+    """The deadlines in a row of the store, and when their ages were right."""
 
-    deadline: LongestDeadline
+    deadlines: tuple[LongestDeadline, ...]
     known_at: Millis
 
 
@@ -46,7 +46,7 @@
         # When the rows were read last, `None` if a write may have failed since.
         self._read_at: Millis | None = None
         # The deadlines in the rows of the store, and when they were read.
-        self._stored: dict[ServiceId, StoredDeadline] = {}
+        self._stored: dict[ServiceId, StoredDeadlines] = {}
         self._deadlines_written_at: dict[ServiceId, Millis] = {}
 
     async def run(self) -> None:
@@ -109,31 +109,30 @@
         written_at = self._deadlines_written_at.get(service)
         if written_at is not None and now - written_at < DEADLINE_INTERVAL_MS:
             return None
-        report = self._core.releases.deadline_report(service, self._stored_deadline(service))
+        stored = self._stored_deadlines(service)
+        report = self._core.releases.deadline_report(service, stored)
         if report is not None:
             self._deadlines_written_at[service] = now
         return report
 
-    def _stored_deadline(self, service: ServiceId) -> LongestDeadline | None:
-        """Return the deadline in the row of the store, with the age of now."""
+    def _stored_deadlines(self, service: ServiceId) -> tuple[LongestDeadline, ...]:
+        """Return the deadlines in the row of the store, with the ages of now."""
         stored = self._stored.get(service)
         if stored is None:
-            return None
+            return ()
         elapsed_ms = self._core.clock.now() - stored.known_at
-        return replace(stored.deadline, age_ms=stored.deadline.age_ms + elapsed_ms)
+        return tuple(replace(item, age_ms=item.age_ms + elapsed_ms) for item in stored.deadlines)
 
     def _apply(self, reports: list[ReleaseReport]) -> None:
         """Use rows of the store."""
         for report in reports:
-            self._note_deadline(report)
+            self._note_deadlines(report)
             self._core.apply_release(report, "store")
 
-    def _note_deadline(self, report: ReleaseReport) -> None:
-        """Record the deadline in a row of the store."""
-        if report.deadline is None:
-            self._stored.pop(report.service, None)
-        else:
-            self._stored[report.service] = StoredDeadline(report.deadline, self._core.clock.now())
+    def _note_deadlines(self, report: ReleaseReport) -> None:
+        """Record the deadlines in a row of the store."""
+        now = self._core.clock.now()
+        self._stored[report.service] = StoredDeadlines(report.deadlines(), now)
 
     def _count_versions(self) -> dict[ServiceId, Counter[SoftwareVersion]]:
         """Return how many replicas of each version a service of engines has.
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -31,6 +31,8 @@
 )
 from skylarklift.entry.versions.stream_deadlines import (
     MAX_DEADLINE_MS,
+    MAX_DEADLINES,
+    MAX_SPAN_MS,
     LongestDeadline,
     StreamDeadlines,
 )
@@ -50,9 +52,10 @@
 class ReleaseReport:
     """A service's row as a router knows it: its version and its steps, the oldest first.
 
-    `deadline` is the longest that callers of the service have named, `None` if none is known.
-    `era` is that in which the row was read, `written_in` the one that its writer knew, `None` if
-    it was a router of an earlier release.
+    `deadline` is the longest that callers of the service have named, `None` if none is known;
+    `shorter_deadlines` are those that were named later and count for longer.  `era` is that in
+    which the row was read, `written_in` the one that its writer knew, `None` if it was a router of
+    an earlier release.
     """
 
     service: ServiceId
@@ -61,6 +64,11 @@
     era: Era = NO_ERA
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
+    shorter_deadlines: tuple[LongestDeadline, ...] = ()
+
+    def deadlines(self) -> tuple[LongestDeadline, ...]:
+        """Return all deadlines."""
+        return () if self.deadline is None else (self.deadline, *self.shorter_deadlines)
 
     def is_newer_than(self, other: "ReleaseReport") -> bool:
         """Return whether the store accepted this row after the other one, or it tells more."""
@@ -82,6 +90,7 @@
     steps: tuple[ReleaseStep, ...] = ()
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
+    shorter_deadlines: tuple[LongestDeadline, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -146,10 +155,9 @@
 
     def apply(self, report: ReleaseReport) -> bool:
         """Use a row from now on, unless a newer one is known; return whether it is new."""
-        if report.deadline is not None:
-            self.deadlines.record(
-                report.service, report.deadline.span_ms, report.deadline.age_ms + REPORT_DELAY_MS
-            )
+        for deadline in report.deadlines():
+            age_ms = deadline.age_ms + REPORT_DELAY_MS
+            self.deadlines.record(report.service, deadline.span_ms, age_ms)
         known = self._known.get(report.service)
         if known and not report.is_newer_than(known.report):
             return False
@@ -177,12 +185,15 @@
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
         return tuple(
-            replace(
-                known.report, steps=self._current(known), deadline=self.deadlines.longest(service)
-            )
-            for service, known in self._known.items()
+            self._with_deadlines(replace(known.report, steps=self._current(known)))
+            for known in self._known.values()
         )
 
+    def _with_deadlines(self, report: ReleaseReport) -> ReleaseReport:
+        """Return a row with the deadlines that are known now."""
+        longest, *shorter = self.deadlines.all(report.service) or (None,)
+        return replace(report, deadline=longest, shorter_deadlines=tuple(shorter))
+
     def row_version(self, service: ServiceId) -> int:
         """Return the version of a service's row, 0 without one."""
         known = self._known.get(service)
@@ -233,10 +244,13 @@
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
         """Return how long ago a stream that a caller resumes began at most.
 
-        Without a bound it may be as old as any caller's.
+        Without a bound it may be as old as any caller's; one that still waits for longer than
+        those that do not say so may wait for as long as any.
         """
         found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
-        return MAX_DEADLINE_MS if found is None else found
+        if found is None:
+            return MAX_SPAN_MS if left_ms > MAX_DEADLINE_MS else MAX_DEADLINE_MS
+        return found
 
     def next_report(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
@@ -250,20 +264,21 @@
     def make_report(self, service: ServiceId, steps: tuple[ReleaseStep, ...]) -> ReleaseReport:
         """Return the row to write with these steps."""
         known = self._known.get(service)
-        return ReleaseReport(
-            service,
-            self.row_version(service),
-            steps,
-            deadline=self.deadlines.longest(service),
-            written_in=known.report.era if known else self._era,
+        written_in = known.report.era if known else self._era
+        return self._with_deadlines(
+            ReleaseReport(service, self.row_version(service), steps, written_in=written_in)
         )
 
     def deadline_report(
-        self, service: ServiceId, stored: LongestDeadline | None
+        self, service: ServiceId, stored: tuple[LongestDeadline, ...]
     ) -> ReleaseReport | None:
-        """Return the row to write again for its deadline, `None` if `stored` is still right."""
-        longest, steps = self.deadlines.longest(service), self.steps(service)
-        if longest is None or not steps or not longest.must_replace(stored):
+        """Return the row to write again for its deadlines, `None` if those `stored` are enough."""
+        steps = self.steps(service)
+        is_stored = all(
+            any(deadline.is_stored_as(item) for item in stored)
+            for deadline in self.deadlines.all(service)
+        )
+        if is_stored or not steps:
             return None
         return self.make_report(service, steps_since(steps, STEP_TTL_MS))
 
@@ -293,7 +308,7 @@
 
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
     """Return the data of a service's row; times are those of the store's clock."""
-    row = ReleaseRow(report.steps, report.deadline, report.written_in)
+    row = ReleaseRow(report.steps, report.deadline, report.written_in, report.shorter_deadlines)
     return encode_release_row(row, now_ms)
 
 
@@ -302,7 +317,15 @@
 ) -> ReleaseReport:
     """Return a service's row that was read in an era, without steps if it is invalid."""
     row = decode_release_row(data, now_ms)
-    return ReleaseReport(service, row_version, row.steps, era, row.deadline, row.written_in)
+    return ReleaseReport(
+        service,
+        row_version,
+        row.steps,
+        era,
+        row.deadline,
+        row.written_in,
+        row.shorter_deadlines,
+    )
 
 
 def encode_release_row(row: ReleaseRow, now_ms: int) -> bytes:
@@ -320,6 +343,11 @@
     if row.deadline is not None:
         value["deadline_ms"] = row.deadline.span_ms
         value["deadline_named_ms"] = now_ms - row.deadline.age_ms
+    if row.shorter_deadlines:
+        value["shorter_deadlines"] = [
+            {"span_ms": item.span_ms, "named_ms": now_ms - item.age_ms}
+            for item in row.shorter_deadlines
+        ]
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -329,7 +357,11 @@
         value = parse_json(data)
         written_in = Era(checked_integer(value["era"])) if "era" in value else None
         steps, deadline = _decode_steps(value, now_ms), _decode_deadline(value, now_ms)
-        return ReleaseRow(steps, deadline, written_in)
+        shorter = tuple(
+            _make_deadline(item["span_ms"], item["named_ms"], now_ms)
+            for item in checked_list(value.get("shorter_deadlines", []))[:MAX_DEADLINES]
+        )
+        return ReleaseRow(steps, deadline, written_in, shorter)
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
@@ -338,8 +370,12 @@
     """Return the longest deadline in a row, `None` without one; raise `ValueError`."""
     if "deadline_ms" not in value:
         return None
-    named_ms = checked_integer(value.get("deadline_named_ms"))
-    return LongestDeadline(checked_integer(value["deadline_ms"]), max(0, now_ms - named_ms))
+    return _make_deadline(value["deadline_ms"], value.get("deadline_named_ms"), now_ms)
+
+
+def _make_deadline(span_ms: Any, named_ms: Any, now_ms: int) -> LongestDeadline:
+    """Return a deadline in a row; raise `ValueError`."""
+    return LongestDeadline(checked_integer(span_ms), max(0, now_ms - checked_integer(named_ms)))
 
 
 def _decode_steps(value: dict[str, Any], now_ms: int) -> tuple[ReleaseStep, ...]:
