Say in a row on software versions that a router was silent as proportions changed

Callers could get streams joined from two versions when all routers had started anew after one of them was apart: nobody remembered its silence. Change: the row names the silences in which one of its steps began; others do not matter, as a router that is apart uses the proportions of when it was last heard. They are written with the step, or at most 5 s after another write if the silence shows later; one that goes on counts for 10 s more and is told again meanwhile, until the router is forgotten after two minutes. A router reads them once, as it starts; from then on it knows silences itself. The row is written again for its deadlines and silences alike. Earlier routers ignore the field and drop it from the row. Still open: all start anew before a silence shows (1.5 s, 17.5 s at 390 routers) or is written (5 s), or while the store takes no writes. Ruled out: that a router which is apart begins no streams by what it cannot confirm: it would refuse all of them in each partition of the store, release or not. Changed step: the scripted store now ages the whole row between calls, by its form on the wire.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -245,6 +245,24 @@
       | the write is refused           | writes        | no deadline           | 15 s once                | 31   | no deadline                                | 6 to 7   |
       | another router writes just then | one lost race | 15 s, named 10 s ago | 600 s once               | 10   | a deadline of 600 s, named at most 10 s ago | 2 to 2   |
 
+  # Guards against streams that a router began by replaced proportions while it was apart, and that are
+  # resumed after all routers have started anew, so that none remembers its silence (issue 49).
+  Scenario Outline: All routers start anew after one was silent <silence>: <case>
+    Given a store that refuses none
+    When a router is silent <silence>, the proportions change after <change> ms, and <span> ms pass
+    Then it goes on at "<version>", as it is <source>
+    And the row was written <writes> times
+
+    Examples:
+      | case                                   | silence              | change | span  | version | source            | writes |
+      | it was not                             | never                | 5000   | 9500  | v2      | assigned          | 1 to 1 |
+      | it is back                             | from 2000 to 8000 ms | 5000   | 9500  | none    | version_ambiguous | 1 to 1 |
+      | it is still                            | from 2000 ms         | 5000   | 9500  | none    | version_ambiguous | 1 to 1 |
+      | it is for long                         | from 2000 ms         | 5000   | 60000 | none    | version_ambiguous | 9 to 11 |
+      | it fell silent a moment before         | from 2000 to 8000 ms | 2500   | 9500  | none    | version_ambiguous | 2 to 2 |
+      | it was back before the proportions changed | from 1000 to 4000 ms | 6000 | 9500 | v2    | assigned          | 1 to 1 |
+      | it was back before such a stream began | from 1000 to 5000 ms | 3000   | 18500 | v2      | assigned          | 1 to 1 |
+
   # Guards against a replica that comes back with other software while the store is away, and is trusted
   # by its old entry once a request succeeds (KNOWN-RED, the review's case of commit ecadb0e), and
   # against replicas that come back and never get the streams that would show them to be sound.
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -38,7 +38,9 @@
     ReleaseRow,
     Releases,
     decode_release_row,
+    decode_report,
     encode_release_row,
+    encode_report,
 )
 from skylarklift.entry.versions.resumptions import OriginSource, ResumedStream, Resumptions
 from skylarklift.entry.versions.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
@@ -291,13 +293,11 @@
         self.aged_at = None
 
     def aged_row(self):
-        """Return the row with the age of its deadline of now."""
-        now = trio.current_time()
-        elapsed_ms = round((now - (self.aged_at or now)) * 1000)
-        self.aged_at, deadline = now, self.row.deadline
-        if deadline is not None:
-            deadline = replace(deadline, age_ms=deadline.age_ms + elapsed_ms)
-            self.row = replace(self.row, deadline=deadline)
+        """Return the row with the ages of now."""
+        now_ms = STORE_NOW_MS + round(trio.current_time() * 1000)
+        data = encode_report(self.row, now_ms if self.aged_at is None else self.aged_at)
+        version, era = self.row.row_version, self.row.era
+        self.row, self.aged_at = decode_report(SERVICE, version, data, now_ms, era), now_ms
         return self.row
 
     async def read_releases(self):
@@ -364,6 +364,43 @@
     trio.run(play, clock=MockClock(autojump_threshold=0))
 
 
+@when(
+    "a router is silent {silence}, the proportions change after {change:d} ms, and {span:d} ms pass"
+)
+def silent_in_change(context, silence, change, span):
+    began, _, ended = silence.removeprefix("from ").removesuffix(" ms").partition(" to ")
+    is_silent = range(int(began), int(ended or span)) if silence != "never" else range(0)
+
+    async def play():
+        clock = LoopClock()
+        context.core = core_with_replicas(2, clock)
+        context.clock, context.fleet = clock, context.core.fleet
+        context.core.reading_store = dict.fromkeys(RowTable, True)
+        context.steps = parse_steps("0=v1:1,v2:1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ReleaseSync(context.core, context.store).run)
+            for elapsed_ms in range(0, span, CHECK_INTERVAL_MS):
+                for number in range(elapsed_ms in is_silent, 2):
+                    heard(context, number)
+                if elapsed_ms == change:
+                    rows = {"r1": entry(1, version="v2")}
+                    apply_rows(context.core, RowTable.UPSTREAMS, 2, rows)
+                await trio.sleep(CHECK_INTERVAL_MS / 1000)
+            nursery.cancel_scope.cancel()
+        await take_up_after_start(context, clock)
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+async def take_up_after_start(context, clock):
+    """Resume a stream of 2 s, whose prompt moved, at a router that has just started."""
+    core = core_with_replicas(2, clock)
+    with trio.move_on_after(0.5):
+        await ReleaseSync(core, context.store).run()
+    taken = ResumedStream(REQUEST, SERVICE, prompt_of(context, "v2"), 2000)
+    context.found = await core.resumptions.find(taken)
+
+
 @then("the row has a deadline of {span:d} s, named at most {age:d} s ago")
 def stored_deadline(context, span, age):
     stored = context.store.row.deadline
@@ -375,6 +412,7 @@
     assert context.store.row.deadline is None, context.store.row
 
 
+@then("the row was written {least:d} to {most:d} times")
 @then("the row was written {least:d} to {most:d} times for that")
 def written_for_deadline(context, least, most):
     assert least <= context.store.writes <= most, context.store.writes
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -5,6 +5,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.gossip.silences import (
+    MAX_ONGOING_MS,
     SILENCE_TTL_MS,
     EndedSilences,
     Silence,
@@ -291,6 +292,13 @@
         )
         return max((silence for silence in silences if silence > due_ms), default=0)
 
+    def known_silences(self) -> tuple[SilenceReport, ...]:
+        """Return the silences that count, with the longest one that goes on, if there is one."""
+        ended, silence_ms = self.silences.reports(), self.longest_silence_ms()
+        if not silence_ms:
+            return ended
+        return (*ended, SilenceReport(silence_ms, -MAX_ONGOING_MS))
+
     def longest_apart_ms(self, max_age_ms: int) -> int:
         """Return since when a router may use old proportions, if a stream began so long ago.
 
--- a/skylarklift/entry/gossip/silences.py
+++ b/skylarklift/entry/gossip/silences.py
@@ -11,9 +11,13 @@
 SILENCE_TTL_MS = 660_000
 # Silences beyond this number are merged into longer ones.
 MAX_SILENCES = 16
+# Beside those that have ended, one that goes on is told.
+MAX_TOLD_SILENCES = MAX_SILENCES + 1
 # Of two that differ by less, one is kept: all routers report the same ones.
 TOLERANCE_MS = 500
 REPORT_DELAY_MS = 50
+# One that goes on is told as going on for this long, and told again meanwhile.
+MAX_ONGOING_MS = 10_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,11 +35,17 @@
 
 @dataclass(frozen=True, slots=True)
 class SilenceReport:
-    """How long ago a silence began and ended."""
+    """How long ago a silence began and ended, less than 0 if it may go on for a while."""
 
     began_ms: int
     ended_ms: int
 
+    def is_told_by(self, other: "SilenceReport") -> bool:
+        """Return whether another silence lasted from before this one until after it, about."""
+        tolerance_ms = TOLERANCE_MS if self.ended_ms >= 0 else MAX_ONGOING_MS // 2
+        began_before = other.began_ms >= self.began_ms - TOLERANCE_MS
+        return began_before and other.ended_ms <= self.ended_ms + tolerance_ms
+
 
 class EndedSilences:
     """The silences that count, without those that others cover."""
@@ -75,8 +85,7 @@
         self._expire()
         now = self._clock.now()
         return tuple(
-            SilenceReport(now - item.began_at, max(0, now - item.ended_at))
-            for item in self._silences
+            SilenceReport(now - item.began_at, now - item.ended_at) for item in self._silences
         )
 
     def longest_ms(self, max_age_ms: int) -> int:
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -92,7 +92,7 @@
                 ZONE_KEY: message.zone,
                 CUT_ZONES_KEY: message.cut_zones,
                 HOLD_OFFS_KEY: message.hold_offs,
-                SILENCES_KEY: [(item.began_ms, item.ended_ms) for item in message.silences],
+                SILENCES_KEY: [(item.began_ms, max(0, item.ended_ms)) for item in message.silences],
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -10,7 +10,9 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
+from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.state.rows import ReleaseStore
+from skylarklift.entry.versions.release_steps import SPREAD_MS, ReleaseStep
 from skylarklift.entry.versions.releases import ReleaseReport
 from skylarklift.entry.versions.stream_deadlines import LongestDeadline
 from skylarklift.errors import StoreError
@@ -21,16 +23,16 @@
 RETRY_DELAY_MS = 600
 # A router that reads the store reads the rows at this interval, and confirms them to the others.
 READ_INTERVAL_MS = 1000
-# A row is written for its deadline alone at most once in this time.
-DEADLINE_INTERVAL_MS = 5000
+# A row is written for what it tells beside proportions at most once in this time.
+REWRITE_INTERVAL_MS = 5000
 
 
 @dataclass(frozen=True, slots=True)
-class StoredDeadlines:
-    """The deadlines in a row of the store, and when their ages were right."""
+class StoredRow:
+    """A row as it was read from the store, and when its ages were right."""
 
-    deadlines: tuple[LongestDeadline, ...]
-    known_at: Millis
+    report: ReleaseReport
+    read_at: Millis
 
 
 class ReleaseSync:
@@ -45,9 +47,9 @@
         self._store = store
         # When the rows were read last, `None` if a write may have failed since.
         self._read_at: Millis | None = None
-        # The deadlines in the rows of the store, and when they were read.
-        self._stored: dict[ServiceId, StoredDeadlines] = {}
-        self._deadlines_written_at: dict[ServiceId, Millis] = {}
+        self._stored: dict[ServiceId, StoredRow] = {}
+        # When rows were written last, or tried, for more than their proportions.
+        self._written_again_at: dict[ServiceId, Millis] = {}
 
     async def run(self) -> None:
         """Read the rows, then follow the list of upstreams."""
@@ -96,43 +98,80 @@
         """Write the rows of the services whose versions have changed."""
         core = self._core
         for service, counts in self._count_versions().items():
-            report = core.releases.next_report(service, counts) or self._deadline_report(service)
+            report = core.releases.next_report(service, counts) or self._report_again(service)
             if report is not None:
+                report = replace(report, silences=self._find_silences(report.steps))
                 self._apply([await self._store.write_release(report)])
 
-    def _deadline_report(self, service: ServiceId) -> ReleaseReport | None:
-        """Return the row to write again for its deadline, `None` if that is right or was written.
+    def _report_again(self, service: ServiceId) -> ReleaseReport | None:
+        """Return the row to write for what it tells beside proportions, `None` if that is right.
 
-        A write that lost against another one is made again after the same time.
+        One that was written, or tried, a moment ago has time.  So a write that lost against another
+        one is made again.
         """
         now = self._core.clock.now()
-        written_at = self._deadlines_written_at.get(service)
-        if written_at is not None and now - written_at < DEADLINE_INTERVAL_MS:
+        written_at = self._written_again_at.get(service)
+        if written_at is not None and now - written_at < REWRITE_INTERVAL_MS:
             return None
-        stored = self._stored_deadlines(service)
-        report = self._core.releases.deadline_report(service, stored)
+        report = self._outdated_report(service)
         if report is not None:
-            self._deadlines_written_at[service] = now
+            self._written_again_at[service] = now
         return report
 
+    def _outdated_report(self, service: ServiceId) -> ReleaseReport | None:
+        """Return the row to write for its deadlines or its silences, `None` if both are right."""
+        releases = self._core.releases
+        stored = self._stored_deadlines(service)
+        report = releases.deadline_report(service, stored)
+        if report is not None:
+            return report
+        silences = self._stored_silences(service)
+        for silence in self._find_silences(releases.steps(service)):
+            if not any(silence.is_told_by(other) for other in silences):
+                return releases.make_current_report(service)
+        return None
+
+    def _find_silences(self, steps: tuple[ReleaseStep, ...]) -> tuple[SilenceReport, ...]:
+        """Return the silences in which one of the steps began; others do not matter for them."""
+        return tuple(
+            silence
+            for silence in self._core.fleet.known_silences()
+            if any(
+                silence.ended_ms <= step.age_ms <= silence.began_ms + SPREAD_MS for step in steps
+            )
+        )
+
     def _stored_deadlines(self, service: ServiceId) -> tuple[LongestDeadline, ...]:
         """Return the deadlines in the row of the store, with the ages of now."""
         stored = self._stored.get(service)
         if stored is None:
             return ()
-        elapsed_ms = self._core.clock.now() - stored.known_at
-        return tuple(replace(item, age_ms=item.age_ms + elapsed_ms) for item in stored.deadlines)
+        elapsed_ms = self._core.clock.now() - stored.read_at
+        return tuple(
+            replace(item, age_ms=item.age_ms + elapsed_ms) for item in stored.report.deadlines()
+        )
+
+    def _stored_silences(self, service: ServiceId) -> tuple[SilenceReport, ...]:
+        """Return the silences in the row of the store, with the ages of now."""
+        stored = self._stored.get(service)
+        if stored is None:
+            return ()
+        elapsed_ms = self._core.clock.now() - stored.read_at
+        return tuple(
+            SilenceReport(item.began_ms + elapsed_ms, item.ended_ms + elapsed_ms)
+            for item in stored.report.silences
+        )
 
     def _apply(self, reports: list[ReleaseReport]) -> None:
         """Use rows of the store."""
+        core = self._core
         for report in reports:
-            self._note_deadlines(report)
-            self._core.apply_release(report, "store")
-
-    def _note_deadlines(self, report: ReleaseReport) -> None:
-        """Record the deadlines in a row of the store."""
-        now = self._core.clock.now()
-        self._stored[report.service] = StoredDeadlines(report.deadlines(), now)
+            self._stored[report.service] = StoredRow(report, core.clock.now())
+            if self._read_at is None:
+                # Later on, this router knows itself when others are silent, and for how long.
+                for silence in report.silences:
+                    core.fleet.silences.apply_report(silence)
+            core.apply_release(report, "store")
 
     def _count_versions(self) -> dict[ServiceId, Counter[SoftwareVersion]]:
         """Return how many replicas of each version a service of engines has.
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.gossip.silences import MAX_TOLD_SILENCES, SilenceReport
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
 from skylarklift.entry.versions.release_steps import (
     SPREAD_MS,
@@ -55,7 +56,7 @@
     `deadline` is the longest that callers of the service have named, `None` if none is known;
     `shorter_deadlines` are those that were named later and count for longer.  `era` is that in
     which the row was read, `written_in` the one that its writer knew, `None` if it was a router of
-    an earlier release.
+    an earlier release.  `silences` are those in which the proportions changed.
     """
 
     service: ServiceId
@@ -65,6 +66,7 @@
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
     shorter_deadlines: tuple[LongestDeadline, ...] = ()
+    silences: tuple[SilenceReport, ...] = ()
 
     def deadlines(self) -> tuple[LongestDeadline, ...]:
         """Return all deadlines."""
@@ -91,6 +93,7 @@
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
     shorter_deadlines: tuple[LongestDeadline, ...] = ()
+    silences: tuple[SilenceReport, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -273,14 +276,17 @@
         self, service: ServiceId, stored: tuple[LongestDeadline, ...]
     ) -> ReleaseReport | None:
         """Return the row to write again for its deadlines, `None` if those `stored` are enough."""
-        steps = self.steps(service)
         is_stored = all(
             any(deadline.is_stored_as(item) for item in stored)
             for deadline in self.deadlines.all(service)
         )
-        if is_stored or not steps:
+        if is_stored or not self.steps(service):
             return None
-        return self.make_report(service, steps_since(steps, STEP_TTL_MS))
+        return self.make_current_report(service)
+
+    def make_current_report(self, service: ServiceId) -> ReleaseReport:
+        """Return the row to write again with the steps that it has."""
+        return self.make_report(service, steps_since(self.steps(service), STEP_TTL_MS))
 
     def next_row(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
@@ -308,7 +314,13 @@
 
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
     """Return the data of a service's row; times are those of the store's clock."""
-    row = ReleaseRow(report.steps, report.deadline, report.written_in, report.shorter_deadlines)
+    row = ReleaseRow(
+        report.steps,
+        report.deadline,
+        report.written_in,
+        report.shorter_deadlines,
+        report.silences,
+    )
     return encode_release_row(row, now_ms)
 
 
@@ -325,6 +337,7 @@
         row.deadline,
         row.written_in,
         row.shorter_deadlines,
+        row.silences,
     )
 
 
@@ -348,6 +361,11 @@
             {"span_ms": item.span_ms, "named_ms": now_ms - item.age_ms}
             for item in row.shorter_deadlines
         ]
+    if row.silences:
+        value["silences"] = [
+            {"began_ms": now_ms - item.began_ms, "ended_ms": now_ms - item.ended_ms}
+            for item in row.silences
+        ]
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -361,7 +379,11 @@
             _make_deadline(item["span_ms"], item["named_ms"], now_ms)
             for item in checked_list(value.get("shorter_deadlines", []))[:MAX_DEADLINES]
         )
-        return ReleaseRow(steps, deadline, written_in, shorter)
+        silences = tuple(
+            _make_silence(item["began_ms"], item["ended_ms"], now_ms)
+            for item in checked_list(value.get("silences", []))[:MAX_TOLD_SILENCES]
+        )
+        return ReleaseRow(steps, deadline, written_in, shorter, silences)
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
@@ -378,6 +400,11 @@
     return LongestDeadline(checked_integer(span_ms), max(0, now_ms - checked_integer(named_ms)))
 
 
+def _make_silence(began_ms: Any, ended_ms: Any, now_ms: int) -> SilenceReport:
+    """Return a silence in a row; raise `ValueError`."""
+    return SilenceReport(now_ms - checked_integer(began_ms), now_ms - checked_integer(ended_ms))
+
+
 def _decode_steps(value: dict[str, Any], now_ms: int) -> tuple[ReleaseStep, ...]:
     """Return the steps in a row; raise `ValueError` and others if they are invalid."""
     return bound_steps(
