--- a/features/build_messages.py
+++ b/features/build_messages.py
@@ -63,6 +63,8 @@
         deadline=deadline,
         written_in=ERA,
         members="0123456789abcdef",
+        silences=make_silences(),
+        shorter_deadlines=(stream_deadlines.LongestDeadline(3000, 100),),
     )
 
 
@@ -85,6 +87,12 @@
     return module.Backpressure((limits,), (rejections,))
 
 
+def make_silences() -> tuple:
+    """Return a time in which a router was not heard."""
+    module = find("gossip.silences")
+    return () if module is None else (module.SilenceReport(5000, 900),)
+
+
 def make_gossip(steps: tuple) -> Any:
     """Return a gossip message in which no field has its default."""
     load = observed_loads.ObservedLoad("lm-1", 9, 80, True)
@@ -111,6 +119,7 @@
         cut_zones=("zb",),
         hold_offs={"lm-5": 600},
         backpressure=make_backpressure(),
+        silences=make_silences(),
     )
 
 
--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -165,7 +165,8 @@
 
   # Guards against a router that is cut off amid a release, and takes what it has heard for all that
   # there is: it took streams up at the only version that it knew; and against one that the store turns
-  # away while other routers read and write the rows (issue 43).
+  # away while other routers read and write the rows (issue 43).  Against streams that a router began by
+  # replaced proportions while it was apart, and that are resumed once it is back (issue 49).
   Scenario Outline: Where a stream goes on by rows that may be outdated: <case>
     Given the proportions "<steps>"
     And other routers of which <others>
@@ -185,6 +186,15 @@
       | a silent one may lag, prompt moved  | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v2  | none    | version_ambiguous |
       | a silent one may lag, not moved     | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 is silent    | of v1  | v1      | assigned          |
       | none is silent, prompt moved        | 100=v1:1 8=v1:4,v2:4 | 100   | all 3 are heard       | of v2  | v2      | assigned          |
+      | one lagged a moment ago, prompt moved | 100=v1:1 8=v1:4,v2:4 | 100 | one of 3 was silent and is back | of v2 | none | version_ambiguous |
+      | one lagged a moment ago, not moved  | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent and is back | of v1 | v1 | assigned      |
+      | one lagged, moved before            | 100=v1:1 20=v1:4,v2:4 | 100  | one of 3 was silent and is back | of v2 | v2 | assigned      |
+      | one lagged before any such stream   | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent until 4 s ago | of v2 | v2 | assigned    |
+      | one lagged when such a stream began | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent until 2 s ago | of v2 | none | version_ambiguous |
+      | one lagged, and has restarted       | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 was silent and has restarted | of v2 | none | version_ambiguous |
+      | one left, and has started anew      | 100=v1:1 8=v1:4,v2:4 | 100   | one of 3 has left and is back | of v2 | v2  | assigned         |
+      | one lagged, as another one tells    | 100=v1:1 8=v1:4,v2:4 | 100   | all 3 are heard, one tells of a silence | of v2 | none | version_ambiguous |
+      | one is silent and forgotten         | 300=v1:1 100=v1:4,v2:4 | 100 | one of 3 is silent for two minutes | of v2 | none | version_ambiguous |
 
   # Guards against streams that only a lost router knew, as one version served when they began.
   Scenario Outline: A stream's origin is sent to backup routers: <steps>
@@ -210,6 +220,49 @@
       | although its writes fail       | writes | knows          | yes     |
       | and does not trust old ones    | reads  | does not know  | no      |
 
+  # Guards against a deadline in the row that has expired, or is too short, when all routers start
+  # anew: they take streams for older, or for younger, than they can be (issue 49).
+  Scenario Outline: A router that reads the store writes the row again for its longest deadline: <case>
+    Given a store that refuses <calls>
+    And its row has <stored>
+    When callers name <named>, and <span> s pass
+    Then the row has <deadline>
+    And the row was written <writes> times for that
+
+    Examples:
+      | case                           | calls         | stored                | named                    | span | deadline                                   | writes   |
+      | there is none                  | none          | no deadline           | none                     | 60   | no deadline                                | 0 to 0   |
+      | the first one                  | none          | no deadline           | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | a longer one                   | none          | 15 s, named 10 s ago  | 600 s once               | 10   | a deadline of 600 s, named at most 10 s ago | 1 to 1   |
+      | a shorter one                  | none          | 600 s, named 10 s ago | 15 s each second         | 30   | a deadline of 600 s, named at most 45 s ago | 0 to 0  |
+      | the same one, named lately     | none          | 15 s, named 10 s ago  | 15 s once                | 10   | a deadline of 15 s, named at most 25 s ago | 0 to 0   |
+      | the same one, named before     | none          | 15 s, named 90 s ago  | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | the same one, expired          | none          | 15 s, named 500 s ago | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | a longer one, expired          | none          | 60 s, named 500 s ago | 15 s once                | 10   | a deadline of 15 s, named at most 10 s ago  | 1 to 1   |
+      | the same one again and again   | none          | 15 s, named 10 s ago  | 15 s each second         | 180  | a deadline of 15 s, named at most 61 s ago | 2 to 3   |
+      | nobody names the row's         | none          | 15 s, named 90 s ago  | none                     | 60   | a deadline of 15 s, named at most 155 s ago | 0 to 0   |
+      | a longer one each second       | none          | 15 s, named 10 s ago  | a longer one each second | 31   | a deadline of 41 s, named at most 5 s ago  | 6 to 7   |
+      | the write is refused           | writes        | no deadline           | 15 s once                | 31   | no deadline                                | 6 to 7   |
+      | another router writes just then | one lost race | 15 s, named 10 s ago | 600 s once               | 10   | a deadline of 600 s, named at most 10 s ago | 2 to 2   |
+
+  # Guards against streams that a router began by replaced proportions while it was apart, and that are
+  # resumed after all routers have started anew, so that none remembers its silence (issue 49).
+  Scenario Outline: All routers start anew after one was silent <silence>: <case>
+    Given a store that refuses none
+    When a router is silent <silence>, the proportions change after <change> ms, and <span> ms pass
+    Then it goes on at "<version>", as it is <source>
+    And the row was written <writes> times
+
+    Examples:
+      | case                                   | silence              | change | span  | version | source            | writes |
+      | it was not                             | never                | 5000   | 9500  | v2      | assigned          | 1 to 1 |
+      | it is back                             | from 2000 to 8000 ms | 5000   | 9500  | none    | version_ambiguous | 1 to 1 |
+      | it is still                            | from 2000 ms         | 5000   | 9500  | none    | version_ambiguous | 1 to 1 |
+      | it is for long                         | from 2000 ms         | 5000   | 60000 | none    | version_ambiguous | 9 to 11 |
+      | it fell silent a moment before         | from 2000 to 8000 ms | 2500   | 9500  | none    | version_ambiguous | 2 to 2 |
+      | it was back before the proportions changed | from 1000 to 4000 ms | 6000 | 9500 | v2    | assigned          | 1 to 1 |
+      | it was back before such a stream began | from 1000 to 5000 ms | 3000   | 18500 | v2      | assigned          | 1 to 1 |
+
   # Guards against a replica that comes back with other software while the store is away, and is trusted
   # by its old entry once a request succeeds (KNOWN-RED, the review's case of commit ecadb0e), and
   # against replicas that come back and never get the streams that would show them to be sound.
--- a/features/steps/entry_release_rows.py
+++ b/features/steps/entry_release_rows.py
@@ -26,7 +26,8 @@
     prompt_of,
 )
 from skylarklift.clock import LoopClock, ManualClock
-from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
+from skylarklift.entry.gossip.fleet import FORGET_PEER_MS, Fleet, GossipMessage
+from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
@@ -38,7 +39,9 @@
     ReleaseRow,
     Releases,
     decode_release_row,
+    decode_report,
     encode_release_row,
+    encode_report,
 )
 from skylarklift.entry.versions.resumptions import OriginSource, ResumedStream, Resumptions
 from skylarklift.entry.versions.stream_deadlines import DEADLINE_TTL_MS, LongestDeadline
@@ -46,6 +49,8 @@
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import Refusal, StoreUnavailable
 
+HEARD_INTERVAL_MS = 500
+
 
 def row_of(steps):
     """Return a row of these steps that was written by a router of this release."""
@@ -77,7 +82,7 @@
 
 async def find(context, taken):
     """Return where a stream may go on; another router answers if there is one."""
-    resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    resumptions = Resumptions(context.clock, context.fleet, context.origins, context.releases)
     if not context.memory.startswith("asks"):
         return await resumptions.find(taken)
     message = GossipMessage("n1", "b", "", EMPTY_SUMMARIES)
@@ -86,7 +91,7 @@
     if context.memory.startswith("asks one that knows "):
         version = context.memory.removeprefix("asks one that knows ")
         origins.record(StreamOrigin(REQUEST, SERVICE, None if version == "none" else version))
-    other = Resumptions(Fleet(context.clock, "n1"), origins, context.releases)
+    other = Resumptions(context.clock, Fleet(context.clock, "n1"), origins, context.releases)
     here = Endpoint("127.0.0.1", 1)
 
     async def answer():
@@ -206,6 +211,13 @@
     "all 3 are heard, one reads the store": (3, 4, "reads"),
     "one of 3 is silent": (3, 4, "silent"),
     "one of 3 has left": (3, 4, "left"),
+    "one of 3 was silent and is back": (3, 4, "back"),
+    "one of 3 was silent until 4 s ago": (3, 4, "back for 4000"),
+    "one of 3 was silent until 2 s ago": (3, 4, "back for 2000"),
+    "one of 3 was silent and has restarted": (3, 4, "restarted"),
+    "one of 3 has left and is back": (3, 4, "left, back"),
+    "all 3 are heard, one tells of a silence": (3, 4, "tells"),
+    "one of 3 is silent for two minutes": (3, 4, "forgotten"),
     "3 are heard of 9": (3, 9, ""),
 }
 
@@ -213,24 +225,45 @@
 @given("other routers of which {others}")
 def other_routers(context, others):
     count, counted, odd = OTHER_ROUTERS[others]
+    is_missing = odd not in ("", "reads", "tells")
     for number in range(count):
-        leaving = odd == "left" and number == 0
-        heard(context, number, router_count=counted, leaving=leaving)
-    context.clock.advance(SILENCE_MS)
-    for number in range(odd in ("silent", "left"), count):
-        reads = odd == "reads" and number == 0
-        heard(context, number, router_count=counted, reads_store=reads)
+        heard(context, number, router_count=counted, leaving="left" in odd and number == 0)
+    span_ms = 2 * FORGET_PEER_MS if odd == "forgotten" else SILENCE_MS
+    back_ms = int(odd.removeprefix("back for ")) if odd.startswith("back for") else 0
+    hear_for(context, span_ms - back_ms, range(is_missing, count), router_count=counted)
+    if "back" in odd or odd == "restarted":
+        heard(context, 0, router_count=counted, boot="other" if odd != "back" else "b")
+    if odd == "reads":
+        heard(context, 0, router_count=counted, reads_store=True)
+    if odd == "tells":
+        message = GossipMessage(
+            "n1", "b", "", EMPTY_SUMMARIES, silences=(SilenceReport(SILENCE_MS, 100),)
+        )
+        for silence in decode_gossip(encode_gossip(message)).silences:
+            context.fleet.silences.apply_report(silence)
+    hear_for(context, back_ms, range(count), router_count=counted)
+
 
+def hear_for(context, span_ms, numbers, **fields):
+    """Let the router hear others again and again for a time."""
+    for _ in range(span_ms // HEARD_INTERVAL_MS):
+        context.clock.advance(HEARD_INTERVAL_MS)
+        for number in numbers:
+            heard(context, number, **fields)
+        context.fleet.router_count()
 
-def heard(context, number, **fields):
+
+def heard(context, number, boot="b", **fields):
     """Let the router hear another one."""
-    message = GossipMessage(f"n{number + 1}", "b", "", EMPTY_SUMMARIES, **fields)
+    message = GossipMessage(f"n{number + 1}", boot, "", EMPTY_SUMMARIES, **fields)
     context.fleet.record_message(message, Endpoint("127.0.0.2", number + 1))
 
 
 @when('a stream of "{version}" begins')
 def stream_begins(context, version):
-    context.resumptions = Resumptions(context.fleet, context.origins, context.releases)
+    context.resumptions = Resumptions(
+        context.clock, context.fleet, context.origins, context.releases
+    )
     context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, version))
 
 
@@ -251,17 +284,31 @@
     def __init__(self, refused):
         self.refused = refused
         self.row = ReleaseReport(SERVICE, 1, parse_steps("9=v1:1"))
-        self.reads = 0
+        self.reads = self.writes = 0
+        # When the ages in the row were right.
+        self.aged_at = None
+
+    def aged_row(self):
+        """Return the row with the ages of now."""
+        now_ms = STORE_NOW_MS + round(trio.current_time() * 1000)
+        data = encode_report(self.row, now_ms if self.aged_at is None else self.aged_at)
+        version, era = self.row.row_version, self.row.era
+        self.row, self.aged_at = decode_report(SERVICE, version, data, now_ms, era), now_ms
+        return self.row
 
     async def read_releases(self):
         self.reads += 1
         if self.refused == "reads" and self.reads > 1:
             raise StoreUnavailable("status 429")
-        return [self.row]
+        return [self.aged_row()]
 
     async def write_release(self, report):
+        self.aged_row()
+        self.writes += 1
         if self.refused == "writes":
             raise StoreUnavailable("status 429")
+        if self.refused == "one lost race" and self.writes == 1:
+            self.row = replace(self.row, row_version=self.row.row_version + 1)
         if report.row_version == self.row.row_version:
             self.row = replace(report, row_version=report.row_version + 1)
         return self.row
@@ -272,6 +319,101 @@
     context.store = ScriptedReleases(calls)
 
 
+@given("its row has {deadline}")
+def row_with_deadline(context, deadline):
+    if deadline != "no deadline":
+        span, age = deadline.removesuffix(" s ago").split(" s, named ")
+        stored = LongestDeadline(int(span) * 1000, int(age) * 1000)
+        context.store.row = replace(context.store.row, deadline=stored)
+
+
+# By a case: the deadline in seconds that a caller names in each second, from the first one on.
+NAMED_DEADLINES = {
+    "none": lambda second: 0,
+    "15 s once": lambda second: 15 * (second == 0),
+    "600 s once": lambda second: 600 * (second == 0),
+    "15 s each second": lambda second: 15,
+    "a longer one each second": lambda second: 15 + second,
+}
+
+
+@when("callers name {named}, and {span:d} s pass")
+def deadlines_named(context, named, span):
+    async def play():
+        clock = LoopClock()
+        context.core = core_with_replicas(2, clock)
+        apply_rows(context.core, RowTable.UPSTREAMS, 1, {"r1": entry(1, version="v1")})
+        context.core.reading_store = dict.fromkeys(RowTable, True)
+        began_at = clock.now()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ReleaseSync(context.core, context.store).run)
+            # The row is read and, as to its proportions, right.
+            await trio.sleep(2)
+            context.store.writes = 0
+            for second in range(span):
+                deadline = NAMED_DEADLINES[named](second)
+                context.core.releases.deadlines.record(SERVICE, deadline * 1000)
+                await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+        context.elapsed_ms = clock.now() - began_at
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+@when(
+    "a router is silent {silence}, the proportions change after {change:d} ms, and {span:d} ms pass"
+)
+def silent_in_change(context, silence, change, span):
+    began, _, ended = silence.removeprefix("from ").removesuffix(" ms").partition(" to ")
+    is_silent = range(int(began), int(ended or span)) if silence != "never" else range(0)
+
+    async def play():
+        clock = LoopClock()
+        context.core = core_with_replicas(2, clock)
+        context.clock, context.fleet = clock, context.core.fleet
+        context.core.reading_store = dict.fromkeys(RowTable, True)
+        context.steps = parse_steps("0=v1:1,v2:1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ReleaseSync(context.core, context.store).run)
+            for elapsed_ms in range(0, span, CHECK_INTERVAL_MS):
+                for number in range(elapsed_ms in is_silent, 2):
+                    heard(context, number)
+                if elapsed_ms == change:
+                    rows = {"r1": entry(1, version="v2")}
+                    apply_rows(context.core, RowTable.UPSTREAMS, 2, rows)
+                await trio.sleep(CHECK_INTERVAL_MS / 1000)
+            nursery.cancel_scope.cancel()
+        await take_up_after_start(context, clock)
+
+    trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+async def take_up_after_start(context, clock):
+    """Resume a stream of 2 s, whose prompt moved, at a router that has just started."""
+    core = core_with_replicas(2, clock)
+    with trio.move_on_after(0.5):
+        await ReleaseSync(core, context.store).run()
+    taken = ResumedStream(REQUEST, SERVICE, prompt_of(context, "v2"), 2000)
+    context.found = await core.resumptions.find(taken)
+
+
+@then("the row has a deadline of {span:d} s, named at most {age:d} s ago")
+def stored_deadline(context, span, age):
+    stored = context.store.row.deadline
+    assert (stored.span_ms, stored.age_ms <= age * 1000) == (span * 1000, True), stored
+
+
+@then("the row has no deadline")
+def no_stored_deadline(context):
+    assert context.store.row.deadline is None, context.store.row
+
+
+@then("the row was written {least:d} to {most:d} times")
+@then("the row was written {least:d} to {most:d} times for that")
+def written_for_deadline(context, least, most):
+    assert least <= context.store.writes <= most, context.store.writes
+
+
 @when('a row with "{row}" is written by another router, and 3 s pass')
 def row_written(context, row):
     async def play():
--- a/features/steps/two_releases.py
+++ b/features/steps/two_releases.py
@@ -181,7 +181,7 @@
 def knows_doubted_end(context):
     clock = ManualClock(1000)
     context.fleet = Fleet(clock, "n1")
-    context.resumptions = Resumptions(context.fleet, StreamOrigins(clock), Releases(clock))
+    context.resumptions = Resumptions(clock, context.fleet, StreamOrigins(clock), Releases(clock))
     context.resumptions.record_begun(StreamOrigin(REQUEST, SERVICE, "v1", DoubtedEnd(9, 2)))
 
 
--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -35,6 +35,10 @@
         backpressure=add_wait_to_backpressure(message.backpressure, waited_ms),
         releases=tuple(_add_wait_to_release(report, waited_ms) for report in message.releases),
         releases_age_ms=None if age_ms is None else age_ms + waited_ms,
+        silences=tuple(
+            replace(item, began_ms=item.began_ms + waited_ms, ended_ms=item.ended_ms + waited_ms)
+            for item in message.silences
+        ),
     )
 
 
@@ -48,5 +52,8 @@
     deadline = report.deadline
     if deadline is not None:
         deadline = replace(deadline, age_ms=deadline.age_ms + waited_ms)
+    shorter = tuple(
+        replace(item, age_ms=item.age_ms + waited_ms) for item in report.shorter_deadlines
+    )
     steps = tuple(replace(step, age_ms=step.age_ms + waited_ms) for step in report.steps)
-    return replace(report, steps=steps, deadline=deadline)
+    return replace(report, steps=steps, deadline=deadline, shorter_deadlines=shorter)
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -14,6 +14,7 @@
     decode_backpressure,
 )
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
@@ -26,7 +27,7 @@
     tell_steps,
 )
 from skylarklift.entry.versions.releases import ReleaseReport
-from skylarklift.entry.versions.stream_deadlines import LongestDeadline
+from skylarklift.entry.versions.stream_deadlines import MAX_DEADLINES, LongestDeadline
 from skylarklift.errors import PeerError
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 from skylarklift.util.bounded import (
@@ -52,11 +53,13 @@
 RELEASES_AGE_KEY = "releases_age"
 RELEASE_ERAS_KEY = "release_eras"
 DEADLINES_KEY = "deadlines"
+SHORTER_DEADLINES_KEY = "shorter_deadlines"
 SUSPECTED_RESTARTS_KEY = "suspected_restarts"
 STORE_RESTORED_KEY = "store_restored"
 ZONE_KEY = "zone"
 CUT_ZONES_KEY = "cut_zones"
 HOLD_OFFS_KEY = "hold_offs"
+SILENCES_KEY = "silences"
 COMPRESSION_LEVEL = 1
 
 
@@ -95,11 +98,17 @@
                 ZONE_KEY: message.zone,
                 CUT_ZONES_KEY: message.cut_zones,
                 HOLD_OFFS_KEY: message.hold_offs,
+                SILENCES_KEY: [(item.began_ms, max(0, item.ended_ms)) for item in message.silences],
                 DEADLINES_KEY: {
                     report.service: (report.deadline.span_ms, report.deadline.age_ms)
                     for report in message.releases
                     if report.deadline is not None
                 },
+                SHORTER_DEADLINES_KEY: {
+                    report.service: [(item.span_ms, item.age_ms) for item in shorter]
+                    for report in message.releases
+                    if (shorter := report.shorter_deadlines)
+                },
                 ERAS_KEY: [summary.era for summary in message.tables],
                 OBSERVED_LOADS_KEY: [
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
@@ -156,11 +165,17 @@
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras),
+            silences=tuple(_decode_silence(*ages) for ages in extras.get(SILENCES_KEY, ())),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
         raise PeerError(f"invalid gossip message: {exc}") from exc
 
 
+def _decode_silence(began_ms: Any, ended_ms: Any) -> SilenceReport:
+    """Return a silence that ended; raise `ValueError`."""
+    return SilenceReport(_checked_age(began_ms), _checked_age(ended_ms))
+
+
 def _optional_age(value: Any) -> int | None:
     """Return a span in milliseconds, `None` without one; raise `ValueError`."""
     return None if value is None else _checked_age(value)
@@ -214,19 +229,28 @@
 def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
     """Return the rows on software versions; earlier releases send neither deadlines nor eras."""
     deadlines, eras = extras.get(DEADLINES_KEY, {}), extras.get(RELEASE_ERAS_KEY, {})
+    shorter_deadlines = extras.get(SHORTER_DEADLINES_KEY, {})
     found = []
     for fields in extras.get(RELEASES_KEY, ()):
         report = _decode_release(*fields)
         if report.service in deadlines:
-            span_ms, age_ms = deadlines[report.service]
-            deadline = LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
-            report = replace(report, deadline=deadline)
+            shorter = shorter_deadlines.get(report.service, ())[:MAX_DEADLINES]
+            report = replace(
+                report,
+                deadline=_decode_deadline(*deadlines[report.service]),
+                shorter_deadlines=tuple(_decode_deadline(*fields) for fields in shorter),
+            )
         if report.service in eras:
             report = replace(report, written_in=Era(checked_integer(eras[report.service])))
         found.append(report)
     return tuple(found)
 
 
+def _decode_deadline(span_ms: Any, age_ms: Any) -> LongestDeadline:
+    """Return a deadline of a service; raise `ValueError`."""
+    return LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
+
+
 def _decode_release(service: Any, row_version: Any, era: Any, steps: Sequence) -> ReleaseReport:
     """Return a row on software versions; its steps count as older by the message's way."""
     return ReleaseReport(
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.gossip.silences import MAX_TOLD_SILENCES, SilenceReport
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
 from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_steps import (
@@ -37,6 +38,8 @@
 )
 from skylarklift.entry.versions.stream_deadlines import (
     MAX_DEADLINE_MS,
+    MAX_DEADLINES,
+    MAX_SPAN_MS,
     LongestDeadline,
     StreamDeadlines,
 )
@@ -58,10 +61,11 @@
 class ReleaseReport:
     """A service's row as a router knows it: its version and its steps, the oldest first.
 
-    `deadline` is the longest that callers of the service have named, `None` if none is known.
-    `era` is that in which the row was read, `written_in` the one that its writer knew, `None` if
-    it was a router of an earlier release.  `members` are the processes for which it was written,
-    `None` if it was not read from the store.
+    `deadline` is the longest that callers of the service have named, `None` if none is known;
+    `shorter_deadlines` are those that were named later and count for longer.  `era` is that in
+    which the row was read, `written_in` the one that its writer knew, `None` if it was a router of
+    an earlier release.  `silences` are those in which the proportions changed, and
+    `members` the processes for which it was written, `None` if it was not read from the store.
     """
 
     service: ServiceId
@@ -70,8 +74,14 @@
     era: Era = NO_ERA
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
+    shorter_deadlines: tuple[LongestDeadline, ...] = ()
+    silences: tuple[SilenceReport, ...] = ()
     members: MembersDigest | None = None
 
+    def deadlines(self) -> tuple[LongestDeadline, ...]:
+        """Return all deadlines."""
+        return () if self.deadline is None else (self.deadline, *self.shorter_deadlines)
+
     def is_newer_than(self, other: "ReleaseReport") -> bool:
         """Return whether the store accepted this row after the other one."""
         return (self.era, self.row_version) > (other.era, other.row_version)
@@ -98,6 +108,8 @@
     steps: tuple[ReleaseStep, ...] = ()
     deadline: LongestDeadline | None = None
     written_in: Era | None = None
+    shorter_deadlines: tuple[LongestDeadline, ...] = ()
+    silences: tuple[SilenceReport, ...] = ()
     members: MembersDigest | None = None
 
 
@@ -164,10 +176,9 @@
 
     def apply(self, report: ReleaseReport) -> bool:
         """Use a row from now on, unless a newer one is known; return whether it is new."""
-        if report.deadline is not None:
-            self.deadlines.record(
-                report.service, report.deadline.span_ms, report.deadline.age_ms + REPORT_DELAY_MS
-            )
+        for deadline in report.deadlines():
+            age_ms = deadline.age_ms + REPORT_DELAY_MS
+            self.deadlines.record(report.service, deadline.span_ms, age_ms)
         known = self._known.get(report.service)
         is_newer = known is None or report.is_newer_than(known.report)
         if not is_newer and not report.tells_more_than(known.report):
@@ -201,12 +212,15 @@
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
         return tuple(
-            replace(
-                known.report, steps=self._current(known), deadline=self.deadlines.longest(service)
-            )
-            for service, known in self._known.items()
+            self._with_deadlines(replace(known.report, steps=self._current(known)))
+            for known in self._known.values()
         )
 
+    def _with_deadlines(self, report: ReleaseReport) -> ReleaseReport:
+        """Return a row with the deadlines that are known now."""
+        longest, *shorter = self.deadlines.all(report.service) or (None,)
+        return replace(report, deadline=longest, shorter_deadlines=tuple(shorter))
+
     def row_version(self, service: ServiceId) -> int:
         """Return the version of a service's row, 0 without one."""
         known = self._known.get(service)
@@ -234,15 +248,22 @@
         weights = [step.weights for step in known.report.steps if step.is_known] if known else []
         return pick_version(key, weights[-1]) if weights else None
 
+    def begins_only_at(self, service: ServiceId, version: SoftwareVersion | None) -> bool:
+        """Return whether all known proportions give each prompt to this version."""
+        known = self._known.get(service)
+        if known is None or version is None:
+            return False
+        return all(step.only_version() == version for step in known.report.steps)
+
     def began_at(
-        self, service: ServiceId, key: str, max_age_ms: int, silence_ms: int = 0
+        self, service: ServiceId, key: str, max_age_ms: int, apart_ms: int = 0
     ) -> frozenset[SoftwareVersion] | None:
         """Return the versions at which a stream of at most this age can have begun.
 
-        A router that was not heard for `silence_ms` may have begun it by proportions that were
-        replaced since then.  Return `None` if it is not known which proportions were in force.
+        A router that has been, or was, apart since `apart_ms` ago may have begun it by the
+        proportions of then.  Return `None` if it is not known which proportions were in force.
         """
-        steps, span_ms = self.steps(service), max_age_ms + silence_ms
+        steps, span_ms = self.steps(service), max(max_age_ms, apart_ms)
         if span_ms > STEP_TTL_MS and steps and steps[0].age_ms < span_ms:
             return None
         return possible_versions(steps, key, span_ms)
@@ -250,10 +271,13 @@
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
         """Return how long ago a stream that a caller resumes began at most.
 
-        Without a bound it may be as old as any caller's.
+        Without a bound it may be as old as any caller's; one that still waits for longer than
+        those that do not say so may wait for as long as any.
         """
         found = self.deadlines.max_age_ms(service, timeout_ms, left_ms)
-        return MAX_DEADLINE_MS if found is None else found
+        if found is None:
+            return MAX_SPAN_MS if left_ms > MAX_DEADLINE_MS else MAX_DEADLINE_MS
+        return found
 
     def settles_in_ms(self, service: ServiceId) -> int | None:
         """Return when a history that may be lost is known again at the latest.
@@ -309,15 +333,39 @@
     ) -> ReleaseReport:
         """Return the row to write with these steps."""
         known = self._known.get(service)
-        return ReleaseReport(
-            service,
-            self.row_version(service),
-            steps,
-            deadline=self.deadlines.longest(service),
-            written_in=known.report.era if known else self._era,
-            members=members,
+        written_in = known.report.era if known else self._era
+        return self._with_deadlines(
+            ReleaseReport(
+                service, self.row_version(service), steps, written_in=written_in, members=members
+            )
         )
 
+    def deadline_report(
+        self,
+        service: ServiceId,
+        stored: tuple[LongestDeadline, ...],
+        members: MembersDigest | None = None,
+    ) -> ReleaseReport | None:
+        """Return the row to write again for its deadlines, `None` if those `stored` are enough."""
+        is_stored = all(
+            any(deadline.is_stored_as(item) for item in stored)
+            for deadline in self.deadlines.all(service)
+        )
+        if is_stored or not self.steps(service):
+            return None
+        return self.make_current_report(service, members)
+
+    def make_current_report(
+        self, service: ServiceId, members: MembersDigest | None = None
+    ) -> ReleaseReport | None:
+        """Return the row to write again with the steps that it has.
+
+        A row of a copy stays as it is until its steps are known.
+        """
+        if self._known[service].report.may_be_of_copy():
+            return None
+        return self.make_report(service, steps_since(self.steps(service), STEP_TTL_MS), members)
+
     def next_row(
         self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
     ) -> tuple[ReleaseStep, ...] | None:
@@ -344,7 +392,14 @@
 
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
     """Return the data of a service's row; times are those of the store's clock."""
-    row = ReleaseRow(report.steps, report.deadline, report.written_in, report.members)
+    row = ReleaseRow(
+        report.steps,
+        report.deadline,
+        report.written_in,
+        report.shorter_deadlines,
+        report.silences,
+        report.members,
+    )
     return encode_release_row(row, now_ms)
 
 
@@ -354,7 +409,15 @@
     """Return a service's row that was read in an era, without steps if it is invalid."""
     row = decode_release_row(data, now_ms)
     return ReleaseReport(
-        service, row_version, row.steps, era, row.deadline, row.written_in, row.members
+        service,
+        row_version,
+        row.steps,
+        era,
+        row.deadline,
+        row.written_in,
+        row.shorter_deadlines,
+        row.silences,
+        row.members,
     )
 
 
@@ -375,6 +438,16 @@
     if row.deadline is not None:
         value["deadline_ms"] = row.deadline.span_ms
         value["deadline_named_ms"] = now_ms - row.deadline.age_ms
+    if row.shorter_deadlines:
+        value["shorter_deadlines"] = [
+            {"span_ms": item.span_ms, "named_ms": now_ms - item.age_ms}
+            for item in row.shorter_deadlines
+        ]
+    if row.silences:
+        value["silences"] = [
+            {"began_ms": now_ms - item.began_ms, "ended_ms": now_ms - item.ended_ms}
+            for item in row.silences
+        ]
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -385,7 +458,15 @@
         written_in = Era(checked_integer(value["era"])) if "era" in value else None
         members = MembersDigest(checked_text(value["members"])) if "members" in value else None
         steps, deadline = _decode_steps(value, now_ms), _decode_deadline(value, now_ms)
-        return ReleaseRow(steps, deadline, written_in, members)
+        shorter = tuple(
+            _make_deadline(item["span_ms"], item["named_ms"], now_ms)
+            for item in checked_list(value.get("shorter_deadlines", []))[:MAX_DEADLINES]
+        )
+        silences = tuple(
+            _make_silence(item["began_ms"], item["ended_ms"], now_ms)
+            for item in checked_list(value.get("silences", []))[:MAX_TOLD_SILENCES]
+        )
+        return ReleaseRow(steps, deadline, written_in, shorter, silences, members)
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
@@ -394,8 +475,17 @@
     """Return the longest deadline in a row, `None` without one; raise `ValueError`."""
     if "deadline_ms" not in value:
         return None
-    named_ms = checked_integer(value.get("deadline_named_ms"))
-    return LongestDeadline(checked_integer(value["deadline_ms"]), max(0, now_ms - named_ms))
+    return _make_deadline(value["deadline_ms"], value.get("deadline_named_ms"), now_ms)
+
+
+def _make_deadline(span_ms: Any, named_ms: Any, now_ms: int) -> LongestDeadline:
+    """Return a deadline in a row; raise `ValueError`."""
+    return LongestDeadline(checked_integer(span_ms), max(0, now_ms - checked_integer(named_ms)))
+
+
+def _make_silence(began_ms: Any, ended_ms: Any, now_ms: int) -> SilenceReport:
+    """Return a silence in a row; raise `ValueError`."""
+    return SilenceReport(now_ms - checked_integer(began_ms), now_ms - checked_integer(ended_ms))
 
 
 def _decode_steps(value: dict[str, Any], now_ms: int) -> tuple[ReleaseStep, ...]:
