Show streams joined that a replica began which is gone since the copy, listed as known

What callers would see: events of two versions. A replica of another version joins, begins streams and leaves, or dies as the routers do, all after the copy was made. The entries are those of the copy then, with the proportions of its row, so `_may_be_whole` holds after 2.5 s and the lost proportions count as never used.

Not mended: no entry can show it.

--- a/features/release_histories.feature
+++ b/features/release_histories.feature
@@ -109,3 +109,11 @@
       | writer                     |
       | the router that lived on   |
       | the router that starts anew |
+
+  # Guards against streams joined that a replica began which joined after the copy was made and is gone, so that no entry shows it (issue 49).
+  Scenario: A replica of another version joined after the copy was made, and is gone as all routers start anew
+    Given a service of one version for 20 s, in which streams begin
+    And a replica of another version that serves for 2000 ms
+    And all routers start anew with a store of 4000 ms before, and the replicas are the same
+    When the entries have settled, and the streams are resumed again
+    Then none goes on at another version
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -261,6 +261,15 @@
         context.clock.advance(LATER_STEP_MS)
 
 
+@given("a replica of another version that serves for {span:d} ms")
+def short_lived_replica(context, span):
+    members = make_members(1, {"r9": {"software": "v2"}})
+    for number in range(span // LATER_STEP_MS):
+        write_counts(context, context.releases, {**context.counts, "v2": 1}, members)
+        begin_streams(context, f"short-{number}")
+        context.clock.advance(LATER_STEP_MS)
+
+
 @given("all routers start anew with a store of {lost:d} ms before, and {entries}")
 def store_and_entries_come_back(context, lost, entries):
     if entries == "it is the second time":
