Soak streams with a store that comes back from a copy, long streams and large releases

A stream's target names the pause between its events, so that replicas need no setting. A run prints how old a stream was that was taken up and went on.

--- a/features/steps/soak_callers.py
+++ b/features/steps/soak_callers.py
@@ -9,6 +9,7 @@
 from soak.stream_callers import CallRun, Link
 from soak.stream_checker import Kind, SentCall, StreamChecker, Try
 from soak.stream_habits import Habits
+from soak.stream_load import SHORT
 from standins.stream_events import EVENT_BYTES, encode_event
 
 LAST_EVENT = 2
@@ -75,7 +76,7 @@
     async def run():
         caller = ScriptedCaller(first, second)
         with trio.fail_after(10):
-            await CallRun(context.call, caller, Random(1), HABITS).run()
+            await CallRun(context.call, caller, Random(1), HABITS, SHORT).run()
 
     trio.run(run)
 
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -11,18 +11,12 @@
 
 from soak.stream_checker import NOT_RUN_STATUSES, STATUS_OK, Kind, SentCall, Try, TryEnd
 from soak.stream_habits import SMALL_BUFFER_BYTES, Habits, LoadMix, Reader
+from soak.stream_load import StreamLoad
 from standins.entry_world import RouterProcess
 from standins.stream_events import WantedStream
 
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
-DEADLINES_MS = {
-    Kind.STREAM: 15000,
-    Kind.ONCE: 12000,
-    Kind.BRIEF: 3000,
-    Kind.NON_IDEMPOTENT: 2500,
-    Kind.IDEMPOTENT: 2500,
-}
 KIND_WEIGHTS = {
     Kind.STREAM: 10,
     Kind.ONCE: 4,
@@ -30,9 +24,6 @@
     Kind.NON_IDEMPOTENT: 2,
     Kind.IDEMPOTENT: 2,
 }
-EVENTS = {Kind.STREAM: (70, 76), Kind.ONCE: (50, 58), Kind.BRIEF: (3, 4)}
-MAX_TRIES = 5
-MAX_REFUSALS = 12
 MIN_LEFT_MS = 200
 POLL_S = 0.02
 RETRY_PAUSE_S = (0.05, 0.3)
@@ -68,6 +59,7 @@
         calls: list[SentCall],
         name: str,
         mix: LoadMix,
+        load: StreamLoad,
     ):
         self._routers = routers
         self._rng = rng
@@ -75,6 +67,7 @@
         self._name = name
         self._count = 0
         self._habits = Habits.draw(rng, mix)
+        self._load = load
         self._links: dict[str, Link] = {}
 
     async def run(self, is_loading: Callable[[], bool]) -> None:
@@ -82,11 +75,11 @@
         while is_loading():
             self._count += 1
             kind = self._rng.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
-            last = self._rng.randint(*EVENTS[kind]) if kind.is_stream else 0
+            last = self._rng.randint(*self._load.events[kind]) if kind.is_stream else 0
             event_bytes = self._habits.draw_event_bytes(self._rng)
             call = SentCall(f"{self._name}q{self._count}", kind, last, event_bytes)
             self._calls.append(call)
-            await CallRun(call, self, self._rng, self._habits).run()
+            await CallRun(call, self, self._rng, self._habits, self._load).run()
             await trio.sleep(self._rng.uniform(0.0, 0.2))
 
     def choose_router(self, but_not: set[str]) -> RouterProcess:
@@ -129,13 +122,16 @@
 class CallRun:
     """One request: its tries one after the other, and side by side while one seems slow."""
 
-    def __init__(self, call: SentCall, caller: Caller, rng: Random, habits: Habits):
+    def __init__(
+        self, call: SentCall, caller: Caller, rng: Random, habits: Habits, load: StreamLoad
+    ):
         self._call = call
         self._caller = caller
         self._rng = rng
         self._habits = habits
+        self._load = load
         self._reader = Reader(habits, rng, call.event_bytes)
-        self._deadline_ms = now_ms() + DEADLINES_MS[call.kind]
+        self._deadline_ms = now_ms() + load.deadlines_ms[call.kind]
         self._active: dict[str, trio.CancelScope] = {}
         self._progress_ms = now_ms()
         self._slow_ms = rng.randint(*SLOW_TRY_MS)
@@ -171,11 +167,11 @@
         """Return whether another try may follow those that have ended."""
         tries = self._call.tries
         sent = [item for item in tries if not certainly_not_run(item)]
-        if self._deadline_ms - now_ms() < MIN_LEFT_MS or len(tries) >= MAX_REFUSALS:
+        if self._deadline_ms - now_ms() < MIN_LEFT_MS or len(tries) >= self._load.max_refusals:
             return False
         if not self._call.kind.repeatable:
             return not sent
-        return len(sent) < MAX_TRIES
+        return len(sent) < self._load.max_tries
 
     def _seems_slow(self) -> bool:
         """Return whether to take the stream up elsewhere while the last try goes on."""
@@ -239,8 +235,9 @@
         method = "GET" if call.kind is Kind.IDEMPOTENT else "POST"
         if method == "POST":
             fields.append(("content-length", str(self._rng.randint(*BODY_BYTES))))
-        target = WantedStream(call.name, call.last, call.event_bytes).target(call.kind.value)
-        return h11.Request(method=method, target=target, headers=fields)
+        pause_ms = self._load.event_pause_ms
+        wanted = WantedStream(call.name, call.last, call.event_bytes, pause_ms)
+        return h11.Request(method=method, target=wanted.target(call.kind.value), headers=fields)
 
     async def _run_try(self, router: RouterProcess, item: Try, request: h11.Request) -> None:
         """Make one try; record how it ended."""
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -133,11 +133,24 @@
 
     def first_attempt(self) -> str | None:
         """Return the id of the try that brought the first event."""
+        first = self._first_try()
+        return first.attempt if first is not None else None
+
+    def _first_try(self) -> Try | None:
+        """Return the try that brought the first event."""
         for item in self.tries:
             if item.events and item.resume_after == 0:
-                return item.attempt
+                return item
         return None
 
+    def oldest_resumption_ms(self) -> int:
+        """Return how long after its begin the stream was last taken up and went on, 0 if never."""
+        first = self._first_try()
+        resumed = [item for item in self.tries if item.events and item.resume_after]
+        if first is None:
+            return 0
+        return max((item.answered_ms - first.answered_ms for item in resumed), default=0)
+
 
 @dataclass
 class ReplicaRun:
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -4,6 +4,7 @@
 import subprocess
 import sys
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from itertools import combinations
 from random import Random
 
@@ -15,13 +16,16 @@
 from soak.router_paths import Cut
 from soak.stream_checker import STREAM_SERVICE
 from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
-from standins.entry_world import ROOT
+from standins.entry_world import ROOT, RouterProcess
 
 # A replica's entry follows its start by up to this.
 ENTRY_DELAY_S = 1.0
 DOWN_S = (0.0, 1.5)
 DRAIN_S = (0.2, 2.0)
-RELEASE_PAUSE_S = (0.1, 1.0)
+# The age of a copy from which the store comes back, and for how long it is away before.
+COPY_AGE_S = (2.0, 6.0)
+STORE_AWAY_S = (0.0, 0.5)
+STATUS_UNAVAILABLE = 503
 # The part of the replicas that a fault of many meets at once.
 MANY_RATIO = 0.7
 MANY_PAUSE_S = (0.7, 1.4)
@@ -41,6 +45,18 @@
 }
 
 
+@dataclass(frozen=True)
+class ReleasePace:
+    """How fast a release replaces replicas; with `overlaps`, none waits for those before it."""
+
+    pause_s: tuple[float, float] = (0.1, 1.0)
+    overlaps: bool = False
+
+
+SLOW_RELEASES = ReleasePace()
+QUICK_RELEASES = ReleasePace(pause_s=(0.05, 0.3), overlaps=True)
+
+
 class StreamFaults(Faults):
     """Injects faults; replicas are processes, and routers are watched."""
 
@@ -53,9 +69,11 @@
         self._release_count = 1
         self._zone_is_out = False
         self._machine_is_busy = False
+        self._store_has_copy = False
         self._cut_off: set[str] = set()
         # Set when no fault follows; a release in progress then stops.
         self.ending = False
+        self.release_pace = SLOW_RELEASES
 
     def kinds(self) -> list[Callable[[], Awaitable[None]]]:
         """Return the functions that inject one fault each."""
@@ -81,6 +99,8 @@
             self.store_status,
             self.store_loses,
             self.store_forgets,
+            self.store_restored,
+            self.store_restored_herd_kill,
             self.router_pause,
             self.router_kill,
             self.herd_kill,
@@ -194,17 +214,25 @@
         """Replace the replicas of the streams by ones of a new version, one after the other."""
         self._release_count += 1
         software = f"v{self._release_count}"
-        for replica in list(self._replica_world.replica_processes.values()):
-            if self.ending:
-                return
-            if replica.service != STREAM_SERVICE or replica.name in self._busy:
-                continue
-            self._busy.add(replica.name)
-            if self._rng.random() < 0.7:
-                self._replica_world.write_entry(replica, state="draining")
-                await trio.sleep(self._rng.uniform(*DRAIN_S))
-            await self._restart(replica, software, signal.SIGTERM)
-            await trio.sleep(self._rng.uniform(*RELEASE_PAUSE_S))
+        async with trio.open_nursery() as nursery:
+            for replica in list(self._replica_world.replica_processes.values()):
+                if self.ending:
+                    return
+                if replica.service != STREAM_SERVICE or replica.name in self._busy:
+                    continue
+                self._busy.add(replica.name)
+                if self.release_pace.overlaps:
+                    nursery.start_soon(self._replace, replica, software)
+                else:
+                    await self._replace(replica, software)
+                await trio.sleep(self._rng.uniform(*self.release_pace.pause_s))
+
+    async def _replace(self, replica: ReplicaProcess, software: str) -> None:
+        """Replace a replica by one of another version; most say before that they leave."""
+        if self._rng.random() < 0.7:
+            self._replica_world.write_entry(replica, state="draining")
+            await trio.sleep(self._rng.uniform(*DRAIN_S))
+        await self._restart(replica, software, signal.SIGTERM)
 
     async def _restart(
         self, replica: ReplicaProcess, software: str, number: signal.Signals
@@ -276,6 +304,58 @@
         for name in names:
             self._replica_world.router_paths[name].cut(how)
 
+    # The store.
+
+    async def store_restored(self) -> None:
+        """Let the store come back from a copy some seconds old."""
+        await self._restore_store()
+
+    async def store_restored_herd_kill(self) -> None:
+        """Let the store come back from a copy some seconds old as all routers are killed."""
+        await self._restore_store(kills_routers=True)
+
+    async def _restore_store(self, *, kills_routers: bool = False) -> None:
+        """Let the store be away for a moment, and come back from a copy some seconds old."""
+        if self._store_has_copy:
+            return
+        self._store_has_copy = True
+        store = self._replica_world.store
+        copy = store.copy()
+        await trio.sleep(self._rng.uniform(*COPY_AGE_S))
+        killed = self._kill_routers(1.0) if kills_routers else []
+        if self._rng.random() < 0.5:
+            await self._take_store_away()
+        store.restore(copy)
+        self._store_has_copy = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._restart_routers, killed)
+            await self._write_rows_again()
+
+    async def _take_store_away(self) -> None:
+        """Make the store refuse all calls for a moment."""
+        endpoints = [endpoint for endpoint, _ in self._world.store_endpoints]
+        for endpoint in endpoints:
+            endpoint.faults.status = STATUS_UNAVAILABLE
+        await trio.sleep(self._rng.uniform(*STORE_AWAY_S))
+        for endpoint in endpoints:
+            endpoint.faults.status = 0
+
+    async def _write_rows_again(self) -> None:
+        """Let the operator and the replicas write again what they had written."""
+        world = self._replica_world
+        world.write_operator_rows_again()
+        at_once = self._rng.random() < 0.5
+        async with trio.open_nursery() as nursery:
+            for replica in world.replica_processes.values():
+                delay_s = 0.0 if at_once else self._rng.uniform(0.0, ENTRY_DELAY_S)
+                nursery.start_soon(self._write_entry_again, replica, delay_s)
+
+    async def _write_entry_again(self, replica: ReplicaProcess, delay_s: float) -> None:
+        """Write the entry of a replica again if its process runs."""
+        await trio.sleep(delay_s)
+        if replica.is_running():
+            self._replica_world.write_entry(replica, replica.state)
+
     # The operator.
 
     async def config_change(self) -> None:
@@ -318,14 +398,21 @@
 
     async def herd_kill(self) -> None:
         """Kill most or all routers at the same moment and start them again."""
+        await self._restart_routers(self._kill_routers(self._rng.choice(HERD_RATIOS)))
+
+    def _kill_routers(self, ratio: float) -> list[RouterProcess]:
+        """Kill a part of the routers without a fault at the same moment; return them."""
         free = [item for item in self._world.routers if item.name not in self._busy]
-        ratio = self._rng.choice(HERD_RATIOS)
         chosen = self._rng.sample(free, round(ratio * len(free)))
         for router in chosen:
             self._busy.add(router.name)
             router.process.kill()
+        return chosen
+
+    async def _restart_routers(self, killed: list[RouterProcess]) -> None:
+        """Start killed routers again after a moment."""
         await trio.sleep(RESTART_DELAY_S)
-        for router in chosen:
+        for router in killed:
             await self._world.restart_router(router)
             self._busy.discard(router.name)
 
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -4,19 +4,20 @@
 import socket
 import subprocess
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any
 
 import trio
 
 from soak.proxy import LoopbackProxy
 from soak.router_paths import RouterPaths
-from soak.stream_callers import DEADLINES_MS
 from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
+from soak.stream_load import SHORT
 from standins.entry_world import ROOT, EntryWorld
 from standins.platform_world import HOST, ROUTE_DEFAULTS
 from standins.stream_replica import Framing, open_listener
@@ -26,6 +27,8 @@
 REPLICA_START_POLLS = 500
 # One replica of so many serves single answers, the others streams.
 REPLICAS_PER_PLAIN = 3
+# So many replicas in turn are in one zone.
+REPLICAS_PER_ZONE = 3
 ROUTE_FIELDS = {
     Kind.STREAM: {"route_type": "streaming", "stream_resume": True, "max_attempts": 2},
     Kind.ONCE: {"route_type": "streaming", "stream_resume": False, "max_attempts": 1},
@@ -53,16 +56,16 @@
 PATH_WEIGHTS = {ReplicaPath.OWN: 3, ReplicaPath.KEPT: 4, ReplicaPath.PROXY: 2}
 
 
-def make_routes(changes: dict[str, Any] | None = None) -> list[dict]:
+def make_routes(timeouts_ms: Mapping[Kind, int], changes: Mapping[str, Any]) -> list[dict]:
     """Return the routes of the operator's configuration, with `changes` in all of them."""
     return [
         {
             **ROUTE_DEFAULTS,
-            **(changes or {}),
+            **changes,
             "name": kind.value,
             "prefix": kind.value,
             "service": kind.service,
-            "timeout_ms": DEADLINES_MS[kind],
+            "timeout_ms": timeouts_ms[kind],
             **fields,
         }
         for kind, fields in ROUTE_FIELDS.items()
@@ -83,6 +86,7 @@
     port: int
     listener: socket.socket | None
     software: str = FIRST_VERSION
+    state: str = "ready"
     start_count: int = 0
     process: subprocess.Popen | None = None
 
@@ -105,10 +109,22 @@
         self.replica_paths = tuple(ReplicaPath)
         self.framings = tuple(Framing)
         self.unframed_cut = Ending.RESET
+        self.replicas_per_plain = REPLICAS_PER_PLAIN
+        self.timeouts_ms: Mapping[Kind, int] = SHORT.deadlines_ms
+        # What the operator has written, beside what never changes.
+        self._route_changes: Mapping[str, Any] = {}
+        self._evacuations: dict[str, bool] = {}
 
-    def write_routes(self, changes: dict[str, Any] | None = None) -> None:
+    def write_routes(self, changes: Mapping[str, Any] = MappingProxyType({})) -> None:
         """Write the next version of the configuration, with `changes` in all routes."""
-        self.write_plan({"routes": make_routes(changes)})
+        self._route_changes = changes
+        self.write_plan({"routes": make_routes(self.timeouts_ms, changes)})
+
+    def write_operator_rows_again(self) -> None:
+        """Write what the operator has written, after the store has lost it."""
+        self.write_routes(self._route_changes)
+        for zone, active in self._evacuations.items():
+            self.write_evacuation(zone, active)
 
     @property
     def replica_log(self) -> Path:
@@ -117,11 +133,12 @@
 
     async def add_replica_process(self, number: int, rng: Random) -> None:
         """Start a replica and write its entry; some keep their port, some are behind a proxy."""
-        service = PLAIN_SERVICE if number % REPLICAS_PER_PLAIN == 2 else STREAM_SERVICE
+        is_plain = number % self.replicas_per_plain == self.replicas_per_plain - 1
+        service = PLAIN_SERVICE if is_plain else STREAM_SERVICE
         weights = [PATH_WEIGHTS[path] for path in self.replica_paths]
         path = rng.choices(self.replica_paths, weights)[0]
         name, port = f"{service}-{number}-{path.value}", self.reserve_port()
-        zone = ZONES[number // REPLICAS_PER_PLAIN % len(ZONES)]
+        zone = ZONES[number // REPLICAS_PER_ZONE % len(ZONES)]
         listener = open_listener(port) if path is ReplicaPath.KEPT else None
         replica = ReplicaProcess(name, service, zone, path, port, listener)
         self.replica_processes[name], self.ports[name] = replica, port
@@ -155,6 +172,7 @@
     def start_replica_process(self, replica: ReplicaProcess) -> None:
         """Start the process of a replica at its port."""
         replica.start_count += 1
+        replica.state = "ready"
         seed = f"{self._seed * 1000 + replica.start_count}"
         arguments = [replica.name, replica.software, str(replica.start_count), seed]
         framings = ",".join(framing.value for framing in self.framings)
@@ -183,6 +201,7 @@
 
     def write_entry(self, replica: ReplicaProcess, state: str = "ready") -> None:
         """Write a replica's entry to the store, as it does itself on the platform."""
+        replica.state = state
         self.register_replica(
             replica.name,
             replica.service,
@@ -194,6 +213,7 @@
 
     def write_evacuation(self, zone: str, active: bool) -> None:
         """Take a zone out, or put it back."""
+        self._evacuations[zone] = active
         self.store.write("op", f"evacuate/{zone}", b"{}" if active else None)
 
     def log_lines(self) -> list[str]:
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -15,22 +15,36 @@
 from soak.stream_callers import Caller
 from soak.stream_checker import STATUS_OK, Kind, SentCall, StreamChecker, TryEnd, parse_runs
 from soak.stream_decisions import check_decisions, parse_decisions
-from soak.stream_faults import StreamFaults
+from soak.stream_faults import QUICK_RELEASES, SLOW_RELEASES, ReleasePace, StreamFaults
 from soak.stream_habits import HEAVY_MIX, LoadMix
-from soak.stream_world import ZONES, ReplicaPath, StreamWorld, write_lines
+from soak.stream_load import LOADS, SHORT, StreamLoad
+from soak.stream_world import REPLICAS_PER_PLAIN, ZONES, ReplicaPath, StreamWorld, write_lines
 from standins.stream_replica import Framing
 from standins.stream_wire import Ending
 
+MS_PER_SECOND = 1000
 GRACE_CHOICES_S = (3, 8)
-SERIES_LENGTH = (2, 5)
 SERIES_STEP_S = (0.0, 0.8)
-SERIES_PAUSE_S = (0.2, 2.0)
 # The load goes on for this long after the faults.
 SETTLE_S = 2.0
 # One router of so many has ways to replicas that no fault cuts.
 ROUTERS_PER_UNCUT = 3
-# The requests in flight may take this long to end.
-LAST_CALLS_S = 3.0
+# With quick releases, one replica of so many serves single answers.
+REPLICAS_PER_PLAIN_IN_LARGE = 9
+
+
+@dataclass(frozen=True)
+class FaultSeries:
+    """How many faults follow each other closely, and the pause after them."""
+
+    length: tuple[int, int] = (2, 5)
+    pause_s: tuple[float, float] = (0.2, 2.0)
+
+
+CLOSE_FAULTS = FaultSeries()
+SPARSE_FAULTS = FaultSeries(pause_s=(2.0, 6.0))
+SINGLE_FAULTS = FaultSeries(length=(1, 1), pause_s=(3.0, 5.0))
+SERIES = {"close": CLOSE_FAULTS, "sparse": SPARSE_FAULTS, "single": SINGLE_FAULTS}
 
 
 @dataclass
@@ -51,6 +65,10 @@
     # `None`, the seed determines it.
     unframed_cut: Ending | None = None
     mix: LoadMix = LoadMix()
+    load: StreamLoad = SHORT
+    series: FaultSeries = CLOSE_FAULTS
+    release_pace: ReleasePace = SLOW_RELEASES
+    replicas_per_plain: int = REPLICAS_PER_PLAIN
     # Names of the faults to inject; if empty, all of them.
     only_faults: tuple[str, ...] = ()
 
@@ -71,7 +89,15 @@
         kinds = ", ".join(f"{name} {served[name]}/{sent[name]}" for name in sorted(sent))
         tries = sum(len(call.tries) for call in self.calls)
         cut = self.unframed_cut.value
-        return f"{kinds}; {tries} tries; unframed cut {cut}; faults {dict(self.faults)}"
+        oldest_s = self.oldest_resumption_ms() / MS_PER_SECOND
+        return (
+            f"{kinds}; {tries} tries; oldest resumption {oldest_s:.1f} s; unframed cut {cut}; "
+            f"faults {dict(self.faults)}"
+        )
+
+    def oldest_resumption_ms(self) -> int:
+        """Return how long after its begin a stream at most was taken up and went on."""
+        return max((call.oldest_resumption_ms() for call in self.calls), default=0)
 
     def served_ratio(self, kind: Kind) -> float:
         """Return the part of the requests of a kind that were complete, 1 without any."""
@@ -95,6 +121,7 @@
         self._calls: list[SentCall] = []
         self._loading = True
         self._faults = StreamFaults(world, self._rng, self._checker)
+        self._faults.release_pace = options.release_pace
 
     async def run(self) -> Result:
         """Run load and faults, then check what callers received."""
@@ -103,10 +130,7 @@
             nursery.start_soon(self._faults.watch_routers)
             async with trio.open_nursery() as callers:
                 for number in range(self._options.callers):
-                    rng = Random(f"{self._options.seed} caller {number}")
-                    caller = Caller(
-                        self._world.routers, rng, self._calls, f"c{number}", self._options.mix
-                    )
+                    caller = self._make_caller(number)
                     callers.start_soon(caller.run, lambda: self._loading)
                 async with trio.open_nursery() as faults:
                     with trio.move_on_after(self._options.span_s):
@@ -114,15 +138,26 @@
                     self._faults.ending = True
                 await trio.sleep(SETTLE_S)
                 self._loading = False
-                callers.cancel_scope.deadline = trio.current_time() + LAST_CALLS_S
+                callers.cancel_scope.deadline = (
+                    trio.current_time() + self._options.load.last_calls_s
+                )
             nursery.cancel_scope.cancel()
         return self._check()
 
+    def _make_caller(self, number: int) -> Caller:
+        """Return one caller."""
+        options = self._options
+        rng = Random(f"{options.seed} caller {number}")
+        routers, name = self._world.routers, f"c{number}"
+        return Caller(routers, rng, self._calls, name, options.mix, options.load)
+
     async def _build(self) -> None:
         """Start replicas, store endpoints and routers, with proxies between some."""
         world, options = self._world, self._options
         world.program = options.program
         world.framings, world.replica_paths = options.framings, options.paths
+        world.replicas_per_plain = options.replicas_per_plain
+        world.timeouts_ms = options.load.deadlines_ms
         world.unframed_cut = options.unframed_cut or self._rng.choice(list(Ending))
         world.extra_settings = {"bounds.grace_s": str(self._rng.choice(GRACE_CHOICES_S))}
         world.write_routes()
@@ -145,13 +180,14 @@
         """Inject series of faults that overlap, with pauses between the series."""
         only = self._options.only_faults
         kinds = [kind for kind in self._faults.kinds() if not only or kind.__name__ in only]
+        series = self._options.series
         while True:
-            for _ in range(self._rng.randint(*SERIES_LENGTH)):
+            for _ in range(self._rng.randint(*series.length)):
                 kind = self._rng.choice(kinds)
                 self._checker.counts[kind.__name__] += 1
                 nursery.start_soon(kind)
                 await trio.sleep(self._rng.uniform(*SERIES_STEP_S))
-            await trio.sleep(self._rng.uniform(*SERIES_PAUSE_S))
+            await trio.sleep(self._rng.uniform(*series.pause_s))
 
     def _check(self) -> Result:
         """Check all requests."""
@@ -203,6 +239,24 @@
         action="store_true",
         help="all streams have large events, and most callers pause",
     )
+    parser.add_argument(
+        "--streams",
+        choices=LOADS,
+        default="short",
+        help="how long streams last (default: %(default)s; long: over 30 s, longer: over 60 s)",
+    )
+    parser.add_argument("--more-tries", action="store_true", help="callers try more often")
+    parser.add_argument(
+        "--series",
+        choices=SERIES,
+        default="close",
+        help="how faults follow each other (default: %(default)s)",
+    )
+    parser.add_argument(
+        "--quick-releases",
+        action="store_true",
+        help="releases replace many replicas at once, and most replicas serve streams",
+    )
     parser.add_argument("--faults", default="", help="names of the only faults, with commas")
     parser.add_argument(
         "--paths", default="own,kept,proxy", help="what routers reach at the replicas' addresses"
@@ -222,9 +276,17 @@
         options.unframed_cut = Ending.ORDERLY
     if arguments.large_events:
         options.mix = HEAVY_MIX
+    options.load = LOADS[arguments.streams]
+    if arguments.more_tries:
+        options.load = options.load.with_more_tries()
+    options.series = SERIES[arguments.series]
+    if arguments.quick_releases:
+        options.release_pace = QUICK_RELEASES
+        options.replicas_per_plain = REPLICAS_PER_PLAIN_IN_LARGE
     if arguments.keep:
         folder = Path(arguments.keep) / str(seed)
-        folder.mkdir(parents=True, exist_ok=True)
+        # Logs of an earlier run would count as those of this one.
+        folder.mkdir(parents=True)
         options.keep = str(folder)
     return options
 
--- a/standins/stream_events.py
+++ b/standins/stream_events.py
@@ -4,27 +4,32 @@
 
 EVENT_BYTES = 55
 LARGE_EVENT_BYTES = 40_000
+EVENT_PAUSE_MS = 35
 EVENT_END = b"\n\n"
 PADDING = b"."
 
 
 @dataclass(frozen=True)
 class WantedStream:
-    """What the target of a request asks for: events up to `last`, each of at least a size."""
+    """What the target of a request asks for: events up to `last`, each of at least a size.
+
+    The replica makes one each `event_pause_ms`.
+    """
 
     name: str
     last: int
     event_bytes: int = EVENT_BYTES
+    event_pause_ms: int = EVENT_PAUSE_MS
 
     def target(self, prefix: str) -> str:
         """Return the target of a request for it."""
-        return f"{prefix}{self.last}/{self.event_bytes}/{self.name}"
+        return f"{prefix}{self.last}/{self.event_bytes}/{self.event_pause_ms}/{self.name}"
 
     @classmethod
     def parse(cls, target: str) -> "WantedStream":
         """Return what a target asks for."""
-        _, _, last, size, name = target.split("/")
-        return cls(name, int(last), int(size))
+        _, _, last, size, pause_ms, name = target.split("/")
+        return cls(name, int(last), int(size), int(pause_ms))
 
 
 def encode_event(number: int, names: str, size: int) -> bytes:
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -28,7 +28,6 @@
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
 STATUS_PATH = "/-/report"
-PACE_S = 0.035
 MAX_BATCH = 4
 PLAIN_RUN_S = (0.005, 0.06)
 PART_PAUSE_S = 0.001
@@ -260,12 +259,13 @@
         wanted = WantedStream.parse(request.target)
         self._names = f"{names} {wanted.name}"
         self._event_bytes = wanted.event_bytes
+        self._pause_s = wanted.event_pause_ms / MS_PER_SECOND
         self.last_sent = plan.first - 1
 
     def send(self, make_head) -> None:
         """Send head, events and end."""
         plan, wire = self._plan, self._wire
-        time.sleep(PACE_S)
+        time.sleep(self._pause_s)
         version = "1.1" if plan.framing in (*KEPT_FRAMINGS, Framing.CONNECTION) else "1.0"
         fields = ["content-type: text/event-stream", *self._framing_fields()]
         wire.write(make_head(self._request, "200 OK", *fields, version=version))
@@ -299,7 +299,7 @@
         breaks = plan.breaks_after is not None and plan.breaks_after < end
         if breaks:
             end = plan.breaks_after + 1
-        time.sleep(PACE_S * max(1, end - first))
+        time.sleep(self._pause_s * max(1, end - first))
         if rng.random() < PAUSE_RATIO:
             time.sleep(rng.uniform(*PAUSE_S))
         data = b"".join(self._event(number) for number in range(first, end))
