--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -46,6 +46,16 @@
       | shorter | 54    |
       | longer  | 56    |
 
+  Scenario Outline: The checker counts event 2 with id <id> only if that is its id in a stream whose ids have gaps
+    When a caller that asked for ids with gaps receives event 2 with id <id>
+    Then <count> events are unreadable
+
+    Examples:
+      | id | count |
+      | 16 | 0     |
+      | 15 | 1     |
+      | 2  | 1     |
+
   # Guards against routers of which one goes on with a stream at a version, while another goes on at
   # another version or knows that none is certain (issue 43).
   Scenario Outline: The checker compares the decisions of two routers, <first> and <second>, <gap> ms
--- a/features/steps/soak_callers.py
+++ b/features/steps/soak_callers.py
@@ -8,7 +8,7 @@
 
 from soak.stream_callers import CallRun, Link
 from soak.stream_checker import Kind, SentCall, StreamChecker, Try
-from soak.stream_habits import Habits
+from soak.stream_habits import ID_STEP, Habits
 from soak.stream_load import SHORT
 from standins.stream_events import EVENT_BYTES, encode_event
 
@@ -96,6 +96,18 @@
     context.received.receive(encode_event(1, "a v1 a.1.1 q", size), is_stream=True)
 
 
+@when("a caller that asked for ids with gaps receives event 2 with id {event_id:d}")
+def receives_event_with_id(context, event_id):
+    context.received = Try("t1", "n1", status=200, id_step=ID_STEP)
+    context.received.receive(b"id: %d\ndata: a v1 a.1.1 q 2\n\n" % event_id, is_stream=True)
+
+
+@then("{count:d} events are unreadable")
+def events_are_unreadable(context, count):
+    received = context.received
+    assert (len(received.unreadable), len(received.events)) == (count, 1 - count)
+
+
 @then("the event is unreadable")
 def event_is_unreadable(context):
     assert len(context.received.unreadable) == 1 and not context.received.events
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -10,10 +10,10 @@
 import trio
 
 from soak.stream_checker import NOT_RUN_STATUSES, STATUS_OK, Kind, SentCall, Try, TryEnd
-from soak.stream_habits import SMALL_BUFFER_BYTES, Habits, LoadMix, Reader
+from soak.stream_habits import ID_STEP, SMALL_BUFFER_BYTES, Habits, LoadMix, Reader
 from soak.stream_load import StreamLoad
 from standins.entry_world import RouterProcess
-from standins.stream_events import WantedStream
+from standins.stream_events import WantedStream, make_event_id
 
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
@@ -66,6 +66,7 @@
         self._calls = calls
         self._name = name
         self._count = 0
+        self._mix = mix
         self._habits = Habits.draw(rng, mix)
         self._load = load
         self._links: dict[str, Link] = {}
@@ -78,10 +79,18 @@
             last = self._rng.randint(*self._load.events[kind]) if kind.is_stream else 0
             event_bytes = self._habits.draw_event_bytes(self._rng)
             call = SentCall(f"{self._name}q{self._count}", kind, last, event_bytes)
+            self._make_odd(call)
             self._calls.append(call)
             await CallRun(call, self, self._rng, self._habits, self._load).run()
             await trio.sleep(self._rng.uniform(0.0, 0.2))
 
+    def _make_odd(self, call: SentCall) -> None:
+        """Let some streams have ids with gaps, or be taken up by a name that nobody knows."""
+        if self._mix.gaps and self._rng.random() < self._mix.gaps:
+            call.id_step = ID_STEP
+        if self._mix.unknown_resumes:
+            call.unknown_resumes = self._rng.random() < self._mix.unknown_resumes
+
     def choose_router(self, but_not: set[str]) -> RouterProcess:
         """Return a router, if possible one that has no try of the request."""
         others = [item for item in self._routers if item.name not in but_not]
@@ -209,6 +218,7 @@
             http_1_0=self._habits.http_1_0,
             started_ms=now_ms(),
             event_bytes=call.event_bytes,
+            id_step=call.id_step,
         )
         request = self._encode(item, left_ms)
         call.tries.append(item)
@@ -230,15 +240,22 @@
             parts = f"aa{self._part}:500,bb{self._part}:40,cc{call.name}:10"
             fields.append(("x-prefix-hash", parts))
         if item.resume_after:
-            fields.append(("last-event-id", str(item.resume_after)))
-            fields.append(("resumes", call.first_attempt() or item.attempt))
+            last_id = make_event_id(item.resume_after, call.id_step)
+            fields.append(("last-event-id", str(last_id)))
+            fields.append(("resumes", self._named_attempt() or item.attempt))
         method = "GET" if call.kind is Kind.IDEMPOTENT else "POST"
         if method == "POST":
             fields.append(("content-length", str(self._rng.randint(*BODY_BYTES))))
         pause_ms = self._load.event_pause_ms
-        wanted = WantedStream(call.name, call.last, call.event_bytes, pause_ms)
+        wanted = WantedStream(call.name, call.last, call.event_bytes, pause_ms, call.id_step)
         return h11.Request(method=method, target=wanted.target(call.kind.value), headers=fields)
 
+    def _named_attempt(self) -> str | None:
+        """Return the try that the caller names as the one that brought the first event."""
+        if self._call.unknown_resumes:
+            return f"{self._call.name}-never-sent"
+        return self._call.first_attempt()
+
     async def _run_try(self, router: RouterProcess, item: Try, request: h11.Request) -> None:
         """Make one try; record how it ended."""
         link: Link | None = None
--- a/soak/stream_checker.py
+++ b/soak/stream_checker.py
@@ -7,7 +7,7 @@
 from enum import Enum
 from typing import Any
 
-from standins.stream_events import EVENT_BYTES, EVENT_END, PADDING, has_size
+from standins.stream_events import EVENT_BYTES, EVENT_END, PADDING, has_size, make_event_id
 
 # Statuses that guarantee that the request has not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -72,7 +72,7 @@
 
     `resume_after` is the last event that the caller had when it sent the try.  With `dropped` the
     caller began the stream again, so that nothing of this try counts.  With `event_bytes` events
-    of another size are unreadable.
+    of another size are unreadable, and so are those whose ids are not of its `id_step`.
     """
 
     attempt: str
@@ -87,6 +87,7 @@
     retry_after_s: float = 0.0
     dropped: bool = False
     event_bytes: int | None = None
+    id_step: int = 1
     body: bytearray = field(default_factory=bytearray)
     events: list[Received] = field(default_factory=list)
     unreadable: list[bytes] = field(default_factory=list)
@@ -101,7 +102,7 @@
         *whole, rest = bytes(self.body).split(EVENT_END)
         self.body = bytearray(rest)
         for raw in whole:
-            event = parse_event(raw)
+            event = parse_event(raw, self.id_step)
             wrong_size = self.event_bytes is not None and not has_size(raw, self.event_bytes)
             if event is None or wrong_size:
                 self.unreadable.append(raw)
@@ -118,13 +119,16 @@
 class SentCall:
     """One request of a caller, over all its tries.
 
-    `last` is the last event of its stream, and `event_bytes` the size of each.
+    `last` is the last event of its stream, `event_bytes` the size of each, and `id_step` tells
+    their ids.  With `unknown_resumes` the caller names a try that nobody made when it takes it up.
     """
 
     name: str
     kind: Kind
     last: int = 0
     event_bytes: int = EVENT_BYTES
+    id_step: int = 1
+    unknown_resumes: bool = False
     tries: list[Try] = field(default_factory=list)
 
     def held(self) -> int:
@@ -189,13 +193,13 @@
         )
 
 
-def parse_event(raw: bytes) -> Received | None:
+def parse_event(raw: bytes, id_step: int = 1) -> Received | None:
     """Return an event, or `None` if it is not as replicas make them."""
     lines = raw.decode("latin-1").split("\n")
     words = lines[-1].rstrip(PADDING.decode()).split(" ")
     if len(lines) != 2 or len(words) != 6 or words[0] != "data:":
         return None
-    if lines[0] != f"id: {words[5]}":
+    if not words[5].isdigit() or lines[0] != f"id: {make_event_id(int(words[5]), id_step)}":
         return None
     return Received(int(words[5]), *words[1:5])
 
--- a/soak/stream_habits.py
+++ b/soak/stream_habits.py
@@ -18,14 +18,22 @@
 
 @dataclass(frozen=True)
 class LoadMix:
-    """Which part of the callers pause, and which part of their streams have large events."""
+    """Which part of the callers pause, and which part of their streams are of which kind.
+
+    `gaps` is the part with ids of events that have gaps, `unknown_resumes` that whose callers name
+    a try that nobody made when they take a stream up.
+    """
 
     pausing: float = 0.4
     large_if_pausing: float = 0.7
     large_if_not: float = 0.15
+    gaps: float = 0.0
+    unknown_resumes: float = 0.0
 
 
 HEAVY_MIX = LoadMix(pausing=0.6, large_if_pausing=1.0, large_if_not=1.0)
+ODD_MIX = LoadMix(gaps=0.2, unknown_resumes=0.3)
+ID_STEP = 7
 
 
 @dataclass(frozen=True)
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -16,7 +16,7 @@
 from soak.stream_checker import STATUS_OK, Kind, SentCall, StreamChecker, TryEnd, parse_runs
 from soak.stream_decisions import check_decisions, parse_decisions
 from soak.stream_faults import QUICK_RELEASES, SLOW_RELEASES, ReleasePace, StreamFaults
-from soak.stream_habits import HEAVY_MIX, LoadMix
+from soak.stream_habits import HEAVY_MIX, ODD_MIX, LoadMix
 from soak.stream_load import LOADS, SHORT, StreamLoad
 from soak.stream_world import REPLICAS_PER_PLAIN, ZONES, ReplicaPath, StreamWorld, write_lines
 from standins.stream_replica import Framing
@@ -239,6 +239,11 @@
         action="store_true",
         help="all streams have large events, and most callers pause",
     )
+    parser.add_argument(
+        "--odd-callers",
+        action="store_true",
+        help="events' ids have gaps, and callers take streams up by the name of a try never made",
+    )
     parser.add_argument(
         "--streams",
         choices=LOADS,
@@ -276,6 +281,8 @@
         options.unframed_cut = Ending.ORDERLY
     if arguments.large_events:
         options.mix = HEAVY_MIX
+    elif arguments.odd_callers:
+        options.mix = ODD_MIX
     options.load = LOADS[arguments.streams]
     if arguments.more_tries:
         options.load = options.load.with_more_tries()
--- a/standins/stream_replica.py
+++ b/standins/stream_replica.py
@@ -21,7 +21,7 @@
 from enum import Enum
 from random import Random
 
-from standins.stream_events import WantedStream, encode_event
+from standins.stream_events import WantedStream, encode_event, find_event_number
 from standins.stream_extras import Extras, draw_ratio
 from standins.stream_wire import ConnectionCuts, ConnectionEnded, Ending, Request, Wire
 
@@ -84,8 +84,9 @@
 
 def draw_plan(rng: Random, request: Request, framings: Sequence[Framing]) -> AnswerPlan:
     """Return a random plan for a stream; some resumed ones start again from an earlier event."""
-    last = WantedStream.parse(request.target).last
-    first = int(request.headers.get("last-event-id", "0")) + 1
+    wanted = WantedStream.parse(request.target)
+    last, last_id = wanted.last, int(request.headers.get("last-event-id", "0"))
+    first = find_event_number(last_id, wanted.id_step) + 1
     if first > 1 and rng.random() < RESTART_RATIO:
         first = rng.choice((1, rng.randint(1, first)))
     breaks_after = None
@@ -258,7 +259,7 @@
         self._request = request
         wanted = WantedStream.parse(request.target)
         self._names = f"{names} {wanted.name}"
-        self._event_bytes = wanted.event_bytes
+        self._event_bytes, self._id_step = wanted.event_bytes, wanted.id_step
         self._pause_s = wanted.event_pause_ms / MS_PER_SECOND
         self.last_sent = plan.first - 1
 
@@ -279,7 +280,7 @@
 
     def _event(self, number: int) -> bytes:
         """Return one event."""
-        return encode_event(number, self._names, self._event_bytes)
+        return encode_event(number, self._names, self._event_bytes, self._id_step)
 
     def _framing_fields(self) -> list[str]:
         """Return the header fields that frame the body."""
