Let the callers of a scenario on lost routers wait for long, so that it says the same at any pace

"A client resumes its streams at another router, after both were lost" expects exactly the streams that did not move to go on.

--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -18,6 +18,7 @@
 LARGE_PARTS = [
     (b"id: %d\ndata: " % number).ljust(10_000, b".") + b"\n\n" for number in range(1, 400)
 ]
+LONG_DEADLINE_MS = 60_000
 REFUSED_STATUS = b"HTTP/1.1 503 Starting\r\ncontent-length: 0\r\n\r\n"
 SPOILT_STATUS = b"no answer in the protocol\r\n\r\n"
 
@@ -275,8 +276,10 @@
 def streams_begin(context, count):
     context.began = {}
     for number in range(count):
+        # So that it may have begun before the versions were known, when it is resumed.
+        headers = {"x-deadline-ms": str(LONG_DEADLINE_MS)}
         response = context.thread.run(
-            call_stream, context, context.router, number, f"s{number}", {}
+            call_stream, context, context.router, number, f"s{number}", headers
         )
         assert response.complete, response
         context.began[number] = replica_of(context, f"s{number}")
