--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -36,6 +36,7 @@
 # Parts of the routers that one herd kill ends.
 HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
+ROUTER_REPLACEMENT_PAUSE_S = (0.1, 1.0)
 CONFIG_STEP_S = (0.0, 0.6)
 MAX_BUSY_PROCESSES = 3
 # Fields of all routes that a change of the configuration sets.
@@ -427,7 +428,7 @@
             if router.name not in self._busy:
                 builds.name_next(router.name, build)
                 await self._stop_router(router)
-                await trio.sleep(self._rng.uniform(*RELEASE_PAUSE_S))
+                await trio.sleep(self._rng.uniform(*ROUTER_REPLACEMENT_PAUSE_S))
 
     async def watch_routers(self) -> None:
         """Report each router that ends by itself, and start it again."""
