--- a/soak/builds.py
+++ b/soak/builds.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 from random import Random
 
+from skylarklift.clock import MS_PER_SECOND
 from standins.entry_world import ROOT
 
 # What of an earlier commit runs as a router.
@@ -53,7 +54,8 @@
 class BuildMix:
     """The builds of the routers of a run: at each start the old one or that of this tree.
 
-    The seed determines which one, unless a fault has named it.  `log` gets a line for each start.
+    The seed determines which one, unless a fault has named it.  `log` gets a line for each start,
+    with the time as callers have it.
     """
 
     def __init__(self, old: Path, seed: int, log: Path):
@@ -75,7 +77,7 @@
         build = self._current[router] = self._named.pop(router, drawn)
         self._starts[router, build] += 1
         with self._log.open("a") as log:
-            log.write(f"{time.time():.3f} {router} {build.value}\n")
+            log.write(f"{int(time.monotonic() * MS_PER_SECOND)} {router} {build.value}\n")
         return self._trees[build]
 
     def tree(self, router: str) -> Path:
