--- a/features/release_histories.feature
+++ b/features/release_histories.feature
@@ -117,3 +117,8 @@
     And all routers start anew with a store of 4000 ms before, and the replicas are the same
     When the entries have settled, and the streams are resumed again
     Then none goes on at another version
+
+  # Guards against a bounded history under which a prompt is certain of a version that it did not get (issue 49).
+  Scenario: Random histories of up to four versions are bounded as their steps are added
+    When 20 random histories of 30 to 90 steps are bounded
+    Then each holds at most 24 proportions, ends with those in force, and admits all versions that the whole one does
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field, replace
 
 from behave import given, then, when
+from hypothesis import given as given_random
+from hypothesis import settings, strategies
 
 from features.release_fixtures import (
     LONGEST_MS,
@@ -19,9 +21,12 @@
 from skylarklift.entry.state.rows import FIRST_ERA, Era
 from skylarklift.entry.versions.release_members import digest_members
 from skylarklift.entry.versions.release_steps import (
+    ReleaseStep,
     VersionWeight,
+    bound_steps,
     join_steps,
     pick_version,
+    possible_versions,
     unknown_step,
 )
 from skylarklift.entry.versions.release_sync import CHECK_INTERVAL_MS
@@ -396,3 +401,55 @@
     context.clock.advance(later)
     context.releases = context.survivor
     resume_all(context)
+
+
+RANDOM_KEYS = [f"r{number}" for number in range(20)]
+RANDOM_AGES_MS = (0, 500, 1500, 4000, 15_000, 60_000)
+RANDOM_WEIGHTS = strategies.dictionaries(
+    strategies.sampled_from(["v1", "v2", "v3", "v4"]), strategies.integers(0, 6), min_size=1
+).filter(lambda weights: any(weights.values()))
+RANDOM_GAPS_MS = strategies.integers(0, 3000)
+
+
+def add_steps(changes):
+    """Return a whole history, and the one that is bounded at each step."""
+    whole, bounded = (), ()
+    for gap_ms, counts in changes:
+        step = ReleaseStep(0, weights_of(counts))
+        whole = (*age_steps(whole, gap_ms), step)
+        bounded = bound_steps((*age_steps(bounded, gap_ms), step))
+    return whole, bounded
+
+
+def age_steps(steps, span_ms):
+    """Return steps as they are a while later."""
+    return tuple(replace(step, age_ms=step.age_ms + span_ms) for step in steps)
+
+
+@when("{count:d} random histories of {least:d} to {most:d} steps are bounded")
+def bound_random(context, count, least, most):
+    context.histories = []
+    changes = strategies.lists(
+        strategies.tuples(RANDOM_GAPS_MS, RANDOM_WEIGHTS), min_size=least, max_size=most
+    )
+
+    @settings(max_examples=count, derandomize=True, deadline=None, database=None)
+    @given_random(changes)
+    def collect(found):
+        context.histories.append(add_steps(found))
+
+    collect()
+    assert all(len(whole) > len(bounded) for whole, bounded in context.histories)
+
+
+@then(
+    "each holds at most {most:d} proportions, ends with those in force, and admits all versions "
+    "that the whole one does"
+)
+def admits_all(context, most):
+    for whole, bounded in context.histories:
+        assert len(bounded) <= most and bounded[-1] == whole[-1]
+        for key in RANDOM_KEYS:
+            for age_ms in RANDOM_AGES_MS:
+                found = possible_versions(bounded, key, age_ms)
+                assert found is None or found >= possible_versions(whole, key, age_ms), (key, whole)
