--- a/features/build_releases.py
+++ b/features/build_releases.py
@@ -14,6 +14,12 @@
 from skylarklift.entry.state.rows import Era
 from skylarklift.entry.versions import releases
 
+try:
+    from skylarklift.entry.versions import release_rows
+except ImportError:
+    # In earlier builds both are one module.
+    release_rows = releases
+
 SERVICE = "lm"
 KEYS_PER_STEP = 10
 LONGEST_MS = 15_000
@@ -38,7 +44,7 @@
     """Let a router read the row."""
     if not play.rows:
         return
-    row = releases.decode_release_row(bytes.fromhex(play.rows[-1][1]), play.now)
+    row = release_rows.decode_release_row(bytes.fromhex(play.rows[-1][1]), play.now)
     values = {
         "service": SERVICE,
         "row_version": len(play.rows),
@@ -46,9 +52,9 @@
         "era": Era(play.era),
         "written_in": getattr(row, "written_in", None),
     }
-    names = {item.name for item in fields(releases.ReleaseReport)}
+    names = {item.name for item in fields(release_rows.ReleaseReport)}
     kept = {name: value for name, value in values.items() if name in names}
-    known.apply(releases.ReleaseReport(**kept))
+    known.apply(release_rows.ReleaseReport(**kept))
     known.confirm(0)
 
 
@@ -65,9 +71,13 @@
     """Return the row that a router writes, `None` if all is right."""
     if hasattr(known, "next_report"):
         report = known.next_report(SERVICE, counts)
-        return None if report is None else releases.encode_report(report, now)
+        return None if report is None else release_rows.encode_report(report, now)
     steps = known.next_row(SERVICE, counts)
-    return None if steps is None else releases.encode_release_row(releases.ReleaseRow(steps), now)
+    return (
+        None
+        if steps is None
+        else release_rows.encode_release_row(release_rows.ReleaseRow(steps), now)
+    )
 
 
 def play_release(play: Play) -> Play:
