--- a/features/steps/stream_origins.py
+++ b/features/steps/stream_origins.py
@@ -57,7 +57,7 @@
         self.clock = ManualClock(1_000_000)
         self.routers = {number: OriginRouter(self.clock, number) for number in range(count)}
         # When each router was told of each stream.
-        self.told_at = defaultdict(list)
+        self.sent_at = defaultdict(list)
 
     def hear_all(self, listeners=None):
         """Let routers hear all that live."""
@@ -79,7 +79,7 @@
                     message = decode_origin_message(encode_origin_message(item.message))
                     receiver.resumptions.apply_message(message, sender.address)
                     for origin in message.origins:
-                        self.told_at[receiver.number, origin.request].append(self.clock.now())
+                        self.sent_at[receiver.number, origin.request].append(self.clock.now())
             pending = [
                 (router, item) for router in self.routers.values() for item in router.take_sent()
             ]
@@ -141,9 +141,9 @@
     routers = context.routers
     routers.run(later * 1000)
     if context.all_earlier:
-        told = [times for key, times in routers.told_at.items() if key[0] != RUNS_AT]
+        told = [times for key, times in routers.sent_at.items() if key[0] != RUNS_AT]
         lasting = [times for times in told if times[-1] > routers.clock.now() - EARLIER_TTL_MS]
-        assert len(lasting) == BACKUP_ROUTERS, routers.told_at
+        assert len(lasting) == BACKUP_ROUTERS, routers.sent_at
         for times in lasting:
             gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
             assert max(gaps) < EARLIER_TTL_MS / 2, gaps
@@ -184,7 +184,7 @@
     routers.hear_all()
     begin(context, REQUEST, version, run=True)
     routers.deliver()
-    backups = [number for number, request in routers.told_at if request == REQUEST]
+    backups = [number for number, request in routers.sent_at if request == REQUEST]
     others = [item for item in routers.routers.values() if item.number not in (RUNS_AT, *backups)]
     routers.run(2000)
     origin = StreamOrigin(REQUEST, SERVICE, None if told == "none" else told)
--- a/skylarklift/entry/gossip/silences.py
+++ b/skylarklift/entry/gossip/silences.py
@@ -11,12 +11,12 @@
 SILENCE_TTL_MS = 660_000
 # Silences beyond this number are merged into longer ones.
 MAX_SILENCES = 16
-# Beside those that have ended, one that goes on is told.
-MAX_TOLD_SILENCES = MAX_SILENCES + 1
+# Beside those that have ended, one that goes on is reported.
+MAX_REPORTED_SILENCES = MAX_SILENCES + 1
 # Of two that differ by less, one is kept: all routers report the same ones.
 TOLERANCE_MS = 500
 REPORT_DELAY_MS = 50
-# One that goes on is told as going on for this long, and told again meanwhile.
+# One that goes on is reported as going on for this long, and again meanwhile.
 MAX_ONGOING_MS = 10_000
 
 
@@ -40,7 +40,7 @@
     began_ms: int
     ended_ms: int
 
-    def is_told_by(self, other: "SilenceReport") -> bool:
+    def is_reported_by(self, other: "SilenceReport") -> bool:
         """Return whether another silence lasted from before this one until after it, about."""
         tolerance_ms = TOLERANCE_MS if self.ended_ms >= 0 else MAX_ONGOING_MS // 2
         began_before = other.began_ms >= self.began_ms - TOLERANCE_MS
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -24,8 +24,8 @@
     ReleaseStep,
     VersionWeight,
     bound_steps,
+    encodable_steps,
     read_step,
-    tell_steps,
 )
 from skylarklift.entry.versions.stream_deadlines import MAX_DEADLINES, LongestDeadline
 from skylarklift.errors import PeerError
@@ -221,7 +221,7 @@
     """Return the fields of a row on software versions."""
     steps = [
         (step.age_ms, [(item.version, item.weight) for item in step.weights])
-        for step in tell_steps(report.steps)
+        for step in encodable_steps(report.steps)
     ]
     return report.service, report.row_version, report.era, steps
 
--- a/skylarklift/entry/versions/release_rows.py
+++ b/skylarklift/entry/versions/release_rows.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass
 from typing import Any
 
-from skylarklift.entry.gossip.silences import MAX_TOLD_SILENCES, SilenceReport
+from skylarklift.entry.gossip.silences import MAX_REPORTED_SILENCES, SilenceReport
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
 from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_steps import (
     ReleaseStep,
     VersionWeight,
     bound_steps,
+    encodable_steps,
     read_step,
-    tell_steps,
 )
 from skylarklift.entry.versions.stream_deadlines import MAX_DEADLINES, LongestDeadline
 from skylarklift.ids import ServiceId, SoftwareVersion
@@ -48,13 +48,13 @@
         """Return whether the store accepted this row after the other one."""
         return (self.era, self.row_version) > (other.era, other.row_version)
 
-    def tells_more_than(self, other: "ReleaseReport") -> bool:
+    def has_more_than(self, other: "ReleaseReport") -> bool:
         """Return whether this is the same row as the other one, with more of its fields."""
         if (self.era, self.row_version) != (other.era, other.row_version):
             return False
-        return self._fields_told() > other._fields_told()
+        return self._fields_present() > other._fields_present()
 
-    def _fields_told(self) -> int:
+    def _fields_present(self) -> int:
         """Return how many fields are there that not every report of the row has."""
         return (self.written_in is not None) + (self.members is not None)
 
@@ -113,7 +113,7 @@
             "since_ms": now_ms - step.age_ms,
             "replicas": {item.version: item.weight for item in step.weights},
         }
-        for step in tell_steps(row.steps)
+        for step in encodable_steps(row.steps)
     ]
     value: dict[str, Any] = {"steps": steps}
     if row.written_in is not None:
@@ -149,7 +149,7 @@
         )
         silences = tuple(
             _make_silence(item["began_ms"], item["ended_ms"], now_ms)
-            for item in checked_list(value.get("silences", []))[:MAX_TOLD_SILENCES]
+            for item in checked_list(value.get("silences", []))[:MAX_REPORTED_SILENCES]
         )
         return ReleaseRow(steps, deadline, written_in, shorter, silences, members)
     except (ValueError, TypeError, KeyError, AttributeError):
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -62,7 +62,7 @@
     return ReleaseStep(age_ms, ())
 
 
-def tell_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
+def encodable_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
     """Return steps as rows and messages have them, for `read_step`.
 
     Routers of earlier releases drop a step without weights, and write rows without it; so an
@@ -132,9 +132,9 @@
 
     The last step of the newest row is in force.
     """
-    told = [step for step in row if step.is_known]
-    later = [step for step in told if step.age_ms < span_ms]
-    last = told[-1:] if is_newest else []
+    known_steps = [step for step in row if step.is_known]
+    later = [step for step in known_steps if step.age_ms < span_ms]
+    last = known_steps[-1:] if is_newest else []
     earlier = [step for step in (*known, *later) if step not in last]
     earlier.sort(key=lambda step: step.age_ms, reverse=True)
     newest_ms = earlier[-1].age_ms if earlier else math.inf
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -24,7 +24,7 @@
 RETRY_DELAY_MS = 600
 # A router that reads the store reads the rows at this interval, and confirms them to the others.
 READ_INTERVAL_MS = 1000
-# A row is written for what it tells beside proportions at most once in this time.
+# A row is written for what it holds beside proportions at most once in this time.
 REWRITE_INTERVAL_MS = 5000
 
 
@@ -115,7 +115,7 @@
     def _report_again(
         self, service: ServiceId, members: MembersDigest | None
     ) -> ReleaseReport | None:
-        """Return the row to write for what it tells beside proportions, `None` if that is right.
+        """Return the row to write for what it holds beside proportions, `None` if that is right.
 
         One that was written, or tried, a moment ago has time.  So a write that lost against another
         one is made again.
@@ -140,7 +140,7 @@
             return report
         silences = self._stored_silences(service)
         for silence in self._find_silences(releases.steps(service)):
-            if not any(silence.is_told_by(other) for other in silences):
+            if not any(silence.is_reported_by(other) for other in silences):
                 return releases.make_current_report(service, members)
         return None
 
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -119,7 +119,7 @@
             self.deadlines.record(report.service, deadline.span_ms, age_ms)
         known = self._known.get(report.service)
         is_newer = known is None or report.is_newer_than(known.report)
-        if not is_newer and not report.tells_more_than(known.report):
+        if not is_newer and not report.has_more_than(known.report):
             return False
         now, steps = self._clock.now(), self._complete_steps(report, known)
         if not is_newer and report.written_in == known.report.written_in:
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -165,25 +165,25 @@
 
     def renew_running(self) -> None:
         """Record the origins of the streams that run here again, here and at backup routers."""
-        told: dict[str, list[StreamOrigin]] = {}
+        renewed: dict[str, list[StreamOrigin]] = {}
         peers = self._heard_peers()
         for stream in self._running.take_due(self._heard):
             self._record(stream.origin, 0, self._fleet.own_node)
             for node in stream.backups.nodes:
-                told.setdefault(node, []).append(stream.origin)
-        for node, origins in told.items():
+                renewed.setdefault(node, []).append(stream.origin)
+        for node, origins in renewed.items():
             message = OriginMessage(self._fleet.own_node, origins=tuple(origins[:MAX_ORIGINS]))
             self._send(peers[node].address, message)
 
     def _record(self, origin: StreamOrigin, kept_ms: int, node: str) -> None:
-        """Record an origin that a router told."""
+        """Record an origin that a router reported."""
         derivable = self._releases.begins_only_at(origin.service, origin.version)
         self._origins.record(origin, kept_ms, node=node, derivable=derivable)
 
     def _learn(self, origin: StreamOrigin, node: str) -> None:
-        """Record an origin that another router tells.
+        """Record an origin that another router reports.
 
-        What one router could not tell the version of, no other one can.  A client may have left a
+        What one router could not find the version of, no other one can.  A client may have left a
         router that still takes its stream for running.
         """
         known = self._origins.find_recorded(origin.request)
@@ -263,7 +263,7 @@
         return len(asked), question.dropped
 
     def apply_message(self, message: OriginMessage, sender: Endpoint) -> None:
-        """Record what another router tells, and answer what it asks."""
+        """Record what another router reports, and answer what it asks."""
         for origin in message.origins:
             question = self._questions.get(origin.request)
             if not origin.is_lost:
--- a/skylarklift/entry/versions/running_streams.py
+++ b/skylarklift/entry/versions/running_streams.py
@@ -1,4 +1,4 @@
-"""The streams that run at this router, whose origins are told again while they run.
+"""The streams that run at this router, whose origins are sent again while they run.
 
 So routers that are to know an origin have it, also those that started after the stream did, and
 those that keep it for a short time only.
@@ -19,10 +19,10 @@
 
 @dataclass(frozen=True, slots=True)
 class RunningStream:
-    """The origin of a stream that runs, when it was told last, and the routers to tell."""
+    """The origin of a stream that runs, when it was sent last, and the routers to send it to."""
 
     origin: StreamOrigin
-    told_at: Millis
+    sent_at: Millis
     backups: BackupRouters
 
 
@@ -31,11 +31,11 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        # In the order in which they were told last.
+        # In the order in which they were sent last.
         self._streams: OrderedDict[RequestId, RunningStream] = OrderedDict()
 
     def record(self, run: RequestId, origin: StreamOrigin, backups: BackupRouters) -> None:
-        """Record that the origin of a stream that runs was told now."""
+        """Record that the origin of a stream that runs was sent now."""
         self._streams[run] = RunningStream(origin, self._clock.now(), backups)
         self._streams.move_to_end(run)
 
@@ -44,15 +44,15 @@
         self._streams.pop(run, None)
 
     def take_due(self, routers: frozenset[str]) -> list[RunningStream]:
-        """Return the streams whose origins are to be told again now, with their backup routers."""
+        """Return the streams whose origins are to be sent again now, with their backup routers."""
         due = []
         now = self._clock.now()
         while self._streams and len(due) < MAX_RENEWED_AT_ONCE:
             run, stream = next(iter(self._streams.items()))
-            if stream.told_at > now - RENEWAL_INTERVAL_MS:
+            if stream.sent_at > now - RENEWAL_INTERVAL_MS:
                 break
             backups = choose_backups(stream.origin.request, routers, stream.backups)
-            self._streams[run] = replace(stream, told_at=now, backups=backups)
+            self._streams[run] = replace(stream, sent_at=now, backups=backups)
             self._streams.move_to_end(run)
             due.append(self._streams[run])
         return due
--- a/skylarklift/entry/versions/stream_deadlines.py
+++ b/skylarklift/entry/versions/stream_deadlines.py
@@ -23,7 +23,7 @@
 DEADLINE_TTL_MS = 120_000
 # A caller's tries begin a little before its first deadline arrives here.
 DEADLINE_MARGIN_MS = 500
-# The row on software versions tells when a deadline was named, but for this much.
+# The row on software versions says when a deadline was named, but for this much.
 STORED_DELAY_MS = 60_000
 
 
@@ -43,7 +43,7 @@
         return self.span_ms >= other.span_ms and self.left_ms() >= other.left_ms()
 
     def is_stored_as(self, stored: "LongestDeadline") -> bool:
-        """Return whether what is stored tells enough of this one."""
+        """Return whether what is stored says enough of this one."""
         if stored.covers(self):
             return True
         return stored.span_ms >= self.span_ms and stored.age_ms - self.age_ms <= STORED_DELAY_MS
--- a/skylarklift/entry/versions/stream_origins.py
+++ b/skylarklift/entry/versions/stream_origins.py
@@ -52,7 +52,7 @@
 
 
 def lost_origin(request: RequestId) -> StreamOrigin:
-    """Return what a router tells of a stream whose origin it may have dropped.
+    """Return what a router reports of a stream whose origin it may have dropped.
 
     Routers of earlier releases read it as a stream that cannot go on, too.
     """
@@ -61,7 +61,7 @@
 
 @dataclass(frozen=True, slots=True)
 class RecordedOrigin:
-    """A stream's origin, until when it is kept, and the router that told it."""
+    """A stream's origin, until when it is kept, and the router that reported it."""
 
     origin: StreamOrigin
     until: Millis
