Begin no stream at another version than the row gives it to, once that version has left

Callers could get streams joined from two versions after all routers had started anew: while no replica of a prompt's version was left, its streams began at another one at once, and not only once the row said so. Where the row could not be written (the store takes no writes of the reader, or no router reads it for a moment) and the version came back, they were taken up at the assigned one. Change: such a stream waits for the row, an eighth of its objective at most (the row follows within 0.2 s by its interval of 150 ms), and is then told to return (503, version_has_left). Unchanged: if replicas name no version at all, and if the version has replicas in other regions only. The latter is still open, by reading, not run: a request that is bound to a region without the assigned version begins at another one there, and is taken up wrongly if all routers are lost and the version comes there meanwhile. Cost: while the store takes no writes, the prompts of a version that has left get no new streams; before, they were served.

--- a/features/entry_versions.feature
+++ b/features/entry_versions.feature
@@ -96,6 +96,17 @@
       | after the first one was lost  | the first router is killed     | all go on                        |
       | after both were lost          | both are killed and start anew | those that did not move go on    |
 
+  # Guards against streams that begin at another version than the row gives them to, as it has no replica
+  # and the row cannot say so, and that no router remembers (issue 49).
+  Scenario: A version leaves and comes back while the store takes no writes, and all routers start anew
+    Given a router before replicas of the versions "v1 v2" that break off each new stream
+    And another router beside it
+    And the store takes no writes of routers
+    When the replica of "v1" leaves, 12 streams of different prompts begin, and it is back
+    And both are killed and start anew
+    And the client resumes all of them at the second router
+    Then no stream goes on at another version than it began at
+
   # Guards against streams that a client resumes at another version after their router was lost, or
   # at a router that knows of one version only and asks no other one (issue 43).
   Scenario Outline: Where a stream that is resumed may go on: <case>
--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -19,6 +19,8 @@
     (b"id: %d\ndata: " % number).ljust(10_000, b".") + b"\n\n" for number in range(1, 400)
 ]
 LONG_DEADLINE_MS = 60_000
+# An entry that is removed counts for a while.
+ENTRY_GONE_S = 4.0
 REFUSED_STATUS = b"HTTP/1.1 503 Starting\r\ncontent-length: 0\r\n\r\n"
 SPOILT_STATUS = b"no answer in the protocol\r\n\r\n"
 
@@ -286,6 +288,42 @@
     assert set(context.began.values()) == {0, 1}, context.began
 
 
+@given("the store takes no writes of routers")
+def store_takes_no_writes(context):
+    for endpoint, _ in context.world.store_endpoints:
+        endpoint.faults.refuse_writes = True
+
+
+@when('the replica of "v1" leaves, {count:d} streams of different prompts begin, and it is back')
+def begin_while_version_is_gone(context, count):
+    context.thread.run(remove_entry, context.world, "lm-1")
+    context.thread.run(trio.sleep, ENTRY_GONE_S)
+    context.began = {}
+    for number in range(count):
+        context.thread.run(call_stream, context, context.router, number, f"s{number}", {})
+        context.began[number] = replica_of(context, f"s{number}")
+    context.thread.run(register, context.world, "lm-1", "v1")
+    context.thread.run(trio.sleep, 1.5)
+
+
+async def remove_entry(world, name):
+    """Remove the entry of a replica, in the loop whose tasks wait for changes of the store."""
+    world.store.write("servers", name, None)
+
+
+@then("no stream goes on at another version than it began at")
+def no_stream_at_another_version(context):
+    went_on = {number: replica_of(context, f"t{number}") for number in context.began}
+    joined = {
+        number: (context.began[number], replica)
+        for number, replica in went_on.items()
+        if None not in (replica, context.began[number]) and replica != context.began[number]
+    }
+    assert not joined, (joined, context.began)
+    # Prompts of the version that stayed have begun.
+    assert any(replica is not None for replica in context.began.values()), context.began
+
+
 @when("nothing else happens to them")
 def nothing_happens(context):
     pass
--- a/skylarklift/entry/placement/choice.py
+++ b/skylarklift/entry/placement/choice.py
@@ -22,6 +22,7 @@
     HELD_OFF = "upstreams_ask_to_wait"
     TRIED = "upstreams_tried"
     OTHER_VERSION = "no_upstream_of_version"
+    VERSION_GONE = "version_has_left"
     MAYBE_RESTARTED = "upstreams_may_have_restarted"
 
 
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -262,8 +262,7 @@
                 core.connection_pool.find_early_ends()
             found = self._choose(wanted)
             if found is NoUpstream.OTHER_VERSION and not begun:
-                # All replicas of the assigned version leave; none will take the stream up either.
-                found = self._choose(None)
+                found = self._choose_unassigned()
             if isinstance(found, Choice):
                 self._record_passed_over(found)
                 return found
@@ -278,6 +277,17 @@
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
 
+    def _choose_unassigned(self) -> Choice | NoUpstream:
+        """Return an upstream for a stream that none of its assigned version can begin.
+
+        If that version has left, the proportions will say so in a moment.  Until then the stream
+        must not begin at another one: it would be taken for one of that version, should it be back.
+        """
+        if not self.stream_version.assigned_has_left(self.service):
+            return self._choose(None)
+        self.stream_version.assign(self.service)
+        return NoUpstream.VERSION_GONE
+
     def _choose(self, version: WantedVersion | None) -> Choice | NoUpstream:
         """Return an upstream of a version, of any one if `None`, or why there is none."""
         return self.core.chooser.choose(
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -51,9 +51,22 @@
         if call.resume_after is not None:
             return await self._find_origin(service)
         core.releases.deadlines.record(service, call.deadline_ms)
-        self.assigned = core.releases.assigned_version(service, affinity_key(call))
+        self.assign(service)
         return service
 
+    def assign(self, service: ServiceId) -> None:
+        """Assign the stream to a version by the newest proportions."""
+        self.assigned = self._core.releases.assigned_version(service, affinity_key(self._call))
+
+    def assigned_has_left(self, service: ServiceId) -> bool:
+        """Return whether no replica of the assigned version is left, in any region.
+
+        If none names a version, the proportions stay as they are.
+        """
+        members = self._core.cluster_state.usable_members(service).values()
+        versions = {upstream.record.software for upstream in members}
+        return self.assigned not in versions and versions != {None}
+
     def _refuse_resumption(self) -> None:
         """Refuse a stream that a caller resumes: what another run writes does not follow it."""
         if self._route.kind is RouteKind.STREAM and self._call.resume_after:
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -13,6 +13,7 @@
 
 LIMITS = CallerLimits(idle_ms=60000)
 STATUS_OK = 200
+STATUS_UNAVAILABLE = 503
 MS_PER_SECOND = 1000
 
 
@@ -21,7 +22,8 @@
     """The faults of one endpoint of the store.
 
     `status` responds with that status, `silent` never answers, `reset` closes the connection
-    before any effect, and `lose_answers` closes it after the effect.
+    before any effect, and `lose_answers` closes it after the effect.  `refuse_writes` answers
+    writes with 503.
     """
 
     status: int = 0
@@ -29,6 +31,7 @@
     reset: bool = False
     slow_ms: int = 0
     lose_answers: bool = False
+    refuse_writes: bool = False
 
 
 @dataclass
@@ -192,6 +195,8 @@
 
     def _transact(self, value) -> tuple[int, dict]:
         """Write and remove rows, unless an expected one has another version."""
+        if self.faults.refuse_writes:
+            return STATUS_UNAVAILABLE, {}
         for row in value.get("expected", ()):
             if self.store.row_version(row["table"], row["key"]) != row["row_version"]:
                 return 412, {"rows": [], "row_version": self.store.version}
