--- a/features/steps/entry_versions.py
+++ b/features/steps/entry_versions.py
@@ -363,4 +363,5 @@
     expected = set(context.began)
     if result != "all go on":
         expected = {number for number, replica in context.began.items() if replica == 0}
-    assert {number for number, replica in went_on.items() if replica is not None} == expected
+    going = {number for number, replica in went_on.items() if replica is not None}
+    assert going == expected, (going, context.began)
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -59,6 +59,8 @@
 FORGET_PEER_MS = 120_000
 # A router that has heard no other one for this long, and does not read the store, may be cut off.
 MAX_SILENCE_OF_ALL_MS = 1500
+# A router of an earlier release counts for this long after it was heard last.
+NOMINAL_STARTS_TTL_MS = 30_000
 READER_KEY = "reader"
 SEED_PREFIX = "seed-"
 
@@ -80,7 +82,8 @@
     `cut_zones` are the zones to whose upstreams it has lost its links, and `hold_offs` the
     milliseconds for which upstreams want no request from a router that relays to them.
     `backpressure` is what it knows of upstreams that can reject few requests, and `silences` are
-    the times that have ended in which it did not hear a router.
+    the times that have ended in which it did not hear a router.  `knows_nominal_starts` is false
+    for a sender of a release whose streams get their versions by their begins only.
     """
 
     node: str
@@ -105,6 +108,7 @@
     hold_offs: dict[str, int] = field(default_factory=dict)
     backpressure: Backpressure = Backpressure()
     silences: tuple[SilenceReport, ...] = ()
+    knows_nominal_starts: bool = True
 
     @property
     def knows_doubted_ends(self) -> bool:
@@ -341,6 +345,13 @@
             self._ranks[key] = rank
         return rank
 
+    def all_know_nominal_starts(self) -> bool:
+        """Return whether no router was heard lately that does not know nominal starts."""
+        return all(
+            peer.last_message is None or peer.last_message.knows_nominal_starts
+            for peer in self.peers_heard_within(NOMINAL_STARTS_TTL_MS)
+        )
+
     def live_peers(self) -> list[Peer]:
         """Return the routers that sent a message recently."""
         return self.peers_heard_within(MAX_PEER_SILENCE_MS)
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -19,6 +19,7 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
+from skylarklift.entry.versions.nominal_starts import MAX_SPANS, RouteSpan
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.release_steps import (
     ReleaseStep,
@@ -60,6 +61,7 @@
 CUT_ZONES_KEY = "cut_zones"
 HOLD_OFFS_KEY = "hold_offs"
 SILENCES_KEY = "silences"
+NOMINAL_STARTS_KEY = "nominal_starts"
 COMPRESSION_LEVEL = 1
 
 
@@ -109,6 +111,9 @@
                     for report in message.releases
                     if (shorter := report.shorter_deadlines)
                 },
+                NOMINAL_STARTS_KEY: {
+                    report.service: _nominal_fields(report) for report in message.releases
+                },
                 ERAS_KEY: [summary.era for summary in message.tables],
                 OBSERVED_LOADS_KEY: [
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
@@ -165,6 +170,7 @@
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras),
+            knows_nominal_starts=NOMINAL_STARTS_KEY in extras,
             silences=tuple(_decode_silence(*ages) for ages in extras.get(SILENCES_KEY, ())),
         )
     except (ValueError, TypeError, AttributeError, msgpack.UnpackException) as exc:
@@ -226,10 +232,17 @@
     return report.service, report.row_version, report.era, steps
 
 
+def _nominal_fields(report: ReleaseReport) -> tuple:
+    """Return what a row says of nominal starts of streams."""
+    spans = [(span.route, span.span_ms, span.settled_ms) for span in report.spans]
+    return report.settled_ms, [step.from_ms for step in report.steps], spans
+
+
 def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
     """Return the rows on software versions; earlier releases send neither deadlines nor eras."""
     deadlines, eras = extras.get(DEADLINES_KEY, {}), extras.get(RELEASE_ERAS_KEY, {})
     shorter_deadlines = extras.get(SHORTER_DEADLINES_KEY, {})
+    nominal_starts = extras.get(NOMINAL_STARTS_KEY, {})
     found = []
     for fields in extras.get(RELEASES_KEY, ()):
         report = _decode_release(*fields)
@@ -242,10 +255,40 @@
             )
         if report.service in eras:
             report = replace(report, written_in=Era(checked_integer(eras[report.service])))
+        if report.service in nominal_starts:
+            report = _add_nominal_starts(report, *nominal_starts[report.service])
         found.append(report)
     return tuple(found)
 
 
+def _add_nominal_starts(
+    report: ReleaseReport, settled_ms: Any, from_ms: Sequence, spans: Sequence
+) -> ReleaseReport:
+    """Return a row with what it says of nominal starts of streams; raise `ValueError`."""
+    # Steps that were merged as they were read say so themselves.
+    starts = from_ms if len(from_ms) == len(report.steps) else [None] * len(report.steps)
+    return replace(
+        report,
+        steps=tuple(
+            step if start is None else replace(step, from_ms=_checked_start(start))
+            for step, start in zip(report.steps, starts, strict=True)
+        ),
+        settled_ms=None if settled_ms is None else _checked_start(settled_ms),
+        spans=tuple(_decode_span(*fields) for fields in spans[:MAX_SPANS]),
+    )
+
+
+def _checked_start(value: Any) -> int:
+    """Return how long ago something began, less than 0 if it is to begin; raise `ValueError`."""
+    return checked_integer(value, -MAX_INTEGER)
+
+
+def _decode_span(route: Any, span_ms: Any, settled_ms: Any) -> RouteSpan:
+    """Return the span of a route; raise `ValueError`."""
+    settled = None if settled_ms is None else _checked_start(settled_ms)
+    return RouteSpan(checked_text(route), checked_integer(span_ms), settled)
+
+
 def _decode_deadline(span_ms: Any, age_ms: Any) -> LongestDeadline:
     """Return a deadline of a service; raise `ValueError`."""
     return LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
--- a/skylarklift/entry/versions/release_rows.py
+++ b/skylarklift/entry/versions/release_rows.py
@@ -6,6 +6,7 @@
 
 from skylarklift.entry.gossip.silences import MAX_REPORTED_SILENCES, SilenceReport
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
+from skylarklift.entry.versions.nominal_starts import MAX_SPANS, RouteSpan
 from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_steps import (
     ReleaseStep,
@@ -28,6 +29,8 @@
     which the row was read, `written_in` the one that its writer knew, `None` if it was a router of
     an earlier release.  `silences` are those in which the proportions changed, and
     `members` the processes for which it was written, `None` if it was not read from the store.
+    The last step has been in force at all routers since `settled_ms` ago, `None` if that is not
+    known; `spans` are those of routes whose streams get their versions by nominal starts.
     """
 
     service: ServiceId
@@ -39,6 +42,8 @@
     shorter_deadlines: tuple[LongestDeadline, ...] = ()
     silences: tuple[SilenceReport, ...] = ()
     members: MembersDigest | None = None
+    settled_ms: int | None = None
+    spans: tuple[RouteSpan, ...] = ()
 
     def deadlines(self) -> tuple[LongestDeadline, ...]:
         """Return all deadlines."""
@@ -56,7 +61,8 @@
 
     def _fields_present(self) -> int:
         """Return how many fields are there that not every report of the row has."""
-        return (self.written_in is not None) + (self.members is not None)
+        optional = (self.written_in, self.members, self.settled_ms)
+        return sum(item is not None for item in optional) + bool(self.spans)
 
     def may_be_of_copy(self) -> bool:
         """Return whether the store may have lost later rows since this one was written."""
@@ -73,6 +79,8 @@
     shorter_deadlines: tuple[LongestDeadline, ...] = ()
     silences: tuple[SilenceReport, ...] = ()
     members: MembersDigest | None = None
+    settled_ms: int | None = None
+    spans: tuple[RouteSpan, ...] = ()
 
 
 def encode_report(report: ReleaseReport, now_ms: int) -> bytes:
@@ -84,6 +92,8 @@
         report.shorter_deadlines,
         report.silences,
         report.members,
+        report.settled_ms,
+        report.spans,
     )
     return encode_release_row(row, now_ms)
 
@@ -103,18 +113,14 @@
         row.shorter_deadlines,
         row.silences,
         row.members,
+        row.settled_ms,
+        row.spans,
     )
 
 
 def encode_release_row(row: ReleaseRow, now_ms: int) -> bytes:
     """Return the data of a row; times are those of the store's clock."""
-    steps = [
-        {
-            "since_ms": now_ms - step.age_ms,
-            "replicas": {item.version: item.weight for item in step.weights},
-        }
-        for step in encodable_steps(row.steps)
-    ]
+    steps = [_encode_step(step, now_ms) for step in encodable_steps(row.steps)]
     value: dict[str, Any] = {"steps": steps}
     if row.written_in is not None:
         value["era"] = row.written_in
@@ -133,9 +139,32 @@
             {"began_ms": now_ms - item.began_ms, "ended_ms": now_ms - item.ended_ms}
             for item in row.silences
         ]
+    if row.settled_ms is not None:
+        value["settled_ms"] = now_ms - row.settled_ms
+    if row.spans:
+        value["spans"] = [_encode_span(span, now_ms) for span in row.spans]
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def _encode_step(step: ReleaseStep, now_ms: int) -> dict[str, Any]:
+    """Return a step as a row has it."""
+    value: dict[str, Any] = {
+        "since_ms": now_ms - step.age_ms,
+        "replicas": {item.version: item.weight for item in step.weights},
+    }
+    if step.from_ms is not None:
+        value["from_ms"] = now_ms - step.from_ms
+    return value
+
+
+def _encode_span(span: RouteSpan, now_ms: int) -> dict[str, Any]:
+    """Return a route's span as a row has it."""
+    value: dict[str, Any] = {"route": span.route, "span_ms": span.span_ms}
+    if span.settled_ms is not None:
+        value["settled_ms"] = now_ms - span.settled_ms
+    return value
+
+
 def decode_release_row(data: bytes, now_ms: int) -> ReleaseRow:
     """Return the data of a row, without steps if it is invalid."""
     try:
@@ -151,11 +180,28 @@
             _make_silence(item["began_ms"], item["ended_ms"], now_ms)
             for item in checked_list(value.get("silences", []))[:MAX_REPORTED_SILENCES]
         )
-        return ReleaseRow(steps, deadline, written_in, shorter, silences, members)
+        settled_ms = _optional_age(value, "settled_ms", now_ms)
+        spans = tuple(
+            _decode_span(item, now_ms) for item in checked_list(value.get("spans", []))[:MAX_SPANS]
+        )
+        return ReleaseRow(
+            steps, deadline, written_in, shorter, silences, members, settled_ms, spans
+        )
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
 
+def _optional_age(value: dict[str, Any], key: str, now_ms: int) -> int | None:
+    """Return how long ago a moment in a row was, `None` without one; raise `ValueError`."""
+    return now_ms - checked_integer(value[key]) if key in value else None
+
+
+def _decode_span(value: dict[str, Any], now_ms: int) -> RouteSpan:
+    """Return a route's span in a row; raise `ValueError`."""
+    settled_ms = _optional_age(value, "settled_ms", now_ms)
+    return RouteSpan(checked_text(value["route"]), checked_integer(value["span_ms"]), settled_ms)
+
+
 def _decode_deadline(value: dict[str, Any], now_ms: int) -> LongestDeadline | None:
     """Return the longest deadline in a row, `None` without one; raise `ValueError`."""
     if "deadline_ms" not in value:
@@ -183,6 +229,7 @@
                     VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(count))
                     for version, count in sorted(row["replicas"].items())
                 ),
+                _optional_age(row, "from_ms", now_ms),
             )
             for row in checked_list(value["steps"])
         )
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -7,7 +7,7 @@
 
 import math
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import SoftwareVersion
@@ -18,6 +18,8 @@
 # A router that is in touch with the others may use proportions for this long after newer ones are
 # in the row.
 SPREAD_MS = 1000
+# A step is used for streams that nominally began this long after it was written.
+STEP_DELAY_MS = 500
 # Routers of earlier releases drop steps without a trace: those replaced for longer than this before
 # they write a row, and the oldest ones beyond `MAX_STEPS`.
 UNMARKED_TTL_MS = 60_000
@@ -40,11 +42,26 @@
 class ReleaseStep:
     """The proportions in force since `age_ms` ago, until those of the next step.
 
-    Without weights above 0 it is not known which proportions were in force.
+    Without weights above 0 it is not known which proportions were in force.  Streams that nominally
+    began since `from_ms` ago may be of the step; `None` if that is a while after it was written.
     """
 
     age_ms: int
     weights: tuple[VersionWeight, ...]
+    from_ms: int | None = field(default=None, compare=False)
+
+    def starts_ms(self) -> int:
+        """Return how long ago the first stream nominally began to which the step may apply."""
+        return self.age_ms - STEP_DELAY_MS if self.from_ms is None else self.from_ms
+
+    def aged(self, elapsed_ms: int) -> "ReleaseStep":
+        """Return this step as it is `elapsed_ms` later."""
+        from_ms = None if self.from_ms is None else self.from_ms + elapsed_ms
+        return ReleaseStep(self.age_ms + elapsed_ms, self.weights, from_ms)
+
+    def has_replicas(self, version: SoftwareVersion) -> bool:
+        """Return whether a version has replicas that can be used."""
+        return any(item.version == version and item.weight for item in self.weights)
 
     @property
     def is_known(self) -> bool:
@@ -57,9 +74,9 @@
         return versions[0] if len(versions) == 1 else None
 
 
-def unknown_step(age_ms: int = 0) -> ReleaseStep:
+def unknown_step(age_ms: int = 0, from_ms: int | None = None) -> ReleaseStep:
     """Return a step since which it is not known which proportions were in force."""
-    return ReleaseStep(age_ms, ())
+    return ReleaseStep(age_ms, (), from_ms)
 
 
 def encodable_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
@@ -76,9 +93,11 @@
     )
 
 
-def read_step(age_ms: int, weights: tuple[VersionWeight, ...]) -> ReleaseStep:
+def read_step(
+    age_ms: int, weights: tuple[VersionWeight, ...], from_ms: int | None = None
+) -> ReleaseStep:
     """Return a step of a row or a message."""
-    return ReleaseStep(age_ms, () if weights == UNKNOWN_WEIGHTS else weights)
+    return ReleaseStep(age_ms, () if weights == UNKNOWN_WEIGHTS else weights, from_ms)
 
 
 def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
@@ -138,7 +157,9 @@
     earlier = [step for step in (*known, *later) if step not in last]
     earlier.sort(key=lambda step: step.age_ms, reverse=True)
     newest_ms = earlier[-1].age_ms if earlier else math.inf
-    in_force = [replace(step, age_ms=min(step.age_ms, newest_ms)) for step in last]
+    in_force = [
+        replace(step, age_ms=min(step.age_ms, newest_ms), from_ms=step.starts_ms()) for step in last
+    ]
     return bound_steps((*earlier, *in_force))
 
 
@@ -182,7 +203,8 @@
 def bound_steps(steps: tuple[ReleaseStep, ...]) -> tuple[ReleaseStep, ...]:
     """Return a history of at most `MAX_STEPS` steps that admits all that this one does."""
     if len(steps) > MAX_READ_STEPS:
-        steps = (unknown_step(steps[-MAX_READ_STEPS].age_ms), *steps[1 - MAX_READ_STEPS :])
+        cut = steps[-MAX_READ_STEPS]
+        steps = (unknown_step(cut.age_ms, cut.starts_ms()), *steps[1 - MAX_READ_STEPS :])
     while len(steps) > MAX_STEPS:
         steps = _choose_merge(steps).apply(steps)
     return steps
@@ -209,7 +231,7 @@
     found = [merge for start in range(in_force - 1) if (merge := _merge_at(earlier, start))]
     if found:
         return min(found, key=lambda merge: merge.cost)
-    return _Merge(0, 2, (unknown_step(steps[0].age_ms),), 0.0)
+    return _Merge(0, 2, (unknown_step(steps[0].age_ms, steps[0].starts_ms()),), 0.0)
 
 
 def _merge_at(steps: tuple[ReleaseStep, ...], start: int) -> _Merge | None:
@@ -232,7 +254,11 @@
     """Return the merge of a group of steps, the last of which was replaced `until_ms` ago."""
     corners = _corners(group)
     ages = [group[0].age_ms, *[until_ms] * (len(corners) - 1)]
-    merged = tuple(map(ReleaseStep, ages, corners))
+    # Each corner may apply since the group began.
+    from_ms = max(step.starts_ms() for step in group)
+    merged = tuple(
+        ReleaseStep(age, weights, from_ms) for age, weights in zip(ages, corners, strict=True)
+    )
     age_s = max(until_ms / MS_PER_SECOND, 1.0)
     return _Merge(start, start + len(group), merged, _width(group) / age_s)
 
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -26,6 +26,8 @@
 READ_INTERVAL_MS = 1000
 # A row is written for what it holds beside proportions at most once in this time.
 REWRITE_INTERVAL_MS = 5000
+# A row is written for nominal starts at most once in this time.
+NOMINAL_INTERVAL_MS = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,6 +53,8 @@
         self._stored: dict[ServiceId, StoredRow] = {}
         # When rows were written last, or tried, for more than their proportions.
         self._written_again_at: dict[ServiceId, Millis] = {}
+        # When rows were written last, or tried, for nominal starts.
+        self._nominal_written_at: dict[ServiceId, Millis] = {}
 
     async def run(self) -> None:
         """Read the rows, then follow the list of upstreams."""
@@ -58,6 +62,7 @@
         while True:
             try:
                 self._note_unchanged()
+                core.releases.allows_nominal_starts = core.fleet.all_know_nominal_starts()
                 if self._is_read_due():
                     await self._read()
                 if core.cluster_state.complete and all(core.reading_store.values()):
@@ -106,12 +111,27 @@
         for service, counts in self._count_versions().items():
             members = self._digest_members(service)
             report = core.releases.next_report(service, counts, members)
+            if report is None:
+                report = self._nominal_report(service, members)
             if report is None:
                 report = self._report_again(service, members)
             if report is not None:
                 report = replace(report, silences=self._find_silences(report.steps))
                 self._apply([await self._store.write_release(report)])
 
+    def _nominal_report(
+        self, service: ServiceId, members: MembersDigest | None
+    ) -> ReleaseReport | None:
+        """Return the row to write for nominal starts of streams, `None` if that is right."""
+        now = self._core.clock.now()
+        written_at = self._nominal_written_at.get(service)
+        if written_at is not None and now - written_at < NOMINAL_INTERVAL_MS:
+            return None
+        report = self._core.releases.nominal_report(service, members)
+        if report is not None:
+            self._nominal_written_at[service] = now
+        return report
+
     def _report_again(
         self, service: ServiceId, members: MembersDigest | None
     ) -> ReleaseReport | None:
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -6,6 +6,9 @@
 it.  Older proportions stay in the row for as long as a stream that began under them can be taken
 up: such a stream may go on where all of them assign its prompt to the same version.
 
+Streams of callers that name their deadlines get their versions by their nominal starts instead,
+which are the same in all tries of a caller, so that no time that a router had to know decides.
+
 A row says in which era of the store it was written.  In a later era it is one of a copy, and what
 was in force since the copy was made is unknown to who did not follow the rows until then, unless
 the replicas' entries show that no proportions can have changed.
@@ -16,10 +19,13 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
+from skylarklift.entry.versions.nominal_starts import NominalStart, RouteSpan, RouteSpans
+from skylarklift.entry.versions.nominal_steps import TOLERANCE_MS, version_at, versions_at
 from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.release_steps import (
     SPREAD_MS,
+    STEP_DELAY_MS,
     ReleaseStep,
     VersionWeight,
     bound_steps,
@@ -49,15 +55,32 @@
 REPORT_DELAY_MS = 50
 # By then the replicas have written their entries again in a store that was restored.
 ENTRIES_SETTLE_MS = 2500
+# A step that is read again has about the same age.
+SAME_STEP_MS = 250
 
 
 @dataclass(frozen=True, slots=True)
 class KnownRelease:
-    """A service's row, when its ages were right, and since when the store is in its era."""
+    """A service's row, when its ages were right, and since when the store is in its era.
+
+    `step_seen_at` and `spans_seen_at` are since when this router knows its last step, and each of
+    its spans by the route.
+    """
 
     report: ReleaseReport
     known_at: Millis
     era_since: Millis
+    step_seen_at: Millis
+    spans_seen_at: Mapping[str, Millis]
+
+    def settled_ms(self, now: Millis) -> int | None:
+        """Return how long the last step has been in force at all routers, `None` if unknown."""
+        stored_ms = self.report.settled_ms
+        return None if stored_ms is None else stored_ms + now - self.known_at
+
+    def spans(self, now: Millis) -> tuple[RouteSpan, ...]:
+        """Return the spans with the ages of now."""
+        return tuple(span.aged(now - self.known_at) for span in self.report.spans)
 
 
 class Releases:
@@ -67,6 +90,9 @@
         self._clock = clock
         self._known: dict[ServiceId, KnownRelease] = {}
         self.deadlines = StreamDeadlines(clock)
+        self.route_spans = RouteSpans(clock)
+        # False while a router is there that does not know nominal starts.
+        self.allows_nominal_starts = True
         # When the known rows were the newest ones for certain.
         self._confirmed_at: Millis | None = None
         # Until when nobody can have written rows that this router does not know.
@@ -125,10 +151,39 @@
         if not is_newer and report.written_in == known.report.written_in:
             steps = self._current(known)
         is_same_era = known is not None and known.report.era == report.era
-        era_since = known.era_since if is_same_era else now
-        self._known[report.service] = KnownRelease(replace(report, steps=steps), now, era_since)
+        is_last = bool(report.steps) and steps[-1] == report.steps[-1]
+        settled_ms = report.settled_ms if is_last else None
+        self._known[report.service] = KnownRelease(
+            replace(report, steps=steps, settled_ms=settled_ms),
+            now,
+            known.era_since if is_same_era else now,
+            self._step_seen_at(known, steps),
+            self._spans_seen_at(known, report.spans),
+        )
         return is_newer and bool(report.steps)
 
+    def _step_seen_at(self, known: KnownRelease | None, steps: tuple[ReleaseStep, ...]) -> Millis:
+        """Return since when this router knows the last step."""
+        now = self._clock.now()
+        before = self._current(known) if known else ()
+        if not before or not steps or before[-1].weights != steps[-1].weights:
+            return now
+        is_same = abs(before[-1].age_ms - steps[-1].age_ms) <= SAME_STEP_MS
+        return known.step_seen_at if is_same else now
+
+    def _spans_seen_at(
+        self, known: KnownRelease | None, spans: tuple[RouteSpan, ...]
+    ) -> dict[str, Millis]:
+        """Return since when this router knows each span."""
+        now = self._clock.now()
+        before = {span.route: span.span_ms for span in known.report.spans} if known else {}
+        return {
+            span.route: (
+                known.spans_seen_at[span.route] if before.get(span.route) == span.span_ms else now
+            )
+            for span in spans
+        }
+
     def _complete_steps(
         self, report: ReleaseReport, known: KnownRelease | None
     ) -> tuple[ReleaseStep, ...]:
@@ -139,7 +194,7 @@
         is_later_era = known is not None and report.era > known.report.era
         is_copy = report.may_be_of_copy() or (is_later_era and report.written_in != report.era)
         if not steps or (is_copy and steps[-1].is_known):
-            steps = (*steps, unknown_step())
+            steps = (*steps, unknown_step(from_ms=_copied_ms(report)))
         before = self._current(known) if known else ()
         knows_more = bool(before) and known_for_ms(before) > known_for_ms(steps)
         if not knows_more or not self._are_followed():
@@ -149,8 +204,16 @@
 
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
+        now = self._clock.now()
         return tuple(
-            self._with_deadlines(replace(known.report, steps=self._current(known)))
+            self._with_deadlines(
+                replace(
+                    known.report,
+                    steps=self._current(known),
+                    settled_ms=known.settled_ms(now),
+                    spans=known.spans(now),
+                )
+            )
             for known in self._known.values()
         )
 
@@ -176,15 +239,52 @@
     def _current(self, known: KnownRelease) -> tuple[ReleaseStep, ...]:
         """Return the steps of a row with the ages of now."""
         elapsed_ms = self._clock.now() - known.known_at
-        return tuple(
-            ReleaseStep(step.age_ms + elapsed_ms, step.weights) for step in known.report.steps
-        )
+        return tuple(step.aged(elapsed_ms) for step in known.report.steps)
+
+    def assigned_version(
+        self, service: ServiceId, key: str, nominal_age_ms: int | None = None
+    ) -> SoftwareVersion | None:
+        """Return the version that begins streams of a prompt, `None` without a row.
 
-    def assigned_version(self, service: ServiceId, key: str) -> SoftwareVersion | None:
-        """Return the version that begins streams of a prompt, `None` without a row."""
+        Without a nominal start, the newest proportions decide.
+        """
+        steps = [step for step in self.steps(service) if step.is_known]
+        if not steps:
+            return None
+        if nominal_age_ms is None:
+            return pick_version(key, steps[-1].weights)
+        return version_at(steps, key, nominal_age_ms)
+
+    def nominal_age_ms(self, service: ServiceId, route: str, left_ms: int) -> int | None:
+        """Return how long ago a stream nominally began, `None` if its route has no span.
+
+        Its caller will wait for `left_ms` more, 0 if it names no time.
+        """
+        span = self._find_span(service, route)
+        return None if span is None or left_ms <= 0 else span.nominal_age_ms(left_ms)
+
+    def nominal_start(
+        self, service: ServiceId, route: str, left_ms: int, waited_ms: int = 0
+    ) -> NominalStart | None:
+        """Return the nominal start of a stream that a caller resumes.
+
+        Its request waited here for `waited_ms` at most.  Return `None` if some router may not have
+        used it.
+        """
+        span = self._find_span(service, route)
+        if span is None or not self.allows_nominal_starts or not 0 < left_ms <= span.span_ms:
+            return None
+        age_ms = span.nominal_age_ms(left_ms)
+        start = NominalStart(age_ms, age_ms + waited_ms)
+        if span.settled_ms is None or span.settled_ms < start.oldest_ms + TOLERANCE_MS:
+            return None
+        return start
+
+    def _find_span(self, service: ServiceId, route: str) -> RouteSpan | None:
+        """Return the span of a route, `None` if it has none."""
         known = self._known.get(service)
-        weights = [step.weights for step in known.report.steps if step.is_known] if known else []
-        return pick_version(key, weights[-1]) if weights else None
+        spans = known.spans(self._clock.now()) if known else ()
+        return next((span for span in spans if span.route == route), None)
 
     def begins_only_at(self, service: ServiceId, version: SoftwareVersion | None) -> bool:
         """Return whether all known proportions give each prompt to this version."""
@@ -206,6 +306,20 @@
             return None
         return possible_versions(steps, key, span_ms)
 
+    def began_nominally(
+        self, service: ServiceId, key: str, start: NominalStart, apart_ms: int = 0
+    ) -> frozenset[SoftwareVersion] | None:
+        """Return the versions at which a stream with this nominal start can have begun.
+
+        A router that has been, or was, apart since `apart_ms` ago may have begun it by the
+        proportions of then.  Return `None` if it is not known which proportions were in force.
+        """
+        known = self._known.get(service)
+        if known is None:
+            return None
+        oldest_ms, settled_ms = max(start.oldest_ms, apart_ms), known.settled_ms(self._clock.now())
+        return versions_at(self._current(known), key, start.age_ms, oldest_ms, settled_ms)
+
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
         """Return how long ago a stream that a caller resumes began at most.
 
@@ -271,13 +385,56 @@
     ) -> ReleaseReport:
         """Return the row to write with these steps."""
         known = self._known.get(service)
-        written_in = known.report.era if known else self._era
         return self._with_deadlines(
             ReleaseReport(
-                service, self.row_version(service), steps, written_in=written_in, members=members
+                service,
+                self.row_version(service),
+                steps,
+                written_in=known.report.era if known else self._era,
+                members=members,
+                settled_ms=self._settled_ms(known, steps),
+                spans=self._next_spans(service),
             )
         )
 
+    def _settled_ms(self, known: KnownRelease | None, steps: tuple[ReleaseStep, ...]) -> int | None:
+        """Return how long the last of some steps has been in force at all routers."""
+        if known is None or self._current(known)[-1:] != steps[-1:]:
+            return None
+        now = self._clock.now()
+        stored_ms = known.settled_ms(now)
+        return _settled_since(now - known.step_seen_at) if stored_ms is None else stored_ms
+
+    def _next_spans(self, service: ServiceId) -> tuple[RouteSpan, ...]:
+        """Return the spans to write in a service's row."""
+        known, now = self._known.get(service), self._clock.now()
+        spans = known.spans(now) if known else ()
+        settled = [
+            (
+                replace(span, settled_ms=_settled_since(now - known.spans_seen_at[span.route]))
+                if span.settled_ms is None
+                else span
+            )
+            for span in spans
+        ]
+        return self.route_spans.update(service, settled, allowed=self.allows_nominal_starts)
+
+    def nominal_report(
+        self, service: ServiceId, members: MembersDigest | None = None
+    ) -> ReleaseReport | None:
+        """Return the row to write for its spans, or as its last step is in force by now.
+
+        Return `None` if both are right.  A row of a copy is written for its proportions first.
+        """
+        known = self._known.get(service)
+        if known is None or not known.report.steps or known.report.may_be_of_copy():
+            return None
+        report = self.make_current_report(service, members)
+        has_settled = known.report.settled_ms is None and report.settled_ms is not None
+        # The first proportions follow no others.
+        is_missed = has_settled and bool(report.spans) and len(report.steps) > 1
+        return report if is_missed or _differ(report.spans, known.report.spans) else None
+
     def deadline_report(
         self,
         service: ServiceId,
@@ -326,3 +483,29 @@
     if len(counts) == 1:
         return (VersionWeight(next(iter(counts)), 1),)
     return tuple(VersionWeight(version, count) for version, count in sorted(counts.items()))
+
+
+def _settled_since(seen_ms: int) -> int | None:
+    """Return how long ago all routers knew what this one knows since `seen_ms` ago."""
+    return seen_ms - SPREAD_MS if seen_ms >= SPREAD_MS else None
+
+
+def _differ(spans: tuple[RouteSpan, ...], others: tuple[RouteSpan, ...]) -> bool:
+    """Return whether spans are others, or some have settled."""
+    first, second = (
+        [(span.route, span.span_ms, span.settled_ms is None) for span in items]
+        for items in (spans, others)
+    )
+    return first != second
+
+
+def _copied_ms(report: ReleaseReport) -> int:
+    """Return how long ago a step nominally began at the earliest that a copy may lack.
+
+    It was written after all that the copy holds.
+    """
+    written = [step.age_ms for step in report.steps[-1:]]
+    written += [span.settled_ms for span in report.spans if span.settled_ms is not None]
+    if report.settled_ms is not None:
+        written.append(report.settled_ms)
+    return min(written, default=MAX_SPAN_MS) - STEP_DELAY_MS
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -15,6 +15,7 @@
 from skylarklift.entry.gossip.silences import SILENCE_TTL_MS
 from skylarklift.entry.model import Endpoint
 from skylarklift.entry.versions.backup_routers import choose_backups, first_nodes
+from skylarklift.entry.versions.nominal_starts import NominalStart
 from skylarklift.entry.versions.origin_messages import (
     MAX_ORIGINS,
     OriginMessage,
@@ -60,13 +61,14 @@
 class ResumedStream:
     """A stream that a caller resumes: the request that began it, and what its prompt shares.
 
-    It began at most `max_age_ms` ago.
+    It began at most `max_age_ms` ago.  Its version is that of its nominal start, if that is known.
     """
 
     request: RequestId
     service: ServiceId
     key: str
     max_age_ms: int
+    nominal: NominalStart | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,8 +78,8 @@
     `asked` is how many other routers were asked, and `releases_age_ms` how old the rows on
     software versions were, `None` if that is not known.  `doubted_end` is that of the origin.
     `retry_after_ms` is when it may be known, if it is not.
-    `max_age_ms` is how long ago the stream began at most, and `steps` how many proportions of
-    that time were known.
+    `max_age_ms` is how long ago the stream began at most, `nominal_age_ms` how long ago nominally,
+    `None` if that is not known, and `steps` how many proportions of that time were known.
     """
 
     source: OriginSource
@@ -89,6 +91,7 @@
     max_age_ms: int = 0
     steps: int = 0
     retry_after_ms: int | None = None
+    nominal_age_ms: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -214,6 +217,7 @@
             asked=asked,
             releases_age_ms=self._releases.age_ms(),
             max_age_ms=stream.max_age_ms,
+            nominal_age_ms=None if stream.nominal is None else stream.nominal.age_ms,
             steps=self._releases.count_steps(stream.service, stream.max_age_ms),
         )
 
@@ -232,10 +236,10 @@
             return FoundOrigin(
                 OriginSource.OUTDATED, stream.service, retry_after_ms=OUTDATED_RETRY_AFTER_MS
             )
-        if stream.max_age_ms > SILENCE_TTL_MS:
+        oldest_ms = stream.max_age_ms if stream.nominal is None else stream.nominal.oldest_ms
+        if oldest_ms > SILENCE_TTL_MS:
             return FoundOrigin(OriginSource.LOST, stream.service)
-        apart_ms = self._fleet.longest_apart_ms(stream.max_age_ms)
-        versions = self._releases.began_at(stream.service, stream.key, stream.max_age_ms, apart_ms)
+        versions = self._find_versions(stream, self._fleet.longest_apart_ms(oldest_ms))
         if versions is None:
             left_ms = self._releases.settles_in_ms(stream.service)
             retry_after_ms = None if left_ms is None else left_ms + WRITE_DELAY_MS
@@ -245,6 +249,18 @@
         source = OriginSource.AMBIGUOUS if versions else OriginSource.UNKNOWN
         return FoundOrigin(source, stream.service)
 
+    def _find_versions(
+        self, stream: ResumedStream, apart_ms: int
+    ) -> frozenset[SoftwareVersion] | None:
+        """Return the versions at which a stream can have begun, `None` if that is not known.
+
+        A router may have been apart since `apart_ms` ago.
+        """
+        releases, service, key = self._releases, stream.service, stream.key
+        if stream.nominal is not None:
+            return releases.began_nominally(service, key, stream.nominal, apart_ms)
+        return releases.began_at(service, key, stream.max_age_ms, apart_ms)
+
     async def _ask(self, request: RequestId) -> tuple[int, bool]:
         """Ask other routers about a stream, and wait until one knows it or all have answered.
 
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -49,10 +49,20 @@
             return service
         if call.resume_after is not None:
             return await self._find_origin(service)
-        core.releases.deadlines.record(service, call.deadline_ms)
-        self.assigned = core.releases.assigned_version(service, affinity_key(call))
+        releases, route, left_ms = core.releases, self._route, self._left_ms()
+        releases.deadlines.record(service, call.deadline_ms)
+        releases.route_spans.record(service, route.name, left_ms, route.timeout_ms)
+        nominal_age_ms = releases.nominal_age_ms(service, route.name, left_ms)
+        self.assigned = releases.assigned_version(service, affinity_key(call), nominal_age_ms)
         return service
 
+    def _left_ms(self) -> int:
+        """Return how long the caller will still wait, 0 if it names no time."""
+        call = self._call
+        if call.deadline_ms <= 0:
+            return 0
+        return max(1, call.deadline_ms - (self._core.clock.now() - call.received_at))
+
     def _refuse_resumption(self) -> None:
         """Refuse a stream that a caller resumes: what another run writes does not follow it."""
         if self._route.kind is RouteKind.STREAM and self._call.resume_after:
@@ -69,8 +79,9 @@
         key = affinity_key(call) if call.parts else request
         max_age_ms = core.releases.max_age_ms(service, self._route.timeout_ms, call.deadline_ms)
         # The caller named the time that it had left before the request waited here.
-        max_age_ms += core.standstill.waiting_ms()
-        stream = ResumedStream(request, service, key, max_age_ms)
+        waited_ms = core.standstill.waiting_ms()
+        nominal = core.releases.nominal_start(service, self._route.name, self._left_ms(), waited_ms)
+        stream = ResumedStream(request, service, key, max_age_ms + waited_ms, nominal)
         self.origin = await core.resumptions.find(stream)
         core.metrics.increment("resumptions", self.origin.source.value)
         self.required = self.origin.version
@@ -195,5 +206,6 @@
             fields["routers_asked"] = self.origin.asked
             fields["releases_age_ms"] = self.origin.releases_age_ms
             fields["stream_max_age_ms"] = self.origin.max_age_ms
+            fields["nominal_age_ms"] = self.origin.nominal_age_ms
             fields["release_steps"] = self.origin.steps
         return fields
