Give a stream its version by its caller's deadline, not by when a router saw it begin

Cause: a stream's version was that of the proportions which a router knew when the stream began. Nothing that outlives the routers says when that was, so a router that took a stream up knew only a window of many proportions.

Change: callers name how long they will still wait, so their deadline is the same moment in all their tries. A row names a span for each route; the nominal start of a stream is its deadline less that span, and its version is that of the proportions at its nominal start. A router that knows nothing but the row finds it again. What stays uncertain is where a step begins: from its call plus 200 ms less 250 ms of tolerance until all routers knew it, which the next writer, or the row written again, says. So a write that the store performs late makes only the prompts uncertain that its step moved. Of a copy, what lies before its last known moment is certain. Spans are there only while no router of an earlier release is heard.

Ruled out: rows of origins (lost with a copy, 3,300 writes a second), tighter windows alone (the routes of 3 s and 15 s of a service share one), a span below the longest deadline (the window grows by as much as the lag falls).

--- a/features/build_messages.py
+++ b/features/build_messages.py
@@ -51,7 +51,20 @@
     """Return proportions; without any they are unknown."""
     steps = find("versions.release_steps") or releases
     pairs = sorted(weights.items())
-    return steps.ReleaseStep(age_ms, tuple(steps.VersionWeight(*pair) for pair in pairs))
+    return make(
+        steps.ReleaseStep,
+        age_ms=age_ms,
+        weights=tuple(steps.VersionWeight(*pair) for pair in pairs),
+        from_ms=age_ms - 150,
+        settled_ms=age_ms - 250,
+        stored_ms=NOW - age_ms,
+    )
+
+
+def make_spans() -> tuple:
+    """Return the span of a route."""
+    module = find("versions.nominal_starts")
+    return () if module is None else (module.RouteSpan("r1", 15_000, 800),)
 
 
 def make_report(*steps: Any) -> Any:
@@ -68,6 +81,7 @@
         members="0123456789abcdef",
         silences=make_silences(),
         shorter_deadlines=(stream_deadlines.LongestDeadline(3000, 100),),
+        spans=make_spans(),
     )
 
 
@@ -183,6 +197,7 @@
         steps=report.steps,
         deadline=report.deadline,
         written_in=getattr(report, "written_in", None),
+        spans=getattr(report, "spans", ()),
     )
     return release_rows.encode_release_row(row, NOW)
 
@@ -198,6 +213,7 @@
         era=FIRST_ERA,
         deadline=row.deadline,
         written_in=getattr(row, "written_in", None),
+        spans=getattr(row, "spans", ()),
     )
     known = releases.Releases(ManualClock(NOW))
     known.apply(report)
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -2,7 +2,7 @@
 
 import json
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from behave import given, then, when
 from hypothesis import given as given_random
@@ -11,6 +11,7 @@
 from features.release_fixtures import (
     LONGEST_MS,
     SERVICE,
+    RowOfService,
     gossip_of_releases,
     parse_steps,
     parse_weights,
@@ -18,9 +19,7 @@
 from skylarklift.clock import ManualClock, Millis
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import UpstreamRecord
-from skylarklift.entry.state.rows import FIRST_ERA, Era
 from skylarklift.entry.versions.release_members import digest_members
-from skylarklift.entry.versions.release_rows import ReleaseReport, decode_report, encode_report
 from skylarklift.entry.versions.release_steps import (
     ReleaseStep,
     VersionWeight,
@@ -55,46 +54,6 @@
     step: int
 
 
-@dataclass(frozen=True)
-class StoredRow:
-    """A row and when it was written."""
-
-    written_at: Millis
-    version: int
-    data: bytes
-
-
-@dataclass
-class RowOfService:
-    """The row of one service in a store that can go back to a copy."""
-
-    clock: ManualClock
-    era: Era = FIRST_ERA
-    stored: list[StoredRow] = field(default_factory=list)
-
-    def write(self, report: ReleaseReport) -> ReleaseReport:
-        """Write the row if it is still the one that its writer knows; return it as it is."""
-        if report.row_version != self._version():
-            return self.read()
-        now = self.clock.now()
-        version = report.row_version + 1
-        self.stored.append(StoredRow(now, version, encode_report(report, now)))
-        return replace(report, row_version=version, era=self.era)
-
-    def read(self) -> ReleaseReport:
-        """Return the row."""
-        data = self.stored[-1].data
-        return decode_report(SERVICE, self._version(), data, self.clock.now(), self.era)
-
-    def restore(self, lost_ms: int) -> None:
-        """Go back to a copy of `lost_ms` ago."""
-        self.stored = [row for row in self.stored if row.written_at <= self.clock.now() - lost_ms]
-        self.era = Era(self.era + 1)
-
-    def _version(self) -> int:
-        return self.stored[-1].version if self.stored else 0
-
-
 def write_counts(context, releases, counts, members=None):
     """Let a router that follows the store write the proportions, if they have changed."""
     releases.confirm(0)
--- a/features/steps/two_releases.py
+++ b/features/steps/two_releases.py
@@ -90,6 +90,9 @@
     by_new, by_old = read_both(context, context.by_old)
     not_said = dict(list_differences(by_old, by_new))
     assert set(not_said) == set(names.split()), by_new
+    if context.kind.startswith("row"):
+        # It is the moment of a step that both read.
+        assert not_said.pop("stored_ms") is not None
     assert all(value in NOT_SAID for value in not_said.values()), not_said
 
 
--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -55,12 +55,10 @@
     shorter = tuple(
         replace(item, age_ms=item.age_ms + waited_ms) for item in report.shorter_deadlines
     )
-    settled_ms = report.settled_ms
     return replace(
         report,
         steps=tuple(step.aged(waited_ms) for step in report.steps),
         deadline=deadline,
         shorter_deadlines=shorter,
-        settled_ms=None if settled_ms is None else settled_ms + waited_ms,
         spans=tuple(span.aged(waited_ms) for span in report.spans),
     )
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -235,7 +235,8 @@
 def _nominal_fields(report: ReleaseReport) -> tuple:
     """Return what a row says of nominal starts of streams."""
     spans = [(span.route, span.span_ms, span.settled_ms) for span in report.spans]
-    return report.settled_ms, [step.from_ms for step in report.steps], spans
+    steps = [(step.from_ms, step.settled_ms, step.stored_ms) for step in report.steps]
+    return steps, spans
 
 
 def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
@@ -261,32 +262,35 @@
     return tuple(found)
 
 
-def _add_nominal_starts(
-    report: ReleaseReport, settled_ms: Any, from_ms: Sequence, spans: Sequence
-) -> ReleaseReport:
+def _add_nominal_starts(report: ReleaseReport, starts: Sequence, spans: Sequence) -> ReleaseReport:
     """Return a row with what it says of nominal starts of streams; raise `ValueError`."""
-    # Steps that were merged as they were read say so themselves.
-    starts = from_ms if len(from_ms) == len(report.steps) else [None] * len(report.steps)
+    steps = report.steps
+    # Steps that were merged as they were read say it themselves.
+    if len(starts) == len(steps):
+        pairs = zip(steps, starts, strict=True)
+        steps = tuple(_add_moments(step, *moments) for step, moments in pairs)
+    found = tuple(_decode_span(*fields) for fields in spans[:MAX_SPANS])
+    return replace(report, steps=steps, spans=found)
+
+
+def _add_moments(step: ReleaseStep, from_ms: Any, settled_ms: Any, stored_ms: Any) -> ReleaseStep:
+    """Return a step with when it counts, is known, and was stored; raise `ValueError`."""
     return replace(
-        report,
-        steps=tuple(
-            step if start is None else replace(step, from_ms=_checked_start(start))
-            for step, start in zip(report.steps, starts, strict=True)
-        ),
-        settled_ms=None if settled_ms is None else _checked_start(settled_ms),
-        spans=tuple(_decode_span(*fields) for fields in spans[:MAX_SPANS]),
+        step,
+        from_ms=_optional_start(from_ms),
+        settled_ms=_optional_start(settled_ms),
+        stored_ms=_optional_start(stored_ms),
     )
 
 
-def _checked_start(value: Any) -> int:
-    """Return how long ago something began, less than 0 if it is to begin; raise `ValueError`."""
-    return checked_integer(value, -MAX_INTEGER)
+def _optional_start(value: Any) -> int | None:
+    """Return how long ago a moment was, less than 0 if it is to come; raise `ValueError`."""
+    return None if value is None else checked_integer(value, -MAX_INTEGER)
 
 
 def _decode_span(route: Any, span_ms: Any, settled_ms: Any) -> RouteSpan:
     """Return the span of a route; raise `ValueError`."""
-    settled = None if settled_ms is None else _checked_start(settled_ms)
-    return RouteSpan(checked_text(route), checked_integer(span_ms), settled)
+    return RouteSpan(checked_text(route), checked_integer(span_ms), _optional_start(settled_ms))
 
 
 def _decode_deadline(span_ms: Any, age_ms: Any) -> LongestDeadline:
--- a/skylarklift/entry/versions/nominal_starts.py
+++ b/skylarklift/entry/versions/nominal_starts.py
@@ -103,6 +103,16 @@
             oldest = next(iter(self._seen))
             del self._seen[oldest], self._timeouts_ms[oldest]
 
+    def mean_lag_ms(self, service: ServiceId, spans: Iterable[RouteSpan]) -> int:
+        """Return how long after their nominal starts the streams of a service begin on average."""
+        total = count = 0
+        for span in spans:
+            waiting = self._seen.get((service, span.route))
+            if waiting is not None:
+                total += waiting.count * max(0.0, span.span_ms - waiting.mean_ms)
+                count += waiting.count
+        return round(total / count) if count else 0
+
     def update(
         self, service: ServiceId, spans: Iterable[RouteSpan], *, allowed: bool
     ) -> tuple[RouteSpan, ...]:
--- a/skylarklift/entry/versions/nominal_steps.py
+++ b/skylarklift/entry/versions/nominal_steps.py
@@ -9,14 +9,14 @@
 from collections.abc import Sequence
 
 from skylarklift.entry.versions.release_steps import (
-    SPREAD_MS,
+    STEP_DELAY_MS,
     ReleaseStep,
     pick_version,
 )
 from skylarklift.ids import SoftwareVersion
 
 # Nominal starts differ by up to this between two tries: ways of requests, clocks of routers.
-TOLERANCE_MS = 300
+TOLERANCE_MS = 250
 
 
 def version_at(steps: Sequence[ReleaseStep], key: str, age_ms: int) -> SoftwareVersion:
@@ -32,18 +32,16 @@
     key: str,
     age_ms: int,
     apart_ms: int = 0,
-    settled_ms: int | None = None,
 ) -> frozenset[SoftwareVersion] | None:
     """Return the versions of which a stream that nominally began `age_ms` ago may be.
 
-    A router that has been apart since `apart_ms` ago may have used the steps of then.  The last one
-    has been in force at all routers since `settled_ms` ago, `None` if that is not known.  Return
+    A router that has been apart since `apart_ms` ago may have used the steps of then.  Return
     `None` if steps are not known that may have been used.
     """
     found: set[SoftwareVersion] = set()
     ended_ms = max(age_ms, apart_ms) + TOLERANCE_MS
     # Ages are larger the earlier something was.
-    for number, in_force_ms in _reversed_ends(steps, settled_ms):
+    for number, in_force_ms in _reversed_ends(steps):
         step = steps[number]
         has_started = number == 0 or step.starts_ms() >= age_ms - TOLERANCE_MS
         is_used = has_started and in_force_ms <= ended_ms
@@ -54,30 +52,29 @@
     return frozenset(found)
 
 
-def _reversed_ends(steps: Sequence[ReleaseStep], settled_ms: int | None) -> list[tuple[int, float]]:
+def _reversed_ends(steps: Sequence[ReleaseStep]) -> list[tuple[int, float]]:
     """Return, the newest step first, how long ago a later one was in force at all routers."""
     ends: list[tuple[int, float]] = []
     ended_ms = -math.inf
     for number in reversed(range(len(steps))):
         ends.append((number, ended_ms))
-        ended_ms = max(ended_ms, _in_force_ms(steps, number, settled_ms))
+        ended_ms = max(ended_ms, _in_force_ms(steps, number))
     return ends
 
 
-def _in_force_ms(steps: Sequence[ReleaseStep], number: int, settled_ms: int | None) -> float:
+def _in_force_ms(steps: Sequence[ReleaseStep], number: int) -> float:
     """Return how long ago all routers used a step at the latest."""
     step = steps[number]
     if not step.is_known:
         return -math.inf
-    if number + 1 == len(steps):
-        known_ms = -math.inf if settled_ms is None else settled_ms
-        return min(known_ms, step.starts_ms())
-    replaced_ms = steps[number + 1].age_ms
+    if step.settled_ms is not None:
+        return min(step.settled_ms, step.starts_ms())
+    replaced_ms = steps[number + 1].age_ms if number + 1 < len(steps) else -math.inf
     if replaced_ms >= step.age_ms:
         # One of several merged steps, which hold together with the ones before.
         return -math.inf
     # Whoever writes a step knows the one before.
-    return min(replaced_ms - SPREAD_MS, step.starts_ms())
+    return min(replaced_ms - STEP_DELAY_MS, step.starts_ms())
 
 
 def _versions_since(steps: Sequence[ReleaseStep], key: str) -> set[SoftwareVersion]:
--- a/skylarklift/entry/versions/release_rows.py
+++ b/skylarklift/entry/versions/release_rows.py
@@ -29,8 +29,7 @@
     which the row was read, `written_in` the one that its writer knew, `None` if it was a router of
     an earlier release.  `silences` are those in which the proportions changed, and
     `members` the processes for which it was written, `None` if it was not read from the store.
-    The last step has been in force at all routers since `settled_ms` ago, `None` if that is not
-    known; `spans` are those of routes whose streams get their versions by nominal starts.
+    `spans` are those of routes whose streams get their versions by nominal starts.
     """
 
     service: ServiceId
@@ -42,7 +41,6 @@
     shorter_deadlines: tuple[LongestDeadline, ...] = ()
     silences: tuple[SilenceReport, ...] = ()
     members: MembersDigest | None = None
-    settled_ms: int | None = None
     spans: tuple[RouteSpan, ...] = ()
 
     def deadlines(self) -> tuple[LongestDeadline, ...]:
@@ -61,8 +59,7 @@
 
     def _fields_present(self) -> int:
         """Return how many fields are there that not every report of the row has."""
-        optional = (self.written_in, self.members, self.settled_ms)
-        return sum(item is not None for item in optional) + bool(self.spans)
+        return (self.written_in is not None) + (self.members is not None) + bool(self.spans)
 
     def may_be_of_copy(self) -> bool:
         """Return whether the store may have lost later rows since this one was written."""
@@ -79,7 +76,6 @@
     shorter_deadlines: tuple[LongestDeadline, ...] = ()
     silences: tuple[SilenceReport, ...] = ()
     members: MembersDigest | None = None
-    settled_ms: int | None = None
     spans: tuple[RouteSpan, ...] = ()
 
 
@@ -92,7 +88,6 @@
         report.shorter_deadlines,
         report.silences,
         report.members,
-        report.settled_ms,
         report.spans,
     )
     return encode_release_row(row, now_ms)
@@ -113,7 +108,6 @@
         row.shorter_deadlines,
         row.silences,
         row.members,
-        row.settled_ms,
         row.spans,
     )
 
@@ -139,8 +133,6 @@
             {"began_ms": now_ms - item.began_ms, "ended_ms": now_ms - item.ended_ms}
             for item in row.silences
         ]
-    if row.settled_ms is not None:
-        value["settled_ms"] = now_ms - row.settled_ms
     if row.spans:
         value["spans"] = [_encode_span(span, now_ms) for span in row.spans]
     return json.dumps(value, separators=(",", ":")).encode()
@@ -149,11 +141,13 @@
 def _encode_step(step: ReleaseStep, now_ms: int) -> dict[str, Any]:
     """Return a step as a row has it."""
     value: dict[str, Any] = {
-        "since_ms": now_ms - step.age_ms,
+        "since_ms": now_ms - step.age_ms if step.stored_ms is None else step.stored_ms,
         "replicas": {item.version: item.weight for item in step.weights},
     }
     if step.from_ms is not None:
         value["from_ms"] = now_ms - step.from_ms
+    if step.settled_ms is not None:
+        value["settled_ms"] = now_ms - step.settled_ms
     return value
 
 
@@ -180,13 +174,10 @@
             _make_silence(item["began_ms"], item["ended_ms"], now_ms)
             for item in checked_list(value.get("silences", []))[:MAX_REPORTED_SILENCES]
         )
-        settled_ms = _optional_age(value, "settled_ms", now_ms)
         spans = tuple(
             _decode_span(item, now_ms) for item in checked_list(value.get("spans", []))[:MAX_SPANS]
         )
-        return ReleaseRow(
-            steps, deadline, written_in, shorter, silences, members, settled_ms, spans
-        )
+        return ReleaseRow(steps, deadline, written_in, shorter, silences, members, spans)
     except (ValueError, TypeError, KeyError, AttributeError):
         return ReleaseRow()
 
@@ -230,6 +221,8 @@
                     for version, count in sorted(row["replicas"].items())
                 ),
                 _optional_age(row, "from_ms", now_ms),
+                _optional_age(row, "settled_ms", now_ms),
+                checked_integer(row["since_ms"]),
             )
             for row in checked_list(value["steps"])
         )
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -18,8 +18,9 @@
 # A router that is in touch with the others may use proportions for this long after newer ones are
 # in the row.
 SPREAD_MS = 1000
-# A step is used for streams that nominally began this long after it was written.
-STEP_DELAY_MS = 500
+# A step is used for streams that nominally began this long after it was written, and all routers
+# that are in touch know it this long after one does.
+STEP_DELAY_MS = 200
 # Routers of earlier releases drop steps without a trace: those replaced for longer than this before
 # they write a row, and the oldest ones beyond `MAX_STEPS`.
 UNMARKED_TTL_MS = 60_000
@@ -44,11 +45,16 @@
 
     Without weights above 0 it is not known which proportions were in force.  Streams that nominally
     began since `from_ms` ago may be of the step; `None` if that is a while after it was written.
+    All routers knew the step `settled_ms` ago, less than 0 if they are to know it soon, `None` if
+    that is not known.  `stored_ms` is when it was written by the store's clock, if that is known, so
+    that it stays the same however often the row is written.
     """
 
     age_ms: int
     weights: tuple[VersionWeight, ...]
     from_ms: int | None = field(default=None, compare=False)
+    settled_ms: int | None = field(default=None, compare=False)
+    stored_ms: int | None = field(default=None, compare=False)
 
     def starts_ms(self) -> int:
         """Return how long ago the first stream nominally began to which the step may apply."""
@@ -57,7 +63,9 @@
     def aged(self, elapsed_ms: int) -> "ReleaseStep":
         """Return this step as it is `elapsed_ms` later."""
         from_ms = None if self.from_ms is None else self.from_ms + elapsed_ms
-        return ReleaseStep(self.age_ms + elapsed_ms, self.weights, from_ms)
+        settled_ms = None if self.settled_ms is None else self.settled_ms + elapsed_ms
+        age_ms = self.age_ms + elapsed_ms
+        return ReleaseStep(age_ms, self.weights, from_ms, settled_ms, self.stored_ms)
 
     def has_replicas(self, version: SoftwareVersion) -> bool:
         """Return whether a version has replicas that can be used."""
@@ -94,10 +102,15 @@
 
 
 def read_step(
-    age_ms: int, weights: tuple[VersionWeight, ...], from_ms: int | None = None
+    age_ms: int,
+    weights: tuple[VersionWeight, ...],
+    from_ms: int | None = None,
+    settled_ms: int | None = None,
+    stored_ms: int | None = None,
 ) -> ReleaseStep:
     """Return a step of a row or a message."""
-    return ReleaseStep(age_ms, () if weights == UNKNOWN_WEIGHTS else weights, from_ms)
+    known = () if weights == UNKNOWN_WEIGHTS else weights
+    return ReleaseStep(age_ms, known, from_ms, settled_ms, stored_ms)
 
 
 def pick_version(key: str, weights: tuple[VersionWeight, ...]) -> SoftwareVersion:
@@ -158,7 +171,13 @@
     earlier.sort(key=lambda step: step.age_ms, reverse=True)
     newest_ms = earlier[-1].age_ms if earlier else math.inf
     in_force = [
-        replace(step, age_ms=min(step.age_ms, newest_ms), from_ms=step.starts_ms()) for step in last
+        replace(
+            step,
+            age_ms=min(step.age_ms, newest_ms),
+            from_ms=step.starts_ms(),
+            stored_ms=step.stored_ms if step.age_ms <= newest_ms else None,
+        )
+        for step in last
     ]
     return bound_steps((*earlier, *in_force))
 
@@ -194,7 +213,11 @@
         return steps
     oldest, known_ms = steps[0], steps[-1].age_ms + UNMARKED_TTL_MS
     if oldest.age_ms > known_ms:
-        return (unknown_step(oldest.age_ms), replace(oldest, age_ms=known_ms), *steps[1:])
+        return (
+            unknown_step(oldest.age_ms),
+            replace(oldest, age_ms=known_ms, stored_ms=None),
+            *steps[1:],
+        )
     if len(steps) >= MAX_STEPS:
         return (unknown_step(oldest.age_ms), *steps)
     return steps
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -16,6 +16,7 @@
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.release_steps import SPREAD_MS, ReleaseStep
 from skylarklift.entry.versions.stream_deadlines import LongestDeadline
+from skylarklift.entry.versions.version_counts import CountHistory
 from skylarklift.errors import StoreError
 from skylarklift.ids import ServiceId, SoftwareVersion
 
@@ -55,6 +56,7 @@
         self._written_again_at: dict[ServiceId, Millis] = {}
         # When rows were written last, or tried, for nominal starts.
         self._nominal_written_at: dict[ServiceId, Millis] = {}
+        self._counts = CountHistory(core.clock)
 
     async def run(self) -> None:
         """Read the rows, then follow the list of upstreams."""
@@ -110,7 +112,10 @@
         core = self._core
         for service, counts in self._count_versions().items():
             members = self._digest_members(service)
-            report = core.releases.next_report(service, counts, members)
+            self._counts.record(service, counts)
+            lag_ms = core.releases.mean_lag_ms(service)
+            forecast = self._counts.forecast(service, counts, lag_ms)
+            report = core.releases.next_report(service, counts, members, forecast)
             if report is None:
                 report = self._nominal_report(service, members)
             if report is None:
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -44,6 +44,7 @@
     LongestDeadline,
     StreamDeadlines,
 )
+from skylarklift.entry.versions.version_counts import FORECAST_TTL_MS, is_forecast_of
 from skylarklift.ids import ServiceId, SoftwareVersion
 
 # Proportions count as long as a stream that began under them may be resumed, also by a router that
@@ -73,11 +74,6 @@
     step_seen_at: Millis
     spans_seen_at: Mapping[str, Millis]
 
-    def settled_ms(self, now: Millis) -> int | None:
-        """Return how long the last step has been in force at all routers, `None` if unknown."""
-        stored_ms = self.report.settled_ms
-        return None if stored_ms is None else stored_ms + now - self.known_at
-
     def spans(self, now: Millis) -> tuple[RouteSpan, ...]:
         """Return the spans with the ages of now."""
         return tuple(span.aged(now - self.known_at) for span in self.report.spans)
@@ -151,10 +147,8 @@
         if not is_newer and report.written_in == known.report.written_in:
             steps = self._current(known)
         is_same_era = known is not None and known.report.era == report.era
-        is_last = bool(report.steps) and steps[-1] == report.steps[-1]
-        settled_ms = report.settled_ms if is_last else None
         self._known[report.service] = KnownRelease(
-            replace(report, steps=steps, settled_ms=settled_ms),
+            replace(report, steps=steps),
             now,
             known.era_since if is_same_era else now,
             self._step_seen_at(known, steps),
@@ -210,7 +204,6 @@
                 replace(
                     known.report,
                     steps=self._current(known),
-                    settled_ms=known.settled_ms(now),
                     spans=known.spans(now),
                 )
             )
@@ -280,6 +273,12 @@
             return None
         return start
 
+    def mean_lag_ms(self, service: ServiceId) -> int:
+        """Return how long after it is written a step is used on average, 0 without spans."""
+        known = self._known.get(service)
+        spans = known.spans(self._clock.now()) if known else ()
+        return STEP_DELAY_MS + self.route_spans.mean_lag_ms(service, spans) if spans else 0
+
     def _find_span(self, service: ServiceId, route: str) -> RouteSpan | None:
         """Return the span of a route, `None` if it has none."""
         known = self._known.get(service)
@@ -317,8 +316,8 @@
         known = self._known.get(service)
         if known is None:
             return None
-        oldest_ms, settled_ms = max(start.oldest_ms, apart_ms), known.settled_ms(self._clock.now())
-        return versions_at(self._current(known), key, start.age_ms, oldest_ms, settled_ms)
+        oldest_ms = max(start.oldest_ms, apart_ms)
+        return versions_at(self._current(known), key, start.age_ms, oldest_ms)
 
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
         """Return how long ago a stream that a caller resumes began at most.
@@ -347,17 +346,19 @@
         service: ServiceId,
         counts: Mapping[SoftwareVersion, int],
         members: MembersDigest | None = None,
+        forecast: Mapping[SoftwareVersion, int] | None = None,
     ) -> ReleaseReport | None:
         """Return the row to write for the replicas of each version, `None` if all is right.
 
-        `members` are the processes of the service's replicas.
+        `members` are the processes of the service's replicas, and `forecast` the numbers of those
+        that are expected when new proportions are used.
         """
         known = self._known.get(service)
         if known is not None and self._may_be_whole(known.report, _weights(counts), members):
             if self.settles_in_ms(service) is not None:
                 return None
             return self.make_report(service, undisturbed_steps(self.steps(service)[:-1]), members)
-        steps = self.next_row(service, counts)
+        steps = self.next_row(service, counts, forecast)
         if steps is None and known is not None and known.report.members not in (None, members):
             # A copy of the store must hold the processes of its time.
             steps = self.steps(service)
@@ -385,6 +386,8 @@
     ) -> ReleaseReport:
         """Return the row to write with these steps."""
         known = self._known.get(service)
+        if known is not None and steps:
+            steps = self._settle_steps(known, steps)
         return self._with_deadlines(
             ReleaseReport(
                 service,
@@ -392,18 +395,24 @@
                 steps,
                 written_in=known.report.era if known else self._era,
                 members=members,
-                settled_ms=self._settled_ms(known, steps),
                 spans=self._next_spans(service),
             )
         )
 
-    def _settled_ms(self, known: KnownRelease | None, steps: tuple[ReleaseStep, ...]) -> int | None:
-        """Return how long the last of some steps has been in force at all routers."""
-        if known is None or self._current(known)[-1:] != steps[-1:]:
-            return None
-        now = self._clock.now()
-        stored_ms = known.settled_ms(now)
-        return _settled_since(now - known.step_seen_at) if stored_ms is None else stored_ms
+    def _settle_steps(
+        self, known: KnownRelease, steps: tuple[ReleaseStep, ...]
+    ) -> tuple[ReleaseStep, ...]:
+        """Return steps, of which the one that was the last until now says who knows it."""
+        last = self._current(known)[-1:]
+        seen_ms = self._clock.now() - known.step_seen_at
+        return tuple(
+            (
+                replace(step, settled_ms=seen_ms - STEP_DELAY_MS)
+                if step.settled_ms is None and (step,) == last
+                else step
+            )
+            for step in steps
+        )
 
     def _next_spans(self, service: ServiceId) -> tuple[RouteSpan, ...]:
         """Return the spans to write in a service's row."""
@@ -411,7 +420,7 @@
         spans = known.spans(now) if known else ()
         settled = [
             (
-                replace(span, settled_ms=_settled_since(now - known.spans_seen_at[span.route]))
+                replace(span, settled_ms=now - known.spans_seen_at[span.route] - STEP_DELAY_MS)
                 if span.settled_ms is None
                 else span
             )
@@ -430,7 +439,9 @@
         if known is None or not known.report.steps or known.report.may_be_of_copy():
             return None
         report = self.make_current_report(service, members)
-        has_settled = known.report.settled_ms is None and report.settled_ms is not None
+        last, seen_ms = known.report.steps[-1], self._clock.now() - known.step_seen_at
+        # The next step would say it, too.
+        has_settled = last.is_known and last.settled_ms is None and seen_ms >= SPREAD_MS
         # The first proportions follow no others.
         is_missed = has_settled and bool(report.spans) and len(report.steps) > 1
         return report if is_missed or _differ(report.spans, known.report.spans) else None
@@ -462,14 +473,18 @@
         return self.make_report(service, steps_since(self.steps(service), STEP_TTL_MS), members)
 
     def next_row(
-        self, service: ServiceId, counts: Mapping[SoftwareVersion, int]
+        self,
+        service: ServiceId,
+        counts: Mapping[SoftwareVersion, int],
+        forecast: Mapping[SoftwareVersion, int] | None = None,
     ) -> tuple[ReleaseStep, ...] | None:
         """Return the steps to write for the replicas of each version, `None` if all is right.
 
         A row of a copy is written again, so that it says in which era its steps are known.
         """
-        known, steps, weights = self._known.get(service), self.steps(service), _weights(counts)
-        is_in_force = bool(steps) and steps[-1].weights == weights
+        known, steps = self._known.get(service), self.steps(service)
+        weights = _weights(forecast or counts)
+        is_in_force = bool(steps) and _is_right(steps[-1], counts)
         if not weights or (is_in_force and not known.report.may_be_of_copy()):
             return None
         if not steps and self._era > FIRST_ERA:
@@ -478,6 +493,14 @@
         return kept if is_in_force else bound_steps((*kept, ReleaseStep(0, weights)))
 
 
+def _is_right(step: ReleaseStep, counts: Mapping[SoftwareVersion, int]) -> bool:
+    """Return whether proportions are right for the replicas of now, or for those expected."""
+    if step.weights == _weights(counts):
+        return True
+    weights = {item.version: item.weight for item in step.weights}
+    return step.age_ms < FORECAST_TTL_MS and len(counts) > 1 and is_forecast_of(weights, counts)
+
+
 def _weights(counts: Mapping[SoftwareVersion, int]) -> tuple[VersionWeight, ...]:
     """Return the proportions of versions; of a single one, its number does not matter."""
     if len(counts) == 1:
@@ -485,11 +508,6 @@
     return tuple(VersionWeight(version, count) for version, count in sorted(counts.items()))
 
 
-def _settled_since(seen_ms: int) -> int | None:
-    """Return how long ago all routers knew what this one knows since `seen_ms` ago."""
-    return seen_ms - SPREAD_MS if seen_ms >= SPREAD_MS else None
-
-
 def _differ(spans: tuple[RouteSpan, ...], others: tuple[RouteSpan, ...]) -> bool:
     """Return whether spans are others, or some have settled."""
     first, second = (
@@ -505,7 +523,7 @@
     It was written after all that the copy holds.
     """
     written = [step.age_ms for step in report.steps[-1:]]
-    written += [span.settled_ms for span in report.spans if span.settled_ms is not None]
-    if report.settled_ms is not None:
-        written.append(report.settled_ms)
+    settled = [item.settled_ms for item in (*report.steps, *report.spans)]
+    # Who wrote that something was known saw it that long before.
+    written += [age_ms + STEP_DELAY_MS for age_ms in settled if age_ms is not None]
     return min(written, default=MAX_SPAN_MS) - STEP_DELAY_MS
--- a/skylarklift/entry/versions/resumptions.py
+++ b/skylarklift/entry/versions/resumptions.py
@@ -70,6 +70,10 @@
     max_age_ms: int
     nominal: NominalStart | None = None
 
+    def oldest_ms(self) -> int:
+        """Return how long ago the proportions held at the earliest that decide."""
+        return self.max_age_ms if self.nominal is None else self.nominal.oldest_ms
+
 
 @dataclass(frozen=True, slots=True)
 class FoundOrigin:
@@ -80,6 +84,7 @@
     `retry_after_ms` is when it may be known, if it is not.
     `max_age_ms` is how long ago the stream began at most, `nominal_age_ms` how long ago nominally,
     `None` if that is not known, and `steps` how many proportions of that time were known.
+    `apart_ms` is since when a router may have used old proportions, 0 if none has.
     """
 
     source: OriginSource
@@ -92,6 +97,7 @@
     steps: int = 0
     retry_after_ms: int | None = None
     nominal_age_ms: int | None = None
+    apart_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -218,6 +224,7 @@
             releases_age_ms=self._releases.age_ms(),
             max_age_ms=stream.max_age_ms,
             nominal_age_ms=None if stream.nominal is None else stream.nominal.age_ms,
+            apart_ms=self._fleet.longest_apart_ms(stream.oldest_ms()),
             steps=self._releases.count_steps(stream.service, stream.max_age_ms),
         )
 
@@ -236,7 +243,7 @@
             return FoundOrigin(
                 OriginSource.OUTDATED, stream.service, retry_after_ms=OUTDATED_RETRY_AFTER_MS
             )
-        oldest_ms = stream.max_age_ms if stream.nominal is None else stream.nominal.oldest_ms
+        oldest_ms = stream.oldest_ms()
         if oldest_ms > SILENCE_TTL_MS:
             return FoundOrigin(OriginSource.LOST, stream.service)
         versions = self._find_versions(stream, self._fleet.longest_apart_ms(oldest_ms))
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -207,5 +207,6 @@
             fields["releases_age_ms"] = self.origin.releases_age_ms
             fields["stream_max_age_ms"] = self.origin.max_age_ms
             fields["nominal_age_ms"] = self.origin.nominal_age_ms
+            fields["apart_ms"] = self.origin.apart_ms
             fields["release_steps"] = self.origin.steps
         return fields
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -2,7 +2,7 @@
 
 import json
 from base64 import b64decode, b64encode
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -152,7 +152,10 @@
             return found[0] if found else ReleaseReport(report.service, 0, (), answer.era)
         self._check_status(answer.status)
         _, version = _decode_rows(answer.value)
-        return replace(report, row_version=version, era=answer.era)
+        # The ages are those of now.
+        return _decode_release(
+            RowChange(row["key"], version, data), self._store_now_ms(), answer.era
+        )
 
     def _store_now_ms(self) -> int:
         """Return the time of the store's clock, by its last answer."""
