--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -46,7 +46,7 @@
     Without weights above 0 it is not known which proportions were in force.  Streams that nominally
     began since `from_ms` ago may be of the step; `None` if that is a while after it was written.
     All routers knew the step `settled_ms` ago, less than 0 if they are to know it soon, `None` if
-    that is not known.  `stored_ms` is when it was written by the store's clock, if that is known, so
+    that is not known.  `stored_ms` is when it was written by the clock of the store, if known, so
     that it stays the same however often the row is written.
     """
 
