Split a service's row as it is known, and decisions on it, from the proportions; begin no stream by a copy's row

It waits now, 500 ms at most, until the row is written again or another router reports a later one. A stream whose route's span has not settled counts at least as old as its nominal start; spans are rounded up by 500 ms at most, and are not withdrawn and given in turns by routers that see different callers.

--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -67,7 +67,8 @@
     `state_changed` is set when a change is to be sent to the other routers at once,
     `load_observed` when an upstream is newly busy, and `crash_reported` when this router or another
     one has reported the crash of an upstream.
-    `releases_read` is set once rows on software versions are known, or there are none.
+    `releases_read` is set once rows on software versions are known, or there are none, and
+    `release_applied` with the next row that is new.
     `store_restored` is set when the store has lost what was written to it last.
     `descriptors_short` is set when a connection could not be opened for want of a descriptor.
     `accepts_callers` is true once callers can connect.
@@ -100,6 +101,7 @@
     attempts: set["Attempt"] = field(default_factory=set)
     newest_era: Era = NO_ERA
     releases_read: trio.Event = field(default_factory=trio.Event)
+    release_applied: trio.Event = field(default_factory=trio.Event)
     stopping_since: Millis | None = None
     requests_open: int = 0
     # Connections of other routers to upstreams that this one relays.
@@ -171,6 +173,8 @@
             source=source,
         )
         self.state_changed.set()
+        applied, self.release_applied = self.release_applied, trio.Event()
+        applied.set()
 
     async def wait_for_releases(self, limit_ms: int) -> None:
         """Wait until the rows on software versions have been read, `limit_ms` at most."""
--- a/skylarklift/entry/versions/nominal_starts.py
+++ b/skylarklift/entry/versions/nominal_starts.py
@@ -7,7 +7,7 @@
 since which all routers use a span got its version by that start.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
@@ -16,8 +16,9 @@
 # Further routes of a service have no span.
 MAX_SPANS = 64
 MAX_ROUTES = 5000
-# Spans are rounded up to this part of a power of two, so that they seldom change.
-PARTS_PER_OCTAVE = 8
+# Spans are rounded up, so that they seldom change, to less than the margin of longest deadlines.
+MAX_UNIT_MS = 500
+UNITS_PER_SPAN = 8
 # A route's time-out is its span if callers wait for at least this part of it.
 MIN_TIMEOUT_RATIO = 0.75
 # Where callers start this long after their nominal starts on average, these are of no use: streams
@@ -26,6 +27,10 @@
 # The mean is one of about so many streams, and counts once there were some.
 MEAN_COUNT = 64
 MIN_COUNT = 4
+# A span is withdrawn only if the mean is one of so many, and comes back after this time: routers
+# see different callers.
+MIN_WITHDRAWAL_COUNT = 32
+WITHDRAWAL_MS = 60_000
 # The longest time that a caller named counts for one to two of these.
 WINDOW_MS = 120_000
 
@@ -79,9 +84,14 @@
         """Return the longest time that a caller named lately."""
         return max(self.longest_ms, self.longest_before_ms)
 
-    def is_span_of_use(self, span_ms: int) -> bool:
-        """Return whether callers start soon after their nominal starts by a span."""
-        return self.count < MIN_COUNT or span_ms - self.mean_ms <= MAX_MEAN_LAG_MS
+    def may_begin(self, span_ms: int) -> bool:
+        """Return whether a span may be used from now on."""
+        return self.count >= MIN_COUNT and span_ms - self.mean_ms <= MAX_MEAN_LAG_MS / 2
+
+    def must_end(self, span_ms: int) -> bool:
+        """Return whether callers start so long after their nominal starts that it is of no use."""
+        is_known = self.count >= MIN_WITHDRAWAL_COUNT
+        return is_known and span_ms - self.mean_ms > MAX_MEAN_LAG_MS
 
 
 class RouteSpans:
@@ -91,6 +101,9 @@
         self._clock = clock
         self._seen: dict[tuple[ServiceId, str], WaitingTimes] = {}
         self._timeouts_ms: dict[tuple[ServiceId, str], int] = {}
+        # The routes that had spans in a service's row, and when they lost them.
+        self._routes: dict[ServiceId, frozenset[str]] = {}
+        self._withdrawn_at: dict[tuple[ServiceId, str], Millis] = {}
 
     def record(self, service: ServiceId, route: str, left_ms: int, timeout_ms: int) -> None:
         """Record how long the caller of a new stream will wait."""
@@ -102,6 +115,7 @@
         while len(self._seen) > MAX_ROUTES:
             oldest = next(iter(self._seen))
             del self._seen[oldest], self._timeouts_ms[oldest]
+            self._withdrawn_at.pop(oldest, None)
 
     def mean_lag_ms(self, service: ServiceId, spans: Iterable[RouteSpan]) -> int:
         """Return how long after their nominal starts the streams of a service begin on average."""
@@ -123,27 +137,40 @@
         if not allowed:
             return ()
         found = {item.route: item for item in spans}
+        self._note_withdrawn(service, found.keys())
         for (other, route), waiting in self._seen.items():
             if other != service or not waiting.longest():
                 continue
-            span = self._update_span(route, found.pop(route, None), waiting, service)
+            span = self._update_span(service, found.pop(route, None), route, waiting)
             if span is not None:
                 found[route] = span
         return tuple(sorted(found.values(), key=lambda item: item.route))[:MAX_SPANS]
 
+    def _note_withdrawn(self, service: ServiceId, routes: Set[str]) -> None:
+        """Note the routes whose spans are in the row no longer."""
+        for route in self._routes.get(service, frozenset()) - routes:
+            self._withdrawn_at[service, route] = self._clock.now()
+        self._routes[service] = frozenset(routes)
+
     def _update_span(
-        self, route: str, span: RouteSpan | None, waiting: WaitingTimes, service: ServiceId
+        self, service: ServiceId, span: RouteSpan | None, route: str, waiting: WaitingTimes
     ) -> RouteSpan | None:
         """Return the span of a route, `None` if none is of use."""
-        if span is None or waiting.longest() > span.span_ms:
-            span_ms = _round_span(waiting.longest(), self._timeouts_ms[service, route])
-            span = RouteSpan(route, span_ms)
-        return span if waiting.is_span_of_use(span.span_ms) else None
+        longest_ms = waiting.longest()
+        span_ms = _round_span(longest_ms, self._timeouts_ms[service, route])
+        if span is not None and longest_ms <= span.span_ms:
+            return None if waiting.must_end(span.span_ms) else span
+        if span is not None:
+            return None if waiting.must_end(span_ms) else RouteSpan(route, span_ms)
+        withdrawn_at = self._withdrawn_at.get((service, route))
+        if withdrawn_at is not None and self._clock.now() - withdrawn_at < WITHDRAWAL_MS:
+            return None
+        return RouteSpan(route, span_ms) if waiting.may_begin(span_ms) else None
 
 
 def _round_span(longest_ms: int, timeout_ms: int) -> int:
     """Return the span for callers that wait for `longest_ms` at most."""
     if MIN_TIMEOUT_RATIO * timeout_ms <= longest_ms <= timeout_ms:
         return timeout_ms
-    unit_ms = max(1, (1 << (longest_ms - 1).bit_length()) // PARTS_PER_OCTAVE)
+    unit_ms = max(1, min(MAX_UNIT_MS, longest_ms // UNITS_PER_SPAN))
     return -(-longest_ms // unit_ms) * unit_ms
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -15,19 +15,26 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
+from skylarklift.entry.versions.known_release import KnownRelease, learn_release
 from skylarklift.entry.versions.nominal_starts import NominalStart, RouteSpan, RouteSpans
 from skylarklift.entry.versions.nominal_steps import TOLERANCE_MS, version_at, versions_at
+from skylarklift.entry.versions.release_decisions import (
+    copied_ms,
+    differ,
+    is_right,
+    may_be_whole,
+    weights_of,
+)
 from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.release_steps import (
     SPREAD_MS,
     STEP_DELAY_MS,
     ReleaseStep,
-    VersionWeight,
     bound_steps,
     join_steps,
     known_for_ms,
@@ -44,7 +51,6 @@
     LongestDeadline,
     StreamDeadlines,
 )
-from skylarklift.entry.versions.version_counts import FORECAST_TTL_MS, is_forecast_of
 from skylarklift.ids import ServiceId, SoftwareVersion
 
 # Proportions count as long as a stream that began under them may be resumed, also by a router that
@@ -56,27 +62,6 @@
 REPORT_DELAY_MS = 50
 # By then the replicas have written their entries again in a store that was restored.
 ENTRIES_SETTLE_MS = 2500
-# A step that is read again has about the same age.
-SAME_STEP_MS = 250
-
-
-@dataclass(frozen=True, slots=True)
-class KnownRelease:
-    """A service's row, when its ages were right, and since when the store is in its era.
-
-    `step_seen_at` and `spans_seen_at` are since when this router knows its last step, and each of
-    its spans by the route.
-    """
-
-    report: ReleaseReport
-    known_at: Millis
-    era_since: Millis
-    step_seen_at: Millis
-    spans_seen_at: Mapping[str, Millis]
-
-    def spans(self, now: Millis) -> tuple[RouteSpan, ...]:
-        """Return the spans with the ages of now."""
-        return tuple(span.aged(now - self.known_at) for span in self.report.spans)
 
 
 class Releases:
@@ -145,39 +130,10 @@
             return False
         now, steps = self._clock.now(), self._complete_steps(report, known)
         if not is_newer and report.written_in == known.report.written_in:
-            steps = self._current(known)
-        is_same_era = known is not None and known.report.era == report.era
-        self._known[report.service] = KnownRelease(
-            replace(report, steps=steps),
-            now,
-            known.era_since if is_same_era else now,
-            self._step_seen_at(known, steps),
-            self._spans_seen_at(known, report.spans),
-        )
+            steps = known.steps(now)
+        self._known[report.service] = learn_release(replace(report, steps=steps), known, now)
         return is_newer and bool(report.steps)
 
-    def _step_seen_at(self, known: KnownRelease | None, steps: tuple[ReleaseStep, ...]) -> Millis:
-        """Return since when this router knows the last step."""
-        now = self._clock.now()
-        before = self._current(known) if known else ()
-        if not before or not steps or before[-1].weights != steps[-1].weights:
-            return now
-        is_same = abs(before[-1].age_ms - steps[-1].age_ms) <= SAME_STEP_MS
-        return known.step_seen_at if is_same else now
-
-    def _spans_seen_at(
-        self, known: KnownRelease | None, spans: tuple[RouteSpan, ...]
-    ) -> dict[str, Millis]:
-        """Return since when this router knows each span."""
-        now = self._clock.now()
-        before = {span.route: span.span_ms for span in known.report.spans} if known else {}
-        return {
-            span.route: (
-                known.spans_seen_at[span.route] if before.get(span.route) == span.span_ms else now
-            )
-            for span in spans
-        }
-
     def _complete_steps(
         self, report: ReleaseReport, known: KnownRelease | None
     ) -> tuple[ReleaseStep, ...]:
@@ -188,8 +144,8 @@
         is_later_era = known is not None and report.era > known.report.era
         is_copy = report.may_be_of_copy() or (is_later_era and report.written_in != report.era)
         if not steps or (is_copy and steps[-1].is_known):
-            steps = (*steps, unknown_step(from_ms=_copied_ms(report)))
-        before = self._current(known) if known else ()
+            steps = (*steps, unknown_step(from_ms=copied_ms(report)))
+        before = known.steps(self._clock.now()) if known else ()
         knows_more = bool(before) and known_for_ms(before) > known_for_ms(steps)
         if not knows_more or not self._are_followed():
             return bound_steps(steps)
@@ -199,16 +155,7 @@
     def reports(self) -> tuple[ReleaseReport, ...]:
         """Return the rows, with the ages of now."""
         now = self._clock.now()
-        return tuple(
-            self._with_deadlines(
-                replace(
-                    known.report,
-                    steps=self._current(known),
-                    spans=known.spans(now),
-                )
-            )
-            for known in self._known.values()
-        )
+        return tuple(self._with_deadlines(known.report_at(now)) for known in self._known.values())
 
     def _with_deadlines(self, report: ReleaseReport) -> ReleaseReport:
         """Return a row with the deadlines that are known now."""
@@ -223,17 +170,12 @@
     def steps(self, service: ServiceId) -> tuple[ReleaseStep, ...]:
         """Return the steps of a service, the oldest first."""
         known = self._known.get(service)
-        return self._current(known) if known else ()
+        return known.steps(self._clock.now()) if known else ()
 
     def count_steps(self, service: ServiceId, max_age_ms: int) -> int:
         """Return how many proportions some router may have used at most `max_age_ms` ago."""
         return len(steps_since(self.steps(service), max_age_ms))
 
-    def _current(self, known: KnownRelease) -> tuple[ReleaseStep, ...]:
-        """Return the steps of a row with the ages of now."""
-        elapsed_ms = self._clock.now() - known.known_at
-        return tuple(step.aged(elapsed_ms) for step in known.report.steps)
-
     def assigned_version(
         self, service: ServiceId, key: str, nominal_age_ms: int | None = None
     ) -> SoftwareVersion | None:
@@ -273,6 +215,14 @@
             return None
         return start
 
+    def may_lack_steps(self, service: ServiceId) -> bool:
+        """Return whether newer proportions may be in force at routers that lived on.
+
+        The row is one of a copy that was not written again yet.
+        """
+        steps = self.steps(service)
+        return bool(steps) and not steps[-1].is_known
+
     def mean_lag_ms(self, service: ServiceId) -> int:
         """Return how long after it is written a step is used on average, 0 without spans."""
         known = self._known.get(service)
@@ -282,8 +232,7 @@
     def _find_span(self, service: ServiceId, route: str) -> RouteSpan | None:
         """Return the span of a route, `None` if it has none."""
         known = self._known.get(service)
-        spans = known.spans(self._clock.now()) if known else ()
-        return next((span for span in spans if span.route == route), None)
+        return known.find_span(route, self._clock.now()) if known else None
 
     def begins_only_at(self, service: ServiceId, version: SoftwareVersion | None) -> bool:
         """Return whether all known proportions give each prompt to this version."""
@@ -317,7 +266,7 @@
         if known is None:
             return None
         oldest_ms = max(start.oldest_ms, apart_ms)
-        return versions_at(self._current(known), key, start.age_ms, oldest_ms)
+        return versions_at(known.steps(self._clock.now()), key, start.age_ms, oldest_ms)
 
     def max_age_ms(self, service: ServiceId, timeout_ms: int, left_ms: int) -> int:
         """Return how long ago a stream that a caller resumes began at most.
@@ -354,7 +303,7 @@
         that are expected when new proportions are used.
         """
         known = self._known.get(service)
-        if known is not None and self._may_be_whole(known.report, _weights(counts), members):
+        if known is not None and may_be_whole(known.report, weights_of(counts), members):
             if self.settles_in_ms(service) is not None:
                 return None
             return self.make_report(service, undisturbed_steps(self.steps(service)[:-1]), members)
@@ -364,20 +313,6 @@
             steps = self.steps(service)
         return None if steps is None else self.make_report(service, steps, members)
 
-    @staticmethod
-    def _may_be_whole(
-        report: ReleaseReport, weights: tuple[VersionWeight, ...], members: MembersDigest | None
-    ) -> bool:
-        """Return whether a row of a copy may be the newest one that was written.
-
-        Other proportions need other processes of replicas, but for versions that cannot be used.
-        """
-        if not report.may_be_of_copy() or len(report.steps) < 2 or report.steps[-1].is_known:
-            return False
-        if report.members is None or report.members != members:
-            return False
-        return report.steps[-2].weights == weights
-
     def make_report(
         self,
         service: ServiceId,
@@ -387,7 +322,7 @@
         """Return the row to write with these steps."""
         known = self._known.get(service)
         if known is not None and steps:
-            steps = self._settle_steps(known, steps)
+            steps = known.settle(steps, self._clock.now())
         return self._with_deadlines(
             ReleaseReport(
                 service,
@@ -399,34 +334,11 @@
             )
         )
 
-    def _settle_steps(
-        self, known: KnownRelease, steps: tuple[ReleaseStep, ...]
-    ) -> tuple[ReleaseStep, ...]:
-        """Return steps, of which the one that was the last until now says who knows it."""
-        last = self._current(known)[-1:]
-        seen_ms = self._clock.now() - known.step_seen_at
-        return tuple(
-            (
-                replace(step, settled_ms=seen_ms - STEP_DELAY_MS)
-                if step.settled_ms is None and (step,) == last
-                else step
-            )
-            for step in steps
-        )
-
     def _next_spans(self, service: ServiceId) -> tuple[RouteSpan, ...]:
         """Return the spans to write in a service's row."""
-        known, now = self._known.get(service), self._clock.now()
-        spans = known.spans(now) if known else ()
-        settled = [
-            (
-                replace(span, settled_ms=now - known.spans_seen_at[span.route] - STEP_DELAY_MS)
-                if span.settled_ms is None
-                else span
-            )
-            for span in spans
-        ]
-        return self.route_spans.update(service, settled, allowed=self.allows_nominal_starts)
+        known = self._known.get(service)
+        spans = known.settled_spans(self._clock.now()) if known else ()
+        return self.route_spans.update(service, spans, allowed=self.allows_nominal_starts)
 
     def nominal_report(
         self, service: ServiceId, members: MembersDigest | None = None
@@ -444,7 +356,7 @@
         has_settled = last.is_known and last.settled_ms is None and seen_ms >= SPREAD_MS
         # The first proportions follow no others.
         is_missed = has_settled and bool(report.spans) and len(report.steps) > 1
-        return report if is_missed or _differ(report.spans, known.report.spans) else None
+        return report if is_missed or differ(report.spans, known.report.spans) else None
 
     def deadline_report(
         self,
@@ -483,47 +395,11 @@
         A row of a copy is written again, so that it says in which era its steps are known.
         """
         known, steps = self._known.get(service), self.steps(service)
-        weights = _weights(forecast or counts)
-        is_in_force = bool(steps) and _is_right(steps[-1], counts)
+        weights = weights_of(forecast or counts)
+        is_in_force = bool(steps) and is_right(steps[-1], counts)
         if not weights or (is_in_force and not known.report.may_be_of_copy()):
             return None
         if not steps and self._era > FIRST_ERA:
             steps = (unknown_step(),)
         kept = steps_since(steps, STEP_TTL_MS)
         return kept if is_in_force else bound_steps((*kept, ReleaseStep(0, weights)))
-
-
-def _is_right(step: ReleaseStep, counts: Mapping[SoftwareVersion, int]) -> bool:
-    """Return whether proportions are right for the replicas of now, or for those expected."""
-    if step.weights == _weights(counts):
-        return True
-    weights = {item.version: item.weight for item in step.weights}
-    return step.age_ms < FORECAST_TTL_MS and len(counts) > 1 and is_forecast_of(weights, counts)
-
-
-def _weights(counts: Mapping[SoftwareVersion, int]) -> tuple[VersionWeight, ...]:
-    """Return the proportions of versions; of a single one, its number does not matter."""
-    if len(counts) == 1:
-        return (VersionWeight(next(iter(counts)), 1),)
-    return tuple(VersionWeight(version, count) for version, count in sorted(counts.items()))
-
-
-def _differ(spans: tuple[RouteSpan, ...], others: tuple[RouteSpan, ...]) -> bool:
-    """Return whether spans are others, or some have settled."""
-    first, second = (
-        [(span.route, span.span_ms, span.settled_ms is None) for span in items]
-        for items in (spans, others)
-    )
-    return first != second
-
-
-def _copied_ms(report: ReleaseReport) -> int:
-    """Return how long ago a step nominally began at the earliest that a copy may lack.
-
-    It was written after all that the copy holds.
-    """
-    written = [step.age_ms for step in report.steps[-1:]]
-    settled = [item.settled_ms for item in (*report.steps, *report.spans)]
-    # Who wrote that something was known saw it that long before.
-    written += [age_ms + STEP_DELAY_MS for age_ms in settled if age_ms is not None]
-    return min(written, default=MAX_SPAN_MS) - STEP_DELAY_MS
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -1,5 +1,8 @@
 """The software version of one caller's stream: where it begins, and where it may go on."""
 
+import trio
+
+from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
 from skylarklift.entry.placement.choice import WantedVersion
@@ -49,6 +52,7 @@
             return service
         if call.resume_after is not None:
             return await self._find_origin(service)
+        await self._wait_for_steps(service)
         releases, route, left_ms = core.releases, self._route, self._left_ms()
         releases.deadlines.record(service, call.deadline_ms)
         releases.route_spans.record(service, route.name, left_ms, route.timeout_ms)
@@ -56,6 +60,16 @@
         self.assigned = releases.assigned_version(service, affinity_key(call), nominal_age_ms)
         return service
 
+    async def _wait_for_steps(self, service: ServiceId) -> None:
+        """Wait for a moment while routers that lived on may know newer proportions.
+
+        A router that has just started reads those of a copy until the row is written again.
+        """
+        core = self._core
+        with trio.move_on_after(MAX_RELEASES_WAIT_MS / MS_PER_SECOND):
+            while core.releases.may_lack_steps(service):
+                await core.release_applied.wait()
+
     def _left_ms(self) -> int:
         """Return how long the caller will still wait, 0 if it names no time."""
         call = self._call
