--- a/features/release_histories.feature
+++ b/features/release_histories.feature
@@ -97,6 +97,19 @@
     When it joins the row "9= 5=v1:3"
     Then the joined history is "5=v1:3"
 
+  # Guards against a row that gets longer each time one of two routers reads what the other has written of
+  # one history, as they know its ages a little differently (issue 52).
+  Scenario Outline: Two routers that know the ages of a history <differ> ms differently read each other's rows
+    Given a restored store, whose row two routers know, the second one <differ> ms later
+    When each of them writes the row 10 times in turns
+    Then the row holds as many proportions as before
+
+    Examples:
+      | differ |
+      | 0      |
+      | 5      |
+      | 120    |
+
   # Guards against streams joined that a router that has just started began by the proportions of a copy, while others know later ones (issue 49).
   Scenario Outline: A router that starts anew begins streams by the row of a copy, and <writer> writes the row
     Given a release of 9 replicas, one each 500 ms, in which streams begin
--- a/features/steps/release_histories.py
+++ b/features/steps/release_histories.py
@@ -358,6 +358,40 @@
     resume_all(context)
 
 
+@given(
+    "a restored store, whose row two routers know, the second one {differ:d} ms later",
+)
+def restored_row(context, differ):
+    release(context, 6, 600)
+    context.store.restore(1000)
+    context.pair = (Releases(context.clock), Releases(context.clock))
+    context.pair[0].apply(context.store.read())
+    write_counts(context, context.pair[0], context.counts)
+    row = context.store.read()
+    context.pair[0].apply(row)
+    context.clock.advance(differ)
+    # It reads the ages of before.
+    context.pair[1].apply(row)
+    context.length = len(row.steps)
+
+
+@when("each of them writes the row {count:d} times in turns")
+def written_in_turns(context, count):
+    for _ in range(count):
+        for writer, reader in (context.pair, context.pair[::-1]):
+            context.clock.advance(CHECK_INTERVAL_MS)
+            for releases in context.pair:
+                releases.confirm(0)
+            writer.apply(context.store.write(writer.make_current_report(SERVICE)))
+            reader.apply(context.store.read())
+
+
+@then("the row holds as many proportions as before")
+def row_as_long(context):
+    steps = context.store.read().steps
+    assert len(steps) == context.length, [step.age_ms for step in steps]
+
+
 RANDOM_KEYS = [f"r{number}" for number in range(20)]
 RANDOM_AGES_MS = (0, 500, 1500, 4000, 15_000, 60_000)
 RANDOM_WEIGHTS = strategies.dictionaries(
