Let all routers' callers make the span of a route, and date steps by the best time of the store's clock

Routers report now how long callers wait where the row has no such span, and find no stream by a span that a caller lately exceeded.

--- a/features/build_messages.py
+++ b/features/build_messages.py
@@ -137,9 +137,16 @@
         hold_offs={"lm-5": 600},
         backpressure=make_backpressure(),
         silences=make_silences(),
+        route_waits=make_route_waits(),
     )
 
 
+def make_route_waits() -> tuple:
+    """Return how long the callers of a route wait."""
+    module = find("versions.nominal_starts")
+    return () if module is None else (module.RouteWait("lm", "r2", 12_000, 11_500, 11_000, 9),)
+
+
 def make_crashes() -> Any:
     """Return a message about crashes, with one of each item."""
     part = crash_evidence.Suspect(crash_evidence.SuspectKind("part"), "p1")
--- a/features/release_fixtures.py
+++ b/features/release_fixtures.py
@@ -66,6 +66,8 @@
 
     clock: ManualClock
     era: Era = FIRST_ERA
+    # By how much the time is late that its answers tell.
+    late_ms: int = 0
     stored: list[StoredRow] = field(default_factory=list)
 
     def write(self, report: ReleaseReport) -> ReleaseReport:
--- a/features/steps/nominal_review.py
+++ b/features/steps/nominal_review.py
@@ -5,8 +5,7 @@
 
 from behave import given, then, when
 
-from features.release_fixtures import SERVICE, RowOfService
-from features.steps.nominal_starts import (
+from features.nominal_world import (
     JITTER_MS,
     QUIET_MS,
     RESTART_MS,
@@ -14,8 +13,9 @@
     TIMEOUT_MS,
     BegunStream,
     World,
-    parse_step,
 )
+from features.release_fixtures import SERVICE, RowOfService
+from features.steps.nominal_starts import parse_step
 from skylarklift.clock import ManualClock
 from skylarklift.entry.versions.nominal_steps import version_at, versions_at
 from skylarklift.entry.versions.release_rows import ReleaseReport, decode_report, encode_report
@@ -31,8 +31,6 @@
 class LateStore(RowOfService):
     """A row in a store whose answers tell its time of a while ago."""
 
-    late_ms: int = 0
-
     def write(self, report: ReleaseReport) -> ReleaseReport:
         """Write the row if it is still the one that its writer knows; return it as it is."""
         count = len(self.stored)
@@ -56,7 +54,6 @@
     late_ms: int = 0
     longest_ms: int = TIMEOUT_MS
     takes_writes: bool = True
-    other_hears: bool = True
     waits_ms: tuple[int, ...] = ()
 
     def write(self) -> None:
@@ -64,17 +61,6 @@
         if self.takes_writes:
             super().write()
 
-    def learn(self) -> None:
-        """Let the other router learn of the rows that are due, if it hears of them."""
-        due_at = self.clock.now() - self.delay_ms
-        due = [row for row in self.store.stored if row.written_at <= due_at]
-        self.known.clear()
-        self.other.allows_nominal_starts = self.knows_all
-        if due and self.other_hears:
-            now, row = self.clock.now(), due[-1]
-            now -= getattr(self.store, "late_ms", 0)
-            self.other.apply(decode_report(SERVICE, row.version, row.data, now, self.store.era))
-
     def draw_wait(self) -> int:
         """Return for how long a caller waits."""
         return round(self.longest_ms * self.rng.uniform(0.85, 1.0))
@@ -169,7 +155,7 @@
 @given("the store tells a time {late:d} ms ago while routers write and read its rows")
 def store_tells_late(context, late):
     world = context.world
-    world.store = LateStore(world.clock, world.store.era, world.store.stored, late)
+    world.store = LateStore(world.clock, world.store.era, stored=world.store.stored, late_ms=late)
     context.late_store = world.store
 
 
--- a/features/steps/nominal_starts.py
+++ b/features/steps/nominal_starts.py
@@ -1,118 +1,26 @@
 """Steps for nominal starts of streams, and for the versions that follow from them."""
 
-from dataclasses import dataclass, field, replace
-from random import Random
+from dataclasses import replace
 
 from behave import given, then, when
 
-from features.release_fixtures import SERVICE, RowOfService, parse_weights
-from skylarklift.clock import ManualClock, Millis
+from features.nominal_world import (
+    JITTER_MS,
+    QUIET_MS,
+    RESTART_MS,
+    ROUTE,
+    TIMEOUT_MS,
+    BegunStream,
+    World,
+)
+from features.release_fixtures import SERVICE, parse_weights
+from skylarklift.clock import ManualClock
 from skylarklift.entry.versions.nominal_steps import versions_at
 from skylarklift.entry.versions.release_steps import ReleaseStep, pick_version
 from skylarklift.entry.versions.releases import Releases
 from skylarklift.entry.versions.version_counts import CountHistory
 from skylarklift.ids import SoftwareVersion
 
-ROUTE = "r1"
-TIMEOUT_MS = 15_000
-SHORTEST_RATIO = 0.85
-# Between two tries of a caller, ways of requests differ by up to this.
-JITTER_MS = 100
-TICK_MS = 50
-# The store performs a write this long after its call.
-WRITE_MS = 20
-STREAMS_PER_TICK = 3
-QUIET_MS = 5000
-RESTART_MS = 800
-SEED = 7
-
-
-@dataclass(frozen=True)
-class BegunStream:
-    """A stream: its prompt, when it began, for how long its caller waits, and its version."""
-
-    key: str
-    began_at: Millis
-    waits_ms: int
-    version: SoftwareVersion
-
-
-@dataclass
-class World:
-    """Two routers, one of which learns of rows later, a store, and callers with deadlines."""
-
-    delay_ms: int
-    clock: ManualClock = field(default_factory=lambda: ManualClock(1_000_000))
-    rng: Random = field(default_factory=lambda: Random(SEED))
-    streams: list[BegunStream] = field(default_factory=list)
-    counts: dict[str, int] = field(default_factory=lambda: {"v1": 1})
-    callers: str = ""
-    knows_all: bool = True
-    begins: bool = False
-
-    def __post_init__(self):
-        self.store = RowOfService(self.clock)
-        self.writer, self.other = Releases(self.clock), Releases(self.clock)
-        self.history = CountHistory(self.clock)
-        self.known: list[tuple[Millis, object]] = []
-        self.write_due: Millis | None = None
-
-    def write(self) -> None:
-        """Let the writer write the row for the replicas of now, if it is not right."""
-        self.writer.allows_nominal_starts = self.knows_all
-        self.writer.confirm(0)
-        self.history.record(SERVICE, self.counts)
-        ahead_ms = self.writer.mean_lag_ms(SERVICE)
-        forecast = self.history.forecast(SERVICE, self.counts, ahead_ms)
-        report = self.writer.next_report(SERVICE, self.counts, None, forecast)
-        report = report or self.writer.nominal_report(SERVICE)
-        if report is not None:
-            self.store.write(report)
-            self.clock.advance(WRITE_MS)
-            stored = self.store.read()
-            self.writer.apply(stored)
-            self.known.append((Millis(self.clock.now() + self.delay_ms), stored))
-
-    def learn(self) -> None:
-        """Let the other router learn of the rows that are due."""
-        now = self.clock.now()
-        due = [stored for at, stored in self.known if at <= now]
-        self.known = [(at, stored) for at, stored in self.known if at > now]
-        if due:
-            self.other.apply(self.store.read())
-        self.other.allows_nominal_starts = self.knows_all
-
-    def begin(self) -> None:
-        """Let callers begin streams at both routers."""
-        for number in range(STREAMS_PER_TICK):
-            releases = self.rng.choice((self.writer, self.other))
-            waits_ms = self.draw_wait()
-            key = f"k{self.clock.now()}-{number}"
-            releases.route_spans.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
-            age_ms = releases.nominal_age_ms(SERVICE, ROUTE, waits_ms)
-            version = releases.assigned_version(SERVICE, key, age_ms)
-            if self.begins:
-                self.streams.append(BegunStream(key, self.clock.now(), waits_ms, version))
-
-    def draw_wait(self) -> int:
-        """Return for how long a caller waits, 0 if it names no time."""
-        waits_ms = round(TIMEOUT_MS * self.rng.uniform(SHORTEST_RATIO, 1.0))
-        if self.callers == "of whom one waits for an hour" and self.rng.random() < 0.01:
-            return 3_600_000
-        if self.callers == "that name no deadline":
-            return 0
-        factors = {"that wait for twice as long": 2.0, "that wait for half as long": 0.5}
-        return round(waits_ms * factors.get(self.callers, 1.0))
-
-    def pass_time(self, span_ms: int) -> None:
-        """Let a time pass in which the routers do all of that."""
-        end = self.clock.now() + span_ms
-        while self.clock.now() < end:
-            self.write()
-            self.learn()
-            self.begin()
-            self.clock.advance(TICK_MS)
-
 
 @given("routers that know the span of a route, and one that learns of rows {delay:d} ms later")
 def routers(context, delay):
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -19,6 +19,7 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.state.rows import Era, TableSummary
+from skylarklift.entry.versions.nominal_starts import RouteWait
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.hashing import rendezvous_weight
 from skylarklift.ids import ReplicaId
@@ -83,7 +84,8 @@
     milliseconds for which upstreams want no request from a router that relays to them.
     `backpressure` is what it knows of upstreams that can reject few requests, and `silences` are
     the times that have ended in which it did not hear a router.  `knows_nominal_starts` is false
-    for a sender of a release whose streams get their versions by their begins only.
+    for a sender of a release whose streams get their versions by their begins only.  `route_waits`
+    is how long callers wait at it on routes without such a span.
     """
 
     node: str
@@ -109,6 +111,7 @@
     backpressure: Backpressure = Backpressure()
     silences: tuple[SilenceReport, ...] = ()
     knows_nominal_starts: bool = True
+    route_waits: tuple[RouteWait, ...] = ()
 
     @property
     def knows_doubted_ends(self) -> bool:
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -19,7 +19,7 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
-from skylarklift.entry.versions.nominal_starts import MAX_SPANS, RouteSpan
+from skylarklift.entry.versions.nominal_starts import MAX_SPANS, RouteSpan, RouteWait
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.release_steps import (
     ReleaseStep,
@@ -62,6 +62,7 @@
 HOLD_OFFS_KEY = "hold_offs"
 SILENCES_KEY = "silences"
 NOMINAL_STARTS_KEY = "nominal_starts"
+ROUTE_WAITS_KEY = "route_waits"
 COMPRESSION_LEVEL = 1
 
 
@@ -114,6 +115,17 @@
                 NOMINAL_STARTS_KEY: {
                     report.service: _nominal_fields(report) for report in message.releases
                 },
+                ROUTE_WAITS_KEY: [
+                    (
+                        wait.service,
+                        wait.route,
+                        wait.timeout_ms,
+                        wait.longest_ms,
+                        wait.mean_ms,
+                        wait.count,
+                    )
+                    for wait in message.route_waits
+                ],
                 ERAS_KEY: [summary.era for summary in message.tables],
                 OBSERVED_LOADS_KEY: [
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
@@ -170,6 +182,9 @@
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras),
+            route_waits=tuple(
+                _decode_wait(*fields) for fields in extras.get(ROUTE_WAITS_KEY, ())[:MAX_SPANS]
+            ),
             knows_nominal_starts=NOMINAL_STARTS_KEY in extras,
             silences=tuple(_decode_silence(*ages) for ages in extras.get(SILENCES_KEY, ())),
         )
@@ -288,6 +303,19 @@
     return None if value is None else checked_integer(value, -MAX_INTEGER)
 
 
+def _decode_wait(service: Any, route: Any, *numbers: Any) -> RouteWait:
+    """Return how long the callers of a route wait; raise `ValueError`."""
+    timeout_ms, longest_ms, mean_ms, count = map(checked_integer, numbers)
+    return RouteWait(
+        ServiceId(checked_text(service)),
+        checked_text(route),
+        timeout_ms,
+        longest_ms,
+        mean_ms,
+        count,
+    )
+
+
 def _decode_span(route: Any, span_ms: Any, settled_ms: Any) -> RouteSpan:
     """Return the span of a route; raise `ValueError`."""
     return RouteSpan(checked_text(route), checked_integer(span_ms), _optional_start(settled_ms))
--- a/skylarklift/entry/versions/known_release.py
+++ b/skylarklift/entry/versions/known_release.py
@@ -6,7 +6,7 @@
 from skylarklift.clock import Millis
 from skylarklift.entry.versions.nominal_starts import RouteSpan
 from skylarklift.entry.versions.release_rows import ReleaseReport
-from skylarklift.entry.versions.release_steps import STEP_DELAY_MS, ReleaseStep
+from skylarklift.entry.versions.release_steps import KNOWN_DELAY_MS, ReleaseStep
 
 # A step that is read again has about the same age.
 SAME_STEP_MS = 250
@@ -47,7 +47,7 @@
     def settle(self, steps: tuple[ReleaseStep, ...], now: Millis) -> tuple[ReleaseStep, ...]:
         """Return steps, of which the last one known until now says since when all know it."""
         last = self.steps(now)[-1:]
-        settled_ms = now - self.step_seen_at - STEP_DELAY_MS
+        settled_ms = now - self.step_seen_at - KNOWN_DELAY_MS
         return tuple(
             (
                 replace(step, settled_ms=settled_ms)
@@ -61,7 +61,7 @@
         """Return the spans, each of which says since when all routers know it."""
         return tuple(
             (
-                replace(span, settled_ms=now - self.spans_seen_at[span.route] - STEP_DELAY_MS)
+                replace(span, settled_ms=now - self.spans_seen_at[span.route] - KNOWN_DELAY_MS)
                 if span.settled_ms is None
                 else span
             )
--- a/skylarklift/entry/versions/nominal_starts.py
+++ b/skylarklift/entry/versions/nominal_starts.py
@@ -13,9 +13,10 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.ids import ServiceId
 
-# Further routes of a service have no span.
-MAX_SPANS = 64
-MAX_ROUTES = 5000
+# Further routes of all services together have no span, so that messages have room for all.
+MAX_SPANS = 256
+MAX_ROUTES = 1000
+MAX_SERVICES = 5000
 # Spans are rounded up, so that they seldom change, to less than the margin of longest deadlines.
 MAX_UNIT_MS = 500
 UNITS_PER_SPAN = 8
@@ -61,11 +62,24 @@
     oldest_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class RouteWait:
+    """How long the callers of a route wait, as a router saw it whose row has no such span."""
+
+    service: ServiceId
+    route: str
+    timeout_ms: int
+    longest_ms: int
+    mean_ms: int
+    count: int
+
+
 @dataclass(slots=True)
 class WaitingTimes:
     """How long the callers of a route wait when their streams begin, as seen here."""
 
     window_began_at: Millis
+    timeout_ms: int
     mean_ms: float = 0.0
     count: int = 0
     longest_ms: int = 0
@@ -80,6 +94,12 @@
         self.mean_ms += (left_ms - self.mean_ms) / min(self.count, MEAN_COUNT)
         self.longest_ms = max(self.longest_ms, left_ms)
 
+    def apply_report(self, wait: RouteWait) -> None:
+        """Use what another router saw, its mean only where this one saw fewer callers."""
+        self.longest_ms = max(self.longest_ms, wait.longest_ms)
+        if wait.count > self.count:
+            self.mean_ms, self.count = float(wait.mean_ms), wait.count
+
     def longest(self) -> int:
         """Return the longest time that a caller named lately."""
         return max(self.longest_ms, self.longest_before_ms)
@@ -99,8 +119,7 @@
 
     def __init__(self, clock: Clock):
         self._clock = clock
-        self._seen: dict[tuple[ServiceId, str], WaitingTimes] = {}
-        self._timeouts_ms: dict[tuple[ServiceId, str], int] = {}
+        self._seen: dict[ServiceId, dict[str, WaitingTimes]] = {}
         # The routes that had spans in a service's row, and when they lost them.
         self._routes: dict[ServiceId, frozenset[str]] = {}
         self._withdrawn_at: dict[tuple[ServiceId, str], Millis] = {}
@@ -109,42 +128,77 @@
         """Record how long the caller of a new stream will wait."""
         if left_ms <= 0:
             return
-        key, now = (service, route), self._clock.now()
-        self._seen.setdefault(key, WaitingTimes(now)).record(left_ms, now)
-        self._timeouts_ms[key] = timeout_ms
-        while len(self._seen) > MAX_ROUTES:
-            oldest = next(iter(self._seen))
-            del self._seen[oldest], self._timeouts_ms[oldest]
-            self._withdrawn_at.pop(oldest, None)
+        now = self._clock.now()
+        self._waiting_times(service, route, timeout_ms).record(left_ms, now)
+
+    def apply_report(self, wait: RouteWait) -> None:
+        """Use what another router saw of a route's callers."""
+        self._waiting_times(wait.service, wait.route, wait.timeout_ms).apply_report(wait)
+
+    def reports(self, service: ServiceId, spans: Iterable[RouteSpan]) -> list[RouteWait]:
+        """Return what the router that writes the row has to know, where it holds `spans`."""
+        known = {span.route: span.span_ms for span in spans}
+        return [
+            RouteWait(
+                service,
+                route,
+                waiting.timeout_ms,
+                waiting.longest(),
+                round(waiting.mean_ms),
+                waiting.count,
+            )
+            for route, waiting in self._seen.get(service, {}).items()
+            if waiting.longest() > known.get(route, 0)
+        ]
+
+    def _waiting_times(self, service: ServiceId, route: str, timeout_ms: int) -> WaitingTimes:
+        """Return what is known of a route's callers."""
+        routes = self._seen.setdefault(service, {})
+        if route not in routes:
+            routes[route] = WaitingTimes(self._clock.now(), timeout_ms)
+        found = routes[route]
+        found.timeout_ms = timeout_ms
+        while len(routes) > MAX_ROUTES:
+            oldest = next(iter(routes))
+            del routes[oldest]
+            self._withdrawn_at.pop((service, oldest), None)
+        while len(self._seen) > MAX_SERVICES:
+            del self._seen[next(iter(self._seen))]
+        return found
+
+    def is_exceeded(self, service: ServiceId, span: RouteSpan) -> bool:
+        """Return whether a caller lately waited for longer than a route's span."""
+        waiting = self._seen.get(service, {}).get(span.route)
+        return waiting is not None and waiting.longest() > span.span_ms
 
     def mean_lag_ms(self, service: ServiceId, spans: Iterable[RouteSpan]) -> int:
         """Return how long after their nominal starts the streams of a service begin on average."""
         total = count = 0
         for span in spans:
-            waiting = self._seen.get((service, span.route))
+            waiting = self._seen.get(service, {}).get(span.route)
             if waiting is not None:
                 total += waiting.count * max(0.0, span.span_ms - waiting.mean_ms)
                 count += waiting.count
         return round(total / count) if count else 0
 
     def update(
-        self, service: ServiceId, spans: Iterable[RouteSpan], *, allowed: bool
+        self, service: ServiceId, spans: Iterable[RouteSpan], *, most: int
     ) -> tuple[RouteSpan, ...]:
         """Return the spans that a service's row should hold, where it now holds `spans`.
 
-        There are none while a router is there that does not use them.
+        It may hold `most` of them, none while a router is there that does not use them.
         """
-        if not allowed:
+        if most <= 0:
             return ()
         found = {item.route: item for item in spans}
         self._note_withdrawn(service, found.keys())
-        for (other, route), waiting in self._seen.items():
-            if other != service or not waiting.longest():
+        for route, waiting in self._seen.get(service, {}).items():
+            if not waiting.longest():
                 continue
             span = self._update_span(service, found.pop(route, None), route, waiting)
             if span is not None:
                 found[route] = span
-        return tuple(sorted(found.values(), key=lambda item: item.route))[:MAX_SPANS]
+        return tuple(sorted(found.values(), key=lambda item: item.route))[:most]
 
     def _note_withdrawn(self, service: ServiceId, routes: Set[str]) -> None:
         """Note the routes whose spans are in the row no longer."""
@@ -157,7 +211,7 @@
     ) -> RouteSpan | None:
         """Return the span of a route, `None` if none is of use."""
         longest_ms = waiting.longest()
-        span_ms = _round_span(longest_ms, self._timeouts_ms[service, route])
+        span_ms = _round_span(longest_ms, waiting.timeout_ms)
         if span is not None and longest_ms <= span.span_ms:
             return None if waiting.must_end(span.span_ms) else span
         if span is not None:
--- a/skylarklift/entry/versions/nominal_steps.py
+++ b/skylarklift/entry/versions/nominal_steps.py
@@ -9,14 +9,14 @@
 from collections.abc import Sequence
 
 from skylarklift.entry.versions.release_steps import (
-    STEP_DELAY_MS,
+    KNOWN_DELAY_MS,
     ReleaseStep,
     pick_version,
 )
 from skylarklift.ids import SoftwareVersion
 
 # Nominal starts differ by up to this between two tries: ways of requests, clocks of routers.
-TOLERANCE_MS = 250
+TOLERANCE_MS = 400
 
 
 def version_at(steps: Sequence[ReleaseStep], key: str, age_ms: int) -> SoftwareVersion:
@@ -74,7 +74,7 @@
         # One of several merged steps, which hold together with the ones before.
         return -math.inf
     # Whoever writes a step knows the one before.
-    return min(replaced_ms - STEP_DELAY_MS, step.starts_ms())
+    return min(replaced_ms - KNOWN_DELAY_MS, step.starts_ms())
 
 
 def _versions_since(steps: Sequence[ReleaseStep], key: str) -> set[SoftwareVersion]:
--- a/skylarklift/entry/versions/release_decisions.py
+++ b/skylarklift/entry/versions/release_decisions.py
@@ -5,7 +5,12 @@
 from skylarklift.entry.versions.nominal_starts import RouteSpan
 from skylarklift.entry.versions.release_members import MembersDigest
 from skylarklift.entry.versions.release_rows import ReleaseReport
-from skylarklift.entry.versions.release_steps import STEP_DELAY_MS, ReleaseStep, VersionWeight
+from skylarklift.entry.versions.release_steps import (
+    KNOWN_DELAY_MS,
+    STEP_DELAY_MS,
+    ReleaseStep,
+    VersionWeight,
+)
 from skylarklift.entry.versions.stream_deadlines import MAX_SPAN_MS
 from skylarklift.entry.versions.version_counts import FORECAST_TTL_MS, is_forecast_of
 from skylarklift.ids import SoftwareVersion
@@ -57,5 +62,5 @@
     written = [step.age_ms for step in report.steps[-1:]]
     settled = [item.settled_ms for item in (*report.steps, *report.spans)]
     # Who wrote that something was known saw it that long before.
-    written += [age_ms + STEP_DELAY_MS for age_ms in settled if age_ms is not None]
+    written += [age_ms + KNOWN_DELAY_MS for age_ms in settled if age_ms is not None]
     return min(written, default=MAX_SPAN_MS) - STEP_DELAY_MS
--- a/skylarklift/entry/versions/release_steps.py
+++ b/skylarklift/entry/versions/release_steps.py
@@ -18,9 +18,10 @@
 # A router that is in touch with the others may use proportions for this long after newer ones are
 # in the row.
 SPREAD_MS = 1000
-# A step is used for streams that nominally began this long after it was written, and all routers
-# that are in touch know it this long after one does.
+# A step is used for streams that nominally began this long after it was written.
 STEP_DELAY_MS = 200
+# All routers that are in touch know a step this long after one does.
+KNOWN_DELAY_MS = 500
 # Routers of earlier releases drop steps without a trace: those replaced for longer than this before
 # they write a row, and the oldest ones beyond `MAX_STEPS`.
 UNMARKED_TTL_MS = 60_000
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -27,7 +27,7 @@
 READ_INTERVAL_MS = 1000
 # A row is written for what it holds beside proportions at most once in this time.
 REWRITE_INTERVAL_MS = 5000
-# A row is written for nominal starts at most once in this time.
+# It is looked at this interval whether to write a row for nominal starts.
 NOMINAL_INTERVAL_MS = 1000
 
 
@@ -54,8 +54,8 @@
         self._stored: dict[ServiceId, StoredRow] = {}
         # When rows were written last, or tried, for more than their proportions.
         self._written_again_at: dict[ServiceId, Millis] = {}
-        # When rows were written last, or tried, for nominal starts.
-        self._nominal_written_at: dict[ServiceId, Millis] = {}
+        # When it was looked last whether to write rows for nominal starts.
+        self._nominal_looked_at: dict[ServiceId, Millis] = {}
         self._counts = CountHistory(core.clock)
 
     async def run(self) -> None:
@@ -129,13 +129,11 @@
     ) -> ReleaseReport | None:
         """Return the row to write for nominal starts of streams, `None` if that is right."""
         now = self._core.clock.now()
-        written_at = self._nominal_written_at.get(service)
-        if written_at is not None and now - written_at < NOMINAL_INTERVAL_MS:
+        looked_at = self._nominal_looked_at.get(service)
+        if looked_at is not None and now - looked_at < NOMINAL_INTERVAL_MS:
             return None
-        report = self._core.releases.nominal_report(service, members)
-        if report is not None:
-            self._nominal_written_at[service] = now
-        return report
+        self._nominal_looked_at[service] = now
+        return self._core.releases.nominal_report(service, members)
 
     def _report_again(
         self, service: ServiceId, members: MembersDigest | None
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -20,7 +20,13 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
 from skylarklift.entry.versions.known_release import KnownRelease, learn_release
-from skylarklift.entry.versions.nominal_starts import NominalStart, RouteSpan, RouteSpans
+from skylarklift.entry.versions.nominal_starts import (
+    MAX_SPANS,
+    NominalStart,
+    RouteSpan,
+    RouteSpans,
+    RouteWait,
+)
 from skylarklift.entry.versions.nominal_steps import TOLERANCE_MS, version_at, versions_at
 from skylarklift.entry.versions.release_decisions import (
     copied_ms,
@@ -209,6 +215,8 @@
         span = self._find_span(service, route)
         if span is None or not self.allows_nominal_starts or not 0 < left_ms <= span.span_ms:
             return None
+        if self.route_spans.is_exceeded(service, span):
+            return None
         age_ms = span.nominal_age_ms(left_ms)
         start = NominalStart(age_ms, age_ms + waited_ms)
         if span.settled_ms is None or span.settled_ms < start.oldest_ms + TOLERANCE_MS:
@@ -229,6 +237,16 @@
         spans = known.spans(self._clock.now()) if known else ()
         return STEP_DELAY_MS + self.route_spans.mean_lag_ms(service, spans) if spans else 0
 
+    def route_waits(self) -> tuple[RouteWait, ...]:
+        """Return what this router saw of callers for whom the rows have no span."""
+        now = self._clock.now()
+        found = [
+            wait
+            for service, known in self._known.items()
+            for wait in self.route_spans.reports(service, known.spans(now))
+        ]
+        return tuple(found[:MAX_SPANS])
+
     def _find_span(self, service: ServiceId, route: str) -> RouteSpan | None:
         """Return the span of a route, `None` if it has none."""
         known = self._known.get(service)
@@ -338,7 +356,11 @@
         """Return the spans to write in a service's row."""
         known = self._known.get(service)
         spans = known.settled_spans(self._clock.now()) if known else ()
-        return self.route_spans.update(service, spans, allowed=self.allows_nominal_starts)
+        others = (item for name, item in self._known.items() if name != service)
+        most = MAX_SPANS - sum(len(item.report.spans) for item in others)
+        return self.route_spans.update(
+            service, spans, most=most if self.allows_nominal_starts else 0
+        )
 
     def nominal_report(
         self, service: ServiceId, members: MembersDigest | None = None
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -27,6 +27,7 @@
 from skylarklift.ids import ServiceId
 from skylarklift.platform import names
 from skylarklift.platform.rows import PlatformRowFormat
+from skylarklift.platform.store_clock import StoreClock
 from skylarklift.util.bounded import (
     checked_integer,
     checked_list,
@@ -63,7 +64,7 @@
         self._address = address
         self._row_format = rows
         self._clock = clock or LoopClock()
-        self._clock_offset_ms = 0
+        self._store_clock = StoreClock(self._clock)
         self._conns: dict[str, HttpConnection] = {}
 
     async def read_table(self, table: RowTable) -> RowPage:
@@ -133,13 +134,13 @@
     async def read_releases(self) -> list[ReleaseReport]:
         """Return the rows on the software versions of all services."""
         page = await self._read_all(RELEASE_TABLE)
-        now_ms = self._store_now_ms()
+        now_ms = self._store_clock.now_ms()
         return [_decode_release(row, now_ms, page.era) for row in page.rows]
 
     async def write_release(self, report: ReleaseReport) -> ReleaseReport:
         """Write a service's row if its version is still the one named; return the row as it is."""
         row = {"table": RELEASE_TABLE, "part": "", "key": report.service}
-        data = encode_report(report, self._store_now_ms())
+        data = encode_report(report, self._store_clock.now_ms())
         body = {
             "expected": [{**row, "row_version": report.row_version}],
             "write": [{**row, "data": b64encode(data).decode()}],
@@ -154,17 +155,13 @@
         _, version = _decode_rows(answer.value)
         # The ages are those of now.
         return _decode_release(
-            RowChange(row["key"], version, data), self._store_now_ms(), answer.era
+            RowChange(row["key"], version, data), self._store_clock.now_ms(), answer.era
         )
 
-    def _store_now_ms(self) -> int:
-        """Return the time of the store's clock, by its last answer."""
-        return self._clock_offset_ms + self._clock.now()
-
     def _note_clock(self, value: dict[str, Any]) -> None:
         """Record the time of the store's clock that an answer tells."""
         if "now_ms" in value:
-            self._clock_offset_ms = checked_integer(value["now_ms"]) - self._clock.now()
+            self._store_clock.record(checked_integer(value["now_ms"]))
 
     @staticmethod
     def _check_status(status: int) -> None:
