Log what a soak of streams does, on the clock of all its processes

Cause: a run could not be traced across a kill of all routers. Their logs were appended at each start (5 to 7 starts a router in 10 s of herd and router kills), but the times in them count from a random one of each process, and neither the kills nor the writes of the store were logged. Change: run.log in the run's folder tells faults, starts and kills of routers, rows on software versions as the store performs them, and restores; a router's start line names the machine's clock; soak.timeline shows all logs as one table. Ruled out: a file for each start: the logs are appended already, and the folder of a run bounds them.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -243,3 +243,9 @@
     Examples:
       | seed |
       | 1    |
+
+  # Guards against a run that cannot be traced across a kill of all routers, since each of their
+  # processes has a clock of its own (issue 52).
+  Scenario: The logs of a soak of streams tell what its routers did before and after all were killed
+    When it runs for 4 s with seed 1, kept logs and only "herd_kill"
+    Then the logs hold all starts of each router, in the order of one clock
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -1,6 +1,9 @@
 """Steps for the soak of streams and its checker."""
 
+import tempfile
+from collections import Counter
 from dataclasses import replace
+from pathlib import Path
 
 from behave import then, when
 
@@ -16,11 +19,14 @@
     Options,
     run_seed,
 )
+from soak.timeline import read_records
 from standins.stream_wire import Ending
 
 MIN_REQUESTS = 40
 MANY_CALLERS = 40
 LAST_CALLS_S = 3.0
+# A router logs its start this long after its process was started, at most.
+MAX_START_MS = 8000
 
 
 def make_events(text: str, request: str) -> list[Received]:
@@ -187,3 +193,23 @@
     result = context.result
     assert not result.violations, "\n".join(result.violations)
     assert len(result.calls) > MIN_REQUESTS, result.summary()
+
+
+@when('it runs for {span:d} s with seed {seed:d}, kept logs and only "{faults}"')
+def soak_runs_kept(context, span, seed, faults):
+    with tempfile.TemporaryDirectory() as folder:
+        run_seed(Options(seed, span, only_faults=tuple(faults.split(", ")), keep=folder))
+        context.records = read_records(Path(folder))
+
+
+@then("the logs hold all starts of each router, in the order of one clock")
+def logs_hold_starts(context):
+    places = Counter(record.place for record in context.records if record.event == "start")
+    assert sum(places.values()) > len(places) > 0, places
+    began = None
+    for record in context.records:
+        if record.event == "routers_killed":
+            began = record
+        elif record.event == "start" and began is not None:
+            assert 0 <= record.at_ms - began.at_ms <= MAX_START_MS, (began, record)
+    assert began is not None
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -1,6 +1,7 @@
 """Run an entry router: its tasks, reloads of its settings, and its graceful shutdown."""
 
 import signal
+import time
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 
@@ -60,7 +61,13 @@
         """Run until a stop signal, then until all requests end or the grace period ends."""
         core = self._core
         settings = core.settings
-        core.event_log.write("start", zone=settings.zone, callers=str(settings.callers))
+        core.event_log.write(
+            "start",
+            zone=settings.zone,
+            callers=str(settings.callers),
+            # The times of all lines count from a random one of this process.
+            monotonic_ms=int(time.monotonic() * MS_PER_SECOND),
+        )
         async with trio.open_nursery() as nursery:
             start = nursery.start_soon
             for acceptor in self._make_acceptors():
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -410,6 +410,8 @@
         for router in chosen:
             self._busy.add(router.name)
             router.process.kill()
+        names = [router.name for router in chosen]
+        self._replica_world.run_log.write("routers_killed", nodes=names)
         return chosen
 
     async def _restart_routers(self, killed: list[RouterProcess]) -> None:
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -19,6 +19,7 @@
 from soak.router_paths import RouterPaths
 from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
 from soak.stream_load import SHORT
+from soak.stream_records import LoggedStore, RunLog
 from standins.entry_world import ROOT, EntryWorld
 from standins.platform_world import HOST, ROUTE_DEFAULTS
 from standins.stream_replica import Framing, open_listener
@@ -102,6 +103,8 @@
     def __init__(self, nursery: trio.Nursery, folder: str, seed: int):
         super().__init__(nursery, folder)
         self._seed = seed
+        self.run_log = RunLog(self.folder / "run.log")
+        self.store = LoggedStore(self.run_log)
         self.replica_processes: dict[str, ReplicaProcess] = {}
         self.replica_proxies: dict[str, LoopbackProxy] = {}
         # By the names of the routers whose ways to replicas can be cut.
@@ -171,6 +174,12 @@
         """Return the folder of the build of a router that is started now."""
         return self.builds.choose(settings.stem) if self.builds else ROOT
 
+    def _start_process(self, settings: Path, log: Path) -> subprocess.Popen:
+        """Start the process of a router, behind the log of those before it."""
+        process = super()._start_process(settings, log)
+        self.run_log.write("router_start", node=settings.stem, pid=process.pid)
+        return process
+
     def swap_addresses(self, one: ReplicaProcess, other: ReplicaProcess) -> None:
         """Let two replicas that do not run start at each other's address next."""
         one.port, other.port = other.port, one.port
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -194,6 +194,7 @@
             for _ in range(self._rng.randint(*series.length)):
                 kind = self._rng.choice(kinds)
                 self._checker.counts[kind.__name__] += 1
+                self._world.run_log.write("fault", kind=kind.__name__)
                 nursery.start_soon(kind)
                 await trio.sleep(self._rng.uniform(*SERIES_STEP_S))
             await trio.sleep(self._rng.uniform(*series.pause_s))
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -91,6 +91,11 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    @staticmethod
+    def now_ms() -> int:
+        """Return the time of the store's clock, as its answers name it."""
+        return int(trio.current_time() * MS_PER_SECOND)
+
     def compact(self) -> None:
         """Drop the tombstones; changes since older versions can no longer be read."""
         self.oldest_version = self.version
@@ -158,7 +163,7 @@
         status, value = await self._handle_call(head, body)
         if faults.lose_answers:
             return False
-        value["now_ms"] = int(trio.current_time() * MS_PER_SECOND)
+        value["now_ms"] = self.store.now_ms()
         await caller.send_response(status, self._era_headers(), json.dumps(value).encode())
         return True
 
