Log how old the steps of a row were as a router learnt it

Cause: the log of a router told neither the ages of a row's steps nor whether its rows were confirmed, so a step that the store performed seconds after its call could not be told from one in force since then. Change: release_step tells step_ages_ms and rows_age_ms; with run.log of the soak, which has the time at which each row was performed, a trace shows how late it was. Ruled out: a line for each stream that begins, which doubles the log; the replicas' log has that in a soak.

--- a/features/late_rows.feature
+++ b/features/late_rows.feature
@@ -14,3 +14,9 @@
       | the row is written                         | other |
       | the store goes back to a copy with the row | v2    |
       | the store goes back to a copy without it   | none  |
+
+  # Guards against logs that do not tell a step that was performed long after its call from one that
+  # was written twice (issue 52).
+  Scenario: The log of a router tells the age of a step that was performed late
+    When the write of a release's step is performed 3000 ms late, and all routers start anew 2900 ms after its call, beside callers who name none
+    Then the router that started last logs how old the row's steps were, the newest about 3200 ms
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -163,6 +163,8 @@
             era=report.era,
             replicas={item.version: item.weight for item in report.steps[-1].weights},
             steps=len(report.steps),
+            step_ages_ms=[step.age_ms for step in report.steps],
+            rows_age_ms=self.releases.age_ms(),
             written_in=report.written_in,
             members=report.members,
             source=source,
