Test what becomes of streams when the store performs a step late, and before a router has rows

Cause: a step is dated by the call that writes it, but holds only since the store performed it, perhaps seconds later. Once all routers are lost, streams that began by the earlier proportions until then are taken up by the step's.

--- a/features/steps/late_rows.py
+++ b/features/steps/late_rows.py
@@ -13,7 +13,7 @@
 from skylarklift.entry.placement.choose import affinity_key
 from skylarklift.entry.state.rows import FIRST_ERA, ReleaseStore, RowTable
 from skylarklift.entry.versions.release_rows import ReleaseReport, decode_report, encode_report
-from skylarklift.entry.versions.release_steps import VersionWeight, pick_version
+from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, pick_version
 from skylarklift.entry.versions.release_sync import CHECK_INTERVAL_MS, ReleaseSync
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import Refusal, StoreAnswerLost
@@ -26,6 +26,7 @@
 # A stream begins between two exchanges of the routers, too.
 GOSSIP_DELAY_MS = 20
 RESTART_MS = 300
+PROMPTS = 40
 PROPORTIONS = (
     (VersionWeight(SoftwareVersion("v1"), 3),),
     (VersionWeight(SoftwareVersion("v1"), 2), VersionWeight(SoftwareVersion("v2"), 1)),
@@ -34,17 +35,22 @@
 
 @dataclass
 class LateStore(ReleaseStore):
-    """A store of one row that performs writes `late_ms` after their calls, if that is not 0."""
+    """A store of one row that performs writes `late_ms` after their calls, if that is not 0.
+
+    Its answers to reads take `read_ms`.
+    """
 
     nursery: trio.Nursery
     clock: LoopClock
     late_ms: int = 0
+    read_ms: int = 0
     version: int = 0
     data: bytes = b""
     performed_at: list[Millis] = field(default_factory=list)
 
     async def read_releases(self) -> list[ReleaseReport]:
         """Return the row, if there is one."""
+        await trio.sleep(self.read_ms / MS_PER_SECOND)
         now = self.clock.now()
         if not self.version:
             return []
@@ -234,3 +240,47 @@
     line = next(item for item in context.log_lines if item["event"] == "release_step")
     assert line["step_ages_ms"][-1] in range(age - CHECK_INTERVAL_MS, age + 1), line
     assert len(line["step_ages_ms"]) == line["steps"] and line["rows_age_ms"] is None, line
+
+
+async def play_start(context, read_ms: int) -> None:
+    """Begin streams at a router that has just started, and whose first read takes a while."""
+    clock = LoopClock()
+    async with trio.open_nursery() as nursery:
+        store = LateStore(nursery, clock)
+        step = ReleaseStep(0, PROPORTIONS[1])
+        await store.write_release(ReleaseReport(SERVICE, 0, (step,), written_in=FIRST_ERA))
+        await trio.sleep(BEFORE_MS / MS_PER_SECOND)
+        store.read_ms = read_ms
+        core = start_router(clock, 1)
+        nursery.start_soon(ReleaseSync(core, store).run)
+        context.begun = []
+        for number in range(PROMPTS):
+            deadline_ms = context.deadlines_ms[number % len(context.deadlines_ms)]
+            nursery.start_soon(begin_one, context, core, f"p{number}", deadline_ms)
+        await trio.sleep(1 + read_ms / MS_PER_SECOND)
+        nursery.cancel_scope.cancel()
+
+
+async def begin_one(context, core: Core, name: str, deadline_ms: int) -> None:
+    """Begin a stream at a router and keep it."""
+    context.begun.append(await begin_stream(core, name, deadline_ms))
+
+
+@when(
+    "streams begin at a router that has just started, and whose first read of the rows takes "
+    "{read:d} ms, beside callers {callers}"
+)
+def begin_at_start(context, read, callers):
+    context.deadlines_ms = CALLERS_DEADLINES_MS[callers]
+    trio.run(play_start, context, read, clock=MockClock(autojump_threshold=0))
+
+
+@then("each begins at the version that the row gives its prompt")
+def begin_by_row(context):
+    assert len(context.begun) == PROMPTS, len(context.begun)
+    wrong = [
+        item
+        for item in context.begun
+        if item.version != pick_version(affinity_key(new_call(item.parts)), PROPORTIONS[1])
+    ]
+    assert not wrong, f"{len(wrong)} of {PROMPTS}, the first: {wrong[0]}"
