--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -165,6 +165,8 @@
             era=report.era,
             replicas={item.version: item.weight for item in report.steps[-1].weights},
             steps=len(report.steps),
+            step_ages_ms=[step.age_ms for step in report.steps],
+            rows_age_ms=self.releases.age_ms(),
             age_ms=report.steps[-1].age_ms,
             settled_ms=report.steps[-1].settled_ms,
             spans={span.route: span.span_ms for span in report.spans},
