Replace routers by another build and back in the soak, beside copies and long streams

Two builds were played with releases and single kills only. What was missing were steps for them in a feature, and a series that replaces all routers by one build and then by the other; a seed drew one direction at a time. The faults of builds move to a module of their own.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -236,6 +236,19 @@
       | seed |
       | 1    |
 
+  # As above, with what an earlier build and a new one do not know of each other: steps that a copy
+  # of the store lacks, and streams that outlast the routers that began them (issue 52).
+  Scenario Outline: A short soak of routers of two builds, <load> streams and <faults>, seed <seed>
+    When it runs for <span> s with seed <seed>, <load> streams at routers of the commit 14dbcee and only "<faults>"
+    Then no stream is out of order
+    And a stream of <age> s is taken up and goes on
+    And routers of both builds have run
+
+    Examples:
+      | load  | faults                                             | span | age | seed |
+      | short | routers_replaced_both_ways, store_restored         | 8    | 1   | 1    |
+      | long  | routers_replaced_both_ways, replica_other_version  | 12   | 8   | 1    |
+
   # Guards against streams that look whole when many links end at once, in order or not (issue 46).
   Scenario Outline: A short soak of many links cut and many replicas silent at once, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>, orderly cuts and only "router_links_end, replicas_pause, replicas_cut"
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -10,7 +10,7 @@
 from soak.stream_checker import Kind, Received, ReplicaRun, SentCall, StreamChecker, Try, TryEnd
 from soak.stream_faults import QUICK_RELEASES
 from soak.stream_habits import HEAVY_MIX, REPEAT_MIXES
-from soak.stream_load import LONG, SHORT
+from soak.stream_load import LOADS, LONG, SHORT
 from soak.stream_world import ReplicaPath
 from soak.streams import (
     MS_PER_SECOND,
@@ -156,6 +156,16 @@
     assert result.repeats() and result.late_connections(), result.summary()
 
 
+@when(
+    "it runs for {span:d} s with seed {seed:d}, {load} streams at routers of the commit {old} and"
+    ' only "{faults}"'
+)
+def soak_runs_builds_with_load(context, span, seed, load, old, faults):
+    options = Options(seed, span, only_faults=tuple(faults.split(", ")), old_build=old)
+    options.load = replace(LOADS[load].with_more_tries(), last_calls_s=LAST_CALLS_S)
+    context.result = run_seed(options)
+
+
 @then("routers of both builds have run")
 def both_builds_ran(context):
     starts = context.result.starts
--- /dev/null
+++ b/soak/router_faults.py
@@ -0,0 +1,49 @@
+"""The faults of the soak of streams that change a router's build."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+
+from soak.builds import Build
+from soak.checker import Checker
+from soak.faults import Faults
+from soak.stream_world import StreamWorld
+
+ROUTER_REPLACEMENT_PAUSE_S = (0.1, 1.0)
+
+
+class RouterFaults(Faults):
+    """Injects faults of routers that need a world with two builds."""
+
+    def __init__(self, world: StreamWorld, rng: Random, checker: Checker):
+        super().__init__(world, rng, checker)
+        self._stream_world = world
+        # Set when no fault follows; a series in progress then stops.
+        self.ending = False
+
+    def router_kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the functions that inject one such fault each, as the world has what they need."""
+        builds = [self.routers_replaced, self.routers_replaced_both_ways]
+        return [
+            *(builds if self._stream_world.builds else []),
+        ]
+
+    async def routers_replaced(self) -> None:
+        """Replace the routers in turn by ones of the old build, or of the new one."""
+        await self._replace_routers(self._rng.choice(list(Build)))
+
+    async def routers_replaced_both_ways(self) -> None:
+        """Replace the routers in turn by ones of one build, and then by ones of the other."""
+        for build in self._rng.sample(list(Build), len(Build)):
+            await self._replace_routers(build)
+
+    async def _replace_routers(self, build: Build) -> None:
+        """Replace the routers in turn by ones of a build."""
+        for router in list(self._world.routers):
+            if self.ending:
+                return
+            if router.name not in self._busy:
+                self._stream_world.builds.name_next(router.name, build)
+                await self._stop_router(router)
+                await trio.sleep(self._rng.uniform(*ROUTER_REPLACEMENT_PAUSE_S))
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -10,10 +10,10 @@
 
 import trio
 
-from soak.builds import Build
 from soak.checker import Checker
-from soak.faults import RESTART_DELAY_S, Faults
+from soak.faults import RESTART_DELAY_S
 from soak.proxy import LoopbackProxy
+from soak.router_faults import RouterFaults
 from soak.router_paths import Cut
 from soak.stream_checker import STREAM_SERVICE
 from soak.stream_world import ZONES, ReplicaPath, ReplicaProcess, StreamWorld
@@ -36,7 +36,6 @@
 # Parts of the routers that one herd kill ends.
 HERD_RATIOS = (0.6, 1.0, 1.0)
 ROUTER_POLL_S = 0.1
-ROUTER_REPLACEMENT_PAUSE_S = (0.1, 1.0)
 CONFIG_STEP_S = (0.0, 0.6)
 MAX_BUSY_PROCESSES = 3
 # Fields of all routes that a change of the configuration sets.
@@ -59,7 +58,7 @@
 QUICK_RELEASES = ReleasePace(pause_s=(0.05, 0.3), overlaps=True)
 
 
-class StreamFaults(Faults):
+class StreamFaults(RouterFaults):
     """Injects faults; replicas are processes, and routers are watched."""
 
     max_signals = 2
@@ -73,8 +72,6 @@
         self._machine_is_busy = False
         self._store_has_copy = False
         self._cut_off: set[str] = set()
-        # Set when no fault follows; a release in progress then stops.
-        self.ending = False
         self.release_pace = SLOW_RELEASES
 
     def kinds(self) -> list[Callable[[], Awaitable[None]]]:
@@ -84,7 +81,7 @@
         return [
             *(path_faults if self.replica_proxies else []),
             *(router_path_faults if self._replica_world.router_paths else []),
-            *([self.routers_replaced] if self._replica_world.builds else []),
+            *self.router_kinds(),
             self.replica_kill,
             self.replica_kill,
             self.replica_pause,
@@ -421,17 +418,6 @@
             await self._world.restart_router(router)
             self._busy.discard(router.name)
 
-    async def routers_replaced(self) -> None:
-        """Replace the routers in turn by ones of the old build, or of the new one."""
-        builds, build = self._replica_world.builds, self._rng.choice(list(Build))
-        for router in list(self._world.routers):
-            if self.ending:
-                return
-            if router.name not in self._busy:
-                builds.name_next(router.name, build)
-                await self._stop_router(router)
-                await trio.sleep(self._rng.uniform(*ROUTER_REPLACEMENT_PAUSE_S))
-
     async def watch_routers(self) -> None:
         """Report each router that ends by itself, and start it again."""
         while True:
