Hold the routers of a soak to the memory and the cores of a small machine

`--router-memory-mb` limits a router's memory for data as it starts, and a router that was seen to use more than that breaks a rule; the most that was used is in each run's summary. `--router-cores` holds each router to so many cores.

Held to cores in turn, three of six routers did not run for two minutes on a machine that others use, and could not even be killed: processes on cores 2, 3 and 5 got no time at all, while the others went on.

Ruled out: a limit of the address space, of which Python and its threads reserve more than they use.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -249,6 +249,18 @@
       | short | routers_replaced_both_ways, store_restored         | 8    | 1   | 1    |
       | long  | routers_replaced_both_ways, replica_other_version  | 12   | 8   | 1    |
 
+  # Guards against streams out of order, and routers that end by themselves, on machines of 300 MB
+  # (issue 52).
+  Scenario Outline: A short soak of routers with little memory, seed <seed>
+    When it runs for 6 s with seed <seed> and routers held to 300 MB
+    Then no stream is out of order
+    And some of the resumable streams are complete
+    And no router used more than that
+
+    Examples:
+      | seed |
+      | 1    |
+
   # Guards against streams that look whole when many links end at once, in order or not (issue 46).
   Scenario Outline: A short soak of many links cut and many replicas silent at once, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>, orderly cuts and only "router_links_end, replicas_pause, replicas_cut"
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -7,6 +7,7 @@
 
 from behave import then, when
 
+from soak.router_limits import RouterLimits
 from soak.stream_checker import Kind, Received, ReplicaRun, SentCall, StreamChecker, Try, TryEnd
 from soak.stream_faults import QUICK_RELEASES
 from soak.stream_habits import HEAVY_MIX, REPEAT_MIXES
@@ -166,6 +167,17 @@
     context.result = run_seed(options)
 
 
+@when("it runs for {span:d} s with seed {seed:d} and routers held to {memory:d} MB")
+def soak_runs_limited(context, span, seed, memory):
+    context.memory_mb = memory
+    context.result = run_seed(Options(seed, span, limits=RouterLimits(memory)))
+
+
+@then("no router used more than that")
+def memory_is_held(context):
+    assert 0 < context.result.peak_mb <= context.memory_mb, context.result.summary()
+
+
 @then("routers of both builds have run")
 def both_builds_ran(context):
     starts = context.result.starts
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -16,6 +16,7 @@
 
 from soak.builds import BuildMix, choose_arguments
 from soak.proxy import LoopbackProxy
+from soak.router_limits import RouterLimits, lift_limits
 from soak.router_paths import RouterPaths
 from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
 from soak.stream_load import SHORT
@@ -114,6 +115,7 @@
         self.framings = tuple(Framing)
         # The builds of the routers; if `None`, all are of this tree.
         self.builds: BuildMix | None = None
+        self.router_limits = RouterLimits()
         self.unframed_cut = Ending.RESET
         self.replicas_per_plain = REPLICAS_PER_PLAIN
         self.timeouts_ms: Mapping[Kind, int] = SHORT.deadlines_ms
@@ -164,11 +166,12 @@
 
     def _choose_program(self, settings: Path) -> tuple[str, ...]:
         """Return the Python arguments that start the router with this settings file."""
-        if settings.stem not in self.router_paths:
-            return super()._choose_program(settings)
-        if self.builds is None:
-            return PATH_ROUTER
-        return choose_arguments(self.builds.tree(settings.stem), PATH_ROUTER)
+        program = super()._choose_program(settings)
+        if settings.stem in self.router_paths:
+            program = PATH_ROUTER
+            if self.builds is not None:
+                program = choose_arguments(self.builds.tree(settings.stem), PATH_ROUTER)
+        return program
 
     def _choose_tree(self, settings: Path) -> Path:
         """Return the folder of the build of a router that is started now."""
@@ -177,6 +180,7 @@
     def _start_process(self, settings: Path, log: Path) -> subprocess.Popen:
         """Start the process of a router, behind the log of those before it."""
         process = super()._start_process(settings, log)
+        self.router_limits.apply(process.pid)
         self.run_log.write("router_start", node=settings.stem, pid=process.pid)
         return process
 
@@ -247,6 +251,9 @@
 
     def stop(self) -> None:
         """Kill all processes that this world started."""
+        for router in self.routers:
+            if router.process.poll() is None:
+                lift_limits(router.process.pid)
         super().stop()
         for replica in self.replica_processes.values():
             if replica.is_running():
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -13,6 +13,7 @@
 from soak.builds import BuildMix, extract_build
 from soak.checker import Checker
 from soak.proxy import LoopbackProxy
+from soak.router_limits import MemoryWatch, RouterLimits
 from soak.stream_callers import Caller
 from soak.stream_checker import Kind, SentCall, StreamChecker, parse_runs
 from soak.stream_decisions import check_decisions, parse_decisions
@@ -74,6 +75,7 @@
     only_faults: tuple[str, ...] = ()
     # The commit of the old build of half of the routers; without it, all are of this tree.
     old_build: str = ""
+    limits: RouterLimits = RouterLimits()
 
 
 @dataclass
@@ -86,6 +88,8 @@
     violations: list[str] = field(default_factory=list)
     # The routers started of each build, if there are two.
     starts: Counter[str] = field(default_factory=Counter)
+    # The most memory that a router was seen to use.
+    peak_mb: float = 0.0
 
     def summary(self) -> str:
         """Return counts of the requests by kind, complete of all, and of the faults."""
@@ -102,6 +106,7 @@
         if self.repeats() or self.late_connections():
             text += f"; ids sent again {self.repeats()}"
             text += f"; silent connections that went on {self.late_connections()}"
+        text += f"; routers used up to {self.peak_mb:.0f} MB"
         return f"{text}; routers started {dict(self.starts)}" if self.starts else text
 
     def repeats(self) -> int:
@@ -134,12 +139,14 @@
         self._loading = True
         self._faults = StreamFaults(world, self._rng, self._checker)
         self._faults.release_pace = options.release_pace
+        self._memory = MemoryWatch(options.limits)
 
     async def run(self) -> Result:
         """Run load and faults, then check what callers received."""
         await self._build()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._faults.watch_routers)
+            nursery.start_soon(self._memory.run, self._world.routers)
             async with trio.open_nursery() as callers:
                 for number in range(self._options.callers):
                     caller = self._make_caller(number)
@@ -170,6 +177,7 @@
         if options.old_build:
             tree = extract_build(options.old_build, world.folder)
             world.builds = BuildMix(tree, options.seed, world.folder / "builds.log")
+        world.router_limits = options.limits
         world.framings, world.replica_paths = options.framings, options.paths
         world.replicas_per_plain = options.replicas_per_plain
         world.timeouts_ms = options.load.deadlines_ms
@@ -211,10 +219,11 @@
         decisions = parse_decisions(self._world.router_log_lines())
         for call in self._calls:
             checker.check(call, check_decisions(call, decisions))
-        violations = self._checker.violations + checker.violations
+        violations = self._checker.violations + checker.violations + self._memory.violations()
         cut = self._world.unframed_cut
         starts = self._world.builds.count_starts() if self._world.builds else Counter()
-        return Result(self._calls, self._checker.counts, cut, violations, starts)
+        counts, peak_mb = self._checker.counts, self._memory.peak_mb()
+        return Result(self._calls, counts, cut, violations, starts, peak_mb)
 
 
 def run_seed(options: Options) -> Result:
@@ -292,6 +301,12 @@
     parser.add_argument(
         "--old-build", default="", help="commit of an earlier build that half of the routers run"
     )
+    parser.add_argument(
+        "--router-memory-mb", type=int, default=0, help="memory of each router (default: any)"
+    )
+    parser.add_argument(
+        "--router-cores", type=int, default=0, help="cores of each router (default: all)"
+    )
     parser.add_argument("--keep", default="", help="folder to keep logs and records in")
     return parser.parse_args()
 
@@ -304,6 +319,7 @@
     options.paths = tuple(ReplicaPath(value) for value in arguments.paths.split(","))
     options.only_faults = tuple(filter(None, arguments.faults.split(",")))
     options.old_build = arguments.old_build
+    options.limits = RouterLimits(arguments.router_memory_mb, arguments.router_cores)
     if arguments.orderly_cuts:
         options.unframed_cut = Ending.ORDERLY
     if arguments.large_events:
--- a/standins/process_state.py
+++ b/standins/process_state.py
@@ -22,6 +22,12 @@
     return next((int(line.split()[1], 16) for line in lines if line.startswith(name)), 0)
 
 
+def resident_bytes(pid: int) -> int:
+    """Return the memory in use by a process, 0 if it has ended."""
+    lines = _read(pid, "status").splitlines()
+    return next((int(line.split()[1]) * 1024 for line in lines if line.startswith("VmRSS")), 0)
+
+
 def has_loaded(pid: int, library: str) -> bool:
     """Return whether a process has loaded a library with this part of a name."""
     return library in _read(pid, "maps")
