Set the time of day of routers in the soak, forward and back

The time of day decides only how long a datagram had waited to be read, and whether a settings file has settled; nothing played a clock that is set. Routers that run as `standins/stepped_router.py` tell a time of day that a file shifts, and the kernel's stamps of datagrams with it, by what was in force as each arrived: so a step between arrival and reading shows as on a machine whose clock is set, and later messages are as old as they are. It works for the routers of earlier builds, too.

Files are still stamped by the machine's clock.

--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -142,6 +142,17 @@
       | refuse | brings its answer | is refused        |
       | end    | is ended          | brings its answer |
 
+  Scenario Outline: The clock of a router is set by <step> s; a datagram arrived <moment> that
+    When a datagram arrives <moment> a router's clock is set by <step> s, and is read later
+    Then by that clock it is <error> s older than it is
+
+    Examples:
+      | moment | step | error |
+      | before | 2    | 2     |
+      | before | -2   | -2    |
+      | after  | 2    | 0     |
+      | after  | -2   | 0     |
+
   Scenario: A link resets a connection whose target refuses it
     When a connection is made through a link to a port that nobody listens at
     Then it is reset
@@ -261,6 +272,17 @@
       | seed |
       | 1    |
 
+  # Guards against messages between routers that count as older or newer than they are when the time
+  # of day is set, so that streams are joined (issue 52).
+  Scenario Outline: A short soak of routers whose time of day is set beside releases, seed <seed>
+    When it runs for 6 s with seed <seed>, stepped clocks and only "router_clock_steps, release, router_kill"
+    Then no stream is out of order
+    And half of the resumable streams are complete
+
+    Examples:
+      | seed |
+      | 1    |
+
   # Guards against streams that look whole when many links end at once, in order or not (issue 46).
   Scenario Outline: A short soak of many links cut and many replicas silent at once, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>, orderly cuts and only "router_links_end, replicas_pause, replicas_cut"
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -178,6 +178,12 @@
     assert 0 < context.result.peak_mb <= context.memory_mb, context.result.summary()
 
 
+@when('it runs for {span:d} s with seed {seed:d}, stepped clocks and only "{faults}"')
+def soak_runs_with_clocks(context, span, seed, faults):
+    options = Options(seed, span, only_faults=tuple(faults.split(", ")), steps_clocks=True)
+    context.result = run_seed(options)
+
+
 @then("routers of both builds have run")
 def both_builds_ran(context):
     starts = context.result.starts
--- a/soak/router_faults.py
+++ b/soak/router_faults.py
@@ -1,4 +1,4 @@
-"""The faults of the soak of streams that change a router's build."""
+"""The faults of the soak of streams that change a router's build or its clock."""
 
 from collections.abc import Awaitable, Callable
 from random import Random
@@ -11,10 +11,12 @@
 from soak.stream_world import StreamWorld
 
 ROUTER_REPLACEMENT_PAUSE_S = (0.1, 1.0)
+MAX_CLOCK_STEPS = 3
+CLOCK_STEP_PAUSE_S = (0.05, 1.0)
 
 
 class RouterFaults(Faults):
-    """Injects faults of routers that need a world with two builds."""
+    """Injects faults of routers that need a world with builds or clocks."""
 
     def __init__(self, world: StreamWorld, rng: Random, checker: Checker):
         super().__init__(world, rng, checker)
@@ -27,6 +29,7 @@
         builds = [self.routers_replaced, self.routers_replaced_both_ways]
         return [
             *(builds if self._stream_world.builds else []),
+            *([self.router_clock_steps] if self._stream_world.clocks else []),
         ]
 
     async def routers_replaced(self) -> None:
@@ -47,3 +50,12 @@
                 self._stream_world.builds.name_next(router.name, build)
                 await self._stop_router(router)
                 await trio.sleep(self._rng.uniform(*ROUTER_REPLACEMENT_PAUSE_S))
+
+    async def router_clock_steps(self) -> None:
+        """Step the time of day of one router, or of all, a few times."""
+        names = [router.name for router in self._world.routers]
+        chosen = names if self._rng.random() < 0.5 else [self._rng.choice(names)]
+        for _ in range(self._rng.randint(1, MAX_CLOCK_STEPS)):
+            for name in chosen:
+                self._stream_world.clocks.step(name, self._rng)
+            await trio.sleep(self._rng.uniform(*CLOCK_STEP_PAUSE_S))
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -16,6 +16,7 @@
 
 from soak.builds import BuildMix, choose_arguments
 from soak.proxy import LoopbackProxy
+from soak.router_clocks import RouterClocks
 from soak.router_limits import RouterLimits, lift_limits
 from soak.router_paths import RouterPaths
 from soak.stream_checker import PLAIN_SERVICE, STREAM_SERVICE, Kind
@@ -115,6 +116,8 @@
         self.framings = tuple(Framing)
         # The builds of the routers; if `None`, all are of this tree.
         self.builds: BuildMix | None = None
+        # The clocks of the routers; if `None`, they have the machine's.
+        self.clocks: RouterClocks | None = None
         self.router_limits = RouterLimits()
         self.unframed_cut = Ending.RESET
         self.replicas_per_plain = REPLICAS_PER_PLAIN
@@ -171,7 +174,7 @@
             program = PATH_ROUTER
             if self.builds is not None:
                 program = choose_arguments(self.builds.tree(settings.stem), PATH_ROUTER)
-        return program
+        return self.clocks.choose_arguments(program) if self.clocks else program
 
     def _choose_tree(self, settings: Path) -> Path:
         """Return the folder of the build of a router that is started now."""
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -13,6 +13,7 @@
 from soak.builds import BuildMix, extract_build
 from soak.checker import Checker
 from soak.proxy import LoopbackProxy
+from soak.router_clocks import RouterClocks
 from soak.router_limits import MemoryWatch, RouterLimits
 from soak.stream_callers import Caller
 from soak.stream_checker import Kind, SentCall, StreamChecker, parse_runs
@@ -76,6 +77,8 @@
     # The commit of the old build of half of the routers; without it, all are of this tree.
     old_build: str = ""
     limits: RouterLimits = RouterLimits()
+    # Whether faults step the routers' time of day.
+    steps_clocks: bool = False
 
 
 @dataclass
@@ -177,6 +180,8 @@
         if options.old_build:
             tree = extract_build(options.old_build, world.folder)
             world.builds = BuildMix(tree, options.seed, world.folder / "builds.log")
+        if options.steps_clocks:
+            world.clocks = RouterClocks(world.folder)
         world.router_limits = options.limits
         world.framings, world.replica_paths = options.framings, options.paths
         world.replicas_per_plain = options.replicas_per_plain
@@ -307,6 +312,9 @@
     parser.add_argument(
         "--router-cores", type=int, default=0, help="cores of each router (default: all)"
     )
+    parser.add_argument(
+        "--clock-steps", action="store_true", help="routers have a clock of their own, set at times"
+    )
     parser.add_argument("--keep", default="", help="folder to keep logs and records in")
     return parser.parse_args()
 
@@ -320,6 +328,7 @@
     options.only_faults = tuple(filter(None, arguments.faults.split(",")))
     options.old_build = arguments.old_build
     options.limits = RouterLimits(arguments.router_memory_mb, arguments.router_cores)
+    options.steps_clocks = arguments.clock_steps
     if arguments.orderly_cuts:
         options.unframed_cut = Ending.ORDERLY
     if arguments.large_events:
