--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -279,6 +279,7 @@
   Scenario Outline: A short soak of routers whose time of day is set beside releases, seed <seed>
     When it runs for 6 s with seed <seed>, stepped clocks and only "router_clock_steps, release, router_kill"
     Then no stream is out of order
+    And the fault "router_clock_steps" was played
     And half of the resumable streams are complete
 
     Examples:
--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -184,6 +184,11 @@
     context.result = run_seed(options)
 
 
+@then('the fault "{fault}" was played')
+def fault_was_played(context, fault):
+    assert context.result.faults[fault], context.result.summary()
+
+
 @then("routers of both builds have run")
 def both_builds_ran(context):
     starts = context.result.starts
