--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -55,5 +55,10 @@
     shorter = tuple(
         replace(item, age_ms=item.age_ms + waited_ms) for item in report.shorter_deadlines
     )
-    steps = tuple(replace(step, age_ms=step.age_ms + waited_ms) for step in report.steps)
-    return replace(report, steps=steps, deadline=deadline, shorter_deadlines=shorter)
+    return replace(
+        report,
+        steps=tuple(step.aged(waited_ms) for step in report.steps),
+        deadline=deadline,
+        shorter_deadlines=shorter,
+        spans=tuple(span.aged(waited_ms) for span in report.spans),
+    )
