--- a/features/soak_streams.feature
+++ b/features/soak_streams.feature
@@ -33,6 +33,29 @@
       | a refusal of what ran              | /redeem/ | 0 :t1/a.1.1 complete 503                                 | status 503 for t1, which ran  |
       | the answer to another request      | /check/  | 0 :t9/a.1.1 complete                                     | not its own answer            |
 
+  # Guards against a checker that takes the answers to two connections with one id for one answer, or
+  # lets what is wrong within one of them pass.
+  Scenario Outline: The checker tells connections with one id apart: <fault>
+    When a caller of "/chat/" with 6 events makes the tries "<tries>"
+    Then the checker finds "<found>"
+
+    Examples:
+      | fault                              | tries                                                    | found |
+      | nothing about two whole answers    | 0 1-6/v1/a.1.1 complete; t1 0 1-6/v2/b.1.1 complete      |       |
+      | nothing about a part of another    | 0 1-6/v1/a.1.1 complete; t1 0 1-2/v2/b.1.1 left by the caller |  |
+      | nothing about the rest             | 0 1-3/v1/a.1.1 reset; t1 3 4-6/v1/b.1.1 complete         |       |
+      | nothing about a refusal of one     | 0 1-6/v1/a.1.1 complete; t1 0 none complete 503          |       |
+      | nothing about four runs of two     | 0 1-3/v1/a.1.1,4-6/v1/b.1.1 complete; t1 0 1-3/v2/c.1.1,4-6/v2/d.1.1 complete | |
+      | versions joined by the rest        | 0 1-3/v1/a.1.1 reset; t1 3 4-6/v2/b.1.1 complete         | joined versions v1, v2 |
+      | versions joined after both         | 0 1-3/v1/a.1.1 reset; t1 0 1-3/v2/b.1.1 reset; 3 4-6/v2/c.1.1 complete | joined versions v1, v2 |
+      | versions joined within the other   | 0 1-6/v1/a.1.1 complete; t1 0 1-3/v1/b.1.1,4-6/v2/c.1.1 complete | joined versions v1, v2 |
+      | an event missing in the other      | 0 1-6/v1/a.1.1 complete; t1 0 1-3/v1/b.1.1,5-6/v1/b.1.1 complete | event 5 in place of 4 |
+      | an event twice in the other        | 0 1-6/v1/a.1.1 complete; t1 0 1-3/v1/b.1.1,3-6/v1/b.1.1 complete | event 3 in place of 4 |
+      | an early end of the other          | 0 1-6/v1/a.1.1 complete; t1 0 1-5/v1/b.1.1 complete      | complete after event 5 |
+      | the rest in the other              | 0 1-3/v1/a.1.1 reset; t1 0 4-6/v1/b.1.1 complete         | event 4 in place of 1  |
+      | five runs of two                   | 0 1-3/v1/a.1.1,4-6/v1/b.1.1 complete; t1 0 1-2/v1/c.1.1,3-4/v1/d.1.1,5-6/v1/e.1.1 complete | ran 5 times within the 2 connections of t1 |
+      | a refusal of both, which ran       | 0 1-6/v1/a.1.1 complete 503; t1 0 none complete 503      | status 503 for t1, which ran |
+
   Scenario: The checker counts an event only once it is whole
     When a caller receives "id: 1\ndata: a v1 a.1.1 q 1..\n\nid: 2\ndata: a v1 a.1.1 q 2" in parts of any size
     Then it holds event 1
@@ -119,6 +142,17 @@
       | refuse | brings its answer | is refused        |
       | end    | is ended          | brings its answer |
 
+  Scenario Outline: The clock of a router is set by <step> s; a datagram arrived <moment> that
+    When a datagram arrives <moment> a router's clock is set by <step> s, and is read later
+    Then by that clock it is <error> s older than it is
+
+    Examples:
+      | moment | step | error |
+      | before | 2    | 2     |
+      | before | -2   | -2    |
+      | after  | 2    | 0     |
+      | after  | -2   | 0     |
+
   Scenario: A link resets a connection whose target refuses it
     When a connection is made through a link to a port that nobody listens at
     Then it is reset
@@ -191,6 +225,18 @@
       | seed |
       | 1    |
 
+  # Guards against streams out of order whose callers send an id again while its stream goes on, or
+  # take it up while a suspended router holds an earlier connection, and then goes on (issue 52).
+  Scenario Outline: A short soak of ids that are sent again beside suspended routers, for the <part>, seed <seed>
+    When it runs for 6 s with seed <seed>, callers that send ids again for the <part> and only "router_pause, release, replica_other_version"
+    Then no stream is out of order
+    And half of the resumable streams are complete
+    And ids were sent again, and silent connections went on
+
+    Examples:
+      | part  | seed |
+      | rest  | 1    |
+
   # Guards against streams out of order while routers of an earlier release and new ones take each
   # other's place (issue 49).
   Scenario Outline: A short soak of routers of two builds that replace each other beside releases, seed <seed>
@@ -203,6 +249,43 @@
       | seed |
       | 1    |
 
+  # As above, with what an earlier build and a new one do not know of each other: steps that a copy
+  # of the store lacks, and streams that outlast the routers that began them (issue 52).
+  Scenario Outline: A short soak of routers of two builds, <load> streams and <faults>, seed <seed>
+    When it runs for <span> s with seed <seed>, <load> streams at routers of the commit 14dbcee and only "<faults>"
+    Then no stream is out of order
+    And a stream of <age> s is taken up and goes on
+    And routers of both builds have run
+
+    Examples:
+      | load  | faults                                             | span | age | seed |
+      | short | routers_replaced_both_ways, store_restored         | 8    | 1   | 1    |
+      | long  | routers_replaced_both_ways, replica_other_version  | 12   | 8   | 1    |
+
+  # Guards against streams out of order, and routers that end by themselves, on machines of 300 MB
+  # (issue 52).
+  Scenario Outline: A short soak of routers with little memory, seed <seed>
+    When it runs for 6 s with seed <seed> and routers held to 300 MB
+    Then no stream is out of order
+    And some of the resumable streams are complete
+    And no router used more than that
+
+    Examples:
+      | seed |
+      | 1    |
+
+  # Guards against messages between routers that count as older or newer than they are when the time
+  # of day is set, so that streams are joined (issue 52).
+  Scenario Outline: A short soak of routers whose time of day is set beside releases, seed <seed>
+    When it runs for 6 s with seed <seed>, stepped clocks and only "router_clock_steps, release, router_kill"
+    Then no stream is out of order
+    And the fault "router_clock_steps" was played
+    And half of the resumable streams are complete
+
+    Examples:
+      | seed |
+      | 1    |
+
   # Guards against streams that look whole when many links end at once, in order or not (issue 46).
   Scenario Outline: A short soak of many links cut and many replicas silent at once, seed <seed>
     When the soak of streams runs for 6 s with seed <seed>, orderly cuts and only "router_links_end, replicas_pause, replicas_cut"
--- a/soak/streams.py
+++ b/soak/streams.py
@@ -13,11 +13,13 @@
 from soak.builds import BuildMix, extract_build
 from soak.checker import Checker
 from soak.proxy import LoopbackProxy
+from soak.router_clocks import RouterClocks
+from soak.router_limits import MemoryWatch, RouterLimits
 from soak.stream_callers import Caller
-from soak.stream_checker import STATUS_OK, Kind, SentCall, StreamChecker, TryEnd, parse_runs
+from soak.stream_checker import Kind, SentCall, StreamChecker, parse_runs
 from soak.stream_decisions import check_decisions, parse_decisions
 from soak.stream_faults import QUICK_RELEASES, SLOW_RELEASES, ReleasePace, StreamFaults
-from soak.stream_habits import HEAVY_MIX, ODD_MIX, LoadMix
+from soak.stream_habits import HEAVY_MIX, ODD_MIX, REPEAT_MIXES, LoadMix
 from soak.stream_load import LOADS, SHORT, StreamLoad
 from soak.stream_world import REPLICAS_PER_PLAIN, ZONES, ReplicaPath, StreamWorld, write_lines
 from standins.stream_replica import Framing
@@ -74,6 +76,9 @@
     only_faults: tuple[str, ...] = ()
     # The commit of the old build of half of the routers; without it, all are of this tree.
     old_build: str = ""
+    limits: RouterLimits = RouterLimits()
+    # Whether faults step the routers' time of day.
+    steps_clocks: bool = False
 
 
 @dataclass
@@ -86,11 +91,13 @@
     violations: list[str] = field(default_factory=list)
     # The routers started of each build, if there are two.
     starts: Counter[str] = field(default_factory=Counter)
+    # The most memory that a router was seen to use.
+    peak_mb: float = 0.0
 
     def summary(self) -> str:
         """Return counts of the requests by kind, complete of all, and of the faults."""
         sent = Counter(call.kind.name.lower() for call in self.calls)
-        served = Counter(call.kind.name.lower() for call in self.calls if is_served(call))
+        served = Counter(call.kind.name.lower() for call in self.calls if call.is_served())
         kinds = ", ".join(f"{name} {served[name]}/{sent[name]}" for name in sorted(sent))
         tries = sum(len(call.tries) for call in self.calls)
         cut = self.unframed_cut.value
@@ -99,23 +106,30 @@
             f"{kinds}; {tries} tries; oldest resumption {oldest_s:.1f} s; unframed cut {cut}; "
             f"faults {dict(self.faults)}"
         )
+        if self.repeats() or self.late_connections():
+            text += f"; ids sent again {self.repeats()}"
+            text += f"; silent connections that went on {self.late_connections()}"
+        text += f"; routers used up to {self.peak_mb:.0f} MB"
         return f"{text}; routers started {dict(self.starts)}" if self.starts else text
 
+    def repeats(self) -> int:
+        """Return how often an id was sent again while its stream went on."""
+        return sum(item.repeats_id for call in self.calls for item in call.tries)
+
+    def late_connections(self) -> int:
+        """Return how many connections went on after their stream was taken up elsewhere."""
+        return sum(item.went_on_late for call in self.calls for item in call.tries)
+
     def oldest_resumption_ms(self) -> int:
         """Return how long after its begin a stream at most was taken up and went on."""
         return max((call.oldest_resumption_ms() for call in self.calls), default=0)
 
     def served_ratio(self, kind: Kind) -> float:
         """Return the part of the requests of a kind that were complete, 1 without any."""
-        served = [is_served(call) for call in self.calls if call.kind is kind]
+        served = [call.is_served() for call in self.calls if call.kind is kind]
         return sum(served) / len(served) if served else 1.0
 
 
-def is_served(call: SentCall) -> bool:
-    """Return whether a try of a request was complete."""
-    return any(item.end is TryEnd.COMPLETE and item.status == STATUS_OK for item in call.tries)
-
-
 class StreamSoak:
     """One run with one seed."""
 
@@ -128,12 +142,14 @@
         self._loading = True
         self._faults = StreamFaults(world, self._rng, self._checker)
         self._faults.release_pace = options.release_pace
+        self._memory = MemoryWatch(options.limits)
 
     async def run(self) -> Result:
         """Run load and faults, then check what callers received."""
         await self._build()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._faults.watch_routers)
+            nursery.start_soon(self._memory.run, self._world.routers)
             async with trio.open_nursery() as callers:
                 for number in range(self._options.callers):
                     caller = self._make_caller(number)
@@ -164,6 +180,9 @@
         if options.old_build:
             tree = extract_build(options.old_build, world.folder)
             world.builds = BuildMix(tree, options.seed, world.folder / "builds.log")
+        if options.steps_clocks:
+            world.clocks = RouterClocks(world.folder)
+        world.router_limits = options.limits
         world.framings, world.replica_paths = options.framings, options.paths
         world.replicas_per_plain = options.replicas_per_plain
         world.timeouts_ms = options.load.deadlines_ms
@@ -205,10 +224,11 @@
         decisions = parse_decisions(self._world.router_log_lines())
         for call in self._calls:
             checker.check(call, check_decisions(call, decisions))
-        violations = self._checker.violations + checker.violations
+        violations = self._checker.violations + checker.violations + self._memory.violations()
         cut = self._world.unframed_cut
         starts = self._world.builds.count_starts() if self._world.builds else Counter()
-        return Result(self._calls, self._checker.counts, cut, violations, starts)
+        counts, peak_mb = self._checker.counts, self._memory.peak_mb()
+        return Result(self._calls, counts, cut, violations, starts, peak_mb)
 
 
 def run_seed(options: Options) -> Result:
@@ -255,6 +275,12 @@
         action="store_true",
         help="events' ids have gaps, and callers take streams up by the name of a try never made",
     )
+    parser.add_argument(
+        "--repeated-ids",
+        choices=REPEAT_MIXES,
+        help="callers send an id again while its stream goes on, for the rest of the stream or also"
+        " for the whole, and leave no connection that falls silent as they take its stream up",
+    )
     parser.add_argument(
         "--streams",
         choices=LOADS,
@@ -280,6 +306,15 @@
     parser.add_argument(
         "--old-build", default="", help="commit of an earlier build that half of the routers run"
     )
+    parser.add_argument(
+        "--router-memory-mb", type=int, default=0, help="memory of each router (default: any)"
+    )
+    parser.add_argument(
+        "--router-cores", type=int, default=0, help="cores of each router (default: all)"
+    )
+    parser.add_argument(
+        "--clock-steps", action="store_true", help="routers have a clock of their own, set at times"
+    )
     parser.add_argument("--keep", default="", help="folder to keep logs and records in")
     return parser.parse_args()
 
@@ -292,12 +327,16 @@
     options.paths = tuple(ReplicaPath(value) for value in arguments.paths.split(","))
     options.only_faults = tuple(filter(None, arguments.faults.split(",")))
     options.old_build = arguments.old_build
+    options.limits = RouterLimits(arguments.router_memory_mb, arguments.router_cores)
+    options.steps_clocks = arguments.clock_steps
     if arguments.orderly_cuts:
         options.unframed_cut = Ending.ORDERLY
     if arguments.large_events:
         options.mix = HEAVY_MIX
     elif arguments.odd_callers:
         options.mix = ODD_MIX
+    elif arguments.repeated_ids:
+        options.mix = REPEAT_MIXES[arguments.repeated_ids]
     options.load = LOADS[arguments.streams]
     if arguments.more_tries:
         options.load = options.load.with_more_tries()
