Count the age of a datagram by the time for which its socket was not empty

Cause: the system records when a datagram arrives by the time of day, and the reader subtracted that from the time of day. If it was set in between, the message counted as that much older, or as just arrived. Only the entry router's gossip reads these ages (messages on state, on busy upstreams and on crashes); routers of the own deployment exchange frames and use none. Set forward, what a message said of software versions, limits, loads and hold-offs counted as seconds older; set back while the router stood still, a message of before the standstill confirmed its tables as of now.

Change: the receiver notes both clocks whenever it finds the socket empty. All that it reads later came after that. If the difference of the clocks has changed since, or an arrival lies in the future, the datagram counts as old as that moment, else as the recorded arrival says, and no older than that moment. So a step makes no message newer, and none older than the pause before it.

Not covered: two opposite steps of different sizes within one wait are seen by their sum only. A socket that never becomes empty after a step ages all that is read from it until it does.

--- a/features/entry_views.feature
+++ b/features/entry_views.feature
@@ -32,6 +32,48 @@
     And an ejection of 1000 ms that the message names ends in 400 ms or before
     And a limit that the message names was seen 600 ms ago or before
 
+  # Guards against a message that a router takes for a new one, or for one of seconds ago, as its
+  # time of day was set before the message was read.
+  Scenario Outline: What waited in a socket for <span> ms is as old as it is, though the time of day is set by <step> ms
+    Given a router whose tables and rows on versions were confirmed 5000 ms ago
+    When a message confirms them 100 ms after the store, and the router stands still for <span> ms while its time of day is set by <step> ms
+    Then its tables and rows on versions were confirmed between <least> and <most> ms ago
+    And it heard the other router <span> ms ago or before
+
+    Examples:
+      | span | step   | least | most |
+      | 600  | 0      | 700   | 1500 |
+      | 600  | -2000  | 700   | 1500 |
+      | 600  | 2000   | 700   | 1500 |
+      | 600  | -86400 | 700   | 1500 |
+      | 1    | -2000  | 100   | 900  |
+      | 1    | 2000   | 100   | 900  |
+
+  # Guards against the same in all orders; a datagram counts as no older than the socket was not known to be empty.
+  Scenario Outline: A datagram that waits for <waited> ms counts as <age> ms old if the time of day is set by <before> and <after> ms
+    Given a socket that was found empty, and gets a datagram <idle> ms later
+    When the time of day is set by <before> ms before its arrival, and by <after> ms after it, and it is read <waited> ms after it
+    Then it counts as <age> ms old
+
+    Examples: Nothing is set
+      | idle | before | after | waited | age  |
+      | 10   | 0      | 0     | 0      | 0    |
+      | 10   | 0      | 0     | 5000   | 5000 |
+      | 5000 | 0      | 0     | 600    | 600  |
+
+    Examples: It is set before or after the arrival, or both
+      | idle | before | after | waited | age  |
+      | 10   | 0      | 2000  | 0      | 10   |
+      | 10   | 0      | 2000  | 600    | 610  |
+      | 10   | 0      | -2000 | 600    | 610  |
+      | 10   | 0      | -2000 | 5000   | 5010 |
+      | 10   | 0      | 2000  | 5000   | 5010 |
+      | 10   | 2000   | 0     | 600    | 610  |
+      | 10   | -2000  | 0     | 600    | 610  |
+      | 10   | 2000   | -2000 | 600    | 610  |
+      | 10   | 2000   | -1000 | 5000   | 5010 |
+      | 10   | -2000  | 2000  | 600    | 610  |
+
   # Guards against a router that stood still while a replica became cold, and then sent it all the
   # requests that had waited, before it read the list of upstreams.
   Scenario: A router that stood still sends no more than a cold replica bears
--- a/features/steps/entry_standstill.py
+++ b/features/steps/entry_standstill.py
@@ -1,6 +1,7 @@
 """Steps for routers that stood still and then read what arrived meanwhile."""
 
 import signal
+import socket
 import time
 import uuid
 from dataclasses import replace
@@ -48,10 +49,18 @@
     "and the router stands still for {span:d} ms"
 )
 def stands_still(context, age, span):
-    trio.run(receive_after_standstill, context, age, span)
+    trio.run(receive_after_standstill, context, age, span, 0)
 
 
-async def receive_after_standstill(context, age, span):
+@when(
+    "a message confirms them {age:d} ms after the store, "
+    "and the router stands still for {span:d} ms while its time of day is set by {step:d} ms"
+)
+def stands_still_and_time_is_set(context, age, span, step):
+    trio.run(receive_after_standstill, context, age, span, step)
+
+
+async def receive_after_standstill(context, age, span, step):
     """Let a message wait in the socket of a router, and record what the router knows by it."""
     core = new_core(LoopClock(), port=reserve_port())
     for table, rows in TABLES.items():
@@ -61,9 +70,10 @@
     async with trio.open_nursery() as nursery:
         nursery.start_soon(Peering(core, members=None).receive_loop, nursery)
         await trio.sleep(OPEN_S)
-        await send(core, make_message(core, age))
+        send(core, make_message(core, age))
         time.sleep(span / 1000)  # noqa: ASYNC251 - the loop must not run
-        await trio.sleep(READ_S)
+        with patch("time.time", lambda real=time.time: real() + step / 1000):
+            await trio.sleep(READ_S)
         context.core, context.now = core, core.clock.now()
         context.ages = [core.cluster_state.age_ms(table) for table in RowTable]
         context.ages.append(core.releases.age_ms())
@@ -89,12 +99,12 @@
     )
 
 
-async def send(core, message):
-    """Send a message to a router."""
-    sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+def send(core, message):
+    """Send a message to a router, which reads it only after the caller has paused."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     address = core.settings.peers
     with sock:
-        await sock.sendto(encode_gossip(message), (address.host, address.port))
+        sock.sendto(encode_gossip(message), (address.host, address.port))
 
 
 @then("its tables and rows on versions were confirmed {span:d} ms ago or before")
@@ -102,6 +112,11 @@
     assert all(span <= age < context.confirmed_ms for age in context.ages), context.ages
 
 
+@then("its tables and rows on versions were confirmed between {least:d} and {most:d} ms ago")
+def confirmed_between(context, least, most):
+    assert all(least <= age <= most for age in context.ages), context.ages
+
+
 @then("it heard the other router {span:d} ms ago or before")
 def heard_ago(context, span):
     silence_ms = context.now - context.core.fleet.peers["n2"].received_at
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -48,7 +48,7 @@
 )
 from skylarklift.entry.versions.releases import REPORT_DELAY_MS
 from skylarklift.errors import PeerError
-from skylarklift.util.datagrams import receive_datagram, record_arrivals
+from skylarklift.util.datagrams import DatagramReceiver
 from skylarklift.util.listening import open_datagram_socket
 
 MAX_DATAGRAM_BYTES = 65507
@@ -226,10 +226,10 @@
         self._socket = await open_datagram_socket(
             address.host, address.port, core.clock, core.event_log.write
         )
-        record_arrivals(self._socket)
+        receiver = DatagramReceiver(self._socket)
         while True:
             try:
-                datagram = await receive_datagram(self._socket, MAX_DATAGRAM_BYTES)
+                datagram = await receiver.receive(MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 # A datagram to a closed port comes back as an error; the socket stays usable.
                 core.event_log.write("gossip_receive_failed", cause=str(exc))
