Take for the proof of a stream's end only a run that brings its last event again

Cause: a run without a length that ended in order behind event n was doubted, and another run was asked for what follows n. If that one ended in order, too, before any event, it counted as the proof that n was the last one. Each run's process was already shown alive after its end, so that question adds nothing.

Change: a run that is to confirm an end is asked from one event earlier, and counts only if it brings the last event again, which its caller does not get twice. One that brings nothing counts as no run. What follows the repeated event may take a second, as the event itself may. The number of runs and their share of the retry budget are unchanged.

Ruled out: three runs within one answer (a run more for each whole stream without a length); asking for the whole stream (as expensive as the stream). Not told apart, as before: two runs that both end right behind event n.

One existing step changed: in "10 streams that break off are resumed after 60 whole streams" the replicas answered every resumed run of a whole stream with no event, also one asked behind event 5 of 6, which no replica that may be resumed does. They bring the events behind the one that is named; the bound of three tries and all else stay.

--- a/features/steps/entry_ends.py
+++ b/features/steps/entry_ends.py
@@ -14,6 +14,7 @@
 from standins.entry_world import HOST
 from standins.replica import Replica
 from standins.scripted_replica import EVENTS, TWO_EVENTS, Ending, Reply, chunked
+from standins.stream_events import EVENT_END
 
 READ_BYTES = 65536
 LONGEST_READ_S = 14
@@ -253,7 +254,8 @@
 @given("a router before 2 replicas whose whole streams {ending}")
 def whole_streams_end(context, ending):
     def reply(request):
-        rest = b"" if request.last_event else EVENTS
+        events = EVENTS.split(EVENT_END)[int(request.last_event or 0) : -1]
+        rest = b"".join(event + EVENT_END for event in events)
         if request.request_id.startswith("cut"):
             if request.last_event:
                 return Reply(STREAM_HEAD + CHUNKS + chunked(EVENTS[len(TWO_EVENTS) :]))
--- a/features/steps/unconfirmed_ends.py
+++ b/features/steps/unconfirmed_ends.py
@@ -21,6 +21,7 @@
     "a resumed run brings nothing": Reply(b""),
     "a resumed run is reset": Reply(STREAM_HEAD + b"\r\n", Ending.RESET),
     "a resumed run is refused": Reply(framed(REFUSAL, b"")),
+    "each resumed run is cut": Reply(STREAM_HEAD + b"\r\n", Ending.CLOSE),
 }
 NO_BUDGET = {"bounds.budget_extra": "0", "bounds.retry_budget_ratio": "0.0"}
 
--- a/features/unconfirmed_ends.feature
+++ b/features/unconfirmed_ends.feature
@@ -24,6 +24,20 @@
       | /chat/a | 1.1  | 2    | the route allows one run            |
       | /chat/a | 1.1  | 2    | events have no ids                  |
 
+  # Guards against a stream that looks complete, as the run that was to confirm its end was broken off
+  # in order, too, before its first event (a short soak of herd kills and releases, seed 1).
+  Scenario Outline: Runs that all end in order before their first event do not confirm an end after event <sent> to an HTTP/<http> caller
+    Given a router whose replicas end a stream in order after event <sent> of 6, where each resumed run is cut
+    When an HTTP/<http> caller reads a stream of "/chat/a" to its end
+    Then the caller got <sent> events, and no sign that the stream is complete
+
+    Examples:
+      | http | sent |
+      | 1.1  | 2    |
+      | 1.0  | 2    |
+      | 1.1  | 1    |
+      | 1.1  | 5    |
+
   # Guards against whole streams that their callers never get complete: the tries of a caller that takes
   # a stream up at a doubted end count as runs there.
   Scenario Outline: A caller has a whole <path> stream complete after <tries> tries when <case>
@@ -34,11 +48,27 @@
     Examples:
       | path    | tries | case                        |
       | /chat/a | 1     | all else is as usual        |
+      | /chat/a | 1     | a resumed run is unframed   |
       | /chat/a | 2     | a resumed run is reset once |
       | /chat/a | 2     | the retry budget is used up |
       | /chat/a | 2     | the route allows one run    |
       | /chat/a | 3     | a resumed run is unframed, and the retry budget is used up |
 
+  # Guards against a stream that looks complete before its last event in the same way, and against one
+  # that a caller cannot get whole after that.
+  Scenario Outline: A stream of 6 events whose first run ends in order after event <sent> is whole after <tries> tries when <case>
+    Given a router whose replicas end a stream in order after event <sent> of 6, where <case>
+    When a caller reads a stream of "/chat/a", and takes it up behind its last event until it is complete
+    Then it has 6 events after <tries> tries
+
+    Examples:
+      | sent | tries | case                      |
+      | 1    | 1     | all else is as usual      |
+      | 2    | 1     | all else is as usual      |
+      | 1    | 2     | a resumed run is cut once |
+      | 2    | 2     | a resumed run is cut once |
+      | 5    | 2     | a resumed run is cut once |
+
   # Guards against a stream that looks complete, as the caller's next try was cut before its first event
   # (a short soak, seed 2).
   Scenario: A caller's second try that is cut in order at once does not complete the stream
--- a/skylarklift/entry/requests/forwarding.py
+++ b/skylarklift/entry/requests/forwarding.py
@@ -32,8 +32,8 @@
 class EndProof(Enum):
     """What showed that a stream which was completed had ended.
 
-    `FRAMING`: a length or chunks.  `SECOND_RUN`: its connection ended, and another run behind the
-    last event brought none.
+    `FRAMING`: a length or chunks.  `SECOND_RUN`: its connection ended, and another run brought the
+    last event once more, and none behind it.
     """
 
     FRAMING = "framing"
@@ -96,6 +96,21 @@
         """Return the id of the last event that the caller has."""
         return self._position.last
 
+    @property
+    def ask_after(self) -> int | None:
+        """Return the id behind which to ask for another run, `None` for a whole one.
+
+        A run that is to confirm an end brings the event there again, and so shows how far it came.
+        """
+        last = self._position.last
+        if not self._expects_end():
+            return last
+        return last - 1 if last else None
+
+    def _expects_end(self) -> bool:
+        """Return whether a run has ended with its connection where the caller's events end."""
+        return self.end is not None and self.end.last_event == self._position.last is not None
+
     async def forward(self, attempt: Attempt, timer: SilenceTimer) -> int:
         """Send the request and forward its response.
 
@@ -178,10 +193,13 @@
             self.end_proof = EndProof.FRAMING
             return True
         last, brought_events = self._position.last, bool(attempt.event_range)
-        if self.end is not None and self.end.last_event == last:
+        if not self._expects_end():
+            self.end = UnconfirmedEnd(last, brought_events)
+        elif self._position.run_brought_events:
             self.end = self.end.count_run(brought_events=brought_events)
         else:
-            self.end = UnconfirmedEnd(last, brought_events)
+            # The run may have been broken off before its first event.
+            return False
         may_go_on = self._retry_state.repeatable and self._position.exact
         if not may_go_on or last is None or not self.end.is_confirmed():
             return False
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -241,7 +241,7 @@
             workspace=self.workspace.name if self.workspace else None,
             left_ms=max(1, self.deadline - self.core.clock.now()),
             priority=priority if engine is not None and engine.engine_slots else None,
-            resume_after=self.forwarder.resume_after,
+            resume_after=self.forwarder.ask_after,
             copy_from=choice.copy_source and choice.copy_source.endpoint,
         )
 
--- a/skylarklift/entry/requests/silence.py
+++ b/skylarklift/entry/requests/silence.py
@@ -13,7 +13,8 @@
 from skylarklift.errors import RequestError, ResponseBroken, TransportError
 
 MIN_CHECK_INTERVAL_MS = 100
-# A run that is to confirm the end of a stream brings an event or its end within this time.
+# A run that is to confirm the end of a stream brings an event or its end within this time, and what
+# follows an event that the caller has within as long again.
 CONFIRMATION_MS = 1000
 # An attempt that is only watched is checked less often: each check may open a connection.
 WATCH_INTERVAL_MS = 600
@@ -100,6 +101,8 @@
 async def _bound_confirmation(attempt: Attempt) -> None:
     """Abort a run that brings nothing in time; its caller waits for the end of a stream."""
     await trio.sleep(CONFIRMATION_MS / MS_PER_SECOND)
+    if attempt.answered_at is not None:
+        await trio.sleep(CONFIRMATION_MS / MS_PER_SECOND)
     if not attempt.event_range:
         attempt.give_up("the end of the stream was not confirmed in time")
 
--- a/skylarklift/upstreams/stream_position.py
+++ b/skylarklift/upstreams/stream_position.py
@@ -22,6 +22,11 @@
         self._continuing = continuing
         self._newest_of_run = None
 
+    @property
+    def run_brought_events(self) -> bool:
+        """Return whether the run has brought an event with an id, be it one that the caller has."""
+        return self._newest_of_run is not None
+
     def is_next(self, event: StreamEvent) -> bool:
         """Return whether the caller still lacks an event; raise `TransportError` at a gap."""
         if event.event_id is not None:
