--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -1,5 +1,8 @@
 """The software version of one caller's stream: where it begins, and where it may go on."""
 
+import trio
+
+from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
 from skylarklift.entry.placement.choice import WantedVersion
@@ -49,10 +52,31 @@
             return service
         if call.resume_after is not None:
             return await self._find_origin(service)
-        core.releases.deadlines.record(service, call.deadline_ms)
-        self.assigned = core.releases.assigned_version(service, affinity_key(call))
+        await self._wait_for_steps(service)
+        releases, route, left_ms = core.releases, self._route, self._left_ms()
+        releases.deadlines.record(service, call.deadline_ms)
+        releases.route_spans.record(service, route.name, left_ms, route.timeout_ms)
+        nominal_age_ms = releases.nominal_age_ms(service, route.name, left_ms)
+        self.assigned = releases.assigned_version(service, affinity_key(call), nominal_age_ms)
         return service
 
+    async def _wait_for_steps(self, service: ServiceId) -> None:
+        """Wait for a moment while routers that lived on may know newer proportions.
+
+        A router that has just started reads those of a copy until the row is written again.
+        """
+        core = self._core
+        with trio.move_on_after(MAX_RELEASES_WAIT_MS / MS_PER_SECOND):
+            while core.releases.may_lack_steps(service):
+                await core.release_applied.wait()
+
+    def _left_ms(self) -> int:
+        """Return how long the caller will still wait, 0 if it names no time."""
+        call = self._call
+        if call.deadline_ms <= 0:
+            return 0
+        return max(1, call.deadline_ms - (self._core.clock.now() - call.received_at))
+
     def _refuse_resumption(self) -> None:
         """Refuse a stream that a caller resumes: what another run writes does not follow it."""
         if self._route.kind is RouteKind.STREAM and self._call.resume_after:
@@ -69,8 +93,9 @@
         key = affinity_key(call) if call.parts else request
         max_age_ms = core.releases.max_age_ms(service, self._route.timeout_ms, call.deadline_ms)
         # The caller named the time that it had left before the request waited here.
-        max_age_ms += core.standstill.waiting_ms()
-        stream = ResumedStream(request, service, key, max_age_ms)
+        waited_ms = core.standstill.waiting_ms()
+        nominal = core.releases.nominal_start(service, self._route.name, self._left_ms(), waited_ms)
+        stream = ResumedStream(request, service, key, max_age_ms + waited_ms, nominal)
         self.origin = await core.resumptions.find(stream)
         core.metrics.increment("resumptions", self.origin.source.value)
         self.required = self.origin.version
@@ -195,5 +220,7 @@
             fields["routers_asked"] = self.origin.asked
             fields["releases_age_ms"] = self.origin.releases_age_ms
             fields["stream_max_age_ms"] = self.origin.max_age_ms
+            fields["nominal_age_ms"] = self.origin.nominal_age_ms
+            fields["apart_ms"] = self.origin.apart_ms
             fields["release_steps"] = self.origin.steps
         return fields
