Send the rows on software versions in parts where they do not fit a message

Cause: each gossip message had all rows. With 200 services of 24 steps it exceeds what a datagram holds, the system refuses it, and the sender logs `gossip_send_failed` and goes on: the router does not end, but no message of its reaches anyone any more, with all else that it says (loads, ejections, tables, limits), nor do the crash reports that would follow it.

Change: a message has all rows as before if they take 32 KB at most. If not, it has those that changed within 3 s, the newest first, in half of that room, and others in turn for each receiver. A message that lacks rows cannot say that the receiver's rows are the newest ones, as datagrams are lost: beside it goes a digest of the services, eras and versions of all rows, and the receiver holds its rows for the newest ones if its digest is the same. The form of messages is unchanged; routers of earlier releases take the rows, and log the digest as an invalid message.

Ruled out: an age of the rows in a message with a part of them (a receiver that lost an earlier part would go on with streams by proportions that were replaced); one turn for all receivers (in a fleet whose routers take turns some would get the same part each time).

Not covered: all else of a message must fit beside 32 KB, and one row with more than that goes alone. A router that knows rows which others do not, as they were removed from the store, confirms none by digest.

--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -26,12 +26,17 @@
     is_load_message,
 )
 from skylarklift.entry.gossip.membership import Membership
+from skylarklift.entry.gossip.release_parts import (
+    ReleaseParts,
+    RoundEncoder,
+    confirm_by_digest,
+    is_digest,
+)
 from skylarklift.entry.gossip.silences import MAX_SILENCES
 from skylarklift.entry.gossip.waiting import add_wait, add_wait_to_loads
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
-    encode_gossip,
     receive_frame,
     send_frame,
 )
@@ -76,6 +81,7 @@
         self._gossip_turns, self._load_turns = Turns(), Turns()
         self._last_round_at = Millis(0)
         self._serving_count = 0
+        self._release_parts = ReleaseParts(core.clock)
         self._relay_server = RelayServer(core)
         for seed in core.settings.seeds:
             if seed != core.settings.peers:
@@ -116,14 +122,14 @@
     async def _send_to(self, targets: list[Peer]) -> None:
         """Send gossip to other routers."""
         now = self._core.clock.now()
-        encoded: dict[Millis, bytes] = {}
+        encoder = RoundEncoder(self._release_parts, self._make_message)
+        self._release_parts.forget_others(self._core.fleet.peers)
         burst = 0
         for peer in targets:
             # What the last message held is sent once more: datagrams may be lost.
             since = Millis(peer.sent_at - GOSSIP_INTERVAL_MS)
-            if since not in encoded:
-                encoded[since] = encode_gossip(self._make_message(since))
-            datagrams = [encoded[since], *self._encode_crashes(peer, since)]
+            message = encoder.encode(peer.node, since)
+            datagrams = [*message, *self._encode_crashes(peer, since)]
             peer.sent_at = now
             if burst + len(datagrams) > MAX_BURST_DATAGRAMS:
                 burst = 0
@@ -276,6 +282,9 @@
         if is_origin_message(data):
             core.resumptions.apply_message(decode_origin_message(data), address)
             return
+        if is_digest(data):
+            confirm_by_digest(core.releases, data, waited_ms)
+            return
         message = decode_gossip(data)
         if message.node != core.settings.node:
             self._apply_message(message, address, nursery, waited_ms)
