--- a/features/steps/soak_streams.py
+++ b/features/steps/soak_streams.py
@@ -68,7 +68,7 @@
         runs += own_runs
     checker = StreamChecker(runs)
     checker.check(call)
-    context.found = checker.violations
+    context.call, context.found = call, checker.violations
 
 
 @then('the checker finds "{found}"')
--- a/soak/router_paths.py
+++ b/soak/router_paths.py
@@ -89,6 +89,10 @@
         for proxy in self._proxies.values():
             proxy.thaw()
 
+    def list_proxies(self, ports: set[int]) -> list[LoopbackProxy]:
+        """Return the proxies before the replicas at some ports."""
+        return [proxy for port, proxy in self._proxies.items() if port in ports]
+
     def carries(self, port: int) -> bool:
         """Return whether a connection to a replica comes from a local port of these ways."""
         return any(proxy.carries(port) for proxy in self._proxies.values())
--- a/soak/stream_callers.py
+++ b/soak/stream_callers.py
@@ -17,13 +17,6 @@
 
 HOST = "127.0.0.1"
 MS_PER_SECOND = 1000
-KIND_WEIGHTS = {
-    Kind.STREAM: 10,
-    Kind.ONCE: 4,
-    Kind.BRIEF: 4,
-    Kind.NON_IDEMPOTENT: 2,
-    Kind.IDEMPOTENT: 2,
-}
 MIN_LEFT_MS = 200
 POLL_S = 0.02
 RETRY_PAUSE_S = (0.05, 0.3)
@@ -75,7 +68,8 @@
         """Send requests until the load ends."""
         while is_loading():
             self._count += 1
-            kind = self._rng.choices(list(KIND_WEIGHTS), list(KIND_WEIGHTS.values()))[0]
+            weights = self._load.weights
+            kind = self._rng.choices(list(weights), list(weights.values()))[0]
             last = self._rng.randint(*self._load.events[kind]) if kind.is_stream else 0
             event_bytes = self._habits.draw_event_bytes(self._rng)
             call = SentCall(f"{self._name}q{self._count}", kind, last, event_bytes)
@@ -140,7 +134,7 @@
         self._habits = habits
         self._load = load
         self._reader = Reader(habits, rng, call.event_bytes)
-        self._deadline_ms = now_ms() + load.deadlines_ms[call.kind]
+        self._deadline_ms = now_ms() + load.draw_deadline_ms(call.kind, rng)
         self._active: dict[str, trio.CancelScope] = {}
         self._progress_ms = now_ms()
         self._slow_ms = rng.randint(*SLOW_TRY_MS)
--- a/soak/stream_load.py
+++ b/soak/stream_load.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
+from random import Random
 
 from soak.stream_checker import Kind
 from standins.stream_events import EVENT_PAUSE_MS
@@ -15,6 +16,13 @@
 }
 EVENTS = {Kind.STREAM: (70, 76), Kind.ONCE: (50, 58), Kind.BRIEF: (3, 4)}
 SLOW_EVENT_PAUSE_MS = 250
+KIND_WEIGHTS = {
+    Kind.STREAM: 10,
+    Kind.ONCE: 4,
+    Kind.BRIEF: 4,
+    Kind.NON_IDEMPOTENT: 2,
+    Kind.IDEMPOTENT: 2,
+}
 
 
 @dataclass(frozen=True)
@@ -22,16 +30,25 @@
     """What callers ask for, and how long they try.
 
     A request may have `max_tries` that may have run, and `max_refusals` in all; those in flight
-    when the load ends go on for `last_calls_s`.
+    when the load ends go on for `last_calls_s`.  Each request has at least `least_deadline` of its
+    kind's deadline.
     """
 
     event_pause_ms: int = EVENT_PAUSE_MS
     events: Mapping[Kind, tuple[int, int]] = field(default_factory=lambda: EVENTS)
     deadlines_ms: Mapping[Kind, int] = field(default_factory=lambda: DEADLINES_MS)
+    weights: Mapping[Kind, float] = field(default_factory=lambda: KIND_WEIGHTS)
+    least_deadline: float = 1.0
     max_tries: int = 5
     max_refusals: int = 12
     last_calls_s: float = 3.0
 
+    def draw_deadline_ms(self, kind: Kind, rng: Random) -> int:
+        """Return the deadline of the next request of a kind."""
+        if self.least_deadline == 1.0:
+            return self.deadlines_ms[kind]
+        return round(rng.uniform(self.least_deadline, 1.0) * self.deadlines_ms[kind])
+
     def with_more_tries(self) -> "StreamLoad":
         """Return the load of callers that try long enough to outlast a loss of all routers."""
         return replace(self, max_tries=15, max_refusals=40)
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -135,24 +135,43 @@
         return self.folder / "replicas.log"
 
     async def add_replica_process(self, number: int, rng: Random) -> None:
-        """Start a replica and write its entry; some keep their port, some are behind a proxy."""
+        """Start a replica of the service and in the zone that its number tells."""
         is_plain = number % self.replicas_per_plain == self.replicas_per_plain - 1
         service = PLAIN_SERVICE if is_plain else STREAM_SERVICE
+        zone = ZONES[number // REPLICAS_PER_ZONE % len(ZONES)]
+        await self.place_replica(number, service, zone, rng)
+
+    async def place_replica(
+        self, number: int, service: str, zone: str, rng: Random, software: str = FIRST_VERSION
+    ) -> None:
+        """Start a replica and write its entry; some keep their port, some are behind a proxy."""
         weights = [PATH_WEIGHTS[path] for path in self.replica_paths]
         path = rng.choices(self.replica_paths, weights)[0]
         name, port = f"{service}-{number}-{path.value}", self.reserve_port()
-        zone = ZONES[number // REPLICAS_PER_ZONE % len(ZONES)]
         listener = open_listener(port) if path is ReplicaPath.KEPT else None
-        replica = ReplicaProcess(name, service, zone, path, port, listener)
-        self.replica_processes[name], self.ports[name] = replica, port
+        replica = ReplicaProcess(name, service, zone, path, port, listener, software)
+        self.ports[name] = port
         if path is ReplicaPath.PROXY:
             proxy = LoopbackProxy(port, passes_resets=True)
             proxy.port = await self.listen(f"proxy-{name}", proxy.serve)
             self.proxy_ports[name], self.replica_proxies[name] = proxy.port, proxy
+        for paths in self.router_paths.values():
+            await paths.add(self.proxy_ports.get(name, port))
         self.start_replica_process(replica)
+        self.replica_processes[name] = replica
         await self.wait_listening(replica)
         self.write_entry(replica)
 
+    def forget_replica(self, replica: ReplicaProcess) -> None:
+        """Forget a replica that has left for good; its process has ended."""
+        del self.replica_processes[replica.name]
+        if replica.listener is not None:
+            replica.listener.close()
+
+    def remove_entry(self, replica: ReplicaProcess) -> None:
+        """Remove a replica's entry from the store."""
+        self.store.write("servers", replica.name, None)
+
     async def add_router_paths(self, name: str) -> None:
         """Let the ways to replicas of a router that is started later be cut."""
         paths = self.router_paths[name] = RouterPaths(self, name)
--- a/standins/rows.py
+++ b/standins/rows.py
@@ -55,7 +55,8 @@
 class RowStore:
     """All rows with their versions, and an event that is set at each change.
 
-    `era` counts how often the store was restored from a copy.
+    `era` counts how often the store was restored from a copy.  While the feed is silent, nobody
+    who waits for changes learns of them.
     """
 
     tables: dict[str, dict[str, StoredRow]] = field(default_factory=dict)
@@ -63,15 +64,20 @@
     era: int = 1
     oldest_version: int = 0
     call_count: int = 0
+    is_feed_silent: bool = False
     changed: trio.Event = field(default_factory=trio.Event)
 
     def write(self, table: str, key: str, data: bytes | None) -> int:
         """Write a row, or remove it if `data` is `None`; return the new version."""
         self.version += 1
         self.tables.setdefault(table, {})[key] = StoredRow(data, self.version)
+        self.notify()
+        return self.version
+
+    def notify(self) -> None:
+        """Let all who wait for changes look again."""
         self.changed.set()
         self.changed = trio.Event()
-        return self.version
 
     def row_version(self, table: str, key: str) -> int:
         """Return the version of a row, 0 if there is none."""
@@ -195,8 +201,12 @@
         """
         store, table, after = self.store, query["table"], int(query["after"])
         with trio.move_on_after(int(query.get("wait_ms", 0)) / MS_PER_SECOND):
-            while not store.rows(table, after) and store.oldest_version <= after <= store.version:
+            while store.is_feed_silent or (
+                not store.rows(table, after) and store.oldest_version <= after <= store.version
+            ):
                 await store.changed.wait()
+        if store.is_feed_silent:
+            return STATUS_OK, {"rows": [], "row_version": after}
         if not store.oldest_version <= after <= store.version:
             return 410, {"row_version": store.version}
         return STATUS_OK, {"rows": store.rows(table, after), "row_version": store.version}
