--- a/soak/site.py
+++ b/soak/site.py
@@ -109,6 +109,7 @@
                 kind = self._rng.choice(list(choices))
                 fault = self._rng.choice(choices[kind])
                 self._checker.counts[kind] += 1
+                self._world.run_log.write("fault", **vars(fault))
                 nursery.start_soon(played[kind], fault)
                 await trio.sleep(self._rng.uniform(*FAULT_STEP_S))
             await trio.sleep(self._rng.uniform(*FAULT_PAUSE_S))
--- a/soak/site_replicas.py
+++ b/soak/site_replicas.py
@@ -37,6 +37,9 @@
         """Start one more replica."""
         self._replica_count += 1
         number = self._replica_count
+        self._replica_world.run_log.write(
+            "replica_added", number=number, zone=zone, version=software
+        )
         await self._replica_world.place_replica(number, service, zone, self._rng, software)
 
     def _choose_replicas(
@@ -71,6 +74,7 @@
         world = self._replica_world
         self._busy.add(replica.name)
         abrupt = self._rng.random() < ABRUPT_RATIO
+        world.run_log.write("replica_leaves", replica=replica.name, abrupt=abrupt)
         if abrupt:
             world.remove_entry(replica)
         else:
--- a/soak/site_routers.py
+++ b/soak/site_routers.py
@@ -65,6 +65,8 @@
         for router in chosen:
             self._busy.add(router.name)
             router.process.kill()
+        names = [router.name for router in chosen]
+        self._replica_world.run_log.write("routers_killed", nodes=names)
         if "power" in fault.how:
             await trio.sleep(max(0.0, fault.for_s - RESTART_DELAY_S))
         await self._restart_routers(chosen)
