--- a/soak/site.py
+++ b/soak/site.py
@@ -5,11 +5,12 @@
 import tempfile
 from dataclasses import dataclass
 from pathlib import Path
+from random import Random
 
 import trio
 
 from soak.site_faults import NOT_PLAYED, SiteFaults, list_choices, list_played
-from soak.site_file import Site, SiteError, read_site
+from soak.site_file import Site, SiteError, SiteFault, read_site
 from soak.stream_checker import NOT_RUN_STATUSES, SentCall
 from soak.stream_load import DEADLINES_MS, EVENTS, StreamLoad
 from soak.stream_world import FIRST_VERSION, ReplicaPath, StreamWorld, write_lines
@@ -22,6 +23,9 @@
 FAULT_STEP_S = (0.0, 1.5)
 FAULT_PAUSE_S = (1.0, 4.0)
 FIRST_FAULT_S = (1.0, 3.0)
+# Beside the faults, releases follow each other as planned work.
+PLANNED_KIND = "release"
+RELEASE_PAUSE_S = (1.0, 5.0)
 # Routers reach these directly, but for the links of each router, which can be cut.
 REPLICA_PATHS = (ReplicaPath.OWN, ReplicaPath.KEPT)
 
@@ -103,16 +107,28 @@
         """Inject one to three faults close to each other, then pause; they may overlap."""
         choices = list_choices(self._site, self._options.only_faults)
         played = self._faults.played()
-        await trio.sleep(self._rng.uniform(*FIRST_FAULT_S))
+        # Not shared with what faults draw, so that a seed always gives the same series.
+        rng = Random(f"{self._options.seed} faults")
+        if PLANNED_KIND in choices:
+            nursery.start_soon(self._release_in_turn, choices[PLANNED_KIND])
+        await trio.sleep(rng.uniform(*FIRST_FAULT_S))
         while True:
-            for _ in range(self._rng.randint(*FAULTS_AT_ONCE)):
-                kind = self._rng.choice(list(choices))
-                fault = self._rng.choice(choices[kind])
+            for _ in range(rng.randint(*FAULTS_AT_ONCE)):
+                kind = rng.choice(list(choices))
+                fault = rng.choice(choices[kind])
                 self._checker.counts[kind] += 1
                 self._world.run_log.write("fault", **vars(fault))
                 nursery.start_soon(played[kind], fault)
-                await trio.sleep(self._rng.uniform(*FAULT_STEP_S))
-            await trio.sleep(self._rng.uniform(*FAULT_PAUSE_S))
+                await trio.sleep(rng.uniform(*FAULT_STEP_S))
+            await trio.sleep(rng.uniform(*FAULT_PAUSE_S))
+
+    async def _release_in_turn(self, choices: list[SiteFault]) -> None:
+        """Make releases as planned work beside the faults, one after the other."""
+        rng = Random(f"{self._options.seed} releases")
+        while not self._faults.ending:
+            await trio.sleep(rng.uniform(*RELEASE_PAUSE_S))
+            self._checker.counts[PLANNED_KIND] += 1
+            await self._faults.play_release(rng.choice(choices))
 
 
 def run_site(site: Site, options: Options) -> Result:
