--- a/soak/site_replicas.py
+++ b/soak/site_replicas.py
@@ -179,6 +179,8 @@
         """Let one of the replicas that a fault meets break off now and then."""
         chosen = self._choose_replicas(fault, share)
         chosen += self._choose_replicas(fault, share, PLAIN_SERVICE)
+        if not chosen:
+            return
         for _ in range(round(fault.for_s)):
             self._break_connections([self._rng.choice(chosen)], self._rng.choice(numbers))
             await trio.sleep(1.0)
--- a/soak/site_routers.py
+++ b/soak/site_routers.py
@@ -121,7 +121,8 @@
             await self._world.restart_router(router)
             self._busy.discard(router.name)
         for _ in range(fault.choose_count(len(self._spares), 1.0)):
-            await self.add_router(self._spares.pop())
+            if self._spares:
+                await self.add_router(self._spares.pop())
 
     async def play_hup(self, fault: SiteFault) -> None:
         """Send SIGHUP to routers, one after the other."""
--- a/soak/stream_world.py
+++ b/soak/stream_world.py
@@ -109,6 +109,8 @@
         self.replica_proxies: dict[str, LoopbackProxy] = {}
         # By the names of the routers whose ways to replicas can be cut.
         self.router_paths: dict[str, RouterPaths] = {}
+        # A router and a replica that are added at the same time have a way between them.
+        self._paths_lock = trio.Lock()
         # From which the replicas that are started next choose.
         self.replica_paths = tuple(ReplicaPath)
         self.framings = tuple(Framing)
@@ -158,10 +160,11 @@
             proxy = LoopbackProxy(port, passes_resets=True)
             proxy.port = await self.listen(f"proxy-{name}", proxy.serve)
             self.proxy_ports[name], self.replica_proxies[name] = proxy.port, proxy
-        for paths in self.router_paths.values():
-            await paths.add(self.proxy_ports.get(name, port))
-        self.start_replica_process(replica)
-        self.replica_processes[name] = replica
+        async with self._paths_lock:
+            for paths in self.router_paths.values():
+                await paths.add(self.proxy_ports.get(name, port))
+            self.start_replica_process(replica)
+            self.replica_processes[name] = replica
         await self.wait_listening(replica)
         self.write_entry(replica)
 
@@ -177,9 +180,11 @@
 
     async def add_router_paths(self, name: str) -> None:
         """Let the ways to replicas of a router that is started later be cut."""
-        paths = self.router_paths[name] = RouterPaths(self, name)
-        for replica in self.replica_processes:
-            await paths.add(self.proxy_ports.get(replica, self.ports[replica]))
+        paths = RouterPaths(self, name)
+        async with self._paths_lock:
+            self.router_paths[name] = paths
+            for replica in list(self.replica_processes):
+                await paths.add(self.proxy_ports.get(replica, self.ports[replica]))
 
     def _choose_program(self, settings: Path) -> tuple[str, ...]:
         """Return the Python arguments that start the router with this settings file."""
