--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -2,19 +2,19 @@
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from random import Random
 
 import trio
 
 from soak.site_file import Site, SiteFault
 from soak.site_routers import RouterFaults
-from soak.stream_faults import STATUS_UNAVAILABLE
-from standins.rows import StoreEndpoint
+from standins.rows import LATE_S, STATUS_UNAVAILABLE, LateWrites, StoreEndpoint
 
 METHOD_PREFIX = "play_"
 STATUS_MANY = 429
 # The store's usual time for an answer.
 USUAL_MS = 4
-LOSS_STEP_S = 0.2
+AT_ONCE_S = (0.0, 0.0)
 FEED_SILENCE_S = 1.0
 CHANGES_IN_SILENCE = 4
 # Kinds of the users' list that no fault here plays.
@@ -89,13 +89,15 @@
             endpoint.faults.slow_ms = 0
 
     async def play_platform_lost(self, fault: SiteFault) -> None:
-        """Let a part of the calls of all routers be done and not answered."""
-        for _ in range(round(fault.for_s / LOSS_STEP_S)):
-            for endpoint, _ in self._world.store_endpoints:
-                endpoint.faults.lose_answers = self._rng.random() < (fault.x or 0.3)
-            await trio.sleep(LOSS_STEP_S)
-        for endpoint, _ in self._world.store_endpoints:
-            endpoint.faults.lose_answers = False
+        """Let a part of the writes of all routers be done, at once or late, and not answered."""
+        delay_s = LATE_S if "late" in fault.how else AT_ONCE_S
+        late_writes = LateWrites(Random(self._rng.random()), fault.x or 0.3, delay_s)
+        endpoints = [endpoint for endpoint, _ in self._world.store_endpoints]
+        for endpoint in endpoints:
+            endpoint.faults.late_writes = late_writes
+        await trio.sleep(fault.for_s)
+        for endpoint in endpoints:
+            endpoint.faults.late_writes = None
 
     async def play_platform_compact(self, fault: SiteFault) -> None:
         """Let the feed be silent while changes are made, then drop the history."""
@@ -114,7 +116,7 @@
 
     async def play_store_restored(self, fault: SiteFault) -> None:
         """Let the store come back from a copy some seconds old."""
-        await self.store_restored()
+        await self._store_losses.store_restored()
 
     async def play_config_change(self, fault: SiteFault) -> None:
         """Change the configuration in what must not change any answer."""
--- a/soak/site_replicas.py
+++ b/soak/site_replicas.py
@@ -46,13 +46,13 @@
         self, fault: SiteFault, default_share: float, service: str = STREAM_SERVICE
     ) -> list[ReplicaProcess]:
         """Return the replicas of a service that a fault meets."""
-        free = [item for item in self._list_free_replicas() if item.service == service]
+        free = [item for item in self.list_free_replicas() if item.service == service]
         return self._rng.sample(free, fault.choose_count(len(free), default_share))
 
     async def play_release(self, fault: SiteFault) -> None:
         """Replace a part of the replicas by ones of a new version, each new one first."""
-        self._release_count += 1
-        software = f"v{self._release_count}"
+        self.release_count += 1
+        software = f"v{self.release_count}"
         chosen, at_once = self._choose_replicas(fault, 0.5), round(fault.x or 1)
         async with trio.open_nursery() as nursery:
             for number, replica in enumerate(chosen):
@@ -92,7 +92,7 @@
         count = fault.choose_count(len(streams), 0.3)
         running = self._count_streams()
         for place in self._rng.sample(streams, count)[: 2 * len(streams) - running]:
-            await self.add_replica(place.service, place.zone, f"v{self._release_count}")
+            await self.add_replica(place.service, place.zone, f"v{self.release_count}")
             await trio.sleep(fault.gap_s / count)
 
     async def play_scale_in(self, fault: SiteFault) -> None:
@@ -124,7 +124,7 @@
         if fault.for_s > ENTRY_EXPIRES_S:
             self._replica_world.remove_entry(replica)
             await trio.sleep(fault.for_s - ENTRY_EXPIRES_S)
-        await self._restart(replica, replica.software, signal.SIGKILL)
+        await self.restart(replica, replica.software, signal.SIGKILL)
 
     async def play_srv_grey(self, fault: SiteFault) -> None:
         """Let replicas break off, or hang, now and then."""
--- a/soak/site_routers.py
+++ b/soak/site_routers.py
@@ -69,7 +69,7 @@
         self._replica_world.run_log.write("routers_killed", nodes=names)
         if "power" in fault.how:
             await trio.sleep(max(0.0, fault.for_s - RESTART_DELAY_S))
-        await self._restart_routers(chosen)
+        await self.restart_routers(chosen)
 
     async def play_node_freeze(self, fault: SiteFault) -> None:
         """Suspend routers for a while."""
