--- a/soak/site_faults.py
+++ b/soak/site_faults.py
@@ -106,7 +106,7 @@
         async with trio.open_nursery() as nursery:
             if "drain" in fault.how:
                 for replica in self._choose_replicas(SiteFault("", count=1), 0.0):
-                    nursery.start_soon(self._replace_by_new, replica, replica.software)
+                    self._start_replacement(nursery, replica, replica.software)
             for _ in range(CHANGES_IN_SILENCE):
                 await self.config_change()
                 await trio.sleep(FEED_SILENCE_S / CHANGES_IN_SILENCE)
--- a/soak/site_replicas.py
+++ b/soak/site_replicas.py
@@ -61,8 +61,14 @@
                 if self.ending:
                     return
                 if replica.name not in self._busy:
-                    self._busy.add(replica.name)
-                    nursery.start_soon(self._replace_by_new, replica, software)
+                    self._start_replacement(nursery, replica, software)
+
+    def _start_replacement(
+        self, nursery: trio.Nursery, replica: ReplicaProcess, software: str
+    ) -> None:
+        """Begin to replace a replica, which no other fault meets from now on."""
+        self._busy.add(replica.name)
+        nursery.start_soon(self._replace_by_new, replica, software)
 
     async def _replace_by_new(self, replica: ReplicaProcess, software: str) -> None:
         """Start a replica of another version, then let the old one leave."""
@@ -72,7 +78,6 @@
     async def _retire(self, replica: ReplicaProcess) -> None:
         """Let a replica drain and leave; some never report that they drain."""
         world = self._replica_world
-        self._busy.add(replica.name)
         abrupt = self._rng.random() < ABRUPT_RATIO
         world.run_log.write("replica_leaves", replica=replica.name, abrupt=abrupt)
         if abrupt:
