--- a/features/nominal_world.py
+++ b/features/nominal_world.py
@@ -55,10 +55,10 @@
 
     def write(self) -> None:
         """Let the writer write the row for the replicas of now, if it is not right."""
-        self.writer.allows_nominal_starts = self.knows_all
+        self.writer.spans.allowed = self.knows_all
         self.writer.confirm(0)
         self.history.record(SERVICE, self.counts)
-        ahead_ms = self.writer.mean_lag_ms(SERVICE)
+        ahead_ms = self.writer.spans.mean_lag_ms(SERVICE)
         forecast = self.history.forecast(SERVICE, self.counts, ahead_ms)
         report = self.writer.next_report(SERVICE, self.counts, None, forecast)
         report = report or self.writer.nominal_report(SERVICE)
@@ -71,7 +71,7 @@
         """Let the other router learn of the row that is due, and both what they saw of callers."""
         due_at = self.clock.now() - self.delay_ms
         due = [row for row in self.store.stored if row.written_at <= due_at]
-        self.other.allows_nominal_starts = self.knows_all
+        self.other.spans.allowed = self.knows_all
         if due and self.other_hears:
             row, now = due[-1], self.clock.now() - self.store.late_ms
             self.other.apply(decode_report(SERVICE, row.version, row.data, now, self.store.era))
@@ -81,8 +81,8 @@
         """Let both routers hear how long callers wait at the other one."""
         pairs = ((self.writer, self.other), (self.other, self.writer))
         for sender, receiver in pairs:
-            for wait in sender.route_waits():
-                receiver.route_spans.apply_report(wait)
+            for wait in sender.spans.waits():
+                receiver.spans.seen.apply_report(wait)
 
     def begin(self) -> None:
         """Let callers begin streams at both routers."""
@@ -90,8 +90,8 @@
             releases = self.rng.choice((self.writer, self.other))
             waits_ms = self.draw_wait()
             key = f"k{self.clock.now()}-{number}"
-            releases.route_spans.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
-            age_ms = releases.nominal_age_ms(SERVICE, ROUTE, waits_ms)
+            releases.spans.seen.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
+            age_ms = releases.spans.nominal_age_ms(SERVICE, ROUTE, waits_ms)
             version = releases.assigned_version(SERVICE, key, age_ms)
             if self.begins:
                 self.streams.append(BegunStream(key, self.clock.now(), waits_ms, version))
--- a/features/steps/nominal_review.py
+++ b/features/steps/nominal_review.py
@@ -83,8 +83,8 @@
         for number, releases in enumerate((self.writer, self.other)):
             waits_ms = round(self.waits_ms[number] * self.rng.uniform(0.85, 1.0))
             key = f"k{self.clock.now()}-{number}"
-            releases.route_spans.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
-            age_ms = releases.nominal_age_ms(SERVICE, ROUTE, waits_ms)
+            releases.spans.seen.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
+            age_ms = releases.spans.nominal_age_ms(SERVICE, ROUTE, waits_ms)
             version = releases.assigned_version(SERVICE, key, age_ms)
             if self.begins:
                 self.streams.append(BegunStream(key, self.clock.now(), waits_ms, version))
@@ -129,7 +129,7 @@
     left_ms += world.rng.randint(-JITTER_MS, JITTER_MS)
     if world.rng.random() < late_share:
         left_ms += late_ms
-    start = releases.nominal_start(SERVICE, ROUTE, left_ms)
+    start = releases.spans.nominal_start(SERVICE, ROUTE, left_ms)
     if start is None:
         max_age_ms = releases.max_age_ms(SERVICE, TIMEOUT_MS, left_ms)
         versions = releases.began_at(SERVICE, stream.key, max_age_ms, apart_ms)
@@ -182,8 +182,8 @@
     world, spans = context.world, {"raised": 2 * TIMEOUT_MS, "withdrawn": HOUR_MS}
     copied_at = world.clock.now() - 1
     world.longest_ms = 2 * TIMEOUT_MS if change == "raised" else TIMEOUT_MS
-    world.writer.route_spans.record(SERVICE, ROUTE, spans[change], TIMEOUT_MS)
-    world.other.route_spans.record(SERVICE, ROUTE, spans[change], TIMEOUT_MS)
+    world.writer.spans.seen.record(SERVICE, ROUTE, spans[change], TIMEOUT_MS)
+    world.other.spans.seen.record(SERVICE, ROUTE, spans[change], TIMEOUT_MS)
     for old in (5, 4, 3):
         world.counts = {"v1": old, "v2": world.counts["v2"] + 1}
         world.pass_time(lost // 3)
@@ -196,7 +196,7 @@
     context.apart_at = world.clock.now()
     world.other_hears = False
     if change == "raised":
-        world.writer.route_spans.record(SERVICE, ROUTE, 20_000, TIMEOUT_MS)
+        world.writer.spans.seen.record(SERVICE, ROUTE, 20_000, TIMEOUT_MS)
     let_release_pass(world, 9, span // 8)
 
 
@@ -282,7 +282,7 @@
         for number, (releases, waits) in enumerate(zip(routers, context.waits, strict=True)):
             # The last one is that of a single caller, if there are several.
             wait_ms = waits[-1] if tick == 40 else waits[0]
-            releases.route_spans.record(SERVICE, ROUTE, wait_ms, context.timeout_ms)
+            releases.spans.seen.record(SERVICE, ROUTE, wait_ms, context.timeout_ms)
             if store.stored:
                 releases.apply(store.read())
             releases.confirm(0)
@@ -323,8 +323,8 @@
     for number in range(STREAMS_PER_TICK):
         waits_ms = TIMEOUT_MS - later_ms * (world.rng.random() < share)
         key = f"k{world.clock.now()}-{number}"
-        world.writer.route_spans.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
-        age_ms = world.writer.nominal_age_ms(SERVICE, ROUTE, waits_ms)
+        world.writer.spans.seen.record(SERVICE, ROUTE, waits_ms, TIMEOUT_MS)
+        age_ms = world.writer.spans.nominal_age_ms(SERVICE, ROUTE, waits_ms)
         begun[world.writer.assigned_version(SERVICE, key, age_ms)] += 1
     mean = STREAMS_PER_TICK / sum(world.counts.values())
     shares = {version: begun[version] / count / mean for version, count in world.counts.items()}
--- a/features/steps/nominal_starts.py
+++ b/features/steps/nominal_starts.py
@@ -81,7 +81,7 @@
     """Return where a stream may go on, `None` if that is not certain."""
     age_ms = world.clock.now() - stream.began_at
     left_ms = stream.waits_ms - age_ms + world.rng.randint(-JITTER_MS, JITTER_MS)
-    start = releases.nominal_start(SERVICE, ROUTE, left_ms)
+    start = releases.spans.nominal_start(SERVICE, ROUTE, left_ms)
     if start is None:
         return None
     versions = releases.began_nominally(SERVICE, stream.key, start)
@@ -113,7 +113,7 @@
         stored = world.store.read()
         row = replace(stored, row_version=world.store.read().row_version, spans=())
         world.writer.apply(world.store.write(row))
-        world.writer.allows_nominal_starts = world.knows_all = False
+        world.writer.spans.allowed = world.knows_all = False
     if routers == "a router that does not know them is heard":
         world.knows_all = False
     world.pass_time(span)
@@ -124,7 +124,7 @@
     context.world.clock.advance(RESTART_MS)
     fresh = Releases(context.world.clock)
     fresh.apply(context.world.store.read())
-    found = fresh.nominal_start(SERVICE, ROUTE, TIMEOUT_MS - RESTART_MS)
+    found = fresh.spans.nominal_start(SERVICE, ROUTE, TIMEOUT_MS - RESTART_MS)
     assert (found is not None) == (known == "yes"), found
 
 
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -222,7 +222,7 @@
             hold_offs=core.chooser.hold_offs.relayed_ms(state.upstreams),
             backpressure=core.chooser.concurrency_limits.reports(),
             silences=core.fleet.silences.reports(),
-            route_waits=core.releases.route_waits(),
+            route_waits=core.releases.spans.waits(),
         )
 
     # Receiving.
@@ -313,7 +313,7 @@
         for report in message.releases:
             core.apply_release(report, message.node)
         for wait in message.route_waits:
-            core.releases.route_spans.apply_report(wait)
+            core.releases.spans.seen.apply_report(wait)
         if message.releases_age_ms is not None:
             core.releases.confirm(message.releases_age_ms + REPORT_DELAY_MS)
         self._apply_loads(message.observed_loads)
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -64,7 +64,7 @@
         while True:
             try:
                 self._note_unchanged()
-                core.releases.allows_nominal_starts = core.fleet.all_know_nominal_starts()
+                core.releases.spans.allowed = core.fleet.all_know_nominal_starts()
                 if self._is_read_due():
                     await self._read()
                 if core.cluster_state.complete and all(core.reading_store.values()):
@@ -113,7 +113,7 @@
         for service, counts in self._count_versions().items():
             members = self._digest_members(service)
             self._counts.record(service, counts)
-            lag_ms = core.releases.mean_lag_ms(service)
+            lag_ms = core.releases.spans.mean_lag_ms(service)
             forecast = self._counts.forecast(service, counts, lag_ms)
             report = core.releases.next_report(service, counts, members, forecast)
             if report is None:
--- a/skylarklift/entry/versions/releases.py
+++ b/skylarklift/entry/versions/releases.py
@@ -20,14 +20,8 @@
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.state.rows import FIRST_ERA, NO_ERA, Era
 from skylarklift.entry.versions.known_release import KnownRelease, learn_release
-from skylarklift.entry.versions.nominal_starts import (
-    MAX_SPANS,
-    NominalStart,
-    RouteSpan,
-    RouteSpans,
-    RouteWait,
-)
-from skylarklift.entry.versions.nominal_steps import TOLERANCE_MS, version_at, versions_at
+from skylarklift.entry.versions.nominal_starts import NominalStart
+from skylarklift.entry.versions.nominal_steps import version_at, versions_at
 from skylarklift.entry.versions.release_decisions import (
     copied_ms,
     differ,
@@ -39,7 +33,6 @@
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.release_steps import (
     SPREAD_MS,
-    STEP_DELAY_MS,
     ReleaseStep,
     bound_steps,
     join_steps,
@@ -51,6 +44,7 @@
     undisturbed_steps,
     unknown_step,
 )
+from skylarklift.entry.versions.row_spans import RowSpans
 from skylarklift.entry.versions.stream_deadlines import (
     MAX_DEADLINE_MS,
     MAX_SPAN_MS,
@@ -77,9 +71,7 @@
         self._clock = clock
         self._known: dict[ServiceId, KnownRelease] = {}
         self.deadlines = StreamDeadlines(clock)
-        self.route_spans = RouteSpans(clock)
-        # False while a router is there that does not know nominal starts.
-        self.allows_nominal_starts = True
+        self.spans = RowSpans(clock, self._known)
         # When the known rows were the newest ones for certain.
         self._confirmed_at: Millis | None = None
         # Until when nobody can have written rows that this router does not know.
@@ -196,33 +188,6 @@
             return pick_version(key, steps[-1].weights)
         return version_at(steps, key, nominal_age_ms)
 
-    def nominal_age_ms(self, service: ServiceId, route: str, left_ms: int) -> int | None:
-        """Return how long ago a stream nominally began, `None` if its route has no span.
-
-        Its caller will wait for `left_ms` more, 0 if it names no time.
-        """
-        span = self._find_span(service, route)
-        return None if span is None or left_ms <= 0 else span.nominal_age_ms(left_ms)
-
-    def nominal_start(
-        self, service: ServiceId, route: str, left_ms: int, waited_ms: int = 0
-    ) -> NominalStart | None:
-        """Return the nominal start of a stream that a caller resumes.
-
-        Its request waited here for `waited_ms` at most.  Return `None` if some router may not have
-        used it.
-        """
-        span = self._find_span(service, route)
-        if span is None or not self.allows_nominal_starts or not 0 < left_ms <= span.span_ms:
-            return None
-        if self.route_spans.is_exceeded(service, span):
-            return None
-        age_ms = span.nominal_age_ms(left_ms)
-        start = NominalStart(age_ms, age_ms + waited_ms)
-        if span.settled_ms is None or span.settled_ms < start.oldest_ms + TOLERANCE_MS:
-            return None
-        return start
-
     def may_lack_steps(self, service: ServiceId) -> bool:
         """Return whether newer proportions may be in force at routers that lived on.
 
@@ -231,27 +196,6 @@
         steps = self.steps(service)
         return bool(steps) and not steps[-1].is_known
 
-    def mean_lag_ms(self, service: ServiceId) -> int:
-        """Return how long after it is written a step is used on average, 0 without spans."""
-        known = self._known.get(service)
-        spans = known.spans(self._clock.now()) if known else ()
-        return STEP_DELAY_MS + self.route_spans.mean_lag_ms(service, spans) if spans else 0
-
-    def route_waits(self) -> tuple[RouteWait, ...]:
-        """Return what this router saw of callers for whom the rows have no span."""
-        now = self._clock.now()
-        found = [
-            wait
-            for service, known in self._known.items()
-            for wait in self.route_spans.reports(service, known.spans(now))
-        ]
-        return tuple(found[:MAX_SPANS])
-
-    def _find_span(self, service: ServiceId, route: str) -> RouteSpan | None:
-        """Return the span of a route, `None` if it has none."""
-        known = self._known.get(service)
-        return known.find_span(route, self._clock.now()) if known else None
-
     def begins_only_at(self, service: ServiceId, version: SoftwareVersion | None) -> bool:
         """Return whether all known proportions give each prompt to this version."""
         known = self._known.get(service)
@@ -348,20 +292,10 @@
                 steps,
                 written_in=known.report.era if known else self._era,
                 members=members,
-                spans=self._next_spans(service),
+                spans=self.spans.next_spans(service),
             )
         )
 
-    def _next_spans(self, service: ServiceId) -> tuple[RouteSpan, ...]:
-        """Return the spans to write in a service's row."""
-        known = self._known.get(service)
-        spans = known.settled_spans(self._clock.now()) if known else ()
-        others = (item for name, item in self._known.items() if name != service)
-        most = MAX_SPANS - sum(len(item.report.spans) for item in others)
-        return self.route_spans.update(
-            service, spans, most=most if self.allows_nominal_starts else 0
-        )
-
     def nominal_report(
         self, service: ServiceId, members: MembersDigest | None = None
     ) -> ReleaseReport | None:
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -55,8 +55,8 @@
         await self._wait_for_steps(service)
         releases, route, left_ms = core.releases, self._route, self._left_ms()
         releases.deadlines.record(service, call.deadline_ms)
-        releases.route_spans.record(service, route.name, left_ms, route.timeout_ms)
-        nominal_age_ms = releases.nominal_age_ms(service, route.name, left_ms)
+        releases.spans.seen.record(service, route.name, left_ms, route.timeout_ms)
+        nominal_age_ms = releases.spans.nominal_age_ms(service, route.name, left_ms)
         self.assigned = releases.assigned_version(service, affinity_key(call), nominal_age_ms)
         return service
 
@@ -97,7 +97,9 @@
         max_age_ms = core.releases.max_age_ms(service, self._route.timeout_ms, call.deadline_ms)
         # The caller named the time that it had left before the request waited here.
         waited_ms = core.standstill.waiting_ms()
-        nominal = core.releases.nominal_start(service, self._route.name, self._left_ms(), waited_ms)
+        nominal = core.releases.spans.nominal_start(
+            service, self._route.name, self._left_ms(), waited_ms
+        )
         stream = ResumedStream(request, service, key, max_age_ms + waited_ms, nominal)
         self.origin = await core.resumptions.find(stream)
         core.metrics.increment("resumptions", self.origin.source.value)
--- a/soak/site.py
+++ b/soak/site.py
@@ -14,7 +14,7 @@
 from soak.stream_checker import NOT_RUN_STATUSES, SentCall
 from soak.stream_load import DEADLINES_MS, EVENTS, StreamLoad
 from soak.stream_world import FIRST_VERSION, ReplicaPath, StreamWorld, write_lines
-from soak.streams import GRACE_CHOICES_S, Options, Result, StreamSoak, is_served
+from soak.streams import GRACE_CHOICES_S, Options, Result, StreamSoak
 from standins.stream_wire import Ending
 
 # Each request has at least this part of its class's deadline.
@@ -50,7 +50,7 @@
     streams = [call for call in calls if call.kind.is_stream]
     return Outcome(
         streams=len(streams),
-        whole=sum(is_served(call) for call in streams),
+        whole=sum(call.is_served() for call in streams),
         resumed=sum(len({event.run for event in list_events(call)}) > 1 for call in streams),
         joined=sum(len({event.software for event in list_events(call)}) > 1 for call in streams),
         refused=sum(is_refused(call) for call in streams),
@@ -64,7 +64,7 @@
 
 def is_refused(call: SentCall) -> bool:
     """Return whether the last try of a request that is not complete was refused."""
-    return not is_served(call) and call.tries[-1].status in NOT_RUN_STATUSES
+    return not call.is_served() and call.tries[-1].status in NOT_RUN_STATUSES
 
 
 def make_load(site: Site) -> StreamLoad:
