Use the load in answers that name a fourth figure

Cause: the decoder took a field of exactly three figures; upstreams that also name how long work takes (RUNNING,WAITING,SLOTS,PERCENT) were taken to report no load at all, so no load that they told reached any decision.

Change: the first three figures are required, the fourth is kept as `work_percent`, further ones are ignored, and a fourth one that is no number or 0 counts as usual (100).

Ruled out: the field's name and framing; "3,0,8" was read correctly.

--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -21,6 +21,8 @@
 STOPPING_MARGIN_MS = 400
 
 DEFAULT_MEMORY_MB = 300
+# An upstream that reports this takes as long for its work as usual.
+USUAL_WORK_PERCENT = 100
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -182,11 +184,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaLoad:
-    """The load that an upstream reports: running and waiting requests, and its slots."""
+    """The load that an upstream reports: running and waiting requests, and its slots.
+
+    `work_percent` is how long work takes there at the moment, in percent of the usual time.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = USUAL_WORK_PERCENT
 
 
 @dataclass(slots=True)
--- a/skylarklift/platform/headers.py
+++ b/skylarklift/platform/headers.py
@@ -2,6 +2,7 @@
 
 from skylarklift.clock import Millis
 from skylarklift.entry.model import (
+    USUAL_WORK_PERCENT,
     Call,
     Headers,
     PromptPart,
@@ -15,8 +16,9 @@
 from skylarklift.util.bounded import parse_decimal, parse_integer
 
 MS_PER_SECOND = 1000
-# RUNNING,WAITING,SLOTS
-LOAD_FIELDS = 3
+# RUNNING,WAITING,SLOTS, and from some upstreams the time that work takes in percent of the usual.
+REQUIRED_LOAD_FIELDS = 3
+MAX_LOAD_FIELDS = 4
 # Header fields that apply to one connection only, and the framing fields that are set anew.
 HOP_BY_HOP_HEADERS = frozenset(
     (
@@ -212,8 +214,13 @@
 
 
 def _parse_load(value: bytes) -> ReplicaLoad | None:
-    """Return the load in a field of the form RUNNING,WAITING,SLOTS, or `None`."""
-    numbers = [_parse_uint(item) for item in value.split(b",")]
-    if len(numbers) != LOAD_FIELDS or None in numbers:
+    """Return the load in a field of the form RUNNING,WAITING,SLOTS[,PERCENT], or `None`.
+
+    What follows the known figures, or a fourth one that is no number, does not invalidate the rest.
+    """
+    numbers = [_parse_uint(item) for item in value.split(b",")[:MAX_LOAD_FIELDS]]
+    if len(numbers) < REQUIRED_LOAD_FIELDS or None in numbers[:REQUIRED_LOAD_FIELDS]:
         return None
-    return ReplicaLoad(*numbers)
+    required, further = numbers[:REQUIRED_LOAD_FIELDS], numbers[REQUIRED_LOAD_FIELDS:]
+    percent = next((number for number in further if number), USUAL_WORK_PERCENT)
+    return ReplicaLoad(*required, percent)
