Leave empty fields and most repeats of silences out of gossip

Cause: each message named 20 fields, most of them empty, and up to 15 silences that count for eleven minutes; a router of 88 sends 27 messages a second (the reader of the store 290), two thirds of them to other zones.

Change: fields whose absence means the same are left out; in a fleet of more than 8 other routers the ended silences go with one round in four, and always to a router that has just started. Routers of earlier releases read missing fields as empty ones already.

--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -65,6 +65,9 @@
 # time for the same routers.
 MAX_BURST_DATAGRAMS = 16
 BURST_PAUSE_MS = 4
+# In a large fleet one of so many rounds tells the silences that have ended: each router still hears
+# them from others several times a second, and they count for minutes.
+SILENCE_ROUNDS = 4
 # After an error of receiving, which may last.
 RECEIVE_PAUSE_MS = 5
 
@@ -80,6 +83,7 @@
         # What is new of busy upstreams must not take the turns of whole messages.
         self._gossip_turns, self._load_turns = Turns(), Turns()
         self._last_round_at = Millis(0)
+        self._rounds = 0
         self._serving_count = 0
         self._release_parts = ReleaseParts(core.clock)
         self._relay_server = RelayServer(core)
@@ -116,6 +120,7 @@
     async def send_round(self) -> None:
         """Send gossip to the routers of this round."""
         targets = self._next_targets()
+        self._rounds += 1
         self._last_round_at = self._core.clock.now()
         await self._send_to(targets)
 
@@ -221,10 +226,16 @@
             cut_zones=core.links.cut_zones(),
             hold_offs=core.chooser.hold_offs.relayed_ms(state.upstreams),
             backpressure=core.chooser.concurrency_limits.reports(),
-            silences=core.fleet.silences.reports(),
+            silences=core.fleet.silences.reports() if self._tells_silences(since) else (),
             route_waits=core.releases.spans.waits(),
         )
 
+    def _tells_silences(self, since: Millis) -> bool:
+        """Return whether a message has the silences: those to routers that have just started do."""
+        is_first = since <= 0
+        is_small = len(self._core.fleet.peers) <= GOSSIP_FANOUT
+        return is_first or is_small or self._rounds % SILENCE_ROUNDS == 0
+
     # Receiving.
 
     async def receive_loop(self, nursery: trio.Nursery) -> None:
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -84,60 +84,83 @@
             message.ejected,
             message.maybe_restarted,
             # Routers of earlier releases send an empty list here, and ignore what they get.
-            {
-                ROUTER_COUNT_KEY: message.router_count,
-                LIMITS_KEY: [
-                    (report.replica, report.per_second, report.age_ms) for report in message.limits
-                ],
-                RELEASES_KEY: [_release_fields(report) for report in message.releases],
-                RELEASES_AGE_KEY: message.releases_age_ms,
-                RELEASE_ERAS_KEY: {
-                    report.service: report.written_in
-                    for report in message.releases
-                    if report.written_in is not None
-                },
-                SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
-                STORE_RESTORED_KEY: message.store_restored,
-                ZONE_KEY: message.zone,
-                CUT_ZONES_KEY: message.cut_zones,
-                HOLD_OFFS_KEY: message.hold_offs,
-                SILENCES_KEY: [(item.began_ms, max(0, item.ended_ms)) for item in message.silences],
-                DEADLINES_KEY: {
-                    report.service: (report.deadline.span_ms, report.deadline.age_ms)
-                    for report in message.releases
-                    if report.deadline is not None
-                },
-                SHORTER_DEADLINES_KEY: {
-                    report.service: [(item.span_ms, item.age_ms) for item in shorter]
-                    for report in message.releases
-                    if (shorter := report.shorter_deadlines)
-                },
-                NOMINAL_STARTS_KEY: {
-                    report.service: _nominal_fields(report) for report in message.releases
-                },
-                ROUTE_WAITS_KEY: [
-                    (
-                        wait.service,
-                        wait.route,
-                        wait.timeout_ms,
-                        wait.longest_ms,
-                        wait.mean_ms,
-                        wait.count,
-                    )
-                    for wait in message.route_waits
-                ],
-                ERAS_KEY: [summary.era for summary in message.tables],
-                OBSERVED_LOADS_KEY: [
-                    (observed.replica, observed.load, observed.age_ms, observed.urgent)
-                    for observed in message.observed_loads
-                ],
-                **backpressure_fields(message.backpressure),
-            },
+            _without_defaults(_extra_fields(message)),
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
     )
 
 
+def _extra_fields(message: GossipMessage) -> dict[str, Any]:
+    """Return what was added to the message since the first release of the format."""
+    return {
+        ROUTER_COUNT_KEY: message.router_count,
+        LIMITS_KEY: [
+            (report.replica, report.per_second, report.age_ms) for report in message.limits
+        ],
+        RELEASES_KEY: [_release_fields(report) for report in message.releases],
+        RELEASES_AGE_KEY: message.releases_age_ms,
+        RELEASE_ERAS_KEY: {
+            report.service: report.written_in
+            for report in message.releases
+            if report.written_in is not None
+        },
+        SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
+        STORE_RESTORED_KEY: message.store_restored,
+        ZONE_KEY: message.zone,
+        CUT_ZONES_KEY: message.cut_zones,
+        HOLD_OFFS_KEY: message.hold_offs,
+        SILENCES_KEY: [(item.began_ms, max(0, item.ended_ms)) for item in message.silences],
+        DEADLINES_KEY: {
+            report.service: (report.deadline.span_ms, report.deadline.age_ms)
+            for report in message.releases
+            if report.deadline is not None
+        },
+        SHORTER_DEADLINES_KEY: {
+            report.service: [(item.span_ms, item.age_ms) for item in shorter]
+            for report in message.releases
+            if (shorter := report.shorter_deadlines)
+        },
+        NOMINAL_STARTS_KEY: {
+            report.service: _nominal_fields(report) for report in message.releases
+        },
+        ROUTE_WAITS_KEY: [
+            (
+                wait.service,
+                wait.route,
+                wait.timeout_ms,
+                wait.longest_ms,
+                wait.mean_ms,
+                wait.count,
+            )
+            for wait in message.route_waits
+        ],
+        ERAS_KEY: [summary.era for summary in message.tables],
+        OBSERVED_LOADS_KEY: [
+            (observed.replica, observed.load, observed.age_ms, observed.urgent)
+            for observed in message.observed_loads
+        ],
+        **backpressure_fields(message.backpressure),
+    }
+
+
+def _without_defaults(extras: dict[str, Any]) -> dict[str, Any]:
+    """Return the fields without those whose absence means the same.
+
+    In a calm fleet their names would be most of the message.
+    """
+    return {
+        name: value
+        for name, value in extras.items()
+        # An empty one of these shows that the sender knows nominal starts.
+        if name == NOMINAL_STARTS_KEY or not _is_default(value)
+    }
+
+
+def _is_default(value: Any) -> bool:
+    """Return whether a receiver takes a missing field for this value; 0 may be an age."""
+    return value is None or value is False or value in ("", (), [], {})
+
+
 def decode_gossip(data: bytes) -> GossipMessage:
     """Return the gossip message in a datagram; raise `PeerError` if it is invalid."""
     try:
