Weigh long links between zones when choosing an upstream

An upstream of another zone counted as a constant number of requests more loaded, whatever the link, the bytes and the pressure of the zones were. Where connections show a round trip of 2 ms or more, the penalty now depends on these, and the part of the demand that may leave the zone changes slowly with the pressure. Below 2 ms the choice is as before.

--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -23,6 +23,7 @@
 from skylarklift.entry.placement.health import Health
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.placement.upstream_progress import UpstreamProgress
+from skylarklift.entry.placement.zone_links import ZoneLinks
 from skylarklift.entry.relays.dialer import Dialer
 from skylarklift.entry.relays.link_states import LinkStates
 from skylarklift.entry.relays.relay_choice import RelayChoice
@@ -322,6 +323,20 @@
             if suspect in attempt.suspects:
                 attempt.withdraw()
 
+    def report_sent(self, record: UpstreamRecord) -> None:
+        """Count a request that is sent, and log what its choice changed about its zone."""
+        if self.chooser.rate_limits.is_limited(record.replica):
+            self.metrics.increment("limited_sends", record.replica)
+        if record.zone != self.settings.zone:
+            self.metrics.increment("requests_to_other_zone", record.zone)
+        for change in self.chooser.zone_spill.pop_changes():
+            self.event_log.write(
+                "zone_spill_starts" if change.leaves else "zone_spill_ends",
+                service=change.service,
+                own_pressure=change.own_pressure,
+                other_pressure=change.other_pressure,
+            )
+
     def update_gauges(self) -> None:
         """Set the gauges on the metrics page from the current state."""
         metrics, plan = self.metrics, self.cluster_state.plan
@@ -345,6 +360,10 @@
         metrics.replace_gauges("observed_load", dict(self.chooser.observed_loads.loads()))
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         metrics.replace_gauges("rejection_limit", self.chooser.concurrency_limits.named())
+        spill = self.chooser.zone_spill
+        metrics.replace_gauges("zone_pressure", spill.pressures())
+        metrics.replace_gauges("zone_link_rtt_ms", dict(spill.link_rtts_ms()))
+        metrics.replace_gauges("zone_spill_part", dict(spill.parts()))
         for table in RowTable:
             cache = self.cluster_state.caches[table]
             metrics.set_gauge("older_rows", cache.older_rows, table.name.lower())
@@ -376,7 +395,8 @@
     rng = random.Random()
     links, metrics = LinkStates(clock), Metrics()
     relays = RelayChoice(clock, fleet, settings.zone, settings.regions, rng)
-    dialer = Dialer(clock, links, relays, event_log, metrics, rng)
+    zone_links = ZoneLinks(clock)
+    dialer = Dialer(clock, links, relays, event_log, metrics, rng, zone_links)
     chooser = Chooser(
         clock,
         cluster_state,
@@ -386,6 +406,7 @@
         bounds,
         settings.zone,
         settings.regions,
+        zone_links,
     )
     return Core(
         settings=settings,
--- a/skylarklift/entry/placement/affinity.py
+++ b/skylarklift/entry/placement/affinity.py
@@ -9,7 +9,9 @@
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass
 
+from skylarklift.entry.model import Call
 from skylarklift.entry.placement.candidates import Candidates
 from skylarklift.entry.state.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
@@ -20,6 +22,20 @@
 MAX_REMEMBERED_CHATS = 2000
 
 
+@dataclass(frozen=True, slots=True)
+class ChatZones:
+    """The zones that a chat avoids while nearer ones have room.
+
+    In those of `unpaid`, which are also in `far`, not even a holder is worth the way.
+    """
+
+    far: frozenset[ZoneId] = frozenset()
+    unpaid: frozenset[ZoneId] = frozenset()
+
+
+ANY_ZONE = ChatZones()
+
+
 class RendezvousCache:
     """The rendezvous orders of recent chats, for each service."""
 
@@ -69,22 +85,32 @@
     load_limit: float,
     zone: ZoneId,
     scarce: Collection[ReplicaId] = (),
+    zones: ChatZones = ANY_ZONE,
 ) -> Iterator[ReplicaId]:
     """Yield the candidates from the best to the worst for a chat.
 
     Of several holders, the `scarce` ones come first, which take only a few requests, then those in
     `zone`: the chat costs the same there, and its bytes stay in the zone.  `ranked` yields at least
-    all candidates, in the chat's rendezvous order.
+    all candidates, in the chat's rendezvous order.  Replicas in the far zones of `zones`, and full
+    ones, come after the other ones.
     """
     load = candidates.load
     sound_holders = [name for name in holders if name in candidates and load(name) < load_limit]
     by_weight = _sort_by_weight(key, sound_holders)
-    yield from sorted(
+    by_zone = sorted(
         by_weight, key=lambda name: (name not in scarce, candidates[name].record.zone != zone)
     )
+    yield from (name for name in by_zone if candidates[name].record.zone not in zones.unpaid)
+    deferred: list[ReplicaId] = []
     for name in ranked:
         if name in candidates and name not in holders and load(name) < load_limit:
-            yield name
+            record = candidates[name].record
+            if zones.far and (record.zone in zones.far or load(name) >= record.slots):
+                deferred.append(name)
+            else:
+                yield name
+    yield from (name for name in by_zone if candidates[name].record.zone in zones.unpaid)
+    yield from deferred
     overloaded = [name for name in candidates if load(name) >= load_limit]
     if overloaded:
         mean = sum(map(load, overloaded)) / len(overloaded)
@@ -92,6 +118,18 @@
         yield from sorted(overloaded, key=lambda name: (name not in near, load(name)))
 
 
+def affinity_key(call: Call) -> str:
+    """Return the hash key for affinity: the last shared part of the prompt.
+
+    The name of that part stands for the whole shared prefix of a chat.
+    """
+    if len(call.parts) > 1:
+        return call.parts[-2].name
+    if call.parts:
+        return call.parts[0].name
+    return call.request
+
+
 def _sort_by_weight(key: str, names: Iterable[ReplicaId]) -> list[ReplicaId]:
     """Return upstreams in the rendezvous order of a key."""
     return sorted(names, key=lambda name: rendezvous_weight(key, name), reverse=True)
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -20,7 +20,7 @@
     UpstreamRecord,
     Workspace,
 )
-from skylarklift.entry.placement.affinity import RendezvousCache, order_by_affinity
+from skylarklift.entry.placement.affinity import RendezvousCache, affinity_key, order_by_affinity
 from skylarklift.entry.placement.candidates import Candidates, allowed_regions
 from skylarklift.entry.placement.choice import (
     Choice,
@@ -37,6 +37,8 @@
 from skylarklift.entry.placement.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.placement.rate_limits import RateLimits
 from skylarklift.entry.placement.software_versions import SoftwareVersions
+from skylarklift.entry.placement.zone_links import ZoneLinks
+from skylarklift.entry.placement.zone_spill import ZoneSpill, request_cost
 from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.rows import RowTable
@@ -48,9 +50,6 @@
 # factor times this ratio, plus the extra requests.
 AFFINITY_LOAD_RATIO = 0.8
 AFFINITY_EXTRA_REQUESTS = 2
-# An upstream in another zone counts as having this many more requests in flight: bytes between
-# zones cost more than a place beside another request, as long as places are free.
-OTHER_ZONE_PENALTY = 1.5
 # The replicas with the most tokens of a prompt's shared parts count as its holders if these are at
 # least this ratio of all shared tokens.
 HOLDER_RATIO = 0.5
@@ -76,6 +75,7 @@
         bounds: Bounds,
         zone: ZoneId,
         regions: Mapping[str, str] | None = None,
+        zone_links: ZoneLinks | None = None,
     ):
         self._clock = clock
         self._cluster_state = cluster_state
@@ -92,6 +92,7 @@
         self.hold_offs = HoldOffs(clock)
         self.prefixes = PrefixIndex(clock)
         self.observed_loads = ObservedLoads(clock)
+        self.zone_spill = ZoneSpill(clock, zone, zone_links or ZoneLinks(clock))
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
 
@@ -124,13 +125,14 @@
             return candidates
         plan = self._cluster_state.plan.services.get(service)
         mean = self._mean_load(service)
+        self.zone_spill.update(service, lambda: self._all_usable(service))
         busy_load = 0.0
         by_affinity = plan is not None and plan.engine_slots > 0 and route.affinity
         if by_affinity:
             busy_load = self._busy_load(mean)
             ordered = self._order_by_affinity(call, service, candidates, busy_load)
         else:
-            ordered = iter(self._order_by_load(candidates))
+            ordered = iter(self._order_by_load(call, service, candidates))
         passed_over: list[PassedOver] = []
         limited = False
         idle = self._idle_limited(candidates, mean)
@@ -227,6 +229,11 @@
         peer_loads, observed_loads = self._fleet.peer_loads(), self.observed_loads.loads()
         return Candidates(members, excluded, self.in_flight, peer_loads, observed_loads)
 
+    def _all_usable(self, service: ServiceId) -> Candidates:
+        """Return the upstreams of a service that may take requests of any kind."""
+        usable = self._cluster_state.usable_members(service)
+        return self._without(usable, self._health.blocked() | self.hold_offs.active(usable))
+
     def wait_ms(self, service: ServiceId) -> int:
         """Return the time until some upstream of a service no longer asks to wait."""
         return self.hold_offs.shortest_ms(self._cluster_state.usable_members(service))
@@ -263,7 +270,10 @@
         holders = self._find_holders(call, candidates)
         ranked = self._rendezvous.order(key, service, self._cluster_state.members_of(service))
         scarce = self._limited_with_tokens(candidates)
-        return order_by_affinity(key, ranked, candidates, holders, busy_load, self._zone, scarce)
+        zones = self.zone_spill.chat_zones(service, request_cost(key, call))
+        return order_by_affinity(
+            key, ranked, candidates, holders, busy_load, self._zone, scarce, zones
+        )
 
     def _limited_with_tokens(self, candidates: Candidates) -> list[ReplicaId]:
         """Return the candidates that name a limit under which this router may send now."""
@@ -326,13 +336,15 @@
                 return max(sources, key=lambda item: item.record.zone == record.zone)
         return None
 
-    def _order_by_load(self, candidates: Candidates) -> list[ReplicaId]:
+    def _order_by_load(
+        self, call: Call, service: ServiceId, candidates: Candidates
+    ) -> list[ReplicaId]:
         """Return the upstreams from the least to the most loaded, preferring the own zone."""
-        now = self._clock.now()
+        now, cost = self._clock.now(), request_cost(call.request, call)
+        penalties = self.zone_spill.penalties(service, candidates, cost)
 
         def sort_key(name: ReplicaId) -> tuple[float, int]:
-            other_zone = candidates[name].record.zone != self._zone
-            load = candidates.load(name) + OTHER_ZONE_PENALTY * other_zone
+            load = candidates.load(name) + penalties[candidates[name].record.zone]
             return load, rendezvous_weight(now, name)
 
         return sorted(candidates, key=sort_key)
@@ -383,18 +395,6 @@
             del self.in_flight[replica]
 
 
-def affinity_key(call: Call) -> str:
-    """Return the hash key for affinity: the last shared part of the prompt.
-
-    The name of that part stands for the whole shared prefix of a chat.
-    """
-    if len(call.parts) > 1:
-        return call.parts[-2].name
-    if call.parts:
-        return call.parts[0].name
-    return call.request
-
-
 def _shares_memory(source: UpstreamRecord, target: UpstreamRecord) -> bool:
     """Return whether a replica can use what another one has read of a prompt."""
     return source.service == target.service and source.software == target.software
--- a/skylarklift/entry/relays/dialer.py
+++ b/skylarklift/entry/relays/dialer.py
@@ -11,6 +11,7 @@
 from skylarklift.entry.gossip.wire import receive_frame, send_frame
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import Endpoint, UpstreamRecord
+from skylarklift.entry.placement.zone_links import ZoneLinks
 from skylarklift.entry.relays.link_states import LinkStates
 from skylarklift.entry.relays.relay_choice import RelayChoice
 from skylarklift.entry.relays.relay_messages import (
@@ -149,6 +150,7 @@
         event_log: EventLog,
         metrics: Metrics,
         rng: random.Random,
+        zone_links: ZoneLinks | None = None,
     ):
         self._clock = clock
         self._links = links
@@ -156,6 +158,7 @@
         self._event_log = event_log
         self._metrics = metrics
         self._rng = rng
+        self._zone_links = zone_links or ZoneLinks(clock)
         # Set when the link to a zone is newly cut.
         self.link_cut = trio.Event()
 
@@ -201,7 +204,10 @@
 
     async def _dial_directly(self, record: UpstreamRecord, timeout_ms: int) -> trio.SocketStream:
         """Return a direct connection, and record that the link works; raise `ConnectFailed`."""
+        # The clock's whole milliseconds do not tell near zones from far ones.
+        begun = trio.current_time()
         stream = await connect(record.host, record.port, timeout_ms)
+        self._zone_links.record(record.zone, (trio.current_time() - begun) * MS_PER_SECOND)
         if self._links.any_doubt:
             self._links.record_reached(record)
         return stream
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -110,8 +110,7 @@
         core = self.core
         self._started_at = core.clock.now()
         core.chooser.start_request(self.choice, self.call)
-        if core.chooser.rate_limits.is_limited(self.record.replica):
-            core.metrics.increment("limited_sends", self.record.replica)
+        core.report_sent(self.record)
         core.attempts.add(self)
         try:
             yield self
