--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -298,11 +298,15 @@
     def _send_next(self) -> None:
         """Let a group of callers' requests arrive at some routers, and plan the next one."""
         for _ in range(1 + int(self.rng.expovariate(1 / (GROUP_SIZE - 0.5)))):
-            self._send(self.rng.choice(self._cores))
+            self._send(self._pick_core())
         # Several groups may come within a millisecond, so the fractions are kept.
         self._next_group_ms += self.rng.expovariate(self._per_second / GROUP_SIZE / 1000)
         self.at(max(0, int(self._next_group_ms) - self.clock.now()), self._send_next)
 
+    def _pick_core(self) -> Core:
+        """Return the router at which a request arrives."""
+        return self.rng.choice(self._cores)
+
     def _make_call(self, kind: RequestKind) -> Call:
         """Return a request of a kind about one of its subjects."""
         if self.rng.random() < self.hot_ratio:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -362,7 +362,7 @@
         metrics.replace_gauges("rejection_limit", self.chooser.concurrency_limits.named())
         spill = self.chooser.zone_spill
         metrics.replace_gauges("zone_pressure", spill.pressures())
-        metrics.replace_gauges("zone_link_rtt_ms", dict(spill.link_rtts_ms()))
+        metrics.replace_gauges("zone_link_rtt_ms", dict(spill.links.known()))
         metrics.replace_gauges("zone_spill_part", dict(spill.parts()))
         for table in RowTable:
             cache = self.cluster_state.caches[table]
--- a/skylarklift/entry/placement/affinity.py
+++ b/skylarklift/entry/placement/affinity.py
@@ -101,16 +101,20 @@
         by_weight, key=lambda name: (name not in scarce, candidates[name].record.zone != zone)
     )
     yield from (name for name in by_zone if candidates[name].record.zone not in zones.unpaid)
-    deferred: list[ReplicaId] = []
+    far: list[ReplicaId] = []
+    full: list[ReplicaId] = []
     for name in ranked:
         if name in candidates and name not in holders and load(name) < load_limit:
             record = candidates[name].record
-            if zones.far and (record.zone in zones.far or load(name) >= record.slots):
-                deferred.append(name)
+            if zones.far and load(name) >= record.slots:
+                full.append(name)
+            elif record.zone in zones.far:
+                far.append(name)
             else:
                 yield name
     yield from (name for name in by_zone if candidates[name].record.zone in zones.unpaid)
-    yield from deferred
+    yield from far
+    yield from full
     overloaded = [name for name in candidates if load(name) >= load_limit]
     if overloaded:
         mean = sum(map(load, overloaded)) / len(overloaded)
--- a/skylarklift/entry/placement/zone_spill.py
+++ b/skylarklift/entry/placement/zone_spill.py
@@ -36,7 +36,8 @@
 # Requests begin to leave above the first pressure and stop to do so below the second one.
 LEAVE_PRESSURE = 0.85
 RETURN_PRESSURE = 0.65
-# Requests leave only for zones whose pressure is lower by this much.
+# More requests leave only if the pressure of the other zones is lower by this much, and fewer if it
+# is higher by as much.
 MIN_RELIEF = 0.1
 # The most by which the part that may leave changes in a second.
 MAX_RISE_PER_S = 0.15
@@ -62,6 +63,8 @@
 # evicted; each use at a holder in another zone would cross the link.
 USES_PER_PREFIX = 4
 HASH_RANGE = 1 << 32
+# Separates loads that differ by one request.
+HALF_REQUEST = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,7 +125,7 @@
             self.rising = True
         elif own < RETURN_PRESSURE:
             self.rising = False
-        if others > own:
+        if others > own + MIN_RELIEF:
             return -MAX_FALL_PER_S
         if not self.rising:
             # Between the thresholds, demand that left before the zone recovered returns slowly.
@@ -143,17 +146,17 @@
     def __init__(self, clock: Clock, zone: ZoneId, links: ZoneLinks):
         self._clock = clock
         self._zone = zone
-        self._links = links
+        self.links = links
         self._services: OrderedDict[ServiceId, SpillState] = OrderedDict()
         self._changes: deque[SpillChange] = deque(maxlen=MAX_CHANGES)
 
     def applies(self) -> bool:
         """Return whether the link to some other zone is long enough to be weighed."""
-        return any(self.is_far(zone) for zone in self._links.known())
+        return any(self.is_far(zone) for zone in self.links.known())
 
     def is_far(self, zone: ZoneId) -> bool:
         """Return whether a zone is another one, and the link to it is weighed."""
-        return zone != self._zone and self._links.is_long(zone)
+        return zone != self._zone and self.links.is_long(zone)
 
     def update(self, service: ServiceId, usable: Callable[[], Candidates]) -> None:
         """Adapt the part of a service's demand that may leave, if links are weighed and it is due.
@@ -195,13 +198,13 @@
             return 0.0
         if not self.is_far(zone):
             return OTHER_ZONE_PENALTY
-        crossing = self._links.rtt_ms(zone) / REQUEST_MS + cost.size_bytes / BYTES_PER_REQUEST
+        crossing = self.links.rtt_ms(zone) / REQUEST_MS + cost.size_bytes / BYTES_PER_REQUEST
         if self.allows(service, cost.key):
             return max(OTHER_ZONE_PENALTY, crossing)
         state = self._services.get(service)
         room = state.pressure.own.mean_slots if state is not None else 0.0
-        # An upstream here is preferred as long as it has a place.
-        return max(OTHER_ZONE_PENALTY, crossing, room)
+        # An upstream here is preferred as long as it has a free slot, but not once it is full.
+        return max(OTHER_ZONE_PENALTY, crossing, room - HALF_REQUEST)
 
     def penalties(
         self, service: ServiceId, candidates: Candidates, cost: RequestCost
@@ -212,7 +215,7 @@
 
     def chat_zones(self, service: ServiceId, cost: RequestCost) -> ChatZones:
         """Return the zones to which a chat goes only if there is no room nearer."""
-        far = [zone for zone in self._links.known() if self.is_far(zone)]
+        far = [zone for zone in self.links.known() if self.is_far(zone)]
         if not far or self.allows(service, cost.key):
             return ANY_ZONE
         unpaid = frozenset(zone for zone in far if not self.holder_pays(zone, cost))
@@ -222,7 +225,7 @@
         """Return whether a holder in a zone saves more than the way to it costs."""
         if not self.is_far(zone):
             return True
-        crossing_ms = self._links.rtt_ms(zone) + cost.size_bytes / BYTES_PER_READ_MS
+        crossing_ms = self.links.rtt_ms(zone) + cost.size_bytes / BYTES_PER_READ_MS
         return cost.shared_tokens / READ_TOKENS_PER_MS > USES_PER_PREFIX * crossing_ms
 
     # For operators.
@@ -233,10 +236,6 @@
         self._changes.clear()
         return changes
 
-    def link_rtts_ms(self) -> dict[ZoneId, float]:
-        """Return the estimated round-trip times to the zones."""
-        return self._links.known()
-
     def parts(self) -> dict[ServiceId, float]:
         """Return the part of each service's demand that may leave."""
         return {service: state.part for service, state in self._services.items()}
