--- a/features/load_bound.feature
+++ b/features/load_bound.feature
@@ -75,3 +75,19 @@
     Examples:
       | routers | replicas | rate | seed |
       | 195     | 78       | 280  | 1    |
+
+  # Guards against a preference for the own zone that fills its replicas beyond the bound.
+  Scenario Outline: No replica gets more than its share over long links when <event>, <routers> routers
+    Given <routers> routers before <replicas> replicas, <rate> requests a second, by the seed <seed>
+    And links of 7.8 ms between the zones, which all routers know
+    When <event>
+    And all run for 9 s
+    Then no 5 s break the bound on load
+    And no request is refused
+
+    Examples:
+      | routers | replicas | rate | seed | event                                               |
+      | 30      | 24       | 86   | 1    | one subject gets 0.16 of the requests from 3 s to 8 s |
+      | 195     | 78       | 280  | 2    | one subject gets 0.16 of the requests from 3 s to 8 s |
+      | 195     | 78       | 280  | 2    | a zone is evacuated from 2 s to 8 s                 |
+      | 195     | 78       | 280  | 1    | 16 replicas are added at 2 s                        |
--- a/features/steps/load_bound.py
+++ b/features/steps/load_bound.py
@@ -3,9 +3,12 @@
 from behave import given, then, when
 
 from features.choice_fleet import MAX_OVER_RATIO, ChoiceFleet
+from features.entry_fixtures import ZONES
+from skylarklift.entry.placement.zone_links import MIN_SAMPLES
 
 COLD_MS = 3000
 LIMIT_PER_S = 2.0
+OWN_RTT_MS = 0.2
 MS_PER_S = 1000
 
 
@@ -17,6 +20,16 @@
     context.fleet = ChoiceFleet(routers, replicas, rate, seed)
 
 
+@given("links of {rtt:g} ms between the zones, which all routers know")
+def known_links(context, rtt):
+    for core in context.fleet._cores:
+        for zone in ZONES:
+            for _ in range(MIN_SAMPLES):
+                core.chooser.zone_spill.links.record(
+                    zone, rtt if zone != core.settings.zone else OWN_RTT_MS
+                )
+
+
 @when("a zone is evacuated from {start:d} s to {end:d} s")
 def zone_evacuated(context, start, end):
     fleet = context.fleet
