Add admission by room with a queue for each service

Cause: a request without an upstream polls for room, whichever polls first wins, and a full replica gets requests that wait there. Change: with the contract "pressure" requests wait in a bounded queue in the order of priority and workspace, and are refused early with a Retry-After from backlog and drain rate. The search for an upstream moves out of the request handler; without the contract it is unchanged.

--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,6 +8,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.entry.admission.gate import Gate
 from skylarklift.entry.backpressure import record_backpressure
 from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
@@ -86,6 +87,7 @@
     row_fetches: RowFetches
     health: Health
     chooser: Chooser
+    gate: Gate
     retry_budget: FleetRetryBudget
     suspects: CrashSuspects
     progress: UpstreamProgress
@@ -262,6 +264,8 @@
             if report.replica in self.cluster_state.upstreams:
                 if self.chooser.rate_limits.apply_report(report):
                     self._announce_rate_limit(report.replica, report.per_second, source)
+        # The same message brought newer loads.
+        self.gate.wake_all()
 
     def _announce_rate_limit(
         self, replica: ReplicaId, per_second: float | None, source: str
@@ -400,6 +404,7 @@
         row_fetches=RowFetches(clock),
         health=health,
         chooser=chooser,
+        gate=Gate(clock, cluster_state, health, chooser, fleet, metrics),
         retry_budget=FleetRetryBudget(clock, bounds),
         suspects=CrashSuspects(clock),
         progress=UpstreamProgress(clock),
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -431,6 +431,11 @@
         self._expire_loads()
         return self._loads.totals
 
+    def hears_loads(self) -> bool:
+        """Return whether the loads of any other router are known."""
+        self._expire_loads()
+        return self._loads.count() > 0
+
     def _expire_loads(self) -> None:
         """Drop the reported loads that no longer count."""
         self._loads.expire(Millis(self._clock.now() - self._load_ttl_ms()))
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -284,6 +284,7 @@
     on which the router serves callers, readiness checks and the other routers; `store` is the
     address of the platform's store.  The process ends if it uses more than `memory_mb`.
     It may have `max_fds` descriptors open; `None` for what the system allows.
+    With `admission_control`, requests wait or are refused by the known room of their service.
     """
 
     node: str
@@ -297,6 +298,7 @@
     memory_mb: int = DEFAULT_MEMORY_MB
     max_fds: int | None = None
     bounds: Bounds = field(default_factory=Bounds)
+    admission_control: bool = False
 
     def with_bounds(self, bounds: Bounds) -> "NodeSettings":
         """Return a copy of the settings with other bounds."""
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -16,16 +16,21 @@
     SendOptions,
     Workspace,
 )
-from skylarklift.entry.placement.choice import Choice, NoUpstream, WantedVersion
+from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.placement.unanswered import TOLERATED_SILENCE_MS
+from skylarklift.entry.requests.admitted_search import AdmittedSearch
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
-from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.request_log import log_failed_attempt, log_result
 from skylarklift.entry.requests.retry_state import Outcome, RetryState, uses_retry_budget
 from skylarklift.entry.requests.silence import SilenceTimer, forward_until_silent
+from skylarklift.entry.requests.upstream_search import (
+    UPSTREAM_POLL_INTERVAL_MS,
+    SearchedRequest,
+    UpstreamSearch,
+)
 from skylarklift.entry.versions.stream_version import StreamVersion
 from skylarklift.errors import (
     AnswerLate,
@@ -35,12 +40,8 @@
     RequestError,
     TransportError,
 )
-from skylarklift.ids import ReplicaId, ServiceId
+from skylarklift.ids import ReplicaId, ServiceId, WorkspaceId
 
-# While no upstream can take a request, the request waits and the upstreams are checked at this
-# interval, for up to the route's latency objective divided by `UPSTREAM_WAIT_DIVISOR`.
-UPSTREAM_POLL_INTERVAL_MS = 20
-UPSTREAM_WAIT_DIVISOR = 8
 # A router that has just started has no configuration.  A request waits for it for a part of its
 # caller's deadline, and is then refused with a Retry-After of a part of the time left: callers
 # honour at most a third of that.
@@ -49,10 +50,6 @@
 STARTING_RETRY_DIVISOR = 4
 MAX_STARTING_RETRY_MS = 2000
 DEFAULT_DEADLINE_MS = 2000
-# A stream waits this long for the entries of replicas that may have restarted.
-RESTART_WAIT_MS = 3000
-RETRY_AFTER_MS = 500
-RETRY_AFTER_JITTER_MS = 1000
 # An upstream that sends nothing for this ratio of the route's latency objective, but at least for
 # the minimum, is probed with a new connection.
 INITIAL_SILENCE_RATIO = 0.4
@@ -63,18 +60,10 @@
 # A route's time-out may be shorter than its work takes, so a time-out counts as a failure of the
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
-MAX_LOGGED_PASSED_OVER = 4
 # An attempt that ends by this age of its request may have met a silence that is tolerated.
 MAX_EXCUSED_AGE_MS = TOLERATED_SILENCE_MS
 # Runs that are to confirm the end of a stream use this part of the retry budget.
 CONFIRMATION_BUDGET_RATIO = 0.5
-# Reasons that a short wait does not change, so that the request is refused at once.
-LASTING_REASONS = (
-    NoUpstream.LIMITED,
-    NoUpstream.SATURATED,
-    NoUpstream.HELD_OFF,
-    NoUpstream.OTHER_VERSION,
-)
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
 
@@ -92,16 +81,13 @@
         self.service: ServiceId | None = None
         self.workspace: Workspace | None = None
         self.retry_state: RetryState | None = None
-        self.tried_replicas: list[ReplicaId] = []
-        # Unlike `tried_replicas`, this is never cleared.
+        self.search: UpstreamSearch | None = None
         self.sent_to: set[ReplicaId] = set()
         self.steps: list[str] = []
         self.forwarder: Forwarder | None = None
         self.deadline: Millis = call.received_at
         self.crash_guard: CrashGuard | None = None
         self.plan_version = 0
-        # Upstreams that would have been better but may get no request now, as REPLICA:REASON.
-        self.passed_over: list[str] = []
         self.attempt: Attempt | None = None
         self.stream_version: StreamVersion | None = None
 
@@ -112,6 +98,7 @@
             await self._wait_for_configuration()
             self._admit()
             self.service = await self.stream_version.find(self.service)
+            self.search = self._make_search()
             self.forwarder.expect_end(self.stream_version.doubted_end)
             status = await self._serve()
         except RequestError as exc:
@@ -180,7 +167,7 @@
         """Make attempts until one succeeds or no other is allowed; return the status."""
         core = self.core
         while True:
-            choice = await self._choose_upstream()
+            choice = await self.search.choose()
             options = self._send_options(choice)
             # Meanwhile it may have become known that the request crashes upstreams.
             self.crash_guard.check_before_send(self.retry_state)
@@ -197,10 +184,11 @@
                 confirms_end=self.forwarder.awaits_confirmation,
             )
             self.attempt = attempt
-            async with attempt.open():
-                status = await self._run_attempt(attempt)
+            with self.search.watch(attempt):
+                async with attempt.open():
+                    status = await self._run_attempt(attempt)
             if attempt.outcome is not Outcome.UNCONFIRMED:
-                self.tried_replicas.append(attempt.record.replica)
+                self.search.tried_replicas.append(attempt.record.replica)
             self.sent_to.add(attempt.record.replica)
             self.steps.append(f"{attempt.record.replica}:{attempt.outcome.value}")
             if status:
@@ -230,11 +218,35 @@
         core.metrics.increment("repeats_denied")
         return False
 
+    def _make_search(self) -> UpstreamSearch:
+        """Return the search for an upstream for each attempt."""
+        name = self.workspace.name if self.workspace else WorkspaceId("")
+        fingerprint = call_fingerprint(self.call.method, self.call.target, name, self.call.body)
+        search = AdmittedSearch if self.core.settings.admission_control else UpstreamSearch
+        return search(
+            self.core,
+            SearchedRequest(
+                self.call,
+                self.route,
+                self.service,
+                self.workspace,
+                self._priority(),
+                self.deadline,
+                fingerprint,
+            ),
+            self.retry_state,
+            self.stream_version,
+        )
+
+    def _priority(self) -> int:
+        """Return the priority of the workspace, or that of the route if it has none."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
     def _send_options(self, choice: Choice) -> SendOptions:
         """Return the values that the router sets on the request to the chosen upstream."""
-        priority = self.route.priority
-        if self.workspace is not None and self.workspace.priority is not None:
-            priority = self.workspace.priority
+        priority = self._priority()
         engine = self.core.cluster_state.plan.services.get(self.service)
         return SendOptions(
             replica=choice.upstream.record.replica,
@@ -245,66 +257,6 @@
             copy_from=choice.copy_source and choice.copy_source.endpoint,
         )
 
-    async def _choose_upstream(self) -> Choice:
-        """Return an upstream; wait a short time for one if none can take the request now.
-
-        Raise `Refusal` or `OutcomeUnknown` if there is still none.
-        """
-        core = self.core
-        waited_from = core.clock.now()
-        until = waited_from + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
-        while True:
-            wanted = self.stream_version.wanted()
-            begun = wanted is not None and wanted.begun
-            if self.retry_state.forwarded and not begun:
-                raise OutcomeUnknown("the upstream named no version at which the stream can go on")
-            if begun:
-                core.connection_pool.find_early_ends()
-            found = self._choose(wanted)
-            if found is NoUpstream.OTHER_VERSION and not begun:
-                # All replicas of the assigned version leave; none will take the stream up either.
-                found = self._choose(None)
-            if isinstance(found, Choice):
-                self._record_passed_over(found)
-                return found
-            if found is NoUpstream.TRIED:
-                # Every usable upstream has been tried; one of them may take the request now.
-                self.tried_replicas.clear()
-                continue
-            if found is NoUpstream.MAYBE_RESTARTED:
-                await identify_suspects(core, self.service, wanted.version)
-                until = waited_from + RESTART_WAIT_MS
-            if found in LASTING_REASONS or core.clock.now() >= min(until, self.deadline):
-                return self._raise_no_upstream(found)
-            await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
-
-    def _choose(self, version: WantedVersion | None) -> Choice | NoUpstream:
-        """Return an upstream of a version, of any one if `None`, or why there is none."""
-        return self.core.chooser.choose(
-            self.call, self.route, self.service, self.tried_replicas, self.workspace, version
-        )
-
-    def _record_passed_over(self, choice: Choice) -> None:
-        """Count the upstreams that the choice passed over, and keep some for the log."""
-        for item in choice.passed_over:
-            self.core.metrics.increment("passed_over", item.reason.value)
-        names = [f"{item.replica}:{item.reason.value}" for item in choice.passed_over]
-        self.passed_over = [*self.passed_over, *names][:MAX_LOGGED_PASSED_OVER]
-
-    def _raise_no_upstream(self, reason: NoUpstream) -> Choice:
-        """Raise the error for a request that no upstream can take."""
-        if not self.retry_state.cannot_have_run:
-            raise OutcomeUnknown(f"the upstream failed, and no other one: {reason.value}")
-        raise Refusal(
-            reason.value,
-            "no upstream can take it now",
-            retry_after_ms=self.core.chooser.wait_ms(self.service) + self._retry_after_ms(),
-        )
-
-    def _retry_after_ms(self) -> int:
-        """Return the Retry-After delay, with jitter so that callers retry at different times."""
-        return RETRY_AFTER_MS + self.core.rng.randrange(RETRY_AFTER_JITTER_MS)
-
     async def _run_attempt(self, attempt: Attempt) -> int:
         """Make one attempt; return the status, or 0 without a complete response."""
         core = self.core
@@ -346,7 +298,9 @@
             self.caller.abort()
             return 0
         if self.retry_state.cannot_have_run:
-            raise Refusal("not_taken", "no upstream took it", retry_after_ms=self._retry_after_ms())
+            raise Refusal(
+                "not_taken", "no upstream took it", retry_after_ms=self.search.retry_after_ms()
+            )
         failed = self.forwarder.upstream_error
         if outcome is Outcome.FAILED and failed is not None:
             head, body = failed
--- a/skylarklift/entry/requests/request_log.py
+++ b/skylarklift/entry/requests/request_log.py
@@ -50,7 +50,7 @@
         **(handler.forwarder.log_fields() if handler.forwarder else {}),
         **(_attempt_fields(handler.attempt) if handler.attempt else {}),
         **(handler.stream_version.log_fields() if handler.stream_version else {}),
-        **({"passed_over": handler.passed_over} if handler.passed_over else {}),
+        **(handler.search.log_fields() if handler.search else {}),
         **(handler.crash_guard.log_fields() if handler.crash_guard else {}),
     )
 
--- a/skylarklift/platform/settings_file.py
+++ b/skylarklift/platform/settings_file.py
@@ -18,6 +18,8 @@
 PATH_VARIABLE = "SKYLARKLIFT_NODE_FILE"
 DEFAULT_PATH = "/etc/skylarklift/settings.conf"
 MS_PER_SECOND = 1000
+# Where the platform names this contract, capacity is scarce.
+PRESSURE_CONTRACT = "pressure"
 
 
 class SettingsFile:
@@ -110,12 +112,18 @@
         memory_mb=int(source.number("limits.memory_mb", DEFAULT_MEMORY_MB)),
         max_fds=int(source.number("limits.max_fds", 0)) or None,
         bounds=_parse_bounds(source),
+        admission_control=PRESSURE_CONTRACT in _parse_contracts(source),
     )
     if source.findings:
         raise SettingsError(source.findings)
     return settings
 
 
+def _parse_contracts(source: SettingsFile) -> set[str]:
+    """Return the names of the contracts that the platform lists."""
+    return {item.strip() for item in source.text("contracts", "").split(",")}
+
+
 def _parse_first_port(source: SettingsFile) -> int:
     """Return the first port of the range, 0 with a finding if it is none."""
     text = source.text("port_range").split(",")[0]
