--- a/features/admission_queue.feature
+++ b/features/admission_queue.feature
@@ -10,12 +10,12 @@
 
     Examples:
       | case                                     | requests                        | work     | order           |
-      | the most urgent priority first           | a:w1:2 b:w1:0 c:w1:1            |          | b c a           |
+      | the most urgent priority first           | a:w1:2 b:w1:0 c:w1:1            | none     | b c a           |
       | the workspace with the least work first  | a:w1:1 b:w2:1 c:w3:1            | w1=3,w2=1 | c b a          |
-      | each turn adds to a workspace's work     | a:w1:1 b:w1:1 c:w2:1 d:w2:1     | w1=1,w2=2 | a c b d        |
-      | one that came back before new ones       | a:w1:1 b:w1:1:returned          |          | b a             |
-      | a retry before all priorities            | a:w1:0 b:w1:2:ahead             |          | b a             |
-      | the oldest of a workspace first          | a:w1:1 b:w1:1 c:w1:1            |          | a b c           |
+      | each turn adds to a workspace's work     | a:w1:1 b:w1:1 c:w2:1 d:w2:1     | w1=1,w2=1.5 | a c b d      |
+      | one that came back before new ones       | a:w1:1 b:w1:1:returned          | none     | b a             |
+      | a retry before all priorities            | a:w1:0 b:w1:2:ahead             | none     | b a             |
+      | the oldest of a workspace first          | a:w1:1 b:w1:1 c:w1:1            | none     | a b c           |
       | every second place by age                | a:w1:1:aged b:w2:1 c:w2:1 d:w2:1 | w1=99   | b a c d         |
 
   # Guards against a priority that is never served while more urgent requests keep coming.
@@ -64,6 +64,18 @@
       | an unknown rate             | 9       | 0     | 9000 | 500   | 1000 |
       | no time left                | 9       | 50    | 0    | 0     | 0    |
 
+  # Guards against callers who always come first because they were refused once long ago.
+  Scenario Outline: A refused request is recognized when it comes back: <case>
+    When a request is refused for 400 ms and one with <body> comes <after> ms later
+    Then it is recognized: <first>, and once more: no
+
+    Examples:
+      | case                   | body          | after | first |
+      | in time                | the same body | 500   | yes   |
+      | just in time           | the same body | 1400  | yes   |
+      | much later             | the same body | 1401  | no    |
+      | another request        | another body  | 500   | no    |
+
   # Guards against shares of the slots that are below one request, which would refuse everything.
   Scenario Outline: The room of a replica: <case>
     Then a replica with <slots> slots, <load> requests, <own> of them from this one of <routers> routers, <alone>, has room: <room>
@@ -87,7 +99,7 @@
     Examples:
       | load                          | served | most |
       | an even load                  | 100    | 6    |
-      | a burst of all callers        | 60     | 9    |
+      | a burst of all callers        | 45     | 9    |
       | a third of replicas gone      | 70     | 9    |
       | long requests beside short    | 80     | 9    |
       | callers who come back once    | 70     | 9    |
@@ -114,7 +126,7 @@
 
     Examples:
       | line                        | enabled |
-      |                             | no      |
+      | none                        | no      |
       | contracts=                  | no      |
       | contracts=streams           | no      |
       | contracts=pressured         | no      |
--- /dev/null
+++ b/features/steps/admission_queue.py
@@ -0,0 +1,346 @@
+"""Steps for admission while room is short."""
+
+import random
+import time
+
+import trio
+from behave import then, when
+
+from features.admission_world import REPORT_INTERVAL_MS, SLOTS, World
+from features.entry_fixtures import parse_yes_no
+from features.steps.entry_tool import SETTINGS
+from skylarklift.clock import MS_PER_SECOND, ManualClock, Millis
+from skylarklift.entry.admission.decision import Demand, Room, decide
+from skylarklift.entry.admission.queue import MAX_WAITING, AdmissionQueue, QueuedRequest
+from skylarklift.entry.admission.refusals import RefusedRequests, retry_after_ms
+from skylarklift.entry.admission.room import ReplicaRoom, ServiceRoom
+from skylarklift.entry.admission.workspace_work import WorkspaceWork
+from skylarklift.entry.gossip.fleet import LOAD_TTL_MS
+from skylarklift.entry.model import RouteKind
+from skylarklift.entry.placement.observed_loads import OBSERVED_LOAD_TTL_MS, ObservedLoad
+from skylarklift.platform.settings_file import parse_node_settings
+
+NOW = Millis(100_000)
+OBJECTIVE_MS = 500
+# The longest wait of a stream that may be sent: its objective, and the time of one report.
+LATEST_START_MS = OBJECTIVE_MS + REPORT_INTERVAL_MS
+USUAL_PER_S = 10
+WORKSPACES = [f"w{number}" for number in range(1, 9)]
+
+
+def queued(workspace, priority, *flags, number=0):
+    """Return a request; the later ones, by number, are younger."""
+    wait_ms = 0 if "aged" in flags else 10_000
+    queued_at = Millis(NOW + number)
+    return QueuedRequest(
+        workspace,
+        int(priority),
+        queued_at,
+        Millis(queued_at + wait_ms),
+        ahead="ahead" in flags,
+        returned="returned" in flags,
+    )
+
+
+@when('the requests "{requests}" wait, after work of "{work}"')
+def requests_wait(context, requests, work):
+    levels = WorkspaceWork(ManualClock(NOW))
+    for item in [] if work == "none" else work.split(","):
+        workspace, _, amount = item.partition("=")
+        levels.record(workspace, float(amount))
+    queue, names = AdmissionQueue(levels.level), {}
+    for number, item in enumerate(requests.split()):
+        name, *fields = item.split(":")
+        request = queued(*fields, number=number)
+        names[request] = name
+        queue.push(request)
+    context.order = []
+    while queue:
+        request = queue.first(Millis(NOW + 10))
+        queue.take(request)
+        levels.record(request.workspace, 1)
+        context.order.append(names[request])
+
+
+@then('they are taken in the order "{order}"')
+def taken_in_order(context, order):
+    assert context.order == order.split(), context.order
+
+
+@when("a request of priority 9 waits and a new one of priority 0 comes for each that is taken")
+def priorities_compete(context):
+    queue = AdmissionQueue(WorkspaceWork(ManualClock(NOW)).level)
+    last = queued("w1", 9, "aged")
+    queue.push(last)
+    queue.push(queued("w2", 0))
+    context.taken = 0
+    while last.waiting and context.taken < 1000:
+        queue.take(queue.first(NOW))
+        queue.push(queued("w2", 0))
+        context.taken += 1
+
+
+@then("the request of priority 9 is among the first {count:d} that are taken")
+def taken_early(context, count):
+    assert context.taken <= count, context.taken
+
+
+@when("{count:d} requests of {workspaces:d} workspaces wait and are taken or removed in turn")
+def long_queue(context, count, workspaces):
+    rng, clock = random.Random(1), ManualClock(NOW)
+    levels = WorkspaceWork(clock)
+    context.queue = queue = AdmissionQueue(levels.level)
+    requests = [
+        queued(f"w{rng.randrange(workspaces)}", rng.randrange(3), number=number)
+        for number in range(count)
+    ]
+    context.ended, steps = [], 0
+    began = time.process_time()
+    for request in requests:
+        queue.count_before(request)
+        queue.push(request)
+        steps += 1
+    context.was_full = queue.is_full()
+    for request in requests:
+        clock.advance(1)
+        found = queue.first(clock.now())
+        queue.take(found)
+        levels.record(found.workspace, 1)
+        context.ended.append(found)
+        steps += 1
+        if request.waiting and rng.random() < 0.5:
+            queue.remove(request)
+            context.ended.append(request)
+        if not queue:
+            break
+    context.step_ms = (time.process_time() - began) * MS_PER_SECOND / steps
+    context.requests = requests
+
+
+@then("each step took at most {limit:f} ms on average, and no request was lost or taken twice")
+def steps_short(context, limit):
+    assert context.step_ms <= limit, context.step_ms
+    assert len(context.ended) == len(context.requests)
+    assert set(context.ended) == set(context.requests)
+
+
+@then("the queue refuses one more when it is full")
+def queue_full(context):
+    assert len(context.requests) == MAX_WAITING
+    assert context.was_full
+    assert not context.queue.is_full()
+
+
+def parse_fields(text):
+    """Return the fields of `NAME=NUMBER,FLAG,...`; a flag counts as true."""
+    fields = {}
+    for item in text.split(","):
+        name, _, value = item.partition("=")
+        fields[name] = int(value) if value else True
+    return fields
+
+
+@then('with "{demand}" and the room "{room}" the decision is "{decision}"')
+def decision_is(context, demand, room, decision):
+    wants, known = parse_fields(demand), parse_fields(room)
+    verdict = decide(
+        Demand(
+            wants["left"],
+            wants.get("first", False),
+            wants.get("ahead", False),
+            wants.get("ran", False),
+            wants.get("expired", False),
+        ),
+        Room(
+            known.get("free", False),
+            known["taken"],
+            known["places"],
+            known.get("before", 0),
+            known.get("drain"),
+            known.get("full", False),
+        ),
+    )
+    words = [verdict.decision.value] + ([verdict.reason.value] if verdict.reason else [])
+    assert words == decision.split(), words
+
+
+@then(
+    "with a backlog of {backlog:d}, {drain:d} starts a second and {left:d} ms left, "
+    "it is from {least:d} to {most:d} ms"
+)
+def retry_after_is(context, backlog, drain, left, least, most):
+    rng = random.Random(1)
+    values = [retry_after_ms(backlog, drain or None, left, rng) for _ in range(200)]
+    assert least <= min(values) and max(values) <= most, (min(values), max(values))
+    # They use the whole period, so that the callers do not come back together.
+    assert max(values) - min(values) >= 0.8 * (most - least), (min(values), max(values))
+
+
+@when("a request is refused for {span:d} ms and one with {body} comes {after:d} ms later")
+def request_comes_back(context, span, body, after):
+    clock = ManualClock(NOW)
+    refused = RefusedRequests(clock)
+    refused.record("the same body", span)
+    clock.advance(after)
+    context.recognized = [refused.recognize(body), refused.recognize(body)]
+
+
+@then("it is recognized: {first}, and once more: {second}")
+def is_recognized(context, first, second):
+    assert context.recognized == [parse_yes_no(first), parse_yes_no(second)], context.recognized
+
+
+@then(
+    "a replica with {slots:d} slots, {load:d} requests, {own:d} of them from this one of "
+    "{routers:d} routers, {alone}, has room: {room}"
+)
+def replica_has_room(context, slots, load, own, routers, alone, room):
+    item = ReplicaRoom("r0", slots, load, own)
+    known = ServiceRoom([item], routers, alone=alone == "hearing none")
+    expected = parse_yes_no(room)
+    assert known.has_room("r0", load, 1000, 100) is expected
+    assert known.has_any(1000, 100) is expected
+
+
+async def even_load(world, nursery):
+    await world.demand(nursery, 60, 2000)
+
+
+async def burst(world, nursery):
+    nursery.start_soon(world.demand, nursery, 60, 2000)
+    await world.clock_sleep(1000)
+    for number in range(200):
+        nursery.start_soon(world.request, f"w{number % 8}")
+
+
+async def lost_replicas(world, nursery):
+    nursery.start_soon(world.demand, nursery, 100, 3000)
+    await world.clock_sleep(1000)
+    world.remove_replica("r0")
+
+
+async def long_beside_short(world, nursery):
+    nursery.start_soon(lambda: world.demand(nursery, 8, 3000, workspace="w1", work_ms=600))
+    await world.demand(nursery, 110, 3000, workspace="w2", work_ms=50)
+
+
+async def coming_back(world, nursery):
+    nursery.start_soon(world.demand, nursery, 60, 4000)
+    await world.clock_sleep(1000)
+    for number in range(150):
+        nursery.start_soon(world.request, f"w{number % 8}")
+
+
+async def without_gossip(world, nursery):
+    # The first messages, by which the routers know each other, no longer count as reports of loads.
+    await world.clock_sleep(LOAD_TTL_MS + 100)
+    assert all(core.fleet.router_count() == 4 for core in world.cores)
+    await world.demand(nursery, 130, 2000)
+
+
+async def loud_workspace(world, nursery):
+    for workspace in WORKSPACES[1:]:
+        nursery.start_soon(
+            lambda name=workspace: world.demand(nursery, USUAL_PER_S, 4000, workspace=name)
+        )
+    await world.demand(nursery, 7.5 * USUAL_PER_S, 4000, workspace=WORKSPACES[0])
+
+
+async def standstill(world, nursery):
+    for _ in range(60):
+        nursery.start_soon(lambda: world.request(work_ms=300, kind=RouteKind.NON_IDEMPOTENT))
+    await world.clock_sleep(100)
+    # The loop does not run while the clock goes on.
+    trio.lowlevel.current_clock().jump(2.5)
+
+
+# The load, with the routers and what else differs from the usual world.
+LOADS = {
+    "an even load": (even_load, 2, {}),
+    "a burst of all callers": (burst, 2, {}),
+    "a third of replicas gone": (lost_replicas, 2, {}),
+    "long requests beside short": (long_beside_short, 2, {}),
+    "callers who come back once": (coming_back, 1, {"returns": True}),
+    "gossip missing": (without_gossip, 4, {"gossip": False}),
+    "a workspace with 7.5 times its usual demand": (loud_workspace, 1, {}),
+    "a standstill of the router": (standstill, 1, {}),
+}
+
+
+@when('simulated callers cause "{load}"')
+def callers_cause(context, load):
+    drive, routers, fields = LOADS[load]
+    world = context.world = World(3, **fields)
+    world.run(routers, lambda nursery: drive(world, nursery))
+
+
+@then("at least {percent:d} of 100 requests are served, and those were sent in time")
+def served_in_time(context, percent):
+    world = context.world
+    share = 100 * len(world.served()) / len(world.results)
+    assert share >= percent, share
+    late = [
+        item.sent_at - item.arrived_at
+        for item in world.served()
+        if item.tries == 1 and item.sent_at - item.arrived_at > LATEST_START_MS
+    ]
+    assert not late, late
+    held = [item.refused_at - item.arrived_at for item in world.refused() if item.tries == 1]
+    assert max(held, default=0) <= LATEST_START_MS, max(held)
+
+
+@then("no replica holds more than {most:d} requests")
+def no_replica_holds_more(context, most):
+    assert context.world.most <= most, context.world.most
+
+
+@then("at most {percent:d} of 100 requests of the others are refused, and more of its own")
+def others_served(context, percent):
+    world, loud = context.world, WORKSPACES[0]
+    own = [item for item in world.results if item.workspace == loud]
+    others = len(world.results) - len(own)
+    refused = len(world.refused()) - len(world.refused(loud))
+    assert 100 * refused <= percent * others, (refused, others)
+    assert len(world.refused(loud)) * others > refused * len(own)
+    assert world.refused(loud)
+
+
+@then("no request was sent after its deadline")
+def none_sent_late(context):
+    world = context.world
+    late = [item for item in world.served() if item.sent_at - item.arrived_at >= 2000]
+    assert not late, late
+    assert world.refused()
+
+
+@when("a router reported {load:d} requests at each replica and was not heard since")
+def old_reports(context, load):
+    context.load = load
+
+
+@then("a request that comes {age:d} ms later is sent at once")
+def sent_at_once(context, age):
+    assert age > OBSERVED_LOAD_TTL_MS
+    world = World(3, gossip=False)
+
+    async def drive(nursery):
+        for name in world.places:
+            world.cores[0].chooser.observed_loads.apply_report(ObservedLoad(name, context.load, 0))
+        nursery.start_soon(world.request)
+        await world.clock_sleep(100)
+        # The report still counts, so the first request waits.
+        assert world.results[0].sent_at is None
+        await world.clock_sleep(age)
+        await world.request("w2")
+
+    world.run(1, drive)
+    last = world.results[-1]
+    assert last.sent_at == last.arrived_at, last
+    assert world.most <= SLOTS
+
+
+@then('admission control with the line "{line}" is {enabled}')
+def admission_control_is(context, line, enabled):
+    text = "".join(f"{key}={value}\n" for key, value in SETTINGS.items())
+    settings = parse_node_settings("f", text if line == "none" else f"{text}{line}\n")
+    assert settings.admission_control is parse_yes_no(enabled)
--- a/skylarklift/entry/admission/gate.py
+++ b/skylarklift/entry/admission/gate.py
@@ -14,10 +14,10 @@
 from skylarklift.entry.placement.choose import Chooser
 from skylarklift.entry.placement.health import Health
 from skylarklift.entry.state.cluster_state import ClusterState
-from skylarklift.ids import ServiceId
+from skylarklift.ids import ReplicaId, ServiceId
 
-# The loads of all replicas are summed again after this time.  A choice checks the newest load of
-# the replica that it would take in any case.
+# The loads of all replicas are summed again after this time; this router's own requests are counted
+# at once.
 ROOM_TTL_MS = 5
 
 
@@ -67,6 +67,12 @@
             self._rooms[service] = known
         return known.room
 
+    def count(self, service: ServiceId, replica: ReplicaId, change: int) -> None:
+        """Count requests of this router that start or end at a replica."""
+        known = self._rooms.get(service)
+        if known is not None:
+            known.room.count(replica, change)
+
     def _sum_room(self, service: ServiceId) -> ServiceRoom:
         """Return the room of a service by the loads that are known now."""
         chooser, routers = self._chooser, self._fleet.router_count()
@@ -84,8 +90,11 @@
             )
             for name in candidates
         ]
-        alone = routers > 1 and not self._fleet.hears_loads()
-        return ServiceRoom(replicas, routers, alone=alone)
+        return ServiceRoom(replicas, routers, alone=self.hears_no_loads())
+
+    def hears_no_loads(self) -> bool:
+        """Return whether there are other routers, but nothing is known of their requests."""
+        return not self._fleet.hears_loads() and self._fleet.router_count() > 1
 
     def drain_per_s(self, service: ServiceId) -> float | None:
         """Return how many requests of this router a service starts in a second."""
--- a/skylarklift/entry/admission/room.py
+++ b/skylarklift/entry/admission/room.py
@@ -1,7 +1,7 @@
 """The room of the replicas of one service, from their slots and the known loads."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from skylarklift.ids import ReplicaId
 
@@ -22,7 +22,7 @@
 
 
 class ServiceRoom:
-    """What is known of the room at the replicas of a service at a moment.
+    """What is known of the room at the replicas of a service.
 
     `alone` is whether this router hears nothing of the loads of the other `routers`; it then uses
     its equal share of the slots, at least one at each replica.
@@ -36,6 +36,15 @@
         self.slots = sum(item.slots for item in usable)
         self.taken = sum(self._load(item) for item in usable)
 
+    def count(self, replica: ReplicaId, change: int) -> None:
+        """Count requests that this router has started or ended since the room was computed."""
+        item = self._replicas.get(replica)
+        if item is None:
+            return
+        load, own = max(0, item.load + change), max(0, item.own + change)
+        changed = self._replicas[replica] = replace(item, load=load, own=own)
+        self.taken += self._load(changed) - self._load(item)
+
     def full(self, left_ms: float, service_ms: float | None) -> set[ReplicaId]:
         """Return the replicas without room for a request that is to start within `left_ms`."""
         queued = queue_ratio(left_ms, service_ms)
--- a/skylarklift/entry/requests/admitted_search.py
+++ b/skylarklift/entry/requests/admitted_search.py
@@ -47,12 +47,14 @@
 
     @contextmanager
     def watch(self, attempt: Attempt) -> Iterator[None]:
-        """Measure an attempt, and let the waiting requests know that it has ended."""
+        """Count and measure an attempt, and let the waiting requests know that it has ended."""
         core, service = self._core, self._request.service
-        began_at = core.clock.now()
+        replica, began_at = attempt.record.replica, core.clock.now()
+        core.gate.count(service, replica, 1)
         try:
             yield
         finally:
+            core.gate.count(service, replica, -1)
             if attempt.outcome is Outcome.ANSWERED:
                 core.gate.rates.record_end(service, core.clock.now() - began_at)
             core.gate.wake(service)
@@ -124,6 +126,9 @@
         if not isinstance(found, Choice):
             return None, Room(free=False, taken=0, places=0, before=before, drain_per_s=drain_per_s)
         gate, service = self._core.gate, self._request.service
+        if found.load < found.upstream.record.slots and not gate.hears_no_loads():
+            # With a free slot there, the room of the whole service does not matter.
+            return found, Room(free=True, taken=0, places=0, before=before)
         room, service_ms = gate.room(service), gate.rates.service_ms(service)
         left_ms = self._left_ms(queued)
 
