Test the order of waiting requests and their refusals

Change: scenarios on the order at a full service, on requests that may have run, and on the log line and metrics of refusals.

--- a/features/admission_queue.feature
+++ b/features/admission_queue.feature
@@ -105,6 +105,35 @@
       | callers who come back once    | 70     | 9    |
       | gossip missing                | 50     | 8    |
 
+  # Guards against refusals that no log line and no metric shows.
+  Scenario: Each refusal and each wait shows in the log and in the metrics
+    When simulated callers cause "a burst of all callers"
+    Then each refusal has a log line with its reason, its wait and its Retry-After
+    And the metrics count the refusals by reason and the requests sent after a wait
+
+  # Guards against places that go to whichever request checks first.
+  Scenario Outline: A place goes to the request whose turn it is: <case>
+    When a full service has the waiting requests "<requests>"
+    Then their order is "<order>"
+
+    Examples:
+      | case                          | requests              | order |
+      | a more urgent priority        | a:priority=2 b:priority=0 | b a |
+      | a retry before new requests   | a:priority=0 b:failures=1 | b a |
+      | a resumed stream before them  | a:priority=0 b:resumes=1 | b a |
+      | the oldest before the newer   | a:priority=1 b:priority=1 | a b |
+
+  # Guards against "not run" for a request that may have run: its caller would run it again.
+  Scenario Outline: A request whose time is up in a full service: <case>
+    When a service that stays full gets a request after <failures> failures and <runs> runs
+    Then the last request is <result>
+
+    Examples:
+      | case                    | failures | runs | result  |
+      | a new request           | 0        | 0    | refused |
+      | a retry that has not run | 1       | 0    | refused |
+      | it may have run         | 1        | 1    | sent    |
+
   # Guards against one workspace that takes the room of the others.
   Scenario: A workspace with 7.5 times its usual demand gives way to the others
     When simulated callers cause "a workspace with 7.5 times its usual demand"
--- a/features/admission_world.py
+++ b/features/admission_world.py
@@ -34,6 +34,7 @@
     refused_at: int | None = None
     retry_after_ms: int = 0
     tries: int = 1
+    name: str = ""
 
 
 class AnyVersion:
@@ -53,7 +54,7 @@
 
 @dataclass
 class World:
-    """The routers, the replicas and the results of the requests."""
+    """The routers, the replicas and the results of the requests; `sent` is in that order."""
 
     replicas: int
     gossip: bool = True
@@ -61,6 +62,7 @@
     seed: int = 1
     cores: list[Core] = field(default_factory=list)
     results: list[Result] = field(default_factory=list)
+    sent: list[Result] = field(default_factory=list)
     load: dict[str, int] = field(default_factory=dict)
     most: int = 0
 
@@ -97,23 +99,36 @@
         for core in self.cores:
             apply_rows(core, RowTable.UPSTREAMS, 2, {name: None})
 
-    async def request(self, workspace="w1", work_ms=100, priority=1, kind=RouteKind.STREAM) -> None:
-        """Make one request at a random router; a refused one comes back once if callers do."""
+    async def request(
+        self,
+        workspace="w1",
+        work_ms=100,
+        priority=1,
+        kind=RouteKind.STREAM,
+        name="",
+        runs=0,
+        failures=0,
+        resumes=False,
+    ) -> None:
+        """Make one request at a random router; a refused one comes back once if callers do.
+
+        Of its `failures` so far, it may have run in `runs`.
+        """
         clock = LoopClock()
-        result = Result(workspace, work_ms, clock.now())
+        result = Result(workspace, work_ms, clock.now(), name=name)
         self.results.append(result)
         body = f"{len(self.results)}"
         for number in range(1 + self.returns):
             result.tries = number + 1
             try:
-                await self.send(result, priority, kind, body)
+                await self.send(result, priority, kind, body, (failures, runs), resumes)
                 return
             except Refusal as exc:
                 result.refused_at, result.retry_after_ms = clock.now(), exc.retry_after_ms
                 if number < self.returns:
                     await trio.sleep(exc.retry_after_ms / MS_PER_SECOND)
 
-    async def send(self, result: Result, priority, kind, body) -> None:
+    async def send(self, result: Result, priority, kind, body, past, resumes) -> None:
         """Choose a replica and run the request there when it has a slot."""
         core = self.cores[0] if self.returns else self.rng.choice(self.cores)
         call = new_call("", request=body)
@@ -122,10 +137,12 @@
         deadline = Millis(call.received_at + DEADLINE_MS)
         workspace = Workspace(result.workspace)
         searched = SearchedRequest(call, route, "lm", workspace, priority, deadline, body)
-        search = AdmittedSearch(core, searched, RetryState(route), AnyVersion())
+        call.resume_after = 1 if resumes else None
+        search = AdmittedSearch(core, searched, RetryState(route, *past), AnyVersion())
         choice = await search.choose()
         replica = choice.upstream.record.replica
         result.sent_at, result.refused_at = core.clock.now(), None
+        self.sent.append(result)
         with search.watch(SimulatedAttempt(choice.upstream.record)):
             core.chooser.start_request(choice, call)
             self.load[replica] = self.load.get(replica, 0) + 1
--- a/features/steps/admission_queue.py
+++ b/features/steps/admission_queue.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections import Counter
 
 import trio
 from behave import then, when
@@ -10,12 +11,13 @@
 from features.entry_fixtures import parse_yes_no
 from features.steps.entry_tool import SETTINGS
 from skylarklift.clock import MS_PER_SECOND, ManualClock, Millis
-from skylarklift.entry.admission.decision import Demand, Room, decide
+from skylarklift.entry.admission.decision import Demand, RefusalReason, Room, decide
 from skylarklift.entry.admission.queue import MAX_WAITING, AdmissionQueue, QueuedRequest
 from skylarklift.entry.admission.refusals import RefusedRequests, retry_after_ms
 from skylarklift.entry.admission.room import ReplicaRoom, ServiceRoom
 from skylarklift.entry.admission.workspace_work import WorkspaceWork
 from skylarklift.entry.gossip.fleet import LOAD_TTL_MS
+from skylarklift.entry.metrics import PREFIX
 from skylarklift.entry.model import RouteKind
 from skylarklift.entry.placement.observed_loads import OBSERVED_LOAD_TTL_MS, ObservedLoad
 from skylarklift.platform.settings_file import parse_node_settings
@@ -25,6 +27,8 @@
 # The longest wait of a stream that may be sent: its objective, and the time of one report.
 LATEST_START_MS = OBJECTIVE_MS + REPORT_INTERVAL_MS
 USUAL_PER_S = 10
+# Requests that take all slots of three replicas and the places of their small queues.
+FULL_REQUESTS = 3 * (SLOTS + 1)
 WORKSPACES = [f"w{number}" for number in range(1, 9)]
 
 
@@ -294,6 +298,90 @@
     assert context.world.most <= most, context.world.most
 
 
+@then("each refusal has a log line with its reason, its wait and its Retry-After")
+def refusals_logged(context):
+    world = context.world
+    lines = refusal_lines(world)
+    assert len(lines) == len(world.refused()) > 0, (len(lines), len(world.refused()))
+    reasons = {item.value for item in RefusalReason}
+    for line in lines:
+        assert line["reason"] in reasons and line["service"] == "lm", line
+        assert 0 <= line["held_ms"] <= LATEST_START_MS and line["retry_after_ms"] > 0, line
+
+
+def refusal_lines(world):
+    """Return the log lines on refusals of all routers."""
+    lines = [line for core in world.cores for line in core.event_log.lines]
+    return [line for line in lines if line["event"] == "admission_refused"]
+
+
+@then("the metrics count the refusals by reason and the requests sent after a wait")
+def refusals_counted(context):
+    counts = Counter(line["reason"] for line in refusal_lines(context.world))
+    waited = sum(item.sent_at > item.arrived_at for item in context.world.served())
+    pages = [core.metrics.render().splitlines() for core in context.world.cores]
+
+    def total(name, kind):
+        start = f'{PREFIX}{name}{{kind="{kind}"}} '
+        return sum(
+            int(line.removeprefix(start))
+            for page in pages
+            for line in page
+            if line.startswith(start)
+        )
+
+    for reason, count in counts.items():
+        assert total("admission_refused_total", reason) == count
+    assert total("admitted_after_wait_total", "lm") == waited > 0
+    assert total("admission_waiting", "lm") == 0
+
+
+@when('a full service has the waiting requests "{requests}"')
+def full_service(context, requests):
+    world = context.world = World(3)
+
+    async def drive(nursery):
+        for _ in range(FULL_REQUESTS):
+            nursery.start_soon(lambda: world.request("other", work_ms=150))
+        await world.clock_sleep(10)
+        for item in requests.split():
+            name, _, fields = item.partition(":")
+            nursery.start_soon(
+                lambda name=name, fields=fields: world.request(name=name, **parse_fields(fields))
+            )
+            await world.clock_sleep(10)
+
+    world.run(1, drive)
+
+
+@then('their order is "{order}"')
+def sent_in_order(context, order):
+    named = [item for item in context.world.sent if item.name]
+    assert all(item.sent_at > item.arrived_at for item in named), named
+    found = [item.name for item in named]
+    assert found == order.split(), named
+
+
+@when("a service that stays full gets a request after {failures:d} failures and {runs:d} runs")
+def service_stays_full(context, failures, runs):
+    world = context.world = World(3)
+
+    async def drive(nursery):
+        for _ in range(FULL_REQUESTS):
+            nursery.start_soon(lambda: world.request("other", work_ms=3000))
+        await world.clock_sleep(10)
+        await world.request(name="last", failures=failures, runs=runs)
+
+    world.run(1, drive)
+
+
+@then("the last request is {result}")
+def result_is(context, result):
+    (last,) = [item for item in context.world.results if item.name]
+    assert (result == "refused") is (last.refused_at is not None), last
+    assert (result == "sent") is (last.sent_at is not None), last
+
+
 @then("at most {percent:d} of 100 requests of the others are refused, and more of its own")
 def others_served(context, percent):
     world, loud = context.world, WORKSPACES[0]
