Test that only the request whose turn it is checks for room

Cause: with changed code in which each request checked for itself, no scenario failed. Change: a scenario in which reports expire, of which no event tells.

--- a/features/admission_queue.feature
+++ b/features/admission_queue.feature
@@ -123,6 +123,11 @@
       | a resumed stream before them  | a:priority=0 b:resumes=1 | b a |
       | the oldest before the newer   | a:priority=1 b:priority=1 | a b |
 
+  # Guards against requests that check for room on their own while it is not their turn.
+  Scenario: Room of which no event tells goes to the request whose turn it is
+    When replicas that were reported full have the waiting requests "a:priority=2 b:priority=0"
+    Then their order is "b a"
+
   # Guards against "not run" for a request that may have run: its caller would run it again.
   Scenario Outline: A request whose time is up in a full service: <case>
     When a service that stays full gets a request after <failures> failures and <runs> runs
--- a/features/steps/admission_queue.py
+++ b/features/steps/admission_queue.py
@@ -354,6 +354,23 @@
     world.run(1, drive)
 
 
+@when('replicas that were reported full have the waiting requests "{requests}"')
+def reported_full(context, requests):
+    world = context.world = World(3)
+
+    async def drive(nursery):
+        for name in world.places:
+            world.cores[0].chooser.observed_loads.apply_report(ObservedLoad(name, 50, 0))
+        for item in requests.split():
+            name, _, fields = item.partition(":")
+            fields = {"name": name, "kind": RouteKind.NON_IDEMPOTENT, **parse_fields(fields)}
+            nursery.start_soon(lambda fields=fields: world.request(**fields))
+            # They would check at different times.
+            await world.clock_sleep(30)
+
+    world.run(1, drive)
+
+
 @then('their order is "{order}"')
 def sent_in_order(context, order):
     named = [item for item in context.world.sent if item.name]
