Weigh the load of a replica by how slow it is

Replicas that share a machine take up to 2.5 times as long for periods of about 0.6 s, and say so in the fourth figure of X-Replica-Load. Routers ignored the figure, so a slow replica got as many requests as any other.

ReplicaSpeeds keeps a moving average per replica that returns to 1 within 1 s. Placement compares requests times slowdown with the bound for chats; replicas that are overloaded only for being slow come before those whose requests alone reach it. Slow replicas, at most 12, are told in a new field of gossip, and in the message about loads to routers whose gossip has that field, as earlier releases refuse a third item there. Without figures placement is unchanged.

--- a/features/build_messages.py
+++ b/features/build_messages.py
@@ -104,6 +104,19 @@
     return module.Backpressure((limits,), (rejections,))
 
 
+def make_slow_replicas() -> tuple:
+    """Return what a router knows of a slow replica."""
+    module = find("placement.replica_speeds")
+    return () if module is None else (module.SlowReplica("lm-1", 250, 90),)
+
+
+def make_load_message() -> Any:
+    """Return a message about loads as a router of the release before reads it."""
+    loads = (observed_loads.ObservedLoad("lm-1", 9, 80, True),)
+    kind = getattr(load_messages, "LoadMessage", None)
+    return loads if kind is None else kind(loads)
+
+
 def make_silences() -> tuple:
     """Return a time in which a router was not heard."""
     module = find("gossip.silences")
@@ -128,6 +141,7 @@
         router_count=6,
         limits=(rate_limits.LimitReport("lm-3", 2.5, 70),),
         observed_loads=(load,),
+        slow_replicas=make_slow_replicas(),
         releases=(make_report(*steps),),
         releases_age_ms=300,
         suspected_restarts=("lm-4",),
@@ -275,9 +289,7 @@
     writers = {
         "gossip": lambda: [wire.encode_gossip(make_gossip(known_steps()))],
         "unknown proportions": lambda: [wire.encode_gossip(make_gossip(unknown_steps()))],
-        "loads": lambda: [
-            load_messages.encode_load_message((observed_loads.ObservedLoad("lm-1", 9, 80, True),))
-        ],
+        "loads": lambda: [load_messages.encode_load_message(make_load_message())],
         "crashes": lambda: [crash_messages.encode_crash_message(make_crashes(), NOW)],
         "origins": lambda: write_origins(make_origins(False)),
         "a doubted end": lambda: write_origins(make_origins(True)),
@@ -295,7 +307,8 @@
     if kind in ("gossip", "unknown proportions"):
         return wire.decode_gossip(data)
     if kind == "loads":
-        return load_messages.decode_load_message(data)
+        message = load_messages.decode_load_message(data)
+        return getattr(message, "loads", message)
     if kind == "crashes":
         assert crash_messages.is_crash_message(data)
         return crash_messages.decode_crash_message(data, NOW)
--- a/features/choice_fleet.py
+++ b/features/choice_fleet.py
@@ -21,7 +21,9 @@
     plan_data,
     upstream_data,
 )
+from features.slow_machines import SlowMachines
 from skylarklift.clock import ManualClock, Millis
+from skylarklift.entry.answered_loads import make_load_messages
 from skylarklift.entry.core import Core
 from skylarklift.entry.gossip.fleet import (
     GOSSIP_INTERVAL_MS,
@@ -29,9 +31,8 @@
     GossipMessage,
     Peer,
 )
-from skylarklift.entry.gossip.load_messages import encode_load_message
 from skylarklift.entry.gossip.peering import Peering
-from skylarklift.entry.model import Call, Endpoint, ReplicaLoad
+from skylarklift.entry.model import USUAL_WORK_PERCENT, Call, Endpoint, ReplicaLoad
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.rows import RowTable
@@ -83,13 +84,21 @@
 
 @dataclass
 class Outcome:
-    """What a run showed; `peaks` holds the highest load over the mean at each moment looked at."""
+    """What a run showed; `peaks` holds the highest load over the mean at each moment looked at.
+
+    `first_events` and `streams` hold the milliseconds from a request's arrival at its replica to
+    its first event and to its end; `slow_arrivals` counts the requests that reach a replica whose
+    machine has slowed down.
+    """
 
     sent: list[SentRequest] = field(default_factory=list)
     peaks: list[float] = field(default_factory=list)
     refused: int = 0
     read_again: int = 0
     messages: int = 0
+    first_events: list[int] = field(default_factory=list)
+    streams: list[int] = field(default_factory=list)
+    slow_arrivals: int = 0
 
     def worst_window(self) -> float:
         """Return the greatest share of a window's requests that were over the bound."""
@@ -136,6 +145,9 @@
         self._cached: dict[ReplicaId, set[str]] = {}
         # The share of requests that are about one subject.
         self.hot_ratio = 0.0
+        self.machines: SlowMachines | None = None
+        # Whether answers tell how long work takes.
+        self.tells_speed = True
         # Routers gossip for this long before the first requests.
         self.quiet_ms = 0
 
@@ -280,16 +292,16 @@
             self.at(MIN_GOSSIP_INTERVAL_MS, lambda: self._send_loads(core))
 
     def _send_loads(self, core: Core) -> None:
-        """Let a router send what it knows of busy replicas to the next routers in turn."""
-        data = encode_load_message(core.chooser.observed_loads.reports())
+        """Let a router send what it knows of busy and slow replicas to the next ones in turn."""
         peering = self._peerings[int(core.settings.node[1:])]
-        for peer in peering._load_turns.next(list(core.fleet.peers.values())):
+        peers = peering._load_turns.next(list(core.fleet.peers.values()))
+        for peer, data in make_load_messages(core, peers):
             self.outcome.messages += 1
             number = int(peer.node[1:])
-            self.at(TRAVEL_MS, lambda number=number: self._receive_loads(number, data))
+            self.at(TRAVEL_MS, lambda number=number, data=data: self._receive_loads(number, data))
 
     def _receive_loads(self, number: int, data: bytes) -> None:
-        """Let a router receive loads of busy replicas."""
+        """Let a router receive what another one knows of busy and slow replicas."""
         self._peerings[number]._apply_datagram(data, Endpoint("127.0.0.1", 1), None)
         self._spread_loads(self._cores[number])
 
@@ -331,6 +343,8 @@
         held = self._true_loads[replica]
         bound = core.settings.bounds.load_factor * self._mean() + 3
         self.outcome.sent.append(SentRequest(self.clock.now(), held > bound))
+        if self.machines is not None and self.machines.is_slow(replica, self.clock.now()):
+            self.outcome.slow_arrivals += 1
         subject = call.parts[-2].name
         cached = self._cached.setdefault(replica, set())
         if subject not in cached and choice.copy_source is None:
@@ -338,14 +352,29 @@
         cached.add(subject)
         self._true_loads[replica] += 1
         slower = 1 + SLOWER_PER_REQUEST * held
-        self.at(int(FIRST_EVENT_MS * slower), lambda: self._answer(core, choice))
-        span_ms = int(kind.stream_ms * slower * self.rng.uniform(0.4, 1.6))
+        first_ms = self._span_ms(replica, FIRST_EVENT_MS * slower)
+        self.at(first_ms, lambda: self._answer(core, choice))
+        span_ms = self._span_ms(replica, kind.stream_ms * slower * self.rng.uniform(0.4, 1.6))
+        self.outcome.first_events.append(first_ms)
+        self.outcome.streams.append(span_ms)
         self.at(span_ms, lambda: self._end(core, replica))
 
+    def _span_ms(self, replica: ReplicaId, work_ms: float) -> int:
+        """Return how long work takes that begins now."""
+        now, machines = self.clock.now(), self.machines
+        return int(work_ms) if machines is None else machines.span_ms(replica, now, work_ms)
+
+    def _work_percent(self, replica: ReplicaId) -> int:
+        """Return how long a replica tells that work takes."""
+        if self.machines is None or not self.tells_speed:
+            return USUAL_WORK_PERCENT
+        return round(USUAL_WORK_PERCENT * self.machines.factor(replica, self.clock.now()))
+
     def _answer(self, core: Core, choice: Choice) -> None:
         """Let the router read the head of an answer, which tells the load of the replica."""
         replica = choice.upstream.record.replica
-        core.record_observed_load(choice, ReplicaLoad(self._true_loads[replica], 0, 64))
+        load = ReplicaLoad(self._true_loads[replica], 0, 64, self._work_percent(replica))
+        core.record_observed_load(choice, load)
         self._spread_loads(core)
 
     def _end(self, core: Core, replica: ReplicaId) -> None:
--- a/features/load_bound.feature
+++ b/features/load_bound.feature
@@ -75,3 +75,19 @@
     Examples:
       | routers | replicas | rate | seed |
       | 195     | 78       | 280  | 1    |
+
+  # Guards against routers that all leave a slow replica for the same other ones, and all come back.
+  Scenario Outline: No replica gets more than its share while replicas slow down and recover, <routers> routers
+    Given <routers> routers before <replicas> replicas, <rate> requests a second, by the seed <seed>
+    When replicas slow down to 2.5 times and recover, and their answers tell it
+    And all run for 9 s
+    Then no 5 s break the bound on load
+    And no request is refused
+    And slow replicas get fewer requests than in a run in which answers tell no speed
+    And the mean times of first events and of streams are shorter than in that run
+
+    Examples:
+      | routers | replicas | rate | seed |
+      | 30      | 24       | 300  | 1    |
+      | 30      | 24       | 300  | 2    |
+      | 195     | 78       | 900  | 1    |
--- a/features/odd_copies.py
+++ b/features/odd_copies.py
@@ -30,6 +30,7 @@
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.placement.replica_speeds import SlowReplica
 from skylarklift.entry.state.rows import RowChange, RowPage, TableSummary
 from skylarklift.entry.versions.origin_messages import (
     OriginMessage,
@@ -57,6 +58,7 @@
     router_count=3,
     limits=(LimitReport("r2", 5.0, 10),),
     observed_loads=(ObservedLoad("r0", 90, 10, True),),
+    slow_replicas=(SlowReplica("r0", 250, 10),),
     releases=(RELEASE,),
     store_restored=True,
     backpressure=Backpressure((RejectionLimit("lm", 3, 10),), (Rejection("r0", 10),)),
--- a/features/steps/entry_choice.py
+++ b/features/steps/entry_choice.py
@@ -25,13 +25,13 @@
 )
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint, ReplicaLoad
+from skylarklift.entry.placement.affinity import affinity_key
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.choose import (
     AFFINITY_EXTRA_REQUESTS,
     AFFINITY_LOAD_RATIO,
     HOLDER_RATIO,
     MIN_COPY_TOKENS,
-    affinity_key,
 )
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.placement.observed_loads import ObservedLoad
@@ -350,13 +350,13 @@
     data = msgpack.packb((LOAD_FORMAT, fields))
     assert is_load_message(data) and not is_load_message(encode_gossip(EMPTY_MESSAGE))
     try:
-        loads = decode_load_message(data)
+        message = decode_load_message(data)
     except PeerError as exc:
         context.result = str(exc)
         return
-    assert decode_load_message(encode_load_message(loads)) == loads
+    assert decode_load_message(encode_load_message(message)) == message
     context.result = " ".join(
-        f"{item.replica}:{item.load}:{item.age_ms}:{int(item.urgent)}" for item in loads
+        f"{item.replica}:{item.load}:{item.age_ms}:{int(item.urgent)}" for item in message.loads
     )
 
 
--- a/features/steps/entry_odd_messages.py
+++ b/features/steps/entry_odd_messages.py
@@ -40,7 +40,7 @@
 from skylarklift.entry.crashes.crash_messages import (
     encode_crash_message,
 )
-from skylarklift.entry.gossip.load_messages import encode_load_message
+from skylarklift.entry.gossip.load_messages import LoadMessage, encode_load_message
 from skylarklift.entry.gossip.peering import Peering
 from skylarklift.entry.gossip.wire import decode_gossip, decode_page, encode_gossip, encode_page
 from skylarklift.entry.model import Endpoint, SendOptions
@@ -109,7 +109,8 @@
     options = SendOptions(choice.upstream.record.replica, None, 100, None, None)
     attempt = Attempt(core, call, choice, options, repeatable=True)
     attempt._record_upstream_state(CODEC.decode_response_head(503, headers))
-    encode_load_message(core.chooser.observed_loads.reports())
+    loads, slow = core.chooser.observed_loads.reports(), core.chooser.speeds.reports()
+    encode_load_message(LoadMessage(loads, slow))
 
 
 def use_request_head(core, headers):
@@ -126,7 +127,9 @@
         PeerError,
     ),
     "message about loads": (
-        lambda odd: packed(encode_load_message(GOSSIP.observed_loads), odd),
+        lambda odd: packed(
+            encode_load_message(LoadMessage(GOSSIP.observed_loads, GOSSIP.slow_replicas)), odd
+        ),
         use_datagram,
         PeerError,
     ),
--- a/features/steps/late_rows.py
+++ b/features/steps/late_rows.py
@@ -10,7 +10,7 @@
 from features.release_fixtures import LONGEST_MS, SERVICE, entry
 from skylarklift.clock import MS_PER_SECOND, LoopClock, Millis
 from skylarklift.entry.core import Core
-from skylarklift.entry.placement.choose import affinity_key
+from skylarklift.entry.placement.affinity import affinity_key
 from skylarklift.entry.state.rows import FIRST_ERA, ReleaseStore, RowTable
 from skylarklift.entry.versions.release_rows import ReleaseReport, decode_report, encode_report
 from skylarklift.entry.versions.release_steps import ReleaseStep, VersionWeight, pick_version
--- a/features/steps/load_bound.py
+++ b/features/steps/load_bound.py
@@ -1,8 +1,11 @@
 """Steps for the bound on load: whole fleets of choosers in virtual time."""
 
+from statistics import mean
+
 from behave import given, then, when
 
 from features.choice_fleet import MAX_OVER_RATIO, ChoiceFleet
+from features.slow_machines import SlowMachines
 
 COLD_MS = 3000
 LIMIT_PER_S = 2.0
@@ -14,7 +17,8 @@
     "by the seed {seed:d}"
 )
 def fleet_of_choosers(context, routers, replicas, rate, seed):
-    context.fleet = ChoiceFleet(routers, replicas, rate, seed)
+    context.fleet_values = (routers, replicas, rate, seed)
+    context.fleet = ChoiceFleet(*context.fleet_values)
 
 
 @when("a zone is evacuated from {start:d} s to {end:d} s")
@@ -56,6 +60,12 @@
     fleet.at(end * MS_PER_S, lambda: fleet.limit(range(count), None))
 
 
+@when("replicas slow down to 2.5 times and recover, and their answers tell it")
+def replicas_slow_down(context):
+    fleet = context.fleet
+    fleet.machines = SlowMachines(fleet.replicas, context.fleet_values[-1])
+
+
 @when("no request comes for {span:d} s")
 def quiet_time(context, span):
     context.fleet.quiet_ms = span * MS_PER_S
@@ -63,7 +73,8 @@
 
 @when("all run for {span:d} s")
 def run_fleet(context, span):
-    context.outcome = context.fleet.run(span * MS_PER_S)
+    context.span_ms = span * MS_PER_S
+    context.outcome = context.fleet.run(context.span_ms)
 
 
 @then("no 5 s break the bound on load")
@@ -75,3 +86,28 @@
 @then("no request is refused")
 def none_refused(context):
     assert not context.outcome.refused, context.outcome.refused
+
+
+def slow_ratio(outcome):
+    """Return the share of the requests that reached a slow replica."""
+    return outcome.slow_arrivals / len(outcome.sent)
+
+
+@then("slow replicas get fewer requests than in a run in which answers tell no speed")
+def fewer_at_slow(context):
+    fleet = ChoiceFleet(*context.fleet_values)
+    fleet.machines = SlowMachines(fleet.replicas, context.fleet_values[-1])
+    fleet.tells_speed = False
+    context.untold = fleet.run(context.span_ms)
+    found, untold = slow_ratio(context.outcome), slow_ratio(context.untold)
+    assert 0 < found < untold, f"{found:.4f} of the requests, {untold:.4f} without"
+
+
+@then("the mean times of first events and of streams are shorter than in that run")
+def faster(context):
+    outcome, untold = context.outcome, context.untold
+    for found, other in (
+        (outcome.first_events, untold.first_events),
+        (outcome.streams, untold.streams),
+    ):
+        assert mean(found) < mean(other), f"{mean(found):.1f} ms, {mean(other):.1f} ms without"
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -8,6 +8,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Clock, Millis
+from skylarklift.entry.answered_loads import record_answered_load
 from skylarklift.entry.backpressure import record_backpressure
 from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
 from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
@@ -65,8 +66,8 @@
     `reading_store` holds, per table, whether this router reads it from the store.
     `attempts` are the requests that have been sent to upstreams and not ended.
     `state_changed` is set when a change is to be sent to the other routers at once,
-    `load_observed` when an upstream is newly busy, and `crash_reported` when this router or another
-    one has reported the crash of an upstream.
+    `load_observed` when an upstream is newly busy or slow, and `crash_reported` when this router
+    or another one has reported the crash of an upstream.
     `releases_read` is set once rows on software versions are known, or there are none, and
     `release_applied` with the next row that is new.
     `store_restored` is set when the store has lost what was written to it last.
@@ -230,14 +231,8 @@
                 self.record_hold_off(upstream.record, left_ms)
 
     def record_observed_load(self, choice: Choice, answered: ReplicaLoad) -> None:
-        """Record the load that an upstream answered; report it to the others if it is busy."""
-        if choice.busy_load <= 0:
-            # A plain service has few replicas, and its calls are short.
-            return
-        replica, load = choice.upstream.record.replica, answered.running + answered.waiting
-        if self.chooser.observed_loads.record(replica, load, choice.busy_load):
-            self.metrics.increment("busy_upstreams")
-            self.load_observed.set()
+        """Record the load and speed that an upstream answered."""
+        record_answered_load(self, choice, answered)
 
     def record_limits(self, record: UpstreamRecord, head: ResponseHead, sent_at: Millis) -> None:
         """Record the limits that the answer to a request sent at `sent_at` names."""
@@ -343,6 +338,7 @@
         )
         metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
         metrics.replace_gauges("observed_load", dict(self.chooser.observed_loads.loads()))
+        metrics.replace_gauges("upstream_slowdown", dict(self.chooser.speeds.slowdowns()))
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
         metrics.replace_gauges("rejection_limit", self.chooser.concurrency_limits.named())
         for table in RowTable:
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -18,6 +18,7 @@
 from skylarklift.entry.placement.peer_loads import PeerLoads
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.placement.replica_speeds import SlowReplica
 from skylarklift.entry.state.rows import Era, TableSummary
 from skylarklift.entry.versions.nominal_starts import RouteWait
 from skylarklift.entry.versions.release_rows import ReleaseReport
@@ -85,7 +86,9 @@
     `backpressure` is what it knows of upstreams that can reject few requests, and `silences` are
     the times that have ended in which it did not hear a router.  `knows_nominal_starts` is false
     for a sender of a release whose streams get their versions by their begins only.  `route_waits`
-    is how long callers wait at it on routes without such a span.
+    is how long callers wait at it on routes without such a span.  `slow_replicas` are those whose
+    work takes longer than usual; `knows_slow_replicas` is false for a release that has no such
+    field.
     """
 
     node: str
@@ -112,6 +115,8 @@
     silences: tuple[SilenceReport, ...] = ()
     knows_nominal_starts: bool = True
     route_waits: tuple[RouteWait, ...] = ()
+    slow_replicas: tuple[SlowReplica, ...] = ()
+    knows_slow_replicas: bool = True
 
     @property
     def knows_doubted_ends(self) -> bool:
@@ -134,6 +139,10 @@
     holds_sent_at: Millis = Millis(0)
     last_message: GossipMessage | None = None
 
+    def knows_slow_replicas(self) -> bool:
+        """Return whether the router reads reports of slow replicas; one not heard may not."""
+        return self.last_message is not None and self.last_message.knows_slow_replicas
+
     def may_be_cut_off(self, now: Millis) -> bool:
         """Return whether the router has fallen silent without having announced that it leaves."""
         if self.received_at is None or self.last_message.leaving:
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -5,6 +5,7 @@
 import trio
 
 from skylarklift.clock import MS_PER_SECOND, Millis
+from skylarklift.entry.answered_loads import apply_load_message, make_load_messages
 from skylarklift.entry.backpressure import apply_backpressure
 from skylarklift.entry.core import Core
 from skylarklift.entry.crashes.crash_messages import (
@@ -21,8 +22,8 @@
     Turns,
 )
 from skylarklift.entry.gossip.load_messages import (
+    LoadMessage,
     decode_load_message,
-    encode_load_message,
     is_load_message,
 )
 from skylarklift.entry.gossip.membership import Membership
@@ -33,7 +34,7 @@
     is_digest,
 )
 from skylarklift.entry.gossip.silences import MAX_SILENCES
-from skylarklift.entry.gossip.waiting import add_wait, add_wait_to_loads
+from skylarklift.entry.gossip.waiting import add_wait
 from skylarklift.entry.gossip.wire import (
     MAX_ROW_REQUEST_BYTES,
     decode_gossip,
@@ -41,7 +42,6 @@
     send_frame,
 )
 from skylarklift.entry.model import Endpoint
-from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.relays.relay_messages import is_relay_request
 from skylarklift.entry.relays.relay_server import RelayServer
 from skylarklift.entry.state.follower import fetch_rows, rows_for_request
@@ -100,7 +100,7 @@
             await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
 
     async def send_observed_loads(self) -> None:
-        """Send what is new about busy upstreams to the next routers in turn, at once.
+        """Send what is new about busy and slow upstreams to the next routers in turn, at once.
 
         A router that reads the store sends it to as few as others do, so that it keeps up.
         """
@@ -108,8 +108,8 @@
         while True:
             await core.load_observed.wait()
             core.load_observed = trio.Event()
-            data = encode_load_message(core.chooser.observed_loads.reports())
-            for peer in self._load_turns.next(list(core.fleet.peers.values())):
+            peers = self._load_turns.next(list(core.fleet.peers.values()))
+            for peer, data in make_load_messages(core, peers):
                 await self._send(peer, [data])
             await trio.sleep(MIN_GOSSIP_INTERVAL_MS / MS_PER_SECOND)
 
@@ -212,6 +212,7 @@
             router_count=core.fleet.router_count(),
             limits=core.chooser.rate_limits.reports(),
             observed_loads=core.chooser.observed_loads.reports(),
+            slow_replicas=core.chooser.speeds.reports(),
             releases=core.releases.reports(),
             releases_age_ms=core.releases.age_ms(),
             # Ends of connections show nothing of upstreams while a link of this router may be cut.
@@ -278,7 +279,7 @@
                     core.crash_reported.set()
             return
         if is_load_message(data):
-            self._apply_loads(add_wait_to_loads(decode_load_message(data), waited_ms))
+            apply_load_message(core, decode_load_message(data), waited_ms)
             return
         if is_origin_message(data):
             core.resumptions.apply_message(decode_origin_message(data), address)
@@ -316,19 +317,12 @@
             core.releases.spans.seen.apply_report(wait)
         if message.releases_age_ms is not None:
             core.releases.confirm(message.releases_age_ms + REPORT_DELAY_MS)
-        self._apply_loads(message.observed_loads)
+        apply_load_message(core, LoadMessage(message.observed_loads, message.slow_replicas))
         for placement in message.placements:
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
             self._sync_table(table, peer, nursery)
 
-    def _apply_loads(self, loads: tuple[ObservedLoad, ...]) -> None:
-        """Apply observed loads; pass on at once what is urgent."""
-        core = self._core
-        for observed in loads:
-            if core.chooser.observed_loads.apply_report(observed):
-                core.load_observed.set()
-
     def _sync_table(self, table: RowTable, peer: Peer, nursery: trio.Nursery) -> None:
         """Confirm a table by a peer's summary, or fetch the rows that this router lacks."""
         state = self._core.cluster_state
--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -8,6 +8,7 @@
 
 from skylarklift.entry.gossip.backpressure_fields import add_wait_to_backpressure
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.speed_fields import add_wait_to_slow
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.versions.release_rows import ReleaseReport
 
@@ -32,6 +33,7 @@
             replace(report, age_ms=report.age_ms + waited_ms) for report in message.limits
         ),
         observed_loads=add_wait_to_loads(message.observed_loads, waited_ms),
+        slow_replicas=add_wait_to_slow(message.slow_replicas, waited_ms),
         backpressure=add_wait_to_backpressure(message.backpressure, waited_ms),
         releases=tuple(_add_wait_to_release(report, waited_ms) for report in message.releases),
         releases_age_ms=None if age_ms is None else age_ms + waited_ms,
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -15,6 +15,7 @@
 )
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.gossip.silences import SilenceReport
+from skylarklift.entry.gossip.speed_fields import decode_slow_replicas, encode_slow_replicas
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
@@ -63,6 +64,7 @@
 SILENCES_KEY = "silences"
 NOMINAL_STARTS_KEY = "nominal_starts"
 ROUTE_WAITS_KEY = "route_waits"
+SLOW_REPLICAS_KEY = "slow"
 COMPRESSION_LEVEL = 1
 
 
@@ -131,6 +133,7 @@
                     (observed.replica, observed.load, observed.age_ms, observed.urgent)
                     for observed in message.observed_loads
                 ],
+                SLOW_REPLICAS_KEY: encode_slow_replicas(message.slow_replicas),
                 **backpressure_fields(message.backpressure),
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
@@ -169,6 +172,8 @@
             observed_loads=tuple(
                 decode_observed_load(*fields) for fields in extras.get(OBSERVED_LOADS_KEY, ())
             ),
+            slow_replicas=decode_slow_replicas(extras.get(SLOW_REPLICAS_KEY, ())),
+            knows_slow_replicas=SLOW_REPLICAS_KEY in extras,
             suspected_restarts=tuple(
                 checked_text(name) for name in extras.get(SUSPECTED_RESTARTS_KEY, ())
             ),
--- a/skylarklift/entry/placement/affinity.py
+++ b/skylarklift/entry/placement/affinity.py
@@ -3,13 +3,17 @@
 Holders of its prefix come first, those in the router's zone before others, then the other replicas
 in the chat's rendezvous order; overloaded ones come last.  Of these, holders that carry no more
 than the mean of the overloaded ones come first, then the least loaded: if all are busy, a chat that
-leaves its holder for one request more is read again and keeps all busy for longer.  The order is
-made step by step, since most requests take the first replica, and a service may have hundreds.
+leaves its holder for one request more is read again and keeps all busy for longer.  Loads are
+weighted by how slow a replica is; those whose requests alone reach the limit come after those that
+are overloaded for being slow, so that slow replicas push no other over the bound on load.  The
+order is made step by step, since most requests take the first replica, and a service may have
+hundreds.
 """
 
 from collections import OrderedDict
 from collections.abc import Collection, Iterable, Iterator, Mapping
 
+from skylarklift.entry.model import Call
 from skylarklift.entry.placement.candidates import Candidates
 from skylarklift.entry.state.upstream import Upstream
 from skylarklift.hashing import rendezvous_weight
@@ -61,6 +65,18 @@
             yield from _sort_by_weight(key, self.members)[REMEMBERED_REPLICAS:]
 
 
+def affinity_key(call: Call) -> str:
+    """Return the hash key for affinity: the last shared part of the prompt.
+
+    The name of that part stands for the whole shared prefix of a chat.
+    """
+    if len(call.parts) > 1:
+        return call.parts[-2].name
+    if call.parts:
+        return call.parts[0].name
+    return call.request
+
+
 def order_by_affinity(
     key: str,
     ranked: Iterable[ReplicaId],
@@ -76,7 +92,7 @@
     `zone`: the chat costs the same there, and its bytes stay in the zone.  `ranked` yields at least
     all candidates, in the chat's rendezvous order.
     """
-    load = candidates.load
+    load = candidates.weighted_load
     sound_holders = [name for name in holders if name in candidates and load(name) < load_limit]
     by_weight = _sort_by_weight(key, sound_holders)
     yield from sorted(
@@ -89,7 +105,11 @@
     if overloaded:
         mean = sum(map(load, overloaded)) / len(overloaded)
         near = {name for name in holders if name in candidates and load(name) <= mean}
-        yield from sorted(overloaded, key=lambda name: (name not in near, load(name)))
+
+        def sort_key(name: ReplicaId) -> tuple[bool, bool, float]:
+            return candidates.load(name) >= load_limit, name not in near, load(name)
+
+        yield from sorted(overloaded, key=sort_key)
 
 
 def _sort_by_weight(key: str, names: Iterable[ReplicaId]) -> list[ReplicaId]:
--- a/skylarklift/entry/placement/candidates.py
+++ b/skylarklift/entry/placement/candidates.py
@@ -1,6 +1,6 @@
 """The upstreams among which a request has a choice, with their loads."""
 
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from skylarklift.entry.model import Route, Workspace
 from skylarklift.entry.state.upstream import Upstream
@@ -11,7 +11,8 @@
     """The members of a service without those that may not take the request now.
 
     Loads count requests in flight: `own_loads` of this router, `peer_loads` of the others.
-    `observed_loads` holds what busy members answered of themselves.
+    `observed_loads` holds what busy members answered of themselves, and `slowdown` tells how much
+    longer than usual work takes at a member.
     Members are not copied, and loads are looked up where they are needed: a service may have
     hundreds of members, and a choice weighs only a few of them.
     """
@@ -23,12 +24,14 @@
         own_loads: Mapping[ReplicaId, int],
         peer_loads: Mapping[ReplicaId, int],
         observed_loads: Mapping[ReplicaId, int],
+        slowdown: Callable[[ReplicaId], float],
     ):
         self._members = members
         self._excluded = {name for name in excluded if name in members}
         self._own_loads = own_loads
         self._peer_loads = peer_loads
         self._observed_loads = observed_loads
+        self._slowdown = slowdown
 
     def __len__(self) -> int:
         """Return how many candidates there are."""
@@ -53,6 +56,10 @@
         counted = self._own_loads.get(name, 0) + self._peer_loads.get(name, 0)
         return max(counted, self._observed_loads.get(name, 0))
 
+    def weighted_load(self, name: ReplicaId) -> float:
+        """Return the load times the slowdown: slow requests are longer beside a new one."""
+        return self.load(name) * self._slowdown(name)
+
 
 def allowed_regions(route: Route, workspace: Workspace | None) -> frozenset[str] | None:
     """Return the regions whose upstreams a request may reach, `None` for all."""
--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -20,7 +20,7 @@
     UpstreamRecord,
     Workspace,
 )
-from skylarklift.entry.placement.affinity import RendezvousCache, order_by_affinity
+from skylarklift.entry.placement.affinity import RendezvousCache, affinity_key, order_by_affinity
 from skylarklift.entry.placement.candidates import Candidates, allowed_regions
 from skylarklift.entry.placement.choice import (
     Choice,
@@ -36,6 +36,7 @@
 from skylarklift.entry.placement.observed_loads import ObservedLoads
 from skylarklift.entry.placement.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.placement.rate_limits import RateLimits
+from skylarklift.entry.placement.replica_speeds import ReplicaSpeeds
 from skylarklift.entry.placement.software_versions import SoftwareVersions
 from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
@@ -92,6 +93,7 @@
         self.hold_offs = HoldOffs(clock)
         self.prefixes = PrefixIndex(clock)
         self.observed_loads = ObservedLoads(clock)
+        self.speeds = ReplicaSpeeds(clock)
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
 
@@ -225,7 +227,8 @@
     ) -> Candidates:
         """Return the members that are not excluded as candidates."""
         peer_loads, observed_loads = self._fleet.peer_loads(), self.observed_loads.loads()
-        return Candidates(members, excluded, self.in_flight, peer_loads, observed_loads)
+        own, slowdown = self.in_flight, self.speeds.slowdown
+        return Candidates(members, excluded, own, peer_loads, observed_loads, slowdown)
 
     def wait_ms(self, service: ServiceId) -> int:
         """Return the time until some upstream of a service no longer asks to wait."""
@@ -283,7 +286,7 @@
         limits = self.rate_limits
         for replica in self._limited_with_tokens(candidates):
             if limits.is_full(replica, self._fleet.share(replica)):
-                if candidates.load(replica) < IDLE_LOAD_RATIO * mean:
+                if candidates.weighted_load(replica) < IDLE_LOAD_RATIO * mean:
                     yield replica
 
     def _find_holders(self, call: Call, candidates: Candidates) -> frozenset[ReplicaId]:
@@ -333,7 +336,8 @@
         def sort_key(name: ReplicaId) -> tuple[float, int]:
             other_zone = candidates[name].record.zone != self._zone
             load = candidates.load(name) + OTHER_ZONE_PENALTY * other_zone
-            return load, rendezvous_weight(now, name)
+            slower = candidates.weighted_load(name) - candidates.load(name)
+            return load + slower, rendezvous_weight(now, name)
 
         return sorted(candidates, key=sort_key)
 
@@ -383,18 +387,6 @@
             del self.in_flight[replica]
 
 
-def affinity_key(call: Call) -> str:
-    """Return the hash key for affinity: the last shared part of the prompt.
-
-    The name of that part stands for the whole shared prefix of a chat.
-    """
-    if len(call.parts) > 1:
-        return call.parts[-2].name
-    if call.parts:
-        return call.parts[0].name
-    return call.request
-
-
 def _shares_memory(source: UpstreamRecord, target: UpstreamRecord) -> bool:
     """Return whether a replica can use what another one has read of a prompt."""
     return source.service == target.service and source.software == target.software
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -5,8 +5,8 @@
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import Call, Route, RouteKind
+from skylarklift.entry.placement.affinity import affinity_key
 from skylarklift.entry.placement.choice import WantedVersion
-from skylarklift.entry.placement.choose import affinity_key
 from skylarklift.entry.requests.attempt import Attempt
 from skylarklift.entry.requests.attempt_connection import ProcessCheck
 from skylarklift.entry.requests.process_identity import Identity
