--- a/skylarklift/entry/placement/candidates.py
+++ b/skylarklift/entry/placement/candidates.py
@@ -57,7 +57,7 @@
         return max(counted, self._observed_loads.get(name, 0))
 
     def weighted_load(self, name: ReplicaId) -> float:
-        """Return the load times the slowdown: slow requests are longer beside a new one."""
+        """Return the load times the slowdown: at a slow replica requests stay longer."""
         return self.load(name) * self._slowdown(name)
 
 
