--- a/skylarklift/entry/placement/choose.py
+++ b/skylarklift/entry/placement/choose.py
@@ -36,6 +36,7 @@
 from skylarklift.entry.placement.observed_loads import ObservedLoads
 from skylarklift.entry.placement.prefixes import PrefixIndex, shared_parts
 from skylarklift.entry.placement.rate_limits import RateLimits
+from skylarklift.entry.placement.replica_speeds import ReplicaSpeeds
 from skylarklift.entry.placement.software_versions import SoftwareVersions
 from skylarklift.entry.placement.zone_links import ZoneLinks
 from skylarklift.entry.placement.zone_spill import ZoneSpill, request_cost
@@ -93,6 +94,7 @@
         self.prefixes = PrefixIndex(clock)
         self.observed_loads = ObservedLoads(clock)
         self.zone_spill = ZoneSpill(clock, zone, zone_links or ZoneLinks(clock))
+        self.speeds = ReplicaSpeeds(clock)
         self._rendezvous = RendezvousCache()
         self.in_flight: Counter[ReplicaId] = Counter()
 
@@ -227,7 +229,8 @@
     ) -> Candidates:
         """Return the members that are not excluded as candidates."""
         peer_loads, observed_loads = self._fleet.peer_loads(), self.observed_loads.loads()
-        return Candidates(members, excluded, self.in_flight, peer_loads, observed_loads)
+        own, slowdown = self.in_flight, self.speeds.slowdown
+        return Candidates(members, excluded, own, peer_loads, observed_loads, slowdown)
 
     def _all_usable(self, service: ServiceId) -> Candidates:
         """Return the upstreams of a service that may take requests of any kind."""
@@ -293,7 +296,7 @@
         limits = self.rate_limits
         for replica in self._limited_with_tokens(candidates):
             if limits.is_full(replica, self._fleet.share(replica)):
-                if candidates.load(replica) < IDLE_LOAD_RATIO * mean:
+                if candidates.weighted_load(replica) < IDLE_LOAD_RATIO * mean:
                     yield replica
 
     def _find_holders(self, call: Call, candidates: Candidates) -> frozenset[ReplicaId]:
@@ -344,7 +347,7 @@
         penalties = self.zone_spill.penalties(service, candidates, cost)
 
         def sort_key(name: ReplicaId) -> tuple[float, int]:
-            load = candidates.load(name) + penalties[candidates[name].record.zone]
+            load = candidates.weighted_load(name) + penalties[candidates[name].record.zone]
             return load, rendezvous_weight(now, name)
 
         return sorted(candidates, key=sort_key)
