--- a/features/steps/zone_spill.py
+++ b/features/steps/zone_spill.py
@@ -13,6 +13,7 @@
     ZONES,
     RecordingEventLog,
     apply_rows,
+    choose,
     new_call,
     new_core,
     parse_yes_no,
@@ -23,6 +24,7 @@
 from skylarklift.clock import ManualClock
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import UpstreamRecord, Workspace
+from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.zone_links import ZoneLinks
 from skylarklift.entry.placement.zone_pressure import ZoneLoad, ZonePressure
 from skylarklift.entry.placement.zone_spill import RequestCost, SpillState, ZoneSpill
@@ -247,6 +249,28 @@
     assert found == set(zones.split()), found
 
 
+@when(
+    "a chat of {tokens:d} shared tokens and {size:d} bytes comes, " 'held by a replica of "{zone}"'
+)
+def chat_with_holder(context, tokens, size, zone):
+    core = context.core
+    context.holder = replicas_of(core, zone)[0]
+    core.clock.advance(1)
+    core.chooser.prefixes.record_reported(Placement(("held",), context.holder))
+    call = new_call(f"held:{tokens},own:130")
+    call.body = bytes(size)
+    context.chosen = choose(core, call).upstream.record
+
+
+@then("the chat with a holder goes to {where}")
+def chat_goes_where(context, where):
+    if where == "its holder":
+        assert context.chosen.replica == context.holder, context.chosen
+    else:
+        assert where == "the own zone", where
+        assert context.chosen.zone == OWN_ZONE, context.chosen
+
+
 @given('{routers:d} routers in "{zone}" before {replicas:d} replicas, with links of {rtt:g} ms')
 def routers_of_zone(context, routers, zone, replicas, rtt):
     context.cores = [router_with_links(zone, replicas, rtt) for _ in range(routers)]
--- a/features/zone_spill.feature
+++ b/features/zone_spill.feature
@@ -113,6 +113,22 @@
       | another region only        | 7.8 | only cape-b is allowed        | cape-b                |
       | the own zone asks to wait  | 7.8 | the own zone asks to wait     | cape-b cape-c         |
 
+  # Guards against holders that are passed over without need, or used at the price of the link.
+  Scenario Outline: A chat whose prefix is held in another zone: <case>
+    Given a router in "cape-a" before 12 replicas, with links of <rtt> ms
+    And the state of the zones "<state>"
+    When a chat of <tokens> shared tokens and <size> bytes comes, held by a replica of "cape-b"
+    Then the chat with a holder goes to <where>
+
+    Examples:
+      | case                    | rtt | state                      | tokens | size  | where          |
+      | a short link            | 1.0 | nothing                    | 700    | 3300  | its holder     |
+      | a short prompt          | 7.8 | nothing                    | 700    | 3300  | the own zone   |
+      | a long prompt           | 7.8 | nothing                    | 10500  | 2000  | its holder     |
+      | no room in the own zone | 7.8 | the own zone is overloaded | 700    | 3300  | its holder     |
+      | no free slot here       | 7.8 | the own zone has 1 slot    | 700    | 3300  | its holder     |
+      | the zone is evacuated   | 7.8 | cape-a is evacuated        | 700    | 3300  | its holder     |
+
   # Guards against routers of a zone that read a prefix at several replicas.
   Scenario: All routers of a zone send a chat to the same replica
     Given 5 routers in "cape-b" before 12 replicas, with links of 7.8 ms
