Do not relay an end as orderly after a failed write

A relay that writes a long request to an upstream which resets the connection takes the socket's pending error with the write. The next read then returns the end of the stream, which was passed on as an orderly end.

The relay remembers a failed write, and waits up to 20 ms for one that is in progress when the end is read. It then ends the connection without the frame for an orderly end, and lets the other router read what came before, so an answer with a length or in chunks that arrived whole stays good.

--- /dev/null
+++ b/features/cut_uploads.feature
@@ -0,0 +1,25 @@
+Feature: Answers that are cut by a reset while a long request is sent
+
+  A write that fails takes the pending error of its socket, so that the reset is then read as an
+  orderly end.  The answer must not be taken for complete unless its framing shows that it is.
+
+  # Guards against a part of an answer that is forwarded as a complete one, on each kind of connection.
+  Scenario Outline: An answer <framing> with <bytes>, reset during an upload over <connection>, is <result>
+    Given an upstream that answers a long upload <framing> with <bytes>, and resets the connection
+    When 8 MB are sent to it <count> times over <connection>
+    Then each of the answers is <result>
+
+    # Its relay reads and writes at the same time, so the reset may show at either.
+    Examples: Connections that are relayed
+      | connection           | framing          | bytes | count | result |
+      | a relayed connection | without a length | part  | 12    | broken |
+      | a relayed connection | with a length    | part  | 3     | broken |
+      | a relayed connection | in chunks        | part  | 3     | broken |
+      | a relayed connection | with a length    | all   | 12    | whole  |
+      | a relayed connection | in chunks        | all   | 12    | whole  |
+
+  # Guards against a relay that resets or breaks off what an upstream ends in order.
+  Scenario: An answer without a length that ends in order after the whole upload is whole
+    Given an upstream that reads a long upload, answers without a length, and closes the connection
+    When 8 MB are sent to it 3 times over a relayed connection
+    Then each of the answers is whole
--- a/skylarklift/entry/relays/relay_server.py
+++ b/skylarklift/entry/relays/relay_server.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import DESCRIPTORS_EACH_RELAY, Core
 from skylarklift.entry.gossip.wire import send_frame
 from skylarklift.entry.relays.relay_messages import (
@@ -23,6 +24,10 @@
 CHECK_TIMEOUT_MS = 100
 # A stopping router relays nothing new for so long before it ends.
 LAST_RELAY_MS = 1000
+# A write in progress when the upstream's connection ends shows within this time whether it fails.
+WRITE_RESULT_MS = 20
+# The other router may take this long to read an answer whose connection broke.
+MAX_END_READ_MS = 1000
 
 
 class RelayServer:
@@ -94,7 +99,7 @@
             set_linger(stream, RESET_ON_CLOSE)
             set_linger(upstream, RESET_ON_CLOSE)
             await send_frame(stream, encode_relay_reply(RelayReply.CONNECTED))
-            await self._forward(stream, upstream)
+            await forward(stream, upstream)
         finally:
             upstream.socket.close()
 
@@ -117,52 +122,92 @@
             return True
         return False
 
-    async def _forward(self, stream: trio.SocketStream, upstream: trio.SocketStream) -> None:
-        """Forward until the upstream has ended its answers, or the other router its requests."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(forward_requests, stream, upstream, nursery.cancel_scope)
-            await forward_answers(upstream, stream)
-            nursery.cancel_scope.cancel()
+
+class UpstreamWriter:
+    """Writes requests to an upstream, and remembers whether a write failed.
+
+    A failed write takes the socket's pending error, so a reset is then read as an orderly end.
+    """
+
+    def __init__(self, target: trio.SocketStream):
+        self.target = target
+        self._failed = False
+        self._idle = trio.Event()
+        self._idle.set()
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes, or drop them after a failed write.
+
+        An upstream may have answered before it closed, so its answer is still read.
+        """
+        if self._failed:
+            return
+        self._idle = trio.Event()
+        try:
+            await self.target.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self._failed = True
+        finally:
+            self._idle.set()
+
+    async def has_failed(self) -> bool:
+        """Return whether a write failed, after a short wait for one that is in progress."""
+        with trio.move_on_after(WRITE_RESULT_MS / MS_PER_SECOND):
+            await self._idle.wait()
+        return self._failed
+
+
+async def forward(stream: trio.SocketStream, upstream: trio.SocketStream) -> None:
+    """Forward until the upstream has ended its answers, or the other router its requests."""
+    writer = UpstreamWriter(upstream)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(forward_requests, stream, writer, nursery.cancel_scope)
+        if not await forward_answers(upstream, stream, writer):
+            await end_broken(stream)
+        nursery.cancel_scope.cancel()
 
 
 async def forward_requests(
-    source: trio.SocketStream, target: trio.SocketStream, scope: trio.CancelScope
+    source: trio.SocketStream, writer: UpstreamWriter, scope: trio.CancelScope
 ) -> None:
     """Forward the bytes of requests; cancel the scope once the other router has closed."""
-    writable = True
     try:
         while data := await source.receive_some(READ_BYTES):
-            if writable:
-                writable = await try_send(target, data)
-        set_linger(target, CLOSE_IN_ORDER)
+            await writer.send(data)
+        set_linger(writer.target, CLOSE_IN_ORDER)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         # The request was given up: the upstream's connection is reset, too.
-        writable = False
+        pass
     scope.cancel()
 
 
-async def try_send(target: trio.SocketStream, data: bytes) -> bool:
-    """Send bytes; return whether the connection still takes some.
-
-    An upstream may have answered before it closed, so its answer is still read.
-    """
+async def forward_answers(
+    source: trio.SocketStream, target: trio.SocketStream, writer: UpstreamWriter
+) -> bool:
+    """Forward the bytes of answers in frames; return whether the upstream ended them in order."""
     try:
-        await target.send_all(data)
+        while data := await source.receive_some(READ_BYTES):
+            await send_frame(target, data)
+        if await writer.has_failed():
+            return False
+        await send_frame(target, b"")
+        set_linger(target, CLOSE_IN_ORDER)
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         return False
     return True
 
 
-async def forward_answers(source: trio.SocketStream, target: trio.SocketStream) -> None:
-    """Forward the bytes of answers in frames, and their end only if the upstream has ended them."""
+async def end_broken(stream: trio.SocketStream) -> None:
+    """End the answers without the frame for an orderly end, and let the other router read them.
+
+    Resetting the connection at once would discard an answer that arrived whole before.  The
+    other router closes when it has read the end, which cancels the wait.
+    """
     try:
-        while data := await source.receive_some(READ_BYTES):
-            await send_frame(target, data)
-        await send_frame(target, b"")
-        set_linger(target, CLOSE_IN_ORDER)
+        await stream.send_eof()
     except (trio.BrokenResourceError, trio.ClosedResourceError):
-        # The other router's connection is reset.
         return
+    await trio.sleep(MAX_END_READ_MS / MS_PER_SECOND)
 
 
 def set_linger(stream: trio.SocketStream, linger: bytes) -> None:
