Take an end after a failed write for a reset

A failed write of a long request takes the socket's pending error, so a reset is read as an orderly end, and a part of an answer without a length was taken for complete. send_remaining_body also set _must_close back after a failed write, so the connection could be used again.

HttpConnection remembers a failed write; an end that would complete the answer raises ResponseBroken then. Whether a long body was cut has a flag of its own.

--- a/features/cut_uploads.feature
+++ b/features/cut_uploads.feature
@@ -18,6 +18,25 @@
       | a relayed connection | with a length    | all   | 12    | whole  |
       | a relayed connection | in chunks        | all   | 12    | whole  |
 
+    Examples: Direct connections
+      | connection          | framing          | bytes | count | result |
+      | a direct connection | without a length | part  | 3     | broken |
+      | a direct connection | with a length    | part  | 3     | broken |
+      | a direct connection | in chunks        | part  | 3     | broken |
+      | a direct connection | with a length    | all   | 3     | whole  |
+      | a direct connection | in chunks        | all   | 3     | whole  |
+
+  # Guards against a connection that is used again though its request was not sent whole.
+  Scenario Outline: A direct connection whose write <fate> is not used again
+    Given an upstream that answers a long upload with a length with all, and <ending>
+    When 8 MB are sent to it, and the write <fate>
+    Then the connection cannot be used again
+
+    Examples:
+      | fate         | ending                |
+      | fails        | resets the connection |
+      | is cancelled | keeps the connection  |
+
   # Guards against a relay that resets or breaks off what an upstream ends in order.
   Scenario: An answer without a length that ends in order after the whole upload is whole
     Given an upstream that reads a long upload, answers without a length, and closes the connection
--- a/skylarklift/entry/requests/http_connection.py
+++ b/skylarklift/entry/requests/http_connection.py
@@ -91,6 +91,9 @@
         self._request: h11.Request | None = None
         self._unsent = memoryview(b"")
         self._must_close = False
+        # Whether a write failed, or a write of a long body did not come to its end.
+        self._write_failed = False
+        self._body_cut = False
         self._eof_received = False
         self._peeked: h11.Event | None = None
         # Whether only the end of the connection ends the current response.
@@ -128,9 +131,10 @@
         rest, self._unsent = self._unsent, memoryview(b"")
         if not rest:
             return
-        self._must_close = True
+        # Stays set if the write fails or is cancelled.
+        self._body_cut = True
         await self._write(rest)
-        self._must_close = False
+        self._body_cut = self._write_failed
 
     @property
     def has_unsent_body(self) -> bool:
@@ -141,12 +145,13 @@
         """Write bytes; do not raise if the other side has closed the connection.
 
         It may have sent a response before it closed, so only reading shows whether the request
-        failed.
+        failed.  A failed write takes the socket's pending error, so a reset is then read as an
+        orderly end.
         """
         try:
             await self._stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
-            self._must_close = True
+            self._must_close = self._write_failed = True
 
     async def read_head(self) -> tuple[int, Headers]:
         """Return status and header fields of the response; skip a few interim responses."""
@@ -246,6 +251,9 @@
         if not data:
             self._eof_received = True
             self._must_close = True
+            if self._write_failed and self.ends_with_connection:
+                self.was_reset = True
+                raise ResponseBroken("connection reset while the request was sent")
         try:
             self._http.receive_data(data)
         except RuntimeError as exc:
@@ -253,7 +261,7 @@
 
     def prepare_next_request(self) -> bool:
         """Reset the parser for the next request; return whether the connection can be reused."""
-        if self._must_close or self._unsent or self._http.trailing_data[0]:
+        if self._must_close or self._body_cut or self._unsent or self._http.trailing_data[0]:
             return False
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             return False
