Take a JSON answer cut during an upload for broken off

httpcore does not raise the error of a failed write, but reads the response. A part of a body without a length that is whole JSON itself was then passed on as the answer of the upstream of the own deployment.

A trace callback records the failed write; a body that only the end of its connection completes is then broken off.

--- a/features/cut_uploads.feature
+++ b/features/cut_uploads.feature
@@ -26,6 +26,16 @@
       | a direct connection | with a length    | all   | 3     | whole  |
       | a direct connection | in chunks        | all   | 3     | whole  |
 
+    # The part of the JSON is a whole JSON object itself.
+    Examples: The client of the own deployment
+      | connection              | framing                   | bytes | count | result |
+      | the deployment's client | without a length          | part  | 3     | broken |
+      | the deployment's client | without a length, as JSON | part  | 3     | broken |
+      | the deployment's client | with a length             | part  | 3     | broken |
+      | the deployment's client | in chunks                 | part  | 3     | broken |
+      | the deployment's client | with a length             | all   | 3     | whole  |
+      | the deployment's client | in chunks                 | all   | 3     | whole  |
+
   # Guards against a connection that is used again though its request was not sent whole.
   Scenario Outline: A direct connection whose write <fate> is not used again
     Given an upstream that answers a long upload with a length with all, and <ending>
--- a/skylarklift/upstreams/client.py
+++ b/skylarklift/upstreams/client.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from typing import Any
 
 import httpx
 import trio
@@ -26,6 +27,7 @@
 # A part of a body counts at least this much, since each costs time however small it is.
 MIN_PART_BYTES = 512
 BUSY_STATUSES = (429, 503)
+WRITE_FAILED_EVENTS = ("http11.send_request_headers.failed", "http11.send_request_body.failed")
 
 
 @dataclass(frozen=True)
@@ -37,6 +39,22 @@
     body: bytes
 
 
+class WriteTrace:
+    """A trace callback of httpcore that records whether sending a request failed.
+
+    httpcore does not raise this error, and reads the response.  A failed write takes the socket's
+    pending error, so a reset is then read as an orderly end.
+    """
+
+    def __init__(self):
+        self.write_failed = False
+
+    async def __call__(self, event: str, _info: dict[str, Any]) -> None:
+        """Record one event of the request's progress."""
+        if event in WRITE_FAILED_EVENTS:
+            self.write_failed = True
+
+
 class UpstreamClient:
     """Send requests to all upstreams over pooled connections."""
 
@@ -46,7 +64,7 @@
         timeout = httpx.Timeout(
             IDLE_TIMEOUT_MS / MS_PER_SECOND, connect=CONNECT_TIMEOUT_MS / MS_PER_SECOND, pool=None
         )
-        self._extensions = {"timeout": timeout.as_dict()}
+        self._timeout = timeout.as_dict()
         limits = httpx.Limits(
             max_connections=None, max_keepalive_connections=256, keepalive_expiry=KEEPALIVE_EXPIRY_S
         )
@@ -60,9 +78,8 @@
         self, method: str, url: str, headers: dict[str, str], body: bytes
     ) -> httpx.Response:
         """Send a request and return its response once the head has arrived."""
-        request = httpx.Request(
-            method, url, headers=headers, content=body, extensions=self._extensions
-        )
+        extensions = {"timeout": self._timeout, "trace": WriteTrace()}
+        request = httpx.Request(method, url, headers=headers, content=body, extensions=extensions)
         try:
             response = await self._transport.handle_async_request(request)
         except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
@@ -104,9 +121,13 @@
             await self.close_response(response)
         content_type = response.headers.get("content-type", "")
         body = b"".join(parts)
-        if not has_delimited_body(response) and not is_whole_json(content_type, body):
-            text = "the connection ended a body without a length"
-            raise UpstreamError(FailureKind.BROKEN, text, sent=True)
+        if not has_delimited_body(response):
+            if response.request.extensions["trace"].write_failed:
+                text = "the connection was reset while the request was sent"
+                raise UpstreamError(FailureKind.BROKEN, text, sent=True)
+            if not is_whole_json(content_type, body):
+                text = "the connection ended a body without a length"
+                raise UpstreamError(FailureKind.BROKEN, text, sent=True)
         return BufferedResponse(response.status_code, content_type or JSON_TYPE, body)
 
     async def close_response(self, response: httpx.Response) -> None:
