Test that a status below 100 is not passed on

The entry router's connections, direct and relayed, and the client of the own deployment refuse the statuses 000, 001 and 099: the parser raises an error, which counts as a broken answer.

--- a/features/cut_uploads.feature
+++ b/features/cut_uploads.feature
@@ -52,3 +52,18 @@
     Given an upstream that reads a long upload, answers without a length, and closes the connection
     When 8 MB are sent to it 3 times over a relayed connection
     Then each of the answers is whole
+
+  # Guards against a status that is none, which callers take for a failure of their own connection.
+  Scenario Outline: A status of <status> is not passed on over <connection>
+    Given an upstream that answers with the status <status>
+    When a request is sent to it over <connection>
+    Then each of the answers is broken
+
+    Examples:
+      | status | connection              |
+      | 000    | a direct connection     |
+      | 000    | a relayed connection    |
+      | 000    | the deployment's client |
+      | 001    | the deployment's client |
+      | 099    | a direct connection     |
+      | 099    | the deployment's client |
