Count status requests by their reason

What asks replicas for the start of their process was not visible. The counter status_requests has the kinds connection, suspect and answer_end; no request is left out or added.

--- a/skylarklift/entry/requests/answer_end.py
+++ b/skylarklift/entry/requests/answer_end.py
@@ -13,7 +13,7 @@
 from skylarklift.entry.core import Core
 from skylarklift.entry.model import ProcessStart, UpstreamRecord
 from skylarklift.entry.requests.http_connection import HttpConnection
-from skylarklift.entry.requests.process_identity import ask_process, ask_process_by
+from skylarklift.entry.requests.process_identity import StatusReason, ask_process, ask_process_by
 from skylarklift.entry.requests.second_connection import SecondConnection
 from skylarklift.errors import ConnectFailed
 
@@ -90,7 +90,7 @@
     async def _ask_on(self, conn: HttpConnection) -> ProcessStart | None:
         """Return what the process says on the second connection, which is closed then."""
         try:
-            return await ask_process(self._core, self._record, conn)
+            return await ask_process(self._core, self._record, conn, StatusReason.ANSWER_END)
         finally:
             conn.abort()
 
--- a/skylarklift/entry/requests/process_identity.py
+++ b/skylarklift/entry/requests/process_identity.py
@@ -39,6 +39,18 @@
     UNANSWERED = "unanswered"
 
 
+class StatusReason(Enum):
+    """Why a process is asked: the kinds of the metric on status requests.
+
+    `CONNECTION`: a stream is to use a connection.  `SUSPECT`: the process may have restarted.
+    `ANSWER_END`: only the end of its connection completes an answer.
+    """
+
+    CONNECTION = "connection"
+    SUSPECT = "suspect"
+    ANSWER_END = "answer_end"
+
+
 def compare_start(record: UpstreamRecord, process: ProcessStart | None) -> Identity:
     """Return whether a process is the one of an entry, by what it said, `None` if nothing."""
     if process is None:
@@ -49,12 +61,13 @@
 
 
 async def ask_process(
-    core: Core, record: UpstreamRecord, conn: HttpConnection
+    core: Core, record: UpstreamRecord, conn: HttpConnection, reason: StatusReason
 ) -> ProcessStart | None:
     """Ask the process behind an unused connection when it started; `None` without an answer.
 
     The connection may be used for one more request if `prepare_next_request` says so.
     """
+    core.metrics.increment("status_requests", reason.value)
     with trio.move_on_after(ANSWER_TIMEOUT_MS / MS_PER_SECOND):
         try:
             conn.process = await _read_start(core.status_format, conn)
@@ -77,7 +90,8 @@
 
 async def ask_process_anew(core: Core, record: UpstreamRecord) -> ProcessStart | None:
     """Ask the process that serves at the address of an entry now; raise `ConnectFailed`."""
-    return await _ask_on(core, record, await core.dialer.dial(record, ANSWER_TIMEOUT_MS))
+    stream = await core.dialer.dial(record, ANSWER_TIMEOUT_MS)
+    return await _ask_on(core, record, stream, StatusReason.SUSPECT)
 
 
 async def ask_process_by(
@@ -85,16 +99,16 @@
 ) -> ProcessStart | None:
     """Ask by the way of an answer, whose link may have ended it; raise `ConnectFailed`."""
     stream = await core.dialer.dial_by(relay, record, ANSWER_TIMEOUT_MS)
-    return await _ask_on(core, record, stream)
+    return await _ask_on(core, record, stream, StatusReason.ANSWER_END)
 
 
 async def _ask_on(
-    core: Core, record: UpstreamRecord, stream: UpstreamStream
+    core: Core, record: UpstreamRecord, stream: UpstreamStream, reason: StatusReason
 ) -> ProcessStart | None:
     """Ask the process behind a new connection, which is closed then."""
     conn = HttpConnection(stream, f"{record.host}:{record.port}")
     try:
-        return await ask_process(core, record, conn)
+        return await ask_process(core, record, conn, reason)
     finally:
         conn.abort()
 
@@ -102,7 +116,7 @@
 async def identify(core: Core, upstream: Upstream, conn: HttpConnection) -> Identity:
     """Return whether the process behind an unused connection is the one of an entry."""
     asked_at = core.clock.now()
-    process = await ask_process(core, upstream.record, conn)
+    process = await ask_process(core, upstream.record, conn, StatusReason.CONNECTION)
     return _record_answer(core, upstream, process, asked_at)
 
 
