--- a/skylarklift/entry/admission/gate.py
+++ b/skylarklift/entry/admission/gate.py
@@ -78,7 +78,8 @@
         chooser, routers = self._chooser, self._fleet.router_count()
         own, members = chooser.in_flight, self._cluster_state.usable_members(service)
         peer_loads, observed_loads = self._fleet.peer_loads(), chooser.observed_loads.loads()
-        candidates = Candidates(members, (), own, peer_loads, observed_loads)
+        slowdown = chooser.speeds.slowdown
+        candidates = Candidates(members, (), own, peer_loads, observed_loads, slowdown)
         excluded = self._health.blocked() | chooser.hold_offs.active(members)
         replicas = [
             ReplicaRoom(
