Add roll-outs: orders, evidence, verdict, plan and their wiring

Cause: the operator orders that a service moves to another software version, and some versions are bad. Change: orders are decoded and kept, each router counts answers by version and route, the share follows a plan, and the state is a row written under a condition.

--- a/features/virtual_world.py
+++ b/features/virtual_world.py
@@ -145,7 +145,9 @@
             router.cancel_scope = trio.CancelScope()
             router.ended = trio.Event()
             store = PlatformStore(settings.store, rows)
-            entry_router = EntryRouter(core, store, store, store, lambda: settings, 9464)
+            entry_router = EntryRouter(
+                core, store, store, store, lambda: settings, 9464, rollouts=store
+            )
             router.signals, signals = trio.open_memory_channel(4)
             self.nursery.start_soon(self._run, router, entry_router, signals)
 
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -30,10 +30,11 @@
 from skylarklift.entry.requests.connection_pool import ConnectionPool
 from skylarklift.entry.requests.header_codec import HeaderCodec
 from skylarklift.entry.requests.status_format import StatusFormat
+from skylarklift.entry.rollouts.rollouts import Rollouts
 from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
 from skylarklift.entry.state.rows import NO_ERA, Era, RowFormat, RowTable
-from skylarklift.entry.state.upstream import UPSTREAM_REMOVED, StateChange
+from skylarklift.entry.state.upstream import ROW_INVALID, UPSTREAM_REMOVED, StateChange
 from skylarklift.entry.versions.release_rows import ReleaseReport
 from skylarklift.entry.versions.releases import Releases
 from skylarklift.entry.versions.resumptions import Resumptions
@@ -92,6 +93,7 @@
     connection_pool: ConnectionPool
     releases: Releases
     resumptions: Resumptions
+    rollouts: Rollouts
     links: LinkStates
     dialer: Dialer
     buffers: BufferBudget
@@ -122,6 +124,8 @@
     ) -> None:
         """Log changes of the cluster state, and send it to the other routers at once."""
         for change in changes:
+            if change.event == ROW_INVALID:
+                self.metrics.increment("rows_invalid")
             if change.event == UPSTREAM_REMOVED:
                 self.forget_upstream(ReplicaId(change.subject))
             self.event_log.write(
@@ -406,6 +410,7 @@
         connection_pool=ConnectionPool(clock, dialer, cluster_state.suspect_restart),
         releases=releases,
         resumptions=Resumptions(clock, fleet, StreamOrigins(clock), releases),
+        rollouts=Rollouts(clock, bounds, cluster_state, fleet),
         links=links,
         dialer=dialer,
         buffers=BufferBudget(settings.memory_mb),
--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -18,6 +18,7 @@
 from skylarklift.entry.placement.peer_loads import PeerLoads
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
+from skylarklift.entry.rollouts.news import RolloutNews
 from skylarklift.entry.state.rows import Era, TableSummary
 from skylarklift.entry.versions.nominal_starts import RouteWait
 from skylarklift.entry.versions.release_rows import ReleaseReport
@@ -85,7 +86,8 @@
     `backpressure` is what it knows of upstreams that can reject few requests, and `silences` are
     the times that have ended in which it did not hear a router.  `knows_nominal_starts` is false
     for a sender of a release whose streams get their versions by their begins only.  `route_waits`
-    is how long callers wait at it on routes without such a span.
+    is how long callers wait at it on routes without such a span.  `rollouts` is what it knows of
+    roll-outs.
     """
 
     node: str
@@ -112,6 +114,7 @@
     silences: tuple[SilenceReport, ...] = ()
     knows_nominal_starts: bool = True
     route_waits: tuple[RouteWait, ...] = ()
+    rollouts: RolloutNews = RolloutNews()
 
     @property
     def knows_doubted_ends(self) -> bool:
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -44,6 +44,7 @@
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.relays.relay_messages import is_relay_request
 from skylarklift.entry.relays.relay_server import RelayServer
+from skylarklift.entry.rollouts.exchange import apply_news, make_news
 from skylarklift.entry.state.follower import fetch_rows, rows_for_request
 from skylarklift.entry.state.rows import MemberStore, RowTable, TableComparison, TableSummary
 from skylarklift.entry.versions.origin_messages import (
@@ -173,13 +174,15 @@
         """Return the routers to send to in this round.
 
         These are all others if the fleet is small or if this router reads the store, else the
-        next `GOSSIP_FANOUT` in turn, and, after a crash report, those that read the store.
+        next `GOSSIP_FANOUT` in turn, and, after a crash report or while a version is rolled out,
+        those that read the store.
         """
         peers = list(self._core.fleet.peers.values())
         if len(peers) <= GOSSIP_FANOUT or self._reads_store():
             return peers
         targets = self._gossip_turns.next(peers)
-        if self._core.suspects.has_changes_since(self._last_round_at):
+        has_crashes = self._core.suspects.has_changes_since(self._last_round_at)
+        if has_crashes or self._core.rollouts.has_open_orders():
             targets += [peer for peer in self._store_readers() if peer not in targets]
         return targets
 
@@ -223,6 +226,7 @@
             backpressure=core.chooser.concurrency_limits.reports(),
             silences=core.fleet.silences.reports(),
             route_waits=core.releases.spans.waits(),
+            rollouts=make_news(core.rollouts, core.clock.now()),
         )
 
     # Receiving.
@@ -312,6 +316,7 @@
         apply_backpressure(core, message.backpressure, message.node)
         for report in message.releases:
             core.apply_release(report, message.node)
+        apply_news(core, message.rollouts, message.node, message.boot)
         for wait in message.route_waits:
             core.releases.spans.seen.apply_report(wait)
         if message.releases_age_ms is not None:
--- a/skylarklift/entry/gossip/waiting.py
+++ b/skylarklift/entry/gossip/waiting.py
@@ -9,6 +9,7 @@
 from skylarklift.entry.gossip.backpressure_fields import add_wait_to_backpressure
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.placement.observed_loads import ObservedLoad
+from skylarklift.entry.rollouts.news import RolloutNews
 from skylarklift.entry.versions.release_rows import ReleaseReport
 
 
@@ -39,6 +40,7 @@
             replace(item, began_ms=item.began_ms + waited_ms, ended_ms=item.ended_ms + waited_ms)
             for item in message.silences
         ),
+        rollouts=_add_wait_to_rollouts(message.rollouts, waited_ms),
     )
 
 
@@ -47,6 +49,12 @@
     return tuple(replace(load, age_ms=load.age_ms + waited_ms) for load in loads)
 
 
+def _add_wait_to_rollouts(news: RolloutNews, waited_ms: int) -> RolloutNews:
+    """Return what a message says of roll-outs with the ages of now."""
+    states = (replace(state, age_ms=state.age_ms + waited_ms) for state in news.states)
+    return replace(news, states=tuple(states))
+
+
 def _add_wait_to_release(report: ReleaseReport, waited_ms: int) -> ReleaseReport:
     """Return a row on software versions with the ages of now."""
     deadline = report.deadline
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -14,6 +14,7 @@
     decode_backpressure,
 )
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.rollout_fields import decode_rollouts, rollout_fields
 from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.placement.observed_loads import ObservedLoad
 from skylarklift.entry.placement.prefixes import Placement
@@ -132,6 +133,7 @@
                     for observed in message.observed_loads
                 ],
                 **backpressure_fields(message.backpressure),
+                **rollout_fields(message.rollouts),
             },
             [(placement.part_names, placement.replica) for placement in message.placements],
         )
@@ -182,6 +184,7 @@
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras),
+            rollouts=decode_rollouts(extras),
             route_waits=tuple(
                 _decode_wait(*fields) for fields in extras.get(ROUTE_WAITS_KEY, ())[:MAX_SPANS]
             ),
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -243,6 +243,9 @@
     cold_overshoot: float = 1.5
     cold_tolerance: int = 5
     load_factor: float = 2.0
+    exposure_share: float = 0.0
+    exposure_slack: int = 50
+    rollback_ms: int = 5000
 
     def drain_ms(self) -> int:
         """Return how long a stopping router may go on with requests."""
--- a/skylarklift/entry/placement/choice.py
+++ b/skylarklift/entry/placement/choice.py
@@ -58,10 +58,14 @@
 
 @dataclass(frozen=True, slots=True)
 class WantedVersion:
-    """The software version that is to take a stream, which it has `begun` or is to begin."""
+    """The software version that is to take a stream, which it has `begun` or is to begin.
+
+    With `others`, all versions but this one may take the request.
+    """
 
     version: SoftwareVersion
     begun: bool
+    others: bool = False
 
 
 def summarize(passed_over: Iterable[PassedOver]) -> NoUpstream:
--- a/skylarklift/entry/placement/software_versions.py
+++ b/skylarklift/entry/placement/software_versions.py
@@ -24,6 +24,13 @@
 
         One that may have come back with another version goes on with no stream.
         """
+        if wanted.others:
+            others = {
+                name: item
+                for name, item in members.items()
+                if item.record.software != wanted.version
+            }
+            return others or NoUpstream.OTHER_VERSION
         if not wanted.begun and self._cluster_state.services.versions(service) == {wanted.version}:
             return members
         named = {
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -19,9 +19,16 @@
     MonitoringServer,
     close_idle_when_stopping,
 )
+from skylarklift.entry.rollouts.rollout_sync import RolloutSync
 from skylarklift.entry.standstill import CHECK_INTERVAL_MS
 from skylarklift.entry.state.follower import Follower
-from skylarklift.entry.state.rows import MemberStore, ReleaseStore, RowSource, RowTable
+from skylarklift.entry.state.rows import (
+    MemberStore,
+    ReleaseStore,
+    RolloutStore,
+    RowSource,
+    RowTable,
+)
 from skylarklift.entry.versions.release_sync import ReleaseSync
 from skylarklift.errors import SettingsError
 from skylarklift.util.listening import Acceptor, Serve
@@ -45,6 +52,7 @@
         releases: ReleaseStore,
         load_settings: Callable[[], NodeSettings],
         metrics_port: int = 0,
+        rollouts: RolloutStore | None = None,
     ):
         self._core = core
         self._rows = rows
@@ -54,6 +62,7 @@
         self._monitoring_server = MonitoringServer(core, self._caller_server.update_gauges)
         self._peering = Peering(core, members)
         self._release_sync = ReleaseSync(core, releases)
+        self._rollout_sync = None if rollouts is None else RolloutSync(core, rollouts)
         self._reload_requested = trio.Event()
         self._reload_cause = ""
 
@@ -79,6 +88,8 @@
             start(self._peering.join)
             start(LinkProbes(core).run)
             start(self._release_sync.run)
+            if self._rollout_sync is not None:
+                start(self._rollout_sync.run)
             for table in RowTable:
                 start(Follower(core, self._rows, table).run)
             start(self._run_maintenance)
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -287,6 +287,10 @@
         until = self.core.clock.now() if self.broken_at is None else self.broken_at
         return until - self.answered_at
 
+    def first_event_ms(self) -> int | None:
+        """Return the time from sending to the first event, `None` before that."""
+        return None if self.answered_at is None else self.answered_at - self._sent_at
+
     def has_started(self) -> bool:
         """Return whether the answer began a while ago, so that another request is more suspect."""
         age_ms = self.answer_age_ms()
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -1,6 +1,7 @@
 """Handle one request: admission, choice of an upstream, forwarding, retries, and the response."""
 
 import json
+from dataclasses import replace
 
 import trio
 
@@ -20,6 +21,7 @@
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.placement.unanswered import TOLERATED_SILENCE_MS
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
+from skylarklift.entry.requests.attempt_evidence import is_comparable, record_attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.process_identity import identify_suspects
@@ -197,8 +199,10 @@
                 confirms_end=self.forwarder.awaits_confirmation,
             )
             self.attempt = attempt
+            comparable = is_comparable(core.chooser, self.call, choice)
             async with attempt.open():
                 status = await self._run_attempt(attempt)
+            record_attempt(core.rollouts, attempt, comparable=comparable)
             if attempt.outcome is not Outcome.UNCONFIRMED:
                 self.tried_replicas.append(attempt.record.replica)
             self.sent_to.add(attempt.record.replica)
@@ -254,16 +258,13 @@
         waited_from = core.clock.now()
         until = waited_from + self.route.objective_ms // UPSTREAM_WAIT_DIVISOR
         while True:
-            wanted = self.stream_version.wanted()
+            wanted = self.stream_version.wanted(self.service, again=bool(self.steps))
             begun = wanted is not None and wanted.begun
             if self.retry_state.forwarded and not begun:
                 raise OutcomeUnknown("the upstream named no version at which the stream can go on")
             if begun:
                 core.connection_pool.find_early_ends()
-            found = self._choose(wanted)
-            if found is NoUpstream.OTHER_VERSION and not begun:
-                # All replicas of the assigned version leave; none will take the stream up either.
-                found = self._choose(None)
+            found = self._choose_version(wanted)
             if isinstance(found, Choice):
                 self._record_passed_over(found)
                 return found
@@ -278,6 +279,24 @@
                 return self._raise_no_upstream(found)
             await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
 
+    def _choose_version(self, wanted: WantedVersion | None) -> Choice | NoUpstream:
+        """Return an upstream of the wanted version, or of another one if that may be."""
+        if wanted is None:
+            return self._choose(None)
+        rollouts = self.core.rollouts
+        if wanted.begun and rollouts.is_withdrawn(self.service, wanted.version):
+            return NoUpstream.OTHER_VERSION
+        found = self._choose(wanted)
+        if wanted.begun or isinstance(found, Choice):
+            return found
+        if self.stream_version.assigned is None and not wanted.others:
+            # The new version of a roll-out has no room; the other one serves as before.
+            found = self._choose(replace(wanted, others=True))
+        if found is NoUpstream.OTHER_VERSION:
+            # All replicas of the assigned version leave; none will take the stream up either.
+            found = self._choose(None)
+        return found
+
     def _choose(self, version: WantedVersion | None) -> Choice | NoUpstream:
         """Return an upstream of a version, of any one if `None`, or why there is none."""
         return self.core.chooser.choose(
--- a/skylarklift/entry/state/restored_rows.py
+++ b/skylarklift/entry/state/restored_rows.py
@@ -9,6 +9,7 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
+from skylarklift.entry.rollouts.order import RolloutRow
 from skylarklift.entry.state.rows import EvacuationRow, RowTable, UpstreamRow
 from skylarklift.ids import ReplicaId
 
@@ -21,7 +22,7 @@
 # This many are remembered for longer.
 MIN_DEPARTED = 500
 
-DecodedRow = RoutePlan | EvacuationRow | UpstreamRow
+DecodedRow = RoutePlan | EvacuationRow | RolloutRow | UpstreamRow
 
 
 @dataclass(frozen=True, slots=True)
--- a/skylarklift/entry/state/rows.py
+++ b/skylarklift/entry/state/rows.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING, NewType
 
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
+from skylarklift.entry.rollouts.order import RolloutRow
 from skylarklift.errors import SkylarkError
 from skylarklift.ids import ReplicaId, ZoneId
 
 if TYPE_CHECKING:
+    from skylarklift.entry.rollouts.state import RolloutState, StoredRollout
     from skylarklift.entry.versions.release_rows import ReleaseReport
 
 
@@ -110,7 +112,7 @@
     @abstractmethod
     def decode(
         self, table: RowTable, key: str, data: bytes | None
-    ) -> RoutePlan | EvacuationRow | UpstreamRow | None:
+    ) -> RoutePlan | EvacuationRow | RolloutRow | UpstreamRow | None:
         """Return the decoded row, or `None` if routers do not use it; raise `InvalidRow`."""
 
 
@@ -153,3 +155,20 @@
     @abstractmethod
     async def write_release(self, report: "ReleaseReport") -> "ReleaseReport":
         """Write a service's row if its version is still the one named; return the row as it is."""
+
+
+class RolloutStore(ABC):
+    """The rows that hold the states of roll-outs."""
+
+    @abstractmethod
+    async def read_rollouts(self) -> "list[StoredRollout]":
+        """Return the states of all services."""
+
+    @abstractmethod
+    async def write_rollout(
+        self, state: "RolloutState", row_version: int
+    ) -> "StoredRollout | None":
+        """Write a state, and the status for the operator, if its row has this version.
+
+        Return the row as it is in the store, `None` if there is none.
+        """
--- a/skylarklift/entry/state/upstream.py
+++ b/skylarklift/entry/state/upstream.py
@@ -6,6 +6,7 @@
 from skylarklift.entry.model import Endpoint, UpstreamRecord
 from skylarklift.entry.state.rows import FIRST_ERA, Era
 
+ROW_INVALID = "row_invalid"
 UPSTREAM_ADDED = "upstream_added"
 UPSTREAM_REMOVED = "upstream_removed"
 # The entry of a replica that restarted is in the store this long after its connections ended.
--- a/skylarklift/entry/versions/release_sync.py
+++ b/skylarklift/entry/versions/release_sync.py
@@ -115,6 +115,9 @@
             self._counts.record(service, counts)
             lag_ms = core.releases.spans.mean_lag_ms(service)
             forecast = self._counts.forecast(service, counts, lag_ms)
+            steered = core.rollouts.steer_counts(service, counts)
+            if steered != counts:
+                counts = forecast = steered
             report = core.releases.next_report(service, counts, members, forecast)
             if report is None:
                 report = self._nominal_report(service, members)
--- a/skylarklift/entry/versions/stream_version.py
+++ b/skylarklift/entry/versions/stream_version.py
@@ -114,11 +114,18 @@
         targets = [target.service for target in self._route.targets]
         return self.origin.service if self.origin.service in targets else service
 
-    def wanted(self) -> WantedVersion | None:
-        """Return the version that is to take the stream next, `None` if any may."""
+    def wanted(self, service: ServiceId, *, again: bool = False) -> WantedVersion | None:
+        """Return the version that is to take the stream next, `None` if any may.
+
+        `again` is whether an attempt has been made before.
+        """
+        rollouts = self._core.rollouts
         if self.required is not None:
             return WantedVersion(self.required, begun=True)
-        return None if self.assigned is None else WantedVersion(self.assigned, begun=False)
+        if self.assigned is None:
+            return rollouts.wanted(service, self._call.request, again=again)
+        others = rollouts.is_withdrawn(service, self.assigned)
+        return WantedVersion(self.assigned, begun=False, others=others)
 
     def process_check(self) -> ProcessCheck:
         """Return which process may get the next attempt.
--- a/skylarklift/platform/program.py
+++ b/skylarklift/platform/program.py
@@ -67,5 +67,5 @@
         settings, clock, PlatformHeaderCodec(), rows, PlatformStatusFormat(), event_log
     )
     store = PlatformStore(settings.store, rows)
-    router = EntryRouter(core, store, store, store, load, metrics_port)
+    router = EntryRouter(core, store, store, store, load, metrics_port, rollouts=store)
     await router.run(signals)
--- a/skylarklift/platform/rows.py
+++ b/skylarklift/platform/rows.py
@@ -13,6 +13,7 @@
     Workspace,
     parse_endpoint,
 )
+from skylarklift.entry.rollouts.order import RolloutOrder, RolloutRow
 from skylarklift.entry.state.rows import EvacuationRow, InvalidRow, RowFormat, RowTable, UpstreamRow
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion, Version, WorkspaceId, ZoneId
 from skylarklift.platform import names
@@ -47,7 +48,7 @@
 
     def decode(
         self, table: RowTable, key: str, data: bytes | None
-    ) -> RoutePlan | EvacuationRow | UpstreamRow | None:
+    ) -> RoutePlan | EvacuationRow | RolloutRow | UpstreamRow | None:
         """Return the decoded row, or `None` if routers do not use it; raise `InvalidRow`."""
         if table is RowTable.UPSTREAMS:
             return UpstreamRow(
@@ -58,6 +59,9 @@
         if key.startswith(names.EVACUATE_PREFIX):
             zone = ZoneId(key.removeprefix(names.EVACUATE_PREFIX))
             return EvacuationRow(zone, data is not None)
+        if key.startswith(names.ROLLOUT_PREFIX):
+            service = ServiceId(key.removeprefix(names.ROLLOUT_PREFIX))
+            return RolloutRow(service, None if data is None else _decode_order(service, data))
         return None
 
 
@@ -72,6 +76,20 @@
     return value
 
 
+def _decode_order(service: ServiceId, data: bytes) -> RolloutOrder:
+    """Decode an order to move a service to another software version."""
+    value = _parse_object(data)
+    if _text_field(value, "service") != service:
+        raise InvalidRow("service is not the one of the key")
+    try:
+        duration_ms = int(checked_decimal(value.get("duration_s")) * MS_PER_SECOND)
+    except ValueError as exc:
+        raise InvalidRow(f"duration_s: {exc}") from exc
+    if not 0 < duration_ms <= MAX_SPAN_MS:
+        raise InvalidRow(f"duration_s is not above 0 and at most {MAX_SPAN_MS // MS_PER_SECOND}")
+    return RolloutOrder(service, SoftwareVersion(_text_field(value, "to")), duration_ms)
+
+
 def _decode_upstream(key: str, data: bytes) -> UpstreamRecord:
     """Decode an upstream's own entry."""
     value = _parse_object(data)
--- a/skylarklift/platform/settings_file.py
+++ b/skylarklift/platform/settings_file.py
@@ -141,4 +141,7 @@
         cold_overshoot=number("bounds.cold_overshoot", defaults.cold_overshoot),
         cold_tolerance=int(number("bounds.cold_tolerance", defaults.cold_tolerance)),
         load_factor=number("bounds.cap_factor", defaults.load_factor),
+        exposure_share=number("bounds.exposure_share", defaults.exposure_share),
+        exposure_slack=int(number("bounds.exposure_slack", defaults.exposure_slack)),
+        rollback_ms=int(number("bounds.rollback_ms", defaults.rollback_ms)),
     )
--- a/skylarklift/platform/store.py
+++ b/skylarklift/platform/store.py
@@ -11,12 +11,15 @@
 from skylarklift.clock import MS_PER_SECOND, Clock, LoopClock
 from skylarklift.entry.model import Endpoint, Headers
 from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.rollouts.rollout_rows import decode_state, encode_state, encode_status
+from skylarklift.entry.rollouts.state import RolloutState, StoredRollout
 from skylarklift.entry.state.rows import (
     NO_ERA,
     ChangesUnavailable,
     Era,
     MemberStore,
     ReleaseStore,
+    RolloutStore,
     RowChange,
     RowPage,
     RowSource,
@@ -44,6 +47,7 @@
 MAX_RESPONSE_BYTES = 8_388_608
 MEMBER_TABLE = "skylarklift-routers"
 RELEASE_TABLE = "skylarklift-releases"
+ROLLOUT_TABLE = "skylarklift-rollouts"
 PAGE_ROWS = 500
 JSON_HEADERS = [(b"content-type", b"application/json")]
 
@@ -57,7 +61,7 @@
     value: dict[str, Any]
 
 
-class PlatformStore(RowSource, MemberStore, ReleaseStore):
+class PlatformStore(RowSource, MemberStore, ReleaseStore, RolloutStore):
     """One router's calls to the store; the change feed of each table has its own connection."""
 
     def __init__(self, address: Endpoint, rows: PlatformRowFormat, clock: Clock | None = None):
@@ -158,6 +162,48 @@
             RowChange(row["key"], version, data), self._store_clock.now_ms(), answer.era
         )
 
+    async def read_rollouts(self) -> list[StoredRollout]:
+        """Return the states of the roll-outs of all services; those that are odd are left out."""
+        page = await self._read_all(ROLLOUT_TABLE)
+        found = (self._decode_rollout(row) for row in page.rows)
+        return [item for item in found if item is not None]
+
+    async def write_rollout(self, state: RolloutState, row_version: int) -> StoredRollout | None:
+        """Write a state and the status of its order if the row still has this version.
+
+        Both rows are written together, so that the status never differs from the state.
+        """
+        row = {"table": ROLLOUT_TABLE, "part": "", "key": state.service}
+        status = {
+            "table": names.STATUS_TABLE,
+            "part": "",
+            "key": names.ROLLOUT_PREFIX + state.service,
+        }
+        data = encode_state(state, self._clock.now(), self._store_clock.now_ms())
+        body = {
+            "expected": [{**row, "row_version": row_version}],
+            "write": [
+                {**row, "data": b64encode(data).decode()},
+                {**status, "data": b64encode(encode_status(state)).decode()},
+            ],
+            "remove": [],
+        }
+        answer = await self._call("write", "POST", names.ROWS_TX, "", body=body)
+        if answer.status == names.STATUS_CONDITION_FAILED:
+            found = await self.read_rollouts()
+            return next((item for item in found if item.state.service == state.service), None)
+        self._check_status(answer.status)
+        _, version = _decode_rows(answer.value)
+        return StoredRollout(state, version)
+
+    def _decode_rollout(self, row: RowChange) -> StoredRollout | None:
+        """Return the state in a row, `None` if there is none or it cannot be read."""
+        if row.data is None:
+            return None
+        now, store_ms = self._clock.now(), self._store_clock.now_ms()
+        state = decode_state(ServiceId(row.key), row.data, now, store_ms)
+        return None if state is None else StoredRollout(state, row.version)
+
     def _note_clock(self, value: dict[str, Any]) -> None:
         """Record the time of the store's clock that an answer tells."""
         if "now_ms" in value:
