--- a/skylarklift/entry/gossip/rollout_fields.py
+++ b/skylarklift/entry/gossip/rollout_fields.py
@@ -7,8 +7,7 @@
 from skylarklift.entry.rollouts.evidence import (
     LAST_BUCKET,
     MAX_BAD_REPLICAS,
-    MAX_ROUTES,
-    MAX_VERSIONS,
+    MAX_COUNTS,
     EvidenceReport,
     RouteCounts,
 )
@@ -77,8 +76,8 @@
 def _evidence_fields(report: EvidenceReport) -> tuple:
     """Return the fields of what a router counted."""
     routes = [
-        (version, route, counts.answers, counts.bad, sorted(counts.times.items()))
-        for (version, route), counts in report.routes.items()
+        (step, version, route, counts.answers, counts.bad, sorted(counts.times.items()))
+        for (step, version, route), counts in report.routes.items()
     ]
     return report.service, report.order_version, routes, report.trimmed_replicas()
 
@@ -88,8 +87,8 @@
 ) -> EvidenceReport:
     """Return what another router counted; raise `ValueError`."""
     report = EvidenceReport(ServiceId(checked_text(service)), checked_integer(order_version))
-    for version, route, *numbers in checked_list(routes)[: MAX_ROUTES * MAX_VERSIONS]:
-        key = SoftwareVersion(checked_text(version)), checked_text(route)
+    for step, version, route, *numbers in checked_list(routes)[:MAX_COUNTS]:
+        key = checked_integer(step), SoftwareVersion(checked_text(version)), checked_text(route)
         report.routes[key] = _decode_counts(*numbers)
     for replica, count in checked_list(replicas)[:MAX_BAD_REPLICAS]:
         report.bad_replicas[ReplicaId(checked_text(replica))] = checked_integer(count)
--- a/skylarklift/entry/rollouts/evidence.py
+++ b/skylarklift/entry/rollouts/evidence.py
@@ -1,7 +1,8 @@
-"""What both versions of a service answered since the order, by version and route.
+"""What both versions of a service answered since the order, by step, version and route.
 
 Each router counts its own attempts and sends its totals, so that a lost message loses nothing.  The
-totals of all routers are summed.
+totals of all routers are summed.  Counts of different steps are kept apart, as the versions can be
+compared only under the same share: a burst of failures hits the one with most requests.
 """
 
 from collections import Counter
@@ -11,8 +12,8 @@
 
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
 
-MAX_ROUTES = 16
-MAX_VERSIONS = 4
+# Of all steps, versions and routes of a service.
+MAX_COUNTS = 256
 MAX_REPORTERS = 2048
 # Of the replicas with bad answers, this many are sent.
 MAX_BAD_REPLICAS = 8
@@ -20,7 +21,8 @@
 BUCKETS_PER_OCTAVE = 2
 LAST_BUCKET = 40
 
-RouteKey = tuple[SoftwareVersion, str]
+# A step, a version and a route.
+RouteKey = tuple[int, SoftwareVersion, str]
 
 
 def time_bucket(took_ms: int) -> int:
@@ -56,11 +58,10 @@
         """Return the number of answers, which only grows."""
         return sum(counts.answers for counts in self.routes.values())
 
-    def counts(self, version: SoftwareVersion, route: str) -> RouteCounts | None:
-        """Return the counts of a version on a route, `None` if there are too many of either."""
-        key = (version, route)
+    def counts(self, key: RouteKey) -> RouteCounts | None:
+        """Return the counts of a version on a route in a step, `None` if there are too many."""
         if key not in self.routes:
-            if len(self.routes) >= MAX_ROUTES * MAX_VERSIONS:
+            if len(self.routes) >= MAX_COUNTS:
                 return None
             self.routes[key] = RouteCounts()
         return self.routes[key]
@@ -91,9 +92,9 @@
         self.own = EvidenceReport(service, order_version)
         self._others: dict[str, EvidenceReport] = {}
 
-    def record(self, sample: Sample, to: SoftwareVersion) -> None:
+    def record(self, sample: Sample, to: SoftwareVersion, step: int) -> None:
         """Count an attempt of this router."""
-        counts = self.own.counts(sample.version, sample.route)
+        counts = self.own.counts((step, sample.version, sample.route))
         if counts is None:
             return
         counts.answers += 1
@@ -120,8 +121,8 @@
         """Return the counts of all routers."""
         total = EvidenceReport(self.own.service, self.own.order_version)
         for report in self._reports():
-            for (version, route), counts in report.routes.items():
-                known = total.counts(version, route)
+            for key, counts in report.routes.items():
+                known = total.counts(key)
                 if known is not None:
                     known.add(counts)
             total.bad_replicas.update(report.bad_replicas)
--- a/skylarklift/entry/rollouts/plan.py
+++ b/skylarklift/entry/rollouts/plan.py
@@ -11,14 +11,14 @@
 HOLD_RATIO = 0.3
 # Each later step begins this many times the bound on exposure before the end of the plan, with at
 # least this share.  All steps together use 0.7 of a bound of 0.1 if the demand stays the same; the
-# rest is for waves.
-RISE_BEFORE_END = ((0.9, 0.0), (0.6, 0.3), (0.4, 0.6), (0.25, 1.0))
+# rest is for waves.  Until the last step some requests go to the other version for comparison.
+RISE_BEFORE_END = ((0.9, 0.0), (0.6, 0.3), (0.45, 0.6), (0.3, 0.9), (0.15, 1.0))
 # A larger bound counts as this one, so that the steps stay in the last half of the time.
 MAX_EXPOSURE_SHARE = 0.5
 # The plan ends this part of the duration before the deadline, and this long at most: an order is
 # read up to 1.1 s late, and another router may have to go on with the roll-out.
-MARGIN_RATIO = 0.04
-MAX_MARGIN_MS = 4000
+MARGIN_RATIO = 0.07
+MAX_MARGIN_MS = 6000
 PER_MILLE = 1000
 
 
--- a/skylarklift/entry/rollouts/rollouts.py
+++ b/skylarklift/entry/rollouts/rollouts.py
@@ -26,9 +26,9 @@
 # Steps are at least this far apart, so that each has some evidence before the next.
 MIN_STEP_MS = 400
 # Other routers use the last step, and their loads are known, this long after it was written.
-LAST_STEP_MS = 1500
+LAST_STEP_MS = 1200
 # The old version may stop with streams that run at it after this part of the planned time.
-LAST_ELAPSED = 1.0
+LAST_ELAPSED = 1.015
 HASH_RANGE = 1 << 32
 
 
@@ -114,7 +114,9 @@
         """Count an attempt that ended."""
         evidence = self.evidence(service)
         if evidence is not None:
-            evidence.record(sample, self.order(service).order.to)
+            state = self.state(service)
+            step = 0 if state is None else state.step
+            evidence.record(sample, self.order(service).order.to, step)
 
     def reports(self) -> tuple[EvidenceReport, ...]:
         """Return what this router counted, for the others."""
@@ -290,4 +292,4 @@
     def _has_answers(self, state: RolloutState) -> bool:
         """Return whether the new version has answered anything."""
         routes = self.evidence(state.service).summed().routes
-        return any(counts.answers for (version, _), counts in routes.items() if version == state.to)
+        return any(counts.answers and key[1] == state.to for key, counts in routes.items())
--- a/skylarklift/entry/rollouts/verdict.py
+++ b/skylarklift/entry/rollouts/verdict.py
@@ -1,27 +1,29 @@
 """Whether a version is clearly worse than the one that serves beside it.
 
 For each route two sequential tests compare the versions, one of failures and one of slow answers.
-Each bad answer belongs to the new version with the probability of its part of the answers if both
-versions are alike, and with a larger one if it is worse.  The logarithm of the ratio of both
-likelihoods is the weight of the evidence; by Ville's inequality it exceeds `CONDEMN_WEIGHT` for a
-version that is no worse with a probability of at most exp(-CONDEMN_WEIGHT), whenever it is looked
-at.
+The weight of the evidence is the logarithm of a likelihood ratio: of the rates of bad answers that
+were seen, to one rate of both versions.  The weights of all steps are summed.  A version that is
+not at least `WORSE_RATIO` times as bad is not condemned, however much evidence there is.
 """
 
 from collections import Counter
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from math import log
 
 from skylarklift.entry.rollouts.evidence import EvidenceReport, RouteCounts
 from skylarklift.ids import SoftwareVersion
 
-# The tests look for a version with this many times the bad answers of the other one.
-WORSE_RATIO = 3.0
-# One wrong verdict in 10,000 for each route and test.
-CONDEMN_WEIGHT = log(10_000)
-# From this weight on the share does not rise.
-SUSPICION_WEIGHT = 3.0
+# A version with fewer times the bad answers of the other one is not clearly worse.
+WORSE_RATIO = 2.0
+# The evidence of versions that are alike reaches this weight in about 3 of 10,000 tests, however
+# often it is looked at.
+CONDEMN_WEIGHT = 11.0
+# Few bad answers may have one cause, such as a replica that was lost.
+MIN_BAD_ANSWERS = 8
+# From this weight and this many bad answers on the share does not rise.
+SUSPICION_WEIGHT = 5.0
+MIN_SUSPICIOUS_ANSWERS = 4
 # Bad answers of one replica count as a fault of its own up to this many more than the others have,
 # until there are so many in all that the bound on the rollback is near.
 LONE_REPLICA_ANSWERS = 3
@@ -55,13 +57,38 @@
     answers: int = 0
 
 
-def evidence_weight(bad: float, answers: int, other_bad: int, other_answers: int) -> float:
-    """Return the logarithm of the likelihood ratio of a version that is worse."""
-    if not answers or not other_answers:
-        return 0.0
-    alike = answers / (answers + other_answers)
-    worse = WORSE_RATIO * answers / (WORSE_RATIO * answers + other_answers)
-    return bad * log(worse / alike) + other_bad * log((1 - worse) / (1 - alike))
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """The bad answers of a version in a step, and those of the other versions beside it."""
+
+    bad: float
+    answers: int
+    other_bad: int
+    other_answers: int
+
+    def weight(self) -> float:
+        """Return the logarithm of the likelihood ratio, negative if the version is better."""
+        if not self.answers or not self.other_answers:
+            return 0.0
+        total = self.answers + self.other_answers
+        found = (
+            _log_likelihood(self.bad, self.answers)
+            + _log_likelihood(self.other_bad, self.other_answers)
+            - _log_likelihood(self.bad + self.other_bad, total)
+        )
+        is_worse = self.bad * self.other_answers > self.other_bad * self.answers
+        return found if is_worse else -found
+
+
+def _log_likelihood(bad: float, answers: int) -> float:
+    """Return the logarithm of the likelihood of the most likely rate."""
+    good = answers - bad
+    found = 0.0
+    if bad > 0:
+        found += bad * log(bad / answers)
+    if good > 0:
+        found += good * log(good / answers)
+    return found
 
 
 def judge(report: EvidenceReport, to: SoftwareVersion, replicas: int) -> Judgement:
@@ -69,41 +96,65 @@
     scale = _lone_replica_scale(report.bad_replicas, replicas)
     found = Judgement(Verdict.OPEN)
     enough = []
-    for route in sorted({route for _, route in report.routes}):
-        new = report.routes.get((to, route), RouteCounts())
-        other = _other_versions(report, to, route)
-        enough.append(new.answers >= ENOUGH_ANSWERS)
-        weight = evidence_weight(scale * new.bad, new.answers, other.bad, other.answers)
-        candidates = [Judgement(Verdict.OPEN, route, "bad", weight, new.bad, new.answers)]
-        candidates.append(_judge_times(new, other, route))
-        found = max(found, *candidates, key=lambda item: item.weight)
+    for route in sorted({route for _, _, route in report.routes}):
+        steps = _compare(report, to, route)
+        enough.append(sum(new.answers for new, _ in steps) >= ENOUGH_ANSWERS)
+        failures = [
+            Pair(scale * new.bad, new.answers, other.bad, other.answers) for new, other in steps
+        ]
+        slow = _pair_times(steps)
+        for kind, pairs in (("bad", failures), ("slow", slow)):
+            found = max(found, _weigh(pairs, route, kind), key=lambda item: item.weight)
     verdict = Verdict.GOOD if enough and all(enough) else Verdict.OPEN
-    if found.weight >= CONDEMN_WEIGHT:
+    if found.weight >= CONDEMN_WEIGHT and found.bad >= MIN_BAD_ANSWERS:
         verdict = Verdict.BAD
-    elif found.weight >= SUSPICION_WEIGHT:
+    elif found.weight >= SUSPICION_WEIGHT and found.bad >= MIN_SUSPICIOUS_ANSWERS:
         verdict = Verdict.SUSPECT
-    return Judgement(verdict, found.route, found.kind, found.weight, found.bad, found.answers)
-
-
-def _other_versions(report: EvidenceReport, to: SoftwareVersion, route: str) -> RouteCounts:
-    """Return the counts of all other versions on a route."""
-    total = RouteCounts()
-    for (version, name), counts in report.routes.items():
-        if name == route and version != to:
-            total.add(counts)
-    return total
-
-
-def _judge_times(new: RouteCounts, other: RouteCounts, route: str) -> Judgement:
-    """Return the evidence that a version is slower than the other ones."""
-    known = other.times.total()
-    if known < MIN_TIMES:
-        return Judgement(Verdict.OPEN, route)
-    limit = _quantile_bucket(other.times, SLOW_QUANTILE) + SLOW_BUCKETS
-    slow, other_slow = _count_from(new.times, limit), _count_from(other.times, limit)
-    answers = new.times.total()
-    weight = evidence_weight(slow, answers, other_slow, known)
-    return Judgement(Verdict.OPEN, route, "slow", weight, slow, answers)
+    return replace(found, verdict=verdict)
+
+
+def _compare(
+    report: EvidenceReport, to: SoftwareVersion, route: str
+) -> list[tuple[RouteCounts, RouteCounts]]:
+    """Return, for each step, the counts of a version on a route and those of all others."""
+    steps: dict[int, tuple[RouteCounts, RouteCounts]] = {}
+    for (step, version, name), counts in report.routes.items():
+        if name == route:
+            new, other = steps.setdefault(step, (RouteCounts(), RouteCounts()))
+            (new if version == to else other).add(counts)
+    return list(steps.values())
+
+
+def _weigh(pairs: list[Pair], route: str, kind: str) -> Judgement:
+    """Return the evidence of all steps, none if the version is not clearly worse."""
+    bad, answers = sum(pair.bad for pair in pairs), sum(pair.answers for pair in pairs)
+    weight = sum(pair.weight() for pair in pairs)
+    # What the version would have as bad answers if it were like the others in each step.
+    usual = sum(
+        pair.answers * pair.other_bad / pair.other_answers for pair in pairs if pair.other_answers
+    )
+    if bad < WORSE_RATIO * usual:
+        weight = min(weight, 0.0)
+    return Judgement(Verdict.OPEN, route, kind, weight, round(bad), answers)
+
+
+def _pair_times(steps: list[tuple[RouteCounts, RouteCounts]]) -> list[Pair]:
+    """Return the slow answers of each step."""
+    known: Counter[int] = Counter()
+    for _, other in steps:
+        known.update(other.times)
+    if known.total() < MIN_TIMES:
+        return []
+    limit = _quantile_bucket(known, SLOW_QUANTILE) + SLOW_BUCKETS
+    return [
+        Pair(
+            _count_from(new.times, limit),
+            new.times.total(),
+            _count_from(other.times, limit),
+            other.times.total(),
+        )
+        for new, other in steps
+    ]
 
 
 def _quantile_bucket(times: Counter[int], quantile: float) -> int:
