--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -30,6 +30,7 @@
 from skylarklift.entry.requests.connection_pool import ConnectionPool
 from skylarklift.entry.requests.header_codec import HeaderCodec
 from skylarklift.entry.requests.status_format import StatusFormat
+from skylarklift.entry.rollouts.gauges import update_rollout_gauges
 from skylarklift.entry.rollouts.rollouts import Rollouts
 from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
@@ -345,6 +346,7 @@
                 for hold in self.suspects.held()
             },
         )
+        update_rollout_gauges(metrics, self.rollouts)
         metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
         metrics.replace_gauges("observed_load", dict(self.chooser.observed_loads.loads()))
         metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -181,8 +181,8 @@
         if len(peers) <= GOSSIP_FANOUT or self._reads_store():
             return peers
         targets = self._gossip_turns.next(peers)
-        has_crashes = self._core.suspects.has_changes_since(self._last_round_at)
-        if has_crashes or self._core.rollouts.has_open_orders():
+        core = self._core
+        if core.suspects.has_changes_since(self._last_round_at) or core.rollouts.has_open_orders():
             targets += [peer for peer in self._store_readers() if peer not in targets]
         return targets
 
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -99,7 +99,7 @@
         self.answered_at: Millis | None = None
         # When the answer broke off, `None` before.
         self.broken_at: Millis | None = None
-        self._sent_at = self._started_at = core.clock.now()
+        self.sent_at = self._started_at = core.clock.now()
         self._response_read = False
         # Whether no connection was made in time, which a sound upstream's silence may explain.
         self.silence_tolerated = False
@@ -183,7 +183,7 @@
                 if self.conn.ends_with_connection and status not in NO_BODY_STATUSES:
                     self.second_connection.start(self.conn.relay)
                 if compare_start(self.record, self.conn.process) is Identity.SAME:
-                    self.choice.upstream.record_process_seen(self._sent_at)
+                    self.choice.upstream.record_process_seen(self.sent_at)
                 return self._check_head(head)
             self.core.event_log.write(
                 "response_id_mismatch", id=self.call.request, upstream=self.record.replica
@@ -214,7 +214,7 @@
             core.record_observed_load(self.choice, head.load)
         if head.hold_off_ms:
             core.record_hold_off(self.record, head.hold_off_ms, relayed=self.relayed)
-        core.record_limits(self.record, head, self._sent_at)
+        core.record_limits(self.record, head, self.sent_at)
 
     def answer_fields(self) -> dict[str, int | str | list[int] | None]:
         """Return, for the log, the age and framing of the answer, and the events sent of it."""
@@ -287,10 +287,6 @@
         until = self.core.clock.now() if self.broken_at is None else self.broken_at
         return until - self.answered_at
 
-    def first_event_ms(self) -> int | None:
-        """Return the time from sending to the first event, `None` before that."""
-        return None if self.answered_at is None else self.answered_at - self._sent_at
-
     def has_started(self) -> bool:
         """Return whether the answer began a while ago, so that another request is more suspect."""
         age_ms = self.answer_age_ms()
@@ -312,7 +308,7 @@
             self.record_served()
         if self.answered_at is None:
             self.answered_at = self.core.clock.now()
-            progress.record_answer(replica, self.route_name, self._sent_at)
+            progress.record_answer(replica, self.route_name, self.sent_at)
 
     def record_served(self) -> None:
         """Record, once, that the request does not crash its upstream."""
--- a/skylarklift/entry/requests/attempt_evidence.py
+++ b/skylarklift/entry/requests/attempt_evidence.py
@@ -34,6 +34,8 @@
     if attempt.outcome not in COUNTED_OUTCOMES:
         return
     bad = attempt.outcome is not Outcome.ANSWERED
-    took_ms = attempt.first_event_ms() if comparable and not bad else None
+    took_ms = None
+    if comparable and not bad and attempt.answered_at is not None:
+        took_ms = attempt.answered_at - attempt.sent_at
     sample = Sample(record.software, attempt.route_name, record.replica, bad, took_ms)
     rollouts.record(record.service, sample)
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -11,7 +11,8 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
-from skylarklift.entry.rollouts.order import KnownOrder, RolloutRow
+from skylarklift.entry.rollouts.order import RolloutRow
+from skylarklift.entry.rollouts.orders import RolloutOrders
 from skylarklift.entry.state.cold_periods import ColdPeriods
 from skylarklift.entry.state.restored_rows import DecodedRow, DepartedUpstreams, RestoredRows
 from skylarklift.entry.state.row_cache import RowCache
@@ -59,7 +60,7 @@
         self.plan: RoutePlan | None = None
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
-        self.rollout_orders: dict[ServiceId, KnownOrder] = {}
+        self.rollout_orders = RolloutOrders()
         self.services = ServiceIndex(self.upstreams)
         self._cold_periods = ColdPeriods(clock)
         self._list_known = False
@@ -184,7 +185,8 @@
             case EvacuationRow():
                 return self._apply_evacuation(row, version)
             case RolloutRow():
-                return self._apply_order(row, version)
+                is_settling = self.restored.is_settling(RowTable.OPERATOR)
+                return self.rollout_orders.apply(row, version, is_settling=is_settling)
             case UpstreamRow():
                 return self._apply_upstream(row, version)
 
@@ -202,9 +204,7 @@
                 # That a zone gets nothing is right in any case; an order of the copy ends soon.
                 return first_page and not row.active
             case RolloutRow():
-                # An order that was made since the copy is missing there, or is an earlier one.
-                order = self.rollout_orders.get(row.service)
-                return first_page and order is not None and row.order != order.order
+                return first_page and self.rollout_orders.differs(row)
             case UpstreamRow(record=None):
                 return False
             case UpstreamRow():
@@ -261,23 +261,6 @@
                 self._cold_periods.extend(upstream, self._cold_ms(upstream.record))
         return [StateChange("zone_restored", row.zone, version)]
 
-    def _apply_order(self, row: RolloutRow, version: int) -> list[StateChange]:
-        """Record an operator's order for a roll-out, or that it was removed.
-
-        An order that is written again unchanged in a later era of the store stays the same order.
-        """
-        known = self.rollout_orders.get(row.service)
-        if row.order is None:
-            if self.rollout_orders.pop(row.service, None) is None:
-                return []
-            return [StateChange("rollout_order_removed", row.service, version)]
-        if known is not None and known.order == row.order:
-            if known.row_version == version or self.restored.is_settling(RowTable.OPERATOR):
-                return []
-        self.rollout_orders[row.service] = KnownOrder(row.order, version)
-        detail = f"to {row.order.to} within {row.order.duration_ms} ms"
-        return [StateChange("rollout_ordered", row.service, version, detail)]
-
     def _cold_ms(self, record: UpstreamRecord) -> int:
         """Return how long a replica of a service stays cold after it starts."""
         plan = self.plan.services.get(record.service) if self.plan else None
--- a/skylarklift/ui/fleet.py
+++ b/skylarklift/ui/fleet.py
@@ -9,6 +9,8 @@
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.model import Endpoint, RoutePlan, parse_endpoint
 from skylarklift.entry.requests.http_connection import HttpConnection, connect
+from skylarklift.entry.rollouts.order import RolloutRow
+from skylarklift.entry.state.restored_rows import DecodedRow
 from skylarklift.entry.state.rows import EvacuationRow, InvalidRow, RowTable, UpstreamRow
 from skylarklift.errors import SettingsError, TransportError
 from skylarklift.platform.rows import PlatformRowFormat
@@ -23,7 +25,7 @@
 
 @dataclass
 class StoreSummary:
-    """The contents of the store: configuration, evacuated zones and counts of upstreams."""
+    """The contents of the store: configuration, evacuated zones, upstreams and roll-outs."""
 
     version: int = 0
     routes: int = 0
@@ -31,6 +33,8 @@
     upstreams: int = 0
     draining: int = 0
     unreadable: tuple[str, ...] = ()
+    orders: tuple[str, ...] = ()
+    rollouts: tuple[str, ...] = ()
 
 
 def show_fleet(options: argparse.Namespace, out: Output) -> int:
@@ -48,6 +52,8 @@
         f"{summary.upstreams} upstreams, {summary.draining} of them draining, "
         f"zones out: {', '.join(summary.zones_out) or 'none'}"
     ]
+    lines += [f"ordered: {order}" for order in summary.orders]
+    lines += [f"roll-out: {state}" for state in summary.rollouts]
     lines += [f"unreadable row: {key}" for key in summary.unreadable]
     lines += [_router_line(name, values) for name, values in sorted(routers.items())]
     out.value({"store": asdict(summary), "routers": routers}, "\n".join(lines))
@@ -69,6 +75,7 @@
         "upstream_limit",
         "rejection_limit",
         "hold_off_left_ms",
+        "rollout_",
     )
     found = {key: value for key, value in values.items() if key.startswith(shown)}
     return f"{name}: {json.dumps(found)}"
@@ -87,6 +94,10 @@
                 _count_row(summary, rows.decode(table, row.key, row.data))
             except InvalidRow:
                 summary.unreadable += (row.key,)
+    summary.rollouts = tuple(
+        f"{item.state.service} to {item.state.to}: {item.state.phase.value}, step {item.state.step}"
+        for item in await store.read_rollouts()
+    )
     metrics_by_router: dict[str, dict[str, float] | None] = {}
 
     async def fetch(node: str, peer: str) -> None:
@@ -99,13 +110,16 @@
     return summary, metrics_by_router
 
 
-def _count_row(summary: StoreSummary, item: RoutePlan | EvacuationRow | UpstreamRow | None) -> None:
+def _count_row(summary: StoreSummary, item: DecodedRow | None) -> None:
     """Add one row to the summary."""
     match item:
         case RoutePlan():
             summary.version, summary.routes = item.version, item.route_count
         case EvacuationRow():
             summary.zones_out += (item.zone,) if item.active else ()
+        case RolloutRow() if item.order is not None:
+            order = item.order
+            summary.orders += (f"{order.service} to {order.to} within {order.duration_ms} ms",)
         case UpstreamRow() if item.record is not None:
             summary.upstreams += 1
             summary.draining += item.record.draining
