--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -169,3 +169,16 @@
     When 200 drawn roll-outs are played
     Then no bad version breaks its bounds
     And at most 1 in 100 good ones is not completed within its deadline
+
+  # Guards against parts that keep their rules alone, and are not put together in a router.
+  Scenario: Whole routers complete a good version
+    Given whole routers, replicas of v1, and replicas of v2 that serve
+    When both services are ordered to v2
+    Then both roll-outs are completed within the deadline, after in_progress
+
+  # Guards against a bad version that whole routers go on using.
+  Scenario: Whole routers revert a bad version
+    Given whole routers, replicas of v1, and replicas of v2 that fail
+    When both services are ordered to v2
+    Then both roll-outs are reverted within the deadline, after in_progress
+    And v2 got no more requests than the bound on exposure allows, and none after the rollback
