End completed orders, and raise the share only after some seconds of answers

Cause: a completed order kept replicas of a later release from being served, and replicas that came late got the whole traffic within two seconds. Change: an order that was completed ends 10 s after its deadline; the first rise waits for 3 s of answers.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -164,6 +164,13 @@
     And a newer order to v2 is read, and it goes on for 1000 ms
     Then the roll-out to v2 is in_progress
 
+  # Guards against a completed order that keeps later releases without an order from being served.
+  Scenario: A completed order ends a little after its deadline
+    Given a router that reads the store, replicas of v2 and an order to v2
+    When it goes on for 75000 ms
+    And replicas of v3 appear and 3000 ms pass
+    Then requests may go to v3, and the row of software versions counts replicas
+
   # Guards against bounds that break when routers are lost, and against good versions that fail.
   Scenario: 200 drawn roll-outs keep their bounds with a fault at each step
     When 200 drawn roll-outs are played
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -84,7 +84,7 @@
 
 @then("the order is refused")
 def order_is_refused(context):
-    known = context.core.cluster_state.rollout_orders[SERVICE]
+    known = context.core.cluster_state.rollout_orders.get(SERVICE)
     assert known.row_version == 2 and known.order.to == NEW, known
     lines = [line for line in context.core.event_log.lines if line["event"] == "row_invalid"]
     assert len(lines) == 1 and lines[0]["subject"] == KEY, lines
@@ -93,7 +93,7 @@
 
 @then("the order is {to} within {duration:d} ms")
 def order_is_known(context, to, duration):
-    known = context.core.cluster_state.rollout_orders[SERVICE]
+    known = context.core.cluster_state.rollout_orders.get(SERVICE)
     assert (known.order.to, known.order.duration_ms, known.row_version) == (to, duration, 3), known
 
 
@@ -409,6 +409,20 @@
     assert context.core.rollouts.state(SERVICE).to == to
 
 
+@when("replicas of v3 appear and 3000 ms pass")
+def later_release(context):
+    add_replicas(context.core, 2, ("v3",))
+    context.core.rollouts.held_version(SERVICE)
+    context.clock.advance(3000)
+
+
+@then("requests may go to v3, and the row of software versions counts replicas")
+def later_release_is_served(context):
+    assert may_go_to(context.core, "v3") == REQUESTS
+    counts = {NEW: 2, "v3": 2}
+    assert context.core.rollouts.steer_counts(SERVICE, counts) == counts
+
+
 @when("{count:d} drawn roll-outs are played")
 def play_drawn(context, count):
     context.played = []
--- a/skylarklift/entry/rollouts/plan.py
+++ b/skylarklift/entry/rollouts/plan.py
@@ -10,7 +10,7 @@
 # While evidence is collected, the version gets this part of the bound on exposure.
 HOLD_RATIO = 0.3
 # Each later step begins this many times the bound on exposure before the end of the plan, with at
-# least this share.  All steps together use 0.7 of a bound of 0.1 if the demand stays the same; the
+# least this share.  All steps together use 0.72 of a bound of 0.1 if the demand stays the same; the
 # rest is for waves.  Until the last step some requests go to the other version for comparison.
 RISE_BEFORE_END = ((0.9, 0.0), (0.6, 0.3), (0.45, 0.6), (0.3, 0.9), (0.15, 1.0))
 # A larger bound counts as this one, so that the steps stay in the last half of the time.
--- a/skylarklift/entry/rollouts/rollouts.py
+++ b/skylarklift/entry/rollouts/rollouts.py
@@ -29,6 +29,12 @@
 LAST_STEP_MS = 1200
 # The old version may stop with streams that run at it after this part of the planned time.
 LAST_ELAPSED = 1.015
+# The new version has answered for this long before the share rises, also if its replicas are late.
+MIN_OBSERVED_MS = 3000
+# A version that would have this many answers by its share, and has none, takes no requests.
+EXPECTED_ANSWERS = 10
+# The old replicas are gone by this long after the deadline of an order that was completed.
+COMPLETED_TTL_MS = 10_000
 HASH_RANGE = 1 << 32
 
 
@@ -52,6 +58,8 @@
         self._states: dict[ServiceId, RolloutState] = {}
         self._evidence: dict[ServiceId, Evidence] = {}
         self._stepped_at: dict[ServiceId, Millis] = {}
+        # When the new version was seen to answer first.
+        self._answers_since: dict[ServiceId, Millis] = {}
         # Per service, when each version was seen first.
         self._versions_seen: dict[ServiceId, dict[SoftwareVersion | None, Millis]] = {}
 
@@ -63,8 +71,14 @@
     # Orders and states.
 
     def order(self, service: ServiceId) -> KnownOrder | None:
-        """Return the order in force for a service."""
-        return self._cluster_state.rollout_orders.get(service) if self.enabled else None
+        """Return the order in force for a service; one that was completed ends with its time."""
+        known = self._cluster_state.rollout_orders.get(service) if self.enabled else None
+        state = self._states.get(service)
+        if known is None or state is None or not state.is_of(known):
+            return known
+        ended_at = state.ordered_at + state.duration_ms + COMPLETED_TTL_MS
+        is_over = state.phase is RolloutPhase.COMPLETED and self._clock.now() >= ended_at
+        return None if is_over else known
 
     def state(self, service: ServiceId) -> RolloutState | None:
         """Return the state of the order in force, `None` before one is known."""
@@ -108,12 +122,13 @@
         found = self._evidence.get(service)
         if found is None or found.own.order_version != known.row_version:
             found = self._evidence[service] = Evidence(service, known.row_version)
+            self._answers_since.pop(service, None)
         return found
 
     def record(self, service: ServiceId, sample: Sample) -> None:
         """Count an attempt that ended."""
         evidence = self.evidence(service)
-        if evidence is not None:
+        if evidence is not None and self._is_open(service):
             state = self.state(service)
             step = 0 if state is None else state.step
             evidence.record(sample, self.order(service).order.to, step)
@@ -121,7 +136,8 @@
     def reports(self) -> tuple[EvidenceReport, ...]:
         """Return what this router counted, for the others."""
         orders = self._cluster_state.rollout_orders if self.enabled else ()
-        return tuple(self.evidence(service).own for service in orders if self._is_open(service))
+        found = (self.evidence(service) for service in orders if self._is_open(service))
+        return tuple(evidence.own for evidence in found if evidence is not None)
 
     def has_open_orders(self) -> bool:
         """Return whether a verdict on some version is still to be found."""
@@ -130,6 +146,8 @@
 
     def _is_open(self, service: ServiceId) -> bool:
         """Return whether a verdict is still to be found."""
+        if self.order(service) is None:
+            return False
         state = self.state(service)
         return state is None or state.phase is RolloutPhase.IN_PROGRESS
 
@@ -217,7 +235,7 @@
         known = self.order(service)
         to = self.held_version(service) if known is None else known.order.to
         others = {name: count for name, count in counts.items() if name != to and count > 0}
-        if to not in counts or not others:
+        if counts.get(to, 0) <= 0 or not others:
             return counts
         share = round(self.share(service) * PER_MILLE) if known is not None else 0
         if share >= PER_MILLE:
@@ -237,7 +255,10 @@
         """Revert here what the evidence condemns; the row of the store follows."""
         events = []
         for state in self.states():
-            if state.phase is RolloutPhase.IN_PROGRESS and self._is_condemned(state):
+            if state.phase is not RolloutPhase.IN_PROGRESS:
+                continue
+            self._note_answers(state)
+            if self._is_condemned(state):
                 event = self.apply(replace(state, phase=RolloutPhase.REVERTED))
                 events += [event] if event else []
         return events
@@ -275,7 +296,7 @@
         versions = self._cluster_state.services.versions(state.service)
         if versions == {state.to}:
             return replace(state, phase=RolloutPhase.COMPLETED)
-        if state.to not in versions or not self._has_answers(state):
+        if state.to not in versions or not self._is_observed(state):
             return state
         in_step_ms = now - self._stepped_at.get(state.service, now)
         if in_step_ms < MIN_STEP_MS:
@@ -289,7 +310,22 @@
         is_due = elapsed >= plan[state.step + 1].from_elapsed
         return replace(state, step=state.step + 1) if is_due else state
 
-    def _has_answers(self, state: RolloutState) -> bool:
-        """Return whether the new version has answered anything."""
+    def _note_answers(self, state: RolloutState) -> None:
+        """Note when the new version was seen to answer first."""
+        if state.service not in self._answers_since and self._count_answers(state)[0]:
+            self._answers_since[state.service] = self._clock.now()
+
+    def _is_observed(self, state: RolloutState) -> bool:
+        """Return whether the new version has answered for a while, or gets hardly any requests."""
+        since = self._answers_since.get(state.service)
+        if since is not None:
+            return self._clock.now() - since >= min(MIN_OBSERVED_MS, state.duration_ms // 4)
+        _, total = self._count_answers(state)
+        is_due = state.elapsed(self._clock.now()) >= self._plan()[1].from_elapsed
+        return is_due and total * self._share_of(state) < EXPECTED_ANSWERS
+
+    def _count_answers(self, state: RolloutState) -> tuple[int, int]:
+        """Return the answers of the new version, and those of all versions."""
         routes = self.evidence(state.service).summed().routes
-        return any(counts.answers and key[1] == state.to for key, counts in routes.items())
+        new = sum(counts.answers for key, counts in routes.items() if key[1] == state.to)
+        return new, sum(counts.answers for counts in routes.values())
