--- a/features/rollout_world.py
+++ b/features/rollout_world.py
@@ -324,11 +324,10 @@
             tables=tuple(core.cluster_state.summarize(table) for table in RowTable),
             rollouts=make_news(core.rollouts, self.clock.now()),
         )
-        data = encode_gossip(message)
+        found = decode_gossip(encode_gossip(message))
         for other in running:
             if other is router or other.fault or self.rng.random() < 0.02:
                 continue
-            found = decode_gossip(data)
             other.core.fleet.record_message(found, Endpoint("127.0.0.1", router.number + 1), 0)
             apply_news(other.core, found.rollouts, found.node, found.boot)
 
--- a/skylarklift/entry/rollouts/plan.py
+++ b/skylarklift/entry/rollouts/plan.py
@@ -6,6 +6,7 @@
 """
 
 from dataclasses import dataclass
+from functools import lru_cache
 
 # While evidence is collected, the version gets this part of the bound on exposure.
 HOLD_RATIO = 0.3
@@ -39,6 +40,7 @@
     return max(1, duration_ms - min(MAX_MARGIN_MS, int(MARGIN_RATIO * duration_ms)))
 
 
+@lru_cache(maxsize=8)
 def plan_steps(exposure_share: float) -> tuple[PlanStep, ...]:
     """Return the steps of a roll-out under a bound on exposure."""
     bound = min(exposure_share, MAX_EXPOSURE_SHARE)
--- a/skylarklift/entry/rollouts/rollouts.py
+++ b/skylarklift/entry/rollouts/rollouts.py
@@ -319,6 +319,9 @@
         """Return whether the new version has answered for a while, or gets hardly any requests."""
         since = self._answers_since.get(state.service)
         if since is not None:
+            # A later step says that some router has observed it; this one may have just started.
+            if state.step > 0:
+                return True
             return self._clock.now() - since >= min(MIN_OBSERVED_MS, state.duration_ms // 4)
         _, total = self._count_answers(state)
         is_due = state.elapsed(self._clock.now()) >= self._plan()[1].from_elapsed
