--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -171,6 +171,25 @@
     And replicas of v3 appear and 3000 ms pass
     Then requests may go to v3, and the row of software versions counts replicas
 
+  # Guards against a verdict that is lost while the store is away, or by a copy of the store.
+  Scenario: A verdict holds while the store is away, and is written again over a copy
+    Given a router that reads the store, replicas of v1,v2 and an order to v2
+    When it goes on for 5000 ms
+    And the store is copied
+    And the store goes away, and another router tells that v2 was reverted
+    And it goes on for 1500 ms
+    Then no request goes to v2, and the store still says in_progress
+    When the store is back from a copy of 1500 ms before, and it goes on for 1500 ms
+    Then the roll-out to v2 is reverted
+
+  # Guards against a roll-out that starts again, or is forgotten, when all routers were gone.
+  Scenario: Routers that all start anew go on with a roll-out
+    Given a router that reads the store, replicas of v1,v2 and an order to v2
+    When it goes on for 5000 ms
+    And all routers start anew
+    Then before they have read it, no request goes to v2
+    And they know when the order was made, and go on with its share
+
   # Guards against bounds that break when routers are lost, and against good versions that fail.
   Scenario: 200 drawn roll-outs keep their bounds with a fault at each step
     When 200 drawn roll-outs are played
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -199,7 +199,8 @@
                 confirms_end=self.forwarder.awaits_confirmation,
             )
             self.attempt = attempt
-            comparable = is_comparable(core.chooser, self.call, choice)
+            is_measured = core.rollouts.order(self.service) is not None
+            comparable = is_measured and is_comparable(core.chooser, self.call, choice)
             async with attempt.open():
                 status = await self._run_attempt(attempt)
             record_attempt(core.rollouts, attempt, comparable=comparable)
