Pause a new version that has got more than its share

Cause: resumable streams are assigned by prompt, so a few prompts may bring the new version more than the share of its step. Change: in the first step its share is 0 from half of the bound on exposure on, until it is clearly below that.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -123,6 +123,15 @@
     And a request that is tried again goes to v1
     And the row of software versions gives v2 3 in 100
 
+  # Guards against a bound on exposure that breaks as a few prompts make up most of the streams.
+  Scenario: A version that has got more than its share pauses
+    Given a router with replicas of v1 and roll-outs enabled
+    And replicas of v2 and an order to v2 whose roll-out is in progress
+    When v2 has answered 80 of 1000 requests
+    Then no request and no resumable stream goes to v2
+    When v2 has answered 0 of 1000 requests
+    Then 3 in 100 of 20000 requests go to v2, the same ones at another router
+
   # Guards against a verdict that waits for the store.
   Scenario: A router that the store refuses stops using a version by gossip alone
     Given a router with replicas of v1 and roll-outs enabled
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -25,7 +25,12 @@
 from skylarklift.clock import ManualClock
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.gossip.wire import decode_gossip, encode_gossip
-from skylarklift.entry.rollouts.evidence import EvidenceReport, RouteCounts, time_bucket
+from skylarklift.entry.rollouts.evidence import (
+    EvidenceReport,
+    RouteCounts,
+    Sample,
+    time_bucket,
+)
 from skylarklift.entry.rollouts.news import RolloutNews, StateReport
 from skylarklift.entry.rollouts.plan import plan_steps
 from skylarklift.entry.rollouts.state import RolloutPhase
@@ -263,6 +268,14 @@
     assert found == {OLD: 970, NEW: 30}, found
 
 
+@when("v2 has answered {new:d} of {total:d} requests")
+def has_answered(context, new, total):
+    rollouts = context.core.rollouts
+    for number in range(total):
+        rollouts.record(SERVICE, Sample(NEW if number < new else OLD, "chat", "r", bad=False))
+    rollouts.revert_condemned()
+
+
 @when("another router tells that v2 was reverted")
 def told_reverted(context):
     tell(context.core, RolloutPhase.REVERTED)
--- a/skylarklift/entry/rollouts/rollouts.py
+++ b/skylarklift/entry/rollouts/rollouts.py
@@ -35,6 +35,10 @@
 EXPECTED_ANSWERS = 10
 # The old replicas are gone by this long after the deadline of an order that was completed.
 COMPLETED_TTL_MS = 10_000
+# In the first step the new version pauses from this part of the bound on exposure and of its slack
+# on, until it is below `RESUME_RATIO` of that.  A few prompts may make up most resumable streams.
+PAUSE_RATIO = 0.5
+RESUME_RATIO = 0.7
 HASH_RANGE = 1 << 32
 
 
@@ -58,6 +62,8 @@
         self._states: dict[ServiceId, RolloutState] = {}
         self._evidence: dict[ServiceId, Evidence] = {}
         self._stepped_at: dict[ServiceId, Millis] = {}
+        # The services whose new version has got more than its share.
+        self._paused: set[ServiceId] = set()
         # When the new version was seen to answer first.
         self._answers_since: dict[ServiceId, Millis] = {}
         # Per service, when each version was seen first.
@@ -184,7 +190,11 @@
 
     def share(self, service: ServiceId) -> float:
         """Return the share of the new version of a service that is in force here."""
-        return self._share_of(self.state(service))
+        state = self.state(service)
+        is_paused = state is not None and state.step == 0 and service in self._paused
+        if is_paused and state.phase is RolloutPhase.IN_PROGRESS:
+            return 0.0
+        return self._share_of(state)
 
     def is_withdrawn(self, service: ServiceId, version: SoftwareVersion | None) -> bool:
         """Return whether a version was reverted and must get no request any more."""
@@ -258,6 +268,7 @@
             if state.phase is not RolloutPhase.IN_PROGRESS:
                 continue
             self._note_answers(state)
+            self._note_exposure(state)
             if self._is_condemned(state):
                 event = self.apply(replace(state, phase=RolloutPhase.REVERTED))
                 events += [event] if event else []
@@ -315,6 +326,16 @@
         if state.service not in self._answers_since and self._count_answers(state)[0]:
             self._answers_since[state.service] = self._clock.now()
 
+    def _note_exposure(self, state: RolloutState) -> None:
+        """Note whether the new version has got so many requests that it is to pause."""
+        new, total = self._count_answers(state)
+        bounds = self._bounds
+        limit = PAUSE_RATIO * (bounds.exposure_share * total + bounds.exposure_slack)
+        if new > limit:
+            self._paused.add(state.service)
+        elif new < RESUME_RATIO * limit:
+            self._paused.discard(state.service)
+
     def _is_observed(self, state: RolloutState) -> bool:
         """Return whether the new version has answered for a while, or gets hardly any requests."""
         since = self._answers_since.get(state.service)
