--- a/skylarklift/entry/gossip/fleet.py
+++ b/skylarklift/entry/gossip/fleet.py
@@ -19,6 +19,7 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.placement.replica_speeds import SlowReplica
+from skylarklift.entry.rollouts.news import RolloutNews
 from skylarklift.entry.state.rows import Era, TableSummary
 from skylarklift.entry.versions.nominal_starts import RouteWait
 from skylarklift.entry.versions.release_rows import ReleaseReport
@@ -88,7 +89,7 @@
     for a sender of a release whose streams get their versions by their begins only.  `route_waits`
     is how long callers wait at it on routes without such a span.  `slow_replicas` are those whose
     work takes longer than usual; `knows_slow_replicas` is false for a release that has no such
-    field.
+    field.  `rollouts` is what it knows of roll-outs.
     """
 
     node: str
@@ -117,6 +118,7 @@
     route_waits: tuple[RouteWait, ...] = ()
     slow_replicas: tuple[SlowReplica, ...] = ()
     knows_slow_replicas: bool = True
+    rollouts: RolloutNews = RolloutNews()
 
     @property
     def knows_doubted_ends(self) -> bool:
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -14,6 +14,7 @@
     decode_backpressure,
 )
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.rollout_fields import decode_rollouts, rollout_fields
 from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.gossip.speed_fields import decode_slow_replicas, encode_slow_replicas
 from skylarklift.entry.placement.observed_loads import ObservedLoad
@@ -143,6 +144,7 @@
         ],
         SLOW_REPLICAS_KEY: encode_slow_replicas(message.slow_replicas),
         **backpressure_fields(message.backpressure),
+        **rollout_fields(message.rollouts),
     }
 
 
@@ -210,6 +212,7 @@
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
             releases=_decode_releases(extras),
+            rollouts=decode_rollouts(extras),
             route_waits=tuple(
                 _decode_wait(*fields) for fields in extras.get(ROUTE_WAITS_KEY, ())[:MAX_SPANS]
             ),
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -21,6 +21,7 @@
 from skylarklift.entry.placement.unanswered import TOLERATED_SILENCE_MS
 from skylarklift.entry.requests.admitted_search import AdmittedSearch
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
+from skylarklift.entry.requests.attempt_evidence import is_comparable, record_attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.request_log import log_failed_attempt, log_result
@@ -184,9 +185,12 @@
                 confirms_end=self.forwarder.awaits_confirmation,
             )
             self.attempt = attempt
+            is_measured = core.rollouts.order(self.service) is not None
+            comparable = is_measured and is_comparable(core.chooser, self.call, choice)
             with self.search.watch(attempt):
                 async with attempt.open():
                     status = await self._run_attempt(attempt)
+            record_attempt(core.rollouts, attempt, comparable=comparable)
             if attempt.outcome is not Outcome.UNCONFIRMED:
                 self.search.tried_replicas.append(attempt.record.replica)
             self.sent_to.add(attempt.record.replica)
--- a/skylarklift/entry/requests/upstream_search.py
+++ b/skylarklift/entry/requests/upstream_search.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator, Set
 from contextlib import contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
@@ -70,10 +70,12 @@
         self.passed_over: list[str] = []
         # The version of the last choice, `None` if it was free.
         self._version: WantedVersion | None = None
+        self._chosen_before = False
 
     async def choose(self) -> Choice:
         """Return an upstream; raise `Refusal` or `OutcomeUnknown` if there is none in time."""
         choice = await self._find()
+        self._chosen_before = True
         self._record_passed_over(choice)
         return choice
 
@@ -108,24 +110,41 @@
 
     def _look(self) -> Choice | NoUpstream:
         """Return an upstream of the version of a stream, or why there is none."""
-        self._version = wanted = self._wanted()
-        begun = wanted is not None and wanted.begun
-        if begun:
+        wanted = self._wanted()
+        if wanted is not None and wanted.begun:
             self._core.connection_pool.find_early_ends()
-        found = self._choose(wanted)
-        if found is NoUpstream.OTHER_VERSION and not begun:
-            # All replicas of the assigned version leave; none will take the stream up either.
-            self._version = None
-            found = self._choose(None)
+        found = self._choose_version(wanted)
         if found is NoUpstream.TRIED:
             # Every usable upstream has been tried; one of them may take the request now.
             self.tried_replicas.clear()
             return self._look()
         return found
 
+    def _choose_version(self, wanted: WantedVersion | None) -> Choice | NoUpstream:
+        """Return an upstream of the wanted version, or of another one if that may be."""
+        self._version = wanted
+        if wanted is None:
+            return self._choose(None)
+        service, rollouts = self._request.service, self._core.rollouts
+        if wanted.begun and rollouts.is_withdrawn(service, wanted.version):
+            return NoUpstream.OTHER_VERSION
+        found = self._choose(wanted)
+        if wanted.begun or isinstance(found, Choice):
+            return found
+        if self._stream_version.assigned is None and not wanted.others:
+            # The new version of a roll-out has no room; the other one serves as before.
+            self._version = replace(wanted, others=True)
+            found = self._choose(self._version)
+        if found is NoUpstream.OTHER_VERSION:
+            # All replicas of the assigned version leave; none will take the stream up either.
+            self._version = None
+            found = self._choose(None)
+        return found
+
     def _wanted(self) -> WantedVersion | None:
         """Return the version that is to take the request; raise `OutcomeUnknown` without one."""
-        wanted = self._stream_version.wanted()
+        service = self._request.service
+        wanted = self._stream_version.wanted(service, again=self._chosen_before)
         if self._retry_state.forwarded and not (wanted is not None and wanted.begun):
             raise OutcomeUnknown("the upstream named no version at which the stream can go on")
         return wanted
--- a/skylarklift/entry/state/cluster_state.py
+++ b/skylarklift/entry/state/cluster_state.py
@@ -11,6 +11,8 @@
 
 from skylarklift.clock import Clock, Millis
 from skylarklift.entry.model import RoutePlan, UpstreamRecord
+from skylarklift.entry.rollouts.order import RolloutRow
+from skylarklift.entry.rollouts.orders import RolloutOrders
 from skylarklift.entry.state.cold_periods import ColdPeriods
 from skylarklift.entry.state.restored_rows import DecodedRow, DepartedUpstreams, RestoredRows
 from skylarklift.entry.state.row_cache import RowCache
@@ -28,6 +30,7 @@
 )
 from skylarklift.entry.state.service_index import ServiceIndex
 from skylarklift.entry.state.upstream import (
+    ROW_INVALID,
     UPSTREAM_ADDED,
     UPSTREAM_REMOVED,
     StateChange,
@@ -57,6 +60,7 @@
         self.plan: RoutePlan | None = None
         self.upstreams: dict[ReplicaId, Upstream] = {}
         self.evacuated_zones: set[ZoneId] = set()
+        self.rollout_orders = RolloutOrders()
         self.services = ServiceIndex(self.upstreams)
         self._cold_periods = ColdPeriods(clock)
         self._list_known = False
@@ -164,7 +168,7 @@
         try:
             return self._format.decode(table, row.key, row.data)
         except InvalidRow as exc:
-            changes.append(StateChange("row_invalid", row.key, row.version, str(exc)))
+            changes.append(StateChange(ROW_INVALID, row.key, row.version, str(exc)))
         except Exception as exc:
             # One row must not keep the router from the others.
             changes.append(StateChange("row_decode_failed", row.key, row.version, repr(exc)))
@@ -180,6 +184,9 @@
                 return self._apply_plan(row, version)
             case EvacuationRow():
                 return self._apply_evacuation(row, version)
+            case RolloutRow():
+                is_settling = self.restored.is_settling(RowTable.OPERATOR)
+                return self.rollout_orders.apply(row, version, is_settling=is_settling)
             case UpstreamRow():
                 return self._apply_upstream(row, version)
 
@@ -196,6 +203,8 @@
             case EvacuationRow():
                 # That a zone gets nothing is right in any case; an order of the copy ends soon.
                 return first_page and not row.active
+            case RolloutRow():
+                return first_page and self.rollout_orders.differs(row)
             case UpstreamRow(record=None):
                 return False
             case UpstreamRow():
