Move the fields of version rows out of wire.py, and the gauges out of core.py

The field of slow replicas was left out of gossip when empty, by which receivers took its sender for an earlier release. Change: release_fields.py and gauges.py; checked_age in util.bounded; the field of slow replicas is always sent.

--- a/features/steps/replica_speeds.py
+++ b/features/steps/replica_speeds.py
@@ -7,6 +7,7 @@
 from features.release_fixtures import EMPTY_SUMMARIES
 from skylarklift.clock import ManualClock
 from skylarklift.entry.answered_loads import make_load_messages
+from skylarklift.entry.gauges import update_gauges
 from skylarklift.entry.gossip.fleet import GossipMessage, Peer
 from skylarklift.entry.gossip.wire import SLOW_REPLICAS_KEY, decode_gossip, encode_gossip
 from skylarklift.entry.model import Endpoint, ReplicaLoad
@@ -186,6 +187,6 @@
 
 @then("its metrics name the slowdown of the slow replica only")
 def check_metrics(context):
-    context.core.update_gauges()
+    update_gauges(context.core)
     lines = [line for line in context.core.metrics.render().splitlines() if "slowdown" in line]
     assert any("r1" in line for line in lines) and not any("r0" in line for line in lines), lines
--- a/features/steps/zone_spill.py
+++ b/features/steps/zone_spill.py
@@ -19,6 +19,7 @@
     upstream_data,
 )
 from skylarklift.clock import ManualClock
+from skylarklift.entry.gauges import update_gauges
 from skylarklift.entry.metrics import Metrics
 from skylarklift.entry.model import UpstreamRecord, Workspace
 from skylarklift.entry.placement.prefixes import Placement
@@ -344,7 +345,7 @@
 
 @then("the metrics show the requests to other zones, the pressure, the round trips and the part")
 def metrics_show(context):
-    context.core.update_gauges()
+    update_gauges(context.core)
     page = context.core.metrics.render().splitlines()
     away = [line for line in page if line.startswith("skylarklift_requests_to_other_zone_total")]
     assert sum(int(line.split()[-1]) for line in away) == 3, page
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -33,7 +33,6 @@
 from skylarklift.entry.requests.connection_pool import ConnectionPool
 from skylarklift.entry.requests.header_codec import HeaderCodec
 from skylarklift.entry.requests.status_format import StatusFormat
-from skylarklift.entry.rollouts.gauges import update_rollout_gauges
 from skylarklift.entry.rollouts.rollouts import Rollouts
 from skylarklift.entry.standstill import Standstill
 from skylarklift.entry.state.cluster_state import ClusterState
@@ -341,41 +340,6 @@
                 other_pressure=change.other_pressure,
             )
 
-    def update_gauges(self) -> None:
-        """Set the gauges on the metrics page from the current state."""
-        metrics, plan = self.metrics, self.cluster_state.plan
-        metrics.set_gauge("plan_version", plan.version if plan else 0)
-        metrics.set_gauge("requests_open", self.requests_open)
-        metrics.set_gauge("relays_open", self.relays_open)
-        metrics.set_gauge("links_cut", len(self.links.cut_zones()))
-        metrics.set_gauge("connections_limit", self.descriptors.callers, "callers")
-        metrics.set_gauge("routers_heard", len(self.fleet.live_peers()))
-        metrics.set_gauge("upstreams_known", len(self.cluster_state.upstreams))
-        metrics.set_gauge("store_era", self.newest_era)
-        now = self.clock.now()
-        metrics.replace_gauges(
-            "quarantine_held_ms",
-            {
-                f"{hold.suspect.kind.value}:{hold.suspect.name}": now - hold.held_at
-                for hold in self.suspects.held()
-            },
-        )
-        update_rollout_gauges(metrics, self.rollouts)
-        metrics.replace_gauges("hold_off_left_ms", self.chooser.hold_offs.left_ms())
-        metrics.replace_gauges("observed_load", dict(self.chooser.observed_loads.loads()))
-        metrics.replace_gauges("upstream_slowdown", dict(self.chooser.speeds.slowdowns()))
-        metrics.replace_gauges("upstream_limit", self.chooser.rate_limits.named())
-        metrics.replace_gauges("rejection_limit", self.chooser.concurrency_limits.named())
-        spill = self.chooser.zone_spill
-        metrics.replace_gauges("zone_pressure", spill.pressures())
-        metrics.replace_gauges("zone_link_rtt_ms", dict(spill.links.known()))
-        metrics.replace_gauges("zone_spill_part", dict(spill.parts()))
-        for table in RowTable:
-            cache = self.cluster_state.caches[table]
-            metrics.set_gauge("older_rows", cache.older_rows, table.name.lower())
-            metrics.set_gauge("rows_age_ms", self.cluster_state.age_ms(table), table.name.lower())
-            metrics.set_gauge("reads_store", int(self.reading_store[table]), table.name.lower())
-
     def stopping_ms(self) -> int | None:
         """Return how long this router has been stopping, or `None` if it is not."""
         if self.stopping_since is None:
--- a/skylarklift/entry/gossip/backpressure_fields.py
+++ b/skylarklift/entry/gossip/backpressure_fields.py
@@ -11,7 +11,7 @@
     RejectionLimit,
 )
 from skylarklift.ids import ReplicaId, ServiceId
-from skylarklift.util.bounded import MAX_INTEGER, checked_integer, checked_list, checked_text
+from skylarklift.util.bounded import checked_age, checked_integer, checked_list, checked_text
 
 REJECTION_LIMITS_KEY = "rejection_limits"
 REJECTIONS_KEY = "rejections"
@@ -56,15 +56,10 @@
 def _decode_limit(service: Any, per_second: Any, age_ms: Any) -> RejectionLimit:
     """Return what another router knows of a service's limit; raise `ValueError`."""
     return RejectionLimit(
-        ServiceId(checked_text(service)), checked_integer(per_second), _checked_age(age_ms)
+        ServiceId(checked_text(service)), checked_integer(per_second), checked_age(age_ms)
     )
 
 
 def _decode_rejection(replica: Any, age_ms: Any) -> Rejection:
     """Return what another router knows of an upstream's rejection; raise `ValueError`."""
-    return Rejection(ReplicaId(checked_text(replica)), _checked_age(age_ms))
-
-
-def _checked_age(value: Any) -> int:
-    """Return a span in milliseconds, 0 for a negative one; raise `ValueError`."""
-    return max(0, checked_integer(value, -MAX_INTEGER))
+    return Rejection(ReplicaId(checked_text(replica)), checked_age(age_ms))
--- a/skylarklift/entry/gossip/rollout_fields.py
+++ b/skylarklift/entry/gossip/rollout_fields.py
@@ -14,7 +14,7 @@
 from skylarklift.entry.rollouts.news import RolloutNews, StateReport
 from skylarklift.entry.rollouts.state import PHASE_ORDER, RolloutPhase
 from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
-from skylarklift.util.bounded import MAX_INTEGER, checked_integer, checked_list, checked_text
+from skylarklift.util.bounded import checked_age, checked_integer, checked_list, checked_text
 
 ROLLOUT_STATES_KEY = "rollout_states"
 ROLLOUT_EVIDENCE_KEY = "rollout_evidence"
@@ -61,7 +61,7 @@
         ServiceId(checked_text(service)),
         SoftwareVersion(checked_text(to)),
         checked_integer(order_version),
-        max(0, checked_integer(age_ms, -MAX_INTEGER)),
+        checked_age(age_ms),
         checked_integer(duration_ms, 1),
         _decode_phase(phase),
         checked_integer(step),
--- a/skylarklift/entry/gossip/speed_fields.py
+++ b/skylarklift/entry/gossip/speed_fields.py
@@ -6,7 +6,7 @@
 
 from skylarklift.entry.placement.replica_speeds import MAX_REPORTS, SlowReplica
 from skylarklift.ids import ReplicaId
-from skylarklift.util.bounded import MAX_INTEGER, checked_integer, checked_list, checked_text
+from skylarklift.util.bounded import checked_age, checked_integer, checked_list, checked_text
 
 
 def encode_slow_replicas(reports: Iterable[SlowReplica]) -> list[tuple[str, int, int]]:
@@ -29,5 +29,5 @@
     return SlowReplica(
         ReplicaId(checked_text(replica)),
         checked_integer(work_percent),
-        max(0, checked_integer(age_ms, -MAX_INTEGER)),
+        checked_age(age_ms),
     )
--- a/skylarklift/entry/gossip/wire.py
+++ b/skylarklift/entry/gossip/wire.py
@@ -1,8 +1,7 @@
 """Encode the messages between routers: gossip in datagrams, rows in framed streams."""
 
 import zlib
-from collections.abc import Hashable, Mapping, Sequence
-from dataclasses import replace
+from collections.abc import Hashable, Sequence
 from itertools import zip_longest
 from typing import Any
 
@@ -14,6 +13,11 @@
     decode_backpressure,
 )
 from skylarklift.entry.gossip.fleet import GossipMessage
+from skylarklift.entry.gossip.release_fields import (
+    NOMINAL_STARTS_KEY,
+    decode_releases,
+    release_fields,
+)
 from skylarklift.entry.gossip.rollout_fields import decode_rollouts, rollout_fields
 from skylarklift.entry.gossip.silences import SilenceReport
 from skylarklift.entry.gossip.speed_fields import decode_slow_replicas, encode_slow_replicas
@@ -21,21 +25,12 @@
 from skylarklift.entry.placement.prefixes import Placement
 from skylarklift.entry.placement.rate_limits import LimitReport
 from skylarklift.entry.state.rows import NO_ERA, Era, RowChange, RowPage, RowTable, TableSummary
-from skylarklift.entry.versions.nominal_starts import MAX_SPANS, RouteSpan, RouteWait
-from skylarklift.entry.versions.release_rows import ReleaseReport
-from skylarklift.entry.versions.release_steps import (
-    ReleaseStep,
-    VersionWeight,
-    bound_steps,
-    encodable_steps,
-    read_step,
-)
-from skylarklift.entry.versions.stream_deadlines import MAX_DEADLINES, LongestDeadline
+from skylarklift.entry.versions.nominal_starts import MAX_SPANS, RouteWait
 from skylarklift.errors import PeerError
-from skylarklift.ids import ReplicaId, ServiceId, SoftwareVersion
+from skylarklift.ids import ReplicaId, ServiceId
 from skylarklift.util.bounded import (
     MAX_HASH,
-    MAX_INTEGER,
+    checked_age,
     checked_decimal,
     checked_integer,
     checked_list,
@@ -52,20 +47,17 @@
 LIMITS_KEY = "limits"
 ERAS_KEY = "eras"
 OBSERVED_LOADS_KEY = "observed"
-RELEASES_KEY = "releases"
 RELEASES_AGE_KEY = "releases_age"
-RELEASE_ERAS_KEY = "release_eras"
-DEADLINES_KEY = "deadlines"
-SHORTER_DEADLINES_KEY = "shorter_deadlines"
 SUSPECTED_RESTARTS_KEY = "suspected_restarts"
 STORE_RESTORED_KEY = "store_restored"
 ZONE_KEY = "zone"
 CUT_ZONES_KEY = "cut_zones"
 HOLD_OFFS_KEY = "hold_offs"
 SILENCES_KEY = "silences"
-NOMINAL_STARTS_KEY = "nominal_starts"
 ROUTE_WAITS_KEY = "route_waits"
 SLOW_REPLICAS_KEY = "slow"
+# An empty field of these shows that the sender is of a release that knows the field.
+SIGN_KEYS = (NOMINAL_STARTS_KEY, SLOW_REPLICAS_KEY)
 COMPRESSION_LEVEL = 1
 
 
@@ -100,32 +92,13 @@
         LIMITS_KEY: [
             (report.replica, report.per_second, report.age_ms) for report in message.limits
         ],
-        RELEASES_KEY: [_release_fields(report) for report in message.releases],
         RELEASES_AGE_KEY: message.releases_age_ms,
-        RELEASE_ERAS_KEY: {
-            report.service: report.written_in
-            for report in message.releases
-            if report.written_in is not None
-        },
         SUSPECTED_RESTARTS_KEY: message.suspected_restarts,
         STORE_RESTORED_KEY: message.store_restored,
         ZONE_KEY: message.zone,
         CUT_ZONES_KEY: message.cut_zones,
         HOLD_OFFS_KEY: message.hold_offs,
         SILENCES_KEY: [(item.began_ms, max(0, item.ended_ms)) for item in message.silences],
-        DEADLINES_KEY: {
-            report.service: (report.deadline.span_ms, report.deadline.age_ms)
-            for report in message.releases
-            if report.deadline is not None
-        },
-        SHORTER_DEADLINES_KEY: {
-            report.service: [(item.span_ms, item.age_ms) for item in shorter]
-            for report in message.releases
-            if (shorter := report.shorter_deadlines)
-        },
-        NOMINAL_STARTS_KEY: {
-            report.service: _nominal_fields(report) for report in message.releases
-        },
         ROUTE_WAITS_KEY: [
             (
                 wait.service,
@@ -143,6 +116,7 @@
             for observed in message.observed_loads
         ],
         SLOW_REPLICAS_KEY: encode_slow_replicas(message.slow_replicas),
+        **release_fields(message.releases),
         **backpressure_fields(message.backpressure),
         **rollout_fields(message.rollouts),
     }
@@ -154,10 +128,7 @@
     In a calm fleet their names would be most of the message.
     """
     return {
-        name: value
-        for name, value in extras.items()
-        # An empty one of these shows that the sender knows nominal starts.
-        if name == NOMINAL_STARTS_KEY or not _is_default(value)
+        name: value for name, value in extras.items() if name in SIGN_KEYS or not _is_default(value)
     }
 
 
@@ -183,7 +154,7 @@
             reads_store=bool(reads_store),
             leaving=bool(leaving),
             loads={checked_text(name): checked_integer(count) for name, count in loads.items()},
-            ejected={checked_text(name): _checked_age(left) for name, left in ejected.items()},
+            ejected={checked_text(name): checked_age(left) for name, left in ejected.items()},
             maybe_restarted=tuple(checked_text(name) for name in maybe_restarted),
             placements=tuple(
                 Placement(
@@ -206,12 +177,12 @@
             zone=checked_text(extras.get(ZONE_KEY, "")),
             cut_zones=tuple(checked_text(name) for name in extras.get(CUT_ZONES_KEY, ())),
             hold_offs={
-                checked_text(name): _checked_age(left)
+                checked_text(name): checked_age(left)
                 for name, left in extras.get(HOLD_OFFS_KEY, {}).items()
             },
             releases_age_ms=_optional_age(extras.get(RELEASES_AGE_KEY)),
             backpressure=decode_backpressure(extras),
-            releases=_decode_releases(extras),
+            releases=decode_releases(extras),
             rollouts=decode_rollouts(extras),
             route_waits=tuple(
                 _decode_wait(*fields) for fields in extras.get(ROUTE_WAITS_KEY, ())[:MAX_SPANS]
@@ -225,29 +196,24 @@
 
 def _decode_silence(began_ms: Any, ended_ms: Any) -> SilenceReport:
     """Return a silence that ended; raise `ValueError`."""
-    return SilenceReport(_checked_age(began_ms), _checked_age(ended_ms))
+    return SilenceReport(checked_age(began_ms), checked_age(ended_ms))
 
 
 def _optional_age(value: Any) -> int | None:
     """Return a span in milliseconds, `None` without one; raise `ValueError`."""
-    return None if value is None else _checked_age(value)
-
-
-def _checked_age(value: Any) -> int:
-    """Return a span in milliseconds, 0 for a negative one; raise `ValueError`."""
-    return max(0, checked_integer(value, -MAX_INTEGER))
+    return None if value is None else checked_age(value)
 
 
 def _decode_limit(replica: Any, per_second: Any, age_ms: Any) -> LimitReport:
     """Return what another router knows of an upstream's limit; raise `ValueError`."""
     rate = None if per_second is None else checked_decimal(per_second)
-    return LimitReport(ReplicaId(checked_text(replica)), rate, _checked_age(age_ms))
+    return LimitReport(ReplicaId(checked_text(replica)), rate, checked_age(age_ms))
 
 
 def decode_observed_load(replica: Any, load: Any, age_ms: Any, urgent: Any) -> ObservedLoad:
     """Return what another router observed of an upstream's load; raise `ValueError`."""
     return ObservedLoad(
-        ReplicaId(checked_text(replica)), checked_integer(load), _checked_age(age_ms), bool(urgent)
+        ReplicaId(checked_text(replica)), checked_integer(load), checked_age(age_ms), bool(urgent)
     )
 
 
@@ -260,7 +226,7 @@
             checked_integer(version),
             checked_integer(last_change_version),
             checked_integer(digest, most=MAX_HASH),
-            _checked_age(age_ms),
+            checked_age(age_ms),
             Era(checked_integer(era)),
         )
         for (version, last_change_version, digest, age_ms), era in zip_longest(
@@ -269,71 +235,6 @@
     )
 
 
-def _release_fields(report: ReleaseReport) -> tuple:
-    """Return the fields of a row on software versions."""
-    steps = [
-        (step.age_ms, [(item.version, item.weight) for item in step.weights])
-        for step in encodable_steps(report.steps)
-    ]
-    return report.service, report.row_version, report.era, steps
-
-
-def _nominal_fields(report: ReleaseReport) -> tuple:
-    """Return what a row says of nominal starts of streams."""
-    spans = [(span.route, span.span_ms, span.settled_ms) for span in report.spans]
-    steps = [(step.from_ms, step.settled_ms, step.stored_ms) for step in report.steps]
-    return steps, spans
-
-
-def _decode_releases(extras: Mapping[str, Any]) -> tuple[ReleaseReport, ...]:
-    """Return the rows on software versions; earlier releases send neither deadlines nor eras."""
-    deadlines, eras = extras.get(DEADLINES_KEY, {}), extras.get(RELEASE_ERAS_KEY, {})
-    shorter_deadlines = extras.get(SHORTER_DEADLINES_KEY, {})
-    nominal_starts = extras.get(NOMINAL_STARTS_KEY, {})
-    found = []
-    for fields in extras.get(RELEASES_KEY, ()):
-        report = _decode_release(*fields)
-        if report.service in deadlines:
-            shorter = shorter_deadlines.get(report.service, ())[:MAX_DEADLINES]
-            report = replace(
-                report,
-                deadline=_decode_deadline(*deadlines[report.service]),
-                shorter_deadlines=tuple(_decode_deadline(*fields) for fields in shorter),
-            )
-        if report.service in eras:
-            report = replace(report, written_in=Era(checked_integer(eras[report.service])))
-        if report.service in nominal_starts:
-            report = _add_nominal_starts(report, *nominal_starts[report.service])
-        found.append(report)
-    return tuple(found)
-
-
-def _add_nominal_starts(report: ReleaseReport, starts: Sequence, spans: Sequence) -> ReleaseReport:
-    """Return a row with what it says of nominal starts of streams; raise `ValueError`."""
-    steps = report.steps
-    # Steps that were merged as they were read say it themselves.
-    if len(starts) == len(steps):
-        pairs = zip(steps, starts, strict=True)
-        steps = tuple(_add_moments(step, *moments) for step, moments in pairs)
-    found = tuple(_decode_span(*fields) for fields in spans[:MAX_SPANS])
-    return replace(report, steps=steps, spans=found)
-
-
-def _add_moments(step: ReleaseStep, from_ms: Any, settled_ms: Any, stored_ms: Any) -> ReleaseStep:
-    """Return a step with when it counts, is known, and was stored; raise `ValueError`."""
-    return replace(
-        step,
-        from_ms=_optional_start(from_ms),
-        settled_ms=_optional_start(settled_ms),
-        stored_ms=_optional_start(stored_ms),
-    )
-
-
-def _optional_start(value: Any) -> int | None:
-    """Return how long ago a moment was, less than 0 if it is to come; raise `ValueError`."""
-    return None if value is None else checked_integer(value, -MAX_INTEGER)
-
-
 def _decode_wait(service: Any, route: Any, *numbers: Any) -> RouteWait:
     """Return how long the callers of a route wait; raise `ValueError`."""
     timeout_ms, longest_ms, mean_ms, count = map(checked_integer, numbers)
@@ -347,37 +248,6 @@
     )
 
 
-def _decode_span(route: Any, span_ms: Any, settled_ms: Any) -> RouteSpan:
-    """Return the span of a route; raise `ValueError`."""
-    return RouteSpan(checked_text(route), checked_integer(span_ms), _optional_start(settled_ms))
-
-
-def _decode_deadline(span_ms: Any, age_ms: Any) -> LongestDeadline:
-    """Return a deadline of a service; raise `ValueError`."""
-    return LongestDeadline(checked_integer(span_ms), _checked_age(age_ms))
-
-
-def _decode_release(service: Any, row_version: Any, era: Any, steps: Sequence) -> ReleaseReport:
-    """Return a row on software versions; its steps count as older by the message's way."""
-    return ReleaseReport(
-        ServiceId(checked_text(service)),
-        checked_integer(row_version),
-        bound_steps(tuple(_decode_step(*fields) for fields in steps)),
-        Era(checked_integer(era)),
-    )
-
-
-def _decode_step(age_ms: Any, weights: Sequence) -> ReleaseStep:
-    """Return the proportions since a moment."""
-    return read_step(
-        _checked_age(age_ms),
-        tuple(
-            VersionWeight(SoftwareVersion(checked_text(version)), checked_integer(weight))
-            for version, weight in weights
-        ),
-    )
-
-
 def encode_page(page: RowPage, *, with_era: bool = True) -> bytes:
     """Return rows as a compressed message; routers of earlier releases refuse one with an era."""
     rows = [(row.key, row.version, row.data) for row in page.rows]
--- a/skylarklift/entry/requests/serving.py
+++ b/skylarklift/entry/requests/serving.py
@@ -7,6 +7,7 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
+from skylarklift.entry.gauges import update_gauges
 from skylarklift.entry.model import Call, CallerLimits
 from skylarklift.entry.requests.caller_connection import (
     CallerConnection,
@@ -231,7 +232,7 @@
         """Return status, header fields and body for a readiness check or for the metrics."""
         core = self._core
         if head.target == METRICS_PATH:
-            core.update_gauges()
+            update_gauges(core)
             self._update_gauges()
             return 200, METRICS_HEADERS, core.metrics.render().encode()
         if head.target != core.header_codec.ready_path:
--- a/skylarklift/util/bounded.py
+++ b/skylarklift/util/bounded.py
@@ -83,3 +83,8 @@
     if not isinstance(value, (list, tuple)):
         raise ValueError(f"{type(value).__name__} in place of a list")
     return value
+
+
+def checked_age(value: Any) -> int:
+    """Return a span in milliseconds, 0 for a negative one; raise `ValueError`."""
+    return max(0, checked_integer(value, -MAX_INTEGER))
