Mend what the reviews of admission and roll-outs found

Cause, by reading (two reviewers who had not written the parts): - a resumable stream, or a retry, counted as bound to some upstreams and left the queue for good; a wake-up was lost when the work of a workspace was counted after the next request was woken; requests for which all upstreams were ejected went on without regard to room; Retry-After was over a third of the caller's time on two paths; a router whose replicas were all unusable saw room at each; abandoned requests counted as short; - a candidate could vanish from the order of a chat as its slowdown decayed; the part of the demand that may leave a zone did not expire; zone pressure ignored slow replicas; - a router with an outdated order could overwrite the state of a newer one; a verdict waited behind calls to the store; the weightiest route hid one that was condemned already; requests fell back to old replicas after a completed roll-out; a held new version could keep requests from the only replicas that work; evidence was summed anew five times a check; time-outs at cold replicas counted as bad answers. Change: each of these, at its place.

--- a/skylarklift/entry/admission/room.py
+++ b/skylarklift/entry/admission/room.py
@@ -30,8 +30,8 @@
 
     def __init__(self, replicas: Sequence[ReplicaRoom], routers: int = 1, *, alone: bool = False):
         self._replicas = {item.replica: item for item in replicas if item.usable}
-        self._unusable = [item.replica for item in replicas if not item.usable]
-        self._share = routers if alone else 1
+        self._unusable = {item.replica: item for item in replicas if not item.usable}
+        self._sharing_routers = routers if alone else 1
         usable = self._replicas.values()
         self.slots = sum(item.slots for item in usable)
         self.taken = sum(self._load(item) for item in usable)
@@ -59,10 +59,11 @@
         self, replica: ReplicaId, load: int, left_ms: float, service_ms: float | None
     ) -> bool:
         """Return whether a replica with a newer load has room."""
-        item = self._replicas.get(replica)
+        # The best one may be an unusable one if all are.
+        item = self._replicas.get(replica) or self._unusable.get(replica)
         if item is None or item.slots <= 0:
             return True
-        if self._share > 1:
+        if self._sharing_routers > 1:
             return not self._is_full(item, queue_ratio(left_ms, service_ms))
         return load < places(item.slots, queue_ratio(left_ms, service_ms))
 
@@ -70,13 +71,13 @@
         """Return whether a replica has no room; one that names no slots always has some."""
         if item.slots <= 0:
             return False
-        if self._share > 1:
-            return item.own >= max(1, item.slots // self._share)
+        if self._sharing_routers > 1:
+            return item.own >= max(1, item.slots // self._sharing_routers)
         return item.load >= places(item.slots, queued)
 
     def _load(self, item: ReplicaRoom) -> int:
         """Return the known or assumed load of a replica."""
-        return max(item.load, item.own * self._share)
+        return max(item.load, item.own * self._sharing_routers)
 
 
 def queue_ratio(left_ms: float, service_ms: float | None) -> float:
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -264,8 +264,6 @@
             if report.replica in self.cluster_state.upstreams:
                 if self.chooser.rate_limits.apply_report(report):
                     self._announce_rate_limit(report.replica, report.per_second, source)
-        # The same message brought newer loads.
-        self.gate.wake_all()
 
     def _announce_rate_limit(
         self, replica: ReplicaId, per_second: float | None, source: str
--- a/skylarklift/entry/gossip/peering.py
+++ b/skylarklift/entry/gossip/peering.py
@@ -338,6 +338,8 @@
             core.chooser.prefixes.record_reported(placement)
         for table in RowTable:
             self._sync_table(table, peer, nursery)
+        # Loads and limits may leave room for requests that wait.
+        core.gate.wake_all()
 
     def _sync_table(self, table: RowTable, peer: Peer, nursery: trio.Nursery) -> None:
         """Confirm a table by a peer's summary, or fetch the rows that this router lacks."""
--- a/skylarklift/entry/gossip/rollout_fields.py
+++ b/skylarklift/entry/gossip/rollout_fields.py
@@ -56,7 +56,8 @@
 
 def _decode_state(service: Any, to: Any, *numbers: Any) -> StateReport:
     """Return a state; raise `ValueError`."""
-    order_version, age_ms, duration_ms, phase, step = numbers
+    # A later release may add fields.
+    order_version, age_ms, duration_ms, phase, step, *_ = numbers
     return StateReport(
         ServiceId(checked_text(service)),
         SoftwareVersion(checked_text(to)),
--- a/skylarklift/entry/placement/affinity.py
+++ b/skylarklift/entry/placement/affinity.py
@@ -118,8 +118,11 @@
     yield from (name for name in by_zone if candidates[name].record.zone not in zones.unpaid)
     far: list[ReplicaId] = []
     full: list[ReplicaId] = []
+    # Slowdowns decay, so the load of a candidate may fall below the limit while the order is made.
+    placed = set(sound_holders)
     for name in ranked:
         if name in candidates and name not in holders and load(name) < load_limit:
+            placed.add(name)
             record = candidates[name].record
             if zones.far and load(name) >= record.slots:
                 full.append(name)
@@ -130,7 +133,7 @@
     yield from (name for name in by_zone if candidates[name].record.zone in zones.unpaid)
     yield from far
     yield from full
-    overloaded = [name for name in candidates if load(name) >= load_limit]
+    overloaded = [name for name in candidates if name not in placed]
     if overloaded:
         mean = sum(map(load, overloaded)) / len(overloaded)
         near = {name for name in holders if name in candidates and load(name) <= mean}
--- a/skylarklift/entry/placement/zone_pressure.py
+++ b/skylarklift/entry/placement/zone_pressure.py
@@ -41,7 +41,7 @@
     for name in candidates:
         record = candidates[name].record
         zone = zones[record.zone]
-        zone.requests += candidates.load(name)
+        zone.requests += candidates.weighted_load(name)
         zone.slots += record.slots
         zone.replicas += 1
     return dict(zones)
--- a/skylarklift/entry/placement/zone_spill.py
+++ b/skylarklift/entry/placement/zone_spill.py
@@ -164,6 +164,7 @@
         `usable` returns the upstreams that may take requests of any kind.
         """
         if not self.applies():
+            self._services.clear()
             return
         now = self._clock.now()
         state = self._services.get(service)
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -90,6 +90,7 @@
             start(self._release_sync.run)
             if self._rollout_sync is not None:
                 start(self._rollout_sync.run)
+                start(self._rollout_sync.judge_versions)
             for table in RowTable:
                 start(Follower(core, self._rows, table).run)
             start(self._run_maintenance)
--- a/skylarklift/entry/requests/admitted_search.py
+++ b/skylarklift/entry/requests/admitted_search.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 
 import trio
 
@@ -13,8 +14,15 @@
 from skylarklift.entry.placement.candidates import allowed_regions
 from skylarklift.entry.placement.choice import Choice, NoUpstream
 from skylarklift.entry.requests.attempt import Attempt
+from skylarklift.entry.requests.process_identity import identify_suspects
 from skylarklift.entry.requests.retry_state import Outcome
-from skylarklift.entry.requests.upstream_search import UpstreamSearch
+from skylarklift.entry.requests.upstream_search import (
+    LASTING_REASONS,
+    RESTART_WAIT_MS,
+    UPSTREAM_POLL_INTERVAL_MS,
+    UPSTREAM_WAIT_DIVISOR,
+    UpstreamSearch,
+)
 from skylarklift.errors import Refusal
 from skylarklift.ids import WorkspaceId
 
@@ -53,12 +61,30 @@
         core.gate.count(service, replica, 1)
         try:
             yield
-        finally:
-            core.gate.count(service, replica, -1)
+            # One that its caller abandons says nothing of how long requests take.
             if attempt.outcome is Outcome.ANSWERED:
                 core.gate.rates.record_end(service, core.clock.now() - began_at)
+        finally:
+            core.gate.count(service, replica, -1)
             core.gate.wake(service)
 
+    def retry_after_ms(self, drain_per_s: float | None = None) -> int:
+        """Return when the caller is to come back, and remember the request until then."""
+        core, request = self._core, self._request
+        wait_ms = retry_after_ms(
+            len(core.gate.queue(request.service)),
+            drain_per_s or core.gate.drain_per_s(request.service),
+            request.deadline - core.clock.now(),
+            core.rng,
+            core.chooser.wait_ms(request.service),
+        )
+        core.gate.refused.record(request.fingerprint, wait_ms)
+        return wait_ms
+
+    def _no_upstream_retry_ms(self) -> int:
+        """Return the Retry-After delay, which covers the time for which upstreams ask to wait."""
+        return self.retry_after_ms()
+
     def log_fields(self) -> dict[str, int | list[str]]:
         """Return, for the log, the upstreams passed over and how long the request was held."""
         held = {"held_ms": self.held_ms} if self.held_ms else {}
@@ -79,13 +105,14 @@
         choice = None
         try:
             choice = await self._wait_for_room(queued, before, drain_per_s)
+            # The work decides whose turn it is next, so it counts before the next one is woken.
+            tokens = sum(part.tokens for part in self._request.call.parts)
+            gate.work.record(queued.workspace, 1 + tokens / TOKENS_PER_REQUEST)
         finally:
             self.held_ms += self._core.clock.now() - queued.queued_at
             gate.leave(service, queued, sent=choice is not None)
         if self._core.clock.now() > queued.queued_at:
             self._core.metrics.increment("admitted_after_wait", service)
-        tokens = sum(part.tokens for part in self._request.call.parts)
-        gate.work.record(queued.workspace, 1 + tokens / TOKENS_PER_REQUEST)
         return choice
 
     async def _wait_for_room(
@@ -94,26 +121,42 @@
         """Wait in the queue until an upstream has room."""
         core, service = self._core, self._request.service
         queue = core.gate.queue(service)
-        checks = False
+        has_waited = False
+        unavailable_since: Millis | None = None
         while True:
             queued.woken = trio.Event()
             turn = queue.first(core.clock.now())
-            if checks and turn is not None and turn is not queued:
+            if has_waited and turn is not None and turn is not queued:
+                # The turn may have moved on since this request was woken.
                 turn.wake()
             first = turn is queued or not queued.waiting
             found = self._look() if first else None
             if isinstance(found, NoUpstream) and found not in NO_ROOM_REASONS:
                 # Room would not help this request, so it does not hold up those behind it.
                 core.gate.leave(service, queued)
-                return await super()._find()
+                unavailable_since = unavailable_since or core.clock.now()
+                await self._wait_until_available(found, unavailable_since)
+                continue
             found, room = self._find_room(queued, found, 0 if first else before, drain_per_s)
             choice = self._apply(queued, found, room, first=first)
             if choice is not None:
                 return choice
-            if first and self._is_constrained() and self._has_room_for_others(queued):
+            is_constrained = self._is_narrowed() or bool(self.tried_replicas)
+            if first and is_constrained and self._has_room_for_others(queued):
                 core.gate.leave(service, queued)
             await self._wait(queued, checks=first)
-            checks, drain_per_s = first, None
+            has_waited, drain_per_s = True, None
+
+    async def _wait_until_available(self, reason: NoUpstream, since: Millis) -> None:
+        """Wait a moment for upstreams that room does not bring back; raise an error in the end."""
+        core, request = self._core, self._request
+        until = since + request.route.objective_ms // UPSTREAM_WAIT_DIVISOR
+        if reason is NoUpstream.MAYBE_RESTARTED:
+            await identify_suspects(core, request.service, self._version.version)
+            until = since + RESTART_WAIT_MS
+        if reason in LASTING_REASONS or core.clock.now() >= min(until, request.deadline):
+            self._raise_no_upstream(reason)
+        await trio.sleep(UPSTREAM_POLL_INTERVAL_MS / MS_PER_SECOND)
 
     def _find_room(
         self,
@@ -141,7 +184,9 @@
             other = self._choose(self._version, room.full(left_ms, service_ms))
             if isinstance(other, Choice) and has_room(other):
                 found, free = other, True
-        return found, Room(free, room.taken, room.slots, before, drain_per_s)
+        # What is free elsewhere does not matter for a request that may use some upstreams only.
+        places = 0 if self._is_narrowed() else room.slots
+        return found, Room(free, room.taken, places, before, drain_per_s)
 
     def _apply(
         self, queued: QueuedRequest, found: Choice | None, room: Room, *, first: bool
@@ -165,13 +210,7 @@
         """Raise `Refusal` with a useful Retry-After, and log it."""
         core, request = self._core, self._request
         gate, now = core.gate, core.clock.now()
-        backlog = len(gate.queue(request.service))
-        drain_per_s = room.drain_per_s or gate.drain_per_s(request.service)
-        hold_off_ms = core.chooser.wait_ms(request.service)
-        wait_ms = retry_after_ms(
-            backlog, drain_per_s, request.deadline - now, core.rng, hold_off_ms
-        )
-        gate.refused.record(request.fingerprint, wait_ms)
+        wait_ms = self.retry_after_ms(room.drain_per_s)
         core.metrics.increment("admission_refused", reason.value)
         core.event_log.write(
             "admission_refused",
@@ -179,7 +218,7 @@
             service=request.service,
             reason=reason.value,
             held_ms=now - queued.queued_at,
-            waiting=backlog,
+            waiting=len(gate.queue(request.service)),
             retry_after_ms=wait_ms,
         )
         raise Refusal(reason.value, "no upstream can start it in time", retry_after_ms=wait_ms)
@@ -224,12 +263,20 @@
         """Return how long the request may still wait."""
         return queued.latest_start - self._core.clock.now()
 
-    def _is_constrained(self) -> bool:
-        """Return whether the request may use a part of the upstreams only."""
-        regions = allowed_regions(self._request.route, self._request.workspace)
-        return self._version is not None or regions is not None
+    def _is_narrowed(self) -> bool:
+        """Return whether its version or its regions leave the request some upstreams only."""
+        if allowed_regions(self._request.route, self._request.workspace) is not None:
+            return True
+        wanted = self._version
+        if wanted is None or wanted.others:
+            return False
+        versions = self._core.cluster_state.services.versions(self._request.service)
+        return wanted.begun or versions != {wanted.version}
 
     def _has_room_for_others(self, queued: QueuedRequest) -> bool:
-        """Return whether the service has room, though none for this request."""
-        gate, service = self._core.gate, self._request.service
-        return gate.room(service).has_any(self._left_ms(queued), gate.rates.service_ms(service))
+        """Return whether a request that may use any upstream would find one with room."""
+        core, request = self._core, self._request
+        service_ms = core.gate.rates.service_ms(request.service)
+        full = core.gate.room(request.service).full(self._left_ms(queued), service_ms)
+        route = replace(request.route, allowed_regions=())
+        return isinstance(core.chooser.choose(request.call, route, request.service, full), Choice)
--- a/skylarklift/entry/requests/attempt_evidence.py
+++ b/skylarklift/entry/requests/attempt_evidence.py
@@ -33,6 +33,9 @@
         return
     if attempt.outcome not in COUNTED_OUTCOMES:
         return
+    if attempt.outcome is Outcome.SILENT and attempt.choice.cold:
+        # A replica that has just started is slow, whatever its version.
+        return
     bad = attempt.outcome is not Outcome.ANSWERED
     took_ms = None
     if comparable and not bad and attempt.answered_at is not None:
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -41,7 +41,7 @@
     RequestError,
     TransportError,
 )
-from skylarklift.ids import ReplicaId, ServiceId, WorkspaceId
+from skylarklift.ids import Fingerprint, ReplicaId, ServiceId
 
 # A router that has just started has no configuration.  A request waits for it for a part of its
 # caller's deadline, and is then refused with a Retry-After of a part of the time left: callers
@@ -88,6 +88,7 @@
         self.forwarder: Forwarder | None = None
         self.deadline: Millis = call.received_at
         self.crash_guard: CrashGuard | None = None
+        self.fingerprint = Fingerprint("")
         self.plan_version = 0
         self.attempt: Attempt | None = None
         self.stream_version: StreamVersion | None = None
@@ -148,8 +149,8 @@
         self._refuse_if_stopping()
         self.service = core.chooser.select_service(route, call)
         name = self.workspace.name if self.workspace else ""
-        fingerprint = call_fingerprint(call.method, call.target, name, call.body)
-        self.crash_guard = CrashGuard(core, call, fingerprint)
+        self.fingerprint = call_fingerprint(call.method, call.target, name, call.body)
+        self.crash_guard = CrashGuard(core, call, self.fingerprint)
         self.crash_guard.check_before_send(self.retry_state)
         core.retry_budget.record_request(self.service)
 
@@ -224,8 +225,6 @@
 
     def _make_search(self) -> UpstreamSearch:
         """Return the search for an upstream for each attempt."""
-        name = self.workspace.name if self.workspace else WorkspaceId("")
-        fingerprint = call_fingerprint(self.call.method, self.call.target, name, self.call.body)
         search = AdmittedSearch if self.core.settings.admission_control else UpstreamSearch
         return search(
             self.core,
@@ -236,7 +235,7 @@
                 self.workspace,
                 self._priority(),
                 self.deadline,
-                fingerprint,
+                self.fingerprint,
             ),
             self.retry_state,
             self.stream_version,
--- a/skylarklift/entry/requests/upstream_search.py
+++ b/skylarklift/entry/requests/upstream_search.py
@@ -131,7 +131,12 @@
         found = self._choose(wanted)
         if wanted.begun or isinstance(found, Choice):
             return found
-        if self._stream_version.assigned is None and not wanted.others:
+        if wanted.others and rollouts.order(service) is None:
+            # Only an order that may still come keeps the new version from requests.
+            self._version = None
+            return self._choose(None)
+        is_free = self._stream_version.assigned is None and not wanted.others
+        if is_free and not rollouts.is_completed(service):
             # The new version of a roll-out has no room; the other one serves as before.
             self._version = replace(wanted, others=True)
             found = self._choose(self._version)
@@ -170,9 +175,12 @@
         """Raise the error for a request that no upstream can take."""
         if not self._retry_state.cannot_have_run:
             raise OutcomeUnknown(f"the upstream failed, and no other one: {reason.value}")
-        hold_off_ms = self._core.chooser.wait_ms(self._request.service)
         raise Refusal(
             reason.value,
             "no upstream can take it now",
-            retry_after_ms=hold_off_ms + self.retry_after_ms(),
+            retry_after_ms=self._no_upstream_retry_ms(),
         )
+
+    def _no_upstream_retry_ms(self) -> int:
+        """Return the Retry-After delay, after the time for which all upstreams ask to wait."""
+        return self._core.chooser.wait_ms(self._request.service) + self.retry_after_ms()
--- a/skylarklift/entry/rollouts/evidence.py
+++ b/skylarklift/entry/rollouts/evidence.py
@@ -91,9 +91,12 @@
     def __init__(self, service: ServiceId, order_version: int):
         self.own = EvidenceReport(service, order_version)
         self._others: dict[str, EvidenceReport] = {}
+        # The sum, `None` if a count has changed since: a large fleet sends many reports.
+        self._summed: EvidenceReport | None = None
 
     def record(self, sample: Sample, to: SoftwareVersion, step: int) -> None:
         """Count an attempt of this router."""
+        self._summed = None
         counts = self.own.counts((step, sample.version, sample.route))
         if counts is None:
             return
@@ -111,6 +114,7 @@
             return
         if known is None or report.total() >= known.total():
             self._others[reporter] = report
+            self._summed = None
 
     def _reports(self) -> Iterator[EvidenceReport]:
         """Yield the reports of all routers."""
@@ -119,6 +123,8 @@
 
     def summed(self) -> EvidenceReport:
         """Return the counts of all routers."""
+        if self._summed is not None:
+            return self._summed
         total = EvidenceReport(self.own.service, self.own.order_version)
         for report in self._reports():
             for key, counts in report.routes.items():
@@ -126,4 +132,5 @@
                 if known is not None:
                     known.add(counts)
             total.bad_replicas.update(report.bad_replicas)
+        self._summed = total
         return total
--- a/skylarklift/entry/rollouts/exchange.py
+++ b/skylarklift/entry/rollouts/exchange.py
@@ -37,7 +37,8 @@
         report.service,
         report.to,
         report.order_version,
-        Millis(now - report.age_ms),
+        # Both clocks round down, so the earliest start would move back with each exchange.
+        Millis(now - report.age_ms + 1),
         report.duration_ms,
         report.phase,
         report.step,
--- a/skylarklift/entry/rollouts/rollout_sync.py
+++ b/skylarklift/entry/rollouts/rollout_sync.py
@@ -10,7 +10,7 @@
 from skylarklift.entry.core import Core
 from skylarklift.entry.rollouts.exchange import apply_state, log_event
 from skylarklift.entry.rollouts.state import StoredRollout
-from skylarklift.entry.state.rows import RolloutStore
+from skylarklift.entry.state.rows import RolloutStore, RowTable
 from skylarklift.errors import StoreError
 from skylarklift.ids import ServiceId
 
@@ -48,11 +48,27 @@
                 core.record_fault(exc, "roll-outs")
                 await trio.sleep(RETRY_DELAY_MS / MS_PER_SECOND)
 
-    async def check(self) -> None:
-        """Judge the versions, then read and write rows; raise `StoreError`."""
+    async def judge_versions(self) -> None:
+        """Revert what the evidence condemns, also while a call to the store takes long."""
+        core = self._core
+        while True:
+            try:
+                self._revert_condemned()
+            except Exception as exc:
+                # One odd report must not end the router.
+                core.record_fault(exc, "roll-outs")
+            await trio.sleep(CHECK_INTERVAL_MS / MS_PER_SECOND)
+
+    def _revert_condemned(self) -> None:
+        """Revert here what the evidence condemns, and log it."""
         core = self._core
         for event in core.rollouts.revert_condemned():
             log_event(core, event, core.settings.node)
+
+    async def check(self) -> None:
+        """Judge the versions, then read and write rows; raise `StoreError`."""
+        core = self._core
+        self._revert_condemned()
         orders = core.cluster_state.rollout_orders
         if not core.cluster_state.complete or not orders:
             return
@@ -87,14 +103,22 @@
         if stored is not None and stored.state.is_of_same_order(state):
             if stored.state.progress() >= state.progress():
                 return
+        elif stored is not None and not self._knows_orders_of_read():
+            # The row may be of an order that this router has not read yet.
+            return
         row_version = 0 if stored is None else stored.row_version
         found = await self._store.write_rollout(state, row_version)
         if found is None:
             self._stored.pop(service, None)
-            return
+            raise StoreError(f"the row of the roll-out of {service} is not readable")
         self._stored[service] = found
         apply_state(core, found.state, "store")
 
+    def _knows_orders_of_read(self) -> bool:
+        """Return whether the orders were confirmed after the rows were read."""
+        confirmed_at = self._core.cluster_state.confirmed_at(RowTable.OPERATOR)
+        return None not in (confirmed_at, self._read_at) and confirmed_at > self._read_at
+
     def _are_others_busy(self, service: ServiceId) -> bool:
         """Return whether replicas of other versions than the new one have requests."""
         core = self._core
--- a/skylarklift/entry/rollouts/rollouts.py
+++ b/skylarklift/entry/rollouts/rollouts.py
@@ -33,6 +33,8 @@
 MIN_OBSERVED_MS = 3000
 # A version that would have this many answers by its share, and has none, takes no requests.
 EXPECTED_ANSWERS = 10
+# The share rises this often although no answer of the new version was seen.
+STEPS_WITHOUT_ANSWERS = 2
 # The old replicas are gone by this long after the deadline of an order that was completed.
 COMPLETED_TTL_MS = 10_000
 # In the first step the new version pauses from this part of the bound on exposure and of its slack
@@ -203,6 +205,11 @@
             return False
         return state.to == version
 
+    def is_completed(self, service: ServiceId) -> bool:
+        """Return whether the old version of a service may stop at any moment."""
+        state = self.state(service)
+        return state is not None and state.phase is RolloutPhase.COMPLETED
+
     def wanted(self, service: ServiceId, request: str, *, again: bool) -> WantedVersion | None:
         """Return the version for a request that need not be found again, `None` if any may.
 
@@ -346,7 +353,9 @@
             return self._clock.now() - since >= min(MIN_OBSERVED_MS, state.duration_ms // 4)
         _, total = self._count_answers(state)
         is_due = state.elapsed(self._clock.now()) >= self._plan()[1].from_elapsed
-        return is_due and total * self._share_of(state) < EXPECTED_ANSWERS
+        # Streams of few prompts may all be assigned to the other version at a small share.
+        is_small = state.step < STEPS_WITHOUT_ANSWERS
+        return is_due and (is_small or total * self._share_of(state) < EXPECTED_ANSWERS)
 
     def _count_answers(self, state: RolloutState) -> tuple[int, int]:
         """Return the answers of the new version, and those of all versions."""
--- a/skylarklift/entry/rollouts/verdict.py
+++ b/skylarklift/entry/rollouts/verdict.py
@@ -104,7 +104,7 @@
         ]
         slow = _pair_times(steps)
         for kind, pairs in (("bad", failures), ("slow", slow)):
-            found = max(found, _weigh(pairs, route, kind), key=lambda item: item.weight)
+            found = max(found, _weigh(pairs, route, kind), key=_rank)
     verdict = Verdict.GOOD if enough and all(enough) else Verdict.OPEN
     if found.weight >= CONDEMN_WEIGHT and found.bad >= MIN_BAD_ANSWERS:
         verdict = Verdict.BAD
@@ -113,6 +113,13 @@
     return replace(found, verdict=verdict)
 
 
+def _rank(item: Judgement) -> tuple[bool, bool, float]:
+    """Return a sort key: what condemns comes first, then what is suspicious, then the weight."""
+    condemns = item.weight >= CONDEMN_WEIGHT and item.bad >= MIN_BAD_ANSWERS
+    is_suspicious = item.weight >= SUSPICION_WEIGHT and item.bad >= MIN_SUSPICIOUS_ANSWERS
+    return condemns, is_suspicious, item.weight
+
+
 def _compare(
     report: EvidenceReport, to: SoftwareVersion, route: str
 ) -> list[tuple[RouteCounts, RouteCounts]]:
