--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -364,7 +364,9 @@
     links, metrics = LinkStates(clock), Metrics()
     relays = RelayChoice(clock, fleet, settings.zone, settings.regions, rng)
     zone_links = ZoneLinks(clock)
-    dialer = Dialer(clock, links, relays, event_log, metrics, rng, zone_links)
+    # Without times of connections no link counts as long, and zones are weighed by the constant.
+    measured_links = zone_links if settings.zone_spill else ZoneLinks(clock)
+    dialer = Dialer(clock, links, relays, event_log, metrics, rng, measured_links)
     chooser = Chooser(
         clock,
         cluster_state,
--- a/skylarklift/entry/model.py
+++ b/skylarklift/entry/model.py
@@ -286,6 +286,7 @@
     `regions` maps each zone to its region.  `callers`, `readiness` and `peers` are the addresses
     on which the router serves callers, readiness checks and the other routers; `store` is the
     address of the platform's store.  The process ends if it uses more than `memory_mb`.
+    With `zone_spill` the router weighs long links to other zones.
     It may have `max_fds` descriptors open; `None` for what the system allows.
     With `admission_control`, requests wait or are refused by the known room of their service.
     """
@@ -302,6 +303,7 @@
     max_fds: int | None = None
     bounds: Bounds = field(default_factory=Bounds)
     admission_control: bool = False
+    zone_spill: bool = False
 
     def with_bounds(self, bounds: Bounds) -> "NodeSettings":
         """Return a copy of the settings with other bounds."""
--- a/skylarklift/platform/settings_file.py
+++ b/skylarklift/platform/settings_file.py
@@ -112,6 +112,7 @@
         memory_mb=int(source.number("limits.memory_mb", DEFAULT_MEMORY_MB)),
         max_fds=int(source.number("limits.max_fds", 0)) or None,
         bounds=_parse_bounds(source),
+        zone_spill=source.text("zone_spill", "false") == "true",
         admission_control=PRESSURE_CONTRACT in _parse_contracts(source),
     )
     if source.findings:
