--- a/skylarklift/entry/placement/zone_spill.py
+++ b/skylarklift/entry/placement/zone_spill.py
@@ -45,7 +45,7 @@
 # The part rises or falls by this much a second for each unit of pressure beyond a threshold.
 RATE_PER_PRESSURE = 1.0
 MIN_RATE_PER_S = 0.02
-# Pressures are measured this often: the sums cover all replicas of a service.
+# Pressures are computed at this interval: the sums cover all replicas of a service.
 UPDATE_MS = 100
 # After a time without requests, the part changes by at most one step of this length.
 MAX_STEP_MS = 1000
