--- a/review/stage.py
+++ b/review/stage.py
@@ -250,6 +250,10 @@
     cold_s: float = 0.0
     cold_crash_per_s: float = 0.0
     is_undelimited: bool = False
+    idle_s: float = 5.0
+    software: str = "v1"
+    # Whether each start has an id of its own, as most have.
+    has_new_ids: bool = False
     crashes_on: Callable[[Head], bool] | None = None
     answer: Callable[["Replica", Head], Head | None] | None = None
     port: int = 0
@@ -293,7 +297,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.port}",
             "zone": self.zone,
-            "version": "v1",
+            "version": self.software,
             "slots": self.slots,
             "state": "ready",
             "cold_remaining_ms": self.cold_left_ms(),
@@ -329,9 +333,18 @@
 
     async def _return(self) -> None:
         """Start again."""
+        if self.has_new_ids:
+            self.stage.spawn(self._lapse(self.name))
         await asyncio.sleep(self.back_after_s)
+        if self.has_new_ids:
+            self.name, self.port = f"{self.name[:10]}-{self.crash_count}", 0
         await self.start(cold=self.cold_s > 0)
 
+    async def _lapse(self, name: str) -> None:
+        """Remove an entry that is not renewed after three heartbeats, as the store does."""
+        await asyncio.sleep(3 * HEARTBEAT_S)
+        self.stage.store.write("servers", name, None)
+
     def count_last_second(self) -> int:
         """Return how many requests have reached it within the last second."""
         since = self.stage.record.now() - 1
@@ -346,11 +359,12 @@
         """Serve one connection."""
         self._writers.add(writer)
         try:
-            while (head := await read_head(reader)) is not None:
+            while (head := await asyncio.wait_for(read_head(reader), self.idle_s)) is not None:
                 head.body = await read_body(reader, head)
                 if not await self._serve_request(head, writer):
                     return
-        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+        except (ConnectionError, TimeoutError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            # The other side has gone, the connection idled out, or the case has ended.
             return
         finally:
             self._writers.discard(writer)
@@ -417,8 +431,10 @@
             **echo,
             "X-Replica-Signature": f"sig.{self.name}.{echo['X-Attempt-Id']}",
             "X-Replica-Load": f"{self.running},0,{self.slots}",
-            "Keep-Alive": "timeout=5",
         }
+        if self.idle_s >= 1:
+            # Whole seconds, if there are any.
+            signed["Keep-Alive"] = f"timeout={int(self.idle_s)}"
         await asyncio.sleep(self.work_s)
         if self.service != ENGINE:
             await self._send(writer, 200, signed, f"{self.name}:{echo['X-Attempt-Id']}".encode())
@@ -430,7 +446,8 @@
         writer.write(encode_head("HTTP/1.1 200 OK", fields))
         first = int(head.fields.get("last-event-id", "0")) + 1
         for number in range(first, self.events + 1):
-            data = b"id: %d\ndata: token-%d\n\n" % (number, number)
+            text = f"id: {number}\ndata: token-{number} {self.software}\n\n"
+            data = text.encode()
             writer.write(data if self.is_undelimited else b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
             await asyncio.sleep(self.pace_s)
