Review: streams go on at another version after a stop of all routers beside refused writes

Tried as processes: the store takes no transactions for 9 s, v1 leaves and is back, all routers are killed. Seen: 12 of 24 streams held events of two versions; none with the writes taken.

--- a/review/stage.py
+++ b/review/stage.py
@@ -130,12 +130,14 @@
 class Store:
     """The platform's store: rows with versions, a feed and transactions.
 
-    It is away for writers of entries too while `is_away`; calls then get no answer.
+    It is away for writers of entries too while `is_away`; calls then get no answer.  While it
+    `refuses_writes`, the routers' ones get 503.
     """
 
     tables: dict[str, dict[str, tuple[bytes | None, int]]] = field(default_factory=dict)
     version: int = 0
     is_away: bool = False
+    refuses_writes: bool = False
     answer_s: float = STORE_ANSWER_S
     address: str = ""
     changed: asyncio.Event = field(default_factory=asyncio.Event)
@@ -204,7 +206,7 @@
                 elif parts.path == "/-/rows-feed":
                     value = await self._read_feed(query)
                 elif parts.path == "/-/rows-tx":
-                    status = self._transact(json.loads(body))
+                    status = 503 if self.refuses_writes else self._transact(json.loads(body))
                 else:
                     status = 404
                 if self.is_away:
@@ -306,6 +308,15 @@
         }
         self.stage.store.write("servers", self.name, json.dumps(entry).encode())
 
+    def leave(self) -> None:
+        """End as planned, once nothing runs here any more; the entry is removed."""
+        self.is_up = False
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        self.stage.store.write("servers", self.name, None)
+        self.stage.record.write("replica_left", replica=self.name)
+
     async def beat(self) -> None:
         """Renew the entry at intervals."""
         while True:
