--- a/review/stage.py
+++ b/review/stage.py
@@ -29,7 +29,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
 HELD = 0
-BROKEN = 1
+# Python itself ends with 1 after an error, so `run.sh` turns this into 1, and all else into 2.
+BROKEN = 10
 NOT_RUN = 2
 PORT_RANGE = (12_000, 31_000)
 HEARTBEAT_S = 1.2
@@ -818,13 +819,24 @@
 
 
 def run_case(play: Callable[[bool], Awaitable[int]]) -> None:
-    """Play a case, with its disruption unless `TROUBLE=0`, and exit as it says."""
+    """Play a case, with its disruption unless `TROUBLE=0`, and exit as it says.
+
+    A case that is told to stop ends its processes first.
+    """
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def play_until_stopped() -> int:
+        task = asyncio.ensure_future(play(trouble))
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        return await task
+
     try:
-        sys.exit(asyncio.run(play(trouble)))
+        sys.exit(asyncio.run(play_until_stopped()))
+    except asyncio.CancelledError:
+        print("the case was told to stop")
     except CaseFailed as exc:
         print(f"the case could not run: {exc}")
-        sys.exit(NOT_RUN)
     except Exception as exc:  # noqa: BLE001 - a fault of the case is no finding
         print(f"the case could not run: {exc!r}")
-        sys.exit(NOT_RUN)
+    sys.exit(NOT_RUN)
