--- a/review/stage.py
+++ b/review/stage.py
@@ -35,6 +35,8 @@
 PORT_RANGE = (12_000, 31_000)
 HEARTBEAT_S = 1.2
 SETTLE_S = 5.0
+# `drain_ms` is 2,000, and a replica that leaves serves on for a little longer.
+LEAVES_AFTER_S = 2.2
 STORE_ANSWER_S = 0.004
 APP_HOST = "app.example"
 API_KEY = "key-of-the-laundry"
@@ -310,13 +312,19 @@
         self.stage.store.write("servers", self.name, json.dumps(entry).encode())
 
     def leave(self) -> None:
-        """End as planned, once nothing runs here any more; the entry is removed."""
+        """Leave as planned: the entry is removed, and it serves on for a little over `drain_ms`."""
         self.is_up = False
+        self.stage.store.write("servers", self.name, None)
+        self.stage.record.write("replica_leaves", replica=self.name)
+        self.stage.spawn(self._end())
+
+    async def _end(self) -> None:
+        """End some time after the entry was removed."""
+        await asyncio.sleep(LEAVES_AFTER_S)
         self._server.close()
         for writer in list(self._writers):
             writer.transport.abort()
-        self.stage.store.write("servers", self.name, None)
-        self.stage.record.write("replica_left", replica=self.name)
+        self.stage.record.write("replica_ended", replica=self.name)
 
     async def beat(self) -> None:
         """Renew the entry at intervals."""
