--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -84,6 +84,48 @@
       | crashes that lie long apart              | 0:r1:1:bb 31000:r2:2:bb 62000:r3:3:bb                                                          |           |
       | the same report once more                | 0:r1:1:bb 10:r1:1:bb 300:r2:2:bb 310:r2:2:bb                                                   |           |
 
+  # Guards against a sound part that is held back in place of the one before it, which crashes upstreams,
+  # though it was served with other prompts (review/8).
+  Scenario Outline: A part that was served is not convicted in place of the one before it: <case>
+    Given a router that has seen no crash
+    When it hears of "<history>"
+    Then it has convicted "<convicted>"
+
+    Examples:
+      | case                               | history                                                                                                    | convicted |
+      | one that follows in each crash     | 0:served:doc 4500:r1:1:bad+doc 4600:r2:1:bad+doc 9000:r3:2:bad+doc                                         | bad       |
+      | whose last report comes late       | 0:served:doc 2000:r1:1:bad+doc 2300:r2:2:bad+doc 2600:r3:9:bad 3150:r3:3:bad+doc 4000:later                | bad       |
+      | two of them, one behind the other  | 0:served:doc 1:served:sub 2000:r1:1:bad+doc+sub 2300:r2:2:bad+doc+sub 2600:r3:3:bad+doc+sub                | bad       |
+      | another one that was not served    | 0:served:doc 2000:r1:1:aa+doc+bad 2300:r2:2:aa+doc+bad 2600:r3:3:aa+doc+bad                                | bad       |
+      | both were served                   | 0:served:aa 1:served:bad 2000:r1:1:aa+bad 2300:r2:2:aa+bad 2600:r3:3:aa+bad 2900:r4:4:aa+bad 3200:r5:5:aa+bad | bad    |
+
+  # Guards against crashes that go on although they show that another part was convicted than the one at
+  # fault, as those before the conviction no longer count (review/8).
+  Scenario Outline: A crash without the convicted part shows which one is at fault: <case>
+    Given a router that has seen no crash
+    When it hears of "<history>"
+    Then it has convicted "<convicted>"
+
+    Examples:
+      | case                                   | history                                                                                                        | convicted |
+      | the part before it                     | 0:r1:1:bad+doc 300:r2:2:bad+doc 600:r3:3:bad+doc 2000:r4:4:bad+sub                                             | bad       |
+      | the part before it, served long before | 0:served:bad 2000:r1:1:bad+doc 2300:r2:2:bad+doc 2600:r3:3:bad+doc 2900:r4:4:bad+doc 3200:r5:5:bad+doc 5000:r6:6:bad+sub | bad |
+      | a part behind it, served long before   | 0:served:bad 2000:r1:1:aa+bad 2300:r2:2:aa+bad 2600:r3:3:aa+bad 4000:r4:4:bb+bad 6000:r5:5:cc+bad               | bad       |
+      | a part behind it, in too few crashes   | 0:served:bad 2000:r1:1:aa+bad 2300:r2:2:aa+bad 2600:r3:3:aa+bad 4000:r4:4:bb+bad                                | aa        |
+      | a part before it that was served since | 0:r1:1:aa+bad 300:r2:2:aa+bad 600:r3:3:aa+bad 900:served:aa 4000:r4:4:aa+cc                                     | bad       |
+      | a part that was not in all its crashes | 0:r1:1:bad+doc 300:r2:2:aa+bad 600:r3:3:bad+doc 2000:r4:4:aa+sub                                                | bad       |
+      | two of them beside a served part       | 0:r1:1:aa+b1 300:r2:2:aa+b2 310:served:aa 600:r3:3:aa+b1 900:r4:4:aa+b2 910:served:aa 2000:r5:5:aa+b1 2300:r6:6:aa+b2 | b1+b2 |
+      | one held back that is then served      | 0:r1:1:bad+doc 300:r2:2:bad+doc 600:r3:3:bad+doc 2000:served:doc 4000:r4:4:bad+sub                             | bad       |
+
+  # Guards against sound questions about a document that are refused, as a part crashes upstreams before
+  # it in other prompts, and against crashes that go on with each further document (review/8).
+  Scenario: A part that crashes upstreams is held back, and questions about each document are served
+    Given a store, two replicas of each service, and a router
+    And 8 replicas crash before the head of an answer to a prompt with the part "bad"
+    When each of 3 documents is asked about behind "aa", twice behind "bad", and behind "aa" again
+    Then at most 5 replicas crashed
+    And all questions behind "aa" were answered with 200
+
   # Guards against a part that is never judged as nothing more is reported.
   Scenario: A router judges a part that waited for reports, though none comes
     Given a router that hears of "0:r1:1:aa+bb 300:r2:2:aa+bb 600:r3:9:aa" as it runs
--- a/features/steps/entry_quarantine.py
+++ b/features/steps/entry_quarantine.py
@@ -9,11 +9,15 @@
 from behave import given, then, when
 
 from features.world_thread import all_runs
+from skylarklift.clock import MS_PER_SECOND
+from skylarklift.entry.crashes.crash_evidence import RECENTLY_SERVED_MS
 from skylarklift.ui.main import main
 from standins.replica import CrashPoint
 
 PACE_MS = 60
 SETTLE_S = 1.2
+# A part that was served longer ago may have crashed an upstream since.
+SERVED_LONG_AGO_S = RECENTLY_SERVED_MS / MS_PER_SECOND + 0.2
 
 
 @given('{count:d} replicas crash {point} of an answer to a prompt with the part "{part}"')
@@ -82,6 +86,27 @@
         send_with_parts(context, context.router, parts, number)
 
 
+@when(
+    'each of {count:d} documents is asked about behind "{sound}", twice behind "{bad}", and behind '
+    '"{sound_again}" again'
+)
+def documents_asked_about(context, count, sound, bad, sound_again):
+    context.answers = []
+    for number in range(count):
+        for turn, front in enumerate((sound, bad, bad, sound_again)):
+            parts = f"{front},doc{number}"
+            response = send_with_parts(context, context.router, parts, 10 * number + turn)
+            context.answers.append((front, response))
+            if turn == 0:
+                time.sleep(SERVED_LONG_AGO_S)
+
+
+@then('all questions behind "{front}" were answered with {status:d}')
+def questions_answered(context, front, status):
+    found = [response.status for asked, response in context.answers if asked == front]
+    assert found and set(found) == {status}, found
+
+
 @then('the last request with the parts "{parts}" got {status:d} and reached no replica')
 def last_request_got(context, parts, status):
     responses = context.responses[parts]
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -299,13 +299,18 @@
         return False
 
     def _parts_behind(self, part: Suspect) -> list[Suspect]:
-        """Return the parts of several requests that always came behind a part."""
+        """Return the parts of several requests that always came behind a part.
+
+        Behind one that was never served, those that were served with other prompts are left out.
+        """
+        served = self.last_served(part) is not None
         return [
             suspect
             for suspect, record in self._records.items()
             if record.behind is not None
             and part in record.behind
             and record.is_of_several_requests()
+            and (served or self.last_served(suspect) is None)
         ]
 
     def _crashes_of(self, suspect: Suspect) -> set[Crash]:
