--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -109,7 +109,7 @@
     Examples:
       | case                                   | history                                                                                                        | convicted |
       | the part before it                     | 0:r1:1:bad+doc 300:r2:2:bad+doc 600:r3:3:bad+doc 2000:r4:4:bad+sub                                             | bad       |
-      | the part before it, served long before | 0:served:bad 2000:r1:1:bad+doc 2300:r2:2:bad+doc 2600:r3:3:bad+doc 2900:r4:4:bad+doc 3200:r5:5:bad+doc 5000:r6:6:bad+sub | bad |
+      | the part before it, served long before | 0:served:bad 2000:r1:1:bad+doc 2300:r2:2:bad+doc 2600:r3:3:bad+doc 4000:r4:4:bad+sub 6000:r5:5:bad+sub | bad |
       | a part behind it, served long before   | 0:served:bad 2000:r1:1:aa+bad 2300:r2:2:aa+bad 2600:r3:3:aa+bad 4000:r4:4:bb+bad 6000:r5:5:cc+bad               | bad       |
       | a part behind it, in too few crashes   | 0:served:bad 2000:r1:1:aa+bad 2300:r2:2:aa+bad 2600:r3:3:aa+bad 4000:r4:4:bb+bad                                | aa        |
       | a part before it that was served since | 0:r1:1:aa+bad 300:r2:2:aa+bad 600:r3:3:aa+bad 900:served:aa 4000:r4:4:aa+cc                                     | bad       |
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -62,7 +62,8 @@
             judge(context)
             continue
         if what == "served":
-            context.suspects.record_served([Suspect(SuspectKind.PART, rest[0])])
+            served = [Suspect(SuspectKind.PART, rest[0])]
+            apply_changes(context, context.suspects.record_served(served))
             continue
         if what == "held":
             hold_back(context, suspects_of(int(rest[0]), ())[0])
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -75,8 +75,8 @@
 class Crash:
     """One crash of a replica.
 
-    `explained` is set once a part in it has been convicted.  If a request was, `only_parts` are
-    those of its prompt: one of them may be the cause, other parts are not.
+    `explained` is set while a part in it is convicted.  If a request was convicted, `only_parts`
+    are those of its prompt: one of them may be the cause, other parts are not.
     """
 
     replica: ReplicaId
@@ -84,10 +84,8 @@
     explained: bool = False
     only_parts: frozenset[Suspect] | None = None
 
-    def counts_for(self, suspect: Suspect) -> bool:
-        """Return whether the crash is evidence against a suspect."""
-        if self.explained:
-            return False
+    def may_be_caused_by(self, suspect: Suspect) -> bool:
+        """Return whether a suspect that was there may be the cause."""
         if suspect.kind is SuspectKind.REQUEST or self.only_parts is None:
             return True
         return suspect in self.only_parts
@@ -328,10 +326,26 @@
     def _counted_crashes(self, suspect: Suspect, record: SuspectRecord) -> list[Crash]:
         """Return the recent crashes in a suspect's record that are evidence against it."""
         limit = self._clock.now() - CRASH_TTL_MS
-        return [
+        recent = [
             crash
             for crash in record.crashes
-            if crash.crashed_at > limit and crash.counts_for(suspect)
+            if crash.crashed_at > limit and crash.may_be_caused_by(suspect)
+        ]
+        if suspect.kind is SuspectKind.REQUEST or all(crash.explained for crash in recent):
+            return [crash for crash in recent if not crash.explained]
+        disputed = self._disputed_crashes(record)
+        return [crash for crash in recent if not crash.explained or crash in disputed]
+
+    def _disputed_crashes(self, record: SuspectRecord) -> list[Crash]:
+        """Return the crashes of convicted parts that a suspect explains as well.
+
+        A crash without the convicted part then shows that the suspect is the cause of all.
+        """
+        return [
+            crash
+            for crashes in self._convicted.values()
+            if all(crash in record.crashes for crash in crashes)
+            for crash in crashes
         ]
 
     def crash_weight(self, suspect: Suspect) -> float:
@@ -380,9 +394,15 @@
         if record is None or not any(crash.crashed_at <= served_at for crash in record.crashes):
             return False
         del self._records[suspect]
-        self._convicted.pop(suspect, None)
+        self._clear(suspect)
         return True
 
+    def _clear(self, suspect: Suspect) -> None:
+        """Let the crashes of a convicted part that was served count for others again."""
+        crashes = self._convicted.pop(suspect, [])
+        for crash in crashes:
+            crash.explained = any(crash in others for others in self._convicted.values())
+
     def last_served(self, suspect: Suspect) -> Millis | None:
         """Return when a part was last served, `None` if that is too long ago."""
         served_at = self._served.get(suspect)
