--- a/features/build_messages.py
+++ b/features/build_messages.py
@@ -202,7 +202,15 @@
         crashes=3,
         learned_at=NOW,
     )
-    crash = crash_evidence.CrashReport("lm-1", Millis(NOW - 100), 77, ("p1",), True)
+    crash = make(
+        crash_evidence.CrashReport,
+        replica="lm-1",
+        crashed_at=Millis(NOW - 100),
+        fingerprint=77,
+        parts=("p1",),
+        answered=True,
+        started_ms=1_700_000_000_123,
+    )
     served = crash_messages.ServedReport(part, Millis(NOW - 150))
     return crash_messages.CrashMessage("n1", (crash,), (served,), (hold,))
 
--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -126,6 +126,31 @@
     Then at most 5 replicas crashed
     And all questions behind "aa" were answered with 200
 
+  # Guards against a request that is never held back as it crashes one replica, which starts again under
+  # its id, each time (review/9), and against a sound one that is held back as its client repeats it while
+  # a replica crashes by itself.
+  Scenario Outline: Each start of a replica counts for a request that crashes it: <case>
+    Given a router that has seen no crash
+    When it hears of "<history>"
+    Then it has convicted "<convicted>"
+
+    # An item is MS:REPLICA@START:REQUEST:PARTS; without a start none is known.
+    Examples:
+      | case                                          | history                                                                                                     | convicted |
+      | each start of one replica                     | 0:r1@1:1:aa 4000:r1@2:1:aa 8000:r1@3:1:aa                                                                   | request   |
+      | two replicas, one of them twice               | 0:r1@1:1:aa 4000:r2@1:1:aa 8000:r1@2:1:aa                                                                   | request   |
+      | one of them was answered for a while          | 0:r1@1:1:aa 4000:r1@2:1:aa! 8000:r1@3:1:aa                                                                  |           |
+      | starts that follow soon on a crash            | 0:r1@1:1:aa 600:r1@2:1:aa 1200:r1@3:1:aa                                                                    | request   |
+      | reports of one process                        | 0:r1@1:1:aa 4000:r1@1:1:aa 8000:r1@1:1:aa                                                                   |           |
+      | reports that say no start                     | 0:r1:1:aa 4000:r1:1:aa 8000:r1:1:aa                                                                         |           |
+      | a crash that only some reports say a start of | 0:r1@1:1:aa 4000:r1:2:bb 4010:r1@2:1:aa 8000:r1:1:aa 8010:r1@3:2:bb                                         | request   |
+      | a replica that crashes without it as well     | 0:r1@1:1:aa 4000:r1@2:2:bb 8000:r1@3:1:aa 12000:r1@4:1:aa                                                   |           |
+      | such a replica, and two others                | 0:r1@1:1:aa 4000:r1@2:2:bb 8000:r1@3:1:aa 12000:r2@1:1:aa 16000:r3@1:1:aa                                   | request   |
+      | two requests at each start of one replica     | 0:r1@1:1:aa 1:r1@1:2:bb 4000:r1@2:1:aa 4001:r1@2:2:bb 8000:r1@3:1:aa 8001:r1@3:2:bb                         |           |
+      | two requests, of which one crashes others     | 0:r1@1:1:aa 1:r1@1:2:bb 4000:r1@2:1:aa 4001:r1@2:2:bb 8000:r2@1:1:aa                                        |           |
+      | two requests, of which one crashes two others | 0:r1@1:1:aa 1:r1@1:2:bb 4000:r1@2:1:aa 4001:r1@2:2:bb 8000:r2@1:1:aa 9000:r3@1:1:aa                         | request   |
+      | crashes that lie long apart                   | 0:r1@1:1:aa 31000:r1@2:1:aa 62000:r1@3:1:aa                                                                 |           |
+
   # Guards against a part that is never judged as nothing more is reported.
   Scenario: A router judges a part that waited for reports, though none comes
     Given a router that hears of "0:r1:1:aa+bb 300:r2:2:aa+bb 600:r3:9:aa" as it runs
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -70,7 +70,10 @@
             continue
         parts = tuple(rest[1].rstrip("!").split("+"))
         answered = rest[1].endswith("!")
-        report = CrashReport(what, context.clock.now(), int(rest[0]), parts, answered)
+        replica, _, start = what.partition("@")
+        report = CrashReport(
+            replica, context.clock.now(), int(rest[0]), parts, answered, int(start or 0)
+        )
         apply_changes(context, context.suspects.record_own_crash(report))
     judge(context)
 
@@ -105,7 +108,7 @@
 def judge(context):
     """Judge parts, as a router does once all reports of a crash have arrived."""
     context.clock.advance(JUDGEMENT_DELAY_MS)
-    apply_changes(context, context.suspects.judge_parts())
+    apply_changes(context, context.suspects.judge())
 
 
 def apply_changes(context, changes):
@@ -125,7 +128,7 @@
         report = CrashReport(replica, context.clock.now(), int(number), (part,))
         context.suspects.record_own_crash(report)
     hold_back(context, PART)
-    assert context.suspects.judge_parts() == []
+    assert context.suspects.judge() == []
 
 
 @then("there is one hold on the part, of {span:d} ms and in its first term")
@@ -394,7 +397,7 @@
 def receiver_convicts(context, convicts):
     report = CrashReport("r3", context.clock.now(), 3, ("bad",))
     context.receiver.record_own_crash(report)
-    assert bool(context.receiver.judge_parts()) == parse_yes_no(convicts)
+    assert bool(context.receiver.judge()) == parse_yes_no(convicts)
 
 
 @when('another router sends the message "{text}" about crashes')
--- a/features/two_releases.feature
+++ b/features/two_releases.feature
@@ -14,21 +14,21 @@
       | release | message          | fields                                              |
       | 9ef9c67 | gossip           | early_ends from_ms knows_nominal_starts knows_slow_replicas members processes rollouts route_waits settled_ms shorter_deadlines silences slow_replicas spans stored_ms written_in |
       | 9ef9c67 | loads            |                                                     |
-      | 9ef9c67 | crashes          |                                                     |
+      | 9ef9c67 | crashes          | started_ms                                          |
       | 9ef9c67 | origins          |                                                     |
       | 9ef9c67 | page             |                                                     |
       | 9ef9c67 | page with an era |                                                     |
       | 9ef9c67 | row              | from_ms members processes settled_ms shorter_deadlines silences spans stored_ms written_in |
       | 54041a1 | gossip           | backpressure cut_zones early_ends from_ms hold_offs knows_nominal_starts knows_slow_replicas members processes rollouts route_waits settled_ms shorter_deadlines silences slow_replicas spans stored_ms written_in zone |
       | 54041a1 | loads            |                                                     |
-      | 54041a1 | crashes          |                                                     |
+      | 54041a1 | crashes          | started_ms                                          |
       | 54041a1 | origins          | doubted_end                                         |
       | 54041a1 | page             |                                                     |
       | 54041a1 | page with an era |                                                     |
       | 54041a1 | row              | from_ms members processes settled_ms shorter_deadlines silences spans stored_ms written_in |
       | bec77ee | gossip           | backpressure cut_zones early_ends from_ms hold_offs knows_nominal_starts knows_slow_replicas members processes rollouts route_waits settled_ms shorter_deadlines silences slow_replicas spans store_restored stored_ms written_in zone |
       | bec77ee | loads            |                                                     |
-      | bec77ee | crashes          |                                                     |
+      | bec77ee | crashes          | started_ms                                          |
       | bec77ee | origins          | doubted_end                                         |
       | bec77ee | page             |                                                     |
       | bec77ee | page with an era |                                                     |
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -8,23 +8,28 @@
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from enum import Enum
 
 from skylarklift.clock import Clock, Millis
+from skylarklift.entry.crashes.crash_records import (
+    Crash,
+    CrashReport,
+    Suspect,
+    SuspectKind,
+    SuspectRecord,
+    suspects_of,
+)
+from skylarklift.entry.crashes.process_crashes import ANSWERED_WEIGHT, ProcessCrashes
 from skylarklift.ids import Fingerprint, ReplicaId
 
 CRASHES_TO_CONVICT = 3
 # A part that was served within `SERVED_TTL_MS` is convicted only after this many crashes, which
 # also convict a part that one replica alone ran.
 CRASHES_TO_CONVICT_SERVED = 5
-# The weight of a crash at which a suspect was only in requests that had been answered for a while.
-ANSWERED_WEIGHT = 0.5
 CRASH_TTL_MS = 60_000
 SERVED_TTL_MS = 300_000
 # A part that was served within this time did not cause a crash.
 RECENTLY_SERVED_MS = 1500
-# Reports of one replica's crash by several routers differ by less than this.  A replica needs
-# longer to start again.
+# Reports of one replica's crash by several routers differ by less than this.
 SAME_CRASH_MS = 1500
 # Crashes of several replicas within this time count once: they have another cause, such as a
 # loss of power.
@@ -37,90 +42,9 @@
 MAX_CONVICTED = 64
 
 
-class SuspectKind(Enum):
-    """What is suspected: one request, sent repeatedly, or a part that several prompts share."""
-
-    REQUEST = "request"
-    PART = "part"
-
-
-@dataclass(frozen=True, slots=True)
-class Suspect:
-    """A request, named by its fingerprint, or a shared part of prompts, by its name."""
-
-    kind: SuspectKind
-    name: str
-
-
-@dataclass(frozen=True, slots=True)
-class CrashReport:
-    """A request that was about to be answered, or had just begun to be, at a replica's crash.
-
-    `parts` are the names of its prompt's shared parts, in order.  `answered` is true if its first
-    event had come a while before the crash, which makes it less suspect.
-    """
-
-    replica: ReplicaId
-    crashed_at: Millis
-    fingerprint: Fingerprint
-    parts: tuple[str, ...] = ()
-    answered: bool = False
-
-    def suspects(self) -> list[Suspect]:
-        """Return what the report makes suspect: the request and each of the parts."""
-        return suspects_of(self.fingerprint, self.parts)
-
-
-@dataclass(eq=False, slots=True)
-class Crash:
-    """One crash of a replica.
-
-    `explained` is set while a part in it is convicted.  If a request was convicted, `only_parts`
-    are those of its prompt: one of them may be the cause, other parts are not.
-    """
-
-    replica: ReplicaId
-    crashed_at: Millis
-    explained: bool = False
-    only_parts: frozenset[Suspect] | None = None
-
-    def may_be_caused_by(self, suspect: Suspect) -> bool:
-        """Return whether a suspect that was there may be the cause."""
-        if suspect.kind is SuspectKind.REQUEST or self.only_parts is None:
-            return True
-        return suspect in self.only_parts
-
-
-@dataclass(slots=True)
-class SuspectRecord:
-    """The crashes in which a suspect took part.
-
-    `unanswered` are the crashes at which it was in a request without an answer.  `fingerprints`
-    are the requests that had a part, `depth` is its place in their prompts, and `behind` are the
-    parts before it in all of them, `None` without a prompt yet.
-    """
-
-    crashes: list[Crash] = field(default_factory=list)
-    unanswered: set[Crash] = field(default_factory=set)
-    fingerprints: set[Fingerprint] = field(default_factory=set)
-    depth: int = 0
-    behind: frozenset[Suspect] | None = None
-
-    def note_prompt(self, fingerprint: Fingerprint, before: frozenset[Suspect]) -> None:
-        """Record a request that had a part, and the parts before that one in its prompt."""
-        if len(self.fingerprints) < CRASHES_TO_CONVICT:
-            self.fingerprints.add(fingerprint)
-        self.depth = max(self.depth, len(before))
-        self.behind = before if self.behind is None else self.behind & before
-
-    def is_of_several_requests(self) -> bool:
-        """Return whether the evidence is of more than one request that is sent repeatedly."""
-        return len(self.fingerprints) > 1
-
-
 @dataclass(slots=True)
 class Judgement:
-    """Parts that have been convicted, and earlier convicted ones that are cleared by that."""
+    """Suspects that have been convicted, and earlier convicted parts that are cleared by that."""
 
     convicted: list[Suspect] = field(default_factory=list)
     acquitted: list[Suspect] = field(default_factory=list)
@@ -137,11 +61,13 @@
         # The suspects with evidence since parts were judged last.
         self._unjudged: set[Suspect] = set()
         self._convicted: OrderedDict[Suspect, list[Crash]] = OrderedDict()
-        self._recent_reports: OrderedDict[tuple[Fingerprint, ReplicaId], Millis] = OrderedDict()
+        self._recent_reports: OrderedDict[tuple[Fingerprint, ReplicaId, int], Millis] = (
+            OrderedDict()
+        )
 
     def is_known(self, report: CrashReport) -> bool:
         """Return whether this report was recorded before; remember it if not."""
-        key = (report.fingerprint, report.replica)
+        key = (report.fingerprint, report.replica, report.started_ms)
         reported_at = self._recent_reports.get(key)
         if reported_at is not None and abs(report.crashed_at - reported_at) < SAME_CRASH_MS:
             return True
@@ -151,33 +77,47 @@
         return False
 
     def record_crash(self, report: CrashReport, held: Iterable[Suspect] = ()) -> list[Suspect]:
-        """Record a report; return the request if that convicts it.
+        """Record a report; return the request if it has now crashed enough replicas.
 
         `held` are those of the report's parts that were convicted before: they explain the
-        crash.  Parts are judged later, when all reports of the crash may have arrived.
+        crash.  Others are judged later, when all reports of the crash may have arrived.
         """
         crash = self._find_crash(report)
         if list(held):
             crash.explained = True
             return []
-        suspects = report.suspects()
-        requests = [item for item in suspects if item.kind is SuspectKind.REQUEST]
-        parts = [item for item in suspects if item.kind is SuspectKind.PART]
+        parts = suspects_of(Fingerprint(0), report.parts)
+        suspects = [item for item in report.suspects() if not self._recently_served(item)]
         for suspect in suspects:
-            if not self._recently_served(suspect):
-                depth = parts.index(suspect) if suspect in parts else 0
-                self._add(suspect, crash, report, frozenset(parts[:depth]))
-                self._unjudged.add(suspect)
-        convicted = [item for item in requests if self._is_guilty(item)]
-        for suspect in convicted:
-            self._limit_to_parts(suspect, report)
-        return convicted
-
-    def _limit_to_parts(self, request: Suspect, report: CrashReport) -> None:
-        """Let the crashes of a convicted request count only for the parts of its prompt."""
-        parts = frozenset(suspects_of(Fingerprint(0), report.parts))
-        for crash in self._records[request].crashes:
-            crash.only_parts = parts
+            depth = parts.index(suspect) if suspect in parts else len(parts)
+            self._add(suspect, crash, report, frozenset(parts[:depth]))
+        self._unjudged.update(suspects)
+        requests = [item for item in suspects if item.kind is SuspectKind.REQUEST]
+        return [item for item in requests if self._has_crashed_replicas(item)]
+
+    def _has_crashed_replicas(self, request: Suspect) -> bool:
+        """Return whether a request has crashed enough different replicas; convict it then."""
+        return self._convict_request(request, self._process_crashes(request).replica_weight())
+
+    def _has_crashed_processes(self, request: Suspect) -> bool:
+        """Return whether a request alone has crashed enough processes; convict it then."""
+        if request not in self._records:
+            return False
+        return self._convict_request(request, self._process_crashes(request).process_weight())
+
+    def _process_crashes(self, request: Suspect) -> ProcessCrashes:
+        """Return the crashes that are evidence against a request."""
+        counted = self._counted_crashes(request, self._records[request])
+        return ProcessCrashes(request, counted, self._crashes, self._records)
+
+    def _convict_request(self, request: Suspect, weight: float) -> bool:
+        """Let the crashes of a request of enough weight count only for the parts of its prompt."""
+        if weight < CRASHES_TO_CONVICT:
+            return False
+        record = self._records[request]
+        for crash in record.crashes:
+            crash.only_parts = record.parts
+        return True
 
     def _find_crash(self, report: CrashReport) -> Crash:
         """Return the crash that a report is about; add it if it is new."""
@@ -186,39 +126,42 @@
             self._crashes.popleft()
         for crash in reversed(self._crashes):
             apart_ms = abs(crash.crashed_at - report.crashed_at)
-            if crash.replica == report.replica and apart_ms < SAME_CRASH_MS:
+            if apart_ms < SAME_CRASH_MS and crash.may_be_of(report):
+                crash.started_ms = crash.started_ms or report.started_ms
                 return crash
-        crash = Crash(report.replica, report.crashed_at)
+        crash = Crash(report.replica, report.crashed_at, report.started_ms)
         self._crashes.append(crash)
         return crash
 
     def _add(
         self, suspect: Suspect, crash: Crash, report: CrashReport, before: frozenset[Suspect]
     ) -> None:
-        """Add a crash to the record of a suspect; `before` are the parts before it."""
+        """Add a crash to the record of a suspect; `before` are the parts before it.
+
+        Those before a request are all that its prompt shares with others.
+        """
         record = self._records.setdefault(suspect, SuspectRecord())
         self._records.move_to_end(suspect)
         _limit_size(self._records, MAX_SUSPECTS)
-        if crash not in record.crashes:
-            record.crashes.append(crash)
-        if not report.answered:
-            record.unanswered.add(crash)
-        record.note_prompt(report.fingerprint, before)
+        record.note_crash(crash, answered=report.answered)
+        if suspect.kind is SuspectKind.PART:
+            record.note_prompt(report.fingerprint, before)
+        else:
+            record.parts |= before
 
-    def judge_parts(self) -> Judgement:
-        """Convict the parts with enough new evidence, the most suspect one first.
+    def judge(self) -> Judgement:
+        """Convict those with enough new evidence: requests, and then the most suspect parts.
 
         The crashes of a convicted part are explained by it, so they no longer count for others.
         All requests with a part also have those before it.  So these are in all its crashes, and in
         others besides: they are convicted only if it does not explain as much.
         """
-        judgement = Judgement()
         # By name, so that all routers come to the same judgement on parts of the same rank.
-        parts = sorted(
-            (item for item in self._unjudged if item.kind is SuspectKind.PART),
-            key=lambda item: item.name,
-        )
+        suspects = sorted(self._unjudged, key=lambda item: item.name)
         self._unjudged.clear()
+        requests = [item for item in suspects if item.kind is SuspectKind.REQUEST]
+        judgement = Judgement([item for item in requests if self._has_crashed_processes(item)])
+        parts = [item for item in suspects if item.kind is SuspectKind.PART]
         while guilty := [item for item in parts if self._is_guilty(item)]:
             most_suspect = max(guilty, key=self._rank)
             worst = self._narrowest(most_suspect)
@@ -247,16 +190,11 @@
         return acquitted
 
     def _is_guilty(self, suspect: Suspect) -> bool:
-        """Return whether the evidence suffices to convict a suspect."""
+        """Return whether the evidence suffices to convict a part."""
         record = self._records.get(suspect)
         if record is None:
             return False
-        counted = self._counted_crashes(suspect, record)
-        replicas = {crash.replica for crash in counted}
-        if suspect.kind is SuspectKind.REQUEST:
-            unanswered = {crash.replica for crash in counted if crash in record.unanswered}
-            weight = len(unanswered) + ANSWERED_WEIGHT * len(replicas - unanswered)
-            return weight >= CRASHES_TO_CONVICT
+        replicas = {crash.replica for crash in self._counted_crashes(suspect, record)}
         if not record.is_of_several_requests():
             # One request that is sent repeatedly says nothing of the parts of its prompt.
             return False
@@ -266,6 +204,13 @@
         served = self.last_served(suspect) is not None
         return not served and count >= CRASHES_TO_CONVICT and len(replicas) >= 2
 
+    def replicas_crashed(self, suspect: Suspect) -> frozenset[ReplicaId]:
+        """Return the replicas in whose recent crashes a suspect took part."""
+        record = self._records.get(suspect)
+        if record is None:
+            return frozenset()
+        return frozenset(crash.replica for crash in self._counted_crashes(suspect, record))
+
     def has_unjudged(self) -> bool:
         """Return whether there are suspects that have yet to be judged."""
         return bool(self._unjudged)
@@ -365,9 +310,14 @@
         return weight
 
     def may_be_convicted(self, suspect: Suspect) -> bool:
-        """Return whether one more crash may convict a part, if it is not served meanwhile."""
-        if suspect.kind is not SuspectKind.PART or suspect not in self._records:
+        """Return whether a suspect may be convicted by the crash reported last, or the next one.
+
+        A part may be if it is not served meanwhile, a request if it awaits the judgement.
+        """
+        if suspect not in self._records:
             return False
+        if suspect.kind is SuspectKind.REQUEST:
+            return self._process_crashes(suspect).process_weight() >= CRASHES_TO_CONVICT
         return self.crash_weight(suspect) >= CRASHES_TO_CONVICT - 1
 
     def crash_total(self, suspect: Suspect) -> int:
@@ -416,14 +366,6 @@
         return served_at is not None and self._clock.now() - served_at < RECENTLY_SERVED_MS
 
 
-def suspects_of(fingerprint: Fingerprint, parts: Iterable[str]) -> list[Suspect]:
-    """Return a request and the shared parts of its prompt as suspects."""
-    found = [Suspect(SuspectKind.PART, part) for part in parts]
-    if fingerprint:
-        found.insert(0, Suspect(SuspectKind.REQUEST, f"{fingerprint:08x}"))
-    return found
-
-
 def _limit_size(items: OrderedDict, limit: int) -> None:
     """Drop the oldest items above a limit."""
     while len(items) > limit:
--- a/skylarklift/entry/crashes/crash_guard.py
+++ b/skylarklift/entry/crashes/crash_guard.py
@@ -80,9 +80,19 @@
         # An upstream that fell silent may have lost power: that says nothing of prompts.
         parts = () if attempt.aborted else suspect_parts(self._call)
         replica = attempt.record.replica
-        core.event_log.write("crash_suspected", id=self._call.request, upstream=replica)
+        started_ms = attempt.process_started_ms()
+        core.event_log.write(
+            "crash_suspected",
+            id=self._call.request,
+            upstream=replica,
+            started_ms=started_ms,
+            parts=list(parts),
+            answer_age_ms=attempt.answer_age_ms(),
+        )
         attempt.crash_reported = True
-        core.report_crash(CrashReport(replica, broken_at, self._fingerprint, parts, answered))
+        core.report_crash(
+            CrashReport(replica, broken_at, self._fingerprint, parts, answered, started_ms)
+        )
 
     async def wait_for_judgement(self, attempt: Attempt) -> None:
         """Wait until parts have been judged, if one may be convicted by this attempt's crash."""
--- a/skylarklift/entry/crashes/crash_messages.py
+++ b/skylarklift/entry/crashes/crash_messages.py
@@ -58,14 +58,18 @@
 
 
 def encode_crash_message(message: CrashMessage, now: Millis) -> bytes:
-    """Return a message as a datagram; above the limits, the newest reports are kept."""
+    """Return a message as a datagram; above the limits, the newest reports are kept.
+
+    The starts of the processes that crashed follow all else, where earlier releases skip them.
+    """
+    crashes = _newest_crashes(message.crashes)
     return msgpack.packb(
         (
             CRASH_FORMAT,
             message.node,
             [
                 (item.fingerprint, item.replica, now - item.crashed_at, item.parts, item.answered)
-                for item in _newest_crashes(message.crashes)
+                for item in crashes
             ],
             [
                 (item.suspect.kind.value, item.suspect.name, now - item.served_at)
@@ -83,6 +87,7 @@
                 )
                 for hold in message.decisions[-MAX_HOLDS:]
             ],
+            [item.started_ms for item in crashes],
         )
     )
 
@@ -113,7 +118,8 @@
 def decode_crash_message(data: bytes, now: Millis) -> CrashMessage:
     """Return the message in a datagram; raise `PeerError` if it is invalid."""
     try:
-        _, node, crashes, served, decisions, *_ = msgpack.unpackb(data, use_list=False)
+        _, node, crashes, served, decisions, *rest = msgpack.unpackb(data, use_list=False)
+        starts = _decode_starts(rest, len(crashes))
         return CrashMessage(
             node=checked_text(node),
             crashes=tuple(
@@ -123,8 +129,11 @@
                     Fingerprint(checked_integer(fingerprint, most=MAX_HASH)),
                     tuple(checked_text(part) for part in checked_list(parts)),
                     bool(answered),
+                    started_ms,
+                )
+                for (fingerprint, replica, age_ms, parts, answered), started_ms in zip(
+                    crashes, starts, strict=True
                 )
-                for fingerprint, replica, age_ms, parts, answered in crashes
             ),
             served=tuple(
                 ServedReport(
@@ -139,6 +148,16 @@
         raise PeerError(f"invalid crash message: {exc}") from exc
 
 
+def _decode_starts(rest: list, count: int) -> list[int]:
+    """Return when the processes of `count` crashes started, 0 where an earlier release names none.
+
+    Raise `ValueError` if one is invalid.
+    """
+    starts = rest[0] if rest and isinstance(rest[0], tuple) else ()
+    known = [checked_integer(started_ms) for started_ms in starts[:count]]
+    return known + [0] * (count - len(known))
+
+
 def _decode_hold(item: tuple, now: Millis) -> Hold:
     """Return a hold or a release; raise `ValueError` or `TypeError` if it is invalid."""
     kind, name, state, term, age_ms, left_ms, crashes = item
--- a/skylarklift/entry/crashes/suspects.py
+++ b/skylarklift/entry/crashes/suspects.py
@@ -21,7 +21,7 @@
 from skylarklift.entry.model import Call
 from skylarklift.entry.placement.prefixes import shared_parts
 from skylarklift.hashing import body_fingerprint
-from skylarklift.ids import Fingerprint
+from skylarklift.ids import Fingerprint, ReplicaId
 
 # The requests that a crash breaks off end one by one, at several routers, so parts are judged this
 # long after a report.
@@ -92,9 +92,9 @@
                 changes.append(HoldChange(QUARANTINE_EXTENDED, longer))
         return changes
 
-    def judge_parts(self) -> list[HoldChange]:
+    def judge(self) -> list[HoldChange]:
         """Hold back the parts with enough evidence; release those that are cleared by that."""
-        judgement = self._evidence.judge_parts()
+        judgement = self._evidence.judge()
         # Another router may have come to the same judgement, and its decision arrived first.
         new = [item for item in judgement.convicted if self._quarantine.find([item]) is None]
         changes = [self._hold(suspect) for suspect in new]
@@ -147,6 +147,11 @@
         """Return whether one of the suspects may be convicted by the crash reported last."""
         return any(self._evidence.may_be_convicted(suspect) for suspect in suspects)
 
+    def replicas_crashed(self, fingerprint: Fingerprint) -> frozenset[ReplicaId]:
+        """Return the replicas that crashed while a request ran, which was not served since."""
+        requests = suspects_of(fingerprint, ())
+        return frozenset().union(*map(self._evidence.replicas_crashed, requests))
+
     def find_hold(self, suspects: Iterable[Suspect]) -> Hold | None:
         """Return a hold on one of the suspects, `None` if none is held back."""
         return self._quarantine.find(suspects)
--- a/skylarklift/entry/process.py
+++ b/skylarklift/entry/process.py
@@ -237,7 +237,7 @@
                 await core.crash_reported.wait()
             core.crash_reported = trio.Event()
             await trio.sleep(JUDGEMENT_DELAY_MS / MS_PER_SECOND)
-            core.apply_hold_changes(core.suspects.judge_parts(), core.settings.node)
+            core.apply_hold_changes(core.suspects.judge(), core.settings.node)
 
     # Settings.
 
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -195,6 +195,11 @@
         process = self.conn.process
         return process is not None and process.started_ms is not None
 
+    def process_started_ms(self) -> int:
+        """Return when the process of the answer started, by its own clock, 0 if not known."""
+        process = self.conn.process if self.conn is not None else None
+        return (process and process.started_ms) or self.record.started_ms
+
     def _current_options(self) -> SendOptions:
         """Return the options, with what is left of the time now that the connection is open."""
         left_ms = self.options.left_ms - (self.core.clock.now() - self._started_at)
--- a/skylarklift/entry/requests/upstream_search.py
+++ b/skylarklift/entry/requests/upstream_search.py
@@ -157,7 +157,21 @@
     def _choose(
         self, version: WantedVersion | None, excluded: Set[ReplicaId] = frozenset()
     ) -> Choice | NoUpstream:
-        """Return an upstream of a version, of any one if `None`, or why there is none."""
+        """Return an upstream of a version, of any one if `None`, or why there is none.
+
+        One that crashed as it ran the same request comes last: another one shows which is at fault.
+        """
+        crashed = self._core.suspects.replicas_crashed(self._request.fingerprint)
+        if crashed:
+            found = self._choose_among(version, excluded | crashed)
+            if isinstance(found, Choice):
+                return found
+        return self._choose_among(version, excluded)
+
+    def _choose_among(
+        self, version: WantedVersion | None, excluded: Set[ReplicaId]
+    ) -> Choice | NoUpstream:
+        """Return an upstream that is not excluded and was not tried, or why there is none."""
         request = self._request
         tried = excluded.union(self.tried_replicas) if excluded else self.tried_replicas
         return self._core.chooser.choose(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -81,7 +81,7 @@
     """One replica, its faults and the requests that it ran.
 
     It crashes at `crash_point` of the answer to a request to the path `crash_on` or to a prompt
-    with the shared part `crash_on_part`.
+    with the shared part `crash_on_part`, and to any request if it `crashes_always`.
     """
 
     name: str
@@ -92,6 +92,7 @@
     rejected: int = 0
     crash_on: str = ""
     crash_on_part: str = ""
+    crashes_always: bool = False
     crash_point: CrashPoint = CrashPoint.BEFORE_HEAD
     crashed: int = 0
     on_crash: Callable[[], None] | None = None
@@ -170,8 +171,8 @@
         return False
 
     def _crashes_on(self, run) -> bool:
-        """Return whether a run has the path or the shared part that crashes this replica."""
-        if self.crash_on and run.target == self.crash_on:
+        """Return whether a run crashes this replica."""
+        if self.crashes_always or (self.crash_on and run.target == self.crash_on):
             return True
         parts = run.headers.get("x-prefix-hash", "").split(",")[:-1]
         return bool(self.crash_on_part) and self.crash_on_part in (
