--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -151,6 +151,24 @@
       | two requests, of which one crashes two others | 0:r1@1:1:aa 1:r1@1:2:bb 4000:r1@2:1:aa 4001:r1@2:2:bb 8000:r2@1:1:aa 9000:r3@1:1:aa                         | request   |
       | crashes that lie long apart                   | 0:r1@1:1:aa 31000:r1@2:1:aa 62000:r1@3:1:aa                                                                 |           |
 
+  # Guards against groups of requests that crash several replicas within milliseconds, time and again, as
+  # these crashes count as one (the second review's report).
+  Scenario Outline: A part at replicas that crash together is tried by one request at a time: <case>
+    Given a router that has seen no crash
+    When it hears of "<history>"
+    Then it lets single requests through with "<tried>", and has convicted "<convicted>"
+
+    Examples:
+      | case                                 | history                                                                          | tried | convicted |
+      | three replicas                       | 0:r1:1:bad 5:r2:2:bad 10:r3:3:bad                                                | bad   |           |
+      | two replicas                         | 0:r1:1:bad 5:r2:2:bad                                                            |       |           |
+      | behind others that were served       | 0:served:aa 2000:r1:1:aa+bad 2005:r2:2:aa+bad 2010:r3:3:aa+bad                   | bad   |           |
+      | a part that was served               | 0:served:bb 2000:r1:1:bb 2005:r2:2:bb 2010:r3:3:bb                               |       |           |
+      | a replica that did not run it        | 0:r1:1:bb 5:r2:2:bb 10:r3:3:bb 15:r4:4:cc                                        |       |           |
+      | a part that is served afterwards     | 0:r1:1:bb 5:r2:2:bb 10:r3:3:bb 500:served:bb                                     |       |           |
+      | the single request crashes a replica | 0:r1:1:bad 5:r2:2:bad 10:r3:3:bad 4000:r4:4:bad                                  |       | bad       |
+      | replicas that crash one by one       | 0:r1:1:bad 300:r2:2:bad 600:r3:3:bad                                             |       | bad       |
+
   # Guards against a part that is never judged as nothing more is reported.
   Scenario: A router judges a part that waited for reports, though none comes
     Given a router that hears of "0:r1:1:aa+bb 300:r2:2:aa+bb 600:r3:9:aa" as it runs
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -52,7 +52,7 @@
 
 @when('it hears of "{history}"')
 def hears_of(context, history):
-    context.convicted = []
+    context.convicted, context.tried = [], []
     for item in history.split():
         at, what, *rest = item.split(":")
         if START_MS + int(at) - context.clock.now() >= JUDGEMENT_DELAY_MS:
@@ -112,12 +112,16 @@
 
 
 def apply_changes(context, changes):
-    """Keep the list of those convicted and not released."""
+    """Keep the lists of those convicted, or tried by single requests, and not released."""
     for change in changes:
-        if change.event == "quarantine_released":
-            context.convicted.remove(change.hold.suspect)
-        else:
-            context.convicted.append(change.hold.suspect)
+        suspect = change.hold.suspect
+        for names in (context.convicted, context.tried):
+            if suspect in names:
+                names.remove(suspect)
+        if change.event == "quarantine_on_trial":
+            context.tried.append(suspect)
+        elif change.event != "quarantine_released":
+            context.convicted.append(suspect)
 
 
 @when('the crashes "{history}" are known, and another router holds "bad" first')
@@ -137,6 +141,17 @@
     assert (hold.term, hold.until - hold.held_at) == (1, span), hold
 
 
+@then('it lets single requests through with "{tried}", and has convicted "{convicted}"')
+@then('it lets single requests through with "{tried}", and has convicted ""')
+@then('it lets single requests through with "", and has convicted "{convicted}"')
+@then('it lets single requests through with "", and has convicted ""')
+def lets_single_requests_through(context, tried="", convicted=""):
+    found = [suspect.name for suspect in context.tried]
+    assert "+".join(found) == tried, found
+    found = [suspect.name for suspect in context.convicted]
+    assert "+".join(found) == convicted, found
+
+
 @then('it has convicted "{names}"')
 def has_convicted(context, names):
     found = [
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -12,7 +12,12 @@
 from skylarklift.entry.answered_loads import record_answered_load
 from skylarklift.entry.backpressure import record_backpressure
 from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
-from skylarklift.entry.crashes.suspects import QUARANTINED, CrashSuspects, HoldChange
+from skylarklift.entry.crashes.suspects import (
+    QUARANTINE_EXTENDED,
+    QUARANTINED,
+    CrashSuspects,
+    HoldChange,
+)
 from skylarklift.entry.event_log import EventLog
 from skylarklift.entry.gossip.fleet import Fleet, GossipMessage
 from skylarklift.entry.gossip.row_fetches import RowFetches
@@ -363,7 +368,7 @@
                 term=hold.term,
                 source=source,
             )
-            if change.event == QUARANTINED:
+            if change.event in (QUARANTINED, QUARANTINE_EXTENDED):
                 self._withdraw(hold.suspect)
         if changes:
             self.state_changed.set()
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -44,10 +44,15 @@
 
 @dataclass(slots=True)
 class Judgement:
-    """Suspects that have been convicted, and earlier convicted parts that are cleared by that."""
+    """Suspects that have been convicted, and earlier convicted parts that are cleared by that.
+
+    `doubted` are parts at several replicas that crashed together: they are the cause, or another
+    one is, such as a loss of power.
+    """
 
     convicted: list[Suspect] = field(default_factory=list)
     acquitted: list[Suspect] = field(default_factory=list)
+    doubted: list[Suspect] = field(default_factory=list)
 
 
 class CrashEvidence:
@@ -176,8 +181,23 @@
             _limit_size(self._convicted, MAX_CONVICTED)
             for crash in crashes:
                 crash.explained = True
+        doubted = [self._narrowest(part) for part in parts if self._was_at_group(part)]
+        judgement.doubted += dict.fromkeys(doubted)
         return judgement
 
+    def _was_at_group(self, part: Suspect) -> bool:
+        """Return whether a part was at all of several replicas that crashed together."""
+        record = self._records.get(part)
+        if record is None or not record.is_of_several_requests():
+            return False
+        crashes = self._crashes_of(part)
+        if len({crash.replica for crash in crashes}) < CRASHES_TO_CONVICT:
+            return False
+        since = min(crash.crashed_at for crash in crashes) - SIMULTANEOUS_MS
+        until = max(crash.crashed_at for crash in crashes) + SIMULTANEOUS_MS
+        beside = (crash for crash in self._crashes if since < crash.crashed_at < until)
+        return self.last_served(part) is None and all(crash in record.crashes for crash in beside)
+
     def _acquit(self, crashes: list[Crash]) -> list[Suspect]:
         """Return the convicted parts whose crashes a newly convicted part took part in as well."""
         acquitted = [
@@ -318,6 +338,8 @@
             return False
         if suspect.kind is SuspectKind.REQUEST:
             return self._process_crashes(suspect).process_weight() >= CRASHES_TO_CONVICT
+        if self.last_served(suspect) is None:
+            return len(self.replicas_crashed(suspect)) >= CRASHES_TO_CONVICT - 1
         return self.crash_weight(suspect) >= CRASHES_TO_CONVICT - 1
 
     def crash_total(self, suspect: Suspect) -> int:
--- a/skylarklift/entry/crashes/crash_guard.py
+++ b/skylarklift/entry/crashes/crash_guard.py
@@ -42,6 +42,13 @@
             self.held_by = hold
         return hold
 
+    def is_held_back(self) -> bool:
+        """Return whether the request may not be sent again, not even as a trial."""
+        hold = self.find_hold()
+        if hold is None:
+            return False
+        return self._on_trial or not self._core.suspects.is_on_trial(hold)
+
     def check_before_send(self, retry_state: RetryState) -> None:
         """Let a request that is held back pass only as a trial.
 
--- a/skylarklift/entry/crashes/quarantine.py
+++ b/skylarklift/entry/crashes/quarantine.py
@@ -68,10 +68,18 @@
 
     def hold(self, suspect: Suspect, crashes: int) -> Hold:
         """Hold a suspect back, for longer if that was done before."""
-        now = self._clock.now()
         before = self._holds.get(suspect)
         term = before.term + 1 if before else 1
-        span_ms = min(FIRST_HOLD_MS << min(term - 1, 8), MAX_HOLD_MS)
+        return self._hold(suspect, crashes, min(FIRST_HOLD_MS << min(term - 1, 8), MAX_HOLD_MS))
+
+    def put_on_trial(self, suspect: Suspect, crashes: int) -> Hold:
+        """Hold a suspect back for no time, so that a single request decides at once."""
+        return self._hold(suspect, crashes, 0)
+
+    def _hold(self, suspect: Suspect, crashes: int, span_ms: int) -> Hold:
+        """Hold a suspect back for a time."""
+        now, before = self._clock.now(), self._holds.get(suspect)
+        term = before.term + 1 if before else 1
         held_at = before.held_at if before and before.state is HoldState.HELD else now
         until = Millis(now + span_ms)
         return self._store(Hold(suspect, HoldState.HELD, term, held_at, until, crashes, now))
--- a/skylarklift/entry/crashes/suspects.py
+++ b/skylarklift/entry/crashes/suspects.py
@@ -33,6 +33,7 @@
 SERVED_REPORT_INTERVAL_MS = 500
 MAX_SHARED_REPORTS = 1000
 QUARANTINED = "quarantined"
+QUARANTINE_ON_TRIAL = "quarantine_on_trial"
 QUARANTINE_EXTENDED = "quarantine_extended"
 QUARANTINE_RELEASED = "quarantine_released"
 QUARANTINE_EXPIRED = "quarantine_expired"
@@ -102,6 +103,10 @@
             released = self._quarantine.release(suspect)
             if released is not None:
                 changes.append(HoldChange(QUARANTINE_RELEASED, released))
+        for suspect in judgement.doubted:
+            if self._quarantine.find([suspect]) is None:
+                hold = self._quarantine.put_on_trial(suspect, self._evidence.crash_total(suspect))
+                changes.append(HoldChange(QUARANTINE_ON_TRIAL, hold))
         return changes
 
     def has_unjudged(self) -> bool:
@@ -152,6 +157,10 @@
         requests = suspects_of(fingerprint, ())
         return frozenset().union(*map(self._evidence.replicas_crashed, requests))
 
+    def is_on_trial(self, hold: Hold) -> bool:
+        """Return whether a single request decides whether a hold goes on."""
+        return self._quarantine.is_on_trial(hold)
+
     def find_hold(self, suspects: Iterable[Suspect]) -> Hold | None:
         """Return a hold on one of the suspects, `None` if none is held back."""
         return self._quarantine.find(suspects)
@@ -215,9 +224,7 @@
             changes += self._apply_served(report)
         for hold in message.decisions:
             if self._quarantine.apply_reported(hold):
-                released = hold.state is HoldState.RELEASED
-                event = QUARANTINE_RELEASED if released else QUARANTINED
-                changes.append(HoldChange(event, hold))
+                changes.append(HoldChange(self._event_of(hold), hold))
         for report in message.crashes:
             if not self._evidence.is_known(report):
                 self._shared.append(SharedItem(self._clock.now(), report, own=False))
@@ -225,6 +232,12 @@
                 self._share_parts_served(report)
         return changes
 
+    def _event_of(self, hold: Hold) -> str:
+        """Return the event by which another router's decision is written to the log."""
+        if hold.state is HoldState.RELEASED:
+            return QUARANTINE_RELEASED
+        return QUARANTINE_ON_TRIAL if self._quarantine.is_on_trial(hold) else QUARANTINED
+
     def _apply_served(self, report: ServedReport) -> list[HoldChange]:
         """Apply another router's report that a suspect was served."""
         self._evidence.record_served(report.suspect, report.served_at)
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -248,7 +248,7 @@
             return denial
         if core.clock.now() >= self.deadline:
             return RetryDenial.DEADLINE
-        if self.crash_guard.find_hold() is not None:
+        if self.crash_guard.is_held_back():
             return RetryDenial.HOLD
         if not uses_retry_budget(outcome):
             return None
--- a/skylarklift/ui/logs.py
+++ b/skylarklift/ui/logs.py
@@ -17,6 +17,7 @@
 REQUEST_EVENTS = ("request", "request_failed")
 QUARANTINE_EVENTS = (
     "quarantined",
+    "quarantine_on_trial",
     "quarantine_extended",
     "quarantine_released",
     "quarantine_expired",
