--- a/features/requests.feature
+++ b/features/requests.feature
@@ -38,6 +38,12 @@
       | 95       | 9       |
       | 1000     | 10      |
 
+  # Guards against a chat that is let through for ever, as the replica that it crashes starts again under
+  # its id each time (issue 65).
+  Scenario: A chat that crashes one replica at each start is refused
+    When a request crashed the same replica 3 times, one each 4000 ms
+    Then its retry is refused
+
   Scenario Outline: A retry of a request that crashed <crashes> replicas <ms> ms ago is <decision>
     When a request crashed <crashes> replicas <ms> ms ago
     Then its retry is <decision>
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -143,6 +143,16 @@
     clock.advance(age)
 
 
+@when("a request crashed the same replica {crashes:d} times, one each {gap:d} ms")
+def step_crashes_again(context, crashes, gap):
+    clock = ManualClock(1_000_000)
+    cfg = RetrySettings()
+    context.poison = CrashTracker(clock, cfg.poison_crashes, cfg.poison_keep_ms)
+    for _ in range(crashes):
+        clock.advance(gap)
+        context.poison.record_crash(Fingerprint(7), ReplicaId("r1"))
+
+
 @then("its retry is {decision}")
 def step_retry_decision(context, decision):
     assert context.poison.is_poisoned(Fingerprint(7)) == (decision == "refused")
