--- a/features/odd_copies.py
+++ b/features/odd_copies.py
@@ -15,11 +15,11 @@
     encode_headers,
 )
 from skylarklift.clock import Millis
-from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect, SuspectKind
 from skylarklift.entry.crashes.crash_messages import (
     CrashMessage,
     ServedReport,
 )
+from skylarklift.entry.crashes.crash_records import CrashReport, Suspect, SuspectKind
 from skylarklift.entry.crashes.quarantine import Hold, HoldState
 from skylarklift.entry.gossip.fleet import GossipMessage
 from skylarklift.entry.placement.concurrency_limits import (
--- a/features/steps/entry_cluster_state.py
+++ b/features/steps/entry_cluster_state.py
@@ -13,8 +13,8 @@
     plan_data,
     upstream_data,
 )
-from skylarklift.entry.crashes.crash_evidence import CrashReport, suspects_of
 from skylarklift.entry.crashes.crash_messages import CrashMessage
+from skylarklift.entry.crashes.crash_records import CrashReport, suspects_of
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.health import HealthSignal
 from skylarklift.entry.requests.attempt import Attempt
--- a/skylarklift/entry/core.py
+++ b/skylarklift/entry/core.py
@@ -11,7 +11,7 @@
 from skylarklift.entry.admission.gate import Gate
 from skylarklift.entry.answered_loads import record_answered_load
 from skylarklift.entry.backpressure import record_backpressure
-from skylarklift.entry.crashes.crash_evidence import CrashReport, Suspect
+from skylarklift.entry.crashes.crash_records import CrashReport, Suspect
 from skylarklift.entry.crashes.suspects import (
     QUARANTINE_EXTENDED,
     QUARANTINED,
--- a/skylarklift/entry/crashes/crash_guard.py
+++ b/skylarklift/entry/crashes/crash_guard.py
@@ -4,7 +4,7 @@
 
 from skylarklift.clock import MS_PER_SECOND
 from skylarklift.entry.core import Core
-from skylarklift.entry.crashes.crash_evidence import CrashReport
+from skylarklift.entry.crashes.crash_records import CrashReport
 from skylarklift.entry.crashes.quarantine import Hold
 from skylarklift.entry.crashes.suspects import JUDGEMENT_DELAY_MS, suspect_parts, suspects_of_call
 from skylarklift.entry.model import Call
--- a/skylarklift/entry/crashes/crash_messages.py
+++ b/skylarklift/entry/crashes/crash_messages.py
@@ -10,13 +10,8 @@
 import msgpack
 
 from skylarklift.clock import Millis
-from skylarklift.entry.crashes.crash_evidence import (
-    CRASH_TTL_MS,
-    SERVED_TTL_MS,
-    CrashReport,
-    Suspect,
-    SuspectKind,
-)
+from skylarklift.entry.crashes.crash_evidence import CRASH_TTL_MS, SERVED_TTL_MS
+from skylarklift.entry.crashes.crash_records import CrashReport, Suspect, SuspectKind
 from skylarklift.entry.crashes.quarantine import MAX_HOLD_MS, MAX_HOLDS, Hold, HoldState
 from skylarklift.errors import PeerError
 from skylarklift.ids import Fingerprint, ReplicaId
--- a/skylarklift/entry/crashes/quarantine.py
+++ b/skylarklift/entry/crashes/quarantine.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.crashes.crash_evidence import Suspect
+from skylarklift.entry.crashes.crash_records import Suspect
 
 FIRST_HOLD_MS = 30000
 MAX_HOLD_MS = 600_000
--- a/skylarklift/entry/crashes/suspects.py
+++ b/skylarklift/entry/crashes/suspects.py
@@ -8,15 +8,9 @@
 from dataclasses import dataclass
 
 from skylarklift.clock import Clock, Millis
-from skylarklift.entry.crashes.crash_evidence import (
-    CRASH_TTL_MS,
-    CrashEvidence,
-    CrashReport,
-    Suspect,
-    SuspectKind,
-    suspects_of,
-)
+from skylarklift.entry.crashes.crash_evidence import CRASH_TTL_MS, CrashEvidence
 from skylarklift.entry.crashes.crash_messages import CrashMessage, ServedReport
+from skylarklift.entry.crashes.crash_records import CrashReport, Suspect, SuspectKind, suspects_of
 from skylarklift.entry.crashes.quarantine import Hold, HoldState, Quarantine
 from skylarklift.entry.model import Call
 from skylarklift.entry.placement.prefixes import shared_parts
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -9,7 +9,7 @@
 
 from skylarklift.clock import MS_PER_SECOND, Millis
 from skylarklift.entry.core import Core
-from skylarklift.entry.crashes.crash_evidence import Suspect
+from skylarklift.entry.crashes.crash_records import Suspect
 from skylarklift.entry.model import Call, ResponseHead, SendOptions
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.health import HealthSignal
