Name requests by numbers in the queue's tests, as their fingerprints are

Change: the world gives numbers, and a request without a fingerprint yet has 0 in place of an empty text. A search asks for replicas that crashed only while something is suspected.

--- a/features/admission_world.py
+++ b/features/admission_world.py
@@ -16,6 +16,7 @@
 from skylarklift.entry.requests.upstream_search import SearchedRequest
 from skylarklift.entry.state.rows import RowTable, TableSummary
 from skylarklift.errors import Refusal
+from skylarklift.ids import Fingerprint
 
 SLOTS = 4
 DEADLINE_MS = 2000
@@ -136,7 +137,8 @@
         route = replace(core.cluster_state.plan.route(call.host, call.path), kind=kind)
         deadline = Millis(call.received_at + DEADLINE_MS)
         workspace = Workspace(result.workspace)
-        searched = SearchedRequest(call, route, "lm", workspace, priority, deadline, body)
+        fingerprint = Fingerprint(int(body))
+        searched = SearchedRequest(call, route, "lm", workspace, priority, deadline, fingerprint)
         call.resume_after = 1 if resumes else None
         search = AdmittedSearch(core, searched, RetryState(route, *past), AnyVersion())
         choice = await search.choose()
--- a/skylarklift/entry/crashes/suspects.py
+++ b/skylarklift/entry/crashes/suspects.py
@@ -148,6 +148,8 @@
 
     def replicas_crashed(self, fingerprint: Fingerprint) -> frozenset[ReplicaId]:
         """Return the replicas that crashed while a request ran, which was not served since."""
+        if not self._evidence.suspect_count():
+            return frozenset()
         requests = suspects_of(fingerprint, ())
         return frozenset().union(*map(self._evidence.replicas_crashed, requests))
 
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -96,7 +96,7 @@
         self.forwarder: Forwarder | None = None
         self.deadline: Millis = call.received_at
         self.crash_guard: CrashGuard | None = None
-        self.fingerprint = Fingerprint("")
+        self.fingerprint = Fingerprint(0)
         self.plan_version = 0
         self.attempt: Attempt | None = None
         # Why no attempt followed the last one, `None` if that succeeded or another error ended it.
