--- a/skylarklift/entry/crashes/quarantine.py
+++ b/skylarklift/entry/crashes/quarantine.py
@@ -13,6 +13,7 @@
 from skylarklift.entry.crashes.crash_records import Suspect
 
 FIRST_HOLD_MS = 30000
+MAX_DOUBLINGS = 8
 MAX_HOLD_MS = 600_000
 # After a hold, the router of rank 0 may let a trial through at once.  Others follow, twice as many
 # after each of these intervals: the first ones may get no such request.
@@ -68,9 +69,8 @@
 
     def hold(self, suspect: Suspect, crashes: int) -> Hold:
         """Hold a suspect back, for longer if that was done before."""
-        before = self._holds.get(suspect)
-        term = before.term + 1 if before else 1
-        return self._hold(suspect, crashes, min(FIRST_HOLD_MS << min(term - 1, 8), MAX_HOLD_MS))
+        doublings = min(self._next_term(suspect) - 1, MAX_DOUBLINGS)
+        return self._hold(suspect, crashes, min(FIRST_HOLD_MS << doublings, MAX_HOLD_MS))
 
     def put_on_trial(self, suspect: Suspect, crashes: int) -> Hold:
         """Hold a suspect back for no time, so that a single request decides at once."""
@@ -79,11 +79,16 @@
     def _hold(self, suspect: Suspect, crashes: int, span_ms: int) -> Hold:
         """Hold a suspect back for a time."""
         now, before = self._clock.now(), self._holds.get(suspect)
-        term = before.term + 1 if before else 1
+        term = self._next_term(suspect)
         held_at = before.held_at if before and before.state is HoldState.HELD else now
         until = Millis(now + span_ms)
         return self._store(Hold(suspect, HoldState.HELD, term, held_at, until, crashes, now))
 
+    def _next_term(self, suspect: Suspect) -> int:
+        """Return the term of a suspect's next hold."""
+        before = self._holds.get(suspect)
+        return before.term + 1 if before else 1
+
     def release(self, suspect: Suspect) -> Hold | None:
         """Release a suspect since it was served; return `None` if it is not held."""
         before = self._holds.get(suspect)
