--- a/features/entry_quarantine.feature
+++ b/features/entry_quarantine.feature
@@ -51,7 +51,7 @@
     Then it has convicted "<convicted>"
 
     # An item is MS:REPLICA:REQUEST:PARTS for a request at a crash, with `!` at the end if it had been
-    # answered for a while, MS:served:PART, MS:later, or MS:held:REQUEST for another router's
+    # answered for a while, MS:served:PART or REQUEST, MS:later, or MS:held:REQUEST for another router's
     # message that a request is held back.
     Examples:
       | case                                     | history                                                                                        | convicted |
@@ -115,6 +115,8 @@
       | a part before it that was served since | 0:r1:1:aa+bad 300:r2:2:aa+bad 600:r3:3:aa+bad 900:served:aa 4000:r4:4:aa+cc                                     | bad       |
       | a part that was not in all its crashes | 0:r1:1:bad+doc 300:r2:2:aa+bad 600:r3:3:bad+doc 2000:r4:4:aa+sub                                                | bad       |
       | two of them beside a served part       | 0:r1:1:aa+b1 300:r2:2:aa+b2 310:served:aa 600:r3:3:aa+b1 900:r4:4:aa+b2 910:served:aa 2000:r5:5:aa+b1 2300:r6:6:aa+b2 | b1+b2 |
+      | a part beside a sound repeated request | 0:r1:1:aa 1:r1:7:bad 46:r2:1:aa 47:r2:8:bad 600:r3:1:aa 601:r3:9:bad 2000:r4:5:bad                             | bad       |
+      | the same, the request is served        | 0:r1:1:aa 1:r1:7:bad 46:r2:1:aa 47:r2:8:bad 600:r3:1:aa 601:r3:9:bad 1000:served:1 2000:r4:5:bad               | bad       |
       | one held back that is then served      | 0:r1:1:bad+doc 300:r2:2:bad+doc 600:r3:3:bad+doc 2000:served:doc 4000:r4:4:bad+sub                             | bad       |
 
   # Guards against sound questions about a document that are refused, as a part crashes upstreams before
--- a/features/steps/entry_quarantine_decisions.py
+++ b/features/steps/entry_quarantine_decisions.py
@@ -49,7 +49,8 @@
             judge(context)
             continue
         if what == "served":
-            served = [Suspect(SuspectKind.PART, rest[0])]
+            name = rest[0]
+            served = suspects_of(int(name), ()) if name.isdigit() else suspects_of(0, (name,))
             apply_changes(context, context.suspects.record_served(served))
             continue
         if what == "held":
--- a/skylarklift/entry/crashes/crash_evidence.py
+++ b/skylarklift/entry/crashes/crash_evidence.py
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class Judgement:
-    """Suspects that have been convicted, and earlier convicted parts that are cleared by that.
+    """Suspects that have been convicted, and earlier convicted ones that are cleared by that.
 
     `doubted` are parts at several replicas that crashed together: they are the cause, or another
     one is, such as a loss of power.
@@ -122,8 +122,14 @@
         record = self._records[request]
         for crash in record.crashes:
             crash.only_parts = record.parts
+        self._note_convicted(request, record.crashes)
         return True
 
+    def _note_convicted(self, suspect: Suspect, crashes: list[Crash]) -> None:
+        """Keep the crashes of a convicted suspect."""
+        self._convicted[suspect] = list(crashes)
+        _limit_size(self._convicted, MAX_CONVICTED)
+
     def _find_crash(self, report: CrashReport) -> Crash:
         """Return the crash that a report is about; add it if it is new."""
         limit = self._clock.now() - CRASH_TTL_MS
@@ -175,10 +181,9 @@
                 self._unjudged.add(most_suspect)
                 continue
             crashes = self._records[worst].crashes
-            judgement.acquitted += self._acquit(crashes)
+            judgement.acquitted += self._acquit(worst)
             judgement.convicted.append(worst)
-            self._convicted[worst] = crashes
-            _limit_size(self._convicted, MAX_CONVICTED)
+            self._note_convicted(worst, crashes)
             for crash in crashes:
                 crash.explained = True
         doubted = [self._narrowest(part) for part in parts if self._was_at_group(part)]
@@ -198,17 +203,26 @@
         beside = (crash for crash in self._crashes if since < crash.crashed_at < until)
         return self.last_served(part) is None and all(crash in record.crashes for crash in beside)
 
-    def _acquit(self, crashes: list[Crash]) -> list[Suspect]:
-        """Return the convicted parts whose crashes a newly convicted part took part in as well."""
+    def _acquit(self, part: Suspect) -> list[Suspect]:
+        """Return those convicted before whose crashes a newly convicted part was in as well.
+
+        A request that holds the part crashed its replicas by it, and stays convicted.
+        """
+        crashes = self._records[part].crashes
         acquitted = [
             suspect
             for suspect, earlier in self._convicted.items()
-            if all(crash in crashes for crash in earlier)
+            if all(crash in crashes for crash in earlier) and not self._holds(suspect, part)
         ]
         for suspect in acquitted:
             del self._convicted[suspect]
         return acquitted
 
+    def _holds(self, suspect: Suspect, part: Suspect) -> bool:
+        """Return whether a suspect is a request with a part."""
+        record = self._records.get(suspect)
+        return record is not None and part in record.parts
+
     def _is_guilty(self, suspect: Suspect) -> bool:
         """Return whether the evidence suffices to convict a part."""
         record = self._records.get(suspect)
@@ -291,20 +305,17 @@
     def _counted_crashes(self, suspect: Suspect, record: SuspectRecord) -> list[Crash]:
         """Return the recent crashes in a suspect's record that are evidence against it."""
         limit = self._clock.now() - CRASH_TTL_MS
-        recent = [
-            crash
-            for crash in record.crashes
-            if crash.crashed_at > limit and crash.may_be_caused_by(suspect)
-        ]
-        if suspect.kind is SuspectKind.REQUEST or all(crash.explained for crash in recent):
-            return [crash for crash in recent if not crash.explained]
+        recent = [crash for crash in record.crashes if crash.crashed_at > limit]
+        own = [item for item in recent if not item.explained and item.may_be_caused_by(suspect)]
+        if suspect.kind is SuspectKind.REQUEST or not own:
+            return own
         disputed = self._disputed_crashes(record)
-        return [crash for crash in recent if not crash.explained or crash in disputed]
+        return [crash for crash in recent if crash in own or crash in disputed]
 
     def _disputed_crashes(self, record: SuspectRecord) -> list[Crash]:
-        """Return the crashes of convicted parts that a suspect explains as well.
+        """Return the crashes of convicted suspects that a part explains as well.
 
-        A crash without the convicted part then shows that the suspect is the cause of all.
+        A crash without the convicted one then shows that the part is the cause of all.
         """
         return [
             crash
@@ -370,10 +381,15 @@
         return True
 
     def _clear(self, suspect: Suspect) -> None:
-        """Let the crashes of a convicted part that was served count for others again."""
+        """Let the crashes of a convicted suspect that was served count for others again."""
         crashes = self._convicted.pop(suspect, [])
+        if suspect.kind is SuspectKind.REQUEST:
+            for crash in crashes:
+                crash.only_parts = None
+            return
+        parts = [item for item in self._convicted if item.kind is SuspectKind.PART]
         for crash in crashes:
-            crash.explained = any(crash in others for others in self._convicted.values())
+            crash.explained = any(crash in self._convicted[part] for part in parts)
 
     def last_served(self, suspect: Suspect) -> Millis | None:
         """Return when a part was last served, `None` if that is too long ago."""
