Let the soak send extra responses by name, so that a mutation is found in each seed

Only an extra response behind a single one shows this mutation. It is one of six failures that `replica_fault` draws, and half of the replicas answer with streams alone, so one of twelve draws can show it, and a run of 8 s draws 6 to 13.

Change: `replica_extra_response` is a fault of its own that is injected only if it is named, and the row names it. `Faults.choose_kinds` is one method for both soaks. The list of all kinds is as it was, so that no seed of another soak draws other faults.

More seeds for the row: it would still miss now and then.

--- a/features/soak.feature
+++ b/features/soak.feature
@@ -20,7 +20,7 @@
       | mutation            | faults                      | text                             |
       | retry_everything    | replica_reset,replica_fault | ran 2 times                      |
       | report_not_run      | replica_reset,replica_fault | but ran                          |
-      | accept_any_response | replica_fault               | not its own complete response    |
+      | accept_any_response | replica_extra_response      | not its own complete response    |
       | accept_removed_keys | none                        | accepted a removed key           |
       | skip_drain          | router_stop                 | cut off by the router's shutdown |
       | ignore_event_ids    | replica_fault               | not its own complete response    |
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,7 @@
 """The faults of the soak, each injected from outside the routers and removed again."""
 
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from random import Random
 
 import trio
@@ -10,6 +10,7 @@
 from soak.proxy import LoopbackProxy, Mode
 from standins.entry_world import EntryWorld, RouterProcess
 from standins.process_state import has_loaded, receives_signal
+from standins.replica import Replica
 
 MAX_FAULT_S = 3.0
 RESTART_DELAY_S = 0.3
@@ -20,6 +21,8 @@
 START_POLLS = 2000
 # A router loads it in the middle of its imports.
 LIBRARY_OF_CODE = "msgpack"
+EXTRA_RESPONSE = "extra_response"
+RESPONSE_FAULTS = ("shed", "errors", "unsigned", "lose_response", EXTRA_RESPONSE, "encoded")
 
 
 class Faults:
@@ -56,6 +59,20 @@
             self.router_start_reloads,
         ]
 
+    def named_kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the functions that are called only by name."""
+        return [self.replica_extra_response]
+
+    def choose_kinds(self, names: Collection[str]) -> list[Callable[[], Awaitable[None]]]:
+        """Return the named faults; without names all but those that need one.
+
+        A kind in the list of all changes what each seed draws.
+        """
+        if not names:
+            return self.kinds()
+        kinds = [*self.kinds(), *self.named_kinds()]
+        return [kind for kind in kinds if kind.__name__ in names]
+
     async def wait_fault_duration(self) -> None:
         """Wait for the random duration of a fault."""
         await trio.sleep(self._rng.uniform(0.2, MAX_FAULT_S))
@@ -100,14 +117,28 @@
 
     async def replica_fault(self) -> None:
         """Make a replica fail some of its next responses."""
-        replica = self._rng.choice(list(self._world.replicas.values()))
-        names = ("shed", "errors", "unsigned", "lose_response", "extra_response", "encoded")
-        setattr(replica.faults, self._rng.choice(names), self._rng.randint(1, 6))
+        replica = self._choose_replica()
+        name = self._rng.choice(RESPONSE_FAULTS)
+        count = self._rng.randint(1, 6)
         replica.faults.break_after = self._rng.choice((None, 0, 3))
-        await self.wait_fault_duration()
+        await self._fail_responses(replica, name, count)
         replica.faults.break_after = None
-        for name in names:
-            setattr(replica.faults, name, 0)
+
+    async def replica_extra_response(self) -> None:
+        """Make a replica send a foreign response behind some of its single responses."""
+        replica = self._choose_replica()
+        await self._fail_responses(replica, EXTRA_RESPONSE, self._rng.randint(1, 6))
+
+    def _choose_replica(self) -> Replica:
+        """Return a random replica."""
+        return self._rng.choice(list(self._world.replicas.values()))
+
+    async def _fail_responses(self, replica: Replica, name: str, count: int) -> None:
+        """Let a replica fail this many of its next responses, for a random duration at most."""
+        setattr(replica.faults, name, count)
+        await self.wait_fault_duration()
+        for fault in RESPONSE_FAULTS:
+            setattr(replica.faults, fault, 0)
 
     async def replica_crash(self) -> None:
         """Crash a replica and start it again at the same address with a new start number."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -163,8 +163,7 @@
 
     async def _inject_faults(self, nursery: trio.Nursery) -> None:
         """Inject faults, one by one and overlapping, with pauses between."""
-        only = self._options.only_faults
-        kinds = [kind for kind in self._faults.kinds() if not only or kind.__name__ in only]
+        kinds = self._faults.choose_kinds(self._options.only_faults)
         if not kinds:
             return
         while True:
--- a/soak/stream_faults.py
+++ b/soak/stream_faults.py
@@ -113,15 +113,9 @@
         while True:
             yield from self._rng.sample(kinds, len(kinds)) if names else [self._rng.choice(kinds)]
 
-    def choose_kinds(self, names: Collection[str]) -> list[Callable[[], Awaitable[None]]]:
-        """Return the named faults; without names all but those that need one.
-
-        A kind in the list of all changes what each seed draws.
-        """
-        if not names:
-            return self.kinds()
-        kinds = [*self.kinds(), *self._out_of_step.named_kinds()]
-        return [kind for kind in kinds if kind.__name__ in names]
+    def named_kinds(self) -> list[Callable[[], Awaitable[None]]]:
+        """Return the functions that are called only by name."""
+        return self._out_of_step.named_kinds()
 
     # What a fault keeps from others.
 
