--- a/features/steps/ends_in_time.py
+++ b/features/steps/ends_in_time.py
@@ -15,6 +15,7 @@
 from standins.stream_events import EVENT_END
 
 LAST_EVENT = b"id: 6\ndata: e-6\n\n"
+EVENT_COUNT = 6
 SENT_S = 0.2
 LONG_DEADLINE_MS = 12_000
 
@@ -76,11 +77,60 @@
 
     async def _send_events(self, stream):
         """Send all events, in equal pauses over the span."""
-        events = EVENTS.split(EVENT_END)[:-1]
+        events = self._events()
         for event in events:
             await trio.sleep(self._span_s / len(events))
             await stream.send_all(event + EVENT_END)
 
+    def _events(self):
+        """Return the events of a whole stream."""
+        return EVENTS.split(EVENT_END)[:-1]
+
+
+class SilentEndReplica(LateEndReplica):
+    """End streams after some events and a time, and be silent for `silent_s`, as if suspended.
+
+    Its other connections end with a stream if its process `is_killed`.
+    """
+
+    def __init__(self, span_s, silent_s, *, sent=EVENT_COUNT, is_killed=False):
+        super().__init__(span_s, resumes=True)
+        self._silent_s = silent_s
+        self._sent = sent
+        self._is_killed = is_killed
+        self._silent_until = 0.0
+        self._ended = trio.Event()
+
+    async def serve(self, stream):
+        """Serve one connection, until the process is killed."""
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                if self._is_killed and not self._ended.is_set():
+                    nursery.start_soon(self._cancel_when_killed, scope)
+                await super().serve(stream)
+                nursery.cancel_scope.cancel()
+
+    async def _cancel_when_killed(self, scope):
+        """Cancel once a stream has ended."""
+        await self._ended.wait()
+        scope.cancel()
+
+    async def _receive_head(self, stream):
+        """Return the head of a request, once the process is silent no more."""
+        head = await super()._receive_head(stream)
+        await trio.sleep_until(self._silent_until)
+        return head
+
+    async def _answer(self, stream, head):
+        """Answer a request, and fall silent."""
+        await super()._answer(stream, head)
+        self._silent_until = trio.current_time() + self._silent_s
+        self._ended.set()
+
+    def _events(self):
+        """Return the events that are sent."""
+        return super()._events()[: self._sent]
+
 
 class DeadlineReplica(LateEndReplica):
     """End whole streams after a time, and resumed ones, without an event, at their deadline.
@@ -189,6 +239,17 @@
     start_world(context, {"lm-1": replica, "lm-2": replica}, {"bounds.grace_s": "3"})
 
 
+@given(
+    "a router with 3 s of grace before replicas that send {sent:d} of 6 events in {span:d} ms, end "
+    "the stream, and {then} for {silent:d} ms"
+)
+def router_before_silent_ends(context, sent, span, then, silent):
+    replica = SilentEndReplica(
+        span / 1000, silent / 1000, sent=sent, is_killed=then == "are gone and answer nothing"
+    )
+    start_world(context, {"lm-1": replica, "lm-2": replica}, {"bounds.grace_s": "3"})
+
+
 @when('a caller reads a stream of "{path}", and its router gets a SIGTERM at once')
 def read_beside_stop(context, path):
     async def read():
@@ -210,6 +271,11 @@
     assert response.status == 200 and response.complete, response
 
 
+@then("the caller that was there at the SIGTERM has no sign that the stream is complete")
+def has_incomplete_stream(context):
+    assert not context.response.complete, context.response
+
+
 @given(
     "a router before replicas that say no start, close connections idle for {idle:d} ms, and end a "
     "whole stream {span:d} ms after its start"
--- a/features/unconfirmed_ends.feature
+++ b/features/unconfirmed_ends.feature
@@ -175,6 +175,29 @@
       | 2000 | brings nothing |
       | 2000 | is unframed    |
 
+  # Guards against a whole stream that a router which stops cuts off, as the replica falls silent for a
+  # second right at its end (LOST): the process has not answered when the grace period ends.
+  Scenario Outline: A whole stream of "<path>" whose replica is silent from its end past the grace period of its router is complete
+    Given a router with 3 s of grace before replicas that send 6 of 6 events in 2000 ms, end the stream, and are silent for 1200 ms
+    When a caller reads a stream of "<path>", and its router gets a SIGTERM at once
+    Then the caller that was there at the SIGTERM has 6 events, and the stream is complete
+
+    Examples:
+      | path    |
+      | /chat/a |
+      | /once/a |
+
+  # Guards against the reverse: a process that is killed within a stream, where nothing answers after it.
+  Scenario Outline: A stream of "<path>" whose replica is killed after event 2 of 6, and whose router stops, does not look complete
+    Given a router with 3 s of grace before replicas that send 2 of 6 events in 2000 ms, end the stream, and are gone and answer nothing for 3000 ms
+    When a caller reads a stream of "<path>", and its router gets a SIGTERM at once
+    Then the caller that was there at the SIGTERM has no sign that the stream is complete
+
+    Examples:
+      | path    |
+      | /chat/a |
+      | /once/a |
+
   # Guards against a stream that looks complete before its last event, as the silence of its replica has
   # used up the time in which another run was to disprove the end.
   Scenario Outline: A stream that ends after event 2 of 6, at a replica that is then silent for <silent> ms, does not look complete when a resumed run answers after 400 ms
--- a/skylarklift/entry/requests/answer_end.py
+++ b/skylarklift/entry/requests/answer_end.py
@@ -23,6 +23,9 @@
 # The connections over a link that is closed are seen to end within this time of each other.
 LINK_END_MS = 60
 QUESTION_PAUSE_MS = 60
+# A router that stops asks no longer than until this time before it ends its requests.
+STOP_MARGIN_MS = 300
+STOP_POLL_MS = 20
 
 
 class EndSign(Enum):
@@ -31,13 +34,21 @@
     `PROCESS_LIVES`: the process of the answer still answers, so it has ended the answer itself.
     `PROCESS_REPLACED`: another process answers at its address.  `PROCESS_SILENT`: its process is
     gone, or has shown no life for longer than a sound one may be silent.  `LINK_CLOSED`: the
-    process lives, but its other connection ended with that of the answer.
+    process lives, but its other connection ended with that of the answer.  `CONNECTION_HELD`: its
+    process was silent until this router came to end its requests, but held its other connection, as
+    no process does that is gone.
     """
 
     PROCESS_LIVES = "process_lives"
     PROCESS_REPLACED = "process_replaced"
     PROCESS_SILENT = "process_silent"
     LINK_CLOSED = "link_closed"
+    CONNECTION_HELD = "connection_held"
+
+    @property
+    def shows_own_end(self) -> bool:
+        """Return whether the process of the answer has ended it itself."""
+        return self in (EndSign.PROCESS_LIVES, EndSign.CONNECTION_HELD)
 
 
 class Doubt(Enum):
@@ -64,6 +75,8 @@
         self._relay = conn.relay
         # Whether the second connection ended, or brought nothing, when it was asked on.
         self._second_failed = False
+        # Whether the process of the answer is being asked on the second connection.
+        self._asks_same_process = False
         said = conn.process.started_ms if conn.process else None
         # When the process of the answer started, 0 if that is not known.
         self._started_ms = said or record.started_ms
@@ -76,19 +89,42 @@
         since = Millis(self._core.clock.now() - LINK_END_MS)
         sign = EndSign.PROCESS_SILENT
         with trio.move_on_after(TOLERATED_SILENCE_MS / MS_PER_SECOND):
-            sign = await self._ask()
+            sign = await self._ask_until_stop()
         second_ended = self._second_failed or self._second.has_ended_since(since)
         if sign is EndSign.PROCESS_LIVES and second_ended:
             return EndSign.LINK_CLOSED
         return sign
 
+    async def _ask_until_stop(self) -> EndSign:
+        """Ask until an answer tells, or this router is about to end its requests."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_before_stop, nursery.cancel_scope)
+            sign = await self._ask()
+            nursery.cancel_scope.cancel()
+            return sign
+        return EndSign.CONNECTION_HELD if self._asks_same_process else EndSign.PROCESS_SILENT
+
+    async def _cancel_before_stop(self, scope: trio.CancelScope) -> None:
+        """Cancel shortly before this router ends its requests, once the end of a link had time."""
+        await trio.sleep(LINK_END_MS / MS_PER_SECOND)
+        while True:
+            if self._is_about_to_stop():
+                scope.cancel()
+            await trio.sleep(STOP_POLL_MS / MS_PER_SECOND)
+
+    def _is_about_to_stop(self) -> bool:
+        """Return whether this router is about to end its requests."""
+        stop_at = self._core.stop_at()
+        return stop_at is not None and self._core.clock.now() >= stop_at - STOP_MARGIN_MS
+
     async def _ask(self) -> EndSign:
         """Ask until an answer tells: on the second connection, else on new ones."""
         conn = await self._second.take()
         if conn is not None:
+            same = self._asks_same_process = self._second.is_to_same_process
             process = await self._ask_on(conn)
+            self._asks_same_process = False
             if process is not None:
-                same = self._second.is_to_same_process
                 return self._compare(
                     process, EndSign.PROCESS_LIVES if same else EndSign.PROCESS_SILENT
                 )
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -323,7 +323,7 @@
         if scope.cancelled_caught:
             self.end_sign = EndSign.PROCESS_SILENT
             self.give_up("the end of the stream was not confirmed in time")
-        if self.end_sign is not EndSign.PROCESS_LIVES:
+        if not self.end_sign.shows_own_end:
             raise ResponseBroken("the upstream ended within an answer without a length")
 
     def _confirmation_left_ms(self) -> float:
