Keep the pauses of the soak's streams apart from suspensions of their process

Change: PauseLock, a lock of each replica, which pausing streams share and a suspension excludes; it is held for 0.5 s after one. Where one replica may not be suspended, another is, so that there are as many silences as before.

Ruled out: a longer tolerance (hung upstreams would be left later), and a narrower judge, which would excuse streams that met one silence only.

--- a/soak/replica_silences.py
+++ b/soak/replica_silences.py
@@ -6,10 +6,13 @@
 import trio
 
 from soak.stream_world import ReplicaProcess, StreamWorld
+from standins.pause_lock import PauseLock
 from standins.replica_conduct import SILENCE_S
 
 # Between the begins of two silences of any replicas.
 PAUSE_S = (0.5, 2.5)
+# After a silence a replica has this long to send what is due, before a stream of it pauses.
+RECOVERY_S = 0.5
 
 
 class ReplicaSilences:
@@ -19,7 +22,6 @@
         self._world = world
         # Not shared with what faults draw, so that a seed gives the same faults with silences.
         self._rng = Random(f"{seed} silences")
-        self._silent: set[str] = set()
         self.count = 0
 
     async def run(self) -> None:
@@ -27,14 +29,21 @@
         async with trio.open_nursery() as nursery:
             while True:
                 await trio.sleep(self._rng.uniform(*PAUSE_S))
-                replicas = self._world.replica_processes.values()
-                others = [item for item in replicas if item.name not in self._silent]
-                if others:
-                    nursery.start_soon(self._silence, self._rng.choice(others))
-
-    async def _silence(self, replica: ReplicaProcess) -> None:
+                nursery.start_soon(self._silence_one)
+
+    async def _silence_one(self) -> None:
+        """Suspend a replica for a second or so, one that is not silent and whose streams go on."""
+        replicas = list(self._world.replica_processes.values())
+        for replica in self._rng.sample(replicas, len(replicas)):
+            lock = PauseLock(self._world.replica_log, replica.name)
+            with lock.hold_for_suspension() as may_suspend:
+                if may_suspend:
+                    await self._suspend(replica)
+                    await trio.sleep(RECOVERY_S)
+                    return
+
+    async def _suspend(self, replica: ReplicaProcess) -> None:
         """Suspend a replica's process for a second or so."""
-        self._silent.add(replica.name)
         self.count += 1
         self._world.run_log.write("replica_silent", replica=replica.name)
         replica.process.send_signal(signal.SIGSTOP)
@@ -43,4 +52,3 @@
         finally:
             replica.process.send_signal(signal.SIGCONT)
             self._world.run_log.write("replica_goes_on", replica=replica.name)
-            self._silent.discard(replica.name)
