--- a/features/silent_replicas.feature
+++ b/features/silent_replicas.feature
@@ -65,3 +65,31 @@
       | 0,700 | 400,950   | 1250 | is due     |
       | 0,700 | 400,950   | 1251 | is not due |
       | 0     | 400       | 1901 | is due     |
+
+  # Guards against a refusal as the replicas go on: the attempts of a request that came as they fell
+  # silent were used up by connections that timed out, the last one shortly after that (503 not_taken).
+  Scenario Outline: An attempt that timed out in a tolerated silence, between the ages of <began> and <ended> ms of its request, <counts>
+    Then an attempt that met a tolerated silence between <began> and <ended> ms <counts>
+
+    Examples:
+      | began | ended | counts          |
+      | 0     | 400   | is excused      |
+      | 1090  | 1490  | is excused      |
+      | 1105  | 1505  | is excused      |
+      | 1249  | 1649  | is excused      |
+      | 1499  | 1749  | is excused      |
+      | 1499  | 1750  | is not excused  |
+      | 1500  | 1600  | is not excused  |
+
+  # Guards against callers who wait for long at upstreams that are gone.
+  Scenario Outline: After <attempts> attempts, <age> ms after its request came, a connection may take <span> ms
+    Then a connection after <attempts> attempts at <age> ms may take <span> ms
+
+    Examples:
+      | attempts | age  | span |
+      | 0        | 0    | 400  |
+      | 3        | 1499 | 400  |
+      | 3        | 1500 | 400  |
+      | 4        | 1499 | 400  |
+      | 4        | 1500 | 100  |
+      | 5        | 1600 | 100  |
--- a/features/steps/silent_replicas.py
+++ b/features/steps/silent_replicas.py
@@ -15,6 +15,7 @@
 from features.world_thread import WorldThread
 from skylarklift.clock import ManualClock
 from skylarklift.entry.placement.unanswered import Unanswered
+from skylarklift.entry.requests.excused_attempts import connect_timeout_ms, is_excused
 from skylarklift.errors import ConnectTimeout
 from skylarklift.ids import ReplicaId
 from standins.entry_world import HOST, ROOT
@@ -219,3 +220,18 @@
     context.clock.advance(span - context.clock.now())
     is_due = not context.unanswered.has_tolerated(ReplicaId("r0"), look)
     assert is_due == (due == "is due"), (span, due)
+
+
+@then("an attempt that met a tolerated silence between {began:d} and {ended:d} ms is excused")
+def attempt_is_excused(context, began, ended):
+    assert is_excused(began, ended)
+
+
+@then("an attempt that met a tolerated silence between {began:d} and {ended:d} ms is not excused")
+def attempt_is_not_excused(context, began, ended):
+    assert not is_excused(began, ended)
+
+
+@then("a connection after {attempts:d} attempts at {age:d} ms may take {span:d} ms")
+def connection_may_take(context, attempts, age, span):
+    assert connect_timeout_ms(attempts, age) == span
--- a/skylarklift/entry/requests/attempt.py
+++ b/skylarklift/entry/requests/attempt.py
@@ -16,6 +16,7 @@
 from skylarklift.entry.requests.answer_end import AnswerEnd, Doubt, EndSign
 from skylarklift.entry.requests.answer_reading import AnswerReading
 from skylarklift.entry.requests.attempt_connection import ConnectionOpener, ProcessCheck
+from skylarklift.entry.requests.connection_pool import CONNECT_TIMEOUT_MS
 from skylarklift.entry.requests.http_connection import (
     MAX_RESPONSES_READ,
     NO_BODY_STATUSES,
@@ -75,6 +76,7 @@
         sent_before: bool = False,
         check: ProcessCheck = ProcessCheck.ANY,
         confirm_until: Millis | None = None,
+        connect_ms: int = CONNECT_TIMEOUT_MS,
     ):
         self.core = core
         self.call = call
@@ -88,6 +90,8 @@
         # Until when it is to show that a stream has ended which its caller has all of, `None` if it
         # is to go on with one.
         self.confirm_until = confirm_until
+        # A connection that is made for it may take so long.
+        self._connect_ms = connect_ms
         # If the upstream got this request before, a second copy of that answer, with the same id,
         # may come on the same connection.
         self._sent_before = sent_before
@@ -112,7 +116,7 @@
         self.answered_at: Millis | None = None
         # When the answer broke off, `None` before.
         self.broken_at: Millis | None = None
-        self.sent_at = self._started_at = core.clock.now()
+        self.sent_at = self.started_at = core.clock.now()
         self._response_read = False
         self.reading = AnswerReading(core.clock)
         # Whether no connection was made in time, which a sound upstream's silence may explain.
@@ -122,7 +126,7 @@
     async def open(self):
         """Count the request as in flight during the block; abort its connection if unfinished."""
         core = self.core
-        self._started_at = core.clock.now()
+        self.started_at = core.clock.now()
         core.chooser.start_request(self.choice, self.call)
         core.report_sent(self.record)
         core.attempts.add(self)
@@ -143,7 +147,7 @@
             raise ConnectFailed(self.detail)
         self.outcome = Outcome.BROKEN
         if self.choice.cold:
-            self.core.chooser.cold_limit.record_sent(self.record.replica, self._started_at)
+            self.core.chooser.cold_limit.record_sent(self.record.replica, self.started_at)
         await self._connect_twice_if_expected()
         call = self.call
         headers = self.core.header_codec.encode_upstream_headers(call, self._current_options())
@@ -171,6 +175,7 @@
             self.choice.upstream,
             recently_used=not self.repeatable,
             new=self._sent_before or resumes,
+            timeout_ms=self._connect_ms,
         )
         try:
             conn = await opener.open(self._check)
@@ -202,7 +207,7 @@
 
     def _current_options(self) -> SendOptions:
         """Return the options, with what is left of the time now that the connection is open."""
-        left_ms = self.options.left_ms - (self.core.clock.now() - self._started_at)
+        left_ms = self.options.left_ms - (self.core.clock.now() - self.started_at)
         return replace(self.options, left_ms=max(1, left_ms))
 
     async def _read_head(self) -> ResponseHead:
@@ -349,7 +354,7 @@
     def reached_deadline(self) -> bool:
         """Return whether the answer ended when the upstream was to stop the work."""
         ended_at = self.reading.ended_at or self.broken_at or self.core.clock.now()
-        return ended_at >= self._started_at + self.options.left_ms - DEADLINE_MARGIN_MS
+        return ended_at >= self.started_at + self.options.left_ms - DEADLINE_MARGIN_MS
 
     async def report_if_ended_early(self) -> None:
         """Report an answer that broke off if its process lives, and so has ended it."""
@@ -457,7 +462,7 @@
         elif isinstance(exc, ConnectFailed):
             self.outcome = Outcome.NOT_SENT
             unanswered = self.core.health.unanswered
-            replica, began_at = self.record.replica, self._started_at
+            replica, began_at = self.record.replica, self.started_at
             self.silence_tolerated = unanswered.tolerates(replica, exc, began_at)
             # What nobody could look at is not held against the upstream.
             if not self.silence_tolerated and not isinstance(exc, NoRelay):
--- a/skylarklift/entry/requests/attempt_connection.py
+++ b/skylarklift/entry/requests/attempt_connection.py
@@ -52,17 +52,20 @@
 class ConnectionOpener:
     """The way to a connection to one upstream.
 
-    `recently_used` and `new` say which connections of the pool may be taken, as in `acquire`.
-    `identity` is whether the process behind the connection is that of the upstream's entry, `None`
-    if it was not asked.
+    `recently_used` and `new` say which connections of the pool may be taken, as in `acquire`, and
+    one that is made may take `timeout_ms`.  `identity` is whether the process behind the connection
+    is that of the upstream's entry, `None` if it was not asked.
     """
 
-    def __init__(self, core: Core, upstream: Upstream, *, recently_used: bool, new: bool):
+    def __init__(
+        self, core: Core, upstream: Upstream, *, recently_used: bool, new: bool, timeout_ms: int
+    ):
         self._core = core
         self._upstream = upstream
         self._record = upstream.record
         self._recently_used = recently_used
         self._new = new
+        self._timeout_ms = timeout_ms
         self._conn: HttpConnection | None = None
         self.identity: Identity | None = None
 
@@ -83,7 +86,10 @@
         core = self._core
         try:
             return await core.connection_pool.acquire(
-                self._record, recently_used=self._recently_used, new=new
+                self._record,
+                recently_used=self._recently_used,
+                new=new,
+                timeout_ms=self._timeout_ms,
             )
         except LocalShortage:
             core.descriptors_short.set()
--- a/skylarklift/entry/requests/connection_pool.py
+++ b/skylarklift/entry/requests/connection_pool.py
@@ -49,22 +49,27 @@
         self._idle: dict[ReplicaId, deque[IdleConnection]] = {}
 
     async def acquire(
-        self, record: UpstreamRecord, *, recently_used: bool, new: bool = False
+        self,
+        record: UpstreamRecord,
+        *,
+        recently_used: bool,
+        new: bool = False,
+        timeout_ms: int = CONNECT_TIMEOUT_MS,
     ) -> HttpConnection:
         """Return an idle connection, or a new one; raise `ConnectFailed`.
 
         With `recently_used`, take an idle connection only if it was in use within
-        `RECENT_USE_MS`; with `new`, take none.
+        `RECENT_USE_MS`; with `new`, take none.  A new one may take `timeout_ms`.
         """
         conn = None if new else self._take_idle(record.replica, recently_used)
         if conn is not None:
             return conn
         try:
-            stream = await self._dialer.dial(record, CONNECT_TIMEOUT_MS)
+            stream = await self._dialer.dial(record, timeout_ms)
         except LocalShortage:
             if not self.trim_idle(0):
                 raise
-            stream = await self._dialer.dial(record, CONNECT_TIMEOUT_MS)
+            stream = await self._dialer.dial(record, timeout_ms)
         conn = HttpConnection(stream, f"{record.host}:{record.port}")
         conn.connected_at = self._clock.now()
         return conn
--- a/skylarklift/entry/requests/request_handler.py
+++ b/skylarklift/entry/requests/request_handler.py
@@ -18,11 +18,11 @@
 )
 from skylarklift.entry.placement.choice import Choice
 from skylarklift.entry.placement.health import HealthSignal
-from skylarklift.entry.placement.unanswered import TOLERATED_SILENCE_MS
 from skylarklift.entry.requests.admitted_search import AdmittedSearch
 from skylarklift.entry.requests.attempt import NOT_RUN_STATUSES, Attempt
 from skylarklift.entry.requests.attempt_evidence import is_comparable, record_attempt
 from skylarklift.entry.requests.caller_connection import CallerConnection
+from skylarklift.entry.requests.excused_attempts import connect_timeout_ms, is_excused
 from skylarklift.entry.requests.forwarding import Forwarder
 from skylarklift.entry.requests.request_log import log_failed_attempt, log_result
 from skylarklift.entry.requests.retry_state import (
@@ -67,8 +67,6 @@
 # A route's time-out may be shorter than its work takes, so a time-out counts as a failure of the
 # upstream only when the request has lasted at least this long.
 MIN_TIMEOUT_FAILURE_MS = 1000
-# An attempt that ends by this age of its request may have met a silence that is tolerated.
-MAX_EXCUSED_AGE_MS = TOLERATED_SILENCE_MS
 # Runs that are to confirm the end of a stream use this part of the retry budget.
 CONFIRMATION_BUDGET_RATIO = 0.5
 # A stopping router completes a stream so long before it ends all requests.
@@ -196,6 +194,7 @@
                 sent_before=choice.upstream.record.replica in self.sent_to,
                 check=self.stream_version.process_check(self.service),
                 confirm_until=self._confirm_until(),
+                connect_ms=connect_timeout_ms(self.retry_state.attempts, self._age_ms()),
             )
             self.attempt = attempt
             is_measured = core.rollouts.order(self.service) is not None
@@ -211,9 +210,7 @@
             if status:
                 return status
             # An upstream that is silent for a time that is tolerated uses up no attempts.
-            age_ms = core.clock.now() - self.call.received_at
-            excused = attempt.silence_tolerated and age_ms < MAX_EXCUSED_AGE_MS
-            self.retry_state.record(attempt.outcome, excused=excused)
+            self.retry_state.record(attempt.outcome, excused=self._is_excused(attempt))
             log_failed_attempt(self.core, self.call, attempt, self.retry_state.attempts)
             await self.crash_guard.wait_for_judgement(attempt)
             self.denial = self._find_denial(attempt.outcome)
@@ -240,6 +237,15 @@
             return until
         return Millis(min(until, stop_at - STOP_MARGIN_MS))
 
+    def _age_ms(self) -> int:
+        """Return how long ago the request came."""
+        return self.core.clock.now() - self.call.received_at
+
+    def _is_excused(self, attempt: Attempt) -> bool:
+        """Return whether an attempt that is over uses up none of those allowed."""
+        began_ms = attempt.started_at - self.call.received_at
+        return attempt.silence_tolerated and is_excused(began_ms, self._age_ms())
+
     def _find_denial(self, outcome: Outcome) -> RetryDenial | None:
         """Return why no other attempt is made, `None` if one is; spend the retry budget for it."""
         core = self.core
